--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# Targets for development; `make help` lists them.
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+export PYTHONPATH := src
+SOURCES := src tests bench examples
+STAMP := $(VENV)/.installed
+
+.PHONY: help env format check-format lint types imports unit test demo \
+	bench fuzz spec binary
+
+help:
+	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
+
+env: $(STAMP) ## create the virtual environment from the lock file
+
+$(STAMP): requirements.lock
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet -r requirements.lock
+	touch $(STAMP)
+
+format: env ## rewrite the sources with the formatter
+	$(PYTHON) -m ruff format $(SOURCES)
+
+check-format: env ## fail when the formatter would change a file
+	$(PYTHON) -m ruff format --check $(SOURCES)
+
+lint: env ## run flake8 with hacking
+	$(PYTHON) -m flake8 $(SOURCES)
+
+types: env ## run mypy
+	$(PYTHON) -m mypy
+
+imports: env ## check which package may import which
+	$(VENV)/bin/lint-imports
+
+unit: env ## run the tests
+	$(PYTHON) -m tests
+
+test: check-format lint types imports unit ## all of the above
+
+demo: env ## run the main job on stand-ins
+	$(PYTHON) -m dogwoodquay demo $(ARGS)
--- /dev/null
+++ b/src/dogwoodquay/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Limits, queues and early refusals."""
--- /dev/null
+++ b/src/dogwoodquay/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, one module a command."""
--- /dev/null
+++ b/src/dogwoodquay/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' HTTP interface."""
--- /dev/null
+++ b/src/dogwoodquay/gossip/__init__.py
@@ -0,0 +1,1 @@
+"""Dissemination of versioned state between instances."""
--- /dev/null
+++ b/src/dogwoodquay/journal/__init__.py
@@ -0,0 +1,1 @@
+"""State that lasts: typed entries on the log, replay, checkpoints."""
--- /dev/null
+++ b/src/dogwoodquay/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Failure detection between instances."""
--- /dev/null
+++ b/src/dogwoodquay/node/__init__.py
@@ -0,0 +1,1 @@
+"""One instance: the cores, wired to I/O."""
--- /dev/null
+++ b/src/dogwoodquay/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics and structured logs."""
--- /dev/null
+++ b/src/dogwoodquay/once/__init__.py
@@ -0,0 +1,1 @@
+"""Claims that let a non-idempotent request run at most once."""
--- /dev/null
+++ b/src/dogwoodquay/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Duties that one instance holds at a time, decided by log order."""
--- /dev/null
+++ b/src/dogwoodquay/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which server holds which model, and the moves towards it."""
--- /dev/null
+++ b/src/dogwoodquay/pools/__init__.py
@@ -0,0 +1,1 @@
+"""What is known of the servers of a pool, shared between instances."""
--- /dev/null
+++ b/src/dogwoodquay/records/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' records: schemas by version, lifting and the catalogue."""
--- /dev/null
+++ b/src/dogwoodquay/retry/__init__.py
@@ -0,0 +1,1 @@
+"""Whether and where a failed attempt may be repeated."""
--- /dev/null
+++ b/src/dogwoodquay/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The choice of an upstream for each attempt."""
--- /dev/null
+++ b/src/dogwoodquay/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Checked settings of an instance."""
--- /dev/null
+++ b/src/dogwoodquay/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The inner protocol between instances."""
