Show operators what an instance sees

Cause: operators act only by publishing records, so they need to see what is declared, in force, refused and why, where models are, and whose duty a pool is. Change: an operators' listener with status, in-force, health and metrics, its client and tables, and the status command with exit codes.

--- /dev/null
+++ b/src/dogwoodquay/commands/endpoint.py
@@ -0,0 +1,45 @@
+"""Command line arguments that hold an IP number and a port."""
+
+from __future__ import annotations
+
+import argparse
+import ipaddress
+import typing
+
+__all__ = ['Endpoint', 'parse']
+
+
+class Endpoint(typing.NamedTuple):
+    """An IP number and a port."""
+
+    address: str
+    port: int
+
+    @property
+    def url(self) -> str:
+        """The base URL of a plain HTTP server there."""
+        host = self.address
+        if ':' in host:
+            host = f'[{host}]'
+        return f'http://{host}:{self.port}'
+
+
+def parse(text: str) -> Endpoint:
+    """Parse ``address:port``.
+
+    :raises argparse.ArgumentTypeError: when it is anything else.
+    """
+    address, _, port = text.rpartition(':')
+    address = address.strip('[]')
+    try:
+        ipaddress.ip_address(address)
+        number = int(port)
+    except ValueError as error:
+        raise argparse.ArgumentTypeError(
+            f'expected an IP number, a colon and a port, got {text!r}'
+        ) from error
+    if not 1 <= number <= 65535:
+        raise argparse.ArgumentTypeError(
+            f'expected a port from 1 to 65535, got {number}'
+        )
+    return Endpoint(address, number)
--- a/src/dogwoodquay/commands/main.py
+++ b/src/dogwoodquay/commands/main.py
@@ -6,8 +6,10 @@
 import typing
 
 from absl import app
+from absl import logging
 from absl.flags import argparse_flags
 
+from . import status
 from . import version
 
 if typing.TYPE_CHECKING:
@@ -15,7 +17,7 @@
 
 __all__ = ['run']
 
-_COMMANDS = (version,)
+_COMMANDS = (status, version)
 
 
 def _parse(argv: list[str]) -> argparse.Namespace:
@@ -29,6 +31,7 @@
 
 
 def _main(args: argparse.Namespace) -> int:
+    logging.set_verbosity(logging.WARNING)
     return int(args.run(args))
 
 
--- /dev/null
+++ b/src/dogwoodquay/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' HTTP interface of an instance: status, health, metrics."""
