--- a/src/dogwoodquay/commands/main.py
+++ b/src/dogwoodquay/commands/main.py
@@ -6,8 +6,8 @@
 import typing
 
 from absl import app
-from absl import logging
 from absl.flags import argparse_flags
+from absl import logging
 
 from . import status
 from . import version
