--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,12 @@
 
 demo: env ## run the main job on stand-ins
 	$(PYTHON) -m dogwoodquay demo $(ARGS)
+
+# Unpacked at start to a memory file system; SHIV_ROOT names another one.
+BINARY_ROOT ?= /dev/shm/dogwoodquay
+
+binary: env ## build dist/dogwoodquay, one executable file
+	mkdir -p dist
+	$(VENV)/bin/shiv --quiet -c dogwoodquay -o dist/dogwoodquay \
+		--root $(BINARY_ROOT) -p '/usr/bin/env python3' \
+		--constraint requirements.lock .
