Add in-memory fakes of the outside systems

Cause: the agreement and entry parts need something to run against. Conclusion: others can build on dogwoodquay.platform.memory.

--- /dev/null
+++ b/src/dogwoodquay/platform/memory/batch.py
@@ -0,0 +1,128 @@
+"""A fake engine's continuous batching: a queue by priority and its pace."""
+
+from __future__ import annotations
+
+import collections
+import heapq
+import itertools
+import typing
+
+from .. import api
+from . import timeline
+
+__all__ = ['Batch', 'Pace']
+
+_KEPT_REPORTS: typing.Final = 256
+_REPORT_SPACING: typing.Final = 0.05
+_RATE_WINDOW: typing.Final = 1.0
+
+
+class Pace(typing.NamedTuple):
+    """An engine's speed; a step lasts at least ``step_seconds``.
+
+    ``decode_tokens_per_second`` is shared by all running requests; a zero
+    switches that cost off.
+    """
+
+    max_running: int = 64
+    prefill_tokens_per_second: float = 20_000.0
+    decode_tokens_per_second: float = 2_000.0
+    step_seconds: float = 0.01
+
+
+class Batch:
+    """Requests that run, and those that wait by priority and age."""
+
+    def __init__(self, time: timeline.Timeline, pace: Pace) -> None:
+        self.pace = pace
+        self.load_lag_seconds = 0.0
+        self.running = 0
+        self._time = time
+        self._waiting: list[tuple[int, int, timeline.Signal]] = []
+        self._sequence = itertools.count()
+        self._prefill_free_at = 0.0
+        self._tokens: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
+        self._reports: collections.deque[api.LoadReport] = collections.deque(
+            maxlen=_KEPT_REPORTS
+        )
+
+    @property
+    def queued(self) -> int:
+        """The number of requests that wait for a place."""
+        return len(self._waiting)
+
+    async def enter(self, priority: int, deadline: float) -> bool:
+        """Wait for a place; false when the deadline comes first."""
+        if self.running < self.pace.max_running and not self._waiting:
+            self.running += 1
+            return True
+        signal = timeline.Signal()
+        entry = (-priority, next(self._sequence), signal)
+        heapq.heappush(self._waiting, entry)
+        try:
+            await signal.wait(self._time, deadline)
+        except BaseException:
+            if entry in self._waiting:
+                self._forget(entry)
+            else:
+                self.leave()
+            raise
+        if entry in self._waiting:
+            self._forget(entry)
+            return False
+        return True
+
+    def leave(self) -> None:
+        """Give up a place; the next request takes it over."""
+        if self._waiting:
+            _, _, signal = heapq.heappop(self._waiting)
+            signal.notify()
+            return
+        self.running -= 1
+
+    async def prefill(self, tokens: int) -> None:
+        """Wait while the prompt's uncached tokens are worked on."""
+        if not self.pace.prefill_tokens_per_second:
+            return
+        start = max(self._time.now(), self._prefill_free_at)
+        cost = tokens / self.pace.prefill_tokens_per_second
+        self._prefill_free_at = start + cost
+        await timeline.sleep_until(self._time, self._prefill_free_at)
+
+    async def decode(self, tokens: int = 1) -> None:
+        """Wait while a request's next tokens are made."""
+        step = self.pace.step_seconds
+        if self.pace.decode_tokens_per_second:
+            share = self.running / self.pace.decode_tokens_per_second
+            step = max(step, share)
+        if step:
+            due = self._time.now() + step * tokens
+            await timeline.sleep_until(self._time, due)
+        self._tokens.append((self._time.now(), tokens))
+
+    def report(self, cache_used: float) -> api.LoadReport:
+        """Return the report as it was ``load_lag_seconds`` ago."""
+        now = self._time.now()
+        current = api.LoadReport(
+            now, self.running, self.queued, self._rate(now), cache_used
+        )
+        if not self.load_lag_seconds:
+            return current
+        last = self._reports[-1].time if self._reports else 0.0
+        if now - last >= _REPORT_SPACING:
+            self._reports.append(current)
+        horizon = now - self.load_lag_seconds
+        while len(self._reports) > 1 and self._reports[1].time <= horizon:
+            self._reports.popleft()
+        return self._reports[0]
+
+    def _rate(self, now: float) -> float:
+        while self._tokens and self._tokens[0][0] < now - _RATE_WINDOW:
+            self._tokens.popleft()
+        return sum(count for _, count in self._tokens) / _RATE_WINDOW
+
+    def _forget(self, entry: tuple[int, int, timeline.Signal]) -> None:
+        self._waiting.remove(entry)
+        heapq.heapify(self._waiting)
--- /dev/null
+++ b/src/dogwoodquay/platform/memory/log.py
@@ -0,0 +1,199 @@
+"""A fake of the platform's append-only log."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+import random
+import typing
+
+import expression
+
+from .. import api
+from . import faults
+from . import timeline
+
+__all__ = ['MemoryLog']
+
+_APPEND_FAULTS: typing.Final = frozenset(
+    {
+        faults.CallFault.REFUSE,
+        faults.CallFault.UNAVAILABLE,
+        faults.CallFault.LOSE_CALL,
+        faults.CallFault.LOSE_ANSWER,
+        faults.CallFault.LATE,
+    }
+)
+
+
+class _Stream:
+    """The entries that one stream still holds."""
+
+    def __init__(self) -> None:
+        self.first_offset = 0
+        self.entries: list[api.LogEntry] = []
+        self.changed = timeline.Signal()
+
+    @property
+    def next_offset(self) -> int:
+        return self.first_offset + len(self.entries)
+
+    def append(self, payload: bytes, now: float) -> int:
+        offset = self.next_offset
+        self.entries.append(api.LogEntry(offset, now, payload))
+        self.changed.notify()
+        return offset
+
+    def trim(self, offset: int) -> None:
+        count = min(max(0, offset - self.first_offset), len(self.entries))
+        del self.entries[:count]
+        self.first_offset += count
+
+    def expire(self, before: float) -> None:
+        keep = 0
+        while keep < len(self.entries) and self.entries[keep].time < before:
+            keep += 1
+        if keep:
+            self.trim(self.first_offset + keep)
+
+    def page(self, offset: int, limit: int) -> api.LogPage:
+        start = offset - self.first_offset
+        entries = tuple(self.entries[start : start + limit])
+        return api.LogPage(entries, self.first_offset, self.next_offset)
+
+
+class MemoryLog:
+    """A log in memory with faults, retention and late appends.
+
+    A late append answers ``Ambiguous`` at the caller's deadline and takes
+    effect after its delay, also when its caller has long given up.
+    """
+
+    def __init__(
+        self,
+        time: timeline.Timeline,
+        rng: random.Random,
+        retention_seconds: float = math.inf,
+    ) -> None:
+        self.faults = faults.Faults()
+        self.retention_seconds = retention_seconds
+        self.appends = 0
+        self._time = time
+        self._rng = rng
+        self._streams: dict[str, _Stream] = {}
+        self._order = itertools.count()
+        self._late: list[tuple[float, int, str, bytes]] = []
+
+    def entries(self, stream: str) -> tuple[api.LogEntry, ...]:
+        """Return what a stream holds, without any fault."""
+        self._settle()
+        return tuple(self._stream(stream).entries)
+
+    def put(self, stream: str, payload: bytes) -> int:
+        """Append an entry at once, without any fault."""
+        self._settle()
+        self.appends += 1
+        return self._stream(stream).append(payload, self._time.now())
+
+    def trim(self, stream: str, offset: int) -> None:
+        """Drop the entries before an offset."""
+        self._stream(stream).trim(offset)
+
+    def release_late(self) -> int:
+        """Let every hung append take effect now; return how many."""
+        count = len(self._late)
+        for _, _, stream, payload in sorted(self._late):
+            self._stream(stream).append(payload, self._time.now())
+        self._late.clear()
+        return count
+
+    async def append(
+        self, stream: str, payload: bytes, deadline: float
+    ) -> expression.Result[int, api.LogError]:
+        """Append one entry and return its offset."""
+        if self._is_out():
+            return expression.Error(api.Unavailable('outage'))
+        if not await self._delay(deadline):
+            return expression.Error(api.Unavailable('timeout'))
+        if self._is_out():
+            return expression.Error(api.Unavailable('outage'))
+        fault = self.faults.draw(self._rng, _APPEND_FAULTS)
+        if fault is None:
+            return expression.Ok(self.put(stream, payload))
+        return await self._faulty_append(fault, stream, payload, deadline)
+
+    async def _faulty_append(
+        self,
+        fault: faults.Injected,
+        stream: str,
+        payload: bytes,
+        deadline: float,
+    ) -> expression.Result[int, api.LogError]:
+        match fault.kind:
+            case faults.CallFault.REFUSE:
+                return expression.Error(api.Refused('injected'))
+            case faults.CallFault.LOSE_ANSWER:
+                self.put(stream, payload)
+            case faults.CallFault.LATE:
+                due = self._time.now() + fault.delay
+                entry = (due, next(self._order), stream, payload)
+                heapq.heappush(self._late, entry)
+                self._stream(stream).changed.notify()
+                await timeline.sleep_until(self._time, deadline)
+            case faults.CallFault.LOSE_CALL:
+                pass
+            case _:
+                return expression.Error(api.Unavailable('injected'))
+        return expression.Error(api.Ambiguous(fault.kind.value))
+
+    async def read(
+        self,
+        stream: str,
+        offset: int,
+        limit: int,
+        deadline: float,
+        wait: bool = False,
+    ) -> expression.Result[api.LogPage, api.LogError]:
+        """Read entries from an offset on."""
+        if self._is_out():
+            return expression.Error(api.Unavailable('outage'))
+        if not await self._delay(deadline):
+            return expression.Error(api.Unavailable('timeout'))
+        found = self._stream(stream)
+        while True:
+            self._settle()
+            if self._is_out():
+                return expression.Error(api.Unavailable('outage'))
+            if offset < found.first_offset:
+                return expression.Error(api.Trimmed(found.first_offset))
+            done = offset < found.next_offset or not wait
+            if done or self._time.now() >= deadline:
+                return expression.Ok(found.page(offset, limit))
+            due = self._late[0][0] if self._late else math.inf
+            await found.changed.wait(self._time, min(deadline, due))
+
+    async def _delay(self, deadline: float) -> bool:
+        """Wait as long as calls are slow; false when the deadline is past."""
+        if self.faults.slow_seconds:
+            due = self._time.now() + self.faults.slow_seconds
+            await timeline.sleep_until(self._time, min(due, deadline))
+        return self._time.now() < deadline
+
+    def _is_out(self) -> bool:
+        return self.faults.outage
+
+    def _stream(self, name: str) -> _Stream:
+        found = self._streams.get(name)
+        if found is None:
+            found = self._streams[name] = _Stream()
+        return found
+
+    def _settle(self) -> None:
+        now = self._time.now()
+        while self._late and self._late[0][0] <= now:
+            _, _, stream, payload = heapq.heappop(self._late)
+            self._stream(stream).append(payload, now)
+        if self.retention_seconds < math.inf:
+            for found in self._streams.values():
+                found.expire(now - self.retention_seconds)
--- /dev/null
+++ b/src/dogwoodquay/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the platform over HTTP, for the demonstration and tests."""
