--- /dev/null
+++ b/src/dogwoodquay/journal/writer.py
@@ -0,0 +1,103 @@
+"""Appends entries and tells what the log decided on them."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import anyio
+import expression
+
+from . import entries as journal_entries
+
+if typing.TYPE_CHECKING:
+    from .. import clock as clocks
+    from . import api
+    from . import follower as followers
+    from ..platform import api as platform_api
+
+__all__ = ['Undecided', 'Writer']
+
+ATTEMPT_SECONDS: typing.Final = 2.0
+SETTLE_SECONDS: typing.Final = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Undecided:
+    """The entries were not read back in time; they may still land."""
+
+    reason: str
+
+
+class Writer(typing.Generic[journal_entries.EntryT]):
+    """Appends to a followed stream; returns only what was read back."""
+
+    def __init__(
+        self,
+        log: platform_api.Log,
+        follower: followers.Follower,
+        codec: journal_entries.Codec[journal_entries.EntryT],
+        clock: clocks.Clock,
+    ) -> None:
+        self._log = log
+        self._follower = follower
+        self._codec = codec
+        self._clock = clock
+        self._appends = 0
+
+    @property
+    def appends(self) -> int:
+        """How many appends were sent, retries included."""
+        return self._appends
+
+    async def append(
+        self, entries: tuple[journal_entries.EntryT, ...], deadline: float
+    ) -> expression.Result[tuple[api.Verdict, ...], Undecided]:
+        """Append a batch as one record and wait for the log's verdicts.
+
+        A lost answer is settled by reading; the same record is appended
+        again until it has been read back or the deadline has passed.
+        """
+        ids = tuple(entry.entry_id for entry in entries)
+        for entry_id in ids:
+            self._follower.expect(entry_id)
+        try:
+            return await self._append(ids, entries, deadline)
+        finally:
+            for entry_id in ids:
+                self._follower.forget(entry_id)
+
+    async def _append(
+        self,
+        ids: tuple[str, ...],
+        entries: tuple[journal_entries.EntryT, ...],
+        deadline: float,
+    ) -> expression.Result[tuple[api.Verdict, ...], Undecided]:
+        payload = self._codec.encode(entries)
+        reason = 'deadline'
+        while self._clock.now() < deadline:
+            attempt_end = min(deadline, self._clock.now() + ATTEMPT_SECONDS)
+            self._appends += 1
+            result = await self._log.append(
+                self._follower.stream, payload, attempt_end
+            )
+            wait_end = deadline
+            if result.is_error():
+                reason = type(result.error).__name__
+                wait_end = min(deadline, self._clock.now() + SETTLE_SECONDS)
+            verdicts = await self._read_back(ids, wait_end)
+            if verdicts is not None:
+                return expression.Ok(verdicts)
+            await anyio.sleep(0)
+        return expression.Error(Undecided(reason))
+
+    async def _read_back(
+        self, ids: tuple[str, ...], deadline: float
+    ) -> tuple[api.Verdict, ...] | None:
+        verdicts = []
+        for entry_id in ids:
+            verdict = await self._follower.verdict(entry_id, deadline)
+            if verdict is None:
+                return None
+            verdicts.append(verdict)
+        return tuple(verdicts)
