--- /dev/null
+++ b/src/dogwoodquay/ownership/runner.py
@@ -0,0 +1,171 @@
+"""Claims a duty when it is vacant and hands it over on a planned stop."""
+
+from __future__ import annotations
+
+import typing
+import uuid
+
+import anyio
+
+from . import core
+from . import entries
+from . import proposal
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+    import random
+
+    from .. import clock as clocks
+    from ..journal import follower as followers
+    from ..journal import writer as journal_writer
+    from ..membership import api as membership_api
+
+__all__ = ['OwnedState', 'OwnershipRunner', 'Tenure']
+
+CHECK_SECONDS: typing.Final = 0.25
+CLAIM_SECONDS: typing.Final = 5.0
+TAKEN_SECONDS: typing.Final = 5.0
+
+
+class OwnedState(typing.Protocol):
+    """A replayed state that says who owns the duty of its stream."""
+
+    @property
+    def ownership(self) -> core.Ownership:
+        """The ownership at the state's offset."""
+
+
+class Tenure(typing.NamedTuple):
+    """A time as owner; the epoch is the fencing number."""
+
+    duty: str
+    epoch: int
+
+
+class OwnershipRunner:
+    """Keeps one duty owned; tells when this process gains or loses it."""
+
+    def __init__(
+        self,
+        duty: str,
+        instance_id: str,
+        incarnation: int,
+        state: OwnedState,
+        follower: followers.Follower,
+        writer: journal_writer.Writer[typing.Any],
+        membership: membership_api.Membership,
+        clock: clocks.Clock,
+        rng: random.Random,
+        on_change: abc.Callable[[Tenure | None], None],
+    ) -> None:
+        """Make a runner.
+
+        :param state: the state that ``follower`` replays.
+        :param on_change: called with the new tenure, or nothing at its end.
+        """
+        self._duty = duty
+        self._instance_id = instance_id
+        self._incarnation = incarnation
+        self._state = state
+        self._follower = follower
+        self._writer = writer
+        self._membership = membership
+        self._clock = clock
+        self._on_change = on_change
+        self._proposer = proposal.Proposer(duty, instance_id, incarnation, rng)
+        self._tenure: Tenure | None = None
+        self._leaving = False
+        self._wake = anyio.Event()
+        self._claims = 0
+        follower.watch(self.refresh)
+
+    @property
+    def tenure(self) -> Tenure | None:
+        """This process's tenure, if it owns the duty."""
+        return self._tenure
+
+    @property
+    def ownership(self) -> core.Ownership:
+        """The ownership as this instance has replayed it."""
+        return self._state.ownership
+
+    @property
+    def claims(self) -> int:
+        """How many claims this process made."""
+        return self._claims
+
+    def refresh(self) -> None:
+        """Note a change of the replayed state or of the members."""
+        ownership = self._state.ownership
+        tenure = None
+        if ownership.held_by(self._instance_id, self._incarnation):
+            tenure = Tenure(self._duty, ownership.epoch)
+        if tenure != self._tenure:
+            self._tenure = tenure
+            self._on_change(tenure)
+        self._wake.set()
+
+    async def run(self) -> typing.NoReturn:
+        """Claim whenever it is this instance's turn, for ever."""
+        while True:
+            await self.step()
+            self._wake = anyio.Event()
+            with anyio.move_on_after(CHECK_SECONDS):
+                await self._wake.wait()
+
+    async def step(self) -> bool:
+        """Claim the duty if it is vacant and this instance's turn.
+
+        :return: whether a claim was made.
+        """
+        if self._leaving or not self._follower.caught_up:
+            return False
+        ownership = self._state.ownership
+        now = self._clock.now()
+        members = self._membership.members()
+        if now < self._proposer.claim_at(ownership, members, now):
+            return False
+        await self._claim(ownership)
+        return True
+
+    async def _claim(self, ownership: core.Ownership) -> None:
+        claim = entries.Claim(
+            entry_id=uuid.uuid4().hex,
+            duty=self._duty,
+            instance_id=self._instance_id,
+            incarnation=self._incarnation,
+            replaces=ownership.epoch,
+        )
+        self._claims += 1
+        deadline = self._clock.now() + CLAIM_SECONDS
+        await self._writer.append((claim,), deadline)
+        self.refresh()
+
+    async def hand_over(self, deadline: float) -> bool:
+        """Release the duty to a live instance and wait until it has claimed.
+
+        :return: whether another instance owns the duty now.
+        """
+        self._leaving = True
+        tenure = self._tenure
+        if tenure is None:
+            return True
+        release = entries.Release(
+            entry_id=uuid.uuid4().hex,
+            duty=self._duty,
+            epoch=tenure.epoch,
+            successor=proposal.successor(
+                self._duty, self._membership.members(), self._instance_id
+            ),
+        )
+        await self._writer.append((release,), deadline)
+        return await self._wait_taken(tenure.epoch, deadline)
+
+    async def _wait_taken(self, epoch: int, deadline: float) -> bool:
+        while self._state.ownership.epoch == epoch:
+            if self._clock.now() >= deadline:
+                return False
+            self._wake = anyio.Event()
+            with anyio.move_on_after(CHECK_SECONDS):
+                await self._wake.wait()
+        return True
