Add the inner protocol between instances

Cause: instances need requests, one-way messages and streams among themselves, with mutual authentication and bounded memory. Change: the wire package on websockets and CBOR, with HMAC challenges, credits for streams, bounded queues, backoff and counters by reason. Conclusion: the other packages can register messages and handlers.

--- /dev/null
+++ b/src/dogwoodquay/wire/codec.py
@@ -0,0 +1,100 @@
+"""Frames of the inner protocol: typed messages in CBOR."""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+import cbor2
+import msgspec
+
+from . import api
+
+__all__ = ['Codec', 'CodecError', 'Frame', 'FrameKind', 'decode', 'encode']
+
+Shape = typing.TypeVar('Shape')
+
+
+class CodecError(Exception):
+    """Bytes that are not a known, well-formed message."""
+
+
+class FrameKind(enum.IntEnum):
+    """What a frame is for."""
+
+    ONE_WAY = 0
+    REQUEST = 1
+    ANSWER = 2
+    DECLINE = 3
+    STREAM = 4
+    ITEM = 5
+    END = 6
+    CREDIT = 7
+    CANCEL = 8
+
+
+class Frame(msgspec.Struct, frozen=True, array_like=True):
+    """One websocket message between authenticated peers.
+
+    ``deadline`` is in seconds since the Unix epoch, and zero for none.
+    ``body`` is a message in builtin types, or the reason of a decline.
+    """
+
+    kind: FrameKind
+    call_id: int = 0
+    body: typing.Any = None
+    deadline: float = 0.0
+
+
+def encode(value: msgspec.Struct) -> bytes:
+    """Return a struct in CBOR."""
+    plain = msgspec.to_builtins(value, builtin_types=(bytes,))
+    return cbor2.dumps(plain)
+
+
+def decode(data: bytes, shape: type[Shape]) -> Shape:
+    """Return CBOR as a struct of the given type.
+
+    :raises CodecError: when the bytes do not have that shape.
+    """
+    try:
+        plain = cbor2.loads(data)
+        return msgspec.convert(plain, shape, builtin_types=(bytes,))
+    except (cbor2.CBORDecodeError, msgspec.ValidationError) as error:
+        raise CodecError(str(error)) from error
+
+
+class Codec:
+    """Turns the bodies of frames into messages of the registered types."""
+
+    def __init__(self) -> None:
+        self._types: dict[str, type[api.Message]] = {}
+
+    def add(self, message_type: type[api.Message]) -> None:
+        """Make a type known.
+
+        :raises ValueError: when another type has the same tag.
+        """
+        tag = message_type.__struct_config__.tag
+        if not isinstance(tag, str):
+            raise ValueError(f'{message_type.__name__} has no tag')
+        if self._types.setdefault(tag, message_type) is not message_type:
+            raise ValueError(f'two message types with the tag {tag}')
+
+    def body(self, message: api.Message) -> typing.Any:
+        """Return the builtin form of a message."""
+        return msgspec.to_builtins(message, builtin_types=(bytes,))
+
+    def message(self, body: typing.Any) -> api.Message:
+        """Return the message of a body.
+
+        :raises CodecError: when its type is not known or its shape is wrong.
+        """
+        tag = body[0] if isinstance(body, list) and body else None
+        message_type = self._types.get(tag) if isinstance(tag, str) else None
+        if message_type is None:
+            raise CodecError('unknown message type')
+        try:
+            return msgspec.convert(body, message_type, builtin_types=(bytes,))
+        except msgspec.ValidationError as error:
+            raise CodecError(str(error)) from error
--- /dev/null
+++ b/src/dogwoodquay/wire/connection.py
@@ -0,0 +1,180 @@
+"""One authenticated connection; both sides may send, request and stream."""
+
+from __future__ import annotations
+
+import contextlib
+import typing
+
+import anyio
+import expression
+import websockets
+
+from . import api
+from . import calls
+from . import codec
+from . import serving
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from websockets.asyncio import connection as ws_connection
+
+    from .. import clock as clocks
+    from . import queue
+    from . import router
+    from . import settings
+    from . import traffic
+
+__all__ = ['Connection']
+
+
+class Connection:
+    """Reads and writes frames until either side closes."""
+
+    def __init__(
+        self,
+        socket: ws_connection.Connection,
+        peer: api.Sender,
+        outgoing: queue.SendQueue,
+        routes: router.Router,
+        limits: settings.WireSettings,
+        clock: clocks.Clock,
+        counters: traffic.Traffic,
+    ) -> None:
+        self._socket = socket
+        self._peer = peer
+        self._outgoing = outgoing
+        self._codec = routes.codec
+        self._limits = limits
+        self._clock = clock
+        self._counters = counters
+        self._calls = calls.Calls(self._put, limits.stream_window)
+        self._serving = serving.Serving(
+            peer, routes, outgoing, limits, clock, counters
+        )
+        self._scope = anyio.CancelScope()
+        self._closed = False
+        self.used_at = clock.now()
+
+    @property
+    def peer(self) -> api.Sender:
+        """The other side."""
+        return self._peer
+
+    @property
+    def closed(self) -> bool:
+        """Whether nothing more can be sent."""
+        return self._closed
+
+    @property
+    def busy(self) -> bool:
+        """Whether a call or stream of either side is open."""
+        return self._calls.open > 0 or self._serving.open > 0
+
+    async def run(self) -> None:
+        """Serve the connection until it is closed or broken."""
+        reason = 'closed'
+        with self._scope:
+            try:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._write)
+                    await self._read(tasks)
+                    tasks.cancel_scope.cancel()
+            except* (websockets.ConnectionClosed, OSError, EOFError):
+                reason = 'connection_lost'
+            except* codec.CodecError:
+                reason = 'malformed'
+            except* TimeoutError:
+                reason = 'send_timeout'
+        self._closed = True
+        self._counters.closed[reason] += 1
+        self._calls.fail(reason)
+        with anyio.CancelScope(shield=True):
+            await self._shut()
+
+    def close(self) -> None:
+        """End the connection at once; open calls get no answer."""
+        self._closed = True
+        self._scope.cancel()
+
+    def send(self, message: api.Message, coalesce: str = '') -> bool:
+        """Queue a one-way message; false when there is no room."""
+        body = self._codec.body(message)
+        frame = codec.Frame(codec.FrameKind.ONE_WAY, 0, body)
+        return self._put(frame, coalesce)
+
+    async def request(
+        self,
+        message: api.Message,
+        answer_type: type[api.Answer],
+        deadline: float,
+    ) -> expression.Result[api.Answer, api.WireError]:
+        """Send a message and wait for its answer until the deadline."""
+        body = self._codec.body(message)
+        left = deadline - self._clock.now()
+        if left <= 0:
+            return expression.Error(api.Unreachable('deadline'))
+        call = self._calls.start(body, deadline)
+        if call is None:
+            return expression.Error(api.Unreachable('queue_full'))
+        try:
+            with anyio.move_on_after(left):
+                await call.done.wait()
+        finally:
+            self._calls.drop(call.call_id)
+        return call.result(answer_type)
+
+    @contextlib.asynccontextmanager
+    async def stream(
+        self, message: api.Message, deadline: float
+    ) -> abc.AsyncIterator[abc.AsyncIterator[api.Message]]:
+        """Open a stream of answers; leaving the context cancels it."""
+        body = self._codec.body(message)
+        call_id, inbox = self._calls.open_stream(body, deadline)
+        try:
+            yield inbox
+        finally:
+            self._calls.close_stream(call_id)
+
+    def _put(self, frame: codec.Frame, coalesce: str = '') -> bool:
+        if self._closed:
+            return False
+        self.used_at = self._clock.now()
+        taken = self._outgoing.put(codec.encode(frame), coalesce)
+        if not taken:
+            self._counters.dropped['queue_full'] += 1
+        return taken
+
+    async def _write(self) -> None:
+        while True:
+            data = await self._outgoing.get()
+            with anyio.fail_after(self._limits.send_seconds):
+                await self._socket.send(data)
+            self._counters.sent(len(data))
+
+    async def _read(self, tasks: anyio.abc.TaskGroup) -> None:
+        async for data in self._socket:
+            if isinstance(data, str):
+                raise codec.CodecError('text frame')
+            self._counters.received(len(data))
+            self.used_at = self._clock.now()
+            self._take(codec.decode(data, codec.Frame), tasks)
+
+    def _take(self, frame: codec.Frame, tasks: anyio.abc.TaskGroup) -> None:
+        match frame.kind:
+            case (
+                codec.FrameKind.ANSWER
+                | codec.FrameKind.DECLINE
+                | codec.FrameKind.ITEM
+                | codec.FrameKind.END
+            ):
+                self._calls.take(frame, self._codec)
+            case _:
+                self._serving.take(frame, tasks)
+
+    async def _shut(self) -> None:
+        with anyio.move_on_after(self._limits.handshake_seconds):
+            await self._socket.close()
+        transport = self._socket.transport
+        if transport is not None:
+            transport.abort()
--- /dev/null
+++ b/src/dogwoodquay/wire/peers.py
@@ -0,0 +1,320 @@
+"""Connections to all peers of an instance, made on demand."""
+
+from __future__ import annotations
+
+import contextlib
+import typing
+
+import anyio
+import expression
+import websockets
+from websockets.asyncio import server as ws_server
+
+from . import api
+from . import auth
+from . import codec
+from . import connection
+from . import dial
+from . import handshake
+from . import links
+from . import queue
+from . import router
+from . import traffic
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+    import random
+
+    from websockets.asyncio import connection as ws_connection
+
+    from .. import clock as clocks
+    from . import settings
+
+__all__ = ['Peers']
+
+
+class Peers:
+    """Listens for peers and reaches them; implements ``api.Transport``.
+
+    :param dialler: opens the sockets; replaced in tests of partitions.
+    """
+
+    def __init__(
+        self,
+        limits: settings.WireSettings,
+        clock: clocks.Clock,
+        rng: random.Random,
+        dialler: dial.Dialler = dial.open_socket,
+    ) -> None:
+        self._limits = limits
+        self._clock = clock
+        self._rng = rng
+        self._dialler = dialler
+        self._secrets = auth.Secrets(limits.secrets)
+        self._router = router.Router()
+        self._traffic = traffic.Traffic()
+        self._links: dict[api.PeerAddress, links.Link] = {}
+        self._open: set[connection.Connection] = set()
+        self._handshakes = 0
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._address = api.PeerAddress(limits.address, limits.port)
+
+    @property
+    def address(self) -> api.PeerAddress:
+        """Where this instance listens; exact once it runs."""
+        return self._address
+
+    @property
+    def traffic(self) -> traffic.Traffic:
+        """Counters of frames, bytes, refusals and drops."""
+        return self._traffic
+
+    @property
+    def connections(self) -> int:
+        """The number of open connections."""
+        return len(self._open)
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> abc.AsyncIterator[None]:
+        """Listen, and reach peers, until the context is left."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            async with self._listen() as server:
+                host, port = server.sockets[0].getsockname()[:2]
+                self._address = api.PeerAddress(host, port)
+                tasks.start_soon(self._close_idle)
+                try:
+                    yield
+                finally:
+                    self._tasks = None
+                    self._close_all()
+                    tasks.cancel_scope.cancel()
+
+    def register(
+        self,
+        message_type: type[api.Message],
+        handler: api.Handler | None = None,
+        stream: api.StreamHandler | None = None,
+    ) -> None:
+        """Make a message type known, with what handles it here if any."""
+        self._router.register(message_type, handler, stream)
+
+    def send(
+        self, peer: api.PeerAddress, message: api.Message, coalesce: str = ''
+    ) -> bool:
+        """Queue a one-way message; false when it was dropped."""
+        link = self._link(peer)
+        if link.ready is not None:
+            return link.ready.send(message, coalesce)
+        self._dial(peer, link)
+        if link.outgoing is None:
+            self._traffic.dropped['backoff'] += 1
+            return False
+        body = self._router.codec.body(message)
+        frame = codec.Frame(codec.FrameKind.ONE_WAY, 0, body)
+        return link.outgoing.put(codec.encode(frame), coalesce)
+
+    async def request(
+        self,
+        peer: api.PeerAddress,
+        message: api.Message,
+        answer_type: type[api.Answer],
+        deadline: float,
+    ) -> expression.Result[api.Answer, api.WireError]:
+        """Send a message and wait for its answer."""
+        opened = await self._connected(peer, deadline)
+        if isinstance(opened, api.Unreachable):
+            return expression.Error(opened)
+        return await opened.request(message, answer_type, deadline)
+
+    @contextlib.asynccontextmanager
+    async def stream(
+        self, peer: api.PeerAddress, message: api.Message, deadline: float
+    ) -> abc.AsyncIterator[abc.AsyncIterator[api.Message]]:
+        """Open a stream of answers; leaving the context cancels it."""
+        opened = await self._connected(peer, deadline)
+        if isinstance(opened, api.Unreachable):
+            yield _Unreached(opened.reason)
+            return
+        async with opened.stream(message, deadline) as items:
+            yield items
+
+    def forget(self, peer: api.PeerAddress) -> None:
+        """Close what is open to a peer and drop what is queued for it."""
+        self._links.pop(peer, None)
+        for opened in list(self._open):
+            if opened.peer.address == peer:
+                opened.close()
+
+    def _link(self, peer: api.PeerAddress) -> links.Link:
+        link = self._links.get(peer)
+        if link is None:
+            link = self._links[peer] = links.Link()
+        return link
+
+    async def _connected(
+        self, peer: api.PeerAddress, deadline: float
+    ) -> connection.Connection | api.Unreachable:
+        link = self._link(peer)
+        if link.ready is None:
+            self._dial(peer, link)
+        if link.ready is None and link.dialling:
+            left = deadline - self._clock.now()
+            with anyio.move_on_after(max(0.0, left)):
+                await link.waiting().wait()
+        if link.ready is not None:
+            return link.ready
+        reason = 'deadline' if link.dialling else link.failed
+        return api.Unreachable(reason)
+
+    def _dial(self, peer: api.PeerAddress, link: links.Link) -> None:
+        if self._tasks is None or not link.may_dial(self._clock.now()):
+            return
+        link.start(queue.SendQueue(self._limits.max_queue_bytes))
+        self._tasks.start_soon(self._reach, peer, link)
+
+    async def _reach(self, peer: api.PeerAddress, link: links.Link) -> None:
+        outgoing = link.outgoing
+        assert outgoing is not None
+        opened = None
+        try:
+            socket = await self._dialler(peer, self._limits)
+            opened = await self._greet(socket, outgoing)
+        except auth.AuthError as error:
+            self._failed(link, error.reason.value)
+        except TimeoutError:
+            self._failed(link, 'timeout')
+        except (OSError, websockets.WebSocketException):
+            self._failed(link, 'connection_refused')
+        if opened is not None:
+            link.connected(opened)
+        link.ended()
+        if opened is not None:
+            await self._serve(opened)
+
+    async def _greet(
+        self, socket: ws_connection.Connection, outgoing: queue.SendQueue
+    ) -> connection.Connection:
+        limit = self._limits.handshake_seconds
+        own = self._identity()
+        try:
+            peer = await handshake.greet(socket, own, self._secrets, limit)
+        except auth.AuthError:
+            await _drop(socket)
+            raise
+        return self._connection(socket, peer, outgoing)
+
+    def _failed(self, link: links.Link, reason: str) -> None:
+        self._traffic.dial_failures[reason] += 1
+        link.fail(reason, self._clock.now(), self._limits, self._rng)
+
+    def _listen(
+        self,
+    ) -> contextlib.AbstractAsyncContextManager[ws_server.Server]:
+        return ws_server.serve(
+            self._accept,
+            self._limits.address,
+            self._limits.port,
+            ssl=self._limits.server_tls,
+            compression=None,
+            server_header=None,
+            max_size=handshake.HANDSHAKE_FRAME_BYTES,
+            open_timeout=self._limits.handshake_seconds,
+            close_timeout=self._limits.handshake_seconds,
+        )
+
+    async def _accept(self, socket: ws_server.ServerConnection) -> None:
+        if self._crowded():
+            self._traffic.refused[auth.Refusal.TOO_MANY.value] += 1
+            await _drop(socket)
+            return
+        self._handshakes += 1
+        try:
+            peer = await handshake.accept(
+                socket,
+                self._identity(),
+                self._secrets,
+                self._limits.handshake_seconds,
+            )
+        except auth.AuthError as error:
+            self._traffic.refused[error.reason.value] += 1
+            await _drop(socket)
+            return
+        finally:
+            self._handshakes -= 1
+        outgoing = queue.SendQueue(self._limits.max_queue_bytes)
+        opened = self._connection(socket, peer, outgoing)
+        self._link(peer.address).connected(opened)
+        await self._serve(opened)
+
+    def _crowded(self) -> bool:
+        total = len(self._open) + self._handshakes
+        return total >= self._limits.max_connections
+
+    def _connection(
+        self,
+        socket: ws_connection.Connection,
+        peer: api.Sender,
+        outgoing: queue.SendQueue,
+    ) -> connection.Connection:
+        socket.protocol.max_message_size = self._limits.max_frame_bytes
+        return connection.Connection(
+            socket,
+            peer,
+            outgoing,
+            self._router,
+            self._limits,
+            self._clock,
+            self._traffic,
+        )
+
+    async def _serve(self, opened: connection.Connection) -> None:
+        self._open.add(opened)
+        try:
+            await opened.run()
+        finally:
+            self._open.discard(opened)
+
+    async def _close_idle(self) -> None:
+        while True:
+            await anyio.sleep(self._limits.idle_seconds / 4)
+            oldest = self._clock.now() - self._limits.idle_seconds
+            for opened in list(self._open):
+                if opened.used_at < oldest and not opened.busy:
+                    opened.close()
+            self._drop_links()
+
+    def _drop_links(self) -> None:
+        now = self._clock.now()
+        for peer, link in list(self._links.items()):
+            if link.ready is None and link.may_dial(now):
+                del self._links[peer]
+
+    def _close_all(self) -> None:
+        for opened in list(self._open):
+            opened.close()
+
+    def _identity(self) -> auth.Identity:
+        return auth.Identity(
+            self._limits.instance_id, self._address.address, self._address.port
+        )
+
+
+class _Unreached:
+    """The stream of a peer that could not be reached."""
+
+    def __init__(self, reason: str) -> None:
+        self._reason = reason
+
+    def __aiter__(self) -> abc.AsyncIterator[api.Message]:
+        return self
+
+    async def __anext__(self) -> api.Message:
+        raise api.StreamBroken(self._reason)
+
+
+async def _drop(socket: ws_connection.Connection) -> None:
+    with contextlib.suppress(websockets.ConnectionClosed, TimeoutError):
+        with anyio.fail_after(1.0):
+            await socket.close()
+    socket.transport.abort()
--- /dev/null
+++ b/src/dogwoodquay/wire/settings.py
@@ -0,0 +1,37 @@
+"""Settings of the inner protocol."""
+
+from __future__ import annotations
+
+import dataclasses
+import ssl
+import typing
+
+__all__ = ['WireSettings']
+
+_MIB: typing.Final = 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WireSettings:
+    """Limits and times; ``*_seconds`` and ``*_bytes`` say the unit.
+
+    ``port`` zero lets the system choose. A TLS context for the listening
+    side asks peers for certificates if they are wanted.
+    """
+
+    instance_id: str
+    address: str
+    port: int
+    secrets: tuple[bytes, ...]
+    server_tls: ssl.SSLContext | None = None
+    client_tls: ssl.SSLContext | None = None
+    max_frame_bytes: int = _MIB
+    max_queue_bytes: int = 4 * _MIB
+    max_calls: int = 1000
+    max_connections: int = 1000
+    stream_window: int = 32
+    handshake_seconds: float = 3.0
+    send_seconds: float = 10.0
+    idle_seconds: float = 120.0
+    backoff_seconds: float = 0.2
+    backoff_max_seconds: float = 10.0
--- /dev/null
+++ b/src/dogwoodquay/wire/traffic.py
@@ -0,0 +1,40 @@
+"""Counters of the inner protocol."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+__all__ = ['Traffic']
+
+
+@dataclasses.dataclass(slots=True)
+class Traffic:
+    """Totals since the start; each ``Counter`` is keyed by its label."""
+
+    frames_sent: int = 0
+    frames_received: int = 0
+    bytes_sent: int = 0
+    bytes_received: int = 0
+    refused: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    dropped: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    dial_failures: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    closed: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+    def sent(self, size: int) -> None:
+        """Count a frame that was handed to the socket."""
+        self.frames_sent += 1
+        self.bytes_sent += size
+
+    def received(self, size: int) -> None:
+        """Count a frame that was read."""
+        self.frames_received += 1
+        self.bytes_received += size
