--- /dev/null
+++ b/src/dogwoodquay/placement/demand.py
@@ -0,0 +1,181 @@
+"""Demand as each instance sees it, and the sum of all their reports."""
+
+from __future__ import annotations
+
+import math
+import typing
+
+import msgspec
+
+from . import api
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+__all__ = ['ArtifactDemand', 'DemandEstimator', 'DemandReport', 'merge']
+
+FAST_SECONDS: typing.Final = 5.0
+SLOW_SECONDS: typing.Final = 60.0
+SIGNIFICANT_DEVIATIONS: typing.Final = 2.0
+NEGLIGIBLE_RATE: typing.Final = 0.001
+
+
+class ArtifactDemand(msgspec.Struct, frozen=True, array_like=True):
+    """Rates of one artifact, averaged over a short and a long time."""
+
+    artifact: str
+    fast_requests: float
+    slow_requests: float
+    fast_tokens: float
+    slow_tokens: float
+    waiting: int
+
+
+class DemandReport(msgspec.Struct, frozen=True, array_like=True):
+    """What one instance was asked for; reports of instances add up."""
+
+    instance_id: str
+    time: float
+    entries: tuple[ArtifactDemand, ...]
+
+
+class _Average:
+    """An event rate with exponentially fading memory."""
+
+    __slots__ = ('_seconds', '_sum', '_time')
+
+    def __init__(self, seconds: float, now: float) -> None:
+        self._seconds = seconds
+        self._sum = 0.0
+        self._time = now
+
+    def add(self, amount: float, now: float) -> None:
+        """Count an amount at a time."""
+        self._sum = self._faded(now) + amount
+        self._time = max(self._time, now)
+
+    def rate(self, now: float, age: float) -> float:
+        """Return the amount a second.
+
+        :param age: for how long this was observed, to correct the start.
+        """
+        seen = 1.0 - math.exp(-max(age, 1.0) / self._seconds)
+        return self._faded(now) / (self._seconds * seen)
+
+    def _faded(self, now: float) -> float:
+        elapsed = max(0.0, now - self._time)
+        return self._sum * math.exp(-elapsed / self._seconds)
+
+
+class _Rates:
+    """Both averages of the requests and tokens of one artifact."""
+
+    __slots__ = (
+        'fast_requests',
+        'fast_tokens',
+        'slow_requests',
+        'slow_tokens',
+        'waiting',
+    )
+
+    def __init__(self, now: float) -> None:
+        self.fast_requests = _Average(FAST_SECONDS, now)
+        self.slow_requests = _Average(SLOW_SECONDS, now)
+        self.fast_tokens = _Average(FAST_SECONDS, now)
+        self.slow_tokens = _Average(SLOW_SECONDS, now)
+        self.waiting = 0
+
+
+class DemandEstimator:
+    """Counts what this instance is asked for, refused requests included."""
+
+    def __init__(self, instance_id: str, now: float) -> None:
+        self._instance_id = instance_id
+        self._started_at = now
+        self._rates: dict[str, _Rates] = {}
+
+    def note_arrival(self, artifact: str, now: float) -> None:
+        """Count a request that a caller made, whatever becomes of it."""
+        rates = self._rates_of(artifact, now)
+        rates.fast_requests.add(1.0, now)
+        rates.slow_requests.add(1.0, now)
+
+    def note_tokens(self, artifact: str, tokens: int, now: float) -> None:
+        """Count tokens that were asked for or generated."""
+        rates = self._rates_of(artifact, now)
+        rates.fast_tokens.add(tokens, now)
+        rates.slow_tokens.add(tokens, now)
+
+    def set_waiting(self, artifact: str, waiting: int, now: float) -> None:
+        """Set how many requests wait for the artifact here."""
+        self._rates_of(artifact, now).waiting = waiting
+
+    def report(self, now: float) -> DemandReport:
+        """Return the present rates and forget artifacts long unused."""
+        age = now - self._started_at
+        entries = [
+            _entry(artifact, rates, now, age)
+            for artifact, rates in self._rates.items()
+        ]
+        kept = tuple(entry for entry in entries if _matters(entry))
+        names = {entry.artifact for entry in kept}
+        for artifact in [name for name in self._rates if name not in names]:
+            del self._rates[artifact]
+        return DemandReport(self._instance_id, now, kept)
+
+    def _rates_of(self, artifact: str, now: float) -> _Rates:
+        rates = self._rates.get(artifact)
+        if rates is None:
+            rates = self._rates[artifact] = _Rates(now)
+        return rates
+
+
+def merge(reports: abc.Iterable[DemandReport]) -> tuple[api.Demand, ...]:
+    """Add up the newest reports of all instances and estimate the demand.
+
+    The short average counts only where it differs from the long one by more
+    than chance, and a rise counts at once while a fall counts slowly.
+    """
+    sums: dict[str, list[float]] = {}
+    for report in reports:
+        for entry in report.entries:
+            _add(sums.setdefault(entry.artifact, [0.0] * 5), entry)
+    return tuple(
+        _estimate(artifact, values) for artifact, values in sums.items()
+    )
+
+
+def _entry(
+    artifact: str, rates: _Rates, now: float, age: float
+) -> ArtifactDemand:
+    return ArtifactDemand(
+        artifact,
+        rates.fast_requests.rate(now, age),
+        rates.slow_requests.rate(now, age),
+        rates.fast_tokens.rate(now, age),
+        rates.slow_tokens.rate(now, age),
+        rates.waiting,
+    )
+
+
+def _matters(entry: ArtifactDemand) -> bool:
+    rate = max(entry.slow_requests, entry.slow_tokens)
+    return rate > NEGLIGIBLE_RATE or entry.waiting > 0
+
+
+def _add(values: list[float], entry: ArtifactDemand) -> None:
+    values[0] += entry.fast_requests
+    values[1] += entry.slow_requests
+    values[2] += entry.fast_tokens
+    values[3] += entry.slow_tokens
+    values[4] += entry.waiting
+
+
+def _estimate(artifact: str, values: list[float]) -> api.Demand:
+    fast, slow, fast_tokens, slow_tokens, waiting = values
+    noise = math.sqrt(max(slow, 1.0 / FAST_SECONDS) / (2.0 * FAST_SECONDS))
+    if fast > slow + SIGNIFICANT_DEVIATIONS * noise:
+        requests, tokens = fast, max(fast_tokens, slow_tokens)
+    else:
+        requests, tokens = slow, slow_tokens
+    return api.Demand(artifact, requests, tokens, int(waiting))
