Route by expected time to first token

Cause: the entry path needs a choice from lagging, partial views. Change: ScoringRouter with own work, corrected reports, prefix index, outlier ejection with a floor and slow start.

--- a/src/dogwoodquay/routing/router.py
+++ b/src/dogwoodquay/routing/router.py
@@ -5,6 +5,9 @@
 import typing
 
 from . import api
+from . import health
+from . import prefix
+from . import server
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -15,16 +18,39 @@
 
 __all__ = ['RoutingSettings', 'ScoringRouter']
 
+_SERVICES: typing.Final = ''
+
 
 class RoutingSettings(typing.NamedTuple):
     """Weights and bounds of the choice."""
 
     sample_size: int = 2
+    cache_candidates: int = 1
+    domain_seconds: float = 0.002
+    slow_start_seconds: float = 10.0
+    slow_start_factor: float = 2.0
+    no_replica_retry_seconds: float = 2.0
+    load: server.LoadSettings = server.LoadSettings()
+    health: health.HealthSettings = health.HealthSettings()
+    prefix: prefix.PrefixSettings = prefix.PrefixSettings()
+
+
+class _Score(typing.NamedTuple):
+    """What the choice of one server would mean."""
+
+    seconds: float
+    uncached_tokens: float
+    work: float
 
 
 class ScoringRouter:
     """Chooses replicas by expected time to first token; see ``api.Router``.
 
+    Of the usable replicas it samples a few, adds those that may have the
+    prompt's prefix cached, and takes the one with the earliest expected
+    first token. ``finished`` with ``ok`` false counts against a server, so
+    it is for failures of the server and not for callers that went away.
+
     :param failure_domain: where this instance runs.
     """
 
@@ -33,47 +59,282 @@
     ) -> None:
         self._failure_domain = failure_domain
         self._settings = settings or RoutingSettings()
+        self._peers = server.Peers(self._settings.load)
+        self._prefixes = prefix.PrefixIndex(self._settings.prefix)
+        self._servers: dict[str, server.ServerState] = {}
+        self._versions: dict[str, tuple[int, int]] = {}
+        self._pool_artifacts: dict[str, frozenset[str]] = {}
+        self._by_artifact: dict[str, list[server.ServerState]] = {}
+        self._leaving: set[str] = set()
+        self._attempts: dict[str, server.Attempt] = {}
+        self._started: set[str] = set()
 
     def update_view(self, view: pools_api.PoolView, now: float) -> None:
         """Take in a pool's view unless a newer one is known."""
-        raise NotImplementedError
+        version = (view.epoch, view.version)
+        known = self._versions.get(view.pool)
+        if known is not None and version <= known:
+            return
+        self._versions[view.pool] = version
+        lists: dict[str, list[server.ServerState]] = {}
+        for item in view.servers:
+            state = self._state(_replica(item), view.pool)
+            state.leaving = item.leaving
+            _note_ready(state, item, known is not None, now)
+            if item.load is not None:
+                state.take_report(item.load)
+            for artifact in state.ready_at:
+                lists.setdefault(artifact, []).append(state)
+        present = {item.server_id for item in view.servers}
+        self._replace(view.pool, present, lists)
 
     def update_services(
         self, services: abc.Mapping[str, tuple[api.Replica, ...]], now: float
     ) -> None:
         """Replace the servers of the plain services."""
-        raise NotImplementedError
+        lists: dict[str, list[server.ServerState]] = {}
+        present = set()
+        for name, replicas in services.items():
+            for replica in replicas:
+                present.add(replica.server_id)
+                state = self._state(replica, _SERVICES)
+                state.ready_at.setdefault(name, float('-inf'))
+                lists.setdefault(name, []).append(state)
+        self._replace(_SERVICES, present, lists)
 
     def mark_leaving(self, server_id: str, now: float) -> None:
         """Give a server nothing new from now on."""
-        raise NotImplementedError
+        self._leaving.add(server_id)
 
     def update_load(
         self, server_id: str, report: platform_api.LoadReport, now: float
     ) -> None:
         """Take in a lagging load report."""
-        raise NotImplementedError
+        state = self._servers.get(server_id)
+        if state is not None:
+            state.take_report(report)
 
     def update_cache(
         self, server_id: str, events: platform_api.CacheEvents, now: float
     ) -> None:
         """Take in cache events, tolerating gaps."""
-        raise NotImplementedError
+        if server_id in self._servers:
+            self._prefixes.update(server_id, events, now)
 
     def choose(
         self, request: api.RouteRequest, now: float, rng: random.Random
     ) -> api.Choice | api.NoReplica:
         """Choose a replica and count the attempt as in flight there."""
-        raise NotImplementedError
+        retry_at = now + self._settings.no_replica_retry_seconds
+        if request.deadline <= now:
+            return api.NoReplica('deadline_passed', retry_at)
+        usable = self._usable(request, now)
+        if not usable:
+            return api.NoReplica('no_ready_replica', retry_at)
+        chosen, score = self._best(request, usable, now, rng)
+        self._attempts[request.attempt_id] = chosen.send(
+            request.priority, score.uncached_tokens, score.work, now
+        )
+        self._learn_prompt(request)
+        if request.prefix_hashes:
+            self._prefixes.presume(
+                chosen.replica.server_id, request.prefix_hashes, now
+            )
+        return api.Choice(chosen.replica, now + score.seconds)
 
     def first_token(self, attempt_id: str, now: float) -> None:
         """Note that an attempt's first byte arrived."""
-        raise NotImplementedError
+        attempt = self._attempts.get(attempt_id)
+        if attempt is None or attempt_id in self._started:
+            return
+        self._started.add(attempt_id)
+        attempt.server.first_token(attempt, now)
 
     def finished(self, attempt_id: str, ok: bool, now: float) -> None:
         """Note that an attempt ended, whatever its end."""
-        raise NotImplementedError
+        attempt = self._attempts.pop(attempt_id, None)
+        if attempt is None:
+            return
+        started = attempt_id in self._started
+        self._started.discard(attempt_id)
+        attempt.server.end(attempt, started, now)
+        attempt.server.health.record(ok, now)
 
     def replicas(self, artifact: str) -> tuple[api.Replica, ...]:
         """Return the replicas that may get new work."""
-        raise NotImplementedError
+        return tuple(state.replica for state in self._open(artifact))
+
+    def _open(self, artifact: str) -> list[server.ServerState]:
+        """Return the ready servers that are not leaving."""
+        return [
+            state
+            for state in self._by_artifact.get(artifact, ())
+            if not state.leaving
+            and state.replica.server_id not in self._leaving
+        ]
+
+    def _usable(
+        self, request: api.RouteRequest, now: float
+    ) -> abc.Sequence[server.ServerState]:
+        """Return servers to choose from, new domains before new servers."""
+        states = self._open(request.artifact)
+        if not states:
+            return states
+        usable = health.usable(states, self._settings.health.kept_share, now)
+        if not request.avoid_servers and not request.avoid_domains:
+            return usable
+        fresh = [
+            state
+            for state in usable
+            if state.replica.server_id not in request.avoid_servers
+        ]
+        elsewhere = [
+            state
+            for state in fresh
+            if state.replica.failure_domain not in request.avoid_domains
+        ]
+        return elsewhere or fresh or usable
+
+    def _best(
+        self,
+        request: api.RouteRequest,
+        usable: abc.Sequence[server.ServerState],
+        now: float,
+        rng: random.Random,
+    ) -> tuple[server.ServerState, _Score]:
+        """Return the best of a sample; ties fall to the first drawn."""
+        sample = list(usable)
+        if len(sample) > self._settings.sample_size:
+            sample = rng.sample(sample, self._settings.sample_size)
+            sample.extend(self._cached(request, usable))
+        else:
+            rng.shuffle(sample)
+        best = sample[0]
+        best_score = self._score(best, request, now)
+        for state in sample[1:]:
+            score = self._score(state, request, now)
+            if score.seconds < best_score.seconds:
+                best, best_score = state, score
+        return best, best_score
+
+    def _cached(
+        self,
+        request: api.RouteRequest,
+        usable: abc.Sequence[server.ServerState],
+    ) -> list[server.ServerState]:
+        """Return usable servers that may hold the longest known prefix."""
+        if not request.prefix_hashes:
+            return []
+        names = self._prefixes.owners(
+            request.prefix_hashes, self._settings.cache_candidates
+        )
+        if not names:
+            return []
+        return [state for state in usable if state.replica.server_id in names]
+
+    def _score(
+        self, state: server.ServerState, request: api.RouteRequest, now: float
+    ) -> _Score:
+        settings = self._settings
+        cached = self._prefixes.match(
+            state.replica.server_id, request.prefix_hashes, now
+        )
+        uncached = request.prompt_tokens * (1.0 - cached)
+        uncached += settings.load.request_tokens
+        work = state.work_ahead(request.priority, now) + uncached
+        seconds = work * self._peers.seconds_per_token * state.pace(now)
+        seconds *= self._slow_start(state, request.artifact, now)
+        if state.replica.failure_domain != self._failure_domain:
+            seconds += settings.domain_seconds
+        return _Score(seconds, uncached, work)
+
+    def _slow_start(
+        self, state: server.ServerState, artifact: str, now: float
+    ) -> float:
+        """Return a factor above one for a replica that just got ready."""
+        settings = self._settings
+        age = now - state.ready_at.get(artifact, float('-inf'))
+        if age >= settings.slow_start_seconds:
+            return 1.0
+        left = 1.0 - age / settings.slow_start_seconds
+        return 1.0 + settings.slow_start_factor * left
+
+    def _learn_prompt(self, request: api.RouteRequest) -> None:
+        """Follow the mean length of prompts."""
+        peers = self._peers
+        gap = request.prompt_tokens - peers.prompt_tokens
+        peers.prompt_tokens += 0.02 * gap
+
+    def _state(self, replica: api.Replica, pool: str) -> server.ServerState:
+        """Return a server's state; a new address starts afresh."""
+        state = self._servers.get(replica.server_id)
+        if state is None or state.replica != replica:
+            if state is not None:
+                self._drop(replica.server_id)
+            state = server.ServerState(
+                replica,
+                pool,
+                self._settings.load,
+                self._settings.health,
+                self._peers,
+            )
+            self._servers[replica.server_id] = state
+        return state
+
+    def _replace(
+        self,
+        pool: str,
+        present: set[str],
+        lists: dict[str, list[server.ServerState]],
+    ) -> None:
+        """Put a pool's new lists in place of its old ones."""
+        for artifact in self._pool_artifacts.get(pool, frozenset()):
+            kept = [
+                state
+                for state in self._by_artifact[artifact]
+                if state.pool != pool
+            ]
+            self._by_artifact[artifact] = kept
+            if not kept:
+                del self._by_artifact[artifact]
+        for artifact, states in lists.items():
+            self._by_artifact.setdefault(artifact, []).extend(states)
+        self._pool_artifacts[pool] = frozenset(lists)
+        gone = [
+            server_id
+            for server_id, state in self._servers.items()
+            if state.pool == pool and server_id not in present
+        ]
+        for server_id in gone:
+            self._drop(server_id)
+
+    def _drop(self, server_id: str) -> None:
+        """Forget a server; its attempts in flight end by themselves."""
+        self._servers.pop(server_id).retire()
+        self._prefixes.forget(server_id)
+        self._leaving.discard(server_id)
+
+
+def _replica(item: pools_api.ServerView) -> api.Replica:
+    return api.Replica(
+        item.server_id, item.address, item.port, item.failure_domain
+    )
+
+
+def _note_ready(
+    state: server.ServerState,
+    item: pools_api.ServerView,
+    watched: bool,
+    now: float,
+) -> None:
+    """Note since when each artifact is ready on a server.
+
+    :param watched: whether an earlier view showed it as not ready; what is
+        ready in the first view needs no slow start.
+    """
+    since = now if watched else float('-inf')
+    state.ready_at = {
+        view.artifact: state.ready_at.get(view.artifact, since)
+        for view in item.artifacts
+        if view.ready and not view.withdrawing
+    }
