--- /dev/null
+++ b/src/dogwoodquay/ledger/execution.py
@@ -0,0 +1,112 @@
+"""Sends approved orders, and settles those whose answer was lost."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import anyio
+
+from . import entries
+from ..platform import api as platform_api
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from .. import clock as clocks
+    from . import core
+    from ..journal import writer as journal_writer
+
+__all__ = ['Executor']
+
+INTENT_SECONDS: typing.Final = 10.0
+ORDER_SECONDS: typing.Final = 120.0
+WITHDRAW_SECONDS: typing.Final = 3.0
+RETRY_SECONDS: typing.Final = 0.5
+MAX_RETRY_SECONDS: typing.Final = 10.0
+
+
+@dataclasses.dataclass(eq=False)
+class Executor:
+    """Takes one order after another from its approval to its end.
+
+    ``changed`` is called after each step that changes the ledger.
+    """
+
+    ledger: core.PoolLedger
+    engine: platform_api.Engine
+    writer: journal_writer.Writer[entries.LedgerEntry]
+    clock: clocks.Clock
+    changed: abc.Callable[[], None]
+    withdraw_seconds: float = WITHDRAW_SECONDS
+
+    async def execute(self, approved: core.Approved) -> None:
+        """Carry out an approved order."""
+        self.changed()
+        if approved.order.kind is platform_api.OrderKind.UNLOAD:
+            await anyio.sleep(self.withdraw_seconds)
+        if approved.needs_intent and not await self._log_intent(approved):
+            self.ledger.give_up(approved.order.order_id)
+            self.changed()
+            return
+        if not self.ledger.may_send(approved.order.order_id):
+            self.ledger.give_up(approved.order.order_id)
+            self.changed()
+            return
+        await self.resolve(approved.order)
+
+    async def _log_intent(self, approved: core.Approved) -> bool:
+        intent = entries.Intent(
+            entry_id=approved.order.order_id,
+            epoch=self.ledger.epoch,
+            sequence=approved.sequence,
+            server_id=approved.server_id,
+            order=approved.order,
+        )
+        deadline = self.clock.now() + INTENT_SECONDS
+        result = await self.writer.append((intent,), deadline)
+        if result.is_error() or not result.ok[0].valid:
+            return False
+        self.ledger.logged(approved.order.order_id)
+        return True
+
+    async def resolve(self, order: platform_api.Order) -> None:
+        """Send an order, again if need be, until its end is known."""
+        pause = RETRY_SECONDS
+        while self._open(order):
+            if self.ledger.may_send(order.order_id):
+                await self._send(order)
+                self.changed()
+            if not self._open(order) or not self._may_repeat(order):
+                return
+            await anyio.sleep(pause)
+            pause = min(MAX_RETRY_SECONDS, 2 * pause)
+
+    def _open(self, order: platform_api.Order) -> bool:
+        charged = self.ledger.locate(order.order_id)
+        return charged is not None and charged.open
+
+    def _may_repeat(self, order: platform_api.Order) -> bool:
+        charged = self.ledger.locate(order.order_id)
+        if charged is None or not charged.logged:
+            return charged is not None
+        return self.ledger.pool.order_bound_seconds <= 0
+
+    async def _send(self, order: platform_api.Order) -> None:
+        server = self.ledger.server_of(order.order_id).server
+        self.ledger.sending(order.order_id)
+        deadline = self.clock.now() + ORDER_SECONDS
+        result = await self.engine.order(
+            server.address, server.port, order, deadline
+        )
+        if result.is_ok():
+            self.ledger.done(order.order_id)
+            return
+        match result.error:
+            case platform_api.Ambiguous():
+                self.ledger.lost(order.order_id)
+            case platform_api.StaleFence():
+                self.ledger.supersede()
+                self.ledger.refused(order.order_id)
+            case platform_api.Unavailable() | platform_api.Refused():
+                self.ledger.refused(order.order_id)
--- /dev/null
+++ b/src/dogwoodquay/ledger/polling.py
@@ -0,0 +1,62 @@
+"""Learns the contents of engines and keeps them current."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from ..platform import api as platform_api
+
+if typing.TYPE_CHECKING:
+    from .. import clock as clocks
+    from . import core
+
+__all__ = ['Poller']
+
+ANSWER_SECONDS: typing.Final = 2.0
+UNREACHABLE_SECONDS: typing.Final = 5.0
+WRITE_OFF_SECONDS: typing.Final = 30.0
+
+
+@dataclasses.dataclass(eq=False)
+class Poller:
+    """Asks one engine for its contents, one question at a time."""
+
+    ledger: core.PoolLedger
+    server_id: str
+    engine: platform_api.Engine
+    clock: clocks.Clock
+    _failing_since: float | None = None
+
+    async def poll(self) -> bool:
+        """Ask once, with the epoch's number while the engine lacks it.
+
+        :return: whether the engine answered.
+        """
+        server = self.ledger.servers[self.server_id]
+        address, port = server.server.address, server.server.port
+        deadline = self.clock.now() + ANSWER_SECONDS
+        began = server.begin_observation()
+        if server.must_teach:
+            result = await self.engine.teach(
+                address, port, self.ledger.epoch, deadline
+            )
+        else:
+            result = await self.engine.state(address, port, deadline)
+        if result.is_ok():
+            self._failing_since = None
+            self.ledger.observe(self.server_id, result.ok, began)
+            return True
+        if isinstance(result.error, platform_api.StaleFence):
+            self.ledger.supersede()
+        self._note_failure()
+        return False
+
+    def _note_failure(self) -> None:
+        now = self.clock.now()
+        if self._failing_since is None:
+            self._failing_since = now
+        server = self.ledger.servers[self.server_id]
+        silent = now - self._failing_since
+        server.reachable = silent < UNREACHABLE_SECONDS
+        server.written_off = silent >= WRITE_OFF_SECONDS
--- /dev/null
+++ b/src/dogwoodquay/ledger/rules.py
@@ -0,0 +1,143 @@
+"""The rules by which a change of a server's contents is safe."""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+from . import catalog as catalogs
+from ..placement import api as placement_api
+from ..platform import api as platform_api
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from ..records import api as records_api
+    from . import servers as server_ledgers
+
+__all__ = ['LOADS_PER_SERVER', 'Denial', 'Rules']
+
+LOADS_PER_SERVER: typing.Final = 2
+
+
+class Denial(enum.StrEnum):
+    """Why a move is not made now; the counter's labels."""
+
+    UNKNOWN_SERVER = 'unknown_server'
+    CONTENTS_UNKNOWN = 'contents_unknown'
+    SUPERSEDED = 'superseded'
+    UNREACHABLE = 'unreachable'
+    LEAVING = 'leaving'
+    BUSY = 'busy'
+    PRESENT = 'present'
+    ABSENT = 'absent'
+    NO_MEMORY = 'no_memory'
+    NO_BASE = 'no_base'
+    BASE_IN_USE = 'base_in_use'
+    LAST_REPLICA = 'last_replica'
+    NO_SLOT = 'no_slot'
+
+
+class Rules:
+    """Judges moves by the possible contents of a pool's servers."""
+
+    def __init__(
+        self, servers: abc.Mapping[str, server_ledgers.ServerLedger]
+    ) -> None:
+        self._servers = servers
+        self._declared: dict[str, frozenset[str]] = {}
+        self._bases: dict[str, str] = {}
+
+    def update(self, catalog: records_api.Catalog, pool: str) -> None:
+        """Take in what is declared for a pool."""
+        self._declared = catalogs.declared_versions(catalog, pool)
+        self._bases = {
+            adapter.name: adapter.base for adapter in catalog.adapters.values()
+        }
+
+    def check_move(
+        self, server: server_ledgers.ServerLedger, move: placement_api.Move
+    ) -> Denial | None:
+        """Judge a new move on a server whose contents are known."""
+        if server.busy(move.artifact):
+            return Denial.BUSY
+        present = move.artifact in server.possible()
+        match move.kind:
+            case placement_api.MoveKind.LOAD if present:
+                return Denial.PRESENT
+            case placement_api.MoveKind.LOAD:
+                return self.check_load(
+                    server, move.artifact, move.base, move.memory_bytes
+                )
+            case placement_api.MoveKind.UNLOAD if not present:
+                return Denial.ABSENT
+            case placement_api.MoveKind.UNLOAD:
+                return self.check_unload(server, move.artifact)
+
+    def check_order(
+        self, server: server_ledgers.ServerLedger, order: platform_api.Order
+    ) -> Denial | None:
+        """Judge the sending of an order that is charged already."""
+        match order.kind:
+            case platform_api.OrderKind.LOAD:
+                return self.check_load(server, order.artifact, order.base, 0)
+            case platform_api.OrderKind.UNLOAD:
+                return self.check_unload(server, order.artifact)
+            case platform_api.OrderKind.SET_ROLE:
+                return None
+
+    def check_load(
+        self,
+        server: server_ledgers.ServerLedger,
+        artifact: str,
+        base: str,
+        added_bytes: int,
+    ) -> Denial | None:
+        """Judge a load by the memory at the peak of all that may happen."""
+        if server.leaving:
+            return Denial.LEAVING
+        if server.possible_bytes + added_bytes > server.capacity_bytes:
+            return Denial.NO_MEMORY
+        adapter = catalogs.name_of(artifact) in self._bases
+        if adapter and base not in server.ready():
+            return Denial.NO_BASE
+        return None
+
+    def check_unload(
+        self, server: server_ledgers.ServerLedger, artifact: str
+    ) -> Denial | None:
+        """Judge an unload by what stays ready whatever else happens."""
+        if self._carries_adapter(server, artifact):
+            return Denial.BASE_IN_USE
+        if not self._replaceable(server, artifact):
+            return Denial.LAST_REPLICA
+        return None
+
+    def _carries_adapter(
+        self, server: server_ledgers.ServerLedger, artifact: str
+    ) -> bool:
+        name = catalogs.name_of(artifact)
+        return any(
+            self._bases.get(catalogs.name_of(other)) == name
+            and server.base_of(other) in ('', artifact)
+            for other in server.possible()
+        )
+
+    def _replaceable(
+        self, server: server_ledgers.ServerLedger, artifact: str
+    ) -> bool:
+        versions = self._declared.get(catalogs.name_of(artifact), frozenset())
+        if artifact in versions:
+            return self._guarded(artifact, except_on=server)
+        return all(self._guarded(version) for version in versions)
+
+    def _guarded(
+        self,
+        artifact: str,
+        except_on: server_ledgers.ServerLedger | None = None,
+    ) -> bool:
+        return any(
+            artifact in other.ready() and not other.leaving
+            for other in self._servers.values()
+            if other is not except_on
+        )
