--- a/src/dogwoodquay/journal/follower.py
+++ b/src/dogwoodquay/journal/follower.py
@@ -144,6 +144,10 @@
         """Stop keeping the verdict on an entry."""
         self._waiters.pop(entry_id, None)
 
+    def decided(self, entry_id: str) -> api.Verdict | None:
+        """Return the first verdict on an expected entry, if it is in."""
+        return self._waiters[entry_id].verdict
+
     async def verdict(
         self, entry_id: str, deadline: float
     ) -> api.Verdict | None:
--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing of the decisions against a simple oracle."""
--- /dev/null
+++ b/tests/fuzz/instances.py
@@ -0,0 +1,127 @@
+"""An instance for the fuzzer: the real cores, driven a step at a time."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import typing
+
+from . import logs
+from dogwoodquay import clock
+from dogwoodquay.journal import follower as followers
+from dogwoodquay.ledger import core
+from dogwoodquay.ledger import entries
+from dogwoodquay.ledger import replay
+from dogwoodquay.records import api as records_api
+
+if typing.TYPE_CHECKING:
+    from dogwoodquay.platform import api as platform_api
+
+__all__ = ['Attempt', 'Instance', 'Observation']
+
+
+@dataclasses.dataclass
+class Attempt:
+    """One sending of an order, somewhere between sender and engine."""
+
+    order: platform_api.Order
+    server_id: str
+    instance: Instance
+    ledger: core.PoolLedger
+    reply: str = ''
+    answered: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Observation:
+    """An engine's answer that has not been taken in yet."""
+
+    ledger: core.PoolLedger
+    server_id: str
+    began: int
+    state: platform_api.EngineState | None
+
+
+class Instance:
+    """Follows the log and, when it owns the pool, keeps the ledger."""
+
+    def __init__(self, instance_id: str, log: logs.LogModel, duty: str):
+        self.instance_id = instance_id
+        self.state = replay.DutyState(duty)
+        self.follower = followers.Follower(
+            log.stream,
+            self.state,
+            log,
+            clock.ManualClock(),
+            random.Random(0),
+        )
+        self.alive = True
+        self.ledger: core.PoolLedger | None = None
+        self.intents: dict[str, core.Approved] = {}
+        self.observations: dict[str, Observation] = {}
+        self.highest_offset = -1
+
+    @property
+    def owns(self) -> bool:
+        """Whether the instance has read that it owns the pool."""
+        return self.state.ownership.held_by(self.instance_id, 0)
+
+    def read(self) -> None:
+        """Read what the log has."""
+        logs.run_now(self.follower.step())
+
+    def follow(
+        self, catalog: records_api.Catalog, slots: int, late: bool
+    ) -> None:
+        """Begin a tenure that was read; end one, or be late with that."""
+        epoch = self.state.ownership.epoch
+        if not self.owns:
+            if not late:
+                self.ledger = None
+            return
+        if self.ledger is None or self.ledger.epoch != epoch:
+            pool = next(iter(catalog.pools.values()))
+            self.ledger = core.PoolLedger(
+                pool, catalog, epoch, self.state.sequence
+            )
+            self.ledger.set_slots(slots)
+            self.intents.clear()
+            self.observations.clear()
+        self.ledger.sync(self.state.open_intents)
+
+    def settle_intents(self) -> list[core.Approved]:
+        """Return what may be sent now that its intent was read back."""
+        sendable = []
+        for order_id, approved in list(self.intents.items()):
+            verdict = self.follower.decided(order_id)
+            if verdict is None or self.ledger is None:
+                continue
+            del self.intents[order_id]
+            if verdict.valid:
+                self.ledger.logged(order_id)
+            if verdict.valid and self.ledger.may_send(order_id):
+                sendable.append(approved)
+            else:
+                self.ledger.give_up(order_id)
+        return sendable
+
+    def give_up_intents(self) -> None:
+        """Stop waiting for intents whose deadline has passed."""
+        for order_id in self.intents:
+            if self.ledger is not None:
+                self.ledger.give_up(order_id)
+        self.intents.clear()
+
+    def outcomes(self) -> tuple[entries.Outcome, ...]:
+        """Return the ends that the log should show."""
+        if self.ledger is None:
+            return ()
+        return tuple(
+            entries.Outcome(
+                entry_id=f'{order_id}-{self.ledger.epoch}-{end.value}',
+                epoch=self.ledger.epoch,
+                order_id=order_id,
+                end=end,
+            )
+            for order_id, end in self.ledger.closing.items()
+        )
--- /dev/null
+++ b/tests/fuzz/test_agreement.py
@@ -0,0 +1,70 @@
+"""A short derandomized fuzz, and one broken variant for each rule."""
+
+from __future__ import annotations
+
+import random
+import typing
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+
+from . import machine
+from . import mutants
+from . import oracle
+
+_EXAMPLES: typing.Final = 25
+_STEPS: typing.Final = 60
+_MUTANT_SEEDS: typing.Final = 100
+_MUTANT_RULES: typing.Final = 300
+
+
+def _settings(examples: int, steps: int) -> hypothesis.settings:
+    return hypothesis.settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        deadline=None,
+        database=None,
+        derandomize=True,
+        phases=(hypothesis.Phase.generate,),
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+
+
+def _caught(mutant: mutants.Mutant) -> str:
+    """Return the first violation that the variant leads to."""
+    first = mutant.first_seed
+    for seed in range(first, first + _MUTANT_SEEDS):
+        broken = mutant.kind()
+        broken.start(seed)
+        try:
+            broken.run_rules(random.Random(seed), _MUTANT_RULES)
+        except oracle.Violation as violation:
+            return str(violation)
+    return 'not caught'
+
+
+class AgreementFuzzTest(unittest.TestCase):
+    """The promises under faults of every kind."""
+
+    def test_true_code(self) -> None:
+        """No rule is broken with any kind of engine."""
+        for kind in (
+            machine.AgreementMachine,
+            machine.FencingMachine,
+            machine.HidingMachine,
+        ):
+            with self.subTest(kind.__name__):
+                stateful.run_state_machine_as_test(
+                    kind, settings=_settings(_EXAMPLES, _STEPS)
+                )
+
+
+class MutantTest(unittest.TestCase):
+    """Code with a safety rule left out is caught by the rule named."""
+
+    def test_each_mutant_is_caught(self) -> None:
+        """The oracle raises, and names the rule."""
+        for mutant in mutants.MUTANTS:
+            with self.subTest(mutant.name), mutant.patch():
+                self.assertTrue(_caught(mutant).startswith(mutant.rule))
