--- /dev/null
+++ b/src/dogwoodquay/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""The way of one request: admission, claims, routing and attempts."""
--- /dev/null
+++ b/src/dogwoodquay/observe/metrics.py
@@ -0,0 +1,177 @@
+"""A typed registry of counters, gauges and histograms.
+
+Values are kept as plain numbers, as they are counted for each request, and
+handed to aioprometheus when somebody reads them.
+"""
+
+from __future__ import annotations
+
+import bisect
+import collections
+import itertools
+import typing
+
+import aioprometheus
+from aioprometheus import histogram
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+__all__ = [
+    'Counter',
+    'Gauge',
+    'Histogram',
+    'Page',
+    'Registry',
+    'SECONDS_BUCKETS',
+]
+
+SECONDS_BUCKETS: typing.Final = (
+    0.001,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    0.98,
+    2.5,
+    10.0,
+    30.0,
+)
+
+_Labels = tuple[str, ...]
+
+
+class Page(typing.NamedTuple):
+    """A rendered page of metrics with its content type."""
+
+    content_type: str
+    body: bytes
+
+
+class Counter:
+    """A count that only rises, for each value of its labels."""
+
+    def __init__(self, names: _Labels, collector: typing.Any) -> None:
+        self._names = names
+        self._collector = collector
+        self._values: collections.Counter[_Labels] = collections.Counter()
+
+    def add(self, *labels: str, amount: int = 1) -> None:
+        """Raise the count.
+
+        :param labels: one value for each label name, in their order.
+        """
+        self._values[labels] += amount
+
+    def value(self, *labels: str) -> int:
+        """Return the count for label values."""
+        return self._values[labels]
+
+    def publish(self) -> None:
+        """Hand the counts to the collector."""
+        for labels, value in self._values.items():
+            names = dict(zip(self._names, labels, strict=True))
+            self._collector.set(names, value)
+
+
+class Gauge:
+    """A number that is read when the page is rendered."""
+
+    def __init__(
+        self, read: abc.Callable[[], float], collector: typing.Any
+    ) -> None:
+        self._read = read
+        self._collector = collector
+
+    def publish(self) -> None:
+        """Hand the present value to the collector."""
+        self._collector.set({}, self._read())
+
+
+class Histogram:
+    """Counts of observations up to each bound."""
+
+    def __init__(
+        self, bounds: tuple[float, ...], collector: typing.Any
+    ) -> None:
+        self._bounds = bounds
+        self._counts = [0] * (len(bounds) + 1)
+        self._sum = 0.0
+        self._collector = collector
+
+    @property
+    def count(self) -> int:
+        """How many values were observed."""
+        return sum(self._counts)
+
+    def observe(self, value: float) -> None:
+        """Count one value."""
+        self._counts[bisect.bisect_left(self._bounds, value)] += 1
+        self._sum += value
+
+    def publish(self) -> None:
+        """Hand the cumulative counts to the collector."""
+        stored = histogram.Histogram(*self._bounds)
+        bounds = tuple(stored.buckets)
+        totals = itertools.accumulate(self._counts)
+        stored.buckets.update(zip(bounds, totals, strict=True))
+        stored.observations = self.count
+        stored.sum = self._sum
+        self._collector.set_value({}, stored)
+
+
+class Registry:
+    """Creates metrics and renders them all on one page."""
+
+    def __init__(self, instance: str) -> None:
+        self._registry = aioprometheus.Registry()
+        self._const_labels = {'instance': instance}
+        self._metrics: list[Counter | Gauge | Histogram] = []
+
+    def counter(self, name: str, doc: str, *labels: str) -> Counter:
+        """Create a counter.
+
+        :param labels: the names of its labels.
+        """
+        collector = aioprometheus.Counter(
+            name, doc, self._const_labels, self._registry
+        )
+        counter = Counter(labels, collector)
+        self._metrics.append(counter)
+        return counter
+
+    def gauge(
+        self, name: str, doc: str, read: abc.Callable[[], float]
+    ) -> Gauge:
+        """Create a gauge that is read when somebody asks."""
+        collector = aioprometheus.Gauge(
+            name, doc, self._const_labels, self._registry
+        )
+        gauge = Gauge(read, collector)
+        self._metrics.append(gauge)
+        return gauge
+
+    def histogram(
+        self,
+        name: str,
+        doc: str,
+        bounds: tuple[float, ...] = SECONDS_BUCKETS,
+    ) -> Histogram:
+        """Create a histogram with upper bounds in rising order."""
+        collector = aioprometheus.Histogram(
+            name, doc, self._const_labels, self._registry, bounds
+        )
+        created = Histogram(bounds, collector)
+        self._metrics.append(created)
+        return created
+
+    def render(self, accept: str = '') -> Page:
+        """Return all metrics in the format that a reader accepts."""
+        for metric in self._metrics:
+            metric.publish()
+        accepted = accept.split(',') if accept else []
+        body, headers = aioprometheus.render(self._registry, accepted)
+        return Page(headers['Content-Type'], body)
--- /dev/null
+++ b/tests/unit/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the entry package."""
