Add the dispatcher: claims, admission, routing and attempts

Cause: a request needs one place that decides what may still be said of it. Change: dispatch runs a request through claim, queue, routing, attempts, retries and resumes, and checks that an answer is whole and its own.

--- /dev/null
+++ b/src/dogwoodquay/dispatch/attempt.py
@@ -0,0 +1,181 @@
+"""One attempt of a request at one upstream."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from . import api
+from . import bodies
+from ..platform import api as platform_api
+from ..platform import errors as platform_errors
+from . import reasons
+from ..retry import api as retry_api
+from . import sse
+
+__all__ = ['AttemptFailed', 'Exchange', 'Progress']
+
+_EVENT_STREAM: typing.Final = 'text/event-stream'
+_SERVER_ERROR: typing.Final = 500
+_OK: typing.Final = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptFailed:
+    """An attempt without an answer that may be shown."""
+
+    reason: reasons.Reason
+    run_state: retry_api.RunState
+    detail: str = ''
+    resumable: bool = False
+
+
+class Progress(typing.Protocol):
+    """Who is told that the first byte of an answer came."""
+
+    def first_byte(self) -> None:
+        """Note the first byte of the attempt's answer."""
+
+
+class Exchange:
+    """Sends attempts and lets only whole answers of their own through."""
+
+    def __init__(
+        self,
+        call: api.Call,
+        upstream: platform_api.PlainService,
+        sink: api.Sink | None,
+        max_answer_bytes: int,
+    ) -> None:
+        self._call = call
+        self._upstream = upstream
+        self._sink = sink
+        self._max_answer_bytes = max_answer_bytes
+        self._events = sse.EventChecker()
+        self._engine = call.kind is api.Kind.ENGINE
+
+    @property
+    def last_event(self) -> int:
+        """The number of the last event that went to the sink."""
+        return self._events.last_event
+
+    @property
+    def delivered(self) -> bool:
+        """Whether the sink got a part of the answer."""
+        return self._events.last_event >= 0
+
+    async def run(
+        self, attempt_id: str, address: str, port: int, progress: Progress
+    ) -> api.Whole | api.Streamed | AttemptFailed:
+        """Make one attempt; cancelling it ends the upstream's work."""
+        self._events.begin(attempt_id)
+        call = self._upstream_call(attempt_id)
+        try:
+            async with self._upstream.call(address, port, call) as opened:
+                if opened.is_error():
+                    return self._refused(opened.error)
+                return await self._read(opened.ok, attempt_id, progress)
+        except platform_errors.UpstreamBroken as broken:
+            return self._broken(reasons.Reason.UPSTREAM_BROKEN, broken.reason)
+        except sse.BrokenAnswer as broken_answer:
+            return self._broken(broken_answer.reason)
+
+    def _upstream_call(self, attempt_id: str) -> platform_api.UpstreamCall:
+        call = self._call
+        return platform_api.UpstreamCall(
+            attempt_id=attempt_id,
+            method=call.method,
+            path=call.path,
+            headers=call.headers,
+            body=call.body,
+            deadline=call.deadline,
+            priority=call.priority,
+            stream=call.stream,
+            resume_after=self._events.last_event,
+        )
+
+    async def _read(
+        self,
+        answer: platform_api.UpstreamAnswer,
+        attempt_id: str,
+        progress: Progress,
+    ) -> api.Whole | api.Streamed | AttemptFailed:
+        if answer.attempt_id != attempt_id:
+            raise sse.BrokenAnswer(reasons.Reason.ANSWER_CROSSED)
+        if self._engine and answer.status >= _SERVER_ERROR:
+            return _upstream_failed(answer.status)
+        content_type = bodies.header(answer, 'content-type')
+        if self._sink is not None and content_type.startswith(_EVENT_STREAM):
+            return await self._relay(answer, self._sink, progress)
+        if self.delivered:
+            raise sse.BrokenAnswer(reasons.Reason.ANSWER_CROSSED)
+        whole = await bodies.read_whole(
+            answer, self._call.method, self._max_answer_bytes
+        )
+        progress.first_byte()
+        self._check_owner(whole, attempt_id)
+        return whole
+
+    async def _relay(
+        self,
+        answer: platform_api.UpstreamAnswer,
+        sink: api.Sink,
+        progress: Progress,
+    ) -> api.Streamed:
+        events = self._events
+        first = True
+        async for chunk in answer:
+            frames = events.feed(chunk)
+            if not frames:
+                continue
+            if first:
+                progress.first_byte()
+                first = False
+            await sink.write(frames, events.last_event)
+        if not events.done:
+            raise sse.BrokenAnswer(reasons.Reason.ANSWER_CUT)
+        return api.Streamed(events.last_event)
+
+    def _check_owner(self, whole: api.Whole, attempt_id: str) -> None:
+        """Engines name the attempt in a successful answer's body too."""
+        if not self._engine or whole.status != _OK:
+            return
+        if attempt_id.encode() not in whole.body:
+            raise sse.BrokenAnswer(reasons.Reason.ANSWER_CROSSED)
+
+    def _broken(
+        self, reason: reasons.Reason, detail: str = ''
+    ) -> AttemptFailed:
+        return AttemptFailed(
+            reason,
+            retry_api.RunState.MAY_HAVE_RUN,
+            detail,
+            resumable=self.delivered,
+        )
+
+    def _refused(self, error: platform_api.EngineError) -> AttemptFailed:
+        not_run = retry_api.RunState.NOT_RUN
+        match error:
+            case platform_api.Unavailable(reason):
+                return AttemptFailed(
+                    reasons.Reason.UPSTREAM_UNAVAILABLE,
+                    not_run,
+                    reason,
+                    resumable=self.delivered,
+                )
+            case platform_api.Ambiguous(reason):
+                return self._broken(reasons.Reason.UPSTREAM_BROKEN, reason)
+            case platform_api.Refused(reason):
+                return AttemptFailed(
+                    reasons.Reason.UPSTREAM_REFUSED, not_run, reason
+                )
+            case platform_api.StaleFence():
+                return AttemptFailed(reasons.Reason.UPSTREAM_REFUSED, not_run)
+
+
+def _upstream_failed(status: int) -> AttemptFailed:
+    return AttemptFailed(
+        reasons.Reason.UPSTREAM_FAILED,
+        retry_api.RunState.FAILED,
+        f'status {status}',
+    )
--- /dev/null
+++ b/src/dogwoodquay/dispatch/bodies.py
@@ -0,0 +1,64 @@
+"""Reads answers that are not streamed, and finds out cut ones."""
+
+from __future__ import annotations
+
+import typing
+
+import msgspec
+
+from . import api
+from . import reasons
+from . import sse
+
+if typing.TYPE_CHECKING:
+    from ..platform import api as platform_api
+
+__all__ = ['header', 'read_whole']
+
+_JSON: typing.Final = 'application/json'
+_STATUS_WITHOUT_BODY: typing.Final = (204, 304)
+
+
+def header(answer: platform_api.UpstreamAnswer, name: str) -> str:
+    """Return an answer's header, empty when it is missing."""
+    for other, value in answer.headers:
+        if other == name:
+            return value
+    return ''
+
+
+async def read_whole(
+    answer: platform_api.UpstreamAnswer, method: str, limit: int
+) -> api.Whole:
+    """Read a body to its end.
+
+    :param limit: the most bytes to read.
+    :raises BrokenAnswer: when the body is cut or too large.
+    """
+    parts = []
+    size = 0
+    async for chunk in answer:
+        size += len(chunk)
+        if size > limit:
+            raise sse.BrokenAnswer(reasons.Reason.ANSWER_TOO_LARGE)
+        parts.append(chunk)
+    body = parts[0] if len(parts) == 1 else b''.join(parts)
+    if method != 'HEAD' and answer.status not in _STATUS_WITHOUT_BODY:
+        _check_end(answer, body)
+    return api.Whole(answer.status, answer.headers, body)
+
+
+def _check_end(answer: platform_api.UpstreamAnswer, body: bytes) -> None:
+    length = header(answer, 'content-length')
+    encoded = header(answer, 'content-encoding')
+    if length.isdigit() and not encoded and int(length) != len(body):
+        raise sse.BrokenAnswer(reasons.Reason.ANSWER_CUT)
+    if header(answer, 'content-type').startswith(_JSON) and not encoded:
+        _check_json(body)
+
+
+def _check_json(body: bytes) -> None:
+    try:
+        msgspec.json.decode(body, type=msgspec.Raw)
+    except (msgspec.DecodeError, RecursionError):
+        raise sse.BrokenAnswer(reasons.Reason.ANSWER_CUT) from None
--- /dev/null
+++ b/src/dogwoodquay/dispatch/claiming.py
@@ -0,0 +1,119 @@
+"""The life of an idempotency key around one request.
+
+The key is claimed before the first byte goes to an upstream. How the request
+ended is recorded in the background, so that no answer waits for the log.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import typing
+
+from . import api
+from ..once import api as once_api
+from . import reasons
+
+__all__ = [
+    'RecordingSink',
+    'body_digest',
+    'refusal_of',
+    'replay',
+    'stored_answer',
+]
+
+MAX_STORED_BYTES: typing.Final = 64 * 1024
+_EVENT_STREAM: typing.Final = 'text/event-stream'
+_EVENT_STREAM_HEADERS: typing.Final = (('content-type', _EVENT_STREAM),)
+_EVENT_END: typing.Final = b'\n\n'
+_KEPT_HEADERS: typing.Final = frozenset(
+    {'content-type', 'content-language', 'location', 'etag'}
+)
+_OK: typing.Final = 200
+
+
+def body_digest(call: api.Call) -> bytes:
+    """Return a digest that tells one request from another."""
+    digest = hashlib.sha256()
+    digest.update(call.method.encode())
+    digest.update(b'\n')
+    digest.update(call.path.encode())
+    digest.update(b'\n')
+    digest.update(call.body)
+    return digest.digest()
+
+
+class RecordingSink:
+    """Passes events on and keeps a copy of a short stream."""
+
+    def __init__(self, sink: api.Sink) -> None:
+        self._sink = sink
+        self._parts: list[bytes] = []
+        self._size = 0
+
+    @property
+    def last_event(self) -> int:
+        """The number of the last event taken, and -1 before the first."""
+        return self._sink.last_event
+
+    async def write(self, frames: bytes, last_event: int) -> None:
+        """Keep a copy, then pass the events on."""
+        self._size += len(frames)
+        if self._size <= MAX_STORED_BYTES:
+            self._parts.append(frames)
+        await self._sink.write(frames, last_event)
+
+    def stored(self) -> once_api.StoredAnswer:
+        """Return the stream as an answer to keep."""
+        truncated = self._size > MAX_STORED_BYTES
+        body = b'' if truncated else b''.join(self._parts)
+        return once_api.StoredAnswer(
+            _OK, _EVENT_STREAM_HEADERS, body, truncated
+        )
+
+
+def stored_answer(answer: api.Whole) -> once_api.StoredAnswer:
+    """Return a whole answer in the form that is kept under its key."""
+    headers = tuple(
+        item for item in answer.headers if item[0] in _KEPT_HEADERS
+    )
+    truncated = len(answer.body) > MAX_STORED_BYTES
+    body = b'' if truncated else answer.body
+    return once_api.StoredAnswer(answer.status, headers, body, truncated)
+
+
+def refusal_of(
+    answer: once_api.Running
+    | once_api.Unknown
+    | once_api.Conflict
+    | once_api.KeyRefused,
+) -> api.Refusal:
+    """Return what a caller is told whose request may not be sent."""
+    unknown = reasons.Outcome.UNKNOWN
+    not_run = reasons.Outcome.NOT_RUN
+    match answer:
+        case once_api.Running():
+            return api.Refusal(reasons.Reason.KEY_RUNNING, unknown)
+        case once_api.Unknown():
+            return api.Refusal(reasons.Reason.KEY_OUTCOME_UNKNOWN, unknown)
+        case once_api.Conflict():
+            return api.Refusal(reasons.Reason.KEY_CONFLICT, not_run)
+        case once_api.KeyRefused(label, retry_at):
+            reason = reasons.from_label(label, reasons.Reason.CLAIM_UNDECIDED)
+            return api.Refusal(reason, not_run, label, retry_at or 0.0)
+
+
+async def replay(
+    answer: once_api.StoredAnswer, sink: api.Sink | None
+) -> api.Whole | api.Streamed | api.Refusal:
+    """Give the known answer of an earlier request under the same key."""
+    if answer.truncated:
+        return api.Refusal(
+            reasons.Reason.KEY_ANSWER_NOT_KEPT, reasons.Outcome.UNKNOWN
+        )
+    headers = dict(answer.headers)
+    streamed = headers.get('content-type', '').startswith(_EVENT_STREAM)
+    if sink is not None and streamed:
+        last_event = answer.body.count(_EVENT_END) - 1
+        await sink.write(answer.body, last_event)
+        return api.Streamed(last_event)
+    return api.Whole(answer.status, answer.headers, answer.body)
