--- a/src/dogwoodquay/node/snapshots.py
+++ b/src/dogwoodquay/node/snapshots.py
@@ -56,6 +56,10 @@
         """Give the state of a follower to peers that ask."""
         self._followers[follower.stream] = follower
 
+    def withhold(self, stream: str) -> None:
+        """Give a stream's state to peers no more."""
+        self._followers.pop(stream, None)
+
     async def snapshots(
         self, stream: str, above: int, deadline: float
     ) -> tuple[journal_api.Snapshot, ...]:
