Add HTTP adapters and a site of stand-ins

Cause: the demonstration and the tests need the platform over real sockets. Change: platform/http has httpx adapters for every protocol; a failure before the first byte is Unavailable, a later one Ambiguous, and only a 503 with X-Not-Run counts as refused. standin serves the fakes with hypercorn on port 0; a kill shuts the sockets down, since cancelled hypercorn tasks answer 500. Conclusion: StandInSite().running() starts a whole site.

--- /dev/null
+++ b/src/dogwoodquay/platform/http/client.py
@@ -0,0 +1,226 @@
+"""Connections to other sides, and what a failed call means.
+
+A failure before the first byte of a request was written is ``Unavailable``;
+after it, and without an answer, it is ``Ambiguous``.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import typing
+
+import anyio
+import expression
+import httpx
+import msgspec
+
+from ... import clock
+from .. import api
+from . import wire
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+__all__ = ['Connections', 'Headers', 'broken_reason', 'decode']
+
+CONNECT_SECONDS: typing.Final = 1.0
+IDLE_SECONDS: typing.Final = 30.0
+KEEP_ALIVE_SECONDS: typing.Final = 2.0
+
+Headers = tuple[tuple[str, str], ...]
+SendError = api.Unavailable | api.Ambiguous
+
+_Body = typing.TypeVar('_Body')
+
+_NOTHING_SENT: typing.Final = (
+    httpx.ConnectError,
+    httpx.ConnectTimeout,
+    httpx.PoolTimeout,
+    httpx.UnsupportedProtocol,
+    httpx.LocalProtocolError,
+)
+_STOPPED_BEFORE_SEND: typing.Final = api.Unavailable('deadline')
+
+
+class Connections:
+    """Connections kept open for each address.
+
+    They are dropped earlier than the other side drops them, so that a
+    request is seldom written to a connection that is just being closed.
+    """
+
+    def __init__(
+        self,
+        time: clock.Clock,
+        connect_seconds: float = CONNECT_SECONDS,
+        idle_seconds: float = IDLE_SECONDS,
+        keep_alive_seconds: float = KEEP_ALIVE_SECONDS,
+    ) -> None:
+        self._time = time
+        self._timeout = {
+            'connect': connect_seconds,
+            'read': idle_seconds,
+            'write': idle_seconds,
+            'pool': connect_seconds,
+        }
+        self._limits = httpx.Limits(
+            max_connections=None,
+            max_keepalive_connections=None,
+            keepalive_expiry=keep_alive_seconds,
+        )
+        self._transports: dict[tuple[str, int], httpx.AsyncHTTPTransport] = {}
+        self._urls: dict[tuple[str, int, str], httpx.URL] = {}
+
+    async def __aenter__(self) -> Connections:
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        """Close every connection."""
+        transports, self._transports = self._transports, {}
+        for transport in transports.values():
+            await transport.aclose()
+
+    async def forget(self, address: str, port: int) -> None:
+        """Close the connections to an address that is gone."""
+        transport = self._transports.pop((address, port), None)
+        if transport is not None:
+            await transport.aclose()
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self,
+        address: str,
+        port: int,
+        method: str,
+        path: str,
+        headers: Headers,
+        body: bytes,
+        deadline: float,
+    ) -> abc.AsyncIterator[expression.Result[httpx.Response, SendError]]:
+        """Send a request and give its open response.
+
+        :param deadline: the headers of the answer have to come before it.
+        """
+        remaining = deadline - self._time.now()
+        if remaining <= 0:
+            yield expression.Error(_STOPPED_BEFORE_SEND)
+            return
+        request = self._request(address, port, method, path, headers, body)
+        sent = await self._send(address, port, request, remaining)
+        if sent.is_error():
+            yield sent
+            return
+        try:
+            yield sent
+        finally:
+            with anyio.CancelScope(shield=True):
+                await sent.ok.aclose()
+
+    async def fetch(
+        self,
+        address: str,
+        port: int,
+        method: str,
+        path: str,
+        deadline: float,
+        body: bytes = b'',
+        headers: Headers = (),
+    ) -> expression.Result[httpx.Response, SendError]:
+        """Send a request and read its whole answer before the deadline."""
+        with anyio.move_on_after(deadline - self._time.now()):
+            async with self.open(
+                address, port, method, path, headers, body, deadline
+            ) as sent:
+                if sent.is_ok():
+                    try:
+                        await sent.ok.aread()
+                    except httpx.HTTPError as error:
+                        reason = broken_reason(error)
+                        return expression.Error(api.Ambiguous(reason))
+                return sent
+        return expression.Error(api.Ambiguous('timeout'))
+
+    async def _send(
+        self,
+        address: str,
+        port: int,
+        request: httpx.Request,
+        remaining: float,
+    ) -> expression.Result[httpx.Response, SendError]:
+        transport = self._transport(address, port)
+        try:
+            with anyio.fail_after(remaining):
+                response = await transport.handle_async_request(request)
+        except _NOTHING_SENT:
+            return expression.Error(api.Unavailable('connect'))
+        except TimeoutError:
+            return expression.Error(api.Ambiguous('timeout'))
+        except httpx.HTTPError as error:
+            return expression.Error(api.Ambiguous(broken_reason(error)))
+        response.request = request
+        return expression.Ok(response)
+
+    def _request(
+        self,
+        address: str,
+        port: int,
+        method: str,
+        path: str,
+        headers: Headers,
+        body: bytes,
+    ) -> httpx.Request:
+        key = (address, port, path)
+        url = self._urls.get(key)
+        if url is None:
+            host = f'[{address}]' if ':' in address else address
+            url = httpx.URL(f'http://{host}:{port}{path}')
+            if '?' not in path and len(self._urls) < 4096:
+                self._urls[key] = url
+        return httpx.Request(
+            method,
+            url,
+            headers=headers,
+            content=body,
+            extensions={'timeout': self._timeout},
+        )
+
+    def _transport(self, address: str, port: int) -> httpx.AsyncHTTPTransport:
+        found = self._transports.get((address, port))
+        if found is None:
+            found = httpx.AsyncHTTPTransport(
+                limits=self._limits, trust_env=False
+            )
+            self._transports[address, port] = found
+        return found
+
+
+def broken_reason(error: httpx.HTTPError) -> str:
+    """Return the counter's label for a failed exchange."""
+    match error:
+        case httpx.TimeoutException():
+            return 'idle'
+        case httpx.RemoteProtocolError():
+            return 'protocol'
+        case _:
+            return 'connection'
+
+
+def decode(
+    response: httpx.Response, kind: type[_Body]
+) -> expression.Result[_Body, api.Ambiguous]:
+    """Decode a whole JSON body; one that is none was not understood."""
+    try:
+        return expression.Ok(msgspec.json.decode(response.content, type=kind))
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return expression.Error(api.Ambiguous('bad_answer'))
+
+
+def failure(response: httpx.Response) -> wire.Failure:
+    """Return the reason that an answer gives for its refusal."""
+    decoded = decode(response, wire.Failure)
+    if decoded.is_ok():
+        return decoded.ok
+    return wire.Failure(f'status_{response.status_code}')
--- /dev/null
+++ b/src/dogwoodquay/platform/http/service.py
@@ -0,0 +1,119 @@
+"""The adapter to plain services."""
+
+from __future__ import annotations
+
+import contextlib
+import typing
+
+import expression
+import httpx
+
+from .. import api
+from . import answer
+from . import client
+from . import wire
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+__all__ = ['HttpPlainService']
+
+_OWN_HEADERS: typing.Final = frozenset(
+    {
+        'connection',
+        'content-length',
+        'host',
+        'keep-alive',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        wire.ATTEMPT_HEADER,
+        wire.DEADLINE_HEADER,
+        wire.LAST_EVENT_HEADER,
+        wire.PRIORITY_HEADER,
+    }
+)
+
+
+class HttpPlainService:
+    """Plain services over HTTP/1.1."""
+
+    def __init__(self, connections: client.Connections) -> None:
+        self._connections = connections
+
+    @contextlib.asynccontextmanager
+    async def call(
+        self, address: str, port: int, call: api.UpstreamCall
+    ) -> abc.AsyncIterator[
+        expression.Result[api.UpstreamAnswer, api.EngineError]
+    ]:
+        """Send one request; leaving the context cancels it."""
+        async with self._connections.open(
+            address,
+            port,
+            call.method,
+            call.path,
+            request_headers(call),
+            call.body,
+            call.deadline,
+        ) as sent:
+            if sent.is_error():
+                yield expression.Error(sent.error)
+                return
+            response = sent.ok
+            if _is_not_run(response):
+                yield expression.Error(await _refusal(response))
+            elif call.stream:
+                async with answer.joined(response) as chunks:
+                    yield expression.Ok(answer.HttpAnswer(response, chunks))
+            else:
+                chunks = answer.chunks(response)
+                yield expression.Ok(answer.HttpAnswer(response, chunks))
+
+    async def load(
+        self, address: str, port: int, deadline: float
+    ) -> expression.Result[api.LoadReport, api.Unavailable]:
+        """Return the service's lagging report of its load."""
+        sent = await self._connections.fetch(
+            address, port, 'GET', wire.LOAD_PATH, deadline
+        )
+        if sent.is_error():
+            return expression.Error(api.Unavailable(sent.error.reason))
+        if not sent.ok.is_success:
+            reason = client.failure(sent.ok).reason
+            return expression.Error(api.Unavailable(reason))
+        decoded = client.decode(sent.ok, api.LoadReport)
+        if decoded.is_error():
+            return expression.Error(api.Unavailable(decoded.error.reason))
+        return expression.Ok(decoded.ok)
+
+
+def request_headers(call: api.UpstreamCall) -> client.Headers:
+    """Return a call's headers with those of the adapter."""
+    kept = [
+        header
+        for header in call.headers
+        if header[0].lower() not in _OWN_HEADERS
+    ]
+    kept.append((wire.ATTEMPT_HEADER, call.attempt_id))
+    kept.append((wire.DEADLINE_HEADER, f'{call.deadline:.3f}'))
+    kept.append((wire.PRIORITY_HEADER, str(call.priority)))
+    if call.resume_after >= 0:
+        kept.append((wire.LAST_EVENT_HEADER, str(call.resume_after)))
+    return tuple(kept)
+
+
+def _is_not_run(response: httpx.Response) -> bool:
+    return (
+        response.status_code == httpx.codes.SERVICE_UNAVAILABLE
+        and response.headers.get(wire.NOT_RUN_HEADER) == '1'
+    )
+
+
+async def _refusal(response: httpx.Response) -> api.Refused:
+    try:
+        await response.aread()
+    except httpx.HTTPError:
+        return api.Refused('not_run')
+    return api.Refused(client.failure(response).reason)
--- a/src/dogwoodquay/standin/__init__.py
+++ b/src/dogwoodquay/standin/__init__.py
@@ -1,1 +1,10 @@
 """Stand-ins of the platform over HTTP, for the demonstration and tests."""
+
+from __future__ import annotations
+
+from .site import Address
+from .site import SiteOptions
+from .site import StandInSite
+from .site import Upstream
+
+__all__ = ['Address', 'SiteOptions', 'StandInSite', 'Upstream']
--- /dev/null
+++ b/src/dogwoodquay/standin/site.py
@@ -0,0 +1,225 @@
+"""A whole site on loopback: platform, engines and plain services."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import random
+import typing
+
+import anyio
+import anyio.abc
+
+from . import platform
+from ..platform import api
+from ..platform import memory
+from ..platform.memory import batch
+from . import server
+from . import upstream
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+__all__ = ['Address', 'SiteOptions', 'StandInSite', 'Upstream']
+
+GIB: typing.Final = 2**30
+
+
+class Address(typing.NamedTuple):
+    """Where a stand-in listens."""
+
+    host: str
+    port: int
+
+
+class SiteOptions(typing.NamedTuple):
+    """Sizes and kinds of a site's parts."""
+
+    service: str = 'counter'
+    engines: int = 5
+    service_servers: int = 3
+    capacity_bytes: int = 80 * GIB
+    fencing: bool = True
+    forgets_fence: bool = False
+    lists_loading: bool = True
+    pace: batch.Pace = batch.Pace()
+    loads_per_second: float = 1.6
+    parallel_loads: int = 6
+    load_bytes_per_second: float = 8.0 * GIB
+    retention_seconds: float = 3600.0
+    list_lag_seconds: float = 1.0
+    seed: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Upstream:
+    """One engine or plain-service server with its place."""
+
+    server_id: str
+    failure_domain: str
+    model: memory.EngineModel | memory.ServiceModel
+    server: server.Server
+
+    @property
+    def address(self) -> Address:
+        """Where it listens."""
+        return Address(server.LOOPBACK, self.server.port)
+
+
+class StandInSite:
+    """Everything around the system, with the means to make it fail.
+
+    Fakes are attributes, so that their faults can be set directly.
+    """
+
+    def __init__(self, options: SiteOptions | None = None) -> None:
+        options = options or SiteOptions()
+        self.options = options
+        self.time = memory.SystemTimeline()
+        self._rng = random.Random(options.seed)
+        self.log = memory.MemoryLog(
+            self.time, self._rng, options.retention_seconds
+        )
+        self.instances = memory.MemoryInstanceList(
+            self.time, self._rng, options.list_lag_seconds
+        )
+        self.weights = memory.MemoryWeightStore(
+            self.time,
+            options.loads_per_second,
+            options.parallel_loads,
+            options.load_bytes_per_second,
+        )
+        self.book = memory.RunBook()
+        self.engines = tuple(
+            self._engine(index) for index in range(options.engines)
+        )
+        self.services = tuple(
+            self._service(index) for index in range(options.service_servers)
+        )
+        self._log_server = server.Server(platform.LogApp(self.log, self.time))
+        self._list_server = server.Server(
+            platform.InstanceListApp(self.instances, self.time)
+        )
+        self._weights_server = server.Server(
+            platform.WeightStoreApp(self.weights, self.time)
+        )
+        self._group: anyio.abc.TaskGroup | None = None
+
+    @property
+    def log_address(self) -> Address:
+        """Where the log listens."""
+        return Address(server.LOOPBACK, self._log_server.port)
+
+    @property
+    def list_address(self) -> Address:
+        """Where the instance list listens."""
+        return Address(server.LOOPBACK, self._list_server.port)
+
+    @property
+    def weights_address(self) -> Address:
+        """Where the weight store listens."""
+        return Address(server.LOOPBACK, self._weights_server.port)
+
+    @property
+    def memory_violations(self) -> int:
+        """How often any engine was asked to hold more than it can."""
+        return sum(
+            found.model.memory_violations
+            for found in self.engines
+            if isinstance(found.model, memory.EngineModel)
+        )
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> abc.AsyncIterator[StandInSite]:
+        """Serve everything until the context is left."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            for found in self._servers():
+                await found.start(group)
+            for part in self.engines + self.services:
+                self._announce(part, api.InstanceState.LIVE)
+            try:
+                yield self
+            finally:
+                with anyio.CancelScope(shield=True):
+                    for found in self._servers():
+                        await found.kill()
+
+    def upstream(self, server_id: str) -> Upstream:
+        """Return an engine or service server by its id."""
+        for found in self.engines + self.services:
+            if found.server_id == server_id:
+                return found
+        raise KeyError(server_id)
+
+    async def kill(self, server_id: str) -> None:
+        """End a server's process and break its connections."""
+        found = self.upstream(server_id)
+        found.model.kill()
+        await found.server.kill()
+
+    async def restart(self, server_id: str) -> None:
+        """Begin a new process at the old address, with nothing loaded."""
+        found = self.upstream(server_id)
+        if self._group is None:
+            raise RuntimeError('the site is not running')
+        await found.server.kill()
+        found.model.restart()
+        await found.server.start(self._group)
+        self._announce(found, api.InstanceState.LIVE)
+
+    def drain(self, server_id: str) -> None:
+        """Mark a server as leaving on the instance list."""
+        self._announce(self.upstream(server_id), api.InstanceState.LEAVING)
+
+    def set_log_outage(self, outage: bool) -> None:
+        """Begin or end an outage of the log."""
+        self.log.faults.outage = outage
+
+    def _servers(self) -> tuple[server.Server, ...]:
+        upstreams = self.engines + self.services
+        return (
+            self._log_server,
+            self._list_server,
+            self._weights_server,
+            *(found.server for found in upstreams),
+        )
+
+    def _announce(self, found: Upstream, state: api.InstanceState) -> None:
+        self.instances.put(
+            api.Instance(
+                found.server_id,
+                server.LOOPBACK,
+                found.server.port,
+                found.failure_domain,
+                state,
+            )
+        )
+
+    def _engine(self, index: int) -> Upstream:
+        profile = memory.EngineProfile(
+            f'engine-{index + 1}',
+            self.options.capacity_bytes,
+            self.options.fencing,
+            self.options.forgets_fence,
+            self.options.lists_loading,
+            pace=self.options.pace,
+        )
+        model = memory.EngineModel(profile, self.time, self.weights, self._rng)
+        app = upstream.EngineApp(model, self.time)
+        domain = _failure_domain(index)
+        return Upstream(profile.server_id, domain, model, server.Server(app))
+
+    def _service(self, index: int) -> Upstream:
+        name = self.options.service
+        server_id = f'{name}-{index + 1}'
+        model = memory.ServiceModel(
+            name, server_id, self.time, self._rng, self.book
+        )
+        app = upstream.ServiceApp(model, self.time)
+        domain = _failure_domain(index)
+        return Upstream(server_id, domain, model, server.Server(app))
+
+
+def _failure_domain(index: int) -> str:
+    return f'domain-{"abc"[index % 3]}'
--- /dev/null
+++ b/src/dogwoodquay/standin/upstream.py
@@ -0,0 +1,198 @@
+"""Stand-ins of model engines and plain services."""
+
+from __future__ import annotations
+
+import contextlib
+import math
+import typing
+
+import anyio
+import expression
+import msgspec
+
+from . import asgi
+from ..platform import api
+from ..platform import errors
+from ..platform.http import wire
+from ..platform import memory
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+__all__ = ['EngineApp', 'ServiceApp']
+
+DEFAULT_SECONDS: typing.Final = 60.0
+_BAD_BODY: typing.Final = wire.Failure('bad_body')
+_NOT_FOUND: typing.Final = wire.Failure('not_found')
+
+_Opened = contextlib.AbstractAsyncContextManager[
+    expression.Result[api.UpstreamAnswer, api.EngineError]
+]
+_Body = typing.TypeVar('_Body')
+
+
+class ServiceApp(asgi.App):
+    """Serves a fake plain service."""
+
+    def __init__(
+        self, model: memory.ServiceModel, time: memory.Timeline
+    ) -> None:
+        self._model = model
+        self._time = time
+
+    async def serve(self, exchange: asgi.Exchange) -> None:
+        """Answer a request or report the load."""
+        if exchange.path == wire.LOAD_PATH:
+            await exchange.reply_json(200, self._model.load())
+            return
+        call = _upstream_call(exchange, self._time.now())
+        await _relay(exchange, self._model.open(call))
+
+
+class EngineApp(asgi.App):
+    """Serves a fake engine: completions, orders, state and cache."""
+
+    def __init__(
+        self, model: memory.EngineModel, time: memory.Timeline
+    ) -> None:
+        self._model = model
+        self._time = time
+
+    async def serve(self, exchange: asgi.Exchange) -> None:
+        """Answer a request."""
+        path = exchange.path
+        if path.startswith('/v1/'):
+            call = _upstream_call(exchange, self._time.now())
+            await _relay(exchange, self._model.open(call))
+        elif path == wire.LOAD_PATH:
+            await exchange.reply_json(200, self._model.load())
+        elif path == wire.STATE_PATH:
+            await exchange.reply_json(200, self._model.state())
+        elif path == wire.FENCE_PATH:
+            await self._teach(exchange)
+        elif path == wire.ORDERS_PATH:
+            await self._order(exchange)
+        elif path.startswith(f'{wire.ENGINE_ATTEMPTS_PATH}/'):
+            self._model.cancel(path.rpartition('/')[2])
+            await exchange.reply(204)
+        elif path == wire.CACHE_EVENTS_PATH:
+            await self._cache_events(exchange)
+        elif path.startswith(wire.CACHE_PATH):
+            await self._cache(exchange)
+        else:
+            await exchange.refuse(404, _NOT_FOUND)
+
+    async def _teach(self, exchange: asgi.Exchange) -> None:
+        body = _decode(exchange.body, wire.FenceBody)
+        if body is None:
+            await exchange.refuse(400, _BAD_BODY)
+            return
+        result = self._model.teach(body.fence)
+        await _reply_result(exchange, result)
+
+    async def _order(self, exchange: asgi.Exchange) -> None:
+        order = _decode(exchange.body, api.Order)
+        if order is None:
+            await exchange.refuse(400, _BAD_BODY)
+            return
+        default = self._time.now() + DEFAULT_SECONDS
+        deadline = exchange.number(wire.DEADLINE_HEADER, default)
+        result = await self._model.order(order, deadline)
+        await _reply_result(exchange, result)
+
+    async def _cache_events(self, exchange: asgi.Exchange) -> None:
+        first = int(exchange.number('from', 0))
+        incarnation = self._model.memory.incarnation
+        events = self._model.cache.events(first, incarnation)
+        await exchange.reply_json(200, events)
+
+    async def _cache(self, exchange: asgi.Exchange) -> None:
+        if exchange.method == 'PUT':
+            if self._model.cache.import_blocks(exchange.body):
+                await exchange.reply(204)
+            else:
+                await exchange.refuse(400, _BAD_BODY)
+            return
+        name = exchange.path.rpartition('/')[2]
+        number = int(name) if name.isdecimal() else 0
+        block = self._model.cache.export(number)
+        if block is None:
+            await exchange.refuse(404, wire.Failure('not_cached'))
+        else:
+            await exchange.reply(200, block)
+
+
+def _decode(body: bytes, kind: type[_Body]) -> _Body | None:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+
+
+async def _reply_result(
+    exchange: asgi.Exchange,
+    result: expression.Result[api.EngineState, api.EngineError],
+) -> None:
+    if result.is_error():
+        await exchange.fail(result.error)
+    else:
+        await exchange.reply_json(200, result.ok)
+
+
+def _upstream_call(exchange: asgi.Exchange, now: float) -> api.UpstreamCall:
+    query = '&'.join(
+        f'{name}={value}' for name, value in exchange.query.items()
+    )
+    path = f'{exchange.path}?{query}' if query else exchange.path
+    deadline = exchange.number(wire.DEADLINE_HEADER, now + DEFAULT_SECONDS)
+    return api.UpstreamCall(
+        attempt_id=exchange.header(wire.ATTEMPT_HEADER),
+        method=exchange.method,
+        path=path,
+        headers=exchange.headers,
+        body=exchange.body,
+        deadline=deadline if math.isfinite(deadline) else now,
+        priority=int(exchange.number(wire.PRIORITY_HEADER, 0)),
+        resume_after=int(exchange.number(wire.LAST_EVENT_HEADER, -1)),
+    )
+
+
+async def _relay(exchange: asgi.Exchange, opened: _Opened) -> None:
+    """Send an answer while watching for the other side's disconnect."""
+    async with anyio.create_task_group() as group:
+        group.start_soon(_cancel_on_disconnect, exchange, group.cancel_scope)
+        async with opened as served:
+            if served.is_error():
+                await _refuse(exchange, served.error)
+            else:
+                await _send_answer(exchange, served.ok)
+        group.cancel_scope.cancel()
+
+
+async def _cancel_on_disconnect(
+    exchange: asgi.Exchange, scope: anyio.CancelScope
+) -> None:
+    await exchange.disconnected()
+    scope.cancel()
+
+
+async def _refuse(exchange: asgi.Exchange, error: api.EngineError) -> None:
+    match error:
+        case api.Unavailable(reason) | api.Refused(reason):
+            await exchange.refuse(503, wire.Failure(reason))
+        case _:
+            await exchange.fail(error)
+
+
+async def _send_answer(
+    exchange: asgi.Exchange, served: api.UpstreamAnswer
+) -> None:
+    """Send a body; one that breaks ends without its last chunk."""
+    await exchange.start(served.status, served.headers)
+    chunks: abc.AsyncIterator[bytes] = served.__aiter__()
+    try:
+        async for chunk in chunks:
+            await exchange.write(chunk, more=True)
+    except errors.UpstreamBroken:
+        return
+    await exchange.write(b'', more=False)
--- /dev/null
+++ b/tests/unit/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins."""
