Lift the frame limit before the other side may send

Cause: frames that followed the dialler's proof in one segment met the handshake's limit and closed the connection; a timed out send was counted as a lost connection; leaving Peers.running hid the error that ended it. Change: a closing Welcome message, reasons in order, shielded stop. Conclusion: large first messages and the test of a stalled peer hold.

--- a/src/dogwoodquay/wire/auth.py
+++ b/src/dogwoodquay/wire/auth.py
@@ -27,6 +27,7 @@
     'Refusal',
     'Role',
     'Secrets',
+    'Welcome',
 ]
 
 PROTOCOL_VERSION: typing.Final = 1
@@ -105,6 +106,10 @@
     proof: bytes
 
 
+class Welcome(msgspec.Struct, frozen=True, array_like=True, tag='welcome'):
+    """The listening side's last word: messages may follow."""
+
+
 class _Transcript(msgspec.Struct, frozen=True):
     hello: Hello
     listener: Identity
--- a/src/dogwoodquay/wire/connection.py
+++ b/src/dogwoodquay/wire/connection.py
@@ -73,19 +73,20 @@
 
     async def run(self) -> None:
         """Serve the connection until it is closed or broken."""
-        reason = 'closed'
+        reasons = ['closed']
         with self._scope:
             try:
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(self._write)
                     await self._read(tasks)
                     tasks.cancel_scope.cancel()
-            except* (websockets.ConnectionClosed, OSError, EOFError):
-                reason = 'connection_lost'
-            except* codec.CodecError:
-                reason = 'malformed'
             except* TimeoutError:
-                reason = 'send_timeout'
+                reasons.insert(0, 'send_timeout')
+            except* codec.CodecError:
+                reasons.insert(0, 'malformed')
+            except* (websockets.ConnectionClosed, OSError):
+                reasons.insert(-1, 'connection_lost')
+        reason = reasons[0]
         self._closed = True
         self._counters.closed[reason] += 1
         self._calls.fail(reason)
--- a/src/dogwoodquay/wire/handshake.py
+++ b/src/dogwoodquay/wire/handshake.py
@@ -18,6 +18,7 @@
     from websockets.asyncio import connection as ws_connection
 
     from . import api
+    from . import settings
 
 __all__ = ['HANDSHAKE_FRAME_BYTES', 'accept', 'greet']
 
@@ -30,19 +31,23 @@
     socket: ws_connection.Connection,
     own: auth.Identity,
     secrets: auth.Secrets,
-    seconds: float,
+    limits: settings.WireSettings,
 ) -> api.Sender:
     """Authenticate as the dialling side.
 
+    Each side lifts its limit on frames before the other may send messages.
+
     :return: the listener's identity.
     :raises auth.AuthError: when either side refuses the other.
     """
-    with _limit(seconds):
+    with _limit(limits.handshake_seconds):
         hello = secrets.hello(own, _nonce())
         await socket.send(codec.encode(hello))
         challenge = await _receive(socket, auth.Challenge)
         proof = secrets.answer(hello, challenge)
+        socket.protocol.max_message_size = limits.max_frame_bytes
         await socket.send(codec.encode(proof))
+        await _receive(socket, auth.Welcome)
         return challenge.identity.sender
 
 
@@ -50,19 +55,21 @@
     socket: ws_connection.Connection,
     own: auth.Identity,
     secrets: auth.Secrets,
-    seconds: float,
+    limits: settings.WireSettings,
 ) -> api.Sender:
     """Authenticate as the listening side.
 
     :return: the dialling side's identity.
     :raises auth.AuthError: when either side refuses the other.
     """
-    with _limit(seconds):
+    with _limit(limits.handshake_seconds):
         hello = await _receive(socket, auth.Hello)
         challenge = secrets.challenge(hello, own, _nonce())
         await socket.send(codec.encode(challenge))
         proof = await _receive(socket, auth.Proof)
         secrets.verify(hello, challenge, proof)
+        socket.protocol.max_message_size = limits.max_frame_bytes
+        await socket.send(codec.encode(auth.Welcome()))
         return hello.identity.sender
 
 
--- a/src/dogwoodquay/wire/peers.py
+++ b/src/dogwoodquay/wire/peers.py
@@ -78,17 +78,18 @@
     async def running(self) -> abc.AsyncIterator[None]:
         """Listen, and reach peers, until the context is left."""
         async with anyio.create_task_group() as tasks:
+            server = await self._listen()
+            host, port = server.sockets[0].getsockname()[:2]
+            self._address = api.PeerAddress(host, port)
             self._tasks = tasks
-            async with self._listen() as server:
-                host, port = server.sockets[0].getsockname()[:2]
-                self._address = api.PeerAddress(host, port)
-                tasks.start_soon(self._close_idle)
-                try:
-                    yield
-                finally:
-                    self._tasks = None
-                    self._close_all()
-                    tasks.cancel_scope.cancel()
+            tasks.start_soon(self._close_idle)
+            try:
+                yield
+            finally:
+                self._tasks = None
+                self._close_all()
+                await self._stop_listening(server)
+                tasks.cancel_scope.cancel()
 
     def register(
         self,
@@ -195,10 +196,11 @@
     async def _greet(
         self, socket: ws_connection.Connection, outgoing: queue.SendQueue
     ) -> connection.Connection:
-        limit = self._limits.handshake_seconds
         own = self._identity()
         try:
-            peer = await handshake.greet(socket, own, self._secrets, limit)
+            peer = await handshake.greet(
+                socket, own, self._secrets, self._limits
+            )
         except auth.AuthError:
             await _drop(socket)
             raise
@@ -208,10 +210,8 @@
         self._traffic.dial_failures[reason] += 1
         link.fail(reason, self._clock.now(), self._limits, self._rng)
 
-    def _listen(
-        self,
-    ) -> contextlib.AbstractAsyncContextManager[ws_server.Server]:
-        return ws_server.serve(
+    async def _listen(self) -> ws_server.Server:
+        return await ws_server.serve(
             self._accept,
             self._limits.address,
             self._limits.port,
@@ -223,6 +223,12 @@
             close_timeout=self._limits.handshake_seconds,
         )
 
+    async def _stop_listening(self, server: ws_server.Server) -> None:
+        with anyio.CancelScope(shield=True):
+            server.close()
+            with anyio.move_on_after(2 * self._limits.handshake_seconds):
+                await server.wait_closed()
+
     async def _accept(self, socket: ws_server.ServerConnection) -> None:
         if self._crowded():
             self._traffic.refused[auth.Refusal.TOO_MANY.value] += 1
@@ -231,10 +237,7 @@
         self._handshakes += 1
         try:
             peer = await handshake.accept(
-                socket,
-                self._identity(),
-                self._secrets,
-                self._limits.handshake_seconds,
+                socket, self._identity(), self._secrets, self._limits
             )
         except auth.AuthError as error:
             self._traffic.refused[error.reason.value] += 1
@@ -257,7 +260,6 @@
         peer: api.Sender,
         outgoing: queue.SendQueue,
     ) -> connection.Connection:
-        socket.protocol.max_message_size = self._limits.max_frame_bytes
         return connection.Connection(
             socket,
             peer,
--- a/tests/unit/wire/test_peers.py
+++ b/tests/unit/wire/test_peers.py
@@ -202,14 +202,42 @@
             )
             stalled = next(iter(far._open))._socket
             stalled.transport.pause_reading()
-            sent = [
-                near.send(far.address, loopback.Echo('x', bytes(50_000)))
-                for _ in range(400)
-            ]
-            self.assertIn(False, sent)
-            await loopback.until(
-                lambda: near.traffic.closed['send_timeout'] == 1
+            await self._send_until_closed(near, far)
+            stalled.transport.resume_reading()
+            answer = await near.request(
+                far.address,
+                loopback.Echo('woken'),
+                loopback.Echo,
+                loopback.soon(),
             )
+            self.assertTrue(answer.is_ok())
+
+    async def test_large_message_opens_the_connection(self) -> None:
+        """What waits for the handshake is not held to its frame limit."""
+        near, far = _pair()
+        sizes: list[int] = []
+
+        async def note(
+            sender: api.Sender, message: loopback.Echo, deadline: float
+        ) -> None:
+            sizes.append(len(message.data))
+
+        far.register(loopback.Echo, note)
+        async with loopback.running(near, far):
+            near.send(far.address, loopback.Echo('x', bytes(500_000)))
+            await loopback.until(lambda: bool(sizes))
+        self.assertEqual([500_000], sizes)
+
+    async def _send_until_closed(
+        self, near: peers.Peers, far: peers.Peers
+    ) -> None:
+        """Send more than sockets hold; the queue has to turn some away."""
+        message = loopback.Echo('x', bytes(50_000))
+        with anyio.fail_after(10.0):
+            while not near.traffic.closed['send_timeout']:
+                near.send(far.address, message)
+                await anyio.sleep(0)
+        self.assertGreater(near.traffic.dropped['queue_full'], 0)
 
     async def test_waiting_message_is_replaced(self) -> None:
         """Of messages with one word only the newest goes out."""
