Add dissemination of versioned items

Cause: configuration marks, members and sketches have to reach all instances within seconds, at 5 KB/s a daemon. Result: 9 tests pass; one item reaches 690 cores within 5 s of injected time, partitions converge, no older version returns; none before. Conclusion: membership can be built on the board.

--- /dev/null
+++ b/tests/unit/gossip/test_core.py
@@ -0,0 +1,257 @@
+"""Tests of dissemination: order, expiry, partitions, budget and size."""
+
+from __future__ import annotations
+
+import collections
+import random
+import typing
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from dogwoodquay.gossip import api
+from dogwoodquay.gossip import core
+from dogwoodquay.gossip import ring
+from dogwoodquay.gossip import store
+from dogwoodquay.wire import api as wire_api
+
+START = 1_700_000_000.0
+TICK = 0.1
+
+
+def _item(
+    key: str, sequence: int, payload: bytes = b'x', expires_at: float = 0.0
+) -> api.Item:
+    return api.Item(key, api.Version(1, sequence), payload, expires_at)
+
+
+class _Mesh:
+    """Cores that exchange messages within a tick, with partitions."""
+
+    def __init__(self, size: int, **settings: float) -> None:
+        self.now = START
+        self.group: dict[wire_api.PeerAddress, int] = collections.Counter()
+        self.sent: collections.Counter[str] = collections.Counter()
+        rng = random.Random(size)
+        places = [
+            ring.Place(f'instance-{number}', f'domain-{number % 7}')
+            for number in range(size)
+        ]
+        self.addresses = {
+            place.instance_id: wire_api.PeerAddress('127.0.0.1', number)
+            for number, place in enumerate(places)
+        }
+        self.cores = {}
+        for place in places:
+            subject = core.Gossip(
+                core.GossipSettings(**settings), random.Random(rng.random())
+            )
+            chosen = ring.neighbours(place, places)
+            subject.set_neighbours([self.addresses[n] for n in sorted(chosen)])
+            self.cores[self.addresses[place.instance_id]] = subject
+
+    def tick(self, seconds: float) -> None:
+        """Let time pass for all cores."""
+        for _ in range(round(seconds / TICK)):
+            self.now += TICK
+            for address, subject in self.cores.items():
+                self.deliver(address, subject.tick(self.now))
+
+    def deliver(
+        self,
+        source: wire_api.PeerAddress,
+        effects: typing.Sequence[core.Effect],
+    ) -> None:
+        """Hand over messages, but not from one partition to another."""
+        queue = [(source, effect) for effect in effects]
+        while queue:
+            sender, effect = queue.pop(0)
+            if not isinstance(effect, core.Send):
+                continue
+            self.sent[type(effect.message).__name__] += 1
+            if self.group[sender] != self.group[effect.peer]:
+                continue
+            receiver = self.cores[effect.peer]
+            answers = receiver.receive(sender, effect.message, self.now)
+            queue += [(effect.peer, answer) for answer in answers]
+
+    def holders(self, key: str, sequence: int) -> int:
+        """Count the cores that hold a version of a key."""
+        found = [c.get(key, self.now) for c in self.cores.values()]
+        return sum(
+            item is not None and item.version.sequence == sequence
+            for item in found
+        )
+
+
+class StoreTest(unittest.TestCase):
+    """The items of one instance."""
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.one_of(
+                strategies.builds(
+                    _item,
+                    strategies.sampled_from('ab'),
+                    strategies.integers(0, 6),
+                    expires_at=strategies.sampled_from(
+                        [0.0, START + 5.0, START + 50.0, START + 9000.0]
+                    ),
+                ),
+                strategies.sampled_from([1.0, 10.0, 4000.0]),
+            ),
+            max_size=40,
+        )
+    )
+    def test_versions_never_fall(self, steps: list[api.Item | float]) -> None:
+        """Whatever is put and expires, no older version is seen again."""
+        subject = store.Store()
+        now = START
+        highest: dict[str, api.Version] = {}
+        for step in steps:
+            if isinstance(step, float):
+                now += step
+                subject.expire(now)
+            else:
+                seen = highest.get(step.key)
+                newer = seen is None or step.version > seen
+                self.assertEqual(newer, subject.put(step, now))
+                if newer:
+                    highest[step.key] = step.version
+            for key, version in highest.items():
+                item = subject.get(key, now)
+                if item is not None:
+                    self.assertEqual(version, item.version)
+                    self.assertFalse(0 < item.expires_at <= now)
+
+    def test_digest_ignores_the_order(self) -> None:
+        """Two that hold the same have the same root, else not."""
+        items = [_item(f'key-{n}', n) for n in range(50)]
+        one, other = store.Store(), store.Store()
+        for item in items:
+            one.put(item, START)
+        for item in reversed(items):
+            other.put(_item(item.key, -1), START)
+            other.put(item, START)
+        self.assertEqual(one.root, other.root)
+        other.put(_item('key-7', 8), START)
+        self.assertNotEqual(one.root, other.root)
+
+
+class DisseminationTest(unittest.TestCase):
+    """Many cores."""
+
+    def test_partition_heals(self) -> None:
+        """Two groups that changed apart converge on the newest."""
+        mesh = _Mesh(12)
+        first, *_, last = mesh.cores
+        for address in list(mesh.cores)[:6]:
+            mesh.group[address] = 1
+        for sequence in (1, 2, 3):
+            for address, key in ((first, 'near'), (last, 'far')):
+                mesh.deliver(
+                    address,
+                    mesh.cores[address].put(_item(key, sequence), mesh.now),
+                )
+            mesh.tick(1.0)
+        mesh.deliver(first, mesh.cores[first].put(_item('far', 2), mesh.now))
+        mesh.tick(5.0)
+        self.assertEqual(6, mesh.holders('near', 3))
+        self.assertEqual(6, mesh.holders('far', 3))
+        mesh.group.clear()
+        mesh.tick(30.0)
+        self.assertEqual(12, mesh.holders('near', 3))
+        self.assertEqual(12, mesh.holders('far', 3))
+        self.assertEqual(1, len({c.root for c in mesh.cores.values()}))
+
+    def test_expired_item_does_not_let_an_older_return(self) -> None:
+        """A group that missed the newer item cannot bring the older back."""
+        mesh = _Mesh(8)
+        first, *_, last = mesh.cores
+        mesh.deliver(first, mesh.cores[first].put(_item('k', 1), mesh.now))
+        mesh.tick(2.0)
+        mesh.group[last] = 1
+        short = _item('k', 2, expires_at=mesh.now + 3.0)
+        mesh.deliver(first, mesh.cores[first].put(short, mesh.now))
+        mesh.tick(6.0)
+        self.assertEqual(1, mesh.holders('k', 1))
+        mesh.group.clear()
+        mesh.tick(60.0)
+        self.assertEqual(0, mesh.holders('k', 1))
+
+    def test_today_and_target_size(self) -> None:
+        """One item reaches all within 5 s and within the byte budget."""
+        for size in (9, 690):
+            mesh = _Mesh(size)
+            mesh.tick(1.0)
+            first = next(iter(mesh.cores))
+            effects = mesh.cores[first].put(_item('k', 1), mesh.now)
+            mesh.deliver(first, effects)
+            mesh.tick(5.0)
+            self.assertEqual(size, mesh.holders('k', 1), size)
+
+    def test_budget_holds_under_a_storm(self) -> None:
+        """Bytes a second stay at the budget; only the newest goes out."""
+        mesh = _Mesh(5, bytes_per_second=1000.0, burst_bytes=1000.0)
+        first = next(iter(mesh.cores))
+        subject = mesh.cores[first]
+        sent = 0
+        for sequence in range(1, 301):
+            subject.put(_item('k', sequence, bytes(100)), mesh.now)
+            mesh.now += TICK
+            for effect in subject.tick(mesh.now):
+                if isinstance(effect, core.Send):
+                    sent += 100
+                mesh.deliver(first, [effect])
+        seconds = 300 * TICK
+        self.assertLessEqual(sent, 1000.0 * seconds + 1000.0)
+        self.assertLessEqual(subject.waiting, 4)
+        mesh.tick(20.0)
+        self.assertEqual(5, mesh.holders('k', 300))
+
+    def test_newcomer_catches_up(self) -> None:
+        """An empty instance gets a full board from its neighbours."""
+        mesh = _Mesh(9)
+        *others, last = mesh.cores
+        for number in range(300):
+            mesh.cores[others[0]].put(_item(f'k{number}', 1), mesh.now)
+        mesh.group[last] = 1
+        mesh.tick(30.0)
+        mesh.group.clear()
+        mesh.tick(30.0)
+        self.assertEqual(300, mesh.cores[last].items)
+
+
+class RingTest(unittest.TestCase):
+    """Neighbours."""
+
+    def test_number_spread_and_stability(self) -> None:
+        """Neighbours are few, in all domains, and change little."""
+        places = [
+            ring.Place(f'instance-{n}', f'domain-{n % 7}') for n in range(690)
+        ]
+        domains = dict(places)
+        chosen = {p: ring.neighbours(p, places) for p in places}
+        self.assertLessEqual(max(map(len, chosen.values())), 20)
+        for place, names in chosen.items():
+            others = {domains[name] for name in names}
+            self.assertEqual(7, len(others | {place.failure_domain}))
+        fewer = [p for p in places if p.instance_id != 'instance-5']
+        changed = sum(
+            len(ring.neighbours(p, fewer) - chosen[p]) for p in fewer
+        )
+        self.assertLess(changed, 60)
+
+    def test_each_is_reached(self) -> None:
+        """Following neighbours from one instance reaches all."""
+        for size in (1, 2, 3, 9, 100):
+            places = [ring.Place(f'i{n}', f'd{n % 3}') for n in range(size)]
+            by_id = {p.instance_id: p for p in places}
+            reached = {'i0'}
+            edge = ['i0']
+            while edge:
+                names = ring.neighbours(by_id[edge.pop()], places)
+                edge += names - reached
+                reached |= names
+            self.assertEqual(size, len(reached))
