Exchange demand and shares, watch the instance list, split capacity

Cause: the planner needs the demand of all instances, limits need shares, and a leaving upstream must get no new work within seconds. Change: demand goes straight to a pool's owner (flooding it would cost about 29 KB/s an instance at nine instances, by size and neighbours); usage by the board; the list is read once a second, and only changes that an instance saw itself are passed on, so that a list that lags cannot undo what a peer has seen; list entries say whether they are the system's own. Conclusion: one message a pool every 3 s and instance carries demand.

--- /dev/null
+++ b/src/dogwoodquay/node/demand.py
@@ -0,0 +1,188 @@
+"""What callers ask of this instance, and of all of them together.
+
+Demand goes straight to the owner of the pool it concerns; the rates by which
+callers' allowances are split go to all instances by the board.
+"""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+
+from ..admission import api as admission_api
+from ..admission import shares
+from ..gossip import api as gossip_api
+from ..journal import entries as journal_entries
+from ..placement import api as placement_api
+from ..placement import demand as demands
+from ..wire import api as wire_api
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from .. import clock as clocks
+    from ..records import api as records_api
+
+__all__ = ['USAGE_PREFIX', 'DemandExchange', 'DemandMessage', 'ShareExchange']
+
+USAGE_PREFIX: typing.Final = 'usage/'
+DEMAND_SECONDS: typing.Final = 3.0
+DEMAND_LIFETIME_SECONDS: typing.Final = 15.0
+USAGE_SECONDS: typing.Final = 1.0
+USAGE_LIFETIME_SECONDS: typing.Final = 60.0
+
+
+class DemandMessage(wire_api.Message, frozen=True, tag='demand'):
+    """What an instance was asked for, of one pool's artifacts."""
+
+    pool: str
+    report: demands.DemandReport
+
+
+class DemandExchange:
+    """Counts demand here and gathers all instances' for owned pools.
+
+    :param owner: returns where a pool's owner listens, ``None`` for this
+        instance or an unknown one.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        transport: wire_api.Transport,
+        clock: clocks.Clock,
+        catalog: abc.Callable[[], records_api.Catalog],
+        owner: abc.Callable[[str], wire_api.PeerAddress | None],
+        waiting: abc.Callable[[str], int],
+    ) -> None:
+        self._instance_id = instance_id
+        self._transport = transport
+        self._clock = clock
+        self._catalog = catalog
+        self._owner = owner
+        self._waiting = waiting
+        self._estimator = demands.DemandEstimator(instance_id, clock.now())
+        self._reports: dict[tuple[str, str], demands.DemandReport] = {}
+        transport.register(DemandMessage, self._take)
+
+    def note(self, ticket: admission_api.Ticket) -> None:
+        """Count a request, whatever becomes of it."""
+        now = self._clock.now()
+        self._estimator.note_arrival(ticket.artifact, now)
+        self._estimator.note_tokens(ticket.artifact, ticket.prompt_tokens, now)
+
+    def demand(self, pool: str) -> tuple[placement_api.Demand, ...]:
+        """Return the demand for a pool's artifacts at all instances."""
+        oldest = self._clock.now() - DEMAND_LIFETIME_SECONDS
+        return demands.merge(
+            report
+            for (name, _), report in self._reports.items()
+            if name == pool and report.time >= oldest
+        )
+
+    async def run(self) -> typing.NoReturn:
+        """Report at a steady pace, for ever."""
+        while True:
+            self.step()
+            await anyio.sleep(DEMAND_SECONDS)
+
+    def step(self) -> None:
+        """Report once to the owner of each pool."""
+        now = self._clock.now()
+        pools = _pools_of_artifacts(self._catalog())
+        for artifact in self._estimator.report(now).entries:
+            self._estimator.set_waiting(
+                artifact.artifact, self._waiting(artifact.artifact), now
+            )
+        entries: dict[str, list[demands.ArtifactDemand]] = {}
+        for entry in self._estimator.report(now).entries:
+            pool = pools.get(entry.artifact.partition('@')[0])
+            if pool is not None:
+                entries.setdefault(pool, []).append(entry)
+        for pool, found in entries.items():
+            report = demands.DemandReport(self._instance_id, now, tuple(found))
+            self._send(pool, report)
+
+    def _send(self, pool: str, report: demands.DemandReport) -> None:
+        self._reports[pool, self._instance_id] = report
+        peer = self._owner(pool)
+        if peer is not None:
+            message = DemandMessage(pool, report)
+            self._transport.send(peer, message, coalesce=f'demand/{pool}')
+
+    async def _take(
+        self, sender: wire_api.Sender, message: DemandMessage, deadline: float
+    ) -> None:
+        key = (message.pool, sender.instance_id)
+        self._reports[key] = message.report
+        oldest = self._clock.now() - DEMAND_LIFETIME_SECONDS
+        for known in [k for k, r in self._reports.items() if r.time < oldest]:
+            del self._reports[known]
+
+
+class ShareExchange:
+    """Keeps this instance's share of each caller's allowance current."""
+
+    def __init__(
+        self,
+        instance_id: str,
+        incarnation: int,
+        board: gossip_api.Board,
+        admission: admission_api.Admission,
+        clock: clocks.Clock,
+        catalog: abc.Callable[[], records_api.Catalog],
+    ) -> None:
+        self._instance_id = instance_id
+        self._incarnation = incarnation
+        self._board = board
+        self._admission = admission
+        self._clock = clock
+        self._catalog = catalog
+        self._estimator = shares.ShareEstimator(instance_id, incarnation)
+        board.watch(USAGE_PREFIX, self._take)
+
+    def note(self, ticket: admission_api.Ticket) -> None:
+        """Count a request, whatever becomes of it."""
+        self._estimator.note(ticket.caller, self._clock.now())
+
+    def forget(self, instance_id: str) -> None:
+        """Drop an instance that is certainly gone."""
+        self._estimator.forget(instance_id)
+
+    async def run(self) -> typing.NoReturn:
+        """Report and apply shares at a steady pace, for ever."""
+        while True:
+            self.step()
+            await anyio.sleep(USAGE_SECONDS)
+
+    def step(self) -> None:
+        """Report once and apply the present shares."""
+        now = self._clock.now()
+        report = self._estimator.report(now)
+        self._board.put(
+            gossip_api.Item(
+                USAGE_PREFIX + self._instance_id,
+                gossip_api.Version(self._incarnation, report.sequence),
+                journal_entries.pack(report),
+                now + USAGE_LIFETIME_SECONDS,
+            )
+        )
+        for caller in self._catalog().callers:
+            share = self._estimator.share(caller, now)
+            self._admission.set_share(caller, share)
+
+    def _take(self, item: gossip_api.Item) -> None:
+        try:
+            report = journal_entries.unpack(item.payload, shares.UsageReport)
+        except ValueError:
+            return
+        self._estimator.receive(report, self._clock.now())
+
+
+def _pools_of_artifacts(catalog: records_api.Catalog) -> dict[str, str]:
+    pools = {name: model.pool for name, model in catalog.models.items()}
+    for name, adapter in catalog.adapters.items():
+        if adapter.base in pools:
+            pools[name] = pools[adapter.base]
+    return pools
--- /dev/null
+++ b/src/dogwoodquay/node/instances.py
@@ -0,0 +1,142 @@
+"""The platform's instance list: read once for all parts of an instance.
+
+Which upstreams are leaving also travels on the board, so that an instance
+with a stale list learns of it from its peers.
+"""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+import expression
+
+from ..gossip import api as gossip_api
+from ..platform import api as platform_api
+
+if typing.TYPE_CHECKING:
+    from .. import clock as clocks
+    from ..routing import api as routing_api
+
+__all__ = ['LEAVING_PREFIX', 'InstanceWatch']
+
+LEAVING_PREFIX: typing.Final = 'leaving/'
+POLL_SECONDS: typing.Final = 1.0
+READ_SECONDS: typing.Final = 2.0
+LEAVING_LIFETIME_SECONDS: typing.Final = 600.0
+
+_NOT_READ: typing.Final = platform_api.Unavailable('not read yet')
+
+
+class InstanceWatch:
+    """Polls the list; implements ``InstanceList`` for the system's own."""
+
+    def __init__(
+        self,
+        source: platform_api.InstanceList,
+        board: gossip_api.Board,
+        router: routing_api.Router,
+        clock: clocks.Clock,
+    ) -> None:
+        self._source = source
+        self._board = board
+        self._router = router
+        self._clock = clock
+        self._last: expression.Result[
+            tuple[platform_api.Instance, ...], platform_api.Unavailable
+        ] = expression.Error(_NOT_READ)
+        self._leaving: frozenset[str] = frozenset()
+        self._listed: dict[str, platform_api.InstanceState] = {}
+        board.watch(LEAVING_PREFIX, self._take_leaving)
+
+    @property
+    def leaving(self) -> frozenset[str]:
+        """The ids of upstreams' servers that are leaving."""
+        return self._leaving
+
+    async def instances(
+        self, deadline: float
+    ) -> expression.Result[
+        tuple[platform_api.Instance, ...], platform_api.Unavailable
+    ]:
+        """Return the system's own instances on the list as last read."""
+        return self._last.map(
+            lambda found: tuple(
+                item
+                for item in found
+                if item.kind is platform_api.InstanceKind.ENTRY
+            )
+        )
+
+    async def announce(
+        self, instance: platform_api.Instance, deadline: float
+    ) -> expression.Result[
+        None, platform_api.Unavailable | platform_api.Ambiguous
+    ]:
+        """Enter this instance on the list, or change its state there."""
+        return await self._source.announce(instance, deadline)
+
+    async def run(self) -> typing.NoReturn:
+        """Read the list at a steady pace, for ever."""
+        while True:
+            await self.step()
+            await anyio.sleep(POLL_SECONDS)
+
+    async def step(self) -> None:
+        """Read the list once; what was read stays when that fails."""
+        deadline = self._clock.now() + READ_SECONDS
+        result = await self._source.instances(deadline)
+        if result.is_error():
+            if self._last.is_error():
+                self._last = result
+            return
+        self._last = result
+        self._take_upstreams(result.ok)
+
+    def _take_upstreams(
+        self, listed: tuple[platform_api.Instance, ...]
+    ) -> None:
+        upstreams = [
+            item
+            for item in listed
+            if item.kind is platform_api.InstanceKind.UPSTREAM
+        ]
+        for item in upstreams:
+            before = self._listed.get(
+                item.instance_id, platform_api.InstanceState.LIVE
+            )
+            self._listed[item.instance_id] = item.state
+            if item.state is not before:
+                leaving = item.state is platform_api.InstanceState.LEAVING
+                self._tell(item.instance_id, leaving)
+
+    def _tell(self, server_id: str, leaving: bool) -> None:
+        """Pass on a change that this instance saw on the list.
+
+        Only changes count: a list that lags behind a peer's says nothing
+        new, and must not undo what the peer has seen.
+        """
+        now = self._clock.now()
+        known = self._board.get(LEAVING_PREFIX + server_id)
+        epoch = 0 if known is None else known.version.epoch + 1
+        item = gossip_api.Item(
+            LEAVING_PREFIX + server_id,
+            gossip_api.Version(epoch, int(leaving)),
+            b'\x01' if leaving else b'\x00',
+            now + LEAVING_LIFETIME_SECONDS,
+        )
+        self._set(server_id, leaving)
+        self._board.put(item)
+
+    def _take_leaving(self, item: gossip_api.Item) -> None:
+        server_id = item.key.removeprefix(LEAVING_PREFIX)
+        self._set(server_id, item.payload == b'\x01')
+
+    def _set(self, server_id: str, leaving: bool) -> None:
+        now = self._clock.now()
+        if leaving:
+            self._leaving |= {server_id}
+            self._router.mark_leaving(server_id, now)
+        else:
+            self._leaving -= {server_id}
+            self._router.mark_live(server_id, now)
--- a/src/dogwoodquay/platform/api.py
+++ b/src/dogwoodquay/platform/api.py
@@ -28,6 +28,7 @@
     'EngineError',
     'EngineState',
     'Instance',
+    'InstanceKind',
     'InstanceList',
     'InstanceState',
     'LoadReport',
@@ -134,6 +135,13 @@
     LEAVING = 'leaving'
 
 
+class InstanceKind(enum.StrEnum):
+    """Whether a list entry is of the system's own or an upstream's."""
+
+    ENTRY = 'entry'
+    UPSTREAM = 'upstream'
+
+
 class Instance(msgspec.Struct, frozen=True):
     """An instance of the system, or an upstream's server, on the list."""
 
@@ -142,6 +150,7 @@
     port: int
     failure_domain: str
     state: InstanceState
+    kind: InstanceKind = InstanceKind.ENTRY
 
 
 class InstanceList(typing.Protocol):
--- a/src/dogwoodquay/routing/api.py
+++ b/src/dogwoodquay/routing/api.py
@@ -74,6 +74,9 @@
     def mark_leaving(self, server_id: str, now: float) -> None:
         """Give a server nothing new from now on."""
 
+    def mark_live(self, server_id: str, now: float) -> None:
+        """Let a server that was leaving have new work again."""
+
     def update_load(
         self, server_id: str, report: platform_api.LoadReport, now: float
     ) -> None:
--- a/src/dogwoodquay/standin/site.py
+++ b/src/dogwoodquay/standin/site.py
@@ -193,6 +193,7 @@
                 found.server.port,
                 found.failure_domain,
                 state,
+                api.InstanceKind.UPSTREAM,
             )
         )
 
