Add the callers' interface: routes, bodies, streams and errors

Cause: callers need an HTTP face whose errors tell the truth. Change: an ASGI application with the OpenAI-compatible routes, plain services, resumable streams, problems with reasons, drain and a server. Conclusion: the wiring can be built against these constructors.

--- a/src/dogwoodquay/dispatch/bodies.py
+++ b/src/dogwoodquay/dispatch/bodies.py
@@ -51,7 +51,7 @@
 def _check_end(answer: platform_api.UpstreamAnswer, body: bytes) -> None:
     length = header(answer, 'content-length')
     encoded = header(answer, 'content-encoding')
-    if length.isdigit() and not encoded and int(length) != len(body):
+    if length and not encoded and length != str(len(body)):
         raise sse.BrokenAnswer(reasons.Reason.ANSWER_CUT)
     if header(answer, 'content-type').startswith(_JSON) and not encoded:
         _check_json(body)
--- a/src/dogwoodquay/dispatch/dispatcher.py
+++ b/src/dogwoodquay/dispatch/dispatcher.py
@@ -124,6 +124,10 @@
             del self._flights[call.request_id]
         return self._count(result)
 
+    def is_reachable(self, artifact: str) -> bool:
+        """Tell whether an artifact has a replica for new requests."""
+        return bool(self._router.replicas(artifact))
+
     def end(self, request_id: str, reason: reasons.Reason) -> None:
         """End a request early; its caller is told the reason."""
         flight = self._flights.get(request_id)
--- /dev/null
+++ b/src/dogwoodquay/entry/answers.py
@@ -0,0 +1,141 @@
+"""Gives callers their answers, whole or streamed."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+
+from ..dispatch import api
+from ..dispatch import reasons
+from . import problems
+from . import relay as relay_module
+
+if typing.TYPE_CHECKING:
+    from .. import clock as clock_module
+    from . import asgi
+    from ..dispatch import dispatcher as dispatcher_module
+    from . import limits as limits_module
+    from . import live
+    from . import streams as streams_module
+
+__all__ = ['Answers']
+
+
+class Answers:
+    """Runs calls for connections, and ends those whose caller is gone."""
+
+    def __init__(
+        self,
+        dispatcher: dispatcher_module.Dispatcher,
+        streams: streams_module.StreamTable,
+        clock: clock_module.Clock,
+        limits: limits_module.Limits,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._streams = streams
+        self._clock = clock
+        self._limits = limits
+
+    async def give(
+        self,
+        request: asgi.Request,
+        responder: asgi.Responder,
+        call: api.Call,
+    ) -> None:
+        """Run a call and send its answer."""
+        if call.stream:
+            await self._give_stream(request, responder, call)
+        elif call.key or not call.idempotent:
+            # A caller that asks again gets the answer, so the work goes on.
+            result = await self._dispatcher.run(call)
+            await self._send(responder, result)
+        else:
+            await self._give_while_connected(request, responder, call)
+
+    async def _give_while_connected(
+        self,
+        request: asgi.Request,
+        responder: asgi.Responder,
+        call: api.Call,
+    ) -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._end_when_gone, request, call)
+            result = await self._dispatcher.run(call)
+            await self._send(responder, result)
+            group.cancel_scope.cancel()
+
+    async def _end_when_gone(
+        self, request: asgi.Request, call: api.Call
+    ) -> None:
+        await request.wait_disconnected()
+        self._dispatcher.end(call.request_id, reasons.Reason.CALLER_GONE)
+
+    async def _give_stream(
+        self,
+        request: asgi.Request,
+        responder: asgi.Responder,
+        call: api.Call,
+    ) -> None:
+        created = self._streams.create(call.caller, call.request_id)
+        if created.is_error():
+            await self._send(responder, created.error)
+            return
+        stream = created.ok
+        relay = relay_module.Relay(stream, responder, self._clock)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._detach_when_gone, request, call, relay)
+            result = await self._dispatcher.run(call, relay)
+            await self._finish(stream, relay, responder, result)
+            group.cancel_scope.cancel()
+
+    async def _detach_when_gone(
+        self,
+        request: asgi.Request,
+        call: api.Call,
+        relay: relay_module.Relay,
+    ) -> None:
+        await request.wait_disconnected()
+        relay.disconnected()
+        if not relay.started and not call.key:
+            # Nobody knows the stream's id yet.
+            self._dispatcher.end(call.request_id, reasons.Reason.CALLER_GONE)
+
+    async def _finish(
+        self,
+        stream: live.LiveStream,
+        relay: relay_module.Relay,
+        responder: asgi.Responder,
+        result: api.Whole | api.Streamed | api.Refusal,
+    ) -> None:
+        match result:
+            case api.Streamed():
+                await relay.finish(None)
+            case api.Refusal() if relay.started:
+                await relay.finish(result)
+            case api.Refusal() | api.Whole():
+                self._streams.forget(stream)
+                await self._send(responder, result)
+
+    async def _send(
+        self,
+        responder: asgi.Responder,
+        result: api.Whole | api.Streamed | api.Refusal,
+    ) -> None:
+        with anyio.move_on_after(self._limits.whole_write_seconds):
+            match result:
+                case api.Whole(status, headers, body):
+                    await responder.whole(status, headers, body)
+                case api.Refusal():
+                    await self._send_problem(responder, result)
+                case api.Streamed():
+                    raise TypeError('a stream has no whole answer')
+
+    async def _send_problem(
+        self, responder: asgi.Responder, refused: api.Refusal
+    ) -> None:
+        await responder.whole(
+            reasons.REASONS[refused.reason].status,
+            problems.headers(refused, self._clock.now()),
+            problems.problem(refused, responder.request_id),
+        )
--- /dev/null
+++ b/src/dogwoodquay/entry/app.py
@@ -0,0 +1,399 @@
+"""The callers' HTTP interface as an ASGI application."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import typing
+
+import anyio
+import expression
+
+from . import answers
+from . import asgi
+from . import bodies
+from . import callers
+from . import completions
+from . import controls
+from ..dispatch import api
+from ..dispatch import reasons
+from . import forwarding
+from ..observe import logs
+from . import problems
+from . import resumption
+from . import targets
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from .. import clock as clock_module
+    from ..dispatch import dispatcher as dispatcher_module
+    from ..dispatch import metrics as path_metrics
+    from . import health as health_module
+    from . import limits as limits_module
+    from ..records import api as records_api
+    from . import streams as streams_module
+
+__all__ = ['EntryApp']
+
+REQUEST_ID_BYTES: typing.Final = 12
+SWEEP_SECONDS: typing.Final = 0.5
+DRAIN_GRACE_SECONDS: typing.Final = 1.0
+UNREAD_SECONDS: typing.Final = 2.0
+
+_DRAIN_POLL_SECONDS: typing.Final = 0.02
+_LOG: typing.Final = logs.PartLog('entry')
+_JSON: typing.Final = 'application/json'
+_JSON_HEADERS: typing.Final = (('content-type', _JSON),)
+_TEXT_HEADERS: typing.Final = (('content-type', 'text/plain'),)
+_STREAMS_PREFIX: typing.Final = '/v1/streams/'
+# Reasons that say nothing of an earlier request under the same key.
+_TRANSIENT: typing.Final = frozenset(
+    {
+        reasons.Reason.BODY_CUT,
+        reasons.Reason.BODY_TIMEOUT,
+        reasons.Reason.DEADLINE_PASSED,
+        reasons.Reason.NOT_READY,
+        reasons.Reason.OVERLOADED,
+    }
+)
+
+
+class EntryApp:
+    """An ASGI 3 application; ``run_background`` has to run beside it.
+
+    :param finder: reaches the streams of other instances.
+    """
+
+    def __init__(
+        self,
+        dispatcher: dispatcher_module.Dispatcher,
+        streams: streams_module.StreamTable,
+        catalog: abc.Callable[[], records_api.Catalog],
+        clock: clock_module.Clock,
+        limits: limits_module.Limits,
+        metrics: path_metrics.PathMetrics,
+        health: health_module.Health,
+        finder: streams_module.StreamFinder | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._streams = streams
+        self._catalog = catalog
+        self._clock = clock
+        self._limits = limits
+        self._metrics = metrics
+        self._health = health
+        self._rng = rng or random.Random()
+        self._bodies = bodies.BodyReader(limits)
+        self._callers = callers.CallerIndex()
+        self._answers = answers.Answers(dispatcher, streams, clock, limits)
+        self._resumption = resumption.Resumption(
+            dispatcher, streams, finder, metrics, limits
+        )
+        self._active = 0
+
+    @property
+    def active(self) -> int:
+        """How many HTTP requests are being answered."""
+        return self._active
+
+    async def __call__(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Serve one ASGI connection."""
+        match scope['type']:
+            case 'http':
+                await self._serve(asgi.Request(scope, receive), send)
+            case 'lifespan':
+                await _lifespan(receive, send)
+            case 'websocket':
+                await send({'type': 'websocket.close'})
+
+    async def run_background(self) -> None:
+        """End streams that nobody came back for, until cancelled."""
+        while True:
+            await anyio.sleep(SWEEP_SECONDS)
+            for stream in self._streams.sweep():
+                self._dispatcher.end(
+                    stream.request_id, reasons.Reason.STREAM_EXPIRED
+                )
+
+    async def drain(self, deadline: float) -> None:
+        """Refuse new requests and finish the others until a deadline.
+
+        At the deadline each caller that is left is told how its request
+        ended.
+        """
+        self._health.drain()
+        await self._dispatcher.drain(deadline)
+        while self._streams.unread and self._clock.now() < deadline:
+            await anyio.sleep(_DRAIN_POLL_SECONDS)
+        with anyio.move_on_after(DRAIN_GRACE_SECONDS):
+            while self._active:
+                await anyio.sleep(_DRAIN_POLL_SECONDS)
+
+    async def _serve(self, request: asgi.Request, send: asgi.Send) -> None:
+        request_id = secrets.token_hex(REQUEST_ID_BYTES)
+        shown = controls.caller_request_id(request) or request_id
+        responder = asgi.Responder(send, shown)
+        if self._dispatcher.draining:
+            responder.close_after()
+        self._active += 1
+        try:
+            await self._route(request, responder, request_id)
+        except Exception as error:
+            _LOG.failure('request', error)
+            if not responder.started:
+                refused = problems.refusal(reasons.Reason.INTERNAL)
+                await self._refuse(request, responder, refused)
+        finally:
+            self._active -= 1
+
+    async def _route(
+        self,
+        request: asgi.Request,
+        responder: asgi.Responder,
+        request_id: str,
+    ) -> None:
+        match request.path:
+            case completions.CHAT_PATH | completions.COMPLETION_PATH:
+                await self._completion(request, responder, request_id)
+            case '/v1/models':
+                await self._models(request, responder)
+            case '/livez':
+                await self._page(request, responder, 200, 'alive')
+            case '/readyz':
+                await self._readyz(request, responder)
+            case '/metrics':
+                await self._render_metrics(request, responder)
+            case path if path.startswith(targets.SERVICES_PREFIX):
+                await self._service(request, responder, request_id)
+            case path if path.startswith(_STREAMS_PREFIX):
+                await self._stream(request, responder)
+            case path:
+                refused = problems.refusal(reasons.Reason.UNKNOWN_PATH, path)
+                await self._refuse(request, responder, refused)
+
+    async def _completion(
+        self,
+        request: asgi.Request,
+        responder: asgi.Responder,
+        request_id: str,
+    ) -> None:
+        context = self._context(request, request_id)
+        refused = _check_completion(request)
+        if refused is None and context.is_error():
+            refused = context.error
+        if refused is not None:
+            await self._refuse(request, responder, refused)
+            return
+        await self._read_and_run(request, responder, context.ok)
+
+    async def _service(
+        self,
+        request: asgi.Request,
+        responder: asgi.Responder,
+        request_id: str,
+    ) -> None:
+        context = self._context(request, request_id)
+        if context.is_error():
+            await self._refuse(request, responder, context.error)
+            return
+        await self._read_and_run(request, responder, context.ok)
+
+    async def _read_and_run(
+        self,
+        request: asgi.Request,
+        responder: asgi.Responder,
+        context: forwarding.Context,
+    ) -> None:
+        read = await self._bodies.read(request, self._clock.now())
+        if read.is_error():
+            await self._refuse(request, responder, read.error)
+            return
+        body = read.ok
+        try:
+            called = self._call(request, context, body)
+            if called.is_error():
+                await self._refuse(request, responder, called.error)
+                return
+            await self._answers.give(request, responder, called.ok)
+        finally:
+            self._bodies.release(body)
+
+    def _call(
+        self,
+        request: asgi.Request,
+        context: forwarding.Context,
+        body: bytes,
+    ) -> expression.Result[api.Call, api.Refusal]:
+        if request.path.startswith(targets.SERVICES_PREFIX):
+            return forwarding.service_call(context, request, body)
+        return forwarding.completion_call(
+            context,
+            request.path,
+            body,
+            self._rng,
+            self._dispatcher.is_reachable,
+        )
+
+    def _context(
+        self, request: asgi.Request, request_id: str
+    ) -> expression.Result[forwarding.Context, api.Refusal]:
+        """Find the caller and what it asks for in headers."""
+        if request.header_bytes > self._limits.header_bytes:
+            refused = problems.refusal(reasons.Reason.HEADERS_TOO_LARGE)
+            return expression.Error(refused)
+        catalog = self._catalog()
+        found = self._find_caller(catalog, request)
+        if found.is_error():
+            return expression.Error(found.error)
+        parsed = controls.parse(
+            request,
+            found.ok,
+            catalog.policy,
+            self._limits,
+            self._clock.now(),
+        )
+        if parsed.is_error():
+            return expression.Error(parsed.error)
+        return expression.Ok(
+            forwarding.Context(catalog, found.ok, parsed.ok, request_id)
+        )
+
+    def _find_caller(
+        self, catalog: records_api.Catalog, request: asgi.Request
+    ) -> expression.Result[records_api.Caller, api.Refusal]:
+        if catalog.offset < 0:
+            refused = problems.refusal(reasons.Reason.NOT_READY)
+            return expression.Error(refused)
+        return self._callers.find(catalog, request)
+
+    async def _models(
+        self, request: asgi.Request, responder: asgi.Responder
+    ) -> None:
+        catalog = self._catalog()
+        found = self._find_caller(catalog, request)
+        if found.is_error():
+            await self._refuse(request, responder, found.error)
+            return
+        names = [
+            name
+            for name in (*catalog.models, *catalog.adapters)
+            if callers.may_use(found.ok, name)
+        ]
+        page = targets.models_page(names)
+        await self._get(request, responder, 200, _JSON_HEADERS, page)
+
+    async def _stream(
+        self, request: asgi.Request, responder: asgi.Responder
+    ) -> None:
+        found = self._find_caller(self._catalog(), request)
+        if found.is_error():
+            await self._refuse(request, responder, found.error)
+            return
+        stream_id = request.path[len(_STREAMS_PREFIX) :]
+        refused = await self._resumption.serve(
+            request, responder, stream_id, found.ok.name
+        )
+        if refused is not None:
+            await self._refuse(request, responder, refused)
+
+    async def _readyz(
+        self, request: asgi.Request, responder: asgi.Responder
+    ) -> None:
+        if self._health.ready:
+            await self._page(request, responder, 200, 'ready')
+            return
+        missing = ' '.join(self._health.waiting_for)
+        await self._page(request, responder, 503, f'not ready: {missing}')
+
+    async def _render_metrics(
+        self, request: asgi.Request, responder: asgi.Responder
+    ) -> None:
+        accept = request.header(b'accept')
+        page = self._metrics.registry.render(accept)
+        headers = (('content-type', page.content_type),)
+        await self._get(request, responder, 200, headers, page.body)
+
+    async def _page(
+        self,
+        request: asgi.Request,
+        responder: asgi.Responder,
+        status: int,
+        text: str,
+    ) -> None:
+        body = f'{text}\n'.encode()
+        await self._get(request, responder, status, _TEXT_HEADERS, body)
+
+    async def _get(
+        self,
+        request: asgi.Request,
+        responder: asgi.Responder,
+        status: int,
+        headers: api.Headers,
+        body: bytes,
+    ) -> None:
+        if request.method not in ('GET', 'HEAD'):
+            refused = problems.refusal(reasons.Reason.METHOD_NOT_ALLOWED)
+            await self._refuse(request, responder, refused)
+            return
+        await _send_whole(request, responder, status, headers, body)
+
+    async def _refuse(
+        self,
+        request: asgi.Request,
+        responder: asgi.Responder,
+        refused: api.Refusal,
+    ) -> None:
+        """Send an error that the dispatcher has not counted."""
+        if refused.reason in _TRANSIENT and request.header(b'idempotency-key'):
+            refused = api.Refusal(
+                refused.reason,
+                reasons.Outcome.UNKNOWN,
+                refused.detail,
+                refused.retry_at,
+            )
+        self._metrics.refused(refused.reason, refused.outcome)
+        await _send_whole(
+            request,
+            responder,
+            reasons.REASONS[refused.reason].status,
+            problems.headers(refused, self._clock.now()),
+            problems.problem(refused, responder.request_id),
+        )
+
+
+def _check_completion(request: asgi.Request) -> api.Refusal | None:
+    if request.method != 'POST':
+        return problems.refusal(reasons.Reason.METHOD_NOT_ALLOWED)
+    content_type = request.header(b'content-type').lower()
+    if content_type and not content_type.startswith(_JSON):
+        return problems.refusal(reasons.Reason.UNSUPPORTED_MEDIA_TYPE)
+    return None
+
+
+async def _send_whole(
+    request: asgi.Request,
+    responder: asgi.Responder,
+    status: int,
+    headers: api.Headers,
+    body: bytes,
+) -> None:
+    """Send an answer, dropping what the caller still sends."""
+    if not request.unread:
+        await responder.whole(status, headers, body)
+        return
+    with anyio.move_on_after(UNREAD_SECONDS):
+        async with anyio.create_task_group() as group:
+            group.start_soon(request.wait_disconnected)
+            await responder.whole(status, headers, body)
+
+
+async def _lifespan(receive: asgi.Receive, send: asgi.Send) -> None:
+    while True:
+        message = await receive()
+        await send({'type': f'{message["type"]}.complete'})
+        if message['type'] == 'lifespan.shutdown':
+            return
--- /dev/null
+++ b/src/dogwoodquay/entry/callers.py
@@ -0,0 +1,60 @@
+"""Finds the caller by its API key."""
+
+from __future__ import annotations
+
+import hashlib
+import typing
+
+import expression
+
+from ..dispatch import reasons
+from . import problems
+from ..records import api as records_api
+
+if typing.TYPE_CHECKING:
+    from . import asgi
+    from ..dispatch import api
+
+__all__ = ['CallerIndex', 'may_use']
+
+_SCHEME: typing.Final = 'bearer '
+
+
+class CallerIndex:
+    """Callers by the SHA-256 of their key, for the catalog in force."""
+
+    def __init__(self) -> None:
+        self._catalog: records_api.Catalog | None = None
+        self._by_digest: dict[str, records_api.Caller] = {}
+
+    def find(
+        self, catalog: records_api.Catalog, request: asgi.Request
+    ) -> expression.Result[records_api.Caller, api.Refusal]:
+        """Return who sends a request."""
+        given = request.header(b'authorization')
+        if given[: len(_SCHEME)].lower() != _SCHEME:
+            return expression.Error(
+                problems.refusal(reasons.Reason.NO_API_KEY)
+            )
+        if catalog is not self._catalog:
+            self._rebuild(catalog)
+        key = given[len(_SCHEME) :].strip()
+        digest = hashlib.sha256(key.encode('latin-1')).hexdigest()
+        caller = self._by_digest.get(digest)
+        if caller is None:
+            return expression.Error(
+                problems.refusal(reasons.Reason.UNKNOWN_API_KEY)
+            )
+        return expression.Ok(caller)
+
+    def _rebuild(self, catalog: records_api.Catalog) -> None:
+        self._by_digest = {
+            caller.key_sha256.lower(): caller
+            for caller in catalog.callers.values()
+        }
+        self._catalog = catalog
+
+
+def may_use(caller: records_api.Caller, target: str) -> bool:
+    """Tell whether a caller may use a model, adapter or service."""
+    return records_api.ALL in caller.targets or target in caller.targets
--- /dev/null
+++ b/src/dogwoodquay/entry/controls.py
@@ -0,0 +1,112 @@
+"""The headers by which a caller steers its request."""
+
+from __future__ import annotations
+
+import re
+import typing
+import uuid
+
+import expression
+
+from ..dispatch import reasons
+from . import problems
+
+if typing.TYPE_CHECKING:
+    from . import asgi
+    from ..dispatch import api
+    from . import limits as limits_module
+    from ..records import api as records_api
+
+__all__ = ['Controls', 'caller_request_id', 'parse', 'parse_last_event']
+
+MAX_REQUEST_ID_LENGTH: typing.Final = 128
+KEY_VERSION: typing.Final = 7
+
+_DECIMAL: typing.Final = re.compile(r'\d{1,12}(\.\d{1,9})?\Z', re.ASCII)
+_INTEGER: typing.Final = re.compile(r'-?\d{1,9}\Z', re.ASCII)
+_VISIBLE: typing.Final = re.compile(r'[!-~]+\Z')
+
+
+class Controls(typing.NamedTuple):
+    """What a caller asked for; the deadline is in seconds of Unix time."""
+
+    deadline: float
+    priority: int
+    key: str
+
+
+def caller_request_id(request: asgi.Request) -> str:
+    """Return the caller's own id of a request if it can be echoed."""
+    given = request.header(b'x-request-id')
+    if len(given) > MAX_REQUEST_ID_LENGTH or not _VISIBLE.match(given):
+        return ''
+    return given
+
+
+def parse(
+    request: asgi.Request,
+    caller: records_api.Caller,
+    policy: records_api.Policy,
+    limits: limits_module.Limits,
+    now: float,
+) -> expression.Result[Controls, api.Refusal]:
+    """Read the control headers of a request."""
+    deadline = _deadline(request, policy, now)
+    if deadline is None:
+        return _bad_header('X-Deadline or X-Timeout-Seconds is not a number')
+    if deadline <= now:
+        return expression.Error(
+            problems.refusal(reasons.Reason.DEADLINE_PASSED)
+        )
+    priority = request.header(b'x-priority') or '0'
+    if not _INTEGER.match(priority):
+        return _bad_header('X-Priority is not a whole number')
+    key = request.header(b'idempotency-key')
+    if key and not _is_key(key):
+        return expression.Error(
+            problems.refusal(reasons.Reason.BAD_IDEMPOTENCY_KEY)
+        )
+    return expression.Ok(
+        Controls(
+            min(deadline, now + limits.max_deadline_seconds),
+            max(0, min(int(priority), caller.max_priority)),
+            key.lower(),
+        )
+    )
+
+
+def parse_last_event(
+    request: asgi.Request,
+) -> expression.Result[int, api.Refusal]:
+    """Return the last event that a caller holds, -1 for none."""
+    given = request.header(b'last-event-id')
+    if not given:
+        return expression.Ok(-1)
+    if not _INTEGER.match(given):
+        return _bad_header('Last-Event-ID is not a whole number')
+    return expression.Ok(max(-1, int(given)))
+
+
+def _deadline(
+    request: asgi.Request, policy: records_api.Policy, now: float
+) -> float | None:
+    absolute = request.header(b'x-deadline')
+    if absolute:
+        return float(absolute) if _DECIMAL.match(absolute) else None
+    timeout = request.header(b'x-timeout-seconds')
+    if timeout:
+        return now + float(timeout) if _DECIMAL.match(timeout) else None
+    return now + policy.default_deadline_seconds
+
+
+def _is_key(text: str) -> bool:
+    try:
+        key = uuid.UUID(text)
+    except ValueError:
+        return False
+    return key.version == KEY_VERSION and str(key) == text.lower()
+
+
+def _bad_header(detail: str) -> expression.Result[typing.Any, api.Refusal]:
+    refused = problems.refusal(reasons.Reason.BAD_HEADER, detail)
+    return expression.Error(refused)
--- /dev/null
+++ b/src/dogwoodquay/entry/limits.py
@@ -0,0 +1,24 @@
+"""Limits of the callers' interface."""
+
+from __future__ import annotations
+
+import msgspec
+
+__all__ = ['Limits']
+
+
+class Limits(msgspec.Struct, frozen=True):
+    """What one instance takes from callers and keeps for them."""
+
+    header_bytes: int = 16 << 10
+    body_bytes: int = 16 << 20
+    all_bodies_bytes: int = 128 << 20
+    body_seconds: float = 15.0
+    max_deadline_seconds: float = 900.0
+    write_stall_seconds: float = 30.0
+    whole_write_seconds: float = 300.0
+    resume_seconds: float = 60.0
+    stream_window_bytes: int = 64 << 10
+    stream_kept_bytes: int = 384 << 10
+    max_streams: int = 5000
+    all_streams_bytes: int = 96 << 20
--- /dev/null
+++ b/src/dogwoodquay/entry/problems.py
@@ -0,0 +1,66 @@
+"""Errors as ``application/problem+json``, alone or as an event."""
+
+from __future__ import annotations
+
+import math
+import typing
+
+import msgspec
+
+from ..dispatch import api
+from ..dispatch import reasons
+
+__all__ = ['PROBLEM_TYPE', 'headers', 'problem', 'problem_event', 'refusal']
+
+PROBLEM_TYPE: typing.Final = 'application/problem+json'
+TYPE_PREFIX: typing.Final = 'urn:dogwoodquay:problem:'
+MAX_DETAIL_LENGTH: typing.Final = 300
+
+_ENCODER: typing.Final = msgspec.json.Encoder()
+
+
+class _Problem(msgspec.Struct, frozen=True, omit_defaults=True):
+    type: str
+    title: str
+    status: int
+    reason: str
+    outcome: str
+    detail: str = ''
+    request_id: str = ''
+
+
+def refusal(reason: reasons.Reason, detail: str = '') -> api.Refusal:
+    """Return a refusal with the reason's usual outcome."""
+    return api.Refusal(reason, reasons.REASONS[reason].outcome, detail)
+
+
+def problem(refused: api.Refusal, request_id: str) -> bytes:
+    """Return the body of an error answer."""
+    info = reasons.REASONS[refused.reason]
+    return _ENCODER.encode(
+        _Problem(
+            TYPE_PREFIX + refused.reason.value,
+            info.title,
+            info.status,
+            refused.reason.value,
+            refused.outcome.value,
+            refused.detail[:MAX_DETAIL_LENGTH],
+            request_id,
+        )
+    )
+
+
+def problem_event(refused: api.Refusal, request_id: str) -> bytes:
+    """Return the event that ends a stream which is not whole."""
+    return b'event: error\ndata: %b\n\n' % problem(refused, request_id)
+
+
+def headers(refused: api.Refusal, now: float) -> api.Headers:
+    """Return the headers of an error answer."""
+    found = [('content-type', PROBLEM_TYPE)]
+    if refused.retry_at > now:
+        seconds = max(1, math.ceil(refused.retry_at - now))
+        found.append(('retry-after', str(seconds)))
+    if refused.reason is reasons.Reason.NO_API_KEY:
+        found.append(('www-authenticate', 'Bearer'))
+    return tuple(found)
--- /dev/null
+++ b/src/dogwoodquay/entry/server.py
@@ -0,0 +1,104 @@
+"""Serves the callers' interface with hypercorn."""
+
+from __future__ import annotations
+
+import logging
+import socket
+import typing
+
+import anyio
+from hypercorn import asyncio as hypercorn_asyncio
+from hypercorn import config as hypercorn_config
+import msgspec
+
+if typing.TYPE_CHECKING:
+    from .. import clock as clock_module
+    from . import app as app_module
+
+__all__ = ['ServerSettings', 'bound_port', 'listen', 'serve']
+
+SEND_BUFFER_BYTES: typing.Final = 64 << 10
+UNACKNOWLEDGED_MILLISECONDS: typing.Final = 60_000
+BACKLOG: typing.Final = 1024
+# Above the application's own bound, which answers with a reason.
+HEADER_SLACK_BYTES: typing.Final = 64 << 10
+KEEP_ALIVE_SECONDS: typing.Final = 30.0
+MAX_REQUESTS_ON_CONNECTION: typing.Final = 100_000
+CLOSE_SECONDS: typing.Final = 2.0
+
+
+class ServerSettings(msgspec.Struct, frozen=True):
+    """Where to listen; with both files the listener speaks TLS."""
+
+    address: str
+    port: int
+    certificate_file: str = ''
+    key_file: str = ''
+    drain_seconds: float = 30.0
+    header_bytes: int = 16 << 10
+
+
+def listen(settings: ServerSettings) -> socket.socket:
+    """Open the listening socket; port 0 takes any free one."""
+    family = socket.AF_INET6 if ':' in settings.address else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    # A small buffer makes a slow reader felt early, and bounds what can be
+    # lost with a connection below what streams keep.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+    listener.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        UNACKNOWLEDGED_MILLISECONDS,
+    )
+    listener.bind((settings.address, settings.port))
+    listener.listen(BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
+def bound_port(listener: socket.socket) -> int:
+    """Return the port that a socket listens on."""
+    return int(listener.getsockname()[1])
+
+
+async def serve(
+    app: app_module.EntryApp,
+    settings: ServerSettings,
+    listener: socket.socket,
+    shutdown: anyio.Event,
+    clock: clock_module.Clock,
+) -> None:
+    """Serve until the shutdown event, then drain and close."""
+
+    async def drained() -> None:
+        await shutdown.wait()
+        await app.drain(clock.now() + settings.drain_seconds)
+
+    await hypercorn_asyncio.serve(
+        typing.cast('typing.Any', app),
+        _config(settings, listener),
+        shutdown_trigger=drained,
+        mode='asgi',
+    )
+
+
+def _config(
+    settings: ServerSettings, listener: socket.socket
+) -> hypercorn_config.Config:
+    config = hypercorn_config.Config()
+    config.bind = [f'fd://{listener.detach()}']
+    config.backlog = BACKLOG
+    config.h11_max_incomplete_size = settings.header_bytes + HEADER_SLACK_BYTES
+    config.h2_max_header_list_size = settings.header_bytes + HEADER_SLACK_BYTES
+    config.keep_alive_timeout = KEEP_ALIVE_SECONDS
+    config.keep_alive_max_requests = MAX_REQUESTS_ON_CONNECTION
+    config.graceful_timeout = CLOSE_SECONDS
+    config.include_server_header = False
+    config.accesslog = None
+    config.errorlog = logging.getLogger('hypercorn.error')
+    if settings.certificate_file:
+        config.certfile = settings.certificate_file
+        config.keyfile = settings.key_file
+    return config
