Add membership between instances

Cause: duties are proposed from who is live; the platform's list lags. Up to nine instances all keep in touch. Conclusion: node can wire Membership; trusted gates proposals.

--- a/src/dogwoodquay/gossip/ring.py
+++ b/src/dogwoodquay/gossip/ring.py
@@ -3,7 +3,7 @@
 Instances stand on a ring by the hash of their ids. Each keeps the next ones,
 fingers at halving distances, and one in each other failure domain, so that
 the number grows with the logarithm of the instances and one arrival or
-departure changes few neighbours.
+departure changes few neighbours. A few instances all keep in touch.
 """
 
 from __future__ import annotations
@@ -18,6 +18,7 @@
 
 __all__ = ['Place', 'neighbours']
 
+FULL_MESH: typing.Final = 8
 SUCCESSORS: typing.Final = 2
 _RING_BITS: typing.Final = 64
 
@@ -32,8 +33,8 @@
 def neighbours(own: Place, others: abc.Iterable[Place]) -> frozenset[str]:
     """Return the ids of the instances that one keeps in touch with."""
     ring = _Ring(place for place in others if place != own)
-    if not ring.size:
-        return frozenset()
+    if ring.size <= FULL_MESH:
+        return ring.ids
     start = _position(own.instance_id)
     chosen = set(ring.successors(start, SUCCESSORS))
     chosen.update(ring.fingers(start))
@@ -52,6 +53,10 @@
     def size(self) -> int:
         return len(self._places)
 
+    @property
+    def ids(self) -> frozenset[str]:
+        return frozenset(place.instance_id for place in self._places)
+
     def successors(self, start: int, count: int) -> list[str]:
         first = bisect.bisect_right(self._positions, start)
         span = range(first, first + min(count, self.size))
--- a/src/dogwoodquay/membership/api.py
+++ b/src/dogwoodquay/membership/api.py
@@ -10,7 +10,15 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
-__all__ = ['Member', 'MemberState', 'Membership']
+__all__ = [
+    'REFUTATION_BITS',
+    'Member',
+    'MemberState',
+    'Membership',
+    'boot_of',
+]
+
+REFUTATION_BITS: typing.Final = 16
 
 
 class MemberState(enum.IntEnum):
@@ -23,7 +31,11 @@
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
-    """An instance of the system; a restart has a higher incarnation."""
+    """An instance of the system; a restart has a higher incarnation.
+
+    The incarnation also rises when a live instance refutes a false report;
+    ``boot_of`` tells processes apart.
+    """
 
     instance_id: str
     incarnation: int
@@ -33,9 +45,32 @@
     state: MemberState
 
 
+def boot_of(incarnation: int) -> int:
+    """Return the part of an incarnation that only a restart changes."""
+    return incarnation >> REFUTATION_BITS
+
+
 class Membership(typing.Protocol):
     """This instance's view of the others; never used for safety."""
 
+    @property
+    def trusted(self) -> bool:
+        """Whether the view is current enough to propose duties from.
+
+        False after the start, and after a pause of this instance until
+        peers have confirmed the view.
+        """
+
+    @property
+    def own(self) -> Member:
+        """This instance's own record."""
+
+    def dead(self, instance_id: str, incarnation: int) -> bool:
+        """Whether a process is known to be gone.
+
+        :param incarnation: any incarnation of that process.
+        """
+
     def members(self) -> tuple[Member, ...]:
         """Return all known members but the dead."""
 
--- a/src/dogwoodquay/wire/api.py
+++ b/src/dogwoodquay/wire/api.py
@@ -94,7 +94,7 @@
     """Handles one message; ``None`` declines a request."""
 
     async def __call__(
-        self, sender: Sender, message: typing.Any, deadline: float
+        self, sender: Sender, message: typing.Any, deadline: float, /
     ) -> Message | None:
         """Return the answer, which is dropped for one-way messages."""
 
@@ -103,7 +103,7 @@
     """Answers one message with a stream of messages."""
 
     def __call__(
-        self, sender: Sender, message: typing.Any, deadline: float
+        self, sender: Sender, message: typing.Any, deadline: float, /
     ) -> abc.AsyncIterator[Message]:
         """Yield the messages of the stream."""
 
