--- a/src/dogwoodquay/entry/app.py
+++ b/src/dogwoodquay/entry/app.py
@@ -98,6 +98,11 @@
         """How many HTTP requests are being answered."""
         return self._active
 
+    @property
+    def held_body_bytes(self) -> int:
+        """The size of all request bodies that are held now."""
+        return self._bodies.held_bytes
+
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
--- a/src/dogwoodquay/entry/server.py
+++ b/src/dogwoodquay/entry/server.py
@@ -22,13 +22,17 @@
 BACKLOG: typing.Final = 1024
 # Above the application's own bound, which answers with a reason.
 HEADER_SLACK_BYTES: typing.Final = 64 << 10
-KEEP_ALIVE_SECONDS: typing.Final = 30.0
 MAX_REQUESTS_ON_CONNECTION: typing.Final = 100_000
 CLOSE_SECONDS: typing.Final = 2.0
 
 
 class ServerSettings(msgspec.Struct, frozen=True):
-    """Where to listen; with both files the listener speaks TLS."""
+    """Where to listen; with both files the listener speaks TLS.
+
+    ``keep_alive_seconds`` is how long an idle connection stays open. The
+    server also keeps its state of a connection for that time after a caller
+    has closed it, so that the value bounds memory too.
+    """
 
     address: str
     port: int
@@ -36,6 +40,7 @@
     key_file: str = ''
     drain_seconds: float = 30.0
     header_bytes: int = 16 << 10
+    keep_alive_seconds: float = 5.0
 
 
 def listen(settings: ServerSettings) -> socket.socket:
@@ -92,7 +97,7 @@
     config.backlog = BACKLOG
     config.h11_max_incomplete_size = settings.header_bytes + HEADER_SLACK_BYTES
     config.h2_max_header_list_size = settings.header_bytes + HEADER_SLACK_BYTES
-    config.keep_alive_timeout = KEEP_ALIVE_SECONDS
+    config.keep_alive_timeout = settings.keep_alive_seconds
     config.keep_alive_max_requests = MAX_REQUESTS_ON_CONNECTION
     config.graceful_timeout = CLOSE_SECONDS
     config.include_server_header = False
--- a/tests/unit/dispatch/fakes.py
+++ b/tests/unit/dispatch/fakes.py
@@ -12,8 +12,8 @@
 import anyio
 import expression
 
-from dogwoodquay import clock as clock_module
 from dogwoodquay.admission import api as admission_api
+from dogwoodquay import clock as clock_module
 from dogwoodquay.dispatch import dispatcher
 from dogwoodquay.dispatch import metrics as path_metrics
 from dogwoodquay.observe import metrics
--- /dev/null
+++ b/tests/unit/dispatch/test_dispatcher.py
@@ -0,0 +1,379 @@
+"""What callers are told when attempts fail, and what ran how often."""
+
+from __future__ import annotations
+
+import typing
+import unittest
+
+import anyio
+
+from dogwoodquay.dispatch import api
+from dogwoodquay.dispatch import reasons
+from dogwoodquay.once import api as once_api
+from tests.unit.dispatch import fakes
+
+Fault = fakes.Fault
+Reason = reasons.Reason
+Outcome = reasons.Outcome
+KEY = '01890a5d-ac96-774b-bcce-b302099a8057'
+
+
+class ListSink:
+    """Keeps the events of a stream."""
+
+    def __init__(self) -> None:
+        self.last_event = -1
+        self.data = b''
+
+    async def write(self, frames: bytes, last_event: int) -> None:
+        self.data += frames
+        self.last_event = last_event
+
+
+class DispatcherCase(unittest.TestCase):
+    """Runs work beside a rig's background parts."""
+
+    def setUp(self) -> None:
+        self.count = 0
+
+    def call(
+        self, rig: fakes.Rig, seconds: float = 20.0, **fields: typing.Any
+    ) -> api.Call:
+        self.count += 1
+        values: dict[str, typing.Any] = {
+            'request_id': f'{self.count:024x}',
+            'caller': 'counter',
+            'kind': api.Kind.ENGINE,
+            'artifact': 'ticket@v1',
+            'method': 'POST',
+            'path': '/v1/chat/completions',
+            'headers': (),
+            'body': b'body %d' % self.count,
+            'deadline': rig.clock.now() + seconds,
+        }
+        values.update(fields)
+        return api.Call(**values)
+
+    def run_with(
+        self,
+        work: typing.Callable[[fakes.Rig], typing.Awaitable[None]],
+        retry_share: float = 1.0,
+    ) -> None:
+        async def main() -> None:
+            rig = fakes.Rig(retry_share)
+            async with anyio.create_task_group() as group:
+                group.start_soon(rig.dispatcher.run_background)
+                with anyio.fail_after(30):
+                    await work(rig)
+                    await anyio.sleep(0.02)
+                group.cancel_scope.cancel()
+            self.assertEqual(rig.dispatcher.in_flight, 0)
+            self.assertEqual(rig.router.open, set())
+            self.assertEqual(rig.admission.inside, set())
+
+        anyio.run(main)
+
+    def assert_refused(
+        self, result: typing.Any, reason: Reason, outcome: Outcome
+    ) -> None:
+        self.assertIsInstance(result, api.Refusal)
+        self.assertEqual((result.reason, result.outcome), (reason, outcome))
+
+
+class RetryTest(DispatcherCase):
+    """Idempotent requests are tried again, elsewhere."""
+
+    def test_each_fault_is_retried(self) -> None:
+        faults = set(Fault) - {Fault.NONE, Fault.DELAYED, Fault.HUNG}
+        for fault in sorted(faults, key=str):
+            for stream in (False, True):
+                with self.subTest(fault=fault, stream=stream):
+                    self.run_with(lambda rig: self.retried(rig, fault, stream))
+
+    async def retried(
+        self, rig: fakes.Rig, fault: Fault, stream: bool
+    ) -> None:
+        call = self.call(rig, stream=stream)
+        sink = ListSink()
+        rig.upstream.faults.append(fault)
+        result = await rig.dispatcher.run(call, sink if stream else None)
+        text = sink.data if stream else result.body  # type: ignore[union-attr]
+        for word in fakes.words(call.body):
+            self.assertEqual(text.count(word.encode()), 1)
+        if stream and fault is not Fault.CROSSED_BODY:
+            self.assertTrue(text.endswith(b'[DONE]\n\n'))
+        ids = {
+            one.attempt_id
+            for one in rig.upstream.calls
+            if one.resume_after >= 0
+        }
+        shown = text[text.index(b'"id":"') + 6 :][:27].decode()
+        self.assertLessEqual(ids, {shown})
+
+    def test_retry_goes_to_another_server(self) -> None:
+        async def work(rig: fakes.Rig) -> None:
+            rig.upstream.faults.append(Fault.REFUSED)
+            await rig.dispatcher.run(self.call(rig))
+            second = rig.router.requests[1]
+            self.assertEqual(second.avoid_servers, {'s0'})
+            self.assertEqual(second.avoid_domains, {'d0'})
+
+        self.run_with(work)
+
+    def test_budget_spent_tells_what_ran(self) -> None:
+        async def work(rig: fakes.Rig) -> None:
+            rig.upstream.draw = lambda: Fault.BROKEN
+            outcomes = [
+                await rig.dispatcher.run(self.call(rig)) for _ in range(150)
+            ]
+            last = outcomes[-1]
+            self.assert_refused(
+                last, Reason.RETRY_BUDGET_SPENT, Outcome.UNKNOWN
+            )
+
+        self.run_with(work, retry_share=0.1)
+
+    def test_stale_work_is_cancelled(self) -> None:
+        async def work(rig: fakes.Rig) -> None:
+            rig.upstream.faults.append(Fault.BROKEN)
+            call = self.call(rig)
+            await rig.dispatcher.run(call)
+            await anyio.sleep(0.02)
+            self.assertEqual(rig.upstream.cancelled, [f'{call.request_id}-00'])
+
+        self.run_with(work)
+
+    def test_resume_refused_after_delivery_ends_the_stream(self) -> None:
+        async def work(rig: fakes.Rig) -> None:
+            rig.upstream.faults.extend([Fault.CUT, Fault.REFUSED])
+            rig.upstream.rng.seed(5)
+            sink = ListSink()
+            call = self.call(rig, stream=True)
+            result = await rig.dispatcher.run(call, sink)
+            self.assertGreaterEqual(sink.last_event, 0)
+            self.assert_refused(
+                result, Reason.UPSTREAM_REFUSED, Outcome.UNKNOWN
+            )
+            self.assertNotIn(b'[DONE]', sink.data)
+
+        self.run_with(work)
+
+
+class NotRunTest(DispatcherCase):
+    """``not_run`` is said only when it is true."""
+
+    def test_refused_everywhere(self) -> None:
+        async def work(rig: fakes.Rig) -> None:
+            rig.upstream.draw = lambda: Fault.REFUSED
+            result = await rig.dispatcher.run(self.call(rig))
+            self.assert_refused(
+                result, Reason.UPSTREAM_REFUSED, Outcome.NOT_RUN
+            )
+            self.assertFalse(rig.upstream.runs)
+
+        self.run_with(work)
+
+    def test_one_attempt_may_have_run(self) -> None:
+        async def work(rig: fakes.Rig) -> None:
+            rig.upstream.faults.append(Fault.AMBIGUOUS)
+            rig.upstream.draw = lambda: Fault.UNAVAILABLE
+            result = await rig.dispatcher.run(self.call(rig))
+            self.assert_refused(
+                result, Reason.UPSTREAM_UNAVAILABLE, Outcome.UNKNOWN
+            )
+
+        self.run_with(work)
+
+    def test_no_replica_tells_when_to_come_back(self) -> None:
+        async def work(rig: fakes.Rig) -> None:
+            rig.router.servers.clear()
+            result = await rig.dispatcher.run(self.call(rig))
+            self.assert_refused(result, Reason.NO_REPLICA, Outcome.NOT_RUN)
+            self.assertGreater(result.retry_at, rig.clock.now())
+
+        self.run_with(work)
+
+    def test_deadline_in_the_queue_and_at_the_upstream(self) -> None:
+        async def work(rig: fakes.Rig) -> None:
+            rig.admission.queue = True
+            queued = await rig.dispatcher.run(self.call(rig, 0.02))
+            self.assert_refused(
+                queued, Reason.DEADLINE_PASSED, Outcome.NOT_RUN
+            )
+            rig.admission.queue = False
+            rig.upstream.faults.append(Fault.HUNG)
+            sent = await rig.dispatcher.run(self.call(rig, 0.02))
+            self.assert_refused(sent, Reason.DEADLINE_PASSED, Outcome.UNKNOWN)
+            self.assertEqual(rig.upstream.stopped, 1)
+            past = await rig.dispatcher.run(self.call(rig, -1.0))
+            self.assert_refused(past, Reason.DEADLINE_PASSED, Outcome.NOT_RUN)
+            self.assertEqual(len(rig.upstream.calls), 1)
+
+        self.run_with(work)
+
+    def test_admission_rejects(self) -> None:
+        async def work(rig: fakes.Rig) -> None:
+            rig.admission.reject = 'rate_limited'
+            result = await rig.dispatcher.run(self.call(rig))
+            self.assert_refused(result, Reason.RATE_LIMITED, Outcome.NOT_RUN)
+            self.assertEqual(
+                rig.metrics.refusals(Reason.RATE_LIMITED, Outcome.NOT_RUN), 1
+            )
+
+        self.run_with(work)
+
+
+class OnceTest(DispatcherCase):
+    """Non-idempotent requests run at most once."""
+
+    def charge(
+        self, rig: fakes.Rig, key: str = '', body: bytes = b'charge'
+    ) -> api.Call:
+        return self.call(
+            rig,
+            kind=api.Kind.SERVICE,
+            artifact='counter',
+            body=body,
+            idempotent=False,
+            key=key,
+        )
+
+    def test_never_sent_twice_without_a_key(self) -> None:
+        async def work(rig: fakes.Rig) -> None:
+            for fault in (Fault.AMBIGUOUS, Fault.BROKEN, Fault.CROSSED):
+                rig.upstream.faults.append(fault)
+                body = fault.value.encode()
+                result = await rig.dispatcher.run(self.charge(rig, body=body))
+                self.assertEqual(
+                    result.outcome,  # type: ignore[union-attr]
+                    Outcome.UNKNOWN,
+                )
+                self.assertEqual(rig.upstream.runs[body], 1)
+
+        self.run_with(work)
+
+    def test_refused_connection_is_tried_elsewhere(self) -> None:
+        async def work(rig: fakes.Rig) -> None:
+            rig.upstream.faults.append(Fault.UNAVAILABLE)
+            result = await rig.dispatcher.run(self.charge(rig))
+            self.assertIsInstance(result, api.Whole)
+            self.assertEqual(rig.upstream.runs[b'charge'], 1)
+
+        self.run_with(work)
+
+    def test_second_call_gets_the_known_answer(self) -> None:
+        async def work(rig: fakes.Rig) -> None:
+            first = await rig.dispatcher.run(self.charge(rig, KEY))
+            await anyio.sleep(0.02)
+            second = await rig.dispatcher.run(self.charge(rig, KEY))
+            self.assertEqual(
+                first.body,  # type: ignore[union-attr]
+                second.body,  # type: ignore[union-attr]
+            )
+            self.assertEqual(rig.upstream.runs[b'charge'], 1)
+            other = await rig.dispatcher.run(self.charge(rig, KEY, b'other'))
+            self.assert_refused(other, Reason.KEY_CONFLICT, Outcome.NOT_RUN)
+
+        self.run_with(work)
+
+    def test_lost_answer_stays_unknown(self) -> None:
+        async def work(rig: fakes.Rig) -> None:
+            rig.upstream.faults.append(Fault.AMBIGUOUS)
+            await rig.dispatcher.run(self.charge(rig, KEY))
+            await anyio.sleep(0.02)
+            again = await rig.dispatcher.run(self.charge(rig, KEY))
+            self.assert_refused(
+                again, Reason.KEY_OUTCOME_UNKNOWN, Outcome.UNKNOWN
+            )
+            self.assertEqual(rig.upstream.runs[b'charge'], 1)
+
+        self.run_with(work)
+
+    def test_key_is_freed_when_nothing_ran(self) -> None:
+        async def work(rig: fakes.Rig) -> None:
+            rig.admission.reject = 'queue_full'
+            result = await rig.dispatcher.run(self.charge(rig, KEY))
+            self.assert_refused(result, Reason.QUEUE_FULL, Outcome.NOT_RUN)
+            await anyio.sleep(0.02)
+            self.assertEqual(rig.claims.withdrawn, [KEY])
+            rig.admission.reject = ''
+            result = await rig.dispatcher.run(self.charge(rig, KEY))
+            self.assertIsInstance(result, api.Whole)
+
+        self.run_with(work)
+
+    def test_undecided_claim_sends_nothing(self) -> None:
+        async def work(rig: fakes.Rig) -> None:
+            rig.claims.refuse = 'log_unavailable'
+            result = await rig.dispatcher.run(self.charge(rig, KEY))
+            self.assert_refused(
+                result, Reason.CLAIM_UNDECIDED, Outcome.NOT_RUN
+            )
+            self.assertFalse(rig.upstream.calls)
+
+        self.run_with(work)
+
+    def test_drain_says_nothing_of_an_undecided_key(self) -> None:
+        async def work(rig: fakes.Rig) -> None:
+            await rig.dispatcher.drain(rig.clock.now())
+            result = await rig.dispatcher.run(self.charge(rig, KEY))
+            self.assert_refused(result, Reason.DRAINING, Outcome.UNKNOWN)
+
+        self.run_with(work)
+
+    def test_truncated_known_answer_is_no_answer(self) -> None:
+        async def work(rig: fakes.Rig) -> None:
+            call = self.charge(rig, KEY)
+            stored = once_api.StoredAnswer(200, (), b'', truncated=True)
+            rig.claims.answers['counter', KEY] = once_api.Known(stored)
+            result = await rig.dispatcher.run(call)
+            self.assert_refused(
+                result, Reason.KEY_ANSWER_NOT_KEPT, Outcome.UNKNOWN
+            )
+
+        self.run_with(work)
+
+
+class DrainTest(DispatcherCase):
+    """A planned stop finishes what it can and tells the rest the truth."""
+
+    def test_in_flight_is_finished(self) -> None:
+        async def work(rig: fakes.Rig) -> None:
+            rig.upstream.delay = 0.01
+            results: list[typing.Any] = []
+            call = self.call(rig)
+
+            async def run() -> None:
+                results.append(await rig.dispatcher.run(call))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(run)
+                await anyio.sleep(0)
+                await rig.dispatcher.drain(rig.clock.now() + 10.0)
+            self.assertIsInstance(results[0], api.Whole)
+            late = await rig.dispatcher.run(self.call(rig))
+            self.assert_refused(late, Reason.DRAINING, Outcome.NOT_RUN)
+
+        self.run_with(work)
+
+    def test_the_rest_is_told_at_the_deadline(self) -> None:
+        async def work(rig: fakes.Rig) -> None:
+            results: list[typing.Any] = []
+
+            async def run(call: api.Call) -> None:
+                results.append(await rig.dispatcher.run(call))
+
+            rig.upstream.faults.append(Fault.HUNG)
+            async with anyio.create_task_group() as group:
+                group.start_soon(run, self.call(rig))
+                await anyio.sleep(0.01)
+                rig.admission.queue = True
+                group.start_soon(run, self.call(rig))
+                await anyio.sleep(0.01)
+                await rig.dispatcher.drain(rig.clock.now() + 0.02)
+            outcomes = {result.outcome for result in results}
+            self.assertEqual(outcomes, {Outcome.UNKNOWN, Outcome.NOT_RUN})
+            for result in results:
+                self.assertIs(result.reason, Reason.INSTANCE_STOPPING)
+
+        self.run_with(work)
--- a/tests/unit/entry/client.py
+++ b/tests/unit/entry/client.py
@@ -82,6 +82,7 @@
         self,
         limits: limits_module.Limits | None = None,
         finder: streams.StreamFinder | None = None,
+        instance_id: str = 'here',
     ) -> None:
         self.rig = fakes.Rig()
         self.limits = limits or limits_module.Limits()
--- /dev/null
+++ b/tests/unit/entry/test_errors_page.py
@@ -0,0 +1,29 @@
+"""The operators' page on errors lists every reason as it is told."""
+
+from __future__ import annotations
+
+import pathlib
+import unittest
+
+from dogwoodquay.dispatch import reasons
+
+PAGE = pathlib.Path(__file__).parents[3] / 'docs/operators/errors.md'
+
+
+class ErrorsPageTest(unittest.TestCase):
+    """The page and the table say the same."""
+
+    def test_rows(self) -> None:
+        rows = set()
+        for line in PAGE.read_text(encoding='utf-8').splitlines():
+            cells = [cell.strip(' `') for cell in line.split('|')[1:-1]]
+            if len(cells) == 4 and cells[1].isdigit():
+                rows.add((cells[0], int(cells[1]), cells[2], cells[3]))
+        table = {
+            (reason.value, info.status, info.outcome.value, info.title)
+            for reason, info in reasons.REASONS.items()
+        }
+        self.assertEqual(rows, table)
+
+    def test_every_reason_has_its_row(self) -> None:
+        self.assertEqual(set(reasons.REASONS), set(reasons.Reason))
