--- a/tests/unit/entry/client.py
+++ b/tests/unit/entry/client.py
@@ -87,7 +87,9 @@
         self.rig = fakes.Rig()
         self.limits = limits or limits_module.Limits()
         self.health = health.Health(('configuration',))
-        self.streams = streams.StreamTable('here', self.rig.clock, self.limits)
+        self.streams = streams.StreamTable(
+            instance_id, self.rig.clock, self.limits
+        )
         self.app = app_module.EntryApp(
             self.rig.dispatcher,
             self.streams,
