Name reasons as admission and routing label them

Cause: admission and routing gave labels that the table of reasons did not have, so that callers would have got the general reason; a retry time of infinity would have failed in the header. Change: the table takes their labels; infinity gives no Retry-After. Conclusion: one name for a reason from the decision to the caller.

--- a/src/dogwoodquay/dispatch/dispatcher.py
+++ b/src/dogwoodquay/dispatch/dispatcher.py
@@ -291,7 +291,9 @@
                 tries.chosen(replica)
                 return None
             case routing_api.NoReplica(label, retry_at):
-                reason = reasons.from_label(label, reasons.Reason.NO_REPLICA)
+                reason = reasons.from_label(
+                    label, reasons.Reason.NO_READY_REPLICA
+                )
                 return flight.refuse(reason, label, retry_at)
 
     async def _attempt(
--- a/src/dogwoodquay/dispatch/reasons.py
+++ b/src/dogwoodquay/dispatch/reasons.py
@@ -41,17 +41,18 @@
     # Who asks for what.
     NO_API_KEY = 'no_api_key'
     UNKNOWN_API_KEY = 'unknown_api_key'
+    UNKNOWN_CALLER = 'unknown_caller'
     TARGET_NOT_ALLOWED = 'target_not_allowed'
     UNKNOWN_MODEL = 'unknown_model'
     UNKNOWN_SERVICE = 'unknown_service'
     # Load and state of the instance.
-    RATE_LIMITED = 'rate_limited'
-    TOO_MANY_IN_FLIGHT = 'too_many_in_flight'
+    CALLER_RATE = 'caller_rate'
+    CALLER_IN_FLIGHT = 'caller_in_flight'
     QUEUE_FULL = 'queue_full'
-    DEADLINE_TOO_SHORT = 'deadline_too_short'
+    DEADLINE_UNMEETABLE = 'deadline_unmeetable'
     DEADLINE_PASSED = 'deadline_passed'
     OVERLOADED = 'overloaded'
-    NO_REPLICA = 'no_replica'
+    NO_READY_REPLICA = 'no_ready_replica'
     DRAINING = 'draining'
     INSTANCE_STOPPING = 'instance_stopping'
     NOT_READY = 'not_ready'
@@ -122,22 +123,27 @@
     ),
     Reason.NO_API_KEY: _info(401, _NOT_RUN, 'No API key given'),
     Reason.UNKNOWN_API_KEY: _info(401, _NOT_RUN, 'Unknown API key'),
+    Reason.UNKNOWN_CALLER: _info(
+        403, _NOT_RUN, 'The caller is no longer declared'
+    ),
     Reason.TARGET_NOT_ALLOWED: _info(
         403, _NOT_RUN, 'Not allowed for this caller'
     ),
     Reason.UNKNOWN_MODEL: _info(404, _NOT_RUN, 'Unknown model'),
     Reason.UNKNOWN_SERVICE: _info(404, _NOT_RUN, 'Unknown service'),
-    Reason.RATE_LIMITED: _info(429, _NOT_RUN, 'Request rate over the limit'),
-    Reason.TOO_MANY_IN_FLIGHT: _info(
+    Reason.CALLER_RATE: _info(429, _NOT_RUN, 'Request rate over the limit'),
+    Reason.CALLER_IN_FLIGHT: _info(
         429, _NOT_RUN, 'Too many requests in flight'
     ),
     Reason.QUEUE_FULL: _info(503, _NOT_RUN, 'Queue full'),
-    Reason.DEADLINE_TOO_SHORT: _info(
+    Reason.DEADLINE_UNMEETABLE: _info(
         503, _NOT_RUN, 'The deadline cannot be met'
     ),
     Reason.DEADLINE_PASSED: _info(504, _NOT_RUN, 'The deadline has passed'),
     Reason.OVERLOADED: _info(503, _NOT_RUN, 'Too much load'),
-    Reason.NO_REPLICA: _info(503, _NOT_RUN, 'No replica can take it now'),
+    Reason.NO_READY_REPLICA: _info(
+        503, _NOT_RUN, 'No replica can take it now'
+    ),
     Reason.DRAINING: _info(503, _NOT_RUN, 'The instance is draining'),
     Reason.INSTANCE_STOPPING: _info(
         503, _UNKNOWN, 'The instance stopped before the answer was whole'
--- a/src/dogwoodquay/entry/problems.py
+++ b/src/dogwoodquay/entry/problems.py
@@ -58,7 +58,7 @@
 def headers(refused: api.Refusal, now: float) -> api.Headers:
     """Return the headers of an error answer."""
     found = [('content-type', PROBLEM_TYPE)]
-    if refused.retry_at > now:
+    if now < refused.retry_at < math.inf:
         seconds = max(1, math.ceil(refused.retry_at - now))
         found.append(('retry-after', str(seconds)))
     if refused.reason is reasons.Reason.NO_API_KEY:
--- a/tests/unit/dispatch/fakes.py
+++ b/tests/unit/dispatch/fakes.py
@@ -214,7 +214,7 @@
             if server.server_id not in request.avoid_servers
         ]
         if not free:
-            return routing_api.NoReplica('no_replica', now + 2.0)
+            return routing_api.NoReplica('no_ready_replica', now + 2.0)
         self.open.add(request.attempt_id)
         return routing_api.Choice(free[0], now)
 
--- a/tests/unit/dispatch/test_dispatcher.py
+++ b/tests/unit/dispatch/test_dispatcher.py
@@ -188,7 +188,9 @@
         async def work(rig: fakes.Rig) -> None:
             rig.router.servers.clear()
             result = await rig.dispatcher.run(self.call(rig))
-            self.assert_refused(result, Reason.NO_REPLICA, Outcome.NOT_RUN)
+            self.assert_refused(
+                result, Reason.NO_READY_REPLICA, Outcome.NOT_RUN
+            )
             self.assertGreater(result.retry_at, rig.clock.now())
 
         self.run_with(work)
@@ -213,11 +215,11 @@
 
     def test_admission_rejects(self) -> None:
         async def work(rig: fakes.Rig) -> None:
-            rig.admission.reject = 'rate_limited'
+            rig.admission.reject = 'caller_rate'
             result = await rig.dispatcher.run(self.call(rig))
-            self.assert_refused(result, Reason.RATE_LIMITED, Outcome.NOT_RUN)
+            self.assert_refused(result, Reason.CALLER_RATE, Outcome.NOT_RUN)
             self.assertEqual(
-                rig.metrics.refusals(Reason.RATE_LIMITED, Outcome.NOT_RUN), 1
+                rig.metrics.refusals(Reason.CALLER_RATE, Outcome.NOT_RUN), 1
             )
 
         self.run_with(work)
