--- /dev/null
+++ b/bench/path_servers.py
@@ -0,0 +1,277 @@
+"""The processes that the bench of the request path compares.
+
+Each prints its port and serves until it is killed: ``engine`` is a stand-in,
+``relay`` the least that hypercorn and httpx need to pass a request on, and
+``instance`` the product's own path.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import random
+import socket
+import sys
+import typing
+
+import anyio
+import httpx
+from hypercorn import asyncio as hypercorn_asyncio
+from hypercorn import config as hypercorn_config
+
+from dogwoodquay.admission import controller
+from dogwoodquay import clock as clock_module
+from dogwoodquay.dispatch import dispatcher
+from dogwoodquay.dispatch import metrics as path_metrics
+from dogwoodquay.entry import app as entry_app
+from dogwoodquay.entry import health
+from dogwoodquay.entry import limits
+from dogwoodquay.entry import server
+from dogwoodquay.entry import streams
+from dogwoodquay.observe import metrics
+from dogwoodquay.once import api as once_api
+from dogwoodquay.platform import api as platform_api
+from dogwoodquay.platform import http
+from dogwoodquay.platform import memory
+from dogwoodquay.platform.memory import batch
+from dogwoodquay.pools import api as pools_api
+from dogwoodquay.records import api as records_api
+from dogwoodquay.retry import budget
+from dogwoodquay.routing import router
+from dogwoodquay.standin import upstream
+
+API_KEY = 'bench-key'
+ARTIFACT = 'ticket@v1'
+UNLIMITED = 10**9
+LOAD_SECONDS = 30.0
+
+
+def _print_port(listener: socket.socket) -> None:
+    print(server.bound_port(listener), flush=True)
+
+
+async def _serve_bare(app: typing.Any) -> None:
+    listener = server.listen(server.ServerSettings('127.0.0.1', 0))
+    _print_port(listener)
+    config = hypercorn_config.Config()
+    config.bind = [f'fd://{listener.detach()}']
+    config.errorlog = None
+    config.keep_alive_timeout = 60.0
+    config.keep_alive_max_requests = UNLIMITED
+    await hypercorn_asyncio.serve(app, config, mode='asgi')
+
+
+async def engine(step_seconds: float) -> None:
+    """Serve a stand-in engine that makes a token a step."""
+    time = memory.SystemTimeline()
+    pace = batch.Pace(UNLIMITED, 0.0, 0.0, step_seconds)
+    profile = memory.EngineProfile('engine', 1 << 40, pace=pace)
+    store = memory.MemoryWeightStore(time)
+    model = memory.EngineModel(profile, time, store, random.Random(1))
+    order = platform_api.Order(
+        'load', 1, platform_api.OrderKind.LOAD, ARTIFACT, 1 << 20
+    )
+    await model.order(order, time.now() + LOAD_SECONDS)
+    await _serve_bare(upstream.EngineApp(model, time))
+
+
+class _Relay:
+    """Passes each request on to the engines in turn, and no more.
+
+    A transport serves one request at a time, as the library's own pool takes
+    time in proportion to its connections for each request.
+    """
+
+    def __init__(self, ports: list[int]) -> None:
+        self._ports = ports
+        self._next = 0
+        self._free: dict[int, list[httpx.AsyncHTTPTransport]] = {
+            port: [] for port in ports
+        }
+
+    async def __call__(
+        self, scope: typing.Any, receive: typing.Any, send: typing.Any
+    ) -> None:
+        if scope['type'] != 'http':
+            return
+        body = b''
+        more = True
+        while more:
+            message = await receive()
+            body += message.get('body', b'')
+            more = message.get('more_body', False)
+        self._next += 1
+        port = self._ports[self._next % len(self._ports)]
+        free = self._free[port]
+        transport = free.pop() if free else _transport()
+        request = httpx.Request(
+            'POST',
+            f'http://127.0.0.1:{port}{scope["path"]}',
+            headers=[('x-artifact', ARTIFACT), ('x-request-id', 'x')],
+            content=body,
+            extensions={'timeout': {}},
+        )
+        response = await transport.handle_async_request(request)
+        await _pass_on(response, send)
+        free.append(transport)
+
+
+def _transport() -> httpx.AsyncHTTPTransport:
+    return httpx.AsyncHTTPTransport(verify=False, trust_env=False)
+
+
+async def _pass_on(response: httpx.Response, send: typing.Any) -> None:
+    headers = [(b'content-type', b'text/plain')]
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': response.status_code,
+            'headers': headers,
+        }
+    )
+    async for chunk in response.aiter_raw():
+        await send(
+            {'type': 'http.response.body', 'body': chunk, 'more_body': True}
+        )
+    await response.aclose()
+    await send({'type': 'http.response.body', 'body': b''})
+
+
+class _NoClaims:
+    """The bench sends no keys."""
+
+    async def claim(
+        self, caller: str, key: str, body_digest: bytes, deadline: float
+    ) -> once_api.ClaimAnswer:
+        return once_api.KeyRefused('claim_undecided')
+
+    async def settle(
+        self,
+        claim: once_api.Claim,
+        answer: once_api.StoredAnswer | None,
+        deadline: float,
+    ) -> None:
+        return None
+
+    async def withdraw(self, claim: once_api.Claim, deadline: float) -> bool:
+        return False
+
+
+def _catalog() -> records_api.Catalog:
+    digest = hashlib.sha256(API_KEY.encode()).hexdigest()
+    caller = records_api.Caller(
+        'bench',
+        digest,
+        requests_per_second=1e9,
+        max_in_flight=UNLIMITED,
+    )
+    model = records_api.Model('ticket', 'v1', 1 << 30, 'pool')
+    return records_api.Catalog(
+        offset=1, models={'ticket': model}, callers={'bench': caller}
+    )
+
+
+def _view(ports: list[int]) -> pools_api.PoolView:
+    ready = pools_api.ArtifactView(ARTIFACT, ready=True)
+    servers = tuple(
+        pools_api.ServerView(
+            f's{port}', '127.0.0.1', port, f'd{port % 3}', False, (ready,)
+        )
+        for port in ports
+    )
+    return pools_api.PoolView('pool', 'bench', 1, 1, servers)
+
+
+async def instance(ports: list[int]) -> None:
+    """Serve the product's path with its real parts."""
+    clock = clock_module.SystemClock()
+    catalog = _catalog()
+    rng = random.Random(1)
+    routes = router.ScoringRouter('d0')
+    routes.update_view(_view(ports), clock.now())
+    admission = controller.FairAdmission()
+    admission.update_catalog(catalog, clock.now())
+    admission.set_share('bench', 1.0)
+    admission.set_capacity(ARTIFACT, UNLIMITED, 0.98)
+    table = path_metrics.PathMetrics(metrics.Registry('bench'))
+    async with http.Connections(clock) as connections:
+        adapter = http.HttpEngine(connections)
+        dispatch = dispatcher.Dispatcher(
+            catalog=lambda: catalog,
+            router=routes,
+            admission=admission,
+            retries=budget.BudgetedRetries(rng),
+            claims=_NoClaims(),
+            engine=adapter,
+            services=adapter,
+            clock=clock,
+            rng=rng,
+            metrics=table,
+        )
+        bounds = limits.Limits()
+        kept = streams.StreamTable('bench', clock, bounds)
+        app = entry_app.EntryApp(
+            dispatch,
+            kept,
+            lambda: catalog,
+            clock,
+            bounds,
+            table,
+            health.Health(),
+        )
+        await _serve_instance(app, dispatch, clock)
+
+
+async def _serve_instance(
+    app: entry_app.EntryApp,
+    dispatch: dispatcher.Dispatcher,
+    clock: clock_module.Clock,
+) -> None:
+    settings = server.ServerSettings('127.0.0.1', 0, keep_alive_seconds=60.0)
+    listener = server.listen(settings)
+    _print_port(listener)
+    async with anyio.create_task_group() as group:
+        group.start_soon(dispatch.run_background)
+        group.start_soon(app.run_background)
+        await server.serve(app, settings, listener, anyio.Event(), clock)
+
+
+async def relay(ports: list[int]) -> None:
+    """Serve the floor of the libraries."""
+    await _serve_bare(_Relay(ports))
+
+
+def _profiled(work: typing.Callable[[], typing.Any], file: str) -> None:
+    import cProfile
+    import signal
+
+    profile = cProfile.Profile()
+
+    def stop(*_: object) -> None:
+        profile.disable()
+        profile.dump_stats(file)
+        raise SystemExit(0)
+
+    signal.signal(signal.SIGTERM, stop)
+    profile.enable()
+    work()
+
+
+def main() -> None:
+    """Run the role that the command line names."""
+    role, *arguments = sys.argv[1:]
+    profile = ''
+    if arguments and arguments[0].startswith('--profile='):
+        profile = arguments.pop(0).partition('=')[2]
+    if role == 'engine':
+        anyio.run(engine, float(arguments[0]))
+        return
+    ports = [int(argument) for argument in arguments]
+    served = instance if role == 'instance' else relay
+    if profile:
+        _profiled(lambda: anyio.run(served, ports), profile)
+    else:
+        anyio.run(served, ports)
+
+
+if __name__ == '__main__':
+    main()
