Send request targets exactly as given and measure the adapters

Cause: httpx rewrites dot segments, so a path could reach an upstream other than the one that was checked; header values outside ASCII raised. Change: the target goes out as an httpcore extension, headers as Latin-1; bench/adapters.py measures the adapters beside the bare floor.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of single parts on one machine."""
--- /dev/null
+++ b/bench/adapters.py
@@ -0,0 +1,211 @@
+"""Processor time of the HTTP adapters over loopback, beside the bare floor.
+
+The floor is a bare hypercorn handler called by a bare httpx client. Client
+and server share the process, so every figure is for both together.
+"""
+
+from __future__ import annotations
+
+import statistics
+import time
+import typing
+
+import anyio
+import anyio.lowlevel
+import httpx
+import msgspec
+
+from dogwoodquay import clock
+from dogwoodquay.platform import api
+from dogwoodquay.platform import http
+from dogwoodquay.platform.memory import batch
+from dogwoodquay import standin
+from dogwoodquay.standin import asgi
+from dogwoodquay.standin import server
+
+REQUESTS: typing.Final = 400
+STREAMS: typing.Final = 5
+CHUNKS: typing.Final = 1000
+ROUNDS: typing.Final = 5
+IN_PARALLEL: typing.Final = (1, 50)
+_CHUNK: typing.Final = b'id: 1\ndata: {"text":"0123456789"}\n\n'
+_SECONDS: typing.Final = 600.0
+
+_Job = typing.Callable[[int], typing.Awaitable[None]]
+
+
+class Figure(typing.NamedTuple):
+    """Microseconds of processor time for one unit of work."""
+
+    name: str
+    in_parallel: int
+    median: float
+    lowest: float
+    highest: float
+
+
+class _BareApp(asgi.App):
+    """Answers as little as can be, or streams chunks."""
+
+    async def serve(self, exchange: asgi.Exchange) -> None:
+        """Answer at once, or with many chunks for a stream's path."""
+        if exchange.path != '/stream':
+            await exchange.reply(200, _CHUNK)
+            return
+        await exchange.start(200, ())
+        for _ in range(CHUNKS):
+            await exchange.write(_CHUNK, more=True)
+            await anyio.lowlevel.checkpoint()
+        await exchange.write(b'', more=False)
+
+
+async def _measure(
+    name: str, job: _Job, in_parallel: int, count: int, units: int
+) -> Figure:
+    """Run a job often and divide the processor time by the units."""
+    figures = []
+    for _ in range(ROUNDS):
+        limiter = anyio.Semaphore(in_parallel)
+
+        async def limited(number: int, limiter: anyio.Semaphore) -> None:
+            async with limiter:
+                await job(number)
+
+        start = time.process_time()
+        async with anyio.create_task_group() as group:
+            for number in range(count):
+                group.start_soon(limited, number, limiter)
+        spent = time.process_time() - start
+        figures.append(spent / (count * units) * 1e6)
+    return Figure(
+        name,
+        in_parallel,
+        statistics.median(figures),
+        min(figures),
+        max(figures),
+    )
+
+
+def _completion(number: int, stream: bool) -> api.UpstreamCall:
+    body = {
+        'model': 'm',
+        'messages': [{'role': 'user', 'content': f'note {number}'}],
+        'max_tokens': CHUNKS if stream else 16,
+        'stream': stream,
+    }
+    return api.UpstreamCall(
+        f'attempt-{number}',
+        'POST',
+        '/v1/chat/completions',
+        (('content-type', 'application/json'),),
+        msgspec.json.encode(body),
+        time.time() + _SECONDS,
+        stream=stream,
+    )
+
+
+async def _bare(port: int) -> list[Figure]:
+    """Measure the floor and the adapter against the same bare handler."""
+    url = f'http://127.0.0.1:{port}'
+    figures = []
+    limits = httpx.Limits(max_connections=None)
+    async with (
+        httpx.AsyncClient(limits=limits, trust_env=False) as client,
+        http.Connections(clock.SystemClock()) as connections,
+    ):
+        service = http.HttpPlainService(connections)
+
+        async def floor(_: int) -> None:
+            await client.post(url, content=b'{}')
+
+        async def floor_stream(_: int) -> None:
+            async with client.stream('GET', f'{url}/stream') as response:
+                async for _chunk in response.aiter_raw():
+                    pass
+
+        async def adapter(number: int, stream: bool = False) -> None:
+            call = api.UpstreamCall(
+                f'attempt-{number}',
+                'POST',
+                '/stream' if stream else '/',
+                (),
+                b'{}',
+                time.time() + _SECONDS,
+                stream=stream,
+            )
+            async with service.call('127.0.0.1', port, call) as result:
+                async for _chunk in result.ok:
+                    pass
+
+        async def adapter_stream(number: int) -> None:
+            await adapter(number, stream=True)
+
+        for parallel in IN_PARALLEL:
+            for name, job in (('floor', floor), ('adapter', adapter)):
+                figures.append(
+                    await _measure(
+                        f'{name}, request', job, parallel, REQUESTS, 1
+                    )
+                )
+        for name, job in (
+            ('floor', floor_stream),
+            ('adapter', adapter_stream),
+        ):
+            figures.append(
+                await _measure(f'{name}, chunk', job, 1, STREAMS, CHUNKS)
+            )
+    return figures
+
+
+async def _engine(site: standin.StandInSite) -> list[Figure]:
+    """Measure whole calls to the stand-in engine."""
+    place = site.engines[0].address
+    figures = []
+    async with http.Connections(site.time) as connections:
+        engine = http.HttpEngine(connections)
+        order = api.Order('o1', 1, api.OrderKind.LOAD, 'm@1', 1)
+        await engine.order(*place, order, time.time() + _SECONDS)
+
+        async def call(number: int, stream: bool = False) -> None:
+            attempt = _completion(number, stream)
+            async with engine.call(*place, attempt) as result:
+                async for _chunk in result.ok:
+                    pass
+
+        async def stream(number: int) -> None:
+            await call(number, stream=True)
+
+        for parallel in IN_PARALLEL:
+            figures.append(
+                await _measure(
+                    'stand-in engine, request', call, parallel, REQUESTS, 1
+                )
+            )
+        figures.append(
+            await _measure('stand-in engine, chunk', stream, 1, 5, CHUNKS)
+        )
+    return figures
+
+
+async def _main() -> None:
+    options = standin.SiteOptions(
+        engines=1, service_servers=1, pace=batch.Pace(64, 0.0, 0.0, 0.0)
+    )
+    bare = server.Server(_BareApp())
+    async with anyio.create_task_group() as group:
+        await bare.start(group)
+        figures = await _bare(bare.port)
+        await bare.kill()
+    async with standin.StandInSite(options).running() as site:
+        figures += await _engine(site)
+    print('microseconds of processor time, client and server together')
+    for figure in figures:
+        print(
+            f'{figure.name:26} {figure.in_parallel:3} at once'
+            f' {figure.median:8.1f}'
+            f' ({figure.lowest:.1f} to {figure.highest:.1f})'
+        )
+
+
+if __name__ == '__main__':
+    anyio.run(_main)
--- a/src/dogwoodquay/platform/http/client.py
+++ b/src/dogwoodquay/platform/http/client.py
@@ -24,6 +24,7 @@
 __all__ = ['Connections', 'Headers', 'broken_reason', 'decode']
 
 CONNECT_SECONDS: typing.Final = 1.0
+CONNECT_SHARE: typing.Final = 0.9
 IDLE_SECONDS: typing.Final = 30.0
 KEEP_ALIVE_SECONDS: typing.Final = 2.0
 
@@ -32,12 +33,10 @@
 
 _Body = typing.TypeVar('_Body')
 
-_NOTHING_SENT: typing.Final = (
+_NO_CONNECTION: typing.Final = (
     httpx.ConnectError,
     httpx.ConnectTimeout,
     httpx.PoolTimeout,
-    httpx.UnsupportedProtocol,
-    httpx.LocalProtocolError,
 )
 _STOPPED_BEFORE_SEND: typing.Final = api.Unavailable('deadline')
 
@@ -57,19 +56,15 @@
         keep_alive_seconds: float = KEEP_ALIVE_SECONDS,
     ) -> None:
         self._time = time
-        self._timeout = {
-            'connect': connect_seconds,
-            'read': idle_seconds,
-            'write': idle_seconds,
-            'pool': connect_seconds,
-        }
+        self._connect_seconds = connect_seconds
+        self._idle_seconds = idle_seconds
         self._limits = httpx.Limits(
             max_connections=None,
             max_keepalive_connections=None,
             keepalive_expiry=keep_alive_seconds,
         )
         self._transports: dict[tuple[str, int], httpx.AsyncHTTPTransport] = {}
-        self._urls: dict[tuple[str, int, str], httpx.URL] = {}
+        self._urls: dict[tuple[str, int], httpx.URL] = {}
 
     async def __aenter__(self) -> Connections:
         return self
@@ -108,7 +103,9 @@
         if remaining <= 0:
             yield expression.Error(_STOPPED_BEFORE_SEND)
             return
-        request = self._request(address, port, method, path, headers, body)
+        request = self._request(
+            address, port, method, path, headers, body, remaining
+        )
         sent = await self._send(address, port, request, remaining)
         if sent.is_error():
             yield sent
@@ -154,8 +151,10 @@
         try:
             with anyio.fail_after(remaining):
                 response = await transport.handle_async_request(request)
-        except _NOTHING_SENT:
+        except _NO_CONNECTION:
             return expression.Error(api.Unavailable('connect'))
+        except httpx.LocalProtocolError:
+            return expression.Error(api.Unavailable('bad_request'))
         except TimeoutError:
             return expression.Error(api.Ambiguous('timeout'))
         except httpx.HTTPError as error:
@@ -171,22 +170,37 @@
         path: str,
         headers: Headers,
         body: bytes,
+        remaining: float,
     ) -> httpx.Request:
-        key = (address, port, path)
-        url = self._urls.get(key)
-        if url is None:
-            host = f'[{address}]' if ':' in address else address
-            url = httpx.URL(f'http://{host}:{port}{path}')
-            if '?' not in path and len(self._urls) < 4096:
-                self._urls[key] = url
+        """Make a request whose path goes out exactly as it is given."""
+        raw_headers = [
+            (name.encode('latin-1'), value.encode('latin-1'))
+            for name, value in headers
+        ]
+        connect_seconds = remaining * CONNECT_SHARE
+        connect_seconds = min(self._connect_seconds, connect_seconds)
+        timeout = {
+            'connect': connect_seconds,
+            'pool': connect_seconds,
+            'read': self._idle_seconds,
+            'write': self._idle_seconds,
+        }
         return httpx.Request(
             method,
-            url,
-            headers=headers,
+            self._url(address, port),
+            headers=raw_headers,
             content=body,
-            extensions={'timeout': self._timeout},
+            extensions={'timeout': timeout, 'target': path.encode('latin-1')},
         )
 
+    def _url(self, address: str, port: int) -> httpx.URL:
+        url = self._urls.get((address, port))
+        if url is None:
+            host = f'[{address}]' if ':' in address else address
+            url = httpx.URL(f'http://{host}:{port}/')
+            self._urls[address, port] = url
+        return url
+
     def _transport(self, address: str, port: int) -> httpx.AsyncHTTPTransport:
         found = self._transports.get((address, port))
         if found is None:
--- a/src/dogwoodquay/platform/memory/engine.py
+++ b/src/dogwoodquay/platform/memory/engine.py
@@ -233,7 +233,8 @@
         expression.Result[api.UpstreamAnswer, api.EngineError]
     ]:
         request = completion.parse(call.body)
-        known = call.path in (completion.CHAT_PATH, completion.COMPLETION_PATH)
+        path = call.path.partition('?')[0]
+        known = path in (completion.CHAT_PATH, completion.COMPLETION_PATH)
         if request is None or not known:
             status = 400 if known else 404
             yield expression.Ok(answer.problem(call, status, 'bad request'))
@@ -309,7 +310,7 @@
         work = _Generation(
             call.attempt_id,
             held.artifact,
-            call.path == completion.CHAT_PATH,
+            call.path.startswith(completion.CHAT_PATH),
             completion.answer_words(held.artifact, prompt, limit),
             tokens,
             self._time.now() + _RESUME_SECONDS,
--- a/src/dogwoodquay/standin/asgi.py
+++ b/src/dogwoodquay/standin/asgi.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import typing
 import urllib.parse
 
@@ -34,23 +35,32 @@
 
     method: str
     path: str
-    query: dict[str, str]
+    query: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
     _receive: Receive
     _send: Send
 
-    def header(self, name: str, default: str = '') -> str:
-        """Return a header's value."""
-        return dict(self.headers).get(name, default)
+    @property
+    def target(self) -> str:
+        """The path and query as they came."""
+        return f'{self.path}?{self.query}' if self.query else self.path
 
-    def number(self, name: str, default: float) -> float:
-        """Return a query parameter or header as a number."""
-        text = self.query.get(name) or self.header(name)
-        try:
-            return float(text) if text else default
-        except ValueError:
-            return default
+    def header(self, name: str) -> str:
+        """Return a header's value, or nothing."""
+        for found, value in self.headers:
+            if found == name:
+                return value
+        return ''
+
+    def header_number(self, name: str, default: float) -> float:
+        """Return a header's value as a number."""
+        return _number(self.header(name), default)
+
+    def query_number(self, name: str, default: float) -> float:
+        """Return a query parameter as a number."""
+        pairs = dict(urllib.parse.parse_qsl(self.query))
+        return _number(pairs.get(name, ''), default)
 
     async def start(
         self, status: int, headers: tuple[tuple[str, str], ...]
@@ -170,11 +180,10 @@
             break
         parts.append(message.get('body', b''))
         more = message.get('more_body', False)
-    query = urllib.parse.parse_qsl(scope['query_string'].decode('latin-1'))
     return Exchange(
         scope['method'],
         scope['raw_path'].decode('latin-1'),
-        dict(query),
+        scope['query_string'].decode('latin-1'),
         _headers(scope['headers']),
         b''.join(parts),
         receive,
@@ -189,3 +198,11 @@
         (name.decode('latin-1').lower(), value.decode('latin-1'))
         for name, value in raw
     )
+
+
+def _number(text: str, default: float) -> float:
+    try:
+        number = float(text)
+    except ValueError:
+        return default
+    return number if math.isfinite(number) else default
--- a/src/dogwoodquay/standin/platform.py
+++ b/src/dogwoodquay/standin/platform.py
@@ -51,11 +51,11 @@
         await exchange.reply_json(201, wire.OffsetBody(result.ok))
 
     async def _read(self, exchange: asgi.Exchange, stream: str) -> None:
-        wait = exchange.number('wait', 0.0)
+        wait = exchange.query_number('wait', 0.0)
         result = await self._log.read(
             stream,
-            int(exchange.number('offset', 0)),
-            min(READ_LIMIT, int(exchange.number('limit', READ_LIMIT))),
+            int(exchange.query_number('offset', 0)),
+            min(READ_LIMIT, int(exchange.query_number('limit', READ_LIMIT))),
             self._time.now() + (wait if wait > 0 else APPEND_SECONDS),
             wait=wait > 0,
         )
--- a/src/dogwoodquay/standin/upstream.py
+++ b/src/dogwoodquay/standin/upstream.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import math
 import typing
 
 import anyio
@@ -96,12 +95,12 @@
             await exchange.refuse(400, _BAD_BODY)
             return
         default = self._time.now() + DEFAULT_SECONDS
-        deadline = exchange.number(wire.DEADLINE_HEADER, default)
+        deadline = exchange.header_number(wire.DEADLINE_HEADER, default)
         result = await self._model.order(order, deadline)
         await _reply_result(exchange, result)
 
     async def _cache_events(self, exchange: asgi.Exchange) -> None:
-        first = int(exchange.number('from', 0))
+        first = int(exchange.query_number('from', 0))
         incarnation = self._model.memory.incarnation
         events = self._model.cache.events(first, incarnation)
         await exchange.reply_json(200, events)
@@ -140,20 +139,18 @@
 
 
 def _upstream_call(exchange: asgi.Exchange, now: float) -> api.UpstreamCall:
-    query = '&'.join(
-        f'{name}={value}' for name, value in exchange.query.items()
+    deadline = exchange.header_number(
+        wire.DEADLINE_HEADER, now + DEFAULT_SECONDS
     )
-    path = f'{exchange.path}?{query}' if query else exchange.path
-    deadline = exchange.number(wire.DEADLINE_HEADER, now + DEFAULT_SECONDS)
     return api.UpstreamCall(
         attempt_id=exchange.header(wire.ATTEMPT_HEADER),
         method=exchange.method,
-        path=path,
+        path=exchange.target,
         headers=exchange.headers,
         body=exchange.body,
-        deadline=deadline if math.isfinite(deadline) else now,
-        priority=int(exchange.number(wire.PRIORITY_HEADER, 0)),
-        resume_after=int(exchange.number(wire.LAST_EVENT_HEADER, -1)),
+        deadline=deadline,
+        priority=int(exchange.header_number(wire.PRIORITY_HEADER, 0)),
+        resume_after=int(exchange.header_number(wire.LAST_EVENT_HEADER, -1)),
     )
 
 
--- a/tests/unit/standin/test_site.py
+++ b/tests/unit/standin/test_site.py
@@ -312,6 +312,29 @@
 
         _run(main)
 
+    def test_path_and_headers_go_out_as_they_are(self) -> None:
+        """No path is rewritten, and what cannot be sent was not run."""
+
+        async def main(running: _Site) -> None:
+            service = http.HttpPlainService(running.connections)
+            place = running.site.services[0].address
+            headers = (('x-note', 'caf\xe9'),)
+            paths = []
+            for path in ('/a/../charges?b=%2e%2e', '/a b', '/a\r\nb: c'):
+                call = api.UpstreamCall(
+                    'a1', 'POST', path, headers, b'', running.deadline
+                )
+                async with service.call(*place, call) as result:
+                    if result.is_error():
+                        paths.append(result.error)
+                        continue
+                    body = b''.join([chunk async for chunk in result.ok])
+                paths.append(msgspec.json.decode(body)['path'])
+            unsent = api.Unavailable('bad_request')
+            self.assertEqual(['/a/../charges?b=%2e%2e', unsent, unsent], paths)
+
+        _run(main)
+
     def test_weight_store_tells_its_limits(self) -> None:
         """The limits arrive as they were set."""
 
