--- /dev/null
+++ b/src/dogwoodquay/node/configuration.py
@@ -0,0 +1,110 @@
+"""The configuration in force on this instance."""
+
+from __future__ import annotations
+
+import typing
+
+from ..journal import checkpointer as checkpointers
+from ..journal import follower as followers
+from ..records import state as records_state
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+    import random
+
+    from .. import clock as clocks
+    from ..platform import api as platform_api
+    from ..records import api as records_api
+    from . import snapshots
+
+__all__ = ['CONFIGURATION_STREAM', 'Configuration']
+
+CONFIGURATION_STREAM: typing.Final = 'config'
+
+
+class Configuration:
+    """Follows the operators' stream and tells of each new catalogue."""
+
+    def __init__(
+        self,
+        log: platform_api.Log,
+        peers: snapshots.PeerSnapshots,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._state = records_state.ConfigurationState()
+        self._follower = followers.Follower(
+            CONFIGURATION_STREAM, self._state, log, clock, rng, peers=peers
+        )
+        self._log = log
+        self._clock = clock
+        self._watchers: list[abc.Callable[[records_api.Catalog], None]] = []
+        self._shown = self._state.catalog
+        self._follower.watch(self._tell)
+        peers.serve(self._follower)
+
+    @property
+    def state(self) -> records_state.ConfigurationState:
+        """The replayed records and refusals."""
+        return self._state
+
+    @property
+    def follower(self) -> followers.Follower:
+        """What follows the operators' stream."""
+        return self._follower
+
+    @property
+    def offset(self) -> int:
+        """The offset up to which records are in force here."""
+        return self._state.offset
+
+    @property
+    def log_reachable(self) -> bool:
+        """Whether the last read of the log succeeded."""
+        return self._follower.status().kind is followers.StatusKind.FOLLOWING
+
+    @property
+    def ready(self) -> bool:
+        """Whether this instance knows what is declared.
+
+        While the log is out a peer's state will do.
+        """
+        status = self._follower.status()
+        if status.kind is followers.StatusKind.FOLLOWING:
+            return self._follower.caught_up
+        return self._state.offset >= 0
+
+    def catalog(self) -> records_api.Catalog:
+        """Return what is in force now."""
+        return self._state.catalog
+
+    def watch(
+        self, callback: abc.Callable[[records_api.Catalog], None]
+    ) -> None:
+        """Call back with the present and each new catalogue."""
+        self._watchers.append(callback)
+        callback(self._state.catalog)
+
+    def checkpointer(
+        self, is_writer: abc.Callable[[], bool], every_entries: int
+    ) -> checkpointers.Checkpointer:
+        """Return what writes this stream's checkpoints."""
+        return checkpointers.Checkpointer(
+            self._follower,
+            self._log,
+            self._clock,
+            is_writer,
+            every_entries=every_entries,
+        )
+
+    async def run(self) -> typing.NoReturn:
+        """Follow the stream for ever."""
+        await self._follower.run()
+
+    def _tell(self) -> None:
+        catalog = self._state.catalog
+        if catalog is self._shown:
+            return
+        self._shown = catalog
+        for callback in self._watchers:
+            callback(catalog)
--- a/src/dogwoodquay/ownership/proposal.py
+++ b/src/dogwoodquay/ownership/proposal.py
@@ -97,7 +97,10 @@
         if ownership.held_by(self.instance_id, self.incarnation):
             return False
         known = {
-            (member.instance_id, member.incarnation)
+            (
+                member.instance_id,
+                membership_api.boot_of(member.incarnation),
+            )
             for member in members
             if member.state is not membership_api.MemberState.DEAD
         }
--- a/src/dogwoodquay/ownership/runner.py
+++ b/src/dogwoodquay/ownership/runner.py
@@ -60,6 +60,8 @@
     ) -> None:
         """Make a runner.
 
+        :param incarnation: the boot of this process, which refutations of
+            false reports leave as it is.
         :param state: the state that ``follower`` replays.
         :param on_change: called with the new tenure, or nothing at its end.
         """
@@ -120,6 +122,8 @@
         """
         if self._leaving or not self._follower.caught_up:
             return False
+        if not self._membership.trusted:
+            return False
         ownership = self._state.ownership
         now = self._clock.now()
         members = self._membership.members()
