--- a/tests/unit/entry/client.py
+++ b/tests/unit/entry/client.py
@@ -82,11 +82,14 @@
         self,
         limits: limits_module.Limits | None = None,
         finder: streams.StreamFinder | None = None,
+        instance_id: str = 'here',
     ) -> None:
         self.rig = fakes.Rig()
         self.limits = limits or limits_module.Limits()
         self.health = health.Health(('configuration',))
-        self.streams = streams.StreamTable('here', self.rig.clock, self.limits)
+        self.streams = streams.StreamTable(
+            instance_id, self.rig.clock, self.limits
+        )
         self.app = app_module.EntryApp(
             self.rig.dispatcher,
             self.streams,
