--- a/src/dogwoodquay/dispatch/dispatcher.py
+++ b/src/dogwoodquay/dispatch/dispatcher.py
@@ -124,6 +124,10 @@
             del self._flights[call.request_id]
         return self._count(result)
 
+    def is_reachable(self, artifact: str) -> bool:
+        """Tell whether an artifact has a replica for new requests."""
+        return bool(self._router.replicas(artifact))
+
     def end(self, request_id: str, reason: reasons.Reason) -> None:
         """End a request early; its caller is told the reason."""
         flight = self._flights.get(request_id)
@@ -287,7 +291,9 @@
                 tries.chosen(replica)
                 return None
             case routing_api.NoReplica(label, retry_at):
-                reason = reasons.from_label(label, reasons.Reason.NO_REPLICA)
+                reason = reasons.from_label(
+                    label, reasons.Reason.NO_READY_REPLICA
+                )
                 return flight.refuse(reason, label, retry_at)
 
     async def _attempt(
