--- a/src/dogwoodquay/platform/memory/service.py
+++ b/src/dogwoodquay/platform/memory/service.py
@@ -74,7 +74,7 @@
         self.running = 0
         self.server_id = server_id
         self.book = book
-        self._service = service
+        self.service = service
         self._time = time
         self._rng = rng
         self._work_seconds = work_seconds
@@ -129,7 +129,7 @@
         await timeline.sleep_until(self._time, due)
         return _ENCODER.encode(
             Echo(
-                self._service,
+                self.service,
                 self.server_id,
                 call.method,
                 call.path,
--- a/src/dogwoodquay/standin/site.py
+++ b/src/dogwoodquay/standin/site.py
@@ -20,7 +20,7 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
-__all__ = ['Address', 'SiteOptions', 'StandInSite', 'Upstream']
+__all__ = ['Address', 'AnyUpstream', 'SiteOptions', 'StandInSite', 'Upstream']
 
 GIB: typing.Final = 2**30
 
@@ -35,7 +35,7 @@
 class SiteOptions(typing.NamedTuple):
     """Sizes and kinds of a site's parts."""
 
-    service: str = 'counter'
+    services: tuple[str, ...] = ('counter',)
     engines: int = 5
     service_servers: int = 3
     capacity_bytes: int = 80 * GIB
@@ -51,13 +51,18 @@
     seed: int = 1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Upstream:
+_Model = typing.TypeVar(
+    '_Model', bound=memory.EngineModel | memory.ServiceModel
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Upstream(typing.Generic[_Model]):
     """One engine or plain-service server with its place."""
 
     server_id: str
     failure_domain: str
-    model: memory.EngineModel | memory.ServiceModel
+    model: _Model
     server: server.Server
 
     @property
@@ -66,6 +71,9 @@
         return Address(server.LOOPBACK, self.server.port)
 
 
+AnyUpstream = Upstream[memory.EngineModel] | Upstream[memory.ServiceModel]
+
+
 class StandInSite:
     """Everything around the system, with the means to make it fail.
 
@@ -94,7 +102,9 @@
             self._engine(index) for index in range(options.engines)
         )
         self.services = tuple(
-            self._service(index) for index in range(options.service_servers)
+            self._service(name, index)
+            for name in options.services
+            for index in range(options.service_servers)
         )
         self._log_server = server.Server(platform.LogApp(self.log, self.time))
         self._list_server = server.Server(
@@ -123,11 +133,7 @@
     @property
     def memory_violations(self) -> int:
         """How often any engine was asked to hold more than it can."""
-        return sum(
-            found.model.memory_violations
-            for found in self.engines
-            if isinstance(found.model, memory.EngineModel)
-        )
+        return sum(found.model.memory_violations for found in self.engines)
 
     @contextlib.asynccontextmanager
     async def running(self) -> abc.AsyncIterator[StandInSite]:
@@ -136,7 +142,7 @@
             self._group = group
             for found in self._servers():
                 await found.start(group)
-            for part in self.engines + self.services:
+            for part in self._upstreams():
                 self._announce(part, api.InstanceState.LIVE)
             try:
                 yield self
@@ -145,9 +151,9 @@
                     for found in self._servers():
                         await found.kill()
 
-    def upstream(self, server_id: str) -> Upstream:
+    def upstream(self, server_id: str) -> AnyUpstream:
         """Return an engine or service server by its id."""
-        for found in self.engines + self.services:
+        for found in self._upstreams():
             if found.server_id == server_id:
                 return found
         raise KeyError(server_id)
@@ -176,16 +182,18 @@
         """Begin or end an outage of the log."""
         self.log.faults.outage = outage
 
+    def _upstreams(self) -> tuple[AnyUpstream, ...]:
+        return (*self.engines, *self.services)
+
     def _servers(self) -> tuple[server.Server, ...]:
-        upstreams = self.engines + self.services
         return (
             self._log_server,
             self._list_server,
             self._weights_server,
-            *(found.server for found in upstreams),
+            *(found.server for found in self._upstreams()),
         )
 
-    def _announce(self, found: Upstream, state: api.InstanceState) -> None:
+    def _announce(self, found: AnyUpstream, state: api.InstanceState) -> None:
         self.instances.put(
             api.Instance(
                 found.server_id,
@@ -197,7 +205,7 @@
             )
         )
 
-    def _engine(self, index: int) -> Upstream:
+    def _engine(self, index: int) -> Upstream[memory.EngineModel]:
         profile = memory.EngineProfile(
             f'engine-{index + 1}',
             self.options.capacity_bytes,
@@ -211,8 +219,7 @@
         domain = _failure_domain(index)
         return Upstream(profile.server_id, domain, model, server.Server(app))
 
-    def _service(self, index: int) -> Upstream:
-        name = self.options.service
+    def _service(self, name: str, index: int) -> Upstream[memory.ServiceModel]:
         server_id = f'{name}-{index + 1}'
         model = memory.ServiceModel(
             name, server_id, self.time, self._rng, self.book
