--- a/src/dogwoodquay/records/capacity.py
+++ b/src/dogwoodquay/records/capacity.py
@@ -76,16 +76,20 @@
 
 def units(catalog: api.Catalog, pool_name: str) -> abc.Iterator[Unit]:
     """Return all that has to be placed in a pool."""
-    adapters: dict[str, int] = {}
+    models = {
+        model.name: model
+        for model in catalog.models.values()
+        if model.pool == pool_name
+    }
+    adapters = dict.fromkeys(models, 0)
     for adapter in catalog.adapters.values():
-        size = sum(size for _, size in _versions(catalog, adapter))
-        adapters[adapter.base] = adapters.get(adapter.base, 0) + size
-    for model in catalog.models.values():
-        if model.pool != pool_name:
-            continue
+        if adapter.base in models:
+            for _, size in _versions(catalog, adapter):
+                adapters[adapter.base] += size
+    for model in models.values():
         for artifact, size in _versions(catalog, model):
             for replica in range(model.min_replicas):
-                extra = adapters.get(model.name, 0) if replica == 0 else 0
+                extra = adapters[model.name] if replica == 0 else 0
                 yield Unit(artifact, replica, size + extra)
 
 
--- a/src/dogwoodquay/records/rules.py
+++ b/src/dogwoodquay/records/rules.py
@@ -36,7 +36,7 @@
         or _check_names(before, item)
         or _check_servers(after, item)
         or _check_versions(after, item)
-        or _check_capacity(before, after)
+        or _check_capacity(before, after, item)
     )
 
 
@@ -209,24 +209,63 @@
     )
 
 
-def _check_capacity(before: api.Catalog, after: api.Catalog) -> _Refused:
-    """Check each pool whose contents or servers a record changes."""
-    for name in after.pools:
-        if not _is_changed(before, after, name):
-            continue
-        shortage = capacity.find_shortage(after, name)
-        if shortage is not None:
-            return refusal.Refusal(
-                refusal.Reason.DOES_NOT_FIT, f'{shortage}; nothing changes'
-            )
-    return None
+def _check_capacity(
+    before: api.Catalog, after: api.Catalog, item: lift.Internal
+) -> _Refused:
+    """Check the pool of which a record takes more, or which it shrinks."""
+    name = _pool_of(after, item)
+    if not name:
+        return None
+    if not _shrinks(before, after, name) and not _grows(before, after, name):
+        return None
+    shortage = capacity.find_shortage(after, name)
+    if shortage is None:
+        return None
+    return refusal.Refusal(
+        refusal.Reason.DOES_NOT_FIT, f'{shortage}; nothing changes'
+    )
 
 
-def _is_changed(before: api.Catalog, after: api.Catalog, name: str) -> bool:
-    if before.pools.get(name) != after.pools[name]:
-        return True
-    units_before = sorted(capacity.units(before, name))
-    return units_before != sorted(capacity.units(after, name))
+def _pool_of(after: api.Catalog, item: lift.Internal) -> str:
+    match item:
+        case api.Pool(name=name):
+            return name
+        case api.Model(pool=pool):
+            return pool
+        case api.Adapter(base=base):
+            return after.models[base].pool
+        case api.Rollout(target=target):
+            found = after.models.get(target) or after.adapters[target]
+            return _pool_of(after, found)
+        case _:
+            return ''
+
+
+def _shrinks(before: api.Catalog, after: api.Catalog, name: str) -> bool:
+    """Say whether a pool loses a server or a part of one."""
+    pool = before.pools.get(name)
+    if pool is None:
+        return False
+    left = {
+        server.server_id: server.capacity_bytes
+        for server in after.pools[name].servers
+    }
+    return any(
+        left.get(server.server_id, 0) < server.capacity_bytes
+        for server in pool.servers
+    )
+
+
+def _grows(before: api.Catalog, after: api.Catalog, name: str) -> bool:
+    """Say whether more than before has to be placed in a pool."""
+    placed = {
+        (unit.artifact, unit.replica): unit.memory_bytes
+        for unit in capacity.units(before, name)
+    }
+    return any(
+        placed.get((unit.artifact, unit.replica), 0) < unit.memory_bytes
+        for unit in capacity.units(after, name)
+    )
 
 
 def _listed(names: abc.Sequence[str]) -> str:
--- a/tests/unit/records/test_catalog.py
+++ b/tests/unit/records/test_catalog.py
@@ -176,6 +176,18 @@
             h.model_v2('m', 60 * h.GIB, min_replicas=2),
         )
 
+    def test_taking_less_is_never_refused_for_room(self) -> None:
+        """A tight pool lets its models shrink and its servers grow."""
+        found = _replay(
+            h.pool('p', (1, 2)),
+            h.model_v1('m', 40),
+            h.model_v1('n', 40),
+            h.model_v1('m', 39),
+            h.pool('p', (1, 2, 3)),
+            h.withdraw('model', 'n'),
+        )
+        self.assertEqual((), found.refused)
+
     def test_versions_of_one_artifact_have_one_size(self) -> None:
         """A rollout may end in the model's record, with its size."""
         rollout = h.encode(
