--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions."""
--- /dev/null
+++ b/bench/policy/__init__.py
@@ -0,0 +1,1 @@
+"""The bench of routing, admission, retries and placement."""
--- a/src/dogwoodquay/placement/planner.py
+++ b/src/dogwoodquay/placement/planner.py
@@ -16,7 +16,7 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
-__all__ = ['CostPlanner']
+__all__ = ['CostPlanner', 'note_pending']
 
 
 class CostPlanner:
@@ -51,7 +51,7 @@
             wanted.frozen(catalog, now),
             now,
         )
-        self._note_pending(draft, now)
+        note_pending(draft, self._past)
         pool.settle()
         yield None
         pool.rebalance()
@@ -64,15 +64,16 @@
         yield from retire.unload_retired(draft)
         yield api.Plan(tuple(draft.moves), tuple(draft.infeasible))
 
-    def _note_pending(self, draft: drafts.Draft, now: float) -> None:
-        """Count loads and unloads under way."""
-        for server in draft.pool.servers:
-            for artifact, size in server.contents.possible.items():
-                server_id = server.server_id
-                if self._past.is_withdrawn(server_id, artifact):
-                    server.ready.discard(artifact)
-                    draft.note_freeing(server, size)
-                elif artifact in server.ready:
-                    continue
-                elif self._past.is_coming(server_id, artifact, now):
-                    draft.pool.note_coming(server, artifact)
+
+def note_pending(draft: drafts.Draft, past: memory.MoveMemory) -> None:
+    """Count loads and unloads under way in a new draft."""
+    for server in draft.pool.servers:
+        for artifact, size in server.contents.possible.items():
+            server_id = server.server_id
+            if past.is_withdrawn(server_id, artifact):
+                server.ready.discard(artifact)
+                draft.note_freeing(server, size)
+            elif artifact in server.ready:
+                continue
+            elif past.is_coming(server_id, artifact, draft.now):
+                draft.pool.note_coming(server, artifact)
