Enter a cancel scope only for writes that wait

Cause: half of the time of a relayed event went into the cancel scope around each write, and a quarter into waking a reader that was not there.

--- a/src/dogwoodquay/entry/live.py
+++ b/src/dogwoodquay/entry/live.py
@@ -14,11 +14,11 @@
 import expression
 
 from ..dispatch import reasons
+from . import eager
 from . import problems
 
 if typing.TYPE_CHECKING:
-    from collections import abc
-
+    from .. import clock as clock_module
     from . import limits as limits_module
 
 __all__ = ['LiveStream', 'Reader']
@@ -57,6 +57,7 @@
         self._finished = False
         self._reader: Reader | None = None
         self._changed = anyio.Event()
+        self._waited_for = False
         self._room = anyio.Event()
         self._expires_at: float | None = None
 
@@ -118,7 +119,8 @@
         self._unread += len(frames)
         if self._held > self._limits.stream_kept_bytes:
             self._trim()
-        self._changed.set()
+        if self._waited_for:
+            self._changed.set()
 
     async def wait_for_room(self) -> None:
         """Wait while the reader lags by more than the window."""
@@ -182,7 +184,9 @@
     async def wait_for_change(self) -> None:
         """Wait for events or the end."""
         self._changed = anyio.Event()
+        self._waited_for = True
         await self._changed.wait()
+        self._waited_for = False
 
     def wake(self) -> None:
         """Wake whoever waits for a change."""
@@ -248,18 +252,19 @@
             self._scope.cancel()
 
     async def send(
-        self,
-        send: abc.Callable[[bytes], abc.Awaitable[None]],
-        data: bytes,
-        now: float,
+        self, writing: eager.Coroutine, clock: clock_module.Clock
     ) -> bool:
-        """Send to the connection; false when the reading has ended."""
+        """Write to the connection; false when the reading has ended."""
         if self._ended is not None:
+            writing.close()
             return False
-        self._sending_since = now
+        waiting = eager.start(writing)
+        if waiting is None:
+            return True
+        self._sending_since = clock.now()
         with anyio.CancelScope() as scope:
             self._scope = scope
-            await send(data)
+            await waiting.finish()
         self._scope = None
         self._sending_since = None
         return not scope.cancelled_caught
--- a/src/dogwoodquay/entry/relay.py
+++ b/src/dogwoodquay/entry/relay.py
@@ -54,7 +54,7 @@
         if reader is None:
             await stream.wait_for_room()
             return
-        if await reader.send(self._send, frames, self._clock.now()):
+        if await reader.send(self._send(frames), self._clock):
             stream.mark_read()
         else:
             self.disconnected()
@@ -82,7 +82,7 @@
         reader = self._reader
         if reader is None:
             return
-        await reader.send(self._responder.end, closing, self._clock.now())
+        await reader.send(self._responder.end(closing), self._clock)
         self.disconnected()
 
     async def _send(self, frames: bytes) -> None:
--- a/tests/unit/entry/test_streams.py
+++ b/tests/unit/entry/test_streams.py
@@ -11,6 +11,7 @@
 
 from dogwoodquay.dispatch import api
 from dogwoodquay.dispatch import reasons
+from dogwoodquay.entry import eager
 from dogwoodquay.entry import limits as limits_module
 from dogwoodquay.entry import streams as streams_module
 from tests.unit.dispatch import fakes
@@ -343,3 +344,50 @@
             self.assertNotIn(b'[DONE]', connection.reply.body)
 
         self.run_with(work)
+
+
+class EagerTest(unittest.TestCase):
+    """The first step of a coroutine, and the rest of it."""
+
+    def test_waits_and_is_cancelled(self) -> None:
+        async def main() -> None:
+            seen = []
+
+            async def write(event: anyio.Event) -> None:
+                seen.append('started')
+                try:
+                    await event.wait()
+                    seen.append('done')
+                finally:
+                    seen.append('left')
+
+            waiting = eager.start(write(anyio.Event()))
+            with anyio.move_on_after(0.01) as scope:
+                await waiting.finish()  # type: ignore[union-attr]
+            self.assertTrue(scope.cancelled_caught)
+            self.assertEqual(seen, ['started', 'left'])
+            event = anyio.Event()
+            event.set()
+            waiting = eager.start(write(event))
+            await waiting.finish()  # type: ignore[union-attr]
+            self.assertEqual(seen[2:], ['started', 'done', 'left'])
+
+        anyio.run(main)
+
+    def test_ends_at_once(self) -> None:
+        async def write() -> None:
+            pass
+
+        self.assertIsNone(eager.start(write()))
+
+    def test_error_after_waiting(self) -> None:
+        async def write() -> None:
+            await anyio.sleep(0)
+            raise ValueError('late')
+
+        async def main() -> None:
+            waiting = eager.start(write())
+            with self.assertRaises(ValueError):
+                await waiting.finish()  # type: ignore[union-attr]
+
+        anyio.run(main)
