--- a/src/dogwoodquay/placement/draft.py
+++ b/src/dogwoodquay/placement/draft.py
@@ -134,18 +134,27 @@
         return any(other is not server for other in others)
 
     def spare(self, server: state.ServerPlan, artifact: str) -> bool:
-        """Return whether a replica may go to make room for another."""
-        item = self.pool.artifacts.get(artifact)
-        if item is None or item.successor:
-            return self.may_unload(server, artifact)
-        if len(self.pool.ready(artifact)) <= item.min_replicas:
-            return False
-        resident = self._past.ready_seconds(
-            server.server_id, artifact, self.now
+        """Return whether a replica may go now to make room for another."""
+        return self._superfluous(server, artifact) and self.may_unload(
+            server, artifact
         )
-        if resident < self.settings.residence_seconds:
-            return False
-        return self.may_unload(server, artifact)
+
+    def spare_group(
+        self, server: state.ServerPlan, artifact: str
+    ) -> list[str]:
+        """Return a replica and the adapters on it, if all may go."""
+        if not self._superfluous(server, artifact):
+            return []
+        adapters = self.sitting(server, artifact)
+        if not adapters:
+            return [artifact] if self.may_unload(server, artifact) else []
+        if self.is_frozen(artifact) or artifact not in server.ready:
+            return []
+        if len(self.pool.ready(artifact)) < 2:
+            return []
+        if not all(self.spare(server, name) for name in adapters):
+            return []
+        return [*adapters, artifact]
 
     def sitting(self, server: state.ServerPlan, artifact: str) -> list[str]:
         """Return adapters in a server's memory that need an artifact."""
@@ -179,6 +188,18 @@
         free = max((item.free for item in self.pool.staying), default=0)
         self.infeasible.append(api.Infeasible(artifact, reason, needed, free))
 
+    def _superfluous(self, server: state.ServerPlan, artifact: str) -> bool:
+        """Return whether enough others are ready, and it stayed a while."""
+        item = self.pool.artifacts.get(artifact)
+        if item is None or item.successor:
+            return True
+        if len(self.pool.ready(artifact)) <= item.min_replicas:
+            return False
+        resident = self._past.ready_seconds(
+            server.server_id, artifact, self.now
+        )
+        return resident >= self.settings.residence_seconds
+
     def _spare_bytes(self, server: state.ServerPlan) -> int:
         return sum(
             server.contents.possible[artifact]
--- a/src/dogwoodquay/placement/reach.py
+++ b/src/dogwoodquay/placement/reach.py
@@ -92,18 +92,24 @@
     missing = memory - server.free - draft.freeing(server)
     if missing <= 0:
         return []
-    pool = draft.pool
-    spares = [name for name in server.ready if draft.spare(server, name)]
-    spares.sort(key=lambda name: (pool.needs.get(name, 0.0), name))
-    chosen = []
-    for name in spares:
-        chosen.append(name)
-        missing -= server.contents.possible[name]
+    needs = draft.pool.needs
+    groups = [draft.spare_group(server, name) for name in server.ready]
+    groups = [group for group in groups if group]
+    groups.sort(key=lambda group: (_need(group, needs), group[-1]))
+    chosen: list[str] = []
+    for group in groups:
+        added = [name for name in group if name not in chosen]
+        chosen += added
+        missing -= sum(server.contents.possible[name] for name in added)
         if missing <= 0:
             return chosen
     return None
 
 
+def _need(group: list[str], needs: dict[str, float]) -> float:
+    return sum(needs.get(name, 0.0) for name in group)
+
+
 def _urgency(
     draft: drafts.Draft, item: wanted.Artifact
 ) -> tuple[bool, bool, float, int, str]:
--- a/src/dogwoodquay/routing/prefix.py
+++ b/src/dogwoodquay/routing/prefix.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import typing
 
 if typing.TYPE_CHECKING:
@@ -11,6 +12,9 @@
 __all__ = ['PrefixIndex', 'PrefixSettings']
 
 
+_GAPS_KEPT: typing.Final = 32
+
+
 class PrefixSettings(typing.NamedTuple):
     """Bounds of the index and how fast it stops believing an entry."""
 
@@ -21,23 +25,46 @@
 
 
 class _Entry(typing.NamedTuple):
-    """When a block was last confirmed, and when to stop believing it."""
+    """When to stop believing a block, and the gaps before it was told."""
 
-    stamp: float
     expires_at: float
     generation: int
+    gaps: int
 
 
 class _Source:
     """What is known of one server's event stream."""
 
-    __slots__ = ('gap_at', 'generation', 'incarnation', 'next_sequence')
+    __slots__ = (
+        'gap_times',
+        'gaps',
+        'generation',
+        'incarnation',
+        'next_sequence',
+    )
 
     def __init__(self) -> None:
         self.incarnation = ''
         self.next_sequence = -1
         self.generation = 0
-        self.gap_at = float('-inf')
+        self.gaps = 0
+        self.gap_times: collections.deque[float] = collections.deque(
+            maxlen=_GAPS_KEPT
+        )
+
+    def note_gap(self, now: float) -> None:
+        """Note that events were lost."""
+        self.gaps += 1
+        self.gap_times.append(now)
+
+    def first_gap_after(self, gaps: int) -> float:
+        """Return the time of the first gap after so many; or infinity."""
+        missed = self.gaps - gaps
+        if not missed:
+            return math.inf
+        if missed > len(self.gap_times):
+            return -math.inf
+        return self.gap_times[-missed]
 
 
 class PrefixIndex:
@@ -102,19 +129,13 @@
     def match(
         self, server_id: str, hashes: tuple[int, ...], now: float
     ) -> float:
-        """Return the share, 0 to 1, of a prompt that a server has cached.
-
-        Blocks of a prefix enter a cache in order, so the longest match is
-        found by bisection.
-        """
-        low, high = 0, len(hashes)
-        while low < high:
-            middle = (low + high) // 2
-            if self._holds(server_id, hashes[middle], now):
-                low = middle + 1
-            else:
-                high = middle
-        return low / len(hashes) if hashes else 0.0
+        """Return the share, 0 to 1, of a prompt that a server has cached."""
+        found = 0
+        for block_hash in hashes:
+            if not self._holds(server_id, block_hash, now):
+                break
+            found += 1
+        return found / len(hashes) if found else 0.0
 
     def _holds(self, server_id: str, block_hash: int, now: float) -> bool:
         entry = self._entries.get((server_id, block_hash))
@@ -123,9 +144,8 @@
         source = self._sources[server_id]
         if entry.generation != source.generation:
             return False
-        if entry.stamp > source.gap_at:
-            return True
-        return now < source.gap_at + self._settings.gap_lifetime_seconds
+        gap_at = source.first_gap_after(entry.gaps)
+        return now < gap_at + self._settings.gap_lifetime_seconds
 
     def _source(self, server_id: str) -> _Source:
         source = self._sources.get(server_id)
@@ -138,24 +158,23 @@
         source.incarnation = incarnation
         source.next_sequence = -1
         source.generation += 1
-        source.gap_at = float('-inf')
 
     def _follow(self, source: _Source, sequence: int, now: float) -> None:
         """Move along the stream and note a gap before a sequence number."""
         if 0 <= source.next_sequence < sequence:
-            source.gap_at = now
+            source.note_gap(now)
         source.next_sequence = max(source.next_sequence, sequence + 1)
 
     def _store(
         self, server_id: str, block_hash: int, now: float, lifetime: float
     ) -> None:
         key = (server_id, block_hash)
-        generation = self._source(server_id).generation
+        source = self._source(server_id)
         expires_at = now + lifetime
         known = self._entries.get(key)
-        if known is not None and known.generation == generation:
+        if known is not None and known.generation == source.generation:
             expires_at = max(expires_at, known.expires_at)
-        self._entries[key] = _Entry(now, expires_at, generation)
+        self._entries[key] = _Entry(expires_at, source.generation, source.gaps)
         self._entries.move_to_end(key)
         self._owners.setdefault(block_hash, {})[server_id] = None
         while len(self._entries) > self._settings.max_entries:
--- /dev/null
+++ b/tests/unit/routing/views.py
@@ -0,0 +1,76 @@
+"""Views, requests and reports for the router's tests."""
+
+from __future__ import annotations
+
+from dogwoodquay.platform import api as platform_api
+from dogwoodquay.pools import api as pools_api
+from dogwoodquay.routing import api
+
+ARTIFACT = 'm@1'
+
+
+def server(
+    number: int,
+    ready: bool = True,
+    leaving: bool = False,
+    withdrawing: bool = False,
+    address: str = '127.0.0.1',
+) -> pools_api.ServerView:
+    """Return a server with one artifact, in one of three domains."""
+    return pools_api.ServerView(
+        f's{number}',
+        address,
+        1,
+        f'd{number % 3}',
+        leaving,
+        (pools_api.ArtifactView(ARTIFACT, ready, withdrawing),),
+    )
+
+
+def view(
+    servers: list[pools_api.ServerView], version: int = 1
+) -> pools_api.PoolView:
+    """Return a pool's view."""
+    return pools_api.PoolView('pool', 'i0', 1, version, tuple(servers))
+
+
+def request(
+    attempt: int | str,
+    prompt: int = 400,
+    hashes: tuple[int, ...] = (),
+    avoid_servers: frozenset[str] = frozenset(),
+    avoid_domains: frozenset[str] = frozenset(),
+    priority: int = 3,
+) -> api.RouteRequest:
+    """Return a request for the artifact."""
+    return api.RouteRequest(
+        str(attempt),
+        ARTIFACT,
+        prompt,
+        priority,
+        1e9,
+        hashes,
+        avoid_servers,
+        avoid_domains,
+    )
+
+
+def report(
+    time: float, queued: int, running: int = 0
+) -> platform_api.LoadReport:
+    """Return a load report."""
+    return platform_api.LoadReport(time, running, queued, 0.0, 0.0)
+
+
+def stored(
+    incarnation: str, start: int, hashes: tuple[int, ...]
+) -> platform_api.CacheEvents:
+    """Return events of blocks that entered a cache."""
+    return platform_api.CacheEvents(
+        incarnation,
+        start + len(hashes),
+        tuple(
+            platform_api.CacheEvent(start + n, block, True)
+            for n, block in enumerate(hashes)
+        ),
+    )
