--- a/src/dogwoodquay/once/api.py
+++ b/src/dogwoodquay/once/api.py
@@ -29,7 +29,7 @@
     """One request's wish to run under a key.
 
     ``body_digest`` covers method, path and body, so that the same key with
-    another request is found out.
+    another request is found out. ``boot`` tells the process of the instance.
     """
 
     claim_id: str
@@ -37,6 +37,7 @@
     key: str
     body_digest: bytes
     instance: str
+    boot: int = 0
 
 
 class StoredAnswer(msgspec.Struct, frozen=True):
@@ -85,10 +86,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyRefused:
-    """The request did not run; ``reason`` is the counter's label."""
+    """The request did not run; ``reason`` is the counter's label.
+
+    ``attempt_only`` is true when just this attempt is known not to have run:
+    without the log nobody can tell whether there was an earlier one.
+    """
 
     reason: str
     retry_at: float | None = None
+    attempt_only: bool = False
 
 
 ClaimAnswer = Granted | Running | Known | Unknown | Conflict | KeyRefused
--- /dev/null
+++ b/src/dogwoodquay/once/shell.py
@@ -0,0 +1,208 @@
+"""Claims on idempotency keys over the log."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+import uuid
+
+import anyio
+
+from . import answers
+from . import api
+from . import entries
+from . import keys
+from . import shard
+from . import table
+from ..wire import api as wire_api
+
+if typing.TYPE_CHECKING:
+    import random
+
+    from .. import clock as clocks
+    from ..journal import api as journal_api
+    from ..journal import follower as journal_follower
+    from ..membership import api as membership_api
+    from ..platform import api as platform_api
+
+__all__ = ['ClaimSettings', 'LogClaims']
+
+STREAM_PREFIX: typing.Final = 'claims.'
+HORIZON_CHECK_SECONDS: typing.Final = 30.0
+FETCH_SECONDS: typing.Final = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimSettings:
+    """Limits of the claims of one instance.
+
+    ``appends_per_second`` is what all instances together may append.
+    ``key_lifetime_seconds`` is shortened when more than ``max_keys`` are
+    kept, but never below ``table.MIN_LIFETIME_MS``.
+    """
+
+    shards: int = 1
+    appends_per_second: float = 150.0
+    min_interval_seconds: float = 0.01
+    key_lifetime_seconds: float = 86_400.0
+    max_keys: int = 300_000
+
+
+class LogClaims:
+    """Implements ``api.Claims``."""
+
+    def __init__(
+        self,
+        settings: ClaimSettings,
+        log: platform_api.Log,
+        members: membership_api.Membership,
+        transport: wire_api.Transport,
+        clock: clocks.Clock,
+        rng: random.Random,
+        snapshots: journal_api.SnapshotSource | None = None,
+    ) -> None:
+        self._settings = settings
+        self._members = members
+        self._transport = transport
+        self._clock = clock
+        self._rng = rng
+        self._instance = members.own.instance_id
+        self._answers = answers.AnswerStore()
+        boot = members.own.incarnation
+        self._shards = [
+            shard.Shard(
+                f'{STREAM_PREFIX}{number}',
+                self._instance,
+                boot,
+                log,
+                clock,
+                rng,
+                members.dead,
+                self._interval,
+                snapshots,
+            )
+            for number in range(settings.shards)
+        ]
+        transport.register(answers.FetchAnswer, self._on_fetch)
+        transport.register(answers.AnswerBody)
+
+    @property
+    def followers(self) -> tuple[journal_follower.Follower, ...]:
+        """The followers of all shards, for checkpoints and status."""
+        return tuple(part.follower for part in self._shards)
+
+    @property
+    def appends(self) -> int:
+        """How many appends this instance sent."""
+        return sum(part.batcher.appends for part in self._shards)
+
+    async def run(self) -> None:
+        """Follow and append all shards until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            for part in self._shards:
+                tasks.start_soon(part.run)
+            tasks.start_soon(self._raise_horizons)
+
+    async def claim(
+        self, caller: str, key: str, body_digest: bytes, deadline: float
+    ) -> api.ClaimAnswer:
+        """Claim a key; returns once the log has decided."""
+        part = self._shard(caller, key)
+        answer = await part.claim(caller, key, body_digest, deadline)
+        if isinstance(answer, api.Known) and answer.answer.truncated:
+            return await self._fetch(caller, key, answer, deadline)
+        return answer
+
+    async def settle(
+        self,
+        claim: api.Claim,
+        answer: api.StoredAnswer | None,
+        deadline: float,
+    ) -> None:
+        """Record the end of a granted claim."""
+        if answer is not None and answers.size(answer) > answers.INLINE_BYTES:
+            answer = self._keep(claim, answer)
+        part = self._shard(claim.caller, claim.key)
+        await part.settle(claim, answer, deadline)
+
+    async def withdraw(self, claim: api.Claim, deadline: float) -> bool:
+        """Free a granted key whose request certainly did not run."""
+        part = self._shard(claim.caller, claim.key)
+        return await part.withdraw(claim, deadline)
+
+    def _shard(self, caller: str, key: str) -> shard.Shard:
+        found = keys.key_id(caller, key)
+        if found is None:
+            return self._shards[0]
+        number = int.from_bytes(found.digest[:8], 'big')
+        return self._shards[number % len(self._shards)]
+
+    def _interval(self) -> float:
+        writers = max(1, len(self._members.members()))
+        total = writers * len(self._shards)
+        needed = total / self._settings.appends_per_second
+        return max(self._settings.min_interval_seconds, needed)
+
+    def _keep(
+        self, claim: api.Claim, answer: api.StoredAnswer
+    ) -> api.StoredAnswer:
+        found = keys.key_id(claim.caller, claim.key)
+        assert found is not None
+        self._answers.put(found.digest, answer)
+        return api.StoredAnswer(
+            answer.status, (), b'', truncated=True, holder=self._instance
+        )
+
+    async def _fetch(
+        self, caller: str, key: str, known: api.Known, deadline: float
+    ) -> api.ClaimAnswer:
+        found = keys.key_id(caller, key)
+        assert found is not None
+        own = self._answers.get(found.digest)
+        if own is not None:
+            return api.Known(own)
+        peer = self._address(known.answer.holder)
+        if peer is None:
+            return known
+        limit = min(deadline, self._clock.now() + FETCH_SECONDS)
+        got = await self._transport.request(
+            peer, answers.FetchAnswer(found.digest), answers.AnswerBody, limit
+        )
+        return api.Known(got.ok.answer) if got.is_ok() else known
+
+    def _address(self, instance: str) -> wire_api.PeerAddress | None:
+        for member in self._members.members():
+            if member.instance_id == instance and instance != self._instance:
+                return wire_api.PeerAddress(member.address, member.port)
+        return None
+
+    async def _on_fetch(
+        self,
+        sender: wire_api.Sender,
+        message: answers.FetchAnswer,
+        deadline: float,
+    ) -> answers.AnswerBody | None:
+        answer = self._answers.get(message.key)
+        return None if answer is None else answers.AnswerBody(answer)
+
+    async def _raise_horizons(self) -> None:
+        while True:
+            pause = HORIZON_CHECK_SECONDS * self._rng.uniform(0.5, 1.5)
+            await anyio.sleep(pause)
+            for part in self._shards:
+                self._raise_horizon(part)
+
+    def _raise_horizon(self, part: shard.Shard) -> None:
+        lifetime = self._settings.key_lifetime_seconds
+        now_ms = int(self._clock.now() * 1000)
+        limit = self._settings.max_keys // len(self._shards)
+        wanted = part.table.horizon_for(limit, now_ms - int(lifetime * 1000))
+        wanted = min(wanted, now_ms - 2 * table.MIN_LIFETIME_MS)
+        step = max(1, int(lifetime * 1000) // 24)
+        behind = wanted - part.table.horizon_ms
+        if part.table.size and behind >= step:
+            part.raise_horizon(
+                entries.HorizonRaised(
+                    entry_id=uuid.uuid4().hex, below_ms=wanted
+                )
+            )
--- /dev/null
+++ b/tests/unit/once/machine.py
@@ -0,0 +1,315 @@
+"""Claims under all faults at once, against an oracle that counts runs."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import itertools
+import uuid
+
+from hypothesis import stateful
+from hypothesis import strategies
+
+from dogwoodquay.once import api
+from dogwoodquay.once import claimant
+from dogwoodquay.once import entries
+from dogwoodquay.once import keys
+from dogwoodquay.once import table
+from dogwoodquay.platform import api as platform_api
+
+START = 1_700_000_000.0
+INSTANCES = 3
+CALLERS = ('lakeshore', 'gulf')
+BODIES = (b'a' * 16, b'b' * 16)
+
+Name = tuple[str, str]
+
+
+def make_key(number: int, at: float = START) -> str:
+    """Return a UUID of version 7 with a time and a number."""
+    value = int(at * 1000) << 80 | 7 << 76 | 2 << 62 | number
+    return str(uuid.UUID(int=value))
+
+
+KEYS = tuple(make_key(n, START - 60.0 * n) for n in range(2))
+
+
+@dataclasses.dataclass(eq=False)
+class Attempt:
+    """A caller's attempt, and the entry whose verdict it waits for."""
+
+    name: Name
+    body: bytes
+    entry_id: str = ''
+
+
+class Process:
+    """One process of an instance; a crash makes another."""
+
+    def __init__(self, world: ClaimMachine, number: int, boot: int) -> None:
+        self.instance = f'instance-{number}'
+        self.boot = boot
+        self.table = table.ClaimTable()
+        self.claimant = claimant.Claimant(
+            self.instance,
+            boot,
+            self.table,
+            lambda instance, boot: (instance, boot) in world.dead,
+            world.new_id,
+        )
+        self.attempts: dict[str, Attempt] = {}
+        self.granted: list[api.Claim] = []
+        self.sent: list[api.Claim] = []
+
+
+indexes = strategies.integers(0, 50)
+
+
+class ClaimMachine(stateful.RuleBasedStateMachine):
+    """Processes share a log; entries in flight land late, twice or never."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._ids = itertools.count()
+        self.now = START
+        self.dead: set[tuple[str, int]] = set()
+        self.log: list[platform_api.LogEntry] = []
+        self.first_offset = 0
+        self.flying: list[entries.ClaimEntry] = []
+        self.runs: collections.Counter[Name] = collections.Counter()
+        self.answers: dict[Name, int] = {}
+        self.ran: set[str] = set()
+        self.bodies: dict[Name, set[bytes]] = collections.defaultdict(set)
+        self.refused: set[str] = set()
+        self.never: set[Name] = set()
+        self.unknown: set[Name] = set()
+        self.processes = [Process(self, n, 1) for n in range(INSTANCES)]
+
+    def new_id(self) -> str:
+        """Return an id that is unique in this run."""
+        return f'id-{next(self._ids)}'
+
+    @stateful.rule(
+        process=indexes,
+        caller=strategies.sampled_from(CALLERS),
+        key=strategies.sampled_from(KEYS),
+        body=strategies.sampled_from((*BODIES[:1], *BODIES)),
+    )
+    def begin(self, process: int, caller: str, key: str, body: bytes) -> None:
+        """A caller tries at some instance."""
+        subject = self._process(process)
+        name = (caller, key)
+        attempt = Attempt(name, body)
+        attempt_id, decision = subject.claimant.begin(
+            caller, key, body, self.now + 1e9, self.now
+        )
+        self.bodies[name].add(body)
+        subject.attempts[attempt_id] = attempt
+        self._decide(subject, attempt_id, decision)
+
+    @stateful.rule(index=indexes, again=strategies.booleans())
+    def land(self, index: int, again: bool) -> None:
+        """An append takes effect; it may be retried and land once more."""
+        if self.flying:
+            index %= len(self.flying)
+            entry = self.flying[index]
+            if not again:
+                del self.flying[index]
+            self._append(entry)
+
+    @stateful.rule(index=indexes)
+    def lose(self, index: int) -> None:
+        """An append never takes effect."""
+        if self.flying:
+            del self.flying[index % len(self.flying)]
+
+    @stateful.rule(process=indexes, count=strategies.integers(1, 6))
+    def read(self, process: int, count: int) -> None:
+        """An instance reads on, as far as the log still goes."""
+        subject = self._process(process)
+        for _ in range(count):
+            offset = subject.table.offset + 1
+            if offset < self.first_offset:
+                offset = self.first_offset - 1
+                subject.table.apply(platform_api.LogEntry(offset, 0.0, b''))
+            elif offset < len(self.log):
+                self._apply(subject, self.log[offset])
+
+    @stateful.rule(process=indexes)
+    def catch_up(self, process: int) -> None:
+        """What is in flight lands, and an instance reads all of it."""
+        flying, self.flying = self.flying, []
+        for entry in flying:
+            self._append(entry)
+        self.read(process, len(self.log) + 1)
+
+    @stateful.rule(process=indexes, index=indexes)
+    def send(self, process: int, index: int) -> None:
+        """A claimant sends the request, and the upstream runs it."""
+        subject = self._process(process)
+        if subject.granted:
+            claim = subject.granted.pop(index % len(subject.granted))
+            name = (claim.caller, claim.key)
+            self.runs[name] += 1
+            self.ran.add(claim.claim_id)
+            self.answers[name] = 200 + len(self.ran)
+            subject.sent.append(claim)
+
+    @stateful.rule(process=indexes, lost=strategies.booleans())
+    def settle(self, process: int, lost: bool) -> None:
+        """A claimant records its answer, or that the answer was lost."""
+        subject = self._process(process)
+        if subject.sent:
+            claim = subject.sent.pop()
+            status = self.answers[(claim.caller, claim.key)]
+            answer = None if lost else api.StoredAnswer(status, (), b'')
+            entry = subject.claimant.settlement(claim, answer)
+            self.flying.append(entry)
+
+    @stateful.rule(process=indexes)
+    def withdraw(self, process: int) -> None:
+        """A claimant ends a granted claim without having sent it."""
+        subject = self._process(process)
+        if subject.granted:
+            claim = subject.granted.pop()
+            self.refused.add(claim.claim_id)
+            self.flying.append(subject.claimant.withdrawal(claim))
+
+    @stateful.rule(process=indexes, may_land=strategies.just(True))
+    def give_up(self, process: int, may_land: bool) -> None:
+        """An attempt's deadline passes."""
+        subject = self._process(process)
+        if subject.attempts:
+            attempt_id = next(iter(subject.attempts))
+            decision = subject.claimant.give_up(attempt_id, may_land)
+            self._decide(subject, attempt_id, decision)
+
+    @stateful.rule(process=indexes)
+    def suspect(self, process: int) -> None:
+        """A process is held to be dead, rightly or not."""
+        subject = self._process(process)
+        self.dead.add((subject.instance, subject.boot))
+
+    @stateful.rule(process=indexes)
+    def crash(self, process: int) -> None:
+        """A process dies and another takes its place with nothing."""
+        number = process % INSTANCES
+        boot = self.processes[number].boot + 1
+        self.processes[number] = Process(self, number, boot)
+
+    @stateful.rule(process=indexes, source=indexes)
+    def restore(self, process: int, source: int) -> None:
+        """An instance takes over a snapshot that covers more."""
+        subject, other = self._process(process), self._process(source)
+        if other.table.offset > subject.table.offset:
+            subject.table.restore(other.table.snapshot())
+
+    @stateful.rule(minutes=strategies.sampled_from([1, 4, 12]))
+    def pass_time(self, minutes: int) -> None:
+        """The time of the log and of all instances goes on."""
+        self.now += 60.0 * minutes
+
+    @stateful.rule(back=strategies.sampled_from([0.0, 120.0, 600.0]))
+    def move_horizon(self, back: float) -> None:
+        """Some instance, perhaps with a fast clock, proposes a horizon."""
+        below = int((self.now - back) * 1000)
+        entry_id = self.new_id()
+        self.flying.append(
+            entries.HorizonRaised(entry_id=entry_id, below_ms=below)
+        )
+
+    @stateful.rule()
+    def trim(self) -> None:
+        """The log's retention ends for what it holds."""
+        self.first_offset = len(self.log)
+
+    @stateful.invariant()
+    def runs_at_most_once(self) -> None:
+        """No request runs twice, and none that was told not to have run."""
+        assert all(count <= 1 for count in self.runs.values()), self.runs
+        assert not self.refused & self.ran
+        assert not any(self.runs[name] for name in self.never)
+
+    def teardown(self) -> None:
+        """Given up claims lock nobody out once all is read."""
+        for subject in self.processes:
+            for attempt_id in list(subject.attempts):
+                decision = subject.claimant.give_up(attempt_id, True)
+                self._decide(subject, attempt_id, decision)
+        for entry in self.flying:
+            self._append(entry)
+        if self.first_offset:
+            return
+        reader = table.ClaimTable()
+        for entry in self.log:
+            reader.apply(entry)
+        for caller, key in itertools.product(CALLERS, KEYS):
+            found = keys.key_id(caller, key)
+            assert found is not None
+            status = reader.status(found)
+            if isinstance(status, table.OpenClaim):
+                assert status.claim_id not in self.refused, status
+
+    def _process(self, index: int) -> Process:
+        return self.processes[index % INSTANCES]
+
+    def _append(self, entry: entries.ClaimEntry) -> None:
+        payload = entries.CODEC.encode((entry,))
+        offset = len(self.log)
+        record = platform_api.LogEntry(offset, self.now, payload)
+        self.log.append(record)
+
+    def _apply(self, subject: Process, record: platform_api.LogEntry) -> None:
+        for verdict in subject.table.apply(record):
+            for attempt_id, attempt in list(subject.attempts.items()):
+                if attempt.entry_id == verdict.entry_id:
+                    decision = subject.claimant.decided(
+                        attempt_id, verdict.valid, self.now
+                    )
+                    self._decide(subject, attempt_id, decision)
+
+    def _decide(
+        self,
+        subject: Process,
+        attempt_id: str,
+        decision: claimant.Decision,
+    ) -> None:
+        self.flying += subject.claimant.take_withdrawals()
+        attempt = subject.attempts[attempt_id]
+        if isinstance(decision, claimant.Append):
+            attempt.entry_id = decision.entry.entry_id
+            self.flying.append(decision.entry)
+            return
+        del subject.attempts[attempt_id]
+        self._told(subject, attempt_id, attempt, decision)
+
+    def _told(
+        self,
+        subject: Process,
+        attempt_id: str,
+        attempt: Attempt,
+        answer: api.ClaimAnswer,
+    ) -> None:
+        name = attempt.name
+        match answer:
+            case api.Granted(claim):
+                assert (claim.caller, claim.key) == name
+                assert self.first_offset or name not in self.unknown
+                subject.granted.append(claim)
+            case api.KeyRefused(_, _, attempt_only):
+                self.refused.add(attempt_id)
+                if not attempt_only:
+                    self.never.add(name)
+            case api.Known(known):
+                assert self.runs[name] == 1
+                assert known.status == self.answers[name]
+                self.refused.add(attempt_id)
+            case api.Unknown():
+                self.unknown.add(name)
+                self.refused.add(attempt_id)
+            case api.Conflict():
+                assert len(self.bodies[name]) > 1
+                self.refused.add(attempt_id)
+            case api.Running(holder):
+                assert holder.startswith('instance-')
+                self.refused.add(attempt_id)
