--- a/bench/policy/world.py
+++ b/bench/policy/world.py
@@ -94,6 +94,7 @@
         ]
         self._planner = policy.planner()
         self._merged: tuple[placement_api.Demand, ...] = ()
+        self._speeds: dict[str, float] = {}
 
     def at(self, time: float, call: typing.Any, *args: typing.Any) -> None:
         """Schedule a call; it gets the time first."""
@@ -293,8 +294,12 @@
         for server in self.engines.values():
             if server.alive:
                 self._publish(server, now)
-        reports = [entry.demand.report(now) for entry in self.entries]
+        reports = [
+            entry.demand.report(now, entry.router.paces(now))
+            for entry in self.entries
+        ]
         self._merged = demand.merge(reports)
+        self._speeds = demand.speeds(reports)
 
     def _publish(self, server: engine.Engine, now: float) -> None:
         report = platform_api.LoadReport(
@@ -391,6 +396,7 @@
                 False,
                 frozenset(server.ready),
                 dict(server.possible),
+                self._speeds.get(server.server_id, 1.0),
             )
             for server in self.engines.values()
             if server.alive
--- a/src/dogwoodquay/placement/api.py
+++ b/src/dogwoodquay/placement/api.py
@@ -34,7 +34,8 @@
     """What a server holds or may hold, by artifact id, in bytes.
 
     ``ready`` can serve now; ``possible`` is all that may be in memory,
-    ready, loading or under an order without a known end.
+    ready, loading or under an order without a known end. ``speed`` is how
+    fast it works, as a share of the speed of a healthy server.
     """
 
     server_id: str
@@ -43,6 +44,7 @@
     leaving: bool
     ready: frozenset[str]
     possible: abc.Mapping[str, int]
+    speed: float = 1.0
 
 
 class Demand(typing.NamedTuple):
--- a/src/dogwoodquay/placement/congestion.py
+++ b/src/dogwoodquay/placement/congestion.py
@@ -34,7 +34,9 @@
     before += cost(server.load, target)
     bare = [item.load - load for item, load in zip(replicas, placed)]
     bare.append(server.load)
-    shares = state.split(pool.needs[artifact], bare)
+    speeds = [item.speed for item in replicas]
+    speeds.append(server.speed)
+    shares = state.split(pool.needs[artifact], bare, speeds)
     after = _total((a + b for a, b in zip(bare, shares)), target)
     return before - after
 
@@ -54,7 +56,8 @@
     bare = {item: item.load - load for item, load in zip(replicas, placed)}
     alone = bare.pop(server)
     loads = list(bare.values())
-    shares = state.split(pool.needs[artifact], loads)
+    speeds = [item.speed for item in bare]
+    shares = state.split(pool.needs[artifact], loads, speeds)
     after = _total((a + b for a, b in zip(loads, shares)), target)
     return after + cost(alone, target) - before
 
--- a/src/dogwoodquay/placement/demand.py
+++ b/src/dogwoodquay/placement/demand.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import statistics
 import typing
 
 import msgspec
@@ -12,12 +13,19 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
-__all__ = ['ArtifactDemand', 'DemandEstimator', 'DemandReport', 'merge']
+__all__ = [
+    'ArtifactDemand',
+    'DemandEstimator',
+    'DemandReport',
+    'merge',
+    'speeds',
+]
 
 FAST_SECONDS: typing.Final = 5.0
 SLOW_SECONDS: typing.Final = 60.0
 SIGNIFICANT_DEVIATIONS: typing.Final = 2.0
 NEGLIGIBLE_RATE: typing.Final = 0.001
+SLOW_PACE: typing.Final = 2.0
 
 
 class ArtifactDemand(msgspec.Struct, frozen=True, array_like=True):
@@ -32,11 +40,15 @@
 
 
 class DemandReport(msgspec.Struct, frozen=True, array_like=True):
-    """What one instance was asked for; reports of instances add up."""
+    """What one instance was asked for; reports of instances add up.
+
+    ``paces`` holds how slow each server seems to its router.
+    """
 
     instance_id: str
     time: float
     entries: tuple[ArtifactDemand, ...]
+    paces: dict[str, float] = {}
 
 
 class _Average:
@@ -110,8 +122,13 @@
         """Set how many requests wait for the artifact here."""
         self._rates_of(artifact, now).waiting = waiting
 
-    def report(self, now: float) -> DemandReport:
-        """Return the present rates and forget artifacts long unused."""
+    def report(
+        self, now: float, paces: dict[str, float] | None = None
+    ) -> DemandReport:
+        """Return the present rates and forget artifacts long unused.
+
+        :param paces: how slow each server seems to the router here.
+        """
         age = now - self._started_at
         entries = [
             _entry(artifact, rates, now, age)
@@ -121,7 +138,7 @@
         names = {entry.artifact for entry in kept}
         for artifact in [name for name in self._rates if name not in names]:
             del self._rates[artifact]
-        return DemandReport(self._instance_id, now, kept)
+        return DemandReport(self._instance_id, now, kept, paces or {})
 
     def _rates_of(self, artifact: str, now: float) -> _Rates:
         rates = self._rates.get(artifact)
@@ -145,6 +162,22 @@
     )
 
 
+def speeds(reports: abc.Iterable[DemandReport]) -> dict[str, float]:
+    """Return each server's speed, where the median pace is clearly slow."""
+    paces: dict[str, list[float]] = {}
+    for report in reports:
+        for server_id, pace in report.paces.items():
+            paces.setdefault(server_id, []).append(pace)
+    medians = {
+        server_id: statistics.median(values)
+        for server_id, values in paces.items()
+    }
+    return {
+        server_id: 1.0 / pace if pace > SLOW_PACE else 1.0
+        for server_id, pace in medians.items()
+    }
+
+
 def _entry(
     artifact: str, rates: _Rates, now: float, age: float
 ) -> ArtifactDemand:
--- a/src/dogwoodquay/placement/state.py
+++ b/src/dogwoodquay/placement/state.py
@@ -13,6 +13,9 @@
 __all__ = ['PoolState', 'ServerPlan', 'split']
 
 
+_MIN_SPEED: typing.Final = 0.05
+
+
 class ServerPlan:
     """One server as the plan so far would have it."""
 
@@ -34,6 +37,11 @@
         self.coming: set[str] = set()
         self.load = 0.0
 
+    @property
+    def speed(self) -> float:
+        """How fast the server works; one is healthy."""
+        return max(self.contents.speed, _MIN_SPEED)
+
     @property
     def domain(self) -> str:
         """The server's failure domain."""
@@ -49,18 +57,22 @@
         return artifact in self.contents.possible or artifact in self.coming
 
 
-def split(need: float, loads: abc.Sequence[float]) -> list[float]:
+def split(
+    need: float, loads: abc.Sequence[float], speeds: abc.Sequence[float]
+) -> list[float]:
     """Spread a need over servers so that the least loaded get it first.
 
-    :return: what each server gets, in the order of ``loads``.
+    :return: what each server's load gains, in the order of ``loads``.
     """
-    order = sorted(loads)
+    order = sorted(zip(loads, speeds))
     total = need
+    speed = 0.0
     level = 0.0
-    for count, load in enumerate(order, start=1):
-        total += load
-        level = total / count
-        if count == len(order) or level <= order[count]:
+    for index, (load, own) in enumerate(order):
+        total += load * own
+        speed += own
+        level = total / speed
+        if index + 1 == len(order) or level <= order[index + 1][0]:
             break
     return [max(0.0, level - load) for load in loads]
 
@@ -178,7 +190,8 @@
         if not replicas:
             return
         loads = [server.load for server in replicas]
-        shares = split(self.needs[artifact], loads)
+        speeds = [server.speed for server in replicas]
+        shares = split(self.needs[artifact], loads, speeds)
         self._placed[artifact] = shares
         for server, load in zip(replicas, shares):
             server.load += load
--- a/src/dogwoodquay/routing/baselines.py
+++ b/src/dogwoodquay/routing/baselines.py
@@ -81,6 +81,10 @@
         found = self._ready.get(artifact, self._services.get(artifact, ()))
         return tuple(r for r in found if r.server_id not in self._leaving)
 
+    def paces(self, now: float) -> dict[str, float]:
+        """Return nothing: it does not watch how fast servers are."""
+        return {}
+
     def _pick(
         self, replicas: abc.Sequence[api.Replica], rng: random.Random
     ) -> api.Replica:
--- a/src/dogwoodquay/routing/router.py
+++ b/src/dogwoodquay/routing/router.py
@@ -164,6 +164,18 @@
         """Return the replicas that may get new work."""
         return tuple(state.replica for state in self._open(artifact))
 
+    def paces(self, now: float) -> dict[str, float]:
+        """Return how slow each server seems; one is the mean of all.
+
+        The owner of a pool derives ``placement.api.Contents.speed`` from
+        the paces that instances report.
+        """
+        return {
+            server_id: state.pace(now)
+            for server_id, state in self._servers.items()
+            if state.pool != _SERVICES
+        }
+
     def _open(self, artifact: str) -> list[server.ServerState]:
         """Return the ready servers that are not leaving."""
         return [
