--- a/src/dogwoodquay/placement/scale.py
+++ b/src/dogwoodquay/placement/scale.py
@@ -1,4 +1,8 @@
-"""Loads that demand asks for, where they gain more than the move costs."""
+"""Loads that demand asks for, where they gain more than the move costs.
+
+They add replicas to what is served already, so each can be given up again
+and the room for a move is not lost.
+"""
 
 from __future__ import annotations
 
@@ -125,8 +129,7 @@
             draft.unload(server, name, 'make_room')
     fits = server.free >= item.memory_bytes
     if fits and not server.holds(item.artifact):
-        if draft.keeps_room(server, item.memory_bytes):
-            draft.load(server, item.artifact, 'demand')
+        draft.load(server, item.artifact, 'demand')
     if not server.holds(option.artifact):
         draft.pool.add(server, option.artifact)
 
