--- a/src/dogwoodquay/placement/baselines.py
+++ b/src/dogwoodquay/placement/baselines.py
@@ -9,6 +9,7 @@
 from . import memory
 from . import planner
 from . import reach
+from . import room
 from . import state
 from . import wanted
 
@@ -59,7 +60,7 @@
         for item in items:
             if draft.budget <= 0:
                 return
-            server = reach.best_server(draft, item)
+            server = room.best_server(draft, item)
             if server is not None and not item.successor:
                 draft.load(server, item.artifact, 'fill')
             yield None
--- a/src/dogwoodquay/placement/reach.py
+++ b/src/dogwoodquay/placement/reach.py
@@ -4,6 +4,8 @@
 
 import typing
 
+from . import room
+
 if typing.TYPE_CHECKING:
     from collections import abc
 
@@ -11,11 +13,7 @@
     from . import state
     from . import wanted
 
-__all__ = ['load_missing', 'load_minimum', 'make_room']
-
-_SAME_DOMAIN_PENALTY: typing.Final = 0.5
-_OLD_VERSION_PENALTY: typing.Final = 10.0
-_FULLNESS_WEIGHT: typing.Final = 0.5
+__all__ = ['load_minimum', 'load_missing']
 
 
 def load_missing(draft: drafts.Draft) -> abc.Iterator[None]:
@@ -44,7 +42,7 @@
             continue
         if draft.budget <= 0:
             return
-        server = best_server(draft, item)
+        server = room.best_server(draft, item)
         if server is not None and draft.keeps_room(server, item.memory_bytes):
             draft.load(server, item.artifact, 'min_replicas')
         elif pool.replicas(item.artifact):
@@ -53,63 +51,6 @@
             yield
 
 
-def best_server(
-    draft: drafts.Draft, item: wanted.Artifact
-) -> state.ServerPlan | None:
-    """Return the best server with free memory for one more replica."""
-    candidates = [
-        server
-        for server in draft.pool.staying
-        if server.free >= item.memory_bytes
-        and not server.holds(item.artifact)
-        and draft.fits_base(server, item.artifact)
-    ]
-    if not candidates:
-        return None
-    domains = {s.domain for s in draft.pool.replicas(item.artifact)}
-    old = draft.pool.predecessor(item.artifact)
-
-    def rank(server: state.ServerPlan) -> tuple[float, str]:
-        capacity = max(1, server.contents.capacity_bytes)
-        score = server.load + _FULLNESS_WEIGHT * (1 - server.free / capacity)
-        if server.domain in domains:
-            score += _SAME_DOMAIN_PENALTY
-        if old and server.holds(old):
-            score += _OLD_VERSION_PENALTY
-        return (score, server.server_id)
-
-    return min(candidates, key=rank)
-
-
-def make_room(
-    draft: drafts.Draft, server: state.ServerPlan, memory: int
-) -> list[str] | None:
-    """Return spare artifacts whose unload makes room, least needed first.
-
-    :return: nothing to unload when unloads under way suffice, and ``None``
-        when no unload would do.
-    """
-    missing = memory - server.free - draft.freeing(server)
-    if missing <= 0:
-        return []
-    needs = draft.pool.needs
-    groups = [draft.spare_group(server, name) for name in server.ready]
-    groups = [group for group in groups if group]
-    groups.sort(key=lambda group: (_need(group, needs), group[-1]))
-    chosen: list[str] = []
-    for group in groups:
-        added = [name for name in group if name not in chosen]
-        chosen += added
-        missing -= sum(server.contents.possible[name] for name in added)
-        if missing <= 0:
-            return chosen
-    return None
-
-
-def _need(group: list[str], needs: dict[str, float]) -> float:
-    return sum(needs.get(name, 0.0) for name in group)
-
-
 def _urgency(
     draft: drafts.Draft, item: wanted.Artifact
 ) -> tuple[bool, bool, float, int, str]:
@@ -126,7 +67,7 @@
     reason = 'unreachable'
     if draft.pool.ready_anywhere(item.artifact):
         reason = 'server_leaving'
-    server = best_server(draft, item)
+    server = room.best_server(draft, item)
     if server is not None:
         draft.load(server, item.artifact, reason)
         return
@@ -146,7 +87,7 @@
             continue
         if not draft.fits_base(server, item.artifact):
             continue
-        victims = make_room(draft, server, item.memory_bytes)
+        victims = room.make_room(draft, server, item.memory_bytes)
         if victims is None:
             continue
         rank = (len(victims), server.server_id)
@@ -163,34 +104,18 @@
 
 def _relocate_for(draft: drafts.Draft, item: wanted.Artifact) -> bool:
     """Load elsewhere what then can go from a server to make room."""
-    for server in sorted(draft.pool.staying, key=lambda s: -s.free):
+    best: room.Relocation | None = None
+    for server in draft.pool.staying:
+        if server.holds(item.artifact):
+            continue
         if not draft.fits_base(server, item.artifact):
             continue
-        short = item.memory_bytes - server.free - draft.freeing(server)
-        for name in sorted(server.ready):
-            if _relocatable(draft, server, name, short):
-                return True
-    return False
-
-
-def _relocatable(
-    draft: drafts.Draft, server: state.ServerPlan, name: str, short: int
-) -> bool:
-    """Load one artifact elsewhere if its going would make the room."""
-    moved = draft.pool.artifacts.get(name)
-    if moved is None or server.contents.possible[name] < short:
-        return False
-    if draft.is_frozen(name) or draft.sitting(server, name):
-        return False
-    replicas = draft.pool.replicas(name)
-    if any(name in other.coming for other in replicas):
-        return True
-    if len(replicas) > 1:
-        return False
-    target = best_server(draft, moved)
-    if target is None or target is server:
+        found = room.relocation(draft, server, item.memory_bytes)
+        if found is not None and (best is None or found.moves < best.moves):
+            best = found
+    if best is None:
         return False
-    draft.load(target, name, 'make_room')
+    room.relocate(draft, best)
     return True
 
 
@@ -200,7 +125,7 @@
     if base is None:
         return False
     both = base._replace(memory_bytes=base.memory_bytes + item.memory_bytes)
-    server = best_server(draft, both)
+    server = room.best_server(draft, both)
     if server is None:
         return False
     draft.load(server, item.base, 'adapter_base')
--- a/src/dogwoodquay/placement/scale.py
+++ b/src/dogwoodquay/placement/scale.py
@@ -9,7 +9,7 @@
 import typing
 
 from . import congestion
-from . import reach
+from . import room
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -31,6 +31,7 @@
     server: state.ServerPlan
     artifact: str
     victims: list[str]
+    relocation: room.Relocation | None = None
 
 
 def load_for_demand(draft: drafts.Draft) -> abc.Iterator[None]:
@@ -95,9 +96,15 @@
     memory = pool.artifacts[artifact].memory_bytes
     if item.artifact != artifact:
         memory += item.memory_bytes
-    victims = reach.make_room(draft, server, memory)
+    victims = room.make_room(draft, server, memory)
     if victims is None:
-        return None
+        found = room.relocation(draft, server, memory)
+        if found is None:
+            return None
+        net = weight * gain - price * (1 + found.moves)
+        if net <= 0.0:
+            return None
+        return _Option(net, server, artifact, [], found)
     loss = sum(
         congestion.loss_of_removing(pool, name, server, settings.target_load)
         for name in victims
@@ -127,6 +134,8 @@
     for name in option.victims:
         if draft.spare(server, name):
             draft.unload(server, name, 'make_room')
+    if option.relocation is not None:
+        room.relocate(draft, option.relocation)
     fits = server.free >= item.memory_bytes
     if fits and not server.holds(item.artifact):
         draft.load(server, item.artifact, 'demand')
