--- a/src/dogwoodquay/routing/router.py
+++ b/src/dogwoodquay/routing/router.py
@@ -22,7 +22,11 @@
 
 
 class RoutingSettings(typing.NamedTuple):
-    """Weights and bounds of the choice."""
+    """Weights and bounds of the choice.
+
+    An attempt is refused when the expected time to the first token exceeds
+    what is left until its deadline by the factor ``late_margin``.
+    """
 
     sample_size: int = 2
     cache_candidates: int = 1
@@ -30,6 +34,7 @@
     slow_start_seconds: float = 10.0
     slow_start_factor: float = 2.0
     no_replica_retry_seconds: float = 2.0
+    late_margin: float = 1.5
     load: server.LoadSettings = server.LoadSettings()
     health: health.HealthSettings = health.HealthSettings()
     prefix: prefix.PrefixSettings = prefix.PrefixSettings()
@@ -138,6 +143,10 @@
         if not usable:
             return api.NoReplica('no_ready_replica', retry_at)
         chosen, score = self._best(request, usable, now, rng)
+        left = request.deadline - now
+        if score.seconds > left * self._settings.late_margin:
+            retry_at = now + score.seconds - left
+            return api.NoReplica('deadline_unmeetable', retry_at)
         self._attempts[request.attempt_id] = chosen.send(
             request.priority, score.uncached_tokens, score.work, now
         )
--- a/tests/unit/routing/test_router.py
+++ b/tests/unit/routing/test_router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import random
 import unittest
 
@@ -212,6 +213,18 @@
         )
         self.assertEqual(api.NoReplica('no_ready_replica', 2.0), answer)
 
+    def test_a_hopeless_deadline_is_refused_before_sending(self) -> None:
+        """The queue at every replica is longer than the deadline allows."""
+        subject = _router(2)
+        rng = random.Random(1)
+        for number in range(100):
+            subject.choose(views.request(number, 1000), 0.0, rng)
+        request = dataclasses.replace(views.request('late'), deadline=0.1)
+        answer = subject.choose(request, 0.0, rng)
+        assert isinstance(answer, api.NoReplica)
+        self.assertEqual('deadline_unmeetable', answer.reason)
+        self.assertGreater(answer.retry_at, 0.1)
+
     def test_a_retry_goes_to_another_domain(self) -> None:
         """Then to another server, and to the same one only as the last."""
         subject = _router(4)
