--- a/src/dogwoodquay/routing/router.py
+++ b/src/dogwoodquay/routing/router.py
@@ -22,7 +22,11 @@
 
 
 class RoutingSettings(typing.NamedTuple):
-    """Weights and bounds of the choice."""
+    """Weights and bounds of the choice.
+
+    An attempt is refused when the expected time to the first token exceeds
+    what is left until its deadline by the factor ``late_margin``.
+    """
 
     sample_size: int = 2
     cache_candidates: int = 1
@@ -30,6 +34,7 @@
     slow_start_seconds: float = 10.0
     slow_start_factor: float = 2.0
     no_replica_retry_seconds: float = 2.0
+    late_margin: float = 1.5
     load: server.LoadSettings = server.LoadSettings()
     health: health.HealthSettings = health.HealthSettings()
     prefix: prefix.PrefixSettings = prefix.PrefixSettings()
@@ -66,6 +71,7 @@
         self._pool_artifacts: dict[str, frozenset[str]] = {}
         self._by_artifact: dict[str, list[server.ServerState]] = {}
         self._leaving: set[str] = set()
+        self._ejected_until = float('-inf')
         self._attempts: dict[str, server.Attempt] = {}
         self._started: set[str] = set()
 
@@ -79,11 +85,11 @@
         lists: dict[str, list[server.ServerState]] = {}
         for item in view.servers:
             state = self._state(_replica(item), view.pool)
-            state.leaving = item.leaving
+            state.leaving = item.leaving or item.server_id in self._leaving
             _note_ready(state, item, known is not None, now)
             if item.load is not None:
                 state.take_report(item.load)
-            for artifact in state.ready_at:
+            for artifact in () if state.leaving else state.ready_at:
                 lists.setdefault(artifact, []).append(state)
         present = {item.server_id for item in view.servers}
         self._replace(view.pool, present, lists)
@@ -99,12 +105,17 @@
                 present.add(replica.server_id)
                 state = self._state(replica, _SERVICES)
                 state.ready_at.setdefault(name, float('-inf'))
-                lists.setdefault(name, []).append(state)
+                state.leaving = replica.server_id in self._leaving
+                if not state.leaving:
+                    lists.setdefault(name, []).append(state)
         self._replace(_SERVICES, present, lists)
 
     def mark_leaving(self, server_id: str, now: float) -> None:
         """Give a server nothing new from now on."""
         self._leaving.add(server_id)
+        state = self._servers.get(server_id)
+        if state is not None:
+            self._close(state)
 
     def mark_live(self, server_id: str, now: float) -> None:
         """Let a server that was leaving have new work again."""
@@ -136,6 +147,10 @@
         if not usable:
             return api.NoReplica('no_ready_replica', retry_at)
         chosen, score = self._best(request, usable, now, rng)
+        left = request.deadline - now
+        if score.seconds > left * self._settings.late_margin:
+            retry_at = now + score.seconds - left
+            return api.NoReplica('deadline_unmeetable', retry_at)
         self._attempts[request.attempt_id] = chosen.send(
             request.priority, score.uncached_tokens, score.work, now
         )
@@ -163,19 +178,38 @@
         self._started.discard(attempt_id)
         attempt.server.end(attempt, started, now)
         attempt.server.health.record(ok, now)
+        if not ok:
+            self._ejected_until = max(
+                self._ejected_until, attempt.server.health.ejected_until
+            )
 
     def replicas(self, artifact: str) -> tuple[api.Replica, ...]:
         """Return the replicas that may get new work."""
         return tuple(state.replica for state in self._open(artifact))
 
+    def paces(self, now: float) -> dict[str, float]:
+        """Return how slow each server seems; one is the mean of all.
+
+        The owner of a pool derives ``placement.api.Contents.speed`` from
+        the paces that instances report.
+        """
+        return {
+            server_id: state.pace(now)
+            for server_id, state in self._servers.items()
+            if state.pool != _SERVICES
+        }
+
     def _open(self, artifact: str) -> list[server.ServerState]:
         """Return the ready servers that are not leaving."""
-        return [
-            state
-            for state in self._by_artifact.get(artifact, ())
-            if not state.leaving
-            and state.replica.server_id not in self._leaving
-        ]
+        return self._by_artifact.get(artifact, [])
+
+    def _close(self, state: server.ServerState) -> None:
+        """Take a server out of all lists."""
+        state.leaving = True
+        for artifact in state.ready_at:
+            states = self._by_artifact.get(artifact, [])
+            if state in states:
+                states.remove(state)
 
     def _usable(
         self, request: api.RouteRequest, now: float
@@ -184,7 +218,11 @@
         states = self._open(request.artifact)
         if not states:
             return states
-        usable = health.usable(states, self._settings.health.kept_share, now)
+        usable: abc.Sequence[server.ServerState] = states
+        if now < self._ejected_until:
+            usable = health.usable(
+                states, self._settings.health.kept_share, now
+            )
         if not request.avoid_servers and not request.avoid_domains:
             return usable
         fresh = [
@@ -207,12 +245,9 @@
         rng: random.Random,
     ) -> tuple[server.ServerState, _Score]:
         """Return the best of a sample; ties fall to the first drawn."""
-        sample = list(usable)
-        if len(sample) > self._settings.sample_size:
-            sample = rng.sample(sample, self._settings.sample_size)
+        sample = self._sample(usable, rng)
+        if len(sample) < len(usable):
             sample.extend(self._cached(request, usable))
-        else:
-            rng.shuffle(sample)
         best = sample[0]
         best_score = self._score(best, request, now)
         for state in sample[1:]:
@@ -221,20 +256,32 @@
                 best, best_score = state, score
         return best, best_score
 
+    def _sample(
+        self, usable: abc.Sequence[server.ServerState], rng: random.Random
+    ) -> list[server.ServerState]:
+        """Return a few servers in random order."""
+        size = self._settings.sample_size
+        count = len(usable)
+        if count <= size:
+            return rng.sample(usable, count)
+        picks: list[int] = []
+        while len(picks) < size:
+            pick = int(rng.random() * count)
+            if pick not in picks:
+                picks.append(pick)
+        return [usable[pick] for pick in picks]
+
     def _cached(
         self,
         request: api.RouteRequest,
         usable: abc.Sequence[server.ServerState],
     ) -> list[server.ServerState]:
         """Return usable servers that may hold the longest known prefix."""
-        if not request.prefix_hashes:
-            return []
         names = self._prefixes.owners(
             request.prefix_hashes, self._settings.cache_candidates
         )
-        if not names:
-            return []
-        return [state for state in usable if state.replica.server_id in names]
+        states = [self._servers.get(name) for name in names]
+        return [state for state in states if state and state in usable]
 
     def _score(
         self, state: server.ServerState, request: api.RouteRequest, now: float
