Run an instance from end to end, with serve, publish and check

Cause: the parts of the packages had no process around them. Loads were paced by the plan's beat of 1 s where 1.6 a second are allowed; the plan now comes when a load may start.

--- a/src/dogwoodquay/commands/main.py
+++ b/src/dogwoodquay/commands/main.py
@@ -9,6 +9,9 @@
 from absl.flags import argparse_flags
 from absl import logging
 
+from . import check
+from . import publish
+from . import serve
 from . import status
 from . import version
 
@@ -17,7 +20,7 @@
 
 __all__ = ['run']
 
-_COMMANDS = (status, version)
+_COMMANDS = (serve, publish, check, status, version)
 
 
 def _parse(argv: list[str]) -> argparse.Namespace:
--- /dev/null
+++ b/src/dogwoodquay/commands/recordfiles.py
@@ -0,0 +1,62 @@
+"""Record files: one record, or a list of them, in JSON with comments."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+import typing
+
+import expression
+import json5
+import msgspec
+
+__all__ = ['FileError', 'FileRecord', 'read']
+
+
+class FileRecord(typing.NamedTuple):
+    """A record and where it stands: file and position from zero."""
+
+    file: pathlib.Path
+    position: int
+    payload: bytes
+
+    @property
+    def place(self) -> str:
+        """The place, for messages."""
+        return f'{self.file}[{self.position}]'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FileError:
+    """Why a file holds no records."""
+
+    explanation: str
+
+
+def read(
+    files: list[pathlib.Path],
+) -> expression.Result[tuple[FileRecord, ...], FileError]:
+    """Return the records of files, in their order."""
+    found: list[FileRecord] = []
+    for file in files:
+        result = _read_one(file)
+        if result.is_error():
+            return expression.Error(result.error)
+        found.extend(result.ok)
+    return expression.Ok(tuple(found))
+
+
+def _read_one(
+    file: pathlib.Path,
+) -> expression.Result[tuple[FileRecord, ...], FileError]:
+    try:
+        raw = json5.loads(file.read_text(encoding='utf-8'))
+    except (OSError, ValueError, RecursionError) as error:
+        return expression.Error(FileError(f'cannot read {file}: {error}'))
+    items = raw if isinstance(raw, list) else [raw]
+    return expression.Ok(
+        tuple(
+            FileRecord(file, position, msgspec.json.encode(item))
+            for position, item in enumerate(items)
+        )
+    )
--- a/src/dogwoodquay/commands/status.py
+++ b/src/dogwoodquay/commands/status.py
@@ -33,25 +33,27 @@
     parser.set_defaults(run=_run)
 
 
-def add_instance(parser: typing.Any) -> None:
+def add_instance(parser: typing.Any, required: bool = True) -> None:
     """Add the flags that say which instance to ask."""
     parser.add_argument(
         '--instance',
         type=endpoint.parse,
-        required=True,
+        required=required,
         metavar='ADDRESS:PORT',
         help="an instance's operators listener",
     )
     parser.add_argument(
         '--token-file',
         type=pathlib.Path,
-        required=True,
+        required=required,
         help="file with the operators' token",
     )
 
 
-def read_token(file: pathlib.Path) -> str | None:
+def read_token(file: pathlib.Path | None) -> str | None:
     """Return the token in a file, or nothing when it can't be read."""
+    if file is None:
+        return None
     try:
         return file.read_text(encoding='utf-8').strip()
     except (OSError, UnicodeDecodeError):
--- a/src/dogwoodquay/ledger/allowance.py
+++ b/src/dogwoodquay/ledger/allowance.py
@@ -94,6 +94,11 @@
     total_slots: int
     _next_at: float = 0.0
 
+    @property
+    def next_at(self) -> float:
+        """When the next load may start."""
+        return self._next_at
+
     def ready(self, now: float) -> bool:
         """Whether a load may start now."""
         return now >= self._next_at
--- a/src/dogwoodquay/ledger/runner.py
+++ b/src/dogwoodquay/ledger/runner.py
@@ -76,6 +76,12 @@
         self._tenure_changed = anyio.Event()
         self._reign: _Reign | None = None
         self._denials: collections.Counter[str] = collections.Counter()
+        self._moves: collections.Counter[str] = collections.Counter()
+
+    @property
+    def moves(self) -> int:
+        """How many moves this process has started."""
+        return self._moves.total()
 
     @property
     def denials(self) -> collections.Counter[str]:
@@ -107,7 +113,11 @@
             self._tenure_changed = anyio.Event()
             if tenure is not None and self._declared():
                 self._reign = _Reign(
-                    self._pool, tenure.epoch, self._parts, self._denials
+                    self._pool,
+                    tenure.epoch,
+                    self._parts,
+                    self._denials,
+                    self._moves,
                 )
                 await self._reign.run()
                 self._reign = None
@@ -129,6 +139,7 @@
         epoch: int,
         parts: Parts,
         denials: collections.Counter[str],
+        moves: collections.Counter[str],
     ) -> None:
         catalog = parts.catalog()
         self.ledger = core.PoolLedger(
@@ -138,6 +149,7 @@
         self._pool = pool
         self._parts = parts
         self._denials = denials
+        self._moves = moves
         self._scope = anyio.CancelScope()
         self._settle_at = parts.clock.now() + SETTLE_SECONDS
         self._slots: frozenset[int] = frozenset()
@@ -147,6 +159,7 @@
         self._published: pools_api.PoolView | None = None
         self._next_publish = 0.0
         self._resolving: set[str] = set()
+        self._paced = False
         self._polled: set[str] = set()
         policy = catalog.policy
         self._pace = allowance.Pace(
@@ -223,7 +236,14 @@
             self._resolve_foreign(tasks)
             if self._settled():
                 await self._plan(tasks)
-            await anyio.sleep(PLAN_SECONDS)
+            await anyio.sleep(self._plan_pause())
+
+    def _plan_pause(self) -> float:
+        """Return the time to the next plan, sooner when a load may start."""
+        now = self._parts.clock.now()
+        if not self._paced or self._pace.ready(now):
+            return PLAN_SECONDS
+        return min(PLAN_SECONDS, self._pace.next_at - now)
 
     def _resolve_foreign(self, tasks: anyio.abc.TaskGroup) -> None:
         if self.ledger.pool.order_bound_seconds > 0:
@@ -255,14 +275,17 @@
         moves: tuple[placement_api.Move, ...],
         tasks: anyio.abc.TaskGroup,
     ) -> None:
+        self._paced = False
         for move in moves:
             now = self._parts.clock.now()
             load = move.kind is placement_api.MoveKind.LOAD
             if load and not self._pace.ready(now):
                 self._denials['paced'] += 1
+                self._paced = True
                 continue
             match self.ledger.approve(move):
                 case core.Approved() as approved:
+                    self._moves[move.kind.value] += 1
                     if load:
                         self._pace.started(len(self._slots), now)
                     tasks.start_soon(self._executor.execute, approved)
--- a/src/dogwoodquay/membership/shell.py
+++ b/src/dogwoodquay/membership/shell.py
@@ -28,6 +28,7 @@
 KEY_PREFIX: typing.Final = 'member/'
 DEAD_SECONDS: typing.Final = 3600.0
 LIST_SECONDS: typing.Final = 10.0
+ALONE_SECONDS: typing.Final = 0.5
 LIST_DEADLINE_SECONDS: typing.Final = 5.0
 
 
@@ -121,8 +122,10 @@
             listed = await self._instances.instances(deadline)
             if listed.is_ok():
                 self._detector.listed(listed.ok)
-            pause = self._list_seconds * self._rng.uniform(0.8, 1.2)
-            await anyio.sleep(pause)
+            pause = self._list_seconds
+            if len(self.members()) == 1:
+                pause = min(pause, ALONE_SECONDS)
+            await anyio.sleep(pause * self._rng.uniform(0.8, 1.2))
 
     async def _on_ping(
         self, sender: wire_api.Sender, ping: messages.Ping, deadline: float
--- a/src/dogwoodquay/node/configuration.py
+++ b/src/dogwoodquay/node/configuration.py
@@ -4,7 +4,6 @@
 
 import typing
 
-from ..journal import checkpointer as checkpointers
 from ..journal import follower as followers
 from ..records import state as records_state
 
@@ -36,8 +35,6 @@
         self._follower = followers.Follower(
             CONFIGURATION_STREAM, self._state, log, clock, rng, peers=peers
         )
-        self._log = log
-        self._clock = clock
         self._watchers: list[abc.Callable[[records_api.Catalog], None]] = []
         self._shown = self._state.catalog
         self._follower.watch(self._tell)
@@ -85,18 +82,6 @@
         self._watchers.append(callback)
         callback(self._state.catalog)
 
-    def checkpointer(
-        self, is_writer: abc.Callable[[], bool], every_entries: int
-    ) -> checkpointers.Checkpointer:
-        """Return what writes this stream's checkpoints."""
-        return checkpointers.Checkpointer(
-            self._follower,
-            self._log,
-            self._clock,
-            is_writer,
-            every_entries=every_entries,
-        )
-
     async def run(self) -> typing.NoReturn:
         """Follow the stream for ever."""
         await self._follower.run()
--- a/src/dogwoodquay/node/duties.py
+++ b/src/dogwoodquay/node/duties.py
@@ -13,6 +13,7 @@
 from ..journal import writer as writers
 from ..ledger import entries as ledger_entries
 from ..ledger import replay
+from ..ownership import proposal
 from ..ownership import runner as ownership_runner
 
 if typing.TYPE_CHECKING:
@@ -24,7 +25,7 @@
     from ..platform import api as platform_api
     from . import snapshots
 
-__all__ = ['Duty', 'DutyParts']
+__all__ = ['Duty', 'DutyParts', 'StreamCheckpoints']
 
 
 @dataclasses.dataclass(frozen=True)
@@ -130,3 +131,41 @@
     async def hand_over(self, deadline: float) -> bool:
         """Release the duty to a live instance and wait for its claim."""
         return await self._runner.hand_over(deadline)
+
+
+class StreamCheckpoints:
+    """Writes the checkpoints of streams that nobody owns.
+
+    The instance that ranks first for a stream writes them; two that both
+    think so write one too many.
+    """
+
+    def __init__(
+        self,
+        parts: DutyParts,
+        streams: abc.Iterable[followers.Follower],
+    ) -> None:
+        self._parts = parts
+        self._checkpointers = tuple(
+            checkpointers.Checkpointer(
+                follower,
+                parts.log,
+                parts.clock,
+                functools.partial(self._ranks_first, follower.stream),
+                every_entries=parts.checkpoint_entries,
+            )
+            for follower in streams
+        )
+
+    async def run(self) -> None:
+        """Write checkpoints until cancelled."""
+        async with anyio.create_task_group() as group:
+            for checkpointer in self._checkpointers:
+                group.start_soon(checkpointer.run)
+
+    def _ranks_first(self, stream: str) -> bool:
+        membership = self._parts.membership
+        if not membership.trusted:
+            return False
+        ranking = proposal.ranked(f'checkpoint:{stream}', membership.live())
+        return ranking[:1] == (self._parts.instance_id,)
--- /dev/null
+++ b/src/dogwoodquay/node/operators.py
@@ -0,0 +1,65 @@
+"""The operators' listener of an instance."""
+
+from __future__ import annotations
+
+import typing
+
+from hypercorn import asyncio as hypercorn_asyncio
+from hypercorn import config as hypercorn_config
+
+from ..entry import server as entry_server
+from ..operators import app as operators_app
+
+if typing.TYPE_CHECKING:
+    import socket
+
+    import anyio
+
+    from .. import clock as clocks
+    from ..observe import metrics
+    from ..operators import api
+    from ..settings import schema
+
+__all__ = ['OperatorSide']
+
+CLOSE_SECONDS: typing.Final = 1.0
+
+
+class OperatorSide:
+    """Serves status, health and metrics to operators."""
+
+    def __init__(
+        self,
+        settings: schema.Operators,
+        clock: clocks.Clock,
+        source: api.StatusSource,
+        registry: metrics.Registry,
+    ) -> None:
+        self._settings = settings
+        self._app = operators_app.OperatorsApp(
+            source, settings.token, clock, lambda: registry.render().body
+        )
+
+    def listen(self) -> socket.socket:
+        """Open the listening socket."""
+        listen = self._settings.listen
+        return entry_server.listen(
+            entry_server.ServerSettings(listen.address, listen.port)
+        )
+
+    async def serve(
+        self, listener: socket.socket, closed: anyio.Event
+    ) -> None:
+        """Serve until an event."""
+        config = hypercorn_config.Config()
+        config.bind = [f'fd://{listener.detach()}']
+        config.graceful_timeout = CLOSE_SECONDS
+        config.include_server_header = False
+        config.accesslog = None
+        config.errorlog = None
+        await hypercorn_asyncio.serve(
+            typing.cast('typing.Any', self._app),
+            config,
+            shutdown_trigger=closed.wait,
+            mode='asgi',
+        )
--- /dev/null
+++ b/src/dogwoodquay/node/stopping.py
@@ -0,0 +1,118 @@
+"""The planned stop of an instance, which cuts off no request."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+
+from ..observe import logs
+from ..platform import api as platform_api
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from .. import clock as clocks
+    from . import callers as caller_side
+    from . import instances
+    from ..membership import api as membership_api
+    from ..membership import shell as membership_shell
+    from . import pools as pools_module
+    from ..settings import schema
+    from . import weights as weights_module
+    from ..wire import api as wire_api
+
+__all__ = ['PlannedStop']
+
+ANNOUNCE_SECONDS: typing.Final = 5.0
+LIST_REFRESH_SECONDS: typing.Final = 30.0
+HAND_OVER_SECONDS: typing.Final = 10.0
+FAREWELL_SECONDS: typing.Final = 0.3
+
+_LOG: typing.Final = logs.PartLog('stop')
+
+
+class PlannedStop:
+    """Leaves in order: list, members, duties, callers, then the exit."""
+
+    def __init__(
+        self,
+        settings: schema.Settings,
+        clock: clocks.Clock,
+        own: membership_api.Member,
+        address: abc.Callable[[], wire_api.PeerAddress],
+        watch: instances.InstanceWatch,
+        membership: membership_shell.GossipMembership,
+        pools: pools_module.PoolDuties,
+        weights: weights_module.WeightsDuty,
+        callers: caller_side.CallerSide,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._own = own
+        self._address = address
+        self._watch = watch
+        self._membership = membership
+        self._pools = pools
+        self._weights = weights
+        self._callers = callers
+        self._state = platform_api.InstanceState.LIVE
+
+    async def announce(self) -> None:
+        """Keep this instance on the platform's list until cancelled."""
+        while True:
+            await self._enter_list()
+            await anyio.sleep(LIST_REFRESH_SECONDS)
+
+    async def run(self, stop: anyio.Event, stop_now: anyio.Event) -> None:
+        """Wait for a stop and carry it out.
+
+        :param stop_now: ends the waiting for requests in flight.
+        """
+        await stop.wait()
+        _LOG.write('began', in_flight=self._callers.in_flight)
+        self._callers.health.drain()
+        self._state = platform_api.InstanceState.LEAVING
+        self._membership.leave()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._enter_list)
+            group.start_soon(self._hand_over)
+            group.start_soon(self._close_callers, stop_now)
+        self._membership.gone()
+        await anyio.sleep(FAREWELL_SECONDS)
+        _LOG.write('ended')
+
+    async def _enter_list(self) -> None:
+        address = self._address()
+        instance = platform_api.Instance(
+            self._own.instance_id,
+            address.address,
+            address.port,
+            self._own.failure_domain,
+            self._state,
+        )
+        deadline = self._clock.now() + ANNOUNCE_SECONDS
+        await self._watch.announce(instance, deadline)
+
+    async def _hand_over(self) -> None:
+        deadline = self._clock.now() + HAND_OVER_SECONDS
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._pools.hand_over, deadline)
+            group.start_soon(self._weights.duty.hand_over, deadline)
+
+    async def _close_callers(self, stop_now: anyio.Event) -> None:
+        unready = self._settings.agreement.unready_seconds
+        with anyio.move_on_after(unready):
+            await stop_now.wait()
+        self._callers.shut_down()
+        deadline = self._clock.now() + self._settings.agreement.stop_seconds
+        with anyio.move_on_after(deadline - self._clock.now()):
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._end_at, stop_now)
+                while self._callers.in_flight:
+                    await anyio.sleep(FAREWELL_SECONDS / 10)
+                group.cancel_scope.cancel()
+
+    async def _end_at(self, stop_now: anyio.Event) -> None:
+        await stop_now.wait()
+        await self._callers.end_at_once()
--- a/src/dogwoodquay/operators/api.py
+++ b/src/dogwoodquay/operators/api.py
@@ -14,7 +14,6 @@
     'InForce',
     'InfeasibleStatus',
     'MemberStatus',
-    'OrderStatus',
     'PoolStatus',
     'RefusedStatus',
     'ServerStatus',
@@ -53,16 +52,8 @@
     refused: tuple[RefusedStatus, ...]
 
 
-class OrderStatus(msgspec.Struct, frozen=True):
-    """An order to an engine whose end is not known yet."""
-
-    order_id: str
-    kind: str
-    artifact: str
-
-
 class ServerStatus(msgspec.Struct, frozen=True):
-    """Memory and contents of one server."""
+    """Memory and contents of one server, and its orders without an end."""
 
     server_id: str
     failure_domain: str
@@ -72,7 +63,7 @@
     possible_bytes: int
     artifacts: tuple[str, ...]
     loading: tuple[str, ...]
-    orders: tuple[OrderStatus, ...] = ()
+    orders: tuple[str, ...] = ()
 
 
 class InfeasibleStatus(msgspec.Struct, frozen=True):
@@ -132,6 +123,10 @@
 class StatusSource(typing.Protocol):
     """What the operators' interface asks of an instance."""
 
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send requests."""
+
     def status(self) -> Status:
         """Return the present status."""
 
--- a/src/dogwoodquay/operators/app.py
+++ b/src/dogwoodquay/operators/app.py
@@ -92,7 +92,7 @@
                 return _Answer(404, b'no such page\n')
 
     def _readiness(self) -> _Answer:
-        if self._source.status().ready:
+        if self._source.ready:
             return _Answer(200, b'ready\n')
         return _Answer(503, b'not ready\n')
 
--- a/src/dogwoodquay/settings/schema.py
+++ b/src/dogwoodquay/settings/schema.py
@@ -136,14 +136,13 @@
     """How the instances act together."""
 
     claim_shards: typing.Annotated[int, msgspec.Meta(ge=1, le=256)] = 1
-    claim_interval_seconds: Seconds = 0.1
-    heartbeat_seconds: Seconds = 1.0
     checkpoint_entries: typing.Annotated[
         int, msgspec.Meta(ge=16, le=1_000_000)
     ] = 2000
     control_bytes_per_second: typing.Annotated[
         int, msgspec.Meta(ge=512, le=1 << 20)
     ] = 5000
+    unready_seconds: typing.Annotated[float, msgspec.Meta(ge=0, le=600)] = 3.0
     stop_seconds: Seconds = 120.0
 
 
--- a/tests/unit/operators/test_app.py
+++ b/tests/unit/operators/test_app.py
@@ -47,6 +47,8 @@
 class _Source:
     """A status that never changes."""
 
+    ready = False
+
     def status(self):
         return STATUS
 
