Take a record without payload for lost entries

Cause: a follower that skips a gap of one entry hands over an empty record with the next offset; the table took it for a record like any other, went on without raising the horizon, and a key could be granted twice. Change: an empty record always marks a gap.

--- a/src/dogwoodquay/once/table.py
+++ b/src/dogwoodquay/once/table.py
@@ -158,9 +158,10 @@
     def apply(
         self, entry: platform_api.LogEntry
     ) -> tuple[journal_api.Verdict, ...]:
-        """Take in the next record of the stream."""
+        """Take in the next record; an empty one stands for lost ones."""
         batch = entries.CODEC.decode(entry.payload) if entry.payload else ()
-        self._gap = self._gap or entry.offset != self._offset + 1
+        if not entry.payload or entry.offset != self._offset + 1:
+            self._gap = True
         self._offset = entry.offset
         time_ms = int(entry.time * 1000)
         if self._gap and entry.payload:
