Test the claims over a log with faults

Cause: the shell that batches and waits for verdicts had no tests. Change: eleven tests on three instances with the in-memory log: lost answers, hung appends that land late, an outage, a claimant's death, withdrawals, cancelled callers, large answers fetched from their holder.

--- /dev/null
+++ b/tests/unit/once/test_claims.py
@@ -0,0 +1,168 @@
+"""Tests of claims over a log with faults."""
+
+from __future__ import annotations
+
+import unittest
+
+import anyio
+
+from dogwoodquay.once import answers
+from dogwoodquay.once import api
+from dogwoodquay.platform.memory import faults
+
+from . import fakes
+from . import machine
+
+CALLER = 'lakeshore'
+BODY = b'body' * 4
+ANSWER = api.StoredAnswer(201, (('content-type', 'text/plain'),), b'ticket')
+
+
+class ClaimsTest(unittest.IsolatedAsyncioTestCase):
+    """Three instances and one log."""
+
+    def setUp(self) -> None:
+        self.net = fakes.Net(3)
+        self.key = machine.make_key(1, self.net.time.now())
+
+    async def _claim(
+        self, number: int, seconds: float = 5.0, **changes: bytes | str
+    ) -> api.ClaimAnswer:
+        values = {'caller': CALLER, 'key': self.key, 'body_digest': BODY}
+        values.update(changes)  # type: ignore[arg-type]
+        return await self.net.nodes[number].claims.claim(
+            deadline=self.net.soon(seconds),
+            **values,  # type: ignore[arg-type]
+        )
+
+    async def _granted(self, number: int) -> api.Claim:
+        answer = await self._claim(number)
+        assert isinstance(answer, api.Granted), answer
+        return answer.claim
+
+    async def _settle(
+        self, number: int, claim: api.Claim, answer: api.StoredAnswer | None
+    ) -> None:
+        claims = self.net.nodes[number].claims
+        await claims.settle(claim, answer, self.net.soon())
+
+    async def test_one_of_all_wins(self) -> None:
+        """Of claims at all instances at once one is granted."""
+        found: list[api.ClaimAnswer] = []
+
+        async def claim(number: int) -> None:
+            found.append(await self._claim(number))
+
+        async with self.net.running(), anyio.create_task_group() as tasks:
+            for number in (0, 1, 2, 0, 1, 2):
+                tasks.start_soon(claim, number)
+        granted = [a for a in found if isinstance(a, api.Granted)]
+        running = [a for a in found if isinstance(a, api.Running)]
+        self.assertEqual((1, 5), (len(granted), len(running)))
+
+    async def test_known_everywhere(self) -> None:
+        """A retry at another instance gets the answer, whole."""
+        large = api.StoredAnswer(200, (), bytes(answers.INLINE_BYTES + 1))
+        async with self.net.running():
+            for answer in (ANSWER, large):
+                self.key = machine.make_key(2, self.net.time.now())
+                claim = await self._granted(0)
+                await self._settle(0, claim, answer)
+                for number in range(3):
+                    self.assertEqual(
+                        api.Known(answer), await self._claim(number)
+                    )
+
+    async def test_conflict_and_other_caller(self) -> None:
+        """Another body conflicts; another caller's key is another key."""
+        async with self.net.running():
+            await self._granted(0)
+            other = await self._claim(1, body_digest=b'another request!')
+            self.assertEqual(api.Conflict(), other)
+            theirs = await self._claim(1, caller='gulf')
+            self.assertIsInstance(theirs, api.Granted)
+
+    async def test_bad_keys(self) -> None:
+        """Malformed keys and keys from the future are not run."""
+        ahead = machine.make_key(1, self.net.time.now() + 3600.0)
+        async with self.net.running():
+            for key, reason in (
+                ('ticket-7', 'key_malformed'),
+                ('7d444840-9dc0-11d1-b245-5ffdce74fad2', 'key_malformed'),
+                (ahead, 'key_from_future'),
+            ):
+                answer = await self._claim(0, key=key)
+                self.assertEqual(api.KeyRefused(reason), answer)
+
+    async def test_lost_answer_of_the_append(self) -> None:
+        """An append whose answer was lost is settled by reading."""
+        self.net.log.faults.inject(faults.CallFault.LOSE_ANSWER)
+        async with self.net.running():
+            await self._granted(0)
+
+    async def test_hung_append_lands_late(self) -> None:
+        """A claim that was refused is never granted, and locks nobody out."""
+        self.net.log.faults.inject(faults.CallFault.LATE, delay=0.5)
+        async with self.net.running():
+            refused = await self._claim(0, seconds=0.2)
+            self.assertEqual(
+                api.KeyRefused('claim_undecided', attempt_only=True), refused
+            )
+            with anyio.fail_after(10.0):
+                while not isinstance(await self._claim(1), api.Granted):
+                    await anyio.sleep(0.05)
+
+    async def test_log_out(self) -> None:
+        """Without the log claims are refused; what is known stays known."""
+        async with self.net.running():
+            claim = await self._granted(0)
+            self.net.log.faults.outage = True
+            await self.net.nodes[0].claims.settle(
+                claim, ANSWER, self.net.soon(0.05)
+            )
+            self.assertEqual(api.Known(ANSWER), await self._claim(0))
+            fresh = machine.make_key(9, self.net.time.now())
+            refused = await self._claim(1, seconds=0.1, key=fresh)
+            self.assertIsInstance(refused, api.KeyRefused)
+            self.net.log.faults.outage = False
+            with anyio.fail_after(10.0):
+                while await self._claim(1) != api.Known(ANSWER):
+                    await anyio.sleep(0.05)
+            again = await self._claim(1, key=fresh)
+            self.assertIsInstance(again, api.Granted)
+
+    async def test_claimant_dies(self) -> None:
+        """Running while it may live, unknown for ever once it is dead."""
+        async with self.net.running():
+            claim = await self._granted(0)
+            self.assertEqual(api.Running('instance-0'), await self._claim(1))
+            self.net.dead.add(('instance-0', 1))
+            self.assertEqual(api.Unknown(), await self._claim(1))
+            await self._settle(0, claim, ANSWER)
+            self.net.dead.clear()
+            for number in range(3):
+                self.assertEqual(api.Unknown(), await self._claim(number))
+
+    async def test_lost_answer_of_the_upstream(self) -> None:
+        """A request whose answer was lost stays unknown."""
+        async with self.net.running():
+            await self._settle(0, await self._granted(0), None)
+            self.assertEqual(api.Unknown(), await self._claim(2))
+
+    async def test_withdrawn(self) -> None:
+        """A key whose request did not run can be claimed again."""
+        async with self.net.running():
+            claim = await self._granted(0)
+            claims = self.net.nodes[0].claims
+            self.assertTrue(await claims.withdraw(claim, self.net.soon()))
+            await self._granted(1)
+
+    async def test_cancelled_claim_is_withdrawn(self) -> None:
+        """A caller that goes away while its claim is undecided."""
+        self.net.log.faults.inject(faults.CallFault.LATE, delay=0.3)
+        async with self.net.running():
+            with anyio.move_on_after(0.1):
+                await self._claim(0)
+            with anyio.fail_after(10.0):
+                while not isinstance(await self._claim(1), api.Granted):
+                    await anyio.sleep(0.05)
