Return refusals as they are and send fewer headers upstream

Cause: seven results were made and unwrapped for each request. Change: what reads a caller's input returns the value or the refusal; results stay where calls can fail. Engines get no accept-encoding, as none is sent by the adapter.

--- a/src/dogwoodquay/entry/app.py
+++ b/src/dogwoodquay/entry/app.py
@@ -196,12 +196,12 @@
     ) -> None:
         context = self._context(request, request_id)
         refused = _check_completion(request)
-        if refused is None and context.is_error():
-            refused = context.error
         if refused is not None:
-            await self._refuse(request, responder, refused)
+            context = refused
+        if isinstance(context, api.Refusal):
+            await self._refuse(request, responder, context)
             return
-        await self._read_and_run(request, responder, context.ok)
+        await self._read_and_run(request, responder, context)
 
     async def _service(
         self,
@@ -210,10 +210,10 @@
         request_id: str,
     ) -> None:
         context = self._context(request, request_id)
-        if context.is_error():
-            await self._refuse(request, responder, context.error)
+        if isinstance(context, api.Refusal):
+            await self._refuse(request, responder, context)
             return
-        await self._read_and_run(request, responder, context.ok)
+        await self._read_and_run(request, responder, context)
 
     async def _read_and_run(
         self,
@@ -221,17 +221,16 @@
         responder: asgi.Responder,
         context: forwarding.Context,
     ) -> None:
-        read = await self._bodies.read(request, self._clock.now())
-        if read.is_error():
-            await self._refuse(request, responder, read.error)
+        body = await self._bodies.read(request, self._clock.now())
+        if isinstance(body, api.Refusal):
+            await self._refuse(request, responder, body)
             return
-        body = read.ok
         try:
-            called = self._call(request, context, body)
-            if called.is_error():
-                await self._refuse(request, responder, called.error)
+            call = self._call(request, context, body)
+            if isinstance(call, api.Refusal):
+                await self._refuse(request, responder, call)
                 return
-            await self._answers.give(request, responder, called.ok)
+            await self._answers.give(request, responder, call)
         finally:
             self._bodies.release(body)
 
@@ -240,7 +239,7 @@
         request: asgi.Request,
         context: forwarding.Context,
         body: bytes,
-    ) -> expression.Result[api.Call, api.Refusal]:
+    ) -> api.Call | api.Refusal:
         if request.path.startswith(targets.SERVICES_PREFIX):
             return forwarding.service_call(context, request, body)
         return forwarding.completion_call(
@@ -253,15 +252,14 @@
 
     def _context(
         self, request: asgi.Request, request_id: str
-    ) -> expression.Result[forwarding.Context, api.Refusal]:
+    ) -> forwarding.Context | api.Refusal:
         """Find the caller and what it asks for in headers."""
         if request.header_bytes > self._limits.header_bytes:
-            refused = problems.refusal(reasons.Reason.HEADERS_TOO_LARGE)
-            return expression.Error(refused)
+            return problems.refusal(reasons.Reason.HEADERS_TOO_LARGE)
         catalog = self._catalog()
         found = self._find_caller(catalog, request)
         if found.is_error():
-            return expression.Error(found.error)
+            return found.error
         parsed = controls.parse(
             request,
             found.ok,
@@ -269,11 +267,9 @@
             self._limits,
             self._clock.now(),
         )
-        if parsed.is_error():
-            return expression.Error(parsed.error)
-        return expression.Ok(
-            forwarding.Context(catalog, found.ok, parsed.ok, request_id)
-        )
+        if isinstance(parsed, api.Refusal):
+            return parsed
+        return forwarding.Context(catalog, found.ok, parsed, request_id)
 
     def _find_caller(
         self, catalog: records_api.Catalog, request: asgi.Request
--- a/src/dogwoodquay/entry/bodies.py
+++ b/src/dogwoodquay/entry/bodies.py
@@ -5,7 +5,6 @@
 import typing
 
 import anyio
-import expression
 
 from . import asgi
 from ..dispatch import api
@@ -21,7 +20,7 @@
 RETRY_SECONDS: typing.Final = 1.0
 MAX_LENGTH_DIGITS: typing.Final = 18
 
-_Read = expression.Result[bytes, api.Refusal]
+_Read = bytes | api.Refusal
 
 
 class BodyReader:
@@ -44,13 +43,17 @@
         """Read a body whole; the reader of it has to release it."""
         announced = request.header(b'content-length')
         if _length(announced) > self._limits.body_bytes:
-            return _refuse(reasons.Reason.BODY_TOO_LARGE)
+            return problems.refusal(reasons.Reason.BODY_TOO_LARGE)
         found: list[_Read] = []
         waiting = eager.start(self._read_all(request, now, found))
         if waiting is not None:
             with anyio.move_on_after(self._limits.body_seconds):
                 await waiting.finish()
-        return found[0] if found else _refuse(reasons.Reason.BODY_TIMEOUT)
+        return (
+            found[0]
+            if found
+            else problems.refusal(reasons.Reason.BODY_TIMEOUT)
+        )
 
     async def _read_all(
         self, request: asgi.Request, now: float, found: list[_Read]
@@ -65,12 +68,12 @@
             while True:
                 message = await request.receive()
                 if message['type'] == asgi.DISCONNECT:
-                    return _refuse(reasons.Reason.BODY_CUT)
+                    return problems.refusal(reasons.Reason.BODY_CUT)
                 part = message.get('body', b'')
                 size += len(part)
                 self._held += len(part)
                 if size > self._limits.body_bytes:
-                    return _refuse(reasons.Reason.BODY_TOO_LARGE)
+                    return problems.refusal(reasons.Reason.BODY_TOO_LARGE)
                 if self._held > self._limits.all_bodies_bytes:
                     return _overloaded(now)
                 if part:
@@ -81,7 +84,7 @@
         finally:
             if not whole:
                 self._held -= size
-        return expression.Ok(parts[0] if len(parts) == 1 else b''.join(parts))
+        return parts[0] if len(parts) == 1 else b''.join(parts)
 
 
 def _length(announced: str) -> int:
@@ -90,15 +93,10 @@
     return int(announced[:MAX_LENGTH_DIGITS])
 
 
-def _refuse(reason: reasons.Reason) -> _Read:
-    return expression.Error(problems.refusal(reason))
-
-
-def _overloaded(now: float) -> _Read:
-    refused = api.Refusal(
+def _overloaded(now: float) -> api.Refusal:
+    return api.Refusal(
         reasons.Reason.OVERLOADED,
         reasons.Outcome.NOT_RUN,
         'too many request bodies are held',
         now + RETRY_SECONDS,
     )
-    return expression.Error(refused)
--- a/src/dogwoodquay/entry/completions.py
+++ b/src/dogwoodquay/entry/completions.py
@@ -7,7 +7,6 @@
 
 import typing
 
-import expression
 import msgspec
 
 from ..dispatch import api
@@ -101,41 +100,39 @@
             self._kept += len(part)
 
 
-def parse(
-    path: str, body: bytes
-) -> expression.Result[Completion, api.Refusal]:
+def parse(path: str, body: bytes) -> Completion | api.Refusal:
     """Check a completion request's body."""
     try:
         return _parse(path, body)
     except UnicodeDecodeError:
-        return _refuse(reasons.Reason.BAD_UTF8)
+        return problems.refusal(reasons.Reason.BAD_UTF8)
     except RecursionError:
-        return _refuse(reasons.Reason.JSON_TOO_DEEP)
+        return problems.refusal(reasons.Reason.JSON_TOO_DEEP)
     except msgspec.ValidationError as error:
-        return _refuse(reasons.Reason.BAD_FIELD, str(error))
+        return problems.refusal(reasons.Reason.BAD_FIELD, str(error))
     except msgspec.DecodeError as error:
-        return _refuse(reasons.Reason.BAD_JSON, str(error))
+        return problems.refusal(reasons.Reason.BAD_JSON, str(error))
 
 
-def _parse(
-    path: str, body: bytes
-) -> expression.Result[Completion, api.Refusal]:
+def _parse(path: str, body: bytes) -> Completion | api.Refusal:
     if not body.isascii():
         body.decode()
     fields = _FIELDS.decode(body)
     prompt = _Prompt()
     if path == CHAT_PATH:
         if not fields.messages:
-            return _refuse(reasons.Reason.BAD_FIELD, '`messages` is empty')
+            return problems.refusal(
+                reasons.Reason.BAD_FIELD, '`messages` is empty'
+            )
         _add_messages(prompt, fields.messages)
     else:
         if not fields.prompt:
-            return _refuse(reasons.Reason.BAD_FIELD, '`prompt` is empty')
+            return problems.refusal(
+                reasons.Reason.BAD_FIELD, '`prompt` is empty'
+            )
         _add_prompt(prompt, fields.prompt)
-    return expression.Ok(
-        Completion(
-            fields.model, bool(fields.stream), prompt.prefix, prompt.tokens
-        )
+    return Completion(
+        fields.model, bool(fields.stream), prompt.prefix, prompt.tokens
     )
 
 
@@ -158,9 +155,3 @@
         return
     for part in given:
         prompt.add_text(str(part))
-
-
-def _refuse(
-    reason: reasons.Reason, detail: str = ''
-) -> expression.Result[Completion, api.Refusal]:
-    return expression.Error(problems.refusal(reason, detail))
--- a/src/dogwoodquay/entry/controls.py
+++ b/src/dogwoodquay/entry/controls.py
@@ -6,8 +6,6 @@
 import typing
 import uuid
 
-import expression
-
 from ..dispatch import reasons
 from . import problems
 
@@ -49,42 +47,34 @@
     policy: records_api.Policy,
     limits: limits_module.Limits,
     now: float,
-) -> expression.Result[Controls, api.Refusal]:
+) -> Controls | api.Refusal:
     """Read the control headers of a request."""
     deadline = _deadline(request, policy, now)
     if deadline is None:
         return _bad_header('X-Deadline or X-Timeout-Seconds is not a number')
     if deadline <= now:
-        return expression.Error(
-            problems.refusal(reasons.Reason.DEADLINE_PASSED)
-        )
+        return problems.refusal(reasons.Reason.DEADLINE_PASSED)
     priority = request.header(b'x-priority') or '0'
     if not _INTEGER.match(priority):
         return _bad_header('X-Priority is not a whole number')
     key = request.header(b'idempotency-key')
     if key and not _is_key(key):
-        return expression.Error(
-            problems.refusal(reasons.Reason.BAD_IDEMPOTENCY_KEY)
-        )
-    return expression.Ok(
-        Controls(
-            min(deadline, now + limits.max_deadline_seconds),
-            max(0, min(int(priority), caller.max_priority)),
-            key.lower(),
-        )
+        return problems.refusal(reasons.Reason.BAD_IDEMPOTENCY_KEY)
+    return Controls(
+        min(deadline, now + limits.max_deadline_seconds),
+        max(0, min(int(priority), caller.max_priority)),
+        key.lower(),
     )
 
 
-def parse_last_event(
-    request: asgi.Request,
-) -> expression.Result[int, api.Refusal]:
+def parse_last_event(request: asgi.Request) -> int | api.Refusal:
     """Return the last event that a caller holds, -1 for none."""
     given = request.header(b'last-event-id')
     if not given:
-        return expression.Ok(-1)
+        return -1
     if not _INTEGER.match(given):
         return _bad_header('Last-Event-ID is not a whole number')
-    return expression.Ok(max(-1, int(given)))
+    return max(-1, int(given))
 
 
 def _deadline(
@@ -107,6 +97,5 @@
     return key.version == KEY_VERSION and str(key) == text.lower()
 
 
-def _bad_header(detail: str) -> expression.Result[typing.Any, api.Refusal]:
-    refused = problems.refusal(reasons.Reason.BAD_HEADER, detail)
-    return expression.Error(refused)
+def _bad_header(detail: str) -> api.Refusal:
+    return problems.refusal(reasons.Reason.BAD_HEADER, detail)
--- a/src/dogwoodquay/entry/forwarding.py
+++ b/src/dogwoodquay/entry/forwarding.py
@@ -4,8 +4,6 @@
 
 import typing
 
-import expression
-
 from . import callers
 from . import completions
 from . import controls as controls_module
@@ -26,10 +24,7 @@
 
 ARTIFACT_HEADER: typing.Final = 'x-artifact'
 
-_COMPLETION_HEADERS: typing.Final = (
-    ('content-type', 'application/json'),
-    ('accept-encoding', 'identity'),
-)
+_CONTENT_TYPE: typing.Final = ('content-type', 'application/json')
 _NOT_FORWARDED: typing.Final = frozenset(
     {
         b'accept-encoding',
@@ -51,8 +46,6 @@
     }
 )
 
-_Called = expression.Result[api.Call, api.Refusal]
-
 
 class Context(typing.NamedTuple):
     """Who asks, under which configuration, and how."""
@@ -69,83 +62,78 @@
     body: bytes,
     rng: random.Random,
     reachable: abc.Callable[[str], bool],
-) -> _Called:
+) -> api.Call | api.Refusal:
     """Return the call for a completion request.
 
     :param reachable: tells whether an artifact has a replica.
     """
-    parsed = completions.parse(path, body)
-    if parsed.is_error():
-        return expression.Error(parsed.error)
-    fields = parsed.ok
+    fields = completions.parse(path, body)
+    if isinstance(fields, api.Refusal):
+        return fields
     if not callers.may_use(context.caller, fields.model):
-        return _refuse(reasons.Reason.TARGET_NOT_ALLOWED, fields.model)
+        return problems.refusal(
+            reasons.Reason.TARGET_NOT_ALLOWED, fields.model
+        )
     versions = targets.versions(context.catalog, fields.model, rng)
     if not versions:
-        return _refuse(reasons.Reason.UNKNOWN_MODEL, fields.model)
+        return problems.refusal(reasons.Reason.UNKNOWN_MODEL, fields.model)
     artifact = next(filter(reachable, versions), versions[0])
-    return expression.Ok(
-        api.Call(
-            request_id=context.request_id,
-            caller=context.caller.name,
-            kind=api.Kind.ENGINE,
-            artifact=artifact,
-            method='POST',
-            path=path,
-            headers=(*_COMPLETION_HEADERS, (ARTIFACT_HEADER, artifact)),
-            body=body,
-            deadline=context.controls.deadline,
-            priority=context.controls.priority,
-            stream=fields.stream,
-            key=context.controls.key,
-            prompt_tokens=fields.prompt_tokens,
-            prefix_hashes=prefix.prefix_hashes(artifact, fields.prompt_prefix),
-        )
+    return api.Call(
+        request_id=context.request_id,
+        caller=context.caller.name,
+        kind=api.Kind.ENGINE,
+        artifact=artifact,
+        method='POST',
+        path=path,
+        headers=(_CONTENT_TYPE, (ARTIFACT_HEADER, artifact)),
+        body=body,
+        deadline=context.controls.deadline,
+        priority=context.controls.priority,
+        stream=fields.stream,
+        key=context.controls.key,
+        prompt_tokens=fields.prompt_tokens,
+        prefix_hashes=prefix.prefix_hashes(artifact, fields.prompt_prefix),
     )
 
 
 def service_call(
     context: Context, request: asgi.Request, body: bytes
-) -> _Called:
+) -> api.Call | api.Refusal:
     """Return the call for a request to a plain service."""
     target = targets.service_path(request.path)
     if target is None:
-        return _refuse(reasons.Reason.BAD_REQUEST_LINE, 'ambiguous path')
+        return problems.refusal(
+            reasons.Reason.BAD_REQUEST_LINE, 'ambiguous path'
+        )
     if not callers.may_use(context.caller, target.service):
-        return _refuse(reasons.Reason.TARGET_NOT_ALLOWED, target.service)
+        return problems.refusal(
+            reasons.Reason.TARGET_NOT_ALLOWED, target.service
+        )
     service = context.catalog.services.get(target.service)
     if service is None:
-        return _refuse(reasons.Reason.UNKNOWN_SERVICE, target.service)
+        return problems.refusal(reasons.Reason.UNKNOWN_SERVICE, target.service)
     query = f'?{request.query}' if request.query else ''
-    return expression.Ok(
-        api.Call(
-            request_id=context.request_id,
-            caller=context.caller.name,
-            kind=api.Kind.SERVICE,
-            artifact=service.name,
-            method=request.method,
-            path=target.path + query,
-            headers=_forwarded(request),
-            body=body,
-            deadline=context.controls.deadline,
-            priority=context.controls.priority,
-            idempotent=targets.is_idempotent(
-                service, request.method, target.canonical
-            ),
-            key=context.controls.key,
-        )
+    return api.Call(
+        request_id=context.request_id,
+        caller=context.caller.name,
+        kind=api.Kind.SERVICE,
+        artifact=service.name,
+        method=request.method,
+        path=target.path + query,
+        headers=_forwarded(request),
+        body=body,
+        deadline=context.controls.deadline,
+        priority=context.controls.priority,
+        idempotent=targets.is_idempotent(
+            service, request.method, target.canonical
+        ),
+        key=context.controls.key,
     )
 
 
 def _forwarded(request: asgi.Request) -> api.Headers:
-    kept = [
+    return tuple(
         (name.decode('latin-1'), value.decode('latin-1'))
         for name, value in request.raw_headers
         if name not in _NOT_FORWARDED
-    ]
-    kept.append(('accept-encoding', 'identity'))
-    return tuple(kept)
-
-
-def _refuse(reason: reasons.Reason, detail: str = '') -> _Called:
-    return expression.Error(problems.refusal(reason, detail))
+    )
--- a/src/dogwoodquay/entry/resumption.py
+++ b/src/dogwoodquay/entry/resumption.py
@@ -58,14 +58,14 @@
             case _:
                 return problems.refusal(reasons.Reason.METHOD_NOT_ALLOWED)
         after = controls.parse_last_event(request)
-        if after.is_error():
-            return after.error
+        if isinstance(after, api.Refusal):
+            return after
         if local:
             return await self._read_here(
-                request, responder, stream_id, caller, after.ok
+                request, responder, stream_id, caller, after
             )
         return await self._read_there(
-            request, responder, stream_id, caller, after.ok
+            request, responder, stream_id, caller, after
         )
 
     def end(self, stream_id: str, caller: str) -> bool:
