End a request also while its key is being claimed

Cause: a claim that hung held up a drain until the request's own deadline. Change: claims run inside the scope by which a request is ended; its outcome is then unknown, as an earlier call may have run under the key. Conclusion: a drain ends at its deadline whatever the log does.

--- a/src/dogwoodquay/dispatch/dispatcher.py
+++ b/src/dogwoodquay/dispatch/dispatcher.py
@@ -34,6 +34,8 @@
 MAX_ANSWER_BYTES: typing.Final = 16 << 20
 SETTLE_SECONDS: typing.Final = 60.0
 CANCEL_SECONDS: typing.Final = 1.0
+# A claim that ends before the request does can tell that nothing ran.
+CLAIM_MARGIN_SECONDS: typing.Final = 0.05
 _DRAIN_POLL_SECONDS: typing.Final = 0.02
 _OK: typing.Final = 200
 
@@ -96,6 +98,11 @@
         """How many requests are under way, queued ones included."""
         return len(self._flights)
 
+    @property
+    def queued(self) -> int:
+        """How many requests wait for admission."""
+        return self._gate.waiting
+
     @property
     def draining(self) -> bool:
         """Whether new requests are refused."""
@@ -116,10 +123,7 @@
             return self._count(flight.refuse(reasons.Reason.DEADLINE_PASSED))
         self._flights[call.request_id] = flight
         try:
-            if call.key:
-                result = await self._run_claimed(flight, sink)
-            else:
-                result = await self._run_scoped(flight, sink)
+            result = await self._run_scoped(flight, sink)
         finally:
             del self._flights[call.request_id]
         return self._count(result)
@@ -156,12 +160,24 @@
         self._router.first_token(attempt_id, now)
         self._metrics.first_byte(now - started)
 
+    async def _run_scoped(
+        self, flight: flights.Flight, sink: api.Sink | None
+    ) -> _Result:
+        with flight.scope:
+            if flight.call.key:
+                return await self._run_claimed(flight, sink)
+            return await self._run_admitted(flight, sink)
+        return flight.ended()
+
     async def _run_claimed(
         self, flight: flights.Flight, sink: api.Sink | None
     ) -> _Result:
         call = flight.call
         claim = await self._claims.claim(
-            call.caller, call.key, claiming.body_digest(call), call.deadline
+            call.caller,
+            call.key,
+            claiming.body_digest(call),
+            call.deadline - CLAIM_MARGIN_SECONDS,
         )
         match claim:
             case once_api.Granted(granted):
@@ -181,7 +197,7 @@
         recorder = claiming.RecordingSink(sink) if sink is not None else None
         answer: once_api.StoredAnswer | None = None
         try:
-            result = await self._run_scoped(flight, recorder)
+            result = await self._run_admitted(flight, recorder)
             match result:
                 case api.Whole():
                     answer = claiming.stored_answer(result)
@@ -210,13 +226,6 @@
     async def _withdraw(self, claim: once_api.Claim, deadline: float) -> None:
         await self._claims.withdraw(claim, deadline)
 
-    async def _run_scoped(
-        self, flight: flights.Flight, sink: api.Sink | None
-    ) -> _Result:
-        with flight.scope:
-            return await self._run_admitted(flight, sink)
-        return flight.ended()
-
     async def _run_admitted(
         self, flight: flights.Flight, sink: api.Sink | None
     ) -> _Result:
--- a/src/dogwoodquay/entry/app.py
+++ b/src/dogwoodquay/entry/app.py
@@ -95,6 +95,7 @@
             dispatcher, streams, finder, metrics, limits
         )
         self._active = 0
+        self._add_gauges()
 
     @property
     def active(self) -> int:
@@ -124,6 +125,13 @@
             group.start_soon(self._watches.run)
             await self._sweep()
 
+    def end_stream(self, stream_id: str, caller: str) -> bool:
+        """End the work for a stream that this instance holds.
+
+        :return: whether the caller has such a stream.
+        """
+        return self._resumption.end(stream_id, caller)
+
     async def drain(self, deadline: float) -> None:
         """Refuse new requests and finish the others until a deadline.
 
@@ -146,6 +154,18 @@
                     stream.request_id, reasons.Reason.STREAM_EXPIRED
                 )
 
+    def _add_gauges(self) -> None:
+        dispatcher = self._dispatcher
+        streams = self._streams
+        for name, doc, read in (
+            ('in_flight', 'Requests under way.', lambda: dispatcher.in_flight),
+            ('queued', 'Requests in the queue.', lambda: dispatcher.queued),
+            ('streams', 'Streams kept.', lambda: streams.count),
+            ('stream_bytes', 'Events kept.', lambda: streams.held_bytes),
+            ('body_bytes', 'Bodies held.', lambda: self._bodies.held_bytes),
+        ):
+            self._metrics.registry.gauge(f'dogwoodquay_{name}', doc, read)
+
     async def _serve(self, request: asgi.Request, send: asgi.Send) -> None:
         request_id = secrets.token_hex(REQUEST_ID_BYTES)
         shown = controls.caller_request_id(request) or request_id
--- a/tests/unit/dispatch/fakes.py
+++ b/tests/unit/dispatch/fakes.py
@@ -88,6 +88,7 @@
         self.faults: collections.deque[Fault] = collections.deque()
         self.draw: typing.Callable[[], Fault] = lambda: Fault.NONE
         self.delay = 0.0
+        self.padding = 0
         self.runs: collections.Counter[bytes] = collections.Counter()
         self.calls: list[platform_api.UpstreamCall] = []
         self.cancelled: list[str] = []
@@ -176,7 +177,7 @@
                 if fault is Fault.CROSSED_EVENT:
                     attempt = 'f' * 24 + '-00'
                     word = 'wrong'
-            yield event(number, attempt, word)
+            yield event(number, attempt, word + 'x' * self.padding)
         yield b'id: %d\ndata: [DONE]\n\n' % EVENTS
 
     async def _pause(self, fault: Fault) -> None:
@@ -273,12 +274,13 @@
         self.answers: dict[tuple[str, str], typing.Any] = {}
         self.digests: dict[tuple[str, str], bytes] = {}
         self.refuse = ''
+        self.hang = False
         self.withdrawn: list[str] = []
 
     async def claim(
         self, caller: str, key: str, body_digest: bytes, deadline: float
     ) -> once_api.ClaimAnswer:
-        await anyio.sleep(0)
+        await (anyio.sleep_forever() if self.hang else anyio.sleep(0))
         if self.refuse:
             return once_api.KeyRefused(self.refuse)
         at = (caller, key)
--- a/tests/unit/dispatch/test_dispatcher.py
+++ b/tests/unit/dispatch/test_dispatcher.py
@@ -358,6 +358,26 @@
 
         self.run_with(work)
 
+    def test_claim_that_hangs_holds_up_no_drain(self) -> None:
+        async def work(rig: fakes.Rig) -> None:
+            rig.claims.hang = True
+            results: list[typing.Any] = []
+
+            async def run() -> None:
+                call = self.call(rig, key=KEY)
+                results.append(await rig.dispatcher.run(call))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(run)
+                await anyio.sleep(0.01)
+                await rig.dispatcher.drain(rig.clock.now() + 0.01)
+            self.assert_refused(
+                results[0], Reason.INSTANCE_STOPPING, Outcome.UNKNOWN
+            )
+            self.assertFalse(rig.upstream.calls)
+
+        self.run_with(work)
+
     def test_the_rest_is_told_at_the_deadline(self) -> None:
         async def work(rig: fakes.Rig) -> None:
             results: list[typing.Any] = []
