Tell the truth of a refused attempt under a key

Cause: the claims say when only this attempt is known not to have run; the answer was not_run all the same, which would be false for a retry. Change: such a refusal is unknown and says that the attempt did not run; the table takes the labels of the claims.

--- a/src/dogwoodquay/dispatch/claiming.py
+++ b/src/dogwoodquay/dispatch/claiming.py
@@ -21,6 +21,10 @@
     'stored_answer',
 ]
 
+ATTEMPT_ONLY_DETAIL: typing.Final = (
+    'this attempt did not run, an earlier one under the key may have;'
+    ' send it again with the same key'
+)
 MAX_STORED_BYTES: typing.Final = 64 * 1024
 _EVENT_STREAM: typing.Final = 'text/event-stream'
 _EVENT_STREAM_HEADERS: typing.Final = (('content-type', _EVENT_STREAM),)
@@ -97,9 +101,19 @@
             return api.Refusal(reasons.Reason.KEY_OUTCOME_UNKNOWN, unknown)
         case once_api.Conflict():
             return api.Refusal(reasons.Reason.KEY_CONFLICT, not_run)
-        case once_api.KeyRefused(label, retry_at):
-            reason = reasons.from_label(label, reasons.Reason.CLAIM_UNDECIDED)
-            return api.Refusal(reason, not_run, label, retry_at or 0.0)
+        case once_api.KeyRefused():
+            return _refused_key(answer)
+
+
+def _refused_key(refused: once_api.KeyRefused) -> api.Refusal:
+    reason = reasons.from_label(refused.reason, reasons.Reason.CLAIM_UNDECIDED)
+    retry_at = refused.retry_at or 0.0
+    if not refused.attempt_only:
+        not_run = reasons.Outcome.NOT_RUN
+        return api.Refusal(reason, not_run, refused.reason, retry_at)
+    return api.Refusal(
+        reason, reasons.Outcome.UNKNOWN, ATTEMPT_ONLY_DETAIL, retry_at
+    )
 
 
 async def replay(
--- a/src/dogwoodquay/dispatch/reasons.py
+++ b/src/dogwoodquay/dispatch/reasons.py
@@ -62,7 +62,10 @@
     KEY_OUTCOME_UNKNOWN = 'key_outcome_unknown'
     KEY_ANSWER_NOT_KEPT = 'key_answer_not_kept'
     KEY_EXPIRED = 'key_expired'
+    KEY_MALFORMED = 'key_malformed'
+    KEY_FROM_FUTURE = 'key_from_future'
     CLAIM_UNDECIDED = 'claim_undecided'
+    CLAIM_VOID = 'claim_void'
     # Upstream attempts.
     UPSTREAM_UNAVAILABLE = 'upstream_unavailable'
     UPSTREAM_REFUSED = 'upstream_refused'
@@ -164,8 +167,17 @@
         410, _UNKNOWN, 'The request ran; its answer is no longer kept'
     ),
     Reason.KEY_EXPIRED: _info(410, _UNKNOWN, 'The key is too old'),
+    Reason.KEY_MALFORMED: _info(
+        400, _NOT_RUN, 'The key cannot be read as a UUID of version 7'
+    ),
+    Reason.KEY_FROM_FUTURE: _info(
+        400, _NOT_RUN, 'The time in the key is in the future'
+    ),
     Reason.CLAIM_UNDECIDED: _info(
-        503, _NOT_RUN, 'The key could not be claimed in time'
+        503, _UNKNOWN, 'The key could not be claimed in time'
+    ),
+    Reason.CLAIM_VOID: _info(
+        503, _UNKNOWN, 'The claim on the key came too late'
     ),
     Reason.UPSTREAM_UNAVAILABLE: _info(
         503, _NOT_RUN, 'The upstream could not be reached'
