--- a/src/dogwoodquay/entry/app.py
+++ b/src/dogwoodquay/entry/app.py
@@ -95,6 +95,7 @@
             dispatcher, streams, finder, metrics, limits
         )
         self._active = 0
+        self._add_gauges()
 
     @property
     def active(self) -> int:
@@ -128,6 +129,13 @@
             group.start_soon(self._watches.run)
             await self._sweep()
 
+    def end_stream(self, stream_id: str, caller: str) -> bool:
+        """End the work for a stream that this instance holds.
+
+        :return: whether the caller has such a stream.
+        """
+        return self._resumption.end(stream_id, caller)
+
     async def drain(self, deadline: float) -> None:
         """Refuse new requests and finish the others until a deadline.
 
@@ -150,6 +158,18 @@
                     stream.request_id, reasons.Reason.STREAM_EXPIRED
                 )
 
+    def _add_gauges(self) -> None:
+        dispatcher = self._dispatcher
+        streams = self._streams
+        for name, doc, read in (
+            ('in_flight', 'Requests under way.', lambda: dispatcher.in_flight),
+            ('queued', 'Requests in the queue.', lambda: dispatcher.queued),
+            ('streams', 'Streams kept.', lambda: streams.count),
+            ('stream_bytes', 'Events kept.', lambda: streams.held_bytes),
+            ('body_bytes', 'Bodies held.', lambda: self._bodies.held_bytes),
+        ):
+            self._metrics.registry.gauge(f'dogwoodquay_{name}', doc, read)
+
     async def _serve(self, request: asgi.Request, send: asgi.Send) -> None:
         request_id = secrets.token_hex(REQUEST_ID_BYTES)
         shown = controls.caller_request_id(request) or request_id
@@ -200,12 +220,12 @@
     ) -> None:
         context = self._context(request, request_id)
         refused = _check_completion(request)
-        if refused is None and context.is_error():
-            refused = context.error
         if refused is not None:
-            await self._refuse(request, responder, refused)
+            context = refused
+        if isinstance(context, api.Refusal):
+            await self._refuse(request, responder, context)
             return
-        await self._read_and_run(request, responder, context.ok)
+        await self._read_and_run(request, responder, context)
 
     async def _service(
         self,
@@ -214,10 +234,10 @@
         request_id: str,
     ) -> None:
         context = self._context(request, request_id)
-        if context.is_error():
-            await self._refuse(request, responder, context.error)
+        if isinstance(context, api.Refusal):
+            await self._refuse(request, responder, context)
             return
-        await self._read_and_run(request, responder, context.ok)
+        await self._read_and_run(request, responder, context)
 
     async def _read_and_run(
         self,
@@ -225,17 +245,16 @@
         responder: asgi.Responder,
         context: forwarding.Context,
     ) -> None:
-        read = await self._bodies.read(request, self._clock.now())
-        if read.is_error():
-            await self._refuse(request, responder, read.error)
+        body = await self._bodies.read(request, self._clock.now())
+        if isinstance(body, api.Refusal):
+            await self._refuse(request, responder, body)
             return
-        body = read.ok
         try:
-            called = self._call(request, context, body)
-            if called.is_error():
-                await self._refuse(request, responder, called.error)
+            call = self._call(request, context, body)
+            if isinstance(call, api.Refusal):
+                await self._refuse(request, responder, call)
                 return
-            await self._answers.give(request, responder, called.ok)
+            await self._answers.give(request, responder, call)
         finally:
             self._bodies.release(body)
 
@@ -244,7 +263,7 @@
         request: asgi.Request,
         context: forwarding.Context,
         body: bytes,
-    ) -> expression.Result[api.Call, api.Refusal]:
+    ) -> api.Call | api.Refusal:
         if request.path.startswith(targets.SERVICES_PREFIX):
             return forwarding.service_call(context, request, body)
         return forwarding.completion_call(
@@ -257,15 +276,14 @@
 
     def _context(
         self, request: asgi.Request, request_id: str
-    ) -> expression.Result[forwarding.Context, api.Refusal]:
+    ) -> forwarding.Context | api.Refusal:
         """Find the caller and what it asks for in headers."""
         if request.header_bytes > self._limits.header_bytes:
-            refused = problems.refusal(reasons.Reason.HEADERS_TOO_LARGE)
-            return expression.Error(refused)
+            return problems.refusal(reasons.Reason.HEADERS_TOO_LARGE)
         catalog = self._catalog()
         found = self._find_caller(catalog, request)
         if found.is_error():
-            return expression.Error(found.error)
+            return found.error
         parsed = controls.parse(
             request,
             found.ok,
@@ -273,11 +291,9 @@
             self._limits,
             self._clock.now(),
         )
-        if parsed.is_error():
-            return expression.Error(parsed.error)
-        return expression.Ok(
-            forwarding.Context(catalog, found.ok, parsed.ok, request_id)
-        )
+        if isinstance(parsed, api.Refusal):
+            return parsed
+        return forwarding.Context(catalog, found.ok, parsed, request_id)
 
     def _find_caller(
         self, catalog: records_api.Catalog, request: asgi.Request
