--- a/src/dogwoodquay/routing/server.py
+++ b/src/dogwoodquay/routing/server.py
@@ -29,7 +29,7 @@
     request_tokens: float = 100.0
     running_tokens: float = 10.0
     lower_priority_share: float = 0.2
-    report_seconds: float = 2.0
+    report_seconds: float = 1.0
     initial_seconds_per_token: float = 0.0002
     pace_weight: float = 0.1
     pace_memory_seconds: float = 20.0
