--- a/src/dogwoodquay/placement/baselines.py
+++ b/src/dogwoodquay/placement/baselines.py
@@ -42,7 +42,7 @@
             pool, catalog.policy, self._settings, self._past, frozenset(), now
         )
         planner.note_pending(draft, self._past)
-        pool.settle()
+        yield from pool.settle()
         parallel = catalog.policy.parallel_loads
         draft.budget = parallel - planner_input.loads_running
         yield from reach.load_missing(draft)
--- a/src/dogwoodquay/placement/draft.py
+++ b/src/dogwoodquay/placement/draft.py
@@ -27,7 +27,7 @@
     patience_seconds: float = 120.0
     hot_artifacts: int = 24
     cool_servers: int = 8
-    slice_evaluations: int = 200
+    slice_evaluations: int = 120
 
 
 class Draft:
@@ -58,9 +58,13 @@
         self._freeing: dict[str, int] = {}
         self._sitting = _adapters_by_base(pool)
 
+    def spend(self, count: int) -> None:
+        """Count evaluations, each of some microseconds."""
+        self._evaluations += count
+
     def evaluated(self, count: int = 1) -> bool:
         """Count evaluations; return whether the slice is used up."""
-        self._evaluations += count
+        self.spend(count)
         if self._evaluations < self.settings.slice_evaluations:
             return False
         self._evaluations = 0
--- a/src/dogwoodquay/placement/planner.py
+++ b/src/dogwoodquay/placement/planner.py
@@ -38,6 +38,7 @@
         """Yield ``None`` after each slice of work, and last the plan."""
         catalog = planner_input.catalog
         artifacts = wanted.declared(catalog, planner_input.pool)
+        yield None
         needs = wanted.needs(catalog, artifacts, planner_input.demand)
         yield None
         self._past.observe(planner_input.servers, now)
@@ -52,15 +53,19 @@
             now,
         )
         note_pending(draft, self._past)
-        pool.settle()
+        yield None
+        yield from pool.settle()
         yield None
         pool.rebalance()
         yield None
         parallel = catalog.policy.parallel_loads
         draft.budget = parallel - planner_input.loads_running
         yield from reach.load_missing(draft)
+        yield None
         yield from reach.load_minimum(draft)
+        yield None
         yield from scale.load_for_demand(draft)
+        yield None
         yield from retire.unload_retired(draft)
         yield api.Plan(tuple(draft.moves), tuple(draft.infeasible))
 
--- a/src/dogwoodquay/placement/room.py
+++ b/src/dogwoodquay/placement/room.py
@@ -73,6 +73,7 @@
     if missing <= 0:
         return []
     needs = draft.pool.needs
+    draft.spend(len(server.ready))
     groups = [draft.spare_group(server, name) for name in server.ready]
     groups = [group for group in groups if group]
     groups.sort(key=lambda group: (_need(group, needs), group[-1]))
@@ -95,6 +96,7 @@
 ) -> Relocation | None:
     """Return how to make room with the fewest moves, one under way first."""
     missing = memory - server.free - draft.freeing(server)
+    draft.spend(len(server.ready))
     best: tuple[int, float, str] | None = None
     chosen: Relocation | None = None
     for name in server.ready:
@@ -163,6 +165,7 @@
     draft: drafts.Draft, server: state.ServerPlan, model: str, size: int
 ) -> state.ServerPlan | None:
     """Return the best other server with memory for the whole group."""
+    draft.spend(len(draft.pool.staying))
     item = draft.pool.artifacts[model]
     target = best_server(draft, item._replace(memory_bytes=size))
     return None if target is server else target
--- a/src/dogwoodquay/placement/scale.py
+++ b/src/dogwoodquay/placement/scale.py
@@ -21,6 +21,7 @@
 __all__ = ['load_for_demand']
 
 _MAX_STEPS: typing.Final = 12
+_SERVERS_PER_EVALUATION: typing.Final = 8
 _OVERLOAD: typing.Final = 1.0
 
 
@@ -40,6 +41,7 @@
         if draft.budget <= 0:
             break
         best: _Option | None = None
+        yield None
         for artifact in _hot(draft):
             for server in _cool(draft, artifact):
                 option = _option(draft, artifact, server)
@@ -52,6 +54,7 @@
         if best is None:
             break
         _take(draft, best)
+    yield None
     if draft.budget > 0:
         _report_overload(draft)
 
@@ -74,6 +77,7 @@
 
 def _cool(draft: drafts.Draft, artifact: str) -> list[state.ServerPlan]:
     """Return the least loaded servers without the artifact."""
+    draft.spend(len(draft.pool.staying) // _SERVERS_PER_EVALUATION)
     servers = [s for s in draft.pool.staying if not s.holds(artifact)]
     servers.sort(key=lambda server: (server.load, server.server_id))
     return servers[: draft.settings.cool_servers]
--- a/src/dogwoodquay/placement/state.py
+++ b/src/dogwoodquay/placement/state.py
@@ -14,6 +14,7 @@
 
 
 _MIN_SPEED: typing.Final = 0.05
+_PLACED_IN_SLICE: typing.Final = 250
 
 
 class ServerPlan:
@@ -103,8 +104,8 @@
         """Note an order under way that will make an artifact ready."""
         server.coming.add(artifact)
 
-    def settle(self) -> None:
-        """Find all replicas; to be called once after the notes."""
+    def settle(self) -> abc.Iterator[None]:
+        """Find all replicas in slices; to be run once after the notes."""
         self._replicas = {artifact: [] for artifact in self.artifacts}
         for server in self.staying:
             for artifact in sorted(server.ready | server.coming):
@@ -112,8 +113,11 @@
                     self._replicas[artifact].append(server)
             for artifact in server.ready:
                 self._ready.setdefault(artifact, []).append(server)
-        for artifact in self.artifacts:
+        yield None
+        for number, artifact in enumerate(self.artifacts):
             self._place(artifact)
+            if number % _PLACED_IN_SLICE == _PLACED_IN_SLICE - 1:
+                yield None
 
     def rebalance(self) -> None:
         """Spread each artifact's load again, beside that of the others."""
