Report overload in slices

Cause: naming all overloaded artifacts of a large pool took up to 13.6 ms in one slice. Change: it yields like the other phases.

--- a/src/dogwoodquay/placement/scale.py
+++ b/src/dogwoodquay/placement/scale.py
@@ -56,7 +56,7 @@
         _take(draft, best)
     yield None
     if draft.budget > 0:
-        _report_overload(draft)
+        yield from _report_overload(draft)
 
 
 def _hot(draft: drafts.Draft) -> list[str]:
@@ -147,7 +147,7 @@
         draft.pool.add(server, option.artifact)
 
 
-def _report_overload(draft: drafts.Draft) -> None:
+def _report_overload(draft: drafts.Draft) -> abc.Iterator[None]:
     """Name artifacts whose servers are all overloaded after all moves."""
     pool = draft.pool
     for artifact, need in pool.needs.items():
@@ -157,3 +157,5 @@
         if min(server.load for server in replicas) > _OVERLOAD:
             memory = pool.artifacts[artifact].memory_bytes
             draft.report(artifact, 'demand_exceeds_capacity', memory)
+            if draft.evaluated():
+                yield
