--- a/bench/policy/__main__.py
+++ b/bench/policy/__main__.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from bench.policy import decisions
 from bench.policy import policies
 from bench.policy import report
 from bench.policy import workloads
@@ -31,6 +32,15 @@
     return report.figures(run, user, workload, policy, seed)
 
 
+def _decisions() -> None:
+    """Print the processor time of single decisions."""
+    for cost in decisions.measure():
+        print(
+            f'{cost.decision}: median {cost.median:.0f} us, '
+            f'p99 {cost.p99:.0f} us, longest {cost.longest:.0f} us'
+        )
+
+
 def main() -> None:
     """Parse the flags, run all jobs and write the results."""
     parser = argparse.ArgumentParser(prog='bench.policy')
@@ -44,7 +54,11 @@
     parser.add_argument('--final', action='store_true')
     parser.add_argument('--processes', type=int, default=8)
     parser.add_argument('--name', default='policy')
+    parser.add_argument('--decisions', action='store_true')
     args = parser.parse_args()
+    if args.decisions:
+        _decisions()
+        return
     seeds = FINAL_SEEDS if args.final else TUNING_SEEDS
     jobs = [
         (user, workload, policy, seed)
--- a/bench/policy/policies.py
+++ b/bench/policy/policies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import typing
 
 from dogwoodquay.placement import baselines as placement_baselines
@@ -34,6 +35,14 @@
         router.ScoringRouter,
         placement_baselines.without_move_cost,
     ),
+    *(
+        Policy(
+            f'routing_v{number}',
+            functools.partial(router.ScoringRouter, settings=settings),
+            planner.CostPlanner,
+        )
+        for number, settings in routing_baselines.VERSIONS.items()
+    ),
     Policy('own', router.ScoringRouter, planner.CostPlanner),
 )
 
--- a/bench/policy/report.py
+++ b/bench/policy/report.py
@@ -58,14 +58,14 @@
         _share(attained, requests, True),
         _share(attained, requests, False),
         len(attained) / workloads.SECONDS / accelerators,
-        run.moves['load'],
-        run.moves['unload'],
+        run.owner.moves['load'],
+        run.owner.moves['unload'],
         min(99.0, times[len(times) // 2]),
         min(99.0, times[int(len(times) * 0.95)]),
         dict(reasons),
         run.sends / max(1, run.starts),
-        run.violations,
-        run.unreachable,
+        run.owner.violations,
+        run.owner.unreachable,
     )
 
 
--- a/bench/policy/world.py
+++ b/bench/policy/world.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import heapq
 import itertools
 import random
@@ -11,14 +10,13 @@
 import msgspec
 
 from bench.policy import engine
+from bench.policy import owner
 from bench.policy import workloads
 from dogwoodquay.admission import api as admission_api
 from dogwoodquay.admission import controller
 from dogwoodquay.admission import shares
-from dogwoodquay.placement import api as placement_api
 from dogwoodquay.placement import demand
 from dogwoodquay.platform import api as platform_api
-from dogwoodquay.pools import api as pools_api
 from dogwoodquay.records import api as records
 from dogwoodquay.retry import api as retry_api
 from dogwoodquay.retry import budget
@@ -30,9 +28,6 @@
 INSTANCES = 6
 HOP_SECONDS = 0.001
 VIEW_LAG = 0.2
-PLAN_SECONDS = 2.0
-STORE_BYTES_PER_SECOND = 2.0 * workloads.GIGABYTE
-UNLOAD_SECONDS = 1.0
 PROMPT_WEIGHT = 0.25
 ADMITTED_FIRST_TOKEN = 0.06
 
@@ -68,16 +63,10 @@
         self.source = workloads.Source(self.catalog, workload, seed)
         self.rng = random.Random(f'world {seed}')
         self.requests: list[engine.Request] = []
-        self.moves: collections.Counter[str] = collections.Counter()
-        self.violations = 0
-        self.unreachable = 0.0
         self.sends = 0
         self.starts = 0
         self._heap: list[typing.Any] = []
         self._tie = itertools.count()
-        self._version = 0
-        self._loading: dict[tuple[str, str], bool] = {}
-        self._store_free_at = workloads.START
         self.engines = {
             item.server_id: engine.Engine(
                 item.server_id,
@@ -92,9 +81,7 @@
             Entry(index, policy, random.Random(f'{seed} {index}'))
             for index in range(INSTANCES)
         ]
-        self._planner = policy.planner()
-        self._merged: tuple[placement_api.Demand, ...] = ()
-        self._speeds: dict[str, float] = {}
+        self.owner = owner.Owner(self, policy.planner())
 
     def at(self, time: float, call: typing.Any, *args: typing.Any) -> None:
         """Schedule a call; it gets the time first."""
@@ -103,14 +90,14 @@
     def run(self) -> None:
         """Place everything, then run to the end."""
         start = workloads.START
-        self._place_first(start)
+        self.owner.place_first(start)
         for entry in self.entries:
             entry.admission.update_catalog(self.catalog, start)
             for name in self.catalog.callers:
                 entry.admission.set_share(name, 1.0 / INSTANCES)
-        self._receive(start, self._view(), ())
+        self._receive(start, self.owner.view(), ())
         self._report(start)
-        self._plan_tick(start)
+        self.owner.plan_tick(start)
         self._arrive(start, *self.source.next(start))
         self._faults(start + workloads.CHANGE_AT)
         end = start + workloads.SECONDS + workloads.OVERNIGHT_SECONDS
@@ -287,8 +274,7 @@
         if now > workloads.START + workloads.SECONDS + 60.0:
             return
         self.at(now + 1.0, self._report)
-        self._version += 1
-        view = self._view()
+        view = self.owner.view()
         usage = [entry.shares.report(now) for entry in self.entries]
         self.at(now + VIEW_LAG, self._receive, view, usage)
         for server in self.engines.values():
@@ -298,8 +284,8 @@
             entry.demand.report(now, entry.router.paces(now))
             for entry in self.entries
         ]
-        self._merged = demand.merge(reports)
-        self._speeds = demand.speeds(reports)
+        self.owner.demand = demand.merge(reports)
+        self.owner.speeds = demand.speeds(reports)
 
     def _publish(self, server: engine.Engine, now: float) -> None:
         report = platform_api.LoadReport(
@@ -336,7 +322,7 @@
             self._admission_tick(now, entry)
 
     def _set_capacity(self, entry: Entry) -> None:
-        for artifact in self._artifacts():
+        for artifact in self.owner.artifacts():
             ready = len(entry.router.replicas(artifact))
             slots = max(1, ready * engine.BATCH_LIMIT // INSTANCES)
             entry.admission.set_capacity(artifact, slots, ADMITTED_FIRST_TOKEN)
@@ -353,139 +339,6 @@
         for entry in self.entries:
             entry.router.update_cache(server, page, now)
 
-    def _artifacts(self) -> list[str]:
-        """Return all declared artifacts."""
-        found = [
-            records.artifact_id(item.name, item.version)
-            for group in (self.catalog.models, self.catalog.adapters)
-            for item in group.values()
-        ]
-        for item in self.catalog.rollouts.values():
-            found.append(records.artifact_id(item.target, item.version))
-        return found
-
-    def _view(self) -> pools_api.PoolView:
-        return pools_api.PoolView(
-            'pool',
-            'i0',
-            1,
-            self._version,
-            tuple(
-                pools_api.ServerView(
-                    server.server_id,
-                    '127.0.0.1',
-                    1,
-                    server.domain,
-                    False,
-                    tuple(
-                        pools_api.ArtifactView(artifact, True)
-                        for artifact in sorted(server.ready)
-                    ),
-                )
-                for server in self.engines.values()
-                if server.alive
-            ),
-        )
-
-    def _plan(self, now: float) -> placement_api.Plan:
-        contents = tuple(
-            placement_api.Contents(
-                server.server_id,
-                server.domain,
-                server.capacity,
-                False,
-                frozenset(server.ready),
-                dict(server.possible),
-                self._speeds.get(server.server_id, 1.0),
-            )
-            for server in self.engines.values()
-            if server.alive
-        )
-        planner_input = placement_api.PlannerInput(
-            'pool', self.catalog, contents, self._merged, len(self._loading)
-        )
-        plan = None
-        for plan in self._planner.plan(planner_input, now):
-            pass
-        assert plan is not None
-        return plan
-
-    def _place_first(self, now: float) -> None:
-        """Place for the first rates at once; these moves do not count."""
-        rates = self.source.rates(now)
-        self._merged = tuple(
-            placement_api.Demand(f'{name}@1', rate, rate * 160.0, 0)
-            for name, rate in rates.items()
-        )
-        for step in range(200):
-            plan = self._plan(now - 2000.0 + step * 10.0)
-            for move in plan.moves:
-                server = self.engines[move.server_id]
-                if move.kind is placement_api.MoveKind.LOAD:
-                    server.possible[move.artifact] = move.memory_bytes
-                    server.ready.add(move.artifact)
-                    self._check(server)
-                else:
-                    server.ready.discard(move.artifact)
-                    server.possible.pop(move.artifact, None)
-            if not plan.moves:
-                return
-
-    def _plan_tick(self, now: float) -> None:
-        if now > workloads.START + workloads.SECONDS:
-            return
-        self.at(now + PLAN_SECONDS, self._plan_tick)
-        if now > workloads.START + PLAN_SECONDS:
-            for move in self._plan(now).moves:
-                self._start(move, now)
-        ready = set().union(*(e.ready for e in self.engines.values()))
-        old = [name for name in self._artifacts() if name.endswith('@1')]
-        rolled = [item.target for item in self.catalog.rollouts.values()]
-        for artifact in old:
-            name = artifact.rpartition('@')[0]
-            served = artifact in ready
-            if name in rolled:
-                served = served or f'{name}@2' in ready
-            self.unreachable += 0.0 if served else PLAN_SECONDS
-
-    def _start(self, move: placement_api.Move, now: float) -> None:
-        """Give a move to an engine; loads go through the weight store."""
-        server = self.engines[move.server_id]
-        self.moves[move.kind.value] += 1
-        incarnation = server.incarnation
-        if move.kind is placement_api.MoveKind.UNLOAD:
-            server.ready.discard(move.artifact)
-            args = (server, move.artifact, incarnation)
-            self.at(now + UNLOAD_SECONDS, self._unloaded, *args)
-            return
-        server.possible[move.artifact] = move.memory_bytes
-        self._check(server)
-        begin = max(now, self._store_free_at)
-        policy = self.catalog.policy
-        self._store_free_at = begin + 1.0 / policy.loads_per_second
-        self._loading[(server.server_id, move.artifact)] = True
-        crowd = max(1.0, len(self._loading) / policy.parallel_loads)
-        seconds = move.memory_bytes * crowd / STORE_BYTES_PER_SECOND
-        args = (server, move.artifact, incarnation)
-        self.at(begin + seconds + 0.5, self._loaded, *args)
-
-    def _loaded(
-        self, now: float, server: engine.Engine, artifact: str, inc: int
-    ) -> None:
-        self._loading.pop((server.server_id, artifact), None)
-        if server.incarnation == inc and server.alive:
-            server.ready.add(artifact)
-
-    def _unloaded(
-        self, now: float, server: engine.Engine, artifact: str, inc: int
-    ) -> None:
-        if server.incarnation == inc:
-            server.possible.pop(artifact, None)
-
-    def _check(self, server: engine.Engine) -> None:
-        if sum(server.possible.values()) > server.capacity:
-            self.violations += 1
-
     def _faults(self, at: float) -> None:
         servers = list(self.engines.values())
         if self.workload.slow_engine:
--- a/src/dogwoodquay/routing/baselines.py
+++ b/src/dogwoodquay/routing/baselines.py
@@ -1,10 +1,13 @@
-"""Simple routers to measure the scoring router against."""
+"""Simple routers, and settings of earlier versions of the scoring router."""
 
 from __future__ import annotations
 
+import math
 import typing
 
 from . import api
+from . import router
+from . import server
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -13,7 +16,15 @@
     from ..platform import api as platform_api
     from ..pools import api as pools_api
 
-__all__ = ['LeastReportedRouter', 'RoundRobinRouter']
+__all__ = ['VERSIONS', 'LeastReportedRouter', 'RoundRobinRouter']
+
+VERSIONS: typing.Final = {
+    1: router.RoutingSettings(
+        late_margin=math.inf, load=server.LoadSettings(report_seconds=5.0)
+    ),
+    2: router.RoutingSettings(load=server.LoadSettings(report_seconds=5.0)),
+    3: router.RoutingSettings(load=server.LoadSettings(report_seconds=2.0)),
+}
 
 
 class RoundRobinRouter:
