--- a/src/dogwoodquay/placement/scale.py
+++ b/src/dogwoodquay/placement/scale.py
@@ -21,6 +21,7 @@
 __all__ = ['load_for_demand']
 
 _MAX_STEPS: typing.Final = 12
+_SERVERS_PER_EVALUATION: typing.Final = 8
 _OVERLOAD: typing.Final = 1.0
 
 
@@ -40,6 +41,7 @@
         if draft.budget <= 0:
             break
         best: _Option | None = None
+        yield None
         for artifact in _hot(draft):
             for server in _cool(draft, artifact):
                 option = _option(draft, artifact, server)
@@ -52,8 +54,9 @@
         if best is None:
             break
         _take(draft, best)
+    yield None
     if draft.budget > 0:
-        _report_overload(draft)
+        yield from _report_overload(draft)
 
 
 def _hot(draft: drafts.Draft) -> list[str]:
@@ -74,6 +77,7 @@
 
 def _cool(draft: drafts.Draft, artifact: str) -> list[state.ServerPlan]:
     """Return the least loaded servers without the artifact."""
+    draft.spend(len(draft.pool.staying) // _SERVERS_PER_EVALUATION)
     servers = [s for s in draft.pool.staying if not s.holds(artifact)]
     servers.sort(key=lambda server: (server.load, server.server_id))
     return servers[: draft.settings.cool_servers]
@@ -143,7 +147,7 @@
         draft.pool.add(server, option.artifact)
 
 
-def _report_overload(draft: drafts.Draft) -> None:
+def _report_overload(draft: drafts.Draft) -> abc.Iterator[None]:
     """Name artifacts whose servers are all overloaded after all moves."""
     pool = draft.pool
     for artifact, need in pool.needs.items():
@@ -153,3 +157,5 @@
         if min(server.load for server in replicas) > _OVERLOAD:
             memory = pool.artifacts[artifact].memory_bytes
             draft.report(artifact, 'demand_exceeds_capacity', memory)
+            if draft.evaluated():
+                yield
