End a stand-in's work when its caller is gone

Cause: a log read that still waited held up a stand-in's end and left a traceback of a cancelled connection in the test output. Change: every waiting call of the stand-ins is cancelled on disconnect.

--- a/src/dogwoodquay/standin/asgi.py
+++ b/src/dogwoodquay/standin/asgi.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import math
 import typing
@@ -120,6 +121,18 @@
         while (await self._receive())['type'] != 'http.disconnect':
             pass
 
+    @contextlib.asynccontextmanager
+    async def while_connected(self) -> abc.AsyncIterator[None]:
+        """Cancel what is done in the context once the other side is gone."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._cancel_on_disconnect, group.cancel_scope)
+            yield
+            group.cancel_scope.cancel()
+
+    async def _cancel_on_disconnect(self, scope: anyio.CancelScope) -> None:
+        await self.disconnected()
+        scope.cancel()
+
     async def fail(
         self,
         error: api.Unavailable
--- a/src/dogwoodquay/standin/platform.py
+++ b/src/dogwoodquay/standin/platform.py
@@ -36,9 +36,11 @@
         stream = urllib.parse.unquote(parts[2])
         match exchange.method:
             case 'POST':
-                await self._append(exchange, stream)
+                async with exchange.while_connected():
+                    await self._append(exchange, stream)
             case 'GET':
-                await self._read(exchange, stream)
+                async with exchange.while_connected():
+                    await self._read(exchange, stream)
             case _:
                 await exchange.refuse(405, _NOT_FOUND)
 
--- a/src/dogwoodquay/standin/upstream.py
+++ b/src/dogwoodquay/standin/upstream.py
@@ -5,7 +5,6 @@
 import contextlib
 import typing
 
-import anyio
 import expression
 import msgspec
 
@@ -96,8 +95,9 @@
             return
         default = self._time.now() + DEFAULT_SECONDS
         deadline = exchange.header_number(wire.DEADLINE_HEADER, default)
-        result = await self._model.order(order, deadline)
-        await _reply_result(exchange, result)
+        async with exchange.while_connected():
+            result = await self._model.order(order, deadline)
+            await _reply_result(exchange, result)
 
     async def _cache_events(self, exchange: asgi.Exchange) -> None:
         first = int(exchange.query_number('from', 0))
@@ -156,21 +156,11 @@
 
 async def _relay(exchange: asgi.Exchange, opened: _Opened) -> None:
     """Send an answer while watching for the other side's disconnect."""
-    async with anyio.create_task_group() as group:
-        group.start_soon(_cancel_on_disconnect, exchange, group.cancel_scope)
-        async with opened as served:
-            if served.is_error():
-                await _refuse(exchange, served.error)
-            else:
-                await _send_answer(exchange, served.ok)
-        group.cancel_scope.cancel()
-
-
-async def _cancel_on_disconnect(
-    exchange: asgi.Exchange, scope: anyio.CancelScope
-) -> None:
-    await exchange.disconnected()
-    scope.cancel()
+    async with exchange.while_connected(), opened as served:
+        if served.is_error():
+            await _refuse(exchange, served.error)
+        else:
+            await _send_answer(exchange, served.ok)
 
 
 async def _refuse(exchange: asgi.Exchange, error: api.EngineError) -> None:
