--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,17 @@
 
 test: check-format lint types imports unit ## all of the above
 
+spec: env ## check the specifications and their mutants with Spin
+	$(PYTHON) spec/run.py
+
+SECONDS ?= 60
+SEED ?= 1
+fuzz: env ## run the fuzzer for SECONDS from SEED
+	$(PYTHON) -m tests.fuzz --seconds $(SECONDS) --seed $(SEED)
+
+bench: env ## compare the policies with the baselines; ARGS are passed on
+	$(PYTHON) -m bench.policy $(ARGS)
+
 demo: env ## run the main job on stand-ins
 	$(PYTHON) -m dogwoodquay demo $(ARGS)
 
--- a/src/dogwoodquay/entry/app.py
+++ b/src/dogwoodquay/entry/app.py
@@ -119,10 +119,6 @@
             case 'websocket':
                 await send({'type': 'websocket.close'})
 
-    def end_stream(self, stream_id: str, caller: str) -> bool:
-        """End the work for a caller's stream that is held here."""
-        return self._resumption.end(stream_id, caller)
-
     async def run_background(self) -> None:
         """Notice lost callers and end their work, until cancelled."""
         async with anyio.create_task_group() as group:
