Follow the parse of completions in the prefix test

Cause: the test unpacked a Result where a refusal or a completion is now returned. Change: it asserts a completion.

--- a/tests/unit/standin/test_prefix.py
+++ b/tests/unit/standin/test_prefix.py
@@ -34,7 +34,8 @@
     def test_hashes_agree(self, messages: list[object]) -> None:
         """Every hash that entry looks for is one the engine stores."""
         body = msgspec.json.encode({'model': 'm', 'messages': messages})
-        seen = completions.parse(completion.CHAT_PATH, body).ok
+        seen = completions.parse(completion.CHAT_PATH, body)
+        assert isinstance(seen, completions.Completion), seen
         request = completion.parse(body)
         prompt = completion.prompt_bytes(request)
         wanted = prefix.prefix_hashes('m@1', seen.prompt_prefix)
