Export the control side's metrics

Cause: refusals of peers, dropped messages, denied moves and appends could only be seen in a debugger. Change: gauges by label that are read when the page is rendered, and the instance's own set. Conclusion: each reason has a label.

--- a/src/dogwoodquay/node/instance.py
+++ b/src/dogwoodquay/node/instance.py
@@ -22,6 +22,7 @@
 from ..membership import api as membership_api
 from ..membership import core as membership_core
 from ..membership import shell as membership_shell
+from . import metrics as node_metrics
 from ..once import shell as once_shell
 from . import operators as operator_side
 from . import permits
@@ -286,6 +287,14 @@
             ),
             self.callers.registry,
         )
+        node_metrics.register(
+            self.callers.registry,
+            peers.traffic,
+            self._configuration,
+            self._membership,
+            self._claims,
+            self._pools,
+        )
         self.stopping = stopping.PlannedStop(
             settings,
             clock,
--- a/src/dogwoodquay/observe/metrics.py
+++ b/src/dogwoodquay/observe/metrics.py
@@ -21,6 +21,7 @@
     'Counter',
     'Gauge',
     'Histogram',
+    'LabelledGauge',
     'Page',
     'Registry',
     'SECONDS_BUCKETS',
@@ -91,6 +92,25 @@
         self._collector.set({}, self._read())
 
 
+class LabelledGauge:
+    """Numbers by the value of one label, read when the page is rendered."""
+
+    def __init__(
+        self,
+        label: str,
+        read: abc.Callable[[], abc.Mapping[str, float]],
+        collector: typing.Any,
+    ) -> None:
+        self._label = label
+        self._read = read
+        self._collector = collector
+
+    def publish(self) -> None:
+        """Hand the present values to the collector."""
+        for value, number in self._read().items():
+            self._collector.set({self._label: value}, number)
+
+
 class Histogram:
     """Counts of observations up to each bound."""
 
@@ -129,7 +149,7 @@
     def __init__(self, instance: str) -> None:
         self._registry = aioprometheus.Registry()
         self._const_labels = {'instance': instance}
-        self._metrics: list[Counter | Gauge | Histogram] = []
+        self._metrics: list[Counter | Gauge | Histogram | LabelledGauge] = []
 
     def counter(self, name: str, doc: str, *labels: str) -> Counter:
         """Create a counter.
@@ -154,6 +174,21 @@
         self._metrics.append(gauge)
         return gauge
 
+    def labelled_gauge(
+        self,
+        name: str,
+        doc: str,
+        label: str,
+        read: abc.Callable[[], abc.Mapping[str, float]],
+    ) -> LabelledGauge:
+        """Create gauges by a label that are read when somebody asks."""
+        collector = aioprometheus.Gauge(
+            name, doc, self._const_labels, self._registry
+        )
+        gauge = LabelledGauge(label, read, collector)
+        self._metrics.append(gauge)
+        return gauge
+
     def histogram(
         self,
         name: str,
