--- a/src/dogwoodquay/admission/controller.py
+++ b/src/dogwoodquay/admission/controller.py
@@ -15,6 +15,7 @@
 __all__ = ['AdmissionSettings', 'FairAdmission']
 
 _NOW: typing.Final = 0.0
+_RECORD_SECONDS: typing.Final = 5.0
 
 
 class AdmissionSettings(typing.NamedTuple):
@@ -83,7 +84,8 @@
         """Decide on a new request."""
         limits = self._limits.get(ticket.caller)
         if limits is None:
-            return api.Rejected(ticket.request_id, 'unknown_caller', math.inf)
+            retry_at = now + _RECORD_SECONDS
+            return api.Rejected(ticket.request_id, 'unknown_caller', retry_at)
         if ticket.deadline <= now:
             return api.Rejected(ticket.request_id, 'deadline_passed', now)
         exceeded = limits.exceeded(now)
--- a/src/dogwoodquay/routing/router.py
+++ b/src/dogwoodquay/routing/router.py
@@ -64,7 +64,7 @@
     ) -> None:
         self._failure_domain = failure_domain
         self._settings = settings or RoutingSettings()
-        self._peers = server.Peers(self._settings.load)
+        self._peers: dict[str, server.Peers] = {}
         self._prefixes = prefix.PrefixIndex(self._settings.prefix)
         self._servers: dict[str, server.ServerState] = {}
         self._versions: dict[str, tuple[int, int]] = {}
@@ -143,14 +143,13 @@
         if not usable:
             return api.NoReplica('no_ready_replica', retry_at)
         chosen, score = self._best(request, usable, now, rng)
-        left = request.deadline - now
-        if score.seconds > left * self._settings.late_margin:
-            retry_at = now + score.seconds - left
+        if self._too_late(chosen, request, score, now):
+            retry_at = now + score.seconds - (request.deadline - now)
             return api.NoReplica('deadline_unmeetable', retry_at)
         self._attempts[request.attempt_id] = chosen.send(
             request.priority, score.uncached_tokens, score.work, now
         )
-        self._learn_prompt(request)
+        chosen.learn_prompt(request.prompt_tokens)
         if request.prefix_hashes:
             self._prefixes.presume(
                 chosen.replica.server_id, request.prefix_hashes, now
@@ -289,7 +288,7 @@
         uncached = request.prompt_tokens * (1.0 - cached)
         uncached += settings.load.request_tokens
         work = state.work_ahead(request.priority, now) + uncached
-        seconds = work * self._peers.seconds_per_token * state.pace(now)
+        seconds = work * state.seconds_per_token(now)
         seconds *= self._slow_start(state, request.artifact, now)
         if state.replica.failure_domain != self._failure_domain:
             seconds += settings.domain_seconds
@@ -306,11 +305,23 @@
         left = 1.0 - age / settings.slow_start_seconds
         return 1.0 + settings.slow_start_factor * left
 
-    def _learn_prompt(self, request: api.RouteRequest) -> None:
-        """Follow the mean length of prompts."""
-        peers = self._peers
-        gap = request.prompt_tokens - peers.prompt_tokens
-        peers.prompt_tokens += 0.02 * gap
+    def _too_late(
+        self,
+        state: server.ServerState,
+        request: api.RouteRequest,
+        score: _Score,
+        now: float,
+    ) -> bool:
+        """Return whether the first token would come far too late.
+
+        A server for which nothing of this instance waits is always tried,
+        so that a wrong expectation is corrected. Plain services work on
+        many calls at a time, which the expectation knows nothing of.
+        """
+        if state.idle or state.pool == _SERVICES:
+            return False
+        left = request.deadline - now
+        return score.seconds > left * self._settings.late_margin
 
     def _state(self, replica: api.Replica, pool: str) -> server.ServerState:
         """Return a server's state; a new address starts afresh."""
@@ -318,12 +329,13 @@
         if state is None or state.replica != replica:
             if state is not None:
                 self._drop(replica.server_id)
+            load = self._settings.load
             state = server.ServerState(
                 replica,
                 pool,
-                self._settings.load,
+                load,
                 self._settings.health,
-                self._peers,
+                self._peers.setdefault(pool, server.Peers(load)),
             )
             self._servers[replica.server_id] = state
         return state
--- a/src/dogwoodquay/routing/server.py
+++ b/src/dogwoodquay/routing/server.py
@@ -16,6 +16,7 @@
 
 _HISTORY_SECONDS: typing.Final = 30.0
 _HISTORY_LENGTH: typing.Final = 512
+_PROMPT_WEIGHT: typing.Final = 0.02
 
 
 class LoadSettings(typing.NamedTuple):
@@ -57,7 +58,7 @@
 
 
 class Peers:
-    """Sums over all servers, to which what is stale or unknown tends."""
+    """Sums over a pool's servers, to which what is stale or unknown tends."""
 
     __slots__ = (
         'count',
@@ -113,6 +114,11 @@
         self._pace = 1.0
         self._pace_at = -math.inf
 
+    @property
+    def idle(self) -> bool:
+        """Whether no own attempt waits for its first token."""
+        return self._waiting == 0
+
     @property
     def report_time(self) -> float:
         """When the newest load report was true, in seconds."""
@@ -190,6 +196,15 @@
         mean = self._peers.prompt_tokens + settings.request_tokens
         return own + others * mean + running * settings.running_tokens
 
+    def seconds_per_token(self, now: float) -> float:
+        """Return the time that a token of work takes here."""
+        return self._peers.seconds_per_token * self.pace(now)
+
+    def learn_prompt(self, tokens: int) -> None:
+        """Follow the mean length of prompts."""
+        gap = tokens - self._peers.prompt_tokens
+        self._peers.prompt_tokens += _PROMPT_WEIGHT * gap
+
     def pace(self, now: float) -> float:
         """Return how slow the server is; one is the mean of all."""
         age = now - self._pace_at
--- a/tests/unit/routing/test_router.py
+++ b/tests/unit/routing/test_router.py
@@ -225,6 +225,38 @@
         self.assertEqual('deadline_unmeetable', answer.reason)
         self.assertGreater(answer.retry_at, 0.1)
 
+    def test_a_stall_does_not_refuse_for_ever(self) -> None:
+        """After first tokens that took a minute, one attempt still goes."""
+        subject = _router(1)
+        rng = random.Random(1)
+        for number in range(30):
+            subject.choose(views.request(number), 0.0, rng)
+        for number in range(30):
+            subject.first_token(str(number), 60.0)
+            subject.finished(str(number), True, 60.0)
+        request = dataclasses.replace(views.request('next'), deadline=61.0)
+        answer = subject.choose(request, 60.0, rng)
+        self.assertIsInstance(answer, api.Choice)
+
+    def test_a_slow_service_does_not_change_a_pool(self) -> None:
+        """What a token takes is learned for each pool by itself."""
+        subject = _router(1)
+        rng = random.Random(1)
+        before = subject.choose(views.request('a'), 0.0, rng)
+        subject.finished('a', True, 0.0)
+        replica = api.Replica('p0', '127.0.0.1', 2, 'd1')
+        subject.update_services({'charge': (replica,)}, 0.0)
+        call = dataclasses.replace(views.request('c'), artifact='charge')
+        subject.choose(call, 0.0, rng)
+        subject.first_token('c', 9.0)
+        subject.finished('c', True, 9.0)
+        after = subject.choose(views.request('b'), 9.0, rng)
+        assert isinstance(before, api.Choice)
+        assert isinstance(after, api.Choice)
+        self.assertAlmostEqual(
+            before.first_token_at, after.first_token_at - 9.0, places=3
+        )
+
     def test_a_retry_goes_to_another_domain(self) -> None:
         """Then to another server, and to the same one only as the last."""
         subject = _router(4)
