--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the decisions."""
+"""Measurements of single parts on one machine."""
--- a/src/dogwoodquay/commands/main.py
+++ b/src/dogwoodquay/commands/main.py
@@ -7,7 +7,12 @@
 
 from absl import app
 from absl.flags import argparse_flags
+from absl import logging
 
+from . import check
+from . import publish
+from . import serve
+from . import status
 from . import version
 
 if typing.TYPE_CHECKING:
@@ -15,7 +20,7 @@
 
 __all__ = ['run']
 
-_COMMANDS = (version,)
+_COMMANDS = (serve, publish, check, status, version)
 
 
 def _parse(argv: list[str]) -> argparse.Namespace:
@@ -29,6 +34,7 @@
 
 
 def _main(args: argparse.Namespace) -> int:
+    logging.set_verbosity(logging.WARNING)
     return int(args.run(args))
 
 
--- a/src/dogwoodquay/routing/router.py
+++ b/src/dogwoodquay/routing/router.py
@@ -117,6 +117,10 @@
         if state is not None:
             self._close(state)
 
+    def mark_live(self, server_id: str, now: float) -> None:
+        """Let a server that was leaving have new work again."""
+        self._leaving.discard(server_id)
+
     def update_load(
         self, server_id: str, report: platform_api.LoadReport, now: float
     ) -> None:
