Give a server that came back work at once

Change: the list's and the view's word on leaving are kept apart; a pool's servers are remembered by pool.

--- a/src/dogwoodquay/routing/baselines.py
+++ b/src/dogwoodquay/routing/baselines.py
@@ -55,6 +55,10 @@
         """Give a server nothing new from now on."""
         self._leaving.add(server_id)
 
+    def mark_live(self, server_id: str, now: float) -> None:
+        """Let a server that was leaving have new work again."""
+        self._leaving.discard(server_id)
+
     def update_load(
         self, server_id: str, report: platform_api.LoadReport, now: float
     ) -> None:
--- a/src/dogwoodquay/routing/router.py
+++ b/src/dogwoodquay/routing/router.py
@@ -68,7 +68,8 @@
         self._prefixes = prefix.PrefixIndex(self._settings.prefix)
         self._servers: dict[str, server.ServerState] = {}
         self._versions: dict[str, tuple[int, int]] = {}
-        self._pool_artifacts: dict[str, frozenset[str]] = {}
+        self._pool_artifacts: dict[str, set[str]] = {}
+        self._pool_servers: dict[str, set[str]] = {}
         self._by_artifact: dict[str, list[server.ServerState]] = {}
         self._leaving: set[str] = set()
         self._ejected_until = float('-inf')
@@ -84,13 +85,12 @@
         self._versions[view.pool] = version
         lists: dict[str, list[server.ServerState]] = {}
         for item in view.servers:
-            state = self._state(_replica(item), view.pool)
-            state.leaving = item.leaving or item.server_id in self._leaving
-            _note_ready(state, item, known is not None, now)
+            state = self._state(server.replica_of(item), view.pool)
+            state.leaving = item.leaving
+            state.note_ready(item, known is not None, now)
             if item.load is not None:
                 state.take_report(item.load)
-            for artifact in () if state.leaving else state.ready_at:
-                lists.setdefault(artifact, []).append(state)
+            self._list(state, lists)
         present = {item.server_id for item in view.servers}
         self._replace(view.pool, present, lists)
 
@@ -105,8 +105,7 @@
                 present.add(replica.server_id)
                 state = self._state(replica, _SERVICES)
                 state.ready_at.setdefault(name, float('-inf'))
-                state.leaving = replica.server_id in self._leaving
-                if not state.leaving:
+                if replica.server_id not in self._leaving:
                     lists.setdefault(name, []).append(state)
         self._replace(_SERVICES, present, lists)
 
@@ -114,12 +113,18 @@
         """Give a server nothing new from now on."""
         self._leaving.add(server_id)
         state = self._servers.get(server_id)
-        if state is not None:
-            self._close(state)
+        for artifact in state.ready_at if state else ():
+            states = self._by_artifact.get(artifact, [])
+            if state in states:
+                states.remove(state)
 
     def mark_live(self, server_id: str, now: float) -> None:
         """Let a server that was leaving have new work again."""
-        self._leaving.discard(server_id)
+        state = self._servers.get(server_id)
+        if server_id in self._leaving:
+            self._leaving.discard(server_id)
+            if state is not None:
+                self._list(state, self._by_artifact)
 
     def update_load(
         self, server_id: str, report: platform_api.LoadReport, now: float
@@ -202,13 +207,16 @@
         """Return the ready servers that are not leaving."""
         return self._by_artifact.get(artifact, [])
 
-    def _close(self, state: server.ServerState) -> None:
-        """Take a server out of all lists."""
-        state.leaving = True
+    def _list(
+        self,
+        state: server.ServerState,
+        lists: dict[str, list[server.ServerState]],
+    ) -> None:
+        """Add a server to the lists of its artifacts unless it leaves."""
+        if state.leaving or state.replica.server_id in self._leaving:
+            return
         for artifact in state.ready_at:
-            states = self._by_artifact.get(artifact, [])
-            if state in states:
-                states.remove(state)
+            lists.setdefault(artifact, []).append(state)
 
     def _usable(
         self, request: api.RouteRequest, now: float
@@ -330,7 +338,8 @@
     def _state(self, replica: api.Replica, pool: str) -> server.ServerState:
         """Return a server's state; a new address starts afresh."""
         state = self._servers.get(replica.server_id)
-        if state is None or state.replica != replica:
+        known = (state.replica, state.pool) if state is not None else None
+        if state is None or known != (replica, pool):
             if state is not None:
                 self._drop(replica.server_id)
             load = self._settings.load
@@ -351,53 +360,26 @@
         lists: dict[str, list[server.ServerState]],
     ) -> None:
         """Put a pool's new lists in place of its old ones."""
-        for artifact in self._pool_artifacts.get(pool, frozenset()):
-            kept = [
-                state
-                for state in self._by_artifact[artifact]
-                if state.pool != pool
-            ]
-            self._by_artifact[artifact] = kept
-            if not kept:
-                del self._by_artifact[artifact]
+        for artifact in self._pool_artifacts.get(pool, ()):
+            states = self._by_artifact.pop(artifact, [])
+            kept = [state for state in states if state.pool != pool]
+            if kept:
+                self._by_artifact[artifact] = kept
         for artifact, states in lists.items():
             self._by_artifact.setdefault(artifact, []).extend(states)
-        self._pool_artifacts[pool] = frozenset(lists)
-        gone = [
-            server_id
-            for server_id, state in self._servers.items()
-            if state.pool == pool and server_id not in present
-        ]
-        for server_id in gone:
-            self._drop(server_id)
+        for server_id in self._pool_servers.get(pool, set()) - present:
+            state = self._servers.get(server_id)
+            if state is not None and state.pool == pool:
+                self._drop(server_id)
+        self._pool_servers[pool] = present
+        self._pool_artifacts[pool] = {
+            artifact
+            for server_id in present
+            for artifact in self._servers[server_id].ready_at
+        }
 
     def _drop(self, server_id: str) -> None:
         """Forget a server; its attempts in flight end by themselves."""
         self._servers.pop(server_id).retire()
         self._prefixes.forget(server_id)
         self._leaving.discard(server_id)
-
-
-def _replica(item: pools_api.ServerView) -> api.Replica:
-    return api.Replica(
-        item.server_id, item.address, item.port, item.failure_domain
-    )
-
-
-def _note_ready(
-    state: server.ServerState,
-    item: pools_api.ServerView,
-    watched: bool,
-    now: float,
-) -> None:
-    """Note since when each artifact is ready on a server.
-
-    :param watched: whether an earlier view showed it as not ready; what is
-        ready in the first view needs no slow start.
-    """
-    since = now if watched else float('-inf')
-    state.ready_at = {
-        view.artifact: state.ready_at.get(view.artifact, since)
-        for view in item.artifacts
-        if view.ready and not view.withdrawing
-    }
--- a/src/dogwoodquay/routing/server.py
+++ b/src/dogwoodquay/routing/server.py
@@ -6,13 +6,14 @@
 import math
 import typing
 
+from . import api
 from . import health
 
 if typing.TYPE_CHECKING:
-    from . import api
     from ..platform import api as platform_api
+    from ..pools import api as pools_api
 
-__all__ = ['Attempt', 'LoadSettings', 'Peers', 'ServerState']
+__all__ = ['Attempt', 'LoadSettings', 'Peers', 'ServerState', 'replica_of']
 
 _HISTORY_SECONDS: typing.Final = 30.0
 _HISTORY_LENGTH: typing.Final = 512
@@ -84,6 +85,13 @@
         return self.running / self.count if self.count else 0.0
 
 
+def replica_of(view: pools_api.ServerView) -> api.Replica:
+    """Return a server's replica, as the router names it."""
+    return api.Replica(
+        view.server_id, view.address, view.port, view.failure_domain
+    )
+
+
 class ServerState:
     """Own attempts, reported load, pace and health of one server."""
 
@@ -124,6 +132,21 @@
         """When the newest load report was true, in seconds."""
         return self._report.time if self._report else -math.inf
 
+    def note_ready(
+        self, view: pools_api.ServerView, watched: bool, now: float
+    ) -> None:
+        """Note since when each artifact is ready here.
+
+        :param watched: whether an earlier view showed what was not ready;
+            what is ready in the first view needs no slow start.
+        """
+        since = now if watched else -math.inf
+        self.ready_at = {
+            item.artifact: self.ready_at.get(item.artifact, since)
+            for item in view.artifacts
+            if item.ready and not item.withdrawing
+        }
+
     def send(
         self, priority: int, tokens: float, work: float, now: float
     ) -> Attempt:
--- a/tests/unit/routing/test_router.py
+++ b/tests/unit/routing/test_router.py
@@ -199,6 +199,25 @@
         names = [item.server_id for item in subject.replicas(views.ARTIFACT)]
         self.assertEqual(['s0'], names)
 
+    def test_a_server_that_came_back_gets_work_at_once(self) -> None:
+        """The list's word ends; that of the owner's view stays."""
+        subject = router.ScoringRouter('d0')
+        servers = [views.server(0), views.server(1, leaving=True)]
+        subject.update_view(views.view(servers), 0.0)
+        replica = api.Replica('p0', '127.0.0.1', 2, 'd1')
+        subject.update_services({'charge': (replica,)}, 0.0)
+        for name in ('s0', 's1', 'p0'):
+            subject.mark_leaving(name, 0.0)
+        self.assertEqual((), subject.replicas('charge'))
+        for name in ('s0', 's1', 'p0', 'p0'):
+            subject.mark_live(name, 1.0)
+        names = [item.server_id for item in subject.replicas(views.ARTIFACT)]
+        self.assertEqual(['s0'], names)
+        self.assertEqual((replica,), subject.replicas('charge'))
+        subject.update_view(views.view(servers, 2), 2.0)
+        names = [item.server_id for item in subject.replicas(views.ARTIFACT)]
+        self.assertEqual(['s0'], names)
+
     def test_an_older_view_changes_nothing(self) -> None:
         """Views may cross on their way."""
         subject = router.ScoringRouter('d0')
