--- /dev/null
+++ b/tests/unit/policy_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the bench of the policies."""
