--- a/src/dogwoodquay/routing/server.py
+++ b/src/dogwoodquay/routing/server.py
@@ -6,16 +6,18 @@
 import math
 import typing
 
+from . import api
 from . import health
 
 if typing.TYPE_CHECKING:
-    from . import api
     from ..platform import api as platform_api
+    from ..pools import api as pools_api
 
-__all__ = ['Attempt', 'LoadSettings', 'Peers', 'ServerState']
+__all__ = ['Attempt', 'LoadSettings', 'Peers', 'ServerState', 'replica_of']
 
 _HISTORY_SECONDS: typing.Final = 30.0
 _HISTORY_LENGTH: typing.Final = 512
+_PROMPT_WEIGHT: typing.Final = 0.02
 
 
 class LoadSettings(typing.NamedTuple):
@@ -57,7 +59,7 @@
 
 
 class Peers:
-    """Sums over all servers, to which what is stale or unknown tends."""
+    """Sums over a pool's servers, to which what is stale or unknown tends."""
 
     __slots__ = (
         'count',
@@ -83,6 +85,13 @@
         return self.running / self.count if self.count else 0.0
 
 
+def replica_of(view: pools_api.ServerView) -> api.Replica:
+    """Return a server's replica, as the router names it."""
+    return api.Replica(
+        view.server_id, view.address, view.port, view.failure_domain
+    )
+
+
 class ServerState:
     """Own attempts, reported load, pace and health of one server."""
 
@@ -113,11 +122,31 @@
         self._pace = 1.0
         self._pace_at = -math.inf
 
+    @property
+    def idle(self) -> bool:
+        """Whether no own attempt waits for its first token."""
+        return self._waiting == 0
+
     @property
     def report_time(self) -> float:
         """When the newest load report was true, in seconds."""
         return self._report.time if self._report else -math.inf
 
+    def note_ready(
+        self, view: pools_api.ServerView, watched: bool, now: float
+    ) -> None:
+        """Note since when each artifact is ready here.
+
+        :param watched: whether an earlier view showed what was not ready;
+            what is ready in the first view needs no slow start.
+        """
+        since = now if watched else -math.inf
+        self.ready_at = {
+            item.artifact: self.ready_at.get(item.artifact, since)
+            for item in view.artifacts
+            if item.ready and not item.withdrawing
+        }
+
     def send(
         self, priority: int, tokens: float, work: float, now: float
     ) -> Attempt:
@@ -190,6 +219,15 @@
         mean = self._peers.prompt_tokens + settings.request_tokens
         return own + others * mean + running * settings.running_tokens
 
+    def seconds_per_token(self, now: float) -> float:
+        """Return the time that a token of work takes here."""
+        return self._peers.seconds_per_token * self.pace(now)
+
+    def learn_prompt(self, tokens: int) -> None:
+        """Follow the mean length of prompts."""
+        gap = tokens - self._peers.prompt_tokens
+        self._peers.prompt_tokens += _PROMPT_WEIGHT * gap
+
     def pace(self, now: float) -> float:
         """Return how slow the server is; one is the mean of all."""
         age = now - self._pace_at
