--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
 export PYTHONPATH := src
-SOURCES := src tests bench examples
+SOURCES := $(wildcard src tests bench examples)
 STAMP := $(VENV)/.installed
 
 .PHONY: help env format check-format lint types imports unit test demo \
@@ -38,6 +38,17 @@
 
 test: check-format lint types imports unit ## all of the above
 
+spec: env ## check the specifications and their mutants with Spin
+	$(PYTHON) spec/run.py
+
+SECONDS ?= 60
+SEED ?= 1
+fuzz: env ## run the fuzzer for SECONDS from SEED
+	$(PYTHON) -m tests.fuzz --seconds $(SECONDS) --seed $(SEED)
+
+bench: env ## compare the policies with the baselines; ARGS are passed on
+	$(PYTHON) -m bench.policy $(ARGS)
+
 demo: env ## run the main job on stand-ins
 	$(PYTHON) -m dogwoodquay demo $(ARGS)
 
--- a/src/dogwoodquay/routing/router.py
+++ b/src/dogwoodquay/routing/router.py
@@ -22,7 +22,11 @@
 
 
 class RoutingSettings(typing.NamedTuple):
-    """Weights and bounds of the choice."""
+    """Weights and bounds of the choice.
+
+    An attempt is refused when the expected time to the first token exceeds
+    what is left until its deadline by the factor ``late_margin``.
+    """
 
     sample_size: int = 2
     cache_candidates: int = 1
@@ -30,6 +34,7 @@
     slow_start_seconds: float = 10.0
     slow_start_factor: float = 2.0
     no_replica_retry_seconds: float = 2.0
+    late_margin: float = 1.5
     load: server.LoadSettings = server.LoadSettings()
     health: health.HealthSettings = health.HealthSettings()
     prefix: prefix.PrefixSettings = prefix.PrefixSettings()
@@ -59,13 +64,15 @@
     ) -> None:
         self._failure_domain = failure_domain
         self._settings = settings or RoutingSettings()
-        self._peers = server.Peers(self._settings.load)
+        self._peers: dict[str, server.Peers] = {}
         self._prefixes = prefix.PrefixIndex(self._settings.prefix)
         self._servers: dict[str, server.ServerState] = {}
         self._versions: dict[str, tuple[int, int]] = {}
-        self._pool_artifacts: dict[str, frozenset[str]] = {}
+        self._pool_artifacts: dict[str, set[str]] = {}
+        self._pool_servers: dict[str, set[str]] = {}
         self._by_artifact: dict[str, list[server.ServerState]] = {}
         self._leaving: set[str] = set()
+        self._ejected_until = float('-inf')
         self._attempts: dict[str, server.Attempt] = {}
         self._started: set[str] = set()
 
@@ -78,13 +85,12 @@
         self._versions[view.pool] = version
         lists: dict[str, list[server.ServerState]] = {}
         for item in view.servers:
-            state = self._state(_replica(item), view.pool)
+            state = self._state(server.replica_of(item), view.pool)
             state.leaving = item.leaving
-            _note_ready(state, item, known is not None, now)
+            state.note_ready(item, known is not None, now)
             if item.load is not None:
                 state.take_report(item.load)
-            for artifact in state.ready_at:
-                lists.setdefault(artifact, []).append(state)
+            self._list(state, lists)
         present = {item.server_id for item in view.servers}
         self._replace(view.pool, present, lists)
 
@@ -99,12 +105,26 @@
                 present.add(replica.server_id)
                 state = self._state(replica, _SERVICES)
                 state.ready_at.setdefault(name, float('-inf'))
-                lists.setdefault(name, []).append(state)
+                if replica.server_id not in self._leaving:
+                    lists.setdefault(name, []).append(state)
         self._replace(_SERVICES, present, lists)
 
     def mark_leaving(self, server_id: str, now: float) -> None:
         """Give a server nothing new from now on."""
         self._leaving.add(server_id)
+        state = self._servers.get(server_id)
+        for artifact in state.ready_at if state else ():
+            states = self._by_artifact.get(artifact, [])
+            if state in states:
+                states.remove(state)
+
+    def mark_live(self, server_id: str, now: float) -> None:
+        """Let a server that was leaving have new work again."""
+        state = self._servers.get(server_id)
+        if server_id in self._leaving:
+            self._leaving.discard(server_id)
+            if state is not None:
+                self._list(state, self._by_artifact)
 
     def update_load(
         self, server_id: str, report: platform_api.LoadReport, now: float
@@ -132,10 +152,13 @@
         if not usable:
             return api.NoReplica('no_ready_replica', retry_at)
         chosen, score = self._best(request, usable, now, rng)
+        if self._too_late(chosen, request, score, now):
+            retry_at = now + score.seconds - (request.deadline - now)
+            return api.NoReplica('deadline_unmeetable', retry_at)
         self._attempts[request.attempt_id] = chosen.send(
             request.priority, score.uncached_tokens, score.work, now
         )
-        self._learn_prompt(request)
+        chosen.learn_prompt(request.prompt_tokens)
         if request.prefix_hashes:
             self._prefixes.presume(
                 chosen.replica.server_id, request.prefix_hashes, now
@@ -159,19 +182,41 @@
         self._started.discard(attempt_id)
         attempt.server.end(attempt, started, now)
         attempt.server.health.record(ok, now)
+        if not ok:
+            self._ejected_until = max(
+                self._ejected_until, attempt.server.health.ejected_until
+            )
 
     def replicas(self, artifact: str) -> tuple[api.Replica, ...]:
         """Return the replicas that may get new work."""
         return tuple(state.replica for state in self._open(artifact))
 
+    def paces(self, now: float) -> dict[str, float]:
+        """Return how slow each server seems; one is the mean of all.
+
+        The owner of a pool derives ``placement.api.Contents.speed`` from
+        the paces that instances report.
+        """
+        return {
+            server_id: state.pace(now)
+            for server_id, state in self._servers.items()
+            if state.pool != _SERVICES
+        }
+
     def _open(self, artifact: str) -> list[server.ServerState]:
         """Return the ready servers that are not leaving."""
-        return [
-            state
-            for state in self._by_artifact.get(artifact, ())
-            if not state.leaving
-            and state.replica.server_id not in self._leaving
-        ]
+        return self._by_artifact.get(artifact, [])
+
+    def _list(
+        self,
+        state: server.ServerState,
+        lists: dict[str, list[server.ServerState]],
+    ) -> None:
+        """Add a server to the lists of its artifacts unless it leaves."""
+        if state.leaving or state.replica.server_id in self._leaving:
+            return
+        for artifact in state.ready_at:
+            lists.setdefault(artifact, []).append(state)
 
     def _usable(
         self, request: api.RouteRequest, now: float
@@ -180,7 +225,11 @@
         states = self._open(request.artifact)
         if not states:
             return states
-        usable = health.usable(states, self._settings.health.kept_share, now)
+        usable: abc.Sequence[server.ServerState] = states
+        if now < self._ejected_until:
+            usable = health.usable(
+                states, self._settings.health.kept_share, now
+            )
         if not request.avoid_servers and not request.avoid_domains:
             return usable
         fresh = [
@@ -203,12 +252,9 @@
         rng: random.Random,
     ) -> tuple[server.ServerState, _Score]:
         """Return the best of a sample; ties fall to the first drawn."""
-        sample = list(usable)
-        if len(sample) > self._settings.sample_size:
-            sample = rng.sample(sample, self._settings.sample_size)
+        sample = self._sample(usable, rng)
+        if len(sample) < len(usable):
             sample.extend(self._cached(request, usable))
-        else:
-            rng.shuffle(sample)
         best = sample[0]
         best_score = self._score(best, request, now)
         for state in sample[1:]:
@@ -217,20 +263,32 @@
                 best, best_score = state, score
         return best, best_score
 
+    def _sample(
+        self, usable: abc.Sequence[server.ServerState], rng: random.Random
+    ) -> list[server.ServerState]:
+        """Return a few servers in random order."""
+        size = self._settings.sample_size
+        count = len(usable)
+        if count <= size:
+            return rng.sample(usable, count)
+        picks: list[int] = []
+        while len(picks) < size:
+            pick = int(rng.random() * count)
+            if pick not in picks:
+                picks.append(pick)
+        return [usable[pick] for pick in picks]
+
     def _cached(
         self,
         request: api.RouteRequest,
         usable: abc.Sequence[server.ServerState],
     ) -> list[server.ServerState]:
         """Return usable servers that may hold the longest known prefix."""
-        if not request.prefix_hashes:
-            return []
         names = self._prefixes.owners(
             request.prefix_hashes, self._settings.cache_candidates
         )
-        if not names:
-            return []
-        return [state for state in usable if state.replica.server_id in names]
+        states = [self._servers.get(name) for name in names]
+        return [state for state in states if state and state in usable]
 
     def _score(
         self, state: server.ServerState, request: api.RouteRequest, now: float
@@ -242,7 +300,7 @@
         uncached = request.prompt_tokens * (1.0 - cached)
         uncached += settings.load.request_tokens
         work = state.work_ahead(request.priority, now) + uncached
-        seconds = work * self._peers.seconds_per_token * state.pace(now)
+        seconds = work * state.seconds_per_token(now)
         seconds *= self._slow_start(state, request.artifact, now)
         if state.replica.failure_domain != self._failure_domain:
             seconds += settings.domain_seconds
@@ -259,24 +317,38 @@
         left = 1.0 - age / settings.slow_start_seconds
         return 1.0 + settings.slow_start_factor * left
 
-    def _learn_prompt(self, request: api.RouteRequest) -> None:
-        """Follow the mean length of prompts."""
-        peers = self._peers
-        gap = request.prompt_tokens - peers.prompt_tokens
-        peers.prompt_tokens += 0.02 * gap
+    def _too_late(
+        self,
+        state: server.ServerState,
+        request: api.RouteRequest,
+        score: _Score,
+        now: float,
+    ) -> bool:
+        """Return whether the first token would come far too late.
+
+        A server for which nothing of this instance waits is always tried,
+        so that a wrong expectation is corrected. Plain services work on
+        many calls at a time, which the expectation knows nothing of.
+        """
+        if state.idle or state.pool == _SERVICES:
+            return False
+        left = request.deadline - now
+        return score.seconds > left * self._settings.late_margin
 
     def _state(self, replica: api.Replica, pool: str) -> server.ServerState:
         """Return a server's state; a new address starts afresh."""
         state = self._servers.get(replica.server_id)
-        if state is None or state.replica != replica:
+        known = (state.replica, state.pool) if state is not None else None
+        if state is None or known != (replica, pool):
             if state is not None:
                 self._drop(replica.server_id)
+            load = self._settings.load
             state = server.ServerState(
                 replica,
                 pool,
-                self._settings.load,
+                load,
                 self._settings.health,
-                self._peers,
+                self._peers.setdefault(pool, server.Peers(load)),
             )
             self._servers[replica.server_id] = state
         return state
@@ -288,53 +360,26 @@
         lists: dict[str, list[server.ServerState]],
     ) -> None:
         """Put a pool's new lists in place of its old ones."""
-        for artifact in self._pool_artifacts.get(pool, frozenset()):
-            kept = [
-                state
-                for state in self._by_artifact[artifact]
-                if state.pool != pool
-            ]
-            self._by_artifact[artifact] = kept
-            if not kept:
-                del self._by_artifact[artifact]
+        for artifact in self._pool_artifacts.get(pool, ()):
+            states = self._by_artifact.pop(artifact, [])
+            kept = [state for state in states if state.pool != pool]
+            if kept:
+                self._by_artifact[artifact] = kept
         for artifact, states in lists.items():
             self._by_artifact.setdefault(artifact, []).extend(states)
-        self._pool_artifacts[pool] = frozenset(lists)
-        gone = [
-            server_id
-            for server_id, state in self._servers.items()
-            if state.pool == pool and server_id not in present
-        ]
-        for server_id in gone:
-            self._drop(server_id)
+        for server_id in self._pool_servers.get(pool, set()) - present:
+            state = self._servers.get(server_id)
+            if state is not None and state.pool == pool:
+                self._drop(server_id)
+        self._pool_servers[pool] = present
+        self._pool_artifacts[pool] = {
+            artifact
+            for server_id in present
+            for artifact in self._servers[server_id].ready_at
+        }
 
     def _drop(self, server_id: str) -> None:
         """Forget a server; its attempts in flight end by themselves."""
         self._servers.pop(server_id).retire()
         self._prefixes.forget(server_id)
         self._leaving.discard(server_id)
-
-
-def _replica(item: pools_api.ServerView) -> api.Replica:
-    return api.Replica(
-        item.server_id, item.address, item.port, item.failure_domain
-    )
-
-
-def _note_ready(
-    state: server.ServerState,
-    item: pools_api.ServerView,
-    watched: bool,
-    now: float,
-) -> None:
-    """Note since when each artifact is ready on a server.
-
-    :param watched: whether an earlier view showed it as not ready; what is
-        ready in the first view needs no slow start.
-    """
-    since = now if watched else float('-inf')
-    state.ready_at = {
-        view.artifact: state.ready_at.get(view.artifact, since)
-        for view in item.artifacts
-        if view.ready and not view.withdrawing
-    }
