--- /dev/null
+++ b/tests/unit/ledger/helpers.py
@@ -0,0 +1,79 @@
+"""A pool of two servers and its ledger, for tests."""
+
+from __future__ import annotations
+
+import typing
+
+from dogwoodquay.ledger import core
+from dogwoodquay.placement import api as placement_api
+from dogwoodquay.platform import api as platform_api
+from dogwoodquay.records import api as records_api
+
+EPOCH: typing.Final = 7
+POOL: typing.Final = 'a'
+
+
+def make_catalog(
+    fencing: bool = True, bound: float = 0.0
+) -> records_api.Catalog:
+    """Return a catalogue of two servers and three models."""
+    servers = tuple(
+        records_api.Server(name, '127.0.0.1', port, 'd', 8)
+        for port, name in enumerate(('s0', 's1'))
+    )
+    models = {
+        name: records_api.Model(name, '1', 4, POOL) for name in ('x', 'y', 'z')
+    }
+    pool = records_api.Pool(POOL, servers, fencing, bound)
+    return records_api.Catalog(models=models, pools={POOL: pool})
+
+
+def make_ledger(fencing: bool = True) -> core.PoolLedger:
+    """Return a new tenure's ledger with slots."""
+    catalog = make_catalog(fencing)
+    ledger = core.PoolLedger(catalog.pools[POOL], catalog, EPOCH)
+    ledger.set_slots(4)
+    return ledger
+
+
+def make_state(
+    *ready: str,
+    loading: tuple[str, ...] = (),
+    fence: int = EPOCH,
+    incarnation: str = 'p0',
+    lists_loading: bool = True,
+) -> platform_api.EngineState:
+    """Return an engine's answer."""
+    artifacts = [platform_api.ArtifactState(name, 4, True) for name in ready]
+    artifacts += [
+        platform_api.ArtifactState(name, 4, False) for name in loading
+    ]
+    load = platform_api.LoadReport(0.0, 0, 0, 0.0, 0.0)
+    return platform_api.EngineState(
+        incarnation,
+        fence,
+        8,
+        tuple(artifacts),
+        load,
+        lists_loading=lists_loading,
+    )
+
+
+def observe(
+    ledger: core.PoolLedger, server: str, state: platform_api.EngineState
+) -> None:
+    """Give the ledger an answer that nothing has overtaken."""
+    began = ledger.servers[server].begin_observation()
+    ledger.observe(server, state, began)
+
+
+def load(server: str, artifact: str) -> placement_api.Move:
+    """Return a load."""
+    kind = placement_api.MoveKind.LOAD
+    return placement_api.Move(kind, server, artifact, 4, '', '')
+
+
+def unload(server: str, artifact: str) -> placement_api.Move:
+    """Return an unload."""
+    kind = placement_api.MoveKind.UNLOAD
+    return placement_api.Move(kind, server, artifact, 4, '', '')
