Send new items to a few neighbours, and rewire once a tick

Cause: 100 instances that joined at once sent each item to some 16 neighbours, used up the byte budget, and computed their neighbours anew for each report; they did not agree within a minute. Change: a newer item goes to four neighbours, the rest get it by comparison every two seconds; neighbours are computed at most once a tick and positions are cached; an instance that is alone reads the list each second.

--- /dev/null
+++ b/bench/control_node.py
@@ -0,0 +1,95 @@
+"""One instance's control parts on loopback sockets."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+
+import anyio
+import anyio.abc
+
+from dogwoodquay import clock
+from dogwoodquay.gossip import shell as gossip_shell
+from dogwoodquay.membership import api
+from dogwoodquay.membership import core
+from dogwoodquay.membership import shell
+from dogwoodquay.platform import api as platform_api
+from dogwoodquay.platform.memory import instances
+from dogwoodquay.platform.memory import timeline
+from dogwoodquay.wire import peers
+from dogwoodquay.wire import settings
+
+__all__ = ['Net', 'Node']
+
+DOMAINS = 3
+
+
+class Net:
+    """The platform's list, as all instances of a run see it."""
+
+    def __init__(self) -> None:
+        self.time = timeline.SystemTimeline()
+        self.list = instances.MemoryInstanceList(self.time, random.Random(1))
+
+
+class Node:
+    """Wire, board and membership with their real settings."""
+
+    def __init__(self, net: Net, number: int) -> None:
+        self.name = f'instance-{number}'
+        self.stop = anyio.Event()
+        self._net = net
+        self._domain = f'domain-{number % DOMAINS}'
+        self._rng = random.Random(number)
+        self._clock = clock.SystemClock()
+        limits = settings.WireSettings(
+            self.name, '127.0.0.1', 0, (b'a secret of the bench',)
+        )
+        self.peers = peers.Peers(limits, self._clock, self._rng)
+        self.board = gossip_shell.GossipBoard(
+            self.peers, self._clock, self._rng
+        )
+        self.membership: shell.GossipMembership
+
+    async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
+        """Run until told to stop, then end without a word."""
+        async with contextlib.AsyncExitStack() as stack:
+            await stack.enter_async_context(self.peers.running())
+            self._enter()
+            tasks = await stack.enter_async_context(anyio.create_task_group())
+            tasks.start_soon(self.board.run)
+            tasks.start_soon(self.membership.run)
+            task_status.started()
+            await self.stop.wait()
+            tasks.cancel_scope.cancel()
+
+    def sees(self) -> set[str]:
+        """Return the names of the members that it holds not to be dead."""
+        return {m.instance_id for m in self.membership.members()}
+
+    def _enter(self) -> None:
+        address, port = self.peers.address
+        own = api.Member(
+            self.name,
+            core.first_incarnation(self._clock.now()),
+            address,
+            port,
+            self._domain,
+            api.MemberState.LIVE,
+        )
+        self.membership = shell.GossipMembership(
+            own,
+            self.peers,
+            self.board,
+            self._net.list,
+            self._clock,
+            self._rng,
+        )
+        listed = platform_api.Instance(
+            self.name,
+            address,
+            port,
+            self._domain,
+            platform_api.InstanceState.LIVE,
+        )
+        self._net.list.put(listed)
--- a/src/dogwoodquay/gossip/core.py
+++ b/src/dogwoodquay/gossip/core.py
@@ -1,4 +1,4 @@
-"""Dissemination as a pure state machine: flooding and anti-entropy."""
+"""Dissemination as a pure state machine: rumours and anti-entropy."""
 
 from __future__ import annotations
 
@@ -27,11 +27,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GossipSettings:
-    """Limits and intervals of dissemination."""
+    """Limits and intervals of dissemination.
+
+    A newer item goes to ``fanout`` neighbours at once; whom it misses gets
+    it by comparison.
+    """
 
     bytes_per_second: float = 3000.0
     burst_bytes: float = 60_000.0
-    exchange_seconds: float = 5.0
+    fanout: int = 4
+    exchange_seconds: float = 2.0
     catch_up_seconds: float = 0.5
 
 
@@ -95,7 +100,7 @@
     def set_neighbours(
         self, neighbours: typing.Sequence[wire_api.PeerAddress]
     ) -> None:
-        """Flood to these from now on; new ones are compared with first."""
+        """Send to these from now on; new ones are compared with first."""
         known = set(self._neighbours)
         self._greet += [peer for peer in neighbours if peer not in known]
         self._neighbours = tuple(neighbours)
@@ -146,13 +151,20 @@
     ) -> list[Effect]:
         if not self._store.put(item, now):
             return []
-        for peer in self._neighbours:
-            if peer != source:
-                self._queue(peer, (item.key,))
+        for peer in self._receivers(source):
+            self._queue(peer, (item.key,))
         if self._store.get(item.key, now) is None:
             return []
         return [Changed(item)]
 
+    def _receivers(
+        self, source: wire_api.PeerAddress | None
+    ) -> list[wire_api.PeerAddress]:
+        others = [peer for peer in self._neighbours if peer != source]
+        return self._rng.sample(
+            others, min(self._settings.fanout, len(others))
+        )
+
     def _receive_items(
         self, peer: wire_api.PeerAddress, message: messages.Items, now: float
     ) -> list[Effect]:
--- a/src/dogwoodquay/gossip/ring.py
+++ b/src/dogwoodquay/gossip/ring.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import bisect
+import functools
 import typing
 
 import xxhash
@@ -82,6 +83,7 @@
         return self._places[index % self.size].instance_id
 
 
+@functools.lru_cache(maxsize=4096)
 def _position(instance_id: str) -> int:
     return xxhash.xxh3_64_intdigest(instance_id.encode())
 
--- a/src/dogwoodquay/gossip/shell.py
+++ b/src/dogwoodquay/gossip/shell.py
@@ -86,7 +86,7 @@
     def set_neighbours(
         self, neighbours: typing.Sequence[wire_api.PeerAddress]
     ) -> None:
-        """Flood to these from now on."""
+        """Send to these from now on."""
         self._core.set_neighbours(neighbours)
 
     async def run(self) -> None:
--- a/src/dogwoodquay/membership/core.py
+++ b/src/dogwoodquay/membership/core.py
@@ -60,6 +60,7 @@
         self._view = views.View()
         self._view.put(own)
         self._neighbours: tuple[api.Member, ...] = ()
+        self._rewire_due = False
         self._round: list[str] = []
         self._probes: dict[int, _OpenProbe] = {}
         self._next_probe = 0
@@ -167,8 +168,9 @@
             self._suspicions.start(member, len(self._view.present()), now)
         else:
             self._suspicions.stop(member.instance_id)
+        self._rewire_due = True
         effects: list[fx.Effect] = [fx.Publish(member), fx.Changed(member)]
-        return effects + self._rewire()
+        return effects if self._neighbours else effects + self._rewire()
 
     def listed(
         self, instances: typing.Sequence[platform_api.Instance]
@@ -188,6 +190,8 @@
     def tick(self, now: float) -> list[fx.Effect]:
         """Probe, contact, and end suspicions whose time is up."""
         effects = self._awake(now)
+        if self._rewire_due:
+            effects += self._rewire()
         for name, suspicion in self._suspicions.take_due(now).items():
             effects += self._declare_dead(name, suspicion, now)
         if now >= self._probe_at:
@@ -323,6 +327,7 @@
         return self._seeds.contacts(present, alone, now)
 
     def _rewire(self) -> list[fx.Effect]:
+        self._rewire_due = False
         present = {m.instance_id: m for m in self._view.present()}
         present.pop(self._own.instance_id, None)
         own = ring.Place(self._own.instance_id, self._own.failure_domain)
--- a/src/dogwoodquay/membership/shell.py
+++ b/src/dogwoodquay/membership/shell.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 import anyio
@@ -28,6 +29,7 @@
 KEY_PREFIX: typing.Final = 'member/'
 DEAD_SECONDS: typing.Final = 3600.0
 LIST_SECONDS: typing.Final = 10.0
+ALONE_SECONDS: typing.Final = 1.0
 LIST_DEADLINE_SECONDS: typing.Final = 5.0
 
 
@@ -121,8 +123,12 @@
             listed = await self._instances.instances(deadline)
             if listed.is_ok():
                 self._detector.listed(listed.ok)
-            pause = self._list_seconds * self._rng.uniform(0.8, 1.2)
-            await anyio.sleep(pause)
+            await anyio.sleep(self._list_pause())
+
+    def _list_pause(self) -> float:
+        alone = len(self.members()) == 1
+        pause = min(self._list_seconds, ALONE_SECONDS if alone else math.inf)
+        return pause * self._rng.uniform(0.8, 1.2)
 
     async def _on_ping(
         self, sender: wire_api.Sender, ping: messages.Ping, deadline: float
