--- a/src/dogwoodquay/membership/shell.py
+++ b/src/dogwoodquay/membership/shell.py
@@ -149,7 +149,10 @@
         return messages.Pong(answer.ok.sender, 0)
 
     def _on_item(self, item: gossip_api.Item) -> None:
-        member = msgspec.msgpack.decode(item.payload, type=api.Member)
+        try:
+            member = msgspec.msgpack.decode(item.payload, type=api.Member)
+        except msgspec.MsgspecError:
+            return
         self._run(self._detector.learn(member, self._clock.now()))
 
     def _run(self, effects: list[fx.Effect]) -> None:
--- a/src/dogwoodquay/once/batcher.py
+++ b/src/dogwoodquay/once/batcher.py
@@ -22,6 +22,8 @@
 
 ATTEMPT_SECONDS: typing.Final = 2.0
 RETRY_SECONDS: typing.Final = 0.25
+FAILURES_SURE: typing.Final = 2
+FAILURES_UNSURE: typing.Final = 3
 MAX_BATCH_ENTRIES: typing.Final = 200
 MAX_BATCH_BYTES: typing.Final = 200_000
 MAX_WAITING: typing.Final = 20_000
@@ -32,10 +34,13 @@
 class Ticket:
     """An entry that waits to be appended, until it is dropped.
 
-    ``may_land`` is false as long as the entry is certainly not on the log.
+    ``may_land`` is false as long as the entry is certainly not on the log;
+    ``failed`` is set when appends fail so that there is no use in waiting.
     """
 
     entry: entries.ClaimEntry
+    failed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    failures: int = 0
     may_land: bool = False
     queued: bool = True
     dropped: bool = False
@@ -111,6 +116,17 @@
             self._follower.forget(entry_id)
         return verdict
 
+    async def quick_verdict(
+        self, ticket: Ticket, deadline: float
+    ) -> journal_api.Verdict | None:
+        """Return the verdict, or ``None`` at once when the log is out."""
+        verdict = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_cancel_when_failed, ticket, tasks.cancel_scope)
+            verdict = await self.verdict(ticket, deadline)
+            tasks.cancel_scope.cancel()
+        return verdict
+
     def drop(self, ticket: Ticket) -> None:
         """Do not append an entry any more; it may have been already."""
         ticket.dropped = True
@@ -163,10 +179,25 @@
                 ticket.may_land = landed
         for ticket in batch:
             ticket.queued = True
+            _note_failure(ticket)
         self._waiting.extendleft(reversed(batch))
         return False
 
 
+async def _cancel_when_failed(
+    ticket: Ticket, scope: anyio.CancelScope
+) -> None:
+    await ticket.failed.wait()
+    scope.cancel()
+
+
+def _note_failure(ticket: Ticket) -> None:
+    ticket.failures += 1
+    limit = FAILURES_UNSURE if ticket.may_land else FAILURES_SURE
+    if ticket.failures >= limit:
+        ticket.failed.set()
+
+
 def _size(entry: entries.ClaimEntry) -> int:
     if isinstance(entry, entries.Settled) and entry.answer is not None:
         return _ENTRY_BYTES + 2 * len(entry.answer.body)
--- a/src/dogwoodquay/once/claimant.py
+++ b/src/dogwoodquay/once/claimant.py
@@ -29,6 +29,8 @@
     entry: entries.Claimed | entries.Lost
 
 
+RETRY_SECONDS: typing.Final = 1.0
+
 Decision = Append | api.ClaimAnswer
 
 
@@ -88,7 +90,7 @@
         )
         found = keys.key_id(caller, key)
         if found is None:
-            return attempt_id, api.KeyRefused('key_malformed')
+            return attempt_id, api.KeyRefused('bad_idempotency_key')
         if found.time_ms > now * 1000 + tables.FUTURE_MS:
             return attempt_id, api.KeyRefused('key_from_future')
         attempt = _Attempt(claim, found, deadline)
@@ -100,20 +102,22 @@
         attempt = self._attempts[attempt_id]
         attempt.decided = attempt.claimed
         if now >= attempt.deadline:
-            return self._refuse(attempt_id, 'claim_undecided')
+            return self._refuse(attempt_id, 'claim_undecided', now)
         if valid and self._holds(attempt):
             del self._attempts[attempt_id]
             return api.Granted(attempt.claim)
         return self._next(attempt_id, attempt, now)
 
-    def give_up(self, attempt_id: str, may_land: bool) -> Decision:
+    def give_up(
+        self, attempt_id: str, may_land: bool, now: float
+    ) -> api.ClaimAnswer:
         """End an attempt without a verdict; it is never granted.
 
         :param may_land: whether its last entry may get or be on the log.
         """
         if not may_land:
             self._attempts[attempt_id].decided = True
-        return self._refuse(attempt_id, 'claim_undecided')
+        return self._refuse(attempt_id, 'claim_undecided', now)
 
     def take_withdrawals(self) -> list[entries.Withdrawn]:
         """Return the entries that free what was given up, each once."""
@@ -164,7 +168,7 @@
         status = self._table.status(attempt.key)
         match status:
             case tables.Free() if attempt.claimed:
-                return self._refuse(attempt_id, 'claim_void')
+                return self._refuse(attempt_id, 'claim_void', now)
             case tables.Free():
                 return self._claim(attempt)
             case tables.OpenClaim() if self._is_lost(status, attempt):
@@ -221,15 +225,17 @@
             case tables.Answered():
                 return api.Known(status.answer)
 
-    def _refuse(self, attempt_id: str, reason: str) -> api.ClaimAnswer:
+    def _refuse(
+        self, attempt_id: str, reason: str, now: float
+    ) -> api.ClaimAnswer:
         attempt = self._attempts[attempt_id]
         status = self._table.status(attempt.key)
         own = attempt.claim.claim_id
         match status:
             case tables.Free():
-                answer: api.ClaimAnswer = _refused(reason)
+                answer: api.ClaimAnswer = _refused(reason, now)
             case tables.OpenClaim(claim_id) if claim_id == own:
-                answer = _refused(reason)
+                answer = _refused(reason, now)
             case _:
                 answer = self._answer(status, attempt)
         return self._end(attempt_id, answer)
@@ -243,8 +249,9 @@
         return answer
 
 
-def _refused(reason: str) -> api.KeyRefused:
-    return api.KeyRefused(reason, attempt_only=True)
+def _refused(reason: str, now: float) -> api.KeyRefused:
+    retry_at = now + RETRY_SECONDS
+    return api.KeyRefused(reason, retry_at, attempt_only=True)
 
 
 def _short(digest: bytes) -> bytes:
--- a/src/dogwoodquay/once/shard.py
+++ b/src/dogwoodquay/once/shard.py
@@ -77,7 +77,7 @@
             while isinstance(decision, claimant.Append):
                 decision = await self._append(attempt_id, decision, deadline)
         except BaseException:
-            self._claimant.give_up(attempt_id, may_land=True)
+            self._give_up(attempt_id, may_land=True)
             raise
         finally:
             self._withdraw_given_up()
@@ -114,16 +114,20 @@
     ) -> claimant.Decision:
         ticket = self.batcher.add(decision.entry)
         if ticket is None:
-            return self._claimant.give_up(attempt_id, may_land=False)
+            return self._give_up(attempt_id, may_land=False)
         try:
-            verdict = await self.batcher.verdict(ticket, deadline)
+            verdict = await self.batcher.quick_verdict(ticket, deadline)
         finally:
             self.batcher.drop(ticket)
         if verdict is None:
-            return self._claimant.give_up(attempt_id, ticket.may_land)
+            return self._give_up(attempt_id, ticket.may_land)
         now = self._clock.now()
         return self._claimant.decided(attempt_id, verdict.valid, now)
 
+    def _give_up(self, attempt_id: str, may_land: bool) -> api.ClaimAnswer:
+        now = self._clock.now()
+        return self._claimant.give_up(attempt_id, may_land, now)
+
     def _withdraw_given_up(self) -> None:
         for entry in self._claimant.take_withdrawals():
             self.batcher.post(entry)
