Withdraw a losing claim whose append was doubled

Change: a batch that is appended again marks its entries; a claim that ends without being granted is withdrawn when it may land twice.

--- a/src/dogwoodquay/once/batcher.py
+++ b/src/dogwoodquay/once/batcher.py
@@ -34,6 +34,7 @@
 class Ticket:
     """An entry that waits to be appended, until it is dropped.
 
+    It is ``doubled`` when it was appended again and may land twice.
     ``may_land`` is false as long as the entry is certainly not on the log;
     ``failed`` is set when appends fail so that there is no use in waiting.
     """
@@ -42,6 +43,7 @@
     failed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     failures: int = 0
     may_land: bool = False
+    doubled: bool = False
     queued: bool = True
     dropped: bool = False
     done: bool = False
@@ -166,6 +168,7 @@
         self._appended_at = self._clock.now()
         before = [ticket.may_land for ticket in batch]
         for ticket in batch:
+            ticket.doubled = ticket.may_land
             ticket.may_land = True
         result = await self._log.append(
             self._follower.stream,
--- a/src/dogwoodquay/once/claimant.py
+++ b/src/dogwoodquay/once/claimant.py
@@ -41,6 +41,7 @@
     deadline: float
     claimed: bool = False
     decided: bool = False
+    doubled: bool = False
 
 
 class Claimant:
@@ -97,10 +98,16 @@
         self._attempts[attempt_id] = attempt
         return attempt_id, self._next(attempt_id, attempt, now)
 
-    def decided(self, attempt_id: str, valid: bool, now: float) -> Decision:
-        """Take in the verdict on the entry that was last appended."""
+    def decided(
+        self, attempt_id: str, valid: bool, now: float, doubled: bool
+    ) -> Decision:
+        """Take in the verdict on the entry that was last appended.
+
+        :param doubled: whether the entry may land once more.
+        """
         attempt = self._attempts[attempt_id]
         attempt.decided = attempt.claimed
+        attempt.doubled = attempt.doubled or doubled
         if now >= attempt.deadline:
             return self._refuse(attempt_id, 'claim_undecided', now)
         if valid and self._holds(attempt):
@@ -244,7 +251,8 @@
         self, attempt_id: str, answer: api.ClaimAnswer
     ) -> api.ClaimAnswer:
         attempt = self._attempts.pop(attempt_id)
-        if attempt.claimed and (not attempt.decided or self._holds(attempt)):
+        sure = attempt.decided and not attempt.doubled
+        if attempt.claimed and (not sure or self._holds(attempt)):
             self._withdrawals.append(self.withdrawal(attempt.claim))
         return answer
 
--- a/src/dogwoodquay/once/shard.py
+++ b/src/dogwoodquay/once/shard.py
@@ -122,7 +122,9 @@
         if verdict is None:
             return self._give_up(attempt_id, ticket.may_land)
         now = self._clock.now()
-        return self._claimant.decided(attempt_id, verdict.valid, now)
+        return self._claimant.decided(
+            attempt_id, verdict.valid, now, ticket.doubled
+        )
 
     def _give_up(self, attempt_id: str, may_land: bool) -> api.ClaimAnswer:
         now = self._clock.now()
--- a/tests/unit/once/machine.py
+++ b/tests/unit/once/machine.py
@@ -101,6 +101,7 @@
         self.ran: set[str] = set()
         self.bodies: dict[Name, set[bytes]] = collections.defaultdict(set)
         self.refused: set[str] = set()
+        self.doubled: set[str] = set()
         self.never: set[Name] = set()
         self.unknown: set[Name] = set()
         self.processes = [Process(self, n, 1) for n in range(INSTANCES)]
@@ -210,7 +211,9 @@
         if self.flying:
             index %= len(self.flying)
             entry = self.flying[index]
-            if not again:
+            if again:
+                self.doubled.add(entry.entry_id)
+            else:
                 del self.flying[index]
             self._append(entry)
 
@@ -351,7 +354,10 @@
             for attempt_id, attempt in list(subject.attempts.items()):
                 if attempt.entry_id == verdict.entry_id:
                     decision = subject.claimant.decided(
-                        attempt_id, verdict.valid, self.now
+                        attempt_id,
+                        verdict.valid,
+                        self.now,
+                        verdict.entry_id in self.doubled,
                     )
                     self._decide(subject, attempt_id, decision)
 
--- a/tests/unit/once/test_machine.py
+++ b/tests/unit/once/test_machine.py
@@ -41,6 +41,10 @@
         for seed in range(1000):
             machine.walk(seed)
 
+    def test_doubled_append_of_a_losing_claim(self) -> None:
+        """Its second landing, when the key is free again, locks it out."""
+        machine.walk(2071795, 60)
+
 
 class BrokenClaimsTest(unittest.TestCase):
     """Each broken variant has to be found."""
