Keep an unexpected error inside its connection

Cause: an unforeseen exception while reading a frame would have ended all connections of the instance, and the websocket library wrote strangers' failed handshakes to the standard error stream. Change: such an error closes its connection, is logged and counted as internal; the library's own log is off, as refusals are counted here. The messages of claims are tested through the codec. Conclusion: one peer's malformed traffic stays its own matter.

--- a/src/dogwoodquay/wire/connection.py
+++ b/src/dogwoodquay/wire/connection.py
@@ -6,6 +6,7 @@
 import typing
 
 import anyio
+import eliot
 import expression
 import websockets
 
@@ -86,6 +87,9 @@
                 reasons.insert(0, 'malformed')
             except* (websockets.ConnectionClosed, OSError):
                 reasons.insert(-1, 'connection_lost')
+            except* Exception:
+                reasons.insert(0, 'internal')
+                eliot.write_traceback()
         reason = reasons[0]
         self._closed = True
         self._counters.closed[reason] += 1
--- a/src/dogwoodquay/wire/dial.py
+++ b/src/dogwoodquay/wire/dial.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import typing
 
 from websockets.asyncio import client
@@ -14,7 +15,11 @@
     from . import api
     from . import settings
 
-__all__ = ['Dialler', 'open_socket']
+__all__ = ['QUIET', 'Dialler', 'open_socket']
+
+QUIET: typing.Final = logging.getLogger('dogwoodquay.wire')
+QUIET.addHandler(logging.NullHandler())
+QUIET.propagate = False
 
 Dialler: typing.TypeAlias = (
     'abc.Callable[[api.PeerAddress, settings.WireSettings],'
@@ -36,6 +41,7 @@
         ssl=limits.client_tls,
         compression=None,
         proxy=None,
+        logger=QUIET,
         user_agent_header=None,
         max_size=handshake.HANDSHAKE_FRAME_BYTES,
         open_timeout=limits.handshake_seconds,
--- a/src/dogwoodquay/wire/peers.py
+++ b/src/dogwoodquay/wire/peers.py
@@ -218,6 +218,7 @@
             ssl=self._limits.server_tls,
             compression=None,
             server_header=None,
+            logger=dial.QUIET,
             max_size=handshake.HANDSHAKE_FRAME_BYTES,
             open_timeout=self._limits.handshake_seconds,
             close_timeout=self._limits.handshake_seconds,
--- a/tests/unit/once/test_claims.py
+++ b/tests/unit/once/test_claims.py
@@ -9,6 +9,7 @@
 from dogwoodquay.once import answers
 from dogwoodquay.once import api
 from dogwoodquay.platform.memory import faults
+from dogwoodquay.wire import codec as wire_codec
 
 from . import fakes
 from . import machine
@@ -18,6 +19,26 @@
 ANSWER = api.StoredAnswer(201, (('content-type', 'text/plain'),), b'ticket')
 
 
+class MessagesTest(unittest.TestCase):
+    """What instances send each other about claims."""
+
+    def test_round_trip(self) -> None:
+        """A whole answer survives the inner protocol's codec."""
+        codec = wire_codec.Codec()
+        codec.add(answers.FetchAnswer)
+        codec.add(answers.AnswerBody)
+        for message in (
+            answers.FetchAnswer(bytes(16)),
+            answers.AnswerBody(ANSWER),
+        ):
+            frame = wire_codec.Frame(
+                wire_codec.FrameKind.ANSWER, 1, codec.body(message)
+            )
+            data = wire_codec.encode(frame)
+            read = wire_codec.decode(data, wire_codec.Frame)
+            self.assertEqual(message, codec.message(read.body))
+
+
 class ClaimsTest(unittest.IsolatedAsyncioTestCase):
     """Three instances and one log."""
 
