End a stream at its terminator

Cause: an upstream that kept its body open after the terminator held up the end of the caller's stream until the deadline. Change: the body gets 0.1 s to end after its terminator. Result: the test of each fault covers such a body; it hung before. Conclusion: a whole answer is given at once.

--- a/src/dogwoodquay/dispatch/attempt.py
+++ b/src/dogwoodquay/dispatch/attempt.py
@@ -5,6 +5,8 @@
 import dataclasses
 import typing
 
+import anyio
+
 from . import api
 from . import bodies
 from ..platform import api as platform_api
@@ -13,8 +15,13 @@
 from ..retry import api as retry_api
 from . import sse
 
+if typing.TYPE_CHECKING:
+    from collections import abc
+
 __all__ = ['AttemptFailed', 'Exchange', 'Progress']
 
+END_SECONDS: typing.Final = 0.1
+
 _EVENT_STREAM: typing.Final = 'text/event-stream'
 _SERVER_ERROR: typing.Final = 500
 _OK: typing.Final = 200
@@ -124,7 +131,8 @@
     ) -> api.Streamed:
         events = self._events
         first = True
-        async for chunk in answer:
+        chunks = answer.__aiter__()
+        async for chunk in chunks:
             frames = events.feed(chunk)
             if not frames:
                 continue
@@ -132,8 +140,11 @@
                 progress.first_byte()
                 first = False
             await sink.write(frames, events.last_event)
+            if events.done:
+                break
         if not events.done:
             raise sse.BrokenAnswer(reasons.Reason.ANSWER_CUT)
+        await _read_end(chunks)
         return api.Streamed(events.last_event)
 
     def _check_owner(self, whole: api.Whole, attempt_id: str) -> None:
@@ -173,6 +184,16 @@
                 return AttemptFailed(reasons.Reason.UPSTREAM_REFUSED, not_run)
 
 
+async def _read_end(chunks: abc.AsyncIterator[bytes]) -> None:
+    """Let a body end after its terminator, so that its connection is kept."""
+    with anyio.move_on_after(END_SECONDS):
+        try:
+            async for _ in chunks:
+                pass
+        except platform_errors.UpstreamBroken:
+            return
+
+
 def _upstream_failed(status: int) -> AttemptFailed:
     return AttemptFailed(
         reasons.Reason.UPSTREAM_FAILED,
--- a/tests/unit/dispatch/fakes.py
+++ b/tests/unit/dispatch/fakes.py
@@ -44,6 +44,7 @@
     CUT = 'cut'
     BROKEN = 'broken'
     DELAYED = 'delayed'
+    ENDLESS = 'endless'
     HUNG = 'hung'
 
 
@@ -179,6 +180,8 @@
                     word = 'wrong'
             yield event(number, attempt, word + 'x' * self.padding)
         yield b'id: %d\ndata: [DONE]\n\n' % EVENTS
+        if fault is Fault.ENDLESS:
+            await anyio.sleep_forever()
 
     async def _pause(self, fault: Fault) -> None:
         if fault is Fault.DELAYED or self.delay:
