Start background jobs at once

Cause: jobs were taken one for each turn of the loop, so that under load the end of a request was recorded long after its answer and callers who asked again were told key_running. Change: jobs start in their own task group; what is left after an answer has its own module; key_running tells when to ask again. Conclusion: a retry gets the known answer as soon as the log has it.

--- /dev/null
+++ b/src/dogwoodquay/dispatch/aftermath.py
@@ -0,0 +1,86 @@
+"""What is left to do after a request has its answer."""
+
+from __future__ import annotations
+
+import functools
+import typing
+
+from . import api
+from . import reasons
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from .. import clock as clock_module
+    from . import background as background_module
+    from . import flight as flights
+    from ..once import api as once_api
+    from ..platform import api as platform_api
+    from ..routing import api as routing_api
+
+__all__ = ['Aftermath']
+
+SETTLE_SECONDS: typing.Final = 60.0
+CANCEL_SECONDS: typing.Final = 1.0
+
+
+class Aftermath:
+    """Records what became of keys and stops engines that work for nobody."""
+
+    def __init__(
+        self,
+        background: background_module.Background,
+        claims: once_api.Claims,
+        engine: platform_api.Engine,
+        clock: clock_module.Clock,
+    ) -> None:
+        self._background = background
+        self._claims = claims
+        self._engine = engine
+        self._clock = clock
+
+    def settle(
+        self,
+        flight: flights.Flight,
+        claim: once_api.Claim,
+        answer: once_api.StoredAnswer | None,
+    ) -> None:
+        """Record the end of a request under a key.
+
+        :param answer: its answer, or ``None`` when it has none to keep.
+        """
+        deadline = self._clock.now() + SETTLE_SECONDS
+        not_run = flight.outcome is reasons.Outcome.NOT_RUN
+        if answer is None and not_run:
+            job = functools.partial(self._withdraw, claim, deadline)
+        else:
+            job = functools.partial(
+                self._claims.settle, claim, answer, deadline
+            )
+        self._background.add(job)
+
+    def cancel(
+        self,
+        call: api.Call,
+        left_over: abc.Mapping[str, routing_api.Replica],
+    ) -> None:
+        """Stop engines that may still work on what nobody reads."""
+        if call.kind is not api.Kind.ENGINE:
+            return
+        deadline = self._clock.now() + CANCEL_SECONDS
+        for attempt_id, replica in left_over.items():
+            self._background.add(
+                functools.partial(
+                    self._cancel_attempt, attempt_id, replica, deadline
+                )
+            )
+
+    async def _withdraw(self, claim: once_api.Claim, deadline: float) -> None:
+        await self._claims.withdraw(claim, deadline)
+
+    async def _cancel_attempt(
+        self, attempt_id: str, replica: routing_api.Replica, deadline: float
+    ) -> None:
+        await self._engine.cancel(
+            replica.address, replica.port, attempt_id, deadline
+        )
--- a/src/dogwoodquay/dispatch/background.py
+++ b/src/dogwoodquay/dispatch/background.py
@@ -1,4 +1,4 @@
-"""Work that no answer waits for, bounded in number and time."""
+"""Work that no answer waits for, bounded in number."""
 
 from __future__ import annotations
 
@@ -8,9 +8,12 @@
 
 from ..observe import logs
 
+if typing.TYPE_CHECKING:
+    import anyio.abc
+
 __all__ = ['Background', 'Job']
 
-MAX_JOBS: typing.Final = 1024
+MAX_JOBS: typing.Final = 2048
 
 _LOG: typing.Final = logs.PartLog('dispatch')
 
@@ -21,33 +24,39 @@
     """Runs jobs beside the requests; drops them with a log line when full."""
 
     def __init__(self) -> None:
-        self._send, self._receive = anyio.create_memory_object_stream[Job](
-            MAX_JOBS
-        )
+        self._group: anyio.abc.TaskGroup | None = None
+        self._early: list[Job] = []
         self._running = 0
 
     @property
     def pending(self) -> int:
         """How many jobs wait or run."""
-        return self._receive.statistics().current_buffer_used + self._running
+        return len(self._early) + self._running
 
     def add(self, job: Job) -> None:
-        """Run a job soon."""
-        if self._running >= MAX_JOBS:
-            _LOG.write('background_full', limit=MAX_JOBS)
-            return
-        try:
-            self._send.send_nowait(job)
-        except anyio.WouldBlock:
+        """Start a job, or keep it until ``run`` is called."""
+        if self.pending >= MAX_JOBS:
             _LOG.write('background_full', limit=MAX_JOBS)
+        elif self._group is None:
+            self._early.append(job)
+        else:
+            self._start(self._group, job)
 
     async def run(self) -> None:
-        """Start jobs as they come, until cancelled."""
+        """Run jobs until cancelled."""
         async with anyio.create_task_group() as group:
-            while True:
-                job = await self._receive.receive()
-                self._running += 1
-                group.start_soon(self._run_job, job)
+            self._group = group
+            early, self._early = self._early, []
+            for job in early:
+                self._start(group, job)
+            try:
+                await anyio.sleep_forever()
+            finally:
+                self._group = None
+
+    def _start(self, group: anyio.abc.TaskGroup, job: Job) -> None:
+        self._running += 1
+        group.start_soon(self._run_job, job)
 
     async def _run_job(self, job: Job) -> None:
         try:
--- a/src/dogwoodquay/dispatch/claiming.py
+++ b/src/dogwoodquay/dispatch/claiming.py
@@ -25,6 +25,7 @@
     'this attempt did not run, an earlier one under the key may have;'
     ' send it again with the same key'
 )
+RUNNING_RETRY_SECONDS: typing.Final = 1.0
 MAX_STORED_BYTES: typing.Final = 64 * 1024
 _EVENT_STREAM: typing.Final = 'text/event-stream'
 _EVENT_STREAM_HEADERS: typing.Final = (('content-type', _EVENT_STREAM),)
@@ -90,13 +91,18 @@
     | once_api.Unknown
     | once_api.Conflict
     | once_api.KeyRefused,
+    now: float,
 ) -> api.Refusal:
     """Return what a caller is told whose request may not be sent."""
     unknown = reasons.Outcome.UNKNOWN
     not_run = reasons.Outcome.NOT_RUN
     match answer:
         case once_api.Running():
-            return api.Refusal(reasons.Reason.KEY_RUNNING, unknown)
+            return api.Refusal(
+                reasons.Reason.KEY_RUNNING,
+                unknown,
+                retry_at=now + RUNNING_RETRY_SECONDS,
+            )
         case once_api.Unknown():
             return api.Refusal(reasons.Reason.KEY_OUTCOME_UNKNOWN, unknown)
         case once_api.Conflict():
--- a/src/dogwoodquay/dispatch/dispatcher.py
+++ b/src/dogwoodquay/dispatch/dispatcher.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import functools
 import typing
 
 import anyio
 
 from ..admission import api as admission_api
+from . import aftermath
 from . import api
 from . import attempt
 from . import background
@@ -32,8 +32,6 @@
 __all__ = ['Dispatcher']
 
 MAX_ANSWER_BYTES: typing.Final = 16 << 20
-SETTLE_SECONDS: typing.Final = 60.0
-CANCEL_SECONDS: typing.Final = 1.0
 # A claim that ends before the request does can tell that nothing ran.
 CLAIM_MARGIN_SECONDS: typing.Final = 0.05
 _DRAIN_POLL_SECONDS: typing.Final = 0.02
@@ -92,6 +90,9 @@
         self._flights: dict[str, flights.Flight] = {}
         self._draining = False
         self._background = background.Background()
+        self._aftermath = aftermath.Aftermath(
+            self._background, claims, engine, clock
+        )
 
     @property
     def in_flight(self) -> int:
@@ -186,7 +187,7 @@
             case once_api.Known(answer):
                 return await claiming.replay(answer, sink)
             case _:
-                return claiming.refusal_of(claim)
+                return claiming.refusal_of(claim, self._clock.now())
 
     async def _run_granted(
         self,
@@ -204,28 +205,9 @@
                 case api.Streamed() if recorder is not None:
                     answer = recorder.stored()
         finally:
-            self._settle(flight, claim, answer)
+            self._aftermath.settle(flight, claim, answer)
         return result
 
-    def _settle(
-        self,
-        flight: flights.Flight,
-        claim: once_api.Claim,
-        answer: once_api.StoredAnswer | None,
-    ) -> None:
-        deadline = self._clock.now() + SETTLE_SECONDS
-        not_run = flight.outcome is reasons.Outcome.NOT_RUN
-        if answer is None and not_run:
-            job = functools.partial(self._withdraw, claim, deadline)
-        else:
-            job = functools.partial(
-                self._claims.settle, claim, answer, deadline
-            )
-        self._background.add(job)
-
-    async def _withdraw(self, claim: once_api.Claim, deadline: float) -> None:
-        await self._claims.withdraw(claim, deadline)
-
     async def _run_admitted(
         self, flight: flights.Flight, sink: api.Sink | None
     ) -> _Result:
@@ -259,7 +241,7 @@
             result = await self._try_until_answered(flight, sink, tries)
             answered = not isinstance(result, api.Refusal)
         finally:
-            self._cancel_left_over(flight.call, tries, answered)
+            self._aftermath.cancel(flight.call, tries.left_over(answered))
         return result
 
     async def _try_until_answered(
@@ -371,27 +353,6 @@
             return self._engine
         return self._services
 
-    def _cancel_left_over(
-        self, call: api.Call, tries: tries_module.Tries, answered: bool
-    ) -> None:
-        """Stop engines that may still work on what nobody reads."""
-        if call.kind is not api.Kind.ENGINE:
-            return
-        deadline = self._clock.now() + CANCEL_SECONDS
-        for attempt_id, replica in tries.left_over(answered).items():
-            self._background.add(
-                functools.partial(
-                    self._cancel_attempt, attempt_id, replica, deadline
-                )
-            )
-
-    async def _cancel_attempt(
-        self, attempt_id: str, replica: routing_api.Replica, deadline: float
-    ) -> None:
-        await self._engine.cancel(
-            replica.address, replica.port, attempt_id, deadline
-        )
-
     async def _pause_until(self, at: float) -> None:
         pause = at - self._clock.now()
         if pause > 0:
--- a/tests/unit/entry/mixed.py
+++ b/tests/unit/entry/mixed.py
@@ -23,6 +23,7 @@
 FAULT_SHARE = 0.25
 VANISH_SHARE = 0.2
 MAX_RESUMES = 20
+SETTLE_SECONDS = 0.05
 CHARGE = '/services/counter/tickets/7/charge'
 
 
@@ -103,7 +104,7 @@
             reply = await self.site.request('POST', CHARGE, body, headers)
             self._compare_whole(reply, body)
             self.report.ran_twice += runs[body] > 1
-            await anyio.sleep(0.005)
+            await anyio.sleep(SETTLE_SECONDS)
 
     async def _stream(self, body: bytes) -> None:
         connection = client.Connection(body)
