Tell of callers' rates when they change, loads every two seconds

Cause: a trial of nine idle instances sent and received 6,167 bytes a second each (6,567 at most), over the 5 KB/s for control; each second every instance flooded its rates, though nobody called, and the loads. Change: rates flow when they change by more than a tenth and 0.2/s, else every 5 s, and shares allow for views of that age; loads every 2 s.

--- a/src/dogwoodquay/node/demand.py
+++ b/src/dogwoodquay/node/demand.py
@@ -30,7 +30,10 @@
 DEMAND_SECONDS: typing.Final = 3.0
 DEMAND_LIFETIME_SECONDS: typing.Final = 15.0
 USAGE_SECONDS: typing.Final = 1.0
+USAGE_REPEAT_SECONDS: typing.Final = 5.0
 USAGE_LIFETIME_SECONDS: typing.Final = 60.0
+CHANGED_SHARE: typing.Final = 0.1
+CHANGED_RATE: typing.Final = 0.2
 
 
 class DemandMessage(wire_api.Message, frozen=True, tag='demand'):
@@ -139,7 +142,13 @@
         self._admission = admission
         self._clock = clock
         self._catalog = catalog
-        self._estimator = shares.ShareEstimator(instance_id, incarnation)
+        self._estimator = shares.ShareEstimator(
+            instance_id,
+            incarnation,
+            shares.ShareSettings(window_seconds=2 * USAGE_REPEAT_SECONDS),
+        )
+        self._shown: dict[str, float] = {}
+        self._repeat_at = 0.0
         board.watch(USAGE_PREFIX, self._take)
 
     def note(self, ticket: admission_api.Ticket) -> None:
@@ -157,9 +166,18 @@
             await anyio.sleep(USAGE_SECONDS)
 
     def step(self) -> None:
-        """Report once and apply the present shares."""
+        """Report what changed and apply the present shares."""
         now = self._clock.now()
         report = self._estimator.report(now)
+        if now >= self._repeat_at or _changed(self._shown, report.rates):
+            self._publish(report, now)
+        for caller in self._catalog().callers:
+            share = self._estimator.share(caller, now)
+            self._admission.set_share(caller, share)
+
+    def _publish(self, report: shares.UsageReport, now: float) -> None:
+        self._shown = report.rates
+        self._repeat_at = now + USAGE_REPEAT_SECONDS
         self._board.put(
             gossip_api.Item(
                 USAGE_PREFIX + self._instance_id,
@@ -168,9 +186,6 @@
                 now + USAGE_LIFETIME_SECONDS,
             )
         )
-        for caller in self._catalog().callers:
-            share = self._estimator.share(caller, now)
-            self._admission.set_share(caller, share)
 
     def _take(self, item: gossip_api.Item) -> None:
         try:
@@ -186,3 +201,15 @@
         if adapter.base in pools:
             pools[name] = pools[adapter.base]
     return pools
+
+
+def _changed(
+    shown: abc.Mapping[str, float], rates: abc.Mapping[str, float]
+) -> bool:
+    """Whether a caller's rate differs enough to be told at once."""
+    for caller in {*shown, *rates}:
+        before = shown.get(caller, 0.0)
+        after = rates.get(caller, 0.0)
+        if abs(after - before) > CHANGED_RATE + CHANGED_SHARE * before:
+            return True
+    return False
--- a/src/dogwoodquay/node/views.py
+++ b/src/dogwoodquay/node/views.py
@@ -19,7 +19,7 @@
 
 POOL_PREFIX: typing.Final = 'pool/'
 LOAD_PREFIX: typing.Final = 'load/'
-LOAD_SECONDS: typing.Final = 1.0
+LOAD_SECONDS: typing.Final = 2.0
 LOAD_LIFETIME_SECONDS: typing.Final = 30.0
 
 
