--- a/src/dogwoodquay/ownership/proposal.py
+++ b/src/dogwoodquay/ownership/proposal.py
@@ -93,18 +93,13 @@
     ) -> bool:
         if ownership.epoch == core.NO_EPOCH or ownership.released:
             return True
-        owner = (ownership.instance_id, ownership.incarnation)
-        if ownership.held_by(self.instance_id, self.incarnation):
-            return False
-        known = {
-            (
-                member.instance_id,
-                membership_api.boot_of(member.incarnation),
-            )
+        return not any(
+            member.instance_id == ownership.instance_id
+            and membership_api.boot_of(member.incarnation)
+            == ownership.incarnation
+            and member.state is not membership_api.MemberState.DEAD
             for member in members
-            if member.state is not membership_api.MemberState.DEAD
-        }
-        return owner not in known
+        )
 
     def _delay(
         self,
