Prove the currency of an answer on slots of the weight store

Cause: a replaced owner of the slots that had not read of it could give a pool a slot that the pool had returned to the new owner. Change: asking for slots always appends, at least a renewal, and an invalid entry gives nothing; a pool that has its share asks no more. Result: before, the new test got slots {0, 1} twice by reasoning on the code; after, 4 tests pass. Conclusion: every answer that lets somebody act is read back first.

--- a/src/dogwoodquay/ledger/allowance.py
+++ b/src/dogwoodquay/ledger/allowance.py
@@ -65,7 +65,11 @@
     pool_epoch: int,
     wanted: int,
 ) -> tuple[entries.SlotAssigned, ...]:
-    """Return the entries that give a pool's new epoch its slots."""
+    """Return the entries that give a pool's new epoch its slots.
+
+    A pool that has all that it wants renews one slot: that this is valid on
+    the log proves that the answer does not come from a replaced owner.
+    """
     mine = held(slots, pool)
     if any(slots[slot].pool_epoch > pool_epoch for slot in mine):
         return ()
@@ -74,6 +78,8 @@
         slot for slot in sorted(mine) if slots[slot].pool_epoch < pool_epoch
     ]
     added = free[: max(0, wanted - len(mine))]
+    if not renewed and not added:
+        renewed = sorted(mine)[:1]
     return tuple(
         entries.SlotAssigned(
             entry_id=uuid.uuid4().hex,
@@ -150,11 +156,16 @@
                 wanted,
             )
             if batch:
-                result = await self._writer.append(batch, deadline)
-                if result.is_error():
+                if not await self._append(batch, deadline):
                     return None
             return self._usable(pool, pool_epoch)
 
+    async def _append(
+        self, batch: tuple[entries.LedgerEntry, ...], deadline: float
+    ) -> bool:
+        result = await self._writer.append(batch, deadline)
+        return result.is_ok() and all(verdict.valid for verdict in result.ok)
+
     def _usable(self, pool: str, pool_epoch: int) -> frozenset[int]:
         return frozenset(
             slot
@@ -184,5 +195,4 @@
                 )
                 for slot in sorted(slots)
             )
-            result = await self._writer.append(batch, deadline)
-            return result.is_ok()
+            return await self._append(batch, deadline)
--- a/src/dogwoodquay/ledger/runner.py
+++ b/src/dogwoodquay/ledger/runner.py
@@ -292,19 +292,23 @@
                 case core.Denied(reason):
                     self._denials[reason.value] += 1
                     if reason is rules.Denial.NO_SLOT:
-                        self._wants_slots = True
+                        self._wants_slots = len(self._slots) < self._share()
 
     async def _ask_permits(self) -> None:
         now = self._parts.clock.now()
         if self.ledger.loads:
             self._idle_since = now
-        policy = self._parts.catalog().policy
         if self._wants_slots:
-            pools = len(self._parts.catalog().pools)
-            await self._acquire(max(1, policy.parallel_loads // pools))
+            await self._acquire(self._share())
         elif self._returnable(now):
             await self._release()
 
+    def _share(self) -> int:
+        """Return how many slots the pool should have when it is busy."""
+        catalog = self._parts.catalog()
+        pools = max(1, len(catalog.pools))
+        return max(1, catalog.policy.parallel_loads // pools)
+
     async def _acquire(self, wanted: int) -> None:
         deadline = self._parts.clock.now() + PERMIT_SECONDS
         slots = await self._parts.permits.acquire(
--- /dev/null
+++ b/tests/unit/ledger/test_allowance.py
@@ -0,0 +1,125 @@
+"""Tests of the weight store's slots between owners of all kinds."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+import anyio
+
+from dogwoodquay import clock
+from dogwoodquay.journal import follower as followers
+from dogwoodquay.journal import writer as writers
+from dogwoodquay.ledger import allowance
+from dogwoodquay.ledger import entries
+from dogwoodquay.ledger import replay
+from dogwoodquay.ownership import core as ownership_core
+from dogwoodquay.ownership import entries as ownership_entries
+from dogwoodquay.platform import memory
+from tests.unit.journal import helpers as journal_helpers
+
+_STREAM = replay.duty_stream(ownership_core.WEIGHTS)
+_SECONDS = 20.0
+
+
+class _Owner:
+    """An owner of the slots; it reads nothing unless told to."""
+
+    def __init__(self, log: memory.MemoryLog, replaces: int) -> None:
+        self.clock = clock.SystemClock()
+        self.state = replay.DutyState(ownership_core.WEIGHTS)
+        self.follower = followers.Follower(
+            _STREAM, self.state, log, self.clock, random.Random(1)
+        )
+        claim = ownership_entries.Claim(
+            entry_id=f'after-{replaces}',
+            duty=ownership_core.WEIGHTS,
+            instance_id='i',
+            incarnation=1,
+            replaces=replaces,
+        )
+        self.epoch = log.put(_STREAM, entries.CODEC.encode((claim,)))
+        self.permits = allowance.LocalPermits(
+            self.state,
+            writers.Writer(log, self.follower, entries.CODEC, self.clock),
+            lambda: self.epoch,
+            lambda: 6,
+            self.clock,
+        )
+
+    async def acquire(
+        self, pool: str, pool_epoch: int, wanted: int
+    ) -> frozenset[int] | None:
+        return await self._following(
+            self.permits.acquire(
+                pool, pool_epoch, wanted, self.clock.now() + _SECONDS
+            )
+        )
+
+    async def release(self, pool: str, pool_epoch: int, *slots: int) -> bool:
+        return await self._following(
+            self.permits.release(
+                pool,
+                pool_epoch,
+                frozenset(slots),
+                self.clock.now() + _SECONDS,
+            )
+        )
+
+    async def _following(self, call):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.follower.run)
+            result = await call
+            tasks.cancel_scope.cancel()
+        return result
+
+
+class LocalPermitsTest(unittest.TestCase):
+    """Slots stay with a pool until its newest owner returns them."""
+
+    def setUp(self) -> None:
+        self.log = journal_helpers.make_log()
+        self.owner = _Owner(self.log, -1)
+
+    def test_pools_never_share_a_slot(self) -> None:
+        """The second pool gets what the first left."""
+
+        async def main() -> None:
+            first = await self.owner.acquire('a', 1, 4)
+            second = await self.owner.acquire('b', 1, 4)
+            self.assertEqual((4, 2), (len(first), len(second)))
+            self.assertFalse(first & second)
+
+        anyio.run(main)
+
+    def test_old_owner_of_a_pool_cannot_return_its_slots(self) -> None:
+        """The new owner's loads may be running in them."""
+
+        async def main() -> None:
+            await self.owner.acquire('a', 1, 2)
+            inherited = await self.owner.acquire('a', 5, 2)
+            self.assertEqual({0, 1}, inherited)
+            self.assertFalse(await self.owner.release('a', 1, 0, 1))
+            self.assertEqual(frozenset(), await self.owner.acquire('a', 1, 2))
+            self.assertEqual({0, 1}, await self.owner.acquire('a', 5, 2))
+
+        anyio.run(main)
+
+    def test_replaced_owner_of_the_slots_gives_none(self) -> None:
+        """It may know a slot as this pool's that was returned since."""
+
+        async def main() -> None:
+            await self.owner.acquire('a', 1, 2)
+            newer = _Owner(self.log, self.owner.epoch)
+            self.assertTrue(await newer.release('a', 1, 0, 1))
+            self.assertEqual({0, 1}, await newer.acquire('b', 1, 2))
+            self.assertIsNone(await self.owner.acquire('a', 1, 2))
+
+        anyio.run(main)
+
+    def test_slots_keep_the_permitted_rate(self) -> None:
+        """Half of the slots start loads at half of the rate."""
+        pace = allowance.Pace(1.6, 6)
+        pace.started(3, 100.0)
+        self.assertFalse(pace.ready(101.2))
+        self.assertTrue(pace.ready(101.25))
