Let all instances append 100 claim records a second

Cause: at 150 a second, replaying all records took 4.6 % of a core on each of 9 instances at 200 requests a second, close to the bound for all of control.

--- a/src/dogwoodquay/once/shell.py
+++ b/src/dogwoodquay/once/shell.py
@@ -44,7 +44,7 @@
     """
 
     shards: int = 1
-    appends_per_second: float = 150.0
+    appends_per_second: float = 100.0
     min_interval_seconds: float = 0.01
     key_lifetime_seconds: float = 86_400.0
     max_keys: int = 300_000
--- a/tests/unit/once/test_relay.py
+++ b/tests/unit/once/test_relay.py
@@ -45,7 +45,7 @@
                 await self.net.nodes[node].claims.settle(
                     answer.claim, ANSWER, self.net.soon()
                 )
-        self.assertGreaterEqual(self.net.relayed, 6)
+        self.assertEqual(6, self.net.relayed)
         relay_appends = self.net.nodes[self.relay].claims.appends
         self.assertEqual(self.net.log.appends, relay_appends)
 
