--- a/tests/unit/once/machine.py
+++ b/tests/unit/once/machine.py
@@ -5,7 +5,6 @@
 import collections
 import dataclasses
 import itertools
-import random
 import uuid
 
 from hypothesis import stateful
@@ -407,31 +406,3 @@
             case api.Running(holder):
                 assert holder.startswith('instance-'), 'no holder'
                 self.refused.add(attempt_id)
-
-
-def walk(seed: int, steps: int = 40) -> None:
-    """Take random steps; much faster than a search with shrinking."""
-    rng = random.Random(seed)
-    world = ClaimMachine()
-    for _ in range(steps):
-        _step(world, rng)
-        world.runs_at_most_once()
-    world.teardown()
-
-
-def _step(world: ClaimMachine, rng: random.Random) -> None:
-    process = rng.randrange(INSTANCES)
-    name, body = rng.choice(NAMES), rng.choice(OFTEN_BODIES)
-    match rng.randrange(10):
-        case 0 | 1 | 2:
-            world.serve(process, name, body, rng.randrange(1, 5))
-        case 3:
-            world.begin(process, name, body)
-        case 4 | 5:
-            world.carry(process, rng.choice(CARRIED), rng.randrange(8))
-        case 6:
-            world.proceed(process, rng.choice(ENDS))
-        case 7 | 8:
-            world.disturb(process, rng.choice(FAULTS))
-        case _:
-            world.age(rng.choice(AGES), rng.choice(MINUTES))
--- a/tests/unit/once/test_machine.py
+++ b/tests/unit/once/test_machine.py
@@ -16,6 +16,7 @@
 from dogwoodquay.once import table
 
 from . import machine
+from . import walks
 
 _SETTINGS = hypothesis.settings(
     max_examples=100,
@@ -39,11 +40,11 @@
     def test_holds_on_random_walks(self) -> None:
         """Nor do many quick walks."""
         for seed in range(1000):
-            machine.walk(seed)
+            walks.walk(seed)
 
     def test_doubled_append_of_a_losing_claim(self) -> None:
         """Its second landing, when the key is free again, locks it out."""
-        machine.walk(2071795, 60)
+        walks.walk(2071795, 60)
 
 
 class BrokenClaimsTest(unittest.TestCase):
@@ -60,7 +61,7 @@
         with mock.patch.object(owner, name, variant):
             with self.assertRaisesRegex(AssertionError, promise):
                 for seed in range(2000):
-                    machine.walk(seed)
+                    walks.walk(seed)
 
     def test_acting_before_read_back(self) -> None:
         """A claimant that does not wait for the log's verdict."""
