--- a/tests/unit/once/machine.py
+++ b/tests/unit/once/machine.py
@@ -5,7 +5,6 @@
 import collections
 import dataclasses
 import itertools
-import uuid
 
 from hypothesis import stateful
 from hypothesis import strategies
@@ -17,7 +16,8 @@
 from dogwoodquay.once import table
 from dogwoodquay.platform import api as platform_api
 
-START = 1_700_000_000.0
+from . import samples
+
 INSTANCES = 2
 CALLERS = ('lakeshore', 'gulf')
 BODIES = (b'a' * 16, b'b' * 16)
@@ -25,13 +25,7 @@
 Name = tuple[str, str]
 
 
-def make_key(number: int, at: float = START) -> str:
-    """Return a UUID of version 7 with a time and a number."""
-    value = int(at * 1000) << 80 | 7 << 76 | 2 << 62 | number
-    return str(uuid.UUID(int=value))
-
-
-KEYS = tuple(make_key(n, START - 60.0 * n) for n in range(2))
+KEYS = tuple(samples.make_key(n, samples.START - 60.0 * n) for n in range(2))
 
 
 @dataclasses.dataclass(eq=False)
@@ -90,7 +84,7 @@
     def __init__(self) -> None:
         super().__init__()
         self._ids = itertools.count()
-        self.now = START
+        self.now = samples.START
         self.dead: set[tuple[str, int]] = set()
         self.log: list[platform_api.LogEntry] = []
         self.first_offset = 0
@@ -189,7 +183,7 @@
             case 'restore':
                 self.restore(process, process + 1)
             case _:
-                self.give_up(process, may_land=True)
+                self.give_up(process)
 
     @stateful.rule(
         kind=strategies.sampled_from(AGES),
@@ -270,13 +264,11 @@
             self.refused.add(claim.claim_id)
             self.flying.append(subject.claimant.withdrawal(claim))
 
-    def give_up(self, process: int, may_land: bool) -> None:
+    def give_up(self, process: int) -> None:
         """An attempt's deadline passes."""
         subject = self._process(process)
         if subject.attempts:
-            attempt_id = next(iter(subject.attempts))
-            decision = subject.claimant.give_up(attempt_id, may_land, self.now)
-            self._decide(subject, attempt_id, decision)
+            self._give_up(subject, next(iter(subject.attempts)))
 
     def suspect(self, process: int) -> None:
         """A process is held to be dead, rightly or not."""
@@ -323,8 +315,7 @@
         """Given up claims lock nobody out once all is read."""
         for subject in self.processes:
             for attempt_id in list(subject.attempts):
-                decision = subject.claimant.give_up(attempt_id, True, self.now)
-                self._decide(subject, attempt_id, decision)
+                self._give_up(subject, attempt_id)
         for entry in self.flying:
             self._append(entry)
         if self.first_offset:
@@ -342,6 +333,10 @@
     def _process(self, index: int) -> Process:
         return self.processes[index % INSTANCES]
 
+    def _give_up(self, subject: Process, attempt_id: str) -> None:
+        decision = subject.claimant.give_up(attempt_id, True, self.now)
+        self._decide(subject, attempt_id, decision)
+
     def _append(self, entry: entries.ClaimEntry) -> None:
         payload = entries.CODEC.encode((entry,))
         offset = len(self.log)
--- a/tests/unit/once/test_claims.py
+++ b/tests/unit/once/test_claims.py
@@ -12,7 +12,7 @@
 from dogwoodquay.wire import codec as wire_codec
 
 from . import fakes
-from . import machine
+from . import samples
 
 CALLER = 'lakeshore'
 BODY = b'body' * 4
@@ -44,7 +44,7 @@
 
     def setUp(self) -> None:
         self.net = fakes.Net(3)
-        self.key = machine.make_key(1, self.net.time.now())
+        self.key = samples.make_key(1, self.net.time.now())
 
     async def _claim(
         self, number: int, seconds: float = 5.0, **changes: bytes | str
@@ -86,7 +86,7 @@
         large = api.StoredAnswer(200, (), bytes(answers.INLINE_BYTES + 1))
         async with self.net.running():
             for answer in (ANSWER, large):
-                self.key = machine.make_key(2, self.net.time.now())
+                self.key = samples.make_key(2, self.net.time.now())
                 claim = await self._granted(0)
                 await self._settle(0, claim, answer)
                 for number in range(3):
@@ -105,7 +105,7 @@
 
     async def test_bad_keys(self) -> None:
         """Malformed keys and keys from the future are not run."""
-        ahead = machine.make_key(1, self.net.time.now() + 3600.0)
+        ahead = samples.make_key(1, self.net.time.now() + 3600.0)
         async with self.net.running():
             for key, reason in (
                 ('ticket-7', 'bad_idempotency_key'),
@@ -145,7 +145,7 @@
                 claim, ANSWER, self.net.soon(0.05)
             )
             self.assertEqual(api.Known(ANSWER), await self._claim(0))
-            fresh = machine.make_key(9, self.net.time.now())
+            fresh = samples.make_key(9, self.net.time.now())
             deadline = self.net.soon(3600.0)
             with anyio.fail_after(10.0):
                 refused = await self._claim(1, seconds=3600.0, key=fresh)
--- a/tests/unit/once/test_relay.py
+++ b/tests/unit/once/test_relay.py
@@ -12,7 +12,7 @@
 from dogwoodquay.platform.memory import faults
 
 from . import fakes
-from . import machine
+from . import samples
 
 ANSWER = api.StoredAnswer(201, (), b'ticket')
 
@@ -33,7 +33,7 @@
     async def _claim(self, node: int, number: int = 1) -> api.ClaimAnswer:
         now = self.net.time.now()
         return await self.net.nodes[node].claims.claim(
-            'lakeshore', machine.make_key(number, now), b'x', now + 5.0
+            'lakeshore', samples.make_key(number, now), b'x', now + 5.0
         )
 
     async def test_one_appends_for_all(self) -> None:
