--- a/src/dogwoodquay/platform/http/client.py
+++ b/src/dogwoodquay/platform/http/client.py
@@ -7,8 +7,6 @@
 from __future__ import annotations
 
 import contextlib
-import importlib.util
-import sys
 import typing
 
 import anyio
@@ -44,21 +42,6 @@
 _STOPPED_BEFORE_SEND: typing.Final = api.Unavailable('deadline')
 
 
-def _note_absence(module: str) -> None:
-    """Make failing imports of a missing module cheap.
-
-    httpcore tries to import sniffio for each lock that it uses, which means a
-    search of the whole module path several times a request.
-    """
-    if module in sys.modules:
-        return
-    if importlib.util.find_spec(module) is None:
-        sys.modules[module] = None  # type: ignore[assignment]
-
-
-_note_absence('sniffio')
-
-
 class Connections:
     """Connections kept open for each address.
 
