Add the demo and standin commands

Cause: nothing ran the whole path on one machine. Change: the demo runs stand-ins and three instances in one process, sends checked requests through a killed instance, a drained server, a restarted engine and a planned stop; standin runs the platform's stand-ins alone. The planner's pace now follows a changed policy, no longer sleeps a whole second when a load may already start, and plans again when a load ends while others wait for its slot.

--- a/src/dogwoodquay/commands/main.py
+++ b/src/dogwoodquay/commands/main.py
@@ -10,8 +10,10 @@
 from absl import logging
 
 from . import check
+from . import demo
 from . import publish
 from . import serve
+from . import standin
 from . import status
 from . import version
 
@@ -20,7 +22,7 @@
 
 __all__ = ['run']
 
-_COMMANDS = (serve, publish, check, status, version)
+_COMMANDS = (serve, publish, check, status, demo, standin, version)
 
 
 def _parse(argv: list[str]) -> argparse.Namespace:
--- /dev/null
+++ b/src/dogwoodquay/demo/events.py
@@ -0,0 +1,84 @@
+"""Reads a streamed answer as a caller's tool does."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import msgspec
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+__all__ = ['Problem', 'StreamText', 'parse_problem']
+
+DONE: typing.Final = '[DONE]'
+
+
+class Problem(msgspec.Struct, frozen=True):
+    """The parts of an error that a caller acts on."""
+
+    reason: str = 'unreadable'
+    outcome: str = 'unknown'
+
+
+class _Delta(msgspec.Struct, frozen=True):
+    content: str = ''
+
+
+class _Choice(msgspec.Struct, frozen=True):
+    delta: _Delta = _Delta()
+
+
+class _Chunk(msgspec.Struct, frozen=True):
+    choices: tuple[_Choice, ...] = ()
+
+
+@dataclasses.dataclass(slots=True)
+class StreamText:
+    """The text of a stream so far, over all its connections."""
+
+    last_event: int = -1
+    whole: bool = False
+    problem: Problem | None = None
+    _parts: list[str] = dataclasses.field(default_factory=list)
+
+    @property
+    def text(self) -> str:
+        """The text so far."""
+        return ''.join(self._parts)
+
+    async def read(self, lines: abc.AsyncIterable[str]) -> None:
+        """Take in the lines of one connection until it ends."""
+        event_id, kind = self.last_event, 'message'
+        async for line in lines:
+            name, _, value = line.partition(':')
+            value = value.removeprefix(' ')
+            match name:
+                case 'id':
+                    event_id = int(value)
+                case 'event':
+                    kind = value
+                case 'data':
+                    self._take(event_id, kind, value)
+                case '':
+                    kind = 'message'
+
+    def _take(self, event_id: int, kind: str, data: str) -> None:
+        if kind == 'error':
+            self.problem = parse_problem(data.encode())
+            return
+        self.last_event = event_id
+        if data == DONE:
+            self.whole = True
+            return
+        chunk = msgspec.json.decode(data, type=_Chunk)
+        self._parts.extend(choice.delta.content for choice in chunk.choices)
+
+
+def parse_problem(body: bytes) -> Problem:
+    """Return the problem in an answer's body."""
+    try:
+        return msgspec.json.decode(body, type=Problem)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return Problem()
--- /dev/null
+++ b/src/dogwoodquay/demo/hints.py
@@ -0,0 +1,73 @@
+"""Command lines that work against a demonstration that is kept up."""
+
+from __future__ import annotations
+
+import typing
+
+from . import fleet as fleets
+from . import requests
+from ..standin import examples
+
+if typing.TYPE_CHECKING:
+    import pathlib
+
+    from ..standin import site as sites
+
+__all__ = ['render', 'write_files']
+
+TOKEN_FILE: typing.Final = 'operators.token'
+RECORD_FILE: typing.Final = 'record.json'
+RECORD: typing.Final = """\
+// Declares one more model; publish it with the line shown.
+{
+  "schema_version": 2,
+  "kind": "model",
+  "name": "lace-colour",
+  "version": "1",
+  "memory_bytes": 2147483648,
+  "pool": "engines",
+}
+"""
+
+
+def write_files(folder: pathlib.Path) -> None:
+    """Write the operators' token and an example record."""
+    (folder / TOKEN_FILE).write_text(fleets.TOKEN, encoding='utf-8')
+    (folder / RECORD_FILE).write_text(RECORD, encoding='utf-8')
+
+
+def render(
+    site: sites.StandInSite, fleet: fleets.Fleet, folder: pathlib.Path
+) -> str:
+    """Return lines to copy into a shell."""
+    member = fleet.live[0]
+    url = member.callers_url
+    key = examples.caller_key(examples.HEELBRIGHT)
+    asked = (
+        f'--instance {fleets.LOOPBACK}:{member.addresses.operators} '
+        f'--token-file {folder / TOKEN_FILE}'
+    )
+    log = f'{site.log_address.host}:{site.log_address.port}'
+    body = (
+        '{"model": "repair-ticket", "stream": true, "messages": '
+        '[{"role": "user", "content": "Left heel worn through."}]}'
+    )
+    return '\n\n'.join(
+        (
+            f"curl -s {url}/v1/models -H 'Authorization: Bearer {key}'",
+            f'curl -sN {url}/v1/chat/completions \\\n'
+            f"  -H 'Authorization: Bearer {key}' \\\n"
+            f"  -H 'Content-Type: application/json' \\\n  -d '{body}'",
+            f'curl -s {url}/services/counter/charges \\\n'
+            f"  -H 'Authorization: Bearer {key}' \\\n"
+            f"  -H 'Content-Type: application/json' \\\n"
+            f"  -H 'Idempotency-Key: {_key()}' \\\n"
+            '  -d \'{"ticket": 7, "amount": 1200}\'',
+            f'dogwoodquay status {asked}',
+            f'dogwoodquay publish --log {log} {asked} {folder / RECORD_FILE}',
+        )
+    )
+
+
+def _key() -> str:
+    return requests.uuid7()
--- /dev/null
+++ b/src/dogwoodquay/demo/waiting.py
@@ -0,0 +1,142 @@
+"""Publishes the example records and waits until they are served."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import typing
+
+import anyio
+
+from . import fleet as fleets
+from ..operators import client
+from ..operators import publisher
+from ..platform import http as platform_http
+from ..records import catalog
+from ..standin import examples
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from .. import clock as clocks
+    from ..operators import api as operators_api
+    from ..standin import site as sites
+
+__all__ = ['NotReached', 'Watcher', 'publish_examples']
+
+PUBLISH_SECONDS: typing.Final = 15.0
+POLL_SECONDS: typing.Final = 0.2
+
+
+class NotReached(Exception):
+    """The demonstration's site did not come to the state expected."""
+
+
+async def publish_examples(
+    site: sites.StandInSite, clock: clocks.Clock
+) -> int:
+    """Publish the records of both users.
+
+    :return: the offset of the last one.
+    """
+    records = examples.records(site, examples.HEELBRIGHT, examples.GULF)
+    offset = -1
+    async with platform_http.Connections(clock) as connections:
+        log = platform_http.HttpLog(connections, clock, *site.log_address)
+        subject = publisher.Publisher(log, clock, random.Random())
+        async with anyio.create_task_group() as group:
+            group.start_soon(subject.run)
+            await subject.wait_current(clock.now() + PUBLISH_SECONDS)
+            for record in records:
+                deadline = clock.now() + PUBLISH_SECONDS
+                decision = await subject.publish(record.payload, deadline)
+                offset = _accepted(record, decision)
+            group.cancel_scope.cancel()
+    return offset
+
+
+class Watcher:
+    """Asks instances for their status, over connections that are kept."""
+
+    def __init__(self, fleet: fleets.Fleet) -> None:
+        self._fleet = fleet
+        self._clients: dict[str, client.OperatorsClient] = {}
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> abc.AsyncIterator[Watcher]:
+        """Keep connections to all instances of the fleet open."""
+        async with contextlib.AsyncExitStack() as stack:
+            for member in self._fleet.members:
+                self._clients[
+                    member.instance_id
+                ] = await stack.enter_async_context(
+                    client.OperatorsClient(member.operators_url, fleets.TOKEN)
+                )
+            yield self
+
+    async def statuses(self) -> tuple[operators_api.Status, ...]:
+        """Return the status of each instance that runs and answers."""
+        results = [
+            await self._clients[member.instance_id].status()
+            for member in self._fleet.live
+        ]
+        return tuple(found.ok for found in results if found.is_ok())
+
+    async def wait_reachable(
+        self,
+        offset: int,
+        seconds: float,
+        without: frozenset[str] = frozenset(),
+    ) -> None:
+        """Wait until every live instance reaches everything declared.
+
+        :param offset: the configuration that has to be in force.
+        :param without: servers that do not count.
+        :raises NotReached: when that takes too long.
+        """
+        missing = 'no status'
+        with anyio.move_on_after(seconds):
+            while True:
+                missing = await self._missing(offset, without)
+                if not missing:
+                    return
+                await anyio.sleep(POLL_SECONDS)
+        raise NotReached(missing)
+
+    async def _missing(self, offset: int, without: frozenset[str]) -> str:
+        statuses = await self.statuses()
+        if len(statuses) < len(self._fleet.live):
+            return 'an instance gives no status'
+        found = (_missing_at(status, offset, without) for status in statuses)
+        return next(filter(None, found), '')
+
+
+def _missing_at(
+    status: operators_api.Status, offset: int, without: frozenset[str]
+) -> str:
+    if not status.ready or status.configuration.offset < offset:
+        return f'{status.instance_id} is not ready at offset {offset}'
+    unreachable = [
+        target.name
+        for target in status.targets
+        if not set(target.ready_on) - without
+    ]
+    if unreachable:
+        count = len(unreachable)
+        return f'{count} targets are not ready, such as {unreachable[0]}'
+    return ''
+
+
+def _accepted(
+    record: examples.ExampleRecord,
+    decision: publisher.Published | publisher.Undecided,
+) -> int:
+    match decision:
+        case publisher.Undecided(reason):
+            raise NotReached(f'{record.kind} {record.name}: {reason}')
+        case publisher.Published(catalog.RefusedRecord() as refused):
+            raise NotReached(
+                f'{record.kind} {record.name}: {refused.explanation}'
+            )
+        case publisher.Published(outcome):
+            return outcome.offset
--- a/src/dogwoodquay/ledger/runner.py
+++ b/src/dogwoodquay/ledger/runner.py
@@ -34,6 +34,7 @@
 
 POLL_SECONDS: typing.Final = 0.5
 PLAN_SECONDS: typing.Final = 1.0
+MIN_PLAN_SECONDS: typing.Final = 0.1
 PUBLISH_SECONDS: typing.Final = 1.0
 CLOSE_SECONDS: typing.Final = 0.2
 SETTLE_SECONDS: typing.Final = 3.0
@@ -160,6 +161,9 @@
         self._next_publish = 0.0
         self._resolving: set[str] = set()
         self._paced = False
+        self._backlog = False
+        self._load_ended = anyio.Event()
+        self._loads = 0
         self._polled: set[str] = set()
         policy = catalog.policy
         self._pace = allowance.Pace(
@@ -196,7 +200,10 @@
             await anyio.sleep(seconds)
 
     async def _renew(self) -> None:
-        self.ledger.update_catalog(self._parts.catalog())
+        catalog = self._parts.catalog()
+        self.ledger.update_catalog(catalog)
+        self._pace.loads_per_second = catalog.policy.loads_per_second
+        self._pace.total_slots = catalog.policy.parallel_loads
         self.ledger.set_leaving(self._parts.leaving())
         self.ledger.sync(self._parts.state.open_intents)
         self._changed()
@@ -236,14 +243,17 @@
             self._resolve_foreign(tasks)
             if self._settled():
                 await self._plan(tasks)
-            await anyio.sleep(self._plan_pause())
+            pause = self._plan_pause()
+            await anyio.sleep(MIN_PLAN_SECONDS)
+            with anyio.move_on_after(pause - MIN_PLAN_SECONDS):
+                await self._load_ended.wait()
 
     def _plan_pause(self) -> float:
         """Return the time to the next plan, sooner when a load may start."""
-        now = self._parts.clock.now()
-        if not self._paced or self._pace.ready(now):
+        if not self._paced:
             return PLAN_SECONDS
-        return min(PLAN_SECONDS, self._pace.next_at - now)
+        left = self._pace.next_at - self._parts.clock.now()
+        return min(PLAN_SECONDS, max(MIN_PLAN_SECONDS, left))
 
     def _resolve_foreign(self, tasks: anyio.abc.TaskGroup) -> None:
         if self.ledger.pool.order_bound_seconds > 0:
@@ -276,6 +286,8 @@
         tasks: anyio.abc.TaskGroup,
     ) -> None:
         self._paced = False
+        self._backlog = False
+        self._load_ended = anyio.Event()
         for move in moves:
             now = self._parts.clock.now()
             load = move.kind is placement_api.MoveKind.LOAD
@@ -293,6 +305,8 @@
                     self._denials[reason.value] += 1
                     if reason is rules.Denial.NO_SLOT:
                         self._wants_slots = True
+                        self._backlog = True
+        self._loads = self.ledger.loads
 
     async def _ask_permits(self) -> None:
         now = self._parts.clock.now()
@@ -355,6 +369,8 @@
         ]
 
     def _changed(self) -> None:
+        if self._backlog and self.ledger.loads < self._loads:
+            self._load_ended.set()
         if not self._settled():
             return
         view = views.pool_view(
--- a/src/dogwoodquay/standin/examples.py
+++ b/src/dogwoodquay/standin/examples.py
@@ -141,7 +141,7 @@
     :param site: has to be running, since the records name its ports.
     :param deployments: one or both; they share the site's engines.
     """
-    made = [_pool(site), _policy(deployments[0])]
+    made = [_pool(site), _policy(site, deployments[0])]
     for deployment in deployments:
         for index, model in enumerate(deployment.models):
             made.append(_model(index, model))
@@ -165,10 +165,12 @@
     return _record('pool', POOL, servers=servers, fencing=site.options.fencing)
 
 
-def _policy(deployment: Deployment) -> ExampleRecord:
+def _policy(site: sites.StandInSite, deployment: Deployment) -> ExampleRecord:
     return _record(
         'policy',
         'default',
+        loads_per_second=site.options.loads_per_second,
+        parallel_loads=site.options.parallel_loads,
         attainment_weight=deployment.attainment_weight,
         move_weight=deployment.move_weight,
     )
--- a/src/dogwoodquay/standin/site.py
+++ b/src/dogwoodquay/standin/site.py
@@ -49,6 +49,9 @@
     retention_seconds: float = 3600.0
     list_lag_seconds: float = 1.0
     seed: int = 1
+    log_port: int = 0
+    list_port: int = 0
+    weights_port: int = 0
 
 
 _Model = typing.TypeVar(
@@ -106,12 +109,16 @@
             for name in options.services
             for index in range(options.service_servers)
         )
-        self._log_server = server.Server(platform.LogApp(self.log, self.time))
+        self._log_server = server.Server(
+            platform.LogApp(self.log, self.time), options.log_port
+        )
         self._list_server = server.Server(
-            platform.InstanceListApp(self.instances, self.time)
+            platform.InstanceListApp(self.instances, self.time),
+            options.list_port,
         )
         self._weights_server = server.Server(
-            platform.WeightStoreApp(self.weights, self.time)
+            platform.WeightStoreApp(self.weights, self.time),
+            options.weights_port,
         )
         self._group: anyio.abc.TaskGroup | None = None
 
