--- a/src/dogwoodquay/commands/main.py
+++ b/src/dogwoodquay/commands/main.py
@@ -27,7 +27,10 @@
 
 def _parse(argv: list[str]) -> argparse.Namespace:
     parser = argparse_flags.ArgumentParser(
-        prog='dogwoodquay', description='Serves many models.'
+        prog='dogwoodquay',
+        description='Serves many models.',
+        # Else ``--log`` of a command is taken for one of absl's own flags.
+        allow_abbrev=False,
     )
     commands = parser.add_subparsers(dest='command', required=True)
     for module in _COMMANDS:
--- a/src/dogwoodquay/commands/standin.py
+++ b/src/dogwoodquay/commands/standin.py
@@ -1,4 +1,4 @@
-"""``dogwoodquay standin``: stand-ins of the platform, to try things by hand."""
+"""``dogwoodquay standin``: stand-ins of the platform, to try by hand."""
 
 from __future__ import annotations
 
@@ -85,7 +85,11 @@
         'weight_store': _endpoint(site.weights_address),
     }
     print(msgspec.json.format(msgspec.json.encode(platform)).decode())
-    for found in (*site.engines, *site.services):
+    upstreams: tuple[sites.AnyUpstream, ...] = (
+        *site.engines,
+        *site.services,
+    )
+    for found in upstreams:
         print(
             f'{found.server_id}: {found.address.host}:{found.address.port} '
             f'in {found.failure_domain}'
--- a/src/dogwoodquay/ledger/runner.py
+++ b/src/dogwoodquay/ledger/runner.py
@@ -161,7 +161,6 @@
         self._next_publish = 0.0
         self._resolving: set[str] = set()
         self._paced = False
-        self._backlog = False
         self._load_ended = anyio.Event()
         self._loads = 0
         self._polled: set[str] = set()
@@ -202,8 +201,7 @@
     async def _renew(self) -> None:
         catalog = self._parts.catalog()
         self.ledger.update_catalog(catalog)
-        self._pace.loads_per_second = catalog.policy.loads_per_second
-        self._pace.total_slots = catalog.policy.parallel_loads
+        self._pace.follow(catalog.policy)
         self.ledger.set_leaving(self._parts.leaving())
         self.ledger.sync(self._parts.state.open_intents)
         self._changed()
@@ -286,7 +284,7 @@
         tasks: anyio.abc.TaskGroup,
     ) -> None:
         self._paced = False
-        self._backlog = False
+        self._loads = 0
         self._load_ended = anyio.Event()
         for move in moves:
             now = self._parts.clock.now()
@@ -304,21 +302,24 @@
                 case core.Denied(reason):
                     self._denials[reason.value] += 1
                     if reason is rules.Denial.NO_SLOT:
-                        self._wants_slots = True
-                        self._backlog = True
-        self._loads = self.ledger.loads
+                        self._wants_slots = len(self._slots) < self._share()
+                        self._loads = self.ledger.loads
 
     async def _ask_permits(self) -> None:
         now = self._parts.clock.now()
         if self.ledger.loads:
             self._idle_since = now
-        policy = self._parts.catalog().policy
         if self._wants_slots:
-            pools = len(self._parts.catalog().pools)
-            await self._acquire(max(1, policy.parallel_loads // pools))
+            await self._acquire(self._share())
         elif self._returnable(now):
             await self._release()
 
+    def _share(self) -> int:
+        """Return how many slots the pool should have when it is busy."""
+        catalog = self._parts.catalog()
+        pools = max(1, len(catalog.pools))
+        return max(1, catalog.policy.parallel_loads // pools)
+
     async def _acquire(self, wanted: int) -> None:
         deadline = self._parts.clock.now() + PERMIT_SECONDS
         slots = await self._parts.permits.acquire(
@@ -369,7 +370,7 @@
         ]
 
     def _changed(self) -> None:
-        if self._backlog and self.ledger.loads < self._loads:
+        if self.ledger.loads < self._loads:
             self._load_ended.set()
         if not self._settled():
             return
--- a/src/dogwoodquay/once/batcher.py
+++ b/src/dogwoodquay/once/batcher.py
@@ -14,29 +14,49 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
+    import expression
+
     from .. import clock as clocks
     from ..journal import api as journal_api
     from ..journal import follower as followers
 
-__all__ = ['Batcher', 'Ticket']
+__all__ = ['Appender', 'Batcher', 'Ticket']
 
 ATTEMPT_SECONDS: typing.Final = 2.0
 RETRY_SECONDS: typing.Final = 0.25
+FAILURES_SURE: typing.Final = 2
+FAILURES_UNSURE: typing.Final = 3
 MAX_BATCH_ENTRIES: typing.Final = 200
 MAX_BATCH_BYTES: typing.Final = 200_000
 MAX_WAITING: typing.Final = 20_000
 _ENTRY_BYTES: typing.Final = 150
 
 
+class Appender(typing.Protocol):
+    """What a batcher needs of the log."""
+
+    async def append(
+        self, stream: str, payload: bytes, deadline: float
+    ) -> expression.Result[int, platform_api.LogError]:
+        """Append one record."""
+
+
 @dataclasses.dataclass(eq=False, slots=True)
 class Ticket:
     """An entry that waits to be appended, until it is dropped.
 
-    ``may_land`` is false as long as the entry is certainly not on the log.
+    It is ``doubled`` when it was appended again and may land twice.
+    ``may_land`` is false as long as the entry is certainly not on the log;
+    ``ended`` is set when it is appended, or when appends fail so that there
+    is no use in waiting.
     """
 
     entry: entries.ClaimEntry
+    appended: bool = False
+    ended: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    failures: int = 0
     may_land: bool = False
+    doubled: bool = False
     queued: bool = True
     dropped: bool = False
     done: bool = False
@@ -50,7 +70,7 @@
 
     def __init__(
         self,
-        log: platform_api.Log,
+        log: Appender,
         follower: followers.Follower,
         clock: clocks.Clock,
         interval: abc.Callable[[], float],
@@ -111,6 +131,17 @@
             self._follower.forget(entry_id)
         return verdict
 
+    async def quick_verdict(
+        self, ticket: Ticket, deadline: float
+    ) -> journal_api.Verdict | None:
+        """Return the verdict, or ``None`` at once when the log is out."""
+        verdict = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_cancel_when_failed, ticket, tasks.cancel_scope)
+            verdict = await self.verdict(ticket, deadline)
+            tasks.cancel_scope.cancel()
+        return verdict
+
     def drop(self, ticket: Ticket) -> None:
         """Do not append an entry any more; it may have been already."""
         ticket.dropped = True
@@ -150,6 +181,7 @@
         self._appended_at = self._clock.now()
         before = [ticket.may_land for ticket in batch]
         for ticket in batch:
+            ticket.doubled = ticket.may_land
             ticket.may_land = True
         result = await self._log.append(
             self._follower.stream,
@@ -157,16 +189,35 @@
             self._appended_at + ATTEMPT_SECONDS,
         )
         if result.is_ok():
+            for ticket in batch:
+                ticket.appended = True
+                ticket.ended.set()
             return True
         if not isinstance(result.error, platform_api.Ambiguous):
             for ticket, landed in zip(batch, before, strict=True):
                 ticket.may_land = landed
         for ticket in batch:
             ticket.queued = True
+            _note_failure(ticket)
         self._waiting.extendleft(reversed(batch))
         return False
 
 
+async def _cancel_when_failed(
+    ticket: Ticket, scope: anyio.CancelScope
+) -> None:
+    await ticket.ended.wait()
+    if not ticket.appended:
+        scope.cancel()
+
+
+def _note_failure(ticket: Ticket) -> None:
+    ticket.failures += 1
+    limit = FAILURES_UNSURE if ticket.may_land else FAILURES_SURE
+    if ticket.failures >= limit:
+        ticket.ended.set()
+
+
 def _size(entry: entries.ClaimEntry) -> int:
     if isinstance(entry, entries.Settled) and entry.answer is not None:
         return _ENTRY_BYTES + 2 * len(entry.answer.body)
--- a/src/dogwoodquay/once/shard.py
+++ b/src/dogwoodquay/once/shard.py
@@ -36,6 +36,7 @@
         instance: str,
         boot: int,
         log: platform_api.Log,
+        appender: batcher.Appender,
         clock: clocks.Clock,
         rng: random.Random,
         dead: abc.Callable[[str, int], bool],
@@ -53,7 +54,9 @@
             snapshots,
             may_skip=True,
         )
-        self.batcher = batcher.Batcher(log, self.follower, clock, interval)
+        self.batcher = batcher.Batcher(
+            appender, self.follower, clock, interval
+        )
         self._claimant = claimant.Claimant(
             instance, boot, self.table, dead, _new_id
         )
@@ -77,7 +80,7 @@
             while isinstance(decision, claimant.Append):
                 decision = await self._append(attempt_id, decision, deadline)
         except BaseException:
-            self._claimant.give_up(attempt_id, may_land=True)
+            self._give_up(attempt_id, may_land=True)
             raise
         finally:
             self._withdraw_given_up()
@@ -114,15 +117,21 @@
     ) -> claimant.Decision:
         ticket = self.batcher.add(decision.entry)
         if ticket is None:
-            return self._claimant.give_up(attempt_id, may_land=False)
+            return self._give_up(attempt_id, may_land=False)
         try:
-            verdict = await self.batcher.verdict(ticket, deadline)
+            verdict = await self.batcher.quick_verdict(ticket, deadline)
         finally:
             self.batcher.drop(ticket)
         if verdict is None:
-            return self._claimant.give_up(attempt_id, ticket.may_land)
+            return self._give_up(attempt_id, ticket.may_land)
+        now = self._clock.now()
+        return self._claimant.decided(
+            attempt_id, verdict.valid, now, ticket.doubled
+        )
+
+    def _give_up(self, attempt_id: str, may_land: bool) -> api.ClaimAnswer:
         now = self._clock.now()
-        return self._claimant.decided(attempt_id, verdict.valid, now)
+        return self._claimant.give_up(attempt_id, may_land, now)
 
     def _withdraw_given_up(self) -> None:
         for entry in self._claimant.take_withdrawals():
--- a/tests/unit/once/test_claims.py
+++ b/tests/unit/once/test_claims.py
@@ -9,21 +9,42 @@
 from dogwoodquay.once import answers
 from dogwoodquay.once import api
 from dogwoodquay.platform.memory import faults
+from dogwoodquay.wire import codec as wire_codec
 
 from . import fakes
-from . import machine
+from . import samples
 
 CALLER = 'lakeshore'
 BODY = b'body' * 4
 ANSWER = api.StoredAnswer(201, (('content-type', 'text/plain'),), b'ticket')
 
 
+class MessagesTest(unittest.TestCase):
+    """What instances send each other about claims."""
+
+    def test_round_trip(self) -> None:
+        """A whole answer survives the inner protocol's codec."""
+        codec = wire_codec.Codec()
+        codec.add(answers.FetchAnswer)
+        codec.add(answers.AnswerBody)
+        for message in (
+            answers.FetchAnswer(bytes(16)),
+            answers.AnswerBody(ANSWER),
+        ):
+            frame = wire_codec.Frame(
+                wire_codec.FrameKind.ANSWER, 1, codec.body(message)
+            )
+            data = wire_codec.encode(frame)
+            read = wire_codec.decode(data, wire_codec.Frame)
+            self.assertEqual(message, codec.message(read.body))
+
+
 class ClaimsTest(unittest.IsolatedAsyncioTestCase):
     """Three instances and one log."""
 
     def setUp(self) -> None:
         self.net = fakes.Net(3)
-        self.key = machine.make_key(1, self.net.time.now())
+        self.key = samples.make_key(1, self.net.time.now())
 
     async def _claim(
         self, number: int, seconds: float = 5.0, **changes: bytes | str
@@ -65,7 +86,7 @@
         large = api.StoredAnswer(200, (), bytes(answers.INLINE_BYTES + 1))
         async with self.net.running():
             for answer in (ANSWER, large):
-                self.key = machine.make_key(2, self.net.time.now())
+                self.key = samples.make_key(2, self.net.time.now())
                 claim = await self._granted(0)
                 await self._settle(0, claim, answer)
                 for number in range(3):
@@ -84,11 +105,14 @@
 
     async def test_bad_keys(self) -> None:
         """Malformed keys and keys from the future are not run."""
-        ahead = machine.make_key(1, self.net.time.now() + 3600.0)
+        ahead = samples.make_key(1, self.net.time.now() + 3600.0)
         async with self.net.running():
             for key, reason in (
-                ('ticket-7', 'key_malformed'),
-                ('7d444840-9dc0-11d1-b245-5ffdce74fad2', 'key_malformed'),
+                ('ticket-7', 'bad_idempotency_key'),
+                (
+                    '7d444840-9dc0-11d1-b245-5ffdce74fad2',
+                    'bad_idempotency_key',
+                ),
                 (ahead, 'key_from_future'),
             ):
                 answer = await self._claim(0, key=key)
@@ -105,9 +129,9 @@
         self.net.log.faults.inject(faults.CallFault.LATE, delay=0.5)
         async with self.net.running():
             refused = await self._claim(0, seconds=0.2)
-            self.assertEqual(
-                api.KeyRefused('claim_undecided', attempt_only=True), refused
-            )
+            assert isinstance(refused, api.KeyRefused), refused
+            self.assertEqual('claim_undecided', refused.reason)
+            self.assertTrue(refused.attempt_only)
             with anyio.fail_after(10.0):
                 while not isinstance(await self._claim(1), api.Granted):
                     await anyio.sleep(0.05)
@@ -121,9 +145,13 @@
                 claim, ANSWER, self.net.soon(0.05)
             )
             self.assertEqual(api.Known(ANSWER), await self._claim(0))
-            fresh = machine.make_key(9, self.net.time.now())
-            refused = await self._claim(1, seconds=0.1, key=fresh)
-            self.assertIsInstance(refused, api.KeyRefused)
+            fresh = samples.make_key(9, self.net.time.now())
+            deadline = self.net.soon(3600.0)
+            with anyio.fail_after(10.0):
+                refused = await self._claim(1, seconds=3600.0, key=fresh)
+            assert isinstance(refused, api.KeyRefused), refused
+            assert refused.retry_at is not None
+            self.assertLess(refused.retry_at, deadline)
             self.net.log.faults.outage = False
             with anyio.fail_after(10.0):
                 while await self._claim(1) != api.Known(ANSWER):
