--- a/src/dogwoodquay/commands/main.py
+++ b/src/dogwoodquay/commands/main.py
@@ -10,8 +10,10 @@
 from absl import logging
 
 from . import check
+from . import demo
 from . import publish
 from . import serve
+from . import standin
 from . import status
 from . import version
 
@@ -20,12 +22,15 @@
 
 __all__ = ['run']
 
-_COMMANDS = (serve, publish, check, status, version)
+_COMMANDS = (serve, publish, check, status, demo, standin, version)
 
 
 def _parse(argv: list[str]) -> argparse.Namespace:
     parser = argparse_flags.ArgumentParser(
-        prog='dogwoodquay', description='Serves many models.'
+        prog='dogwoodquay',
+        description='Serves many models.',
+        # Else ``--log`` of a command is taken for one of absl's own flags.
+        allow_abbrev=False,
     )
     commands = parser.add_subparsers(dest='command', required=True)
     for module in _COMMANDS:
--- a/tests/unit/ledger/test_allowance.py
+++ b/tests/unit/ledger/test_allowance.py
@@ -16,6 +16,7 @@
 from dogwoodquay.ownership import core as ownership_core
 from dogwoodquay.ownership import entries as ownership_entries
 from dogwoodquay.platform import memory
+from dogwoodquay.records import api as records_api
 from tests.unit.journal import helpers as journal_helpers
 
 _STREAM = replay.duty_stream(ownership_core.WEIGHTS)
@@ -123,3 +124,12 @@
         pace.started(3, 100.0)
         self.assertFalse(pace.ready(101.2))
         self.assertTrue(pace.ready(101.25))
+
+    def test_a_changed_policy_changes_the_rate(self) -> None:
+        """The rate is the policy's of now, not that of the tenure's start."""
+        pace = allowance.Pace(1.6, 6)
+        pace.follow(
+            records_api.Policy(loads_per_second=100.0, parallel_loads=10)
+        )
+        pace.started(10, 100.0)
+        self.assertTrue(pace.ready(100.01))
