Begin an epoch once only, for its order ids must not return

Cause: a tenure that ended by an engine's answer could begin again under the same epoch, and with it the sequence of order ids, which engines remember. Change: a runner begins each epoch once.

--- a/src/dogwoodquay/ledger/runner.py
+++ b/src/dogwoodquay/ledger/runner.py
@@ -75,6 +75,7 @@
         self._tenure: ownership_runner.Tenure | None = None
         self._tenure_changed = anyio.Event()
         self._reign: _Reign | None = None
+        self._last_epoch: int | None = None
         self._denials: collections.Counter[str] = collections.Counter()
         self._moves: collections.Counter[str] = collections.Counter()
 
@@ -111,7 +112,8 @@
         while True:
             tenure = self._tenure
             self._tenure_changed = anyio.Event()
-            if tenure is not None and self._declared():
+            if tenure is not None and self._may_begin(tenure.epoch):
+                self._last_epoch = tenure.epoch
                 self._reign = _Reign(
                     self._pool,
                     tenure.epoch,
@@ -126,8 +128,10 @@
             with anyio.move_on_after(PLAN_SECONDS):
                 await self._tenure_changed.wait()
 
-    def _declared(self) -> bool:
-        return self._pool in self._parts.catalog().pools
+    def _may_begin(self, epoch: int) -> bool:
+        """Whether an epoch can begin; a second time would reuse order ids."""
+        declared = self._pool in self._parts.catalog().pools
+        return declared and epoch != self._last_epoch
 
 
 class _Reign:
