Split the fuzzer's world from its rules

Change: instances, engines, log and checks in world, rules in machine. Conclusion: each module has one job.

--- a/tests/fuzz/__main__.py
+++ b/tests/fuzz/__main__.py
@@ -12,6 +12,7 @@
 from hypothesis import stateful
 
 from . import machine
+from . import world
 
 _MACHINES = (
     machine.AgreementMachine,
@@ -71,8 +72,8 @@
             verdict = failure or 'no violation'
             print(f'seed {seed} {kind.__name__}: {verdict}', flush=True)
         seed += 1
-    tried = sum(machine.RULES_TRIED.values())
-    for rule, count in sorted(machine.RULES_TRIED.items()):
+    tried = sum(world.RULES_TRIED.values())
+    for rule, count in sorted(world.RULES_TRIED.items()):
         print(f'{rule}: {count}')
     print(
         f'seeds {options.seed} to {seed - 1}: '
--- a/tests/fuzz/machine.py
+++ b/tests/fuzz/machine.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import random
 import typing
 import uuid
@@ -10,106 +9,32 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from . import engines
 from . import instances
-from . import logs
-from . import oracle
 from . import storms
+from . import world as worlds
 from dogwoodquay.journal import api as journal_api
 from dogwoodquay.journal import checkpoint
 from dogwoodquay.ledger import core
 from dogwoodquay.ledger import entries
-from dogwoodquay.ledger import replay
-from dogwoodquay.ownership import core as ownership_core
 from dogwoodquay.ownership import entries as ownership_entries
 from dogwoodquay.placement import api as placement_api
 from dogwoodquay.platform import api as platform_api
-from dogwoodquay.records import api as records_api
 
 __all__ = [
-    'RULES_TRIED',
     'AgreementMachine',
     'FencingMachine',
     'HidingMachine',
 ]
 
-INSTANCES: typing.Final = 2
-SERVERS: typing.Final = 2
-CAPACITY: typing.Final = 8
-SLOTS: typing.Final = 2
-POOL: typing.Final = 'pool'
-SIZES: typing.Final = {'m1@1': 4, 'm1@2': 4, 'm2@1': 4, 'm3@1': 3, 'a1@1': 1}
-BASES: typing.Final = {'a1': 'm1'}
 STORM: typing.Final = 40
-RULES_TRIED: collections.Counter[str] = collections.Counter()
 
 _index = st.integers(0, 11)
 _fate = st.sampled_from(('lands', 'lands', 'lost', 'hangs', 'twice'))
 
 
-def _catalog(fencing: bool, rollout: float) -> records_api.Catalog:
-    servers = tuple(
-        records_api.Server(f's{number}', '127.0.0.1', 1, 'd', CAPACITY)
-        for number in range(SERVERS)
-    )
-    models = {
-        name: records_api.Model(name, '1', SIZES[f'{name}@1'], POOL)
-        for name in ('m1', 'm2', 'm3')
-    }
-    rollouts = {}
-    if rollout > 0:
-        rollouts['m1'] = records_api.Rollout('m1', '2', 4, rollout)
-    return records_api.Catalog(
-        models=models,
-        adapters={'a1': records_api.Adapter('a1', '1', 'm1', 1)},
-        rollouts=rollouts,
-        pools={POOL: records_api.Pool(POOL, servers, fencing)},
-    )
-
-
-def _declared(rollout: float) -> dict[str, frozenset[str]]:
-    m1 = {'m1@1'} if rollout < 1 else set()
-    if rollout > 0:
-        m1.add('m1@2')
-    one = {name: frozenset((f'{name}@1',)) for name in ('m2', 'm3', 'a1')}
-    return {'m1': frozenset(m1), **one}
-
-
-class AgreementMachine(stateful.RuleBasedStateMachine):
+class AgreementMachine(worlds.World):
     """Instances, engines that ignore numbers, and a log, all failing."""
 
-    fencing = False
-    lists_loading = True
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.duty = ownership_core.pool_duty(POOL)
-        self.log = logs.LogModel(replay.duty_stream(self.duty))
-        self.catalog = _catalog(self.fencing, 0.0)
-        self.engines = {
-            f's{number}': engines.EngineModel(
-                CAPACITY, self.fencing, self.lists_loading
-            )
-            for number in range(SERVERS)
-        }
-        self.instances = [self._new(number) for number in range(INSTANCES)]
-        self.replicas = oracle.ReplicaOracle(_declared(0.0))
-        self.owners = oracle.OwnerOracle()
-        self.truth = replay.DutyState(self.duty)
-        self.snapshots: dict[int, bytes] = {}
-        self.attempts: list[instances.Attempt] = []
-        self.judged = 0
-
-    def _new(self, number: int) -> instances.Instance:
-        name = f'i{number}-{uuid.uuid4().hex[:6]}'
-        return instances.Instance(name, self.log, self.duty)
-
-    def _tried(self, rule: str) -> None:
-        RULES_TRIED[rule] += 1
-
-    def _pick(self, index: int) -> instances.Instance:
-        return self.instances[index % INSTANCES]
-
     def _owner(self, index: int) -> instances.Instance:
         """Return an instance that thinks that it owns the pool, if any."""
         owners = [item for item in self.instances if item.ledger is not None]
@@ -118,21 +43,13 @@
             return self._pick(index)
         return owners[index % len(owners)]
 
-    def _append(self, payload: bytes, fate: str) -> None:
-        if fate == 'lost' or self.log.out:
-            return
-        if fate != 'hangs':
-            self.log.land(payload)
-        if fate in ('hangs', 'twice'):
-            self.log.hung.append(payload)
-
     @stateful.rule(index=_index, late=st.booleans())
     def read(self, index: int, late: bool) -> None:
         """An instance reads the log, and may be late with what follows."""
         self._tried('read')
         instance = self._pick(index)
         instance.read()
-        instance.follow(self.catalog, SLOTS, late)
+        instance.follow(self.catalog, worlds.SLOTS, late)
         for approved in instance.settle_intents():
             self._send(instance, approved.server_id, approved.order)
 
@@ -171,7 +88,7 @@
     def replace_instance(self, index: int) -> None:
         """An instance dies in mid-task; a new one starts."""
         self._tried('replace_instance')
-        number = index % INSTANCES
+        number = index % worlds.INSTANCES
         self.instances[number].alive = False
         self.instances[number] = self._new(number)
 
@@ -180,7 +97,7 @@
         """An owner asks an engine; the answer is under way."""
         self._tried('ask')
         instance = self._pick(index)
-        server_id = f's{server % SERVERS}'
+        server_id = f's{server % worlds.SERVERS}'
         ledger = instance.ledger
         if ledger is None or server_id in instance.observations:
             return
@@ -208,22 +125,10 @@
         instance.observations.clear()
         self._forgive(instance)
 
-    def _forgive(self, instance: instances.Instance) -> None:
-        """End excuses once the true owner sees all and nothing is open."""
-        ledger = instance.ledger
-        if ledger is None or ledger.epoch != self.owners.epoch:
-            return
-        current = all(
-            server.incarnation == self.engines[server_id].incarnation
-            for server_id, server in ledger.servers.items()
-        )
-        if current and not self.attempts and not self.log.hung:
-            self.replicas.excused.clear()
-
     @stateful.rule(
         index=_index,
         server=_index,
-        artifact=st.sampled_from(tuple(SIZES)),
+        artifact=st.sampled_from(tuple(worlds.SIZES)),
         force=st.booleans(),
         base=st.sampled_from(('m1@1', 'm1@2')),
         fate=_fate,
@@ -242,15 +147,15 @@
         instance = self._owner(index)
         if instance.ledger is None:
             return
-        known = instance.ledger.servers[f's{server % SERVERS}']
+        known = instance.ledger.servers[f's{server % worlds.SERVERS}']
         kind = placement_api.MoveKind.LOAD
         if artifact in known.possible() and not force:
             kind = placement_api.MoveKind.UNLOAD
         wanted = placement_api.Move(
             kind,
-            f's{server % SERVERS}',
+            f's{server % worlds.SERVERS}',
             artifact,
-            SIZES[artifact],
+            worlds.SIZES[artifact],
             base if artifact == 'a1@1' else '',
             'fuzz',
         )
@@ -262,18 +167,6 @@
                 self._tried(f'effect: {kind.value} approved')
                 self._send(instance, approved.server_id, approved.order)
 
-    def _log_intent(
-        self,
-        instance: instances.Instance,
-        approved: core.Approved,
-        fate: str,
-    ) -> None:
-        assert instance.ledger is not None
-        record = instance.ledger.intent(approved)
-        instance.follower.expect(approved.order.order_id)
-        instance.intents[approved.order.order_id] = approved
-        self._append(entries.CODEC.encode(record), fate)
-
     @stateful.rule(index=_index)
     def give_up(self, index: int) -> None:
         """An intent is not read back in time."""
@@ -298,24 +191,6 @@
             if instance.ledger.may_send(order.order_id):
                 self._send(instance, server_id, order)
 
-    def _send(
-        self,
-        instance: instances.Instance,
-        server_id: str,
-        order: platform_api.Order,
-    ) -> None:
-        ledger = instance.ledger
-        assert ledger is not None
-        ledger.sending(order.order_id)
-        self.attempts.append(
-            instances.Attempt(order, server_id, instance, ledger)
-        )
-
-    def _attempt(self, index: int) -> instances.Attempt | None:
-        if not self.attempts:
-            return None
-        return self.attempts[index % len(self.attempts)]
-
     @stateful.rule(index=_index, again=st.booleans())
     def arrive(self, index: int, again: bool) -> None:
         """A sent order arrives, and may arrive again later."""
@@ -338,18 +213,6 @@
         if attempt.answered and not again:
             self.attempts.remove(attempt)
 
-    def _judge(
-        self, attempt: instances.Attempt, engine: engines.EngineModel
-    ) -> None:
-        order = attempt.order
-        takes = (
-            order.incarnation == engine.incarnation
-            and order.order_id not in engine.seen
-            and not (engine.fencing and order.fence < engine.fence)
-        )
-        if takes:
-            self.replicas.judge(order, attempt.server_id, self.engines)
-
     @stateful.rule(index=_index)
     def answer(self, index: int) -> None:
         """The engine's answer to an order reaches its sender."""
@@ -399,13 +262,13 @@
     def finish_loads(self, server: int) -> None:
         """An engine ends its loads."""
         self._tried('finish_loads')
-        self.engines[f's{server % SERVERS}'].finish()
+        self.engines[f's{server % worlds.SERVERS}'].finish()
 
     @stateful.rule(server=_index, forget=st.booleans())
     def restart_engine(self, server: int, forget: bool) -> None:
         """An engine restarts empty, and may forget its fencing number."""
         self._tried('restart_engine')
-        engine = self.engines[f's{server % SERVERS}']
+        engine = self.engines[f's{server % worlds.SERVERS}']
         for artifact in engine.residents:
             self.replicas.excused.add(artifact.rpartition('@')[0])
         engine.restart(forget)
@@ -437,7 +300,7 @@
         """An instance reads the log and asks every engine."""
         self._tried('refresh')
         self.read(index, late=False)
-        for server in range(SERVERS):
+        for server in range(worlds.SERVERS):
             self.ask(index, server, lost=False)
         self.take_answers(index)
 
@@ -464,14 +327,14 @@
         """For a moment everything works."""
         self._tried('calm')
         self.log.out = False
-        for index in range(INSTANCES):
+        for index in range(worlds.INSTANCES):
             self.refresh(index)
         for _ in range(2 * len(self.attempts)):
             self.arrive(0, again=False)
             for engine in self.engines.values():
                 engine.finish()
             self.answer(0)
-        for index in range(INSTANCES):
+        for index in range(worlds.INSTANCES):
             self.close(index, 'lands')
             self.refresh(index)
 
@@ -518,14 +381,14 @@
         if source.follower.offset >= 0:
             snapshot = journal_api.make_snapshot(self.log.stream, source.state)
             instance.follower.offer(snapshot)
-            instance.follow(self.catalog, SLOTS, late=True)
+            instance.follow(self.catalog, worlds.SLOTS, late=True)
 
     @stateful.rule(share=st.sampled_from((0.0, 0.5, 1.0)))
     def publish(self, share: float) -> None:
         """Operators change the rollout of a model."""
         self._tried('publish')
-        self.catalog = _catalog(self.fencing, share)
-        self.replicas.declared = _declared(share)
+        self.catalog = worlds.make_catalog(self.fencing, share)
+        self.replicas.declared = worlds.make_declared(share)
         self.replicas.excused.add('m1')
         for instance in self.instances:
             if instance.ledger is not None:
@@ -537,7 +400,7 @@
         self._tried('server_leaves')
         instance = self._pick(index)
         if instance.ledger is not None:
-            leaving = {f's{server}'} if server < SERVERS else set()
+            leaving = {f's{server}'} if server < worlds.SERVERS else set()
             instance.ledger.set_leaving(leaving)
 
     @stateful.rule(seed=st.integers(0, (1 << 32) - 1))
@@ -553,50 +416,10 @@
         )
         for name in names:
             rule = getattr(self, name)
-            rule(**storms.arguments(rule, rng, SIZES))
+            rule(**storms.arguments(rule, rng, worlds.SIZES))
             self.engines_are_safe()
             self.replays_agree()
 
-    @stateful.invariant()
-    def engines_are_safe(self) -> None:
-        """Memory, bases and slots hold at every moment."""
-        oracle.check_engines(self.engines, BASES, SLOTS)
-
-    @stateful.invariant()
-    def replays_agree(self) -> None:
-        """Each state is that of its offset and never moves back."""
-        while self.judged < self.log.next_offset:
-            entry = self.log.entries[self.judged]
-            self.truth.apply(entry)
-            self.owners.take(entry.payload, entry.offset)
-            self.snapshots[entry.offset] = self.truth.snapshot()
-            self._compare_owner()
-            self.judged += 1
-        for instance in self.instances:
-            self._check_instance(instance)
-
-    def _compare_owner(self) -> None:
-        known = self.truth.ownership
-        if (known.epoch, known.instance_id, known.released) != (
-            self.owners.epoch,
-            self.owners.owner,
-            self.owners.released,
-        ):
-            raise oracle.Violation(f'owner: {known} {self.owners}')
-        if set(self.truth.open_intents) != set(self.owners.open_orders):
-            raise oracle.Violation('open_orders')
-
-    def _check_instance(self, instance: instances.Instance) -> None:
-        offset = instance.follower.offset
-        if offset < instance.highest_offset:
-            raise oracle.Violation(f'moved_back: {offset}')
-        instance.highest_offset = offset
-        if (
-            offset >= 0
-            and instance.state.snapshot() != (self.snapshots[offset])
-        ):
-            raise oracle.Violation(f'diverged at {offset}')
-
 
 class FencingMachine(AgreementMachine):
     """The same with engines that refuse old numbers."""
