Catch the variant that does not teach a restarted engine again

Change: a fixed order of events in the fuzzer's world, for true and broken code. Result: the broken variant breaks the memory rule, the true code does not.

--- a/tests/fuzz/mutants.py
+++ b/tests/fuzz/mutants.py
@@ -24,7 +24,7 @@
     from dogwoodquay.ownership import entries as ownership_entries
     from dogwoodquay.placement import api as placement_api
 
-__all__ = ['MUTANTS', 'Mutant']
+__all__ = ['MUTANTS', 'Mutant', 'no_teaching_again']
 
 
 @dataclasses.dataclass(frozen=True)
@@ -51,6 +51,24 @@
         yield
 
 
+def _trusted(self: servers.ServerLedger) -> bool:
+    if self.state is None:
+        return False
+    forgot = self.state.highest_fence == 0 and self.incarnation != 'p0'
+    return forgot or self.state.highest_fence == self._epoch
+
+
+@contextlib.contextmanager
+def no_teaching_again() -> abc.Iterator[None]:
+    """Take a restarted engine's contents for known without teaching it."""
+    must_teach = property(lambda self: not _trusted(self))
+    with (
+        mock.patch.object(_SERVER, 'known', property(_trusted)),
+        mock.patch.object(_SERVER, 'must_teach', must_teach),
+    ):
+        yield
+
+
 def _outcome(self: replay.DutyState, item: entries.Outcome, t: float) -> bool:
     open_intents = dict(self.open_intents)
     found = open_intents.pop(item.order_id, None)
--- a/tests/fuzz/test_agreement.py
+++ b/tests/fuzz/test_agreement.py
@@ -68,3 +68,37 @@
         for mutant in mutants.MUTANTS:
             with self.subTest(mutant.name), mutant.patch():
                 self.assertRegex(_caught(mutant), f'^{mutant.rule}')
+
+
+class ForgetfulEngineTest(unittest.TestCase):
+    """Two owners at an engine that restarted and forgot its number.
+
+    Random rules meet this order of events too seldom.
+    """
+
+    def _meet(self) -> None:
+        world = machine.FencingMachine()
+        world.start(0)
+        world.take_over(1)
+        world.restart_engine(1, forget=True)
+        world.refresh(1)
+        for artifact in ('m1@1', 'm2@1'):
+            world.move(1, 1, artifact, False, '', 'lands')
+        world.ask(0, 1, lost=False)
+        world.take_answers(0)
+        world.move(0, 1, 'm1@2', False, '', 'lands')
+        for index in reversed(range(len(world.attempts))):
+            world.arrive(index, again=True)
+            world.engines_are_safe()
+
+    def test_taught_again_first(self) -> None:
+        """The old owner's order is refused or counted."""
+        self._meet()
+
+    def test_variant_that_does_not_teach_again_is_caught(self) -> None:
+        """Both owners fill the same memory."""
+        with (
+            mutants.no_teaching_again(),
+            self.assertRaisesRegex(oracle.Violation, '^memory'),
+        ):
+            self._meet()
