--- a/src/dogwoodquay/demo/sockets.py
+++ b/src/dogwoodquay/demo/sockets.py
@@ -29,7 +29,13 @@
 
 
 def _break(descriptor: int, ports: abc.Collection[int]) -> int:
-    with socket.socket(fileno=os.dup(descriptor)) as found:
+    copy = os.dup(descriptor)
+    try:
+        found = socket.socket(fileno=copy)
+    except OSError:
+        os.close(copy)
+        raise
+    with found:
         if found.family is not socket.AF_INET:
             return 0
         if found.getsockname()[1] not in ports:
--- a/src/dogwoodquay/entry/server.py
+++ b/src/dogwoodquay/entry/server.py
@@ -2,20 +2,24 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import socket
 import typing
 
 import anyio
+import anyio.lowlevel
 from hypercorn import asyncio as hypercorn_asyncio
 from hypercorn import config as hypercorn_config
 import msgspec
 
 if typing.TYPE_CHECKING:
+    from collections import abc
+
     from .. import clock as clock_module
     from . import app as app_module
 
-__all__ = ['ServerSettings', 'bound_port', 'listen', 'serve']
+__all__ = ['ServerSettings', 'bound_port', 'listen', 'serve', 'serve_until']
 
 SEND_BUFFER_BYTES: typing.Final = 64 << 10
 UNACKNOWLEDGED_MILLISECONDS: typing.Final = 60_000
@@ -81,12 +85,28 @@
         await shutdown.wait()
         await app.drain(clock.now() + settings.drain_seconds)
 
-    await hypercorn_asyncio.serve(
-        typing.cast('typing.Any', app),
-        _config(settings, listener),
-        shutdown_trigger=drained,
-        mode='asgi',
-    )
+    await serve_until(app, _config(settings, listener), drained)
+
+
+async def serve_until(
+    app: object,
+    config: hypercorn_config.Config,
+    trigger: abc.Callable[[], abc.Awaitable[None]],
+) -> None:
+    """Serve an ASGI application until a trigger returns.
+
+    When hypercorn is cancelled while it closes, it asks a future that has no
+    end yet for its exception; what counts then is the cancellation.
+    """
+    try:
+        await hypercorn_asyncio.serve(
+            typing.cast('typing.Any', app),
+            config,
+            shutdown_trigger=trigger,
+            mode='asgi',
+        )
+    except asyncio.InvalidStateError:
+        await anyio.lowlevel.checkpoint()
 
 
 def _config(
--- a/src/dogwoodquay/node/operators.py
+++ b/src/dogwoodquay/node/operators.py
@@ -4,7 +4,6 @@
 
 import typing
 
-from hypercorn import asyncio as hypercorn_asyncio
 from hypercorn import config as hypercorn_config
 
 from ..entry import server as entry_server
@@ -57,9 +56,4 @@
         config.include_server_header = False
         config.accesslog = None
         config.errorlog = None
-        await hypercorn_asyncio.serve(
-            typing.cast('typing.Any', self._app),
-            config,
-            shutdown_trigger=closed.wait,
-            mode='asgi',
-        )
+        await entry_server.serve_until(self._app, config, closed.wait)
--- a/src/dogwoodquay/ownership/runner.py
+++ b/src/dogwoodquay/ownership/runner.py
@@ -154,15 +154,18 @@
         tenure = self._tenure
         if tenure is None:
             return True
+        successor = proposal.successor(
+            self._duty, self._membership.members(), self._instance_id
+        )
         release = entries.Release(
             entry_id=uuid.uuid4().hex,
             duty=self._duty,
             epoch=tenure.epoch,
-            successor=proposal.successor(
-                self._duty, self._membership.members(), self._instance_id
-            ),
+            successor=successor,
         )
         await self._writer.append((release,), deadline)
+        if not successor:
+            return False
         return await self._wait_taken(tenure.epoch, deadline)
 
     async def _wait_taken(self, epoch: int, deadline: float) -> bool:
