--- /dev/null
+++ b/examples/owned_duty.py
@@ -0,0 +1,125 @@
+"""Two processes compete for a duty; the log's order decides who owns it.
+
+Run it with ``python examples/owned_duty.py``. The log is the in-memory fake;
+a real one is any class with the methods of ``platform.api.Log``.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+import typing
+import uuid
+
+import anyio
+
+from dogwoodquay import clock as clocks
+from dogwoodquay.journal import api as journal_api
+from dogwoodquay.journal import entries as journal_entries
+from dogwoodquay.journal import follower as followers
+from dogwoodquay.journal import writer as writers
+from dogwoodquay.ownership import core
+from dogwoodquay.ownership import entries
+from dogwoodquay.platform import api as platform_api
+from dogwoodquay.platform import memory
+
+DUTY: typing.Final = 'nightly-sort'
+STREAM: typing.Final = 'duty'
+WAIT_SECONDS: typing.Final = 5.0
+
+DutyEntry = entries.Claim | entries.Release
+CODEC: journal_entries.Codec[DutyEntry] = journal_entries.Codec(DutyEntry)
+
+
+class DutyState:
+    """The duty's owner, replayed from the stream."""
+
+    def __init__(self) -> None:
+        self.ownership = core.Ownership(DUTY)
+        self._offset = -1
+
+    @property
+    def offset(self) -> int:
+        """The last offset that is reflected here."""
+        return self._offset
+
+    def apply(
+        self, entry: platform_api.LogEntry
+    ) -> tuple[journal_api.Verdict, ...]:
+        """Take in the next record of the stream."""
+        self._offset = entry.offset
+        return tuple(
+            journal_api.Verdict(
+                item.entry_id, self._take(item, entry.offset), entry.offset
+            )
+            for item in CODEC.decode(entry.payload)
+        )
+
+    def snapshot(self) -> bytes:
+        """Return the full state; this example writes no checkpoints."""
+        return journal_entries.pack(self.ownership)
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace the state by a snapshot's."""
+        self.ownership = journal_entries.unpack(snapshot, core.Ownership)
+
+    def _take(self, item: DutyEntry, offset: int) -> bool:
+        after = core.apply(self.ownership, item, offset)
+        if after is None:
+            return False
+        self.ownership = after
+        return True
+
+
+class Process:
+    """One process that wants the duty."""
+
+    def __init__(self, name: str, log: platform_api.Log) -> None:
+        clock = clocks.SystemClock()
+        self.name = name
+        self.state = DutyState()
+        self.clock = clock
+        self.follower = followers.Follower(
+            STREAM, self.state, log, clock, random.Random()
+        )
+        self._writer = writers.Writer(log, self.follower, CODEC, clock)
+
+    async def claim(self) -> bool:
+        """Claim the duty and tell whether the log accepted it."""
+        claim = entries.Claim(
+            entry_id=uuid.uuid4().hex,
+            duty=DUTY,
+            instance_id=self.name,
+            incarnation=1,
+            replaces=self.state.ownership.epoch,
+        )
+        deadline = self.clock.now() + WAIT_SECONDS
+        result = await self._writer.append((claim,), deadline)
+        return result.is_ok() and result.ok[0].valid
+
+
+async def main() -> int:
+    """Let two processes claim at once; exactly one may win."""
+    log = memory.MemoryLog(memory.SystemTimeline(), random.Random(1))
+    # The answer to the first append is lost; reading settles it.
+    log.faults.inject(memory.CallFault.LOSE_ANSWER)
+    processes = [Process('left', log), Process('right', log)]
+    won: dict[str, bool] = {}
+
+    async def compete(process: Process) -> None:
+        won[process.name] = await process.claim()
+
+    async with anyio.create_task_group() as group:
+        for process in processes:
+            group.start_soon(process.follower.run)
+        async with anyio.create_task_group() as competitors:
+            for process in processes:
+                competitors.start_soon(compete, process)
+        group.cancel_scope.cancel()
+    owner = processes[0].state.ownership
+    print(f'{owner.instance_id} owns {DUTY}; fencing number {owner.epoch}')
+    return 0 if sum(won.values()) == 1 and won[owner.instance_id] else 1
+
+
+if __name__ == '__main__':
+    sys.exit(anyio.run(main))
--- /dev/null
+++ b/examples/possible_contents.py
@@ -0,0 +1,101 @@
+"""A server is charged with what a lost order may still put into it.
+
+Run it with ``python examples/possible_contents.py``. The ledger is pure: it
+does no I/O and reads no clock, so the calls below are all that happens.
+"""
+
+from __future__ import annotations
+
+import sys
+import typing
+
+from dogwoodquay.ledger import core
+from dogwoodquay.placement import api as placement_api
+from dogwoodquay.platform import api as platform_api
+from dogwoodquay.records import api as records_api
+
+GIB: typing.Final = 1 << 30
+POOL: typing.Final = 'pool'
+SERVER: typing.Final = 'engine'
+CAPACITY_GIB: typing.Final = 10
+MODEL_GIB: typing.Final = 6
+EPOCH: typing.Final = 4
+
+
+def make_ledger() -> core.PoolLedger:
+    """Return a ledger of one server and two models that exclude each other."""
+    server = records_api.Server(
+        SERVER, '127.0.0.1', 9, 'domain-a', CAPACITY_GIB * GIB
+    )
+    pool = records_api.Pool(POOL, (server,))
+    models = {
+        name: records_api.Model(name, '1', MODEL_GIB * GIB, POOL)
+        for name in ('tickets', 'photos')
+    }
+    catalog = records_api.Catalog(models=models, pools={POOL: pool})
+    ledger = core.PoolLedger(pool, catalog, EPOCH)
+    ledger.set_slots(2)
+    return ledger
+
+
+def answer(
+    incarnation: str, *artifacts: platform_api.ArtifactState
+) -> platform_api.EngineState:
+    """Return an engine's answer on its contents."""
+    return platform_api.EngineState(
+        incarnation=incarnation,
+        highest_fence=EPOCH,
+        capacity_bytes=CAPACITY_GIB * GIB,
+        artifacts=artifacts,
+        load=platform_api.LoadReport(0.0, 0, 0, 0.0, 0.0),
+    )
+
+
+def observe(ledger: core.PoolLedger, state: platform_api.EngineState) -> None:
+    """Give an engine's answer to the ledger."""
+    began = ledger.servers[SERVER].begin_observation()
+    ledger.observe(SERVER, state, began)
+
+
+def load(ledger: core.PoolLedger, name: str) -> core.Approved | core.Denied:
+    """Ask for a model to be loaded and print the ledger's decision."""
+    move = placement_api.Move(
+        placement_api.MoveKind.LOAD,
+        SERVER,
+        records_api.artifact_id(name, '1'),
+        MODEL_GIB * GIB,
+        '',
+        '',
+    )
+    decision = ledger.approve(move)
+    match decision:
+        case core.Approved(_, order):
+            print(f'{name}: approved as order {order.order_id}')
+        case core.Denied(reason):
+            print(f'{name}: denied, {reason.value}')
+    possible = ledger.servers[SERVER].possible_bytes // GIB
+    print(f'  possible contents: {possible} of {CAPACITY_GIB} GiB')
+    return decision
+
+
+def main() -> int:
+    """Lose an order's answer, and load something else only when it is safe."""
+    ledger = make_ledger()
+    observe(ledger, answer('process-1'))
+    first = load(ledger, 'tickets')
+    if not isinstance(first, core.Approved):
+        return 1
+    ledger.sending(first.order.order_id)
+    ledger.lost(first.order.order_id)
+    print('the answer to the order was lost')
+    observe(ledger, answer('process-1'))
+    second = load(ledger, 'photos')
+    print('the engine restarted, so that the order can have no effect')
+    observe(ledger, answer('process-2'))
+    third = load(ledger, 'photos')
+    safe = isinstance(second, core.Denied)
+    return 0 if safe and isinstance(third, core.Approved) else 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
