--- a/src/dogwoodquay/demo/run.py
+++ b/src/dogwoodquay/demo/run.py
@@ -20,6 +20,7 @@
 from . import report
 from . import scenario
 from . import site as demo_site
+from ..standin import examples
 from . import waiting
 
 if typing.TYPE_CHECKING:
@@ -76,7 +77,9 @@
 ) -> report.Result:
     await fleet.start(INSTANCES)
     tell(f'{INSTANCES} entry instances listen')
-    offset = await waiting.publish_examples(site, clock)
+    offset = await waiting.publish_examples(
+        site, clock, examples.HEELBRIGHT, examples.GULF
+    )
     tell(f'published {offset + 1} records of both users')
     tally = outcomes.Tally()
     async with (
--- a/src/dogwoodquay/demo/waiting.py
+++ b/src/dogwoodquay/demo/waiting.py
@@ -33,13 +33,15 @@
 
 
 async def publish_examples(
-    site: sites.StandInSite, clock: clocks.Clock
+    site: sites.StandInSite,
+    clock: clocks.Clock,
+    *deployments: examples.Deployment,
 ) -> int:
-    """Publish the records of both users.
+    """Publish the records of one or both users.
 
     :return: the offset of the last one.
     """
-    records = examples.records(site, examples.HEELBRIGHT, examples.GULF)
+    records = examples.records(site, *deployments)
     offset = -1
     async with platform_http.Connections(clock) as connections:
         log = platform_http.HttpLog(connections, clock, *site.log_address)
--- /dev/null
+++ b/tests/unit/demo/test_callers_page.py
@@ -0,0 +1,152 @@
+"""Runs the examples of the callers' page against a small site."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import re
+import shlex
+import typing
+import unittest
+
+import anyio
+import httpx
+
+from dogwoodquay import clock as clocks
+from dogwoodquay.demo import events
+from dogwoodquay.demo import fleet as fleets
+from dogwoodquay.demo import requests
+from dogwoodquay.demo import waiting
+from dogwoodquay.standin import examples
+from dogwoodquay.standin import site as sites
+
+_PAGE = pathlib.Path(__file__).parents[3] / 'docs' / 'callers.md'
+_BLOCK = re.compile(r'```(\w+)\n(.*?)```', re.DOTALL)
+_WAIT_SECONDS = 60
+
+
+class Example(typing.NamedTuple):
+    """A command line of the page and the answer that it shows."""
+
+    command: str
+    shown: str
+
+
+def page_examples() -> list[Example]:
+    """Return the page's command lines in order."""
+    found: list[Example] = []
+    for language, content in _BLOCK.findall(_PAGE.read_text('utf-8')):
+        if language == 'sh':
+            found.append(Example(content, ''))
+        elif language == 'http':
+            found[-1] = found[-1]._replace(shown=content)
+    return found
+
+
+async def run_curl(
+    http: httpx.AsyncClient, command: str, variables: dict[str, str]
+) -> httpx.Response:
+    """Send what a command line of curl would send."""
+    for name, value in variables.items():
+        command = command.replace(f'${name}', value)
+    words = iter(shlex.split(command.replace('\\\n', ' ')))
+    if next(words) != 'curl':
+        raise ValueError(command)
+    url, headers, data = '', {}, None
+    for word in words:
+        match word:
+            case '-H':
+                name, _, value = next(words).partition(': ')
+                headers[name] = value
+            case '-d':
+                data = next(words)
+            case '-s' | '-sN' | '-si':
+                pass
+            case _ if not url and not word.startswith('-'):
+                url = word
+            case _:
+                raise ValueError(word)
+    method = 'GET' if data is None else 'POST'
+    return await http.request(method, url, headers=headers, content=data)
+
+
+class CallersPageTest(unittest.TestCase):
+    """The page tells the truth."""
+
+    def test_examples(self) -> None:
+        """Every line works as shown, and a repeated charge does not run."""
+        anyio.run(self._run)
+
+    async def _run(self) -> None:
+        small = examples.HEELBRIGHT._replace(
+            models=examples.HEELBRIGHT.models[:1]
+        )
+        options = sites.SiteOptions(engines=2, loads_per_second=1000.0)
+        clock = clocks.SystemClock()
+        with anyio.fail_after(_WAIT_SECONDS):
+            async with (
+                sites.StandInSite(options).running() as site,
+                anyio.create_task_group() as group,
+            ):
+                fleet = fleets.Fleet(site, group)
+                await fleet.start(2)
+                offset = await waiting.publish_examples(site, clock, small)
+                async with (
+                    waiting.Watcher(fleet).running() as watcher,
+                    httpx.AsyncClient(trust_env=False) as http,
+                ):
+                    await watcher.wait_reachable(offset, _WAIT_SECONDS)
+                    await self._check(http, fleet, small)
+                await fleet.kill_all()
+            self.assertEqual(0, site.book.repeated)
+
+    async def _check(
+        self,
+        http: httpx.AsyncClient,
+        fleet: fleets.Fleet,
+        deployment: examples.Deployment,
+    ) -> None:
+        urls = [member.callers_url for member in fleet.members]
+        variables = {
+            'URL': urls[0],
+            'KEY': examples.caller_key(deployment),
+            'ID': requests.uuid7(),
+        }
+        texts: dict[str, str] = {}
+        for example in page_examples():
+            answer = await run_curl(http, example.command, variables)
+            if 'x-stream-id' in answer.headers:
+                variables['STREAM'] = answer.headers['x-stream-id']
+            with self.subTest(example.command):
+                self._compare(example, answer)
+                texts[example.command] = answer.text
+            if '$ID' in example.command:
+                other = {**variables, 'URL': urls[1]}
+                await self._charge_again(http, example, other, answer.text)
+        self.assertEqual(6, len(texts))
+        streams = [text for text in texts.values() if '[DONE]' in text]
+        self.assertEqual(2, len(streams))
+        self.assertTrue(streams[0].endswith(streams[1]))
+
+    async def _charge_again(
+        self,
+        http: httpx.AsyncClient,
+        example: Example,
+        variables: dict[str, str],
+        first: str,
+    ) -> None:
+        answer = await run_curl(http, example.command, variables)
+        while events.parse_problem(answer.content).reason == 'key_running':
+            await anyio.sleep(0.05)
+            answer = await run_curl(http, example.command, variables)
+        self.assertEqual((200, first), (answer.status_code, answer.text))
+
+    def _compare(self, example: Example, answer: httpx.Response) -> None:
+        if not example.shown:
+            self.assertEqual(200, answer.status_code, answer.text)
+            return
+        head, _, body = example.shown.partition('\n\n')
+        self.assertEqual(int(head.split()[1]), answer.status_code)
+        found = answer.json()
+        for name, value in json.loads(body).items():
+            self.assertEqual(value, found[name])
