--- a/tests/unit/demo/test_callers_page.py
+++ b/tests/unit/demo/test_callers_page.py
@@ -81,7 +81,9 @@
         small = examples.HEELBRIGHT._replace(
             models=examples.HEELBRIGHT.models[:1]
         )
-        options = sites.SiteOptions(engines=2, loads_per_second=1000.0)
+        options = sites.SiteOptions(
+            engines=2, loads_per_second=1000.0, load_bytes_per_second=1e12
+        )
         clock = clocks.SystemClock()
         with anyio.fail_after(_WAIT_SECONDS):
             async with (
