Keep a refused order charged until its server is seen again

Storm 1500141: an unload arrived twice, the engine restarted in between, and the refusal of the second copy made the ledger trust a replica that the first had taken. Storm 1501935: with engines that ignore numbers, an open unload of an earlier owner arrived after the engine that guarded its artifact had restarted. Change: a refusal ends an order but leaves it charged until a new observation; only a sending that never left ends without. The second can't be prevented: the unload may arrive at any time.

--- a/src/dogwoodquay/ledger/core.py
+++ b/src/dogwoodquay/ledger/core.py
@@ -287,20 +287,33 @@
             charged.pending_sends -= 1
             charged.ambiguous = True
 
+    def unsent(self, order_id: str) -> bool:
+        """Note that one sending of an order certainly never left.
+
+        :return: whether that ends the order.
+        """
+        return self._fail(order_id, ran=False)
+
     def refused(self, order_id: str) -> bool:
-        """Note that one sending of an order certainly had no effect.
+        """Note that an engine refused one sending of an order.
+
+        A sending can arrive twice, and the answer be that to the second
+        copy; so the order stays charged until the server is seen again.
 
         :return: whether that ends the order.
         """
+        return self._fail(order_id, ran=True)
+
+    def _fail(self, order_id: str, ran: bool) -> bool:
         charged = self.locate(order_id)
-        if charged is None:
+        if charged is None or not charged.open:
             return False
         charged.pending_sends -= 1
         if charged.foreign or charged.ambiguous or charged.pending_sends:
             return False
         if charged.logged:
             self._closing[order_id] = entries.OrderEnd.NOT_RUN
-        self.server_of(order_id).end(order_id, ran=False)
+        self.server_of(order_id).end(order_id, ran)
         return True
 
     def done(self, order_id: str) -> None:
--- a/src/dogwoodquay/ledger/execution.py
+++ b/src/dogwoodquay/ledger/execution.py
@@ -102,5 +102,7 @@
             case platform_api.StaleFence():
                 self.ledger.supersede()
                 self.ledger.refused(order.order_id)
-            case platform_api.Unavailable() | platform_api.Refused():
+            case platform_api.Refused():
                 self.ledger.refused(order.order_id)
+            case platform_api.Unavailable():
+                self.ledger.unsent(order.order_id)
--- a/tests/fuzz/test_agreement.py
+++ b/tests/fuzz/test_agreement.py
@@ -17,6 +17,11 @@
 _STEPS: typing.Final = 60
 _MUTANT_SEEDS: typing.Final = 100
 _MUTANT_RULES: typing.Final = 300
+_FOUND: typing.Final = (
+    (machine.AgreementMachine, 53),
+    (machine.FencingMachine, 1_500_141),
+    (machine.AgreementMachine, 1_501_935),
+)
 
 
 def _settings(examples: int, steps: int) -> hypothesis.settings:
@@ -59,6 +64,14 @@
                     kind, settings=_settings(_EXAMPLES, _STEPS)
                 )
 
+    def test_storms_that_once_broke_a_promise(self) -> None:
+        """The runs in which a violation was found end without one."""
+        for kind, seed in _FOUND:
+            with self.subTest(kind.__name__, seed=seed):
+                world = kind()
+                world.start(seed)
+                world.run_rules(random.Random(seed), _MUTANT_RULES)
+
 
 class MutantTest(unittest.TestCase):
     """Code with a safety rule left out is caught by the rule named."""
--- a/tests/unit/ledger/test_core.py
+++ b/tests/unit/ledger/test_core.py
@@ -50,6 +50,17 @@
         self.ledger.observe('s0', helpers.make_state('x@1'), early)
         self._deny(helpers.load('s0', 'z@1'), rules.Denial.NO_MEMORY)
 
+    def test_refused_order_is_seen_before_it_counts_as_undone(self) -> None:
+        """Storm 1500141: a copy before the refused one had its effect."""
+        for server in ('s0', 's1'):
+            self._see(server, 'x@1')
+        order = self._approve(helpers.unload('s1', 'x@1')).order
+        self.ledger.sending(order.order_id)
+        self.assertTrue(self.ledger.refused(order.order_id))
+        self._deny(helpers.unload('s0', 'x@1'), rules.Denial.LAST_REPLICA)
+        self._see('s1', 'x@1')
+        self._approve(helpers.unload('s0', 'x@1'))
+
     def test_new_process_ends_orders_to_the_old_one(self) -> None:
         """An order names the process that it is meant for."""
         self._see('s0')
