--- a/src/dogwoodquay/ledger/allowance.py
+++ b/src/dogwoodquay/ledger/allowance.py
@@ -15,6 +15,7 @@
 
     from .. import clock as clocks
     from ..journal import writer as journal_writer
+    from ..records import api as records_api
     from . import replay
 
 __all__ = ['LocalPermits', 'Pace', 'PermitSource', 'assignments', 'held']
@@ -105,6 +106,11 @@
         """When the next load may start."""
         return self._next_at
 
+    def follow(self, policy: records_api.Policy) -> None:
+        """Keep the rate that a policy states from now on."""
+        self.loads_per_second = policy.loads_per_second
+        self.total_slots = policy.parallel_loads
+
     def ready(self, now: float) -> bool:
         """Whether a load may start now."""
         return now >= self._next_at
