Never load what the same plan unloads

Change: a relocation passes over what may still be in memory; the planner is a regression test richer, and the paper pool notes such loads.

--- a/src/dogwoodquay/placement/room.py
+++ b/src/dogwoodquay/placement/room.py
@@ -117,7 +117,9 @@
     """Ask for the next loads of a relocation."""
     for name in found.loads:
         memory = draft.pool.artifacts[name].memory_bytes
-        if draft.budget > 0 and found.target.free >= memory:
+        if found.target.holds(name) or found.target.free < memory:
+            continue
+        if draft.budget > 0:
             draft.load(found.target, name, 'relocate')
 
 
--- a/tests/unit/placement/pools.py
+++ b/tests/unit/placement/pools.py
@@ -86,6 +86,8 @@
         """Start a move; memory stays charged until it ends."""
         contents = self.possible[move.server_id]
         if move.kind is api.MoveKind.LOAD:
+            if move.artifact in contents:
+                self.problems.append(f'still in memory before {move}')
             contents[move.artifact] = move.memory_bytes
             if move.base and move.base not in self.ready[move.server_id]:
                 self.problems.append(f'no base for {move}')
--- a/tests/unit/placement/test_planner.py
+++ b/tests/unit/placement/test_planner.py
@@ -9,7 +9,11 @@
 
 from dogwoodquay.placement import api
 from dogwoodquay.placement import draft
+from dogwoodquay.placement import memory
 from dogwoodquay.placement import planner
+from dogwoodquay.placement import room
+from dogwoodquay.placement import state
+from dogwoodquay.placement import wanted
 from dogwoodquay.records import api as records
 from tests.unit.placement import pools
 
@@ -57,7 +61,9 @@
                 strategies.integers(20, 80), min_size=2, max_size=5
             )
         )
-        catalog = pools.catalog([size * _G for size in sizes], bases)
+        weight = draw(strategies.sampled_from((0.0, 0.2, 1.0)))
+        policy = records.Policy(move_weight=weight)
+        catalog = pools.catalog([size * _G for size in sizes], bases, policy)
         paper = pools.Paper([size * _G for size in capacities])
         settings = draft.PlannerSettings(residence_seconds=0.0)
         subject = planner.CostPlanner(settings)
@@ -81,6 +87,7 @@
                 catalog = pools.catalog(
                     [size * _G for size in sizes],
                     bases,
+                    policy,
                     rollouts={'m0': rollout},
                 )
             for _ in range(3):
@@ -103,6 +110,37 @@
         self.assertLessEqual(len(made.moves), max(0, parallel - running))
 
 
+class RelocationTest(unittest.TestCase):
+    """Models that move aside with their adapters."""
+
+    def test_never_loads_what_the_same_plan_unloads(self) -> None:
+        """What still may be in memory at the target is not loaded there."""
+        paper = pools.Paper([40 * _G] * 2)
+        sizes = [20 * _G, 10 * _G]
+        catalog = pools.catalog(sizes, [0])
+        for server in ('s0', 's1'):
+            paper.put(server, 'm0@1', 20 * _G)
+        paper.put('s0', 'a0@1', _G)
+        paper.possible['s1']['a0@1'] = _G
+        planner_input = paper.input(catalog)
+        artifacts = wanted.declared(catalog, pools.POOL)
+        needs = dict.fromkeys(artifacts, 0.0)
+        pool = state.PoolState(planner_input.servers, artifacts, needs)
+        for _ in pool.settle():
+            pass
+        settings = draft.PlannerSettings()
+        past = memory.MoveMemory(settings.patience_seconds)
+        made = draft.Draft(
+            pool, catalog.policy, settings, past, frozenset(), 0.0
+        )
+        made.budget = 6
+        found = room.relocation(made, pool.servers[0], 39 * _G)
+        assert found is not None
+        self.assertEqual(['a0@1'], found.loads)
+        room.relocate(made, found)
+        self.assertEqual([], made.moves)
+
+
 class UncertainMemoryTest(unittest.TestCase):
     """Plans are made against what may be in memory."""
 
