Use the library's connections without its pool

Cause: each transport holds one connection, but every request still paid for httpcore's pool around it and for a request of httpx over one of httpcore.

--- a/bench/path.py
+++ b/bench/path.py
@@ -11,6 +11,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import os
 import pathlib
 import statistics
 import subprocess
@@ -70,10 +71,15 @@
 class Server:
     """One process of the bench."""
 
-    def __init__(self, *arguments: str) -> None:
+    def __init__(self, *arguments: str, tree: str = '') -> None:
+        environment = dict(os.environ)
+        if tree:
+            environment['PYTHONPATH'] = str(pathlib.Path(tree) / 'src')
         self._process = subprocess.Popen(
             [sys.executable, '-m', 'bench.path_servers', *arguments],
             stdout=subprocess.PIPE,
+            cwd=tree or None,
+            env=environment,
         )
         stdout = typing.cast('typing.IO[bytes]', self._process.stdout)
         self.port = int(stdout.readline())
@@ -96,12 +102,12 @@
 
 
 async def measure(
-    scenario: Scenario, targets: dict[str, list[Server]]
+    scenario: Scenario, targets: dict[str, list[Server]], rounds: int
 ) -> dict[str, Row]:
     """Load the targets by turns."""
     rows = {name: Row(path_load.Sample()) for name in targets}
     data = path_load.body(scenario.stream, scenario.tokens)
-    for _ in range(ROUNDS):
+    for _ in range(rounds):
         for name, servers in targets.items():
             before = sum(server.cpu_seconds for server in servers)
             sample = await path_load.run(
@@ -149,30 +155,34 @@
         if name != 'direct' and sample.events:
             line += f'  events/core-s {sample.events / row.cpu_seconds:7.0f}'
         print(line, flush=True)
-    own = statistics.median(
-        mine - floor
-        for mine, floor in zip(
-            rows['instance'].cpu_by_round,
-            rows['relay'].cpu_by_round,
-            strict=True,
-        )
+    for name in rows:
+        if name not in ('direct', 'relay'):
+            _show_above(scenario, rows, name)
+
+
+def _show_above(scenario: Scenario, rows: dict[str, Row], name: str) -> None:
+    pairs = zip(
+        rows[name].cpu_by_round, rows['relay'].cpu_by_round, strict=True
     )
-    later = quantile(rows['instance'].sample.first, 0.5) - quantile(
+    own = sorted((mine - floor) * 1e6 for mine, floor in pairs)
+    later = quantile(rows[name].sample.first, 0.5) - quantile(
         rows['direct'].sample.first, 0.5
     )
     unit = 'event' if scenario.stream else 'request'
     print(
-        f'  above the relay, median of rounds: {own * 1e6:.0f} us a {unit};'
+        f'  {name} above the relay, median of rounds:'
+        f' {statistics.median(own):.0f} us a {unit}'
+        f' ({own[0]:.0f} to {own[-1]:.0f});'
         f' first byte later than direct: {later * 1e3:.2f} ms',
         flush=True,
     )
 
 
 def _start(
-    step: float, stack: contextlib.ExitStack
+    step: float, stack: contextlib.ExitStack, other: str
 ) -> dict[str, list[Server]]:
-    def start(*arguments: str) -> Server:
-        server = Server(*arguments)
+    def start(*arguments: str, tree: str = '') -> Server:
+        server = Server(*arguments, tree=tree)
         stack.callback(server.stop)
         return server
 
@@ -180,23 +190,35 @@
     ports = [str(engine.port) for engine in engines]
     relay = start('relay', *ports)
     instance = start('instance', *ports)
-    return {'direct': engines, 'relay': [relay], 'instance': [instance]}
+    targets = {'direct': engines, 'relay': [relay], 'instance': [instance]}
+    if other:
+        targets['other'] = [start('instance', *ports, tree=other)]
+    return targets
 
 
 def main() -> None:
     """Run the scenarios that the command line names, or all."""
     parser = argparse.ArgumentParser()
     parser.add_argument('--only', default='')
+    parser.add_argument('--rounds', type=int, default=ROUNDS)
+    parser.add_argument(
+        '--other',
+        default='',
+        help='a second worktree, whose instance is measured in turn',
+    )
     options = parser.parse_args()
     chosen = [
         scenario for scenario in SCENARIOS if options.only in scenario.name
     ]
     for step in sorted({scenario.step_seconds for scenario in chosen}):
         with contextlib.ExitStack() as stack:
-            targets = _start(step, stack)
+            targets = _start(step, stack, options.other)
             for scenario in chosen:
                 if scenario.step_seconds == step:
-                    show(scenario, asyncio.run(measure(scenario, targets)))
+                    rows = asyncio.run(
+                        measure(scenario, targets, options.rounds)
+                    )
+                    show(scenario, rows)
 
 
 if __name__ == '__main__':
--- a/src/dogwoodquay/platform/http/client.py
+++ b/src/dogwoodquay/platform/http/client.py
@@ -11,6 +11,7 @@
 
 import anyio
 import expression
+import httpcore
 import httpx
 import msgspec
 
@@ -35,10 +36,15 @@
 _Body = typing.TypeVar('_Body')
 
 _NO_CONNECTION: typing.Final = (
-    httpx.ConnectError,
-    httpx.ConnectTimeout,
-    httpx.PoolTimeout,
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
 )
+_BROKEN: typing.Final = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+_WITH_LENGTH: typing.Final = frozenset({'PATCH', 'POST', 'PUT'})
 _STOPPED_BEFORE_SEND: typing.Final = api.Unavailable('deadline')
 
 
@@ -59,8 +65,7 @@
         self._time = time
         self._connect_seconds = connect_seconds
         self._idle_seconds = idle_seconds
-        self._pool = pool.TransportPool(time, keep_alive_seconds)
-        self._urls: dict[tuple[str, int], httpx.URL] = {}
+        self._pool = pool.ConnectionPool(time, keep_alive_seconds)
 
     async def __aenter__(self) -> Connections:
         return self
@@ -98,9 +103,9 @@
         request = self._request(
             address, port, method, path, headers, body, remaining
         )
-        transport = self._pool.take(address, port)
+        connection = await self._pool.take(address, port)
         try:
-            sent = await _send(transport, request, remaining)
+            sent = await _send(connection, request, remaining)
             try:
                 yield sent
             finally:
@@ -109,7 +114,7 @@
                         await sent.ok.aclose()
         finally:
             with anyio.CancelScope(shield=True):
-                await self._pool.put_back(address, port, transport)
+                await self._pool.put_back(address, port, connection)
 
     async def fetch(
         self,
@@ -144,12 +149,16 @@
         headers: Headers,
         body: bytes,
         remaining: float,
-    ) -> httpx.Request:
+    ) -> httpcore.Request:
         """Make a request whose path goes out exactly as it is given."""
-        raw_headers = [
+        host = f'[{address}]' if ':' in address else address
+        raw_headers = [(b'host', f'{host}:{port}'.encode('latin-1'))]
+        raw_headers.extend(
             (name.encode('latin-1'), value.encode('latin-1'))
             for name, value in headers
-        ]
+        )
+        if body or method in _WITH_LENGTH:
+            raw_headers.append((b'content-length', b'%d' % len(body)))
         connect_seconds = remaining * CONNECT_SHARE
         connect_seconds = min(self._connect_seconds, connect_seconds)
         timeout = {
@@ -158,41 +167,74 @@
             'read': self._idle_seconds,
             'write': self._idle_seconds,
         }
-        return httpx.Request(
+        url = httpcore.URL(
+            scheme=b'http',
+            host=address.encode('ascii'),
+            port=port,
+            target=path.encode('latin-1'),
+        )
+        return httpcore.Request(
             method,
-            self._url(address, port),
+            url,
             headers=raw_headers,
             content=body,
-            extensions={'timeout': timeout, 'target': path.encode('latin-1')},
+            extensions={'timeout': timeout},
         )
 
-    def _url(self, address: str, port: int) -> httpx.URL:
-        url = self._urls.get((address, port))
-        if url is None:
-            host = f'[{address}]' if ':' in address else address
-            url = httpx.URL(f'http://{host}:{port}/')
-            self._urls[address, port] = url
-        return url
+
+class _BodyStream(httpx.AsyncByteStream):
+    """The body of an open answer."""
+
+    def __init__(self, response: httpcore.Response) -> None:
+        self._response = response
+
+    async def __aiter__(self) -> abc.AsyncIterator[bytes]:
+        stream = typing.cast('abc.AsyncIterable[bytes]', self._response.stream)
+        try:
+            async for chunk in stream:
+                yield chunk
+        except _BROKEN as error:
+            raise _stream_error(error) from error
+
+    async def aclose(self) -> None:
+        await self._response.aclose()
 
 
 async def _send(
-    transport: httpx.AsyncHTTPTransport,
-    request: httpx.Request,
+    connection: httpcore.AsyncHTTPConnection,
+    request: httpcore.Request,
     remaining: float,
 ) -> expression.Result[httpx.Response, SendError]:
     try:
         with anyio.fail_after(remaining):
-            response = await transport.handle_async_request(request)
+            response = await connection.handle_async_request(request)
     except _NO_CONNECTION:
         return expression.Error(api.Unavailable('connect'))
-    except httpx.LocalProtocolError:
+    except httpcore.LocalProtocolError:
         return expression.Error(api.Unavailable('bad_request'))
     except TimeoutError:
         return expression.Error(api.Ambiguous('timeout'))
-    except httpx.HTTPError as error:
-        return expression.Error(api.Ambiguous(broken_reason(error)))
-    response.request = request
-    return expression.Ok(response)
+    except _BROKEN as error:
+        return expression.Error(
+            api.Ambiguous(broken_reason(_stream_error(error)))
+        )
+    return expression.Ok(
+        httpx.Response(
+            response.status,
+            headers=response.headers,
+            stream=_BodyStream(response),
+        )
+    )
+
+
+def _stream_error(error: Exception) -> httpx.HTTPError:
+    match error:
+        case httpcore.TimeoutException():
+            return httpx.ReadTimeout(str(error))
+        case httpcore.ProtocolError():
+            return httpx.RemoteProtocolError(str(error))
+        case _:
+            return httpx.ReadError(str(error))
 
 
 def broken_reason(error: httpx.HTTPError) -> str:
