--- a/bench/instances.py
+++ b/bench/instances.py
@@ -164,15 +164,16 @@
         group = await stack.enter_async_context(anyio.create_task_group())
         fleet = fleets.Fleet(site, group)
         await fleet.start(count)
-        offset = await waiting.publish_examples(site, clock)
+        offset = await waiting.publish_examples(
+            site, clock, examples.HEELBRIGHT, examples.GULF
+        )
         start = time.monotonic()
         watcher = await stack.enter_async_context(
             waiting.Watcher(fleet).running()
         )
         await watcher.wait_reachable(offset, WAIT_SECONDS)
         seconds = round(time.monotonic() - start, 1)
-        records = len(examples.records(site, examples.HEELBRIGHT))
-        _report('placed', instances=count, records=records, seconds=seconds)
+        _report('placed', instances=count, seconds=seconds)
         await measure_idle(fleet, site)
         log = platform_http.HttpLog(connections, clock, *site.log_address)
         subject = publisher.Publisher(log, clock, random.Random(1))
--- a/src/dogwoodquay/node/snapshots.py
+++ b/src/dogwoodquay/node/snapshots.py
@@ -5,20 +5,24 @@
 
 from __future__ import annotations
 
-import random
 import typing
 
-from . import fanout
+import anyio
+
 from ..journal import api as journal_api
 from ..wire import api as wire_api
 
 if typing.TYPE_CHECKING:
+    from collections import abc
+    import random
+
     from ..journal import follower as followers
     from ..membership import api as membership_api
 
-__all__ = ['PeerSnapshots', 'SnapshotAnswer', 'SnapshotRequest']
+__all__ = ['PeerSnapshots', 'SnapshotPart', 'SnapshotRequest']
 
 ASKED_PEERS: typing.Final = 3
+PART_BYTES: typing.Final = 256 << 10
 
 
 class SnapshotRequest(wire_api.Message, frozen=True, tag='snapshot?'):
@@ -28,10 +32,15 @@
     above: int
 
 
-class SnapshotAnswer(wire_api.Message, frozen=True, tag='snapshot'):
-    """A stream's state; ``None`` when the peer has nothing newer."""
+class SnapshotPart(wire_api.Message, frozen=True, tag='snapshot'):
+    """A piece of a stream's state; there is none when nothing is newer.
+
+    ``offset`` and ``digest`` are those of the whole state.
+    """
 
-    snapshot: journal_api.Snapshot | None
+    offset: int
+    digest: bytes
+    data: bytes
 
 
 class PeerSnapshots:
@@ -49,8 +58,8 @@
         self._membership = membership
         self._rng = rng
         self._followers: dict[str, followers.Follower] = {}
-        transport.register(SnapshotRequest, self._answer)
-        transport.register(SnapshotAnswer)
+        transport.register(SnapshotRequest, stream=self._answer)
+        transport.register(SnapshotPart)
 
     def serve(self, follower: followers.Follower) -> None:
         """Give the state of a follower to peers that ask."""
@@ -70,27 +79,56 @@
             if member.instance_id != self._instance_id
         ]
         asked = self._rng.sample(others, min(ASKED_PEERS, len(others)))
-        answers = await fanout.ask_all(
-            self._transport,
-            asked,
-            SnapshotRequest(stream, above),
-            SnapshotAnswer,
-            deadline,
-        )
-        return tuple(
-            answer.snapshot
-            for answer in answers.values()
-            if answer.snapshot is not None
-        )
+        found: list[journal_api.Snapshot] = []
+        async with anyio.create_task_group() as group:
+            for member in asked:
+                group.start_soon(
+                    self._fetch,
+                    wire_api.PeerAddress(member.address, member.port),
+                    SnapshotRequest(stream, above),
+                    deadline,
+                    found,
+                )
+        return tuple(found)
+
+    async def _fetch(
+        self,
+        peer: wire_api.PeerAddress,
+        message: SnapshotRequest,
+        deadline: float,
+        found: list[journal_api.Snapshot],
+    ) -> None:
+        parts: list[SnapshotPart] = []
+        try:
+            async with self._transport.stream(
+                peer, message, deadline
+            ) as items:
+                async for item in items:
+                    if isinstance(item, SnapshotPart):
+                        parts.append(item)
+        except wire_api.StreamBroken:
+            return
+        if parts:
+            found.append(_join(message.stream, parts))
 
     async def _answer(
         self,
         sender: wire_api.Sender,
         message: SnapshotRequest,
         deadline: float,
-    ) -> SnapshotAnswer:
+    ) -> abc.AsyncIterator[SnapshotPart]:
         follower = self._followers.get(message.stream)
         if follower is None or follower.offset <= message.above:
-            return SnapshotAnswer(None)
+            return
         snapshot = journal_api.make_snapshot(message.stream, follower.state)
-        return SnapshotAnswer(snapshot)
+        for start in range(0, len(snapshot.state), PART_BYTES):
+            data = snapshot.state[start : start + PART_BYTES]
+            yield SnapshotPart(snapshot.offset, snapshot.digest, data)
+
+
+def _join(stream: str, parts: list[SnapshotPart]) -> journal_api.Snapshot:
+    """Return the snapshot of all parts; the digest tells if one is lost."""
+    state = b''.join(part.data for part in parts)
+    return journal_api.Snapshot(
+        stream, parts[0].offset, parts[0].digest, state
+    )
