--- a/src/dogwoodquay/demo/scenario.py
+++ b/src/dogwoodquay/demo/scenario.py
@@ -107,7 +107,7 @@
                 group.start_soon(self._caller.call, phase, request)
             await anyio.sleep(INTO_STREAMS_SECONDS)
             await self._fleet.stop(leaving)
-            self._tell(f'{leaving.instance_id} has stopped and cut nothing')
+            self._tell(f'{leaving.instance_id} has stopped')
 
     async def _lose_a_phone(self, phase: str) -> None:
         """Cut a phone's connection; the stream goes on elsewhere."""
--- a/src/dogwoodquay/demo/sockets.py
+++ b/src/dogwoodquay/demo/sockets.py
@@ -17,7 +17,7 @@
 
 
 def break_connections(ports: abc.Collection[int]) -> int:
-    """Shut down every socket whose own port is one of these.
+    """Shut down every connection whose own port is one of these.
 
     :return: the number of sockets.
     """
@@ -40,5 +40,7 @@
             return 0
         if found.getsockname()[1] not in ports:
             return 0
+        if found.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            return 0
         found.shutdown(socket.SHUT_RDWR)
     return 1
--- a/tests/unit/commands/test_main.py
+++ b/tests/unit/commands/test_main.py
@@ -83,3 +83,25 @@
         )
         self.assertEqual(2, code)
         self.assertIn('/nonexistent', err)
+
+
+class PublishTest(unittest.TestCase):
+    """The command that publishes records."""
+
+    def test_log_option(self):
+        """``--log`` is the command's own and no short form of another."""
+        code, _, err = call('publish', '--log', '127.0.0.1:9', '/nonexistent')
+        self.assertEqual(2, code)
+        self.assertIn('/nonexistent', err)
+        self.assertNotIn('ambiguous', err)
+
+
+class DemoTest(unittest.TestCase):
+    """The commands that need no platform."""
+
+    def test_help(self):
+        """Both explain themselves."""
+        for command in ('demo', 'standin'):
+            code, out, _ = call(command, '--help')
+            self.assertEqual(0, code)
+            self.assertIn('stand-ins', out)
