Read and write connections without cancel scopes

Cause: each read and write of httpcore's backend opens a cancel scope, and anyio's socket gives the loop a turn at each of them. Change: a network backend of our own for httpcore, on the loop's transports. It ties the adapter to asyncio, as hypercorn's server is.

--- a/src/dogwoodquay/platform/http/pool.py
+++ b/src/dogwoodquay/platform/http/pool.py
@@ -13,6 +13,7 @@
 import httpcore
 
 from ... import clock
+from . import network
 
 __all__ = ['ConnectionPool']
 
@@ -34,7 +35,7 @@
     def __init__(self, time: clock.Clock, keep_alive_seconds: float) -> None:
         self._time = time
         self._keep_alive_seconds = keep_alive_seconds
-        self._backend = httpcore.AnyIOBackend()
+        self._backend = network.NetworkBackend()
         self._idle: dict[_Place, collections.deque[_Idle]] = {}
 
     async def take(
