Join waiting chunks without a second task

Cause: reading ahead ran in a task of its own for each stream, which cost two turns of the loop for each lone chunk. Change: the reader of a body takes steps until one would wait, passes on what it has, and ends the open step later. No cancel scope is open in a step, and its timeout is a timer of the connection, so that it cannot end the sending. Tests over real connections: joined chunks, cut, idle, cancelled, left with an open step, a slow reader holding the sender up.

--- a/src/dogwoodquay/platform/http/answer.py
+++ b/src/dogwoodquay/platform/http/answer.py
@@ -10,6 +10,7 @@
 
 from .. import errors
 from . import client
+from . import steps
 from . import wire
 
 if typing.TYPE_CHECKING:
@@ -17,8 +18,6 @@
 
 __all__ = ['HttpAnswer', 'joined']
 
-MAX_BUFFERED_BYTES: typing.Final = 256 * 1024
-
 
 class HttpAnswer:
     """An open answer; its body is read once."""
@@ -56,7 +55,7 @@
 async def chunks(response: httpx.Response) -> abc.AsyncIterator[bytes]:
     """Iterate over a body, with this layer's own errors."""
     try:
-        async for chunk in response.aiter_raw():
+        async for chunk in _body(response):
             yield chunk
     except httpx.HTTPError as error:
         raise errors.UpstreamBroken(client.broken_reason(error)) from error
@@ -66,74 +65,83 @@
 async def joined(
     response: httpx.Response,
 ) -> abc.AsyncIterator[abc.AsyncIterator[bytes]]:
-    """Read a body ahead, so that chunks that wait together come as one."""
-    reader = _ReadAhead()
-    raised: BaseException | None = None
+    """Read a body so that chunks that wait together come as one."""
+    reader = _Joined(_body(response))
     try:
-        async with anyio.create_task_group() as group:
-            group.start_soon(reader.fill, response)
-            try:
-                yield reader
-            except Exception as error:
-                raised = error
-            group.cancel_scope.cancel()
-    except BaseExceptionGroup as group_error:
-        if raised is None and len(group_error.exceptions) == 1:
-            raise group_error.exceptions[0] from None
-        raise
-    if raised is not None:
-        raise raised
-
-
-class _ReadAhead:
-    """A bounded buffer between a connection and the reader of its body."""
-
-    def __init__(self) -> None:
-        self._buffer: list[bytes] = []
-        self._size = 0
-        self._done = False
+        yield reader
+    finally:
+        await reader.close()
+
+
+class _Joined:
+    """Takes steps of a body until one has to wait.
+
+    A step that waits stays open while the chunks before it are passed on.
+    """
+
+    def __init__(self, body: abc.AsyncIterator[bytes]) -> None:
+        self._body = body
+        self._open: steps.Waiting | None = None
+        self._ended = False
         self._error: errors.UpstreamBroken | None = None
-        self._filled: anyio.Event | None = None
-        self._drained: anyio.Event | None = None
 
-    def __aiter__(self) -> _ReadAhead:
+    def __aiter__(self) -> _Joined:
         return self
 
     async def __anext__(self) -> bytes:
-        if not self._buffer and not self._done:
-            self._filled = anyio.Event()
-            await self._filled.wait()
-        if self._buffer:
-            return self._take()
+        parts: list[bytes] = []
+        if self._open is not None:
+            await self._finish_open(parts)
+        while not self._ended:
+            self._start(parts)
+            if self._open is None:
+                continue
+            if parts:
+                break
+            await self._finish_open(parts)
+        if parts:
+            return parts[0] if len(parts) == 1 else b''.join(parts)
         if self._error is not None:
             raise self._error
         raise StopAsyncIteration
 
-    async def fill(self, response: httpx.Response) -> None:
-        """Read the body until its end, pausing while the buffer is full."""
+    async def close(self) -> None:
+        """End a step that is still open."""
+        waiting, self._open = self._open, None
+        if waiting is not None:
+            with anyio.CancelScope(shield=True):
+                await waiting.abandon()
+
+    def _start(self, parts: list[bytes]) -> None:
+        try:
+            begun = steps.start(self._body.__anext__())
+        except StopAsyncIteration:
+            self._ended = True
+        except httpx.HTTPError as error:
+            self._fail(error)
+        else:
+            if isinstance(begun, steps.Waiting):
+                self._open = begun
+            else:
+                parts.append(begun)
+
+    async def _finish_open(self, parts: list[bytes]) -> None:
+        waiting, self._open = self._open, None
+        if waiting is None:
+            return
         try:
-            async for chunk in chunks(response):
-                self._buffer.append(chunk)
-                self._size += len(chunk)
-                self._wake()
-                if self._size > MAX_BUFFERED_BYTES:
-                    self._drained = anyio.Event()
-                    await self._drained.wait()
-        except errors.UpstreamBroken as error:
-            self._error = error
-        finally:
-            self._done = True
-            self._wake()
-
-    def _take(self) -> bytes:
-        buffer, self._buffer = self._buffer, []
-        self._size = 0
-        if self._drained is not None:
-            self._drained.set()
-            self._drained = None
-        return buffer[0] if len(buffer) == 1 else b''.join(buffer)
-
-    def _wake(self) -> None:
-        if self._filled is not None:
-            self._filled.set()
-            self._filled = None
+            parts.append(await waiting.finish())
+        except StopAsyncIteration:
+            self._ended = True
+        except httpx.HTTPError as error:
+            self._fail(error)
+
+    def _fail(self, error: httpx.HTTPError) -> None:
+        self._ended = True
+        self._error = errors.UpstreamBroken(client.broken_reason(error))
+        self._error.__cause__ = error
+
+
+def _body(response: httpx.Response) -> abc.AsyncIterator[bytes]:
+    stream = typing.cast('httpx.AsyncByteStream', response.stream)
+    return stream.__aiter__()
--- /dev/null
+++ b/tests/unit/platform/test_http_bodies.py
@@ -0,0 +1,219 @@
+"""Bodies that the HTTP adapter reads over real connections."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+import typing
+import unittest
+
+import anyio
+
+from dogwoodquay import clock as clock_module
+from dogwoodquay.platform import api
+from dogwoodquay.platform import errors
+from dogwoodquay.platform import http
+from dogwoodquay.platform.http import client
+from dogwoodquay.platform.http import network
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+CHUNKED = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+DEADLINE_SECONDS = 60.0
+SHORT_SECONDS = 0.05
+MANY_BYTES = 16 << 20
+
+_Serve = typing.Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter],
+    typing.Coroutine[typing.Any, typing.Any, None],
+]
+
+
+def chunk(data: bytes) -> bytes:
+    return b'%x\r\n%s\r\n' % (len(data), data)
+
+
+class _Upstream:
+    """A server whose answers a test writes by hand."""
+
+    def __init__(self, serve: _Serve) -> None:
+        self._serve = serve
+        self.connections = 0
+        self.closed = asyncio.Event()
+
+    async def __call__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        try:
+            await reader.readuntil(b'\r\n\r\n')
+            await self._serve(reader, writer)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.closed.set()
+            writer.close()
+
+
+@contextlib.asynccontextmanager
+async def opened(
+    upstream: _Upstream, idle_seconds: float = DEADLINE_SECONDS
+) -> abc.AsyncIterator[api.UpstreamAnswer]:
+    """Call an upstream for a stream and give its open answer."""
+    async with contextlib.AsyncExitStack() as stack:
+        server = await asyncio.start_server(upstream, '127.0.0.1', 0)
+        stack.callback(server.close)
+        connections = await stack.enter_async_context(
+            client.Connections(
+                clock_module.SystemClock(), idle_seconds=idle_seconds
+            )
+        )
+        call = api.UpstreamCall(
+            attempt_id='a-00',
+            method='GET',
+            path='/',
+            headers=(),
+            body=b'',
+            deadline=time.time() + DEADLINE_SECONDS,
+            priority=0,
+            stream=True,
+        )
+        port = server.sockets[0].getsockname()[1]
+        answer = await stack.enter_async_context(
+            http.HttpEngine(connections).call('127.0.0.1', port, call)
+        )
+        yield answer.ok
+
+
+class JoinedTest(unittest.IsolatedAsyncioTestCase):
+    """What waits together comes as one, and every end is told."""
+
+    async def test_waiting_chunks_come_as_one(self) -> None:
+        async def serve(
+            _: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            data = chunk(b'one') + chunk(b'two') + chunk(b'three')
+            writer.write(CHUNKED + data + b'0\r\n\r\n')
+
+        async with opened(_Upstream(serve)) as answer:
+            parts = [part async for part in answer]
+        self.assertEqual([b'onetwothree'], parts)
+
+    async def test_cut_body_is_told_behind_what_came(self) -> None:
+        async def serve(
+            _: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(CHUNKED + chunk(b'one') + b'5\r\ntw')
+
+        parts = []
+        with self.assertRaises(errors.UpstreamBroken) as caught:
+            async with opened(_Upstream(serve)) as answer:
+                async for part in answer:
+                    parts.append(part)
+        self.assertEqual(b'onetw', b''.join(parts))
+        self.assertEqual('protocol', caught.exception.reason)
+
+    async def test_silent_upstream_is_idle(self) -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(CHUNKED + chunk(b'one'))
+            await reader.read()
+
+        with self.assertRaises(errors.UpstreamBroken) as caught:
+            async with opened(_Upstream(serve), SHORT_SECONDS) as answer:
+                async for _ in answer:
+                    pass
+        self.assertEqual('idle', caught.exception.reason)
+
+    async def test_leaving_with_an_open_step_closes(self) -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(CHUNKED + chunk(b'one'))
+            await reader.read()
+
+        upstream = _Upstream(serve)
+        async with opened(upstream) as answer:
+            self.assertEqual(b'one', await anext(answer.__aiter__()))
+        await upstream.closed.wait()
+
+    async def test_cancelling_a_wait_closes(self) -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(CHUNKED + chunk(b'one'))
+            await reader.read()
+
+        upstream = _Upstream(serve)
+        with anyio.move_on_after(SHORT_SECONDS) as scope:
+            async with opened(upstream) as answer:
+                async for _ in answer:
+                    pass
+        self.assertTrue(scope.cancelled_caught)
+        await upstream.closed.wait()
+
+    async def test_step_stays_open_while_its_task_waits(self) -> None:
+        """An open step neither times out nor loses what comes meanwhile."""
+        go_on = asyncio.Event()
+
+        async def serve(
+            _: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(CHUNKED + chunk(b'one'))
+            await go_on.wait()
+            writer.write(chunk(b'two') + b'0\r\n\r\n')
+
+        async with opened(_Upstream(serve), SHORT_SECONDS * 2) as answer:
+            chunks = answer.__aiter__()
+            self.assertEqual(b'one', await anext(chunks))
+            go_on.set()
+            with anyio.move_on_after(SHORT_SECONDS * 4):
+                await anyio.sleep_forever()
+            self.assertEqual(b'two', await anext(chunks))
+
+
+class NetworkTest(unittest.IsolatedAsyncioTestCase):
+    """The buffers of a connection are bounded in both directions."""
+
+    async def test_slow_reader_holds_the_sender_up(self) -> None:
+        sent = 0
+
+        async def serve(
+            _: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal sent
+            writer.write(CHUNKED)
+            while sent < MANY_BYTES:
+                writer.write(chunk(bytes(1 << 16)))
+                await writer.drain()
+                sent += 1 << 16
+            writer.write(b'0\r\n\r\n')
+
+        async with opened(_Upstream(serve)) as answer:
+            chunks = answer.__aiter__()
+            size = len(await anext(chunks))
+            with anyio.move_on_after(SHORT_SECONDS * 4):
+                await anyio.sleep_forever()
+            self.assertLess(sent, MANY_BYTES)
+            async for part in chunks:
+                size += len(part)
+        self.assertEqual(MANY_BYTES, size)
+
+    async def test_reads_keep_to_their_size(self) -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(b'abcde')
+            writer.write_eof()
+            await reader.read()
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        stream = await network.NetworkBackend().connect_tcp('127.0.0.1', port)
+        parts = [await stream.read(3, 1.0) for _ in range(3)]
+        await stream.aclose()
+        server.close()
+        self.assertEqual([b'abc', b'de', b''], parts)
