--- a/src/dogwoodquay/dispatch/dispatcher.py
+++ b/src/dogwoodquay/dispatch/dispatcher.py
@@ -62,6 +62,8 @@
 
     ``run_background`` has to run as long as requests do: it moves the queue
     and records what became of keys.
+
+    :param on_answer: told of each whole answer, when it has been given.
     """
 
     def __init__(
@@ -76,7 +78,10 @@
         clock: clock_module.Clock,
         rng: random.Random,
         metrics: path_metrics.PathMetrics,
+        on_answer: abc.Callable[[api.Call, api.Whole | api.Streamed], None]
+        | None = None,
     ) -> None:
+        self._on_answer = on_answer
         self._catalog = catalog
         self._router = router
         self._gate = gate.Gate(admission, clock)
@@ -127,6 +132,9 @@
             result = await self._run_scoped(flight, sink)
         finally:
             del self._flights[call.request_id]
+        if self._on_answer is not None:
+            if not isinstance(result, api.Refusal):
+                self._on_answer(call, result)
         return self._count(result)
 
     def is_reachable(self, artifact: str) -> bool:
--- a/src/dogwoodquay/ledger/runner.py
+++ b/src/dogwoodquay/ledger/runner.py
@@ -48,8 +48,9 @@
 class Parts:
     """What a runner works with.
 
-    ``catalog``, ``demand``, ``leaving`` and ``earlier_view`` return what is
-    known at the time of the call; ``leaving`` holds server ids.
+    ``catalog``, ``demand``, ``speeds``, ``leaving`` and ``earlier_view``
+    return what is known at the time of the call; ``leaving`` holds server
+    ids.
     """
 
     instance_id: str
@@ -65,6 +66,7 @@
     leaving: abc.Callable[[], frozenset[str]]
     earlier_view: abc.Callable[[], pools_api.PoolView | None]
     publish: abc.Callable[[pools_api.PoolView], None]
+    speeds: abc.Callable[[], abc.Mapping[str, float]] = dict
 
 
 class LedgerRunner:
@@ -270,7 +272,7 @@
         planner_input = placement_api.PlannerInput(
             pool=self._pool,
             catalog=self._parts.catalog(),
-            servers=self.ledger.contents(),
+            servers=self._contents(),
             demand=self._parts.demand(),
             loads_running=self.ledger.loads,
         )
@@ -282,6 +284,13 @@
             self.infeasible = plan.infeasible
             self._start(plan.moves, tasks)
 
+    def _contents(self) -> tuple[placement_api.Contents, ...]:
+        speeds = self._parts.speeds()
+        return tuple(
+            found._replace(speed=speeds.get(found.server_id, 1.0))
+            for found in self.ledger.contents()
+        )
+
     def _start(
         self,
         moves: tuple[placement_api.Move, ...],
--- a/src/dogwoodquay/node/callers.py
+++ b/src/dogwoodquay/node/callers.py
@@ -85,6 +85,7 @@
             catalog,
             self._pool_owner,
             self._admission.waiting,
+            self._paces,
         )
         self._shares = demands.ShareExchange(
             instance_id,
@@ -111,6 +112,7 @@
             clock,
             rng,
             metrics,
+            self._demand.note_answer,
         )
         limits = _limits(settings)
         streams = entry_streams.StreamTable(instance_id, clock, limits)
@@ -213,6 +215,17 @@
         if self._parts.membership.dead(member.instance_id, member.incarnation):
             self._shares.forget(member.instance_id)
 
+    def _paces(self, pool: str) -> dict[str, float]:
+        view = self._parts.views.view(pool)
+        if view is None:
+            return {}
+        paces = self._parts.router.paces(self._clock.now())
+        return {
+            server.server_id: paces[server.server_id]
+            for server in view.servers
+            if server.server_id in paces
+        }
+
     def _pool_owner(self, pool: str) -> wire_api.PeerAddress | None:
         view = self._parts.views.view(pool)
         own = self._settings.instance.instance_id
--- a/src/dogwoodquay/node/capacity.py
+++ b/src/dogwoodquay/node/capacity.py
@@ -5,12 +5,13 @@
 import math
 import typing
 
+from ..records import api as records_api
+
 if typing.TYPE_CHECKING:
     from collections import abc
 
     from ..admission import api as admission_api
     from ..membership import api as membership_api
-    from ..records import api as records_api
     from ..routing import api as routing_api
 
 __all__ = ['CapacityKeeper']
@@ -19,7 +20,8 @@
 SERVICE_SLOTS: typing.Final = 64
 UNEVEN_LOAD: typing.Final = 2.0
 FEWEST_SLOTS: typing.Final = 2
-SERVICE_FIRST_BYTE_SECONDS: typing.Final = 0.2
+FIRST_TOKEN_SECONDS: typing.Final = 0.06
+SERVICE_FIRST_BYTE_SECONDS: typing.Final = 0.05
 
 
 class CapacityKeeper:
@@ -45,8 +47,8 @@
     def step(self) -> None:
         """Apply the present replicas and members."""
         catalog = self._catalog()
-        for artifact, seconds in _artifacts(catalog):
-            self._apply(artifact, ENGINE_SLOTS, seconds)
+        for artifact in _artifacts(catalog):
+            self._apply(artifact, ENGINE_SLOTS, FIRST_TOKEN_SECONDS)
         for name in catalog.services:
             self._apply(name, SERVICE_SLOTS, SERVICE_FIRST_BYTE_SECONDS)
 
@@ -64,17 +66,12 @@
             self._admission.set_capacity(artifact, own, first_token_seconds)
 
 
-def _artifacts(
-    catalog: records_api.Catalog,
-) -> abc.Iterator[tuple[str, float]]:
-    """Yield each artifact that may be served, with its first token time."""
-    for model in catalog.models.values():
-        for version in _versions(catalog, model.name, model.version):
-            yield f'{model.name}@{version}', model.first_token_seconds
-    for adapter in catalog.adapters.values():
-        base = catalog.models[adapter.base]
-        for version in _versions(catalog, adapter.name, adapter.version):
-            yield f'{adapter.name}@{version}', base.first_token_seconds
+def _artifacts(catalog: records_api.Catalog) -> abc.Iterator[str]:
+    """Yield each artifact that may be served."""
+    for declared in (catalog.models, catalog.adapters):
+        for name, item in declared.items():
+            for version in _versions(catalog, name, item.version):
+                yield records_api.artifact_id(name, version)
 
 
 def _versions(
--- a/src/dogwoodquay/node/demand.py
+++ b/src/dogwoodquay/node/demand.py
@@ -12,6 +12,7 @@
 
 from ..admission import api as admission_api
 from ..admission import shares
+from ..dispatch import api as dispatch_api
 from ..gossip import api as gossip_api
 from ..journal import entries as journal_entries
 from ..placement import api as placement_api
@@ -31,6 +32,8 @@
 DEMAND_LIFETIME_SECONDS: typing.Final = 15.0
 USAGE_SECONDS: typing.Final = 1.0
 USAGE_REPEAT_SECONDS: typing.Final = 5.0
+ANSWER_BYTES_PER_TOKEN: typing.Final = 4
+PROMPT_TOKEN_WEIGHT: typing.Final = 0.25
 USAGE_LIFETIME_SECONDS: typing.Final = 60.0
 CHANGED_SHARE: typing.Final = 0.1
 CHANGED_RATE: typing.Final = 0.2
@@ -48,6 +51,7 @@
 
     :param owner: returns where a pool's owner listens, ``None`` for this
         instance or an unknown one.
+    :param paces: returns how slow each server of a pool seems here.
     """
 
     def __init__(
@@ -58,6 +62,7 @@
         catalog: abc.Callable[[], records_api.Catalog],
         owner: abc.Callable[[str], wire_api.PeerAddress | None],
         waiting: abc.Callable[[str], int],
+        paces: abc.Callable[[str], dict[str, float]],
     ) -> None:
         self._instance_id = instance_id
         self._transport = transport
@@ -65,6 +70,7 @@
         self._catalog = catalog
         self._owner = owner
         self._waiting = waiting
+        self._paces = paces
         self._estimator = demands.DemandEstimator(instance_id, clock.now())
         self._reports: dict[tuple[str, str], demands.DemandReport] = {}
         transport.register(DemandMessage, self._take)
@@ -73,16 +79,40 @@
         """Count a request, whatever becomes of it."""
         now = self._clock.now()
         self._estimator.note_arrival(ticket.artifact, now)
-        self._estimator.note_tokens(ticket.artifact, ticket.prompt_tokens, now)
+        tokens = int(ticket.prompt_tokens * PROMPT_TOKEN_WEIGHT)
+        self._estimator.note_tokens(ticket.artifact, tokens, now)
+
+    def note_answer(
+        self,
+        call: dispatch_api.Call,
+        answer: dispatch_api.Whole | dispatch_api.Streamed,
+    ) -> None:
+        """Count the tokens of an engine's answer."""
+        if call.kind is not dispatch_api.Kind.ENGINE:
+            return
+        match answer:
+            case dispatch_api.Streamed(last_event):
+                tokens = last_event
+            case dispatch_api.Whole(body=body):
+                tokens = len(body) // ANSWER_BYTES_PER_TOKEN
+        now = self._clock.now()
+        self._estimator.note_tokens(call.artifact, tokens, now)
 
     def demand(self, pool: str) -> tuple[placement_api.Demand, ...]:
         """Return the demand for a pool's artifacts at all instances."""
+        return demands.merge(self._current(pool))
+
+    def speeds(self, pool: str) -> dict[str, float]:
+        """Return the speeds of a pool's servers, as all instances see it."""
+        return demands.speeds(self._current(pool))
+
+    def _current(self, pool: str) -> list[demands.DemandReport]:
         oldest = self._clock.now() - DEMAND_LIFETIME_SECONDS
-        return demands.merge(
+        return [
             report
             for (name, _), report in self._reports.items()
             if name == pool and report.time >= oldest
-        )
+        ]
 
     async def run(self) -> typing.NoReturn:
         """Report at a steady pace, for ever."""
@@ -104,7 +134,9 @@
             if pool is not None:
                 entries.setdefault(pool, []).append(entry)
         for pool, found in entries.items():
-            report = demands.DemandReport(self._instance_id, now, tuple(found))
+            report = demands.DemandReport(
+                self._instance_id, now, tuple(found), self._paces(pool)
+            )
             self._send(pool, report)
 
     def _send(self, pool: str, report: demands.DemandReport) -> None:
--- a/src/dogwoodquay/routing/api.py
+++ b/src/dogwoodquay/routing/api.py
@@ -98,5 +98,8 @@
     def finished(self, attempt_id: str, ok: bool, now: float) -> None:
         """Note that an attempt ended, whatever its end."""
 
+    def paces(self, now: float) -> dict[str, float]:
+        """Return how slow each server of a pool seems; one is the mean."""
+
     def replicas(self, artifact: str) -> tuple[Replica, ...]:
         """Return the replicas that may get new work."""
