Isolate the binary from the machine's packages

Cause: the kernel's list of children showed one while the binary started: ldconfig, run by trio, which the machine's own Python had installed and a library imported because it was there. Ruled out: the product itself (an audit of process starts from source saw none) and shiv's unpacking. Conclusion: what a bundle does not carry, it must not see.

--- a/Makefile
+++ b/Makefile
@@ -58,5 +58,5 @@
 binary: env ## build dist/dogwoodquay, one executable file
 	mkdir -p dist
 	$(VENV)/bin/shiv --quiet -c dogwoodquay -o dist/dogwoodquay \
-		--root $(BINARY_ROOT) -p '/usr/bin/env python3' \
+		--root $(BINARY_ROOT) -p '/usr/bin/env -S python3 -IS' \
 		--constraint requirements.lock .
--- a/tests/unit/node/test_instance.py
+++ b/tests/unit/node/test_instance.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pathlib
+import resource
 import unittest
 
 import anyio
@@ -14,9 +16,26 @@
     return status.pools[0].owner if status.pools else ''
 
 
+def _children() -> set[str]:
+    """Return this process's children by the kernel's own record."""
+    found = set()
+    for file in pathlib.Path('/proc/self/task').glob('*/children'):
+        found.update(file.read_text().split())
+    return found
+
+
 class TogetherTest(unittest.IsolatedAsyncioTestCase):
     """Three instances before three engines and a plain service."""
 
+    def setUp(self):
+        self.ended = resource.getrusage(resource.RUSAGE_CHILDREN)
+
+    def tearDown(self):
+        """No instance started a process, not even one that has ended."""
+        self.assertEqual(set(), _children())
+        ended = resource.getrusage(resource.RUSAGE_CHILDREN)
+        self.assertEqual(self.ended, ended)
+
     async def test_charge_runs_once_wherever_it_is_retried(self):
         """Every instance gives the first answer; the service ran it once."""
         async with sites.deployed() as site:
