Repeat callers' rates every 20 s while they do not change

Cause: nine idle instances sent and received 4,134 bytes a second each; the rates, repeated every 5 s, were a good part. A repeat is only needed so that an instance is not taken for lost, which takes 60 s. Change: the repeat after 20 s; the window for stale views stays at 10 s.

--- a/src/dogwoodquay/node/demand.py
+++ b/src/dogwoodquay/node/demand.py
@@ -31,7 +31,8 @@
 DEMAND_SECONDS: typing.Final = 3.0
 DEMAND_LIFETIME_SECONDS: typing.Final = 15.0
 USAGE_SECONDS: typing.Final = 1.0
-USAGE_REPEAT_SECONDS: typing.Final = 5.0
+USAGE_REPEAT_SECONDS: typing.Final = 20.0
+USAGE_WINDOW_SECONDS: typing.Final = 10.0
 ANSWER_BYTES_PER_TOKEN: typing.Final = 4
 PROMPT_TOKEN_WEIGHT: typing.Final = 0.25
 USAGE_LIFETIME_SECONDS: typing.Final = 60.0
@@ -177,7 +178,7 @@
         self._estimator = shares.ShareEstimator(
             instance_id,
             incarnation,
-            shares.ShareSettings(window_seconds=2 * USAGE_REPEAT_SECONDS),
+            shares.ShareSettings(window_seconds=USAGE_WINDOW_SECONDS),
         )
         self._shown: dict[str, float] = {}
         self._repeat_at = 0.0
