--- a/src/dogwoodquay/journal/api.py
+++ b/src/dogwoodquay/journal/api.py
@@ -66,7 +66,11 @@
         """Return the full state, the offset included."""
 
     def restore(self, snapshot: bytes) -> None:
-        """Replace the state by a snapshot's, the offset included."""
+        """Replace the state by a snapshot's, the offset included.
+
+        :raises ValueError: when this release cannot read it; the state is
+            then as before.
+        """
 
 
 class SnapshotSource(typing.Protocol):
--- a/src/dogwoodquay/journal/follower.py
+++ b/src/dogwoodquay/journal/follower.py
@@ -165,12 +165,18 @@
         return self.caught_up
 
     def offer(self, snapshot: api.Snapshot) -> bool:
-        """Take over a snapshot if it is intact and covers more."""
+        """Take over a snapshot if it is intact and covers more.
+
+        One that this release cannot read, as from a newer one, is left.
+        """
         if snapshot.stream != self._stream or not snapshot.intact:
             return False
         if snapshot.offset <= self._state.offset:
             return False
-        self._state.restore(snapshot.state)
+        try:
+            self._state.restore(snapshot.state)
+        except ValueError:
+            return False
         self._notify()
         return True
 
--- a/src/dogwoodquay/node/pools.py
+++ b/src/dogwoodquay/node/pools.py
@@ -10,6 +10,7 @@
 
 from . import duties
 from ..ledger import runner as ledger_runner
+from ..ledger import tenure as ledger_tenure
 from ..ownership import core as ownership_core
 from ..ownership import proposal
 from ..placement import planner as planners
@@ -70,7 +71,7 @@
         )
         self._ledger = ledger_runner.LedgerRunner(
             name,
-            ledger_runner.Parts(
+            ledger_tenure.Parts(
                 instance_id=duty_parts.instance_id,
                 engine=parts.engine,
                 state=self._duty.state,
--- a/src/dogwoodquay/records/state.py
+++ b/src/dogwoodquay/records/state.py
@@ -23,7 +23,7 @@
 FORMAT: typing.Final = 1
 
 
-class BadSnapshot(Exception):
+class BadSnapshot(ValueError):
     """A snapshot cannot be read by this release."""
 
 
--- a/tests/unit/journal/test_follower.py
+++ b/tests/unit/journal/test_follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import hashlib
 import typing
 import unittest
 
@@ -118,6 +119,16 @@
             followers.StatusKind.LOG_OUT, side.follower.status().kind
         )
 
+    def test_leaves_a_snapshot_that_it_cannot_read(self) -> None:
+        """An intact one of a newer release changes nothing here."""
+        state = b'a format of next year'
+        digest = hashlib.sha256(state).digest()
+        newer = api.Snapshot(helpers.STREAM, 9, digest, state)
+        side = _side_at(helpers.make_log(), 2)
+        self.assertTrue(newer.intact)
+        self.assertFalse(side.follower.offer(newer))
+        self.assertEqual(1, side.state.offset)
+
     def test_gap_stops_a_stream_of_decisions(self) -> None:
         """Lost claims may not be skipped; lost configuration may."""
         log = helpers.make_log()
--- a/tests/unit/ledger/test_runner.py
+++ b/tests/unit/ledger/test_runner.py
@@ -11,6 +11,7 @@
 
 from . import helpers
 from dogwoodquay.ledger import runner as runners
+from dogwoodquay.ledger import tenure as tenures
 from dogwoodquay.ownership import runner as ownership_runner
 from dogwoodquay.placement import api as placement_api
 from dogwoodquay.platform import memory
@@ -25,12 +26,18 @@
 
 
 class _Planner:
-    """Wants model ``x`` on each server."""
+    """Wants model ``x`` on each server, after it has failed some times."""
+
+    def __init__(self) -> None:
+        self.failures = 0
 
     def plan(
         self, planner_input: placement_api.PlannerInput, now: float
     ) -> abc.Iterator[placement_api.Plan | None]:
         yield None
+        if self.failures > 0:
+            self.failures -= 1
+            raise ZeroDivisionError
         moves = tuple(
             helpers.load(server.server_id, 'x@1')
             for server in planner_input.servers
@@ -73,6 +80,7 @@
             self.models.append(model)
             self.adapter.add(server.address, server.port, model)
         self.views: list[pools_api.PoolView] = []
+        self.planner = _Planner()
 
     def ready(self) -> int:
         """Return on how many engines the model is ready."""
@@ -91,13 +99,13 @@
     ) -> abc.AsyncIterator[journal_helpers.Side]:
         """Claim the pool and run its ledger; leaving is a sudden death."""
         side = journal_helpers.Side(self.log)
-        parts = runners.Parts(
+        parts = tenures.Parts(
             instance_id=name,
             engine=self.adapter,
             state=side.state,
             follower=side.follower,
             writer=side.writer,
-            planner=_Planner(),
+            planner=self.planner,
             permits=_Permits(),
             clock=side.clock,
             catalog=lambda: self.catalog,
@@ -175,3 +183,15 @@
         anyio.run(main)
         violations = sum(model.memory_violations for model in site.models)
         self.assertEqual(0, violations)
+
+    def test_owner_outlives_a_failed_plan(self) -> None:
+        """The view is published, and the next plan is carried out."""
+        site = _Site(fencing=True)
+        site.planner.failures = 1
+
+        async def main() -> None:
+            async with site.owner('a'):
+                await _until(lambda: site.ready() == 2)
+
+        anyio.run(main)
+        self.assertEqual(0, site.planner.failures)
