Let completions and services share the way to a call

Change: one method for both; a completion is first checked for its method and type. Result: the tests of entry and dispatch pass. Conclusion: none.

--- a/src/dogwoodquay/entry/app.py
+++ b/src/dogwoodquay/entry/app.py
@@ -201,7 +201,7 @@
             case '/metrics':
                 await self._render_metrics(request, responder)
             case path if path.startswith(targets.SERVICES_PREFIX):
-                await self._service(request, responder, request_id)
+                await self._run(request, responder, request_id)
             case path if path.startswith(_STREAMS_PREFIX):
                 await self._stream(request, responder)
             case path:
@@ -214,16 +214,13 @@
         responder: asgi.Responder,
         request_id: str,
     ) -> None:
-        context = self._context(request, request_id)
         refused = _check_completion(request)
         if refused is not None:
-            context = refused
-        if isinstance(context, api.Refusal):
-            await self._refuse(request, responder, context)
+            await self._refuse(request, responder, refused)
             return
-        await self._read_and_run(request, responder, context)
+        await self._run(request, responder, request_id)
 
-    async def _service(
+    async def _run(
         self,
         request: asgi.Request,
         responder: asgi.Responder,
