Be ready only once the contents of the pools are known

Cause: the new test that replaces all instances one after another saw seven requests refused with no_ready_replica: an instance called itself ready as soon as it had the configuration, before any view of a pool had reached it. Ruled out: the test's choice of instances (it now takes only those that say they are ready) and the handover (views stay on the board over it). Change: readiness has a third part, a view of each declared pool; a pool that nobody owns holds it up for 20 s at most. A fleet numbers the instances that it starts later on, where a second start reused the first id. Conclusion: what the balancer is told has to cover what routing needs.

--- a/src/dogwoodquay/demo/fleet.py
+++ b/src/dogwoodquay/demo/fleet.py
@@ -113,7 +113,8 @@
 
     async def start(self, count: int) -> None:
         """Start instances, one after the other in each failure domain."""
-        for index in range(count):
+        first = len(self._members)
+        for index in range(first, first + count):
             await self._start(
                 f'entry-{index + 1}', DOMAINS[index % len(DOMAINS)]
             )
--- a/src/dogwoodquay/node/callers.py
+++ b/src/dogwoodquay/node/callers.py
@@ -77,7 +77,9 @@
         instance_id = settings.instance.instance_id
         catalog = parts.configuration.catalog
         self._registry = metrics_module.Registry(instance_id)
-        self._health = health_module.Health(('configuration', 'claims'))
+        self._health = health_module.Health(
+            ('configuration', 'claims', 'pools')
+        )
         self._demand = demands.DemandExchange(
             instance_id,
             parts.transport,
--- a/src/dogwoodquay/node/instance.py
+++ b/src/dogwoodquay/node/instance.py
@@ -47,6 +47,7 @@
 
 GOSSIP_SHARE: typing.Final = 0.6
 READINESS_SECONDS: typing.Final = 0.1
+VIEWS_SECONDS: typing.Final = 20.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -157,6 +158,7 @@
         self._settings = settings
         self._clock = clock
         self._rng = rng
+        self._started_at = clock.now()
         self.peers = peers
         instance_id = settings.instance.instance_id
         own = self._own_member()
@@ -331,8 +333,21 @@
             health = self.callers.health
             health.set_ready('configuration', self._configuration.ready)
             health.set_ready('claims', self._claims_ready())
+            health.set_ready('pools', self._pools_ready())
             await anyio.sleep(READINESS_SECONDS)
 
+    def _pools_ready(self) -> bool:
+        """Whether routing knows the contents of each pool.
+
+        A pool that nobody owns yet holds readiness up only for a while.
+        """
+        if self._clock.now() >= self._started_at + VIEWS_SECONDS:
+            return True
+        return self._configuration.ready and all(
+            self._views.view(pool) is not None
+            for pool in self._configuration.catalog().pools
+        )
+
     def _claims_ready(self) -> bool:
         if not self._configuration.log_reachable:
             return True
--- a/tests/unit/node/test_instance.py
+++ b/tests/unit/node/test_instance.py
@@ -151,6 +151,45 @@
                 self.assertEqual(200, answer.status_code, answer.text)
             self.assertEqual(0, site.site.memory_violations)
 
+    async def test_all_are_replaced_one_after_another(self):
+        """Nothing is cut off, and the newest own and serve everything."""
+        async with sites.deployed() as site:
+            failed = []
+            ready = list(site.fleet.live)
+            calls = 0
+            async with anyio.create_task_group() as group:
+
+                async def call() -> None:
+                    nonlocal calls
+                    while True:
+                        able = [m for m in ready if not m.leaving]
+                        member = able[calls % len(able)]
+                        calls += 1
+                        answer = await site.chat(member, tokens=8)
+                        draining = 'draining' in answer.text
+                        if answer.status_code != 200 and not draining:
+                            failed.append(answer.text)
+
+                group.start_soon(call)
+                for old in site.fleet.live:
+                    await site.fleet.start(1)
+                    newest = site.fleet.live[-1]
+                    await site.until(newest, lambda s: s.ready)
+                    ready.append(newest)
+                    with anyio.fail_after(sites.GUARD_SECONDS):
+                        await site.fleet.stop(old)
+                group.cancel_scope.cancel()
+            names = {member.instance_id for member in site.fleet.live}
+            self.assertEqual({'entry-4', 'entry-5', 'entry-6'}, names)
+            for member in site.fleet.live:
+                status = await site.until(
+                    member, lambda s: _owner(s) in names and sites.placed(s)
+                )
+                self.assertIn(_owner(status), names)
+            self.assertGreater(calls, 20)
+            self.assertEqual([], failed)
+            self.assertEqual(0, site.site.memory_violations)
+
     async def test_resume_at_another_instance(self):
         """A stream whose connection was lost goes on at any instance."""
         async with sites.deployed() as site:
