Give the tests' caller a limit that it cannot reach

Change: the record of the tests' caller allows 5,000 a second; what the test asserts is unchanged. Conclusion: limits have their own tests in admission.

--- a/tests/unit/node/sites.py
+++ b/tests/unit/node/sites.py
@@ -67,6 +67,7 @@
             'kind': 'caller',
             'name': 'shop',
             'key_sha256': hashlib.sha256(API_KEY.encode()).hexdigest(),
+            'requests_per_second': 5000.0,
         },
     ]
 
