--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
 export PYTHONPATH := src
-SOURCES := $(wildcard src tests bench examples)
+SOURCES := $(wildcard src tests bench examples deploy)
 STAMP := $(VENV)/.installed
 
 .PHONY: help env format check-format lint types imports unit test demo \
--- a/bench/adapters.py
+++ b/bench/adapters.py
@@ -16,9 +16,9 @@
 import msgspec
 
 from dogwoodquay import clock
-from dogwoodquay.platform import api
-from dogwoodquay.platform import http
-from dogwoodquay.platform.memory import batch
+from dogwoodquay.external import api
+from dogwoodquay.external import http
+from dogwoodquay.external.memory import batch
 from dogwoodquay import standin
 from dogwoodquay.standin import asgi
 from dogwoodquay.standin import server
--- a/bench/agreement.py
+++ b/bench/agreement.py
@@ -6,6 +6,7 @@
 import time
 import typing
 
+from dogwoodquay.external import api as external_api
 from dogwoodquay.journal import api as journal_api
 from dogwoodquay.ledger import core
 from dogwoodquay.ledger import entries
@@ -15,7 +16,6 @@
 from dogwoodquay.ownership import entries as ownership_entries
 from dogwoodquay.ownership import proposal
 from dogwoodquay.placement import api as placement_api
-from dogwoodquay.platform import api as platform_api
 from dogwoodquay.records import api as records_api
 
 _DUTY: typing.Final = 'pool:a'
@@ -35,8 +35,8 @@
     )
 
 
-def _entry(offset: int, *items: entries.LedgerEntry) -> platform_api.LogEntry:
-    return platform_api.LogEntry(offset, 0.0, entries.CODEC.encode(items))
+def _entry(offset: int, *items: entries.LedgerEntry) -> external_api.LogEntry:
+    return external_api.LogEntry(offset, 0.0, entries.CODEC.encode(items))
 
 
 class _Takeover(typing.NamedTuple):
@@ -100,10 +100,10 @@
 
 def _intent(number: int) -> entries.Intent:
     order_id = f'pool-0-{number}'
-    order = platform_api.Order(
+    order = external_api.Order(
         order_id=order_id,
         fence=0,
-        kind=platform_api.OrderKind.LOAD,
+        kind=external_api.OrderKind.LOAD,
         artifact='repair-ticket-writer@2026-12-03',
         memory_bytes=40_000_000_000,
         incarnation='server-17-process-3',
@@ -134,7 +134,7 @@
         first = state.offset + 1
         started = time.process_time()
         for number, payload in enumerate(records):
-            state.apply(platform_api.LogEntry(first + number, 0.0, payload))
+            state.apply(external_api.LogEntry(first + number, 0.0, payload))
         each = (time.process_time() - started) / len(records)
         size = sum(map(len, records)) / len(records)
         print(
@@ -171,13 +171,13 @@
     catalog = records_api.Catalog(models=models, pools={'a': pool})
     ledger = core.PoolLedger(pool, catalog, 0)
     ledger.set_slots(6)
-    load = platform_api.LoadReport(0.0, 0, 0, 0.0, 0.0)
+    load = external_api.LoadReport(0.0, 0, 0, 0.0, 0.0)
     held = tuple(
-        platform_api.ArtifactState(f'm{number}@1', _MEGABYTE, ready=True)
+        external_api.ArtifactState(f'm{number}@1', _MEGABYTE, ready=True)
         for number in range(artifacts)
     )
     for server_id, server in ledger.servers.items():
-        state = platform_api.EngineState('p', 0, 100 * _MEGABYTE, held, load)
+        state = external_api.EngineState('p', 0, 100 * _MEGABYTE, held, load)
         ledger.observe(server_id, state, server.begin_observation())
     return ledger
 
--- a/bench/control_claims.py
+++ b/bench/control_claims.py
@@ -12,11 +12,11 @@
 import anyio
 
 from dogwoodquay import clock as clocks
+from dogwoodquay.external.memory import log
+from dogwoodquay.external.memory import timeline
 from dogwoodquay.membership import api as membership_api
 from dogwoodquay.once import api
 from dogwoodquay.once import shell
-from dogwoodquay.platform.memory import log
-from dogwoodquay.platform.memory import timeline
 
 if typing.TYPE_CHECKING:
     from collections import abc
--- a/bench/control_node.py
+++ b/bench/control_node.py
@@ -9,13 +9,13 @@
 import anyio.abc
 
 from dogwoodquay import clock
+from dogwoodquay.external import api as external_api
+from dogwoodquay.external.memory import instances
+from dogwoodquay.external.memory import timeline
 from dogwoodquay.gossip import shell as gossip_shell
 from dogwoodquay.membership import api
 from dogwoodquay.membership import core
 from dogwoodquay.membership import shell
-from dogwoodquay.platform import api as platform_api
-from dogwoodquay.platform.memory import instances
-from dogwoodquay.platform.memory import timeline
 from dogwoodquay.wire import peers
 from dogwoodquay.wire import settings
 
@@ -85,11 +85,11 @@
             self._clock,
             self._rng,
         )
-        listed = platform_api.Instance(
+        listed = external_api.Instance(
             self.name,
             address,
             port,
             self._domain,
-            platform_api.InstanceState.LIVE,
+            external_api.InstanceState.LIVE,
         )
         self._net.list.put(listed)
--- a/bench/instances.py
+++ b/bench/instances.py
@@ -23,11 +23,11 @@
 from dogwoodquay.demo import fleet as fleets
 from dogwoodquay.demo import site as demo_site
 from dogwoodquay.demo import waiting
+from dogwoodquay.external import http as external_http
 from dogwoodquay.observe import loop
 from dogwoodquay.operators import api as operators_api
 from dogwoodquay.operators import client
 from dogwoodquay.operators import publisher
-from dogwoodquay.platform import http as platform_http
 from dogwoodquay.standin import examples
 
 IDLE_SECONDS: typing.Final = 15.0
@@ -159,7 +159,7 @@
     async with contextlib.AsyncExitStack() as stack:
         await stack.enter_async_context(site.running())
         connections = await stack.enter_async_context(
-            platform_http.Connections(clock)
+            external_http.Connections(clock)
         )
         group = await stack.enter_async_context(anyio.create_task_group())
         fleet = fleets.Fleet(site, group)
@@ -175,7 +175,7 @@
         seconds = round(time.monotonic() - start, 1)
         _report('placed', instances=count, seconds=seconds)
         await measure_idle(fleet, site)
-        log = platform_http.HttpLog(connections, clock, *site.log_address)
+        log = external_http.HttpLog(connections, clock, *site.log_address)
         subject = publisher.Publisher(log, clock, random.Random(1))
         group.start_soon(subject.run)
         await subject.wait_current(clock.now() + 10.0)
--- a/bench/path_servers.py
+++ b/bench/path_servers.py
@@ -27,12 +27,12 @@
 from dogwoodquay.entry import limits
 from dogwoodquay.entry import server
 from dogwoodquay.entry import streams
+from dogwoodquay.external import api as external_api
+from dogwoodquay.external import http
+from dogwoodquay.external import memory
+from dogwoodquay.external.memory import batch
 from dogwoodquay.observe import metrics
 from dogwoodquay.once import api as once_api
-from dogwoodquay.platform import api as platform_api
-from dogwoodquay.platform import http
-from dogwoodquay.platform import memory
-from dogwoodquay.platform.memory import batch
 from dogwoodquay.pools import api as pools_api
 from dogwoodquay.records import api as records_api
 from dogwoodquay.retry import budget
@@ -67,8 +67,8 @@
     profile = memory.EngineProfile('engine', 1 << 40, pace=pace)
     store = memory.MemoryWeightStore(time)
     model = memory.EngineModel(profile, time, store, random.Random(1))
-    order = platform_api.Order(
-        'load', 1, platform_api.OrderKind.LOAD, ARTIFACT, 1 << 20
+    order = external_api.Order(
+        'load', 1, external_api.OrderKind.LOAD, ARTIFACT, 1 << 20
     )
     await model.order(order, time.now() + LOAD_SECONDS)
     await _serve_bare(upstream.EngineApp(model, time))
--- a/bench/policy/world.py
+++ b/bench/policy/world.py
@@ -15,8 +15,8 @@
 from dogwoodquay.admission import api as admission_api
 from dogwoodquay.admission import controller
 from dogwoodquay.admission import shares
+from dogwoodquay.external import api as external_api
 from dogwoodquay.placement import demand
-from dogwoodquay.platform import api as platform_api
 from dogwoodquay.records import api as records
 from dogwoodquay.retry import api as retry_api
 from dogwoodquay.retry import budget
@@ -288,7 +288,7 @@
         self.owner.speeds = demand.speeds(reports)
 
     def _publish(self, server: engine.Engine, now: float) -> None:
-        report = platform_api.LoadReport(
+        report = external_api.LoadReport(
             now, server.batch, server.queued, 0.0, 0.0
         )
         lag = self.workload.load_lag
@@ -299,11 +299,11 @@
         lost = self.rng.random() < 0.1
         if lost or not self.workload.cache_events:
             return
-        page = platform_api.CacheEvents(
+        page = external_api.CacheEvents(
             str(server.incarnation),
             server.sequence,
             tuple(
-                platform_api.CacheEvent(first + n, block, stored)
+                external_api.CacheEvent(first + n, block, stored)
                 for n, (block, stored) in enumerate(events)
             ),
         )
--- a/examples/owned_duty.py
+++ b/examples/owned_duty.py
@@ -1,7 +1,7 @@
 """Two processes compete for a duty; the log's order decides who owns it.
 
 Run it with ``python examples/owned_duty.py``. The log is the in-memory fake;
-a real one is any class with the methods of ``platform.api.Log``.
+a real one is any class with the methods of ``external.api.Log``.
 """
 
 from __future__ import annotations
@@ -14,14 +14,14 @@
 import anyio
 
 from dogwoodquay import clock as clocks
+from dogwoodquay.external import api as external_api
+from dogwoodquay.external import memory
 from dogwoodquay.journal import api as journal_api
 from dogwoodquay.journal import entries as journal_entries
 from dogwoodquay.journal import follower as followers
 from dogwoodquay.journal import writer as writers
 from dogwoodquay.ownership import core
 from dogwoodquay.ownership import entries
-from dogwoodquay.platform import api as platform_api
-from dogwoodquay.platform import memory
 
 DUTY: typing.Final = 'nightly-sort'
 STREAM: typing.Final = 'duty'
@@ -44,7 +44,7 @@
         return self._offset
 
     def apply(
-        self, entry: platform_api.LogEntry
+        self, entry: external_api.LogEntry
     ) -> tuple[journal_api.Verdict, ...]:
         """Take in the next record of the stream."""
         self._offset = entry.offset
@@ -74,7 +74,7 @@
 class Process:
     """One process that wants the duty."""
 
-    def __init__(self, name: str, log: platform_api.Log) -> None:
+    def __init__(self, name: str, log: external_api.Log) -> None:
         clock = clocks.SystemClock()
         self.name = name
         self.state = DutyState()
--- a/examples/possible_contents.py
+++ b/examples/possible_contents.py
@@ -9,9 +9,9 @@
 import sys
 import typing
 
+from dogwoodquay.external import api as external_api
 from dogwoodquay.ledger import core
 from dogwoodquay.placement import api as placement_api
-from dogwoodquay.platform import api as platform_api
 from dogwoodquay.records import api as records_api
 
 GIB: typing.Final = 1 << 30
@@ -39,19 +39,19 @@
 
 
 def answer(
-    incarnation: str, *artifacts: platform_api.ArtifactState
-) -> platform_api.EngineState:
+    incarnation: str, *artifacts: external_api.ArtifactState
+) -> external_api.EngineState:
     """Return an engine's answer on its contents."""
-    return platform_api.EngineState(
+    return external_api.EngineState(
         incarnation=incarnation,
         highest_fence=EPOCH,
         capacity_bytes=CAPACITY_GIB * GIB,
         artifacts=artifacts,
-        load=platform_api.LoadReport(0.0, 0, 0, 0.0, 0.0),
+        load=external_api.LoadReport(0.0, 0, 0, 0.0, 0.0),
     )
 
 
-def observe(ledger: core.PoolLedger, state: platform_api.EngineState) -> None:
+def observe(ledger: core.PoolLedger, state: external_api.EngineState) -> None:
     """Give an engine's answer to the ledger."""
     began = ledger.servers[SERVER].begin_observation()
     ledger.observe(SERVER, state, began)
--- a/src/dogwoodquay/clock.py
+++ b/src/dogwoodquay/clock.py
@@ -5,7 +5,7 @@
 import time
 import typing
 
-__all__ = ['Clock', 'ManualClock', 'SystemClock']
+__all__ = ['Clock', 'ManualClock', 'SteadyClock', 'SystemClock']
 
 
 class Clock(typing.Protocol):
@@ -26,6 +26,18 @@
         return self._offset + time.monotonic()
 
 
+class SteadyClock:
+    """Seconds since the machine's start, time spent suspended included.
+
+    It neither jumps with the time of day nor stands still while the machine
+    is suspended, so that a deadline that passed meanwhile is seen as passed.
+    """
+
+    def now(self) -> float:
+        """Return the current time in seconds; it never goes back."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock:
     """A clock for tests that moves only when told to."""
 
--- a/src/dogwoodquay/commands/main.py
+++ b/src/dogwoodquay/commands/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib
 import sys
 import typing
 
@@ -9,20 +10,31 @@
 from absl.flags import argparse_flags
 from absl import logging
 
-from . import check
-from . import demo
-from . import publish
-from . import serve
-from . import standin
-from . import status
-from . import version
-
 if typing.TYPE_CHECKING:
     import argparse
 
 __all__ = ['run']
 
-_COMMANDS = (serve, publish, check, status, demo, standin, version)
+_COMMANDS: typing.Final = (
+    'serve',
+    'gateway',
+    'publish',
+    'check',
+    'status',
+    'demo',
+    'standin',
+    'version',
+)
+
+
+def _needed(argv: list[str]) -> tuple[str, ...]:
+    """Return the commands to load: the one that is named, or all.
+
+    An instance then starts without what only other commands need.
+    """
+    if len(argv) > 1 and argv[1] in _COMMANDS:
+        return (argv[1],)
+    return _COMMANDS
 
 
 def _parse(argv: list[str]) -> argparse.Namespace:
@@ -33,7 +45,8 @@
         allow_abbrev=False,
     )
     commands = parser.add_subparsers(dest='command', required=True)
-    for module in _COMMANDS:
+    for name in _needed(argv):
+        module = importlib.import_module(f'..{name}', __name__)
         module.register(commands)
     return parser.parse_args(argv[1:])
 
--- a/src/dogwoodquay/commands/publish.py
+++ b/src/dogwoodquay/commands/publish.py
@@ -10,9 +10,9 @@
 import anyio
 
 from .. import clock as clocks
+from ..external import http as external_http
 from ..operators import client
 from ..operators import publisher
-from ..platform import http as platform_http
 from ..records import catalog
 
 from . import check
@@ -91,8 +91,8 @@
 
 async def _publish(request: _Request) -> exits.Exit:
     clock = clocks.SystemClock()
-    async with platform_http.Connections(clock) as connections:
-        log = platform_http.HttpLog(
+    async with external_http.Connections(clock) as connections:
+        log = external_http.HttpLog(
             connections, clock, request.log.address, request.log.port
         )
         subject = publisher.Publisher(log, clock, random.Random())
--- a/src/dogwoodquay/demo/requests.py
+++ b/src/dogwoodquay/demo/requests.py
@@ -12,7 +12,7 @@
 import msgspec
 import xxhash
 
-from ..platform.memory import completion
+from ..external.memory import completion
 from ..records import api as records_api
 from ..standin import examples
 
--- a/src/dogwoodquay/demo/waiting.py
+++ b/src/dogwoodquay/demo/waiting.py
@@ -8,10 +8,10 @@
 
 import anyio
 
+from ..external import http as external_http
 from . import fleet as fleets
 from ..operators import client
 from ..operators import publisher
-from ..platform import http as platform_http
 from ..records import catalog
 from ..standin import examples
 
@@ -43,8 +43,8 @@
     """
     records = examples.records(site, *deployments)
     offset = -1
-    async with platform_http.Connections(clock) as connections:
-        log = platform_http.HttpLog(connections, clock, *site.log_address)
+    async with external_http.Connections(clock) as connections:
+        log = external_http.HttpLog(connections, clock, *site.log_address)
         subject = publisher.Publisher(log, clock, random.Random())
         async with anyio.create_task_group() as group:
             group.start_soon(subject.run)
--- a/src/dogwoodquay/dispatch/aftermath.py
+++ b/src/dogwoodquay/dispatch/aftermath.py
@@ -13,9 +13,9 @@
 
     from .. import clock as clock_module
     from . import background as background_module
+    from ..external import api as external_api
     from . import flight as flights
     from ..once import api as once_api
-    from ..platform import api as platform_api
     from ..routing import api as routing_api
 
 __all__ = ['Aftermath']
@@ -31,7 +31,7 @@
         self,
         background: background_module.Background,
         claims: once_api.Claims,
-        engine: platform_api.Engine,
+        engine: external_api.Engine,
         clock: clock_module.Clock,
     ) -> None:
         self._background = background
--- a/src/dogwoodquay/dispatch/attempt.py
+++ b/src/dogwoodquay/dispatch/attempt.py
@@ -9,8 +9,8 @@
 
 from . import api
 from . import bodies
-from ..platform import api as platform_api
-from ..platform import errors as platform_errors
+from ..external import api as external_api
+from ..external import errors as external_errors
 from . import reasons
 from ..retry import api as retry_api
 from . import sse
@@ -50,7 +50,7 @@
     def __init__(
         self,
         call: api.Call,
-        upstream: platform_api.PlainService,
+        upstream: external_api.PlainService,
         sink: api.Sink | None,
         max_answer_bytes: int,
     ) -> None:
@@ -82,14 +82,14 @@
                 if opened.is_error():
                     return self._refused(opened.error)
                 return await self._read(opened.ok, attempt_id, progress)
-        except platform_errors.UpstreamBroken as broken:
+        except external_errors.UpstreamBroken as broken:
             return self._broken(reasons.Reason.UPSTREAM_BROKEN, broken.reason)
         except sse.BrokenAnswer as broken_answer:
             return self._broken(broken_answer.reason)
 
-    def _upstream_call(self, attempt_id: str) -> platform_api.UpstreamCall:
+    def _upstream_call(self, attempt_id: str) -> external_api.UpstreamCall:
         call = self._call
-        return platform_api.UpstreamCall(
+        return external_api.UpstreamCall(
             attempt_id=attempt_id,
             method=call.method,
             path=call.path,
@@ -103,7 +103,7 @@
 
     async def _read(
         self,
-        answer: platform_api.UpstreamAnswer,
+        answer: external_api.UpstreamAnswer,
         attempt_id: str,
         progress: Progress,
     ) -> api.Whole | api.Streamed | AttemptFailed:
@@ -125,7 +125,7 @@
 
     async def _relay(
         self,
-        answer: platform_api.UpstreamAnswer,
+        answer: external_api.UpstreamAnswer,
         sink: api.Sink,
         progress: Progress,
     ) -> api.Streamed:
@@ -164,23 +164,23 @@
             resumable=self.delivered,
         )
 
-    def _refused(self, error: platform_api.EngineError) -> AttemptFailed:
+    def _refused(self, error: external_api.EngineError) -> AttemptFailed:
         not_run = retry_api.RunState.NOT_RUN
         match error:
-            case platform_api.Unavailable(reason):
+            case external_api.Unavailable(reason):
                 return AttemptFailed(
                     reasons.Reason.UPSTREAM_UNAVAILABLE,
                     not_run,
                     reason,
                     resumable=self.delivered,
                 )
-            case platform_api.Ambiguous(reason):
+            case external_api.Ambiguous(reason):
                 return self._broken(reasons.Reason.UPSTREAM_BROKEN, reason)
-            case platform_api.Refused(reason):
+            case external_api.Refused(reason):
                 return AttemptFailed(
                     reasons.Reason.UPSTREAM_REFUSED, not_run, reason
                 )
-            case platform_api.StaleFence():
+            case external_api.StaleFence():
                 return AttemptFailed(reasons.Reason.UPSTREAM_REFUSED, not_run)
 
 
@@ -190,7 +190,7 @@
         try:
             async for _ in chunks:
                 pass
-        except platform_errors.UpstreamBroken:
+        except external_errors.UpstreamBroken:
             return
 
 
--- a/src/dogwoodquay/dispatch/bodies.py
+++ b/src/dogwoodquay/dispatch/bodies.py
@@ -11,7 +11,7 @@
 from . import sse
 
 if typing.TYPE_CHECKING:
-    from ..platform import api as platform_api
+    from ..external import api as external_api
 
 __all__ = ['header', 'read_whole']
 
@@ -19,7 +19,7 @@
 _STATUS_WITHOUT_BODY: typing.Final = (204, 304)
 
 
-def header(answer: platform_api.UpstreamAnswer, name: str) -> str:
+def header(answer: external_api.UpstreamAnswer, name: str) -> str:
     """Return an answer's header, empty when it is missing."""
     for other, value in answer.headers:
         if other == name:
@@ -28,7 +28,7 @@
 
 
 async def read_whole(
-    answer: platform_api.UpstreamAnswer, method: str, limit: int
+    answer: external_api.UpstreamAnswer, method: str, limit: int
 ) -> api.Whole:
     """Read a body to its end.
 
@@ -48,7 +48,7 @@
     return api.Whole(answer.status, answer.headers, body)
 
 
-def _check_end(answer: platform_api.UpstreamAnswer, body: bytes) -> None:
+def _check_end(answer: external_api.UpstreamAnswer, body: bytes) -> None:
     length = header(answer, 'content-length')
     encoded = header(answer, 'content-encoding')
     if length and not encoded and length != str(len(body)):
--- a/src/dogwoodquay/dispatch/dispatcher.py
+++ b/src/dogwoodquay/dispatch/dispatcher.py
@@ -12,10 +12,10 @@
 from . import attempt
 from . import background
 from . import claiming
+from ..external import api as external_api
 from . import flight as flights
 from . import gate
 from ..once import api as once_api
-from ..platform import api as platform_api
 from . import reasons
 from ..retry import api as retry_api
 from ..routing import api as routing_api
@@ -73,8 +73,8 @@
         admission: admission_api.Admission,
         retries: retry_api.RetryPolicy,
         claims: once_api.Claims,
-        engine: platform_api.Engine,
-        services: platform_api.PlainService,
+        engine: external_api.Engine,
+        services: external_api.PlainService,
         clock: clock_module.Clock,
         rng: random.Random,
         metrics: path_metrics.PathMetrics,
@@ -356,7 +356,7 @@
                 reason = reasons.from_label(label, failed.reason)
                 return flight.refuse(reason, failed.detail)
 
-    def _upstream(self, call: api.Call) -> platform_api.PlainService:
+    def _upstream(self, call: api.Call) -> external_api.PlainService:
         if call.kind is api.Kind.ENGINE:
             return self._engine
         return self._services
--- a/src/dogwoodquay/entry/forwarding.py
+++ b/src/dogwoodquay/entry/forwarding.py
@@ -9,7 +9,7 @@
 from . import controls as controls_module
 from ..dispatch import api
 from ..dispatch import reasons
-from ..platform import prefix
+from ..external import prefix
 from . import problems
 from . import targets
 
--- /dev/null
+++ b/src/dogwoodquay/external/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters for the outside systems: log, instance list, weights, upstreams."""
--- a/src/dogwoodquay/platform/http/__init__.py
+++ b/src/dogwoodquay/external/http/__init__.py
@@ -4,9 +4,9 @@
 
 from .client import Connections
 from .engine import HttpEngine
+from .lists import HttpInstanceList
+from .lists import HttpWeightStore
 from .log import HttpLog
-from .platform import HttpInstanceList
-from .platform import HttpWeightStore
 from .service import HttpPlainService
 
 __all__ = [
--- a/src/dogwoodquay/platform/http/client.py
+++ b/src/dogwoodquay/external/http/client.py
@@ -23,7 +23,14 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
-__all__ = ['Connections', 'Headers', 'broken_reason', 'decode']
+__all__ = [
+    'Connections',
+    'Headers',
+    'broken_reason',
+    'decode',
+    'discard',
+    'keep_idle',
+]
 
 CONNECT_SECONDS: typing.Final = 1.0
 CONNECT_SHARE: typing.Final = 0.9
@@ -45,6 +52,9 @@
     httpcore.TimeoutException,
 )
 _WITH_LENGTH: typing.Final = frozenset({'PATCH', 'POST', 'PUT'})
+# Words of a response's extensions.
+_DISCARD: typing.Final = 'discard_connection'
+_IDLE: typing.Final = 'idle_seconds'
 _STOPPED_BEFORE_SEND: typing.Final = api.Unavailable('deadline')
 
 
@@ -96,17 +106,55 @@
 
         :param deadline: the headers of the answer have to come before it.
         """
+        host = f'[{address}]' if ':' in address else address
+        raw_headers = [(b'host', f'{host}:{port}'.encode('latin-1'))]
+        raw_headers.extend(
+            (name.encode('latin-1'), value.encode('latin-1'))
+            for name, value in headers
+        )
+        async with self.open_raw(
+            address, port, method, path, raw_headers, body, deadline
+        ) as sent:
+            yield sent
+
+    @contextlib.asynccontextmanager
+    async def open_raw(
+        self,
+        address: str,
+        port: int,
+        method: str,
+        target: str,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+        deadline: float,
+        idle_seconds: float = 0.0,
+    ) -> abc.AsyncIterator[expression.Result[httpx.Response, SendError]]:
+        """Send a request with exactly these headers and a length.
+
+        :param idle_seconds: how long a part of the answer may take to come,
+            zero for the time that was set for all requests.
+        """
         remaining = deadline - self._time.now()
         if remaining <= 0:
             yield expression.Error(_STOPPED_BEFORE_SEND)
             return
         request = self._request(
-            address, port, method, path, headers, body, remaining
+            address,
+            port,
+            method,
+            target,
+            headers,
+            body,
+            remaining,
+            idle_seconds or self._idle_seconds,
         )
         connection = await self._pool.take(address, port)
+        extensions: dict[str, typing.Any] = {}
         try:
             sent = await _send(connection, request, remaining)
             try:
+                if sent.is_ok():
+                    extensions = sent.ok.extensions
                 yield sent
             finally:
                 if sent.is_ok():
@@ -114,7 +162,12 @@
                         await sent.ok.aclose()
         finally:
             with anyio.CancelScope(shield=True):
-                await self._pool.put_back(address, port, connection)
+                if extensions.get(_DISCARD):
+                    await connection.aclose()
+                else:
+                    await self._pool.put_back(
+                        address, port, connection, extensions.get(_IDLE)
+                    )
 
     async def fetch(
         self,
@@ -146,17 +199,13 @@
         port: int,
         method: str,
         path: str,
-        headers: Headers,
+        headers: list[tuple[bytes, bytes]],
         body: bytes,
         remaining: float,
+        idle_seconds: float,
     ) -> httpcore.Request:
         """Make a request whose path goes out exactly as it is given."""
-        host = f'[{address}]' if ':' in address else address
-        raw_headers = [(b'host', f'{host}:{port}'.encode('latin-1'))]
-        raw_headers.extend(
-            (name.encode('latin-1'), value.encode('latin-1'))
-            for name, value in headers
-        )
+        raw_headers = list(headers)
         if body or method in _WITH_LENGTH:
             raw_headers.append((b'content-length', b'%d' % len(body)))
         connect_seconds = remaining * CONNECT_SHARE
@@ -164,8 +213,8 @@
         timeout = {
             'connect': connect_seconds,
             'pool': connect_seconds,
-            'read': self._idle_seconds,
-            'write': self._idle_seconds,
+            'read': idle_seconds,
+            'write': idle_seconds,
         }
         url = httpcore.URL(
             scheme=b'http',
@@ -237,6 +286,16 @@
             return httpx.ReadError(str(error))
 
 
+def discard(response: httpx.Response) -> None:
+    """Close a response's connection instead of using it again."""
+    response.extensions[_DISCARD] = True
+
+
+def keep_idle(response: httpx.Response, seconds: float) -> None:
+    """Use a response's connection again only within a time."""
+    response.extensions[_IDLE] = seconds
+
+
 def broken_reason(error: httpx.HTTPError) -> str:
     """Return the counter's label for a failed exchange."""
     match error:
--- a/src/dogwoodquay/platform/http/network.py
+++ b/src/dogwoodquay/external/http/network.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import typing
 
 import anyio
@@ -20,6 +21,12 @@
 __all__ = ['NetworkBackend']
 
 MAX_BUFFERED_BYTES: typing.Final = 256 * 1024
+# A silent connection ends within the time in which instances must follow a
+# change, so that none is missed because of it.
+PROBE_AFTER_SECONDS: typing.Final = 1
+PROBE_SECONDS: typing.Final = 1
+PROBES: typing.Final = 2
+SILENT_MILLISECONDS: typing.Final = 3000
 
 _Error = type[httpcore.ReadTimeout] | type[httpcore.WriteTimeout]
 
@@ -46,6 +53,8 @@
             raise httpcore.ConnectTimeout(str(error)) from error
         except OSError as error:
             raise httpcore.ConnectError(str(error)) from error
+        transport = connection.transport
+        _watch_silence(transport.get_extra_info('socket'))
         return _Stream(connection)
 
 
@@ -65,6 +74,11 @@
         self._full = False
         self._lost = False
 
+    @property
+    def transport(self) -> asyncio.Transport:
+        """The transport of an open connection."""
+        return self._made()
+
     @property
     def is_readable(self) -> bool:
         """Whether there is something to read, or the end."""
@@ -194,6 +208,19 @@
         return None
 
 
+def _watch_silence(connection: socket.socket) -> None:
+    """Let the kernel end a connection whose other side is gone."""
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_SECONDS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_MILLISECONDS),
+    )
+    for level, option, value in options:
+        connection.setsockopt(level, option, value)
+
+
 def _wake(future: asyncio.Future[None] | None) -> None:
     if future is not None and not future.done():
         future.set_result(None)
--- a/src/dogwoodquay/platform/http/pool.py
+++ b/src/dogwoodquay/external/http/pool.py
@@ -23,10 +23,10 @@
 
 
 class _Idle(typing.NamedTuple):
-    """A connection that nobody uses, and since when."""
+    """A connection that nobody uses, and until when it may be."""
 
     connection: httpcore.AsyncHTTPConnection
-    since: float
+    until: float
 
 
 class ConnectionPool:
@@ -44,8 +44,8 @@
         """Return a connection for the caller alone."""
         idle = self._idle.get((address, port))
         while idle:
-            connection = idle.pop().connection
-            if not connection.has_expired():
+            connection, until = idle.pop()
+            if self._time.now() < until and not connection.has_expired():
                 return connection
             await connection.aclose()
         return httpcore.AsyncHTTPConnection(
@@ -59,18 +59,24 @@
         address: str,
         port: int,
         connection: httpcore.AsyncHTTPConnection,
+        idle_seconds: float | None = None,
     ) -> None:
-        """Keep a connection for the next request, and close a few old."""
+        """Keep a connection for the next request, and close a few old.
+
+        :param idle_seconds: how long the other side keeps it, if known.
+        """
         now = self._time.now()
         place = (address, port)
         idle = self._idle.setdefault(place, collections.deque())
         if connection.is_idle():
-            idle.append(_Idle(connection, now))
+            seconds = self._keep_alive_seconds
+            if idle_seconds is not None:
+                seconds = min(seconds, idle_seconds)
+            idle.append(_Idle(connection, now + seconds))
         else:
             await connection.aclose()
-        horizon = now - self._keep_alive_seconds
         for _ in range(CLOSED_AT_ONCE):
-            if not idle or idle[0].since >= horizon:
+            if not idle or idle[0].until >= now:
                 return
             await idle.popleft().connection.aclose()
 
--- /dev/null
+++ b/src/dogwoodquay/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards requests along routes and runs an instance that does so."""
--- /dev/null
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -0,0 +1,184 @@
+"""One attempt at a request at one server."""
+
+from __future__ import annotations
+
+import typing
+
+import httpx
+
+from . import api
+from . import events
+from ..external import api as external_api
+from ..external.http import client
+from . import outcomes
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from .. import clock as clocks
+    from ..fleet import server as servers
+
+__all__ = ['Exchange', 'HeaderCodec', 'Relay']
+
+_OK: typing.Final = 200
+_MISDIRECTED: typing.Final = 421
+# A connection is used again for this share of the time that its server
+# keeps it, so that no request meets its end.
+IDLE_SHARE: typing.Final = 0.7
+# Whole seconds are cut off, so that one second may mean almost none.
+IDLE_UNKNOWN_SECONDS: typing.Final = 3.0
+
+
+class HeaderCodec(typing.Protocol):
+    """Writes a request's headers for a server and reads its answer's."""
+
+    def for_server(
+        self, headers: api.RawHeaders, outgoing: api.Outgoing
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers with which a request goes to a server."""
+
+    def answer_terms(
+        self, status: int, headers: abc.Iterable[tuple[bytes, bytes]]
+    ) -> api.AnswerTerms:
+        """Read what a server's headers say of its answer."""
+
+
+class Relay(typing.Protocol):
+    """Takes the events of a streamed answer for its caller."""
+
+    @property
+    def cutter(self) -> events.EventCutter:
+        """Checks the events of all attempts together."""
+
+    @property
+    def started(self) -> bool:
+        """Whether the caller has had a part of the answer."""
+
+    async def start(
+        self, status: int, headers: abc.Iterable[tuple[bytes, bytes]]
+    ) -> None:
+        """Send the head of the answer; later heads are left out."""
+
+    async def send(self, data: bytes) -> None:
+        """Send whole events."""
+
+
+class Exchange:
+    """Sends requests to servers and reads their answers."""
+
+    def __init__(
+        self,
+        connections: client.Connections,
+        codec: HeaderCodec,
+        clock: clocks.Clock,
+    ) -> None:
+        self._connections = connections
+        self._codec = codec
+        self._clock = clock
+
+    async def run(
+        self,
+        call: api.Call,
+        server: servers.Server,
+        relay: Relay,
+        head_deadline: float,
+        gap_seconds: float,
+    ) -> outcomes.Outcome:
+        """Run an attempt.
+
+        :param head_deadline: when the answer has to have begun.
+        :param gap_seconds: the longest wait for a part of the answer.
+        """
+        entry = server.entry
+        now = self._clock.now()
+        outgoing = api.Outgoing(
+            entry.server_id,
+            call.deadline - now,
+            call.route.priority,
+            relay.cutter.last_event,
+        )
+        async with self._connections.open_raw(
+            entry.address,
+            entry.port,
+            call.method,
+            call.target,
+            self._codec.for_server(call.headers, outgoing),
+            call.body,
+            head_deadline,
+            gap_seconds,
+        ) as sent:
+            if sent.is_ok():
+                return await self._answered(
+                    call, server, relay, sent.ok, self._clock.now() - now
+                )
+            if isinstance(sent.error, external_api.Unavailable):
+                return outcomes.NotRun(sent.error.reason, arrived=False)
+            return outcomes.Broken(sent.error.reason)
+
+    async def _answered(
+        self,
+        call: api.Call,
+        server: servers.Server,
+        relay: Relay,
+        response: httpx.Response,
+        seconds: float,
+    ) -> outcomes.Outcome:
+        status = response.status_code
+        headers = tuple(response.headers.raw)
+        terms = self._codec.answer_terms(status, headers)
+        if terms.attempt_id != call.terms.attempt_id:
+            client.discard(response)
+            return outcomes.Broken('answer_crossed')
+        self._note(server, response, terms)
+        try:
+            if terms.not_executed:
+                await response.aread()
+                absent = status == _MISDIRECTED
+                return outcomes.NotRun(f'status_{status}', True, absent)
+            if terms.encoded or not terms.stamped:
+                client.discard(response)
+                return outcomes.Broken('not_the_servers_answer')
+            if status == _OK and call.route.streaming:
+                return await self._relay(relay, response, headers)
+            body = await response.aread()
+        except httpx.HTTPError as error:
+            return outcomes.Broken(client.broken_reason(error))
+        except events.BrokenStream as error:
+            client.discard(response)
+            return outcomes.Broken(str(error))
+        server.succeeded(seconds)
+        return outcomes.Whole(status, headers, body)
+
+    def _note(
+        self,
+        server: servers.Server,
+        response: httpx.Response,
+        terms: api.AnswerTerms,
+    ) -> None:
+        if terms.running is not None and terms.waiting is not None:
+            total = terms.running + terms.waiting
+            server.note_load(total, self._clock.now())
+        if terms.closing:
+            client.discard(response)
+        elif terms.idle_seconds:
+            client.keep_idle(response, terms.idle_seconds * IDLE_SHARE)
+        else:
+            client.keep_idle(response, IDLE_UNKNOWN_SECONDS)
+
+    async def _relay(
+        self,
+        relay: Relay,
+        response: httpx.Response,
+        headers: tuple[tuple[bytes, bytes], ...],
+    ) -> outcomes.Outcome:
+        relay.cutter.restart()
+        stream = typing.cast('httpx.AsyncByteStream', response.stream)
+        async for chunk in stream:
+            whole = relay.cutter.feed(chunk)
+            if whole:
+                await relay.start(response.status_code, headers)
+                await relay.send(whole)
+        if relay.cutter.partial:
+            raise events.BrokenStream('event_cut')
+        await relay.start(response.status_code, headers)
+        return outcomes.Streamed()
--- /dev/null
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -0,0 +1,288 @@
+"""Takes a request through its attempts at servers."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+
+from . import api
+from ..observe import logs
+from . import outcomes
+from ..retry import api as retry_api
+from ..retry import windowed
+
+if typing.TYPE_CHECKING:
+    import random
+
+    from .. import clock as clocks
+    from . import exchange as exchanges
+    from ..fleet import server as servers
+    from . import metrics as gateway_metrics
+    from ..retry import window
+    from . import scheduler as schedulers
+
+__all__ = ['Cut', 'Forwarder', 'patience']
+
+_LOG: typing.Final = logs.PartLog('request')
+
+_BAD_GATEWAY: typing.Final = 502
+_UNAVAILABLE: typing.Final = 503
+_GATEWAY_TIMEOUT: typing.Final = 504
+_SERVER_ERROR: typing.Final = 500
+
+# Callers give a stream up after the longest gap of these.
+ABANDON_SECONDS: typing.Final = 2.0
+ABANDON_OBJECTIVES: typing.Final = 4
+ABANDON_GAPS: typing.Final = 8
+# The share of a caller's patience within which a stream has to begin.
+PATIENCE_SHARE: typing.Final = 0.8
+# The share of a plain request's time that may go by before it is sent.
+PLAIN_SHARE: typing.Final = 0.5
+# Pauses of a stream, in gap objectives, after which its server is given up.
+GAP_OBJECTIVES: typing.Final = 5.0
+MIN_GAP_SECONDS: typing.Final = 0.7
+# The share of the time left in which a server has to begin its answer, when
+# another one may be tried after it.
+HEAD_SHARE: typing.Final = 0.5
+RETRY_AFTER_SECONDS: typing.Final = 0.4
+ABSENT_RETRY_AFTER_SECONDS: typing.Final = 1.0
+# What is left of a request's time when it is no longer worth sending.
+MIN_WORK_SECONDS: typing.Final = 0.02
+
+
+class Cut(typing.NamedTuple):
+    """A stream that was begun and cannot be finished."""
+
+    reason: str
+
+
+Result = outcomes.Whole | outcomes.Streamed | api.Refusal | Cut
+
+
+class Forwarder:
+    """Runs requests to their end."""
+
+    def __init__(
+        self,
+        scheduler: schedulers.Scheduler,
+        exchange: exchanges.Exchange,
+        budget: window.RepeatWindow,
+        clock: clocks.Clock,
+        rng: random.Random,
+        metrics: gateway_metrics.GatewayMetrics,
+    ) -> None:
+        self._scheduler = scheduler
+        self._exchange = exchange
+        self._budget = budget
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+
+    async def run(self, call: api.Call, relay: exchanges.Relay) -> Result:
+        """Run a request until it has an answer or can have none."""
+        retries = windowed.WindowedRetries(
+            call.service, call.route.max_attempts, self._budget, self._rng
+        )
+        retries.started(self._clock.now())
+        self._scheduler.arrived(call)
+        avoid: frozenset[str] = frozenset()
+        attempts = 0
+        ran = False
+        while True:
+            give_up_at = self._give_up_at(call, relay)
+            server = await self._scheduler.acquire(call, avoid, give_up_at)
+            if server is None:
+                return self._unplaced(call, relay, ran)
+            attempts += 1
+            try:
+                outcome = await self._attempt(call, server, relay, attempts)
+            finally:
+                self._scheduler.release(call, server)
+            failure = self._failure(call, relay, outcome, attempts)
+            if failure is None:
+                return typing.cast('Result', outcome)
+            ran = ran or failure.run_state is not retry_api.RunState.NOT_RUN
+            verdict = retries.decide(failure, self._clock.now())
+            _LOG.write(
+                'attempt_failed',
+                request=call.request_id,
+                server=server.entry.server_id,
+                reason=failure.reason,
+                run_state=failure.run_state.value,
+                verdict=verdict.reason,
+                again=isinstance(verdict, retry_api.Retry),
+            )
+            self._metrics.attempt_failed(failure.reason)
+            if isinstance(verdict, retry_api.GiveUp):
+                return self._gave_up(call, relay, outcome, verdict, ran)
+            self._metrics.retried(failure.reason)
+            avoid |= {server.entry.server_id}
+            await anyio.sleep(max(0.0, verdict.at - self._clock.now()))
+
+    async def _attempt(
+        self,
+        call: api.Call,
+        server: servers.Server,
+        relay: exchanges.Relay,
+        attempts: int,
+    ) -> outcomes.Outcome:
+        now = self._clock.now()
+        if now + MIN_WORK_SECONDS >= call.deadline:
+            return outcomes.NotRun('deadline_passed', arrived=False)
+        _LOG.write(
+            'sent',
+            request=call.request_id,
+            server=server.entry.server_id,
+            load=server.load(now),
+            attempt=attempts,
+            left=round(call.deadline - now, 3),
+        )
+        head_deadline = call.deadline
+        if call.route.repeatable and attempts < call.route.max_attempts:
+            head_deadline = now + (call.deadline - now) * HEAD_SHARE
+            if call.route.streaming:
+                # A caller would have left before a later second attempt.
+                limit = patience(call) * HEAD_SHARE
+                head_deadline = min(head_deadline, now + limit)
+        outcome = await self._exchange.run(
+            call, server, relay, head_deadline, self._gap_seconds(call)
+        )
+        self._judge(call, server, outcome)
+        return outcome
+
+    def _judge(
+        self,
+        call: api.Call,
+        server: servers.Server,
+        outcome: outcomes.Outcome,
+    ) -> None:
+        """Let the server's health follow from an attempt's end."""
+        now = self._clock.now()
+        ejected = False
+        match outcome:
+            case outcomes.NotRun(_, arrived, absent):
+                if absent:
+                    server.note_absent(call.terms.model, call.terms.adapter)
+                if not arrived:
+                    ejected = server.failed(now, unreachable=True)
+            case outcomes.Broken():
+                ejected = server.failed(now)
+            case outcomes.Whole(status):
+                if status >= _SERVER_ERROR:
+                    ejected = server.failed(now)
+            case outcomes.Streamed():
+                server.succeeded(now - call.arrived_at)
+        if ejected:
+            _LOG.write(
+                'server_ejected',
+                request=call.request_id,
+                server=server.entry.server_id,
+                failing=round(server.failing, 2),
+            )
+
+    def _failure(
+        self,
+        call: api.Call,
+        relay: exchanges.Relay,
+        outcome: outcomes.Outcome,
+        attempts: int,
+    ) -> retry_api.Failure | None:
+        """Return what went wrong in an attempt, nothing for an answer."""
+        match outcome:
+            case outcomes.NotRun(reason):
+                state = retry_api.RunState.NOT_RUN
+            case outcomes.Broken(reason):
+                state = retry_api.RunState.MAY_HAVE_RUN
+            case outcomes.Whole(status) if (
+                status >= _SERVER_ERROR and call.route.repeatable
+            ):
+                reason = f'status_{status}'
+                state = retry_api.RunState.FAILED
+            case _:
+                return None
+        return retry_api.Failure(
+            reason=reason,
+            run_state=state,
+            attempts=attempts,
+            idempotent=call.route.repeatable,
+            delivered=relay.started,
+            resumable=call.route.resumable,
+            deadline=call.deadline,
+        )
+
+    def _unplaced(
+        self, call: api.Call, relay: exchanges.Relay, ran: bool
+    ) -> Result:
+        """Return the end of a request for which there is no server."""
+        if relay.started:
+            return Cut('no_server')
+        reason = self._scheduler.why_none(call)
+        if ran:
+            return api.Refusal(
+                api.RefusalReason.MAY_HAVE_RUN, _BAD_GATEWAY, 0.0, reason.value
+            )
+        return self._not_run(reason)
+
+    def _gave_up(
+        self,
+        call: api.Call,
+        relay: exchanges.Relay,
+        outcome: outcomes.Outcome,
+        verdict: retry_api.GiveUp,
+        ran: bool,
+    ) -> Result:
+        if relay.started:
+            return Cut(verdict.reason)
+        if isinstance(outcome, outcomes.Whole):
+            return outcome
+        if not ran:
+            return self._not_run(
+                api.RefusalReason.SERVERS_REFUSED, verdict.reason
+            )
+        late = self._clock.now() >= call.deadline
+        return api.Refusal(
+            api.RefusalReason.MAY_HAVE_RUN,
+            _GATEWAY_TIMEOUT if late else _BAD_GATEWAY,
+            0.0,
+            verdict.reason,
+        )
+
+    def _not_run(
+        self, reason: api.RefusalReason, detail: str = ''
+    ) -> api.Refusal:
+        """Refuse a request that no server has run, with when to return."""
+        absent = reason is api.RefusalReason.MODEL_ABSENT
+        pause = ABSENT_RETRY_AFTER_SECONDS if absent else RETRY_AFTER_SECONDS
+        # Spread, so that callers do not come back together.
+        pause *= self._rng.uniform(0.75, 1.25)
+        return api.Refusal(reason, _UNAVAILABLE, pause, detail)
+
+    def _give_up_at(self, call: api.Call, relay: exchanges.Relay) -> float:
+        """Return until when a request may wait for a server."""
+        if relay.started:
+            limit = self._clock.now() + self._gap_seconds(call)
+        elif call.route.streaming:
+            limit = call.arrived_at + patience(call) * PATIENCE_SHARE
+        else:
+            span = call.deadline - call.arrived_at
+            limit = call.arrived_at + span * PLAIN_SHARE
+        return min(limit, call.deadline - MIN_WORK_SECONDS)
+
+    def _gap_seconds(self, call: api.Call) -> float:
+        """Return how long a server's answer may pause."""
+        route = call.route
+        if not (route.streaming and route.resumable):
+            return max(call.deadline - self._clock.now(), MIN_WORK_SECONDS)
+        pause = route.gap_objective_seconds * GAP_OBJECTIVES
+        return max(pause, MIN_GAP_SECONDS)
+
+
+def patience(call: api.Call) -> float:
+    """Return after how long a gap a caller gives its stream up."""
+    route = call.route
+    return max(
+        ABANDON_SECONDS,
+        route.objective_seconds * ABANDON_OBJECTIVES,
+        route.gap_objective_seconds * ABANDON_GAPS,
+    )
--- /dev/null
+++ b/src/dogwoodquay/gateway/health.py
@@ -0,0 +1,71 @@
+"""Readiness and metrics, as an ASGI application."""
+
+from __future__ import annotations
+
+import typing
+
+from ..entry import asgi
+from ..observe import logs
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from ..observe import metrics
+
+__all__ = ['HealthApp']
+
+_LOG: typing.Final = logs.PartLog('health')
+
+READY_PATH: typing.Final = '/readyz'
+METRICS_PATH: typing.Final = '/metrics'
+
+
+class HealthApp:
+    """Tells whether this instance should get callers, and its metrics.
+
+    :param not_ready: returns why it should not, empty when it should.
+    """
+
+    def __init__(
+        self, not_ready: abc.Callable[[], str], registry: metrics.Registry
+    ) -> None:
+        self._not_ready = not_ready
+        self._registry = registry
+        self._told = 'starting'
+
+    async def __call__(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Serve one request or the server's lifespan."""
+        if scope['type'] == 'lifespan':
+            await asgi.serve_lifespan(receive, send)
+            return
+        if scope['type'] != 'http':
+            return
+        path = scope['path']
+        if path == METRICS_PATH:
+            page = self._registry.render()
+            await _answer(send, 200, page.content_type, page.body)
+            return
+        if path != READY_PATH:
+            await _answer(send, 404, 'text/plain', b'not found\n')
+            return
+        reason = self._not_ready()
+        if reason != self._told:
+            self._told = reason
+            _LOG.write('readiness', ready=not reason, reason=reason)
+        body = reason.encode() or b'ready'
+        await _answer(send, 503 if reason else 200, 'text/plain', body)
+
+
+async def _answer(
+    send: asgi.Send, status: int, content_type: str, body: bytes
+) -> None:
+    headers = [
+        (b'content-type', content_type.encode('latin-1')),
+        (b'content-length', b'%d' % len(body)),
+    ]
+    await send(
+        {'type': 'http.response.start', 'status': status, 'headers': headers}
+    )
+    await send({'type': 'http.response.body', 'body': body})
--- /dev/null
+++ b/src/dogwoodquay/gateway/messages.py
@@ -0,0 +1,76 @@
+"""Messages between instances and the holder of the engines' orders."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..wire import api as wire_api
+
+__all__ = [
+    'AdapterFound',
+    'AdapterInUse',
+    'EngineView',
+    'FindAdapter',
+    'FleetView',
+    'InstanceLoad',
+    'ModelRow',
+]
+
+
+class ModelRow(msgspec.Struct, frozen=True, array_like=True):
+    """What one instance's callers ask of a model.
+
+    ``arrivals`` counts since the start of the instance's process.
+    """
+
+    service: str
+    model: str
+    arrivals: int
+    in_flight: int
+    waiting: int
+    oldest_wait_seconds: float
+
+
+class AdapterInUse(msgspec.Struct, frozen=True, array_like=True):
+    """An adapter that a request under way uses."""
+
+    server_id: str
+    model: str
+    adapter: str
+
+
+class InstanceLoad(wire_api.Message, frozen=True, tag='load'):
+    """The load of one instance, told to the holder."""
+
+    instance_id: str
+    models: tuple[ModelRow, ...]
+    in_use: tuple[AdapterInUse, ...]
+
+
+class EngineView(msgspec.Struct, frozen=True, array_like=True):
+    """What the holder knows of one engine."""
+
+    server_id: str
+    started_ms: int
+    held: dict[str, tuple[str, ...]]
+    total: int
+
+
+class FleetView(wire_api.Message, frozen=True, tag='view'):
+    """What the holder knows of all engines."""
+
+    engines: tuple[EngineView, ...]
+
+
+class FindAdapter(wire_api.Message, frozen=True, tag='find'):
+    """Asks the holder to bring an adapter to some engine."""
+
+    service: str
+    model: str
+    adapter: str
+
+
+class AdapterFound(wire_api.Message, frozen=True, tag='found'):
+    """The server that holds an adapter, empty for none."""
+
+    server_id: str
--- /dev/null
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -0,0 +1,92 @@
+"""Metrics of an instance that forwards requests."""
+
+from __future__ import annotations
+
+import typing
+
+from ..observe import metrics
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+__all__ = ['GatewayMetrics']
+
+
+class GatewayMetrics:
+    """Counts what became of requests, attempts and orders."""
+
+    def __init__(self, registry: metrics.Registry) -> None:
+        self._registry = registry
+        self._answers = registry.counter(
+            'gateway_answers_total', 'Answers of servers', 'status'
+        )
+        self._refusals = registry.counter(
+            'gateway_refusals_total', 'Answers of this instance', 'reason'
+        )
+        self._cuts = registry.counter(
+            'gateway_cuts_total', 'Streams cut midway', 'reason'
+        )
+        self._gone = registry.counter(
+            'gateway_callers_gone_total', 'Callers that left'
+        )
+        self._failed = registry.counter(
+            'gateway_attempts_failed_total', 'Failed attempts', 'reason'
+        )
+        self._retried = registry.counter(
+            'gateway_retries_total', 'Attempts after the first', 'reason'
+        )
+        self._orders = registry.counter(
+            'gateway_orders_total', 'Orders to engines', 'kind', 'answer'
+        )
+        self._store = registry.counter(
+            'gateway_store_errors_total', 'Failed store calls', 'reason'
+        )
+        self._first = registry.histogram(
+            'gateway_first_byte_seconds', 'Time to the first byte'
+        )
+        self._whole = registry.histogram(
+            'gateway_answer_seconds', 'Time to the end of an answer'
+        )
+
+    def gauge(
+        self, name: str, doc: str, read: abc.Callable[[], float]
+    ) -> None:
+        """Add a gauge that is read when somebody asks."""
+        self._registry.gauge(name, doc, read)
+
+    def answered(self, status: int, seconds: float) -> None:
+        """Count a server's answer that its caller got."""
+        self._answers.add(str(status))
+        self._whole.observe(seconds)
+
+    def refused(self, reason: str) -> None:
+        """Count an answer of this instance's own."""
+        self._refusals.add(reason)
+
+    def cut(self, reason: str) -> None:
+        """Count a stream that was cut midway."""
+        self._cuts.add(reason)
+
+    def caller_gone(self) -> None:
+        """Count a caller that left before its answer."""
+        self._gone.add()
+
+    def attempt_failed(self, reason: str) -> None:
+        """Count an attempt without an answer."""
+        self._failed.add(reason)
+
+    def retried(self, reason: str) -> None:
+        """Count an attempt after the first."""
+        self._retried.add(reason)
+
+    def ordered(self, kind: str, answer: str) -> None:
+        """Count an order to an engine."""
+        self._orders.add(kind, answer)
+
+    def store_failed(self, reason: str) -> None:
+        """Count a failed call to the store."""
+        self._store.add(reason)
+
+    def first_byte(self, seconds: float) -> None:
+        """Note the time to the first byte of an answer."""
+        self._first.observe(seconds)
--- /dev/null
+++ b/src/dogwoodquay/gateway/peering.py
@@ -0,0 +1,158 @@
+"""Tells the holder of the engines' orders what callers need."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+
+from . import messages
+from ..observe import logs
+from ..wire import api as wire_api
+
+if typing.TYPE_CHECKING:
+    from .. import clock as clocks
+    from . import controller as controllers
+    from . import duty as duties
+    from ..fleet import registry as registries
+    from . import scheduler as schedulers
+
+__all__ = ['Peering']
+
+_LOG: typing.Final = logs.PartLog('peering')
+
+TELL_SECONDS: typing.Final = 0.25
+CALL_SECONDS: typing.Final = 0.8
+# Calls in a row without an answer after which the holder is looked up.
+MISSES: typing.Final = 3
+
+
+class Peering:
+    """Tells the holder this instance's load and takes in its view."""
+
+    def __init__(
+        self,
+        instance_id: str,
+        transport: wire_api.Transport,
+        duty: duties.Duty,
+        controller: controllers.Controller,
+        registry: registries.Registry,
+        clock: clocks.Clock,
+    ) -> None:
+        self._instance_id = instance_id
+        self._transport = transport
+        self._duty = duty
+        self._controller = controller
+        self._registry = registry
+        self._clock = clock
+        self._scheduler: schedulers.Scheduler | None = None
+        self._misses = 0
+        transport.register(messages.InstanceLoad, self._handle_load)
+        transport.register(messages.FindAdapter, self._handle_find)
+        transport.register(messages.FleetView)
+        transport.register(messages.AdapterFound)
+
+    def attach(self, scheduler: schedulers.Scheduler) -> None:
+        """Set whose load is told and who learns of the view."""
+        self._scheduler = scheduler
+
+    async def find(
+        self, service: str, model: str, adapter: str, deadline: float
+    ) -> str:
+        """Return a server that has an adapter by now, empty for none."""
+        if self._duty.holds(self._clock.now()):
+            return await self._controller.find(
+                service, model, adapter, deadline
+            )
+        owner = self._duty.owner
+        if owner is None:
+            return ''
+        answer = await self._transport.request(
+            wire_api.PeerAddress(*owner),
+            messages.FindAdapter(service, model, adapter),
+            messages.AdapterFound,
+            deadline,
+        )
+        return answer.ok.server_id if answer.is_ok() else ''
+
+    async def run(self) -> typing.NoReturn:
+        """Tell the load for ever."""
+        while True:
+            await anyio.sleep(TELL_SECONDS)
+            await self._tell()
+
+    async def _tell(self) -> None:
+        scheduler = self._scheduler
+        if scheduler is None:
+            return
+        load = _load(self._instance_id, scheduler)
+        if self._duty.holds(self._clock.now()):
+            self._controller.take(load)
+            return
+        owner = self._duty.owner
+        if owner is None:
+            return
+        answer = await self._transport.request(
+            wire_api.PeerAddress(*owner),
+            load,
+            messages.FleetView,
+            self._clock.now() + CALL_SECONDS,
+        )
+        if answer.is_ok():
+            self._misses = 0
+            self._take(answer.ok)
+            scheduler.pump()
+            return
+        self._misses += 1
+        if self._misses >= MISSES:
+            self._misses = 0
+            self._duty.forget_owner()
+            _LOG.write(
+                'holder_unreachable',
+                address=f'{owner.host}:{owner.port}',
+                reason=answer.error.reason,
+            )
+
+    def _take(self, view: messages.FleetView) -> None:
+        now = self._clock.now()
+        for row in view.engines:
+            server = self._registry.get(row.server_id)
+            if server is None or server.entry.started_ms != row.started_ms:
+                continue
+            held = {
+                model: frozenset(names) for model, names in row.held.items()
+            }
+            server.note_held(held, now)
+            server.note_load(row.total, now)
+
+    async def _handle_load(
+        self,
+        sender: wire_api.Sender,
+        message: messages.InstanceLoad,
+        deadline: float,
+    ) -> messages.FleetView | None:
+        return self._controller.take(message)
+
+    async def _handle_find(
+        self,
+        sender: wire_api.Sender,
+        message: messages.FindAdapter,
+        deadline: float,
+    ) -> messages.AdapterFound:
+        server_id = await self._controller.find(
+            message.service, message.model, message.adapter, deadline
+        )
+        return messages.AdapterFound(server_id)
+
+
+def _load(
+    instance_id: str, scheduler: schedulers.Scheduler
+) -> messages.InstanceLoad:
+    rows = tuple(
+        messages.ModelRow(service, model, *load)
+        for (service, model), load in scheduler.loads().items()
+    )
+    used = tuple(
+        messages.AdapterInUse(*key) for key in scheduler.adapters_in_use()
+    )
+    return messages.InstanceLoad(instance_id, rows, used)
--- /dev/null
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -0,0 +1,275 @@
+"""Builds an instance that forwards requests, runs it and stops it."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import typing
+
+import anyio
+
+from .. import clock as clocks
+from . import app as apps
+from . import controller as controllers
+from . import duty as duties
+from . import exchange as exchanges
+from ..external.http import client
+from ..fleet import registry as registries
+from . import forwarder as forwarders
+from . import health
+from . import metrics as gateway_metrics
+from ..observe import logs
+from ..observe import metrics as metrics_module
+from . import peering as peerings
+from ..retry import window
+from . import scheduler as schedulers
+from . import serving
+from . import watch
+from ..wire import peers as wire_peers
+from ..wire import settings as wire_settings
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    import expression
+
+    from ..fleet import api as fleet_api
+    from ..routes import api as routes_api
+    from . import settings as gateway_settings
+    from . import store_api
+
+__all__ = ['Codec', 'Gateway', 'Outside']
+
+_LOG: typing.Final = logs.PartLog('instance')
+
+UPSTREAM_IDLE_SECONDS: typing.Final = 60.0
+CONNECT_SECONDS: typing.Final = 0.4
+# The balancer asks once a second and takes an instance out after two misses.
+BALANCER_SECONDS: typing.Final = 2.4
+# What is left of the time to stop for closing connections.
+STOP_MARGIN_SECONDS: typing.Final = 1.0
+STOP_POLL_SECONDS: typing.Final = 0.05
+# Repeats beyond their share of each instance; all of them together stay
+# below the slack of the smallest deployments.
+RETRY_SLACK: typing.Final = 2
+# Peers are told apart from strangers by what all instances were given.
+SECRET_PREFIX: typing.Final = b'dogwoodquay peers of '
+
+
+class Codec(exchanges.HeaderCodec, apps.CallerCodec, typing.Protocol):
+    """Reads and writes the headers of requests and answers."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outside:
+    """How an instance speaks with everything around it."""
+
+    codec: Codec
+    store: abc.Callable[
+        [client.Connections, gateway_settings.Address], store_api.Store
+    ]
+    engines: abc.Callable[[client.Connections, str], controllers.EngineCalls]
+    configuration_topic: store_api.Topic
+    configuration_key: str
+    decode_configuration: abc.Callable[
+        [bytes], expression.Result[routes_api.Configuration, str]
+    ]
+    server_topic: store_api.Topic
+    decode_server: abc.Callable[
+        [str, bytes], expression.Result[fleet_api.ServerEntry, str]
+    ]
+
+
+class Gateway:
+    """One instance; ``run`` it once."""
+
+    def __init__(
+        self, settings: gateway_settings.InstanceSettings, outside: Outside
+    ) -> None:
+        self._settings = settings
+        self._clock = clocks.SteadyClock()
+        self._rng = random.Random()
+        self._stopping = anyio.Event()
+        self._drained = anyio.Event()
+        self._registry = registries.Registry()
+        self._metrics_page = metrics_module.Registry(settings.instance_id)
+        self._metrics = gateway_metrics.GatewayMetrics(self._metrics_page)
+        self._connections = client.Connections(
+            self._clock,
+            connect_seconds=CONNECT_SECONDS,
+            keep_alive_seconds=UPSTREAM_IDLE_SECONDS,
+        )
+        self._build(outside)
+
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        self._stopping.set()
+
+    def reload(
+        self,
+        loaded: expression.Result[gateway_settings.InstanceSettings, str],
+    ) -> None:
+        """Take in settings that were read again.
+
+        What an instance listens on and who it is needs a restart; all else
+        that the file says is the same on every machine of a deployment.
+        """
+        if loaded.is_error():
+            _LOG.write('reload_refused', reason=loaded.error)
+            return
+        changed = [
+            name
+            for name, old, new in zip(
+                self._settings._fields, self._settings, loaded.ok, strict=True
+            )
+            if old != new
+        ]
+        _LOG.write('reload', changed=changed)
+
+    async def run(self) -> None:
+        """Serve until a planned stop is over."""
+        _LOG.write(
+            'start',
+            instance=self._settings.instance_id,
+            domain=self._settings.failure_domain,
+        )
+        callers = self._callers
+        readiness = serving.Listener(self._settings.readiness)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._run_peers)
+            for part in (
+                self._configuration.run,
+                self._servers.run,
+                self._duty.run,
+                self._scheduler.run,
+                self._controller.run,
+                self._peering.run,
+            ):
+                group.start_soon(part)
+            group.start_soon(readiness.serve, self._health, self._drained.wait)
+            group.start_soon(self._drain)
+            await callers.serve(self._app, self._drained.wait)
+            group.cancel_scope.cancel()
+        await self._connections.close()
+        _LOG.write('stop', instance=self._settings.instance_id)
+
+    def _build(self, outside: Outside) -> None:
+        settings = self._settings
+        clock = self._clock
+        metrics = self._metrics
+        store = outside.store(self._connections, settings.store)
+        self._duty = duties.Duty(store, settings, clock, metrics)
+        engines = outside.engines(self._connections, settings.instance_id)
+        self._controller = controllers.Controller(
+            self._duty, self._registry, engines, settings, clock, metrics
+        )
+        self._peers = wire_peers.Peers(
+            _wire_settings(settings), clock, self._rng
+        )
+        self._peering = peerings.Peering(
+            settings.instance_id,
+            self._peers,
+            self._duty,
+            self._controller,
+            self._registry,
+            clock,
+        )
+        self._scheduler = schedulers.Scheduler(
+            self._registry,
+            settings.failure_domain,
+            clock,
+            self._rng,
+            self._peering,
+        )
+        self._peering.attach(self._scheduler)
+        self._app = self._build_app(outside)
+        self._callers = serving.Listener(settings.callers)
+        self._health = health.HealthApp(self._not_ready, self._metrics_page)
+        self._configuration = watch.ConfigurationWatch(
+            store,
+            outside.configuration_topic,
+            outside.configuration_key,
+            outside.decode_configuration,
+            clock,
+            metrics,
+            self._configure,
+        )
+        self._servers = watch.ServerWatch(
+            store,
+            outside.server_topic,
+            outside.decode_server,
+            self._registry,
+            settings.list_interval_seconds,
+            clock,
+            metrics,
+            self._scheduler.pump,
+        )
+
+    def _build_app(self, outside: Outside) -> apps.GatewayApp:
+        settings = self._settings
+        exchange = exchanges.Exchange(
+            self._connections, outside.codec, self._clock
+        )
+        budget = window.RepeatWindow(
+            settings.retry_share, RETRY_SLACK, settings.retry_window_seconds
+        )
+        forwarder = forwarders.Forwarder(
+            self._scheduler,
+            exchange,
+            budget,
+            self._clock,
+            self._rng,
+            self._metrics,
+        )
+        return apps.GatewayApp(
+            forwarder, outside.codec, self._clock, self._rng, self._metrics
+        )
+
+    def _configure(self, configuration: routes_api.Configuration) -> None:
+        self._app.configure(configuration)
+        self._scheduler.configure(configuration.services)
+        self._controller.configure(configuration.services)
+        self._callers.keep_idle(configuration.limits.idle_timeout_seconds)
+
+    def _not_ready(self) -> str:
+        if self._stopping.is_set():
+            return 'stopping'
+        if not self._app.configured:
+            return 'no_configuration'
+        if not self._registry.servers:
+            return 'no_servers'
+        return ''
+
+    async def _run_peers(self) -> None:
+        async with self._peers.running():
+            await anyio.sleep_forever()
+
+    async def _drain(self) -> None:
+        """Let the balancer take this instance out, then finish requests."""
+        await self._stopping.wait()
+        began = self._clock.now()
+        _LOG.write('stopping', in_flight=self._app.in_flight)
+        self._app.close_connections()
+        await self._duty.leave()
+        until = began + self._settings.stop_seconds - STOP_MARGIN_SECONDS
+        while self._clock.now() < until:
+            quiet = self._clock.now() >= began + BALANCER_SECONDS
+            if quiet and not self._app.in_flight:
+                break
+            await anyio.sleep(STOP_POLL_SECONDS)
+        _LOG.write('drained', in_flight=self._app.in_flight)
+        self._drained.set()
+
+
+def _wire_settings(
+    settings: gateway_settings.InstanceSettings,
+) -> wire_settings.WireSettings:
+    secret = SECRET_PREFIX + f'{settings.store}'.encode()
+    return wire_settings.WireSettings(
+        instance_id=settings.instance_id,
+        address=settings.peers.host,
+        port=settings.peers.port,
+        secrets=(secret,),
+        handshake_seconds=1.0,
+        backoff_max_seconds=1.0,
+    )
--- /dev/null
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -0,0 +1,303 @@
+"""Finds a server for each request, and lets requests wait for one."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import typing
+
+import anyio
+
+from . import api
+from ..fleet import choice
+from ..fleet import queue
+from ..observe import logs
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+    import random
+
+    import anyio.abc
+
+    from .. import clock as clocks
+    from ..fleet import registry as registries
+    from ..fleet import server as servers
+    from ..routes import api as routes_api
+
+__all__ = ['AdapterFinder', 'ModelLoad', 'Scheduler']
+
+_LOG: typing.Final = logs.PartLog('scheduler')
+
+TICK_SECONDS: typing.Final = 0.025
+# Requests that a server may have beyond those that it runs at a time.
+ENGINE_AHEAD: typing.Final = 4
+SERVICE_AHEAD: typing.Final = 2
+# How long a failed search for an adapter's place is not repeated.
+SEARCH_AGAIN_SECONDS: typing.Final = 0.05
+# Memory of the rate of requests for a model.
+RATE_SECONDS: typing.Final = 2.0
+
+_Key = tuple[str, str]
+
+
+class AdapterFinder(typing.Protocol):
+    """Brings an adapter to a server that holds its model."""
+
+    async def find(
+        self, service: str, model: str, adapter: str, deadline: float
+    ) -> str:
+        """Return the server that has the adapter, empty for none."""
+
+
+class ModelLoad(typing.NamedTuple):
+    """What callers of this instance ask of a model."""
+
+    arrivals: int
+    in_flight: int
+    waiting: int
+    oldest_wait_seconds: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiter:
+    """A request that waits, and what it gets."""
+
+    event: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    server: servers.Server | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class _Counts:
+    """Requests for one model."""
+
+    arrivals: int = 0
+    in_flight: int = 0
+
+
+class Scheduler:
+    """Chooses servers for the requests of this instance."""
+
+    def __init__(
+        self,
+        registry: registries.Registry,
+        domain: str,
+        clock: clocks.Clock,
+        rng: random.Random,
+        finder: AdapterFinder,
+    ) -> None:
+        self._registry = registry
+        self._domain = domain
+        self._clock = clock
+        self._rng = rng
+        self._finder = finder
+        self._services: dict[str, routes_api.Service] = {}
+        self._queue = queue.RequestQueue()
+        self._waiters: dict[int, _Waiter] = {}
+        self._numbers = itertools.count()
+        self._counts: dict[_Key, _Counts] = {}
+        self._searches: dict[tuple[str, str, str], float] = {}
+        self._used: dict[tuple[str, str, str], int] = {}
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    @property
+    def waiting(self) -> int:
+        """How many requests wait."""
+        return len(self._queue)
+
+    def configure(
+        self, services: abc.Mapping[str, routes_api.Service]
+    ) -> None:
+        """Take in the declared services."""
+        self._services = dict(services)
+
+    def loads(self) -> dict[_Key, ModelLoad]:
+        """Return what is asked of each model, by service and model."""
+        now = self._clock.now()
+        waiting: dict[_Key, list[float]] = {}
+        for ticket in self._queue.tickets:
+            key = (ticket.need.service, ticket.need.model)
+            waiting.setdefault(key, []).append(now - ticket.entered_at)
+        return {
+            key: ModelLoad(
+                counts.arrivals,
+                counts.in_flight,
+                len(waiting.get(key, ())),
+                max(waiting.get(key, (0.0,))),
+            )
+            for key, counts in self._counts.items()
+        }
+
+    def adapters_in_use(self) -> list[tuple[str, str, str]]:
+        """Return server, model and adapter of the requests under way."""
+        return list(self._used)
+
+    async def run(self) -> None:
+        """Move the queue until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._tasks = group
+            while True:
+                await anyio.sleep(TICK_SECONDS)
+                if self._waiters:
+                    self.pump()
+
+    def arrived(self, call: api.Call) -> None:
+        """Count a caller's request in the demand for its model."""
+        if call.terms.model:
+            self._count(call).arrivals += 1
+
+    async def acquire(
+        self,
+        call: api.Call,
+        avoid: frozenset[str],
+        give_up_at: float,
+    ) -> servers.Server | None:
+        """Return a server that counts the request, or nothing in time.
+
+        :param avoid: servers that failed the request before.
+        """
+        need = self._need(call, avoid)
+        server = None if len(self._queue) else self._choose(need)
+        if server is None:
+            server = await self._wait(call, need, give_up_at)
+        if server is None:
+            return None
+        self._begin(call, server)
+        return server
+
+    def release(self, call: api.Call, server: servers.Server) -> None:
+        """Note that a server is done with a request."""
+        server.end()
+        terms = call.terms
+        if terms.model:
+            self._count(call).in_flight -= 1
+        if terms.adapter:
+            key = (server.entry.server_id, terms.model, terms.adapter)
+            self._used[key] -= 1
+            if not self._used[key]:
+                del self._used[key]
+        if self._waiters:
+            self.pump()
+
+    def pump(self) -> None:
+        """Give waiting requests the servers that have room."""
+        now = self._clock.now()
+        for ticket in self._queue.expired(now):
+            self._finish(ticket.number, None)
+        for ticket, server in self._queue.assign(self._choose):
+            # Counted at once, so that the next one sees it.
+            server.begin()
+            self._finish(ticket.number, server)
+
+    def why_none(self, call: api.Call) -> api.RefusalReason:
+        """Return why a request found no server."""
+        candidates = self._registry.of_service(call.service)
+        if not candidates:
+            return api.RefusalReason.NO_SERVER
+        terms = call.terms
+        if not any(
+            item.holds(terms.model, terms.adapter) for item in candidates
+        ):
+            return api.RefusalReason.MODEL_ABSENT
+        return api.RefusalReason.OVERLOADED
+
+    async def _wait(
+        self, call: api.Call, need: choice.Need, give_up_at: float
+    ) -> servers.Server | None:
+        number = next(self._numbers)
+        waiter = self._waiters[number] = _Waiter()
+        self._queue.add(
+            queue.Ticket(
+                number,
+                call.route.priority,
+                give_up_at,
+                self._clock.now(),
+                need,
+            )
+        )
+        try:
+            self.pump()
+            await waiter.event.wait()
+        except BaseException:
+            self._queue.discard(number)
+            if waiter.server is not None:
+                waiter.server.end()
+            raise
+        finally:
+            self._waiters.pop(number, None)
+        if waiter.server is not None:
+            # ``_begin`` counts it for the request itself.
+            waiter.server.end()
+        return waiter.server
+
+    def _finish(self, number: int, server: servers.Server | None) -> None:
+        waiter = self._waiters[number]
+        waiter.server = server
+        waiter.event.set()
+
+    def _begin(self, call: api.Call, server: servers.Server) -> None:
+        server.begin()
+        terms = call.terms
+        if terms.model:
+            self._count(call).in_flight += 1
+        if terms.adapter:
+            key = (server.entry.server_id, terms.model, terms.adapter)
+            self._used[key] = self._used.get(key, 0) + 1
+
+    def _need(self, call: api.Call, avoid: frozenset[str]) -> choice.Need:
+        terms = call.terms
+        return choice.Need(call.service, terms.model, terms.adapter, avoid)
+
+    def _choose(self, need: choice.Need) -> servers.Server | None:
+        now = self._clock.now()
+        candidates = self._registry.of_service(need.service)
+        chosen = choice.choose(
+            candidates, need, self._domain, self._room, now, self._rng
+        )
+        if chosen is None and need.adapter:
+            self._search(need, candidates, now)
+        return chosen
+
+    def _room(self, server: servers.Server) -> float:
+        """Return how many requests a server may have from all instances."""
+        service = self._services.get(server.entry.service)
+        if service is not None and service.engine is not None:
+            return service.engine.slots + ENGINE_AHEAD
+        return server.entry.slots + SERVICE_AHEAD
+
+    def _search(
+        self,
+        need: choice.Need,
+        candidates: list[servers.Server],
+        now: float,
+    ) -> None:
+        """Have an adapter brought to a server that holds its model."""
+        key = (need.service, need.model, need.adapter)
+        if self._tasks is None or now < self._searches.get(key, now):
+            return
+        if not any(item.holds(need.model, '') for item in candidates):
+            return
+        self._searches[key] = float('inf')
+        self._tasks.start_soon(self._find, key)
+
+    async def _find(self, key: tuple[str, str, str]) -> None:
+        service, model, adapter = key
+        deadline = self._clock.now() + 1.0
+        server_id = await self._finder.find(service, model, adapter, deadline)
+        now = self._clock.now()
+        server = self._registry.get(server_id)
+        if server is None:
+            self._searches[key] = now + SEARCH_AGAIN_SECONDS
+        else:
+            self._searches.pop(key, None)
+            held = dict(server.held)
+            if model in held:
+                held[model] = held[model] | {adapter}
+            server.note_held(held, now)
+        self.pump()
+
+    def _count(self, call: api.Call) -> _Counts:
+        key = (call.service, call.terms.model)
+        counts = self._counts.get(key)
+        if counts is None:
+            counts = self._counts[key] = _Counts()
+        return counts
--- /dev/null
+++ b/src/dogwoodquay/gateway/serving.py
@@ -0,0 +1,69 @@
+"""Serves ASGI applications with hypercorn on the gateway's addresses."""
+
+from __future__ import annotations
+
+import logging
+import socket
+import typing
+
+from hypercorn import config as hypercorn_config
+
+from ..entry import server as entry_server
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from . import settings as gateway_settings
+
+__all__ = ['Listener']
+
+BACKLOG: typing.Final = 1024
+# Above the application's own bound, which answers with a reason.
+HEADER_BYTES: typing.Final = 64 << 10
+MAX_REQUESTS_ON_CONNECTION: typing.Final = 1_000_000
+# Until a configuration says how long callers may stay idle.
+KEEP_ALIVE_SECONDS: typing.Final = 15.0
+CLOSE_SECONDS: typing.Final = 0.5
+
+
+class Listener:
+    """One listening socket and its server."""
+
+    def __init__(self, address: gateway_settings.Address) -> None:
+        self._socket = _listen(address)
+        self._config = _config(self._socket)
+
+    def keep_idle(self, seconds: float) -> None:
+        """Keep idle connections for so long from now on."""
+        self._config.keep_alive_timeout = seconds
+
+    async def serve(
+        self, app: object, stop: abc.Callable[[], abc.Awaitable[None]]
+    ) -> None:
+        """Serve until ``stop`` returns, then close idle connections."""
+        await entry_server.serve_until(app, self._config, stop)
+
+
+def _listen(address: gateway_settings.Address) -> socket.socket:
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    listener.bind(address)
+    listener.listen(BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
+def _config(listener: socket.socket) -> hypercorn_config.Config:
+    config = hypercorn_config.Config()
+    config.bind = [f'fd://{listener.detach()}']
+    config.backlog = BACKLOG
+    config.h11_max_incomplete_size = HEADER_BYTES
+    config.keep_alive_timeout = KEEP_ALIVE_SECONDS
+    config.keep_alive_max_requests = MAX_REQUESTS_ON_CONNECTION
+    config.graceful_timeout = CLOSE_SECONDS
+    config.include_server_header = False
+    config.include_date_header = False
+    config.accesslog = None
+    config.errorlog = logging.getLogger('hypercorn.error')
+    return config
--- /dev/null
+++ b/src/dogwoodquay/gateway/settings.py
@@ -0,0 +1,41 @@
+"""Settings of an instance that forwards requests along routes."""
+
+from __future__ import annotations
+
+import typing
+
+__all__ = ['Address', 'InstanceSettings']
+
+
+class Address(typing.NamedTuple):
+    """An IP address and a port."""
+
+    host: str
+    port: int
+
+
+class InstanceSettings(typing.NamedTuple):
+    """Where an instance listens, what it may use and what it has to keep.
+
+    ``retry_share`` and ``retry_slack`` bound the repeats of all instances
+    together within ``retry_window_seconds``: the share of the requests plus
+    the slack.
+    """
+
+    instance_id: str
+    failure_domain: str
+    callers: Address
+    readiness: Address
+    peers: Address
+    store: Address
+    list_interval_seconds: float
+    drain_seconds: float
+    stop_seconds: float
+    lease_seconds: float
+    member_seconds: float
+    retry_share: float
+    retry_slack: int
+    retry_window_seconds: float
+    ceiling_window_seconds: float
+    ceiling_factor: float
+    memory_megabytes: int
--- /dev/null
+++ b/src/dogwoodquay/gateway/watch.py
@@ -0,0 +1,274 @@
+"""Follows the configuration and the list of servers on the store."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+
+from ..external import api as external_api
+from ..fleet import registry as registries
+from ..observe import logs
+from . import store_api
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    import expression
+
+    from .. import clock as clocks
+    from ..fleet import api as fleet_api
+    from . import metrics as gateway_metrics
+    from ..routes import api as routes_api
+
+__all__ = ['ConfigurationWatch', 'ServerWatch']
+
+_CONFIGURATION_LOG: typing.Final = logs.PartLog('configuration')
+_SERVERS_LOG: typing.Final = logs.PartLog('servers')
+_STORE_LOG: typing.Final = logs.PartLog('store')
+
+POLL_SECONDS: typing.Final = 20.0
+CALL_SECONDS: typing.Final = 1.0
+FIRST_BACKOFF_SECONDS: typing.Final = 0.1
+MAX_BACKOFF_SECONDS: typing.Final = 0.8
+# Entries that lapse need longer than this to do so.
+OUTAGE_SECONDS: typing.Final = 1.0
+# Lines about unreadable entries, for each interval.
+UNREADABLE_INTERVAL_SECONDS: typing.Final = 10.0
+
+
+class _Path:
+    """Whether the store answers, for the log and the pace of calls."""
+
+    def __init__(
+        self,
+        name: str,
+        clock: clocks.Clock,
+        metrics: gateway_metrics.GatewayMetrics,
+    ) -> None:
+        self._name = name
+        self._clock = clock
+        self._metrics = metrics
+        self._lost_at: float | None = None
+        self._backoff = FIRST_BACKOFF_SECONDS
+
+    def answered(self) -> float:
+        """Note an answer; return how long there was none."""
+        lost_at, self._lost_at = self._lost_at, None
+        self._backoff = FIRST_BACKOFF_SECONDS
+        if lost_at is None:
+            return 0.0
+        seconds = self._clock.now() - lost_at
+        _STORE_LOG.write(
+            'regained', watch=self._name, seconds=round(seconds, 3)
+        )
+        return seconds
+
+    async def failed(self, error: store_api.StoreError) -> None:
+        """Note a failed call and wait before the next one."""
+        reason = type(error).__name__
+        if not isinstance(error, external_api.Trimmed):
+            reason = error.reason
+        self._metrics.store_failed(reason)
+        if self._lost_at is None:
+            self._lost_at = self._clock.now()
+            _STORE_LOG.write('lost', watch=self._name, reason=reason)
+        await anyio.sleep(self._backoff)
+        self._backoff = min(2 * self._backoff, MAX_BACKOFF_SECONDS)
+
+
+class ConfigurationWatch:
+    """Puts each higher version of the configuration in force."""
+
+    def __init__(
+        self,
+        store: store_api.Store,
+        topic: store_api.Topic,
+        key: str,
+        decode: abc.Callable[
+            [bytes], expression.Result[routes_api.Configuration, str]
+        ],
+        clock: clocks.Clock,
+        metrics: gateway_metrics.GatewayMetrics,
+        on_change: abc.Callable[[routes_api.Configuration], None],
+    ) -> None:
+        self._store = store
+        self._topic = topic
+        self._key = key
+        self._decode = decode
+        self._clock = clock
+        self._on_change = on_change
+        self._path = _Path('configuration', clock, metrics)
+        self._offset: int | None = None
+        self._version = -1
+
+    @property
+    def version(self) -> int:
+        """The version in force, -1 before the first."""
+        return self._version
+
+    async def run(self) -> typing.NoReturn:
+        """Follow the store for ever."""
+        while True:
+            await self.step()
+
+    async def step(self) -> None:
+        """Read once, waiting for a change."""
+        if self._offset is None:
+            page = await self._store.newest(
+                self._topic, self._clock.now() + CALL_SECONDS
+            )
+        else:
+            page = await self._store.read(
+                self._topic,
+                self._offset,
+                POLL_SECONDS,
+                self._clock.now() + POLL_SECONDS + CALL_SECONDS,
+            )
+        if page.is_error():
+            if isinstance(page.error, external_api.Trimmed):
+                self._offset = None
+            await self._path.failed(page.error)
+            return
+        self._path.answered()
+        for record in page.ok.records:
+            if record.key == self._key and record.value:
+                self._take(record.value)
+        self._offset = page.ok.next_offset
+
+    def _take(self, value: bytes) -> None:
+        decoded = self._decode(value)
+        if decoded.is_error():
+            _CONFIGURATION_LOG.write('unreadable', reason=decoded.error)
+            return
+        configuration = decoded.ok
+        if configuration.version <= self._version:
+            return
+        before, self._version = self._version, configuration.version
+        self._on_change(configuration)
+        _CONFIGURATION_LOG.write(
+            'in_force',
+            version=configuration.version,
+            before=before,
+            routes=len(configuration.routes),
+        )
+
+
+class ServerWatch:
+    """Keeps the registry of servers as the platform's list says."""
+
+    def __init__(
+        self,
+        store: store_api.Store,
+        topic: store_api.Topic,
+        decode: abc.Callable[
+            [str, bytes], expression.Result[fleet_api.ServerEntry, str]
+        ],
+        registry: registries.Registry,
+        interval_seconds: float,
+        clock: clocks.Clock,
+        metrics: gateway_metrics.GatewayMetrics,
+        on_change: abc.Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._topic = topic
+        self._decode = decode
+        self._registry = registry
+        self._interval_seconds = interval_seconds
+        self._clock = clock
+        self._on_change = on_change
+        self._path = _Path('servers', clock, metrics)
+        self._offset: int | None = None
+        self._read_at = float('-inf')
+        self._told_at = float('-inf')
+
+    @property
+    def read_at(self) -> float:
+        """When the list was read last."""
+        return self._read_at
+
+    async def run(self) -> typing.NoReturn:
+        """Follow the store for ever, at an even pace."""
+        while True:
+            due = self._clock.now() + self._interval_seconds
+            await self.step()
+            await anyio.sleep(max(0.0, due - self._clock.now()))
+
+    async def step(self) -> None:
+        """Read once."""
+        began = self._clock.now()
+        deadline = began + CALL_SECONDS
+        whole = self._offset is None
+        if self._offset is None:
+            page = await self._store.newest(self._topic, deadline)
+        else:
+            page = await self._store.read(
+                self._topic, self._offset, 0.0, deadline
+            )
+        if page.is_error():
+            if isinstance(page.error, external_api.Trimmed):
+                self._offset = None
+            await self._path.failed(page.error)
+            return
+        now = self._clock.now()
+        if self._path.answered() > OUTAGE_SECONDS:
+            self._registry.store_returned(now)
+        if whole:
+            self._replace(page.ok.records, now)
+        else:
+            self._update(page.ok.records, now)
+        for server_id in self._registry.expire(now):
+            _SERVERS_LOG.write('removed', server=server_id, lapsed=True)
+        self._offset = page.ok.next_offset
+        self._read_at = began
+        if page.ok.records:
+            self._on_change()
+
+    def _replace(
+        self, records: tuple[store_api.NewestRecord, ...], now: float
+    ) -> None:
+        entries = [
+            entry for record in records if (entry := self._entry(record, now))
+        ]
+        changes = self._registry.replace(entries, now)
+        for server_id, change in changes.items():
+            self._tell(server_id, change)
+
+    def _update(
+        self, records: tuple[store_api.NewestRecord, ...], now: float
+    ) -> None:
+        for record in records:
+            if record.key and not record.value:
+                change = self._registry.remove(record.key, now)
+                self._tell(record.key, change)
+                continue
+            entry = self._entry(record, now)
+            if entry is not None:
+                change = self._registry.update(entry, now)
+                self._tell(record.key, change)
+
+    def _entry(
+        self, record: store_api.NewestRecord, now: float
+    ) -> fleet_api.ServerEntry | None:
+        if not record.key or not record.value:
+            return None
+        decoded = self._decode(record.key, record.value)
+        if decoded.is_ok():
+            return decoded.ok
+        if now - self._told_at > UNREADABLE_INTERVAL_SECONDS:
+            self._told_at = now
+            _SERVERS_LOG.write(
+                'unreadable', server=record.key, reason=decoded.error
+            )
+        return None
+
+    def _tell(self, server_id: str, change: registries.Change) -> None:
+        if change in (registries.Change.SAME, registries.Change.STALE):
+            return
+        server = self._registry.get(server_id)
+        _SERVERS_LOG.write(
+            change.value,
+            server=server_id,
+            service=server.entry.service if server else '',
+            report=server.entry.report_number if server else 0,
+        )
--- a/src/dogwoodquay/journal/api.py
+++ b/src/dogwoodquay/journal/api.py
@@ -10,7 +10,7 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
-    from ..platform import api as platform_api
+    from ..external import api as external_api
 
 __all__ = [
     'NewerSchema',
@@ -55,7 +55,7 @@
     def offset(self) -> int:
         """The last offset that is reflected here, -1 before the first."""
 
-    def apply(self, entry: platform_api.LogEntry) -> abc.Sequence[Verdict]:
+    def apply(self, entry: external_api.LogEntry) -> abc.Sequence[Verdict]:
         """Take in the next entry of the stream.
 
         :return: a verdict for each entry of the system's own in the record;
--- a/src/dogwoodquay/journal/checkpointer.py
+++ b/src/dogwoodquay/journal/checkpointer.py
@@ -14,8 +14,8 @@
     from collections import abc
 
     from .. import clock as clocks
+    from ..external import api as external_api
     from . import follower as followers
-    from ..platform import api as platform_api
 
 __all__ = ['Checkpointer']
 
@@ -31,7 +31,7 @@
     def __init__(
         self,
         follower: followers.Follower,
-        log: platform_api.Log,
+        log: external_api.Log,
         clock: clocks.Clock,
         is_writer: abc.Callable[[], bool],
         every_entries: int = EVERY_ENTRIES,
--- a/src/dogwoodquay/journal/follower.py
+++ b/src/dogwoodquay/journal/follower.py
@@ -11,7 +11,7 @@
 
 from . import api
 from . import checkpoint
-from ..platform import api as platform_api
+from ..external import api as external_api
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -60,7 +60,7 @@
         self,
         stream: str,
         state: api.Replayed,
-        log: platform_api.Log,
+        log: external_api.Log,
         clock: clocks.Clock,
         rng: random.Random,
         peers: api.SnapshotSource | None = None,
@@ -204,13 +204,13 @@
         if result.is_ok():
             return await self._take_page(result.ok)
         match result.error:
-            case platform_api.Trimmed(first_offset):
+            case external_api.Trimmed(first_offset):
                 return await self._cross_gap(first_offset)
             case failure:
                 await self._log_failed(failure.reason)
                 return False
 
-    async def _take_page(self, page: platform_api.LogPage) -> bool:
+    async def _take_page(self, page: external_api.LogPage) -> bool:
         if page.first_offset > self._state.offset + 1:
             return await self._cross_gap(page.first_offset)
         self._next_offset = page.next_offset
@@ -223,7 +223,7 @@
         self._set(StatusKind.FOLLOWING, '')
         return True
 
-    def _apply(self, entry: platform_api.LogEntry) -> bool:
+    def _apply(self, entry: external_api.LogEntry) -> bool:
         try:
             verdicts = self._state.apply(entry)
         except api.NewerSchema as error:
@@ -251,7 +251,7 @@
 
     def _skip(self, first_offset: int) -> None:
         self._lost_entries += first_offset - self._state.offset - 1
-        empty = platform_api.LogEntry(first_offset - 1, 0.0, b'')
+        empty = external_api.LogEntry(first_offset - 1, 0.0, b'')
         self._apply(empty)
 
     async def _log_failed(self, reason: str) -> None:
@@ -270,7 +270,7 @@
             )
             if result.is_ok():
                 page = result.ok
-            elif isinstance(result.error, platform_api.Trimmed):
+            elif isinstance(result.error, external_api.Trimmed):
                 self._checkpoint_offset = result.error.first_offset
                 continue
             else:
--- a/src/dogwoodquay/journal/writer.py
+++ b/src/dogwoodquay/journal/writer.py
@@ -13,8 +13,8 @@
 if typing.TYPE_CHECKING:
     from .. import clock as clocks
     from . import api
+    from ..external import api as external_api
     from . import follower as followers
-    from ..platform import api as platform_api
 
 __all__ = ['Undecided', 'Writer']
 
@@ -34,7 +34,7 @@
 
     def __init__(
         self,
-        log: platform_api.Log,
+        log: external_api.Log,
         follower: followers.Follower,
         codec: journal_entries.Codec[journal_entries.EntryT],
         clock: clocks.Clock,
--- a/src/dogwoodquay/ledger/core.py
+++ b/src/dogwoodquay/ledger/core.py
@@ -6,8 +6,8 @@
 import typing
 
 from . import entries
+from ..external import api as external_api
 from ..placement import api as placement_api
-from ..platform import api as platform_api
 from ..records import api as records_api
 from . import rules
 from . import servers as server_ledgers
@@ -29,7 +29,7 @@
     """
 
     server_id: str
-    order: platform_api.Order
+    order: external_api.Order
     sequence: int
     needs_intent: bool
 
@@ -174,11 +174,11 @@
 
     def _order(
         self, server: server_ledgers.ServerLedger, move: placement_api.Move
-    ) -> platform_api.Order:
-        return platform_api.Order(
+    ) -> external_api.Order:
+        return external_api.Order(
             order_id=f'{self._pool.name}-{self._epoch}-{self._sequence}',
             fence=self._epoch,
-            kind=platform_api.OrderKind(move.kind.value),
+            kind=external_api.OrderKind(move.kind.value),
             artifact=move.artifact,
             memory_bytes=move.memory_bytes,
             base=move.base,
@@ -326,7 +326,7 @@
         self.server_of(order_id).end(order_id, ran=True)
 
     def observe(
-        self, server_id: str, state: platform_api.EngineState, began: int
+        self, server_id: str, state: external_api.EngineState, began: int
     ) -> None:
         """Take in an engine's answer on its whole contents."""
         server = self._servers[server_id]
--- a/src/dogwoodquay/ledger/entries.py
+++ b/src/dogwoodquay/ledger/entries.py
@@ -4,9 +4,9 @@
 
 import enum
 
+from ..external import api as external_api
 from ..journal import entries as journal_entries
 from ..ownership import entries as ownership_entries
-from ..platform import api as platform_api
 
 __all__ = [
     'CODEC',
@@ -38,7 +38,7 @@
     epoch: int
     sequence: int
     server_id: str
-    order: platform_api.Order
+    order: external_api.Order
 
 
 class Outcome(journal_entries.Entry, frozen=True, tag='outcome', kw_only=True):
--- a/src/dogwoodquay/ledger/execution.py
+++ b/src/dogwoodquay/ledger/execution.py
@@ -8,7 +8,7 @@
 import anyio
 
 from . import entries
-from ..platform import api as platform_api
+from ..external import api as external_api
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -34,7 +34,7 @@
     """
 
     ledger: core.PoolLedger
-    engine: platform_api.Engine
+    engine: external_api.Engine
     writer: journal_writer.Writer[entries.LedgerEntry]
     clock: clocks.Clock
     changed: abc.Callable[[], None]
@@ -43,7 +43,7 @@
     async def execute(self, approved: core.Approved) -> None:
         """Carry out an approved order."""
         self.changed()
-        if approved.order.kind is platform_api.OrderKind.UNLOAD:
+        if approved.order.kind is external_api.OrderKind.UNLOAD:
             await anyio.sleep(self.withdraw_seconds)
         if approved.needs_intent and not await self._log_intent(approved):
             self.ledger.give_up(approved.order.order_id)
@@ -64,7 +64,7 @@
         self.ledger.logged(approved.order.order_id)
         return True
 
-    async def resolve(self, order: platform_api.Order) -> None:
+    async def resolve(self, order: external_api.Order) -> None:
         """Send an order, again if need be, until its end is known."""
         pause = RETRY_SECONDS
         while self._open(order):
@@ -76,17 +76,17 @@
             await anyio.sleep(pause)
             pause = min(MAX_RETRY_SECONDS, 2 * pause)
 
-    def _open(self, order: platform_api.Order) -> bool:
+    def _open(self, order: external_api.Order) -> bool:
         charged = self.ledger.locate(order.order_id)
         return charged is not None and charged.open
 
-    def _may_repeat(self, order: platform_api.Order) -> bool:
+    def _may_repeat(self, order: external_api.Order) -> bool:
         charged = self.ledger.locate(order.order_id)
         if charged is None or not charged.logged:
             return charged is not None
         return self.ledger.pool.order_bound_seconds <= 0
 
-    async def _send(self, order: platform_api.Order) -> None:
+    async def _send(self, order: external_api.Order) -> None:
         server = self.ledger.server_of(order.order_id).server
         self.ledger.sending(order.order_id)
         deadline = self.clock.now() + ORDER_SECONDS
@@ -97,12 +97,12 @@
             self.ledger.done(order.order_id)
             return
         match result.error:
-            case platform_api.Ambiguous():
+            case external_api.Ambiguous():
                 self.ledger.lost(order.order_id)
-            case platform_api.StaleFence():
+            case external_api.StaleFence():
                 self.ledger.supersede()
                 self.ledger.refused(order.order_id)
-            case platform_api.Refused():
+            case external_api.Refused():
                 self.ledger.refused(order.order_id)
-            case platform_api.Unavailable():
+            case external_api.Unavailable():
                 self.ledger.unsent(order.order_id)
--- a/src/dogwoodquay/ledger/polling.py
+++ b/src/dogwoodquay/ledger/polling.py
@@ -5,7 +5,7 @@
 import dataclasses
 import typing
 
-from ..platform import api as platform_api
+from ..external import api as external_api
 
 if typing.TYPE_CHECKING:
     from .. import clock as clocks
@@ -24,7 +24,7 @@
 
     ledger: core.PoolLedger
     server_id: str
-    engine: platform_api.Engine
+    engine: external_api.Engine
     clock: clocks.Clock
     _failing_since: float | None = None
 
@@ -47,7 +47,7 @@
             self._failing_since = None
             self.ledger.observe(self.server_id, result.ok, began)
             return True
-        if isinstance(result.error, platform_api.StaleFence):
+        if isinstance(result.error, external_api.StaleFence):
             self.ledger.supersede()
         self._note_failure()
         return False
--- a/src/dogwoodquay/ledger/replay.py
+++ b/src/dogwoodquay/ledger/replay.py
@@ -8,11 +8,11 @@
 import msgspec
 
 from . import entries
+from ..external import api as external_api
 from ..journal import api as journal_api
 from ..journal import entries as journal_entries
 from ..ownership import core as ownership_core
 from ..ownership import entries as ownership_entries
-from ..platform import api as platform_api
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -25,7 +25,7 @@
 
     epoch: int
     server_id: str
-    order: platform_api.Order
+    order: external_api.Order
     time: float
 
 
@@ -84,7 +84,7 @@
         return types.MappingProxyType(self._image.slots)
 
     def apply(
-        self, entry: platform_api.LogEntry
+        self, entry: external_api.LogEntry
     ) -> tuple[journal_api.Verdict, ...]:
         """Take in a record; each entry is judged by the state before it."""
         verdicts = []
@@ -108,7 +108,7 @@
         self._image = msgspec.structs.replace(self._image, **fields)
 
     def _apply(
-        self, item: entries.LedgerEntry, entry: platform_api.LogEntry
+        self, item: entries.LedgerEntry, entry: external_api.LogEntry
     ) -> bool:
         match item:
             case ownership_entries.Claim() | ownership_entries.Release():
--- a/src/dogwoodquay/ledger/rules.py
+++ b/src/dogwoodquay/ledger/rules.py
@@ -6,8 +6,8 @@
 import typing
 
 from . import catalog as catalogs
+from ..external import api as external_api
 from ..placement import api as placement_api
-from ..platform import api as platform_api
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -75,15 +75,15 @@
                 return self.check_unload(server, move.artifact)
 
     def check_order(
-        self, server: server_ledgers.ServerLedger, order: platform_api.Order
+        self, server: server_ledgers.ServerLedger, order: external_api.Order
     ) -> Denial | None:
         """Judge the sending of an order that is charged already."""
         match order.kind:
-            case platform_api.OrderKind.LOAD:
+            case external_api.OrderKind.LOAD:
                 return self.check_load(server, order.artifact, order.base, 0)
-            case platform_api.OrderKind.UNLOAD:
+            case external_api.OrderKind.UNLOAD:
                 return self.check_unload(server, order.artifact)
-            case platform_api.OrderKind.SET_ROLE:
+            case external_api.OrderKind.SET_ROLE:
                 return None
 
     def check_load(
--- a/src/dogwoodquay/ledger/servers.py
+++ b/src/dogwoodquay/ledger/servers.py
@@ -5,7 +5,7 @@
 import dataclasses
 import typing
 
-from ..platform import api as platform_api
+from ..external import api as external_api
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -23,7 +23,7 @@
     ``ended_at`` are versions of the server's ledger.
     """
 
-    order: platform_api.Order
+    order: external_api.Order
     foreign: bool
     known_at: int
     logged: bool = False
@@ -59,13 +59,13 @@
         self.written_off = False
         self._fencing = fencing
         self._epoch = epoch
-        self._state: platform_api.EngineState | None = None
+        self._state: external_api.EngineState | None = None
         self._version = 0
         self._orders: dict[str, OpenOrder] = {}
         self._bases: dict[str, str] = {}
 
     @property
-    def state(self) -> platform_api.EngineState | None:
+    def state(self) -> external_api.EngineState | None:
         """The last observation."""
         return self._state
 
@@ -137,7 +137,7 @@
         running = {
             charged.order.artifact
             for charged in self._orders.values()
-            if charged.order.kind is platform_api.OrderKind.LOAD
+            if charged.order.kind is external_api.OrderKind.LOAD
         }
         running -= {item.artifact for item in self._artifacts() if item.ready}
         running |= {
@@ -154,7 +154,7 @@
         }
         for charged in self._orders.values():
             order = charged.order
-            if order.kind is platform_api.OrderKind.LOAD:
+            if order.kind is external_api.OrderKind.LOAD:
                 known = contents.get(order.artifact, 0)
                 contents[order.artifact] = max(known, order.memory_bytes)
         return contents
@@ -166,7 +166,7 @@
         unloads = {
             charged.order.artifact
             for charged in self._orders.values()
-            if charged.order.kind is platform_api.OrderKind.UNLOAD
+            if charged.order.kind is external_api.OrderKind.UNLOAD
         }
         return frozenset(
             item.artifact
@@ -180,7 +180,7 @@
         """Whether an order may withdraw an artifact."""
         return any(
             charged.order.artifact == artifact
-            and charged.order.kind is platform_api.OrderKind.UNLOAD
+            and charged.order.kind is external_api.OrderKind.UNLOAD
             for charged in self._orders.values()
         )
 
@@ -191,9 +191,9 @@
             for charged in self._orders.values()
         )
 
-    def starts_load(self, order: platform_api.Order) -> bool:
+    def starts_load(self, order: external_api.Order) -> bool:
         """Whether sending an order can start a load that is not running."""
-        if order.kind is not platform_api.OrderKind.LOAD:
+        if order.kind is not external_api.OrderKind.LOAD:
             return False
         return all(
             item.artifact != order.artifact for item in self._artifacts()
@@ -203,12 +203,12 @@
         """Return the base that an adapter was loaded on, if known."""
         return self._bases.get(artifact, '')
 
-    def add(self, order: platform_api.Order, foreign: bool) -> OpenOrder:
+    def add(self, order: external_api.Order, foreign: bool) -> OpenOrder:
         """Charge an order from now on."""
         self._version += 1
         charged = OpenOrder(order, foreign, self._version, logged=foreign)
         self._orders[order.order_id] = charged
-        if order.kind is platform_api.OrderKind.LOAD and order.base:
+        if order.kind is external_api.OrderKind.LOAD and order.base:
             self._bases[order.artifact] = order.base
         return charged
 
@@ -230,7 +230,7 @@
         return self._version
 
     def observe(
-        self, state: platform_api.EngineState, began: int
+        self, state: external_api.EngineState, began: int
     ) -> tuple[str, ...]:
         """Take in an observation; only one may be under way at a time.
 
@@ -252,5 +252,5 @@
                 dropped.append(order_id)
         return tuple(dropped)
 
-    def _artifacts(self) -> tuple[platform_api.ArtifactState, ...]:
+    def _artifacts(self) -> tuple[external_api.ArtifactState, ...]:
         return () if self._state is None else self._state.artifacts
--- a/src/dogwoodquay/ledger/tenure.py
+++ b/src/dogwoodquay/ledger/tenure.py
@@ -25,9 +25,9 @@
     from collections import abc
 
     from .. import clock as clocks
+    from ..external import api as external_api
     from ..journal import follower as followers
     from ..journal import writer as journal_writer
-    from ..platform import api as platform_api
     from . import replay
 
 __all__ = ['Parts', 'TenureRun']
@@ -54,7 +54,7 @@
     """
 
     instance_id: str
-    engine: platform_api.Engine
+    engine: external_api.Engine
     state: replay.DutyState
     follower: followers.Follower
     writer: journal_writer.Writer[entries.LedgerEntry]
--- a/src/dogwoodquay/membership/core.py
+++ b/src/dogwoodquay/membership/core.py
@@ -26,7 +26,7 @@
 if typing.TYPE_CHECKING:
     import random
 
-    from ..platform import api as platform_api
+    from ..external import api as external_api
 
 __all__ = ['Detector', 'first_incarnation']
 
@@ -183,7 +183,7 @@
         return effects if self._neighbours else effects + self._rewire()
 
     def listed(
-        self, instances: typing.Sequence[platform_api.Instance]
+        self, instances: typing.Sequence[external_api.Instance]
     ) -> None:
         """Take in the platform's lagging list."""
         own = self._own.instance_id
--- a/src/dogwoodquay/membership/seeds.py
+++ b/src/dogwoodquay/membership/seeds.py
@@ -11,7 +11,7 @@
     from collections import abc
     import random
 
-    from ..platform import api as platform_api
+    from ..external import api as external_api
     from . import settings
 
 __all__ = ['Seeds']
@@ -27,7 +27,7 @@
     ) -> None:
         self._limits = limits
         self._rng = rng
-        self._listed: dict[str, platform_api.Instance] = {}
+        self._listed: dict[str, external_api.Instance] = {}
         self._retry_at: dict[str, float] = {}
         self._known = False
 
@@ -36,7 +36,7 @@
         """Whether the list was read and names no other instance."""
         return self._known and not self._listed
 
-    def replace(self, instances: abc.Iterable[platform_api.Instance]) -> None:
+    def replace(self, instances: abc.Iterable[external_api.Instance]) -> None:
         """Take in the list, without this instance."""
         self._known = True
         self._listed = {i.instance_id: i for i in instances}
--- a/src/dogwoodquay/membership/shell.py
+++ b/src/dogwoodquay/membership/shell.py
@@ -20,8 +20,8 @@
     import random
 
     from .. import clock as clocks
+    from ..external import api as external_api
     from ..gossip import shell as gossip_shell
-    from ..platform import api as platform_api
 
 __all__ = ['GossipMembership']
 
@@ -45,7 +45,7 @@
         own: api.Member,
         transport: wire_api.Transport,
         board: gossip_shell.GossipBoard,
-        instances: platform_api.InstanceList,
+        instances: external_api.InstanceList,
         clock: clocks.Clock,
         rng: random.Random,
         limits: settings.DetectorSettings | None = None,
--- a/src/dogwoodquay/node/callers.py
+++ b/src/dogwoodquay/node/callers.py
@@ -30,10 +30,10 @@
 
     from .. import clock as clocks
     from . import configuration as configurations
+    from ..external import api as external_api
     from ..gossip import api as gossip_api
     from ..membership import api as membership_api
     from ..once import api as once_api
-    from ..platform import api as platform_api
     from ..records import api as records_api
     from ..settings import schema
     from . import views as boards
@@ -50,8 +50,8 @@
     configuration: configurations.Configuration
     router: routing_api.Router
     claims: once_api.Claims
-    engine: platform_api.Engine
-    services: platform_api.PlainService
+    engine: external_api.Engine
+    services: external_api.PlainService
     transport: wire_api.Transport
     membership: membership_api.Membership
     board: gossip_api.Board
--- a/src/dogwoodquay/node/configuration.py
+++ b/src/dogwoodquay/node/configuration.py
@@ -12,7 +12,7 @@
     import random
 
     from .. import clock as clocks
-    from ..platform import api as platform_api
+    from ..external import api as external_api
     from ..records import api as records_api
     from . import snapshots
 
@@ -26,7 +26,7 @@
 
     def __init__(
         self,
-        log: platform_api.Log,
+        log: external_api.Log,
         peers: snapshots.PeerSnapshots,
         clock: clocks.Clock,
         rng: random.Random,
--- a/src/dogwoodquay/node/duties.py
+++ b/src/dogwoodquay/node/duties.py
@@ -21,8 +21,8 @@
     import random
 
     from .. import clock as clocks
+    from ..external import api as external_api
     from ..membership import api as membership_api
-    from ..platform import api as platform_api
     from . import snapshots
 
 __all__ = ['Duty', 'DutyParts', 'StreamCheckpoints']
@@ -34,7 +34,7 @@
 
     instance_id: str
     incarnation: int
-    log: platform_api.Log
+    log: external_api.Log
     membership: membership_api.Membership
     peer_snapshots: snapshots.PeerSnapshots
     clock: clocks.Clock
--- a/src/dogwoodquay/node/instance.py
+++ b/src/dogwoodquay/node/instance.py
@@ -15,6 +15,7 @@
 from . import callers as caller_side
 from . import configuration as configurations
 from . import duties
+from ..external import http as external_http
 from ..gossip import core as gossip_core
 from ..gossip import shell as gossip_shell
 from . import inforce
@@ -26,7 +27,6 @@
 from ..once import shell as once_shell
 from . import operators as operator_side
 from . import permits
-from ..platform import http as platform_http
 from . import pools
 from ..routing import router as routers
 from . import snapshots
@@ -95,7 +95,7 @@
         """Run from the start to the end of a planned stop."""
         async with contextlib.AsyncExitStack() as stack:
             connections = await stack.enter_async_context(
-                platform_http.Connections(self._clock)
+                external_http.Connections(self._clock)
             )
             peers = wire_peers.Peers(
                 self._wire_settings(), self._clock, self._rng
@@ -152,7 +152,7 @@
         settings: schema.Settings,
         clock: clocks.Clock,
         rng: random.Random,
-        connections: platform_http.Connections,
+        connections: external_http.Connections,
         peers: wire_peers.Peers,
     ) -> None:
         self._settings = settings
@@ -164,11 +164,11 @@
         own = self._own_member()
         boot = membership_api.boot_of(own.incarnation)
         platform = settings.platform
-        log = platform_http.HttpLog(
+        log = external_http.HttpLog(
             connections, clock, platform.log.address, platform.log.port
         )
-        engine = platform_http.HttpEngine(connections)
-        services = platform_http.HttpPlainService(connections)
+        engine = external_http.HttpEngine(connections)
+        services = external_http.HttpPlainService(connections)
         self._router = routers.ScoringRouter(settings.instance.failure_domain)
         self._board = gossip_shell.GossipBoard(
             peers,
@@ -180,7 +180,7 @@
             ),
         )
         self._watch = watches.InstanceWatch(
-            platform_http.HttpInstanceList(
+            external_http.HttpInstanceList(
                 connections,
                 platform.instance_list.address,
                 platform.instance_list.port,
--- a/src/dogwoodquay/node/instances.py
+++ b/src/dogwoodquay/node/instances.py
@@ -11,8 +11,8 @@
 import anyio
 import expression
 
+from ..external import api as external_api
 from ..gossip import api as gossip_api
-from ..platform import api as platform_api
 
 if typing.TYPE_CHECKING:
     from .. import clock as clocks
@@ -25,7 +25,7 @@
 READ_SECONDS: typing.Final = 2.0
 LEAVING_LIFETIME_SECONDS: typing.Final = 600.0
 
-_NOT_READ: typing.Final = platform_api.Unavailable('not read yet')
+_NOT_READ: typing.Final = external_api.Unavailable('not read yet')
 
 
 class InstanceWatch:
@@ -33,7 +33,7 @@
 
     def __init__(
         self,
-        source: platform_api.InstanceList,
+        source: external_api.InstanceList,
         board: gossip_api.Board,
         router: routing_api.Router,
         clock: clocks.Clock,
@@ -43,10 +43,10 @@
         self._router = router
         self._clock = clock
         self._last: expression.Result[
-            tuple[platform_api.Instance, ...], platform_api.Unavailable
+            tuple[external_api.Instance, ...], external_api.Unavailable
         ] = expression.Error(_NOT_READ)
         self._leaving: frozenset[str] = frozenset()
-        self._listed: dict[str, platform_api.InstanceState] = {}
+        self._listed: dict[str, external_api.InstanceState] = {}
         board.watch(LEAVING_PREFIX, self._take_leaving)
 
     @property
@@ -57,21 +57,21 @@
     async def instances(
         self, deadline: float
     ) -> expression.Result[
-        tuple[platform_api.Instance, ...], platform_api.Unavailable
+        tuple[external_api.Instance, ...], external_api.Unavailable
     ]:
         """Return the system's own instances on the list as last read."""
         return self._last.map(
             lambda found: tuple(
                 item
                 for item in found
-                if item.kind is platform_api.InstanceKind.ENTRY
+                if item.kind is external_api.InstanceKind.ENTRY
             )
         )
 
     async def announce(
-        self, instance: platform_api.Instance, deadline: float
+        self, instance: external_api.Instance, deadline: float
     ) -> expression.Result[
-        None, platform_api.Unavailable | platform_api.Ambiguous
+        None, external_api.Unavailable | external_api.Ambiguous
     ]:
         """Enter this instance on the list, or change its state there."""
         return await self._source.announce(instance, deadline)
@@ -94,20 +94,20 @@
         self._take_upstreams(result.ok)
 
     def _take_upstreams(
-        self, listed: tuple[platform_api.Instance, ...]
+        self, listed: tuple[external_api.Instance, ...]
     ) -> None:
         upstreams = [
             item
             for item in listed
-            if item.kind is platform_api.InstanceKind.UPSTREAM
+            if item.kind is external_api.InstanceKind.UPSTREAM
         ]
         for item in upstreams:
             before = self._listed.get(
-                item.instance_id, platform_api.InstanceState.LIVE
+                item.instance_id, external_api.InstanceState.LIVE
             )
             self._listed[item.instance_id] = item.state
             if item.state is not before:
-                leaving = item.state is platform_api.InstanceState.LEAVING
+                leaving = item.state is external_api.InstanceState.LEAVING
                 self._tell(item.instance_id, leaving)
 
     def _tell(self, server_id: str, leaving: bool) -> None:
--- a/src/dogwoodquay/node/pools.py
+++ b/src/dogwoodquay/node/pools.py
@@ -19,9 +19,9 @@
     from collections import abc
 
     from . import demand as demands
+    from ..external import api as external_api
     from . import instances as watches
     from ..ledger import allowance
-    from ..platform import api as platform_api
     from ..records import api as records_api
     from . import views as boards
 
@@ -50,7 +50,7 @@
 class PoolParts:
     """What owning a pool needs beside the duty itself."""
 
-    engine: platform_api.Engine
+    engine: external_api.Engine
     permits: allowance.PermitSource
     views: boards.ViewBoard
     demand: demands.DemandExchange
--- a/src/dogwoodquay/node/stopping.py
+++ b/src/dogwoodquay/node/stopping.py
@@ -6,8 +6,8 @@
 
 import anyio
 
+from ..external import api as external_api
 from ..observe import logs
-from ..platform import api as platform_api
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -56,7 +56,7 @@
         self._pools = pools
         self._weights = weights
         self._callers = callers
-        self._state = platform_api.InstanceState.LIVE
+        self._state = external_api.InstanceState.LIVE
 
     async def announce(self) -> None:
         """Keep this instance on the platform's list until cancelled."""
@@ -72,7 +72,7 @@
         await stop.wait()
         _LOG.write('began', in_flight=self._callers.in_flight)
         self._callers.health.drain()
-        self._state = platform_api.InstanceState.LEAVING
+        self._state = external_api.InstanceState.LEAVING
         self._membership.leave()
         async with anyio.create_task_group() as group:
             group.start_soon(self._enter_list)
@@ -84,7 +84,7 @@
 
     async def _enter_list(self) -> None:
         address = self._address()
-        instance = platform_api.Instance(
+        instance = external_api.Instance(
             self._own.instance_id,
             address.address,
             address.port,
--- a/src/dogwoodquay/node/upstreams.py
+++ b/src/dogwoodquay/node/upstreams.py
@@ -10,7 +10,7 @@
     from collections import abc
 
     from .. import clock as clocks
-    from ..platform import api as platform_api
+    from ..external import api as external_api
     from ..pools import api as pools_api
     from ..records import api as records_api
     from ..routing import api as routing_api
@@ -32,8 +32,8 @@
 
     def __init__(
         self,
-        engine: platform_api.Engine,
-        services: platform_api.PlainService,
+        engine: external_api.Engine,
+        services: external_api.PlainService,
         router: routing_api.Router,
         catalog: abc.Callable[[], records_api.Catalog],
         views: abc.Callable[[], tuple[pools_api.PoolView, ...]],
--- a/src/dogwoodquay/node/views.py
+++ b/src/dogwoodquay/node/views.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
+from ..external import api as external_api
 from ..gossip import api as gossip_api
 from ..journal import entries as journal_entries
-from ..platform import api as platform_api
 from ..pools import api as pools_api
 
 if typing.TYPE_CHECKING:
@@ -25,7 +25,7 @@
 
 class _ServerLoad(msgspec.Struct, frozen=True, array_like=True):
     server_id: str
-    report: platform_api.LoadReport
+    report: external_api.LoadReport
 
 
 class PoolLoads(msgspec.Struct, frozen=True, array_like=True):
--- a/src/dogwoodquay/once/batcher.py
+++ b/src/dogwoodquay/once/batcher.py
@@ -9,7 +9,7 @@
 import anyio
 
 from . import entries
-from ..platform import api as platform_api
+from ..external import api as external_api
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -37,7 +37,7 @@
 
     async def append(
         self, stream: str, payload: bytes, deadline: float
-    ) -> expression.Result[int, platform_api.LogError]:
+    ) -> expression.Result[int, external_api.LogError]:
         """Append one record."""
 
 
@@ -193,7 +193,7 @@
                 ticket.appended = True
                 ticket.ended.set()
             return True
-        if not isinstance(result.error, platform_api.Ambiguous):
+        if not isinstance(result.error, external_api.Ambiguous):
             for ticket, landed in zip(batch, before, strict=True):
                 ticket.may_land = landed
         for ticket in batch:
--- a/src/dogwoodquay/once/relay.py
+++ b/src/dogwoodquay/once/relay.py
@@ -15,7 +15,7 @@
 import xxhash
 
 from . import entries
-from ..platform import api as platform_api
+from ..external import api as external_api
 from ..wire import api as wire_api
 
 if typing.TYPE_CHECKING:
@@ -59,7 +59,7 @@
 
     def __init__(
         self,
-        log: platform_api.Log,
+        log: external_api.Log,
         members: membership_api.Membership,
         transport: wire_api.Transport,
         clock: clocks.Clock,
@@ -94,7 +94,7 @@
 
     async def append(
         self, stream: str, payload: bytes, deadline: float
-    ) -> expression.Result[int, platform_api.LogError]:
+    ) -> expression.Result[int, external_api.LogError]:
         """Append a record; the offset is -1 when a relay did it."""
         relay = self._relay(stream)
         if relay is None:
@@ -109,7 +109,7 @@
             case expression.Result(error=wire_api.Unreachable()):
                 return await self._log.append(stream, payload, deadline)
             case _:
-                return expression.Error(platform_api.Ambiguous('relay'))
+                return expression.Error(external_api.Ambiguous('relay'))
 
     def _relay(self, stream: str) -> membership_api.Member | None:
         own = self._members.own
@@ -153,14 +153,14 @@
 
 def _result(
     outcome: RelayOutcome,
-) -> expression.Result[int, platform_api.LogError]:
+) -> expression.Result[int, external_api.LogError]:
     match outcome:
         case RelayOutcome.APPENDED:
             return expression.Ok(-1)
         case RelayOutcome.UNSURE:
-            return expression.Error(platform_api.Ambiguous('relay'))
+            return expression.Error(external_api.Ambiguous('relay'))
         case RelayOutcome.FAILED:
-            return expression.Error(platform_api.Unavailable('relay'))
+            return expression.Error(external_api.Unavailable('relay'))
 
 
 def _rank(salt: str, member: membership_api.Member) -> int:
--- a/src/dogwoodquay/once/shard.py
+++ b/src/dogwoodquay/once/shard.py
@@ -19,8 +19,8 @@
 
     from .. import clock as clocks
     from . import entries
+    from ..external import api as external_api
     from ..journal import api as journal_api
-    from ..platform import api as platform_api
 
 __all__ = ['Shard']
 
@@ -35,7 +35,7 @@
         stream: str,
         instance: str,
         boot: int,
-        log: platform_api.Log,
+        log: external_api.Log,
         appender: batcher.Appender,
         clock: clocks.Clock,
         rng: random.Random,
--- a/src/dogwoodquay/once/shell.py
+++ b/src/dogwoodquay/once/shell.py
@@ -21,10 +21,10 @@
     import random
 
     from .. import clock as clocks
+    from ..external import api as external_api
     from ..journal import api as journal_api
     from ..journal import follower as journal_follower
     from ..membership import api as membership_api
-    from ..platform import api as platform_api
 
 __all__ = ['ClaimSettings', 'LogClaims']
 
@@ -57,7 +57,7 @@
     def __init__(
         self,
         settings: ClaimSettings,
-        log: platform_api.Log,
+        log: external_api.Log,
         members: membership_api.Membership,
         transport: wire_api.Transport,
         clock: clocks.Clock,
--- a/src/dogwoodquay/once/table.py
+++ b/src/dogwoodquay/once/table.py
@@ -21,7 +21,7 @@
 from . import records
 
 if typing.TYPE_CHECKING:
-    from ..platform import api as platform_api
+    from ..external import api as external_api
 
 __all__ = [
     'ANSWERS_BYTES',
@@ -156,7 +156,7 @@
         return wanted // records.MINUTE_MS * records.MINUTE_MS
 
     def apply(
-        self, entry: platform_api.LogEntry
+        self, entry: external_api.LogEntry
     ) -> tuple[journal_api.Verdict, ...]:
         """Take in the next record; an empty one stands for lost ones."""
         batch = entries.CODEC.decode(entry.payload) if entry.payload else ()
--- a/src/dogwoodquay/operators/publisher.py
+++ b/src/dogwoodquay/operators/publisher.py
@@ -11,8 +11,8 @@
 import anyio.abc
 import msgspec
 
+from ..external import api as external_api
 from ..journal import follower as followers
-from ..platform import api as platform_api
 from ..records import catalog
 from ..records import state as records_state
 
@@ -49,7 +49,7 @@
 
     def __init__(
         self,
-        log: platform_api.Log,
+        log: external_api.Log,
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
@@ -98,7 +98,7 @@
             if result.is_ok():
                 return 'the record was not read back'
             match result.error:
-                case platform_api.Unavailable(reason=text):
+                case external_api.Unavailable(reason=text):
                     reason = f'the log is out of reach: {text}'
                 case other:
                     return f'the append has no known end: {other}'
--- a/src/dogwoodquay/platform/__init__.py
+++ b/src/dogwoodquay/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Adapters for the outside systems: log, instance list, weights, upstreams."""
+"""Adapter to the store, servers and settings of the users' platform."""
--- /dev/null
+++ b/src/dogwoodquay/platform/headers.py
@@ -0,0 +1,178 @@
+"""Reads and writes the headers of requests and answers."""
+
+from __future__ import annotations
+
+import math
+import typing
+
+from ..gateway import api
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+__all__ = ['answer_terms', 'caller_terms', 'for_caller', 'for_server']
+
+_ATTEMPT: typing.Final = b'attempt-id'
+# How long the caller waits in all, which is a duration and no deadline.
+_DEADLINE: typing.Final = b'deadline-ms'
+_LAST_EVENT: typing.Final = b'last-event-id'
+_MODEL: typing.Final = b'model'
+# The tokens of the prompt and the most tokens of the answer.
+_TOKENS: typing.Final = b'token-usage'
+_PREFIX: typing.Final = b'prompt-prefix'
+_EXPECTED_SERVER: typing.Final = b'expect-instance'
+_URGENCY: typing.Final = b'request-priority'
+_NOT_EXECUTED: typing.Final = b'not-executed'
+# Marks an answer as a server's own.
+_STAMP: typing.Final = b'response-stamp'
+_LOAD: typing.Final = b'server-load'
+
+_MISDIRECTED: typing.Final = 421
+_URGENCIES: typing.Final = 9
+
+_ONE_CONNECTION: typing.Final = frozenset(
+    {
+        b'connection',
+        b'expect',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    }
+)
+_OURS: typing.Final = frozenset(
+    {
+        _DEADLINE,
+        _EXPECTED_SERVER,
+        _LAST_EVENT,
+        _URGENCY,
+        b'content-length',
+        b'expect-version',
+        b'hold',
+        b'kv-backup',
+        b'kv-fetch',
+        b'kv-from',
+        b'pin-ms',
+    }
+)
+
+
+def caller_terms(
+    headers: abc.Iterable[tuple[bytes, bytes]],
+) -> api.CallerTerms:
+    """Read what a caller's headers say; names are in lower case."""
+    found = dict(headers)
+    model, _, adapter = _text(found, _MODEL).partition('/')
+    prompt, _, output = _text(found, _TOKENS).partition(',')
+    wait = _number(_text(found, _DEADLINE))
+    last = _text(found, _LAST_EVENT).strip()
+    return api.CallerTerms(
+        attempt_id=_text(found, _ATTEMPT),
+        wait_seconds=math.inf if wait is None else wait / 1000,
+        model=model,
+        adapter=adapter,
+        prompt_tokens=int(_number(prompt) or 0),
+        output_tokens=int(_number(output) or 0),
+        prompt_parts=_parts(_text(found, _PREFIX)),
+        last_event=int(last) if last.isdecimal() else api.NO_EVENT,
+    )
+
+
+def for_server(
+    headers: api.RawHeaders, outgoing: api.Outgoing
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers with which a request goes to a server."""
+    named = _connection_names(headers)
+    kept = [
+        (name, value)
+        for name, value in headers
+        if name not in _ONE_CONNECTION
+        and name not in _OURS
+        and name not in named
+    ]
+    wait_ms = max(1, int(outgoing.wait_seconds * 1000))
+    kept.append((_DEADLINE, b'%d' % wait_ms))
+    kept.append((_EXPECTED_SERVER, outgoing.server_id.encode('latin-1')))
+    urgency = min(max(outgoing.urgency, 0), _URGENCIES)
+    kept.append((_URGENCY, b'%d' % urgency))
+    if outgoing.last_event != api.NO_EVENT:
+        kept.append((_LAST_EVENT, b'%d' % outgoing.last_event))
+    return kept
+
+
+def for_caller(
+    headers: abc.Iterable[tuple[bytes, bytes]],
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers with which an answer goes to its caller."""
+    lowered = [(name.lower(), value) for name, value in headers]
+    named = _connection_names(lowered)
+    return [
+        (name, value)
+        for name, value in lowered
+        if name not in _ONE_CONNECTION and name not in named
+    ]
+
+
+def answer_terms(
+    status: int, headers: abc.Iterable[tuple[bytes, bytes]]
+) -> api.AnswerTerms:
+    """Read what a server's headers say of its answer."""
+    found = {name.lower(): value for name, value in headers}
+    load = _text(found, _LOAD).split(',')
+    counts = [_number(item) for item in load]
+    known = len(counts) >= 2 and None not in counts
+    return api.AnswerTerms(
+        attempt_id=_text(found, _ATTEMPT),
+        stamped=_STAMP in found,
+        not_executed=_NOT_EXECUTED in found or status == _MISDIRECTED,
+        closing=b'close' in found.get(b'connection', b'').lower(),
+        running=int(counts[0] or 0) if known else None,
+        waiting=int(counts[1] or 0) if known else None,
+        idle_seconds=_idle_seconds(_text(found, b'keep-alive')),
+        encoded=found.get(b'content-encoding', b'identity') != b'identity',
+    )
+
+
+def _connection_names(
+    headers: abc.Iterable[tuple[bytes, bytes]],
+) -> frozenset[bytes]:
+    """Return the names that a Connection header says are for one hop."""
+    return frozenset(
+        item.strip()
+        for name, value in headers
+        if name == b'connection'
+        for item in value.lower().split(b',')
+    )
+
+
+def _text(found: dict[bytes, bytes], name: bytes) -> str:
+    return found.get(name, b'').decode('latin-1')
+
+
+def _number(text: str) -> float | None:
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    return number if math.isfinite(number) and number >= 0 else None
+
+
+def _parts(text: str) -> tuple[api.PromptPart, ...]:
+    parts = []
+    for item in text.split(','):
+        name, _, tokens = item.strip().partition(':')
+        if name and tokens.isdecimal():
+            parts.append(api.PromptPart(name, int(tokens)))
+    return tuple(parts)
+
+
+def _idle_seconds(text: str) -> float:
+    for item in text.split(','):
+        name, _, value = item.strip().partition('=')
+        if name.lower() == 'timeout':
+            return _number(value) or 0.0
+    return 0.0
--- /dev/null
+++ b/src/dogwoodquay/platform/servers.py
@@ -0,0 +1,73 @@
+"""Decodes what servers write of themselves into the platform's store."""
+
+from __future__ import annotations
+
+import expression
+import msgspec
+
+from ..fleet import api
+
+__all__ = ['decode']
+
+_STATES = {
+    'ready': api.ServerState.LIVE,
+    'draining': api.ServerState.LEAVING,
+}
+
+
+class _Body(msgspec.Struct, rename='pascal'):
+    """The base of all parts of an entry; unknown fields are left."""
+
+
+class _Model(_Body):
+    name: str
+    version: int = 1
+    adapters: list[str] = []
+
+
+class _Entry(_Body):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 1
+    # Counts the reports here; elsewhere the same word counts orders.
+    sequence: int = 0
+    models: list[_Model] = []
+    # The Unix millisecond of the start of the server's process.
+    born: int = msgspec.field(name='born', default=0)
+
+
+def decode(
+    server_id: str, body: bytes
+) -> expression.Result[api.ServerEntry, str]:
+    """Decode an entry; the error says why it names no usable server."""
+    try:
+        entry = msgspec.json.decode(body, type=_Entry)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return expression.Error(str(error))
+    state = _STATES.get(entry.state)
+    if state is None:
+        return expression.Error(f'unknown state {entry.state!r}')
+    host, _, port = entry.address.rpartition(':')
+    if not host or not port.isdecimal():
+        return expression.Error(f'address {entry.address!r} has no port')
+    return expression.Ok(
+        api.ServerEntry(
+            server_id,
+            entry.service,
+            host,
+            int(port),
+            entry.zone,
+            state,
+            entry.slots,
+            entry.born,
+            entry.sequence,
+            tuple(
+                api.HeldModel(
+                    model.name, model.version, frozenset(model.adapters)
+                )
+                for model in entry.models
+            ),
+        )
+    )
--- /dev/null
+++ b/src/dogwoodquay/platform/settings.py
@@ -0,0 +1,112 @@
+"""Reads the settings file that the platform lays beside each process."""
+
+from __future__ import annotations
+
+import tomllib
+import typing
+
+import expression
+import msgspec
+
+from ..gateway import settings as gateway_settings
+
+if typing.TYPE_CHECKING:
+    import pathlib
+
+__all__ = ['VARIABLE', 'load']
+
+VARIABLE: typing.Final = 'DOGWOODQUAY_SETTINGS'
+_MILLISECONDS: typing.Final = 1000.0
+# Two reads have to fit into the time in which a leaving server may still
+# get requests, with room for one that fails.
+_LISTS_PER_DRAIN: typing.Final = 2.8
+# Renewals of a membership that fit into its time to live.
+_MEMBER_FACTOR: typing.Final = 2.5
+
+
+class _Body(msgspec.Struct, rename='pascal'):
+    """The base of all tables; unknown fields are left."""
+
+
+class _Listen(_Body):
+    front: str
+    readiness: str
+
+
+class _Limits(_Body):
+    memory_mb: int = 256
+
+
+class _Bounds(_Body):
+    drain_ms: float = 2000.0
+    # From the signal to stop until the process is killed.
+    grace_s: float = 8.0
+    retry_budget_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: int = 10
+    lease_ms: float = 3000.0
+    ceiling_window_s: float = 5.0
+    ceiling_over: float = 1.0
+
+
+class _Platform(_Body):
+    address: str
+    ttl_min_ms: float = 1000.0
+
+
+class _Settings(_Body):
+    node_name: str
+    ip: str
+    zone: str
+    # The first port is for the peers' protocol.
+    port_range: tuple[int, int]
+    listen: _Listen
+    platform: _Platform
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def load(
+    path: pathlib.Path,
+) -> expression.Result[gateway_settings.InstanceSettings, str]:
+    """Read and check a settings file; the error names the wrong value."""
+    try:
+        table = tomllib.loads(path.read_text('utf-8'))
+        raw = msgspec.convert(table, _Settings)
+        return expression.Ok(_translated(raw))
+    except OSError as error:
+        return expression.Error(f'cannot read the settings: {error}')
+    except (ValueError, msgspec.ValidationError) as error:
+        return expression.Error(f'wrong settings: {error}')
+
+
+def _translated(raw: _Settings) -> gateway_settings.InstanceSettings:
+    bounds = raw.bounds
+    drain_seconds = bounds.drain_ms / _MILLISECONDS
+    least_ttl = raw.platform.ttl_min_ms / _MILLISECONDS
+    return gateway_settings.InstanceSettings(
+        instance_id=raw.node_name,
+        failure_domain=raw.zone,
+        callers=_address(raw.listen.front),
+        readiness=_address(raw.listen.readiness),
+        peers=gateway_settings.Address(raw.ip, raw.port_range[0]),
+        store=_address(raw.platform.address),
+        list_interval_seconds=drain_seconds / _LISTS_PER_DRAIN,
+        drain_seconds=drain_seconds,
+        stop_seconds=bounds.grace_s,
+        lease_seconds=bounds.lease_ms / _MILLISECONDS,
+        member_seconds=least_ttl * _MEMBER_FACTOR,
+        retry_share=bounds.retry_budget_ratio,
+        retry_slack=bounds.retry_slack,
+        retry_window_seconds=bounds.retry_window_s,
+        ceiling_window_seconds=bounds.ceiling_window_s,
+        ceiling_factor=bounds.ceiling_over,
+        memory_megabytes=raw.limits.memory_mb,
+    )
+
+
+def _address(text: str) -> gateway_settings.Address:
+    host, _, port = text.rpartition(':')
+    if not host or not port.isdecimal():
+        raise ValueError(f'{text!r} is no address with a port')
+    return gateway_settings.Address(host, int(port))
--- /dev/null
+++ b/src/dogwoodquay/platform/store.py
@@ -0,0 +1,285 @@
+"""Calls to the platform's store."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import struct
+import typing
+import urllib.parse
+
+import expression
+import msgspec
+
+from ..external import api as external_api
+from ..gateway import store_api
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    import httpx
+
+    from ..external.http import client
+    from ..gateway import settings
+
+__all__ = ['CONFIGURATION', 'CONFIGURATION_KEY', 'PlatformStore', 'SERVERS']
+
+CONFIGURATION: typing.Final = store_api.Topic('keyed.op')
+CONFIGURATION_KEY: typing.Final = 'config'
+SERVERS: typing.Final = store_api.Topic('keyed.servers')
+
+_OK: typing.Final = 200
+_GONE: typing.Final = 410
+_NOT_DONE: typing.Final = frozenset({429, 503})
+_HEAD: typing.Final = struct.Struct('>QQ')
+_LENGTH: typing.Final = struct.Struct('>I')
+_JSON: typing.Final = (('content-type', 'application/json'),)
+
+
+class _Body(msgspec.Struct, rename='pascal'):
+    """The base of all bodies; unknown fields are left."""
+
+
+class _Item(_Body):
+    key: str
+    value: str
+    offset: int
+
+
+class _Newest(_Body):
+    end: int
+    has_more: bool = False
+    items: list[_Item] = msgspec.field(name='items', default_factory=list)
+
+
+class _Trimmed(_Body):
+    first: int = 0
+
+
+class _Join(_Body):
+    member: str
+    topics: list[str]
+    ttl_ms: int
+    generation: int
+    group: str = msgspec.field(name='group')
+
+
+class _Joined(_Body):
+    generation: int
+    # Rows of a topic, a partition and its committed offset.
+    parts: list[tuple[str, int, int]] = msgspec.field(
+        name='parts', default_factory=list
+    )
+
+
+class _Leave(_Body):
+    member: str
+    group: str = msgspec.field(name='group')
+
+
+# Rows of a topic, a partition, the member that holds it and an offset.
+_OwnerRow = tuple[str, int, str | None, int]
+
+
+class PlatformStore:
+    """Speaks the store's HTTP calls; see ``store_api.Store``."""
+
+    def __init__(
+        self, connections: client.Connections, address: settings.Address
+    ) -> None:
+        self._connections = connections
+        self._address = address
+
+    async def newest(
+        self, topic: store_api.Topic, deadline: float
+    ) -> expression.Result[store_api.Records, store_api.StoreError]:
+        """Return the newest record of each key of a topic.
+
+        Pages are no snapshot: following starts at the end that the first
+        page tells, so that what changed between pages is read again.
+        """
+        records: dict[str, bytes] = {}
+        end: int | None = None
+        after = ''
+        while True:
+            path = _path('/log-newest', Topic=topic.name, part=0, after=after)
+            answer = await self._call('GET', path, deadline)
+            if answer.is_error():
+                return expression.Error(answer.error)
+            page = _decoded(answer.ok, _Newest)
+            if page.is_error():
+                return expression.Error(page.error)
+            for item in page.ok.items:
+                records[item.key] = _value(item.value)
+                after = item.key
+            end = page.ok.end if end is None else end
+            if not page.ok.has_more or not page.ok.items:
+                break
+        pairs = (store_api.NewestRecord(*pair) for pair in records.items())
+        return expression.Ok(store_api.Records(tuple(pairs), end))
+
+    async def read(
+        self,
+        topic: store_api.Topic,
+        offset: int,
+        wait_seconds: float,
+        deadline: float,
+    ) -> expression.Result[store_api.Records, store_api.StoreError]:
+        """Return records from an offset on, waiting for the first."""
+        path = _path(
+            '/log-read',
+            Topic=topic.name,
+            part=0,
+            From=offset,
+            WaitMs=int(wait_seconds * 1000),
+        )
+        answer = await self._call('GET', path, deadline)
+        if answer.is_error():
+            return expression.Error(answer.error)
+        if len(answer.ok.content) < _HEAD.size:
+            return expression.Error(external_api.Ambiguous('short_answer'))
+        records = tuple(_records(answer.ok.content))
+        return expression.Ok(
+            store_api.Records(
+                tuple(_keyed(record) for record in records),
+                offset + len(records),
+            )
+        )
+
+    async def join(
+        self,
+        group: str,
+        member: str,
+        topic: str,
+        ttl_seconds: float,
+        generation: int,
+        deadline: float,
+    ) -> expression.Result[store_api.Membership, store_api.StoreError]:
+        """Join a group, or stay in it."""
+        body = _Join(
+            member=member,
+            topics=[topic],
+            ttl_ms=int(ttl_seconds * 1000),
+            generation=generation,
+            group=group,
+        )
+        answer = await self._call('POST', '/log-join', deadline, body)
+        if answer.is_error():
+            return expression.Error(answer.error)
+        decoded = _decoded(answer.ok, _Joined)
+        if decoded.is_error():
+            return expression.Error(decoded.error)
+        held = frozenset(row[1] for row in decoded.ok.parts if row[0] == topic)
+        return expression.Ok(store_api.Membership(decoded.ok.generation, held))
+
+    async def leave(self, group: str, member: str, deadline: float) -> None:
+        """Leave a group, so that others need not wait for its time limit."""
+        body = _Leave(member=member, group=group)
+        await self._call('POST', '/log-leave', deadline, body)
+
+    async def owner(
+        self, group: str, partition: int, deadline: float
+    ) -> expression.Result[str, store_api.StoreError]:
+        """Return the member that holds a partition, empty for none."""
+        path = _path('/log-owners', group=group)
+        answer = await self._call('GET', path, deadline)
+        if answer.is_error():
+            return expression.Error(answer.error)
+        rows = _owner_rows(answer.ok)
+        if rows.is_error():
+            return expression.Error(rows.error)
+        for _, number, member, _ in rows.ok:
+            if number == partition and member:
+                return expression.Ok(member)
+        return expression.Ok('')
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        deadline: float,
+        body: _Body | None = None,
+    ) -> expression.Result[httpx.Response, store_api.StoreError]:
+        sent = await self._connections.fetch(
+            *self._address,
+            method,
+            path,
+            deadline,
+            b'' if body is None else msgspec.json.encode(body),
+            _JSON if body is not None else (),
+        )
+        if sent.is_error():
+            return expression.Error(sent.error)
+        response = sent.ok
+        if response.status_code == _OK:
+            return expression.Ok(response)
+        if response.status_code == _GONE:
+            first = _decoded(response, _Trimmed)
+            at = first.ok.first if first.is_ok() else 0
+            return expression.Error(external_api.Trimmed(at))
+        reason = f'status_{response.status_code}'
+        if response.status_code in _NOT_DONE:
+            return expression.Error(external_api.Unavailable(reason))
+        return expression.Error(external_api.Refused(reason))
+
+
+_Kind = typing.TypeVar('_Kind')
+
+
+def _decoded(
+    response: httpx.Response, kind: type[_Kind]
+) -> expression.Result[_Kind, external_api.Ambiguous]:
+    try:
+        return expression.Ok(msgspec.json.decode(response.content, type=kind))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return expression.Error(external_api.Ambiguous(str(error)))
+
+
+def _owner_rows(
+    response: httpx.Response,
+) -> expression.Result[list[_OwnerRow], external_api.Ambiguous]:
+    """Decode the rows, which come bare or as the one list of an object."""
+    try:
+        rows = msgspec.json.decode(response.content)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return expression.Error(external_api.Ambiguous(str(error)))
+    if isinstance(rows, dict):
+        lists = [value for value in rows.values() if isinstance(value, list)]
+        rows = lists[0] if lists else []
+    try:
+        return expression.Ok(msgspec.convert(rows, list[_OwnerRow]))
+    except msgspec.ValidationError as error:
+        return expression.Error(external_api.Ambiguous(str(error)))
+
+
+def _path(path: str, **query: str | int) -> str:
+    used = {name: value for name, value in query.items() if value != ''}
+    return f'{path}?{urllib.parse.urlencode(used)}'
+
+
+def _records(body: bytes) -> abc.Iterator[bytes]:
+    at = _HEAD.size
+    while at + _LENGTH.size <= len(body):
+        (length,) = _LENGTH.unpack_from(body, at)
+        at += _LENGTH.size
+        if at + length > len(body):
+            return
+        yield body[at : at + length]
+        at += length
+
+
+def _keyed(record: bytes) -> store_api.NewestRecord:
+    """Split a record into its key and value; a broken one has no key."""
+    if not record or len(record) < 1 + record[0]:
+        return store_api.NewestRecord('', b'')
+    end = 1 + record[0]
+    key = record[1:end].decode('utf-8', 'replace')
+    return store_api.NewestRecord(key, record[end:])
+
+
+def _value(text: str) -> bytes:
+    """Decode a value; one that is no base64 is kept for its decoder."""
+    try:
+        return base64.b64decode(text, validate=True)
+    except (binascii.Error, ValueError):
+        return text.encode('utf-8', 'replace')
--- a/src/dogwoodquay/pools/api.py
+++ b/src/dogwoodquay/pools/api.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ..platform import api as platform_api
+from ..external import api as external_api
 
 __all__ = ['ArtifactView', 'PoolView', 'ServerView']
 
@@ -32,7 +32,7 @@
     capacity_bytes: int = 0
     confirmed_bytes: int = 0
     possible_bytes: int = 0
-    load: platform_api.LoadReport | None = None
+    load: external_api.LoadReport | None = None
 
 
 class PoolView(msgspec.Struct, frozen=True, array_like=True):
--- a/src/dogwoodquay/records/state.py
+++ b/src/dogwoodquay/records/state.py
@@ -16,7 +16,7 @@
     from collections import abc
 
     from . import api
-    from ..platform import api as platform_api
+    from ..external import api as external_api
 
 __all__ = ['BadSnapshot', 'ConfigurationState']
 
@@ -71,7 +71,7 @@
         self._callbacks.append(callback)
 
     def apply(
-        self, entry: platform_api.LogEntry
+        self, entry: external_api.LogEntry
     ) -> abc.Sequence[journal_api.Verdict]:
         """Take in the next entry of the stream.
 
--- /dev/null
+++ b/src/dogwoodquay/residency/__init__.py
@@ -0,0 +1,1 @@
+"""What engines hold, and the orders that change it."""
--- /dev/null
+++ b/src/dogwoodquay/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Routes, services and limits that the operators' configuration declares."""
--- a/src/dogwoodquay/routing/api.py
+++ b/src/dogwoodquay/routing/api.py
@@ -9,7 +9,7 @@
     from collections import abc
     import random
 
-    from ..platform import api as platform_api
+    from ..external import api as external_api
     from ..pools import api as pools_api
 
 __all__ = ['Choice', 'NoReplica', 'Replica', 'RouteRequest', 'Router']
@@ -78,12 +78,12 @@
         """Let a server that was leaving have new work again."""
 
     def update_load(
-        self, server_id: str, report: platform_api.LoadReport, now: float
+        self, server_id: str, report: external_api.LoadReport, now: float
     ) -> None:
         """Take in a lagging load report."""
 
     def update_cache(
-        self, server_id: str, events: platform_api.CacheEvents, now: float
+        self, server_id: str, events: external_api.CacheEvents, now: float
     ) -> None:
         """Take in cache events, tolerating gaps."""
 
--- a/src/dogwoodquay/routing/baselines.py
+++ b/src/dogwoodquay/routing/baselines.py
@@ -13,7 +13,7 @@
     from collections import abc
     import random
 
-    from ..platform import api as platform_api
+    from ..external import api as external_api
     from ..pools import api as pools_api
 
 __all__ = ['VERSIONS', 'LeastReportedRouter', 'RoundRobinRouter']
@@ -60,12 +60,12 @@
         self._leaving.discard(server_id)
 
     def update_load(
-        self, server_id: str, report: platform_api.LoadReport, now: float
+        self, server_id: str, report: external_api.LoadReport, now: float
     ) -> None:
         """Ignore the load."""
 
     def update_cache(
-        self, server_id: str, events: platform_api.CacheEvents, now: float
+        self, server_id: str, events: external_api.CacheEvents, now: float
     ) -> None:
         """Ignore cached prefixes."""
 
@@ -115,7 +115,7 @@
         self._load: dict[str, int] = {}
 
     def update_load(
-        self, server_id: str, report: platform_api.LoadReport, now: float
+        self, server_id: str, report: external_api.LoadReport, now: float
     ) -> None:
         """Remember the reported load."""
         self._load[server_id] = report.running + report.queued
--- a/src/dogwoodquay/routing/prefix.py
+++ b/src/dogwoodquay/routing/prefix.py
@@ -8,7 +8,7 @@
 import typing
 
 if typing.TYPE_CHECKING:
-    from ..platform import api as platform_api
+    from ..external import api as external_api
 
 __all__ = ['PrefixIndex', 'PrefixSettings']
 
@@ -84,7 +84,7 @@
         return sum(len(source.blocks) for source in self._sources.values())
 
     def update(
-        self, server_id: str, events: platform_api.CacheEvents, now: float
+        self, server_id: str, events: external_api.CacheEvents, now: float
     ) -> None:
         """Take in the events of a server, which may start after a gap."""
         source = self._source(server_id)
--- a/src/dogwoodquay/routing/router.py
+++ b/src/dogwoodquay/routing/router.py
@@ -13,7 +13,7 @@
     from collections import abc
     import random
 
-    from ..platform import api as platform_api
+    from ..external import api as external_api
     from ..pools import api as pools_api
 
 __all__ = ['RoutingSettings', 'ScoringRouter']
@@ -127,7 +127,7 @@
                 self._list(state, self._by_artifact)
 
     def update_load(
-        self, server_id: str, report: platform_api.LoadReport, now: float
+        self, server_id: str, report: external_api.LoadReport, now: float
     ) -> None:
         """Take in a lagging load report."""
         state = self._servers.get(server_id)
@@ -135,7 +135,7 @@
             state.take_report(report)
 
     def update_cache(
-        self, server_id: str, events: platform_api.CacheEvents, now: float
+        self, server_id: str, events: external_api.CacheEvents, now: float
     ) -> None:
         """Take in cache events, tolerating gaps."""
         if server_id in self._servers:
--- a/src/dogwoodquay/routing/server.py
+++ b/src/dogwoodquay/routing/server.py
@@ -10,7 +10,7 @@
 from . import health
 
 if typing.TYPE_CHECKING:
-    from ..platform import api as platform_api
+    from ..external import api as external_api
     from ..pools import api as pools_api
 
 __all__ = ['Attempt', 'LoadSettings', 'Peers', 'ServerState', 'replica_of']
@@ -116,7 +116,7 @@
         self._history: collections.deque[tuple[float, int, int]] = (
             collections.deque(maxlen=_HISTORY_LENGTH)
         )
-        self._report: platform_api.LoadReport | None = None
+        self._report: external_api.LoadReport | None = None
         self._others_waiting = 0.0
         self._others_running = 0.0
         self._pace = 1.0
@@ -183,7 +183,7 @@
         self.in_flight -= 1
         self._remember(now)
 
-    def take_report(self, report: platform_api.LoadReport) -> None:
+    def take_report(self, report: external_api.LoadReport) -> None:
         """Take in a load report unless a newer one is known."""
         if report.time <= self.report_time:
             return
--- a/src/dogwoodquay/standin/asgi.py
+++ b/src/dogwoodquay/standin/asgi.py
@@ -11,8 +11,8 @@
 import anyio
 import msgspec
 
-from ..platform import api
-from ..platform.http import wire
+from ..external import api
+from ..external.http import wire
 
 if typing.TYPE_CHECKING:
     from collections import abc
--- a/src/dogwoodquay/standin/platform.py
+++ b/src/dogwoodquay/standin/platform.py
@@ -8,9 +8,9 @@
 import msgspec
 
 from . import asgi
-from ..platform import api
-from ..platform.http import wire
-from ..platform import memory
+from ..external import api
+from ..external.http import wire
+from ..external import memory
 
 __all__ = ['InstanceListApp', 'LogApp', 'WeightStoreApp']
 
--- a/src/dogwoodquay/standin/site.py
+++ b/src/dogwoodquay/standin/site.py
@@ -10,10 +10,10 @@
 import anyio
 import anyio.abc
 
+from ..external import api
+from ..external import memory
+from ..external.memory import batch
 from . import platform
-from ..platform import api
-from ..platform import memory
-from ..platform.memory import batch
 from . import server
 from . import upstream
 
--- a/src/dogwoodquay/standin/upstream.py
+++ b/src/dogwoodquay/standin/upstream.py
@@ -9,10 +9,10 @@
 import msgspec
 
 from . import asgi
-from ..platform import api
-from ..platform import errors
-from ..platform.http import wire
-from ..platform import memory
+from ..external import api
+from ..external import errors
+from ..external.http import wire
+from ..external import memory
 
 if typing.TYPE_CHECKING:
     from collections import abc
--- a/src/dogwoodquay/wire/codec.py
+++ b/src/dogwoodquay/wire/codec.py
@@ -36,7 +36,7 @@
 class Frame(msgspec.Struct, frozen=True, array_like=True):
     """One websocket message between authenticated peers.
 
-    ``deadline`` is in seconds since the Unix epoch, and zero for none.
+    ``deadline`` and ``sent_at`` are on the sender's clock, and zero for none.
     ``body`` is a message in builtin types, or the reason of a decline.
     """
 
@@ -44,6 +44,7 @@
     call_id: int = 0
     body: typing.Any = None
     deadline: float = 0.0
+    sent_at: float = 0.0
 
 
 def encode(value: msgspec.Struct) -> bytes:
--- a/src/dogwoodquay/wire/connection.py
+++ b/src/dogwoodquay/wire/connection.py
@@ -8,6 +8,7 @@
 import anyio
 import eliot
 import expression
+import msgspec
 import websockets
 
 from . import api
@@ -46,6 +47,7 @@
         self._peer = peer
         self._outgoing = outgoing
         self._codec = routes.codec
+        self._clock_offset = float('inf')
         self._limits = limits
         self._clock = clock
         self._counters = counters
@@ -145,6 +147,8 @@
         if self._closed:
             return False
         self.used_at = self._clock.now()
+        if frame.deadline:
+            frame = msgspec.structs.replace(frame, sent_at=self.used_at)
         taken = self._outgoing.put(codec.encode(frame), coalesce)
         if not taken:
             self._counters.dropped['queue_full'] += 1
@@ -163,7 +167,24 @@
                 raise codec.CodecError('text frame')
             self._counters.received(len(data))
             self.used_at = self._clock.now()
-            self._take(codec.decode(data, codec.Frame), tasks)
+            frame = codec.decode(data, codec.Frame)
+            self._take(self._localized(frame), tasks)
+
+    def _localized(self, frame: codec.Frame) -> codec.Frame:
+        """Return a frame with its deadline on this instance's clock.
+
+        The clocks may differ by any constant. The least difference seen is
+        that of the frame that was on its way for the shortest time.
+        """
+        if not frame.deadline:
+            return frame
+        if frame.sent_at:
+            difference = self.used_at - frame.sent_at
+            self._clock_offset = min(self._clock_offset, difference)
+        offset = self._clock_offset
+        if offset == float('inf'):
+            offset = 0.0
+        return msgspec.structs.replace(frame, deadline=frame.deadline + offset)
 
     def _take(self, frame: codec.Frame, tasks: anyio.abc.TaskGroup) -> None:
         match frame.kind:
--- a/tests/fuzz/engines.py
+++ b/tests/fuzz/engines.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from dogwoodquay.platform import api as platform_api
+from dogwoodquay.external import api as external_api
 
 __all__ = ['EngineModel', 'Reply']
 
@@ -56,32 +56,32 @@
         held = self.residents.get(artifact)
         return held is not None and held.ready
 
-    def state(self) -> platform_api.EngineState:
+    def state(self) -> external_api.EngineState:
         """Return the contents, loads in progress included if it does that."""
         artifacts = tuple(
-            platform_api.ArtifactState(
+            external_api.ArtifactState(
                 name, held.memory_bytes, held.ready, held.order_id
             )
             for name, held in self.residents.items()
             if held.ready or self.lists_loading
         )
-        return platform_api.EngineState(
+        return external_api.EngineState(
             self.incarnation,
             self.fence,
             self.capacity,
             artifacts,
-            platform_api.LoadReport(0.0, 0, 0, 0.0, 0.0),
+            external_api.LoadReport(0.0, 0, 0, 0.0, 0.0),
             lists_loading=self.lists_loading,
         )
 
-    def teach(self, fence: int) -> platform_api.EngineState | None:
+    def teach(self, fence: int) -> external_api.EngineState | None:
         """Learn a number; nothing for an old one."""
         if fence < self.fence:
             return None
         self.fence = fence
         return self.state()
 
-    def apply(self, order: platform_api.Order) -> Reply:
+    def apply(self, order: external_api.Order) -> Reply:
         """Take an order that arrives."""
         if order.incarnation != self.incarnation:
             return Reply(accepted=False)
@@ -92,7 +92,7 @@
         if order.order_id in self.seen:
             return Reply(accepted=True)
         self.seen.add(order.order_id)
-        if order.kind is platform_api.OrderKind.UNLOAD:
+        if order.kind is external_api.OrderKind.UNLOAD:
             self.residents.pop(order.artifact, None)
             self.done.add(order.order_id)
         elif order.artifact in self.residents:
--- a/tests/fuzz/instances.py
+++ b/tests/fuzz/instances.py
@@ -15,7 +15,7 @@
 from dogwoodquay.records import api as records_api
 
 if typing.TYPE_CHECKING:
-    from dogwoodquay.platform import api as platform_api
+    from dogwoodquay.external import api as external_api
 
 __all__ = ['Attempt', 'Instance', 'Observation']
 
@@ -24,7 +24,7 @@
 class Attempt:
     """One sending of an order, somewhere between sender and engine."""
 
-    order: platform_api.Order
+    order: external_api.Order
     server_id: str
     instance: Instance
     ledger: core.PoolLedger
@@ -39,7 +39,7 @@
     ledger: core.PoolLedger
     server_id: str
     began: int
-    state: platform_api.EngineState | None
+    state: external_api.EngineState | None
 
 
 class Instance:
--- a/tests/fuzz/logs.py
+++ b/tests/fuzz/logs.py
@@ -6,8 +6,8 @@
 
 import expression
 
+from dogwoodquay.external import api as external_api
 from dogwoodquay.journal import checkpoint
-from dogwoodquay.platform import api as platform_api
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -34,9 +34,9 @@
         self.out = False
         self.time = 1_000.0
         self.first = 0
-        self.entries: list[platform_api.LogEntry] = []
+        self.entries: list[external_api.LogEntry] = []
         self.hung: list[bytes] = []
-        self.checkpoints: list[platform_api.LogEntry] = []
+        self.checkpoints: list[external_api.LogEntry] = []
 
     @property
     def next_offset(self) -> int:
@@ -47,19 +47,19 @@
         """Append an entry."""
         self.time += 1.0
         self.entries.append(
-            platform_api.LogEntry(self.next_offset, self.time, payload)
+            external_api.LogEntry(self.next_offset, self.time, payload)
         )
 
     def add_checkpoint(self, payload: bytes) -> None:
         """Append a part of a checkpoint."""
         offset = len(self.checkpoints)
         self.checkpoints.append(
-            platform_api.LogEntry(offset, self.time, payload)
+            external_api.LogEntry(offset, self.time, payload)
         )
 
     async def append(
         self, stream: str, payload: bytes, deadline: float
-    ) -> expression.Result[int, platform_api.LogError]:
+    ) -> expression.Result[int, external_api.LogError]:
         """Stand unused: the fuzzer appends with faults of its own."""
         raise NotImplementedError
 
@@ -70,21 +70,21 @@
         limit: int,
         deadline: float,
         wait: bool = False,
-    ) -> expression.Result[platform_api.LogPage, platform_api.LogError]:
+    ) -> expression.Result[external_api.LogPage, external_api.LogError]:
         """Read from what is still kept."""
         if self.out:
-            return expression.Error(platform_api.Unavailable('out'))
+            return expression.Error(external_api.Unavailable('out'))
         if stream == checkpoint.checkpoint_stream(self.stream):
             return expression.Ok(
-                platform_api.LogPage(
+                external_api.LogPage(
                     tuple(self.checkpoints[offset:]),
                     0,
                     len(self.checkpoints),
                 )
             )
         if offset < self.first:
-            return expression.Error(platform_api.Trimmed(self.first))
+            return expression.Error(external_api.Trimmed(self.first))
         page = tuple(self.entries[offset : offset + limit])
         return expression.Ok(
-            platform_api.LogPage(page, self.first, self.next_offset)
+            external_api.LogPage(page, self.first, self.next_offset)
         )
--- a/tests/fuzz/machine.py
+++ b/tests/fuzz/machine.py
@@ -12,13 +12,13 @@
 from . import instances
 from . import storms
 from . import world as worlds
+from dogwoodquay.external import api as external_api
 from dogwoodquay.journal import api as journal_api
 from dogwoodquay.journal import checkpoint
 from dogwoodquay.ledger import core
 from dogwoodquay.ledger import entries
 from dogwoodquay.ownership import entries as ownership_entries
 from dogwoodquay.placement import api as placement_api
-from dogwoodquay.platform import api as platform_api
 
 __all__ = [
     'AgreementMachine',
@@ -104,7 +104,7 @@
         known = ledger.servers[server_id]
         began = known.begin_observation()
         engine = self.engines[server_id]
-        state: platform_api.EngineState | None = engine.state()
+        state: external_api.EngineState | None = engine.state()
         if known.must_teach:
             state = engine.teach(ledger.epoch)
         if not lost:
@@ -199,7 +199,7 @@
         if attempt is None:
             return
         engine = self.engines[attempt.server_id]
-        if attempt.order.kind is platform_api.OrderKind.UNLOAD:
+        if attempt.order.kind is external_api.OrderKind.UNLOAD:
             self._judge(attempt, engine)
         new = attempt.order.order_id not in engine.seen
         reply = engine.apply(attempt.order)
--- a/tests/fuzz/mutants.py
+++ b/tests/fuzz/mutants.py
@@ -8,13 +8,13 @@
 from unittest import mock
 
 from . import machine
+from dogwoodquay.external import api as external_api
 from dogwoodquay.journal import follower as followers
 from dogwoodquay.ledger import core
 from dogwoodquay.ledger import replay
 from dogwoodquay.ledger import rules
 from dogwoodquay.ledger import servers
 from dogwoodquay.ownership import core as ownership_core
-from dogwoodquay.platform import api as platform_api
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -136,7 +136,7 @@
 
 
 def _observe(
-    self: servers.ServerLedger, state: platform_api.EngineState, began: int
+    self: servers.ServerLedger, state: external_api.EngineState, began: int
 ) -> tuple[str, ...]:
     return _OBSERVE(self, state, 1 << 30)
 
--- a/tests/fuzz/oracle.py
+++ b/tests/fuzz/oracle.py
@@ -5,9 +5,9 @@
 import dataclasses
 import typing
 
+from dogwoodquay.external import api as external_api
 from dogwoodquay.ledger import entries as ledger_entries
 from dogwoodquay.ownership import entries as ownership_entries
-from dogwoodquay.platform import api as platform_api
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -75,7 +75,7 @@
 
     def judge(
         self,
-        order: platform_api.Order,
+        order: external_api.Order,
         server_id: str,
         all_engines: abc.Mapping[str, engines.EngineModel],
     ) -> None:
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -12,11 +12,11 @@
 from . import instances
 from . import logs
 from . import oracle
+from dogwoodquay.external import api as external_api
 from dogwoodquay.ledger import core
 from dogwoodquay.ledger import entries
 from dogwoodquay.ledger import replay
 from dogwoodquay.ownership import core as ownership_core
-from dogwoodquay.platform import api as platform_api
 from dogwoodquay.records import api as records_api
 
 __all__ = [
@@ -137,7 +137,7 @@
         return {
             intent.order.artifact.rpartition('@')[0]
             for intent in self.truth.open_intents.values()
-            if intent.order.kind is platform_api.OrderKind.UNLOAD
+            if intent.order.kind is external_api.OrderKind.UNLOAD
         }
 
     def _log_intent(
@@ -156,7 +156,7 @@
         self,
         instance: instances.Instance,
         server_id: str,
-        order: platform_api.Order,
+        order: external_api.Order,
     ) -> None:
         ledger = instance.ledger
         assert ledger is not None
--- a/tests/unit/dispatch/fakes.py
+++ b/tests/unit/dispatch/fakes.py
@@ -16,10 +16,10 @@
 from dogwoodquay import clock as clock_module
 from dogwoodquay.dispatch import dispatcher
 from dogwoodquay.dispatch import metrics as path_metrics
+from dogwoodquay.external import api as external_api
+from dogwoodquay.external import errors
 from dogwoodquay.observe import metrics
 from dogwoodquay.once import api as once_api
-from dogwoodquay.platform import api as platform_api
-from dogwoodquay.platform import errors
 from dogwoodquay.records import api as records_api
 from dogwoodquay.retry import budget
 from dogwoodquay.routing import api as routing_api
@@ -91,7 +91,7 @@
         self.delay = 0.0
         self.padding = 0
         self.runs: collections.Counter[bytes] = collections.Counter()
-        self.calls: list[platform_api.UpstreamCall] = []
+        self.calls: list[external_api.UpstreamCall] = []
         self.cancelled: list[str] = []
         self.stopped = 0
         self.rng = rng or random.Random(1)
@@ -101,21 +101,21 @@
 
     @contextlib.asynccontextmanager
     async def call(
-        self, address: str, port: int, call: platform_api.UpstreamCall
+        self, address: str, port: int, call: external_api.UpstreamCall
     ) -> typing.AsyncIterator[typing.Any]:
         self.calls.append(call)
         fault = self.reason()
         match fault:
             case Fault.REFUSED:
-                yield expression.Error(platform_api.Refused('busy'))
+                yield expression.Error(external_api.Refused('busy'))
                 return
             case Fault.UNAVAILABLE:
-                yield expression.Error(platform_api.Unavailable('connect'))
+                yield expression.Error(external_api.Unavailable('connect'))
                 return
         if call.resume_after < 0:
             self.runs[call.body] += 1
         if fault is Fault.AMBIGUOUS:
-            yield expression.Error(platform_api.Ambiguous('reset'))
+            yield expression.Error(external_api.Ambiguous('reset'))
             return
         if fault is Fault.HUNG:
             try:
@@ -130,7 +130,7 @@
         self.cancelled.append(attempt_id)
         return expression.Ok(None)
 
-    def _answer(self, call: platform_api.UpstreamCall, fault: Fault) -> Answer:
+    def _answer(self, call: external_api.UpstreamCall, fault: Fault) -> Answer:
         attempt = call.attempt_id
         if fault is Fault.CROSSED:
             attempt = 'f' * 24 + '-00'
@@ -143,7 +143,7 @@
         return Answer(attempt, self._whole(call, fault), 'application/json')
 
     async def _whole(
-        self, call: platform_api.UpstreamCall, fault: Fault
+        self, call: external_api.UpstreamCall, fault: Fault
     ) -> typing.AsyncIterator[bytes]:
         own = call.attempt_id if fault is not Fault.CROSSED_BODY else 'other'
         text = ''.join(words(call.body))
@@ -156,7 +156,7 @@
             yield body[len(body) // 2 :]
 
     async def _events(
-        self, call: platform_api.UpstreamCall, fault: Fault
+        self, call: external_api.UpstreamCall, fault: Fault
     ) -> typing.AsyncIterator[bytes]:
         first = call.resume_after + 1
         bad = self.rng.randint(first, EVENTS - 1) if first < EVENTS else -1
@@ -359,8 +359,8 @@
             admission=typing.cast('admission_api.Admission', self.admission),
             retries=self.retries,
             claims=self.claims,
-            engine=typing.cast('platform_api.Engine', self.upstream),
-            services=typing.cast('platform_api.Engine', self.upstream),
+            engine=typing.cast('external_api.Engine', self.upstream),
+            services=typing.cast('external_api.Engine', self.upstream),
             clock=self.clock,
             rng=random.Random(3),
             metrics=self.metrics,
--- a/tests/unit/platform/test_http_bodies.py
+++ b/tests/unit/external/test_http_bodies.py
@@ -11,11 +11,11 @@
 import anyio
 
 from dogwoodquay import clock as clock_module
-from dogwoodquay.platform import api
-from dogwoodquay.platform import errors
-from dogwoodquay.platform import http
-from dogwoodquay.platform.http import client
-from dogwoodquay.platform.http import network
+from dogwoodquay.external import api
+from dogwoodquay.external import errors
+from dogwoodquay.external import http
+from dogwoodquay.external.http import client
+from dogwoodquay.external.http import network
 
 if typing.TYPE_CHECKING:
     from collections import abc
--- a/tests/unit/platform/test_memory_engine.py
+++ b/tests/unit/external/test_memory_engine.py
@@ -9,10 +9,10 @@
 import anyio
 import msgspec
 
-from dogwoodquay.platform import api
-from dogwoodquay.platform import errors
-from dogwoodquay.platform import memory
-from dogwoodquay.platform.memory import completion
+from dogwoodquay.external import api
+from dogwoodquay.external import errors
+from dogwoodquay.external import memory
+from dogwoodquay.external.memory import completion
 
 _GIB = 2**30
 
--- a/tests/unit/platform/test_memory_log.py
+++ b/tests/unit/external/test_memory_log.py
@@ -7,8 +7,8 @@
 
 import anyio
 
-from dogwoodquay.platform import api
-from dogwoodquay.platform import memory
+from dogwoodquay.external import api
+from dogwoodquay.external import memory
 
 
 class MemoryLogTest(unittest.TestCase):
--- a/tests/unit/journal/helpers.py
+++ b/tests/unit/journal/helpers.py
@@ -6,12 +6,12 @@
 import typing
 
 from dogwoodquay import clock
+from dogwoodquay.external import memory
 from dogwoodquay.journal import follower as followers
 from dogwoodquay.journal import writer as writers
 from dogwoodquay.ledger import entries
 from dogwoodquay.ledger import replay
 from dogwoodquay.ownership import entries as ownership_entries
-from dogwoodquay.platform import memory
 
 if typing.TYPE_CHECKING:
     from dogwoodquay.journal import api as journal_api
--- a/tests/unit/journal/test_follower.py
+++ b/tests/unit/journal/test_follower.py
@@ -10,11 +10,11 @@
 import anyio
 
 from . import helpers
+from dogwoodquay.external import memory
 from dogwoodquay.journal import api
 from dogwoodquay.journal import checkpoint
 from dogwoodquay.journal import checkpointer
 from dogwoodquay.journal import follower as followers
-from dogwoodquay.platform import memory
 
 if typing.TYPE_CHECKING:
     from collections import abc
--- a/tests/unit/ledger/helpers.py
+++ b/tests/unit/ledger/helpers.py
@@ -4,9 +4,9 @@
 
 import typing
 
+from dogwoodquay.external import api as external_api
 from dogwoodquay.ledger import core
 from dogwoodquay.placement import api as placement_api
-from dogwoodquay.platform import api as platform_api
 from dogwoodquay.records import api as records_api
 
 EPOCH: typing.Final = 7
@@ -42,14 +42,14 @@
     fence: int = EPOCH,
     incarnation: str = 'p0',
     lists_loading: bool = True,
-) -> platform_api.EngineState:
+) -> external_api.EngineState:
     """Return an engine's answer."""
-    artifacts = [platform_api.ArtifactState(name, 4, True) for name in ready]
+    artifacts = [external_api.ArtifactState(name, 4, True) for name in ready]
     artifacts += [
-        platform_api.ArtifactState(name, 4, False) for name in loading
+        external_api.ArtifactState(name, 4, False) for name in loading
     ]
-    load = platform_api.LoadReport(0.0, 0, 0, 0.0, 0.0)
-    return platform_api.EngineState(
+    load = external_api.LoadReport(0.0, 0, 0, 0.0, 0.0)
+    return external_api.EngineState(
         incarnation,
         fence,
         8,
@@ -60,7 +60,7 @@
 
 
 def observe(
-    ledger: core.PoolLedger, server: str, state: platform_api.EngineState
+    ledger: core.PoolLedger, server: str, state: external_api.EngineState
 ) -> None:
     """Give the ledger an answer that nothing has overtaken."""
     began = ledger.servers[server].begin_observation()
--- a/tests/unit/ledger/test_allowance.py
+++ b/tests/unit/ledger/test_allowance.py
@@ -8,6 +8,7 @@
 import anyio
 
 from dogwoodquay import clock
+from dogwoodquay.external import memory
 from dogwoodquay.journal import follower as followers
 from dogwoodquay.journal import writer as writers
 from dogwoodquay.ledger import allowance
@@ -15,7 +16,6 @@
 from dogwoodquay.ledger import replay
 from dogwoodquay.ownership import core as ownership_core
 from dogwoodquay.ownership import entries as ownership_entries
-from dogwoodquay.platform import memory
 from dogwoodquay.records import api as records_api
 from tests.unit.journal import helpers as journal_helpers
 
--- a/tests/unit/ledger/test_core.py
+++ b/tests/unit/ledger/test_core.py
@@ -5,11 +5,11 @@
 import unittest
 
 from . import helpers
+from dogwoodquay.external import api as external_api
 from dogwoodquay.ledger import core
 from dogwoodquay.ledger import entries
 from dogwoodquay.ledger import replay
 from dogwoodquay.ledger import rules
-from dogwoodquay.platform import api as platform_api
 from tests.unit.journal import helpers as journal_helpers
 
 
@@ -120,7 +120,7 @@
     def _land(self, *items: entries.LedgerEntry) -> list[bool]:
         self.offset += 1
         payload = entries.CODEC.encode(items)
-        entry = platform_api.LogEntry(self.offset, 1.0 * self.offset, payload)
+        entry = external_api.LogEntry(self.offset, 1.0 * self.offset, payload)
         return [verdict.valid for verdict in self.state.apply(entry)]
 
     def _own(self, epoch: int) -> None:
--- a/tests/unit/ledger/test_runner.py
+++ b/tests/unit/ledger/test_runner.py
@@ -10,12 +10,12 @@
 import anyio
 
 from . import helpers
+from dogwoodquay.external import memory
+from dogwoodquay.external.memory import engine as engine_models
 from dogwoodquay.ledger import runner as runners
 from dogwoodquay.ledger import tenure as tenures
 from dogwoodquay.ownership import runner as ownership_runner
 from dogwoodquay.placement import api as placement_api
-from dogwoodquay.platform import memory
-from dogwoodquay.platform.memory import engine as engine_models
 from dogwoodquay.pools import api as pools_api
 from tests.unit.journal import helpers as journal_helpers
 
--- a/tests/unit/membership/loopback.py
+++ b/tests/unit/membership/loopback.py
@@ -10,15 +10,15 @@
 from websockets.asyncio import client
 
 from dogwoodquay import clock
+from dogwoodquay.external import api as external_api
+from dogwoodquay.external.memory import instances
+from dogwoodquay.external.memory import timeline
 from dogwoodquay.gossip import core as gossip_core
 from dogwoodquay.gossip import shell as gossip_shell
 from dogwoodquay.membership import api
 from dogwoodquay.membership import core
 from dogwoodquay.membership import settings
 from dogwoodquay.membership import shell
-from dogwoodquay.platform import api as platform_api
-from dogwoodquay.platform.memory import instances
-from dogwoodquay.platform.memory import timeline
 from dogwoodquay.wire import api as wire_api
 from dogwoodquay.wire import dial
 from dogwoodquay.wire import peers as wire_peers
@@ -194,12 +194,12 @@
         address, port = instance.peers.address
         self.by_port[port] = instance
         self.list.put(
-            platform_api.Instance(
+            external_api.Instance(
                 instance.name,
                 address,
                 port,
                 '',
-                platform_api.InstanceState.LIVE,
+                external_api.InstanceState.LIVE,
             )
         )
 
--- a/tests/unit/node/sites.py
+++ b/tests/unit/node/sites.py
@@ -14,10 +14,10 @@
 
 from dogwoodquay import clock as clocks
 from dogwoodquay.demo import fleet as fleets
+from dogwoodquay.external import http as external_http
 from dogwoodquay.observe import loop
 from dogwoodquay.operators import client
 from dogwoodquay.operators import publisher
-from dogwoodquay.platform import http as platform_http
 from dogwoodquay.standin import SiteOptions
 from dogwoodquay.standin import StandInSite
 
@@ -186,14 +186,14 @@
     clock = clocks.SystemClock()
     async with (
         site.running(),
-        platform_http.Connections(clock) as connections,
+        external_http.Connections(clock) as connections,
         httpx.AsyncClient(
             headers={'authorization': f'Bearer {API_KEY}'}, timeout=30.0
         ) as http,
         anyio.create_task_group() as group,
     ):
         fleet = fleets.Fleet(site, group)
-        log = platform_http.HttpLog(connections, clock, *site.log_address)
+        log = external_http.HttpLog(connections, clock, *site.log_address)
         records_publisher = publisher.Publisher(log, clock, random.Random(1))
         group.start_soon(records_publisher.run)
         await fleet.start(instances)
--- a/tests/unit/node/test_watch.py
+++ b/tests/unit/node/test_watch.py
@@ -8,8 +8,8 @@
 import expression
 
 from dogwoodquay import clock
+from dogwoodquay.external import api
 from dogwoodquay.node import instances
-from dogwoodquay.platform import api
 
 
 class _List:
--- a/tests/unit/once/fakes.py
+++ b/tests/unit/once/fakes.py
@@ -9,11 +9,11 @@
 import anyio
 import expression
 
+from dogwoodquay.external.memory import log
+from dogwoodquay.external.memory import timeline
 from dogwoodquay.membership import api as membership_api
 from dogwoodquay.once import relay
 from dogwoodquay.once import shell
-from dogwoodquay.platform.memory import log
-from dogwoodquay.platform.memory import timeline
 from dogwoodquay.wire import api as wire_api
 
 if typing.TYPE_CHECKING:
--- a/tests/unit/once/machine.py
+++ b/tests/unit/once/machine.py
@@ -9,12 +9,12 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from dogwoodquay.external import api as external_api
 from dogwoodquay.once import api
 from dogwoodquay.once import claimant
 from dogwoodquay.once import entries
 from dogwoodquay.once import keys
 from dogwoodquay.once import table
-from dogwoodquay.platform import api as platform_api
 
 from . import samples
 
@@ -86,7 +86,7 @@
         self._ids = itertools.count()
         self.now = samples.START
         self.dead: set[tuple[str, int]] = set()
-        self.log: list[platform_api.LogEntry] = []
+        self.log: list[external_api.LogEntry] = []
         self.first_offset = 0
         self.flying: list[entries.ClaimEntry] = []
         self.runs: collections.Counter[Name] = collections.Counter()
@@ -224,7 +224,7 @@
             offset = subject.table.offset + 1
             if offset < self.first_offset:
                 offset = self.first_offset - 1
-                subject.table.apply(platform_api.LogEntry(offset, 0.0, b''))
+                subject.table.apply(external_api.LogEntry(offset, 0.0, b''))
             elif offset < len(self.log):
                 self._apply(subject, self.log[offset])
 
@@ -340,10 +340,10 @@
     def _append(self, entry: entries.ClaimEntry) -> None:
         payload = entries.CODEC.encode((entry,))
         offset = len(self.log)
-        record = platform_api.LogEntry(offset, self.now, payload)
+        record = external_api.LogEntry(offset, self.now, payload)
         self.log.append(record)
 
-    def _apply(self, subject: Process, record: platform_api.LogEntry) -> None:
+    def _apply(self, subject: Process, record: external_api.LogEntry) -> None:
         for verdict in subject.table.apply(record):
             for attempt_id, attempt in list(subject.attempts.items()):
                 if attempt.entry_id == verdict.entry_id:
--- a/tests/unit/once/test_claims.py
+++ b/tests/unit/once/test_claims.py
@@ -6,9 +6,9 @@
 
 import anyio
 
+from dogwoodquay.external.memory import faults
 from dogwoodquay.once import answers
 from dogwoodquay.once import api
-from dogwoodquay.platform.memory import faults
 from dogwoodquay.wire import codec as wire_codec
 
 from . import fakes
--- a/tests/unit/once/test_loopback.py
+++ b/tests/unit/once/test_loopback.py
@@ -9,11 +9,11 @@
 
 import anyio
 
+from dogwoodquay.external.memory import log
+from dogwoodquay.external.memory import timeline
 from dogwoodquay.once import answers
 from dogwoodquay.once import api
 from dogwoodquay.once import shell
-from dogwoodquay.platform.memory import log
-from dogwoodquay.platform.memory import timeline
 from tests.unit.membership import loopback
 
 from . import samples
--- a/tests/unit/once/test_relay.py
+++ b/tests/unit/once/test_relay.py
@@ -7,9 +7,9 @@
 
 import anyio
 
+from dogwoodquay.external.memory import faults
 from dogwoodquay.once import api
 from dogwoodquay.once import relay
-from dogwoodquay.platform.memory import faults
 
 from . import fakes
 from . import samples
--- a/tests/unit/operators/test_publisher.py
+++ b/tests/unit/operators/test_publisher.py
@@ -9,9 +9,9 @@
 import anyio
 
 from dogwoodquay import clock
+from dogwoodquay.external import memory
+from dogwoodquay.external.memory import faults
 from dogwoodquay.operators import publisher
-from dogwoodquay.platform import memory
-from dogwoodquay.platform.memory import faults
 from dogwoodquay.records import catalog
 
 
--- a/tests/unit/ownership/test_runner.py
+++ b/tests/unit/ownership/test_runner.py
@@ -8,9 +8,9 @@
 
 import anyio
 
+from dogwoodquay.external import memory
 from dogwoodquay.membership import api as membership_api
 from dogwoodquay.ownership import runner as runners
-from dogwoodquay.platform import memory
 from tests.unit.journal import helpers
 
 
--- a/tests/unit/records/test_catalog.py
+++ b/tests/unit/records/test_catalog.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 import msgspec
 
-from dogwoodquay.platform import api as platform_api
+from dogwoodquay.external import api as external_api
 from dogwoodquay.records import catalog
 from dogwoodquay.records import decode
 from dogwoodquay.records import refusal
@@ -331,7 +331,7 @@
     ) -> None:
         """Also for the refusals, and byte by byte."""
         entries = [
-            platform_api.LogEntry(offset, 0.0, payload)
+            external_api.LogEntry(offset, 0.0, payload)
             for offset, payload in enumerate(payloads)
         ]
         full = state.ConfigurationState()
@@ -376,13 +376,13 @@
     def test_never_moves_to_a_lower_offset(self) -> None:
         """Neither an old entry nor an old snapshot has an effect."""
         old = state.ConfigurationState()
-        old.apply(platform_api.LogEntry(0, 0.0, h.pool('q', (7,))))
+        old.apply(external_api.LogEntry(0, 0.0, h.pool('q', (7,))))
         new = state.ConfigurationState()
         for offset, payload in enumerate((h.pool(), h.model_v1())):
-            new.apply(platform_api.LogEntry(offset, 0.0, payload))
+            new.apply(external_api.LogEntry(offset, 0.0, payload))
         before = new.snapshot()
         new.restore(old.snapshot())
-        new.apply(platform_api.LogEntry(0, 0.0, h.withdraw('model', 'm')))
+        new.apply(external_api.LogEntry(0, 0.0, h.withdraw('model', 'm')))
         self.assertEqual(before, new.snapshot())
 
     def test_foreign_snapshot_is_refused(self) -> None:
@@ -396,7 +396,7 @@
         """A record's id comes back with its verdict."""
         found = state.ConfigurationState()
         payload = h.model_v1(record_id='r1')
-        verdicts = found.apply(platform_api.LogEntry(0, 0.0, payload))
+        verdicts = found.apply(external_api.LogEntry(0, 0.0, payload))
         self.assertEqual([('r1', False, 0)], list(map(tuple, verdicts)))
 
 
--- a/tests/unit/routing/test_prefix.py
+++ b/tests/unit/routing/test_prefix.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from dogwoodquay.platform import api as platform_api
+from dogwoodquay.external import api as external_api
 from dogwoodquay.routing import prefix
 from tests.unit.routing import views
 
@@ -39,7 +39,7 @@
 
     def test_a_gap_at_the_end_of_a_page_counts(self) -> None:
         """The next sequence may say more than the events do."""
-        page = platform_api.CacheEvents('e1', 9, ())
+        page = external_api.CacheEvents('e1', 9, ())
         self.subject.update('s', page, 10.0)
         self.assertEqual(0.0, self.subject.match('s', _HASHES, 41.0))
 
@@ -61,7 +61,7 @@
 
     def test_a_removed_block_ends_the_match(self) -> None:
         """An eviction that was announced is believed at once."""
-        gone = platform_api.CacheEvent(4, 2, False)
-        page = platform_api.CacheEvents('e1', 5, (gone,))
+        gone = external_api.CacheEvent(4, 2, False)
+        page = external_api.CacheEvents('e1', 5, (gone,))
         self.subject.update('s', page, 1.0)
         self.assertEqual(0.25, self.subject.match('s', _HASHES, 1.0))
--- a/tests/unit/routing/views.py
+++ b/tests/unit/routing/views.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dogwoodquay.platform import api as platform_api
+from dogwoodquay.external import api as external_api
 from dogwoodquay.pools import api as pools_api
 from dogwoodquay.routing import api
 
@@ -57,20 +57,20 @@
 
 def report(
     time: float, queued: int, running: int = 0
-) -> platform_api.LoadReport:
+) -> external_api.LoadReport:
     """Return a load report."""
-    return platform_api.LoadReport(time, running, queued, 0.0, 0.0)
+    return external_api.LoadReport(time, running, queued, 0.0, 0.0)
 
 
 def stored(
     incarnation: str, start: int, hashes: tuple[int, ...]
-) -> platform_api.CacheEvents:
+) -> external_api.CacheEvents:
     """Return events of blocks that entered a cache."""
-    return platform_api.CacheEvents(
+    return external_api.CacheEvents(
         incarnation,
         start + len(hashes),
         tuple(
-            platform_api.CacheEvent(start + n, block, True)
+            external_api.CacheEvent(start + n, block, True)
             for n, block in enumerate(hashes)
         ),
     )
--- a/tests/unit/standin/test_prefix.py
+++ b/tests/unit/standin/test_prefix.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from dogwoodquay.entry import completions
-from dogwoodquay.platform.memory import completion
-from dogwoodquay.platform import prefix
+from dogwoodquay.external.memory import completion
+from dogwoodquay.external import prefix
 
 _TEXT = st.text(max_size=700)
 _PART = st.one_of(
--- a/tests/unit/standin/test_site.py
+++ b/tests/unit/standin/test_site.py
@@ -9,12 +9,12 @@
 import anyio
 import msgspec
 
-from dogwoodquay.platform import api
-from dogwoodquay.platform import errors
-from dogwoodquay.platform import http
-from dogwoodquay.platform import memory
-from dogwoodquay.platform.memory import batch
-from dogwoodquay.platform.memory import completion
+from dogwoodquay.external import api
+from dogwoodquay.external import errors
+from dogwoodquay.external import http
+from dogwoodquay.external import memory
+from dogwoodquay.external.memory import batch
+from dogwoodquay.external.memory import completion
 from dogwoodquay import standin
 
 _FAST = standin.SiteOptions(
