--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -214,6 +214,7 @@
         self._cutter = events.EventCutter(api.NO_EVENT)
         self._started = False
         self._status = 0
+        self._first_byte_seconds = 0.0
 
     @property
     def cutter(self) -> events.EventCutter:
@@ -239,6 +240,7 @@
         self._status = status
         elapsed = self._app.clock.now() - self._arrived_at
         self._app.metrics.first_byte(elapsed)
+        self._first_byte_seconds = elapsed
         kept = self._app.codec.for_caller(headers)
         await self._head(status, kept)
 
@@ -329,6 +331,7 @@
             'answered',
             request=call.request_id,
             status=status,
+            first=round(self._first_byte_seconds, 3),
             seconds=round(elapsed, 3),
         )
 
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -135,7 +135,11 @@
             request=call.request_id,
             server=server.entry.server_id,
             load=server.load(now),
+            own=server.in_flight,
             attempt=attempts,
+            model=call.terms.model,
+            adapter=call.terms.adapter,
+            waited=round(now - call.arrived_at, 3),
             left=round(call.deadline - now, 3),
         )
         head_deadline = call.deadline
--- /dev/null
+++ b/tests/unit/fleet/entries.py
@@ -0,0 +1,37 @@
+"""Entries and servers for tests."""
+
+from __future__ import annotations
+
+import typing
+
+from dogwoodquay.fleet import api
+from dogwoodquay.fleet import server
+
+__all__ = ['entry', 'held', 'made']
+
+
+def held(name: str, *adapters: str) -> api.HeldModel:
+    """Return a model in memory."""
+    return api.HeldModel(name, 1, frozenset(adapters))
+
+
+def entry(server_id: str = 's1', **changes: typing.Any) -> api.ServerEntry:
+    """Return a live server's entry."""
+    made_entry = api.ServerEntry(
+        server_id=server_id,
+        service='models',
+        address='10.0.0.1',
+        port=80,
+        failure_domain='d1',
+        state=api.ServerState.LIVE,
+        slots=4,
+        started_ms=1000,
+        report_number=1,
+        models=(),
+    )
+    return made_entry._replace(**changes)
+
+
+def made(server_id: str = 's1', **changes: typing.Any) -> server.Server:
+    """Return what is believed of a live server."""
+    return server.Server(entry(server_id, **changes))
--- /dev/null
+++ b/tests/unit/fleet/test_queue.py
@@ -0,0 +1,52 @@
+"""Tests of requests that wait for a server."""
+
+from __future__ import annotations
+
+import unittest
+
+from dogwoodquay.fleet import choice
+from dogwoodquay.fleet import queue
+
+
+def _ticket(
+    number: int,
+    priority: int = 1,
+    give_up_at: float = 9.0,
+    model: str = '',
+) -> queue.Ticket:
+    need = choice.Need('models', model)
+    return queue.Ticket(number, priority, give_up_at, float(number), need)
+
+
+class QueueTest(unittest.TestCase):
+    """A burst: the most urgent go first, the late ones leave."""
+
+    def test_urgent_first_then_oldest(self) -> None:
+        """Room for two goes to the urgent one and the older of the rest."""
+        subject = queue.RequestQueue()
+        for ticket in (_ticket(1), _ticket(2), _ticket(3, priority=0)):
+            subject.add(ticket)
+        rooms = ['x', 'y']
+        assigned = subject.assign(lambda _: rooms.pop(0) if rooms else None)
+        numbers = [ticket.number for ticket, _ in assigned]
+        self.assertEqual([3, 1], numbers)
+        self.assertEqual(1, len(subject))
+
+    def test_full_model_does_not_block_others(self) -> None:
+        """Requests of a model without room do not hold back the rest."""
+        subject = queue.RequestQueue()
+        subject.add(_ticket(1, priority=0, model='full'))
+        subject.add(_ticket(2, priority=2, model='free'))
+        assigned = subject.assign(
+            lambda need: 'x' if need.model == 'free' else None
+        )
+        self.assertEqual([2], [ticket.number for ticket, _ in assigned])
+
+    def test_expired(self) -> None:
+        """What cannot be served in time leaves at once."""
+        subject = queue.RequestQueue()
+        subject.add(_ticket(1, give_up_at=5.0))
+        subject.add(_ticket(2, give_up_at=6.0))
+        expired = subject.expired(5.0)
+        self.assertEqual([1], [ticket.number for ticket in expired])
+        self.assertEqual(1, len(subject))
--- /dev/null
+++ b/tests/unit/fleet/test_registry.py
@@ -0,0 +1,87 @@
+"""Tests of following the platform's list of servers."""
+
+from __future__ import annotations
+
+import unittest
+
+from . import entries
+from dogwoodquay.fleet import api
+from dogwoodquay.fleet import registry
+
+Change = registry.Change
+
+
+class UpdateTest(unittest.TestCase):
+    """Only newer words of a server count."""
+
+    def test_old_report_of_the_same_process(self) -> None:
+        """A report that comes late does not undo a newer one."""
+        subject = registry.Registry()
+        subject.update(entries.entry(report_number=5), 1.0)
+        leaving = entries.entry(
+            report_number=6, state=api.ServerState.LEAVING
+        )
+        self.assertIs(Change.LEAVING, subject.update(leaving, 2.0))
+        old = entries.entry(report_number=4)
+        self.assertIs(Change.STALE, subject.update(old, 3.0))
+        self.assertEqual([], subject.of_service('models'))
+
+    def test_restart_under_the_same_id(self) -> None:
+        """A later start knows nothing of before, whatever its count."""
+        subject = registry.Registry()
+        subject.update(
+            entries.entry(
+                report_number=9,
+                state=api.ServerState.LEAVING,
+                models=(entries.held('m'),),
+            ),
+            1.0,
+        )
+        again = entries.entry(started_ms=2000, report_number=1)
+        self.assertIs(Change.RESTARTED, subject.update(again, 2.0))
+        (server,) = subject.of_service('models')
+        self.assertFalse(server.holds('m', ''))
+        before = entries.entry(report_number=10)
+        self.assertIs(Change.STALE, subject.update(before, 3.0))
+
+    def test_removed_server_gets_nothing(self) -> None:
+        """Whoever still refers to a removed server sees it leaving."""
+        subject = registry.Registry()
+        subject.update(entries.entry(), 1.0)
+        server = subject.get('s1')
+        assert server is not None
+        self.assertIs(Change.REMOVED, subject.remove('s1', 2.0))
+        self.assertTrue(server.leaving)
+        self.assertIsNone(subject.get('s1'))
+
+
+class OutageTest(unittest.TestCase):
+    """Entries that lapse while the store is away may come back."""
+
+    def test_back_in_time(self) -> None:
+        """A server that reports again soon was never gone."""
+        subject = registry.Registry()
+        subject.update(entries.entry(), 1.0)
+        subject.store_returned(10.0)
+        self.assertIs(Change.SAME, subject.remove('s1', 10.1))
+        self.assertEqual(1, len(subject.of_service('models')))
+        subject.update(entries.entry(report_number=2), 11.0)
+        self.assertEqual([], subject.expire(20.0))
+        self.assertIsNotNone(subject.get('s1'))
+
+    def test_not_back(self) -> None:
+        """One that is still missing after that time is gone."""
+        subject = registry.Registry()
+        subject.update(entries.entry(), 1.0)
+        subject.store_returned(10.0)
+        subject.replace((), 10.1)
+        due = 10.0 + registry.LAPSE_SECONDS
+        self.assertEqual([], subject.expire(due - 0.01))
+        self.assertEqual(['s1'], subject.expire(due))
+
+    def test_leaving_in_steady_state(self) -> None:
+        """Long after an outage a missing entry is gone at once."""
+        subject = registry.Registry()
+        subject.update(entries.entry(), 1.0)
+        subject.store_returned(10.0)
+        self.assertIs(Change.REMOVED, subject.remove('s1', 13.0))
