Keep only the holder of the duty in the store's group

Change: others look the holder up and join when there is none; with checked fences no waiting, and a holder that the store does not answer goes on; idle connections are closed 2.4 s after the signal.

--- a/src/dogwoodquay/gateway/duty.py
+++ b/src/dogwoodquay/gateway/duty.py
@@ -10,11 +10,13 @@
 from . import settings as gateway_settings
 
 if typing.TYPE_CHECKING:
+    import random
+
     from .. import clock as clocks
     from . import metrics as gateway_metrics
     from . import store_api
 
-__all__ = ['Duty', 'member_name', 'member_address']
+__all__ = ['Duty', 'member_address', 'member_name']
 
 _LOG: typing.Final = logs.PartLog('duty')
 
@@ -22,19 +24,27 @@
 TOPIC: typing.Final = 'engine-orders'
 # Whoever holds this partition gives the orders.
 PARTITION: typing.Final = 0
-RENEWALS: typing.Final = 2.5
-CALL_SECONDS: typing.Final = 0.8
-LOOKUP_SECONDS: typing.Final = 1.0
+# Renewals within the life of a membership.
+RENEWALS: typing.Final = 3.0
+CALL_SECONDS: typing.Final = 0.5
+LOOKUP_SECONDS: typing.Final = 0.4
+# Candidates wait up to so long, so that most find the duty taken.
+CANDIDATE_SECONDS: typing.Final = 0.2
 # The end of a membership that is not relied on, as a share of it.
 MARGIN_SHARE: typing.Final = 0.25
 
 
 class Duty:
-    """This instance's membership in the group, and who holds the duty.
+    """Whether this instance holds the duty, and else who does.
+
+    Only the holder stays in the group, so that restarts of others deal no
+    partition anew. Who cannot reach the holder asks the store who it is, and
+    joins when nobody is: then its membership has lapsed. The generation of
+    the group rises with each change and serves as the fencing number.
 
-    The group's generation rises with each change, so that it serves as the
-    fencing number: one generation has one holder. A new holder waits for the
-    time after which an earlier one has given its last order.
+    Where engines refuse old numbers, a holder that the store does not answer
+    goes on until an engine or the store tells of another. Elsewhere it stops
+    before its membership can lapse, and a new one waits for the lease time.
     """
 
     def __init__(
@@ -42,11 +52,13 @@
         store: store_api.Store,
         settings: gateway_settings.InstanceSettings,
         clock: clocks.Clock,
+        rng: random.Random,
         metrics: gateway_metrics.GatewayMetrics,
     ) -> None:
         self._store = store
         self._settings = settings
         self._clock = clock
+        self._rng = rng
         self._metrics = metrics
         self._member = member_name(settings)
         self._generation = 0
@@ -54,9 +66,8 @@
         self._held_since = float('inf')
         self._confirmed_at = float('-inf')
         self._owner = ''
-        self._owner_known_at = float('-inf')
-        self._stale_generation = -1
         self._leaving = False
+        self._wake = anyio.Event()
 
     @property
     def fence(self) -> int:
@@ -65,44 +76,104 @@
 
     @property
     def owner(self) -> gateway_settings.Address | None:
-        """Where the holder listens for its peers, if known."""
-        return member_address(self._owner) if self._owner else None
+        """Where the holder listens for its peers, if another one is known."""
+        if not self._owner or self._owner == self._member:
+            return None
+        return member_address(self._owner)
 
     def holds(self, now: float) -> bool:
         """Whether this instance is the holder, as far as it can tell."""
+        if not self._held or self._leaving:
+            return False
+        if self._settings.fences_checked:
+            return True
         ttl = self._settings.member_seconds
-        fresh = now < self._confirmed_at + ttl * (1.0 - MARGIN_SHARE)
-        current = self._generation > self._stale_generation
-        return self._held and fresh and current and not self._leaving
+        return now < self._confirmed_at + ttl * (1.0 - MARGIN_SHARE)
 
     def may_order(self, now: float) -> bool:
         """Whether this instance may give orders now."""
         if not self.holds(now):
             return False
+        if self._settings.fences_checked:
+            return True
         return now >= self._held_since + self._settings.lease_seconds
 
     def superseded(self) -> None:
         """Note that an engine has seen a higher fencing number."""
-        self._stale_generation = self._generation
         _LOG.write('superseded', generation=self._generation)
+        self._lose()
 
-    def forget_owner(self) -> None:
-        """Note that the holder cannot be reached."""
+    def unreachable(self) -> None:
+        """Note that the holder does not answer, or is none any more."""
         self._owner = ''
+        self._wake.set()
 
     async def run(self) -> typing.NoReturn:
-        """Stay in the group for ever."""
-        pause = self._settings.member_seconds / RENEWALS
+        """Hold the duty, or know who does, for ever."""
         while True:
-            due = self._clock.now() + pause
-            await self.step()
-            await anyio.sleep(max(0.05, due - self._clock.now()))
+            pause = await self.step()
+            self._wake = anyio.Event()
+            with anyio.move_on_after(pause):
+                await self._wake.wait()
 
-    async def step(self) -> None:
-        """Renew the membership once, and find the holder if it changed."""
+    async def step(self) -> float:
+        """Renew, look up or join once; return when to do so again."""
         if self._leaving:
+            return LOOKUP_SECONDS
+        if self._held:
+            began = self._clock.now()
+            await self._renew()
+            pause = self._settings.member_seconds / RENEWALS
+            return max(0.05, began + pause - self._clock.now())
+        if self._owner:
+            return float('inf')
+        if await self._look_up() == '':
+            await anyio.sleep(self._rng.uniform(0.0, CANDIDATE_SECONDS))
+            if await self._look_up() == '':
+                await self._join()
+        return LOOKUP_SECONDS
+
+    async def leave(self) -> None:
+        """Give the duty up at a planned stop."""
+        held, self._leaving = self._held, True
+        if held:
+            await self._leave_group()
+
+    async def _renew(self) -> None:
+        began = self._clock.now()
+        if began > self._confirmed_at + self._settings.member_seconds:
+            # To join again would take the duty from who has it by now.
+            holder = await self._look_up()
+            if holder:
+                self._lose()
+            if holder != '':
+                return
+        membership = await self._call(began)
+        if membership is None:
             return
+        self._confirmed_at = began
+        if PARTITION in membership.partitions:
+            self._generation = membership.generation
+            return
+        self._lose()
+        await self._leave_group()
+
+    async def _join(self) -> None:
         began = self._clock.now()
+        membership = await self._call(began)
+        if membership is None:
+            return
+        if PARTITION not in membership.partitions:
+            await self._leave_group()
+            return
+        self._generation = membership.generation
+        self._confirmed_at = began
+        self._held = True
+        self._held_since = began
+        self._owner = self._member
+        _LOG.write('held', generation=self._generation)
+
+    async def _call(self, began: float) -> store_api.Membership | None:
         joined = await self._store.join(
             GROUP,
             self._member,
@@ -111,54 +182,36 @@
             self._generation,
             began + CALL_SECONDS,
         )
-        if joined.is_error():
-            self._metrics.store_failed('join')
-            self._check_lost()
-            return
-        self._take(joined.ok, began)
-        await self._look_up()
+        if joined.is_ok():
+            return joined.ok
+        self._metrics.store_failed('join')
+        return None
 
-    async def leave(self) -> None:
-        """Give the duty up at a planned stop."""
-        self._leaving = True
+    async def _look_up(self) -> str | None:
+        """Return the holder, empty when there is none."""
+        deadline = self._clock.now() + CALL_SECONDS
+        found = await self._store.owner(GROUP, PARTITION, deadline)
+        if found.is_error():
+            self._metrics.store_failed('owner')
+            return None
+        if found.ok == self._member:
+            # The membership of an earlier process at this place.
+            return ''
+        if found.ok and found.ok != self._owner:
+            self._owner = found.ok
+            _LOG.write('holder', member=found.ok)
+        return found.ok
+
+    async def _leave_group(self) -> None:
         deadline = self._clock.now() + CALL_SECONDS
         await self._store.leave(GROUP, self._member, deadline)
         _LOG.write('left', generation=self._generation)
 
-    def _take(self, membership: store_api.Membership, began: float) -> None:
-        before = self._held
-        if membership.generation != self._generation:
+    def _lose(self) -> None:
+        self._held = False
+        if self._owner == self._member:
             self._owner = ''
-        self._generation = membership.generation
-        self._held = PARTITION in membership.partitions
-        gap = began - self._confirmed_at
-        lapsed = gap >= self._settings.member_seconds
-        self._confirmed_at = began
-        if self._held and (not before or lapsed):
-            self._held_since = began
-            _LOG.write('held', generation=self._generation)
-        if before and not self._held:
-            _LOG.write('lost', generation=self._generation)
-
-    def _check_lost(self) -> None:
-        if self._held and not self.holds(self._clock.now()):
-            self._held = False
-            _LOG.write('unconfirmed', generation=self._generation)
-
-    async def _look_up(self) -> None:
-        now = self._clock.now()
-        if self._held:
-            self._owner = self._member
-            return
-        if self._owner or now < self._owner_known_at + LOOKUP_SECONDS:
-            return
-        self._owner_known_at = now
-        found = await self._store.owner(GROUP, PARTITION, now + CALL_SECONDS)
-        if found.is_error():
-            self._metrics.store_failed('owner')
-            return
-        self._owner = found.ok
-        _LOG.write('holder', member=found.ok, generation=self._generation)
+        _LOG.write('lost', generation=self._generation)
 
 
 def member_name(settings: gateway_settings.InstanceSettings) -> str:
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -22,9 +22,7 @@
 _LOG: typing.Final = logs.PartLog('peering')
 
 TELL_SECONDS: typing.Final = 0.25
-CALL_SECONDS: typing.Final = 0.8
-# Calls in a row without an answer after which the holder is looked up.
-MISSES: typing.Final = 3
+CALL_SECONDS: typing.Final = 0.5
 
 
 class Peering:
@@ -46,7 +44,6 @@
         self._registry = registry
         self._clock = clock
         self._scheduler: schedulers.Scheduler | None = None
-        self._misses = 0
         transport.register(messages.InstanceLoad, self._handle_load)
         transport.register(messages.FindAdapter, self._handle_find)
         transport.register(messages.FleetView)
@@ -99,19 +96,15 @@
             self._clock.now() + CALL_SECONDS,
         )
         if answer.is_ok():
-            self._misses = 0
             self._take(answer.ok)
             scheduler.pump()
             return
-        self._misses += 1
-        if self._misses >= MISSES:
-            self._misses = 0
-            self._duty.forget_owner()
-            _LOG.write(
-                'holder_unreachable',
-                address=f'{owner.host}:{owner.port}',
-                reason=answer.error.reason,
-            )
+        self._duty.unreachable()
+        _LOG.write(
+            'holder_unreachable',
+            address=f'{owner.host}:{owner.port}',
+            reason=answer.error.reason,
+        )
 
     def _take(self, view: messages.FleetView) -> None:
         now = self._clock.now()
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -47,8 +47,7 @@
 # The balancer asks once a second and takes an instance out after two misses.
 BALANCER_SECONDS: typing.Final = 2.4
 # What is left of the time to stop for closing connections.
-STOP_MARGIN_SECONDS: typing.Final = 1.0
-STOP_POLL_SECONDS: typing.Final = 0.05
+STOP_MARGIN_SECONDS: typing.Final = 0.6
 # Repeats beyond their share of each instance; all of them together stay
 # below the slack of the smallest deployments.
 RETRY_SLACK: typing.Final = 2
@@ -133,7 +132,6 @@
             instance=self._settings.instance_id,
             domain=self._settings.failure_domain,
         )
-        callers = self._callers
         readiness = serving.Listener(self._settings.readiness)
         async with anyio.create_task_group() as group:
             group.start_soon(self._run_peers)
@@ -148,7 +146,7 @@
                 group.start_soon(part)
             group.start_soon(readiness.serve, self._health, self._drained.wait)
             group.start_soon(self._drain)
-            await callers.serve(self._app, self._drained.wait)
+            await self._callers.serve(self._app, self._drained.wait)
             group.cancel_scope.cancel()
         await self._connections.close()
         _LOG.write('stop', instance=self._settings.instance_id)
@@ -158,7 +156,7 @@
         clock = self._clock
         metrics = self._metrics
         store = outside.store(self._connections, settings.store)
-        self._duty = duties.Duty(store, settings, clock, metrics)
+        self._duty = duties.Duty(store, settings, clock, self._rng, metrics)
         engines = outside.engines(self._connections, settings.instance_id)
         self._controller = controllers.Controller(
             self._duty, self._registry, engines, settings, clock, metrics
@@ -245,19 +243,20 @@
             await anyio.sleep_forever()
 
     async def _drain(self) -> None:
-        """Let the balancer take this instance out, then finish requests."""
+        """Let the balancer take this instance out, then finish requests.
+
+        Idle connections are closed once no new ones come, so that no
+        request is taken that could not be finished any more.
+        """
         await self._stopping.wait()
-        began = self._clock.now()
+        until = self._clock.now() + self._settings.stop_seconds
+        until -= STOP_MARGIN_SECONDS
         _LOG.write('stopping', in_flight=self._app.in_flight)
         self._app.close_connections()
         await self._duty.leave()
-        until = began + self._settings.stop_seconds - STOP_MARGIN_SECONDS
-        while self._clock.now() < until:
-            quiet = self._clock.now() >= began + BALANCER_SECONDS
-            if quiet and not self._app.in_flight:
-                break
-            await anyio.sleep(STOP_POLL_SECONDS)
-        _LOG.write('drained', in_flight=self._app.in_flight)
+        await anyio.sleep(BALANCER_SECONDS)
+        _LOG.write('draining', in_flight=self._app.in_flight)
+        self._callers.stop_within(max(0.0, until - self._clock.now()))
         self._drained.set()
 
 
--- a/src/dogwoodquay/gateway/serving.py
+++ b/src/dogwoodquay/gateway/serving.py
@@ -37,6 +37,10 @@
         """Keep idle connections for so long from now on."""
         self._config.keep_alive_timeout = seconds
 
+    def stop_within(self, seconds: float) -> None:
+        """Give requests so long to end once the server stops."""
+        self._config.graceful_timeout = seconds
+
     async def serve(
         self, app: object, stop: abc.Callable[[], abc.Awaitable[None]]
     ) -> None:
--- a/src/dogwoodquay/gateway/settings.py
+++ b/src/dogwoodquay/gateway/settings.py
@@ -32,6 +32,7 @@
     drain_seconds: float
     stop_seconds: float
     lease_seconds: float
+    fences_checked: bool
     member_seconds: float
     retry_share: float
     retry_slack: int
--- a/src/dogwoodquay/platform/settings.py
+++ b/src/dogwoodquay/platform/settings.py
@@ -20,8 +20,8 @@
 # Two reads have to fit into the time in which a leaving server may still
 # get requests, with room for one that fails.
 _LISTS_PER_DRAIN: typing.Final = 2.8
-# Renewals of a membership that fit into its time to live.
-_MEMBER_FACTOR: typing.Final = 2.5
+# The life of a membership, in the shortest that the store allows.
+_MEMBER_FACTOR: typing.Final = 1.2
 
 
 class _Body(msgspec.Struct, rename='pascal'):
@@ -45,6 +45,8 @@
     retry_window_s: float = 10.0
     retry_slack: int = 10
     lease_ms: float = 3000.0
+    # Whether servers refuse orders with a lower fencing number.
+    fence_checked: bool = False
     ceiling_window_s: float = 5.0
     ceiling_over: float = 1.0
 
@@ -95,6 +97,7 @@
         drain_seconds=drain_seconds,
         stop_seconds=bounds.grace_s,
         lease_seconds=bounds.lease_ms / _MILLISECONDS,
+        fences_checked=bounds.fence_checked,
         member_seconds=least_ttl * _MEMBER_FACTOR,
         retry_share=bounds.retry_budget_ratio,
         retry_slack=bounds.retry_slack,
--- a/tests/unit/fleet/test_choice.py
+++ b/tests/unit/fleet/test_choice.py
@@ -28,9 +28,7 @@
 
     def test_holds_what_is_needed(self) -> None:
         """A server without the adapter is not chosen."""
-        with_adapter = entries.made(
-            'with', models=(entries.held('m', 'a1'),)
-        )
+        with_adapter = entries.made('with', models=(entries.held('m', 'a1'),))
         without = entries.made('without', models=(entries.held('m'),))
         need = choice.Need('models', 'm', 'a1')
         self.assertEqual('with', _choose([without, with_adapter], need))
--- a/tests/unit/fleet/test_registry.py
+++ b/tests/unit/fleet/test_registry.py
@@ -18,9 +18,7 @@
         """A report that comes late does not undo a newer one."""
         subject = registry.Registry()
         subject.update(entries.entry(report_number=5), 1.0)
-        leaving = entries.entry(
-            report_number=6, state=api.ServerState.LEAVING
-        )
+        leaving = entries.entry(report_number=6, state=api.ServerState.LEAVING)
         self.assertIs(Change.LEAVING, subject.update(leaving, 2.0))
         old = entries.entry(report_number=4)
         self.assertIs(Change.STALE, subject.update(old, 3.0))
