Restart failed parts of an instance and log their traces

Change: a failed part is logged with its trace and starts again; the end of the process logs its trace.

--- a/src/dogwoodquay/commands/gateway.py
+++ b/src/dogwoodquay/commands/gateway.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import signal
+import traceback
 import typing
 
 import anyio
@@ -12,6 +13,7 @@
 
 from . import exits
 from ..gateway import runtime
+from ..observe import logs
 from ..observe import loop
 from ..observe import output
 from ..platform import engines
@@ -28,6 +30,8 @@
 
 __all__ = ['register']
 
+_LOG: typing.Final = logs.PartLog('instance')
+
 
 def register(commands: typing.Any) -> None:
     """Add the command to the parser.
@@ -67,6 +71,10 @@
         anyio.run(_serve, result.ok, path)
     except OSError as error:
         return exits.fail(exits.Exit.UNAVAILABLE, f'cannot serve: {error}')
+    except Exception as error:
+        trace = ''.join(traceback.format_exception(error))
+        _LOG.write('failed', error=type(error).__name__, trace=trace)
+        raise
     return exits.Exit.OK
 
 
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -20,6 +20,7 @@
 from . import metrics as gateway_metrics
 from ..observe import logs
 from ..observe import metrics as metrics_module
+from ..observe import supervise
 from . import peering as peerings
 from ..retry import window
 from . import scheduler as schedulers
@@ -134,16 +135,16 @@
         )
         readiness = serving.Listener(self._settings.readiness)
         async with anyio.create_task_group() as group:
-            group.start_soon(self._run_peers)
-            for part in (
-                self._configuration.run,
-                self._servers.run,
-                self._duty.run,
-                self._scheduler.run,
-                self._controller.run,
-                self._peering.run,
+            for name, part in (
+                ('peers', self._run_peers),
+                ('configuration', self._configuration.run),
+                ('servers', self._servers.run),
+                ('duty', self._duty.run),
+                ('scheduler', self._scheduler.run),
+                ('controller', self._controller.run),
+                ('peering', self._peering.run),
             ):
-                group.start_soon(part)
+                group.start_soon(supervise.keep_running, name, part)
             group.start_soon(readiness.serve, self._health, self._drained.wait)
             group.start_soon(self._drain)
             await self._callers.serve(self._app, self._drained.wait)
