Plan loads by the requests that they serve soon

Cause: the planner put the longest wait first, so that a model with 126 waiting callers came after rare ones with one each; unloads held engines busy until running requests ended; replicas came one at a time.

--- a/src/dogwoodquay/gateway/controller.py
+++ b/src/dogwoodquay/gateway/controller.py
@@ -78,6 +78,17 @@
         self.report_due: dict[str, float] = {}
         self.reporting: set[str] = set()
 
+    def offered(
+        self, engine: engine_contents.EngineContents
+    ) -> dict[str, frozenset[str]]:
+        """Return what requests may be sent for to an engine."""
+        withdrawn = self.planner.withdrawn(engine.server.server_id)
+        return {
+            model: adapters
+            for model, adapters in engine.models().items()
+            if model not in withdrawn
+        }
+
 
 class Controller:
     """Keeps engines' contents as demand wants them."""
@@ -125,7 +136,7 @@
                     engine.server.started_ms,
                     {
                         model: tuple(sorted(names))
-                        for model, names in engine.models().items()
+                        for model, names in group.offered(engine).items()
                     },
                     engine.report.running + engine.report.waiting
                     if engine.report
@@ -281,7 +292,7 @@
         now = self._clock.now()
         if result.is_ok() and engine.order_number == number:
             engine.observe(result.ok)
-            self._note(engine, result.ok, now)
+            self._note(group, engine, result.ok, now)
         elif result.is_error():
             _LOG.write('no_report', server=server_id, reason=result.error)
         settled = engine.known and not engine.busy
@@ -290,6 +301,7 @@
 
     def _note(
         self,
+        group: _Group,
         engine: engine_contents.EngineContents,
         report: residency_api.EngineReport,
         now: float,
@@ -298,7 +310,7 @@
         server = self._registry.get(engine.server.server_id)
         if server is not None and engine.known:
             server.note_load(report.running + report.waiting, now)
-            server.note_held(engine.models(), now)
+            server.note_held(group.offered(engine), now)
 
     def _plan(
         self,
@@ -313,7 +325,11 @@
             if self._usable(server_id)
         ]
         demand = self._board.demand(name, now)
-        for engine, order in group.planner.plan(engines, demand, now):
+
+        def running(server_id: str, model: str) -> int:
+            return self._board.running(server_id, model, now)
+
+        for engine, order in group.planner.plan(engines, demand, running, now):
             if not self._paced(group, engine, order, now):
                 continue
             _LOG.write(
@@ -385,7 +401,7 @@
         )
         server = self._registry.get(server_id)
         if server is not None and engine.known:
-            server.note_held(engine.models(), self._clock.now())
+            server.note_held(group.offered(engine), self._clock.now())
         return answer in (
             residency_api.OrderAnswer.ACCEPTED,
             residency_api.OrderAnswer.HOLDS_ALREADY,
--- a/src/dogwoodquay/gateway/demand.py
+++ b/src/dogwoodquay/gateway/demand.py
@@ -76,6 +76,16 @@
             )
             self._used_at[key3] = now
 
+    def running(self, server_id: str, model: str, now: float) -> int:
+        """Return how many requests of a model run on a server."""
+        return sum(
+            row.count
+            for at, load in self._loads.values()
+            if now - at <= FRESH_SECONDS
+            for row in load.running
+            if row.server_id == server_id and row.model == model
+        )
+
     def demand(self, service: str, now: float) -> dict[str, planner.Demand]:
         """Return the demand for each model of a service."""
         total: dict[str, planner.Demand] = {}
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -14,6 +14,7 @@
     'FleetView',
     'InstanceLoad',
     'ModelRow',
+    'RunningRow',
 ]
 
 
@@ -39,12 +40,21 @@
     adapter: str
 
 
+class RunningRow(msgspec.Struct, frozen=True, array_like=True):
+    """How many requests of a model one instance has at a server."""
+
+    server_id: str
+    model: str
+    count: int
+
+
 class InstanceLoad(wire_api.Message, frozen=True, tag='load'):
     """The load of one instance, told to the holder."""
 
     instance_id: str
     models: tuple[ModelRow, ...]
     in_use: tuple[AdapterInUse, ...]
+    running: tuple[RunningRow, ...]
 
 
 class EngineView(msgspec.Struct, frozen=True, array_like=True):
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -22,6 +22,8 @@
 _LOG: typing.Final = logs.PartLog('peering')
 
 TELL_SECONDS: typing.Final = 0.25
+# The same while requests wait, which may be for a model or adapter.
+TELL_WAITING_SECONDS: typing.Final = 0.1
 CALL_SECONDS: typing.Final = 0.5
 
 
@@ -75,16 +77,23 @@
     async def run(self) -> typing.NoReturn:
         """Tell the load for ever."""
         while True:
-            await anyio.sleep(TELL_SECONDS)
-            await self._tell()
+            scheduler = self._scheduler
+            if scheduler is None:
+                await anyio.sleep(TELL_SECONDS)
+                continue
+            waiting = scheduler.waiting > 0
+            await anyio.sleep(
+                TELL_WAITING_SECONDS if waiting else TELL_SECONDS
+            )
+            await self._tell(scheduler)
 
-    async def _tell(self) -> None:
-        scheduler = self._scheduler
-        if scheduler is None:
-            return
+    async def _tell(self, scheduler: schedulers.Scheduler) -> None:
         load = _load(self._instance_id, scheduler)
         if self._duty.holds(self._clock.now()):
-            self._controller.take(load)
+            view = self._controller.take(load)
+            if view is not None:
+                self._take(view)
+                scheduler.pump()
             return
         owner = self._duty.owner
         if owner is None:
@@ -148,4 +157,8 @@
     used = tuple(
         messages.AdapterInUse(*key) for key in scheduler.adapters_in_use()
     )
-    return messages.InstanceLoad(instance_id, rows, used)
+    running = tuple(
+        messages.RunningRow(*key, count)
+        for key, count in scheduler.running().items()
+    )
+    return messages.InstanceLoad(instance_id, rows, used, running)
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import itertools
 import typing
@@ -97,6 +98,7 @@
         self._counts: dict[_Key, _Counts] = {}
         self._searches: dict[tuple[str, str, str], float] = {}
         self._used: dict[tuple[str, str, str], int] = {}
+        self._running: collections.Counter[_Key] = collections.Counter()
         self._tasks: anyio.abc.TaskGroup | None = None
 
     @property
@@ -131,6 +133,10 @@
         """Return server, model and adapter of the requests under way."""
         return list(self._used)
 
+    def running(self) -> dict[_Key, int]:
+        """Return the requests under way by server and model."""
+        return {key: count for key, count in self._running.items() if count}
+
     async def run(self) -> None:
         """Move the queue until cancelled."""
         async with anyio.create_task_group() as group:
@@ -170,6 +176,7 @@
         terms = call.terms
         if terms.model:
             self._count(call).in_flight -= 1
+            self._running[server.entry.server_id, terms.model] -= 1
         if terms.adapter:
             key = (server.entry.server_id, terms.model, terms.adapter)
             self._used[key] -= 1
@@ -239,6 +246,7 @@
         terms = call.terms
         if terms.model:
             self._count(call).in_flight += 1
+            self._running[server.entry.server_id, terms.model] += 1
         if terms.adapter:
             key = (server.entry.server_id, terms.model, terms.adapter)
             self._used[key] = self._used.get(key, 0) + 1
--- a/src/dogwoodquay/residency/planner.py
+++ b/src/dogwoodquay/residency/planner.py
@@ -13,6 +13,11 @@
 
 __all__ = ['Demand', 'ModelPlanner', 'PlannerSettings']
 
+_Engines: typing.TypeAlias = 'abc.Sequence[engine_contents.EngineContents]'
+_Orders: typing.TypeAlias = (
+    'list[tuple[engine_contents.EngineContents, api.Order]]'
+)
+
 
 class Demand(typing.NamedTuple):
     """What callers ask of a model, over all instances.
@@ -27,65 +32,83 @@
 
 
 class PlannerSettings(typing.NamedTuple):
-    """Weights of the planner, in seconds unless named otherwise.
-
-    ``hold_seconds`` is how long a model that has demand stays after it was
-    loaded. ``replica_gain`` is by what factor the demand for each copy must
-    exceed that of the model that makes room for another copy.
+    """Weights of the planner; gains and losses are in requests.
+
+    ``horizon_seconds`` is for how long a move is expected to pay.
+    ``used_share`` is how full the places of an engine may get before another
+    copy helps, ``spread_share`` what a further copy gains beside that.
+    ``move_cost`` is what a load has to gain at least, ``running_cost`` what
+    it costs to wait for running requests of a model that makes room.
+    ``hold_seconds`` is how long a model that has demand stays after its load.
     """
 
-    hold_seconds: float = 2.0
-    replica_gain: float = 2.5
-    replica_rate: float = 4.0
-    replica_interval_seconds: float = 0.8
+    horizon_seconds: float = 4.0
+    used_share: float = 0.4
+    spread_share: float = 0.06
+    move_cost: float = 1.0
+    running_cost: float = 1.0
+    hold_seconds: float = 1.5
     goal_seconds: float = 8.0
+    drain_seconds: float = 1.5
+    default_request_seconds: float = 1.0
+    candidates: int = 12
 
 
 class _Goal(typing.NamedTuple):
-    """A load that waits until models have left its server."""
+    """A load that waits until models have left its engine."""
 
     model: str
     victims: tuple[str, ...]
-    until: float
+    began: float
 
 
-class _Room(typing.NamedTuple):
-    """A server for a load, the models that have to go, and what it costs."""
+class _Option(typing.NamedTuple):
+    """A load on an engine, the models that have to go, and its worth."""
 
-    contents: engine_contents.EngineContents
+    engine: engine_contents.EngineContents
+    model: str
     victims: tuple[str, ...]
-    cost: float
+    score: float
 
 
 NONE: typing.Final = Demand(0.0, 0, 0, 0.0)
-# The cost of removing the only copy of a model, in requests a second.
-_LAST_COPY: typing.Final = 1.0
-# What a second of load time costs, in requests a second.
-_LOAD_SECOND: typing.Final = 0.15
+_NEVER: typing.Final = float('inf')
+# Bounds of the mean time of a request that is worked out from its demand.
+_MIN_REQUEST_SECONDS: typing.Final = 0.3
+_MAX_REQUEST_SECONDS: typing.Final = 4.0
 
 
 class ModelPlanner:
     """Plans one order at a time for each engine of a service; pure.
 
-    Answers demand that moves to models which no engine holds, and bursts on
-    a model with few copies. Models without demand make room first, then
-    copies that others replace, and never one that was just loaded.
+    Answers demand that moves to models which no engine holds, bursts on a
+    model with few copies, and more models in demand than fit at a time: the
+    load goes first that serves most callers soon, less those whom it takes a
+    model from.
     """
 
     def __init__(self, settings: PlannerSettings | None = None) -> None:
         self._settings = settings or PlannerSettings()
         self._goals: dict[str, _Goal] = {}
         self._loaded_at: dict[tuple[str, str], float] = {}
-        self._next_replica_at = float('-inf')
+
+    def withdrawn(self, server_id: str) -> tuple[str, ...]:
+        """Return the models that are about to leave an engine."""
+        goal = self._goals.get(server_id)
+        return goal.victims if goal is not None else ()
 
     def plan(
         self,
-        engines: abc.Sequence[engine_contents.EngineContents],
+        engines: _Engines,
         demand: abc.Mapping[str, Demand],
+        running: abc.Callable[[str, str], int],
         now: float,
-    ) -> list[tuple[engine_contents.EngineContents, api.Order]]:
-        """Return the next order of each engine that should get one."""
-        orders = self._pursue(engines, now)
+    ) -> _Orders:
+        """Return the next order of each engine that should get one.
+
+        :param running: how many requests of a model run on a server.
+        """
+        orders = self._pursue(engines, running, now)
         taken = {item.server.server_id for item, _ in orders}
         free = [
             engine
@@ -96,34 +119,38 @@
             and engine.server.server_id not in taken
             and engine.server.server_id not in self._goals
         ]
-        for model in self._missing(engines, demand):
-            self._place(model, engines, free, demand, now, orders)
-        if now >= self._next_replica_at and free:
-            model = self._crowded(engines, demand)
-            if model and self._place(
-                model, engines, free, demand, now, orders, replica=True
-            ):
-                self._next_replica_at = (
-                    now + self._settings.replica_interval_seconds
-                )
+        copies = self._copies(engines)
+        while free:
+            option = self._best(free, copies, demand, running, now)
+            if option is None:
+                break
+            free.remove(option.engine)
+            copies[option.model] = copies.get(option.model, 0) + 1
+            for victim in option.victims:
+                copies[victim] -= 1
+            order = self._begin(option, running, now)
+            if order is not None:
+                orders.append((option.engine, order))
         return orders
 
     def _pursue(
         self,
-        engines: abc.Sequence[engine_contents.EngineContents],
+        engines: _Engines,
+        running: abc.Callable[[str, str], int],
         now: float,
-    ) -> list[tuple[engine_contents.EngineContents, api.Order]]:
-        """Return the loads for which room was made."""
-        orders: list[tuple[engine_contents.EngineContents, api.Order]] = []
+    ) -> _Orders:
+        """Return the next orders of loads that room is being made for."""
+        orders: _Orders = []
         for engine in engines:
             server_id = engine.server.server_id
             goal = self._goals.get(server_id)
             if goal is None:
                 continue
-            if now >= goal.until or engine.occupies(goal.model):
+            late = now >= goal.began + self._settings.goal_seconds
+            if late or engine.occupies(goal.model):
                 del self._goals[server_id]
                 continue
-            order = self._step(engine, goal, now)
+            order = self._step(engine, goal, running, now)
             if order is not None:
                 orders.append((engine, order))
         return orders
@@ -132,174 +159,158 @@
         self,
         engine: engine_contents.EngineContents,
         goal: _Goal,
+        running: abc.Callable[[str, str], int],
         now: float,
     ) -> api.Order | None:
-        """Return the load of a goal, or the unload that still has to go."""
+        """Return the load of a goal, or the unload that still has to go.
+
+        An engine does nothing else while an unload waits for requests, so
+        they are let run out before.
+        """
         server_id = engine.server.server_id
         load = api.LoadModel(goal.model)
         if engine.permits(load):
             self._loaded_at[server_id, goal.model] = now
             del self._goals[server_id]
             return load
+        waited = now >= goal.began + self._settings.drain_seconds
         for victim in goal.victims:
             unload = api.UnloadModel(victim)
-            if engine.permits(unload):
+            idle = waited or not running(server_id, victim)
+            if idle and engine.permits(unload):
                 return unload
         return None
 
-    def _missing(
+    def _begin(
         self,
-        engines: abc.Sequence[engine_contents.EngineContents],
-        demand: abc.Mapping[str, Demand],
-    ) -> list[str]:
-        """Return wanted models that no engine holds, longest wait first."""
-        coming = {goal.model for goal in self._goals.values()}
-        absent = [
-            model
-            for model, item in demand.items()
-            if (item.waiting or item.rate > 0.2)
-            and model not in coming
-            and _copies(engines, model) == 0
-        ]
-        return sorted(
-            absent,
-            key=lambda model: (
-                -demand[model].oldest_wait_seconds,
-                -demand[model].rate,
-            ),
-        )
-
-    def _crowded(
+        option: _Option,
+        running: abc.Callable[[str, str], int],
+        now: float,
+    ) -> api.Order | None:
+        """Note what an option begins; return its first order, if any yet."""
+        goal = _Goal(option.model, option.victims, now)
+        self._goals[option.engine.server.server_id] = goal
+        return self._step(option.engine, goal, running, now)
+
+    def _copies(self, engines: _Engines) -> dict[str, int]:
+        """Return how many engines hold each model or will soon."""
+        copies: dict[str, int] = {}
+        for engine in engines:
+            goal = self._goals.get(engine.server.server_id)
+            held = set(engine.models())
+            if engine.loading:
+                held.add(engine.loading)
+            if goal is not None:
+                held -= set(goal.victims)
+                held.add(goal.model)
+            for model in held:
+                copies[model] = copies.get(model, 0) + 1
+        return copies
+
+    def _best(
         self,
-        engines: abc.Sequence[engine_contents.EngineContents],
+        free: _Engines,
+        copies: abc.Mapping[str, int],
         demand: abc.Mapping[str, Demand],
-    ) -> str:
-        """Return the model with the most demand for each copy, if high."""
-        best, best_rate = '', self._settings.replica_rate
-        coming = {goal.model for goal in self._goals.values()}
-        for model, item in demand.items():
-            copies = _copies(engines, model)
-            if not copies or model in coming:
-                continue
-            if copies >= len(engines) or _loading(engines, model):
-                continue
-            rate = _weight(item) / copies
-            if rate > best_rate:
-                best, best_rate = model, rate
+        running: abc.Callable[[str, str], int],
+        now: float,
+    ) -> _Option | None:
+        """Return the load that gains most, if any gains enough."""
+        slots = free[0].spec.slots
+        gains = {
+            model: self._value(item, copies.get(model, 0) + 1, slots)
+            - self._value(item, copies.get(model, 0), slots)
+            for model, item in demand.items()
+        }
+        ranked = sorted(gains, key=lambda model: -gains[model])
+        best: _Option | None = None
+        for model in ranked[: self._settings.candidates]:
+            if gains[model] <= self._settings.move_cost:
+                break
+            for engine in free:
+                option = self._option(
+                    engine, model, gains[model], copies, demand, running, now
+                )
+                if option is not None and (
+                    best is None or option.score > best.score
+                ):
+                    best = option
         return best
 
-    def _place(
+    def _value(self, item: Demand, copies: int, slots: int) -> float:
+        """Return how many requests soon get an answer from some copies.
+
+        The mean time of a request follows from how many are under way.
+        """
+        if copies <= 0:
+            return 0.0
+        settings = self._settings
+        seconds = settings.default_request_seconds
+        if item.rate > 1.0 and item.in_flight:
+            seconds = item.in_flight / item.rate
+            seconds = max(seconds, _MIN_REQUEST_SECONDS)
+            seconds = min(seconds, _MAX_REQUEST_SECONDS)
+        rate_of_copy = settings.used_share * slots / seconds
+        served = min(item.rate, copies * rate_of_copy)
+        spread = settings.spread_share * item.rate * (1.0 - 0.5**copies)
+        return settings.horizon_seconds * (served + spread) + item.waiting
+
+    def _option(
         self,
-        model: str,
-        engines: abc.Sequence[engine_contents.EngineContents],
-        free: list[engine_contents.EngineContents],
-        demand: abc.Mapping[str, Demand],
-        now: float,
-        orders: list[tuple[engine_contents.EngineContents, api.Order]],
-        replica: bool = False,
-    ) -> bool:
-        """Add the first order that brings a model to an engine."""
-        rooms = [
-            room
-            for engine in free
-            if (room := self._room(model, engine, engines, demand, now))
-        ]
-        if not rooms:
-            return False
-        room = min(rooms, key=lambda item: item.cost)
-        gain = _weight(demand[model])
-        if replica:
-            gain /= _copies(engines, model) * self._settings.replica_gain
-        elif demand[model].waiting:
-            gain += _LAST_COPY
-        if room.victims and room.cost > gain:
-            return False
-        engine = room.contents
-        free.remove(engine)
-        if not room.victims:
-            self._loaded_at[engine.server.server_id, model] = now
-            orders.append((engine, api.LoadModel(model)))
-            return True
-        until = now + self._settings.goal_seconds
-        goal = _Goal(model, room.victims, until)
-        self._goals[engine.server.server_id] = goal
-        orders.append((engine, api.UnloadModel(room.victims[0])))
-        return True
-
-    def _room(
-        self,
-        model: str,
         engine: engine_contents.EngineContents,
-        engines: abc.Sequence[engine_contents.EngineContents],
+        model: str,
+        gain: float,
+        copies: abc.Mapping[str, int],
         demand: abc.Mapping[str, Demand],
+        running: abc.Callable[[str, str], int],
         now: float,
-    ) -> _Room | None:
-        """Return what an engine would have to give up for a model."""
+    ) -> _Option | None:
+        """Return what a load on an engine is worth, if it pays."""
         spec = engine.spec.models.get(model)
         if spec is None or engine.occupies(model):
             return None
-        load_cost = _load_seconds(engine, model) * _LOAD_SECOND
+        share = _load_seconds(engine, model) / self._settings.horizon_seconds
+        score = gain * max(0.2, 1.0 - share) - self._settings.move_cost
         missing = spec.megabytes - engine.free_megabytes()
-        if missing <= 0:
-            return _Room(engine, (), load_cost)
-        losses = sorted(
-            (self._loss(held, engine, engines, demand, now), held)
-            for held in engine.models()
-        )
         victims: list[str] = []
-        cost = load_cost
-        for loss, held in losses:
-            if missing <= 0:
-                break
-            victims.append(held)
-            cost += loss
-            missing -= _megabytes(engine, held)
-        if missing > 0 or cost == float('inf'):
+        if missing > 0:
+            losses = sorted(
+                (self._loss(held, engine, copies, demand, running, now), held)
+                for held in engine.models()
+            )
+            for loss, held in losses:
+                victims.append(held)
+                score -= loss
+                missing -= _megabytes(engine, held)
+                if missing <= 0:
+                    break
+        if missing > 0 or score <= 0:
             return None
-        return _Room(engine, tuple(victims), cost) if victims else None
+        return _Option(engine, model, tuple(victims), score)
 
     def _loss(
         self,
         model: str,
         engine: engine_contents.EngineContents,
-        engines: abc.Sequence[engine_contents.EngineContents],
+        copies: abc.Mapping[str, int],
         demand: abc.Mapping[str, Demand],
+        running: abc.Callable[[str, str], int],
         now: float,
     ) -> float:
-        """Return what removing a copy costs, in requests a second."""
+        """Return how many requests removing a copy costs."""
         item = demand.get(model, NONE)
-        loaded_at = self._loaded_at.get(
-            (engine.server.server_id, model), float('-inf')
-        )
-        weight = _weight(item)
-        copies = _copies(engines, model)
-        if copies > 1:
-            return weight / (copies * (copies - 1))
-        if not weight:
-            return 0.01
-        if now - loaded_at < self._settings.hold_seconds:
-            return float('inf')
-        return weight + _LAST_COPY
-
-
-def _weight(item: Demand) -> float:
-    return item.rate + item.waiting
-
-
-def _copies(
-    engines: abc.Sequence[engine_contents.EngineContents], model: str
-) -> int:
-    """Return how many engines hold a model or load it."""
-    return sum(
-        engine.loading == model or model in engine.models()
-        for engine in engines
-    )
-
-
-def _loading(
-    engines: abc.Sequence[engine_contents.EngineContents], model: str
-) -> bool:
-    return any(engine.loading == model for engine in engines)
+        server_id = engine.server.server_id
+        loaded_at = self._loaded_at.get((server_id, model), -_NEVER)
+        wanted = item.rate > 0.2 or item.waiting
+        if wanted and now < loaded_at + self._settings.hold_seconds:
+            return _NEVER
+        count = copies.get(model, 1)
+        slots = engine.spec.slots
+        loss = self._value(item, count, slots)
+        loss -= self._value(item, count - 1, slots)
+        if running(server_id, model):
+            loss += self._settings.running_cost
+        return loss
 
 
 def _megabytes(engine: engine_contents.EngineContents, model: str) -> float:
