--- a/src/dogwoodquay/external/http/client.py
+++ b/src/dogwoodquay/external/http/client.py
@@ -131,7 +131,8 @@
     ) -> abc.AsyncIterator[expression.Result[httpx.Response, SendError]]:
         """Send a request with exactly these headers and a length.
 
-        :param idle_seconds: how long a part of the answer may take to come,
+        :param deadline: the headers of the answer have to come before it.
+        :param idle_seconds: how long a later part of the answer may take,
             zero for the time that was set for all requests.
         """
         remaining = deadline - self._time.now()
@@ -146,7 +147,6 @@
             headers,
             body,
             remaining,
-            idle_seconds or self._idle_seconds,
         )
         connection = await self._pool.take(address, port)
         extensions: dict[str, typing.Any] = {}
@@ -155,6 +155,9 @@
             try:
                 if sent.is_ok():
                     extensions = sent.ok.extensions
+                    # The library reads this anew for the body.
+                    idle_seconds = idle_seconds or self._idle_seconds
+                    request.extensions['timeout']['read'] = idle_seconds
                 yield sent
             finally:
                 if sent.is_ok():
@@ -202,7 +205,6 @@
         headers: list[tuple[bytes, bytes]],
         body: bytes,
         remaining: float,
-        idle_seconds: float,
     ) -> httpcore.Request:
         """Make a request whose path goes out exactly as it is given."""
         raw_headers = list(headers)
@@ -213,8 +215,8 @@
         timeout = {
             'connect': connect_seconds,
             'pool': connect_seconds,
-            'read': idle_seconds,
-            'write': idle_seconds,
+            'read': remaining,
+            'write': remaining,
         }
         url = httpcore.URL(
             scheme=b'http',
--- a/src/dogwoodquay/gateway/controller.py
+++ b/src/dogwoodquay/gateway/controller.py
@@ -38,6 +38,8 @@
 REPORT_SECONDS: typing.Final = 0.6
 BUSY_REPORT_SECONDS: typing.Final = 0.15
 CALL_SECONDS: typing.Final = 1.0
+# An order is answered at once or lost, and may be given again.
+ORDER_SECONDS: typing.Final = 0.3
 # Time of an adapter on its way, beyond which a report tells more.
 ADAPTER_SECONDS: typing.Final = 0.012
 # An adapter that was used since is not removed.
@@ -379,7 +381,7 @@
                 order,
                 number,
                 self._duty.fence,
-                now + CALL_SECONDS,
+                now + ORDER_SECONDS,
             )
         finally:
             engine.answered(answer)
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -193,8 +193,9 @@
         attempts: int,
     ) -> retry_api.Failure | None:
         """Return what went wrong in an attempt, nothing for an answer."""
+        arrived = True
         match outcome:
-            case outcomes.NotRun(reason):
+            case outcomes.NotRun(reason, arrived):
                 state = retry_api.RunState.NOT_RUN
             case outcomes.Broken(reason):
                 state = retry_api.RunState.MAY_HAVE_RUN
@@ -213,6 +214,7 @@
             delivered=relay.started,
             resumable=call.route.resumable,
             deadline=call.deadline,
+            arrived=arrived,
         )
 
     def _unplaced(
--- a/src/dogwoodquay/gateway/health.py
+++ b/src/dogwoodquay/gateway/health.py
@@ -4,6 +4,8 @@
 
 import typing
 
+import anyio
+
 from ..entry import asgi
 from ..observe import logs
 
@@ -18,6 +20,8 @@
 
 READY_PATH: typing.Final = '/readyz'
 METRICS_PATH: typing.Final = '/metrics'
+# Answers in a row after which the balancer gives no new callers.
+MISSES: typing.Final = 2
 
 
 class HealthApp:
@@ -32,6 +36,12 @@
         self._not_ready = not_ready
         self._registry = registry
         self._told = 'starting'
+        self._refused = 0
+        self._out = anyio.Event()
+
+    async def taken_out(self) -> None:
+        """Wait until the balancer has heard often enough to stay away."""
+        await self._out.wait()
 
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
@@ -54,6 +64,9 @@
         if reason != self._told:
             self._told = reason
             _LOG.write('readiness', ready=not reason, reason=reason)
+        self._refused = self._refused + 1 if reason else 0
+        if self._refused >= MISSES:
+            self._out.set()
         body = reason.encode() or b'ready'
         await _answer(send, 503 if reason else 200, 'text/plain', body)
 
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -255,7 +255,8 @@
         _LOG.write('stopping', in_flight=self._app.in_flight)
         self._app.close_connections()
         await self._duty.leave()
-        await anyio.sleep(BALANCER_SECONDS)
+        with anyio.move_on_after(BALANCER_SECONDS):
+            await self._health.taken_out()
         _LOG.write('draining', in_flight=self._app.in_flight)
         self._callers.stop_within(max(0.0, until - self._clock.now()))
         self._drained.set()
--- a/src/dogwoodquay/residency/contents.py
+++ b/src/dogwoodquay/residency/contents.py
@@ -224,8 +224,9 @@
             case api.OrderAnswer.UNSENT:
                 pass
             case api.OrderAnswer.UNKNOWN:
+                # The next order has the same number, so that it is refused
+                # if this one took effect after all.
                 self._unanswered.append(LateOrder(self._order_number, order))
-                self._known = False
             case _:
                 self._known = False
         self._forget_passed()
--- a/src/dogwoodquay/residency/planner.py
+++ b/src/dogwoodquay/residency/planner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import typing
 
 from . import api
@@ -62,6 +63,13 @@
     began: float
 
 
+class _Copies(typing.NamedTuple):
+    """How many engines can serve each model, and how many will soon."""
+
+    ready: collections.Counter[str]
+    coming: collections.Counter[str]
+
+
 class _Option(typing.NamedTuple):
     """A load on an engine, the models that have to go, and its worth."""
 
@@ -125,9 +133,9 @@
             if option is None:
                 break
             free.remove(option.engine)
-            copies[option.model] = copies.get(option.model, 0) + 1
+            copies.coming[option.model] += 1
             for victim in option.victims:
-                copies[victim] -= 1
+                copies.ready[victim] -= 1
             order = self._begin(option, running, now)
             if order is not None:
                 orders.append((option.engine, order))
@@ -192,36 +200,35 @@
         self._goals[option.engine.server.server_id] = goal
         return self._step(option.engine, goal, running, now)
 
-    def _copies(self, engines: _Engines) -> dict[str, int]:
-        """Return how many engines hold each model or will soon."""
-        copies: dict[str, int] = {}
+    def _copies(self, engines: _Engines) -> _Copies:
+        """Count the copies that engines hold and those that they will."""
+        copies = _Copies(collections.Counter(), collections.Counter())
         for engine in engines:
             goal = self._goals.get(engine.server.server_id)
             held = set(engine.models())
             if engine.loading:
-                held.add(engine.loading)
+                copies.coming[engine.loading] += 1
             if goal is not None:
                 held -= set(goal.victims)
-                held.add(goal.model)
-            for model in held:
-                copies[model] = copies.get(model, 0) + 1
+                copies.coming[goal.model] += 1
+            copies.ready.update(held)
         return copies
 
     def _best(
         self,
         free: _Engines,
-        copies: abc.Mapping[str, int],
+        copies: _Copies,
         demand: abc.Mapping[str, Demand],
         running: abc.Callable[[str, str], int],
         now: float,
     ) -> _Option | None:
         """Return the load that gains most, if any gains enough."""
         slots = free[0].spec.slots
-        gains = {
-            model: self._value(item, copies.get(model, 0) + 1, slots)
-            - self._value(item, copies.get(model, 0), slots)
-            for model, item in demand.items()
-        }
+        gains = {}
+        for model, item in demand.items():
+            count = copies.ready[model] + copies.coming[model]
+            gains[model] = self._value(item, count + 1, slots)
+            gains[model] -= self._value(item, count, slots)
         ranked = sorted(gains, key=lambda model: -gains[model])
         best: _Option | None = None
         for model in ranked[: self._settings.candidates]:
@@ -260,7 +267,7 @@
         engine: engine_contents.EngineContents,
         model: str,
         gain: float,
-        copies: abc.Mapping[str, int],
+        copies: _Copies,
         demand: abc.Mapping[str, Demand],
         running: abc.Callable[[str, str], int],
         now: float,
@@ -292,7 +299,7 @@
         self,
         model: str,
         engine: engine_contents.EngineContents,
-        copies: abc.Mapping[str, int],
+        copies: _Copies,
         demand: abc.Mapping[str, Demand],
         running: abc.Callable[[str, str], int],
         now: float,
@@ -304,7 +311,8 @@
         wanted = item.rate > 0.2 or item.waiting
         if wanted and now < loaded_at + self._settings.hold_seconds:
             return _NEVER
-        count = copies.get(model, 1)
+        # A copy that is only coming replaces none yet.
+        count = max(1, copies.ready[model])
         slots = engine.spec.slots
         loss = self._value(item, count, slots)
         loss -= self._value(item, count - 1, slots)
--- a/src/dogwoodquay/retry/api.py
+++ b/src/dogwoodquay/retry/api.py
@@ -22,7 +22,8 @@
     """How an attempt failed.
 
     ``idempotent`` requests may run again; ``delivered`` says that the caller
-    has had a part of the answer, ``resumable`` that an engine can go on.
+    has had a part of the answer, ``resumable`` that an engine can go on, and
+    ``arrived`` that the upstream may have had a part of the request.
     """
 
     reason: str
@@ -32,6 +33,7 @@
     delivered: bool
     resumable: bool
     deadline: float
+    arrived: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/dogwoodquay/retry/window.py
+++ b/src/dogwoodquay/retry/window.py
@@ -9,7 +9,7 @@
 
 # What an instance uses of the permitted share, as requests that arrive at
 # the end of a window have no time left to pay for the repeats at its start.
-SHARE_USED: typing.Final = 0.7
+SHARE_USED: typing.Final = 0.85
 
 
 class RepeatWindow:
--- a/src/dogwoodquay/retry/windowed.py
+++ b/src/dogwoodquay/retry/windowed.py
@@ -29,6 +29,9 @@
 class WindowedRetries:
     """Decides on retries; see ``api.RetryPolicy``.
 
+    The budget is for what reaches upstreams; a request that found none to
+    take it may look further.
+
     :param max_attempts: how many servers may run the request.
     """
 
@@ -66,7 +69,7 @@
         at = now + self._backoff(failure.attempts)
         if at >= failure.deadline:
             return api.GiveUp('deadline_passed', failure.run_state)
-        if not self._budget.take(self._service, now):
+        if failure.arrived and not self._budget.take(self._service, now):
             return api.GiveUp('retry_budget_spent', failure.run_state)
         return api.Retry(at, failure.delivered, failure.reason)
 
