Drop goals that no longer pay and leave silent engines out of plans

Change: goals are weighed again before each step; an engine whose report fails is not counted; a further copy is worth more.

--- a/src/dogwoodquay/gateway/controller.py
+++ b/src/dogwoodquay/gateway/controller.py
@@ -37,7 +37,7 @@
 # How old a report may get; sooner while something is under way.
 REPORT_SECONDS: typing.Final = 0.6
 BUSY_REPORT_SECONDS: typing.Final = 0.15
-CALL_SECONDS: typing.Final = 1.0
+CALL_SECONDS: typing.Final = 0.5
 # An order is answered at once or lost, and may be given again.
 ORDER_SECONDS: typing.Final = 0.3
 # Time of an adapter on its way, beyond which a report tells more.
@@ -79,6 +79,7 @@
         self.ceiling = limit
         self.report_due: dict[str, float] = {}
         self.reporting: set[str] = set()
+        self.silent: set[str] = set()
 
     def offered(
         self, engine: engine_contents.EngineContents
@@ -183,7 +184,7 @@
             engines = [
                 engine
                 for server_id, engine in group.engines.items()
-                if self._usable(server_id)
+                if self._usable(group, server_id)
             ]
             there = adapters.present(engines, model, adapter)
             if there is not None:
@@ -205,13 +206,14 @@
                     break
         return ''
 
-    def _usable(self, server_id: str) -> bool:
+    def _usable(self, group: _Group, server_id: str) -> bool:
         server = self._registry.get(server_id)
         now = self._clock.now()
         return (
             server is not None
             and not server.leaving
             and not server.ejected(now)
+            and server_id not in group.silent
         )
 
     async def _arrival(
@@ -295,12 +297,22 @@
         if result.is_ok() and engine.order_number == number:
             engine.observe(result.ok)
             self._note(group, engine, result.ok, now)
-        elif result.is_error():
-            _LOG.write('no_report', server=server_id, reason=result.error)
+        self._hear(group, server_id, result.error if result.is_error() else '')
         settled = engine.known and not engine.busy
+        settled = settled and server_id not in group.silent
         pause = REPORT_SECONDS if settled else BUSY_REPORT_SECONDS
         group.report_due[server_id] = now + pause
 
+    def _hear(self, group: _Group, server_id: str, error: str) -> None:
+        """Note whether an engine answers; one that does not is not used."""
+        if not error:
+            if server_id in group.silent:
+                group.silent.discard(server_id)
+                _LOG.write('engine_answers', server=server_id)
+        elif server_id not in group.silent:
+            group.silent.add(server_id)
+            _LOG.write('engine_silent', server=server_id, reason=error)
+
     def _note(
         self,
         group: _Group,
@@ -324,7 +336,7 @@
         engines = [
             engine
             for server_id, engine in group.engines.items()
-            if self._usable(server_id)
+            if self._usable(group, server_id)
         ]
         demand = self._board.demand(name, now)
 
--- a/src/dogwoodquay/residency/planner.py
+++ b/src/dogwoodquay/residency/planner.py
@@ -45,7 +45,7 @@
 
     horizon_seconds: float = 4.0
     used_share: float = 0.4
-    spread_share: float = 0.06
+    spread_share: float = 0.15
     move_cost: float = 1.0
     running_cost: float = 1.0
     hold_seconds: float = 1.5
@@ -116,6 +116,8 @@
 
         :param running: how many requests of a model run on a server.
         """
+        copies = self._copies(engines)
+        self._reconsider(engines, copies, demand)
         orders = self._pursue(engines, running, now)
         taken = {item.server.server_id for item, _ in orders}
         free = [
@@ -141,6 +143,36 @@
                 orders.append((option.engine, order))
         return orders
 
+    def _reconsider(
+        self,
+        engines: _Engines,
+        copies: _Copies,
+        demand: abc.Mapping[str, Demand],
+    ) -> None:
+        """Drop goals that no longer pay, as engines or demand changed.
+
+        A goal pays while the load serves more requests than the models
+        that are still to go would.
+        """
+        for engine in engines:
+            goal = self._goals.get(engine.server.server_id)
+            if goal is None:
+                continue
+            item = demand.get(goal.model, NONE)
+            others = copies.ready[goal.model] + copies.coming[goal.model] - 1
+            slots = engine.spec.slots
+            gain = self._value(item, others + 1, slots)
+            gain -= self._value(item, others, slots)
+            loss = 0.0
+            for victim in goal.victims:
+                if victim in engine.models():
+                    kept = copies.ready[victim]
+                    lost = demand.get(victim, NONE)
+                    loss += self._value(lost, kept + 1, slots)
+                    loss -= self._value(lost, kept, slots)
+            if loss > gain:
+                del self._goals[engine.server.server_id]
+
     def _pursue(
         self,
         engines: _Engines,
