Serve plain requests to the end of a planned stop, send streams elsewhere

Change: as the title says; a server that is half full or more may take the whole time; without a configuration callers are told to return later.

--- a/src/dogwoodquay/gateway/api.py
+++ b/src/dogwoodquay/gateway/api.py
@@ -116,7 +116,7 @@
     RETRY_BUDGET = 'retry_budget'
     MAY_HAVE_RUN = 'may_have_run'
     TIMEOUT = 'timeout'
-    FROZEN = 'frozen'
+    STOPPING = 'stopping'
 
 
 class Refusal(typing.NamedTuple):
--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -34,7 +34,10 @@
 _HEADERS_TOO_LARGE: typing.Final = 431
 _UNAVAILABLE: typing.Final = 503
 _GATEWAY_TIMEOUT: typing.Final = 504
-STARTING_RETRY_AFTER_SECONDS: typing.Final = 0.5
+# Until the store has been read, which takes longer when it is away.
+STARTING_RETRY_AFTER_SECONDS: typing.Final = 1.5
+# Another instance can take the request at once.
+ELSEWHERE_SECONDS: typing.Final = 0.02
 # A configuration that is not there yet bounds nothing; until then this does.
 BODY_TIMEOUT_SECONDS: typing.Final = 3.0
 
@@ -71,7 +74,9 @@
         self._metrics = metrics
         self._routes: table.RouteTable | None = None
         self._in_flight = 0
+        self._streams: set[anyio.CancelScope] = set()
         self._closing = False
+        self._draining = False
 
     @property
     def in_flight(self) -> int:
@@ -87,6 +92,20 @@
         """Put a configuration in force for the requests that follow."""
         self._routes = table.RouteTable(configuration)
 
+    @property
+    def streams(self) -> int:
+        """How many streamed requests are under way."""
+        return len(self._streams)
+
+    def drain(self) -> None:
+        """Take no streams any more, as they last too long to finish."""
+        self._draining = True
+
+    def end_streams(self) -> None:
+        """Cut the streams that are still under way."""
+        for scope in tuple(self._streams):
+            scope.cancel()
+
     def close_connections(self) -> None:
         """Ask callers to open new connections, from now on."""
         self._closing = True
@@ -128,6 +147,9 @@
         if route is None:
             await answer.refuse(_NO_ROUTE)
             return
+        if self._draining and route.streaming:
+            await answer.refuse(_STOPPING, close=True)
+            return
         span = min(terms.wait_seconds, route.timeout_seconds)
         call = api.Call(
             request_id=terms.attempt_id,
@@ -161,8 +183,13 @@
         left = max(0.0, call.deadline - self._clock.now())
         async with anyio.create_task_group() as group:
             group.start_soon(watch)
-            with anyio.move_on_after(left):
-                result = await self._forwarder.run(call, answer)
+            with anyio.move_on_after(left) as scope:
+                if call.route.streaming:
+                    self._streams.add(scope)
+                try:
+                    result = await self._forwarder.run(call, answer)
+                finally:
+                    self._streams.discard(scope)
             if not gone:
                 result = result or self._timed_out(answer)
                 await answer.finish(call, result)
@@ -341,6 +368,9 @@
     _UNAVAILABLE,
     STARTING_RETRY_AFTER_SECONDS,
 )
+_STOPPING = api.Refusal(
+    api.RefusalReason.STOPPING, _UNAVAILABLE, ELSEWHERE_SECONDS
+)
 _NO_ROUTE = api.Refusal(api.RefusalReason.NO_ROUTE, _NOT_FOUND)
 
 
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -45,7 +45,11 @@
 # The share of the time left in which a server has to begin its answer, when
 # another one may be tried after it.
 HEAD_SHARE: typing.Final = 0.5
+# How full a server is that is taken to be slow rather than silent.
+BUSY_SHARE: typing.Final = 0.5
 RETRY_AFTER_SECONDS: typing.Final = 0.4
+# Another instance can take the request at once.
+STOPPING_RETRY_AFTER_SECONDS: typing.Final = 0.02
 ABSENT_RETRY_AFTER_SECONDS: typing.Final = 1.0
 # What is left of a request's time when it is no longer worth sending.
 MIN_WORK_SECONDS: typing.Final = 0.02
@@ -142,19 +146,33 @@
             waited=round(now - call.arrived_at, 3),
             left=round(call.deadline - now, 3),
         )
-        head_deadline = call.deadline
-        if call.route.repeatable and attempts < call.route.max_attempts:
-            head_deadline = now + (call.deadline - now) * HEAD_SHARE
-            if call.route.streaming:
-                # A caller would have left before a later second attempt.
-                limit = patience(call) * HEAD_SHARE
-                head_deadline = min(head_deadline, now + limit)
+        head_deadline = self._head_deadline(call, server, attempts)
         outcome = await self._exchange.run(
             call, server, relay, head_deadline, self._gap_seconds(call)
         )
         self._judge(call, server, outcome)
         return outcome
 
+    def _head_deadline(
+        self, call: api.Call, server: servers.Server, attempts: int
+    ) -> float:
+        """Return until when a server may take to begin its answer.
+
+        A server that is busy is let finish what it has begun: under load a
+        second attempt only adds to what all have to do.
+        """
+        now = self._clock.now()
+        route = call.route
+        if not route.repeatable or attempts >= route.max_attempts:
+            return call.deadline
+        if server.load(now) > self._scheduler.room(server) * BUSY_SHARE:
+            return call.deadline
+        deadline = now + (call.deadline - now) * HEAD_SHARE
+        if route.streaming:
+            # A caller would have left before a later second attempt.
+            deadline = min(deadline, now + patience(call) * HEAD_SHARE)
+        return deadline
+
     def _judge(
         self,
         call: api.Call,
@@ -260,6 +278,8 @@
         """Refuse a request that no server has run, with when to return."""
         absent = reason is api.RefusalReason.MODEL_ABSENT
         pause = ABSENT_RETRY_AFTER_SECONDS if absent else RETRY_AFTER_SECONDS
+        if reason is api.RefusalReason.STOPPING:
+            pause = STOPPING_RETRY_AFTER_SECONDS
         # Spread, so that callers do not come back together.
         pause *= self._rng.uniform(0.75, 1.25)
         return api.Refusal(reason, _UNAVAILABLE, pause, detail)
--- a/src/dogwoodquay/gateway/health.py
+++ b/src/dogwoodquay/gateway/health.py
@@ -64,12 +64,20 @@
         if reason != self._told:
             self._told = reason
             _LOG.write('readiness', ready=not reason, reason=reason)
-        self._refused = self._refused + 1 if reason else 0
-        if self._refused >= MISSES:
-            self._out.set()
+        self._count_refused(reason)
         body = reason.encode() or b'ready'
         await _answer(send, 503 if reason else 200, 'text/plain', body)
 
+    def _count_refused(self, reason: str) -> None:
+        """Count the answers in a row that keep callers away."""
+        if not reason:
+            self._refused = 0
+            self._out = anyio.Event()
+            return
+        self._refused += 1
+        if self._refused >= MISSES:
+            self._out.set()
+
 
 async def _answer(
     send: asgi.Send, status: int, content_type: str, body: bytes
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -47,8 +47,10 @@
 CONNECT_SECONDS: typing.Final = 0.4
 # The balancer asks once a second and takes an instance out after two misses.
 BALANCER_SECONDS: typing.Final = 2.4
-# What is left of the time to stop for closing connections.
-STOP_MARGIN_SECONDS: typing.Final = 0.6
+# What is left of the time to stop for plain requests and closing.
+STOP_MARGIN_SECONDS: typing.Final = 1.0
+PLAIN_STOP_SECONDS: typing.Final = 0.5
+STOP_POLL_SECONDS: typing.Final = 0.05
 # Repeats beyond their share of each instance; all of them together stay
 # below the slack of the smallest deployments.
 RETRY_SLACK: typing.Final = 2
@@ -246,8 +248,8 @@
     async def _drain(self) -> None:
         """Let the balancer take this instance out, then finish requests.
 
-        Idle connections are closed once no new ones come, so that no
-        request is taken that could not be finished any more.
+        Plain requests are served to the end. Streams are not begun once
+        the balancer stays away, and those that wait go elsewhere.
         """
         await self._stopping.wait()
         until = self._clock.now() + self._settings.stop_seconds
@@ -258,7 +260,12 @@
         with anyio.move_on_after(BALANCER_SECONDS):
             await self._health.taken_out()
         _LOG.write('draining', in_flight=self._app.in_flight)
-        self._callers.stop_within(max(0.0, until - self._clock.now()))
+        self._app.drain()
+        self._scheduler.close()
+        while self._app.streams and self._clock.now() < until:
+            await anyio.sleep(STOP_POLL_SECONDS)
+        self._app.end_streams()
+        self._callers.stop_within(PLAIN_STOP_SECONDS)
         self._drained.set()
 
 
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -100,6 +100,7 @@
         self._used: dict[tuple[str, str, str], int] = {}
         self._running: collections.Counter[_Key] = collections.Counter()
         self._tasks: anyio.abc.TaskGroup | None = None
+        self._closed = False
 
     @property
     def waiting(self) -> int:
@@ -112,6 +113,13 @@
         """Take in the declared services."""
         self._services = dict(services)
 
+    def close(self) -> None:
+        """Let nothing wait any more; who waits finds no server."""
+        self._closed = True
+        for ticket in tuple(self._queue.tickets):
+            self._queue.discard(ticket.number)
+            self._finish(ticket.number, None)
+
     def loads(self) -> dict[_Key, ModelLoad]:
         """Return what is asked of each model, by service and model."""
         now = self._clock.now()
@@ -163,7 +171,7 @@
         """
         need = self._need(call, avoid)
         server = None if len(self._queue) else self._choose(need)
-        if server is None:
+        if server is None and not self._closed:
             server = await self._wait(call, need, give_up_at)
         if server is None:
             return None
@@ -197,6 +205,8 @@
 
     def why_none(self, call: api.Call) -> api.RefusalReason:
         """Return why a request found no server."""
+        if self._closed:
+            return api.RefusalReason.STOPPING
         candidates = self._registry.of_service(call.service)
         if not candidates:
             return api.RefusalReason.NO_SERVER
@@ -259,13 +269,13 @@
         now = self._clock.now()
         candidates = self._registry.of_service(need.service)
         chosen = choice.choose(
-            candidates, need, self._domain, self._room, now, self._rng
+            candidates, need, self._domain, self.room, now, self._rng
         )
         if chosen is None and need.adapter:
             self._search(need, candidates, now)
         return chosen
 
-    def _room(self, server: servers.Server) -> float:
+    def room(self, server: servers.Server) -> float:
         """Return how many requests a server may have from all instances."""
         service = self._services.get(server.entry.service)
         if service is not None and service.engine is not None:
