--- a/src/dogwoodquay/residency/planner.py
+++ b/src/dogwoodquay/residency/planner.py
@@ -39,7 +39,8 @@
     ``used_share`` is how full the places of an engine may get before another
     copy helps, ``spread_share`` what a further copy gains beside that.
     ``move_cost`` is what a load has to gain at least, ``running_cost`` what
-    it costs to wait for running requests of a model that makes room.
+    it costs to wait for running requests of a model that makes room, and
+    ``victim_cost`` what removing any model costs, wanted or not.
     ``hold_seconds`` is how long a model that has demand stays after its load.
     """
 
@@ -48,6 +49,7 @@
     spread_share: float = 0.15
     move_cost: float = 1.0
     running_cost: float = 1.0
+    victim_cost: float = 0.2
     hold_seconds: float = 1.5
     goal_seconds: float = 8.0
     drain_seconds: float = 1.5
@@ -308,8 +310,12 @@
         spec = engine.spec.models.get(model)
         if spec is None or engine.occupies(model):
             return None
-        share = _load_seconds(engine, model) / self._settings.horizon_seconds
-        score = gain * max(0.2, 1.0 - share) - self._settings.move_cost
+        # While it loads it serves none of those who come; who waits, stays.
+        horizon = self._settings.horizon_seconds
+        seconds = _load_seconds(engine, model)
+        later = max(0.0, gain - demand[model].waiting)
+        score = gain - later * seconds / (horizon + seconds)
+        score -= self._settings.move_cost
         missing = spec.megabytes - engine.free_megabytes()
         victims: list[str] = []
         if missing > 0:
@@ -319,7 +325,7 @@
             )
             for loss, held in losses:
                 victims.append(held)
-                score -= loss
+                score -= loss + self._settings.victim_cost
                 missing -= _megabytes(engine, held)
                 if missing <= 0:
                     break
--- /dev/null
+++ b/tests/unit/platform/test_decoding.py
@@ -0,0 +1,310 @@
+"""Tests of decoding what the platform says into types of this project."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import tempfile
+import typing
+import unittest
+
+from dogwoodquay.fleet import api as fleet_api
+from dogwoodquay.gateway import api
+from dogwoodquay.platform import headers
+from dogwoodquay.platform import manifest
+from dogwoodquay.platform import servers
+from dogwoodquay.platform import settings
+from dogwoodquay.routes import api as routes_api
+
+MANIFEST: dict[str, typing.Any] = {
+    'Version': 7,
+    'Routes': [
+        {
+            'Name': 'one',
+            'Host': 'a.example',
+            'PathPrefix': '/one/',
+            'Type': 'streaming',
+            'TimeoutMs': 12000,
+            'TargetLatencyMs': 250,
+            'Priority': 1,
+            'WeightedBackends': [
+                {'Service': 's1', 'Weight': 90},
+                {'Service': 's2', 'Weight': 10},
+            ],
+            'MaxAttempts': 2,
+            'Resumable': True,
+            'GapAimMs': 150,
+            'Unknown': {'x': 1},
+        },
+        {
+            'Name': 'two',
+            'Host': 'a.example',
+            'PathPrefix': '/two/',
+            'Type': 'non_idempotent',
+            'TimeoutMs': 800,
+            'Service': 's2',
+        },
+    ],
+    'Services': [
+        {
+            'Name': 's1',
+            'MaxConnections': 370,
+            'Engine': {
+                'Slots': 64,
+                'KvCapacity': 1000,
+                'WeightsMb': 200000.0,
+                'MaxAdapters': 8,
+                'LoadsPerS': 1.6,
+                'Models': [
+                    {
+                        'Name': 'm',
+                        'WeightsMb': 72700.0,
+                        'LoadTimeS': 4.2,
+                        'Adapters': 3,
+                        'AdapterMb': 66.0,
+                        'WarmupS': 0.63,
+                        'DiskS': 0.84,
+                    }
+                ],
+            },
+        },
+        {'Name': 's2'},
+    ],
+    'Limits': {'IdleTimeoutMs': 9000},
+}
+
+ENTRY: dict[str, typing.Any] = {
+    'Service': 's1',
+    'Address': '10.128.0.9:8080',
+    'Zone': 'd1',
+    'Version': 'v1',
+    'Slots': 64,
+    'State': 'ready',
+    'Models': [{'Name': 'm', 'Version': 1, 'Adapters': ['a1']}],
+    'Sequence': 4,
+    'born': 1786216446851,
+}
+
+
+def _encoded(value: object) -> bytes:
+    return json.dumps(value).encode()
+
+
+class ManifestTest(unittest.TestCase):
+    """The operators' configuration in this project's words."""
+
+    def test_whole(self) -> None:
+        """Times become seconds, and a single service has all the weight."""
+        decoded = manifest.decode(_encoded(MANIFEST))
+        configuration = decoded.ok
+        self.assertEqual(7, configuration.version)
+        stream, plain = configuration.routes
+        self.assertEqual(12.0, stream.timeout_seconds)
+        self.assertEqual(0.15, stream.gap_objective_seconds)
+        self.assertEqual(2, len(stream.services))
+        self.assertTrue(stream.resumable)
+        self.assertIs(routes_api.RouteKind.NON_IDEMPOTENT, plain.kind)
+        self.assertEqual('s2', plain.services[0].service)
+        engine = configuration.services['s1'].engine
+        assert engine is not None
+        self.assertEqual(0.84, engine.models['m'].disk_load_seconds)
+        self.assertIsNone(configuration.services['s2'].engine)
+        self.assertEqual(9.0, configuration.limits.idle_timeout_seconds)
+
+    def test_unknown_kind_is_not_repeated(self) -> None:
+        """What is not known to be repeatable is not repeated."""
+        changed = dict(MANIFEST['Routes'][1], Type='novel')
+        body = dict(MANIFEST, Routes=[changed])
+        (route,) = manifest.decode(_encoded(body)).ok.routes
+        self.assertFalse(route.repeatable)
+
+    def test_unreadable(self) -> None:
+        """Bytes that are no configuration say why."""
+        for body in (b'', b'\xff\xfe', b'[]', b'{"Version": "x"}'):
+            self.assertTrue(manifest.decode(body).is_error())
+
+
+class ServerTest(unittest.TestCase):
+    """Entries of servers, also such of other writers."""
+
+    def test_whole(self) -> None:
+        """The counts and the start of the process have names of their own."""
+        entry = servers.decode('i-1', _encoded(ENTRY)).ok
+        self.assertEqual(('10.128.0.9', 8080), (entry.address, entry.port))
+        self.assertEqual(4, entry.report_number)
+        self.assertEqual(1786216446851, entry.started_ms)
+        self.assertIs(fleet_api.ServerState.LIVE, entry.state)
+        self.assertEqual(frozenset({'a1'}), entry.models[0].adapters)
+
+    def test_leaving(self) -> None:
+        """A draining server is leaving."""
+        entry = servers.decode('i', _encoded(dict(ENTRY, State='draining')))
+        self.assertIs(fleet_api.ServerState.LEAVING, entry.ok.state)
+
+    def test_other_writers(self) -> None:
+        """Missing fields, other types and bad bytes name no server."""
+        bad: list[bytes] = [b'', b'\x00\xff', b'null', b'"text"', b'[1]']
+        for name in ('Service', 'Address', 'Zone', 'State'):
+            bad.append(_encoded({k: v for k, v in ENTRY.items() if k != name}))
+            bad.append(_encoded(dict(ENTRY, **{name: 7})))
+        bad.append(_encoded(dict(ENTRY, State='resting')))
+        bad.append(_encoded(dict(ENTRY, Address='nowhere')))
+        bad.append(_encoded(dict(ENTRY, Address='10.0.0.1:http')))
+        bad.append(_encoded(dict(ENTRY, born='soon')))
+        bad.append(_encoded(dict(ENTRY, Sequence=1.5)))
+        bad.append(_encoded(dict(ENTRY, Models='m')))
+        for body in bad:
+            with self.subTest(body=body):
+                self.assertTrue(servers.decode('i', body).is_error())
+
+
+class CallerHeadersTest(unittest.TestCase):
+    """What callers say, and what of it reaches servers."""
+
+    HEADERS = (
+        (b'host', b'a.example'),
+        (b'attempt-id', b'9c41'),
+        (b'model', b'daka/a3'),
+        (b'token-usage', b'1460,80'),
+        (b'prompt-prefix', b'5c1e:800,91bd:410'),
+        (b'deadline-ms', b'12000'),
+        (b'last-event-id', b'12'),
+        (b'connection', b'keep-alive, x-hop'),
+        (b'x-hop', b'1'),
+        (b'x-own', b'2'),
+        (b'hold', b'h1'),
+        (b'pin-ms', b'100'),
+        (b'kv-from', b'10.0.0.1:80/x'),
+        (b'kv-backup', b'10.0.0.1:80'),
+        (b'expect-instance', b'i-0'),
+        (b'request-priority', b'0'),
+        (b'transfer-encoding', b'chunked'),
+    )
+
+    def test_terms(self) -> None:
+        """Each header is read into a field that says what it holds."""
+        terms = headers.caller_terms(self.HEADERS)
+        self.assertEqual('9c41', terms.attempt_id)
+        self.assertEqual(('daka', 'a3'), (terms.model, terms.adapter))
+        self.assertEqual(1460, terms.prompt_tokens)
+        self.assertEqual(80, terms.output_tokens)
+        self.assertEqual(12.0, terms.wait_seconds)
+        self.assertEqual(12, terms.last_event)
+        self.assertEqual('91bd', terms.prompt_parts[1].part_id)
+
+    def test_nothing_said(self) -> None:
+        """A request without such headers waits as long as its route."""
+        terms = headers.caller_terms(())
+        self.assertEqual(float('inf'), terms.wait_seconds)
+        self.assertEqual(api.NO_EVENT, terms.last_event)
+        self.assertEqual((), terms.prompt_parts)
+
+    def test_forwarded(self) -> None:
+        """A server gets the caller's headers and this system's own ones."""
+        outgoing = api.Outgoing('i-7', 3.5, 2, 12)
+        sent = headers.for_server(self.HEADERS, outgoing)
+        found = dict(sent)
+        self.assertEqual(len(found), len(sent))
+        self.assertEqual(b'i-7', found[b'expect-instance'])
+        self.assertEqual(b'3500', found[b'deadline-ms'])
+        self.assertEqual(b'2', found[b'request-priority'])
+        self.assertEqual(b'12', found[b'last-event-id'])
+        self.assertEqual(b'daka/a3', found[b'model'])
+        self.assertEqual(b'2', found[b'x-own'])
+        for name in (
+            b'hold',
+            b'pin-ms',
+            b'kv-from',
+            b'kv-backup',
+            b'x-hop',
+            b'connection',
+            b'transfer-encoding',
+        ):
+            self.assertNotIn(name, found)
+
+
+class AnswerHeadersTest(unittest.TestCase):
+    """What servers say with an answer."""
+
+    def test_terms(self) -> None:
+        """Load, idle time and whose answer it is."""
+        terms = headers.answer_terms(
+            200,
+            (
+                (b'Attempt-Id', b'9c41'),
+                (b'Response-Stamp', b'3e1b'),
+                (b'Server-Load', b'3,1,8'),
+                (b'Keep-Alive', b'timeout=5, max=10'),
+            ),
+        )
+        self.assertEqual('9c41', terms.attempt_id)
+        self.assertTrue(terms.stamped)
+        self.assertFalse(terms.not_executed)
+        self.assertEqual((3, 1), (terms.running, terms.waiting))
+        self.assertEqual(5.0, terms.idle_seconds)
+
+    def test_not_executed(self) -> None:
+        """Only a server that says so has not run a request."""
+        self.assertFalse(headers.answer_terms(503, ()).not_executed)
+        self.assertTrue(headers.answer_terms(421, ()).not_executed)
+        shed = headers.answer_terms(503, ((b'Not-Executed', b'1'),))
+        self.assertTrue(shed.not_executed)
+        self.assertIsNone(shed.running)
+
+    def test_bad_values(self) -> None:
+        """Values that are no numbers are as if they were missing."""
+        terms = headers.answer_terms(
+            200, ((b'server-load', b'x,,'), (b'keep-alive', b'timeout=no'))
+        )
+        self.assertIsNone(terms.running)
+        self.assertEqual(0.0, terms.idle_seconds)
+
+
+SETTINGS = """
+NodeName = "front-1"
+Ip = "10.1.0.38"
+Zone = "d1"
+PortRange = [7380, 7395]
+New = "field"
+[Listen]
+Front = "10.1.0.38:8149"
+Readiness = "10.1.0.38:8141"
+[Bounds]
+DrainMs = 2000
+GraceS = 8
+FenceChecked = true
+[Platform]
+Address = "10.200.1.7:8142"
+"""
+
+
+class SettingsTest(unittest.TestCase):
+    """The platform's settings file."""
+
+    def _load(self, text: str) -> typing.Any:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'node.toml'
+            path.write_text(text, 'utf-8')
+            return settings.load(path)
+
+    def test_whole(self) -> None:
+        """Unknown fields are left; missing ones have defaults."""
+        loaded = self._load(SETTINGS).ok
+        self.assertEqual('front-1', loaded.instance_id)
+        self.assertEqual(('10.1.0.38', 7380), loaded.peers)
+        self.assertEqual(('10.200.1.7', 8142), loaded.store)
+        self.assertTrue(loaded.fences_checked)
+        self.assertLess(2 * loaded.list_interval_seconds, 2.0)
+
+    def test_wrong_value_is_named(self) -> None:
+        """The error says which value is wrong."""
+        result = self._load(SETTINGS.replace('GraceS = 8', 'GraceS = "x"'))
+        self.assertIn('GraceS', result.error)
+        result = self._load(SETTINGS.replace(':8149', ''))
+        self.assertIn('10.1.0.38', result.error)
+        self.assertTrue(self._load('= no toml').is_error())
+
+    def test_missing_file(self) -> None:
+        """A file that cannot be read is told."""
+        result = settings.load(pathlib.Path('no-such-file.toml'))
+        self.assertIn('cannot read', result.error)
