Value copies smoothly and leave unreachable servers alone

Change: a copy is worth the answers in time by how full it is; servers that take no connections are not tried while ejected.

--- a/src/dogwoodquay/fleet/choice.py
+++ b/src/dogwoodquay/fleet/choice.py
@@ -41,12 +41,14 @@
 ) -> list[servers.Server]:
     """Return the servers that can run a request, sound ones first.
 
-    Servers that failed are used again when no others are left.
+    Servers that failed are used again when no others are left, but for those
+    that take no connections.
     """
     able = [
         server
         for server in candidates
         if server.holds(need.model, need.adapter)
+        and not server.unreachable(now)
     ]
     sound = [server for server in able if not server.ejected(now)] or able
     fresh = [
--- a/src/dogwoodquay/fleet/server.py
+++ b/src/dogwoodquay/fleet/server.py
@@ -36,6 +36,7 @@
         self._failures = 0
         self._ejections = 0
         self._ejected_until = float('-inf')
+        self._unreachable = False
         self._pace = 0.0
         self._held_at = float('-inf')
         self._held = _held(entry)
@@ -81,6 +82,10 @@
         """Whether the server gets nothing because it failed."""
         return now < self._ejected_until
 
+    def unreachable(self, now: float) -> bool:
+        """Whether it is ejected as no connection could be opened."""
+        return self._unreachable and self.ejected(now)
+
     def load(self, now: float) -> int:
         """Return the requests that the server has from all instances.
 
@@ -146,6 +151,7 @@
         :return: whether the server is ejected because of it.
         """
         self._failures += 1
+        self._unreachable = unreachable
         self._failing += (1.0 - self._failing) * FAILURE_WEIGHT
         if not unreachable and self._failures < EJECT_AFTER:
             return False
--- a/src/dogwoodquay/residency/planner.py
+++ b/src/dogwoodquay/residency/planner.py
@@ -36,8 +36,6 @@
     """Weights of the planner; gains and losses are in requests.
 
     ``horizon_seconds`` is for how long a move is expected to pay.
-    ``used_share`` is how full the places of an engine may get before another
-    copy helps, ``spread_share`` what a further copy gains beside that.
     ``move_cost`` is what a load has to gain at least, ``running_cost`` what
     it costs to wait for running requests of a model that makes room, and
     ``victim_cost`` what removing any model costs, wanted or not.
@@ -45,8 +43,6 @@
     """
 
     horizon_seconds: float = 4.0
-    used_share: float = 0.4
-    spread_share: float = 0.15
     move_cost: float = 1.0
     running_cost: float = 1.0
     victim_cost: float = 0.2
@@ -279,9 +275,11 @@
         return best
 
     def _value(self, item: Demand, copies: int, slots: int) -> float:
-        """Return how many requests soon get an answer from some copies.
+        """Return how many requests soon get an answer in time.
 
-        The mean time of a request follows from how many are under way.
+        The more of its places are taken, the slower an engine answers and
+        the longer streams pause. The mean time of a request follows from
+        how many are under way.
         """
         if copies <= 0:
             return 0.0
@@ -291,10 +289,9 @@
             seconds = item.in_flight / item.rate
             seconds = max(seconds, _MIN_REQUEST_SECONDS)
             seconds = min(seconds, _MAX_REQUEST_SECONDS)
-        rate_of_copy = settings.used_share * slots / seconds
-        served = min(item.rate, copies * rate_of_copy)
-        spread = settings.spread_share * item.rate * (1.0 - 0.5**copies)
-        return settings.horizon_seconds * (served + spread) + item.waiting
+        fullness = item.rate * seconds / (copies * slots)
+        in_time = item.rate / (1.0 + fullness * fullness)
+        return settings.horizon_seconds * in_time + item.waiting
 
     def _option(
         self,
