--- /dev/null
+++ b/tests/unit/gateway/fakes.py
@@ -0,0 +1,151 @@
+"""Fakes around the gateway for tests."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+import expression
+
+from dogwoodquay import clock as clocks
+from dogwoodquay.external import api as external_api
+from dogwoodquay.gateway import metrics
+from dogwoodquay.gateway import settings
+from dogwoodquay.gateway import store_api
+from dogwoodquay.observe import metrics as metrics_module
+
+__all__ = ['FakeStore', 'instance_settings', 'made_metrics']
+
+_LOST: typing.Final = external_api.Ambiguous('timeout')
+
+
+def instance_settings(
+    name: str = 'front-1', **changes: typing.Any
+) -> settings.InstanceSettings:
+    """Return settings of an instance."""
+    made = settings.InstanceSettings(
+        instance_id=name,
+        failure_domain='d1',
+        callers=settings.Address('127.0.0.1', 0),
+        readiness=settings.Address('127.0.0.1', 0),
+        peers=settings.Address('127.0.0.1', 7000),
+        store=settings.Address('127.0.0.1', 1),
+        list_interval_seconds=0.7,
+        drain_seconds=2.0,
+        stop_seconds=8.0,
+        lease_seconds=3.0,
+        fences_checked=True,
+        member_seconds=1.2,
+        retry_share=0.2,
+        retry_slack=50,
+        retry_window_seconds=10.0,
+        ceiling_window_seconds=5.0,
+        ceiling_factor=1.1,
+        memory_megabytes=300,
+    )
+    return made._replace(**changes)
+
+
+def made_metrics() -> metrics.GatewayMetrics:
+    """Return metrics of their own."""
+    return metrics.GatewayMetrics(metrics_module.Registry('test'))
+
+
+class FakeStore:
+    """A store in memory: keyed records and one group of one partition."""
+
+    def __init__(self, clock: clocks.ManualClock) -> None:
+        self.clock = clock
+        self.down = False
+        self.calls = 0
+        self.records: list[store_api.NewestRecord] = []
+        self.first_offset = 0
+        self.generation = 0
+        self.members: dict[str, float] = {}
+        self.holder = ''
+
+    def put(self, key: str, value: bytes) -> None:
+        """Add a record."""
+        self.records.append(store_api.NewestRecord(key, value))
+
+    async def newest(
+        self, topic: store_api.Topic, deadline: float
+    ) -> expression.Result[store_api.Records, store_api.StoreError]:
+        """Return the newest record of each key."""
+        self.calls += 1
+        if self.down:
+            return expression.Error(_LOST)
+        newest = {record.key: record for record in self.records}
+        kept = tuple(record for record in newest.values() if record.value)
+        return expression.Ok(store_api.Records(kept, len(self.records)))
+
+    async def read(
+        self,
+        topic: store_api.Topic,
+        offset: int,
+        wait_seconds: float,
+        deadline: float,
+    ) -> expression.Result[store_api.Records, store_api.StoreError]:
+        """Return records from an offset on."""
+        self.calls += 1
+        if self.down:
+            return expression.Error(_LOST)
+        if offset < self.first_offset:
+            return expression.Error(external_api.Trimmed(self.first_offset))
+        records = tuple(self.records[offset:])
+        return expression.Ok(store_api.Records(records, len(self.records)))
+
+    async def join(
+        self,
+        group: str,
+        member: str,
+        topic: str,
+        ttl_seconds: float,
+        generation: int,
+        deadline: float,
+    ) -> expression.Result[store_api.Membership, store_api.StoreError]:
+        """Join; the first of the members holds the partition."""
+        self.calls += 1
+        if self.down:
+            return expression.Error(_LOST)
+        self._expire()
+        if member not in self.members:
+            self.generation += 1
+        self.members[member] = self.clock.now() + ttl_seconds
+        self._deal()
+        held = frozenset({0}) if self.holder == member else frozenset()
+        return expression.Ok(store_api.Membership(self.generation, held))
+
+    async def leave(self, group: str, member: str, deadline: float) -> None:
+        """Leave the group."""
+        self.calls += 1
+        if not self.down and self.members.pop(member, None) is not None:
+            self.generation += 1
+            self._deal()
+
+    async def owner(
+        self, group: str, partition: int, deadline: float
+    ) -> expression.Result[str, store_api.StoreError]:
+        """Return the holder."""
+        self.calls += 1
+        if self.down:
+            return expression.Error(_LOST)
+        self._expire()
+        return expression.Ok(self.holder)
+
+    def _expire(self) -> None:
+        now = self.clock.now()
+        for member, until in list(self.members.items()):
+            if now >= until:
+                del self.members[member]
+                self.generation += 1
+        self._deal()
+
+    def _deal(self) -> None:
+        if self.holder not in self.members:
+            self.holder = next(iter(self.members), '')
+
+
+def rng() -> random.Random:
+    """Return a generator with a fixed seed."""
+    return random.Random(5)
--- /dev/null
+++ b/tests/unit/gateway/test_app.py
@@ -0,0 +1,318 @@
+"""Tests of forwarding over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+import unittest
+
+import anyio
+
+from . import loopback
+from dogwoodquay.routes import api as routes_api
+
+Kind = routes_api.RouteKind
+
+
+async def _answer(
+    writer: asyncio.StreamWriter,
+    request: loopback.Received,
+    status: str = '200 OK',
+    body: bytes = b'done',
+    extra: str = 'Response-Stamp: 3e1b',
+    attempt: str = '',
+) -> bool:
+    attempt = attempt or request.headers['attempt-id']
+    head = (
+        f'HTTP/1.1 {status}\r\nAttempt-Id: {attempt}\r\n{extra}\r\n'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    )
+    writer.write(head.encode() + body)
+    await writer.drain()
+    return True
+
+
+def _answers(**changes: typing.Any) -> loopback.Script:
+    async def script(
+        request: loopback.Received, writer: asyncio.StreamWriter
+    ) -> bool:
+        return await _answer(writer, request, **changes)
+
+    return script
+
+
+async def _breaks(
+    request: loopback.Received, writer: asyncio.StreamWriter
+) -> bool:
+    writer.transport.abort()
+    return False
+
+
+async def _hangs(
+    request: loopback.Received, writer: asyncio.StreamWriter
+) -> bool:
+    await asyncio.sleep(5.0)
+    return False
+
+
+def _sheds() -> loopback.Script:
+    return _answers(
+        status='503 Service Unavailable', body=b'', extra='Not-Executed: 1'
+    )
+
+
+class ForwardTest(unittest.IsolatedAsyncioTestCase):
+    """A request reaches a server as it was sent, and its answer comes back."""
+
+    async def test_verbatim(self) -> None:
+        """Method, target, headers and body; status, stamp and body."""
+        upstream = loopback.Upstream('u1', _answers(body=b'the answer'))
+        async with loopback.Site(upstream).running() as site:
+            site.configure(loopback.route(kind=Kind.NON_IDEMPOTENT))
+            answer = await site.call(
+                'POST', '/r/%7Ea//b?x=%20&y', b'{"a": 1}', 'X-Own: 1'
+            )
+        self.assertEqual((200, b'the answer'), (answer.status, answer.body))
+        self.assertEqual('3e1b', answer.headers['response-stamp'])
+        (request,) = upstream.received
+        self.assertEqual('POST /r/%7Ea//b?x=%20&y HTTP/1.1', request.line)
+        self.assertEqual(b'{"a": 1}', request.body)
+        self.assertEqual('a.example', request.headers['host'])
+        self.assertEqual('u1', request.headers['expect-instance'])
+        self.assertEqual('1', request.headers['x-own'])
+        self.assertLessEqual(int(request.headers['deadline-ms']), 2000)
+        for name in ('accept', 'accept-encoding', 'user-agent'):
+            self.assertNotIn(name, request.headers)
+
+    async def test_failure_of_the_server(self) -> None:
+        """A server's own failure is returned as it is."""
+        upstream = loopback.Upstream(
+            'u1', _answers(status='500 Failed', body=b'no')
+        )
+        async with loopback.Site(upstream).running() as site:
+            site.configure(loopback.route(kind=Kind.NON_IDEMPOTENT))
+            answer = await site.call('POST', body=b'x')
+        self.assertEqual((500, b'no'), (answer.status, answer.body))
+        self.assertEqual(1, len(upstream.received))
+
+    async def test_connection_is_used_again(self) -> None:
+        """A second request needs no new connection to the server."""
+        upstream = loopback.Upstream('u1', _answers())
+        async with loopback.Site(upstream).running() as site:
+            site.configure(loopback.route())
+            for _ in range(3):
+                self.assertEqual(200, (await site.call()).status)
+            self.assertEqual(0, upstream.closed)
+
+    async def test_refused_by_this_instance(self) -> None:
+        """No configuration, no route, no server."""
+        async with loopback.Site().running() as site:
+            starting = await site.call()
+            site.configure(loopback.route())
+            unknown = await site.call(target='/other/x')
+            nowhere = await site.call()
+        self.assertEqual(503, starting.status)
+        self.assertEqual(404, unknown.status)
+        self.assertEqual(503, nowhere.status)
+        self.assertGreater(float(nowhere.headers['retry-after']), 0.0)
+
+    async def test_smuggled_request(self) -> None:
+        """A request with two lengths reaches no server."""
+        upstream = loopback.Upstream('u1', _answers())
+        inner = b'GET /r/inner HTTP/1.1\r\nHost: a.example\r\n\r\n'
+        body = b'0\r\n\r\n' + inner
+        async with loopback.Site(upstream).running() as site:
+            site.configure(loopback.route())
+            answer = await site.raw(
+                b'POST /r/x HTTP/1.1\r\nHost: a.example\r\n'
+                b'Attempt-Id: 1\r\nTransfer-Encoding: chunked\r\n'
+                b'Content-Length: %d\r\n\r\n%s' % (len(body), body)
+            )
+            await anyio.sleep(0.05)
+        self.assertEqual(400, answer.status)
+        self.assertEqual('close', answer.headers['connection'])
+        self.assertEqual([], upstream.received)
+
+    async def test_caller_leaves(self) -> None:
+        """Its server is told by the end of the connection."""
+        upstream = loopback.Upstream('u1', _hangs)
+        async with loopback.Site(upstream).running() as site:
+            site.configure(loopback.route(max_attempts=1))
+            _, writer = await site.connect()
+            writer.write(
+                b'GET /r/x HTTP/1.1\r\nHost: a.example\r\n'
+                b'Attempt-Id: 1\r\n\r\n'
+            )
+            while not upstream.received:
+                await anyio.sleep(0.01)
+            server = site.registry.get('u1')
+            assert server is not None
+            self.assertEqual(1, server.in_flight)
+            writer.close()
+            with anyio.fail_after(2.0):
+                while server.in_flight:
+                    await anyio.sleep(0.01)
+
+
+class RepeatTest(unittest.IsolatedAsyncioTestCase):
+    """What may be sent again, and what is told to callers."""
+
+    async def _both(
+        self, first: loopback.Script, **changes: typing.Any
+    ) -> tuple[loopback.Answer, int]:
+        """Return the answer and how many servers got the request.
+
+        Both servers behave alike at first; the second one to be asked
+        answers well.
+        """
+        asked: list[str] = []
+
+        def script(name: str) -> loopback.Script:
+            async def run(
+                request: loopback.Received, writer: asyncio.StreamWriter
+            ) -> bool:
+                asked.append(name)
+                if len(asked) == 1:
+                    return await first(request, writer)
+                return await _answer(writer, request)
+
+            return run
+
+        upstreams = [
+            loopback.Upstream(name, script(name)) for name in ('u1', 'u2')
+        ]
+        async with loopback.Site(*upstreams).running() as site:
+            site.configure(loopback.route(**changes))
+            answer = await site.call('POST', body=b'x')
+        self.assertEqual(len(asked), len(set(asked)))
+        return answer, len(asked)
+
+    async def test_broken(self) -> None:
+        """A request that may have run is repeated only if it may be."""
+        answer, asked = await self._both(_breaks)
+        self.assertEqual((200, 2), (answer.status, asked))
+        answer, asked = await self._both(_breaks, kind=Kind.NON_IDEMPOTENT)
+        self.assertEqual((502, 1), (answer.status, asked))
+
+    async def test_not_executed(self) -> None:
+        """What a server turned away unrun goes to another one."""
+        answer, asked = await self._both(
+            _sheds(), kind=Kind.NON_IDEMPOTENT, max_attempts=1
+        )
+        self.assertEqual((200, 2), (answer.status, asked))
+
+    async def test_crossed(self) -> None:
+        """The answer to another request is nobody's."""
+        crossed = _answers(attempt='0ther')
+        answer, asked = await self._both(crossed)
+        self.assertEqual((200, b'done', 2), (*answer[::2], asked))
+        answer, asked = await self._both(crossed, kind=Kind.NON_IDEMPOTENT)
+        self.assertEqual((502, 1), (answer.status, asked))
+
+    async def test_not_a_servers_answer(self) -> None:
+        """A success without its stamp, or encoded, is not passed on."""
+        for extra in ('X-None: 1', 'Response-Stamp: 1\r\nContent-Encoding: x'):
+            answer, asked = await self._both(
+                _answers(extra=extra), kind=Kind.NON_IDEMPOTENT
+            )
+            self.assertEqual((502, 1), (answer.status, asked))
+
+    async def test_unpromised_503(self) -> None:
+        """A 503 that does not say so is no promise of not having run."""
+        failed = _answers(status='503 Failed', body=b'', extra='X-None: 1')
+        answer, asked = await self._both(failed, kind=Kind.NON_IDEMPOTENT)
+        self.assertEqual((502, 1), (answer.status, asked))
+
+    async def test_all_shed(self) -> None:
+        """When nobody took it, the caller is told when to return."""
+        upstream = loopback.Upstream('u1', _sheds())
+        async with loopback.Site(upstream).running() as site:
+            site.configure(loopback.route(kind=Kind.NON_IDEMPOTENT))
+            answer = await site.call('POST', body=b'x')
+        self.assertEqual(503, answer.status)
+        self.assertGreater(float(answer.headers['retry-after']), 0.0)
+
+
+def _event(number: int) -> bytes:
+    return b'id: %d\ndata: piece %d\n\n' % (number, number)
+
+
+def _streams(*parts: bytes, end: bool = True) -> loopback.Script:
+    async def script(
+        request: loopback.Received, writer: asyncio.StreamWriter
+    ) -> bool:
+        attempt = request.headers['attempt-id']
+        writer.write(
+            f'HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\n'
+            'Response-Stamp: 3e1b\r\nContent-Type: text/event-stream\r\n'
+            'Transfer-Encoding: chunked\r\n\r\n'.encode()
+        )
+        writer.write(loopback.chunked(*parts, end=end))
+        await writer.drain()
+        return end
+
+    return script
+
+
+class StreamTest(unittest.IsolatedAsyncioTestCase):
+    """Streams end whole, go on elsewhere or are seen to be cut."""
+
+    async def _call(
+        self,
+        *scripts: loopback.Script,
+        **changes: typing.Any,
+    ) -> tuple[loopback.Answer, list[loopback.Received]]:
+        """Answer each attempt by the next script, whatever the server."""
+        left = list(scripts)
+        received: list[loopback.Received] = []
+
+        async def run(
+            request: loopback.Received, writer: asyncio.StreamWriter
+        ) -> bool:
+            received.append(request)
+            return await left.pop(0)(request, writer)
+
+        upstreams = [loopback.Upstream(name, run) for name in ('u1', 'u2')]
+        async with loopback.Site(*upstreams).running() as site:
+            site.configure(loopback.route(kind=Kind.STREAMING, **changes))
+            answer = await site.call('POST', body=b'x')
+        return answer, received
+
+    async def test_whole(self) -> None:
+        """All events in order, however they were cut into chunks."""
+        text = b''.join(_event(number) for number in range(1, 6))
+        answer, _ = await self._call(_streams(text[:31], text[31:]))
+        self.assertTrue(answer.whole)
+        self.assertEqual(text, answer.body)
+
+    async def test_resumed(self) -> None:
+        """One answer, with each event once and the first one's headers."""
+        first = _streams(_event(1), _event(2), b'id: 3\nda', end=False)
+        second = _streams(_event(3), _event(4))
+        answer, received = await self._call(first, second, resumable=True)
+        self.assertTrue(answer.whole)
+        expected = b''.join(_event(number) for number in range(1, 5))
+        self.assertEqual(expected, answer.body)
+        self.assertEqual('2', received[1].headers['last-event-id'])
+
+    async def test_not_resumable(self) -> None:
+        """A stream that was cut does not look complete."""
+        first = _streams(_event(1), _event(2), end=False)
+        answer, received = await self._call(first)
+        self.assertFalse(answer.whole)
+        self.assertEqual(_event(1) + _event(2), answer.body)
+        self.assertEqual(1, len(received))
+
+    async def test_missing_event(self) -> None:
+        """A gap in the events is never passed on."""
+        first = _streams(_event(1), _event(3))
+        second = _streams(_event(2), _event(3))
+        answer, _ = await self._call(first, second, resumable=True)
+        self.assertTrue(answer.whole)
+        expected = b''.join(_event(number) for number in range(1, 4))
+        self.assertEqual(expected, answer.body)
+
+    async def test_nothing_came(self) -> None:
+        """A stream that broke before its first event fails as such."""
+        answer, received = await self._call(_breaks)
+        self.assertEqual((502, 1), (answer.status, len(received)))
--- /dev/null
+++ b/tests/unit/gateway/test_watch.py
@@ -0,0 +1,154 @@
+"""Tests of following the store."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+import expression
+
+from . import fakes
+from ..fleet import entries
+from dogwoodquay import clock as clocks
+from dogwoodquay.fleet import api as fleet_api
+from dogwoodquay.fleet import registry as registries
+from dogwoodquay.gateway import store_api
+from dogwoodquay.gateway import watch
+from dogwoodquay.routes import api as routes_api
+
+TOPIC = store_api.Topic('any')
+LIMITS = routes_api.CallerLimits(1, 1, 1.0, 1.0)
+
+
+def _configuration(
+    body: bytes,
+) -> expression.Result[routes_api.Configuration, str]:
+    if not body.isdigit():
+        return expression.Error('no number')
+    return expression.Ok(routes_api.Configuration(int(body), (), {}, LIMITS))
+
+
+def _server(
+    server_id: str, body: bytes
+) -> expression.Result[fleet_api.ServerEntry, str]:
+    try:
+        changes = json.loads(body)
+    except ValueError:
+        return expression.Error('unreadable')
+    return expression.Ok(entries.entry(server_id, **changes))
+
+
+class ConfigurationTest(unittest.IsolatedAsyncioTestCase):
+    """A configuration in force is replaced by higher versions alone."""
+
+    def setUp(self) -> None:
+        """Make a store and a watch."""
+        self.store = fakes.FakeStore(clocks.ManualClock())
+        self.versions: list[int] = []
+        self.watch = watch.ConfigurationWatch(
+            self.store,
+            TOPIC,
+            'config',
+            _configuration,
+            self.store.clock,
+            fakes.made_metrics(),
+            lambda taken: self.versions.append(taken.version),
+        )
+
+    async def test_higher_versions(self) -> None:
+        """Lower, equal and unreadable ones change nothing."""
+        self.store.put('config', b'4')
+        await self.watch.step()
+        for body in (b'3', b'x', b'4', b'9', b'7'):
+            self.store.put('config', body)
+        self.store.put('other', b'99')
+        await self.watch.step()
+        self.assertEqual([4, 9], self.versions)
+
+    async def test_dropped_history(self) -> None:
+        """After a gap the newest record counts."""
+        self.store.put('config', b'1')
+        await self.watch.step()
+        self.store.put('config', b'2')
+        self.store.put('config', b'3')
+        self.store.first_offset = 2
+        await self.watch.step()
+        await self.watch.step()
+        self.assertEqual([1, 3], self.versions)
+
+    async def test_store_away(self) -> None:
+        """What is in force stays in force."""
+        self.store.put('config', b'1')
+        await self.watch.step()
+        self.store.down = True
+        await self.watch.step()
+        self.store.down = False
+        self.store.put('config', b'2')
+        await self.watch.step()
+        self.assertEqual([1, 2], self.versions)
+
+
+class ServersTest(unittest.IsolatedAsyncioTestCase):
+    """The registry follows the list."""
+
+    def setUp(self) -> None:
+        """Make a store and a watch."""
+        self.clock = clocks.ManualClock()
+        self.store = fakes.FakeStore(self.clock)
+        self.registry = registries.Registry()
+        self.changes = 0
+        self.watch = watch.ServerWatch(
+            self.store,
+            TOPIC,
+            _server,
+            self.registry,
+            0.7,
+            self.clock,
+            fakes.made_metrics(),
+            self._changed,
+        )
+
+    def _changed(self) -> None:
+        self.changes += 1
+
+    async def test_follows(self) -> None:
+        """New, removed and unreadable entries; the others hold."""
+        self.store.put('s1', b'{}')
+        await self.watch.step()
+        self.store.put('s2', b'{}')
+        self.store.put('s3', b'\xff\x00')
+        await self.watch.step()
+        self.assertEqual({'s1', 's2'}, set(self.registry.servers))
+        self.store.put('s1', b'')
+        await self.watch.step()
+        self.assertEqual({'s2'}, set(self.registry.servers))
+        self.assertEqual(3, self.changes)
+
+    async def test_entry_lapsed_in_an_outage(self) -> None:
+        """A server is kept until it had the time to come back."""
+        self.store.put('s1', b'{}')
+        self.store.put('s2', b'{}')
+        await self.watch.step()
+        self.store.down = True
+        await self.watch.step()
+        self.clock.advance(6.0)
+        self.store.down = False
+        self.store.put('s1', b'')
+        self.store.put('s2', b'')
+        await self.watch.step()
+        self.assertEqual(2, len(self.registry.of_service('models')))
+        self.store.put('s1', b'{"report_number": 2}')
+        self.clock.advance(registries.LAPSE_SECONDS + 0.1)
+        await self.watch.step()
+        self.assertEqual({'s1'}, set(self.registry.servers))
+
+    async def test_dropped_history(self) -> None:
+        """After a gap the whole list is read, and who left is gone."""
+        self.store.put('s1', b'{}')
+        await self.watch.step()
+        self.store.put('s2', b'{}')
+        self.store.put('s1', b'')
+        self.store.first_offset = 3
+        await self.watch.step()
+        await self.watch.step()
+        self.assertEqual({'s2'}, set(self.registry.servers))
