Decide what gets room when the room is there

Change: a goal only makes room; the time of requests is measured only while none wait; reports name the server that they expect. Both new tests fail on the old code.

--- a/src/dogwoodquay/platform/engines.py
+++ b/src/dogwoodquay/platform/engines.py
@@ -80,7 +80,12 @@
     ) -> expression.Result[api.EngineReport, str]:
         """Return an engine's report; the error says why there is none."""
         sent = await self._connections.fetch(
-            server.address, server.port, 'GET', '/report', deadline
+            server.address,
+            server.port,
+            'GET',
+            '/report',
+            deadline,
+            headers=((_EXPECTED_SERVER, server.server_id),),
         )
         if sent.is_error():
             return expression.Error(sent.error.reason)
--- a/src/dogwoodquay/residency/planner.py
+++ b/src/dogwoodquay/residency/planner.py
@@ -49,7 +49,7 @@
     hold_seconds: float = 1.5
     goal_seconds: float = 8.0
     drain_seconds: float = 1.5
-    default_request_seconds: float = 1.0
+    default_request_seconds: float = 1.5
     candidates: int = 12
 
 
@@ -185,7 +185,9 @@
             if goal is None:
                 continue
             late = now >= goal.began + self._settings.goal_seconds
-            if late or engine.occupies(goal.model):
+            made_room = engine.permits(api.LoadModel(goal.model))
+            if late or made_room or engine.occupies(goal.model):
+                # What is worth most now gets the room.
                 del self._goals[server_id]
                 continue
             order = self._step(engine, goal, running, now)
@@ -279,13 +281,13 @@
 
         The more of its places are taken, the slower an engine answers and
         the longer streams pause. The mean time of a request follows from
-        how many are under way.
+        how many are under way, unless some are kept waiting.
         """
         if copies <= 0:
             return 0.0
         settings = self._settings
         seconds = settings.default_request_seconds
-        if item.rate > 1.0 and item.in_flight:
+        if item.rate > 1.0 and item.in_flight and not item.waiting:
             seconds = item.in_flight / item.rate
             seconds = max(seconds, _MIN_REQUEST_SECONDS)
             seconds = min(seconds, _MAX_REQUEST_SECONDS)
--- a/tests/unit/residency/test_planner.py
+++ b/tests/unit/residency/test_planner.py
@@ -65,6 +65,30 @@
         orders = _plan(subject, held, demand, 100.4)
         self.assertEqual([('e1', api.LoadModel('hot'))], orders)
 
+    def test_room_goes_to_what_is_worth_most_by_then(self) -> None:
+        """A model that became busy meanwhile gets the room."""
+        subject = planner.ModelPlanner()
+        held = [engines.engine('e1', 'warm', 'rare2')]
+        rare = {'rare1': Demand(0.4, 0, 4, 3.0)}
+        _plan(subject, held, rare)
+        busy = dict(rare, hot=Demand(30.0, 0, 40, 0.5))
+        held = [engines.engine('e1', 'warm', order_number=1)]
+        orders = _plan(subject, held, busy, 101.0)
+        self.assertEqual([('e1', api.LoadModel('hot'))], orders)
+
+    def test_copy_with_callers_waiting_stays(self) -> None:
+        """Few requests under way say nothing while many wait."""
+        held = [
+            engines.engine('e1', 'hot', 'warm'),
+            engines.engine('e2', 'hot', 'warm'),
+        ]
+        demand = {
+            'hot': Demand(55.0, 8, 116, 2.6),
+            'warm': Demand(30.0, 8, 60, 2.0),
+            'rare1': Demand(1.3, 0, 9, 8.1),
+        }
+        self.assertEqual([], _plan(planner.ModelPlanner(), held, demand))
+
     def test_only_copy_of_a_busy_model_stays(self) -> None:
         """A rare model does not take the place of a busy one."""
         held = [engines.engine('e1', 'hot', 'warm')]
