Value copies by the room they have, explain a request from its id

A fresh copy got 67 requests at once and lost them to a time-out after half of the callers' patience.

--- a/src/dogwoodquay/commands/gateway.py
+++ b/src/dogwoodquay/commands/gateway.py
@@ -66,7 +66,7 @@
     if args.check_settings:
         print('the settings are valid')
         return exits.Exit.OK
-    output.log_to_standard_output()
+    output.log_to_standard_output(result.ok.instance_id)
     try:
         anyio.run(_serve, result.ok, path)
     except OSError as error:
--- a/src/dogwoodquay/commands/main.py
+++ b/src/dogwoodquay/commands/main.py
@@ -21,6 +21,7 @@
     'publish',
     'check',
     'status',
+    'explain',
     'demo',
     'standin',
     'version',
--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -242,6 +242,8 @@
         self._started = False
         self._status = 0
         self._first_byte_seconds = 0.0
+        self._sent_at = 0.0
+        self._longest_pause = 0.0
 
     @property
     def cutter(self) -> events.EventCutter:
@@ -273,6 +275,11 @@
 
     async def send(self, data: bytes) -> None:
         """Send whole events."""
+        now = self._app.clock.now()
+        if self._sent_at:
+            pause = now - self._sent_at
+            self._longest_pause = max(self._longest_pause, pause)
+        self._sent_at = now
         await self._send(
             {'type': 'http.response.body', 'body': data, 'more_body': True}
         )
@@ -359,6 +366,7 @@
             request=call.request_id,
             status=status,
             first=round(self._first_byte_seconds, 3),
+            pause=round(self._longest_pause, 3),
             seconds=round(elapsed, 3),
         )
 
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -45,6 +45,8 @@
 # The share of the time left in which a server has to begin its answer, when
 # another one may be tried after it.
 HEAD_SHARE: typing.Final = 0.5
+# The share of a caller's patience after which a stream is begun elsewhere.
+FIRST_EVENT_SHARE: typing.Final = 0.75
 # How full a server is that is taken to be slow rather than silent.
 BUSY_SHARE: typing.Final = 0.5
 RETRY_AFTER_SECONDS: typing.Final = 0.4
@@ -170,7 +172,7 @@
         deadline = now + (call.deadline - now) * HEAD_SHARE
         if route.streaming:
             # A caller would have left before a later second attempt.
-            deadline = min(deadline, now + patience(call) * HEAD_SHARE)
+            deadline = min(deadline, now + patience(call) * FIRST_EVENT_SHARE)
         return deadline
 
     def _judge(
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -130,11 +130,7 @@
 
     async def run(self) -> None:
         """Serve until a planned stop is over."""
-        _LOG.write(
-            'start',
-            instance=self._settings.instance_id,
-            domain=self._settings.failure_domain,
-        )
+        _LOG.write('start', domain=self._settings.failure_domain)
         readiness = serving.Listener(self._settings.readiness)
         async with anyio.create_task_group() as group:
             for name, part in (
@@ -152,7 +148,7 @@
             await self._callers.serve(self._app, self._drained.wait)
             group.cancel_scope.cancel()
         await self._connections.close()
-        _LOG.write('stop', instance=self._settings.instance_id)
+        _LOG.write('stop')
 
     def _build(self, outside: Outside) -> None:
         settings = self._settings
--- a/src/dogwoodquay/observe/output.py
+++ b/src/dogwoodquay/observe/output.py
@@ -78,6 +78,7 @@
         del self._buffer[:written]
 
 
-def log_to_standard_output() -> None:
-    """Send all log lines to standard output."""
+def log_to_standard_output(instance_id: str) -> None:
+    """Send all log lines to standard output, with the instance's name."""
+    eliot.add_global_fields(instance=instance_id)
     eliot.add_destinations(BoundedOutput(STANDARD_OUTPUT))
--- a/src/dogwoodquay/residency/planner.py
+++ b/src/dogwoodquay/residency/planner.py
@@ -36,6 +36,8 @@
     """Weights of the planner; gains and losses are in requests.
 
     ``horizon_seconds`` is for how long a move is expected to pay.
+    ``used_share`` is how full the places of an engine may get before another
+    copy helps, ``spread_share`` what a further copy gains beside that.
     ``move_cost`` is what a load has to gain at least, ``running_cost`` what
     it costs to wait for running requests of a model that makes room, and
     ``victim_cost`` what removing any model costs, wanted or not.
@@ -43,6 +45,8 @@
     """
 
     horizon_seconds: float = 4.0
+    used_share: float = 0.4
+    spread_share: float = 0.15
     move_cost: float = 1.0
     running_cost: float = 1.0
     victim_cost: float = 0.2
@@ -256,7 +260,7 @@
     ) -> _Option | None:
         """Return the load that gains most, if any gains enough."""
         slots = free[0].spec.slots
-        gains = {}
+        gains: dict[str, float] = {}
         for model, item in demand.items():
             count = copies.ready[model] + copies.coming[model]
             gains[model] = self._value(item, count + 1, slots)
@@ -277,10 +281,9 @@
         return best
 
     def _value(self, item: Demand, copies: int, slots: int) -> float:
-        """Return how many requests soon get an answer in time.
+        """Return how many requests soon get an answer from some copies.
 
-        The more of its places are taken, the slower an engine answers and
-        the longer streams pause. The mean time of a request follows from
+        The mean time of a request follows from
         how many are under way, unless some are kept waiting.
         """
         if copies <= 0:
@@ -291,9 +294,10 @@
             seconds = item.in_flight / item.rate
             seconds = max(seconds, _MIN_REQUEST_SECONDS)
             seconds = min(seconds, _MAX_REQUEST_SECONDS)
-        fullness = item.rate * seconds / (copies * slots)
-        in_time = item.rate / (1.0 + fullness * fullness)
-        return settings.horizon_seconds * in_time + item.waiting
+        rate_of_copy = settings.used_share * slots / seconds
+        served = min(item.rate, copies * rate_of_copy)
+        spread = settings.spread_share * item.rate * (1.0 - 0.5**copies)
+        return settings.horizon_seconds * (served + spread) + item.waiting
 
     def _option(
         self,
