Plan by how busy each server gets; keep a model once it is loaded

Change: a layout of models over servers with the requests that begin on each; the stay counts from the end of the load; an idle model whose callers have time counts less.

--- a/tests/unit/residency/test_planner.py
+++ b/tests/unit/residency/test_planner.py
@@ -7,9 +7,10 @@
 from . import engines
 from dogwoodquay.residency import api
 from dogwoodquay.residency import contents
+from dogwoodquay.residency import layout
 from dogwoodquay.residency import planner
 
-Demand = planner.Demand
+Demand = layout.Demand
 
 
 def _idle(server_id: str, model: str) -> int:
@@ -76,6 +77,19 @@
         orders = _plan(subject, held, busy, 101.0)
         self.assertEqual([('e1', api.LoadModel('hot'))], orders)
 
+    def test_loaded_model_gets_its_callers_served(self) -> None:
+        """After a long load it does not go again at once."""
+        subject = planner.ModelPlanner()
+        rare = {'rare1': Demand(0.4, 0, 8, 3.0)}
+        held = [engines.engine('e1', 'warm')]
+        orders = _plan(subject, held, rare)
+        self.assertEqual([('e1', api.LoadModel('rare1'))], orders)
+        held = [engines.engine('e1', 'rare1', 'rare2', order_number=1)]
+        demand = dict(rare, rare2=Demand(0.4, 2, 0, 0.0))
+        demand['rare3'] = Demand(2.0, 0, 30, 1.0)
+        orders = _plan(subject, held, demand, 104.2)
+        self.assertEqual([('e1', api.UnloadModel('rare2'))], orders)
+
     def test_copy_with_callers_waiting_stays(self) -> None:
         """Few requests under way say nothing while many wait."""
         held = [
