--- a/tests/unit/residency/test_planner.py
+++ b/tests/unit/residency/test_planner.py
@@ -81,14 +81,14 @@
         """After a long load it does not go again at once."""
         subject = planner.ModelPlanner()
         rare = {'rare1': Demand(0.4, 0, 8, 3.0)}
-        held = [engines.engine('e1', 'warm')]
-        orders = _plan(subject, held, rare)
+        demand = dict(rare, hot=Demand(30.0, 40, 0, 0.0))
+        orders = _plan(subject, [engines.engine('e1', 'hot')], demand)
         self.assertEqual([('e1', api.LoadModel('rare1'))], orders)
-        held = [engines.engine('e1', 'rare1', 'rare2', order_number=1)]
-        demand = dict(rare, rare2=Demand(0.4, 2, 0, 0.0))
+        held = [engines.engine('e1', 'hot', 'rare1', order_number=1)]
         demand['rare3'] = Demand(2.0, 0, 30, 1.0)
-        orders = _plan(subject, held, demand, 104.2)
-        self.assertEqual([('e1', api.UnloadModel('rare2'))], orders)
+        self.assertEqual([], _plan(subject, held, demand, 104.2))
+        orders = _plan(subject, held, demand, 106.0)
+        self.assertEqual([('e1', api.UnloadModel('rare1'))], orders)
 
     def test_copy_with_callers_waiting_stays(self) -> None:
         """Few requests under way say nothing while many wait."""
