Hand engines few unread prompts; spread candidates for the duty

Change: two unread prompts an engine and instance, late requests fall back two priorities; candidates spread by the number of instances.

--- a/src/dogwoodquay/fleet/choice.py
+++ b/src/dogwoodquay/fleet/choice.py
@@ -78,7 +78,7 @@
     for server in usable(candidates, need, now):
         limit = room(server)
         load = server.load(now)
-        if load >= limit:
+        if load >= limit or limit <= 0:
             continue
         cost = load / limit + server.failing * FAILURE_COST
         if server.entry.failure_domain != domain:
--- a/src/dogwoodquay/fleet/queue.py
+++ b/src/dogwoodquay/fleet/queue.py
@@ -15,16 +15,21 @@
 class Ticket(typing.NamedTuple):
     """A request that waits; a lower ``priority`` is more urgent.
 
-    ``give_up_at`` is when it can no longer be served in time.
+    ``objective_at`` is until when its answer is on time, and ``give_up_at``
+    when it can no longer be served at all.
     """
 
     number: int
     priority: int
+    objective_at: float
     give_up_at: float
     entered_at: float
     need: choice.Need
 
 
+# By how many priorities a request falls back once it is late.
+LATE_PENALTY: typing.Final = 2
+
 _Server = typing.TypeVar('_Server')
 
 
@@ -32,7 +37,8 @@
     """Waiting requests, the most urgent first and then the oldest.
 
     Answers a burst: when a server gets room, the request that is worth most
-    to its caller goes, and what cannot be served in time leaves at once.
+    to its caller goes. One that is late already makes way for those that can
+    still be on time, and what cannot be served any more leaves at once.
     """
 
     def __init__(self) -> None:
@@ -64,16 +70,22 @@
         return due
 
     def assign(
-        self, choose: abc.Callable[[choice.Need], _Server | None]
+        self, choose: abc.Callable[[choice.Need], _Server | None], now: float
     ) -> list[tuple[Ticket, _Server]]:
         """Remove and return the requests for which there is room now.
 
         Requests of the same need are not tried again after one of them
         found no room.
         """
+
+        def rank(ticket: Ticket) -> tuple[int, float]:
+            late = now >= ticket.objective_at
+            order = ticket.priority + (LATE_PENALTY if late else 0)
+            return order, ticket.entered_at
+
         assigned = []
         full: set[tuple[str, str, str]] = set()
-        for ticket in sorted(self._tickets.values(), key=_rank):
+        for ticket in sorted(self._tickets.values(), key=rank):
             need = ticket.need
             kind = (need.service, need.model, need.adapter)
             if kind in full:
@@ -85,7 +97,3 @@
             del self._tickets[ticket.number]
             assigned.append((ticket, server))
         return assigned
-
-
-def _rank(ticket: Ticket) -> tuple[int, float]:
-    return ticket.priority, ticket.entered_at
--- a/src/dogwoodquay/fleet/server.py
+++ b/src/dogwoodquay/fleet/server.py
@@ -29,6 +29,7 @@
         self._entry = entry
         self._leaving = entry.state is api.ServerState.LEAVING
         self._in_flight = 0
+        self._unstarted = 0
         self._reported = 0
         self._own_at_report = 0
         self._reported_at = float('-inf')
@@ -56,6 +57,11 @@
         """How many requests of this instance the server has."""
         return self._in_flight
 
+    @property
+    def unstarted(self) -> int:
+        """How many of them have had no byte of their answer."""
+        return self._unstarted
+
     @property
     def failing(self) -> float:
         """The share of late requests that failed there."""
@@ -130,10 +136,17 @@
     def begin(self) -> None:
         """Count a request that is sent there."""
         self._in_flight += 1
+        self._unstarted += 1
+
+    def started(self) -> None:
+        """Count a request whose answer has begun."""
+        self._unstarted -= 1
 
-    def end(self) -> None:
-        """Count a request that ended there."""
+    def end(self, started: bool) -> None:
+        """Count a request that ended there, begun or not."""
         self._in_flight -= 1
+        if not started:
+            self._unstarted -= 1
 
     def succeeded(self, start_seconds: float) -> None:
         """Note an answer and how long it took to start."""
--- a/src/dogwoodquay/gateway/controller.py
+++ b/src/dogwoodquay/gateway/controller.py
@@ -149,7 +149,8 @@
                 for group in self._groups.values()
                 for server_id, engine in group.engines.items()
                 if engine.known
-            )
+            ),
+            self._board.instances(self._clock.now()),
         )
 
     async def run(self) -> None:
--- a/src/dogwoodquay/gateway/demand.py
+++ b/src/dogwoodquay/gateway/demand.py
@@ -76,6 +76,10 @@
             )
             self._used_at[key3] = now
 
+    def instances(self, now: float) -> int:
+        """Return how many instances tell their load."""
+        return sum(now - at <= FRESH_SECONDS for at, _ in self._loads.values())
+
     def running(self, server_id: str, model: str, now: float) -> int:
         """Return how many requests of a model run on a server."""
         return sum(
--- a/src/dogwoodquay/gateway/duty.py
+++ b/src/dogwoodquay/gateway/duty.py
@@ -28,8 +28,10 @@
 RENEWALS: typing.Final = 3.0
 CALL_SECONDS: typing.Final = 0.5
 LOOKUP_SECONDS: typing.Final = 0.4
-# Candidates wait up to so long, so that most find the duty taken.
-CANDIDATE_SECONDS: typing.Final = 0.2
+# Candidates spread over so long for each instance, so that the first one
+# has joined before the next one looks.
+CANDIDATE_SECONDS: typing.Final = 0.07
+MIN_INSTANCES: typing.Final = 4
 # The end of a membership that is not relied on, as a share of it.
 MARGIN_SHARE: typing.Final = 0.25
 
@@ -67,6 +69,7 @@
         self._confirmed_at = float('-inf')
         self._owner = ''
         self._leaving = False
+        self._instances = MIN_INSTANCES
         self._wake = anyio.Event()
 
     @property
@@ -98,6 +101,10 @@
             return True
         return now >= self._held_since + self._settings.lease_seconds
 
+    def note_instances(self, count: int) -> None:
+        """Note how many instances there are, as far as the holder knows."""
+        self._instances = max(MIN_INSTANCES, count)
+
     def superseded(self) -> None:
         """Note that an engine has seen a higher fencing number."""
         _LOG.write('superseded', generation=self._generation)
@@ -128,7 +135,8 @@
         if self._owner:
             return float('inf')
         if await self._look_up() == '':
-            await anyio.sleep(self._rng.uniform(0.0, CANDIDATE_SECONDS))
+            spread = CANDIDATE_SECONDS * self._instances
+            await anyio.sleep(self._rng.uniform(0.0, spread))
             if await self._look_up() == '':
                 await self._join()
         return LOOKUP_SECONDS
--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -83,11 +83,13 @@
         relay: Relay,
         head_deadline: float,
         gap_seconds: float,
+        on_begun: abc.Callable[[], None],
     ) -> outcomes.Outcome:
         """Run an attempt.
 
         :param head_deadline: when the answer has to have begun.
         :param gap_seconds: the longest wait for a part of the answer.
+        :param on_begun: called for each part of the answer that comes.
         """
         entry = server.entry
         now = self._clock.now()
@@ -109,7 +111,12 @@
         ) as sent:
             if sent.is_ok():
                 return await self._answered(
-                    call, server, relay, sent.ok, self._clock.now() - now
+                    call,
+                    server,
+                    relay,
+                    sent.ok,
+                    self._clock.now() - now,
+                    on_begun,
                 )
             if isinstance(sent.error, external_api.Unavailable):
                 return outcomes.NotRun(sent.error.reason, arrived=False)
@@ -122,6 +129,7 @@
         relay: Relay,
         response: httpx.Response,
         seconds: float,
+        on_begun: abc.Callable[[], None],
     ) -> outcomes.Outcome:
         status = response.status_code
         headers = tuple(response.headers.raw)
@@ -139,7 +147,7 @@
                 client.discard(response)
                 return outcomes.Broken('not_the_servers_answer')
             if status == _OK and call.route.streaming:
-                return await self._relay(relay, response, headers)
+                return await self._relay(relay, response, headers, on_begun)
             body = await response.aread()
         except httpx.HTTPError as error:
             return outcomes.Broken(client.broken_reason(error))
@@ -170,12 +178,14 @@
         relay: Relay,
         response: httpx.Response,
         headers: tuple[tuple[bytes, bytes], ...],
+        on_begun: abc.Callable[[], None],
     ) -> outcomes.Outcome:
         relay.cutter.restart()
         stream = typing.cast('httpx.AsyncByteStream', response.stream)
         async for chunk in stream:
             whole = relay.cutter.feed(chunk)
             if whole:
+                on_begun()
                 await relay.start(response.status_code, headers)
                 await relay.send(whole)
         if relay.cutter.partial:
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -66,6 +66,28 @@
 Result = outcomes.Whole | outcomes.Streamed | api.Refusal | Cut
 
 
+class _Progress:
+    """Tells the scheduler once that a server has begun its answer."""
+
+    def __init__(
+        self, scheduler: schedulers.Scheduler, server: servers.Server
+    ) -> None:
+        self._scheduler = scheduler
+        self._server = server
+        self._started = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the answer has begun."""
+        return self._started
+
+    def begin(self) -> None:
+        """Note a part of the answer."""
+        if not self._started:
+            self._started = True
+            self._scheduler.started(self._server)
+
+
 class Forwarder:
     """Runs requests to their end."""
 
@@ -101,10 +123,13 @@
             if server is None:
                 return self._unplaced(call, relay, ran)
             attempts += 1
+            progress = _Progress(self._scheduler, server)
             try:
-                outcome = await self._attempt(call, server, relay, attempts)
+                outcome = await self._attempt(
+                    call, server, relay, progress, attempts
+                )
             finally:
-                self._scheduler.release(call, server)
+                self._scheduler.release(call, server, progress.started)
             failure = self._failure(call, relay, outcome, attempts)
             if failure is None:
                 return typing.cast('Result', outcome)
@@ -131,6 +156,7 @@
         call: api.Call,
         server: servers.Server,
         relay: exchanges.Relay,
+        progress: _Progress,
         attempts: int,
     ) -> outcomes.Outcome:
         now = self._clock.now()
@@ -150,7 +176,12 @@
         )
         head_deadline = self._head_deadline(call, server, attempts)
         outcome = await self._exchange.run(
-            call, server, relay, head_deadline, self._gap_seconds(call)
+            call,
+            server,
+            relay,
+            head_deadline,
+            self._gap_seconds(call),
+            progress.begin,
         )
         self._judge(call, server, outcome)
         return outcome
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -68,9 +68,10 @@
 
 
 class FleetView(wire_api.Message, frozen=True, tag='view'):
-    """What the holder knows of all engines."""
+    """What the holder knows of all engines, and of how many instances."""
 
     engines: tuple[EngineView, ...]
+    instances: int
 
 
 class FindAdapter(wire_api.Message, frozen=True, tag='find'):
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -117,6 +117,7 @@
 
     def _take(self, view: messages.FleetView) -> None:
         now = self._clock.now()
+        self._duty.note_instances(view.instances)
         for row in view.engines:
             server = self._registry.get(row.server_id)
             if server is None or server.entry.started_ms != row.started_ms:
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -33,6 +33,9 @@
 # Requests that a server may have beyond those that it runs at a time.
 ENGINE_AHEAD: typing.Final = 4
 SERVICE_AHEAD: typing.Final = 2
+# Requests of one instance whose prompts an engine may have to read. What it
+# has been given it takes in that order, what waits here by its worth.
+UNSTARTED: typing.Final = 2
 # How long a failed search for an adapter's place is not repeated.
 SEARCH_AGAIN_SECONDS: typing.Final = 0.05
 # Memory of the rate of requests for a model.
@@ -184,9 +187,17 @@
         self._begin(call, server)
         return server
 
-    def release(self, call: api.Call, server: servers.Server) -> None:
+    def started(self, server: servers.Server) -> None:
+        """Note that a server has begun to answer a request."""
+        server.started()
+        if self._waiters:
+            self.pump()
+
+    def release(
+        self, call: api.Call, server: servers.Server, started: bool
+    ) -> None:
         """Note that a server is done with a request."""
-        server.end()
+        server.end(started)
         terms = call.terms
         if terms.model:
             self._count(call).in_flight -= 1
@@ -204,7 +215,7 @@
         now = self._clock.now()
         for ticket in self._queue.expired(now):
             self._finish(ticket.number, None)
-        for ticket, server in self._queue.assign(self._choose):
+        for ticket, server in self._queue.assign(self._choose, now):
             # Counted at once, so that the next one sees it.
             server.begin()
             self._finish(ticket.number, server)
@@ -232,6 +243,7 @@
             queue.Ticket(
                 number,
                 call.route.priority,
+                call.objective_at,
                 give_up_at,
                 self._clock.now(),
                 need,
@@ -243,13 +255,13 @@
         except BaseException:
             self._queue.discard(number)
             if waiter.server is not None:
-                waiter.server.end()
+                waiter.server.end(started=False)
             raise
         finally:
             self._waiters.pop(number, None)
         if waiter.server is not None:
             # ``_begin`` counts it for the request itself.
-            waiter.server.end()
+            waiter.server.end(started=False)
         return waiter.server
 
     def _finish(self, number: int, server: servers.Server | None) -> None:
@@ -285,6 +297,8 @@
         """Return how many requests a server may have from all instances."""
         service = self._services.get(server.entry.service)
         if service is not None and service.engine is not None:
+            if server.unstarted >= UNSTARTED:
+                return 0.0
             return service.engine.slots + ENGINE_AHEAD
         return server.entry.slots + SERVICE_AHEAD
 
--- a/tests/unit/fleet/test_queue.py
+++ b/tests/unit/fleet/test_queue.py
@@ -13,9 +13,12 @@
     priority: int = 1,
     give_up_at: float = 9.0,
     model: str = '',
+    objective_at: float = 8.0,
 ) -> queue.Ticket:
     need = choice.Need('models', model)
-    return queue.Ticket(number, priority, give_up_at, float(number), need)
+    return queue.Ticket(
+        number, priority, objective_at, give_up_at, float(number), need
+    )
 
 
 class QueueTest(unittest.TestCase):
@@ -27,18 +30,34 @@
         for ticket in (_ticket(1), _ticket(2), _ticket(3, priority=0)):
             subject.add(ticket)
         rooms = ['x', 'y']
-        assigned = subject.assign(lambda _: rooms.pop(0) if rooms else None)
+        assigned = subject.assign(
+            lambda _: rooms.pop(0) if rooms else None, 4.0
+        )
         numbers = [ticket.number for ticket, _ in assigned]
         self.assertEqual([3, 1], numbers)
         self.assertEqual(1, len(subject))
 
+    def test_late_requests_make_way(self) -> None:
+        """A crowd that waited for a model does not make all others late."""
+        subject = queue.RequestQueue()
+        for number in range(1, 70):
+            subject.add(_ticket(number, objective_at=100.0))
+        subject.add(_ticket(200, objective_at=201.0))
+        subject.add(_ticket(201, priority=2, objective_at=400.0))
+        rooms = ['x', 'x', 'x']
+        assigned = subject.assign(
+            lambda _: rooms.pop(0) if rooms else None, 200.5
+        )
+        numbers = [ticket.number for ticket, _ in assigned]
+        self.assertEqual([200, 201, 1], numbers)
+
     def test_full_model_does_not_block_others(self) -> None:
         """Requests of a model without room do not hold back the rest."""
         subject = queue.RequestQueue()
         subject.add(_ticket(1, priority=0, model='full'))
         subject.add(_ticket(2, priority=2, model='free'))
         assigned = subject.assign(
-            lambda need: 'x' if need.model == 'free' else None
+            lambda need: 'x' if need.model == 'free' else None, 3.0
         )
         self.assertEqual([2], [ticket.number for ticket, _ in assigned])
 
--- a/tests/unit/fleet/test_server.py
+++ b/tests/unit/fleet/test_server.py
@@ -19,8 +19,8 @@
         server.note_load(5, 10.0)
         server.begin()
         self.assertEqual(6, server.load(10.1))
-        server.end()
-        server.end()
+        server.end(started=False)
+        server.end(started=False)
         self.assertEqual(4, server.load(10.1))
 
     def test_old_report_is_left(self) -> None:
