--- a/src/dogwoodquay/gateway/duty.py
+++ b/src/dogwoodquay/gateway/duty.py
@@ -196,19 +196,23 @@
         return None
 
     async def _look_up(self) -> str | None:
-        """Return the holder, empty when there is none."""
+        """Return the holder, empty when nobody is in the group."""
         deadline = self._clock.now() + CALL_SECONDS
         found = await self._store.owner(GROUP, PARTITION, deadline)
         if found.is_error():
             self._metrics.store_failed('owner')
             return None
-        if found.ok == self._member:
+        holder, members = found.ok
+        if holder == self._member:
             # The membership of an earlier process at this place.
             return ''
-        if found.ok and found.ok != self._owner:
-            self._owner = found.ok
-            _LOG.write('holder', member=found.ok)
-        return found.ok
+        if not holder and members:
+            # The duty is on its way from one member to another.
+            return None
+        if holder and holder != self._owner:
+            self._owner = holder
+            _LOG.write('holder', member=holder)
+        return holder
 
     async def _leave_group(self) -> None:
         deadline = self._clock.now() + CALL_SECONDS
--- a/src/dogwoodquay/gateway/store_api.py
+++ b/src/dogwoodquay/gateway/store_api.py
@@ -10,6 +10,7 @@
     import expression
 
 __all__ = [
+    'GroupView',
     'Membership',
     'NewestRecord',
     'Records',
@@ -57,6 +58,17 @@
     partitions: frozenset[int]
 
 
+class GroupView(typing.NamedTuple):
+    """Who holds a partition of a group, empty for nobody.
+
+    ``members`` tells whether anybody holds any partition: while one moves
+    from a member to another, nobody holds it.
+    """
+
+    holder: str
+    members: bool
+
+
 class Store(typing.Protocol):
     """The few calls that this project makes to the store."""
 
@@ -86,5 +98,5 @@
 
     async def owner(
         self, group: str, partition: int, deadline: float
-    ) -> expression.Result[str, StoreError]:
-        """Return the member that holds a partition, empty for none."""
+    ) -> expression.Result[GroupView, StoreError]:
+        """Return who holds a partition."""
--- a/src/dogwoodquay/platform/store.py
+++ b/src/dogwoodquay/platform/store.py
@@ -179,8 +179,8 @@
 
     async def owner(
         self, group: str, partition: int, deadline: float
-    ) -> expression.Result[str, store_api.StoreError]:
-        """Return the member that holds a partition, empty for none."""
+    ) -> expression.Result[store_api.GroupView, store_api.StoreError]:
+        """Return who holds a partition."""
         path = _path('/log-owners', group=group)
         answer = await self._call('GET', path, deadline)
         if answer.is_error():
@@ -188,10 +188,12 @@
         rows = _owner_rows(answer.ok)
         if rows.is_error():
             return expression.Error(rows.error)
-        for _, number, member, _ in rows.ok:
-            if number == partition and member:
-                return expression.Ok(member)
-        return expression.Ok('')
+        holders = {number: member or '' for _, number, member, _ in rows.ok}
+        return expression.Ok(
+            store_api.GroupView(
+                holders.get(partition, ''), any(holders.values())
+            )
+        )
 
     async def _call(
         self,
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -63,6 +63,7 @@
         self.generation = 0
         self.members: dict[str, float] = {}
         self.holder = ''
+        self.moving = False
 
     def put(self, key: str, value: bytes) -> None:
         """Add a record."""
@@ -125,13 +126,15 @@
 
     async def owner(
         self, group: str, partition: int, deadline: float
-    ) -> expression.Result[str, store_api.StoreError]:
-        """Return the holder."""
+    ) -> expression.Result[store_api.GroupView, store_api.StoreError]:
+        """Return the holder, nobody while the partition moves."""
         self.calls += 1
         if self.down:
             return expression.Error(_LOST)
         self._expire()
-        return expression.Ok(self.holder)
+        holder = '' if self.moving else self.holder
+        view = store_api.GroupView(holder, bool(self.members))
+        return expression.Ok(view)
 
     def _expire(self) -> None:
         now = self.clock.now()
--- a/tests/unit/gateway/test_duty.py
+++ b/tests/unit/gateway/test_duty.py
@@ -59,6 +59,14 @@
         self.assertTrue(self.second.may_order(self.clock.now()))
         self.assertGreater(self.second.fence, fence)
 
+    async def test_no_candidate_while_the_duty_moves(self) -> None:
+        """A partition between two members is not vacant."""
+        await self.first.step()
+        self.store.moving = True
+        await self.second.step()
+        self.assertEqual(1, len(self.store.members))
+        self.assertFalse(self.second.holds(self.clock.now()))
+
     async def test_thawed_holder_does_not_take_it_back(self) -> None:
         """A holder whose membership lapsed looks before it joins again."""
         await self.first.step()
