--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -34,8 +34,10 @@
 _HEADERS_TOO_LARGE: typing.Final = 431
 _UNAVAILABLE: typing.Final = 503
 _GATEWAY_TIMEOUT: typing.Final = 504
-# Until the store has been read, which takes longer when it is away.
-STARTING_RETRY_AFTER_SECONDS: typing.Final = 1.5
+# Until the store has been read for the first time.
+STARTING_RETRY_AFTER_SECONDS: typing.Final = 0.3
+# The same when the store does not answer, which lasts for seconds.
+STORE_AWAY_RETRY_AFTER_SECONDS: typing.Final = 2.5
 # Another instance can take the request at once.
 ELSEWHERE_SECONDS: typing.Final = 0.02
 # A configuration that is not there yet bounds nothing; until then this does.
@@ -66,7 +68,14 @@
         clock: clocks.Clock,
         rng: random.Random,
         metrics: gateway_metrics.GatewayMetrics,
+        store_away: abc.Callable[[], bool] = lambda: False,
     ) -> None:
+        """Make the application.
+
+        :param store_away: whether a first configuration will be long in
+            coming, as the store does not answer.
+        """
+        self._store_away = store_away
         self._forwarder = forwarder
         self._codec = codec
         self._clock = clock
@@ -131,8 +140,11 @@
         answer = _Answer(self, terms, send, arrived_at)
         routes = self._routes
         refusal = _check(request, routes)
-        if refusal is not None or routes is None:
-            await answer.refuse(refusal or _STARTING, close=True)
+        if routes is None:
+            await answer.refuse(refusal or self._starting(), close=True)
+            return
+        if refusal is not None:
+            await answer.refuse(refusal, close=True)
             return
         limits = routes.configuration.limits
         body = await _read_body(request, limits)
@@ -198,6 +210,16 @@
             self._metrics.caller_gone()
             _LOG.write('caller_gone', request=call.request_id)
 
+    def _starting(self) -> api.Refusal:
+        """Refuse a request before there is a configuration."""
+        pause = STARTING_RETRY_AFTER_SECONDS
+        if self._store_away():
+            pause = STORE_AWAY_RETRY_AFTER_SECONDS
+        pause *= self._rng.uniform(0.75, 1.25)
+        return api.Refusal(
+            api.RefusalReason.NO_CONFIGURATION, _UNAVAILABLE, pause
+        )
+
     def _timed_out(self, answer: _Answer) -> forwarders.Result:
         if answer.started:
             return forwarders.Cut('timeout')
@@ -371,11 +393,6 @@
         )
 
 
-_STARTING = api.Refusal(
-    api.RefusalReason.NO_CONFIGURATION,
-    _UNAVAILABLE,
-    STARTING_RETRY_AFTER_SECONDS,
-)
 _STOPPING = api.Refusal(
     api.RefusalReason.STOPPING, _UNAVAILABLE, ELSEWHERE_SECONDS
 )
@@ -393,7 +410,7 @@
     if names.count(b'host') != 1:
         return _bad('host')
     if routes is None:
-        return _STARTING
+        return None
     limits = routes.configuration.limits
     if request.header_bytes > limits.max_header_bytes:
         return api.Refusal(
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -219,7 +219,12 @@
             self._metrics,
         )
         return apps.GatewayApp(
-            forwarder, outside.codec, self._clock, self._rng, self._metrics
+            forwarder,
+            outside.codec,
+            self._clock,
+            self._rng,
+            self._metrics,
+            lambda: self._configuration.store_away,
         )
 
     def _configure(self, configuration: routes_api.Configuration) -> None:
--- a/src/dogwoodquay/gateway/watch.py
+++ b/src/dogwoodquay/gateway/watch.py
@@ -52,6 +52,11 @@
         self._lost_at: float | None = None
         self._backoff = FIRST_BACKOFF_SECONDS
 
+    @property
+    def lost(self) -> bool:
+        """Whether the last call failed."""
+        return self._lost_at is not None
+
     def answered(self) -> float:
         """Note an answer; return how long there was none."""
         lost_at, self._lost_at = self._lost_at, None
@@ -102,6 +107,11 @@
         self._offset: int | None = None
         self._version = -1
 
+    @property
+    def store_away(self) -> bool:
+        """Whether the store could not be read the last time."""
+        return self._path.lost
+
     @property
     def version(self) -> int:
         """The version in force, -1 before the first."""
--- a/tests/unit/gateway/test_watch.py
+++ b/tests/unit/gateway/test_watch.py
@@ -82,9 +82,11 @@
         await self.watch.step()
         self.store.down = True
         await self.watch.step()
+        self.assertTrue(self.watch.store_away)
         self.store.down = False
         self.store.put('config', b'2')
         await self.watch.step()
+        self.assertFalse(self.watch.store_away)
         self.assertEqual([1, 2], self.versions)
 
 
