--- a/src/dogwoodquay/gateway/controller.py
+++ b/src/dogwoodquay/gateway/controller.py
@@ -14,7 +14,6 @@
 from ..residency import api as residency_api
 from ..residency import ceiling
 from ..residency import contents as engine_contents
-from ..residency import layout as layouts
 from ..residency import planner as planners
 
 if typing.TYPE_CHECKING:
@@ -355,7 +354,7 @@
                 model=order.model,
                 demand=[
                     round(item, 1)
-                    for item in demand.get(order.model, layouts.NONE)
+                    for item in demand.get(order.model, planners.NONE)
                 ],
             )
             tasks.start_soon(self._order, group, engine, order)
--- a/src/dogwoodquay/gateway/demand.py
+++ b/src/dogwoodquay/gateway/demand.py
@@ -6,7 +6,7 @@
 import typing
 
 from ..residency import adapters
-from ..residency import layout
+from ..residency import planner
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -90,30 +90,24 @@
             if row.server_id == server_id and row.model == model
         )
 
-    def demand(self, service: str, now: float) -> dict[str, layout.Demand]:
+    def demand(self, service: str, now: float) -> dict[str, planner.Demand]:
         """Return the demand for each model of a service."""
-        total: dict[str, layout.Demand] = {}
+        total: dict[str, planner.Demand] = {}
         for at, load in self._loads.values():
             if now - at > FRESH_SECONDS:
                 continue
             for row in load.models:
                 if row.service != service:
                     continue
-                known = total.get(row.model, layout.NONE)
-                total[row.model] = layout.Demand(
+                known = total.get(row.model, planner.NONE)
+                total[row.model] = planner.Demand(
                     0.0,
                     known.in_flight + row.in_flight,
                     known.waiting + row.waiting,
                     max(known.oldest_wait_seconds, row.oldest_wait_seconds),
-                    _shortest(known.objective_seconds, row.objective_seconds),
                 )
         for (name, model), rate in self._rates.items():
             if name == service:
-                known = total.get(model, layout.NONE)
+                known = total.get(model, planner.NONE)
                 total[model] = known._replace(rate=rate.at(now))
         return total
-
-
-def _shortest(first: float, second: float) -> float:
-    """Return the shorter of two objectives; zero is none."""
-    return min(first, second) if first and second else first or second
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -30,7 +30,6 @@
     in_flight: int
     waiting: int
     oldest_wait_seconds: float
-    objective_seconds: float
 
 
 class AdapterInUse(msgspec.Struct, frozen=True, array_like=True):
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -60,7 +60,6 @@
     in_flight: int
     waiting: int
     oldest_wait_seconds: float
-    objective_seconds: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -77,7 +76,6 @@
 
     arrivals: int = 0
     in_flight: int = 0
-    objective_seconds: float = 0.0
 
 
 class Scheduler:
@@ -138,7 +136,6 @@
                 counts.in_flight,
                 len(waiting.get(key, ())),
                 max(waiting.get(key, (0.0,))),
-                counts.objective_seconds,
             )
             for key, counts in self._counts.items()
         }
@@ -163,10 +160,7 @@
     def arrived(self, call: api.Call) -> None:
         """Count a caller's request in the demand for its model."""
         if call.terms.model:
-            counts = self._count(call)
-            counts.arrivals += 1
-            # The last caller's stands for those to come.
-            counts.objective_seconds = call.route.objective_seconds
+            self._count(call).arrivals += 1
 
     async def acquire(
         self,
--- a/src/dogwoodquay/residency/planner.py
+++ b/src/dogwoodquay/residency/planner.py
@@ -2,43 +2,58 @@
 
 from __future__ import annotations
 
+import collections
 import typing
 
 from . import api
-from . import layout as layouts
 
 if typing.TYPE_CHECKING:
     from collections import abc
 
     from . import contents as engine_contents
 
-__all__ = ['ModelPlanner', 'PlannerSettings']
+__all__ = ['Demand', 'ModelPlanner', 'PlannerSettings']
 
-_Engine: typing.TypeAlias = 'engine_contents.EngineContents'
 _Engines: typing.TypeAlias = 'abc.Sequence[engine_contents.EngineContents]'
 _Orders: typing.TypeAlias = (
     'list[tuple[engine_contents.EngineContents, api.Order]]'
 )
-_Demands: typing.TypeAlias = 'abc.Mapping[str, layouts.Demand]'
-_Running: typing.TypeAlias = 'abc.Callable[[str, str], int]'
+
+
+class Demand(typing.NamedTuple):
+    """What callers ask of a model, over all instances.
+
+    ``rate`` is in requests a second and remembers a few seconds.
+    """
+
+    rate: float
+    in_flight: int
+    waiting: int
+    oldest_wait_seconds: float
 
 
 class PlannerSettings(typing.NamedTuple):
     """Weights of the planner; gains and losses are in requests.
 
+    ``horizon_seconds`` is for how long a move is expected to pay.
+    ``used_share`` is how full the places of an engine may get before another
+    copy helps, ``spread_share`` what a further copy gains beside that.
     ``move_cost`` is what a load has to gain at least, ``running_cost`` what
     it costs to wait for running requests of a model that makes room, and
     ``victim_cost`` what removing any model costs, wanted or not.
     ``hold_seconds`` is how long a model that has demand stays once loaded.
     """
 
-    layout: layouts.LayoutSettings = layouts.LayoutSettings()
-    move_cost: float = 0.5
+    horizon_seconds: float = 4.0
+    used_share: float = 0.4
+    spread_share: float = 0.15
+    move_cost: float = 1.0
     running_cost: float = 1.0
     victim_cost: float = 0.2
     hold_seconds: float = 1.5
     goal_seconds: float = 8.0
     drain_seconds: float = 1.5
+    default_request_seconds: float = 1.5
     candidates: int = 12
 
 
@@ -50,18 +65,27 @@
     began: float
 
 
+class _Copies(typing.NamedTuple):
+    """How many engines can serve each model, and how many will soon."""
+
+    ready: collections.Counter[str]
+    coming: collections.Counter[str]
+
+
 class _Option(typing.NamedTuple):
     """A load on an engine, the models that have to go, and its worth."""
 
-    engine: _Engine
+    engine: engine_contents.EngineContents
     model: str
     victims: tuple[str, ...]
     score: float
 
 
+NONE: typing.Final = Demand(0.0, 0, 0, 0.0)
 _NEVER: typing.Final = float('inf')
-# Requests a second from which on a model counts as asked for.
-_WANTED_RATE: typing.Final = 0.2
+# Bounds of the mean time of a request that is worked out from its demand.
+_MIN_REQUEST_SECONDS: typing.Final = 0.3
+_MAX_REQUEST_SECONDS: typing.Final = 4.0
 
 
 class ModelPlanner:
@@ -87,18 +111,17 @@
     def plan(
         self,
         engines: _Engines,
-        demand: _Demands,
-        running: _Running,
+        demand: abc.Mapping[str, Demand],
+        running: abc.Callable[[str, str], int],
         now: float,
     ) -> _Orders:
         """Return the next order of each engine that should get one.
 
         :param running: how many requests of a model run on a server.
         """
-        if not engines:
-            return []
         self._note_ready(engines, now)
-        self._reconsider(engines, demand)
+        copies = self._copies(engines)
+        self._reconsider(engines, copies, demand)
         orders = self._pursue(engines, running, now)
         taken = {item.server.server_id for item, _ in orders}
         free = [
@@ -110,13 +133,15 @@
             and engine.server.server_id not in taken
             and engine.server.server_id not in self._goals
         ]
-        view = _View(engines, self._goals, demand, self._settings.layout)
+        copies = self._copies(engines)
         while free:
-            option = self._best(free, view, demand, running, now)
+            option = self._best(free, copies, demand, running, now)
             if option is None:
                 break
             free.remove(option.engine)
-            view.begin(option)
+            copies.coming[option.model] += 1
+            for victim in option.victims:
+                copies.ready[victim] -= 1
             order = self._begin(option, running, now)
             if order is not None:
                 orders.append((option.engine, order))
@@ -131,31 +156,41 @@
                     self._ordered.discard(key)
                     self._ready_at[key] = now
 
-    def _reconsider(self, engines: _Engines, demand: _Demands) -> None:
-        """Drop goals that no longer pay, as engines or demand changed."""
-        view = _View(engines, self._goals, demand, self._settings.layout)
+    def _reconsider(
+        self,
+        engines: _Engines,
+        copies: _Copies,
+        demand: abc.Mapping[str, Demand],
+    ) -> None:
+        """Drop goals that no longer pay, as engines or demand changed.
+
+        A goal pays while the load serves more requests than the models
+        that are still to go would.
+        """
         for engine in engines:
-            server_id = engine.server.server_id
-            goal = self._goals.get(server_id)
+            goal = self._goals.get(engine.server.server_id)
             if goal is None:
                 continue
-            there = [name for name in goal.victims if name in engine.models()]
-            gain = -view.layout.remove(goal.model, server_id)
-            loss = sum(view.layout.add(name, server_id) for name in there)
-            loss += sum(
-                demand.get(name, layouts.NONE).waiting
-                for name in there
-                if view.ready(name) == 0
-            )
+            item = demand.get(goal.model, NONE)
+            others = copies.ready[goal.model] + copies.coming[goal.model] - 1
+            slots = engine.spec.slots
+            gain = self._value(item, others + 1, slots)
+            gain -= self._value(item, others, slots)
+            loss = 0.0
+            for victim in goal.victims:
+                if victim in engine.models():
+                    kept = copies.ready[victim]
+                    lost = demand.get(victim, NONE)
+                    loss += self._value(lost, kept + 1, slots)
+                    loss -= self._value(lost, kept, slots)
             if loss > gain:
-                del self._goals[server_id]
-                continue
-            for name in there:
-                view.layout.remove(name, server_id)
-            view.layout.add(goal.model, server_id)
+                del self._goals[engine.server.server_id]
 
     def _pursue(
-        self, engines: _Engines, running: _Running, now: float
+        self,
+        engines: _Engines,
+        running: abc.Callable[[str, str], int],
+        now: float,
     ) -> _Orders:
         """Return the next orders of loads that room is being made for."""
         orders: _Orders = []
@@ -176,7 +211,11 @@
         return orders
 
     def _step(
-        self, engine: _Engine, goal: _Goal, running: _Running, now: float
+        self,
+        engine: engine_contents.EngineContents,
+        goal: _Goal,
+        running: abc.Callable[[str, str], int],
+        now: float,
     ) -> api.Order | None:
         """Return the load of a goal, or the unload that still has to go.
 
@@ -198,27 +237,53 @@
         return None
 
     def _begin(
-        self, option: _Option, running: _Running, now: float
+        self,
+        option: _Option,
+        running: abc.Callable[[str, str], int],
+        now: float,
     ) -> api.Order | None:
         """Note what an option begins; return its first order, if any yet."""
         goal = _Goal(option.model, option.victims, now)
         self._goals[option.engine.server.server_id] = goal
         return self._step(option.engine, goal, running, now)
 
+    def _copies(self, engines: _Engines) -> _Copies:
+        """Count the copies that engines hold and those that they will."""
+        copies = _Copies(collections.Counter(), collections.Counter())
+        for engine in engines:
+            goal = self._goals.get(engine.server.server_id)
+            held = set(engine.models())
+            if engine.loading:
+                copies.coming[engine.loading] += 1
+            if goal is not None:
+                held -= set(goal.victims)
+                copies.coming[goal.model] += 1
+            copies.ready.update(held)
+        return copies
+
     def _best(
         self,
         free: _Engines,
-        view: _View,
-        demand: _Demands,
-        running: _Running,
+        copies: _Copies,
+        demand: abc.Mapping[str, Demand],
+        running: abc.Callable[[str, str], int],
         now: float,
     ) -> _Option | None:
         """Return the load that gains most, if any gains enough."""
+        slots = free[0].spec.slots
+        gains: dict[str, float] = {}
+        for model, item in demand.items():
+            count = copies.ready[model] + copies.coming[model]
+            gains[model] = self._value(item, count + 1, slots)
+            gains[model] -= self._value(item, count, slots)
+        ranked = sorted(gains, key=lambda model: -gains[model])
         best: _Option | None = None
-        for model in view.candidates(self._settings.candidates):
+        for model in ranked[: self._settings.candidates]:
+            if gains[model] <= self._settings.move_cost:
+                break
             for engine in free:
                 option = self._option(
-                    engine, model, view, demand, running, now
+                    engine, model, gains[model], copies, demand, running, now
                 )
                 if option is not None and (
                     best is None or option.score > best.score
@@ -226,160 +291,96 @@
                     best = option
         return best
 
+    def _value(self, item: Demand, copies: int, slots: int) -> float:
+        """Return how many requests soon get an answer from some copies.
+
+        The mean time of a request follows from
+        how many are under way, unless some are kept waiting.
+        """
+        if copies <= 0:
+            return 0.0
+        settings = self._settings
+        seconds = settings.default_request_seconds
+        if item.rate > 1.0 and item.in_flight and not item.waiting:
+            seconds = item.in_flight / item.rate
+            seconds = max(seconds, _MIN_REQUEST_SECONDS)
+            seconds = min(seconds, _MAX_REQUEST_SECONDS)
+        rate_of_copy = settings.used_share * slots / seconds
+        served = min(item.rate, copies * rate_of_copy)
+        spread = settings.spread_share * item.rate * (1.0 - 0.5**copies)
+        return settings.horizon_seconds * (served + spread) + item.waiting
+
     def _option(
         self,
-        engine: _Engine,
+        engine: engine_contents.EngineContents,
         model: str,
-        view: _View,
-        demand: _Demands,
-        running: _Running,
+        gain: float,
+        copies: _Copies,
+        demand: abc.Mapping[str, Demand],
+        running: abc.Callable[[str, str], int],
         now: float,
     ) -> _Option | None:
         """Return what a load on an engine is worth, if it pays."""
         spec = engine.spec.models.get(model)
         if spec is None or engine.occupies(model):
             return None
-        server_id = engine.server.server_id
+        # While it loads it serves none of those who come; who waits, stays.
+        horizon = self._settings.horizon_seconds
+        seconds = _load_seconds(engine, model)
+        later = max(0.0, gain - demand[model].waiting)
+        score = gain - later * seconds / (horizon + seconds)
+        score -= self._settings.move_cost
         missing = spec.megabytes - engine.free_megabytes()
         victims: list[str] = []
-        loss = 0.0
         if missing > 0:
             losses = sorted(
-                (self._loss(held, engine, view, demand, running, now), held)
+                (self._loss(held, engine, copies, demand, running, now), held)
                 for held in engine.models()
             )
-            for lost, held in losses:
+            for loss, held in losses:
                 victims.append(held)
-                loss += lost + self._settings.victim_cost
+                score -= loss + self._settings.victim_cost
                 missing -= _megabytes(engine, held)
                 if missing <= 0:
                     break
-        if missing > 0 or loss == _NEVER:
-            return None
-        gain = view.gain(model, server_id, victims)
-        # While it loads it serves none of those who come; who waits, stays.
-        seconds = _load_seconds(engine, model)
-        waiting = demand[model].waiting if not view.copies(model) else 0
-        later = max(0.0, gain - waiting)
-        horizon = self._settings.layout.horizon_seconds
-        score = gain - later * seconds / (horizon + seconds)
-        score -= loss + self._settings.move_cost
-        if score <= 0:
+        if missing > 0 or score <= 0:
             return None
         return _Option(engine, model, tuple(victims), score)
 
     def _loss(
         self,
         model: str,
-        engine: _Engine,
-        view: _View,
-        demand: _Demands,
-        running: _Running,
+        engine: engine_contents.EngineContents,
+        copies: _Copies,
+        demand: abc.Mapping[str, Demand],
+        running: abc.Callable[[str, str], int],
         now: float,
     ) -> float:
         """Return how many requests removing a copy costs."""
-        item = demand.get(model, layouts.NONE)
+        item = demand.get(model, NONE)
         server_id = engine.server.server_id
         ready_at = self._ready_at.get((server_id, model), -_NEVER)
-        wanted = item.rate > _WANTED_RATE or item.waiting
+        wanted = item.rate > 0.2 or item.waiting
         if wanted and now < ready_at + self._settings.hold_seconds:
             return _NEVER
-        loss = view.loss(model, server_id)
-        if view.ready(model) <= 1 < view.copies(model):
-            # The others are only coming.
-            loss += item.rate * _load_seconds(engine, model) + item.waiting
+        # A copy that is only coming replaces none yet.
+        count = max(1, copies.ready[model])
+        slots = engine.spec.slots
+        loss = self._value(item, count, slots)
+        loss -= self._value(item, count - 1, slots)
         if running(server_id, model):
             loss += self._settings.running_cost
         return loss
 
 
-class _View:
-    """The copies that engines hold and those that they will."""
-
-    def __init__(
-        self,
-        engines: _Engines,
-        goals: abc.Mapping[str, _Goal],
-        demand: _Demands,
-        settings: layouts.LayoutSettings,
-    ) -> None:
-        self._demand = demand
-        self._ready: dict[str, int] = {}
-        slots = engines[0].spec.slots
-        self.layout = layouts.Layout(demand, slots, settings)
-        for engine in engines:
-            server_id = engine.server.server_id
-            goal = goals.get(server_id)
-            held = set(engine.models())
-            if goal is not None:
-                held -= set(goal.victims)
-                self.layout.add(goal.model, server_id)
-            if engine.loading:
-                self.layout.add(engine.loading, server_id)
-            for model in held:
-                self.layout.add(model, server_id)
-                self._ready[model] = self._ready.get(model, 0) + 1
-
-    def ready(self, model: str) -> int:
-        """Return how many engines can serve a model now."""
-        return self._ready.get(model, 0)
-
-    def copies(self, model: str) -> int:
-        """Return how many engines hold a model or will."""
-        return self.layout.copies(model)
-
-    def candidates(self, most: int) -> list[str]:
-        """Return the models that a load may help, missing ones first."""
-        wanted = [
-            model
-            for model, item in self._demand.items()
-            if item.rate > _WANTED_RATE or item.waiting
-        ]
-        wanted.sort(
-            key=lambda model: (
-                self.copies(model) > 0,
-                -self._demand[model].waiting - self._demand[model].rate,
-            )
-        )
-        return wanted[:most]
-
-    def gain(
-        self, model: str, server_id: str, victims: abc.Sequence[str]
-    ) -> float:
-        """Return what a copy gains in the place of others."""
-        for victim in victims:
-            self.layout.remove(victim, server_id)
-        gain = self.layout.add(model, server_id)
-        self.layout.remove(model, server_id)
-        for victim in victims:
-            self.layout.add(victim, server_id)
-        return gain
-
-    def loss(self, model: str, server_id: str) -> float:
-        """Return what removing a copy loses."""
-        gain = self.layout.remove(model, server_id)
-        self.layout.add(model, server_id)
-        return -gain
-
-    def begin(self, option: _Option) -> None:
-        """Take in that an option was chosen."""
-        server_id = option.engine.server.server_id
-        for victim in option.victims:
-            self.layout.remove(victim, server_id)
-            self._ready[victim] -= 1
-        self.layout.add(option.model, server_id)
-
-
-def _megabytes(engine: _Engine, model: str) -> float:
+def _megabytes(engine: engine_contents.EngineContents, model: str) -> float:
     spec = engine.spec.models.get(model)
     return 0.0 if spec is None else spec.megabytes
 
 
-def _load_seconds(engine: _Engine, model: str) -> float:
+def _load_seconds(engine: engine_contents.EngineContents, model: str) -> float:
     """Return how long a load takes from where the weights lie."""
-    spec = engine.spec.models.get(model)
-    if spec is None:
-        return 0.0
+    spec = engine.spec.models[model]
     if engine.report is not None:
         if model in engine.report.in_memory:
             return spec.memory_load_seconds
--- a/tests/unit/residency/test_planner.py
+++ b/tests/unit/residency/test_planner.py
@@ -7,10 +7,9 @@
 from . import engines
 from dogwoodquay.residency import api
 from dogwoodquay.residency import contents
-from dogwoodquay.residency import layout
 from dogwoodquay.residency import planner
 
-Demand = layout.Demand
+Demand = planner.Demand
 
 
 def _idle(server_id: str, model: str) -> int:
