Split the application; pass on no promise that a server has not made

Reading it, a stamped 503 without the server's word that it had not run the request would have reached the caller of a request that must not run twice, who takes it for a promise. Change: answer and reading are modules of their own; such an answer becomes 502, which promises nothing.

--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -22,6 +22,8 @@
 
 _OK: typing.Final = 200
 _MISDIRECTED: typing.Final = 421
+# Callers take these for a promise that the request has not run.
+_PROMISES: typing.Final = frozenset({408, 421, 429, 503})
 # A connection is used again for this share of the time that its server
 # keeps it, so that no request meets its end.
 IDLE_SHARE: typing.Final = 0.7
@@ -143,7 +145,8 @@
                 await response.aread()
                 absent = status == _MISDIRECTED
                 return outcomes.NotRun(f'status_{status}', True, absent)
-            if terms.encoded or not terms.stamped:
+            unpromised = status in _PROMISES and not call.route.repeatable
+            if terms.encoded or not terms.stamped or unpromised:
                 client.discard(response)
                 return outcomes.Broken('not_the_servers_answer')
             if status == _OK and call.route.streaming:
--- /dev/null
+++ b/src/dogwoodquay/gateway/reading.py
@@ -0,0 +1,83 @@
+"""Reads requests, and refuses those that are wrong or too large."""
+
+from __future__ import annotations
+
+import math
+import typing
+
+import anyio
+
+from . import api
+from ..entry import asgi
+
+if typing.TYPE_CHECKING:
+    from ..routes import api as routes_api
+    from ..routes import table
+
+__all__ = ['check', 'read_body', 'target']
+
+_BAD_REQUEST: typing.Final = 400
+_REQUEST_TIMEOUT: typing.Final = 408
+_TOO_LARGE: typing.Final = 413
+_HEADERS_TOO_LARGE: typing.Final = 431
+# The least time for a body, whatever the operators' limit for headers.
+BODY_TIMEOUT_SECONDS: typing.Final = 3.0
+
+
+def check(
+    request: asgi.Request, routes: table.RouteTable | None
+) -> api.Refusal | None:
+    """Return why a request is refused before its body is read."""
+    names = [name for name, _ in request.raw_headers]
+    framed = b'content-length' in names and b'transfer-encoding' in names
+    if framed or names.count(b'content-length') > 1:
+        return _bad('two_lengths')
+    if names.count(b'host') != 1:
+        return _bad('host')
+    if routes is None:
+        return None
+    limits = routes.configuration.limits
+    if request.header_bytes > limits.max_header_bytes:
+        return api.Refusal(
+            api.RefusalReason.BAD_REQUEST, _HEADERS_TOO_LARGE, 0.0, 'headers'
+        )
+    length = request.header(b'content-length')
+    if length and int(length) > limits.max_body_bytes:
+        return _too_large()
+    return None
+
+
+def _bad(detail: str) -> api.Refusal:
+    return api.Refusal(
+        api.RefusalReason.BAD_REQUEST, _BAD_REQUEST, 0.0, detail
+    )
+
+
+def _too_large() -> api.Refusal:
+    return api.Refusal(api.RefusalReason.BODY_TOO_LARGE, _TOO_LARGE)
+
+
+async def read_body(
+    request: asgi.Request, limits: routes_api.CallerLimits
+) -> bytes | api.Refusal | None:
+    """Return a body, why it is refused, or nothing when the caller left."""
+    parts: list[bytes] = []
+    size = 0
+    timeout = max(limits.header_timeout_seconds, BODY_TIMEOUT_SECONDS)
+    with anyio.move_on_after(timeout if request.unread else math.inf):
+        while True:
+            message = await request.receive()
+            if message['type'] == asgi.DISCONNECT:
+                return None
+            size += len(message['body'])
+            if size > limits.max_body_bytes:
+                return _too_large()
+            parts.append(message['body'])
+            if not message.get('more_body', False):
+                return b''.join(parts)
+    return api.Refusal(api.RefusalReason.REQUEST_TIMEOUT, _REQUEST_TIMEOUT)
+
+
+def target(request: asgi.Request) -> str:
+    """Return a request's target as it was sent."""
+    return f'{request.path}?{request.query}' if request.query else request.path
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -9,6 +9,7 @@
 import anyio
 
 from .. import clock as clocks
+from . import answer as answers
 from . import app as apps
 from . import controller as controllers
 from . import duty as duties
@@ -58,7 +59,7 @@
 SECRET_PREFIX: typing.Final = b'dogwoodquay peers of '
 
 
-class Codec(exchanges.HeaderCodec, apps.CallerCodec, typing.Protocol):
+class Codec(exchanges.HeaderCodec, answers.CallerCodec, typing.Protocol):
     """Reads and writes the headers of requests and answers."""
 
 
--- a/tests/unit/gateway/test_app.py
+++ b/tests/unit/gateway/test_app.py
@@ -219,9 +219,10 @@
 
     async def test_unpromised_503(self) -> None:
         """A 503 that does not say so is no promise of not having run."""
-        failed = _answers(status='503 Failed', body=b'', extra='X-None: 1')
-        answer, asked = await self._both(failed, kind=Kind.NON_IDEMPOTENT)
-        self.assertEqual((502, 1), (answer.status, asked))
+        for extra in ('X-None: 1', 'Response-Stamp: 1'):
+            failed = _answers(status='503 Failed', body=b'', extra=extra)
+            answer, asked = await self._both(failed, kind=Kind.NON_IDEMPOTENT)
+            self.assertEqual((502, 1), (answer.status, asked))
 
     async def test_all_shed(self) -> None:
         """When nobody took it, the caller is told when to return."""
