--- a/src/dogwoodquay/gateway/api.py
+++ b/src/dogwoodquay/gateway/api.py
@@ -12,6 +12,7 @@
     'AnswerTerms',
     'Call',
     'CallerTerms',
+    'ELSEWHERE_SECONDS',
     'NO_EVENT',
     'Outgoing',
     'PromptPart',
@@ -21,6 +22,8 @@
 ]
 
 RawHeaders = tuple[tuple[bytes, bytes], ...]
+# When another instance or server can take a request at once, in seconds.
+ELSEWHERE_SECONDS: typing.Final = 0.02
 # The event before the first of a stream.
 NO_EVENT: typing.Final = -1
 
--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -33,12 +33,10 @@
 STARTING_RETRY_AFTER_SECONDS: typing.Final = 0.3
 # The same when the store does not answer, which lasts for seconds.
 STORE_AWAY_RETRY_AFTER_SECONDS: typing.Final = 2.5
-# Another instance can take the request at once.
-ELSEWHERE_SECONDS: typing.Final = 0.02
 
 
 _STOPPING = api.Refusal(
-    api.RefusalReason.STOPPING, _UNAVAILABLE, ELSEWHERE_SECONDS
+    api.RefusalReason.STOPPING, _UNAVAILABLE, api.ELSEWHERE_SECONDS
 )
 _NO_ROUTE = api.Refusal(api.RefusalReason.NO_ROUTE, _NOT_FOUND)
 
--- a/src/dogwoodquay/gateway/controller.py
+++ b/src/dogwoodquay/gateway/controller.py
@@ -8,6 +8,7 @@
 
 from . import demand as demands
 from ..fleet import registry as registries
+from . import groups
 from . import messages
 from ..observe import logs
 from ..residency import adapters
@@ -20,16 +21,14 @@
     from collections import abc
 
     import anyio.abc
-    import expression
 
     from .. import clock as clocks
     from . import duty as duties
-    from ..fleet import api as fleet_api
     from . import metrics as gateway_metrics
     from ..routes import api as routes_api
     from . import settings as gateway_settings
 
-__all__ = ['Controller', 'EngineCalls']
+__all__ = ['Controller']
 
 _LOG: typing.Final = logs.PartLog('orders')
 
@@ -51,48 +50,6 @@
 UNKNOWN_LOADS: typing.Final = 4
 
 
-class EngineCalls(typing.Protocol):
-    """Reads engines' reports and gives them orders."""
-
-    async def report(
-        self, server: fleet_api.ServerEntry, deadline: float
-    ) -> expression.Result[residency_api.EngineReport, str]:
-        """Return an engine's report."""
-
-    async def order(
-        self,
-        server: fleet_api.ServerEntry,
-        order: residency_api.Order,
-        order_number: int,
-        fence: int,
-        deadline: float,
-    ) -> residency_api.OrderAnswer:
-        """Give an order."""
-
-
-class _Group:
-    """The engines of one service and what is planned for them."""
-
-    def __init__(self, limit: ceiling.LoadCeiling) -> None:
-        self.engines: dict[str, engine_contents.EngineContents] = {}
-        self.planner = planners.ModelPlanner()
-        self.ceiling = limit
-        self.report_due: dict[str, float] = {}
-        self.reporting: set[str] = set()
-        self.silent: set[str] = set()
-
-    def offered(
-        self, engine: engine_contents.EngineContents
-    ) -> dict[str, frozenset[str]]:
-        """Return what requests may be sent for to an engine."""
-        withdrawn = self.planner.withdrawn(engine.server.server_id)
-        return {
-            model: adapters
-            for model, adapters in engine.models().items()
-            if model not in withdrawn
-        }
-
-
 class Controller:
     """Keeps engines' contents as demand wants them."""
 
@@ -100,7 +57,7 @@
         self,
         duty: duties.Duty,
         registry: registries.Registry,
-        engines: EngineCalls,
+        engines: groups.EngineCalls,
         settings: gateway_settings.InstanceSettings,
         clock: clocks.Clock,
         metrics: gateway_metrics.GatewayMetrics,
@@ -113,7 +70,7 @@
         self._metrics = metrics
         self._board = demands.DemandBoard()
         self._services: dict[str, routes_api.Service] = {}
-        self._groups: dict[str, _Group] = {}
+        self._groups: dict[str, groups.EngineGroup] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
 
     def configure(
@@ -207,7 +164,7 @@
                     break
         return ''
 
-    def _usable(self, group: _Group, server_id: str) -> bool:
+    def _usable(self, group: groups.EngineGroup, server_id: str) -> bool:
         server = self._registry.get(server_id)
         now = self._clock.now()
         return (
@@ -239,7 +196,7 @@
 
     def _group(
         self, name: str, spec: routes_api.EngineSpec, now: float
-    ) -> _Group:
+    ) -> groups.EngineGroup:
         group = self._groups.get(name)
         if group is None:
             window = self._settings.ceiling_window_seconds
@@ -249,11 +206,11 @@
                 window,
                 now,
             )
-            group = self._groups[name] = _Group(limit)
+            group = self._groups[name] = groups.EngineGroup(limit)
         return group
 
     def _follow(
-        self, name: str, group: _Group, spec: routes_api.EngineSpec
+        self, name: str, group: groups.EngineGroup, spec: routes_api.EngineSpec
     ) -> None:
         """Keep one ledger for each process of an engine."""
         listed = {
@@ -277,7 +234,7 @@
             del group.engines[server_id]
 
     def _poll(
-        self, group: _Group, now: float, tasks: anyio.abc.TaskGroup
+        self, group: groups.EngineGroup, now: float, tasks: anyio.abc.TaskGroup
     ) -> None:
         for server_id, engine in group.engines.items():
             due = group.report_due.get(server_id, now)
@@ -287,7 +244,7 @@
             tasks.start_soon(self._report, group, engine)
 
     async def _report(
-        self, group: _Group, engine: engine_contents.EngineContents
+        self, group: groups.EngineGroup, engine: engine_contents.EngineContents
     ) -> None:
         server_id = engine.server.server_id
         began = self._clock.now()
@@ -304,7 +261,9 @@
         pause = REPORT_SECONDS if settled else BUSY_REPORT_SECONDS
         group.report_due[server_id] = now + pause
 
-    def _hear(self, group: _Group, server_id: str, error: str) -> None:
+    def _hear(
+        self, group: groups.EngineGroup, server_id: str, error: str
+    ) -> None:
         """Note whether an engine answers; one that does not is not used."""
         if not error:
             if server_id in group.silent:
@@ -316,7 +275,7 @@
 
     def _note(
         self,
-        group: _Group,
+        group: groups.EngineGroup,
         engine: engine_contents.EngineContents,
         report: residency_api.EngineReport,
         now: float,
@@ -330,7 +289,7 @@
     def _plan(
         self,
         name: str,
-        group: _Group,
+        group: groups.EngineGroup,
         now: float,
         tasks: anyio.abc.TaskGroup,
     ) -> None:
@@ -361,7 +320,7 @@
 
     def _paced(
         self,
-        group: _Group,
+        group: groups.EngineGroup,
         engine: engine_contents.EngineContents,
         order: residency_api.Order,
         now: float,
@@ -378,7 +337,7 @@
 
     async def _order(
         self,
-        group: _Group,
+        group: groups.EngineGroup,
         engine: engine_contents.EngineContents,
         order: residency_api.Order,
     ) -> bool:
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -50,8 +50,6 @@
 # How full a server is that is taken to be slow rather than silent.
 BUSY_SHARE: typing.Final = 0.5
 RETRY_AFTER_SECONDS: typing.Final = 0.4
-# Another instance can take the request at once.
-STOPPING_RETRY_AFTER_SECONDS: typing.Final = 0.02
 ABSENT_RETRY_AFTER_SECONDS: typing.Final = 1.0
 # What is left of a request's time when it is no longer worth sending.
 MIN_WORK_SECONDS: typing.Final = 0.02
@@ -312,7 +310,7 @@
         absent = reason is api.RefusalReason.MODEL_ABSENT
         pause = ABSENT_RETRY_AFTER_SECONDS if absent else RETRY_AFTER_SECONDS
         if reason is api.RefusalReason.STOPPING:
-            pause = STOPPING_RETRY_AFTER_SECONDS
+            pause = api.ELSEWHERE_SECONDS
         # Spread, so that callers do not come back together.
         pause *= self._rng.uniform(0.75, 1.25)
         return api.Refusal(reason, _UNAVAILABLE, pause, detail)
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -36,6 +36,7 @@
     import expression
 
     from ..fleet import api as fleet_api
+    from . import groups
     from ..routes import api as routes_api
     from . import settings as gateway_settings
     from . import store_api
@@ -71,7 +72,7 @@
     store: abc.Callable[
         [client.Connections, gateway_settings.Address], store_api.Store
     ]
-    engines: abc.Callable[[client.Connections, str], controllers.EngineCalls]
+    engines: abc.Callable[[client.Connections, str], groups.EngineCalls]
     configuration_topic: store_api.Topic
     configuration_key: str
     decode_configuration: abc.Callable[
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -38,8 +38,6 @@
 UNSTARTED: typing.Final = 2
 # How long a failed search for an adapter's place is not repeated.
 SEARCH_AGAIN_SECONDS: typing.Final = 0.05
-# Memory of the rate of requests for a model.
-RATE_SECONDS: typing.Final = 2.0
 
 _Key = tuple[str, str]
 
--- a/src/dogwoodquay/gateway/settings.py
+++ b/src/dogwoodquay/gateway/settings.py
@@ -17,9 +17,8 @@
 class InstanceSettings(typing.NamedTuple):
     """Where an instance listens, what it may use and what it has to keep.
 
-    ``retry_share`` and ``retry_slack`` bound the repeats of all instances
-    together within ``retry_window_seconds``: the share of the requests plus
-    the slack.
+    ``retry_share`` bounds the repeats of all instances together within
+    ``retry_window_seconds``, as a share of the requests.
     """
 
     instance_id: str
@@ -29,14 +28,10 @@
     peers: Address
     store: Address
     list_interval_seconds: float
-    drain_seconds: float
     stop_seconds: float
     lease_seconds: float
     fences_checked: bool
     member_seconds: float
     retry_share: float
-    retry_slack: int
     retry_window_seconds: float
     ceiling_window_seconds: float
-    ceiling_factor: float
-    memory_megabytes: int
--- a/src/dogwoodquay/platform/settings.py
+++ b/src/dogwoodquay/platform/settings.py
@@ -33,22 +33,16 @@
     readiness: str
 
 
-class _Limits(_Body):
-    memory_mb: int = 256
-
-
 class _Bounds(_Body):
     drain_ms: float = 2000.0
     # From the signal to stop until the process is killed.
     grace_s: float = 8.0
     retry_budget_ratio: float = 0.2
     retry_window_s: float = 10.0
-    retry_slack: int = 10
     lease_ms: float = 3000.0
     # Whether servers refuse orders with a lower fencing number.
     fence_checked: bool = False
     ceiling_window_s: float = 5.0
-    ceiling_over: float = 1.0
 
 
 class _Platform(_Body):
@@ -64,7 +58,6 @@
     port_range: tuple[int, int]
     listen: _Listen
     platform: _Platform
-    limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -94,17 +87,13 @@
         peers=gateway_settings.Address(raw.ip, raw.port_range[0]),
         store=_address(raw.platform.address),
         list_interval_seconds=drain_seconds / _LISTS_PER_DRAIN,
-        drain_seconds=drain_seconds,
         stop_seconds=bounds.grace_s,
         lease_seconds=bounds.lease_ms / _MILLISECONDS,
         fences_checked=bounds.fence_checked,
         member_seconds=least_ttl * _MEMBER_FACTOR,
         retry_share=bounds.retry_budget_ratio,
-        retry_slack=bounds.retry_slack,
         retry_window_seconds=bounds.retry_window_s,
         ceiling_window_seconds=bounds.ceiling_window_s,
-        ceiling_factor=bounds.ceiling_over,
-        memory_megabytes=raw.limits.memory_mb,
     )
 
 
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -31,17 +31,13 @@
         peers=settings.Address('127.0.0.1', 7000),
         store=settings.Address('127.0.0.1', 1),
         list_interval_seconds=0.7,
-        drain_seconds=2.0,
         stop_seconds=8.0,
         lease_seconds=3.0,
         fences_checked=True,
         member_seconds=1.2,
         retry_share=0.2,
-        retry_slack=50,
         retry_window_seconds=10.0,
         ceiling_window_seconds=5.0,
-        ceiling_factor=1.1,
-        memory_megabytes=300,
     )
     return made._replace(**changes)
 
