--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -49,7 +49,9 @@
 FIRST_EVENT_SHARE: typing.Final = 0.75
 # How full a server is that is taken to be slow rather than silent.
 BUSY_SHARE: typing.Final = 0.5
+# Within it some running requests of a full server end.
 RETRY_AFTER_SECONDS: typing.Final = 0.4
+# A load from a server's own disk takes about so long.
 ABSENT_RETRY_AFTER_SECONDS: typing.Final = 1.0
 # What is left of a request's time when it is no longer worth sending.
 MIN_WORK_SECONDS: typing.Final = 0.02
