Let peers tell of a newer configuration

Change: the newest version travels with loads and views; who misses one ends its poll and reads anew; polls last 5 s.

--- a/src/dogwoodquay/gateway/controller.py
+++ b/src/dogwoodquay/gateway/controller.py
@@ -107,6 +107,7 @@
                 if engine.known
             ),
             self._board.instances(self._clock.now()),
+            self._board.configuration_version(self._clock.now()),
         )
 
     async def run(self) -> None:
--- a/src/dogwoodquay/gateway/demand.py
+++ b/src/dogwoodquay/gateway/demand.py
@@ -80,6 +80,15 @@
         """Return how many instances tell their load."""
         return sum(now - at <= FRESH_SECONDS for at, _ in self._loads.values())
 
+    def configuration_version(self, now: float) -> int:
+        """Return the newest configuration that an instance tells of."""
+        versions = (
+            load.configuration_version
+            for at, load in self._loads.values()
+            if now - at <= FRESH_SECONDS
+        )
+        return max(versions, default=-1)
+
     def running(self, server_id: str, model: str, now: float) -> int:
         """Return how many requests of a model run on a server."""
         return sum(
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -52,6 +52,7 @@
     """The load of one instance, told to the holder."""
 
     instance_id: str
+    configuration_version: int
     models: tuple[ModelRow, ...]
     in_use: tuple[AdapterInUse, ...]
     running: tuple[RunningRow, ...]
@@ -67,10 +68,11 @@
 
 
 class FleetView(wire_api.Message, frozen=True, tag='view'):
-    """What the holder knows of all engines, and of how many instances."""
+    """What the holder knows of all engines and of the other instances."""
 
     engines: tuple[EngineView, ...]
     instances: int
+    configuration_version: int
 
 
 class FindAdapter(wire_api.Message, frozen=True, tag='find'):
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -16,6 +16,7 @@
     from . import duty as duties
     from ..fleet import registry as registries
     from . import scheduler as schedulers
+    from . import watch
 
 __all__ = ['Peering']
 
@@ -46,14 +47,20 @@
         self._registry = registry
         self._clock = clock
         self._scheduler: schedulers.Scheduler | None = None
+        self._configuration: watch.ConfigurationWatch | None = None
         transport.register(messages.InstanceLoad, self._handle_load)
         transport.register(messages.FindAdapter, self._handle_find)
         transport.register(messages.FleetView)
         transport.register(messages.AdapterFound)
 
-    def attach(self, scheduler: schedulers.Scheduler) -> None:
+    def attach(
+        self,
+        scheduler: schedulers.Scheduler,
+        configuration: watch.ConfigurationWatch,
+    ) -> None:
         """Set whose load is told and who learns of the view."""
         self._scheduler = scheduler
+        self._configuration = configuration
 
     async def find(
         self, service: str, model: str, adapter: str, deadline: float
@@ -88,7 +95,10 @@
             await self._tell(scheduler)
 
     async def _tell(self, scheduler: schedulers.Scheduler) -> None:
-        load = _load(self._instance_id, scheduler)
+        version = -1
+        if self._configuration is not None:
+            version = self._configuration.version
+        load = _load(self._instance_id, version, scheduler)
         if self._duty.holds(self._clock.now()):
             view = self._controller.take(load)
             if view is not None:
@@ -118,6 +128,8 @@
     def _take(self, view: messages.FleetView) -> None:
         now = self._clock.now()
         self._duty.note_instances(view.instances)
+        if self._configuration is not None:
+            self._configuration.heard_of(view.configuration_version)
         for row in view.engines:
             server = self._registry.get(row.server_id)
             if server is None or server.entry.started_ms != row.started_ms:
@@ -149,7 +161,7 @@
 
 
 def _load(
-    instance_id: str, scheduler: schedulers.Scheduler
+    instance_id: str, version: int, scheduler: schedulers.Scheduler
 ) -> messages.InstanceLoad:
     rows = tuple(
         messages.ModelRow(service, model, *load)
@@ -162,4 +174,4 @@
         messages.RunningRow(*key, count)
         for key, count in scheduler.running().items()
     )
-    return messages.InstanceLoad(instance_id, rows, used, running)
+    return messages.InstanceLoad(instance_id, version, rows, used, running)
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -180,7 +180,6 @@
             self._rng,
             self._peering,
         )
-        self._peering.attach(self._scheduler)
         self._app = self._build_app(outside)
         self._callers = serving.Listener(settings.callers)
         self._health = health.HealthApp(self._not_ready, self._metrics_page)
@@ -193,6 +192,7 @@
             metrics,
             self._configure,
         )
+        self._peering.attach(self._scheduler, self._configuration)
         self._servers = watch.ServerWatch(
             store,
             outside.server_topic,
--- a/src/dogwoodquay/gateway/watch.py
+++ b/src/dogwoodquay/gateway/watch.py
@@ -27,7 +27,9 @@
 _SERVERS_LOG: typing.Final = logs.PartLog('servers')
 _STORE_LOG: typing.Final = logs.PartLog('store')
 
-POLL_SECONDS: typing.Final = 20.0
+# An answer may be lost without a sign; peers then tell of a newer version,
+# and without peers this bounds how long it is missed.
+POLL_SECONDS: typing.Final = 5.0
 CALL_SECONDS: typing.Final = 1.0
 FIRST_BACKOFF_SECONDS: typing.Final = 0.1
 MAX_BACKOFF_SECONDS: typing.Final = 0.8
@@ -106,6 +108,7 @@
         self._path = _Path('configuration', clock, metrics)
         self._offset: int | None = None
         self._version = -1
+        self._poll: anyio.CancelScope | None = None
 
     @property
     def store_away(self) -> bool:
@@ -117,10 +120,24 @@
         """The version in force, -1 before the first."""
         return self._version
 
+    def heard_of(self, version: int) -> None:
+        """Read again at once if a peer has a version that is missing here."""
+        if version > self._version and self._poll is not None:
+            _CONFIGURATION_LOG.write(
+                'missing', version=self._version, heard_of=version
+            )
+            self._poll.cancel()
+            self._poll = None
+
     async def run(self) -> typing.NoReturn:
         """Follow the store for ever."""
         while True:
-            await self.step()
+            with anyio.CancelScope() as scope:
+                self._poll = scope
+                await self.step()
+            if scope.cancelled_caught:
+                # Nothing is awaited any more on the connection of the poll.
+                self._offset = None
 
     async def step(self) -> None:
         """Read once, waiting for a change."""
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -5,6 +5,7 @@
 import random
 import typing
 
+import anyio
 import expression
 
 from dogwoodquay import clock as clocks
@@ -53,6 +54,7 @@
     def __init__(self, clock: clocks.ManualClock) -> None:
         self.clock = clock
         self.down = False
+        self.silent_reads = 0
         self.calls = 0
         self.records: list[store_api.NewestRecord] = []
         self.first_offset = 0
@@ -83,8 +85,12 @@
         wait_seconds: float,
         deadline: float,
     ) -> expression.Result[store_api.Records, store_api.StoreError]:
-        """Return records from an offset on."""
+        """Return records from an offset on, or never."""
         self.calls += 1
+        await anyio.sleep(0.001)
+        if self.silent_reads:
+            self.silent_reads -= 1
+            await anyio.sleep_forever()
         if self.down:
             return expression.Error(_LOST)
         if offset < self.first_offset:
--- a/tests/unit/gateway/test_controller.py
+++ b/tests/unit/gateway/test_controller.py
@@ -139,7 +139,7 @@
     async def test_missing_model(self) -> None:
         """Demand that an instance tells brings a model in."""
         row = messages.ModelRow('models', 'rare1', 4, 0, 4, 1.0)
-        load = messages.InstanceLoad('front-2', (row,), (), ())
+        load = messages.InstanceLoad('front-2', 1, (row,), (), ())
         async with self._running():
             await self._until(self._known)
             self.assertIsNotNone(self.controller.take(load))
@@ -170,7 +170,7 @@
         async with self._running():
             await self._until(self._known)
             await self.duty.leave()
-            load = messages.InstanceLoad('front-2', (), (), ())
+            load = messages.InstanceLoad('front-2', 1, (), (), ())
             self.assertIsNone(self.controller.take(load))
             self.assertEqual('', await self._find('a1'))
         self.assertEqual([], self.engines.orders)
--- a/tests/unit/gateway/test_watch.py
+++ b/tests/unit/gateway/test_watch.py
@@ -5,6 +5,7 @@
 import json
 import unittest
 
+import anyio
 import expression
 
 from . import fakes
@@ -76,6 +77,25 @@
         await self.watch.step()
         self.assertEqual([1, 3], self.versions)
 
+    async def test_lost_answer(self) -> None:
+        """A peer with a newer version ends a poll that is never answered."""
+        self.store.put('config', b'95')
+        self.store.silent_reads = 1
+        with anyio.fail_after(10.0):
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.watch.run)
+                while self.store.silent_reads:
+                    await anyio.sleep(0.01)
+                self.store.put('config', b'97')
+                self.watch.heard_of(95)
+                await anyio.sleep(0.05)
+                self.assertEqual([95], self.versions)
+                self.watch.heard_of(97)
+                while len(self.versions) < 2:
+                    await anyio.sleep(0.01)
+                group.cancel_scope.cancel()
+        self.assertEqual([95, 97], self.versions)
+
     async def test_store_away(self) -> None:
         """What is in force stays in force."""
         self.store.put('config', b'1')
