Tell each instance exactly what the others have at an engine

Cause: the holder's view gave an engine's own count of its requests, which is some hundred ms old when it is read and up to 0.6 s older when an instance gets it.

Change: the holder keeps the sum of what instances tell it that they have at each server and tells each one the part of the others. The load is that part and the own requests, which are exact. Sums are kept up to date with each word of an instance, so a view costs no pass over all of them.

--- a/src/dogwoodquay/fleet/server.py
+++ b/src/dogwoodquay/fleet/server.py
@@ -8,7 +8,7 @@
 
 __all__ = ['Server']
 
-# A load report says nothing of the others' requests after this time.
+# What is known of the others' requests says nothing after this time.
 LOAD_SECONDS: typing.Final = 1.5
 # Weight of the newest outcome in the share of failures.
 FAILURE_WEIGHT: typing.Final = 0.12
@@ -30,9 +30,8 @@
         self._leaving = entry.state is api.ServerState.LEAVING
         self._in_flight = 0
         self._unstarted = 0
-        self._reported = 0
-        self._own_at_report = 0
-        self._reported_at = float('-inf')
+        self._others = 0
+        self._others_at = float('-inf')
         self._failing = 0.0
         self._failures = 0
         self._ejections = 0
@@ -95,12 +94,11 @@
     def load(self, now: float) -> int:
         """Return the requests that the server has from all instances.
 
-        A report counts those of others at its time; the own are exact.
+        Those of others are as last told; the own are exact.
         """
-        if now - self._reported_at > LOAD_SECONDS:
+        if now - self._others_at > LOAD_SECONDS:
             return self._in_flight
-        others = max(0, self._reported - self._own_at_report)
-        return others + self._in_flight
+        return self._others + self._in_flight
 
     def follow(self, entry: api.ServerEntry, now: float) -> None:
         """Take in a newer entry of the same process."""
@@ -128,10 +126,13 @@
         self._held = held
 
     def note_load(self, total: int, now: float) -> None:
-        """Take in the server's own count of its requests."""
-        self._reported = total
-        self._own_at_report = self._in_flight
-        self._reported_at = now
+        """Take in the server's own count of its requests at this time."""
+        self.note_others(max(0, total - self._in_flight), now)
+
+    def note_others(self, count: int, now: float) -> None:
+        """Take in how many requests of other instances it has."""
+        self._others = count
+        self._others_at = now
 
     def begin(self) -> None:
         """Count a request that is sent there."""
--- a/src/dogwoodquay/gateway/controller.py
+++ b/src/dogwoodquay/gateway/controller.py
@@ -85,10 +85,11 @@
         if not self._duty.holds(now):
             return None
         self._board.take(load, now)
-        return self.view()
+        return self.view(load.instance_id)
 
-    def view(self) -> messages.FleetView:
-        """Return what is known of all engines."""
+    def view(self, instance_id: str) -> messages.FleetView:
+        """Return what is known of all engines, for one instance."""
+        now = self._clock.now()
         return messages.FleetView(
             tuple(
                 messages.EngineView(
@@ -98,16 +99,14 @@
                         model: tuple(sorted(names))
                         for model, names in group.offered(engine).items()
                     },
-                    engine.report.running + engine.report.waiting
-                    if engine.report
-                    else 0,
+                    self._board.others(server_id, instance_id),
                 )
                 for group in self._groups.values()
                 for server_id, engine in group.engines.items()
                 if engine.known
             ),
-            self._board.instances(self._clock.now()),
-            self._board.configuration_version(self._clock.now()),
+            self._board.instances(now),
+            self._board.configuration_version(now),
         )
 
     async def run(self) -> None:
@@ -255,7 +254,7 @@
         now = self._clock.now()
         if result.is_ok() and engine.order_number == number:
             engine.observe(result.ok)
-            self._note(group, engine, result.ok, now)
+            self._note(group, engine, now)
         self._hear(group, server_id, result.error if result.is_error() else '')
         settled = engine.known and not engine.busy
         settled = settled and server_id not in group.silent
@@ -278,13 +277,11 @@
         self,
         group: groups.EngineGroup,
         engine: engine_contents.EngineContents,
-        report: residency_api.EngineReport,
         now: float,
     ) -> None:
-        """Let routing on this instance know what a report says."""
+        """Let routing on this instance know what an engine holds."""
         server = self._registry.get(engine.server.server_id)
         if server is not None and engine.known:
-            server.note_load(report.running + report.waiting, now)
             server.note_held(group.offered(engine), now)
 
     def _plan(
@@ -302,7 +299,7 @@
         demand = self._board.demand(name, now)
 
         def running(server_id: str, model: str) -> int:
-            return self._board.running(server_id, model, now)
+            return self._board.running(server_id, model)
 
         for engine, order in group.planner.plan(engines, demand, running, now):
             if not self._paced(group, engine, order, now):
--- a/src/dogwoodquay/gateway/demand.py
+++ b/src/dogwoodquay/gateway/demand.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 import typing
 
@@ -48,6 +49,8 @@
         self._arrivals: dict[tuple[str, str, str], int] = {}
         self._rates: dict[_Key, _Rate] = {}
         self._used_at: dict[adapters.AdapterKey, float] = {}
+        self._running: collections.Counter[_Key] = collections.Counter()
+        self._at_server: collections.Counter[str] = collections.Counter()
 
     @property
     def used_at(self) -> abc.Mapping[adapters.AdapterKey, float]:
@@ -60,7 +63,12 @@
 
     def take(self, load: messages.InstanceLoad, now: float) -> None:
         """Take in an instance's load."""
+        self._forget(load.instance_id)
+        self._forget_silent(now)
         self._loads[load.instance_id] = (now, load)
+        for part in load.running:
+            self._running[part.server_id, part.model] += part.count
+            self._at_server[part.server_id] += part.count
         for row in load.models:
             place = (load.instance_id, row.service, row.model)
             before = self._arrivals.get(place, 0)
@@ -89,15 +97,16 @@
         )
         return max(versions, default=-1)
 
-    def running(self, server_id: str, model: str, now: float) -> int:
+    def running(self, server_id: str, model: str) -> int:
         """Return how many requests of a model run on a server."""
-        return sum(
-            row.count
-            for at, load in self._loads.values()
-            if now - at <= FRESH_SECONDS
-            for row in load.running
-            if row.server_id == server_id and row.model == model
-        )
+        return self._running[server_id, model]
+
+    def others(self, server_id: str, instance_id: str) -> int:
+        """Return how many requests all other instances have at a server."""
+        _, load = self._loads.get(instance_id, (0.0, None))
+        rows = load.running if load is not None else ()
+        own = sum(row.count for row in rows if row.server_id == server_id)
+        return self._at_server[server_id] - own
 
     def demand(self, service: str, now: float) -> dict[str, planner.Demand]:
         """Return the demand for each model of a service."""
@@ -120,3 +129,18 @@
                 known = total.get(model, planner.NONE)
                 total[model] = known._replace(rate=rate.at(now))
         return total
+
+    def _forget_silent(self, now: float) -> None:
+        """Drop what instances said that are gone by now."""
+        for instance_id, (at, _) in tuple(self._loads.items()):
+            if now - at > FRESH_SECONDS:
+                self._forget(instance_id)
+
+    def _forget(self, instance_id: str) -> None:
+        """Take what an instance runs off the sums."""
+        _, load = self._loads.pop(instance_id, (0.0, None))
+        if load is None:
+            return
+        for row in load.running:
+            self._running[row.server_id, row.model] -= row.count
+            self._at_server[row.server_id] -= row.count
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -59,16 +59,19 @@
 
 
 class EngineView(msgspec.Struct, frozen=True, array_like=True):
-    """What the holder knows of one engine."""
+    """What the holder knows of one engine.
+
+    ``others`` counts the requests there of all instances but the reader.
+    """
 
     server_id: str
     started_ms: int
     held: dict[str, tuple[str, ...]]
-    total: int
+    others: int
 
 
 class FleetView(wire_api.Message, frozen=True, tag='view'):
-    """What the holder knows of all engines and of the other instances."""
+    """What the holder tells an instance of all engines and instances."""
 
     engines: tuple[EngineView, ...]
     instances: int
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -138,7 +138,7 @@
                 model: frozenset(names) for model, names in row.held.items()
             }
             server.note_held(held, now)
-            server.note_load(row.total, now)
+            server.note_others(row.others, now)
 
     async def _handle_load(
         self,
--- a/tests/unit/gateway/test_controller.py
+++ b/tests/unit/gateway/test_controller.py
@@ -125,7 +125,7 @@
         return await self.controller.find('models', 'hot', adapter, deadline)
 
     def _known(self) -> bool:
-        return len(self.controller.view().engines) == 2
+        return len(self.controller.view('a').engines) == 2
 
     async def test_adapter(self) -> None:
         """An adapter goes to the engine of its model, once."""
@@ -151,7 +151,9 @@
         """An engine that does not answer gets no orders."""
         self.engines.silent.add('e1')
         async with self._running():
-            await self._until(lambda: len(self.controller.view().engines) == 1)
+            await self._until(
+                lambda: len(self.controller.view('a').engines) == 1
+            )
             deadline = self.clock.now() + 0.2
             found = await self.controller.find('models', 'hot', 'a1', deadline)
         self.assertEqual('', found)
--- /dev/null
+++ b/tests/unit/gateway/test_demand.py
@@ -0,0 +1,48 @@
+"""Tests of adding up what all instances ask."""
+
+from __future__ import annotations
+
+import unittest
+
+from dogwoodquay.gateway import demand
+from dogwoodquay.gateway import messages
+
+
+def _load(
+    instance_id: str, *running: tuple[str, int]
+) -> messages.InstanceLoad:
+    rows = tuple(
+        messages.RunningRow(server_id, 'm', count)
+        for server_id, count in running
+    )
+    return messages.InstanceLoad(instance_id, 1, (), (), rows)
+
+
+class OthersTest(unittest.TestCase):
+    """An instance learns what the others have at each server."""
+
+    def setUp(self) -> None:
+        self.board = demand.DemandBoard()
+
+    def test_without_its_own(self) -> None:
+        """The reader's requests are left out, however old its word is."""
+        self.board.take(_load('a', ('e1', 3), ('e2', 1)), 1.0)
+        self.board.take(_load('b', ('e1', 4)), 1.1)
+        self.assertEqual(4, self.board.others('e1', 'a'))
+        self.assertEqual(3, self.board.others('e1', 'b'))
+        self.assertEqual(7, self.board.others('e1', 'c'))
+        self.assertEqual(7, self.board.running('e1', 'm'))
+
+    def test_newest_counts(self) -> None:
+        """An instance's newer word replaces the one before."""
+        self.board.take(_load('a', ('e1', 3)), 1.0)
+        self.board.take(_load('a', ('e2', 2)), 1.1)
+        self.assertEqual(0, self.board.others('e1', 'b'))
+        self.assertEqual(2, self.board.others('e2', 'b'))
+
+    def test_gone_instance(self) -> None:
+        """What an instance had that fell silent counts no more."""
+        self.board.take(_load('a', ('e1', 3)), 1.0)
+        later = 1.1 + demand.FRESH_SECONDS
+        self.board.take(_load('b', ('e1', 4)), later)
+        self.assertEqual(0, self.board.others('e1', 'b'))
