Send an engine one prompt of each instance at a time

Cause: streams pause for more than 150 ms where an engine has many prompts to read in a row. With two prompts of each of nine instances up to 18 could be there, 10,000 tokens at 38 a ms: 270 ms in which no running stream gets an event.

Change: one prompt of each instance instead of two.

The bound does not scale with the number of instances; at hundreds of them it has to be shared out.

--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -33,9 +33,9 @@
 # Requests that a server may have beyond those that it runs at a time.
 ENGINE_AHEAD: typing.Final = 4
 SERVICE_AHEAD: typing.Final = 2
-# Requests of one instance whose prompts an engine may have to read. What it
+# Prompts of one instance that an engine may have to read. What it
 # has been given it takes in that order, what waits here by its worth.
-UNSTARTED: typing.Final = 2
+UNSTARTED: typing.Final = 1
 # How long a failed search for an adapter's place is not repeated.
 SEARCH_AGAIN_SECONDS: typing.Final = 0.05
 
