Let how full a server is say whether it is slow or silent

Cause: how long a server may take to begin its answer depends on whether it is busy, and that was worked out from the room for further requests. Room is none while a prompt of this instance is unread, so an engine was never taken to be silent and no second server was tried.

Change: `Scheduler.places` is what a server may have, `_room` what is left by the bound on unread prompts; the forwarder asks for the former.

--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -198,7 +198,7 @@
         route = call.route
         if not route.repeatable or attempts >= route.max_attempts:
             return call.deadline
-        if server.load(now) > self._scheduler.room(server) * BUSY_SHARE:
+        if server.load(now) > self._scheduler.places(server) * BUSY_SHARE:
             return call.deadline
         deadline = now + (call.deadline - now) * HEAD_SHARE
         if route.streaming:
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -279,21 +279,27 @@
         now = self._clock.now()
         candidates = self._registry.of_service(need.service)
         chosen = choice.choose(
-            candidates, need, self._domain, self.room, now, self._rng
+            candidates, need, self._domain, self._room, now, self._rng
         )
         if chosen is None and need.adapter:
             self._search(need, candidates, now)
         return chosen
 
-    def room(self, server: servers.Server) -> float:
+    def places(self, server: servers.Server) -> int:
         """Return how many requests a server may have from all instances."""
         service = self._services.get(server.entry.service)
         if service is not None and service.engine is not None:
-            if server.unstarted >= UNSTARTED:
-                return 0.0
             return service.engine.slots + ENGINE_AHEAD
         return server.entry.slots + SERVICE_AHEAD
 
+    def _room(self, server: servers.Server) -> float:
+        """Return the places of a server, none while it reads a prompt."""
+        service = self._services.get(server.entry.service)
+        engine = service is not None and service.engine is not None
+        if engine and server.unstarted >= UNSTARTED:
+            return 0.0
+        return self.places(server)
+
     def _search(
         self,
         need: choice.Need,
