Tell callers that cannot wait for a load when it ends

Change: the holder tells when loads end (from the load time of where the weights lie). An instance refuses at once who cannot wait so long, with that time as Retry-After, spread over a second. Callers that were sent away count as waiting in the demand, as they still want the model.

--- a/src/dogwoodquay/gateway/controller.py
+++ b/src/dogwoodquay/gateway/controller.py
@@ -105,6 +105,11 @@
                 for server_id, engine in group.engines.items()
                 if engine.known
             ),
+            tuple(
+                messages.ComingModel(name, model, max(0.0, ready_at - now))
+                for name, group in self._groups.items()
+                for model, ready_at in group.coming(now).items()
+            ),
             self._board.instances(now),
             self._board.configuration_version(now),
         )
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -53,6 +53,8 @@
 RETRY_AFTER_SECONDS: typing.Final = 0.4
 # A load from a server's own disk takes about so long.
 ABSENT_RETRY_AFTER_SECONDS: typing.Final = 1.0
+# Callers that wait for the same load come back spread over so long.
+RETURN_SPREAD_SECONDS: typing.Final = 1.0
 # What is left of a request's time when it is no longer worth sending.
 MIN_WORK_SECONDS: typing.Final = 0.02
 
@@ -279,8 +281,21 @@
             return api.Refusal(
                 api.RefusalReason.MAY_HAVE_RUN, _BAD_GATEWAY, 0.0, reason.value
             )
+        if reason is api.RefusalReason.MODEL_ABSENT:
+            return self._absent(call)
         return self._not_run(reason)
 
+    def _absent(self, call: api.Call) -> api.Refusal:
+        """Refuse a request whose model no server holds yet."""
+        ready_in = self._scheduler.ready_in(call)
+        if ready_in is None:
+            pause = ABSENT_RETRY_AFTER_SECONDS * self._rng.uniform(0.75, 1.25)
+        else:
+            pause = ready_in + self._rng.uniform(0.0, RETURN_SPREAD_SECONDS)
+        self._scheduler.sent_away(call, pause)
+        reason = api.RefusalReason.MODEL_ABSENT
+        return api.Refusal(reason, _UNAVAILABLE, pause)
+
     def _gave_up(
         self,
         call: api.Call,
@@ -309,8 +324,7 @@
         self, reason: api.RefusalReason, detail: str = ''
     ) -> api.Refusal:
         """Refuse a request that no server has run, with when to return."""
-        absent = reason is api.RefusalReason.MODEL_ABSENT
-        pause = ABSENT_RETRY_AFTER_SECONDS if absent else RETRY_AFTER_SECONDS
+        pause = RETRY_AFTER_SECONDS
         if reason is api.RefusalReason.STOPPING:
             pause = api.ELSEWHERE_SECONDS
         # Spread, so that callers do not come back together.
--- a/src/dogwoodquay/gateway/groups.py
+++ b/src/dogwoodquay/gateway/groups.py
@@ -41,6 +41,7 @@
 
     ``report_due`` says when each has to be asked again, ``reporting`` which
     are being asked and ``silent`` which did not answer the last time.
+    ``ready_at`` is when a load is expected to end, by server and model.
     """
 
     def __init__(self, limit: ceiling.LoadCeiling) -> None:
@@ -50,6 +51,7 @@
         self.report_due: dict[str, float] = {}
         self.reporting: set[str] = set()
         self.silent: set[str] = set()
+        self.ready_at: dict[tuple[str, str], float] = {}
 
     def offered(
         self, engine: engine_contents.EngineContents
@@ -61,3 +63,28 @@
             for model, adapters in engine.models().items()
             if model not in withdrawn
         }
+
+    def coming(self, now: float) -> dict[str, float]:
+        """Return when the models that no engine offers will be ready.
+
+        A load that this instance did not begin is taken to begin when it is
+        first seen.
+        """
+        offered: set[str] = set()
+        coming: dict[str, float] = {}
+        loads: dict[tuple[str, str], float] = {}
+        for server_id, engine in self.engines.items():
+            offered.update(self.offered(engine))
+            model = engine.loading
+            if not model or server_id in self.silent:
+                continue
+            latest = now + planners.load_seconds(engine, model)
+            ready_at = self.ready_at.get((server_id, model), latest)
+            loads[server_id, model] = ready_at
+            coming[model] = min(coming.get(model, ready_at), ready_at)
+        self.ready_at = loads
+        return {
+            model: ready_at
+            for model, ready_at in coming.items()
+            if model not in offered
+        }
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -9,6 +9,7 @@
 __all__ = [
     'AdapterFound',
     'AdapterInUse',
+    'ComingModel',
     'EngineView',
     'FindAdapter',
     'FleetView',
@@ -70,10 +71,19 @@
     others: int
 
 
+class ComingModel(msgspec.Struct, frozen=True, array_like=True):
+    """A model that no engine can serve yet, and how long it still takes."""
+
+    service: str
+    model: str
+    seconds: float
+
+
 class FleetView(wire_api.Message, frozen=True, tag='view'):
     """What the holder tells an instance of all engines and instances."""
 
     engines: tuple[EngineView, ...]
+    coming: tuple[ComingModel, ...]
     instances: int
     configuration_version: int
 
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -139,6 +139,13 @@
             }
             server.note_held(held, now)
             server.note_others(row.others, now)
+        if self._scheduler is not None:
+            self._scheduler.note_coming(
+                {
+                    (row.service, row.model): now + row.seconds
+                    for row in view.coming
+                }
+            )
 
     async def _handle_load(
         self,
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -33,7 +33,7 @@
 # Requests that a server may have beyond those that it runs at a time.
 ENGINE_AHEAD: typing.Final = 4
 SERVICE_AHEAD: typing.Final = 2
-# Prompts of one instance that an engine may have to read. What it
+# Requests of one instance whose prompts an engine may have to read. What it
 # has been given it takes in that order, what waits here by its worth.
 UNSTARTED: typing.Final = 1
 # How long a failed search for an adapter's place is not repeated.
@@ -52,7 +52,10 @@
 
 
 class ModelLoad(typing.NamedTuple):
-    """What callers of this instance ask of a model."""
+    """What callers of this instance ask of a model.
+
+    ``waiting`` counts those as well that were told to come back for it.
+    """
 
     arrivals: int
     in_flight: int
@@ -70,10 +73,19 @@
 
 @dataclasses.dataclass(slots=True)
 class _Counts:
-    """Requests for one model."""
+    """Requests for one model.
+
+    ``back_at`` is when each caller that was sent away may come back.
+    """
 
     arrivals: int = 0
     in_flight: int = 0
+    back_at: list[float] = dataclasses.field(default_factory=list)
+
+    def away(self, now: float) -> int:
+        """Return how many callers were told to come back later."""
+        self.back_at = [until for until in self.back_at if until > now]
+        return len(self.back_at)
 
 
 class Scheduler:
@@ -102,6 +114,7 @@
         self._running: collections.Counter[_Key] = collections.Counter()
         self._tasks: anyio.abc.TaskGroup | None = None
         self._closed = False
+        self._coming: dict[_Key, float] = {}
 
     @property
     def waiting(self) -> int:
@@ -132,7 +145,7 @@
             key: ModelLoad(
                 counts.arrivals,
                 counts.in_flight,
-                len(waiting.get(key, ())),
+                len(waiting.get(key, ())) + counts.away(now),
                 max(waiting.get(key, (0.0,))),
             )
             for key, counts in self._counts.items()
@@ -171,6 +184,8 @@
         :param avoid: servers that failed the request before.
         """
         need = self._need(call, avoid)
+        if self._hopeless(need, give_up_at):
+            return None
         server = None if len(self._queue) else self._choose(need)
         if server is None and not self._closed:
             server = await self._wait(call, need, give_up_at)
@@ -207,6 +222,10 @@
         now = self._clock.now()
         for ticket in self._queue.expired(now):
             self._finish(ticket.number, None)
+        for ticket in tuple(self._queue.tickets):
+            if self._hopeless(ticket.need, ticket.give_up_at):
+                self._queue.discard(ticket.number)
+                self._finish(ticket.number, None)
         for ticket, server in self._queue.assign(self._choose, now):
             # Counted at once, so that the next one sees it.
             server.begin()
@@ -226,6 +245,35 @@
             return api.RefusalReason.MODEL_ABSENT
         return api.RefusalReason.OVERLOADED
 
+    def note_coming(self, ready_at: dict[_Key, float]) -> None:
+        """Take in when models that no server holds will be ready."""
+        self._coming = ready_at
+
+    def ready_in(self, call: api.Call) -> float | None:
+        """Return in how long a model will be ready, if it is on its way."""
+        ready_at = self._coming.get((call.service, call.terms.model))
+        if ready_at is None:
+            return None
+        return max(0.0, ready_at - self._clock.now())
+
+    def sent_away(self, call: api.Call, seconds: float) -> None:
+        """Count a caller that is to come back for its model."""
+        self._count(call).back_at.append(self._clock.now() + seconds)
+
+    def _hopeless(self, need: choice.Need, give_up_at: float) -> bool:
+        """Whether a model comes only when a request cannot wait any more.
+
+        Answers demand that moves to a model whose load takes longer than
+        its callers stay: they learn at once when to come back.
+        """
+        ready_at = self._coming.get((need.service, need.model))
+        if ready_at is None or ready_at <= give_up_at:
+            return False
+        return not any(
+            server.holds(need.model, '')
+            for server in self._registry.of_service(need.service)
+        )
+
     async def _wait(
         self, call: api.Call, need: choice.Need, give_up_at: float
     ) -> servers.Server | None:
--- a/src/dogwoodquay/residency/planner.py
+++ b/src/dogwoodquay/residency/planner.py
@@ -12,7 +12,7 @@
 
     from . import contents as engine_contents
 
-__all__ = ['Demand', 'ModelPlanner', 'PlannerSettings']
+__all__ = ['Demand', 'ModelPlanner', 'PlannerSettings', 'load_seconds']
 
 _Engines: typing.TypeAlias = 'abc.Sequence[engine_contents.EngineContents]'
 _Orders: typing.TypeAlias = (
@@ -326,7 +326,7 @@
             return None
         # While it loads it serves none of those who come; who waits, stays.
         horizon = self._settings.horizon_seconds
-        seconds = _load_seconds(engine, model)
+        seconds = load_seconds(engine, model)
         later = max(0.0, gain - demand[model].waiting)
         score = gain - later * seconds / (horizon + seconds)
         score -= self._settings.move_cost
@@ -378,9 +378,11 @@
     return 0.0 if spec is None else spec.megabytes
 
 
-def _load_seconds(engine: engine_contents.EngineContents, model: str) -> float:
+def load_seconds(engine: engine_contents.EngineContents, model: str) -> float:
     """Return how long a load takes from where the weights lie."""
-    spec = engine.spec.models[model]
+    spec = engine.spec.models.get(model)
+    if spec is None:
+        return 0.0
     if engine.report is not None:
         if model in engine.report.in_memory:
             return spec.memory_load_seconds
--- a/tests/unit/gateway/test_app.py
+++ b/tests/unit/gateway/test_app.py
@@ -9,6 +9,7 @@
 import anyio
 
 from . import loopback
+from dogwoodquay import clock as clocks
 from dogwoodquay.routes import api as routes_api
 
 Kind = routes_api.RouteKind
@@ -317,3 +318,16 @@
         """A stream that broke before its first event fails as such."""
         answer, received = await self._call(_breaks)
         self.assertEqual((502, 1), (answer.status, len(received)))
+
+    async def test_model_on_its_way(self) -> None:
+        """A caller that cannot wait for a load learns when it ends."""
+        upstream = loopback.Upstream('u1', _breaks)
+        async with loopback.Site(upstream).running() as site:
+            kind = routes_api.RouteKind.STREAMING
+            site.configure(loopback.route(kind=kind))
+            ready_at = clocks.SteadyClock().now() + 40.0
+            site.scheduler.note_coming({('s', 'm'): ready_at})
+            answer = await site.call('POST', body=b'x', extra='Model: m')
+        self.assertEqual(503, answer.status)
+        self.assertGreater(float(answer.headers['retry-after']), 30.0)
+        self.assertEqual([], upstream.received)
