Hand the duty on when its holder stops while the store is away

Change: such a holder offers the duty to peers that told it their load lately, each under a fencing number of its own within the generation. The heir orders at once, joins the group when the store answers, and is told of to the others by its predecessor. A process leaves the group before its first join, so that a generation is never used by two of them.

--- a/spec/run.py
+++ b/spec/run.py
@@ -37,6 +37,7 @@
     'not_run_is_true': 'ran[a]',
     'not_run_is_not_run': 'told[a]!=',
     'answer_is_of_the_run': 'runs==1',
+    'number_of_one_instance': 'used_by',
 }
 
 
@@ -99,6 +100,7 @@
     Check('replicas, ignoring', 'orders.pml', _IGNORING_PAIR),
     Check('repeated orders', 'orders.pml', _REPEATED),
     Check('at most once', 'once.pml', ('-DATTEMPTS=3',)),
+    Check('duty handed on', 'duty.pml', ('-DINSTANCES=3',)),
 )
 
 _DEEP_MODELS = (
@@ -120,6 +122,12 @@
     return _mutant(flag, rule, ('-DATTEMPTS=3',), 'once.pml')
 
 
+def _duty_mutant(flag: str) -> Check:
+    return _mutant(
+        flag, 'number_of_one_instance', ('-DINSTANCES=3',), 'duty.pml'
+    )
+
+
 _MUTANTS = (
     _mutant('MUT_CLAIM_ANY', 'claim_names_epoch', _FENCING),
     _mutant('MUT_NO_TEACH', 'memory', _FENCING),
@@ -148,6 +156,11 @@
     _once_mutant('MUT_LOST_IS_NOT_RUN', 'not_run_is_true'),
     _once_mutant('MUT_DEAD_HOLDER', 'at_most_once'),
     _once_mutant('MUT_CLAIM_TAKEN', 'at_most_once'),
+    _duty_mutant('MUT_SAME_NUMBER'),
+    _duty_mutant('MUT_TWO_LETTERS'),
+    _duty_mutant('MUT_ORDERS_ON'),
+    _duty_mutant('MUT_OLD_MEMBERSHIP'),
+    _duty_mutant('MUT_HEIR_HANDS_ON'),
 )
 
 
--- a/src/dogwoodquay/gateway/controller.py
+++ b/src/dogwoodquay/gateway/controller.py
@@ -83,14 +83,23 @@
         """Take in an instance's load; return the holder's view."""
         now = self._clock.now()
         if not self._duty.holds(now):
-            return None
+            holder = self._duty.holder
+            if holder in ('', self._duty.member):
+                return None
+            return messages.FleetView(holder, (), (), 0, -1)
         self._board.take(load, now)
         return self.view(load.instance_id)
 
+    def peers(self) -> list[str]:
+        """Return the instances that told their load lately, newest first."""
+        peers = self._board.members(self._clock.now())
+        return [name for name in peers if name != self._duty.member]
+
     def view(self, instance_id: str) -> messages.FleetView:
         """Return what is known of all engines, for one instance."""
         now = self._clock.now()
         return messages.FleetView(
+            self._duty.member,
             tuple(
                 messages.EngineView(
                     server_id,
--- a/src/dogwoodquay/gateway/demand.py
+++ b/src/dogwoodquay/gateway/demand.py
@@ -88,6 +88,15 @@
         """Return how many instances tell their load."""
         return sum(now - at <= FRESH_SECONDS for at, _ in self._loads.values())
 
+    def members(self, now: float) -> list[str]:
+        """Return the instances that tell their load, newest first."""
+        fresh = [
+            (at, instance_id)
+            for instance_id, (at, _) in self._loads.items()
+            if now - at <= FRESH_SECONDS
+        ]
+        return [instance_id for _, instance_id in sorted(fresh, reverse=True)]
+
     def configuration_version(self, now: float) -> int:
         """Return the newest configuration that an instance tells of."""
         versions = (
--- a/src/dogwoodquay/gateway/duty.py
+++ b/src/dogwoodquay/gateway/duty.py
@@ -34,6 +34,9 @@
 MIN_INSTANCES: typing.Final = 4
 # The end of a membership that is not relied on, as a share of it.
 MARGIN_SHARE: typing.Final = 0.25
+# Fencing numbers within one generation of the group: the holder's own, and
+# one for each peer that it may offer the duty to at a planned stop.
+NUMBERS: typing.Final = 16
 
 
 class Duty:
@@ -47,6 +50,11 @@
     Where engines refuse old numbers, a holder that the store does not answer
     goes on until an engine or the store tells of another. Elsewhere it stops
     before its membership can lapse, and a new one waits for the lease time.
+
+    A holder that is stopped while the store is away hands the duty on to a
+    peer, the heir, under the next number of its generation. The heir joins
+    the group as soon as it can; until then it does not hand the duty on.
+    ``spec/duty.pml`` checks that no number is used by two instances.
     """
 
     def __init__(
@@ -64,6 +72,11 @@
         self._metrics = metrics
         self._member = member_name(settings)
         self._generation = 0
+        self._handed = 0
+        self._predecessor = ''
+        self._heir_until = float('inf')
+        self._joined = False
+        self._received = 0
         self._held = False
         self._held_since = float('inf')
         self._confirmed_at = float('-inf')
@@ -72,10 +85,20 @@
         self._instances = MIN_INSTANCES
         self._wake = anyio.Event()
 
+    @property
+    def member(self) -> str:
+        """The name of this instance in the group and to its peers."""
+        return self._member
+
+    @property
+    def holder(self) -> str:
+        """The name of the holder, as far as is known, empty for none."""
+        return self._member if self._held else self._owner
+
     @property
     def fence(self) -> int:
         """The fencing number of orders that are given now."""
-        return self._generation
+        return self._generation * NUMBERS + self._handed
 
     @property
     def owner(self) -> gateway_settings.Address | None:
@@ -110,6 +133,12 @@
         _LOG.write('superseded', generation=self._generation)
         self._lose()
 
+    def follow(self, holder: str) -> None:
+        """Note that a peer says who has the duty now."""
+        if not self._held and holder not in ('', self._member, self._owner):
+            self._owner = holder
+            _LOG.write('holder', member=holder, told='peer')
+
     def unreachable(self) -> None:
         """Note that the holder does not answer, or is none any more."""
         self._owner = ''
@@ -141,15 +170,54 @@
                 await self._join()
         return LOOKUP_SECONDS
 
-    async def leave(self) -> None:
-        """Give the duty up at a planned stop."""
+    async def leave(self) -> bool:
+        """Give the duty up at a planned stop.
+
+        :return: whether others can take it from the store.
+        """
         held, self._leaving = self._held, True
-        if held:
-            await self._leave_group()
+        return not held or await self._leave_group()
+
+    def next_number(self) -> tuple[int, int] | None:
+        """Return the generation and number under which a peer may follow.
+
+        Each peer that is asked gets a number of its own, as one whose answer
+        is lost may have taken the duty.
+        """
+        if not self._held or self._predecessor or not self._leaving:
+            return None
+        if not self._settings.fences_checked or self._handed >= NUMBERS - 1:
+            return None
+        self._handed += 1
+        return self._generation, self._handed
+
+    def handed_to(self, member: str) -> None:
+        """Note that a peer has taken the duty."""
+        self._held = False
+        self._owner = member
+        _LOG.write('handed_on', member=member, generation=self._generation)
+
+    def take_over(
+        self, predecessor: str, generation: int, number: int
+    ) -> bool:
+        """Take the duty from a holder that stops, unless there is a reason."""
+        if self._leaving or self._held or not self._settings.fences_checked:
+            return False
+        self._generation = generation
+        self._handed = number
+        self._predecessor = predecessor
+        self._heir_until = float('inf')
+        self._held = True
+        self._held_since = self._clock.now()
+        self._owner = self._member
+        _LOG.write('taken_over', member=predecessor, generation=generation)
+        self._wake.set()
+        return True
 
     async def _renew(self) -> None:
         began = self._clock.now()
-        if began > self._confirmed_at + self._settings.member_seconds:
+        lapsed = began > self._confirmed_at + self._settings.member_seconds
+        if lapsed and not self._predecessor:
             # To join again would take the duty from who has it by now.
             holder = await self._look_up()
             if holder:
@@ -159,12 +227,37 @@
         membership = await self._call(began)
         if membership is None:
             return
-        self._confirmed_at = began
         if PARTITION in membership.partitions:
-            self._generation = membership.generation
-            return
-        self._lose()
-        await self._leave_group()
+            self._confirm(membership.generation, began)
+        elif not self._predecessor or await self._succeeded(began):
+            self._lose()
+            await self._leave_group()
+
+    async def _succeeded(self, now: float) -> bool:
+        """Whether an heir knows that another one has the duty.
+
+        The membership of who handed it on lapses soon after the store is
+        back; one that stays is of a new process.
+        """
+        if self._heir_until == float('inf'):
+            share = 1.0 + MARGIN_SHARE
+            self._heir_until = now + self._settings.member_seconds * share
+        deadline = now + CALL_SECONDS
+        found = await self._store.owner(GROUP, PARTITION, deadline)
+        if found.is_error():
+            return False
+        holder = found.ok.holder
+        if holder in ('', self._predecessor, self._member):
+            return now >= self._heir_until
+        return True
+
+    def _confirm(self, generation: int, began: float) -> None:
+        """Note that the store says that this instance is the holder."""
+        if generation != self._generation or self._predecessor:
+            self._handed = 0
+        self._generation = generation
+        self._predecessor = ''
+        self._confirmed_at = began
 
     async def _join(self) -> None:
         began = self._clock.now()
@@ -174,23 +267,31 @@
         if PARTITION not in membership.partitions:
             await self._leave_group()
             return
-        self._generation = membership.generation
-        self._confirmed_at = began
+        self._confirm(membership.generation, began)
         self._held = True
         self._held_since = began
         self._owner = self._member
         _LOG.write('held', generation=self._generation)
 
     async def _call(self, began: float) -> store_api.Membership | None:
+        """Join the group or stay in it.
+
+        What an earlier process of this name has joined is left first, so
+        that its generation is not used again.
+        """
+        if not self._joined and not await self._leave_group():
+            return None
         joined = await self._store.join(
             GROUP,
             self._member,
             TOPIC,
             self._settings.member_seconds,
-            self._generation,
+            self._received,
             began + CALL_SECONDS,
         )
         if joined.is_ok():
+            self._joined = True
+            self._received = joined.ok.generation
             return joined.ok
         self._metrics.store_failed('join')
         return None
@@ -214,13 +315,20 @@
             _LOG.write('holder', member=holder)
         return holder
 
-    async def _leave_group(self) -> None:
+    async def _leave_group(self) -> bool:
+        """Leave the group; return whether the store says that it is so."""
         deadline = self._clock.now() + CALL_SECONDS
-        await self._store.leave(GROUP, self._member, deadline)
-        _LOG.write('left', generation=self._generation)
+        left = await self._store.leave(GROUP, self._member, deadline)
+        if self._joined:
+            _LOG.write('left', generation=self._received, answered=left)
+        self._joined = False
+        if not left:
+            self._metrics.store_failed('leave')
+        return left
 
     def _lose(self) -> None:
         self._held = False
+        self._predecessor = ''
         if self._owner == self._member:
             self._owner = ''
         _LOG.write('lost', generation=self._generation)
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -13,6 +13,8 @@
     'EngineView',
     'FindAdapter',
     'FleetView',
+    'HandOver',
+    'HandOverAnswer',
     'InstanceLoad',
     'ModelRow',
     'RunningRow',
@@ -50,7 +52,10 @@
 
 
 class InstanceLoad(wire_api.Message, frozen=True, tag='load'):
-    """The load of one instance, told to the holder."""
+    """The load of one instance, told to the holder.
+
+    ``instance_id`` is its name as a member, which tells where it listens.
+    """
 
     instance_id: str
     configuration_version: int
@@ -80,8 +85,12 @@
 
 
 class FleetView(wire_api.Message, frozen=True, tag='view'):
-    """What the holder tells an instance of all engines and instances."""
+    """What the holder tells an instance of all engines and instances.
+
+    Who holds the duty no more tells of ``holder`` alone.
+    """
 
+    holder: str
     engines: tuple[EngineView, ...]
     coming: tuple[ComingModel, ...]
     instances: int
@@ -100,3 +109,20 @@
     """The server that holds an adapter, empty for none."""
 
     server_id: str
+
+
+class HandOver(wire_api.Message, frozen=True, tag='hand_over'):
+    """Offers the duty to a peer, as its holder stops.
+
+    ``number`` is the fencing number within the group's ``generation``.
+    """
+
+    predecessor: str
+    generation: int
+    number: int
+
+
+class HandOverAnswer(wire_api.Message, frozen=True, tag='handed'):
+    """Whether the peer has the duty from now on."""
+
+    taken: bool
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from . import duty as duties
 from . import messages
 from ..observe import logs
 from ..wire import api as wire_api
@@ -13,7 +14,6 @@
 if typing.TYPE_CHECKING:
     from .. import clock as clocks
     from . import controller as controllers
-    from . import duty as duties
     from ..fleet import registry as registries
     from . import scheduler as schedulers
     from . import watch
@@ -26,6 +26,8 @@
 # The same while requests wait, which may be for a model or adapter.
 TELL_WAITING_SECONDS: typing.Final = 0.1
 CALL_SECONDS: typing.Final = 0.5
+# Peers that are asked to take the duty, each within ``CALL_SECONDS``.
+HAND_OVER_PEERS: typing.Final = 3
 
 
 class Peering:
@@ -33,14 +35,12 @@
 
     def __init__(
         self,
-        instance_id: str,
         transport: wire_api.Transport,
         duty: duties.Duty,
         controller: controllers.Controller,
         registry: registries.Registry,
         clock: clocks.Clock,
     ) -> None:
-        self._instance_id = instance_id
         self._transport = transport
         self._duty = duty
         self._controller = controller
@@ -50,6 +50,8 @@
         self._configuration: watch.ConfigurationWatch | None = None
         transport.register(messages.InstanceLoad, self._handle_load)
         transport.register(messages.FindAdapter, self._handle_find)
+        transport.register(messages.HandOver, self._handle_hand_over)
+        transport.register(messages.HandOverAnswer)
         transport.register(messages.FleetView)
         transport.register(messages.AdapterFound)
 
@@ -81,6 +83,24 @@
         )
         return answer.ok.server_id if answer.is_ok() else ''
 
+    async def hand_over(self) -> None:
+        """Have a peer take the duty that the store does not take back."""
+        for member in self._controller.peers()[:HAND_OVER_PEERS]:
+            number = self._duty.next_number()
+            address = duties.member_address(member)
+            if number is None or address is None:
+                return
+            answer = await self._transport.request(
+                wire_api.PeerAddress(*address),
+                messages.HandOver(self._duty.member, *number),
+                messages.HandOverAnswer,
+                self._clock.now() + CALL_SECONDS,
+            )
+            if answer.is_ok() and answer.ok.taken:
+                self._duty.handed_to(member)
+                return
+            _LOG.write('hand_over_failed', member=member)
+
     async def run(self) -> typing.NoReturn:
         """Tell the load for ever."""
         while True:
@@ -92,13 +112,14 @@
             await anyio.sleep(
                 TELL_WAITING_SECONDS if waiting else TELL_SECONDS
             )
-            await self._tell(scheduler)
+            await self.tell(scheduler)
 
-    async def _tell(self, scheduler: schedulers.Scheduler) -> None:
+    async def tell(self, scheduler: schedulers.Scheduler) -> None:
+        """Tell the holder the load once and take in its view."""
         version = -1
         if self._configuration is not None:
             version = self._configuration.version
-        load = _load(self._instance_id, version, scheduler)
+        load = _load(self._duty.member, version, scheduler)
         if self._duty.holds(self._clock.now()):
             view = self._controller.take(load)
             if view is not None:
@@ -127,6 +148,9 @@
 
     def _take(self, view: messages.FleetView) -> None:
         now = self._clock.now()
+        if view.holder != self._duty.holder:
+            self._duty.follow(view.holder)
+            return
         self._duty.note_instances(view.instances)
         if self._configuration is not None:
             self._configuration.heard_of(view.configuration_version)
@@ -155,6 +179,17 @@
     ) -> messages.FleetView | None:
         return self._controller.take(message)
 
+    async def _handle_hand_over(
+        self,
+        sender: wire_api.Sender,
+        message: messages.HandOver,
+        deadline: float,
+    ) -> messages.HandOverAnswer:
+        taken = self._duty.take_over(
+            message.predecessor, message.generation, message.number
+        )
+        return messages.HandOverAnswer(taken)
+
     async def _handle_find(
         self,
         sender: wire_api.Sender,
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -166,7 +166,6 @@
             _wire_settings(settings), clock, self._rng
         )
         self._peering = peerings.Peering(
-            settings.instance_id,
             self._peers,
             self._duty,
             self._controller,
@@ -259,7 +258,8 @@
         until -= STOP_MARGIN_SECONDS
         _LOG.write('stopping', in_flight=self._app.in_flight)
         self._app.close_connections()
-        await self._duty.leave()
+        if not await self._duty.leave():
+            await self._peering.hand_over()
         with anyio.move_on_after(BALANCER_SECONDS):
             await self._health.taken_out()
         _LOG.write('draining', in_flight=self._app.in_flight)
--- a/src/dogwoodquay/gateway/store_api.py
+++ b/src/dogwoodquay/gateway/store_api.py
@@ -93,8 +93,11 @@
     ) -> expression.Result[Membership, StoreError]:
         """Join a group, or stay in it."""
 
-    async def leave(self, group: str, member: str, deadline: float) -> None:
-        """Leave a group, so that others need not wait for its time limit."""
+    async def leave(self, group: str, member: str, deadline: float) -> bool:
+        """Leave a group, so that others need not wait for its time limit.
+
+        :return: whether the store said that the member is none any more.
+        """
 
     async def owner(
         self, group: str, partition: int, deadline: float
--- a/src/dogwoodquay/platform/store.py
+++ b/src/dogwoodquay/platform/store.py
@@ -172,10 +172,11 @@
         held = frozenset(row[1] for row in decoded.ok.parts if row[0] == topic)
         return expression.Ok(store_api.Membership(decoded.ok.generation, held))
 
-    async def leave(self, group: str, member: str, deadline: float) -> None:
+    async def leave(self, group: str, member: str, deadline: float) -> bool:
         """Leave a group, so that others need not wait for its time limit."""
         body = _Leave(member=member, group=group)
-        await self._call('POST', '/log-leave', deadline, body)
+        answer = await self._call('POST', '/log-leave', deadline, body)
+        return bool(answer.is_ok())
 
     async def owner(
         self, group: str, partition: int, deadline: float
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -119,12 +119,15 @@
         held = frozenset({0}) if self.holder == member else frozenset()
         return expression.Ok(store_api.Membership(self.generation, held))
 
-    async def leave(self, group: str, member: str, deadline: float) -> None:
+    async def leave(self, group: str, member: str, deadline: float) -> bool:
         """Leave the group."""
         self.calls += 1
-        if not self.down and self.members.pop(member, None) is not None:
+        if self.down:
+            return False
+        if self.members.pop(member, None) is not None:
             self.generation += 1
             self._deal()
+        return True
 
     async def owner(
         self, group: str, partition: int, deadline: float
--- a/tests/unit/gateway/test_duty.py
+++ b/tests/unit/gateway/test_duty.py
@@ -9,6 +9,25 @@
 from dogwoodquay.gateway import duty
 
 
+def _made(
+    store: fakes.FakeStore,
+    clock: clocks.ManualClock,
+    name: str,
+    port: int,
+    fences_checked: bool = True,
+) -> duty.Duty:
+    """Return one instance's duty."""
+    settings = fakes.instance_settings(name, fences_checked=fences_checked)
+    peers = settings.peers._replace(port=port)
+    return duty.Duty(
+        store,
+        settings._replace(peers=peers),
+        clock,
+        fakes.rng(),
+        fakes.made_metrics(),
+    )
+
+
 class DutyTest(unittest.IsolatedAsyncioTestCase):
     """One instance holds the duty, and the others know it."""
 
@@ -22,15 +41,7 @@
     def _duty(
         self, name: str, port: int, fences_checked: bool = True
     ) -> duty.Duty:
-        settings = fakes.instance_settings(name, fences_checked=fences_checked)
-        peers = settings.peers._replace(port=port)
-        return duty.Duty(
-            self.store,
-            settings._replace(peers=peers),
-            self.clock,
-            fakes.rng(),
-            fakes.made_metrics(),
-        )
+        return _made(self.store, self.clock, name, port, fences_checked)
 
     async def test_first_takes_it(self) -> None:
         """The others look it up and leave the group alone."""
@@ -126,6 +137,85 @@
         again = self._duty('front-1', 7001)
         await again.step()
         self.assertTrue(again.may_order(self.clock.now()))
+        self.assertGreater(again.fence, self.first.fence)
+
+
+class HandOverTest(unittest.IsolatedAsyncioTestCase):
+    """A holder stops while the store is away; a peer goes on at once."""
+
+    async def asyncSetUp(self) -> None:
+        """Make a holder that stops in an outage, and its heir."""
+        self.clock = clocks.ManualClock()
+        self.store = fakes.FakeStore(self.clock)
+        self.holder, self.heir, self.third = (
+            _made(self.store, self.clock, f'front-{number}', 7000 + number)
+            for number in (1, 2, 3)
+        )
+        await self.holder.step()
+        self.fence = self.holder.fence
+        self.store.down = True
+        self.assertFalse(await self.holder.leave())
+
+    def _hand_over(self, heir: duty.Duty) -> None:
+        number = self.holder.next_number()
+        assert number is not None
+        self.assertTrue(heir.take_over(self.holder.member, *number))
+
+    async def test_heir_orders(self) -> None:
+        """It orders under a number above that of its predecessor."""
+        self._hand_over(self.heir)
+        self.holder.handed_to(self.heir.member)
+        now = self.clock.now()
+        self.assertFalse(self.holder.may_order(now))
+        self.assertEqual(self.heir.member, self.holder.holder)
+        self.assertTrue(self.heir.may_order(now))
+        self.assertGreater(self.heir.fence, self.fence)
+        await self.heir.step()
+        self.assertTrue(self.heir.may_order(now))
+
+    async def test_answer_lost(self) -> None:
+        """Who is asked next gets a number of its own."""
+        self._hand_over(self.heir)
+        self._hand_over(self.third)
+        self.assertGreater(self.third.fence, self.heir.fence)
+
+    async def test_heir_does_not_hand_on(self) -> None:
+        """Its predecessor may still use the next numbers."""
+        self._hand_over(self.heir)
+        self.assertFalse(await self.heir.leave())
+        self.assertIsNone(self.heir.next_number())
+
+    async def test_store_back(self) -> None:
+        """The heir gets the duty from the store, and orders meanwhile."""
+        self._hand_over(self.heir)
+        fence = self.heir.fence
+        self.store.down = False
+        for _ in range(8):
+            await self.heir.step()
+            self.assertTrue(self.heir.may_order(self.clock.now()))
+            self.clock.advance(0.3)
+        self.assertEqual(self.heir.member, self.store.holder)
+        self.assertGreater(self.heir.fence, fence)
+
+    async def test_predecessor_is_back_first(self) -> None:
+        """A new process in its place ends the heir's duty."""
+        self._hand_over(self.heir)
+        fence = self.heir.fence
+        self.store.down = False
+        again = _made(self.store, self.clock, 'front-1', 7001)
+        await again.step()
+        self.assertGreater(again.fence, fence)
+        for _ in range(8):
+            await again.step()
+            await self.heir.step()
+            self.clock.advance(0.3)
+        self.assertFalse(self.heir.holds(self.clock.now()))
+        self.assertNotIn(self.heir.member, self.store.members)
+
+    async def test_told_by_peer(self) -> None:
+        """Others learn who has the duty without the store."""
+        self.third.follow(self.heir.member)
+        self.assertEqual(('127.0.0.1', 7002), self.third.owner)
 
 
 class MemberNameTest(unittest.TestCase):
