Refuse requests for undeclared models at once

Cause: found on reading. A request for a model that the configuration does not name waited as if the model could be loaded, and each such name stayed in the counts that are told to the holder.

Change: the forwarder asks the scheduler first; such a request gets a 503 with Retry-After, as a newer configuration may be on its way, and leaves no trace.

--- a/src/dogwoodquay/gateway/api.py
+++ b/src/dogwoodquay/gateway/api.py
@@ -113,6 +113,7 @@
     REQUEST_TIMEOUT = 'request_timeout'
     NO_SERVER = 'no_server'
     MODEL_ABSENT = 'model_absent'
+    MODEL_UNDECLARED = 'model_undeclared'
     OVERLOADED = 'overloaded'
     DEADLINE = 'deadline'
     SERVERS_REFUSED = 'servers_refused'
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -111,6 +111,11 @@
 
     async def run(self, call: api.Call, relay: exchanges.Relay) -> Result:
         """Run a request until it has an answer or can have none."""
+        if not self._scheduler.declares(call):
+            # A newer configuration, not in force here yet, may know it.
+            pause = self._spread(ABSENT_RETRY_AFTER_SECONDS)
+            reason = api.RefusalReason.MODEL_UNDECLARED
+            return api.Refusal(reason, _UNAVAILABLE, pause)
         retries = windowed.WindowedRetries(
             call.service, call.route.max_attempts, self._budget, self._rng
         )
@@ -289,7 +294,7 @@
         """Refuse a request whose model no server holds yet."""
         ready_in = self._scheduler.ready_in(call)
         if ready_in is None:
-            pause = ABSENT_RETRY_AFTER_SECONDS * self._rng.uniform(0.75, 1.25)
+            pause = self._spread(ABSENT_RETRY_AFTER_SECONDS)
         else:
             pause = ready_in + self._rng.uniform(0.0, RETURN_SPREAD_SECONDS)
         self._scheduler.sent_away(call, pause)
@@ -327,9 +332,11 @@
         pause = RETRY_AFTER_SECONDS
         if reason is api.RefusalReason.STOPPING:
             pause = api.ELSEWHERE_SECONDS
-        # Spread, so that callers do not come back together.
-        pause *= self._rng.uniform(0.75, 1.25)
-        return api.Refusal(reason, _UNAVAILABLE, pause, detail)
+        return api.Refusal(reason, _UNAVAILABLE, self._spread(pause), detail)
+
+    def _spread(self, seconds: float) -> float:
+        """Vary a time, so that callers do not come back together."""
+        return seconds * self._rng.uniform(0.75, 1.25)
 
     def _give_up_at(self, call: api.Call, relay: exchanges.Relay) -> float:
         """Return until when a request may wait for a server."""
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -168,6 +168,13 @@
                 if self._waiters:
                     self.pump()
 
+    def declares(self, call: api.Call) -> bool:
+        """Whether the configuration in force knows a request's model."""
+        service = self._services.get(call.service)
+        if not call.terms.model or service is None or service.engine is None:
+            return True
+        return call.terms.model in service.engine.models
+
     def arrived(self, call: api.Call) -> None:
         """Count a caller's request in the demand for its model."""
         if call.terms.model:
--- a/tests/unit/gateway/test_app.py
+++ b/tests/unit/gateway/test_app.py
@@ -319,12 +319,25 @@
         answer, received = await self._call(_breaks)
         self.assertEqual((502, 1), (answer.status, len(received)))
 
+    async def test_undeclared_model(self) -> None:
+        """It is refused at once, although a server waits for requests."""
+        upstream = loopback.Upstream('u1', _breaks)
+        async with loopback.Site(upstream).running() as site:
+            site.configure(loopback.route(kind=Kind.STREAMING))
+            spec = routes_api.EngineSpec(4, 1000, 100.0, 2, 1.0, {})
+            service = routes_api.Service('s', '/healthz', 100, spec)
+            site.scheduler.configure({'s': service})
+            answer = await site.call('POST', body=b'x', extra='Model: m')
+            self.assertEqual({}, site.scheduler.loads())
+        self.assertEqual(503, answer.status)
+        self.assertIn('retry-after', answer.headers)
+        self.assertEqual([], upstream.received)
+
     async def test_model_on_its_way(self) -> None:
         """A caller that cannot wait for a load learns when it ends."""
         upstream = loopback.Upstream('u1', _breaks)
         async with loopback.Site(upstream).running() as site:
-            kind = routes_api.RouteKind.STREAMING
-            site.configure(loopback.route(kind=kind))
+            site.configure(loopback.route(kind=Kind.STREAMING))
             ready_at = clocks.SteadyClock().now() + 40.0
             site.scheduler.note_coming({('s', 'm'): ready_at})
             answer = await site.call('POST', body=b'x', extra='Model: m')
--- a/tests/unit/gateway/test_scheduler.py
+++ b/tests/unit/gateway/test_scheduler.py
@@ -103,6 +103,17 @@
         self.assertEqual(0, self.scheduler.loads()['models', 'm'].waiting)
 
 
+class UndeclaredModelTest(_SchedulerCase):
+    """A model that no configuration knows is told from one to wait for."""
+
+    async def test_undeclared(self) -> None:
+        """Names that callers make up leave no trace."""
+        self.assertTrue(self.scheduler.declares(self.call('m')))
+        self.assertTrue(self.scheduler.declares(self.call('')))
+        self.assertFalse(self.scheduler.declares(self.call('made-up')))
+        self.assertEqual({}, self.scheduler.loads())
+
+
 class UnreadPromptTest(_SchedulerCase):
     """An engine gets one prompt of an instance at a time."""
 
