Let instances tell the rate of requests for each model

Cause: the holder worked rates out from counters that instances tell.

Change: each instance keeps the rate of requests for each model and tells it; the holder adds up what is fresh. A new holder knows the demand from the first word of each instance.

--- a/src/dogwoodquay/gateway/demand.py
+++ b/src/dogwoodquay/gateway/demand.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import collections
-import math
 import typing
 
+from ..fleet import rate as rates
 from ..residency import adapters
 from ..residency import planner
 
@@ -18,36 +18,15 @@
 
 # An instance that was silent for so long counts for nothing.
 FRESH_SECONDS: typing.Final = 2.0
-# How long the rate of requests remembers.
-RATE_SECONDS: typing.Final = 2.5
 
 _Key = tuple[str, str]
 
 
-class _Rate:
-    """A rate of events that fades with time."""
-
-    def __init__(self) -> None:
-        self._value = 0.0
-        self._at = 0.0
-
-    def add(self, count: int, now: float) -> None:
-        """Count events."""
-        self._value = self.at(now) + count / RATE_SECONDS
-        self._at = now
-
-    def at(self, now: float) -> float:
-        """Return the events a second at a time."""
-        return self._value * math.exp((self._at - now) / RATE_SECONDS)
-
-
 class DemandBoard:
     """The newest load of each instance."""
 
     def __init__(self) -> None:
         self._loads: dict[str, tuple[float, messages.InstanceLoad]] = {}
-        self._arrivals: dict[tuple[str, str, str], int] = {}
-        self._rates: dict[_Key, _Rate] = {}
         self._used_at: dict[adapters.AdapterKey, float] = {}
         self._running: collections.Counter[_Key] = collections.Counter()
         self._at_server: collections.Counter[str] = collections.Counter()
@@ -69,15 +48,6 @@
         for part in load.running:
             self._running[part.server_id, part.model] += part.count
             self._at_server[part.server_id] += part.count
-        for row in load.models:
-            place = (load.instance_id, row.service, row.model)
-            before = self._arrivals.get(place, 0)
-            self._arrivals[place] = row.arrivals
-            # A count that fell is of a new process.
-            count = row.arrivals - before
-            count = row.arrivals if count < 0 else count
-            key = (row.service, row.model)
-            self._rates.setdefault(key, _Rate()).add(count, now)
         for used in load.in_use:
             key3 = adapters.AdapterKey(
                 used.server_id, used.model, used.adapter
@@ -128,15 +98,11 @@
                     continue
                 known = total.get(row.model, planner.NONE)
                 total[row.model] = planner.Demand(
-                    0.0,
+                    known.rate + rates.faded(row.rate, now - at),
                     known.in_flight + row.in_flight,
                     known.waiting + row.waiting,
                     max(known.oldest_wait_seconds, row.oldest_wait_seconds),
                 )
-        for (name, model), rate in self._rates.items():
-            if name == service:
-                known = total.get(model, planner.NONE)
-                total[model] = known._replace(rate=rate.at(now))
         return total
 
     def _forget_silent(self, now: float) -> None:
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -22,14 +22,11 @@
 
 
 class ModelRow(msgspec.Struct, frozen=True, array_like=True):
-    """What one instance's callers ask of a model.
-
-    ``arrivals`` counts since the start of the instance's process.
-    """
+    """What one instance's callers ask of a model; ``rate`` is a second."""
 
     service: str
     model: str
-    arrivals: int
+    rate: float
     in_flight: int
     waiting: int
     oldest_wait_seconds: float
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -12,6 +12,7 @@
 from . import api
 from ..fleet import choice
 from ..fleet import queue
+from ..fleet import rate as rates
 from ..observe import logs
 
 if typing.TYPE_CHECKING:
@@ -54,10 +55,11 @@
 class ModelLoad(typing.NamedTuple):
     """What callers of this instance ask of a model.
 
+    ``rate`` is in requests a second.
     ``waiting`` counts those as well that were told to come back for it.
     """
 
-    arrivals: int
+    rate: float
     in_flight: int
     waiting: int
     oldest_wait_seconds: float
@@ -78,7 +80,9 @@
     ``back_at`` is when each caller that was sent away may come back.
     """
 
-    arrivals: int = 0
+    rate: rates.FadingRate = dataclasses.field(
+        default_factory=rates.FadingRate
+    )
     in_flight: int = 0
     back_at: list[float] = dataclasses.field(default_factory=list)
 
@@ -143,7 +147,7 @@
             waiting.setdefault(key, []).append(now - ticket.entered_at)
         return {
             key: ModelLoad(
-                counts.arrivals,
+                counts.rate.at(now),
                 counts.in_flight,
                 len(waiting.get(key, ())) + counts.away(now),
                 max(waiting.get(key, (0.0,))),
@@ -178,7 +182,7 @@
     def arrived(self, call: api.Call) -> None:
         """Count a caller's request in the demand for its model."""
         if call.terms.model:
-            self._count(call).arrivals += 1
+            self._count(call).rate.add(self._clock.now())
 
     async def acquire(
         self,
--- /dev/null
+++ b/tests/unit/fleet/test_rate.py
@@ -0,0 +1,26 @@
+"""Tests of rates that fade."""
+
+from __future__ import annotations
+
+import unittest
+
+from dogwoodquay.fleet import rate
+
+
+class FadingRateTest(unittest.TestCase):
+    """A rate follows the events of the last seconds."""
+
+    def test_steady(self) -> None:
+        """Even events give their rate."""
+        subject = rate.FadingRate()
+        for number in range(200):
+            subject.add(number * 0.1)
+        self.assertAlmostEqual(10.0, subject.at(20.0), delta=0.5)
+
+    def test_fades(self) -> None:
+        """After the last event it falls by the same share each second."""
+        subject = rate.FadingRate()
+        subject.add(1.0)
+        first = subject.at(1.0)
+        self.assertLess(subject.at(1.0 + rate.REMEMBERED_SECONDS), first / 2)
+        self.assertEqual(rate.faded(first, 3.0), subject.at(4.0))
--- a/tests/unit/gateway/test_controller.py
+++ b/tests/unit/gateway/test_controller.py
@@ -138,7 +138,7 @@
 
     async def test_missing_model(self) -> None:
         """Demand that an instance tells brings a model in."""
-        row = messages.ModelRow('models', 'rare1', 4, 0, 4, 1.0)
+        row = messages.ModelRow('models', 'rare1', 1.6, 0, 4, 1.0)
         load = messages.InstanceLoad('front-2', 1, (row,), (), ())
         async with self._running():
             await self._until(self._known)
--- a/tests/unit/gateway/test_demand.py
+++ b/tests/unit/gateway/test_demand.py
@@ -46,3 +46,30 @@
         later = 1.1 + demand.FRESH_SECONDS
         self.board.take(_load('b', ('e1', 4)), later)
         self.assertEqual(0, self.board.others('e1', 'b'))
+
+
+class DemandTest(unittest.TestCase):
+    """The demand for a model over all instances."""
+
+    def _tell(
+        self, board: demand.DemandBoard, instance_id: str, now: float
+    ) -> None:
+        row = messages.ModelRow('s', 'm', 4.0, 1, 2, 0.5)
+        load = messages.InstanceLoad(instance_id, 1, (row,), (), ())
+        board.take(load, now)
+
+    def test_known_at_once(self) -> None:
+        """A new holder knows the rates from each instance's first word."""
+        board = demand.DemandBoard()
+        self._tell(board, 'a', 1.0)
+        self._tell(board, 'b', 1.0)
+        found = board.demand('s', 1.0)['m']
+        self.assertEqual((8.0, 2, 4), found[:3])
+
+    def test_silent_instance(self) -> None:
+        """What a silent instance told fades and then counts nothing."""
+        board = demand.DemandBoard()
+        self._tell(board, 'a', 1.0)
+        self.assertLess(board.demand('s', 2.0)['m'].rate, 4.0)
+        later = 1.1 + demand.FRESH_SECONDS
+        self.assertEqual({}, board.demand('s', later))
