Run the gateway as processes before stand-ins of the platform

The tests of the gateway had fakes and scripted servers in one process.

- A planned stop ended with status 1 and a trace, without `instance:stop`.
Cause: hypercorn's task groups leave marks of cancellation on the task that runs it, and anyio 4.16 then passes the cancellation of the instance's own group on.
The callers' server has a task of its own now.
- An instance that was told to stop while it waited to become a candidate took the duty afterwards, so nobody had it until its membership lapsed.
It looks again before it joins, and leaves if it was too late.

--- a/src/dogwoodquay/gateway/controller.py
+++ b/src/dogwoodquay/gateway/controller.py
@@ -82,12 +82,13 @@
     def take(self, load: messages.InstanceLoad) -> messages.FleetView | None:
         """Take in an instance's load; return the holder's view."""
         now = self._clock.now()
+        # A holder that stops offers the duty to who told it something.
+        self._board.take(load, now)
         if not self._duty.holds(now):
             holder = self._duty.holder
             if holder in ('', self._duty.member):
                 return None
             return messages.FleetView(holder, (), (), 0, -1)
-        self._board.take(load, now)
         return self.view(load.instance_id)
 
     def peers(self) -> list[str]:
--- a/src/dogwoodquay/gateway/duty.py
+++ b/src/dogwoodquay/gateway/duty.py
@@ -166,7 +166,7 @@
         if await self._look_up() == '':
             spread = CANDIDATE_SECONDS * self._instances
             await anyio.sleep(self._rng.uniform(0.0, spread))
-            if await self._look_up() == '':
+            if not self._leaving and await self._look_up() == '':
                 await self._join()
         return LOOKUP_SECONDS
 
@@ -264,7 +264,7 @@
         membership = await self._call(began)
         if membership is None:
             return
-        if PARTITION not in membership.partitions:
+        if self._leaving or PARTITION not in membership.partitions:
             await self._leave_group()
             return
         self._confirm(membership.generation, began)
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -84,12 +84,19 @@
         return answer.ok.server_id if answer.is_ok() else ''
 
     async def hand_over(self) -> None:
-        """Have a peer take the duty that the store does not take back."""
+        """Give the duty up until the store or a peer has taken it."""
+        while not await self._duty.leave():
+            if await self._handed_over():
+                return
+            await anyio.sleep(TELL_SECONDS)
+
+    async def _handed_over(self) -> bool:
+        """Ask some peers to take the duty; return whether one did."""
         for member in self._controller.peers()[:HAND_OVER_PEERS]:
             number = self._duty.next_number()
             address = duties.member_address(member)
             if number is None or address is None:
-                return
+                return False
             answer = await self._transport.request(
                 wire_api.PeerAddress(*address),
                 messages.HandOver(self._duty.member, *number),
@@ -98,8 +105,9 @@
             )
             if answer.is_ok() and answer.ok.taken:
                 self._duty.handed_to(member)
-                return
+                return True
             _LOG.write('hand_over_failed', member=member)
+        return False
 
     async def run(self) -> typing.NoReturn:
         """Tell the load for ever."""
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -95,6 +95,7 @@
         self._rng = random.Random()
         self._stopping = anyio.Event()
         self._drained = anyio.Event()
+        self._ended = anyio.Event()
         self._registry = registries.Registry()
         self._metrics_page = metrics_module.Registry(settings.instance_id)
         self._metrics = gateway_metrics.GatewayMetrics(self._metrics_page)
@@ -147,11 +148,21 @@
                 group.start_soon(supervise.keep_running, name, part)
             group.start_soon(readiness.serve, self._health, self._drained.wait)
             group.start_soon(self._drain)
-            await self._callers.serve(self._app, self._drained.wait)
+            group.start_soon(self._serve_callers)
+            await self._ended.wait()
             group.cancel_scope.cancel()
         await self._connections.close()
         _LOG.write('stop')
 
+    async def _serve_callers(self) -> None:
+        """Serve callers to the end, in a task of its own.
+
+        The server's own task groups leave marks of cancellation on the task
+        that runs it, which would then not end as it should.
+        """
+        await self._callers.serve(self._app, self._drained.wait)
+        self._ended.set()
+
     def _build(self, outside: Outside) -> None:
         settings = self._settings
         clock = self._clock
@@ -258,8 +269,14 @@
         until -= STOP_MARGIN_SECONDS
         _LOG.write('stopping', in_flight=self._app.in_flight)
         self._app.close_connections()
-        if not await self._duty.leave():
-            await self._peering.hand_over()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._peering.hand_over)
+            await self._finish_requests(until)
+            group.cancel_scope.cancel()
+        self._drained.set()
+
+    async def _finish_requests(self, until: float) -> None:
+        """Serve what is under way, for as long as there is time."""
         with anyio.move_on_after(BALANCER_SECONDS):
             await self._health.taken_out()
         _LOG.write('draining', in_flight=self._app.in_flight)
@@ -269,7 +286,6 @@
             await anyio.sleep(STOP_POLL_SECONDS)
         self._app.end_streams()
         self._callers.stop_within(PLAIN_STOP_SECONDS)
-        self._drained.set()
 
 
 def _wire_settings(
--- /dev/null
+++ b/tests/site/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the users' platform, and instances as processes before them."""
--- /dev/null
+++ b/tests/site/http.py
@@ -0,0 +1,129 @@
+"""The little of HTTP/1.1 that the stand-ins speak."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import typing
+import urllib.parse
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+__all__ = ['Answer', 'HttpServer', 'Request']
+
+
+class Request(typing.NamedTuple):
+    """A request as it came; names of headers are in lower case."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> dict[str, typing.Any]:
+        """Return the body's fields."""
+        return typing.cast('dict[str, typing.Any]', json.loads(self.body))
+
+
+class Answer(typing.NamedTuple):
+    """An answer; ``parts`` come one after the other when it is a stream."""
+
+    status: int = 200
+    body: bytes = b''
+    headers: tuple[tuple[str, str], ...] = ()
+    parts: abc.AsyncIterator[bytes] | None = None
+
+    @classmethod
+    def of(cls, fields: typing.Any, status: int = 200) -> Answer:
+        """Return an answer in JSON."""
+        kind = (('Content-Type', 'application/json'),)
+        return cls(status, json.dumps(fields).encode(), kind)
+
+
+# The end of a test cancels what still waits.
+_ENDED: typing.Final = (
+    OSError,
+    asyncio.IncompleteReadError,
+    asyncio.CancelledError,
+)
+
+
+class HttpServer:
+    """Serves on a loopback port; a handler without an answer says nothing."""
+
+    def __init__(
+        self,
+        handle: abc.Callable[[Request], abc.Awaitable[Answer | None]],
+    ) -> None:
+        self._handle = handle
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._port = 0
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return f'127.0.0.1:{self._port}'
+
+    async def start(self) -> None:
+        """Listen; after a stop on the same port again."""
+        self._server = await asyncio.start_server(
+            self._serve, '127.0.0.1', self._port
+        )
+        self._port = int(self._server.sockets[0].getsockname()[1])
+
+    def stop(self) -> None:
+        """Stop listening and break all connections."""
+        if self._server is not None:
+            self._server.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            with contextlib.suppress(*_ENDED):
+                while True:
+                    request = await _read(reader)
+                    answer = await self._handle(request)
+                    if answer is None:
+                        await reader.read()
+                        break
+                    await _write(writer, answer)
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+
+async def _read(reader: asyncio.StreamReader) -> Request:
+    head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
+    line, *rest = head[:-4].split('\r\n')
+    method, target, _ = line.split(' ')
+    pairs = (item.split(':', 1) for item in rest)
+    headers = {name.lower(): value.strip() for name, value in pairs}
+    body = await reader.readexactly(int(headers.get('content-length', '0')))
+    url = urllib.parse.urlsplit(target)
+    query = dict(urllib.parse.parse_qsl(url.query))
+    return Request(method, url.path, query, headers, body)
+
+
+async def _write(writer: asyncio.StreamWriter, answer: Answer) -> None:
+    lines = [f'HTTP/1.1 {answer.status} X']
+    lines += [f'{name}: {value}' for name, value in answer.headers]
+    if answer.parts is None:
+        lines.append(f'Content-Length: {len(answer.body)}')
+    else:
+        lines.append('Transfer-Encoding: chunked')
+    writer.write('\r\n'.join([*lines, '', '']).encode('latin-1'))
+    writer.write(answer.body)
+    if answer.parts is not None:
+        async for part in answer.parts:
+            writer.write(b'%x\r\n%s\r\n' % (len(part), part))
+            await writer.drain()
+        writer.write(b'0\r\n\r\n')
+    await writer.drain()
--- /dev/null
+++ b/tests/site/processes.py
@@ -0,0 +1,275 @@
+"""Instances as processes of their own, before the stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+import typing
+
+from . import server as servers
+from . import store as stores
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+__all__ = ['Answer', 'Instance', 'Site', 'manifest']
+
+_HOST: typing.Final = 'site.example'
+_POLL_SECONDS: typing.Final = 0.02
+
+_SETTINGS: typing.Final = """
+NodeName = "{name}"
+Role = "front"
+Ip = "127.0.0.1"
+Zone = "zone-1"
+Region = "region-1"
+PortRange = [{peers}, {peers}]
+[Listen]
+Front = "127.0.0.1:{callers}"
+Readiness = "127.0.0.1:{readiness}"
+[Bounds]
+DrainMs = 2000
+GraceS = 6
+RetryBudgetRatio = 0.2
+RetryWindowS = 10
+LeaseMs = 3000
+FenceChecked = true
+CeilingWindowS = 5
+[Platform]
+Address = "{store}"
+TtlMinMs = 1000
+"""
+
+
+class Answer(typing.NamedTuple):
+    """What a caller got; ``whole`` tells whether it ended as it should."""
+
+    status: int
+    body: bytes
+    whole: bool
+
+
+def manifest(version: int, *more: dict[str, typing.Any]) -> dict[str, object]:
+    """Return a configuration with a plain route and a streaming one."""
+    plain = _route('/plain/', 'desk', Type='idempotent', MaxAttempts=2)
+    stream = _route('/stream/', 'engines', Type='streaming', Resumable=True)
+    models = [
+        {
+            'Name': name,
+            'WeightsMb': 40.0,
+            'LoadTimeS': 0.1,
+            'Adapters': 2,
+            'AdapterMb': 1.0,
+        }
+        for name in ('held', 'absent')
+    ]
+    engine = {
+        'Slots': 4,
+        'KvCapacity': 1000,
+        'WeightsMb': 100.0,
+        'MaxAdapters': 2,
+        'LoadsPerS': 2.0,
+        'Models': models,
+    }
+    return {
+        'Version': version,
+        'Routes': [plain, stream, *more],
+        'Services': [
+            {'Name': 'desk', 'HealthPath': '/healthz', 'MaxConnections': 50},
+            {
+                'Name': 'engines',
+                'HealthPath': '/healthz',
+                'MaxConnections': 50,
+                'Engine': engine,
+            },
+        ],
+        'Limits': {},
+    }
+
+
+def _route(
+    prefix: str, service: str, **changes: typing.Any
+) -> dict[str, typing.Any]:
+    made = {
+        'Name': prefix.strip('/'),
+        'Host': _HOST,
+        'PathPrefix': prefix,
+        'Service': service,
+        'TimeoutMs': 5000,
+        'TargetLatencyMs': 500,
+        'Priority': 1,
+        'MaxAttempts': 1,
+        'GapAimMs': 500,
+    }
+    return made | changes
+
+
+def added_route(prefix: str) -> dict[str, typing.Any]:
+    """Return one more plain route."""
+    return _route(prefix, 'desk', Type='idempotent')
+
+
+class Instance:
+    """One ``gateway`` process and the lines that it logs."""
+
+    def __init__(self, name: str, store: str, directory: pathlib.Path) -> None:
+        self._name = name
+        self._callers, self._readiness, self._peers = _free_ports(3)
+        self._settings = directory / f'{name}.toml'
+        self._settings.write_text(
+            _SETTINGS.format(
+                name=name,
+                store=store,
+                callers=self._callers,
+                readiness=self._readiness,
+                peers=self._peers,
+            ),
+            'utf-8',
+        )
+        self._log = directory / f'{name}.log'
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def process(self) -> subprocess.Popen[bytes]:
+        """The running process."""
+        assert self._process is not None
+        return self._process
+
+    @property
+    def member(self) -> str:
+        """Its name in the store's group."""
+        return f'{self._name}@127.0.0.1:{self._peers}'
+
+    def lines(self) -> list[dict[str, typing.Any]]:
+        """Return what it has logged."""
+        text = self._log.read_text('utf-8')
+        return [json.loads(line) for line in text.splitlines()]
+
+    def start(self) -> None:
+        """Start the process."""
+        environment = dict(os.environ)
+        environment['DOGWOODQUAY_SETTINGS'] = str(self._settings)
+        with self._log.open('ab') as log:
+            self._process = subprocess.Popen(
+                [sys.executable, '-m', 'dogwoodquay', 'gateway'],
+                env=environment,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    async def ready(self) -> None:
+        """Wait until it says that it is ready."""
+        while True:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                answer = await _ask(self._readiness, 'GET', '/readyz', '')
+                if answer.status == 200:
+                    return
+            await asyncio.sleep(_POLL_SECONDS)
+
+    async def call(
+        self,
+        target: str,
+        attempt: str,
+        method: str = 'GET',
+        model: str = '',
+    ) -> Answer:
+        """Send a request as a caller does."""
+        extra = f'Attempt-Id: {attempt}\r\nDeadline-Ms: 5000\r\n'
+        if model:
+            extra += f'Model: {model}\r\nToken-Usage: 10,10\r\n'
+        return await _ask(self._callers, method, target, extra)
+
+    async def stopped(self) -> int:
+        """Wait for the end of the process; return its exit status."""
+        while self.process.poll() is None:
+            await asyncio.sleep(_POLL_SECONDS)
+        return self.process.returncode
+
+
+class Site:
+    """A store, servers and instances on loopback."""
+
+    def __init__(self, directory: pathlib.Path) -> None:
+        self.store = stores.Store()
+        self.desk = servers.Server(self.store, 'd1', 'desk')
+        self.engine = servers.Server(self.store, 'e1', 'engines', 'held')
+        self.instances: list[Instance] = []
+        self._directory = directory
+
+    @classmethod
+    @contextlib.asynccontextmanager
+    async def running(cls, instances: int) -> abc.AsyncIterator[Site]:
+        """Run a site with instances that are ready."""
+        with tempfile.TemporaryDirectory() as directory:
+            site = cls(pathlib.Path(directory))
+            await site.store.http.start()
+            site.store.put('keyed.op', 'config', manifest(1))
+            await site.desk.start()
+            await site.engine.start()
+            try:
+                for number in range(instances):
+                    made = Instance(
+                        f'front-{number}',
+                        site.store.http.address,
+                        pathlib.Path(directory),
+                    )
+                    site.instances.append(made)
+                    made.start()
+                for instance in site.instances:
+                    await instance.ready()
+                yield site
+            finally:
+                for instance in site.instances:
+                    if instance.process.poll() is None:
+                        instance.process.kill()
+                    instance.process.wait()
+                for server in (site.desk, site.engine):
+                    server.http.stop()
+                site.store.http.stop()
+
+
+def _free_ports(count: int) -> list[int]:
+    held = [socket.socket() for _ in range(count)]
+    for item in held:
+        item.bind(('127.0.0.1', 0))
+    ports = [int(item.getsockname()[1]) for item in held]
+    for item in held:
+        item.close()
+    return ports
+
+
+async def _ask(port: int, method: str, target: str, extra: str) -> Answer:
+    """Send a request on a connection of its own."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    try:
+        head = f'{method} {target} HTTP/1.1\r\nHost: {_HOST}\r\n{extra}\r\n'
+        writer.write(head.encode('latin-1'))
+        return await _answer(reader)
+    finally:
+        writer.close()
+
+
+async def _answer(reader: asyncio.StreamReader) -> Answer:
+    head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
+    line, *rest = head[:-4].split('\r\n')
+    status = int(line.split(' ')[1])
+    fields = dict(item.lower().split(': ', 1) for item in rest)
+    if 'content-length' in fields:
+        body = await reader.readexactly(int(fields['content-length']))
+        return Answer(status, body, True)
+    parts: list[bytes] = []
+    try:
+        while True:
+            size = int(await reader.readuntil(b'\r\n'), 16)
+            parts.append((await reader.readexactly(size + 2))[:-2])
+            if not size:
+                return Answer(status, b''.join(parts), True)
+    except (asyncio.IncompleteReadError, OSError):
+        return Answer(status, b''.join(parts), False)
--- /dev/null
+++ b/tests/site/server.py
@@ -0,0 +1,190 @@
+"""A stand-in of the platform's servers: plain ones and model engines."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import time
+import typing
+
+from . import http
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from . import store as stores
+
+__all__ = ['Server']
+
+_STAMP: typing.Final = 'stand-in'
+
+
+@dataclasses.dataclass
+class _Contents:
+    """What an engine holds, and how many orders it has accepted."""
+
+    models: dict[str, set[str]] = dataclasses.field(default_factory=dict)
+    orders: int = 0
+    fence: int = 0
+    busy_until: float = 0.0
+    loading: str = ''
+
+    def settle(self) -> bool:
+        """End a load that is due; return whether an order is under way."""
+        if time.monotonic() < self.busy_until:
+            return True
+        if self.loading:
+            self.models[self.loading] = set()
+            self.loading = ''
+        return False
+
+
+class Server:
+    """One server process: answers requests and carries out orders.
+
+    Streams have ``events`` events, ``event_seconds`` apart.
+    """
+
+    def __init__(
+        self,
+        store: stores.Store,
+        server_id: str,
+        service: str,
+        *models: str,
+        load_seconds: float = 0.1,
+    ) -> None:
+        self.runs: list[str] = []
+        self.holders: list[tuple[str, int]] = []
+        self.events = 4
+        self.event_seconds = 0.01
+        self._store = store
+        self._id = server_id
+        self._service = service
+        self._state = 'ready'
+        self._reports = 0
+        self._load_seconds = load_seconds
+        self._contents = _Contents({name: set() for name in models})
+        self._running = 0
+        self.http = http.HttpServer(self._handle)
+
+    @property
+    def server_id(self) -> str:
+        """The id under which it is listed."""
+        return self._id
+
+    @property
+    def models(self) -> set[str]:
+        """The models that are in memory."""
+        return set(self._contents.models)
+
+    async def start(self) -> None:
+        """Listen and register."""
+        await self.http.start()
+        self.register()
+
+    def register(self, state: str = 'ready') -> None:
+        """Write the own entry."""
+        self._state = state
+        self._reports += 1
+        entry = {
+            'Service': self._service,
+            'Address': self.http.address,
+            'Zone': 'zone-1',
+            'Version': 'v1',
+            'Slots': 4,
+            'State': state,
+            'Sequence': self._reports,
+            'Models': self._models(),
+            'born': 1,
+        }
+        self._store.put('keyed.servers', self._id, entry)
+
+    def _models(self) -> list[dict[str, typing.Any]]:
+        return [
+            {'Name': name, 'Version': 1, 'Adapters': sorted(adapters)}
+            for name, adapters in self._contents.models.items()
+        ]
+
+    async def _handle(self, request: http.Request) -> http.Answer | None:
+        if request.path == '/report':
+            return self._report()
+        expected = request.headers.get('expect-instance', self._id)
+        if expected != self._id:
+            return self._refused(421, request)
+        if request.path == '/order':
+            return self._order(request.json())
+        model, _, adapter = request.headers.get('model', '').partition('/')
+        self._contents.settle()
+        held = self._contents.models.get(model)
+        if model and (held is None or (adapter and adapter not in held)):
+            return self._refused(421, request)
+        attempt = request.headers['attempt-id']
+        self.runs.append(attempt)
+        headers = (
+            ('Attempt-Id', attempt),
+            ('Response-Stamp', _STAMP),
+            ('Server-Load', f'{self._running},0,4'),
+        )
+        if model:
+            return http.Answer(200, b'', headers, self._stream(request))
+        await asyncio.sleep(0.005)
+        body = f'{self._id} {request.method} {request.path} '.encode()
+        return http.Answer(200, body + request.body, headers)
+
+    async def _stream(self, request: http.Request) -> abc.AsyncIterator[bytes]:
+        self._running += 1
+        try:
+            first = int(request.headers.get('last-event-id', '-1')) + 1
+            for number in range(first, self.events):
+                await asyncio.sleep(self.event_seconds)
+                yield f'id: {number}\ndata: x{number}\n\n'.encode()
+        finally:
+            self._running -= 1
+
+    def _refused(self, status: int, request: http.Request) -> http.Answer:
+        attempt = request.headers.get('attempt-id', '')
+        headers = (('Attempt-Id', attempt), ('Not-Executed', '1'))
+        return http.Answer(status, b'', headers)
+
+    def _report(self) -> http.Answer:
+        contents = self._contents
+        return http.Answer.of(
+            {
+                'Stage': 'both',
+                'Busy': contents.settle(),
+                'Models': self._models(),
+                'Sequence': contents.orders,
+                'Waiting': 0,
+                'Running': self._running,
+                'KvUsed': 0,
+                'KvTotal': 1000,
+                'AtHand': {'InMemory': [], 'OnDisk': []},
+            }
+        )
+
+    def _order(self, order: dict[str, typing.Any]) -> http.Answer:
+        contents = self._contents
+        if order['FencingToken'] < contents.fence:
+            return http.Answer(412)
+        contents.fence = order['FencingToken']
+        self.holders.append((order['Holder'], order['FencingToken']))
+        if (
+            contents.settle()
+            or order.get('Expect', contents.orders) != contents.orders
+        ):
+            return http.Answer(409)
+        model, adapter = order['Model'], order.get('Adapter', '')
+        contents.orders += 1
+        if adapter:
+            held = contents.models[model]
+            if order['Operation'] == 'load':
+                held.add(adapter)
+            else:
+                held.discard(adapter)
+            return http.Answer(202)
+        contents.busy_until = time.monotonic() + self._load_seconds
+        if order['Operation'] == 'load':
+            contents.loading = model
+        else:
+            contents.models.pop(model, None)
+        return http.Answer(202)
--- /dev/null
+++ b/tests/site/store.py
@@ -0,0 +1,157 @@
+"""A stand-in of the platform's store: keyed topics and groups."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import dataclasses
+import json
+import struct
+import time
+import typing
+
+from . import http
+
+__all__ = ['Store']
+
+_POLL_SECONDS: typing.Final = 0.01
+
+
+@dataclasses.dataclass
+class _Topic:
+    """One topic of one partition; records are pairs of key and value."""
+
+    records: list[tuple[str, bytes]] = dataclasses.field(default_factory=list)
+    first: int = 0
+
+    @property
+    def end(self) -> int:
+        """The offset after the last record."""
+        return self.first + len(self.records)
+
+
+@dataclasses.dataclass
+class _Group:
+    """A group that shares out one partition."""
+
+    generation: int = 0
+    members: dict[str, float] = dataclasses.field(default_factory=dict)
+    holder: str = ''
+
+
+class Store:
+    """Keeps what is written; can be away or forget its history."""
+
+    def __init__(self) -> None:
+        self.away = False
+        self.calls: list[str] = []
+        self._topics: dict[str, _Topic] = {}
+        self._newest: dict[str, dict[str, tuple[int, bytes]]] = {}
+        self._groups: dict[str, _Group] = {}
+        self.http = http.HttpServer(self._handle)
+
+    def holder(self, group: str = 'engine-orders') -> str:
+        """Return who holds the partition of a group, empty for nobody."""
+        found = self._groups.get(group)
+        if found is None:
+            return ''
+        self._expire(found)
+        return found.holder
+
+    def put(self, topic: str, key: str, value: typing.Any) -> None:
+        """Append a record, without a value to drop its key."""
+        body = b'' if value is None else json.dumps(value).encode()
+        kept = self._topics.setdefault(topic, _Topic())
+        newest = self._newest.setdefault(topic, {})
+        if body:
+            newest[key] = (kept.end, body)
+        else:
+            newest.pop(key, None)
+        kept.records.append((key, body))
+
+    def forget(self, topic: str) -> None:
+        """Drop the history; the newest record of each key stays."""
+        kept = self._topics.setdefault(topic, _Topic())
+        kept.first = kept.end
+        kept.records = []
+
+    async def _handle(self, request: http.Request) -> http.Answer | None:
+        self.calls.append(request.path)
+        if self.away:
+            return http.Answer(503)
+        match request.path:
+            case '/log-newest':
+                return self._page(request)
+            case '/log-read':
+                return await self._read(request)
+            case '/log-join':
+                return self._join(request.json())
+            case '/log-leave':
+                return self._leave(request.json())
+            case '/log-owners':
+                holder = self.holder(request.query['group'])
+                row = ['engine-orders', 0, holder or None, 0]
+                return http.Answer.of([row] if holder else [])
+        return http.Answer(404)
+
+    def _page(self, request: http.Request) -> http.Answer:
+        topic = request.query['Topic']
+        items = [
+            {
+                'Key': key,
+                'Value': base64.b64encode(value).decode(),
+                'Offset': offset,
+            }
+            for key, (offset, value) in self._newest.get(topic, {}).items()
+        ]
+        end = self._topics.setdefault(topic, _Topic()).end
+        return http.Answer.of({'items': items, 'HasMore': False, 'End': end})
+
+    async def _read(self, request: http.Request) -> http.Answer:
+        topic = self._topics.setdefault(request.query['Topic'], _Topic())
+        start = int(request.query['From'])
+        until = time.monotonic() + int(request.query['WaitMs']) / 1000
+        while start >= topic.end and time.monotonic() < until:
+            await asyncio.sleep(_POLL_SECONDS)
+            if self.away:
+                return http.Answer(503)
+        if start < topic.first:
+            return http.Answer.of({'First': topic.first}, 410)
+        body = struct.pack('>QQ', topic.end, topic.first)
+        for key, value in topic.records[start - topic.first :]:
+            name = key.encode()
+            record = bytes([len(name)]) + name + value
+            body += struct.pack('>I', len(record)) + record
+        return http.Answer(200, body)
+
+    def _join(self, fields: dict[str, typing.Any]) -> http.Answer:
+        group = self._groups.setdefault(fields['group'], _Group())
+        self._expire(group)
+        member = fields['Member']
+        if member not in group.members:
+            group.generation += 1
+        group.members[member] = time.monotonic() + fields['TtlMs'] / 1000
+        self._deal(group)
+        held = [[fields['Topics'][0], 0, 0]] if group.holder == member else []
+        return http.Answer.of({'Generation': group.generation, 'parts': held})
+
+    def _leave(self, fields: dict[str, typing.Any]) -> http.Answer:
+        group = self._groups.setdefault(fields['group'], _Group())
+        with contextlib.suppress(KeyError):
+            del group.members[fields['Member']]
+            group.generation += 1
+        self._deal(group)
+        return http.Answer.of({})
+
+    def _expire(self, group: _Group) -> None:
+        now = time.monotonic()
+        for member, until in tuple(group.members.items()):
+            if now >= until:
+                del group.members[member]
+                group.generation += 1
+        self._deal(group)
+
+    def _deal(self, group: _Group) -> None:
+        if group.holder not in group.members:
+            group.holder = next(iter(group.members), '')
--- a/tests/unit/gateway/test_duty.py
+++ b/tests/unit/gateway/test_duty.py
@@ -4,6 +4,8 @@
 
 import unittest
 
+import anyio
+
 from . import fakes
 from dogwoodquay import clock as clocks
 from dogwoodquay.gateway import duty
@@ -131,6 +133,14 @@
         await self.second.step()
         self.assertTrue(self.second.may_order(self.clock.now()))
 
+    async def test_stopped_candidate(self) -> None:
+        """Who is about to take the duty leaves it when it is to stop."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.first.step)
+            await anyio.sleep(0)
+            await self.first.leave()
+        self.assertEqual({}, self.store.members)
+
     async def test_restarted_holder(self) -> None:
         """A new process at the same place takes its old membership."""
         await self.first.step()
--- a/tests/unit/gateway/test_peering.py
+++ b/tests/unit/gateway/test_peering.py
@@ -149,8 +149,8 @@
         return [item for item in self.instances if item.duty.may_order(now)]
 
     async def _stop(self) -> None:
-        self.assertFalse(await self.holder.duty.leave())
-        await self.holder.peering.hand_over()
+        with anyio.move_on_after(0.2):
+            await self.holder.peering.hand_over()
 
     async def test_a_peer_goes_on(self) -> None:
         """It has the duty at once and the others tell it their load."""
@@ -175,5 +175,23 @@
     async def test_store_there(self) -> None:
         """With the store there it is left to the store."""
         self.store.down = False
-        self.assertTrue(await self.holder.duty.leave())
+        await self._stop()
         self.assertEqual([], self._holders())
+
+    async def test_store_back(self) -> None:
+        """What no peer takes is left to the store once it is back."""
+        self.wire.handlers.clear()
+        await self._stop()
+        self.assertIn(self.holder.duty.member, self.store.members)
+        self.store.down = False
+        await self._stop()
+        self.assertEqual({}, self.store.members)
+
+    async def test_peer_tells_late(self) -> None:
+        """A holder that knows no peer learns of one while it stops."""
+        self.store.clock.advance(5.0)
+        await self._stop()
+        self.assertEqual([], self._holders())
+        await self.instances[1].tell()
+        await self._stop()
+        self.assertEqual([self.instances[1]], self._holders())
