Ask again before a holder takes its duty to be gone

A second candidate that joins in vain moves the partition away from the holder for a moment; the holder's next renewal did not list it, so it left, and the duty went round three times within 3 s.

Change: a holder that is not listed gives no orders and asks three times, 50 ms apart, before it leaves. A candidate leaves earlier memberships before it waits, so its join follows its look at the holder at once.

Both new tests fail on the code before.

--- a/src/dogwoodquay/gateway/duty.py
+++ b/src/dogwoodquay/gateway/duty.py
@@ -37,6 +37,10 @@
 # Fencing numbers within one generation of the group: the holder's own, and
 # one for each peer that it may offer the duty to at a planned stop.
 NUMBERS: typing.Final = 16
+# How often a holder asks before it takes its partition to be gone, and the
+# time between: several times that of a candidate's join and leave.
+ASK_AGAIN: typing.Final = 3
+ASK_AGAIN_SECONDS: typing.Final = 0.05
 
 
 class Duty:
@@ -76,6 +80,8 @@
         self._predecessor = ''
         self._heir_until = float('inf')
         self._joined = False
+        self._left = False
+        self._asking = False
         self._received = 0
         self._held = False
         self._held_since = float('inf')
@@ -109,7 +115,7 @@
 
     def holds(self, now: float) -> bool:
         """Whether this instance is the holder, as far as it can tell."""
-        if not self._held or self._leaving:
+        if not self._held or self._leaving or self._asking:
             return False
         if self._settings.fences_checked:
             return True
@@ -163,7 +169,7 @@
             return max(0.05, began + pause - self._clock.now())
         if self._owner:
             return float('inf')
-        if await self._look_up() == '':
+        if await self._look_up() == '' and await self._left_before():
             spread = CANDIDATE_SECONDS * self._instances
             await anyio.sleep(self._rng.uniform(0.0, spread))
             if not self._leaving and await self._look_up() == '':
@@ -227,12 +233,32 @@
         membership = await self._call(began)
         if membership is None:
             return
-        if PARTITION in membership.partitions:
+        if PARTITION not in membership.partitions and not self._predecessor:
+            membership = await self._ask_again()
+        if membership is not None and PARTITION in membership.partitions:
             self._confirm(membership.generation, began)
         elif not self._predecessor or await self._succeeded(began):
             self._lose()
             await self._leave_group()
 
+    async def _ask_again(self) -> store_api.Membership | None:
+        """Ask whether the partition comes back, without giving orders.
+
+        A candidate that joined in vain moves it away from its holder for a
+        moment; to leave then would deal it to yet another one.
+        """
+        self._asking = True
+        try:
+            for _ in range(ASK_AGAIN):
+                await anyio.sleep(ASK_AGAIN_SECONDS)
+                membership = await self._call(self._clock.now())
+                if membership and PARTITION in membership.partitions:
+                    _LOG.write('kept', generation=membership.generation)
+                    return membership
+            return None
+        finally:
+            self._asking = False
+
     async def _succeeded(self, now: float) -> bool:
         """Whether an heir knows that another one has the duty.
 
@@ -277,10 +303,12 @@
         """Join the group or stay in it.
 
         What an earlier process of this name has joined is left first, so
-        that its generation is not used again.
+        that its generation is not used again. A join whose answer was lost
+        counts as one of these.
         """
-        if not self._joined and not await self._leave_group():
+        if not await self._left_before():
             return None
+        self._left = False
         joined = await self._store.join(
             GROUP,
             self._member,
@@ -296,6 +324,10 @@
         self._metrics.store_failed('join')
         return None
 
+    async def _left_before(self) -> bool:
+        """Leave what an earlier process of this name may have joined."""
+        return self._joined or self._left or await self._leave_group()
+
     async def _look_up(self) -> str | None:
         """Return the holder, empty when nobody is in the group."""
         deadline = self._clock.now() + CALL_SECONDS
@@ -322,6 +354,7 @@
         if self._joined:
             _LOG.write('left', generation=self._received, answered=left)
         self._joined = False
+        self._left = left
         if not left:
             self._metrics.store_failed('leave')
         return left
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -62,6 +62,7 @@
         self.members: dict[str, float] = {}
         self.holder = ''
         self.moving = False
+        self.unlisted = 0
 
     def put(self, key: str, value: bytes) -> None:
         """Add a record."""
@@ -117,6 +118,9 @@
         self.members[member] = self.clock.now() + ttl_seconds
         self._deal()
         held = frozenset({0}) if self.holder == member else frozenset()
+        if self.unlisted:
+            self.unlisted -= 1
+            held = frozenset()
         return expression.Ok(store_api.Membership(self.generation, held))
 
     async def leave(self, group: str, member: str, deadline: float) -> bool:
--- a/tests/unit/gateway/test_duty.py
+++ b/tests/unit/gateway/test_duty.py
@@ -80,6 +80,25 @@
         self.assertEqual(1, len(self.store.members))
         self.assertFalse(self.second.holds(self.clock.now()))
 
+    async def test_partition_moves_for_a_moment(self) -> None:
+        """A candidate that joined in vain does not end the duty."""
+        await self.first.step()
+        self.store.unlisted = 2
+        await self.first.step()
+        self.assertTrue(self.first.may_order(self.clock.now()))
+        self.assertIn(self.first.member, self.store.members)
+
+    async def test_partition_is_gone(self) -> None:
+        """A holder that is not listed any more leaves, without orders."""
+        await self.first.step()
+        self.store.unlisted = 10
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.first.step)
+            await anyio.sleep(duty.ASK_AGAIN_SECONDS / 2)
+            self.assertFalse(self.first.may_order(self.clock.now()))
+        self.assertFalse(self.first.holds(self.clock.now()))
+        self.assertEqual({}, self.store.members)
+
     async def test_thawed_holder_does_not_take_it_back(self) -> None:
         """A holder whose membership lapsed looks before it joins again."""
         await self.first.step()
