--- a/tests/site/processes.py
+++ b/tests/site/processes.py
@@ -147,6 +147,11 @@
         """Its name in the store's group."""
         return f'{self._name}@127.0.0.1:{self._peers}'
 
+    @property
+    def port(self) -> int:
+        """Where callers connect."""
+        return self._callers
+
     def lines(self) -> list[dict[str, typing.Any]]:
         """Return what it has logged."""
         text = self._log.read_text('utf-8')
