Install the dogwoodquay command with the environment

Cause: README and the demo's hints name `dogwoodquay status` and `publish`, but no such command was there after `make env`. Change: `make env` installs the project in place as well. Tried on a fresh clone: the command is in `.venv/bin`.

--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 $(STAMP): requirements.lock
 	test -x $(PYTHON) || python3 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet -r requirements.lock
+	$(PYTHON) -m pip install --quiet --no-deps --editable .
 	touch $(STAMP)
 
 format: env ## rewrite the sources with the formatter
