Let callers read the answer to a body that is too large

Cause: the entry sent the whole answer of a refused body and the server then closed the connection; what the caller had still sent reset it (a 40 MiB body saw a reset and no 413). A request with Content-Length and Transfer-Encoding was served, and what its body hid was served as a second request.

Measured: nothing; `test_large_body_gets_its_answer` (8 MiB, no answer) and `test_two_lengths` (two answers) failed before.

--- a/src/dogwoodquay/entry/app.py
+++ b/src/dogwoodquay/entry/app.py
@@ -189,6 +189,13 @@
         responder: asgi.Responder,
         request_id: str,
     ) -> None:
+        if request.two_lengths:
+            # Another reader of the connection could see two requests.
+            responder.close_after()
+            detail = 'two lengths'
+            refused = problems.refusal(reasons.Reason.BAD_HEADER, detail)
+            await self._refuse(request, responder, refused)
+            return
         match request.path:
             case completions.CHAT_PATH | completions.COMPLETION_PATH:
                 await self._completion(request, responder, request_id)
--- a/src/dogwoodquay/entry/asgi.py
+++ b/src/dogwoodquay/entry/asgi.py
@@ -86,6 +86,13 @@
             size += len(name) + len(value)
         return size
 
+    @property
+    def two_lengths(self) -> bool:
+        """Whether it says in two ways how long its body is."""
+        names = [name for name, _ in self._raw_headers]
+        lengths = names.count(b'content-length')
+        return lengths > 1 or (lengths > 0 and b'transfer-encoding' in names)
+
     @property
     def unread(self) -> bool:
         """Whether the caller still sends a body that nobody has read."""
@@ -105,6 +112,12 @@
             self._complete = True
         return message
 
+    async def drop_unread(self) -> None:
+        """Read what the caller still sends of its body, and keep nothing."""
+        while self.unread:
+            if (await self.receive())['type'] == DISCONNECT:
+                return
+
     async def wait_disconnected(self) -> None:
         """Wait until the caller is gone; drops what it still sends."""
         while (await self._receive())['type'] != DISCONNECT:
@@ -138,6 +151,19 @@
         self, status: int, headers: api.Headers, body: bytes
     ) -> None:
         """Send a complete answer."""
+        await self._whole_head(status, headers, body)
+        await self.end(body)
+
+    async def all_but_end(
+        self, status: int, headers: api.Headers, body: bytes
+    ) -> None:
+        """Send an answer of which only the last, empty part is left."""
+        await self._whole_head(status, headers, body)
+        await self.part(body)
+
+    async def _whole_head(
+        self, status: int, headers: api.Headers, body: bytes
+    ) -> None:
         encoded = [
             (name.encode('latin-1'), value.encode('latin-1'))
             for name, value in headers
@@ -145,7 +171,6 @@
         ]
         encoded.append((b'content-length', b'%d' % len(body)))
         await self._start(status, encoded)
-        await self.end(body)
 
     async def start_stream(self, stream_id: str) -> None:
         """Send the head of a streamed answer."""
@@ -195,10 +220,12 @@
     if not request.unread:
         await responder.whole(status, headers, body)
         return
+    # The server closes the connection after the end; bytes that are unread
+    # then reset it, and the caller never sees the answer.
+    await responder.all_but_end(status, headers, body)
     with anyio.move_on_after(UNREAD_SECONDS):
-        async with anyio.create_task_group() as group:
-            group.start_soon(request.wait_disconnected)
-            await responder.whole(status, headers, body)
+        await request.drop_unread()
+    await responder.end()
 
 
 async def serve_lifespan(receive: Receive, send: Send) -> None:
--- a/tests/unit/entry/test_server.py
+++ b/tests/unit/entry/test_server.py
@@ -106,6 +106,37 @@
 
         self.run_with(work)
 
+    def test_large_body_gets_its_answer(self) -> None:
+        """A caller that sends all before it reads sees why it is refused."""
+
+        async def work(served: Served) -> None:
+            data = bad_inputs.request(b'x' * (8 << 20))
+            stream = await served.send(data)
+            async with stream:
+                answer = await read_until(stream, b'body_too_large')
+            self.assertIn(b' 413 ', answer)
+            self.assertIn(b'body_too_large', answer)
+
+        self.run_with(work, bad_inputs.LIMITS)
+
+    def test_two_lengths(self) -> None:
+        """A request that could be read as two is refused and closed."""
+
+        async def work(served: Served) -> None:
+            hidden = b'GET /livez HTTP/1.1\r\nHost: a\r\n\r\n'
+            head = (
+                b'POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n'
+                b'Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n'
+            ) % (len(hidden) + 5)
+            stream = await served.send(head + b'0\r\n\r\n' + hidden)
+            async with stream:
+                answer = await read_until(stream, b'\x00')
+            self.assertIn(b' 400 ', answer)
+            self.assertIn(b'connection: close', answer.lower())
+            self.assertEqual(1, answer.count(b'HTTP/1.1'))
+
+        self.run_with(work)
+
     def test_cut_stream_has_no_last_chunk(self) -> None:
         async def work(served: Served) -> None:
             served.site.rig.upstream.delay = 0.02
