--- a/tests/site/test_processes.py
+++ b/tests/site/test_processes.py
@@ -114,20 +114,31 @@
                 self.assertEqual(30, answer.body.count(b'data:'))
                 self.assertEqual(0, await instance.stopped())
 
+    async def _bring(self, instance: processes.Instance, adapter: str) -> None:
+        """Have an adapter brought to the engine by asking for it."""
+        model = f'held/{adapter}'
+        answer = await instance.call('/stream/x', adapter, 'POST', model)
+        self.assertEqual(200, answer.status)
+
+    async def _holder_first(
+        self, site: processes.Site
+    ) -> tuple[processes.Instance, processes.Instance]:
+        """Return who holds the duty, after an order of its, and the other."""
+        await _until(lambda: bool(site.store.holder()))
+        first, second = site.instances
+        if site.store.holder() != first.member:
+            first, second = second, first
+        await self._bring(second, 'a1')
+        return first, second
+
     async def test_killed_holder(self) -> None:
         """Another instance takes the duty under a higher number."""
         async with asyncio.timeout(_SECONDS):
             async with processes.Site.running(2) as site:
-                await _until(lambda: bool(site.store.holder()))
-                first, second = site.instances
-                if site.store.holder() != first.member:
-                    first, second = second, first
-                answer = await second.call('/stream/x', 'a', 'POST', 'held/a1')
-                self.assertEqual(200, answer.status)
+                first, second = await self._holder_first(site)
                 first.process.kill()
                 await _until(lambda: site.store.holder() == second.member)
-                answer = await second.call('/stream/x', 'b', 'POST', 'held/a2')
-                self.assertEqual(200, answer.status)
+                await self._bring(second, 'a2')
                 fences = [fence for _, fence in site.engine.holders]
                 self.assertEqual(sorted(fences), fences)
                 self.assertGreater(fences[-1], fences[0])
@@ -136,12 +147,7 @@
         """Its heir gives orders while the store is away."""
         async with asyncio.timeout(_SECONDS):
             async with processes.Site.running(2) as site:
-                await _until(lambda: bool(site.store.holder()))
-                first, second = site.instances
-                if site.store.holder() != first.member:
-                    first, second = second, first
-                answer = await second.call('/stream/x', 'a', 'POST', 'held/a1')
-                self.assertEqual(200, answer.status)
+                first, second = await self._holder_first(site)
                 site.store.away = True
                 first.process.send_signal(signal.SIGTERM)
                 await _until(
@@ -150,8 +156,7 @@
                         for line in second.lines()
                     )
                 )
-                answer = await second.call('/stream/x', 'b', 'POST', 'held/a2')
-                self.assertEqual(200, answer.status)
+                await self._bring(second, 'a2')
                 self.assertEqual(2, len(set(site.engine.holders)))
                 self.assertEqual(0, await first.stopped())
                 site.store.away = False
