Split pages and refusals from the callers' application

Change: health, metrics and lists are pages of their own (`entry/pages.py`), errors that the dispatcher has not counted are sent by `entry/refusing.py`; the application finds the way of a request.

--- a/src/dogwoodquay/entry/app.py
+++ b/src/dogwoodquay/entry/app.py
@@ -19,7 +19,9 @@
 from ..dispatch import reasons
 from . import forwarding
 from ..observe import logs
+from . import pages
 from . import problems
+from . import refusing
 from . import resumption
 from . import targets
 from . import watch
@@ -45,18 +47,7 @@
 _LOG: typing.Final = logs.PartLog('entry')
 _JSON: typing.Final = 'application/json'
 _JSON_HEADERS: typing.Final = (('content-type', _JSON),)
-_TEXT_HEADERS: typing.Final = (('content-type', 'text/plain'),)
 _STREAMS_PREFIX: typing.Final = '/v1/streams/'
-# Reasons that say nothing of an earlier request under the same key.
-_TRANSIENT: typing.Final = frozenset(
-    {
-        reasons.Reason.BODY_CUT,
-        reasons.Reason.BODY_TIMEOUT,
-        reasons.Reason.DEADLINE_PASSED,
-        reasons.Reason.NOT_READY,
-        reasons.Reason.OVERLOADED,
-    }
-)
 
 
 class EntryApp:
@@ -84,6 +75,8 @@
         self._limits = limits
         self._metrics = metrics
         self._health = health
+        self._refuser = refusing.Refuser(metrics, clock)
+        self._pages = pages.Pages(health, metrics.registry, self._refuser)
         self._rng = rng or random.Random()
         self._bodies = bodies.BodyReader(limits)
         self._callers = callers.CallerIndex()
@@ -179,7 +172,7 @@
             _LOG.failure('request', error)
             if not responder.started:
                 refused = problems.refusal(reasons.Reason.INTERNAL)
-                await self._refuse(request, responder, refused)
+                await self._refuser.refuse(request, responder, refused)
         finally:
             self._active -= 1
 
@@ -194,7 +187,7 @@
             responder.close_after()
             detail = 'two lengths'
             refused = problems.refusal(reasons.Reason.BAD_HEADER, detail)
-            await self._refuse(request, responder, refused)
+            await self._refuser.refuse(request, responder, refused)
             return
         match request.path:
             case completions.CHAT_PATH | completions.COMPLETION_PATH:
@@ -202,18 +195,18 @@
             case '/v1/models':
                 await self._models(request, responder)
             case '/livez':
-                await self._page(request, responder, 200, 'alive')
+                await self._pages.alive(request, responder)
             case '/readyz':
-                await self._readyz(request, responder)
+                await self._pages.ready(request, responder)
             case '/metrics':
-                await self._render_metrics(request, responder)
+                await self._pages.metrics(request, responder)
             case path if path.startswith(targets.SERVICES_PREFIX):
                 await self._run(request, responder, request_id)
             case path if path.startswith(_STREAMS_PREFIX):
                 await self._stream(request, responder)
             case path:
                 refused = problems.refusal(reasons.Reason.UNKNOWN_PATH, path)
-                await self._refuse(request, responder, refused)
+                await self._refuser.refuse(request, responder, refused)
 
     async def _completion(
         self,
@@ -223,7 +216,7 @@
     ) -> None:
         refused = _check_completion(request)
         if refused is not None:
-            await self._refuse(request, responder, refused)
+            await self._refuser.refuse(request, responder, refused)
             return
         await self._run(request, responder, request_id)
 
@@ -235,7 +228,7 @@
     ) -> None:
         context = self._context(request, request_id)
         if isinstance(context, api.Refusal):
-            await self._refuse(request, responder, context)
+            await self._refuser.refuse(request, responder, context)
             return
         await self._read_and_run(request, responder, context)
 
@@ -247,12 +240,12 @@
     ) -> None:
         body = await self._bodies.read(request, self._clock.now())
         if isinstance(body, api.Refusal):
-            await self._refuse(request, responder, body)
+            await self._refuser.refuse(request, responder, body)
             return
         try:
             call = self._call(request, context, body)
             if isinstance(call, api.Refusal):
-                await self._refuse(request, responder, call)
+                await self._refuser.refuse(request, responder, call)
                 return
             await self._answers.give(request, responder, call)
         finally:
@@ -309,7 +302,7 @@
         catalog = self._catalog()
         found = self._find_caller(catalog, request)
         if found.is_error():
-            await self._refuse(request, responder, found.error)
+            await self._refuser.refuse(request, responder, found.error)
             return
         names = [
             name
@@ -317,85 +310,21 @@
             if callers.may_use(found.ok, name)
         ]
         page = targets.models_page(names)
-        await self._get(request, responder, 200, _JSON_HEADERS, page)
+        await self._pages.show(request, responder, 200, _JSON_HEADERS, page)
 
     async def _stream(
         self, request: asgi.Request, responder: asgi.Responder
     ) -> None:
         found = self._find_caller(self._catalog(), request)
         if found.is_error():
-            await self._refuse(request, responder, found.error)
+            await self._refuser.refuse(request, responder, found.error)
             return
         stream_id = request.path[len(_STREAMS_PREFIX) :]
         refused = await self._resumption.serve(
             request, responder, stream_id, found.ok.name
         )
         if refused is not None:
-            await self._refuse(request, responder, refused)
-
-    async def _readyz(
-        self, request: asgi.Request, responder: asgi.Responder
-    ) -> None:
-        if self._health.ready:
-            await self._page(request, responder, 200, 'ready')
-            return
-        missing = ' '.join(self._health.waiting_for)
-        await self._page(request, responder, 503, f'not ready: {missing}')
-
-    async def _render_metrics(
-        self, request: asgi.Request, responder: asgi.Responder
-    ) -> None:
-        accept = request.header(b'accept')
-        page = self._metrics.registry.render(accept)
-        headers = (('content-type', page.content_type),)
-        await self._get(request, responder, 200, headers, page.body)
-
-    async def _page(
-        self,
-        request: asgi.Request,
-        responder: asgi.Responder,
-        status: int,
-        text: str,
-    ) -> None:
-        body = f'{text}\n'.encode()
-        await self._get(request, responder, status, _TEXT_HEADERS, body)
-
-    async def _get(
-        self,
-        request: asgi.Request,
-        responder: asgi.Responder,
-        status: int,
-        headers: api.Headers,
-        body: bytes,
-    ) -> None:
-        if request.method not in ('GET', 'HEAD'):
-            refused = problems.refusal(reasons.Reason.METHOD_NOT_ALLOWED)
-            await self._refuse(request, responder, refused)
-            return
-        await asgi.send_whole(request, responder, status, headers, body)
-
-    async def _refuse(
-        self,
-        request: asgi.Request,
-        responder: asgi.Responder,
-        refused: api.Refusal,
-    ) -> None:
-        """Send an error that the dispatcher has not counted."""
-        if refused.reason in _TRANSIENT and request.header(b'idempotency-key'):
-            refused = api.Refusal(
-                refused.reason,
-                reasons.Outcome.UNKNOWN,
-                refused.detail,
-                refused.retry_at,
-            )
-        self._metrics.refused(refused.reason, refused.outcome)
-        await asgi.send_whole(
-            request,
-            responder,
-            reasons.REASONS[refused.reason].status,
-            problems.headers(refused, self._clock.now()),
-            problems.problem(refused, responder.request_id),
-        )
+            await self._refuser.refuse(request, responder, refused)
 
 
 def _check_completion(request: asgi.Request) -> api.Refusal | None:
