Tell a request with two lengths in one place

Cause: on reading the change once more, `gateway.reading` and the new `Request.two_lengths` said the same. Change: the gateway asks the request. No behaviour changes (the condition is the same); `test_smuggled_request` and `test_two_lengths` cover both callers.

--- a/src/dogwoodquay/gateway/reading.py
+++ b/src/dogwoodquay/gateway/reading.py
@@ -28,10 +28,9 @@
     request: asgi.Request, routes: table.RouteTable | None
 ) -> api.Refusal | None:
     """Return why a request is refused before its body is read."""
-    names = [name for name, _ in request.raw_headers]
-    framed = b'content-length' in names and b'transfer-encoding' in names
-    if framed or names.count(b'content-length') > 1:
+    if request.two_lengths:
         return _bad('two_lengths')
+    names = [name for name, _ in request.raw_headers]
     if names.count(b'host') != 1:
         return _bad('host')
     if routes is None:
