Log and count each read of the configuration

Change: configuration:read for every read other than an idle poll; configuration:behind once for each newer version that a peer has, in place of configuration:missing, and configuration:current when none is missing; gauges of the versions and of the time behind, counters of reads and their bytes. When a read begins or is cancelled is as before.

Result: the new tests of logs and metrics and the old ones of the watch pass.

--- a/src/dogwoodquay/gateway/metrics.py
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -42,6 +42,16 @@
         self._store = registry.counter(
             'gateway_store_errors_total', 'Failed store calls', 'reason'
         )
+        self._configuration_reads = registry.counter(
+            'gateway_configuration_reads_total',
+            'Reads of the configuration',
+            'kind',
+            'outcome',
+        )
+        self._configuration_bytes = registry.counter(
+            'gateway_configuration_read_bytes_total',
+            'Bytes of the values received by reads of the configuration',
+        )
         self._first = registry.histogram(
             'gateway_first_byte_seconds', 'Time to the first byte'
         )
@@ -88,6 +98,11 @@
         """Count a failed call to the store."""
         self._store.add(reason)
 
+    def configuration_read(self, kind: str, outcome: str, size: int) -> None:
+        """Count a read of the configuration and the bytes received."""
+        self._configuration_reads.add(kind, outcome)
+        self._configuration_bytes.add(amount=size)
+
     def first_byte(self, seconds: float) -> None:
         """Record the time to the first byte of an answer."""
         self._first.observe(seconds)
--- a/src/dogwoodquay/gateway/watch.py
+++ b/src/dogwoodquay/gateway/watch.py
@@ -10,6 +10,7 @@
 from ..fleet import registry as registries
 from ..observe import logs
 from . import store_api
+from . import versions as configuration_versions
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -38,6 +39,9 @@
 # The least time between log lines about unreadable entries.
 UNREADABLE_INTERVAL_SECONDS: typing.Final = 10.0
 
+# The outcome of a poll that received no record; counted but not logged.
+_IDLE: typing.Final = 'idle'
+
 
 class _StoreReachability:
     """Records whether the store answers; logs changes and backs off."""
@@ -76,9 +80,7 @@
 
     async def on_failure(self, error: store_api.StoreError) -> None:
         """Record a failed call and wait before the next one."""
-        reason = type(error).__name__
-        if not isinstance(error, external_api.Trimmed):
-            reason = error.reason
+        reason = _reason(error)
         self._metrics.store_failed(reason)
         if self._unavailable_since is None:
             self._unavailable_since = self._clock.now()
@@ -87,6 +89,12 @@
         self._backoff = min(2 * self._backoff, MAX_BACKOFF_SECONDS)
 
 
+def _reason(error: store_api.StoreError) -> str:
+    if isinstance(error, external_api.Trimmed):
+        return type(error).__name__
+    return error.reason
+
+
 class ConfigurationWatch:
     """Activates each higher version of the configuration."""
 
@@ -112,8 +120,10 @@
             'configuration', clock, metrics
         )
         self._offset: int | None = None
-        self._version = -1
+        self._versions = configuration_versions.ConfigurationVersions()
         self._poll_scope: anyio.CancelScope | None = None
+        self._metrics = metrics
+        self._add_gauges()
 
     @property
     def store_unavailable(self) -> bool:
@@ -123,14 +133,20 @@
     @property
     def version(self) -> int:
         """The active version, -1 before the first."""
-        return self._version
+        return self._versions.active
+
+    @property
+    def versions(self) -> configuration_versions.ConfigurationVersions:
+        """The versions that are active and known."""
+        return self._versions
 
     def on_peer_version(self, version: int) -> None:
         """Read again at once if a peer has a newer version."""
-        if version > self._version and self._poll_scope is not None:
+        if self._versions.on_heard_of(version, self._clock.now()):
             _CONFIGURATION_LOG.write(
-                'missing', version=self._version, heard_of=version
+                'behind', version=self.version, heard_of=version
             )
+        if version > self.version and self._poll_scope is not None:
             self._poll_scope.cancel()
             self._poll_scope = None
 
@@ -146,27 +162,59 @@
 
     async def step(self) -> None:
         """Read once; after the first time, wait for a change."""
-        if self._offset is None:
-            page = await self._store.newest(
-                self._topic, self._clock.now() + CALL_TIMEOUT_SECONDS
-            )
-        else:
-            page = await self._store.read(
-                self._topic,
-                self._offset,
-                POLL_SECONDS,
-                self._clock.now() + POLL_SECONDS + CALL_TIMEOUT_SECONDS,
-            )
+        kind = 'newest' if self._offset is None else 'poll'
+        began = self._clock.now()
+        try:
+            page = await self._read()
+        except anyio.get_cancelled_exc_class():
+            self._record_read(kind, 'cancelled', 0, began)
+            raise
         if page.is_error():
+            self._record_read(kind, _reason(page.error), 0, began)
             if isinstance(page.error, external_api.Trimmed):
                 self._offset = None
             await self._reachability.on_failure(page.error)
             return
         self._reachability.on_answer()
+        before = self.version
         for record in page.ok.records:
             if record.key == self._key and record.value:
                 self._activate(record.value)
         self._offset = page.ok.next_offset
+        outcome = 'applied' if self.version > before else 'unchanged'
+        if kind == 'poll' and not page.ok.records:
+            outcome = _IDLE
+        size = sum(len(record.value) for record in page.ok.records)
+        self._record_read(kind, outcome, size, began)
+
+    async def _read(
+        self,
+    ) -> expression.Result[store_api.Records, store_api.StoreError]:
+        now = self._clock.now()
+        if self._offset is None:
+            return await self._store.newest(
+                self._topic, now + CALL_TIMEOUT_SECONDS
+            )
+        return await self._store.read(
+            self._topic,
+            self._offset,
+            POLL_SECONDS,
+            now + POLL_SECONDS + CALL_TIMEOUT_SECONDS,
+        )
+
+    def _record_read(
+        self, kind: str, outcome: str, size: int, began: float
+    ) -> None:
+        self._metrics.configuration_read(kind, outcome, size)
+        if outcome == _IDLE:
+            return
+        _CONFIGURATION_LOG.write(
+            'read',
+            kind=kind,
+            outcome=outcome,
+            bytes=size,
+            seconds=round(self._clock.now() - began, 3),
+        )
 
     def _activate(self, value: bytes) -> None:
         decoded = self._decode(value)
@@ -174,9 +222,12 @@
             _CONFIGURATION_LOG.write('unreadable', reason=decoded.error)
             return
         configuration = decoded.ok
-        if configuration.version <= self._version:
+        before = self.version
+        if configuration.version <= before:
             return
-        before, self._version = self._version, configuration.version
+        behind_seconds = self._versions.on_active(
+            configuration.version, self._clock.now()
+        )
         self._on_change(configuration)
         _CONFIGURATION_LOG.write(
             'in_force',
@@ -184,6 +235,30 @@
             before=before,
             routes=len(configuration.routes),
         )
+        if behind_seconds is not None:
+            _CONFIGURATION_LOG.write(
+                'current',
+                version=configuration.version,
+                seconds=round(behind_seconds, 3),
+            )
+
+    def _add_gauges(self) -> None:
+        versions = self._versions
+        self._metrics.gauge(
+            'gateway_configuration_version',
+            'The active version of the configuration',
+            lambda: versions.active,
+        )
+        self._metrics.gauge(
+            'gateway_configuration_newest_version',
+            'The newest known version of the configuration',
+            lambda: versions.newest,
+        )
+        self._metrics.gauge(
+            'gateway_configuration_behind_seconds',
+            'How long a newer configuration is known but not active',
+            lambda: versions.behind_seconds(self._clock.now()),
+        )
 
 
 class ServerWatch:
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -6,6 +6,7 @@
 import typing
 
 import anyio
+import eliot
 import expression
 
 from dogwoodquay import clock as clocks
@@ -15,7 +16,10 @@
 from dogwoodquay.gateway import store_api
 from dogwoodquay.observe import metrics as metrics_module
 
-__all__ = ['FakeStore', 'instance_settings', 'make_metrics']
+if typing.TYPE_CHECKING:
+    import unittest
+
+__all__ = ['FakeStore', 'instance_settings', 'log_lines', 'make_metrics']
 
 _LOST: typing.Final = external_api.Ambiguous('timeout')
 
@@ -48,6 +52,16 @@
     return metrics.GatewayMetrics(metrics_module.Registry('test'))
 
 
+def log_lines(test: unittest.TestCase) -> list[dict[str, typing.Any]]:
+    """Return a list that receives the lines logged until the test ends."""
+    lines: list[dict[str, typing.Any]] = []
+    eliot.add_destinations(lines.append)
+    test.addCleanup(eliot.remove_destination, lines.append)
+    # The first destination also receives what was logged before.
+    lines.clear()
+    return lines
+
+
 class FakeStore:
     """A store in memory with keyed records and a group of one partition."""
 
