Tell the version in force where a request has no route

Change: the detail names the version that was searched and the newest known one, if that is newer. The watch is built before the application, which gets its versions; the answer to the caller is as before.

--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -21,6 +21,7 @@
     from .. import clock as clocks
     from . import metrics as gateway_metrics
     from ..routes import api as routes_api
+    from . import versions as configuration_versions
 
 __all__ = ['GatewayApp']
 
@@ -51,13 +52,16 @@
         clock: clocks.Clock,
         rng: random.Random,
         metrics: gateway_metrics.GatewayMetrics,
+        versions: configuration_versions.ConfigurationVersions,
         store_unavailable: abc.Callable[[], bool] = lambda: False,
     ) -> None:
         """Create the application.
 
+        :param versions: the known versions of the configuration.
         :param store_unavailable: whether the store does not answer, so that
             the first configuration is delayed.
         """
+        self._versions = versions
         self._store_unavailable = store_unavailable
         self._forwarder = forwarder
         self._context = answers.AnswerContext(codec, clock, metrics)
@@ -141,7 +145,7 @@
         host = request.header(b'host').rpartition(':')
         route = routes.match(host[0] or host[2], request.path)
         if route is None:
-            await answer.refuse(_NO_ROUTE)
+            await answer.refuse(self._refuse_no_route(routes))
             return
         if self._draining and route.streaming:
             await answer.refuse(_STOPPING, close=True)
@@ -204,6 +208,14 @@
             api.RefusalReason.NO_CONFIGURATION, _UNAVAILABLE, pause
         )
 
+    def _refuse_no_route(self, routes: table.RouteTable) -> api.Refusal:
+        """Return the refusal; it tells of a newer version, if any."""
+        version = routes.configuration.version
+        newest = self._versions.newest
+        if version >= newest:
+            return _NO_ROUTE
+        return _NO_ROUTE._replace(detail=f'version {version} of {newest}')
+
     def _end_timed_out(self, answer: answers.Answer) -> forwarders.Result:
         if answer.started:
             return forwarders.Cut('timeout')
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -196,9 +196,6 @@
             self._rng,
             self._peering,
         )
-        self._app = self._build_app(adapters)
-        self._callers = serving.Listener(settings.callers)
-        self._health = health.HealthApp(self._not_ready, self._metrics_page)
         self._configuration = watch.ConfigurationWatch(
             store,
             adapters.configuration_topic,
@@ -208,6 +205,9 @@
             metrics,
             self._configure,
         )
+        self._app = self._build_app(adapters)
+        self._callers = serving.Listener(settings.callers)
+        self._health = health.HealthApp(self._not_ready, self._metrics_page)
         self._peering.attach(self._scheduler, self._configuration)
         self._servers = watch.ServerWatch(
             store,
@@ -242,6 +242,7 @@
             self._clock,
             self._rng,
             self._metrics,
+            self._configuration.versions,
             lambda: self._configuration.store_unavailable,
         )
 
--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -21,6 +21,7 @@
 from dogwoodquay.gateway import scheduler as schedulers
 from dogwoodquay.gateway import serving
 from dogwoodquay.gateway import settings
+from dogwoodquay.gateway import versions
 from dogwoodquay.platform import headers
 from dogwoodquay.retry import window
 from dogwoodquay.routes import api as routes_api
@@ -170,6 +171,7 @@
         self.scheduler = schedulers.Scheduler(
             self.registry, 'd1', clock, rng, _NoFinder()
         )
+        self.versions = versions.ConfigurationVersions()
         self.app = apps.GatewayApp(
             forwarders.Forwarder(
                 self.scheduler,
@@ -183,6 +185,7 @@
             clock,
             rng,
             metrics,
+            self.versions,
         )
         with socket.socket() as free:
             free.bind(('127.0.0.1', 0))
--- a/tests/unit/gateway/test_app.py
+++ b/tests/unit/gateway/test_app.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from . import fakes
 from . import loopback
 from dogwoodquay import clock as clocks
 from dogwoodquay.routes import api as routes_api
@@ -120,6 +121,23 @@
         self.assertEqual(503, nowhere.status)
         self.assertGreater(float(nowhere.headers['retry-after']), 0.0)
 
+    async def test_no_route_while_behind(self) -> None:
+        """The log tells which version had no route and which is newer."""
+        lines = fakes.log_lines(self)
+        async with loopback.Site().running() as site:
+            site.configure(loopback.route())
+            site.versions.on_active(1, 0.0)
+            current = await site.call(target='/other/x')
+            site.versions.on_heard_of(7, 0.0)
+            behind = await site.call(target='/other/x')
+        self.assertEqual((404, 404), (current.status, behind.status))
+        details = [
+            line['detail']
+            for line in lines
+            if line['message_type'] == 'request:refused'
+        ]
+        self.assertEqual(['', 'version 1 of 7'], details)
+
     async def test_two_body_lengths(self) -> None:
         """A request with two body lengths reaches no server."""
         upstream = loopback.Upstream('u1', _answers())
