Add failing tests of large reads over slow links to the store

Cause: not changed here. Change: the stand-in store has a link of limited rate for each process; an aborted answer frees it. A process is told by its socket, as instances derive their shared secret from the store's address. Tests count the reads of records that an instance begins, and no wall clock.

Measured: with news of peers, an instance whose read takes 1.5 s had begun 7 reads, 0 complete, and logged configuration:missing 6 times: each such line ends a read. A poll's answer that takes 2.5 s gets in force today. An instance that has logged that it misses a version answers 404 to its routes.

--- a/tests/site/http.py
+++ b/tests/site/http.py
@@ -15,13 +15,17 @@
 
 
 class Request(typing.NamedTuple):
-    """A received request; header names are in lower case."""
+    """A received request; header names are in lower case.
+
+    ``peer_port`` is the port of the client's end of the connection.
+    """
 
     method: str
     path: str
     query: dict[str, str]
     headers: dict[str, str]
     body: bytes
+    peer_port: int
 
     def json(self) -> dict[str, typing.Any]:
         """Return the fields of the JSON body."""
@@ -29,12 +33,16 @@
 
 
 class Answer(typing.NamedTuple):
-    """A reply; with ``parts`` it is a chunked stream."""
+    """A reply; with ``parts`` it is a chunked stream.
+
+    With ``pieces`` the body is sent in these pieces, with its length.
+    """
 
     status: int = 200
     body: bytes = b''
     headers: tuple[tuple[str, str], ...] = ()
     parts: abc.AsyncIterator[bytes] | None = None
+    pieces: abc.AsyncIterator[bytes] | None = None
 
     @classmethod
     def of(cls, fields: typing.Any, status: int = 200) -> Answer:
@@ -72,6 +80,11 @@
         """The address and port of the listener."""
         return f'127.0.0.1:{self._port}'
 
+    @property
+    def port(self) -> int:
+        """The port of the listener, zero before the start."""
+        return self._port
+
     async def start(self) -> None:
         """Start listening; after a stop, on the same port as before."""
         self._server = await asyncio.start_server(
@@ -90,10 +103,11 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
+        peer_port = int(writer.get_extra_info('peername')[1])
         try:
             with contextlib.suppress(*_ENDED):
                 while True:
-                    request = await _read(reader)
+                    request = await _read(reader, peer_port)
                     answer = await self._handle(request)
                     if answer is None:
                         await reader.read()
@@ -104,7 +118,7 @@
             writer.close()
 
 
-async def _read(reader: asyncio.StreamReader) -> Request:
+async def _read(reader: asyncio.StreamReader, peer_port: int) -> Request:
     head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
     line, *rest = head[:-4].split('\r\n')
     method, target, _ = line.split(' ')
@@ -113,7 +127,7 @@
     body = await reader.readexactly(int(headers.get('content-length', '0')))
     url = urllib.parse.urlsplit(target)
     query = dict(urllib.parse.parse_qsl(url.query))
-    return Request(method, url.path, query, headers, body)
+    return Request(method, url.path, query, headers, body, peer_port)
 
 
 async def _write(writer: asyncio.StreamWriter, answer: Answer) -> None:
@@ -124,7 +138,12 @@
     else:
         lines.append('Transfer-Encoding: chunked')
     writer.write('\r\n'.join([*lines, '', '']).encode('latin-1'))
-    writer.write(answer.body)
+    if answer.pieces is None or answer.parts is not None:
+        writer.write(answer.body)
+    else:
+        async for piece in answer.pieces:
+            writer.write(piece)
+            await writer.drain()
     if answer.parts is not None:
         async for part in answer.parts:
             writer.write(b'%x\r\n%s\r\n' % (len(part), part))
--- a/tests/site/processes.py
+++ b/tests/site/processes.py
@@ -13,6 +13,7 @@
 import tempfile
 import typing
 
+from . import links
 from . import server as servers
 from . import store as stores
 
@@ -49,11 +50,15 @@
 
 
 class Answer(typing.NamedTuple):
-    """A received reply; ``complete`` is false if it was cut off."""
+    """A received reply; ``complete`` is false if it was cut off.
+
+    Names and values of headers are in lower case.
+    """
 
     status: int
     body: bytes
     complete: bool
+    headers: dict[str, str]
 
 
 def manifest(version: int, *more: dict[str, typing.Any]) -> dict[str, object]:
@@ -116,6 +121,11 @@
     return _route(prefix, 'desk', Type='idempotent')
 
 
+def plain_routes(count: int) -> list[dict[str, typing.Any]]:
+    """Return many plain routes; the last one has the highest number."""
+    return [plain_route(f'/added-{number}/') for number in range(count)]
+
+
 class Instance:
     """One ``gateway`` process with its ports, settings and log."""
 
@@ -206,15 +216,21 @@
         self.desk = servers.Server(self.store, 'd1', 'desk')
         self.engine = servers.Server(self.store, 'e1', 'engines', 'loaded')
         self.instances: list[Instance] = []
+        self._linked_store = links.LinkedStore(self.store)
         self._directory = directory
 
+    @property
+    def links(self) -> list[links.Link]:
+        """The links of the instances to the store, in the same order."""
+        return self._linked_store.links
+
     @classmethod
     @contextlib.asynccontextmanager
     async def running(cls, instances: int) -> abc.AsyncIterator[Site]:
         """Run a site and wait until all its instances are ready."""
         with tempfile.TemporaryDirectory() as directory:
             site = cls(pathlib.Path(directory))
-            await site.store.http.start()
+            await site._linked_store.http.start()
             site.store.put('keyed.op', 'config', manifest(1))
             await site.desk.start()
             await site.engine.start()
@@ -222,11 +238,12 @@
                 for number in range(instances):
                     new_instance = Instance(
                         f'front-{number}',
-                        site.store.http.address,
+                        site._linked_store.http.address,
                         pathlib.Path(directory),
                     )
                     site.instances.append(new_instance)
                     new_instance.start()
+                    site._linked_store.add(new_instance.process.pid)
                 for instance in site.instances:
                     await instance.wait_ready()
                 yield site
@@ -237,7 +254,7 @@
                     instance.process.wait()
                 for server in (site.desk, site.engine):
                     server.http.stop()
-                site.store.http.stop()
+                site._linked_store.http.stop()
 
 
 def _find_free_ports(count: int) -> list[int]:
@@ -268,13 +285,13 @@
     fields = dict(item.lower().split(': ', 1) for item in rest)
     if 'content-length' in fields:
         body = await reader.readexactly(int(fields['content-length']))
-        return Answer(status, body, True)
+        return Answer(status, body, True, fields)
     parts: list[bytes] = []
     try:
         while True:
             size = int(await reader.readuntil(b'\r\n'), 16)
             parts.append((await reader.readexactly(size + 2))[:-2])
             if not size:
-                return Answer(status, b''.join(parts), True)
+                return Answer(status, b''.join(parts), True, fields)
     except (asyncio.IncompleteReadError, OSError):
-        return Answer(status, b''.join(parts), False)
+        return Answer(status, b''.join(parts), False, fields)
--- a/tests/site/store.py
+++ b/tests/site/store.py
@@ -52,7 +52,6 @@
         self._topics: dict[str, _Topic] = {}
         self._newest: dict[str, dict[str, tuple[int, bytes]]] = {}
         self._groups: dict[str, _Group] = {}
-        self.http = http.HttpServer(self._handle)
 
     def owner(self, group: str = 'engine-orders') -> str:
         """Return the owner of a group's partition, or an empty string."""
@@ -79,7 +78,8 @@
         topic_state.first = topic_state.end
         topic_state.records = []
 
-    async def _handle(self, request: http.Request) -> http.Answer | None:
+    async def handle(self, request: http.Request) -> http.Answer | None:
+        """Answer a call."""
         self.calls.append(request.path)
         if self.unavailable:
             return http.Answer(503)
