--- a/tests/site/test_slow_links.py
+++ b/tests/site/test_slow_links.py
@@ -73,7 +73,7 @@
         """Fail if an instance has begun too many reads of records."""
         begun = link.transfers(topic)
         ended = sum(item.complete for item in begun)
-        news = len(_messages(instance, 'missing'))
+        news = len(_messages(instance, 'behind'))
         self.assertLessEqual(
             len(begun),
             _MAX_READS,
@@ -164,7 +164,7 @@
                 for instance in behind:
                     await _wait_until(
                         lambda each=instance: (
-                            bool(_messages(each, 'missing'))
+                            bool(_messages(each, 'behind'))
                             or _in_force(each, 2)
                         )
                     )
