Pass configurations on between instances

The owner's view tells an instance whether to read the store and whom to ask for the newest version. ConfigurationCopies follows these views, answers other instances with the configuration in force, compressed once a version, and asks the holder for a copy. An instance publishes its load as soon as a new configuration is in force, so that it is named as a holder early.

New fields are at the end of the view with defaults: whoever gets the view of an earlier build reads the store, and a holder of an earlier build declines the request. The watch does not use this yet and reads the store as before.

--- a/src/dogwoodquay/gateway/controller.py
+++ b/src/dogwoodquay/gateway/controller.py
@@ -11,6 +11,7 @@
 from . import groups
 from . import messages
 from ..observe import logs
+from . import readers
 from ..residency import adapters
 from ..residency import api as residency_api
 from ..residency import ceiling
@@ -19,6 +20,7 @@
 
 if typing.TYPE_CHECKING:
     from collections import abc
+    import random
 
     import anyio.abc
 
@@ -62,6 +64,7 @@
         settings: gateway_settings.InstanceSettings,
         clock: clocks.Clock,
         metrics: gateway_metrics.GatewayMetrics,
+        rng: random.Random,
     ) -> None:
         self._ownership = ownership
         self._registry = registry
@@ -70,6 +73,7 @@
         self._clock = clock
         self._metrics = metrics
         self._demand = demands.DemandTracker()
+        self._readers = readers.ReaderChoice(rng)
         self._services: dict[str, routes_api.Service] = {}
         self._groups: dict[str, groups.EngineGroup] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -96,6 +100,7 @@
             if owner in ('', self._ownership.member):
                 return None
             return messages.FleetView(owner, (), (), 0, -1)
+        self._readers.update(load.instance_id, load.configuration_version, now)
         return self.view(load.instance_id)
 
     def recent_peers(self) -> list[str]:
@@ -106,8 +111,9 @@
     def view(self, instance_id: str) -> messages.FleetView:
         """Return the view of all engines for one instance."""
         now = self._clock.now()
+        owner = self._ownership.member
         return messages.FleetView(
-            self._ownership.member,
+            owner,
             tuple(
                 messages.EngineView(
                     server_id,
@@ -129,6 +135,8 @@
             ),
             self._demand.instance_count(now),
             self._demand.configuration_version(now),
+            self._readers.reads_store(instance_id, owner, now),
+            self._readers.holder(instance_id, owner, now),
         )
 
     async def run(self) -> None:
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -12,7 +12,9 @@
 __all__ = [
     'AdapterFound',
     'AdapterInUse',
+    'ConfigurationBody',
     'EngineView',
+    'FetchConfiguration',
     'FindAdapter',
     'FleetView',
     'HandOver',
@@ -89,6 +91,9 @@
     """The owner's view of all engines and instances, sent to one instance.
 
     An instance that is not the owner any more sends ``owner`` alone.
+    ``reads_store`` is whether the receiver reads the configuration from the
+    store; ``configuration_holder`` is the instance that it may ask for the
+    newest version, empty for none.
     """
 
     owner: str
@@ -96,6 +101,8 @@
     loading: tuple[LoadingModel, ...]
     instances: int
     configuration_version: int
+    reads_store: bool = True
+    configuration_holder: str = ''
 
 
 class FindAdapter(wire_api.Message, frozen=True, tag='find'):
@@ -128,3 +135,20 @@
     """Whether the peer has taken over the duty."""
 
     accepted: bool
+
+
+class FetchConfiguration(wire_api.Message, frozen=True, tag='fetch'):
+    """Asks an instance for its configuration if that is newer."""
+
+    newer_than: int
+
+
+class ConfigurationBody(wire_api.Message, frozen=True, tag='configuration'):
+    """A configuration as stored, compressed by zlib.
+
+    ``next_offset`` follows its record. ``version`` is -1 for nothing newer.
+    """
+
+    version: int
+    next_offset: int
+    compressed: bytes
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -14,6 +14,7 @@
 if typing.TYPE_CHECKING:
     from .. import clock as clocks
     from . import controller as controllers
+    from . import copies as configuration_copies
     from ..fleet import registry as registries
     from . import ownership as order_ownership
     from . import scheduler as schedulers
@@ -42,17 +43,22 @@
         controller: controllers.Controller,
         registry: registries.Registry,
         clock: clocks.Clock,
+        copies: configuration_copies.ConfigurationCopies,
     ) -> None:
         self._transport = transport
         self._ownership = ownership
         self._controller = controller
         self._registry = registry
         self._clock = clock
+        self._copies = copies
+        self._wake = anyio.Event()
         self._scheduler: schedulers.Scheduler | None = None
         self._configuration: watch.ConfigurationWatch | None = None
         transport.register(messages.InstanceLoad, self._handle_load)
         transport.register(messages.FindAdapter, self._handle_find)
         transport.register(messages.HandOver, self._handle_hand_over)
+        transport.register(messages.FetchConfiguration, copies.handle_fetch)
+        transport.register(messages.ConfigurationBody)
         transport.register(messages.HandOverAnswer)
         transport.register(messages.FleetView)
         transport.register(messages.AdapterFound)
@@ -66,6 +72,10 @@
         self._scheduler = scheduler
         self._configuration = configuration
 
+    def on_configuration_changed(self) -> None:
+        """Publish the load at once, with the version now in force."""
+        self._wake.set()
+
     async def find_adapter(
         self, service: str, model: str, adapter: str, deadline: float
     ) -> str:
@@ -112,18 +122,20 @@
         return False
 
     async def run(self) -> typing.NoReturn:
-        """Publish the load at intervals."""
+        """Publish the load at intervals and on a new configuration."""
         while True:
             scheduler = self._scheduler
             if scheduler is None:
                 await anyio.sleep(LOAD_INTERVAL_SECONDS)
                 continue
             waiting = scheduler.waiting > 0
-            await anyio.sleep(
+            with anyio.move_on_after(
                 WAITING_LOAD_INTERVAL_SECONDS
                 if waiting
                 else LOAD_INTERVAL_SECONDS
-            )
+            ):
+                await self._wake.wait()
+            self._wake = anyio.Event()
             await self.publish_load(scheduler)
 
     async def publish_load(self, scheduler: schedulers.Scheduler) -> None:
@@ -140,6 +152,7 @@
             return
         address = self._ownership.owner_address
         if address is None:
+            self._copies.on_view_lost()
             return
         answer = await self._transport.request(
             wire_api.PeerAddress(*address),
@@ -151,6 +164,7 @@
             self._apply_view(answer.ok)
             scheduler.assign_waiting()
             return
+        self._copies.on_view_lost()
         self._ownership.on_owner_unreachable()
         _LOG.write(
             'holder_unreachable',
@@ -164,6 +178,7 @@
             self._ownership.on_owner_reported(view.owner)
             return
         self._ownership.update_instance_count(view.instances)
+        self._copies.on_view(view.reads_store, view.configuration_holder)
         if self._configuration is not None:
             self._configuration.on_peer_version(view.configuration_version)
         for row in view.engines:
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -12,6 +12,7 @@
 from . import answer as answers
 from . import app as apps
 from . import controller as controllers
+from . import copies as configuration_copies
 from . import exchange as exchanges
 from ..external.http import client
 from ..fleet import registry as registries
@@ -177,17 +178,27 @@
         )
         engines = adapters.engines(self._connections, settings.instance_id)
         self._controller = controllers.Controller(
-            self._ownership, self._registry, engines, settings, clock, metrics
+            self._ownership,
+            self._registry,
+            engines,
+            settings,
+            clock,
+            metrics,
+            self._rng,
         )
         self._peers = wire_peers.Peers(
             _wire_settings(settings), clock, self._rng
         )
+        self._copies = configuration_copies.ConfigurationCopies(
+            self._peers, clock
+        )
         self._peering = peerings.Peering(
             self._peers,
             self._ownership,
             self._controller,
             self._registry,
             clock,
+            self._copies,
         )
         self._scheduler = schedulers.Scheduler(
             self._registry,
@@ -250,6 +261,7 @@
         self._scheduler.configure(configuration.services)
         self._controller.configure(configuration.services)
         self._callers.keep_idle(configuration.limits.idle_timeout_seconds)
+        self._peering.on_configuration_changed()
 
     def _not_ready(self) -> str:
         if self._stopping.is_set():
--- a/tests/unit/gateway/test_controller.py
+++ b/tests/unit/gateway/test_controller.py
@@ -100,6 +100,7 @@
             settings,
             self.clock,
             metrics,
+            fakes.rng(),
         )
         service = routes_api.Service('models', '/', 9, engine_fakes.SPEC)
         self.controller.configure({'models': service})
--- a/tests/unit/gateway/test_peering.py
+++ b/tests/unit/gateway/test_peering.py
@@ -4,6 +4,7 @@
 
 import typing
 import unittest
+from unittest import mock
 
 import anyio
 import expression
@@ -12,9 +13,12 @@
 from dogwoodquay import clock as clocks
 from dogwoodquay.fleet import registry as registries
 from dogwoodquay.gateway import controller
+from dogwoodquay.gateway import copies
 from dogwoodquay.gateway import ownership as order_ownership
 from dogwoodquay.gateway import peering
+from dogwoodquay.gateway import readers
 from dogwoodquay.gateway import scheduler as schedulers
+from dogwoodquay.gateway import watch
 from dogwoodquay.wire import api as wire_api
 
 _Handlers = dict[type, wire_api.Handler]
@@ -119,13 +123,17 @@
             settings,
             clock,
             metrics,
+            fakes.rng(),
         )
+        transport = _Transport(network, port)
+        self.copies = copies.ConfigurationCopies(transport, clock)
         self.peering = peering.Peering(
-            _Transport(network, port),
+            transport,
             self.ownership,
             self.controller,
             registry,
             clock,
+            self.copies,
         )
         self.scheduler = schedulers.Scheduler(
             registry, 'd1', clock, fakes.rng(), self.peering
@@ -135,6 +143,12 @@
         """Send the load to the owner once."""
         await self.peering.publish_load(self.scheduler)
 
+    def attach(self, version: int) -> None:
+        """Attach a watch of the configuration with a version in force."""
+        configuration = mock.Mock(spec=watch.ConfigurationWatch)
+        configuration.version = version
+        self.peering.attach(self.scheduler, configuration)
+
 
 class HandOverTest(unittest.IsolatedAsyncioTestCase):
     """The owner is stopped while the store is unavailable."""
@@ -208,3 +222,92 @@
         await self.instances[1].publish_load()
         await self._stop()
         self.assertEqual([self.instances[1]], self._owners())
+
+
+class CopiesTest(unittest.IsolatedAsyncioTestCase):
+    """The owner's views spare most instances reads of the store."""
+
+    async def asyncSetUp(self) -> None:
+        """Create an owner with more instances than readers."""
+        self.network = _Network()
+        self.clock = clocks.ManualClock()
+        store = fakes.FakeStore(self.clock)
+        self.instances = [
+            _Instance(self.network, store, 7001 + number)
+            for number in range(2 * readers.READERS)
+        ]
+        self.owner = self.instances[0]
+        for _ in range(2):
+            for instance in self.instances:
+                instance.attach(7)
+                await instance.ownership.step()
+                await instance.publish_load()
+
+    def _followers(self) -> list[_Instance]:
+        return [item for item in self.instances if item.copies.following]
+
+    async def _fetch(
+        self, instance: _Instance
+    ) -> copies.ConfigurationCopy | None:
+        return await instance.copies.fetch(7, self.clock.now() + 5.0)
+
+    async def test_most_follow(self) -> None:
+        """The owner and the appointed readers do not follow."""
+        count = len(self._followers())
+        least = len(self.instances) - readers.READERS - 1
+        self.assertIn(count, (least, least + 1))
+        self.assertNotIn(self.owner, self._followers())
+
+    async def test_copy_of_a_new_version(self) -> None:
+        """A follower gets a new version from an instance that has it."""
+        copy = copies.ConfigurationCopy(8, b'{"Version": 8}', 5)
+        follower = self._followers()[0]
+        holder = next(
+            item
+            for item in self.instances
+            if item not in (follower, self.owner)
+        )
+        holder.copies.keep(copy)
+        holder.attach(8)
+        await holder.publish_load()
+        await follower.publish_load()
+        self.assertEqual(copy, await self._fetch(follower))
+
+    async def test_unreachable_owner(self) -> None:
+        """Following ends at once when the owner does not answer."""
+        follower = self._followers()[0]
+        self.network.handlers.pop(7001)
+        await follower.publish_load()
+        self.assertFalse(follower.copies.following)
+        self.assertIsNone(await self._fetch(follower))
+
+    async def test_unknown_owner(self) -> None:
+        """Following ends at once when the owner is not known any more."""
+        follower = self._followers()[0]
+        follower.ownership.on_owner_unreachable()
+        await follower.publish_load()
+        self.assertFalse(follower.copies.following)
+
+    async def test_silent_owner(self) -> None:
+        """Without a view, all instances read the store after a time."""
+        self.clock.advance(copies.FOLLOW_SECONDS)
+        self.assertEqual([], self._followers())
+
+    async def test_new_version_published_at_once(self) -> None:
+        """A new version is published before the next load is due."""
+        instance = self._followers()[0]
+        published = anyio.Event()
+        loads = mock.AsyncMock(side_effect=lambda _: published.set())
+        with (
+            mock.patch.object(peering, 'LOAD_INTERVAL_SECONDS', 60.0),
+            mock.patch.object(instance.peering, 'publish_load', loads),
+            anyio.fail_after(10.0),
+        ):
+            async with anyio.create_task_group() as group:
+                group.start_soon(instance.peering.run)
+                await anyio.sleep(0.01)
+                self.assertFalse(published.is_set())
+                instance.peering.on_configuration_changed()
+                await published.wait()
+                group.cancel_scope.cancel()
+        self.assertEqual(1, loads.await_count)
