--- a/src/dogwoodquay/gateway/readers.py
+++ b/src/dogwoodquay/gateway/readers.py
@@ -21,7 +21,7 @@
 # Instances that are told to ask the same holder at a time, and for how long
 # they count if they do not report the version.
 ASKERS_AT_ONCE: typing.Final = 2
-PLACE_SECONDS: typing.Final = 2.0
+PLACE_SECONDS: typing.Final = 3.0
 # Holders that are considered for one instance.
 TRIES: typing.Final = 8
 
--- a/tests/unit/gateway/test_copies.py
+++ b/tests/unit/gateway/test_copies.py
@@ -70,12 +70,18 @@
     ) -> copies.ConfigurationCopy | None:
         return await self.asker.fetch(newer_than, loopback.new_deadline())
 
-    async def _fetch_answer(
+    async def _fetch_body(
         self, compressed: bytes
     ) -> copies.ConfigurationCopy | None:
-        """Fetch from a new holder that answers with these bytes."""
-        self._create()
+        """Fetch from a holder that answers with these bytes."""
         answer = messages.ConfigurationBody(8, 31, compressed)
+        return await self._fetch_answer(answer)
+
+    async def _fetch_answer(
+        self, answer: messages.ConfigurationBody
+    ) -> copies.ConfigurationCopy | None:
+        """Fetch from a new holder that gives this answer."""
+        self._create()
         self.holder.peers = loopback.make_peer('front-1')
         self.holder.peers.register(messages.ConfigurationBody)
         self.holder.peers.register(
@@ -99,6 +105,20 @@
             self.assertIsNone(await self._fetch(8))
             self.assertIsNone(await self._fetch(9))
 
+    async def test_nothing_newer_sent(self) -> None:
+        """A holder sends no body to whom has its version already."""
+        self.holder.copies.keep(COPY)
+        sender = wire_api.Sender('front-2', self.holder.peers.address)
+        answer = await self.holder.copies.handle_fetch(
+            sender, messages.FetchConfiguration(8), float('inf')
+        )
+        self.assertEqual(messages.ConfigurationBody(-1, 0, b''), answer)
+
+    async def test_older_version_received(self) -> None:
+        """An answer with an older version is not used."""
+        answer = messages.ConfigurationBody(7, 31, zlib.compress(BODY, 1))
+        self.assertIsNone(await self._fetch_answer(answer))
+
     async def test_newer_version_replaces(self) -> None:
         """The holder passes on the version that it kept last."""
         newer = copies.ConfigurationCopy(9, b'{}', 32)
@@ -133,13 +153,13 @@
         changed[len(changed) // 2] ^= 0x55
         for bad in (b'', packed[:-1], packed[:99], bytes(changed), BODY):
             with self.subTest(size=len(bad)):
-                self.assertIsNone(await self._fetch_answer(bad))
-        self.assertEqual(COPY, await self._fetch_answer(packed))
+                self.assertIsNone(await self._fetch_body(bad))
+        self.assertEqual(COPY, await self._fetch_body(packed))
 
     async def test_oversized_body(self) -> None:
         """A body that unpacks to more than the limit is refused."""
         bomb = zlib.compress(bytes(copies.MAX_BODY_BYTES + 1), 1)
-        self.assertIsNone(await self._fetch_answer(bomb))
+        self.assertIsNone(await self._fetch_body(bomb))
 
     async def test_frame_limit(self) -> None:
         """The largest body fits a frame; a larger one is not sent."""
@@ -168,15 +188,19 @@
     async def test_holder_named_later(self) -> None:
         """A follower waits for a holder that has time for it."""
         self.holder.copies.keep(COPY)
-        async with self._running():
-            self.asker.on_view(False, '')
-            async with anyio.create_task_group() as group:
-                group.start_soon(self._expect_copy)
-                await anyio.sleep(0.01)
-                self.asker.on_view(False, self.holder.member)
+        with (
+            mock.patch.object(copies, 'FOLLOW_SECONDS', 60.0),
+            anyio.fail_after(10.0),
+        ):
+            async with self._running():
+                self.asker.on_view(False, '')
+                async with anyio.create_task_group() as group:
+                    group.start_soon(self._expect_copy)
+                    await anyio.sleep(0.01)
+                    self.asker.on_view(False, self.holder.member)
 
     async def _expect_copy(self) -> None:
-        self.assertEqual(COPY, await self._fetch())
+        self.assertEqual(COPY, await self.asker.fetch(7, float('inf')))
 
     async def test_view_lost_while_waiting(self) -> None:
         """The wait for a holder ends at once with the owner's views."""
@@ -185,8 +209,11 @@
         async def fetch() -> None:
             found.append(await self.asker.fetch(7, float('inf')))
 
-        self.asker.on_view(False, '')
-        with anyio.fail_after(10.0):
+        with (
+            mock.patch.object(copies, 'FOLLOW_SECONDS', 60.0),
+            anyio.fail_after(10.0),
+        ):
+            self.asker.on_view(False, '')
             async with anyio.create_task_group() as group:
                 group.start_soon(fetch)
                 await anyio.sleep(0.01)
@@ -198,8 +225,13 @@
         self.holder.copies.keep(COPY)
         async with self._running():
             self.asker.on_view(False, 'front-9@127.0.0.1:1')
-            self.assertIsNone(await self._fetch())
-            self.assertIsNone(await self._fetch())
+            peers = self.followers[0].peers
+            with mock.patch.object(
+                peers, 'request', wraps=peers.request
+            ) as request:
+                self.assertIsNone(await self._fetch())
+                self.assertIsNone(await self._fetch())
+            self.assertEqual(1, request.call_count)
             self.asker.on_view(False, self.holder.member)
             self.assertEqual(COPY, await self._fetch())
 
@@ -281,8 +313,11 @@
             lambda: self.copies.on_view(True, ''),
         )
         for end in ends:
-            self.copies.on_view(False, '')
-            with anyio.fail_after(10.0):
+            with (
+                mock.patch.object(copies, 'FOLLOW_SECONDS', 60.0),
+                anyio.fail_after(10.0),
+            ):
+                self.copies.on_view(False, '')
                 async with anyio.create_task_group() as group:
                     for _ in range(2):
                         group.start_soon(self.copies.wait_to_read)
--- a/tests/unit/gateway/test_peering.py
+++ b/tests/unit/gateway/test_peering.py
@@ -309,5 +309,6 @@
                 self.assertFalse(published.is_set())
                 instance.peering.on_configuration_changed()
                 await published.wait()
+                await anyio.sleep(0.01)
                 group.cancel_scope.cancel()
         self.assertEqual(1, loads.await_count)
--- a/tests/unit/gateway/test_readers.py
+++ b/tests/unit/gateway/test_readers.py
@@ -167,6 +167,17 @@
         self.choice.update(others[0], 7, later)
         self.assertEqual(first, self.choice.holder(others[0], OWNER, later))
 
+    def test_unused_place(self) -> None:
+        """An instance that does not get its copy frees the place in time."""
+        first, second, third, *others = self.names
+        self.choice.update(first, 8, 1.1)
+        self._holders([second, third], 1.1)
+        later = 1.1 + readers.PLACE_SECONDS
+        for name in self.names:
+            self.choice.update(name, 8 if name == first else 7, later)
+        found = self._holders(others, later)
+        self.assertEqual(readers.ASKERS_AT_ONCE, found.count(first))
+
     def test_owner_last(self) -> None:
         """The owner, whose link carries all views, is named if alone."""
         owner, other, *askers = self.names
