Test that views do not keep a read of the configuration from ending

It owns the orders, and its process is short of processor: a read of all records took it over 0.15 to 0.3 s, while a view, also its own, comes every 0.1 to 0.25 s and cancels the read; 52 reads in a row. Change: a test with a read of 0.2 s and a view every 0.05 s.

Checks: make check-format lint types imports; test_watch.py.

--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -55,6 +55,7 @@
         self.clock = clock
         self.unavailable = False
         self.unanswered_reads = 0
+        self.newest_seconds = 0.0
         self.calls = 0
         self.records: list[store_api.NewestRecord] = []
         self.first_offset = 0
@@ -71,8 +72,10 @@
     async def newest(
         self, topic: store_api.Topic, deadline: float
     ) -> expression.Result[store_api.Records, store_api.StoreError]:
-        """Return the newest record of each key."""
+        """Return the newest record of each key, after a delay if any."""
         self.calls += 1
+        if self.newest_seconds:
+            await anyio.sleep(self.newest_seconds)
         if self.unavailable:
             return expression.Error(_LOST)
         newest = {record.key: record for record in self.records}
--- a/tests/unit/gateway/test_watch.py
+++ b/tests/unit/gateway/test_watch.py
@@ -96,6 +96,21 @@
                 group.cancel_scope.cancel()
         self.assertEqual([95, 97], self.versions)
 
+    async def test_read_slower_than_views(self) -> None:
+        """A read ends although views of the owner name a newer version."""
+        self.store.put('config', b'4')
+        await self.watch.step()
+        self.store.put('config', b'9')
+        self.store.first_offset = 2
+        self.store.newest_seconds = 0.2
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.watch.run)
+            for _ in range(40):
+                await anyio.sleep(0.05)
+                self.watch.on_peer_version(9)
+            group.cancel_scope.cancel()
+        self.assertEqual([4, 9], self.versions)
+
     async def test_store_unavailable(self) -> None:
         """The active configuration stays active."""
         self.store.put('config', b'1')
