Limit the time of a large read by its progress

Callers saw 404 for new routes, and servers that the list named got no requests, from instances on slow links.

Cause: a read of the store had 1 s for the whole of its answer and began anew from nothing afterwards, so that on a link that needs longer it never ended: newest records of the configuration, the list of servers and its changes.

Change: the deadline of a call is for the begin of its answer; a body may take as long as it arrives without a pause of 1 s and at 32 KiB/s in the mean. Pages have a deadline each. A read of the list that was cut at the store's limit goes on at once. Reads tell when records begin to arrive and whether more are waiting.

--- a/src/dogwoodquay/external/http/client.py
+++ b/src/dogwoodquay/external/http/client.py
@@ -18,6 +18,7 @@
 from ... import clock
 from .. import api
 from . import pool
+from . import progress
 from . import wire
 
 if typing.TYPE_CHECKING:
@@ -91,6 +92,10 @@
         """Close the idle connections to a removed address."""
         await self._pool.close_idle(address, port)
 
+    def now(self) -> float:
+        """Return the time on the clock of the deadlines."""
+        return self._time.now()
+
     @contextlib.asynccontextmanager
     async def open(
         self,
@@ -101,10 +106,12 @@
         headers: Headers,
         body: bytes,
         deadline: float,
+        read_timeout_seconds: float = 0.0,
     ) -> abc.AsyncIterator[expression.Result[httpx.Response, SendError]]:
         """Send a request and yield the response with its body unread.
 
         :param deadline: time by which the response headers are due.
+        :param read_timeout_seconds: as in ``open_raw``.
         """
         host = f'[{address}]' if ':' in address else address
         raw_headers = [(b'host', f'{host}:{port}'.encode('latin-1'))]
@@ -113,7 +120,14 @@
             for name, value in headers
         )
         async with self.open_raw(
-            address, port, method, path, raw_headers, body, deadline
+            address,
+            port,
+            method,
+            path,
+            raw_headers,
+            body,
+            deadline,
+            read_timeout_seconds,
         ) as sent:
             yield sent
 
@@ -203,6 +217,49 @@
                 return sent
         return expression.Error(api.Ambiguous('timeout'))
 
+    async def download(
+        self,
+        address: str,
+        port: int,
+        path: str,
+        deadline: float,
+        on_received: abc.Callable[[int], None],
+    ) -> expression.Result[httpx.Response, SendError]:
+        """Send a GET request and read a response of any size.
+
+        The body may take as long as its size needs at the least rate.
+
+        :param deadline: time by which the response headers are due.
+        :param on_received: called with the size of the received part of the
+            body of a successful response.
+        """
+        async with self.open(
+            address,
+            port,
+            'GET',
+            path,
+            (),
+            b'',
+            deadline,
+            progress.MAX_PAUSE_SECONDS,
+        ) as sent:
+            if sent.is_error():
+                return sent
+            response = sent.ok
+            try:
+                body = await progress.read(response, on_received)
+            except httpx.HTTPError as error:
+                return expression.Error(api.Ambiguous(broken_reason(error)))
+            if body is None:
+                return expression.Error(api.Ambiguous('slow'))
+            return expression.Ok(
+                httpx.Response(
+                    response.status_code,
+                    headers=response.headers,
+                    content=body,
+                )
+            )
+
     def _request(
         self,
         address: str,
--- a/src/dogwoodquay/gateway/store_api.py
+++ b/src/dogwoodquay/gateway/store_api.py
@@ -7,6 +7,8 @@
 from ..external import api as external_api
 
 if typing.TYPE_CHECKING:
+    from collections import abc
+
     import expression
 
 __all__ = [
@@ -17,6 +19,7 @@
     'Store',
     'StoreError',
     'Topic',
+    'ignore_begin',
 ]
 
 StoreError = (
@@ -41,10 +44,23 @@
 
 
 class Records(typing.NamedTuple):
-    """Records and the offset at which the next read starts."""
+    """Records and the offset at which the next read starts.
+
+    ``end_offset`` is the end of the topic when they were read.
+    """
 
     records: tuple[NewestRecord, ...]
     next_offset: int
+    end_offset: int = 0
+
+    @property
+    def incomplete(self) -> bool:
+        """Whether the topic has further records already."""
+        return self.next_offset < self.end_offset
+
+
+def ignore_begin() -> None:
+    """Do nothing when records begin to arrive."""
 
 
 class Membership(typing.NamedTuple):
@@ -75,12 +91,27 @@
     async def newest(
         self, topic: Topic, deadline: float
     ) -> expression.Result[Records, StoreError]:
-        """Return the newest record of each key of a topic."""
+        """Return the newest record of each key of a topic.
+
+        :param deadline: when the first answer has to begin. It may take as
+            long as its size needs.
+        """
 
     async def read(
-        self, topic: Topic, offset: int, wait_seconds: float, deadline: float
+        self,
+        topic: Topic,
+        offset: int,
+        wait_seconds: float,
+        deadline: float,
+        single: bool = False,
+        on_begin: abc.Callable[[], None] = ignore_begin,
     ) -> expression.Result[Records, StoreError]:
-        """Return records from an offset on, waiting for the first one."""
+        """Return records from an offset on, waiting for the first one.
+
+        :param deadline: when the answer has to begin, as in ``newest``.
+        :param single: whether to return the first record only.
+        :param on_begin: called when records begin to arrive.
+        """
 
     async def join(
         self,
--- a/src/dogwoodquay/gateway/watch.py
+++ b/src/dogwoodquay/gateway/watch.py
@@ -298,11 +298,15 @@
         """Read the list at a fixed interval until cancelled."""
         while True:
             due = self._clock.now() + self._interval_seconds
-            await self.step()
+            while await self.step():
+                pass
             await anyio.sleep(max(0.0, due - self._clock.now()))
 
-    async def step(self) -> None:
-        """Read the list, or its changes since the last time, once."""
+    async def step(self) -> bool:
+        """Read the list, or its changes since the last time, once.
+
+        :return: whether there are further changes already.
+        """
         began = self._clock.now()
         deadline = began + CALL_TIMEOUT_SECONDS
         is_full_read = self._offset is None
@@ -316,7 +320,7 @@
             if isinstance(page.error, external_api.Trimmed):
                 self._offset = None
             await self._reachability.on_failure(page.error)
-            return
+            return False
         now = self._clock.now()
         if self._reachability.on_answer() > MIN_OUTAGE_SECONDS:
             self._registry.on_store_available(now)
@@ -330,6 +334,7 @@
         self._read_at = began
         if page.ok.records:
             self._on_change()
+        return page.ok.incomplete and bool(page.ok.records)
 
     def _replace(
         self, records: tuple[store_api.NewestRecord, ...], now: float
--- a/src/dogwoodquay/platform/store.py
+++ b/src/dogwoodquay/platform/store.py
@@ -34,6 +34,10 @@
 _PAGE_HEADER: typing.Final = struct.Struct('>QQ')
 _RECORD_LENGTH: typing.Final = struct.Struct('>I')
 _JSON: typing.Final = (('content-type', 'application/json'),)
+# Time for each further page of the newest records to begin.
+_PAGE_SECONDS: typing.Final = 1.0
+# The store returns at least one record, whatever its size.
+_SINGLE_KILOBYTES: typing.Final = 1
 
 
 class _Body(msgspec.Struct, rename='pascal'):
@@ -104,7 +108,8 @@
         after = ''
         while True:
             path = _path('/log-newest', Topic=topic.name, part=0, after=after)
-            answer = await self._call('GET', path, deadline)
+            answer = await self._download(path, deadline)
+            deadline = self._connections.now() + _PAGE_SECONDS
             if answer.is_error():
                 return expression.Error(answer.error)
             page = _decoded(answer.ok, _Newest)
@@ -117,7 +122,7 @@
             if not page.ok.has_more or not page.ok.items:
                 break
         pairs = (store_api.NewestRecord(*pair) for pair in records.items())
-        return expression.Ok(store_api.Records(tuple(pairs), end))
+        return expression.Ok(store_api.Records(tuple(pairs), end, end))
 
     async def read(
         self,
@@ -125,6 +130,8 @@
         offset: int,
         wait_seconds: float,
         deadline: float,
+        single: bool = False,
+        on_begin: abc.Callable[[], None] = store_api.ignore_begin,
     ) -> expression.Result[store_api.Records, store_api.StoreError]:
         """Return the records from an offset on; wait for the first one."""
         path = _path(
@@ -133,17 +140,25 @@
             part=0,
             From=offset,
             WaitMs=int(wait_seconds * 1000),
+            MaxKb=_SINGLE_KILOBYTES if single else '',
         )
-        answer = await self._call('GET', path, deadline)
+
+        def on_received(size: int) -> None:
+            if size > _PAGE_HEADER.size:
+                on_begin()
+
+        answer = await self._download(path, deadline, on_received)
         if answer.is_error():
             return expression.Error(answer.error)
         if len(answer.ok.content) < _PAGE_HEADER.size:
             return expression.Error(external_api.Ambiguous('short_answer'))
+        end, _ = _PAGE_HEADER.unpack_from(answer.ok.content)
         records = tuple(_records(answer.ok.content))
         return expression.Ok(
             store_api.Records(
                 tuple(_split_record(record) for record in records),
                 offset + len(records),
+                end,
             )
         )
 
@@ -216,19 +231,38 @@
             b'' if body is None else msgspec.json.encode(body),
             _JSON if body is not None else (),
         )
-        if result.is_error():
-            return expression.Error(result.error)
-        response = result.ok
-        if response.status_code == _OK:
-            return expression.Ok(response)
-        if response.status_code == _GONE:
-            trimmed = _decoded(response, _TrimmedBody)
-            first_offset = trimmed.ok.first if trimmed.is_ok() else 0
-            return expression.Error(external_api.Trimmed(first_offset))
-        reason = f'status_{response.status_code}'
-        if response.status_code in _NOT_EXECUTED:
-            return expression.Error(external_api.Unavailable(reason))
-        return expression.Error(external_api.Refused(reason))
+        return _checked(result)
+
+    async def _download(
+        self,
+        path: str,
+        deadline: float,
+        on_received: abc.Callable[[int], None] = lambda _: None,
+    ) -> expression.Result[httpx.Response, store_api.StoreError]:
+        """Read an answer of any size that begins before a deadline."""
+        result = await self._connections.download(
+            *self._address, path, deadline, on_received
+        )
+        return _checked(result)
+
+
+def _checked(
+    result: expression.Result[httpx.Response, client.SendError],
+) -> expression.Result[httpx.Response, store_api.StoreError]:
+    """Turn every status but success into an error."""
+    if result.is_error():
+        return expression.Error(result.error)
+    response = result.ok
+    if response.status_code == _OK:
+        return expression.Ok(response)
+    if response.status_code == _GONE:
+        trimmed = _decoded(response, _TrimmedBody)
+        first_offset = trimmed.ok.first if trimmed.is_ok() else 0
+        return expression.Error(external_api.Trimmed(first_offset))
+    reason = f'status_{response.status_code}'
+    if response.status_code in _NOT_EXECUTED:
+        return expression.Error(external_api.Unavailable(reason))
+    return expression.Error(external_api.Refused(reason))
 
 
 _Kind = typing.TypeVar('_Kind')
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -17,6 +17,7 @@
 from dogwoodquay.observe import metrics as metrics_module
 
 if typing.TYPE_CHECKING:
+    from collections import abc
     import unittest
 
 __all__ = ['FakeStore', 'instance_settings', 'log_lines', 'make_metrics']
@@ -102,6 +103,8 @@
         offset: int,
         wait_seconds: float,
         deadline: float,
+        single: bool = False,
+        on_begin: abc.Callable[[], None] = store_api.ignore_begin,
     ) -> expression.Result[store_api.Records, store_api.StoreError]:
         """Return records from an offset on; some reads get no answer."""
         self.calls += 1
--- /dev/null
+++ b/tests/unit/platform/test_store.py
@@ -0,0 +1,133 @@
+"""Tests of the calls to the platform's store."""
+
+from __future__ import annotations
+
+import base64
+import json
+import struct
+import typing
+import unittest
+import urllib.parse
+
+import expression
+import httpx
+
+from dogwoodquay.external import api as external_api
+from dogwoodquay.external.http import client
+from dogwoodquay.gateway import settings
+from dogwoodquay.gateway import store_api
+from dogwoodquay.platform import store
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+TOPIC = store_api.Topic('keyed.any')
+ADDRESS = settings.Address('192.0.2.1', 1)
+
+
+class _Connections:
+    """Answers each download with the next response."""
+
+    def __init__(self, *responses: httpx.Response) -> None:
+        self._responses = list(responses)
+        self.queries: list[dict[str, str]] = []
+        self.deadlines: list[float] = []
+        self.time = 100.0
+
+    def now(self) -> float:
+        """Return the time, a second later after each download."""
+        return self.time
+
+    async def download(
+        self,
+        address: str,
+        port: int,
+        path: str,
+        deadline: float,
+        on_received: abc.Callable[[int], None],
+    ) -> expression.Result[httpx.Response, client.SendError]:
+        """Return the next response."""
+        self.time += 1.0
+        query = urllib.parse.urlsplit(path).query
+        self.queries.append(dict(urllib.parse.parse_qsl(query)))
+        self.deadlines.append(deadline)
+        response = self._responses.pop(0)
+        if response.is_success:
+            on_received(len(response.content))
+        return expression.Ok(response)
+
+
+def _store(connections: _Connections) -> store.PlatformStore:
+    return store.PlatformStore(
+        typing.cast('client.Connections', connections), ADDRESS
+    )
+
+
+def _log(end: int, *values: bytes) -> httpx.Response:
+    body = struct.pack('>QQ', end, 0)
+    for value in values:
+        record = b'\x01k' + value
+        body += struct.pack('>I', len(record)) + record
+    return httpx.Response(200, content=body)
+
+
+def _newest(end: int, key: str, more: bool) -> httpx.Response:
+    value = base64.b64encode(b'v').decode()
+    items = [{'Key': key, 'Value': value, 'Offset': 0}]
+    fields = {'items': items, 'HasMore': more, 'End': end}
+    return httpx.Response(200, content=json.dumps(fields).encode())
+
+
+class ReadTest(unittest.IsolatedAsyncioTestCase):
+    """Reads tell of records that they do not contain."""
+
+    async def _read(
+        self, connections: _Connections
+    ) -> expression.Result[store_api.Records, store_api.StoreError]:
+        self.begun = 0
+
+        def on_begin() -> None:
+            self.begun += 1
+
+        return await _store(connections).read(
+            TOPIC, 4, 5.0, 9.0, single=True, on_begin=on_begin
+        )
+
+    async def test_single_record(self) -> None:
+        """The end of the topic shows whether there are more records."""
+        connections = _Connections(_log(7, b'v'))
+        page = (await self._read(connections)).ok
+        self.assertEqual((store_api.NewestRecord('k', b'v'),), page.records)
+        self.assertEqual(5, page.next_offset)
+        self.assertTrue(page.incomplete)
+        self.assertEqual('1', connections.queries[0]['MaxKb'])
+        self.assertEqual(1, self.begun)
+
+    async def test_no_record(self) -> None:
+        """A poll that ends without a record does not tell of one."""
+        page = (await self._read(_Connections(_log(4)))).ok
+        self.assertFalse(page.incomplete)
+        self.assertEqual(0, self.begun)
+
+    async def test_trimmed(self) -> None:
+        """An error does not tell of a record."""
+        response = httpx.Response(410, content=b'{"First": 1234567890}')
+        error = (await self._read(_Connections(response))).error
+        self.assertEqual(external_api.Trimmed(1234567890), error)
+        self.assertEqual(0, self.begun)
+
+
+class NewestTest(unittest.IsolatedAsyncioTestCase):
+    """The newest records are read page by page."""
+
+    async def test_deadline_of_each_page(self) -> None:
+        """A page is not due before it has been asked for."""
+        connections = _Connections(
+            _newest(3, 'a', True),
+            _newest(4, 'b', True),
+            _newest(5, 'c', False),
+        )
+        page = (await _store(connections).newest(TOPIC, 101.0)).ok
+        self.assertEqual(['a', 'b', 'c'], [item.key for item in page.records])
+        self.assertEqual(3, page.next_offset)
+        self.assertEqual([101.0, 102.0, 103.0], connections.deadlines)
