Let no news of a version end a read that has begun

Cause: an instance that heard of a newer version cancelled its read of the store and began anew. It hears of it with each view of the owner, every 0.1 to 0.25 s; a configuration of 340 KB takes 0.55 s on a link of 5 Mbit/s. So no read ended, all links were full (22 to 34 MB/s in place of 4.7), and no peer could fall silent, as the instances on fast links had the version.

Change: the poll is never ended while its answer arrives. A version that peers tell of is read beside the poll, from a peer if this instance follows the owner's views, else from the store, at growing intervals. Only a poll that still waits for what has been read is ended. Of several waiting versions the last one is read.

--- /dev/null
+++ b/src/dogwoodquay/gateway/configuration_watch.py
@@ -0,0 +1,302 @@
+"""Follows the configuration in the store and at other instances."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+
+from . import copies as configuration_copies
+from ..external import api as external_api
+from ..observe import logs
+from . import reachability
+from . import versions as configuration_versions
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    import expression
+
+    from .. import clock as clocks
+    from . import metrics as gateway_metrics
+    from ..routes import api as routes_api
+    from . import store_api
+
+    _Page = expression.Result[store_api.Records, store_api.StoreError]
+
+__all__ = ['ConfigurationWatch']
+
+_LOG: typing.Final = logs.ComponentLog('configuration')
+
+# A poll's answer may be lost without an error. Peers then report the newer
+# version; without peers, this time limits the delay.
+POLL_SECONDS: typing.Final = 5.0
+CALL_TIMEOUT_SECONDS: typing.Final = 1.0
+COPY_TIMEOUT_SECONDS: typing.Final = 1.5
+# Time for the poll's own answer, which comes when the peers get theirs.
+FIRST_PAUSE_SECONDS: typing.Final = 0.3
+MAX_PAUSE_SECONDS: typing.Final = 4.0
+# The outcome of a poll that received no record; counted but not logged.
+_IDLE: typing.Final = 'idle'
+
+
+class ConfigurationWatch:
+    """Activates each higher version of the configuration.
+
+    A long poll of the store delivers new versions, or another instance
+    passes them on. A version of which a peer tells is also read beside the
+    poll. No read whose answer has begun is given up for a newer version:
+    where reads take longer than changes or views follow each other, none
+    would ever end.
+    """
+
+    def __init__(
+        self,
+        store: store_api.Store,
+        topic: store_api.Topic,
+        key: str,
+        decode: abc.Callable[
+            [bytes], expression.Result[routes_api.Configuration, str]
+        ],
+        clock: clocks.Clock,
+        metrics: gateway_metrics.GatewayMetrics,
+        copies: configuration_copies.ConfigurationCopies,
+        on_change: abc.Callable[[routes_api.Configuration], None],
+    ) -> None:
+        self._store = store
+        self._topic = topic
+        self._key = key
+        self._decode = decode
+        self._clock = clock
+        self._metrics = metrics
+        self._copies = copies
+        self._on_change = on_change
+        self._reachability = reachability.StoreReachability(
+            'configuration', clock, metrics
+        )
+        self._versions = configuration_versions.ConfigurationVersions()
+        self._offset: int | None = None
+        self._idle_poll: anyio.CancelScope | None = None
+        self._poll_arriving = False
+        self._newest_reads = 0
+        self._missing = anyio.Event()
+        self._add_gauges()
+
+    @property
+    def store_unavailable(self) -> bool:
+        """Whether the last read of the store failed."""
+        return self._reachability.unavailable
+
+    @property
+    def version(self) -> int:
+        """The active version, -1 before the first."""
+        return self._versions.active
+
+    @property
+    def versions(self) -> configuration_versions.ConfigurationVersions:
+        """The versions that are active and known."""
+        return self._versions
+
+    @property
+    def outdated(self) -> bool:
+        """Whether there is, or may be, a newer version than the active one."""
+        return (
+            self._versions.behind or self._arriving or self.store_unavailable
+        )
+
+    @property
+    def _arriving(self) -> bool:
+        """Whether a read has begun whose answer holds a version."""
+        return self._poll_arriving or self._newest_reads > 0
+
+    def on_peer_version(self, version: int) -> None:
+        """Get a version that a peer has and this instance does not."""
+        if self._versions.on_heard_of(version, self._clock.now()):
+            _LOG.write('behind', version=self.version, heard_of=version)
+        if self._versions.behind:
+            self._missing.set()
+
+    async def run(self) -> None:
+        """Follow the configuration until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._follow)
+            group.start_soon(self._catch_up)
+
+    async def step(self) -> None:
+        """Read once; after the first time, wait for a change."""
+        if self._offset is None:
+            await self._read_newest(CALL_TIMEOUT_SECONDS)
+        else:
+            await self._poll(self._offset)
+
+    async def _follow(self) -> typing.NoReturn:
+        """Read the store for as long as no peer tells of new versions.
+
+        It is read now and then in any case, so that no instance depends on
+        what others tell.
+        """
+        while True:
+            if self._offset is not None:
+                with anyio.move_on_after(POLL_SECONDS):
+                    await self._copies.wait_to_read()
+            await self.step()
+
+    async def _poll(self, offset: int) -> None:
+        began = self._clock.now()
+        self._poll_arriving = False
+        wait_seconds = 0.0 if self._copies.following else POLL_SECONDS
+        page: _Page | None = None
+        with anyio.CancelScope() as self._idle_poll:
+            page = await self._store.read(
+                self._topic,
+                offset,
+                wait_seconds,
+                began + wait_seconds + CALL_TIMEOUT_SECONDS,
+                single=True,
+                on_begin=self._on_begin,
+            )
+        self._idle_poll = None
+        if page is None:
+            self._record_read('poll', 'cancelled', 0, began)
+            return
+        self._end_read('poll', page, began)
+        self._poll_arriving = False
+        if page.is_error():
+            await self._reachability.on_failure(page.error)
+        elif page.ok.incomplete:
+            # Of several versions only the last one is of use.
+            self._offset = None
+
+    def _on_begin(self) -> None:
+        self._poll_arriving = True
+        self._idle_poll = None
+
+    async def _read_newest(self, answer_seconds: float) -> bool:
+        """Read the newest version; return whether it was activated."""
+        began = self._clock.now()
+        self._newest_reads += 1
+        try:
+            page = await self._store.newest(
+                self._topic, began + answer_seconds
+            )
+            applied = self._end_read('newest', page, began)
+        finally:
+            self._newest_reads -= 1
+        if page.is_error():
+            await self._reachability.on_failure(page.error)
+        return applied
+
+    def _end_read(self, kind: str, page: _Page, began: float) -> bool:
+        """Apply an answer; return whether a version was activated."""
+        if page.is_error():
+            reason = reachability.reason_of(page.error)
+            self._record_read(kind, reason, 0, began)
+            if isinstance(page.error, external_api.Trimmed):
+                self._offset = None
+            return False
+        self._reachability.on_answer()
+        next_offset = page.ok.next_offset
+        applied = [
+            self._activate(record.value, next_offset)
+            for record in page.ok.records
+            if record.key == self._key and record.value
+        ]
+        self._offset = max(self._offset or 0, next_offset)
+        outcome = 'applied' if any(applied) else 'unchanged'
+        if kind == 'poll' and not page.ok.records:
+            outcome = _IDLE
+        size = sum(len(record.value) for record in page.ok.records)
+        self._record_read(kind, outcome, size, began)
+        return any(applied)
+
+    async def _catch_up(self) -> typing.NoReturn:
+        """Get the versions of which peers tell."""
+        while True:
+            await self._missing.wait()
+            self._missing = anyio.Event()
+            pause = FIRST_PAUSE_SECONDS
+            if not self._copies.following:
+                await anyio.sleep(pause)
+            while self._versions.behind:
+                if self._arriving:
+                    await anyio.sleep(FIRST_PAUSE_SECONDS)
+                elif not await self._get_missing(CALL_TIMEOUT_SECONDS + pause):
+                    await anyio.sleep(pause)
+                    pause = min(2 * pause, MAX_PAUSE_SECONDS)
+
+    async def _get_missing(self, answer_seconds: float) -> bool:
+        """Get a missing version from a peer, else from the store.
+
+        :return: whether a version was activated.
+        """
+        deadline = self._clock.now() + COPY_TIMEOUT_SECONDS
+        copy = await self._copies.fetch(self.version, deadline)
+        applied = copy is not None and self._activate(
+            copy.body, copy.next_offset
+        )
+        if not applied and self._versions.behind and not self._arriving:
+            applied = await self._read_newest(answer_seconds)
+        if applied and self._idle_poll is not None:
+            # It waits for what has been read; its answer may be lost.
+            self._idle_poll.cancel()
+        return applied
+
+    def _activate(self, value: bytes, next_offset: int) -> bool:
+        """Activate a configuration if it is newer; return whether it was."""
+        decoded = self._decode(value)
+        if decoded.is_error():
+            _LOG.write('unreadable', reason=decoded.error)
+            return False
+        configuration = decoded.ok
+        version, before = configuration.version, self.version
+        if version <= before:
+            return False
+        behind_seconds = self._versions.on_active(version, self._clock.now())
+        self._on_change(configuration)
+        self._offset = max(self._offset or 0, next_offset)
+        self._copies.keep(
+            configuration_copies.ConfigurationCopy(version, value, next_offset)
+        )
+        _LOG.write(
+            'in_force',
+            version=version,
+            before=before,
+            routes=len(configuration.routes),
+        )
+        if behind_seconds is not None:
+            _LOG.write(
+                'current', version=version, seconds=round(behind_seconds, 3)
+            )
+        return True
+
+    def _record_read(
+        self, kind: str, outcome: str, size: int, began: float
+    ) -> None:
+        self._metrics.configuration_read(kind, outcome, size)
+        if outcome == _IDLE:
+            return
+        _LOG.write(
+            'read',
+            kind=kind,
+            outcome=outcome,
+            bytes=size,
+            seconds=round(self._clock.now() - began, 3),
+        )
+
+    def _add_gauges(self) -> None:
+        versions = self._versions
+        self._metrics.gauge(
+            'gateway_configuration_version',
+            'The active version of the configuration',
+            lambda: versions.active,
+        )
+        self._metrics.gauge(
+            'gateway_configuration_newest_version',
+            'The newest known version of the configuration',
+            lambda: versions.newest,
+        )
+        self._metrics.gauge(
+            'gateway_configuration_behind_seconds',
+            'How long a newer configuration is known but not active',
+            lambda: versions.behind_seconds(self._clock.now()),
+        )
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -13,12 +13,12 @@
 
 if typing.TYPE_CHECKING:
     from .. import clock as clocks
+    from . import configuration_watch
     from . import controller as controllers
     from . import copies as configuration_copies
     from ..fleet import registry as registries
     from . import ownership as order_ownership
     from . import scheduler as schedulers
-    from . import watch
 
 __all__ = ['Peering']
 
@@ -53,7 +53,9 @@
         self._copies = copies
         self._wake = anyio.Event()
         self._scheduler: schedulers.Scheduler | None = None
-        self._configuration: watch.ConfigurationWatch | None = None
+        self._configuration: configuration_watch.ConfigurationWatch | None = (
+            None
+        )
         transport.register(messages.InstanceLoad, self._handle_load)
         transport.register(messages.FindAdapter, self._handle_find)
         transport.register(messages.HandOver, self._handle_hand_over)
@@ -66,7 +68,7 @@
     def attach(
         self,
         scheduler: schedulers.Scheduler,
-        configuration: watch.ConfigurationWatch,
+        configuration: configuration_watch.ConfigurationWatch,
     ) -> None:
         """Set the source of the load and the receivers of the view."""
         self._scheduler = scheduler
--- /dev/null
+++ b/src/dogwoodquay/gateway/reachability.py
@@ -0,0 +1,73 @@
+"""Tells whether the store answers the reads of one watch."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+
+from ..external import api as external_api
+from ..observe import logs
+
+if typing.TYPE_CHECKING:
+    from .. import clock as clocks
+    from . import metrics as gateway_metrics
+    from . import store_api
+
+__all__ = ['StoreReachability', 'reason_of']
+
+_LOG: typing.Final = logs.ComponentLog('store')
+
+FIRST_BACKOFF_SECONDS: typing.Final = 0.1
+MAX_BACKOFF_SECONDS: typing.Final = 0.8
+
+
+class StoreReachability:
+    """Records whether the store answers; logs changes and backs off."""
+
+    def __init__(
+        self,
+        name: str,
+        clock: clocks.Clock,
+        metrics: gateway_metrics.GatewayMetrics,
+    ) -> None:
+        self._name = name
+        self._clock = clock
+        self._metrics = metrics
+        self._unavailable_since: float | None = None
+        self._backoff = FIRST_BACKOFF_SECONDS
+
+    @property
+    def unavailable(self) -> bool:
+        """Whether the last call failed."""
+        return self._unavailable_since is not None
+
+    def on_answer(self) -> float:
+        """Record an answer; return the seconds of the outage before."""
+        unavailable_since, self._unavailable_since = (
+            self._unavailable_since,
+            None,
+        )
+        self._backoff = FIRST_BACKOFF_SECONDS
+        if unavailable_since is None:
+            return 0.0
+        seconds = self._clock.now() - unavailable_since
+        _LOG.write('regained', watch=self._name, seconds=round(seconds, 3))
+        return seconds
+
+    async def on_failure(self, error: store_api.StoreError) -> None:
+        """Record a failed call and wait before the next one."""
+        reason = reason_of(error)
+        self._metrics.store_failed(reason)
+        if self._unavailable_since is None:
+            self._unavailable_since = self._clock.now()
+            _LOG.write('lost', watch=self._name, reason=reason)
+        await anyio.sleep(self._backoff)
+        self._backoff = min(2 * self._backoff, MAX_BACKOFF_SECONDS)
+
+
+def reason_of(error: store_api.StoreError) -> str:
+    """Return the label of an error in logs and metrics."""
+    if isinstance(error, external_api.Trimmed):
+        return type(error).__name__
+    return error.reason
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -11,6 +11,7 @@
 from .. import clock as clocks
 from . import answer as answers
 from . import app as apps
+from . import configuration_watch
 from . import controller as controllers
 from . import copies as configuration_copies
 from . import exchange as exchanges
@@ -207,13 +208,14 @@
             self._rng,
             self._peering,
         )
-        self._configuration = watch.ConfigurationWatch(
+        self._configuration = configuration_watch.ConfigurationWatch(
             store,
             adapters.configuration_topic,
             adapters.configuration_key,
             adapters.decode_configuration,
             clock,
             metrics,
+            self._copies,
             self._configure,
         )
         self._app = self._build_app(adapters)
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -11,6 +11,7 @@
 
 from dogwoodquay import clock as clocks
 from dogwoodquay.external import api as external_api
+from dogwoodquay.gateway import copies
 from dogwoodquay.gateway import metrics
 from dogwoodquay.gateway import settings
 from dogwoodquay.gateway import store_api
@@ -20,7 +21,13 @@
     from collections import abc
     import unittest
 
-__all__ = ['FakeStore', 'instance_settings', 'log_lines', 'make_metrics']
+__all__ = [
+    'FakeCopies',
+    'FakeStore',
+    'instance_settings',
+    'log_lines',
+    'make_metrics',
+]
 
 _LOST: typing.Final = external_api.Ambiguous('timeout')
 
@@ -63,6 +70,37 @@
     return lines
 
 
+class FakeCopies(copies.ConfigurationCopies):
+    """Copies of other instances: the next answer and what was kept."""
+
+    def __init__(self) -> None:
+        self.answer: copies.ConfigurationCopy | None = None
+        self.kept: list[int] = []
+        self.is_following = False
+        self.fetched = 0
+
+    @property
+    def following(self) -> bool:
+        """Whether the store is left alone."""
+        return self.is_following
+
+    async def wait_to_read(self) -> None:
+        """Wait until a test cancels it, if following."""
+        while self.is_following:
+            await anyio.sleep(0.01)
+
+    def keep(self, copy: copies.ConfigurationCopy) -> None:
+        """Record the version."""
+        self.kept.append(copy.version)
+
+    async def fetch(
+        self, newer_than: int, deadline: float
+    ) -> copies.ConfigurationCopy | None:
+        """Return the answer."""
+        self.fetched += 1
+        return self.answer
+
+
 class FakeStore:
     """A store in memory with keyed records and a group of one partition."""
 
@@ -79,6 +117,11 @@
         self.partition_owner = ''
         self.partition_moving = False
         self.unassigned_joins = 0
+        self.single_records = False
+        self.holds_polls = False
+        # Unset while records are on their way over a slow link.
+        self.transfer = anyio.Event()
+        self.transfer.set()
 
     def put(self, key: str, value: bytes) -> None:
         """Add a record."""
@@ -95,6 +138,7 @@
             return expression.Error(_LOST)
         newest = {record.key: record for record in self.records}
         kept = tuple(record for record in newest.values() if record.value)
+        await self.transfer.wait()
         return expression.Ok(store_api.Records(kept, len(self.records)))
 
     async def read(
@@ -112,12 +156,25 @@
         if self.unanswered_reads:
             self.unanswered_reads -= 1
             await anyio.sleep_forever()
+        while (
+            self.holds_polls and wait_seconds and offset >= len(self.records)
+        ):
+            await anyio.sleep(0.001)
         if self.unavailable:
             return expression.Error(_LOST)
         if offset < self.first_offset:
             return expression.Error(external_api.Trimmed(self.first_offset))
         records = tuple(self.records[offset:])
-        return expression.Ok(store_api.Records(records, len(self.records)))
+        if single and self.single_records:
+            records = records[:1]
+        if records:
+            on_begin()
+            await self.transfer.wait()
+        return expression.Ok(
+            store_api.Records(
+                records, offset + len(records), len(self.records)
+            )
+        )
 
     async def join(
         self,
--- /dev/null
+++ b/tests/unit/gateway/test_configuration_watch.py
@@ -0,0 +1,374 @@
+"""Tests of following the configuration."""
+
+from __future__ import annotations
+
+import contextlib
+import typing
+import unittest
+
+import anyio
+import expression
+
+from . import fakes
+from dogwoodquay import clock as clocks
+from dogwoodquay.gateway import configuration_watch
+from dogwoodquay.gateway import copies
+from dogwoodquay.gateway import metrics as gateway_metrics
+from dogwoodquay.gateway import store_api
+from dogwoodquay.observe import metrics
+from dogwoodquay.routes import api as routes_api
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+TOPIC = store_api.Topic('any')
+LIMITS = routes_api.CallerLimits(1, 1, 1.0, 1.0)
+
+
+def _configuration(
+    body: bytes,
+) -> expression.Result[routes_api.Configuration, str]:
+    if not body.isdigit():
+        return expression.Error('no number')
+    return expression.Ok(routes_api.Configuration(int(body), (), {}, LIMITS))
+
+
+class ConfigurationTest(unittest.IsolatedAsyncioTestCase):
+    """Only a higher version replaces the active configuration."""
+
+    def setUp(self) -> None:
+        """Create a store and a watch."""
+        self.store = fakes.FakeStore(clocks.ManualClock())
+        self.versions: list[int] = []
+        self.watch = configuration_watch.ConfigurationWatch(
+            self.store,
+            TOPIC,
+            'config',
+            _configuration,
+            self.store.clock,
+            fakes.make_metrics(),
+            fakes.FakeCopies(),
+            lambda active: self.versions.append(active.version),
+        )
+
+    async def test_higher_versions(self) -> None:
+        """Lower, equal and unreadable versions change nothing."""
+        self.store.put('config', b'4')
+        await self.watch.step()
+        for body in (b'3', b'x', b'4', b'9', b'7'):
+            self.store.put('config', body)
+        self.store.put('other', b'99')
+        await self.watch.step()
+        self.assertEqual([4, 9], self.versions)
+
+    async def test_trimmed_records(self) -> None:
+        """After trimmed records the newest record is read."""
+        self.store.put('config', b'1')
+        await self.watch.step()
+        self.store.put('config', b'2')
+        self.store.put('config', b'3')
+        self.store.first_offset = 2
+        await self.watch.step()
+        await self.watch.step()
+        self.assertEqual([1, 3], self.versions)
+
+    async def test_lost_answer(self) -> None:
+        """A peer's newer version ends a poll whose answer is lost."""
+        self.store.put('config', b'95')
+        self.store.unanswered_reads = 1
+        with anyio.fail_after(10.0):
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.watch.run)
+                while self.store.unanswered_reads:
+                    await anyio.sleep(0.01)
+                self.store.put('config', b'97')
+                self.watch.on_peer_version(95)
+                await anyio.sleep(0.05)
+                self.assertEqual([95], self.versions)
+                self.watch.on_peer_version(97)
+                while len(self.versions) < 2:
+                    await anyio.sleep(0.01)
+                group.cancel_scope.cancel()
+        self.assertEqual([95, 97], self.versions)
+
+    async def test_read_slower_than_views(self) -> None:
+        """A read ends although views of the owner name a newer version."""
+        self.store.put('config', b'4')
+        await self.watch.step()
+        self.store.put('config', b'9')
+        self.store.first_offset = 2
+        self.store.newest_seconds = 0.2
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.watch.run)
+            for _ in range(40):
+                await anyio.sleep(0.05)
+                self.watch.on_peer_version(9)
+            group.cancel_scope.cancel()
+        self.assertEqual([4, 9], self.versions)
+
+    async def test_store_unavailable(self) -> None:
+        """The active configuration stays active."""
+        self.store.put('config', b'1')
+        await self.watch.step()
+        self.store.unavailable = True
+        await self.watch.step()
+        self.assertTrue(self.watch.store_unavailable)
+        self.store.unavailable = False
+        self.store.put('config', b'2')
+        await self.watch.step()
+        self.assertFalse(self.watch.store_unavailable)
+        self.assertEqual([1, 2], self.versions)
+
+
+class ConfigurationLogTest(unittest.IsolatedAsyncioTestCase):
+    """Logs and metrics tell of reads and of missing versions."""
+
+    def setUp(self) -> None:
+        """Create a store and a watch, and collect the log lines."""
+        self.lines = fakes.log_lines(self)
+        self.clock = clocks.ManualClock()
+        self.store = fakes.FakeStore(self.clock)
+        self.page = metrics.Registry('i1')
+        self.watch = configuration_watch.ConfigurationWatch(
+            self.store,
+            TOPIC,
+            'config',
+            _configuration,
+            self.clock,
+            gateway_metrics.GatewayMetrics(self.page),
+            fakes.FakeCopies(),
+            lambda active: None,
+        )
+
+    def _logged(
+        self, event: str, *fields: str
+    ) -> list[tuple[typing.Any, ...]]:
+        return [
+            tuple(line[name] for name in fields)
+            for line in self.lines
+            if line['message_type'] == f'configuration:{event}'
+        ]
+
+    def _reads(self) -> list[tuple[typing.Any, ...]]:
+        return self._logged('read', 'kind', 'outcome', 'bytes', 'seconds')
+
+    def _metric(self, name: str) -> list[str]:
+        """Return the lines of a metric without its instance label."""
+        page = self.page.render().body.decode()
+        return [
+            line.removeprefix(name).replace('instance="i1"', '')
+            for line in page.splitlines()
+            if line.startswith(name + '{')
+        ]
+
+    async def test_reads(self) -> None:
+        """Each read tells its outcome and size, other than idle polls."""
+        await self.watch.step()
+        self.store.put('config', b'12')
+        self.store.put('other', b'345')
+        await self.watch.step()
+        await self.watch.step()
+        self.store.put('config', b'11')
+        await self.watch.step()
+        self.store.unavailable = True
+        await self.watch.step()
+        self.assertEqual(
+            [
+                ('newest', 'unchanged', 0, 0.0),
+                ('poll', 'applied', 5, 0.0),
+                ('poll', 'unchanged', 2, 0.0),
+                ('poll', 'timeout', 0, 0.0),
+            ],
+            self._reads(),
+        )
+        reads = self._metric('gateway_configuration_reads_total')
+        self.assertEqual(5, len(reads))
+        self.assertIn('{,kind="poll",outcome="idle"} 1', reads)
+        size = self._metric('gateway_configuration_read_bytes_total')
+        self.assertEqual(['{} 7'], size)
+
+    async def test_trimmed_records(self) -> None:
+        """Trimmed records are a reason of their own."""
+        await self.watch.step()
+        self.store.put('config', b'1')
+        self.store.first_offset = 1
+        await self.watch.step()
+        await self.watch.step()
+        outcomes = self._logged('read', 'kind', 'outcome')
+        self.assertEqual(
+            [
+                ('newest', 'unchanged'),
+                ('poll', 'Trimmed'),
+                ('newest', 'applied'),
+            ],
+            outcomes,
+        )
+
+    async def test_cancelled_read(self) -> None:
+        """A poll that has become needless tells its duration."""
+        self.store.put('config', b'16')
+        self.store.unanswered_reads = 1
+        with anyio.fail_after(10.0):
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.watch.run)
+                while self.store.unanswered_reads:
+                    await anyio.sleep(0.01)
+                self.clock.advance(0.25)
+                self.store.put('config', b'19')
+                self.watch.on_peer_version(19)
+                while self.watch.version < 19:
+                    await anyio.sleep(0.01)
+                group.cancel_scope.cancel()
+        self.assertEqual(
+            [
+                ('newest', 'applied', 2, 0.0),
+                ('newest', 'applied', 2, 0.0),
+                ('poll', 'cancelled', 0, 0.25),
+            ],
+            self._reads()[:3],
+        )
+
+    async def test_behind(self) -> None:
+        """One line for each newer version, one when none is missing."""
+        self.store.put('config', b'16')
+        await self.watch.step()
+        for version in (16, 19, 19, 23, 19, 23):
+            self.watch.on_peer_version(version)
+            self.clock.advance(0.5)
+        self.assertEqual(
+            [(16, 19), (16, 23)],
+            self._logged('behind', 'version', 'heard_of'),
+        )
+        self.assertEqual([], self._logged('current'))
+        for name, value in (
+            ('version', '16'),
+            ('newest_version', '23'),
+            ('behind_seconds', '2.5'),
+        ):
+            name = f'gateway_configuration_{name}'
+            self.assertEqual([f'{{}} {value}'], self._metric(name))
+        self.store.put('config', b'19')
+        await self.watch.step()
+        self.assertEqual([], self._logged('current'))
+        self.store.put('config', b'23')
+        await self.watch.step()
+        self.assertEqual(
+            [(23, 2.5)], self._logged('current', 'version', 'seconds')
+        )
+        name = 'gateway_configuration_behind_seconds'
+        self.assertEqual(['{} 0.0'], self._metric(name))
+
+
+class MissingVersionTest(unittest.IsolatedAsyncioTestCase):
+    """Versions of which peers tell come into force, whatever the link."""
+
+    def setUp(self) -> None:
+        """Create a store with a version, and a watch."""
+        self.store = fakes.FakeStore(clocks.ManualClock())
+        self.store.holds_polls = True
+        self.store.put('config', b'16')
+        self.copies = fakes.FakeCopies()
+        self.watch = configuration_watch.ConfigurationWatch(
+            self.store,
+            TOPIC,
+            'config',
+            _configuration,
+            self.store.clock,
+            fakes.make_metrics(),
+            self.copies,
+            lambda active: None,
+        )
+
+    @contextlib.asynccontextmanager
+    async def _running(self) -> abc.AsyncIterator[None]:
+        with anyio.fail_after(20.0):
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.watch.run)
+                await self._wait_for(16)
+                yield
+                group.cancel_scope.cancel()
+
+    async def _wait_for(self, version: int) -> None:
+        while self.watch.version < version:
+            await anyio.sleep(0.001)
+
+    async def test_read_longer_than_the_interval_of_views(self) -> None:
+        """A read that has begun is not begun anew by what peers tell."""
+        async with self._running():
+            self.store.transfer = anyio.Event()
+            self.store.put('config', b'19')
+            while not self.watch.outdated:
+                await anyio.sleep(0.001)
+            calls = self.store.calls
+            self.store.put('config', b'23')
+            for version in (19, 19, 23, 23, 23):
+                self.watch.on_peer_version(version)
+                await anyio.sleep(0.1)
+            self.assertEqual(
+                (16, calls), (self.watch.version, self.store.calls)
+            )
+            self.store.transfer.set()
+            await self._wait_for(23)
+        self.assertEqual([16, 19, 23], self.copies.kept)
+
+    async def test_version_passed_on(self) -> None:
+        """Who follows the owner's views gets a version without the store."""
+        async with self._running():
+            self.copies.is_following = True
+            await self._end_poll()
+            calls = self.store.calls
+            self.copies.answer = copies.ConfigurationCopy(19, b'19', 2)
+            self.watch.on_peer_version(19)
+            await self._wait_for(19)
+            self.assertEqual(calls, self.store.calls)
+        self.assertFalse(self.watch.outdated)
+
+    async def test_holder_lost(self) -> None:
+        """Without a copy from a peer the store is read."""
+        async with self._running():
+            self.copies.is_following = True
+            await self._end_poll()
+            self.store.put('config', b'19')
+            self.watch.on_peer_version(19)
+            await self._wait_for(19)
+        self.assertEqual(1, self.copies.fetched)
+
+    async def test_unreadable_copy(self) -> None:
+        """A copy that cannot be decoded counts as none."""
+        async with self._running():
+            self.copies.is_following = True
+            await self._end_poll()
+            self.copies.answer = copies.ConfigurationCopy(19, b'x', 9)
+            self.store.put('config', b'19')
+            self.watch.on_peer_version(19)
+            await self._wait_for(19)
+
+    async def test_several_versions_waiting(self) -> None:
+        """Of several versions only the first and the last are read."""
+        self.store.single_records = True
+        async with self._running():
+            self.store.transfer = anyio.Event()
+            for version in range(17, 60):
+                self.store.put('config', str(version).encode())
+            calls = self.store.calls
+            self.store.transfer.set()
+            await self._wait_for(59)
+        self.assertEqual([16, 17, 59], self.copies.kept)
+        self.assertLessEqual(self.store.calls, calls + 3)
+
+    async def test_stale_answers_of_the_store(self) -> None:
+        """A store that lags is asked at growing intervals."""
+        async with self._running():
+            calls = self.store.calls
+            self.watch.on_peer_version(19)
+            await anyio.sleep(1.0)
+            self.assertTrue(self.watch.outdated)
+            self.assertLessEqual(self.store.calls, calls + 3)
+            self.store.put('config', b'19')
+            await self._wait_for(19)
+        self.assertFalse(self.watch.outdated)
+
+    async def _end_poll(self) -> None:
+        """End the poll in flight, after which the store is left alone."""
+        self.store.put('other', b'')
+        await anyio.sleep(0.05)
--- a/tests/unit/gateway/test_peering.py
+++ b/tests/unit/gateway/test_peering.py
@@ -12,13 +12,13 @@
 from . import fakes
 from dogwoodquay import clock as clocks
 from dogwoodquay.fleet import registry as registries
+from dogwoodquay.gateway import configuration_watch
 from dogwoodquay.gateway import controller
 from dogwoodquay.gateway import copies
 from dogwoodquay.gateway import ownership as order_ownership
 from dogwoodquay.gateway import peering
 from dogwoodquay.gateway import readers
 from dogwoodquay.gateway import scheduler as schedulers
-from dogwoodquay.gateway import watch
 from dogwoodquay.wire import api as wire_api
 
 _Handlers = dict[type, wire_api.Handler]
@@ -145,7 +145,7 @@
 
     def attach(self, version: int) -> None:
         """Attach a watch of the configuration with a version in force."""
-        configuration = mock.Mock(spec=watch.ConfigurationWatch)
+        configuration = mock.Mock(spec=configuration_watch.ConfigurationWatch)
         configuration.version = version
         self.peering.attach(self.scheduler, configuration)
 
