Refuse for now what a newer configuration may allow

Callers got a final 404 (DENIED) for declared routes from instances that had heard of a newer version and did not have it yet; callers do not retry after 404.

Cause: the route table in force was taken for the truth, whatever else the instance knew. The same holds for its limits on headers and bodies (431, 413).

Change: while a newer version is known, on its way, or the store does not answer, these refusals are 503 with Retry-After and the reason configuration_outdated. Malformed requests are still refused for good. Headers that are too large have a reason of their own.

--- a/src/dogwoodquay/gateway/api.py
+++ b/src/dogwoodquay/gateway/api.py
@@ -112,7 +112,9 @@
     """Why this instance refuses a request."""
 
     BAD_REQUEST = 'bad_request'
+    HEADERS_TOO_LARGE = 'headers_too_large'
     BODY_TOO_LARGE = 'body_too_large'
+    CONFIGURATION_OUTDATED = 'configuration_outdated'
     NO_CONFIGURATION = 'no_configuration'
     NO_ROUTE = 'no_route'
     REQUEST_TIMEOUT = 'request_timeout'
--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -15,7 +15,6 @@
 from ..routes import table
 
 if typing.TYPE_CHECKING:
-    from collections import abc
     import random
 
     from .. import clock as clocks
@@ -23,7 +22,7 @@
     from ..routes import api as routes_api
     from . import versions as configuration_versions
 
-__all__ = ['GatewayApp']
+__all__ = ['ConfigurationFreshness', 'GatewayApp']
 
 _LOG: typing.Final = logs.ComponentLog('request')
 
@@ -32,6 +31,8 @@
 _GATEWAY_TIMEOUT: typing.Final = 504
 # Time to retry before the first configuration is read.
 STARTING_RETRY_AFTER_SECONDS: typing.Final = 0.3
+# The same while a newer configuration is on its way.
+OUTDATED_RETRY_AFTER_SECONDS: typing.Final = 0.5
 # The same while the store is unavailable, which lasts for seconds.
 STORE_UNAVAILABLE_RETRY_AFTER_SECONDS: typing.Final = 2.5
 
@@ -40,6 +41,30 @@
     api.RefusalReason.STOPPING, _UNAVAILABLE, api.OTHER_INSTANCE_RETRY_SECONDS
 )
 _NO_ROUTE = api.Refusal(api.RefusalReason.NO_ROUTE, _NOT_FOUND)
+# Refusals by routes and limits, which a newer configuration may change.
+_FINAL: typing.Final = frozenset(
+    {
+        api.RefusalReason.NO_ROUTE,
+        api.RefusalReason.HEADERS_TOO_LARGE,
+        api.RefusalReason.BODY_TOO_LARGE,
+    }
+)
+
+
+class ConfigurationFreshness(typing.Protocol):
+    """What is known of versions newer than the active one."""
+
+    @property
+    def outdated(self) -> bool:
+        """Whether there is, or may be, a newer version."""
+
+    @property
+    def store_unavailable(self) -> bool:
+        """Whether the store does not answer, so that versions are delayed."""
+
+    @property
+    def versions(self) -> configuration_versions.ConfigurationVersions:
+        """The versions that are active and known."""
 
 
 class GatewayApp:
@@ -52,17 +77,10 @@
         clock: clocks.Clock,
         rng: random.Random,
         metrics: gateway_metrics.GatewayMetrics,
-        versions: configuration_versions.ConfigurationVersions,
-        store_unavailable: abc.Callable[[], bool] = lambda: False,
+        freshness: ConfigurationFreshness,
     ) -> None:
-        """Create the application.
-
-        :param versions: the known versions of the configuration.
-        :param store_unavailable: whether the store does not answer, so that
-            the first configuration is delayed.
-        """
-        self._versions = versions
-        self._store_unavailable = store_unavailable
+        """Create the application."""
+        self._freshness = freshness
         self._forwarder = forwarder
         self._context = answers.AnswerContext(codec, clock, metrics)
         self._clock = clock
@@ -132,7 +150,7 @@
             await answer.refuse(refusal or self._refuse_starting(), close=True)
             return
         if refusal is not None:
-            await answer.refuse(refusal, close=True)
+            await answer.refuse(self._by_configuration(refusal), close=True)
             return
         limits = routes.configuration.limits
         body = await reading.read_body(request, limits)
@@ -140,12 +158,12 @@
             self._context.metrics.caller_gone()
             return
         if isinstance(body, api.Refusal):
-            await answer.refuse(body, close=True)
+            await answer.refuse(self._by_configuration(body), close=True)
             return
         host = request.header(b'host').rpartition(':')
         route = routes.match(host[0] or host[2], request.path)
         if route is None:
-            await answer.refuse(self._refuse_no_route(routes))
+            await answer.refuse(self._by_configuration(_NO_ROUTE))
             return
         if self._draining and route.streaming:
             await answer.refuse(_STOPPING, close=True)
@@ -200,21 +218,33 @@
 
     def _refuse_starting(self) -> api.Refusal:
         """Return the refusal before the first configuration."""
-        pause = STARTING_RETRY_AFTER_SECONDS
-        if self._store_unavailable():
-            pause = STORE_UNAVAILABLE_RETRY_AFTER_SECONDS
-        pause *= self._rng.uniform(0.75, 1.25)
         return api.Refusal(
-            api.RefusalReason.NO_CONFIGURATION, _UNAVAILABLE, pause
+            api.RefusalReason.NO_CONFIGURATION,
+            _UNAVAILABLE,
+            self._retry_after(STARTING_RETRY_AFTER_SECONDS),
+        )
+
+    def _by_configuration(self, refusal: api.Refusal) -> api.Refusal:
+        """Return a final refusal, or a temporary one if it may be wrong.
+
+        A newer configuration may allow what the active one does not.
+        """
+        if refusal.reason not in _FINAL or not self._freshness.outdated:
+            return refusal
+        versions = self._freshness.versions
+        return api.Refusal(
+            api.RefusalReason.CONFIGURATION_OUTDATED,
+            _UNAVAILABLE,
+            self._retry_after(OUTDATED_RETRY_AFTER_SECONDS),
+            f'{refusal.reason.value}, '
+            f'version {versions.active} of {versions.newest}',
         )
 
-    def _refuse_no_route(self, routes: table.RouteTable) -> api.Refusal:
-        """Return the refusal; it tells of a newer version, if any."""
-        version = routes.configuration.version
-        newest = self._versions.newest
-        if version >= newest:
-            return _NO_ROUTE
-        return _NO_ROUTE._replace(detail=f'version {version} of {newest}')
+    def _retry_after(self, seconds: float) -> float:
+        """Vary a delay, which is longer while the store is unavailable."""
+        if self._freshness.store_unavailable:
+            seconds = STORE_UNAVAILABLE_RETRY_AFTER_SECONDS
+        return seconds * self._rng.uniform(0.75, 1.25)
 
     def _end_timed_out(self, answer: answers.Answer) -> forwarders.Result:
         if answer.started:
--- a/src/dogwoodquay/gateway/reading.py
+++ b/src/dogwoodquay/gateway/reading.py
@@ -38,7 +38,7 @@
     limits = routes.configuration.limits
     if request.header_bytes > limits.max_header_bytes:
         return api.Refusal(
-            api.RefusalReason.BAD_REQUEST, _HEADERS_TOO_LARGE, 0.0, 'headers'
+            api.RefusalReason.HEADERS_TOO_LARGE, _HEADERS_TOO_LARGE
         )
     length = request.header(b'content-length')
     if length and int(length) > limits.max_body_bytes:
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -255,8 +255,7 @@
             self._clock,
             self._rng,
             self._metrics,
-            self._configuration.versions,
-            lambda: self._configuration.store_unavailable,
+            self._configuration,
         )
 
     def _configure(self, configuration: routes_api.Configuration) -> None:
