Ask an unavailable store again at once, also as a follower

Cause: an instance that follows the owner's views left the store alone for 5 s after a failed read, so that for as long it took a store that answers again for unavailable and refused unknown routes with 503. Change: it waits only while the store answers. Result: test_store_available_again failed before and passes.

--- a/src/dogwoodquay/gateway/configuration_watch.py
+++ b/src/dogwoodquay/gateway/configuration_watch.py
@@ -136,7 +136,7 @@
         what others tell.
         """
         while True:
-            if self._offset is not None:
+            if self._offset is not None and not self.store_unavailable:
                 with anyio.move_on_after(POLL_SECONDS):
                     await self._copies.wait_to_read()
             await self.step()
--- a/tests/unit/gateway/test_configuration_watch.py
+++ b/tests/unit/gateway/test_configuration_watch.py
@@ -356,6 +356,18 @@
         self.assertEqual([16, 17, 59], self.copies.kept)
         self.assertLessEqual(self.store.calls, calls + 3)
 
+    async def test_store_available_again(self) -> None:
+        """Who follows views notices soon that the store answers again."""
+        async with self._running():
+            self.copies.is_following = True
+            self.store.unavailable = True
+            await self._end_poll()
+            self.assertTrue(self.watch.outdated)
+            self.store.unavailable = False
+            with anyio.fail_after(configuration_watch.POLL_SECONDS - 1.0):
+                while self.watch.outdated:
+                    await anyio.sleep(0.01)
+
     async def test_stale_answers_of_the_store(self) -> None:
         """A store that lags is asked at growing intervals."""
         async with self._running():
