--- a/src/dogwoodquay/external/http/progress.py
+++ b/src/dogwoodquay/external/http/progress.py
@@ -16,7 +16,7 @@
 # A body of any size may be received as long as it arrives without a longer
 # pause and at this mean rate, far below that of the slowest links.
 MAX_PAUSE_SECONDS: typing.Final = 1.0
-MIN_BYTES_PER_SECOND: typing.Final = 32 << 10
+MIN_BYTES_PER_SECOND: typing.Final = 4 << 10
 
 
 async def read(
--- a/src/dogwoodquay/gateway/configuration_watch.py
+++ b/src/dogwoodquay/gateway/configuration_watch.py
@@ -31,11 +31,15 @@
 # A poll's answer may be lost without an error. Peers then report the newer
 # version; without peers, this time limits the delay.
 POLL_SECONDS: typing.Final = 5.0
-CALL_TIMEOUT_SECONDS: typing.Final = 1.0
-COPY_TIMEOUT_SECONDS: typing.Final = 1.5
+# The longest time for an answer to begin.
+MAX_ANSWER_SECONDS: typing.Final = 8.0
 # Time for the poll's own answer, which comes when the peers get theirs.
+OWN_ANSWER_SECONDS: typing.Final = 0.3
+# Pauses between attempts to get a version that a peer has.
 FIRST_PAUSE_SECONDS: typing.Final = 0.3
 MAX_PAUSE_SECONDS: typing.Final = 4.0
+# The same where the newest version has a form that this build cannot read.
+UNREADABLE_PAUSE_SECONDS: typing.Final = 30.0
 # The outcome of a poll that received no record; counted but not logged.
 _IDLE: typing.Final = 'idle'
 
@@ -72,13 +76,14 @@
         self._copies = copies
         self._on_change = on_change
         self._reachability = reachability.StoreReachability(
-            'configuration', clock, metrics
+            'configuration', clock, metrics, MAX_ANSWER_SECONDS
         )
         self._versions = configuration_versions.ConfigurationVersions()
         self._offset: int | None = None
         self._idle_poll: anyio.CancelScope | None = None
         self._poll_arriving = False
         self._newest_reads = 0
+        self._unreadable = False
         self._missing = anyio.Event()
         self._add_gauges()
 
@@ -125,7 +130,7 @@
     async def step(self) -> None:
         """Read once; after the first time, wait for a change."""
         if self._offset is None:
-            await self._read_newest(CALL_TIMEOUT_SECONDS)
+            await self._read_newest()
         else:
             await self._poll(self._offset)
 
@@ -139,31 +144,35 @@
             if self._offset is not None and not self.store_unavailable:
                 with anyio.move_on_after(POLL_SECONDS):
                     await self._copies.wait_to_read()
+                if self._copies.following and self._versions.behind:
+                    # The version is on its way otherwise.
+                    continue
             await self.step()
 
     async def _poll(self, offset: int) -> None:
         began = self._clock.now()
-        self._poll_arriving = False
         wait_seconds = 0.0 if self._copies.following else POLL_SECONDS
         page: _Page | None = None
-        with anyio.CancelScope() as self._idle_poll:
-            page = await self._store.read(
-                self._topic,
-                offset,
-                wait_seconds,
-                began + wait_seconds + CALL_TIMEOUT_SECONDS,
-                single=True,
-                on_begin=self._on_begin,
-            )
-        self._idle_poll = None
+        try:
+            with anyio.CancelScope() as self._idle_poll:
+                page = await self._store.read(
+                    self._topic,
+                    offset,
+                    wait_seconds,
+                    began + wait_seconds + self._reachability.answer_seconds,
+                    single=True,
+                    on_begin=self._on_begin,
+                )
+            if page is not None:
+                self._end_read('poll', page, began)
+        finally:
+            self._idle_poll = None
+            self._poll_arriving = False
         if page is None:
             self._record_read('poll', 'cancelled', 0, began)
-            return
-        self._end_read('poll', page, began)
-        self._poll_arriving = False
-        if page.is_error():
+        elif page.is_error():
             await self._reachability.on_failure(page.error)
-        elif page.ok.incomplete:
+        elif page.ok.incomplete and self._offset == page.ok.next_offset:
             # Of several versions only the last one is of use.
             self._offset = None
 
@@ -171,13 +180,13 @@
         self._poll_arriving = True
         self._idle_poll = None
 
-    async def _read_newest(self, answer_seconds: float) -> bool:
+    async def _read_newest(self) -> bool:
         """Read the newest version; return whether it was activated."""
         began = self._clock.now()
         self._newest_reads += 1
         try:
             page = await self._store.newest(
-                self._topic, began + answer_seconds
+                self._topic, began + self._reachability.answer_seconds
             )
             applied = self._end_read('newest', page, began)
         finally:
@@ -216,26 +225,27 @@
             self._missing = anyio.Event()
             pause = FIRST_PAUSE_SECONDS
             if not self._copies.following:
-                await anyio.sleep(pause)
+                await anyio.sleep(OWN_ANSWER_SECONDS)
             while self._versions.behind:
                 if self._arriving:
                     await anyio.sleep(FIRST_PAUSE_SECONDS)
-                elif not await self._get_missing(CALL_TIMEOUT_SECONDS + pause):
-                    await anyio.sleep(pause)
+                elif not await self._get_missing():
+                    if self._unreadable:
+                        pause = UNREADABLE_PAUSE_SECONDS
+                    await self._copies.wait_for_holder(pause)
                     pause = min(2 * pause, MAX_PAUSE_SECONDS)
 
-    async def _get_missing(self, answer_seconds: float) -> bool:
+    async def _get_missing(self) -> bool:
         """Get a missing version from a peer, else from the store.
 
         :return: whether a version was activated.
         """
-        deadline = self._clock.now() + COPY_TIMEOUT_SECONDS
-        copy = await self._copies.fetch(self.version, deadline)
+        copy = await self._copies.fetch(self.version)
         applied = copy is not None and self._activate(
             copy.body, copy.next_offset
         )
         if not applied and self._versions.behind and not self._arriving:
-            applied = await self._read_newest(answer_seconds)
+            applied = await self._read_newest()
         if applied and self._idle_poll is not None:
             # It waits for what has been read; its answer may be lost.
             self._idle_poll.cancel()
@@ -245,14 +255,16 @@
         """Activate a configuration if it is newer; return whether it was."""
         decoded = self._decode(value)
         if decoded.is_error():
+            self._unreadable = True
             _LOG.write('unreadable', reason=decoded.error)
             return False
+        self._unreadable = False
         configuration = decoded.ok
         version, before = configuration.version, self.version
         if version <= before:
             return False
-        behind_seconds = self._versions.on_active(version, self._clock.now())
         self._on_change(configuration)
+        behind_seconds = self._versions.on_active(version, self._clock.now())
         self._offset = max(self._offset or 0, next_offset)
         self._copies.keep(
             configuration_copies.ConfigurationCopy(version, value, next_offset)
--- a/src/dogwoodquay/gateway/copies.py
+++ b/src/dogwoodquay/gateway/copies.py
@@ -21,10 +21,18 @@
 
 # An instance follows the owner's views until the last one is older.
 FOLLOW_SECONDS: typing.Final = 1.0
-MAX_BODY_BYTES: typing.Final = 64 * 1024 * 1024
+# Larger configurations are read from the store by each instance: on a slow
+# link a copy of them takes longer than an instance can wait for it.
+MAX_BODY_BYTES: typing.Final = 2 * 1024 * 1024
 # A frame of the peer protocol has at most 1 MiB.
 MAX_COMPRESSED_BYTES: typing.Final = 960 * 1024
 COMPRESSION_LEVEL: typing.Final = 1
+# How long a follower waits for a holder.
+HOLDER_WAIT_SECONDS: typing.Final = 1.5
+# How long a holder's answer may take, and the bytes of a body that it may
+# take a second longer for.
+ANSWER_SECONDS: typing.Final = 0.7
+BODY_BYTES_PER_SECOND: typing.Final = 1536 * 1024
 
 _NOTHING_NEWER: typing.Final = messages.ConfigurationBody(-1, 0, b'')
 
@@ -54,12 +62,16 @@
         self._holder = ''
         self._view_changed = anyio.Event()
         self._kept: ConfigurationCopy | None = None
+        self._body_bytes = 0
         self._answer = _NOTHING_NEWER
 
     @property
     def following(self) -> bool:
         """Whether the owner's views replace reads of the store."""
-        return self._clock.now() < self._followed_until
+        return (
+            self._clock.now() < self._followed_until
+            and self._body_bytes <= MAX_BODY_BYTES
+        )
 
     def on_view(self, reads_store: bool, holder: str) -> None:
         """Apply a view of the owner.
@@ -91,22 +103,32 @@
     def keep(self, copy: ConfigurationCopy) -> None:
         """Keep the configuration in force for other instances."""
         self._kept = copy
+        self._body_bytes = len(copy.body)
         self._answer = _NOTHING_NEWER
 
-    async def fetch(
-        self, newer_than: int, deadline: float
-    ) -> ConfigurationCopy | None:
+    async def wait_for_holder(self, seconds: float) -> None:
+        """Wait for a time, at most until a view names a holder."""
+        until = self._clock.now() + seconds
+        while not self._holder and self._clock.now() < until:
+            await self._wait_for_view(until)
+
+    async def fetch(self, newer_than: int) -> ConfigurationCopy | None:
         """Ask the holder for a newer version; ``None`` if that fails.
 
         A follower waits until a holder has time for it.
         """
+        if self._body_bytes > MAX_BODY_BYTES:
+            return None
+        wait_until = self._clock.now() + HOLDER_WAIT_SECONDS
         while (
             not self._holder
             and self.following
-            and self._clock.now() < deadline
+            and self._clock.now() < wait_until
         ):
-            await self._wait_for_view(min(deadline, self._followed_until))
+            await self._wait_for_view(min(wait_until, self._followed_until))
         holder = self._holder
+        transfer_seconds = self._body_bytes / BODY_BYTES_PER_SECOND
+        deadline = self._clock.now() + ANSWER_SECONDS + transfer_seconds
         address = members.member_address(holder)
         if address is None:
             return None
@@ -161,9 +183,11 @@
 
 
 def _pack(copy: ConfigurationCopy) -> messages.ConfigurationBody:
-    compressed = zlib.compress(copy.body, COMPRESSION_LEVEL)
-    if len(compressed) > MAX_COMPRESSED_BYTES:
-        _LOG.write('too_large', version=copy.version, bytes=len(compressed))
+    compressed = b''
+    if len(copy.body) <= MAX_BODY_BYTES:
+        compressed = zlib.compress(copy.body, COMPRESSION_LEVEL)
+    if not 0 < len(compressed) <= MAX_COMPRESSED_BYTES:
+        _LOG.write('too_large', version=copy.version, bytes=len(copy.body))
         return _NOTHING_NEWER
     return messages.ConfigurationBody(
         copy.version, copy.next_offset, compressed
--- a/src/dogwoodquay/gateway/reachability.py
+++ b/src/dogwoodquay/gateway/reachability.py
@@ -20,6 +20,9 @@
 
 FIRST_BACKOFF_SECONDS: typing.Final = 0.1
 MAX_BACKOFF_SECONDS: typing.Final = 0.8
+# Time for an answer to begin, doubled after each failure up to a limit, so
+# that a slow store is not asked again before it can answer.
+FIRST_ANSWER_SECONDS: typing.Final = 1.0
 
 
 class StoreReachability:
@@ -30,7 +33,10 @@
         name: str,
         clock: clocks.Clock,
         metrics: gateway_metrics.GatewayMetrics,
+        max_answer_seconds: float,
     ) -> None:
+        self._max_answer_seconds = max_answer_seconds
+        self._answer_seconds = FIRST_ANSWER_SECONDS
         self._name = name
         self._clock = clock
         self._metrics = metrics
@@ -42,6 +48,11 @@
         """Whether the last call failed."""
         return self._unavailable_since is not None
 
+    @property
+    def answer_seconds(self) -> float:
+        """How long the next answer may take to begin."""
+        return self._answer_seconds
+
     def on_answer(self) -> float:
         """Record an answer; return the seconds of the outage before."""
         unavailable_since, self._unavailable_since = (
@@ -49,6 +60,7 @@
             None,
         )
         self._backoff = FIRST_BACKOFF_SECONDS
+        self._answer_seconds = FIRST_ANSWER_SECONDS
         if unavailable_since is None:
             return 0.0
         seconds = self._clock.now() - unavailable_since
@@ -62,6 +74,9 @@
         if self._unavailable_since is None:
             self._unavailable_since = self._clock.now()
             _LOG.write('lost', watch=self._name, reason=reason)
+        self._answer_seconds = min(
+            2 * self._answer_seconds, self._max_answer_seconds
+        )
         await anyio.sleep(self._backoff)
         self._backoff = min(2 * self._backoff, MAX_BACKOFF_SECONDS)
 
--- a/src/dogwoodquay/gateway/watch.py
+++ b/src/dogwoodquay/gateway/watch.py
@@ -25,7 +25,8 @@
 
 _SERVERS_LOG: typing.Final = logs.ComponentLog('servers')
 
-CALL_TIMEOUT_SECONDS: typing.Final = 1.0
+# The longest time for an answer to begin, within the time to drain.
+MAX_ANSWER_SECONDS: typing.Final = 2.0
 # Entries of servers do not expire in shorter outages.
 MIN_OUTAGE_SECONDS: typing.Final = 1.0
 # The least time between log lines about unreadable entries.
@@ -56,7 +57,7 @@
         self._clock = clock
         self._on_change = on_change
         self._reachability = reachability.StoreReachability(
-            'servers', clock, metrics
+            'servers', clock, metrics, MAX_ANSWER_SECONDS
         )
         self._offset: int | None = None
         self._read_at = float('-inf')
@@ -81,7 +82,7 @@
         :return: whether there are further changes already.
         """
         began = self._clock.now()
-        deadline = began + CALL_TIMEOUT_SECONDS
+        deadline = began + self._reachability.answer_seconds
         is_full_read = self._offset is None
         if self._offset is None:
             page = await self._store.newest(self._topic, deadline)
@@ -101,14 +102,18 @@
             self._replace(page.ok.records, now)
         else:
             self._update(page.ok.records, now)
-        for server_id in self._registry.expire(now):
-            _SERVERS_LOG.write('removed', server=server_id, lapsed=True)
+        if not page.ok.incomplete:
+            self._expire(now)
         self._offset = page.ok.next_offset
         self._read_at = began
         if page.ok.records:
             self._on_change()
         return page.ok.incomplete and bool(page.ok.records)
 
+    def _expire(self, now: float) -> None:
+        for server_id in self._registry.expire(now):
+            _SERVERS_LOG.write('removed', server=server_id, lapsed=True)
+
     def _replace(
         self, records: tuple[store_api.NewestRecord, ...], now: float
     ) -> None:
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -78,6 +78,8 @@
         self.kept: list[int] = []
         self.is_following = False
         self.fetched = 0
+        self.fetchable = anyio.Event()
+        self.fetchable.set()
 
     @property
     def following(self) -> bool:
@@ -93,11 +95,14 @@
         """Record the version."""
         self.kept.append(copy.version)
 
-    async def fetch(
-        self, newer_than: int, deadline: float
-    ) -> copies.ConfigurationCopy | None:
-        """Return the answer."""
+    async def wait_for_holder(self, seconds: float) -> None:
+        """Wait."""
+        await anyio.sleep(seconds)
+
+    async def fetch(self, newer_than: int) -> copies.ConfigurationCopy | None:
+        """Return the answer once it is on hand."""
         self.fetched += 1
+        await self.fetchable.wait()
         return self.answer
 
 
@@ -119,6 +124,8 @@
         self.unassigned_joins = 0
         self.single_records = False
         self.holds_polls = False
+        self.begins_cancelled = False
+        self.late_seconds = 0.0
         # Unset while records are on their way over a slow link.
         self.transfer = anyio.Event()
         self.transfer.set()
@@ -134,6 +141,8 @@
         self.calls += 1
         if self.newest_seconds:
             await anyio.sleep(self.newest_seconds)
+        if self.clock.now() + self.late_seconds > deadline:
+            return expression.Error(_LOST)
         if self.unavailable:
             return expression.Error(_LOST)
         newest = {record.key: record for record in self.records}
@@ -156,10 +165,15 @@
         if self.unanswered_reads:
             self.unanswered_reads -= 1
             await anyio.sleep_forever()
-        while (
-            self.holds_polls and wait_seconds and offset >= len(self.records)
-        ):
-            await anyio.sleep(0.001)
+        try:
+            while self.holds_polls and wait_seconds:
+                if offset < len(self.records):
+                    break
+                await anyio.sleep(0.001)
+        except anyio.get_cancelled_exc_class():
+            if self.begins_cancelled:
+                on_begin()
+            raise
         if self.unavailable:
             return expression.Error(_LOST)
         if offset < self.first_offset:
--- a/tests/unit/gateway/test_configuration_watch.py
+++ b/tests/unit/gateway/test_configuration_watch.py
@@ -5,6 +5,7 @@
 import contextlib
 import typing
 import unittest
+from unittest import mock
 
 import anyio
 import expression
@@ -14,6 +15,7 @@
 from dogwoodquay.gateway import configuration_watch
 from dogwoodquay.gateway import copies
 from dogwoodquay.gateway import metrics as gateway_metrics
+from dogwoodquay.gateway import reachability
 from dogwoodquay.gateway import store_api
 from dogwoodquay.observe import metrics
 from dogwoodquay.routes import api as routes_api
@@ -276,8 +278,13 @@
             self.store.clock,
             fakes.make_metrics(),
             self.copies,
-            lambda active: None,
+            self._on_change,
         )
+        self.failing = False
+
+    def _on_change(self, active: routes_api.Configuration) -> None:
+        if self.failing:
+            raise ArithmeticError
 
     @contextlib.asynccontextmanager
     async def _running(self) -> abc.AsyncIterator[None]:
@@ -343,6 +350,89 @@
             self.watch.on_peer_version(19)
             await self._wait_for(19)
 
+    async def test_poll_arriving_beside_a_copy(self) -> None:
+        """A copy neither ends a poll that arrives nor adds a read to it."""
+        async with self._running():
+            self.copies.fetchable = anyio.Event()
+            self.watch.on_peer_version(19)
+            while not self.copies.fetched:
+                await anyio.sleep(0.001)
+            self.store.transfer = anyio.Event()
+            self.store.put('config', b'23')
+            await anyio.sleep(0.05)
+            calls = self.store.calls
+            self.copies.answer = copies.ConfigurationCopy(19, b'19', 1)
+            self.copies.fetchable.set()
+            await self._wait_for(19)
+            self.store.transfer.set()
+            await self._wait_for(23)
+            self.assertLessEqual(self.store.calls, calls + 1)
+
+    async def test_poll_arriving_without_a_copy(self) -> None:
+        """The store is not read beside a poll that arrives."""
+        async with self._running():
+            self.copies.fetchable = anyio.Event()
+            self.watch.on_peer_version(19)
+            while not self.copies.fetched:
+                await anyio.sleep(0.001)
+            self.store.transfer = anyio.Event()
+            self.store.put('config', b'19')
+            await anyio.sleep(0.05)
+            calls = self.store.calls
+            self.copies.fetchable.set()
+            await anyio.sleep(0.05)
+            self.assertEqual(calls, self.store.calls)
+            self.store.transfer.set()
+            await self._wait_for(19)
+
+    async def test_poll_cancelled_as_it_arrives(self) -> None:
+        """A poll that is cancelled leaves no trace of its records."""
+        async with self._running():
+            self.copies.answer = copies.ConfigurationCopy(19, b'19', 1)
+            self.store.begins_cancelled = True
+            self.watch.on_peer_version(19)
+            await self._wait_for(19)
+            await anyio.sleep(0.05)
+            self.assertFalse(self.watch.outdated)
+
+    async def test_failed_activation(self) -> None:
+        """A version that could not be activated is not said to be active."""
+        self.failing = True
+        with self.assertRaises(ArithmeticError):
+            await self.watch.step()
+        self.assertEqual(-1, self.watch.version)
+        self.failing = False
+        await self.watch.step()
+        self.assertEqual(16, self.watch.version)
+        self.assertFalse(self.watch.outdated)
+
+    async def test_unreadable_version(self) -> None:
+        """A version that only others can read is asked for seldom."""
+        module = configuration_watch
+        with (
+            mock.patch.object(module, 'FIRST_PAUSE_SECONDS', 0.02),
+            mock.patch.object(module, 'MAX_PAUSE_SECONDS', 0.02),
+        ):
+            await self._check_unreadable_version()
+
+    async def _check_unreadable_version(self) -> None:
+        async with self._running():
+            self.store.put('config', b'x')
+            self.watch.on_peer_version(19)
+            await anyio.sleep(1.0)
+            calls = self.store.calls
+            await anyio.sleep(1.0)
+            self.assertLessEqual(self.store.calls, calls + 1)
+            self.assertTrue(self.watch.outdated)
+
+    async def test_answers_that_begin_late(self) -> None:
+        """A slow store gets more time with each call, until it answers."""
+        self.store.late_seconds = 3.0
+        with mock.patch.object(reachability, 'FIRST_BACKOFF_SECONDS', 0.0):
+            for _ in range(3):
+                await self.watch.step()
+        self.assertEqual(16, self.watch.version)
+
     async def test_several_versions_waiting(self) -> None:
         """Of several versions only the first and the last are read."""
         self.store.single_records = True
--- a/tests/unit/gateway/test_copies.py
+++ b/tests/unit/gateway/test_copies.py
@@ -68,7 +68,7 @@
     async def _fetch(
         self, newer_than: int = 7
     ) -> copies.ConfigurationCopy | None:
-        return await self.asker.fetch(newer_than, loopback.new_deadline())
+        return await self.asker.fetch(newer_than)
 
     async def _fetch_body(
         self, compressed: bytes
@@ -134,8 +134,7 @@
         found: list[copies.ConfigurationCopy | None] = []
 
         async def fetch(follower: _Instance) -> None:
-            deadline = loopback.new_deadline()
-            found.append(await follower.copies.fetch(7, deadline))
+            found.append(await follower.copies.fetch(7))
 
         with mock.patch.object(
             zlib, 'compress', wraps=zlib.compress
@@ -172,24 +171,24 @@
             self.assertIsNone(await self._fetch(8))
 
     async def test_no_holder(self) -> None:
-        """Without a holder nobody is asked, until the deadline."""
-        clock = clocks.SystemClock()
+        """Without a holder nobody is asked, for as long as it is waited."""
         async with self._running():
             self.asker.on_view(False, '')
-            found = await self.asker.fetch(7, clock.now() + 0.05)
-            self.assertIsNone(found)
+            with mock.patch.object(copies, 'HOLDER_WAIT_SECONDS', 0.05):
+                self.assertIsNone(await self.asker.fetch(7))
 
     async def test_reader_without_holder(self) -> None:
         """An instance that reads the store waits for no holder."""
         self.asker.on_view(True, '')
         with anyio.fail_after(10.0):
-            self.assertIsNone(await self.asker.fetch(7, float('inf')))
+            self.assertIsNone(await self.asker.fetch(7))
 
     async def test_holder_named_later(self) -> None:
         """A follower waits for a holder that has time for it."""
         self.holder.copies.keep(COPY)
         with (
             mock.patch.object(copies, 'FOLLOW_SECONDS', 60.0),
+            mock.patch.object(copies, 'HOLDER_WAIT_SECONDS', 60.0),
             anyio.fail_after(10.0),
         ):
             async with self._running():
@@ -200,14 +199,14 @@
                     self.asker.on_view(False, self.holder.member)
 
     async def _expect_copy(self) -> None:
-        self.assertEqual(COPY, await self.asker.fetch(7, float('inf')))
+        self.assertEqual(COPY, await self.asker.fetch(7))
 
     async def test_view_lost_while_waiting(self) -> None:
         """The wait for a holder ends at once with the owner's views."""
         found: list[copies.ConfigurationCopy | None] = []
 
         async def fetch() -> None:
-            found.append(await self.asker.fetch(7, float('inf')))
+            found.append(await self.asker.fetch(7))
 
         with (
             mock.patch.object(copies, 'FOLLOW_SECONDS', 60.0),
@@ -237,7 +236,6 @@
 
     async def test_frozen_holder(self) -> None:
         """A holder that does not answer is given up at the deadline."""
-        clock = clocks.SystemClock()
 
         async def freeze(*arguments: typing.Any) -> None:
             await anyio.sleep_forever()
@@ -246,9 +244,31 @@
         self.holder.peers.register(messages.FetchConfiguration, freeze)
         async with self._running():
             with anyio.fail_after(10.0):
-                found = await self.asker.fetch(7, clock.now() + 0.5)
+                found = await self.asker.fetch(7)
         self.assertIsNone(found)
 
+    async def test_large_configuration(self) -> None:
+        """A configuration that takes long to copy is read from the store."""
+        size = copies.MAX_BODY_BYTES
+        self.holder.copies.keep(COPY)
+        async with self._running():
+            self.asker.on_view(False, self.holder.member)
+            self.asker.keep(copies.ConfigurationCopy(7, bytes(size), 1))
+            self.assertTrue(self.asker.following)
+            self.assertEqual(COPY, await self._fetch())
+            self.asker.keep(copies.ConfigurationCopy(7, bytes(size + 1), 1))
+            self.assertFalse(self.asker.following)
+            self.assertIsNone(await self._fetch())
+
+    async def test_wait_for_holder(self) -> None:
+        """A pause ends when a view names a holder."""
+        with anyio.fail_after(10.0):
+            await self.asker.wait_for_holder(0.01)
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.asker.wait_for_holder, 3600.0)
+                await anyio.sleep(0.01)
+                self.asker.on_view(False, self.holder.member)
+
     async def test_earlier_build(self) -> None:
         """A holder of an earlier build does not know the message."""
         self.holder.peers = loopback.make_peer('front-1')
--- a/tests/unit/gateway/test_peering.py
+++ b/tests/unit/gateway/test_peering.py
@@ -249,7 +249,7 @@
     async def _fetch(
         self, instance: _Instance
     ) -> copies.ConfigurationCopy | None:
-        return await instance.copies.fetch(7, self.clock.now() + 5.0)
+        return await instance.copies.fetch(7)
 
     async def test_most_follow(self) -> None:
         """The owner and the appointed readers do not follow."""
