Ask for a missing version no faster than holders change

Cause: the pause after a failed attempt ended at once where a holder was named already. With a copy that this build cannot read, or a configuration too large to copy, and a store that had nothing newer, an instance asked without any pause. Change: a pause ends only when a view names a holder that was not asked; an unreadable version and a large configuration wait in full. Result: test_wait_for_other_holder, test_same_holder_named_again, test_pause_with_large_configuration, test_unreadable_version (holders change all the time in it).

--- a/src/dogwoodquay/gateway/configuration_watch.py
+++ b/src/dogwoodquay/gateway/configuration_watch.py
@@ -229,10 +229,12 @@
             while self._versions.behind:
                 if self._arriving:
                     await anyio.sleep(FIRST_PAUSE_SECONDS)
-                elif not await self._get_missing():
-                    if self._unreadable:
-                        pause = UNREADABLE_PAUSE_SECONDS
-                    await self._copies.wait_for_holder(pause)
+                elif await self._get_missing():
+                    continue
+                elif self._unreadable:
+                    await anyio.sleep(UNREADABLE_PAUSE_SECONDS)
+                else:
+                    await self._copies.wait_for_other_holder(pause)
                     pause = min(2 * pause, MAX_PAUSE_SECONDS)
 
     async def _get_missing(self) -> bool:
--- a/src/dogwoodquay/gateway/copies.py
+++ b/src/dogwoodquay/gateway/copies.py
@@ -106,10 +106,12 @@
         self._body_bytes = len(copy.body)
         self._answer = _NOTHING_NEWER
 
-    async def wait_for_holder(self, seconds: float) -> None:
-        """Wait for a time, at most until a view names a holder."""
-        until = self._clock.now() + seconds
-        while not self._holder and self._clock.now() < until:
+    async def wait_for_other_holder(self, seconds: float) -> None:
+        """Wait for a time, at most until a view names another holder."""
+        asked, until = self._holder, self._clock.now() + seconds
+        while (
+            self._holder in ('', asked) or self._body_bytes > MAX_BODY_BYTES
+        ) and self._clock.now() < until:
             await self._wait_for_view(until)
 
     async def fetch(self, newer_than: int) -> ConfigurationCopy | None:
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -78,6 +78,7 @@
         self.kept: list[int] = []
         self.is_following = False
         self.fetched = 0
+        self.holders_change = False
         self.fetchable = anyio.Event()
         self.fetchable.set()
 
@@ -95,9 +96,9 @@
         """Record the version."""
         self.kept.append(copy.version)
 
-    async def wait_for_holder(self, seconds: float) -> None:
-        """Wait."""
-        await anyio.sleep(seconds)
+    async def wait_for_other_holder(self, seconds: float) -> None:
+        """Wait; a view names other holders all the time, if set so."""
+        await anyio.sleep(0.001 if self.holders_change else seconds)
 
     async def fetch(self, newer_than: int) -> copies.ConfigurationCopy | None:
         """Return the answer once it is on hand."""
--- a/tests/unit/gateway/test_configuration_watch.py
+++ b/tests/unit/gateway/test_configuration_watch.py
@@ -408,14 +408,7 @@
 
     async def test_unreadable_version(self) -> None:
         """A version that only others can read is asked for seldom."""
-        module = configuration_watch
-        with (
-            mock.patch.object(module, 'FIRST_PAUSE_SECONDS', 0.02),
-            mock.patch.object(module, 'MAX_PAUSE_SECONDS', 0.02),
-        ):
-            await self._check_unreadable_version()
-
-    async def _check_unreadable_version(self) -> None:
+        self.copies.holders_change = True
         async with self._running():
             self.store.put('config', b'x')
             self.watch.on_peer_version(19)
--- a/tests/unit/gateway/test_copies.py
+++ b/tests/unit/gateway/test_copies.py
@@ -260,14 +260,39 @@
             self.assertFalse(self.asker.following)
             self.assertIsNone(await self._fetch())
 
-    async def test_wait_for_holder(self) -> None:
-        """A pause ends when a view names a holder."""
+    async def test_wait_for_other_holder(self) -> None:
+        """A pause ends when a view names a holder that was not asked."""
+        member = self.holder.member
         with anyio.fail_after(10.0):
-            await self.asker.wait_for_holder(0.01)
+            await self.asker.wait_for_other_holder(0.01)
+            for named in (member, 'front-7@127.0.0.1:7'):
+                async with anyio.create_task_group() as group:
+                    group.start_soon(self.asker.wait_for_other_holder, 3600.0)
+                    await anyio.sleep(0.01)
+                    self.asker.on_view(False, named)
+
+    async def test_same_holder_named_again(self) -> None:
+        """The holder that was asked does not end a pause."""
+        self.asker.on_view(False, self.holder.member)
+        with anyio.move_on_after(0.1) as scope:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.asker.wait_for_other_holder, 3600.0)
+                await anyio.sleep(0.01)
+                self.asker.on_view(False, '')
+                await anyio.sleep(0.01)
+                self.asker.on_view(False, self.holder.member)
+        self.assertTrue(scope.cancelled_caught)
+
+    async def test_pause_with_large_configuration(self) -> None:
+        """Holders do not matter where nothing is copied."""
+        size = copies.MAX_BODY_BYTES + 1
+        self.asker.keep(copies.ConfigurationCopy(7, bytes(size), 1))
+        with anyio.move_on_after(0.1) as scope:
             async with anyio.create_task_group() as group:
-                group.start_soon(self.asker.wait_for_holder, 3600.0)
+                group.start_soon(self.asker.wait_for_other_holder, 3600.0)
                 await anyio.sleep(0.01)
                 self.asker.on_view(False, self.holder.member)
+        self.assertTrue(scope.cancelled_caught)
 
     async def test_earlier_build(self) -> None:
         """A holder of an earlier build does not know the message."""
