--- a/tests/site/links.py
+++ b/tests/site/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import json
@@ -51,6 +52,7 @@
         self.process_id = process_id
         self.bytes_per_second: float | None = None
         self._transfers: list[Transfer] = []
+        self._polls: collections.Counter[str] = collections.Counter()
         self._turn = asyncio.Lock()
 
     def transfers(self, topic: str) -> list[Transfer]:
@@ -61,6 +63,20 @@
         """Forget the answers so far."""
         self._transfers.clear()
 
+    def is_polling(self, topic: str) -> bool:
+        """Whether a read of a topic waits for records."""
+        return self._polls[topic] > 0
+
+    @contextlib.contextmanager
+    def polling(self, request: http.Request) -> abc.Iterator[None]:
+        """Count a call while the store does not answer it."""
+        topic = request.query.get('Topic', '')
+        self._polls[topic] += 1
+        try:
+            yield
+        finally:
+            self._polls[topic] -= 1
+
     def limit(self, request: http.Request, answer: http.Answer) -> http.Answer:
         """Return an answer whose body is sent at the rate of this link."""
         transfer = _transfer(request, answer)
@@ -99,7 +115,8 @@
 
     async def _handle(self, request: http.Request) -> http.Answer | None:
         link = await self._link(request)
-        answer = await self._store.handle(request)
+        with link.polling(request) if link else contextlib.nullcontext():
+            answer = await self._store.handle(request)
         if link is None or answer is None:
             return None
         return link.limit(request, answer)
