Search the sockets of test processes once a connection

The stand-in searched the descriptors of up to all processes for each call, in the event loop that also serves the store and the servers.

--- a/tests/site/links.py
+++ b/tests/site/links.py
@@ -24,6 +24,8 @@
 # The table of sockets is not read at one instant and may miss a socket.
 _LOOKUPS: typing.Final = 20
 _LOOKUP_SECONDS: typing.Final = 0.01
+# The table's inode of a socket whose process has closed it.
+_NO_INODE: typing.Final = '0'
 _PAGE_HEADER: typing.Final = struct.Struct('>QQ')
 
 
@@ -108,6 +110,7 @@
         self.http = http.HttpServer(self._handle)
         self.links: list[Link] = []
         self._store = store
+        self._links_by_inode: dict[str, Link] = {}
 
     def add(self, process_id: int) -> None:
         """Add the link of a process."""
@@ -125,22 +128,29 @@
         """Return the caller's link, or ``None`` if the caller is gone."""
         for _ in range(_LOOKUPS):
             inode = _socket_inode(request.peer_port, self.http.port)
-            for link in self.links:
-                if inode in _socket_inodes(link.process_id):
-                    return link
+            if inode not in (_NO_INODE, *self._links_by_inode):
+                self._find_sockets()
+            if inode in self._links_by_inode:
+                return self._links_by_inode[inode]
             await asyncio.sleep(_LOOKUP_SECONDS)
         return None
 
+    def _find_sockets(self) -> None:
+        """Learn the sockets of all processes, which takes long."""
+        for link in self.links:
+            for inode in _socket_inodes(link.process_id):
+                self._links_by_inode[inode] = link
+
 
 def _socket_inode(local_port: int, remote_port: int) -> str:
-    """Return the inode of a loopback connection's socket, or ``'0'``."""
+    """Return the inode of a loopback connection's socket, or that of none."""
     table = pathlib.Path('/proc/net/tcp').read_text('ascii')
     ends = [f'0100007F:{port:04X}' for port in (local_port, remote_port)]
     for line in table.splitlines()[1:]:
         fields = line.split()
         if fields[1:3] == ends:
             return fields[9]
-    return '0'
+    return _NO_INODE
 
 
 def _socket_inodes(process_id: int) -> set[str]:
--- a/tests/site/test_copies.py
+++ b/tests/site/test_copies.py
@@ -113,7 +113,7 @@
         """Check that each instance serves the last route of the change."""
         for instance in instances:
             answer = await instance.call(_LAST_ROUTE, f'at-{instance.member}')
-            self.assertEqual(200, answer.status)
+            self.assertEqual(200, answer.status, (instance.member, answer))
 
     async def test_followers_get_copies(self) -> None:
         """Followers get a version without a transfer from the store each."""
