Hold the ports of tested instances until they have bound them

Cause: a port was looked up, released and bound later by the process; another test took it meanwhile, the process ended (Address already in use, seen once with its log) and the test waited for it to its guard. Change: a bound socket keeps the port until the instance is ready; a process that has ended ends the wait with its log.

--- a/tests/site/processes.py
+++ b/tests/site/processes.py
@@ -131,7 +131,10 @@
 
     def __init__(self, name: str, store: str, directory: pathlib.Path) -> None:
         self._name = name
-        self._callers, self._readiness, self._peers = _find_free_ports(3)
+        self._held_ports = [_hold_port() for _ in range(3)]
+        self._callers, self._readiness, self._peers = (
+            int(item.getsockname()[1]) for item in self._held_ports
+        )
         self._settings = directory / f'{name}.toml'
         self._settings.write_text(
             _SETTINGS.format(
@@ -180,11 +183,18 @@
             )
 
     async def wait_ready(self) -> None:
-        """Wait until the readiness endpoint replies with 200."""
+        """Wait until the readiness endpoint replies with 200.
+
+        :raises RuntimeError: if the process has ended.
+        """
         while True:
+            if self.process.poll() is not None:
+                raise RuntimeError(self._log.read_text('utf-8')[-2000:])
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                 answer = await _send(self._readiness, 'GET', '/readyz', '')
                 if answer.status == 200:
+                    while self._held_ports:
+                        self._held_ports.pop().close()
                     return
             await asyncio.sleep(_POLL_SECONDS)
 
@@ -257,14 +267,12 @@
                 site._linked_store.http.stop()
 
 
-def _find_free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(('127.0.0.1', 0))
-    ports = [int(item.getsockname()[1]) for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+def _hold_port() -> socket.socket:
+    """Return a socket whose port only a process that is told of it binds."""
+    held = socket.socket()
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    held.bind(('127.0.0.1', 0))
+    return held
 
 
 async def _send(port: int, method: str, target: str, extra: str) -> Answer:
