Record who closed a connection during a request

Change: the access hook of hypercorn runs in the task that closes a request and keeps its kind in the scope.

--- a/src/dogwoodquay/gateway/serving.py
+++ b/src/dogwoodquay/gateway/serving.py
@@ -8,6 +8,7 @@
 
 from hypercorn import config as hypercorn_config
 
+from . import closings
 from ..entry import server as entry_server
 
 if typing.TYPE_CHECKING:
@@ -69,5 +70,6 @@
     config.include_server_header = False
     config.include_date_header = False
     config.accesslog = None
+    config.logger_class = closings.ClosingLogger
     config.errorlog = logging.getLogger('hypercorn.error')
     return config
