Log and count what ended each connection without an answer

Change: a trace of the last attempt, filled by the forwarder and the exchange, goes into the lines about an end and into new counters. The failures of attempts moved from the forwarder to a module of their own. Plain bodies are read chunk by chunk, to know when the last byte came.

--- a/src/dogwoodquay/gateway/answer.py
+++ b/src/dogwoodquay/gateway/answer.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import enum
 import typing
 
 from . import api
+from . import closings
 from . import events
 from . import forwarder
 from ..observe import logs
 from . import outcomes
+from . import trace as traces
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -21,6 +24,17 @@
 
 _LOG: typing.Final = logs.ComponentLog('request')
 
+# Refusals of requests that may have run.
+_LOST_STATUSES: typing.Final = frozenset({502, 504})
+
+
+class Phase(enum.Enum):
+    """How far a request was when its connection ended."""
+
+    BODY = 'body'
+    WAITING = 'waiting'
+    ANSWER = 'answer'
+
 
 class CallerCodec(typing.Protocol):
     """Parses callers' headers and writes those of their answers."""
@@ -42,6 +56,7 @@
     codec: CallerCodec
     clock: clocks.Clock
     metrics: gateway_metrics.GatewayMetrics
+    active_version: abc.Callable[[], int]
 
 
 class Answer:
@@ -54,17 +69,23 @@
         send: asgi.Send,
         arrived_at: float,
         closing: abc.Callable[[], bool],
+        closed_by: abc.Callable[[], closings.ClosedBy],
     ) -> None:
         """Create the answer to a request.
 
         :param closing: whether connections are closed after an answer.
+        :param closed_by: who closed the connection.
         """
         self._context = context
         self._closing = closing
+        self._closed_by = closed_by
         self._terms = terms
         self._send = send
         self._arrived_at = arrived_at
         self._splitter = events.EventSplitter(api.NO_EVENT)
+        self._trace = traces.RequestTrace(context.active_version())
+        self._phase = Phase.BODY
+        self._ended = False
         self._started = False
         self._status = 0
         self._first_byte_seconds = 0.0
@@ -81,6 +102,19 @@
         """Whether a part of the answer was sent to the caller."""
         return self._started
 
+    @property
+    def trace(self) -> traces.RequestTrace:
+        """Records the request's attempts and what ends it."""
+        return self._trace
+
+    @property
+    def _elapsed(self) -> float:
+        return round(self._context.clock.now() - self._arrived_at, 3)
+
+    def on_body_read(self) -> None:
+        """Record that the request was read to its end."""
+        self._phase = Phase.WAITING
+
     def resume_after(self, last_event: int) -> None:
         """Expect the events after the last one that the caller received."""
         self._splitter = events.EventSplitter(last_event)
@@ -126,18 +160,84 @@
                 await self._send_last()
                 self._record_answered(call, self._status, elapsed)
             case forwarder.Cut(reason):
-                self._context.metrics.cut(reason)
+                self._context.metrics.cut(
+                    reason, self._trace.failure, self._trace.cause.value
+                )
                 _LOG.write(
                     'cut',
                     request=call.request_id,
                     reason=reason,
                     last_event=self._splitter.last_event,
                     seconds=round(elapsed, 3),
+                    **self._ending_fields(),
                 )
+                self._ended = True
+
+    def record_left(self) -> None:
+        """Record that the connection was closed before the answer's end."""
+        if self._closed_by() is closings.ClosedBy.HTTP_SERVER:
+            self._record_lost(traces.Cause.HTTP_SERVER)
+            return
+        phase = self._phase.value
+        self._trace.cause = traces.Cause.CALLER
+        self._context.metrics.caller_gone(phase)
+        _LOG.write(
+            'caller_gone',
+            request=self._terms.attempt_id,
+            phase=phase,
+            closed_by=self._closed_by().value,
+            last_event=self._splitter.last_event,
+            seconds=self._elapsed,
+            **self._ending_fields(),
+        )
+
+    def record_cancelled(self) -> None:
+        """Record that the HTTP server ended the request at its stop."""
+        if not self._ended:
+            self._record_lost(traces.Cause.STOPPING)
+
+    def record_failed(self, error: Exception) -> None:
+        """Record that the request ended with an unexpected exception."""
+        leaf: BaseException = error
+        while isinstance(leaf, BaseExceptionGroup):
+            leaf = leaf.exceptions[0]
+        self._record_lost(
+            traces.Cause.EXCEPTION,
+            error=type(leaf).__name__,
+            detail=str(leaf),
+        )
+
+    def _record_lost(self, cause: traces.Cause, **fields: typing.Any) -> None:
+        self._trace.cause = cause
+        phase = self._phase.value
+        self._context.metrics.connection_lost(cause.value, phase)
+        _LOG.write(
+            'connection_lost',
+            request=self._terms.attempt_id,
+            phase=phase,
+            last_event=self._splitter.last_event,
+            seconds=self._elapsed,
+            **self._ending_fields(),
+            **fields,
+        )
+
+    def _version_fields(self) -> dict[str, int]:
+        return {
+            'version': self._trace.version,
+            'active_version': self._context.active_version(),
+        }
+
+    def _ending_fields(self) -> dict[str, typing.Any]:
+        now = self._context.clock.now()
+        return {**self._version_fields(), **self._trace.ending_fields(now)}
 
     async def refuse(self, refusal: api.Refusal, close: bool = False) -> None:
         """Send a refusal of this instance."""
         self._context.metrics.refused(refusal.reason.value)
+        if self._trace.attempts or refusal.status in _LOST_STATUSES:
+            fields = self._ending_fields()
+        else:
+            fields = self._version_fields()
         _LOG.write(
             'refused',
             request=self._terms.attempt_id,
@@ -145,7 +245,8 @@
             status=refusal.status,
             detail=refusal.detail,
             retry_after=round(refusal.retry_after, 3),
-            seconds=round(self._context.clock.now() - self._arrived_at, 3),
+            seconds=self._elapsed,
+            **fields,
         )
         headers = [(b'content-length', b'0')]
         if refusal.retry_after:
@@ -175,6 +276,7 @@
         headers: list[tuple[bytes, bytes]],
         close: bool = False,
     ) -> None:
+        self._phase = Phase.ANSWER
         if close or self._closing():
             headers.append((b'connection', b'close'))
         await self._send(
@@ -187,6 +289,9 @@
 
     async def _send_last(self, body: bytes = b'') -> None:
         await self._send({'type': 'http.response.body', 'body': body})
+        if self._closed_by() is not closings.ClosedBy.NOBODY:
+            self.record_left()
+        self._ended = True
 
     def _record_answered(
         self, call: api.Call, status: int, elapsed: float
--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -8,11 +8,12 @@
 
 from . import answer as answers
 from . import api
+from . import closings
 from ..entry import asgi
 from . import forwarder as forwarders
-from ..observe import logs
 from . import reading
 from ..routes import table
+from . import trace as traces
 
 if typing.TYPE_CHECKING:
     import random
@@ -24,8 +25,6 @@
 
 __all__ = ['ConfigurationFreshness', 'GatewayApp']
 
-_LOG: typing.Final = logs.ComponentLog('request')
-
 _NOT_FOUND: typing.Final = 404
 _UNAVAILABLE: typing.Final = 503
 _GATEWAY_TIMEOUT: typing.Final = 504
@@ -82,12 +81,14 @@
         """Create the application."""
         self._freshness = freshness
         self._forwarder = forwarder
-        self._context = answers.AnswerContext(codec, clock, metrics)
+        self._context = answers.AnswerContext(
+            codec, clock, metrics, lambda: freshness.versions.active
+        )
         self._clock = clock
         self._rng = rng
         self._routes: table.RouteTable | None = None
         self._in_flight = 0
-        self._streams: set[anyio.CancelScope] = set()
+        self._streams: dict[anyio.CancelScope, answers.Answer] = {}
         self._closing = False
         self._draining = False
 
@@ -116,7 +117,8 @@
 
     def end_streams(self) -> None:
         """Cancel the streams in flight."""
-        for scope in tuple(self._streams):
+        for scope, answer in tuple(self._streams.items()):
+            answer.trace.stopped = True
             scope.cancel()
 
     def close_connections(self) -> None:
@@ -134,16 +136,41 @@
             return
         self._in_flight += 1
         try:
-            await self._serve(asgi.Request(scope, receive), send)
+            await self._serve(scope, receive, send)
         finally:
             self._in_flight -= 1
 
-    async def _serve(self, request: asgi.Request, send: asgi.Send) -> None:
+    async def _serve(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Serve a request and record an end that has no answer."""
         arrived_at = self._clock.now()
+        request = asgi.Request(scope, receive)
         terms = self._context.codec.caller_terms(request.raw_headers)
         answer = answers.Answer(
-            self._context, terms, send, arrived_at, lambda: self._closing
+            self._context,
+            terms,
+            send,
+            arrived_at,
+            lambda: self._closing,
+            lambda: closings.closed_by(scope),
         )
+        try:
+            await self._answer(request, terms, arrived_at, answer)
+        except anyio.get_cancelled_exc_class():
+            answer.record_cancelled()
+            raise
+        except Exception as error:
+            answer.record_failed(error)
+            raise
+
+    async def _answer(
+        self,
+        request: asgi.Request,
+        terms: api.CallerTerms,
+        arrived_at: float,
+        answer: answers.Answer,
+    ) -> None:
         routes = self._routes
         refusal = reading.check(request, routes)
         if routes is None:
@@ -155,8 +182,9 @@
         limits = routes.configuration.limits
         body = await reading.read_body(request, limits)
         if body is None:
-            self._context.metrics.caller_gone()
+            answer.record_left()
             return
+        answer.on_body_read()
         if isinstance(body, api.Refusal):
             await answer.refuse(self._by_configuration(body), close=True)
             return
@@ -203,18 +231,17 @@
             group.start_soon(watch)
             with anyio.move_on_after(left) as scope:
                 if call.route.streaming:
-                    self._streams.add(scope)
+                    self._streams[scope] = answer
                 try:
                     result = await self._forwarder.run(call, answer)
                 finally:
-                    self._streams.discard(scope)
+                    self._streams.pop(scope, None)
             if not caller_left:
-                result = result or self._end_timed_out(answer)
+                result = result or self._end_timed_out(call, answer)
                 await answer.finish(call, result)
             group.cancel_scope.cancel()
         if caller_left:
-            self._context.metrics.caller_gone()
-            _LOG.write('caller_gone', request=call.request_id)
+            answer.record_left()
 
     def _refuse_starting(self) -> api.Refusal:
         """Return the refusal before the first configuration."""
@@ -246,7 +273,14 @@
             seconds = STORE_UNAVAILABLE_RETRY_AFTER_SECONDS
         return seconds * self._rng.uniform(0.75, 1.25)
 
-    def _end_timed_out(self, answer: answers.Answer) -> forwarders.Result:
+    def _end_timed_out(
+        self, call: api.Call, answer: answers.Answer
+    ) -> forwarders.Result:
+        reason = api.RefusalReason.TIMEOUT
+        answer.trace.cause = traces.deadline_cause(call)
+        if answer.trace.stopped:
+            reason = api.RefusalReason.STOPPING
+            answer.trace.cause = traces.Cause.STOPPING
         if answer.started:
-            return forwarders.Cut('timeout')
-        return api.Refusal(api.RefusalReason.TIMEOUT, _GATEWAY_TIMEOUT)
+            return forwarders.Cut(reason.value)
+        return api.Refusal(reason, _GATEWAY_TIMEOUT)
--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -17,6 +17,7 @@
 
     from .. import clock as clocks
     from ..fleet import server as servers
+    from . import trace as traces
 
 __all__ = ['Exchange', 'HeaderCodec', 'Relay']
 
@@ -57,6 +58,10 @@
     def started(self) -> bool:
         """Whether a part of the answer was sent to the caller."""
 
+    @property
+    def trace(self) -> traces.RequestTrace:
+        """Records what arrives of the answer."""
+
     async def start(
         self, status: int, headers: abc.Iterable[tuple[bytes, bytes]]
     ) -> None:
@@ -134,6 +139,7 @@
         seconds: float,
         on_part: abc.Callable[[], None],
     ) -> outcomes.Outcome:
+        relay.trace.on_head(self._clock.now())
         status = response.status_code
         headers = tuple(response.headers.raw)
         terms = self._codec.answer_terms(status, headers)
@@ -156,7 +162,7 @@
                 return await self._relay_events(
                     relay, response, headers, on_part
                 )
-            body = await response.aread()
+            body = await self._read_body(relay, response)
         except httpx.HTTPError as error:
             return outcomes.Broken(client.broken_reason(error))
         except events.BrokenStream as error:
@@ -181,6 +187,15 @@
         else:
             client.keep_idle(response, IDLE_UNKNOWN_SECONDS)
 
+    async def _read_body(
+        self, relay: Relay, response: httpx.Response
+    ) -> bytes:
+        parts: list[bytes] = []
+        async for chunk in _stream(response):
+            relay.trace.on_bytes(self._clock.now())
+            parts.append(chunk)
+        return b''.join(parts)
+
     async def _relay_events(
         self,
         relay: Relay,
@@ -189,8 +204,8 @@
         on_part: abc.Callable[[], None],
     ) -> outcomes.Outcome:
         relay.splitter.restart()
-        stream = typing.cast('httpx.AsyncByteStream', response.stream)
-        async for chunk in stream:
+        async for chunk in _stream(response):
+            relay.trace.on_bytes(self._clock.now())
             whole = relay.splitter.feed(chunk)
             if whole:
                 on_part()
@@ -200,3 +215,7 @@
             raise events.BrokenStream('event_cut')
         await relay.start(response.status_code, headers)
         return outcomes.Streamed()
+
+
+def _stream(response: httpx.Response) -> httpx.AsyncByteStream:
+    return typing.cast('httpx.AsyncByteStream', response.stream)
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -7,10 +7,12 @@
 import anyio
 
 from . import api
+from . import failures
 from ..observe import logs
 from . import outcomes
 from ..retry import api as retry_api
 from ..retry import windowed
+from . import trace as traces
 
 if typing.TYPE_CHECKING:
     import random
@@ -20,6 +22,7 @@
     from ..fleet import server as servers
     from . import metrics as gateway_metrics
     from ..retry import window
+    from ..routes import api as routes_api
     from . import scheduler as schedulers
 
 __all__ = ['Cut', 'Forwarder', 'abandon_seconds']
@@ -29,7 +32,6 @@
 _BAD_GATEWAY: typing.Final = 502
 _UNAVAILABLE: typing.Final = 503
 _GATEWAY_TIMEOUT: typing.Final = 504
-_SERVER_ERROR: typing.Final = 500
 
 # A caller abandons its stream after a gap of the longest of these: a least
 # time, and multiples of the objectives for the first byte and for gaps.
@@ -138,14 +140,18 @@
                 )
             finally:
                 self._scheduler.release(call, server, answer_start.started)
-            failure = self._failure_of(call, relay, outcome, attempts)
+            failure = failures.failure_of(
+                call, relay.started, outcome, attempts
+            )
             if failure is None:
                 return typing.cast('Result', outcome)
             may_have_run = (
                 may_have_run
                 or failure.run_state is not retry_api.RunState.NOT_RUN
             )
-            verdict = retries.decide(failure, self._clock.now())
+            now = self._clock.now()
+            relay.trace.fail(call, failure.reason)
+            verdict = retries.decide(failure, now)
             _LOG.write(
                 'attempt_failed',
                 request=call.request_id,
@@ -154,6 +160,7 @@
                 run_state=failure.run_state.value,
                 verdict=verdict.reason,
                 again=isinstance(verdict, retry_api.Retry),
+                **relay.trace.attempt_fields(now),
             )
             self._metrics.attempt_failed(failure.reason)
             if isinstance(verdict, retry_api.GiveUp):
@@ -173,6 +180,7 @@
         attempts: int,
     ) -> outcomes.Outcome:
         now = self._clock.now()
+        relay.trace.start_attempt(server.entry.server_id, attempts, now)
         if now + MIN_WORK_SECONDS >= call.deadline:
             return outcomes.NotRun('deadline_passed', arrived=False)
         _LOG.write(
@@ -188,6 +196,10 @@
             left=round(call.deadline - now, 3),
         )
         head_deadline = self._head_deadline(call, server, attempts)
+        relay.trace.set_limits(
+            head=head_deadline < call.deadline,
+            pause=_pause_limited(call.route),
+        )
         outcome = await self._exchange.run(
             call,
             server,
@@ -244,7 +256,7 @@
             case outcomes.Broken():
                 ejected = server.failed(now)
             case outcomes.Whole(status):
-                if status >= _SERVER_ERROR:
+                if status >= failures.SERVER_ERROR:
                     ejected = server.failed(now)
             case outcomes.Streamed():
                 server.succeeded(now - call.arrived_at)
@@ -256,45 +268,23 @@
                 failing=round(server.failure_rate, 2),
             )
 
-    def _failure_of(
-        self,
-        call: api.Call,
-        relay: exchanges.Relay,
-        outcome: outcomes.Outcome,
-        attempts: int,
-    ) -> retry_api.Failure | None:
-        """Return the failure of an attempt, ``None`` if it was answered."""
-        arrived = True
-        match outcome:
-            case outcomes.NotRun(reason, arrived):
-                state = retry_api.RunState.NOT_RUN
-            case outcomes.Broken(reason):
-                state = retry_api.RunState.MAY_HAVE_RUN
-            case outcomes.Whole(status) if (
-                status >= _SERVER_ERROR and call.route.repeatable
-            ):
-                reason = f'status_{status}'
-                state = retry_api.RunState.FAILED
-            case _:
-                return None
-        return retry_api.Failure(
-            reason=reason,
-            run_state=state,
-            attempts=attempts,
-            idempotent=call.route.repeatable,
-            delivered=relay.started,
-            resumable=call.route.resumable,
-            deadline=call.deadline,
-            arrived=arrived,
-        )
-
     def _end_unplaced(
         self, call: api.Call, relay: exchanges.Relay, may_have_run: bool
     ) -> Result:
         """Return the result of a request without an assigned server."""
+        reason = self._scheduler.refusal_reason(call)
+        relay.trace.cause = (
+            traces.Cause.STOPPING
+            if reason is api.RefusalReason.STOPPING
+            else traces.Cause.NO_SERVER
+        )
+        relay.trace.placement = (
+            reason.value
+            if self._scheduler.is_declared(call)
+            else api.RefusalReason.MODEL_UNDECLARED.value
+        )
         if relay.started:
             return Cut('no_server')
-        reason = self._scheduler.refusal_reason(call)
         if may_have_run:
             return api.Refusal(
                 api.RefusalReason.MAY_HAVE_RUN, _BAD_GATEWAY, 0.0, reason.value
@@ -369,12 +359,17 @@
     def _gap_seconds(self, call: api.Call) -> float:
         """Return the longest pause allowed in a server's answer."""
         route = call.route
-        if not (route.streaming and route.resumable):
+        if not _pause_limited(route):
             return max(call.deadline - self._clock.now(), MIN_WORK_SECONDS)
         pause = route.gap_objective_seconds * GAP_OBJECTIVES
         return max(pause, MIN_GAP_SECONDS)
 
 
+def _pause_limited(route: routes_api.Route) -> bool:
+    """Whether a pause of a server ends its attempt before the deadline."""
+    return route.streaming and route.resumable
+
+
 def abandon_seconds(call: api.Call) -> float:
     """Return the gap after which a caller abandons its stream."""
     route = call.route
--- a/src/dogwoodquay/gateway/metrics.py
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -30,6 +30,24 @@
             'gateway_callers_gone_total',
             'Callers that left before the end of the answer',
         )
+        self._cut_attempts = registry.counter(
+            'gateway_cut_attempts_total',
+            'Streams cut before their end, by the last attempt',
+            'reason',
+            'failure',
+            'ended_by',
+        )
+        self._gone_phases = registry.counter(
+            'gateway_callers_gone_phases_total',
+            'Callers that left before the end of the answer, by phase',
+            'phase',
+        )
+        self._lost = registry.counter(
+            'gateway_connections_lost_total',
+            'Connections of callers that this instance lost in a request',
+            'ended_by',
+            'phase',
+        )
         self._failed = registry.counter(
             'gateway_attempts_failed_total', 'Failed attempts', 'reason'
         )
@@ -74,13 +92,22 @@
         """Count a refusal of this instance."""
         self._refusals.add(reason)
 
-    def cut(self, reason: str) -> None:
-        """Count a stream that was cut before its end."""
+    def cut(self, reason: str, failure: str, ended_by: str) -> None:
+        """Count a stream that was cut before its end.
+
+        :param failure: of the last attempt, empty if it was in flight.
+        """
         self._cuts.add(reason)
+        self._cut_attempts.add(reason, failure, ended_by)
 
-    def caller_gone(self) -> None:
+    def caller_gone(self, phase: str) -> None:
         """Count a caller that left before the end of its answer."""
         self._gone.add()
+        self._gone_phases.add(phase)
+
+    def connection_lost(self, ended_by: str, phase: str) -> None:
+        """Count a connection that was lost for a reason on this side."""
+        self._lost.add(ended_by, phase)
 
     def attempt_failed(self, reason: str) -> None:
         """Count a failed attempt."""
--- /dev/null
+++ b/src/dogwoodquay/gateway/trace.py
@@ -0,0 +1,157 @@
+"""What is known of a request when it ends, for logs and metrics."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import typing
+
+if typing.TYPE_CHECKING:
+    from . import api
+
+__all__ = ['Cause', 'RequestTrace', 'deadline_cause']
+
+
+class Cause(enum.Enum):
+    """The timer or the event that ended an attempt or a request."""
+
+    NONE = ''
+    PAUSE_LIMIT = 'pause_limit'
+    HEAD_LIMIT = 'head_limit'
+    CALLER_DEADLINE = 'caller_deadline'
+    ROUTE_TIME = 'route_time'
+    SERVER_CONNECTION = 'server_connection'
+    SERVER_UNREACHABLE = 'server_unreachable'
+    SERVER_REFUSED = 'server_refused'
+    SERVER_ANSWER = 'server_answer'
+    SERVER_EVENTS = 'server_events'
+    NO_SERVER = 'no_server'
+    STOPPING = 'stopping'
+    CALLER = 'caller'
+    HTTP_SERVER = 'http_server'
+    EXCEPTION = 'exception'
+
+
+# The causes of failed attempts, by reason. Failures by a timer depend on what
+# the timer was set to.
+_CAUSES: typing.Final = {
+    'connection': Cause.SERVER_CONNECTION,
+    'protocol': Cause.SERVER_CONNECTION,
+    'connect': Cause.SERVER_UNREACHABLE,
+    'bad_request': Cause.SERVER_UNREACHABLE,
+    'answer_crossed': Cause.SERVER_ANSWER,
+    'not_the_servers_answer': Cause.SERVER_ANSWER,
+}
+
+
+class Arrived(enum.Enum):
+    """The part of a server's answer that has arrived."""
+
+    NOTHING = 'nothing'
+    HEAD = 'head'
+    BODY = 'body'
+
+
+@dataclasses.dataclass(slots=True)
+class RequestTrace:
+    """The last attempt of a request and what ended it.
+
+    ``version`` is the configuration's when the request was read. ``failure``
+    is the reason of the last attempt's failure, empty while it is in flight.
+    ``placement`` is why there was no server for another attempt.
+    """
+
+    version: int
+    server: str = ''
+    attempts: int = 0
+    failure: str = ''
+    placement: str = ''
+    cause: Cause = Cause.NONE
+    stopped: bool = False
+    _head_limited: bool = False
+    _pause_limited: bool = False
+    _arrived: Arrived = Arrived.NOTHING
+    _last_byte_at: float = 0.0
+
+    def start_attempt(self, server: str, attempts: int, now: float) -> None:
+        """Record the start of an attempt."""
+        self.server = server
+        self.attempts = attempts
+        self.failure = ''
+        self.cause = Cause.NONE
+        self._head_limited = False
+        self._pause_limited = False
+        self._arrived = Arrived.NOTHING
+        self._last_byte_at = now
+
+    def set_limits(self, head: bool, pause: bool) -> None:
+        """Record which timers of the attempt end before the deadline."""
+        self._head_limited = head
+        self._pause_limited = pause
+
+    def on_head(self, now: float) -> None:
+        """Record the arrival of the head of an answer."""
+        self._arrived = Arrived.HEAD
+        self._last_byte_at = now
+
+    def on_bytes(self, now: float) -> None:
+        """Record the arrival of a part of the body."""
+        self._arrived = Arrived.BODY
+        self._last_byte_at = now
+
+    def fail(self, call: api.Call, reason: str) -> None:
+        """Record the failure of the attempt."""
+        self.failure = reason
+        self.cause = self._cause_of(call, reason)
+
+    def silence(self, now: float) -> float | None:
+        """Return the time since the server's last byte.
+
+        It counts from the start of the attempt if nothing has arrived, and
+        is ``None`` without an attempt.
+        """
+        if not self.attempts:
+            return None
+        return round(now - self._last_byte_at, 3)
+
+    def attempt_fields(self, now: float) -> dict[str, typing.Any]:
+        """Return the fields of the line about a failed attempt."""
+        return {
+            'ended_by': self.cause.value,
+            'arrived': self._arrived.value,
+            'silence': self.silence(now),
+        }
+
+    def ending_fields(self, now: float) -> dict[str, typing.Any]:
+        """Return the fields of a line about the end of the request."""
+        return {
+            'server': self.server,
+            'attempts': self.attempts,
+            'failure': self.failure,
+            'placement': self.placement,
+            **self.attempt_fields(now),
+        }
+
+    def _cause_of(self, call: api.Call, reason: str) -> Cause:
+        """Return what ended an attempt that failed for a reason."""
+        match reason:
+            case 'idle' if self._arrived is not Arrived.NOTHING:
+                limited, cause = self._pause_limited, Cause.PAUSE_LIMIT
+            case 'idle' | 'timeout':
+                limited, cause = self._head_limited, Cause.HEAD_LIMIT
+            case 'deadline' | 'deadline_passed':
+                return deadline_cause(call)
+            case _ if reason.startswith('event_'):
+                return Cause.SERVER_EVENTS
+            case _ if reason.startswith('status_'):
+                return Cause.SERVER_REFUSED
+            case _:
+                return _CAUSES.get(reason, Cause.NONE)
+        return cause if limited else deadline_cause(call)
+
+
+def deadline_cause(call: api.Call) -> Cause:
+    """Return what sets a request's deadline: its caller or its route."""
+    if call.terms.wait_seconds <= call.route.timeout_seconds:
+        return Cause.CALLER_DEADLINE
+    return Cause.ROUTE_TIME
--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -10,7 +10,6 @@
 
 import anyio
 
-from . import fakes
 from dogwoodquay import clock as clocks
 from dogwoodquay.external.http import client
 from dogwoodquay.fleet import api as fleet_api
@@ -18,10 +17,12 @@
 from dogwoodquay.gateway import app as apps
 from dogwoodquay.gateway import exchange as exchanges
 from dogwoodquay.gateway import forwarder as forwarders
+from dogwoodquay.gateway import metrics as gateway_metrics
 from dogwoodquay.gateway import scheduler as schedulers
 from dogwoodquay.gateway import serving
 from dogwoodquay.gateway import settings
 from dogwoodquay.gateway import versions
+from dogwoodquay.observe import metrics as metrics_module
 from dogwoodquay.platform import headers
 from dogwoodquay.retry import window
 from dogwoodquay.routes import api as routes_api
@@ -174,13 +175,14 @@
 class Site:
     """A gateway on a loopback port."""
 
-    def __init__(self, *upstreams: Upstream) -> None:
+    def __init__(self, *upstreams: Upstream, extra_retries: int = 50) -> None:
         clock = clocks.SteadyClock()
         self.upstreams = upstreams
         self.registry = registries.Registry()
         rng = random.Random(3)
         self.connections = client.Connections(clock)
-        metrics = fakes.make_metrics()
+        self.metrics_page = metrics_module.Registry('test')
+        metrics = gateway_metrics.GatewayMetrics(self.metrics_page)
         self.scheduler = schedulers.Scheduler(
             self.registry, 'd1', clock, rng, _NoFinder()
         )
@@ -189,7 +191,7 @@
             forwarders.Forwarder(
                 self.scheduler,
                 exchanges.Exchange(self.connections, headers, clock),
-                window.RetryWindow(0.2, 50, 10.0),
+                window.RetryWindow(0.2, extra_retries, 10.0),
                 clock,
                 rng,
                 metrics,
@@ -200,6 +202,8 @@
             metrics,
             self.freshness,
         )
+        self._stop = anyio.Event()
+        self._listener: serving.Listener | None = None
         with socket.socket() as free:
             free.bind(('127.0.0.1', 0))
             self.port = int(free.getsockname()[1])
@@ -217,21 +221,40 @@
         for upstream in self.upstreams:
             await upstream.start()
             self.registry.update(upstream.entry(), 0.0)
-        stop = anyio.Event()
         listener = serving.Listener(settings.Address('127.0.0.1', self.port))
+        self._listener = listener
         async with anyio.create_task_group() as group:
             group.start_soon(self.scheduler.run)
-            group.start_soon(listener.serve, self.app, stop.wait)
+            group.start_soon(listener.serve, self.app, self._stop.wait)
             try:
                 yield self
             finally:
-                stop.set()
+                self._stop.set()
                 await self.connections.close()
                 for upstream in self.upstreams:
                     upstream.stop()
                 await anyio.sleep(0.05)
                 group.cancel_scope.cancel()
 
+    def stop_within(self, seconds: float) -> None:
+        """Stop listening and end the requests in flight after a time."""
+        assert self._listener is not None
+        self._listener.stop_within(seconds)
+        self._stop.set()
+
+    def counts(self, name: str) -> dict[str, int]:
+        """Return a metric's counts by label values, in order of the names."""
+        found = {}
+        for line in self.metrics_page.render().body.decode().splitlines():
+            if not line.startswith(name + '{'):
+                continue
+            labels, value = line[len(name) + 1 :].rsplit('} ', 1)
+            pairs = dict(item.split('=', 1) for item in labels.split(','))
+            del pairs['instance']
+            values = [pairs[key].strip('"') for key in sorted(pairs)]
+            found[' '.join(values)] = int(float(value))
+        return found
+
     async def raw(self, data: bytes) -> Answer:
         """Send bytes and return the answer to them."""
         with anyio.fail_after(10.0):
