Test many streams, little time and idle limits at silent servers

Cause, as traced on: the limit on a pause (0.75 s) and on the head of an answer end attempts at sound servers; the answer then needs an attempt, a place in the retry budget and a free place, or is cut or a 502. Where any request waits, a plain request's retry after half of its time gets no server.

--- a/tests/site/test_silent_servers.py
+++ b/tests/site/test_silent_servers.py
@@ -30,15 +30,23 @@
 }
 _EVENTS: typing.Final = 4
 _EVENT_SECONDS: typing.Final = 0.01
-_WHOLE_STREAM: typing.Final = b''.join(
-    b'id: %d\ndata: x%d\n\n' % (number, number) for number in range(_EVENTS)
-)
 # Refusals that say that the request did not run.
 _NOT_RUN: typing.Final = frozenset({408, 421, 429, 503})
 _GATEWAY_TIMEOUT: typing.Final = 504
 # When the configuration changes, after the requests were sent.
 _CHANGE_SECONDS: typing.Final = 0.3
+# Many requests of each kind at servers that fall silent together.
 _MANY: typing.Final = 24
+_MANY_EVENTS: typing.Final = 20
+_MANY_EVENT_SECONDS: typing.Final = 0.05
+_MANY_SILENT_SECONDS: typing.Final = 1.2
+_CHANGES_OF_MANY: typing.Final = ('none', 'shorter idle limit')
+# Second requests are sent within this time around the end of the idle limit.
+_IDLE_MS: typing.Final = 800
+_LONG_IDLE_MS: typing.Final = 60_000
+_IDLE_CONNECTIONS: typing.Final = 80
+_IDLE_SPREAD: typing.Final = 0.1
+_SETTLE_SECONDS: typing.Final = 0.2
 
 
 class _Case(typing.NamedTuple):
@@ -50,6 +58,7 @@
     model: str
     silence: servers.Silence | None
     deadline_seconds: float = _ROUTE_TIMEOUT_SECONDS
+    events: int = _EVENTS
 
 
 class _Outcome(typing.NamedTuple):
@@ -248,6 +257,14 @@
             if executed == attempt
         ]
 
+    def executed(self) -> list[str]:
+        """Return the attempts that ran, once for each run."""
+        return [
+            attempt
+            for server in self.site.servers
+            for attempt in server.executed_attempts
+        ]
+
     def next_attempt(self) -> str:
         """Return a new attempt id."""
         self._attempts += 1
@@ -283,6 +300,12 @@
         return _Outcome(change, case, answered, problem)
 
 
+def _whole_stream(events: int) -> bytes:
+    return b''.join(
+        b'id: %d\ndata: x%d\n\n' % (number, number) for number in range(events)
+    )
+
+
 def _problem(
     case: _Case,
     answer: processes.Answer | None,
@@ -303,7 +326,7 @@
     if answer.status != 200:
         return f'{answer.status} after {seconds:.2f} s'
     if case.model:
-        bodies = [_WHOLE_STREAM]
+        bodies = [_whole_stream(case.events)]
     else:
         bodies = [f'{name} GET {case.prefix}x '.encode() for name in ran_at]
     return '' if answer.body in bodies else f'wrong body {answer.body!r}'
@@ -445,3 +468,225 @@
             servers.Place.BETWEEN_EVENTS,
             servers.Place.WITHIN_EVENT,
         )
+
+
+_MANY_CASES: typing.Final = [
+    *(
+        _Case(
+            f'/{name}.pair/',
+            attempts,
+            name != 'fixed',
+            'loaded',
+            None,
+            events=_MANY_EVENTS,
+        )
+        for name, attempts in _STREAM_ROUTES.items()
+    ),
+    _Case('/unsafe.pair/', 2, False, '', None),
+]
+
+
+async def _call_many(server_ids: set[str]) -> list[_Outcome]:
+    """Let all servers with these ids fall silent under many requests."""
+    found: list[_Outcome] = []
+    async with _Callers.running() as callers:
+        chosen = [
+            server
+            for server in callers.site.servers
+            if server.server_id in server_ids
+        ]
+        for server in callers.site.servers:
+            server.events = _MANY_EVENTS
+            server.event_seconds = _MANY_EVENT_SECONDS
+        for name in _CHANGES_OF_MANY:
+            sent = _MANY * len(_MANY_CASES)
+            executed = len(callers.executed()) + 2 * sent
+            calls = []
+            for _ in range(_MANY):
+                calls += [
+                    asyncio.ensure_future(callers.call(name, case))
+                    for case in _MANY_CASES
+                ]
+                await asyncio.sleep(0.005)
+            while len(callers.executed()) < executed:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(_MANY_EVENT_SECONDS * 2)
+            for server in chosen:
+                server.fall_silent(_MANY_SILENT_SECONDS)
+            await asyncio.sleep(_CHANGE_SECONDS)
+            if name != 'none':
+                callers.put(_CHANGES[name])
+            found += await asyncio.gather(*calls)
+    return found
+
+
+class ManyStreamsTest(unittest.TestCase):
+    """Servers that fall silent on all connections under many streams."""
+
+    def _assert_fine(self, outcomes: list[_Outcome]) -> None:
+        for name in _CHANGES_OF_MANY:
+            answered = [
+                outcome
+                for outcome in outcomes
+                if outcome.change == name and outcome.answered
+            ]
+            self.assertGreaterEqual(len(answered), _MANY)
+        problems = [outcome.problem for outcome in outcomes if outcome.problem]
+        if problems:
+            self.fail('\n'.join(problems))
+
+    def test_one_server_of_two(self) -> None:
+        """One server of each pair falls silent."""
+        silent = {'d.pair.0', 'e.pair.0'}
+        self._assert_fine(asyncio.run(_call_many(silent)))
+
+    def test_both_servers(self) -> None:
+        """Both servers of each pair fall silent together."""
+        silent = {'d.pair.0', 'e.pair.0', 'd.pair.1', 'e.pair.1'}
+        self._assert_fine(asyncio.run(_call_many(silent)))
+
+
+async def _send_around_close(
+    limits_ms: tuple[int, int], silent_seconds: float
+) -> list[_Outcome]:
+    """Send second requests around the time at which connections close.
+
+    :param limits_ms: the idle limits before and after the first requests.
+    :param silent_seconds: how long the first requests take. The limit changes
+        before they are answered, or after them if it is zero.
+    """
+    async with _Callers.running() as callers:
+        before, after = limits_ms
+        callers.put(lambda content: _set_idle_timeout(content, before))
+        await callers.wait_in_force()
+
+        async def call_twice(
+            number: int,
+        ) -> tuple[str, processes.Answer | None, float]:
+            first, second = callers.next_attempt(), callers.next_attempt()
+            if silent_seconds:
+                callers.silences[first] = servers.Silence(
+                    servers.Place.HEAD, silent_seconds
+                )
+            async with processes.Connection.opened(
+                callers.instance
+            ) as connection:
+                answer = await connection.call('/unsafe/x', first)
+                assert answer.status == 200, answer
+                offset = (number / _IDLE_CONNECTIONS - 0.5) * _IDLE_SPREAD
+                await asyncio.sleep(min(limits_ms) / 1000 + offset)
+                late: processes.Answer | None = None
+                sent_at = time.monotonic()
+                with contextlib.suppress(EOFError, OSError):
+                    late = await connection.call('/unsafe/x', second)
+            return second, late, time.monotonic() - sent_at
+
+        calls = [
+            asyncio.ensure_future(call_twice(number))
+            for number in range(_IDLE_CONNECTIONS)
+        ]
+        await asyncio.sleep(_CHANGE_SECONDS)
+        callers.put(lambda content: _set_idle_timeout(content, after))
+        found = await asyncio.gather(*calls)
+        # A request may reach its server after its caller's connection closed.
+        await asyncio.sleep(_SETTLE_SECONDS)
+        return [
+            _outcome_at_close(callers, attempt, answer, seconds)
+            for attempt, answer, seconds in found
+        ]
+
+
+def _outcome_at_close(
+    callers: _Callers,
+    attempt: str,
+    answer: processes.Answer | None,
+    seconds: float,
+) -> _Outcome:
+    """Return an outcome; one that was not passed on needs no answer."""
+    case = _Case('/unsafe/', 2, False, '', None)
+    ran_at = callers.servers_of(attempt)
+    problem = ''
+    if ran_at or answer is not None:
+        problem = _problem(case, answer, ran_at, seconds)
+    if problem:
+        problem = f'{attempt}: {problem}'
+    return _Outcome('', case, answer is not None, problem)
+
+
+class IdleLimitTest(unittest.TestCase):
+    """Requests on connections that are about to be closed."""
+
+    outcomes: typing.ClassVar[list[list[_Outcome]]]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Run the requests of all tests at the same time."""
+        cls.outcomes = asyncio.run(cls._send_all())
+
+    @staticmethod
+    async def _send_all() -> list[list[_Outcome]]:
+        return await asyncio.gather(
+            _send_around_close((_IDLE_MS, _IDLE_MS), 0.0),
+            _send_around_close((_IDLE_MS, _LONG_IDLE_MS), 0.0),
+            _send_around_close((_LONG_IDLE_MS, _IDLE_MS), 0.0),
+            _send_around_close((_LONG_IDLE_MS, _IDLE_MS), 1.2),
+        )
+
+    def _assert_fine(self, outcomes: list[_Outcome]) -> None:
+        problems = [outcome.problem for outcome in outcomes if outcome.problem]
+        self.assertEqual([], problems)
+        self.assertTrue(any(outcome.answered for outcome in outcomes))
+
+    def test_same_limit(self) -> None:
+        """The limit stays as it is."""
+        self._assert_fine(self.outcomes[0])
+
+    def test_raised_while_idle(self) -> None:
+        """The limit is raised while connections are idle."""
+        self._assert_fine(self.outcomes[1])
+
+    def test_lowered_while_idle(self) -> None:
+        """The limit is lowered while connections are idle."""
+        self._assert_fine(self.outcomes[2])
+
+    def test_lowered_under_requests(self) -> None:
+        """The limit is lowered while a server is silent."""
+        self._assert_fine(self.outcomes[3])
+
+
+async def _call_together(cases: list[_Case]) -> list[_Outcome]:
+    async with _Callers.running() as callers:
+        return await asyncio.gather(
+            *(callers.call('none', case) for case in cases)
+        )
+
+
+class LittleTimeTest(unittest.TestCase):
+    """Plain answers that come after more than half of the callers' time."""
+
+    def _assert_answered(self, cases: list[_Case], prefix: str) -> None:
+        outcomes = asyncio.run(_call_together(cases))
+        problems = [outcome.problem for outcome in outcomes if outcome.problem]
+        if problems:
+            self.fail('\n'.join(problems))
+        self.assertTrue(
+            all(
+                outcome.answered
+                for outcome in outcomes
+                if outcome.case.prefix == prefix
+            )
+        )
+
+    def test_while_another_request_waits(self) -> None:
+        """A request of another service waits for a place meanwhile."""
+        silence = servers.Silence(servers.Place.HEAD, 1.6)
+        streams = [_stream_case('fixed', '.fixed.0', silence)] * 3
+        silence = servers.Silence(servers.Place.HEAD, 1.5)
+        plain = _Case('/plain-2.pair/', 2, True, '', silence, 2.4)
+        self._assert_answered([*streams, plain], plain.prefix)
+
+    def test_many_requests(self) -> None:
+        """More requests are late than the retry budget allows to repeat."""
+        silence = servers.Silence(servers.Place.HEAD, 1.5)
+        plain = _Case('/plain-2.pair/', 2, True, '', silence, 2.4)
+        self._assert_answered([plain] * _MANY, plain.prefix)
