Keep an attempt at a silent server until a successor is secured

Cause: an attempt was ended before its successor was secured. After a pause of 0.75 s in a resumable stream, or half of the time without a head, the attempt ended as if its server had failed, and only then were an attempt of the route, a retry of the budget and a free server sought. Without one of them the stream was cut. The class: giving up what is held before what replaces it is at hand. A request that needed another server also held up all others for its model in the queue of requests.

Change: SilenceWatch looks for a successor of an attempt past its patience while the attempt goes on, and ends it only for a server that has reserved capacity, with an attempt and a retry taken. Otherwise the attempt lasts to the deadline. The queue skips only requests with the same need.

--- a/src/dogwoodquay/fleet/choice.py
+++ b/src/dogwoodquay/fleet/choice.py
@@ -29,6 +29,8 @@
 
     ``avoid`` holds the ids of servers that have failed the request, and
     ``cached`` of those that may have parts of its prompt in their cache.
+    ``successor`` is set while an attempt still runs: only a healthy server
+    that has not failed the request is better than that one.
     """
 
     service: str
@@ -36,6 +38,7 @@
     adapter: str = ''
     avoid: frozenset[str] = frozenset()
     cached: frozenset[str] = frozenset()
+    successor: bool = False
 
 
 def usable(
@@ -44,7 +47,8 @@
     """Return the servers that can run a request.
 
     Ejected servers and those that failed the request are only returned if
-    there are no others. Unreachable servers are never returned.
+    there are no others, and never as successors. Unreachable servers are
+    never returned.
     """
     capable = [
         server
@@ -52,15 +56,15 @@
         if server.has_loaded(need.model, need.adapter)
         and not server.unreachable(now)
     ]
-    healthy = [
-        server for server in capable if not server.ejected(now)
-    ] or capable
+    healthy = [server for server in capable if not server.ejected(now)]
+    if not need.successor:
+        healthy = healthy or capable
     untried = [
         server
         for server in healthy
         if server.entry.server_id not in need.avoid
     ]
-    return untried or healthy
+    return untried if need.successor else untried or healthy
 
 
 def choose(
--- a/src/dogwoodquay/fleet/queue.py
+++ b/src/dogwoodquay/fleet/queue.py
@@ -76,8 +76,8 @@
     ) -> list[tuple[Ticket, _Server]]:
         """Remove and return the requests for which a server is available.
 
-        If no server is available for a request, other requests for the same
-        service, model and adapter are skipped.
+        If no server is available for a request, others with the same need are
+        skipped.
         """
 
         def rank(ticket: Ticket) -> tuple[int, float]:
@@ -88,15 +88,14 @@
             return order, ticket.entered_at
 
         assigned = []
-        full: set[tuple[str, str, str]] = set()
+        full: set[choice.Need] = set()
         for ticket in sorted(self._tickets.values(), key=rank):
             need = ticket.need
-            kind = (need.service, need.model, need.adapter)
-            if kind in full:
+            if need in full:
                 continue
             server = choose(need)
             if server is None:
-                full.add(kind)
+                full.add(need)
                 continue
             del self._tickets[ticket.number]
             assigned.append((ticket, server))
--- /dev/null
+++ b/src/dogwoodquay/gateway/attempt.py
@@ -0,0 +1,143 @@
+"""The state of one attempt of a request at a server."""
+
+from __future__ import annotations
+
+import math
+import typing
+
+import anyio
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from . import api
+    from ..fleet import server as servers
+    from ..retry import windowed
+
+__all__ = ['Attempt']
+
+
+class Attempt:
+    """An attempt, how long its server is silent, and its successor.
+
+    :param head_patience_seconds: the silence before the first byte after
+        which a successor is looked for; infinite for never.
+    :param gap_patience_seconds: the same between parts of a stream.
+    :param on_started: called for the first events of a stream.
+    :param avoid: servers at which the request has failed before.
+    :param number: the number of attempts of the request so far, with this one.
+    """
+
+    def __init__(
+        self,
+        call: api.Call,
+        server: servers.Server,
+        retries: windowed.WindowedRetries,
+        avoid: frozenset[str],
+        number: int,
+        head_patience_seconds: float,
+        gap_patience_seconds: float,
+        now: float,
+        on_started: abc.Callable[[], None],
+    ) -> None:
+        self._call = call
+        self._server = server
+        self._retries = retries
+        self._avoid = avoid | {server.entry.server_id}
+        self._number = number
+        self._gap_patience_seconds = gap_patience_seconds
+        self._silent_since = now
+        self._overdue_at = now + head_patience_seconds
+        self._on_started = on_started
+        self._started = False
+        self._scope = anyio.CancelScope()
+        self._search: anyio.CancelScope | None = None
+        self._successor: servers.Server | None = None
+
+    @property
+    def call(self) -> api.Call:
+        """The request."""
+        return self._call
+
+    @property
+    def server(self) -> servers.Server:
+        """The server that runs the attempt."""
+        return self._server
+
+    @property
+    def retries(self) -> windowed.WindowedRetries:
+        """The decisions about further attempts of the request."""
+        return self._retries
+
+    @property
+    def avoid(self) -> frozenset[str]:
+        """The servers that cannot take the request over, by id."""
+        return self._avoid
+
+    @property
+    def number(self) -> int:
+        """The number of attempts of the request so far, with this one."""
+        return self._number
+
+    @property
+    def scope(self) -> anyio.CancelScope:
+        """The scope in which the attempt runs; a hand-over cancels it."""
+        return self._scope
+
+    @property
+    def started(self) -> bool:
+        """Whether events of a stream have arrived."""
+        return self._started
+
+    @property
+    def retry_allowed(self) -> bool:
+        """Whether the request may be sent to one more server."""
+        return self._retries.attempt_left(self._number)
+
+    def silence(self, now: float) -> float:
+        """Return the seconds for which the server has sent nothing."""
+        return max(0.0, now - self._silent_since)
+
+    def on_received(self) -> None:
+        """Record that bytes have arrived, which end a search."""
+        self._overdue_at = math.inf
+        self.end_search()
+
+    def on_part(self) -> None:
+        """Record that complete events have arrived."""
+        if not self._started:
+            self._started = True
+            self._on_started()
+
+    def on_waiting(self, now: float) -> None:
+        """Record that the next bytes of the answer are awaited."""
+        self._silent_since = now
+        self._overdue_at = now + self._gap_patience_seconds
+
+    def is_overdue(self, now: float) -> bool:
+        """Whether the silence lasts too long and no search was begun."""
+        return now >= self._overdue_at
+
+    def begin_search(self, scope: anyio.CancelScope) -> None:
+        """Record a search for a successor, the only one for this silence."""
+        self._search = scope
+        self._overdue_at = math.inf
+
+    def end_search(self) -> None:
+        """Cancel the search for a successor, if one runs."""
+        if self._search is not None:
+            self._search.cancel()
+
+    def search_ended(self) -> None:
+        """Record that a search has ended."""
+        self._search = None
+
+    def hand_over(self, successor: servers.Server) -> None:
+        """End the attempt as a server has been secured for the next one."""
+        self._successor = successor
+        self._scope.cancel()
+
+    def take_successor(self) -> servers.Server | None:
+        """Return the secured server once; the caller releases it."""
+        successor, self._successor = self._successor, None
+        return successor
--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -31,6 +31,8 @@
 # Used where a server names no idle time, or zero. The header gives whole
 # seconds with the fraction cut off, so small values are imprecise.
 IDLE_UNKNOWN_SECONDS: typing.Final = 3.0
+# The least timeout of a read. The caller of ``run`` ends it at the deadline.
+MIN_READ_SECONDS: typing.Final = 0.02
 
 
 class HeaderCodec(typing.Protocol):
@@ -71,6 +73,19 @@
         """Send complete events."""
 
 
+class Progress(typing.Protocol):
+    """Receives the progress of an attempt."""
+
+    def on_received(self) -> None:
+        """Handle the arrival of bytes of the answer."""
+
+    def on_part(self) -> None:
+        """Handle the arrival of complete events."""
+
+    def on_waiting(self, now: float) -> None:
+        """Handle that all received bytes have been passed on."""
+
+
 class Exchange:
     """Sends requests to servers and reads their answers."""
 
@@ -89,16 +104,9 @@
         call: api.Call,
         server: servers.Server,
         relay: Relay,
-        head_deadline: float,
-        gap_seconds: float,
-        on_part: abc.Callable[[], None],
+        progress: Progress,
     ) -> outcomes.Outcome:
-        """Run an attempt.
-
-        :param head_deadline: the deadline for the head of the answer.
-        :param gap_seconds: the longest pause within the answer.
-        :param on_part: called for each part of a streamed answer.
-        """
+        """Run an attempt, until the deadline of the request at most."""
         entry = server.entry
         now = self._clock.now()
         outgoing = api.AddedHeaders(
@@ -114,8 +122,8 @@
             call.target,
             self._codec.for_server(call.headers, outgoing),
             call.body,
-            head_deadline,
-            gap_seconds,
+            call.deadline,
+            max(call.deadline - now, MIN_READ_SECONDS),
         ) as sent:
             if sent.is_ok():
                 return await self._read_answer(
@@ -124,7 +132,7 @@
                     relay,
                     sent.ok,
                     self._clock.now() - now,
-                    on_part,
+                    progress,
                 )
             if isinstance(sent.error, external_api.Unavailable):
                 return outcomes.NotRun(sent.error.reason, arrived=False)
@@ -137,12 +145,13 @@
         relay: Relay,
         response: httpx.Response,
         seconds: float,
-        on_part: abc.Callable[[], None],
+        progress: Progress,
     ) -> outcomes.Outcome:
         relay.trace.on_head(self._clock.now())
         status = response.status_code
         headers = tuple(response.headers.raw)
         terms = self._codec.answer_terms(status, headers)
+        progress.on_received()
         if terms.attempt_id != call.terms.attempt_id:
             client.discard(response)
             return outcomes.Broken('answer_crossed')
@@ -160,7 +169,7 @@
                 return outcomes.Broken('not_the_servers_answer')
             if status == _OK and call.route.streaming:
                 return await self._relay_events(
-                    relay, response, headers, on_part
+                    relay, response, headers, progress
                 )
             body = await self._read_body(relay, response)
         except httpx.HTTPError as error:
@@ -201,16 +210,19 @@
         relay: Relay,
         response: httpx.Response,
         headers: tuple[tuple[bytes, bytes], ...],
-        on_part: abc.Callable[[], None],
+        progress: Progress,
     ) -> outcomes.Outcome:
         relay.splitter.restart()
+        progress.on_waiting(self._clock.now())
         async for chunk in _stream(response):
+            progress.on_received()
             relay.trace.on_bytes(self._clock.now())
             whole = relay.splitter.feed(chunk)
             if whole:
-                on_part()
+                progress.on_part()
                 await relay.start(response.status_code, headers)
                 await relay.send(whole)
+            progress.on_waiting(self._clock.now())
         if relay.splitter.partial:
             raise events.BrokenStream('event_cut')
         await relay.start(response.status_code, headers)
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -28,6 +28,7 @@
 from ..retry import window
 from . import scheduler as schedulers
 from . import serving
+from . import silence as silences
 from . import watch
 from ..wire import peers as wire_peers
 from ..wire import settings as wire_settings
@@ -148,6 +149,7 @@
                 ('servers', self._servers.run),
                 ('duty', self._ownership.run),
                 ('scheduler', self._scheduler.run),
+                ('silence', self._silence.run),
                 ('controller', self._controller.run),
                 ('peering', self._peering.run),
             ):
@@ -238,6 +240,7 @@
         exchange = exchanges.Exchange(
             self._connections, adapters.codec, self._clock
         )
+        self._silence = silences.SilenceWatch(self._scheduler, self._clock)
         budget = window.RetryWindow(
             settings.retry_share, EXTRA_RETRIES, settings.retry_window_seconds
         )
@@ -248,6 +251,7 @@
             self._clock,
             self._rng,
             self._metrics,
+            self._silence,
         )
         return apps.GatewayApp(
             forwarder,
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -114,6 +114,8 @@
         now = self._clock.now()
         waiting: dict[_Key, list[float]] = {}
         for ticket in self._queue.tickets:
+            if ticket.need.successor:
+                continue
             key = (ticket.need.service, ticket.need.model)
             waiting.setdefault(key, []).append(now - ticket.entered_at)
         return {
@@ -168,7 +170,24 @@
         :param avoid: servers at which earlier attempts failed.
         :param wait_deadline: when the request stops waiting.
         """
-        need = self._need(call, avoid)
+        return await self._acquire(
+            call, self._need(call, avoid), wait_deadline
+        )
+
+    async def acquire_successor(
+        self, call: api.Call, avoid: frozenset[str]
+    ) -> servers.Server | None:
+        """Return another server for a request that still runs at one.
+
+        As ``acquire``, but only healthy servers outside ``avoid`` count, and
+        the wait lasts until the request's deadline.
+        """
+        need = self._need(call, avoid)._replace(successor=True)
+        return await self._acquire(call, need, call.deadline)
+
+    async def _acquire(
+        self, call: api.Call, need: choice.Need, wait_deadline: float
+    ) -> servers.Server | None:
         if self._load_misses_deadline(need, wait_deadline):
             return None
         server = None if len(self._queue) else self._choose(need)
--- a/src/dogwoodquay/gateway/trace.py
+++ b/src/dogwoodquay/gateway/trace.py
@@ -68,8 +68,6 @@
     placement: str = ''
     cause: Cause = Cause.NONE
     stopped: bool = False
-    _head_limited: bool = False
-    _pause_limited: bool = False
     _arrived: Arrived = Arrived.NOTHING
     _last_byte_at: float = 0.0
 
@@ -79,16 +77,9 @@
         self.attempts = attempts
         self.failure = ''
         self.cause = Cause.NONE
-        self._head_limited = False
-        self._pause_limited = False
         self._arrived = Arrived.NOTHING
         self._last_byte_at = now
 
-    def set_limits(self, head: bool, pause: bool) -> None:
-        """Record which timers of the attempt end before the deadline."""
-        self._head_limited = head
-        self._pause_limited = pause
-
     def on_head(self, now: float) -> None:
         """Record the arrival of the head of an answer."""
         self._arrived = Arrived.HEAD
@@ -135,11 +126,11 @@
     def _cause_of(self, call: api.Call, reason: str) -> Cause:
         """Return what ended an attempt that failed for a reason."""
         match reason:
-            case 'idle' if self._arrived is not Arrived.NOTHING:
-                limited, cause = self._pause_limited, Cause.PAUSE_LIMIT
-            case 'idle' | 'timeout':
-                limited, cause = self._head_limited, Cause.HEAD_LIMIT
-            case 'deadline' | 'deadline_passed':
+            case 'silent' if self._arrived is Arrived.NOTHING:
+                return Cause.HEAD_LIMIT
+            case 'silent':
+                return Cause.PAUSE_LIMIT
+            case 'idle' | 'timeout' | 'deadline' | 'deadline_passed':
                 return deadline_cause(call)
             case _ if reason.startswith('event_'):
                 return Cause.SERVER_EVENTS
@@ -147,7 +138,6 @@
                 return Cause.SERVER_REFUSED
             case _:
                 return _CAUSES.get(reason, Cause.NONE)
-        return cause if limited else deadline_cause(call)
 
 
 def deadline_cause(call: api.Call) -> Cause:
--- a/src/dogwoodquay/retry/window.py
+++ b/src/dogwoodquay/retry/window.py
@@ -42,13 +42,17 @@
 
         :return: whether the retry is permitted.
         """
-        requests = self._times(self._requests, service, now)
-        retries = self._times(self._retries, service, now)
-        if len(retries) + 1 > self._share * len(requests) + self._slack:
+        if not self.available(service, now):
             return False
-        retries.append(now)
+        self._times(self._retries, service, now).append(now)
         return True
 
+    def available(self, service: str, now: float) -> bool:
+        """Whether the window permits one more retry."""
+        requests = self._times(self._requests, service, now)
+        retries = self._times(self._retries, service, now)
+        return len(retries) + 1 <= self._share * len(requests) + self._slack
+
     def _times(
         self,
         table: dict[str, collections.deque[float]],
--- a/src/dogwoodquay/retry/windowed.py
+++ b/src/dogwoodquay/retry/windowed.py
@@ -73,6 +73,30 @@
             return api.GiveUp('retry_budget_spent', failure.run_state)
         return api.Retry(at, failure.delivered, failure.reason)
 
+    def attempt_left(self, attempts: int) -> bool:
+        """Whether one more server may get the request of a running attempt.
+
+        :param attempts: the attempts so far, with the running one.
+        """
+        return (
+            self._possible_runs + 1 < self._max_attempts
+            and attempts < self._max_attempts + self._settings.rejections
+        )
+
+    def budget_left(self, now: float) -> bool:
+        """Whether the budget permits a retry."""
+        return self._budget.available(self._service, now)
+
+    def take_retry(self, now: float) -> bool:
+        """Count a retry after an attempt that is ended while it runs.
+
+        :return: whether the budget permits it.
+        """
+        if not self._budget.take(self._service, now):
+            return False
+        self._possible_runs += 1
+        return True
+
     def _refusal_reason(self, failure: api.Failure) -> str:
         may_have_run = failure.run_state is not api.RunState.NOT_RUN
         if may_have_run and not failure.idempotent:
--- a/tests/unit/fleet/test_choice.py
+++ b/tests/unit/fleet/test_choice.py
@@ -46,6 +46,18 @@
         self.assertEqual('free', _choose([full, free], need))
         self.assertEqual('', _choose([full], need))
 
+    def test_successor(self) -> None:
+        """Only a healthy server without a failure is better than none."""
+        need = choice.Need('models', avoid=frozenset({'a'}), successor=True)
+        first, other = entries.make_server('a'), entries.make_server('b')
+        self.assertEqual('', _choose([first], need))
+        self.assertEqual('b', _choose([first, other], need))
+        for _ in range(servers.EJECT_AFTER):
+            other.failed(1.0)
+        self.assertEqual('', _choose([first, other], need))
+        need = need._replace(successor=False)
+        self.assertEqual('a', _choose([first, other], need))
+
     def test_ties_are_broken_at_random(self) -> None:
         """Instances that see the same load choose different servers."""
         need = choice.Need('models')
--- a/tests/unit/fleet/test_queue.py
+++ b/tests/unit/fleet/test_queue.py
@@ -51,6 +51,18 @@
         numbers = [ticket.number for ticket, _ in assigned]
         self.assertEqual([200, 201, 1], numbers)
 
+    def test_successor_does_not_block_its_model(self) -> None:
+        """A request that needs another server holds up none that does not."""
+        subject = queue.RequestQueue()
+        first = _ticket(1, priority=0)
+        need = first.need._replace(avoid=frozenset({'x'}), successor=True)
+        subject.add(first._replace(need=need))
+        subject.add(_ticket(2, priority=2))
+        assigned = subject.assign(
+            lambda need: None if 'x' in need.avoid else 'x', 3.0
+        )
+        self.assertEqual([2], [ticket.number for ticket, _ in assigned])
+
     def test_full_model_does_not_block_others(self) -> None:
         """Requests for a model without free servers do not block others."""
         subject = queue.RequestQueue()
--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -21,6 +21,7 @@
 from dogwoodquay.gateway import scheduler as schedulers
 from dogwoodquay.gateway import serving
 from dogwoodquay.gateway import settings
+from dogwoodquay.gateway import silence
 from dogwoodquay.gateway import versions
 from dogwoodquay.observe import metrics as metrics_module
 from dogwoodquay.platform import headers
@@ -187,6 +188,7 @@
             self.registry, 'd1', clock, rng, _NoFinder()
         )
         self.freshness = Freshness()
+        self.silence = silence.SilenceWatch(self.scheduler, clock)
         self.app = apps.GatewayApp(
             forwarders.Forwarder(
                 self.scheduler,
@@ -195,6 +197,7 @@
                 clock,
                 rng,
                 metrics,
+                self.silence,
             ),
             headers,
             clock,
@@ -225,6 +228,7 @@
         self._listener = listener
         async with anyio.create_task_group() as group:
             group.start_soon(self.scheduler.run)
+            group.start_soon(self.silence.run)
             group.start_soon(listener.serve, self.app, self._stop.wait)
             try:
                 yield self
