Let plain requests end at a planned stop

Cause: the HTTP server got 0.5 s for the requests in flight whatever was left of the time to stop. Now it gets what streams get, until a second before the process is killed; it still stops as soon as all have ended.

--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -55,6 +55,7 @@
 BALANCER_REMOVAL_SECONDS: typing.Final = 2.4
 # The part of the stop time that is kept for plain requests and closing.
 STOP_MARGIN_SECONDS: typing.Final = 1.0
+# The least time that plain requests get to end.
 PLAIN_STOP_SECONDS: typing.Final = 0.5
 STOP_POLL_SECONDS: typing.Final = 0.05
 # Retries of each instance beyond its share; those of all instances together
@@ -310,7 +311,8 @@
         while self._app.streams and self._clock.now() < deadline:
             await anyio.sleep(STOP_POLL_SECONDS)
         self._app.end_streams()
-        self._callers.stop_within(PLAIN_STOP_SECONDS)
+        left = deadline - self._clock.now()
+        self._callers.stop_within(max(left, PLAIN_STOP_SECONDS))
 
 
 def _wire_settings(
--- a/tests/site/processes.py
+++ b/tests/site/processes.py
@@ -258,6 +258,10 @@
         extra = _headers(attempt, model, 5000)
         return await _send(self._callers, method, target, extra)
 
+    async def readiness_status(self) -> int:
+        """Return the status of the readiness endpoint."""
+        return (await _send(self._readiness, 'GET', '/readyz', '')).status
+
     async def wait_stopped(self) -> int:
         """Wait until the process exits and return its exit status."""
         while self.process.poll() is None:
--- a/tests/site/test_silent_servers.py
+++ b/tests/site/test_silent_servers.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import random
+import signal
 import time
 import typing
 import unittest
@@ -690,3 +691,32 @@
         silence = servers.Silence(servers.Place.HEAD, 1.5)
         plain = _Case('/plain-2.pair/', 2, True, '', silence, 2.4)
         self._assert_answered([plain] * _MANY, plain.prefix)
+
+
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    """Planned stops of an instance whose servers are silent."""
+
+    async def test_plain_request_at_a_planned_stop(self) -> None:
+        """A plain answer that takes over half a second is not cut off."""
+        async with _Callers.running() as callers:
+            instance = callers.instance
+            async with processes.Connection.opened(instance) as connection:
+                await connection.call('/other/x', callers.next_attempt())
+                instance.process.send_signal(signal.SIGTERM)
+                attempt = callers.next_attempt()
+                callers.silences[attempt] = servers.Silence(
+                    servers.Place.HEAD, 1.6
+                )
+                call = asyncio.ensure_future(
+                    connection.call('/unsafe/x', attempt)
+                )
+                while not callers.servers_of(attempt):
+                    await asyncio.sleep(0.02)
+                # The balancer removes the instance after two refusals.
+                while await instance.readiness_status() == 200:
+                    await asyncio.sleep(0.02)
+                self.assertEqual(503, await instance.readiness_status())
+                answer = await call
+                self.assertEqual((200, True), (answer.status, answer.complete))
+                self.assertEqual('close', answer.headers['connection'])
+            self.assertEqual(0, await instance.wait_stopped())
