Close idle connections without losing a request that arrives

The timer is set by the configuration, and callers use a longer limit at once.

Cause: hypercorn closes an idle connection in steps of its own task, shielded from cancellation. A request that is read between the steps starts the application, may be passed on to a server, and then its connection is closed. The class: a decision to close that does not look again at what arrived since.

Change: connections.Connection closes in one step, after the reading task has read what arrived; what arrives later is not read, so that its caller may send it again. As hypercorn has no way to set the class of connections, connections.serve replaces its worker loop; the protocols stay hypercorn's. It serves both interfaces.

The cause http_server of ended connections and its test go: nothing closes a connection with a request in flight by that timer any more, which the new test checks, being stricter.

--- /dev/null
+++ b/src/dogwoodquay/entry/connections.py
@@ -0,0 +1,126 @@
+"""Serves callers' connections with hypercorn's protocols."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import typing
+
+from hypercorn.asyncio import tcp_server
+from hypercorn.asyncio import worker_context
+from hypercorn import events
+from hypercorn import utils
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+    import ssl
+
+    from hypercorn import config as hypercorn_config
+
+__all__ = ['Connection', 'serve']
+
+
+class Connection(tcp_server.TCPServer):
+    """A caller's connection.
+
+    Hypercorn closes an idle connection in steps, and serves a request that it
+    reads between them, which then gets no answer. Here a request that has
+    arrived is read before the connection is closed, and one that arrives
+    later is not read.
+    """
+
+    _closed_idle = False
+
+    async def _read_data(self) -> None:
+        while not self.reader.at_eof():
+            try:
+                data = await self.reader.read(tcp_server.MAX_RECV)
+            except OSError:
+                break
+            if self._closed_idle:
+                break
+            await self.protocol.handle(events.RawData(data))
+        await self.protocol.handle(events.Closed())
+
+    async def _idle_timeout(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(
+                self.context.terminated.wait(), self.config.keep_alive_timeout
+            )
+        # The reading task reads what has arrived, and cancels this one if it
+        # is a request.
+        await asyncio.sleep(0)
+        self._closed_idle = True
+        self.writer.close()
+
+
+async def serve(
+    app: object,
+    config: hypercorn_config.Config,
+    shutdown_trigger: abc.Callable[[], abc.Awaitable[None]],
+) -> None:
+    """Serve until ``shutdown_trigger`` returns, then let requests end.
+
+    Requests in flight get the graceful timeout of the configuration, as it is
+    at that time; idle connections are closed at once.
+    """
+    loop = asyncio.get_running_loop()
+    context = worker_context.WorkerContext(None)
+    wrapper = utils.wrap_app(
+        typing.cast('typing.Any', app), config.wsgi_max_body_size, 'asgi'
+    )
+    tasks: set[asyncio.Task[None]] = set()
+
+    async def serve_connection(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = typing.cast('asyncio.Task[None]', asyncio.current_task())
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        # Cancelled at the end of the graceful timeout.
+        with contextlib.suppress(asyncio.CancelledError):
+            await Connection(
+                wrapper, loop, config, context, {}, reader, writer
+            )
+
+    servers = await _listen(config, serve_connection)
+    try:
+        await shutdown_trigger()
+    finally:
+        await context.terminated.set()
+        for server in servers:
+            server.close()
+            await server.wait_closed()
+        await _finish(tasks, config.graceful_timeout)
+
+
+async def _listen(
+    config: hypercorn_config.Config,
+    serve_connection: abc.Callable[
+        [asyncio.StreamReader, asyncio.StreamWriter], abc.Awaitable[None]
+    ],
+) -> list[asyncio.Server]:
+    sockets = config.create_sockets()
+    tls: ssl.SSLContext | None = None
+    if config.ssl_enabled:
+        tls = config.create_ssl_context()
+    return [
+        await asyncio.start_server(
+            serve_connection, backlog=config.backlog, sock=sock, ssl=context
+        )
+        for group, context in (
+            (sockets.secure_sockets, tls),
+            (sockets.insecure_sockets, None),
+        )
+        for sock in group
+    ]
+
+
+async def _finish(tasks: set[asyncio.Task[None]], seconds: float) -> None:
+    """Wait for connections to end, and cancel those that last longer."""
+    if not tasks:
+        return
+    _, pending = await asyncio.wait(set(tasks), timeout=seconds)
+    for task in pending:
+        task.cancel()
+    await asyncio.gather(*pending, return_exceptions=True)
--- a/src/dogwoodquay/entry/server.py
+++ b/src/dogwoodquay/entry/server.py
@@ -2,17 +2,16 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import socket
 import typing
 
 import anyio
-import anyio.lowlevel
-from hypercorn import asyncio as hypercorn_asyncio
 from hypercorn import config as hypercorn_config
 import msgspec
 
+from . import connections
+
 if typing.TYPE_CHECKING:
     from collections import abc
 
@@ -95,21 +94,8 @@
     config: hypercorn_config.Config,
     shutdown_trigger: abc.Callable[[], abc.Awaitable[None]],
 ) -> None:
-    """Serve an ASGI application until ``shutdown_trigger`` returns.
-
-    Hypercorn, when cancelled during its shutdown, raises InvalidStateError
-    because it asks an unfinished future for its exception. The checkpoint
-    raises the cancellation instead.
-    """
-    try:
-        await hypercorn_asyncio.serve(
-            typing.cast('typing.Any', app),
-            config,
-            shutdown_trigger=shutdown_trigger,
-            mode='asgi',
-        )
-    except asyncio.InvalidStateError:
-        await anyio.lowlevel.checkpoint()
+    """Serve an ASGI application until ``shutdown_trigger`` returns."""
+    await connections.serve(app, config, shutdown_trigger)
 
 
 def _make_config(
--- a/src/dogwoodquay/gateway/answer.py
+++ b/src/dogwoodquay/gateway/answer.py
@@ -175,9 +175,6 @@
 
     def record_left(self) -> None:
         """Record that the connection was closed before the answer's end."""
-        if self._closed_by() is closings.ClosedBy.HTTP_SERVER:
-            self._record_lost(traces.Cause.HTTP_SERVER)
-            return
         phase = self._phase.value
         self._trace.cause = traces.Cause.CALLER
         self._context.metrics.caller_gone(phase)
--- a/src/dogwoodquay/gateway/closings.py
+++ b/src/dogwoodquay/gateway/closings.py
@@ -21,21 +21,16 @@
 class ClosedBy(enum.Enum):
     """Who closed a connection during a request.
 
-    ``READER`` is an end or error of reading, ``WRITER`` one of writing;
-    ``HTTP_SERVER`` is the server's own timer for idle connections.
+    ``READER`` is an end or error of reading, ``WRITER`` one of writing.
     """
 
     NOBODY = ''
     READER = 'reader'
     WRITER = 'writer'
-    HTTP_SERVER = 'http_server'
 
 
-# The functions of hypercorn's tasks.
-_TASKS: typing.Final = {
-    'TCPServer._initiate_server_close': ClosedBy.HTTP_SERVER,
-    '_handle': ClosedBy.WRITER,
-}
+# The function of hypercorn's task that runs the application and writes.
+_WRITER_TASK: typing.Final = '_handle'
 
 
 class ClosingLogger(hypercorn_logging.Logger):
@@ -60,4 +55,4 @@
     task = asyncio.current_task()
     coroutine = None if task is None else task.get_coro()
     name = getattr(coroutine, '__qualname__', '')
-    return _TASKS.get(name, ClosedBy.READER)
+    return ClosedBy.WRITER if name == _WRITER_TASK else ClosedBy.READER
--- a/src/dogwoodquay/gateway/trace.py
+++ b/src/dogwoodquay/gateway/trace.py
@@ -28,7 +28,6 @@
     NO_SERVER = 'no_server'
     STOPPING = 'stopping'
     CALLER = 'caller'
-    HTTP_SERVER = 'http_server'
     EXCEPTION = 'exception'
 
 
--- /dev/null
+++ b/tests/unit/entry/test_connections.py
@@ -0,0 +1,182 @@
+"""Tests of callers' connections that are closed when idle."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import socket
+import typing
+import unittest
+
+from hypercorn import config as hypercorn_config
+
+from dogwoodquay.entry import asgi
+from dogwoodquay.entry import connections
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+_SEED: typing.Final = 22
+_IDLE_SECONDS: typing.Final = 0.05
+_CALLERS: typing.Final = 40
+_ROUNDS: typing.Final = 12
+# The time around the idle close at which a request is sent.
+_EARLIEST_SECONDS: typing.Final = -0.002
+_LATEST_SECONDS: typing.Final = 0.002
+
+
+class _App:
+    """Answers each request after a short time and counts both."""
+
+    def __init__(self) -> None:
+        self.read: set[bytes] = set()
+        self.answer_seconds = 0.005
+
+    async def __call__(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Serve a request."""
+        path = scope['raw_path']
+        self.read.add(path)
+        await asyncio.sleep(self.answer_seconds)
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': 200,
+                'headers': [(b'content-length', b'%d' % len(path))],
+            }
+        )
+        await send({'type': 'http.response.body', 'body': path})
+
+
+@contextlib.asynccontextmanager
+async def _serving(
+    app: _App, graceful_seconds: float = 0.5
+) -> abc.AsyncIterator[tuple[int, asyncio.Event]]:
+    """Serve an application; yields its port and the event that stops it."""
+    listener = socket.create_server(('127.0.0.1', 0))
+    listener.setblocking(False)
+    port = int(listener.getsockname()[1])
+    config = hypercorn_config.Config()
+    config.bind = [f'fd://{listener.detach()}']
+    config.keep_alive_timeout = _IDLE_SECONDS
+    config.graceful_timeout = graceful_seconds
+    config.accesslog = None
+    stop = asyncio.Event()
+    server = asyncio.ensure_future(connections.serve(app, config, stop.wait))
+    try:
+        yield port, stop
+    finally:
+        stop.set()
+        await server
+
+
+class _Caller:
+    """Sends requests and notes those that get their whole answers."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self.answered: set[bytes] = set()
+
+    async def connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection."""
+        return await asyncio.open_connection('127.0.0.1', self._port)
+
+    async def call(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        path: bytes,
+    ) -> bool:
+        """Send a request; return whether its answer is whole."""
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            writer.write(b'GET %s HTTP/1.1\r\nHost: a\r\n\r\n' % path)
+            await reader.readuntil(b'\r\n\r\n')
+            if await reader.readexactly(len(path)) == path:
+                self.answered.add(path)
+                return True
+        return False
+
+
+class IdleCloseTest(unittest.IsolatedAsyncioTestCase):
+    """An idle connection is closed before or after a request, not within."""
+
+    async def test_request_at_the_idle_close(self) -> None:
+        """Each request that is read gets its answer."""
+        app = _App()
+        rng = random.Random(_SEED)
+        async with asyncio.timeout(60.0), _serving(app) as (port, _):
+            caller = _Caller(port)
+
+            async def run(number: int) -> None:
+                for turn in range(_ROUNDS):
+                    reader, writer = await caller.connect()
+                    name = b'/%d/%d' % (number, turn)
+                    if await caller.call(reader, writer, name + b'/first'):
+                        offset = rng.uniform(
+                            _EARLIEST_SECONDS, _LATEST_SECONDS
+                        )
+                        await asyncio.sleep(_IDLE_SECONDS + offset)
+                        await caller.call(reader, writer, name + b'/second')
+                    writer.close()
+
+            await asyncio.gather(*(run(number) for number in range(_CALLERS)))
+            # A request that was read late may still be served.
+            await asyncio.sleep(10 * app.answer_seconds)
+        second = {path for path in app.read if path.endswith(b'second')}
+        self.assertEqual(set(), app.read - caller.answered)
+        # Requests were sent on both sides of the close.
+        self.assertLess(0, len(second))
+        self.assertLess(len(second), _CALLERS * _ROUNDS)
+
+    async def test_idle_connection(self) -> None:
+        """It is closed after the idle time, also before any request."""
+        async with asyncio.timeout(60.0), _serving(_App()) as (port, _):
+            caller = _Caller(port)
+            reader, writer = await caller.connect()
+            self.assertEqual(b'', await reader.read())
+            writer.close()
+
+
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    """A stop closes idle connections and lets requests end."""
+
+    async def test_request_in_flight(self) -> None:
+        """A request in flight is answered; then its connection closes."""
+        app = _App()
+        app.answer_seconds = 0.2
+        async with asyncio.timeout(60.0), _serving(app) as (port, stop):
+            caller = _Caller(port)
+            idle_reader, idle_writer = await caller.connect()
+            reader, writer = await caller.connect()
+            call = asyncio.ensure_future(caller.call(reader, writer, b'/x'))
+            while not app.read:
+                await asyncio.sleep(0.001)
+            stop.set()
+            self.assertEqual(b'', await idle_reader.read())
+            self.assertTrue(await call)
+            self.assertEqual(b'', await reader.read())
+            with self.assertRaises(OSError):
+                await caller.connect()
+            writer.close()
+            idle_writer.close()
+
+    async def test_graceful_timeout(self) -> None:
+        """A request that lasts longer is ended."""
+        app = _App()
+        app.answer_seconds = 30.0
+        async with asyncio.timeout(20.0):
+            async with _serving(app, graceful_seconds=0.1) as (port, stop):
+                caller = _Caller(port)
+                reader, writer = await caller.connect()
+                call = asyncio.ensure_future(
+                    caller.call(reader, writer, b'/x')
+                )
+                while not app.read:
+                    await asyncio.sleep(0.001)
+                stop.set()
+                self.assertFalse(await call)
+                writer.close()
--- a/tests/unit/gateway/test_endings.py
+++ b/tests/unit/gateway/test_endings.py
@@ -8,7 +8,6 @@
 from unittest import mock
 
 import anyio
-from hypercorn.asyncio import tcp_server
 
 from . import fakes
 from . import loopback
@@ -410,44 +409,6 @@
             site.counts('gateway_connections_lost_total'),
         )
 
-    async def test_idle_timer_of_http_server(self) -> None:
-        """The HTTP server's own timer closed the connection of a request.
-
-        It can do so where the request arrives just as the timer fires.
-        """
-        closers: list[asyncio.Task[None]] = []
-
-        async def fire(server: tcp_server.TCPServer) -> None:
-            async def close() -> None:
-                await anyio.sleep(0.2)
-                await asyncio.shield(server._initiate_server_close())
-
-            closers.append(asyncio.create_task(close()))
-
-        upstream = loopback.Upstream('u1', _never_answers)
-        patch = mock.patch.object(
-            tcp_server.TCPServer, '_idle_timeout', new=fire
-        )
-        async with loopback.Site(upstream).running() as site:
-            site.configure(loopback.route())
-            with patch:
-                reader, writer = await site.connect()
-                writer.write(
-                    b'GET /r/x HTTP/1.1\r\nHost: a.example\r\n'
-                    b'Attempt-Id: c0ffee\r\n\r\n'
-                )
-                self.assertEqual(b'', await reader.read())
-                writer.close()
-            await self.wait_for_ending()
-        self.assert_ending(
-            'connection_lost', ended_by='http_server', phase='waiting'
-        )
-        self.assertEqual(
-            {'http_server waiting': 1},
-            site.counts('gateway_connections_lost_total'),
-        )
-        self.assertEqual({}, site.counts('gateway_callers_gone_total'))
-
     async def test_cancelled_at_stop(self) -> None:
         """The HTTP server ended a request that outlasted its stop."""
         # The stream server of asyncio reports the cancelled connection.
