--- a/tests/site/test_silent_servers.py
+++ b/tests/site/test_silent_servers.py
@@ -20,11 +20,12 @@
 _MANY_EVENT_SECONDS: typing.Final = 0.05
 _MANY_SILENT_SECONDS: typing.Final = 1.2
 _CHANGES_OF_MANY: typing.Final = ('none', 'shorter idle limit')
-# Second requests are sent within this time around the end of the idle limit.
+# Second requests are sent up to this time before and after the end of the
+# idle limit, most of them close to it.
 _IDLE_MS: typing.Final = 800
 _LONG_IDLE_MS: typing.Final = 60_000
 _IDLE_CONNECTIONS: typing.Final = 80
-_IDLE_SPREAD: typing.Final = 0.1
+_IDLE_SPREAD: typing.Final = 0.5
 _SETTLE_SECONDS: typing.Final = 0.2
 
 
@@ -237,7 +238,8 @@
             ) as connection:
                 answer = await connection.call('/unsafe/x', first)
                 assert answer.status == 200, answer
-                offset = (number / _IDLE_CONNECTIONS - 0.5) * _IDLE_SPREAD
+                position = number / _IDLE_CONNECTIONS * 2 - 1
+                offset = position**3 * _IDLE_SPREAD
                 await asyncio.sleep(min(limits_ms) / 1000 + offset)
                 late: processes.Answer | None = None
                 sent_at = time.monotonic()
