Test answers whose servers fall silent and go on

Callers of resumable streams get a cut stream or a 502 from sound servers that pause for 0.8 to 1.6 s. The stand-in servers learn to fall silent once at a place of an answer.

--- a/tests/site/processes.py
+++ b/tests/site/processes.py
@@ -20,7 +20,16 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
-__all__ = ['Answer', 'Instance', 'Site', 'manifest']
+__all__ = [
+    'Answer',
+    'Connection',
+    'Instance',
+    'Site',
+    'manifest',
+    'plain_route',
+    'plain_routes',
+    'route',
+]
 
 _HOST: typing.Final = 'site.example'
 _POLL_SECONDS: typing.Final = 0.02
@@ -63,8 +72,8 @@
 
 def manifest(version: int, *more: dict[str, typing.Any]) -> dict[str, object]:
     """Return a configuration with a plain and a streaming route."""
-    plain = _route('/plain/', 'desk', Type='idempotent', MaxAttempts=2)
-    stream = _route('/stream/', 'engines', Type='streaming', Resumable=True)
+    plain = route('/plain/', 'desk', Type='idempotent', MaxAttempts=2)
+    stream = route('/stream/', 'engines', Type='streaming', Resumable=True)
     models = [
         {
             'Name': name,
@@ -99,9 +108,10 @@
     }
 
 
-def _route(
+def route(
     prefix: str, service: str, **changes: typing.Any
 ) -> dict[str, typing.Any]:
+    """Return a route for :func:`manifest`."""
     fields = {
         'Name': prefix.strip('/'),
         'Host': _HOST,
@@ -118,7 +128,7 @@
 
 def plain_route(prefix: str) -> dict[str, typing.Any]:
     """Return another plain route for :func:`manifest`."""
-    return _route(prefix, 'desk', Type='idempotent')
+    return route(prefix, 'desk', Type='idempotent')
 
 
 def plain_routes(count: int) -> list[dict[str, typing.Any]]:
@@ -126,6 +136,45 @@
     return [plain_route(f'/added-{number}/') for number in range(count)]
 
 
+class Connection:
+    """A caller's connection that is kept for several requests."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    @contextlib.asynccontextmanager
+    async def opened(cls, instance: Instance) -> abc.AsyncIterator[Connection]:
+        """Open a connection to an instance's port for callers."""
+        streams = await asyncio.open_connection('127.0.0.1', instance.port)
+        try:
+            yield cls(*streams)
+        finally:
+            streams[1].close()
+
+    async def call(
+        self,
+        target: str,
+        attempt: str,
+        method: str = 'GET',
+        model: str = '',
+        deadline_ms: int = 5000,
+    ) -> Answer:
+        """Send a request and read the reply.
+
+        :raises EOFError: if the connection ends before the reply's head, or
+            within a body of known length.
+        :raises OSError: if the connection is reset.
+        """
+        extra = _headers(attempt, model, deadline_ms)
+        return await _exchange(
+            self._reader, self._writer, method, target, extra
+        )
+
+
 class Instance:
     """One ``gateway`` process with its ports, settings and log."""
 
@@ -206,9 +255,7 @@
         model: str = '',
     ) -> Answer:
         """Send a request to the port for callers."""
-        extra = f'Attempt-Id: {attempt}\r\nDeadline-Ms: 5000\r\n'
-        if model:
-            extra += f'Model: {model}\r\nToken-Usage: 10,10\r\n'
+        extra = _headers(attempt, model, 5000)
         return await _send(self._callers, method, target, extra)
 
     async def wait_stopped(self) -> int:
@@ -225,6 +272,7 @@
         self.store = stores.Store()
         self.desk = servers.Server(self.store, 'd1', 'desk')
         self.engine = servers.Server(self.store, 'e1', 'engines', 'loaded')
+        self.servers = [self.desk, self.engine]
         self.instances: list[Instance] = []
         self._linked_store = links.LinkedStore(self.store)
         self._directory = directory
@@ -236,14 +284,24 @@
 
     @classmethod
     @contextlib.asynccontextmanager
-    async def running(cls, instances: int) -> abc.AsyncIterator[Site]:
-        """Run a site and wait until all its instances are ready."""
+    async def running(
+        cls,
+        instances: int,
+        configuration: dict[str, object] | None = None,
+        add_servers: abc.Callable[[Site], None] = lambda _: None,
+    ) -> abc.AsyncIterator[Site]:
+        """Run a site and wait until all its instances are ready.
+
+        :param configuration: the first one, :func:`manifest` if not given.
+        :param add_servers: changes the servers before they start.
+        """
         with tempfile.TemporaryDirectory() as directory:
             site = cls(pathlib.Path(directory))
+            add_servers(site)
             await site._linked_store.http.start()
-            site.store.put('keyed.op', 'config', manifest(1))
-            await site.desk.start()
-            await site.engine.start()
+            site.store.put('keyed.op', 'config', configuration or manifest(1))
+            for server in site.servers:
+                await server.start()
             try:
                 for number in range(instances):
                     new_instance = Instance(
@@ -262,7 +320,7 @@
                     if instance.process.poll() is None:
                         instance.process.kill()
                     instance.process.wait()
-                for server in (site.desk, site.engine):
+                for server in site.servers:
                     server.http.stop()
                 site._linked_store.http.stop()
 
@@ -275,17 +333,34 @@
     return held
 
 
+def _headers(attempt: str, model: str, deadline_ms: int) -> str:
+    lines = f'Attempt-Id: {attempt}\r\nDeadline-Ms: {deadline_ms}\r\n'
+    if model:
+        lines += f'Model: {model}\r\nToken-Usage: 10,10\r\n'
+    return lines
+
+
 async def _send(port: int, method: str, target: str, extra: str) -> Answer:
     """Send a request on a new connection and read the reply."""
     reader, writer = await asyncio.open_connection('127.0.0.1', port)
     try:
-        head = f'{method} {target} HTTP/1.1\r\nHost: {_HOST}\r\n{extra}\r\n'
-        writer.write(head.encode('latin-1'))
-        return await _read_answer(reader)
+        return await _exchange(reader, writer, method, target, extra)
     finally:
         writer.close()
 
 
+async def _exchange(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    method: str,
+    target: str,
+    extra: str,
+) -> Answer:
+    head = f'{method} {target} HTTP/1.1\r\nHost: {_HOST}\r\n{extra}\r\n'
+    writer.write(head.encode('latin-1'))
+    return await _read_answer(reader)
+
+
 async def _read_answer(reader: asyncio.StreamReader) -> Answer:
     head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
     line, *rest = head[:-4].split('\r\n')
--- a/tests/site/server.py
+++ b/tests/site/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import enum
 import time
 import typing
 
@@ -14,11 +15,31 @@
 
     from . import store as stores
 
-__all__ = ['Server']
+__all__ = ['Place', 'Server', 'Silence']
 
 _RESPONSE_STAMP: typing.Final = 'stand-in'
 
 
+class Place(enum.Enum):
+    """Where in its answer a server falls silent."""
+
+    HEAD = 'head'
+    BODY = 'body'
+    BETWEEN_EVENTS = 'between events'
+    WITHIN_EVENT = 'within an event'
+
+
+class Silence(typing.NamedTuple):
+    """A pause in an answer, after which the server goes on.
+
+    In a stream it comes at the event with the number ``event``.
+    """
+
+    place: Place
+    seconds: float
+    event: int = 1
+
+
 @dataclasses.dataclass
 class _Contents:
     """The models in an engine's memory and the state of its orders.
@@ -49,6 +70,7 @@
     """A server that replies to requests and executes orders.
 
     A stream has ``events`` events at intervals of ``event_seconds``.
+    ``silences`` are the pauses to come, by attempt id; each happens once.
     """
 
     def __init__(
@@ -58,8 +80,10 @@
         service: str,
         *models: str,
         load_seconds: float = 0.1,
+        slots: int = 4,
     ) -> None:
         self.executed_attempts: list[str] = []
+        self.silences: dict[str, Silence] = {}
         self.order_sources: list[tuple[str, int]] = []
         self.events = 4
         self.event_seconds = 0.01
@@ -69,6 +93,8 @@
         self._state = 'ready'
         self._reports = 0
         self._load_seconds = load_seconds
+        self._slots = slots
+        self._silent_until = 0.0
         self._contents = _Contents({name: set() for name in models})
         self._running = 0
         self.http = http.HttpServer(self._handle)
@@ -97,7 +123,7 @@
             'Address': self.http.address,
             'Zone': 'zone-1',
             'Version': 'v1',
-            'Slots': 4,
+            'Slots': self._slots,
             'State': state,
             'Sequence': self._reports,
             'Models': self._models(),
@@ -105,6 +131,22 @@
         }
         self._store.put('keyed.servers', self._id, entry)
 
+    def fall_silent(self, seconds: float) -> None:
+        """Send nothing on any connection for some time."""
+        self._silent_until = time.monotonic() + seconds
+
+    async def _wait_while_silent(self) -> None:
+        while (left := self._silent_until - time.monotonic()) > 0:
+            await asyncio.sleep(left)
+
+    async def _pause(self, attempt: str, place: Place, event: int = 1) -> None:
+        """Pause if a silence is due at this place of an answer."""
+        silence = self.silences.get(attempt)
+        if silence is not None and silence[::2] == (place, event):
+            del self.silences[attempt]
+            await asyncio.sleep(silence.seconds)
+        await self._wait_while_silent()
+
     def _models(self) -> list[dict[str, typing.Any]]:
         return [
             {'Name': name, 'Version': 1, 'Adapters': sorted(adapters)}
@@ -112,6 +154,7 @@
         ]
 
     async def _handle(self, request: http.Request) -> http.Answer | None:
+        await self._wait_while_silent()
         if request.path == '/report':
             return self._report()
         expected = request.headers.get('expect-instance', self._id)
@@ -131,21 +174,36 @@
         headers = (
             ('Attempt-Id', attempt),
             ('Response-Stamp', _RESPONSE_STAMP),
-            ('Server-Load', f'{self._running},0,4'),
+            ('Server-Load', f'{self._running},0,{self._slots}'),
         )
+        await self._pause(attempt, Place.HEAD)
         if model:
             return http.Answer(200, b'', headers, self._stream(request))
         await asyncio.sleep(0.005)
         body = f'{self._id} {request.method} {request.path} '.encode()
-        return http.Answer(200, body + request.body, headers)
+        body += request.body
+        pieces = self._pieces(attempt, body)
+        return http.Answer(200, body, headers, pieces=pieces)
+
+    async def _pieces(
+        self, attempt: str, body: bytes
+    ) -> abc.AsyncIterator[bytes]:
+        yield body[:4]
+        await self._pause(attempt, Place.BODY)
+        yield body[4:]
 
     async def _stream(self, request: http.Request) -> abc.AsyncIterator[bytes]:
+        attempt = request.headers['attempt-id']
         self._running += 1
         try:
             first = int(request.headers.get('last-event-id', '-1')) + 1
             for number in range(first, self.events):
                 await asyncio.sleep(self.event_seconds)
-                yield f'id: {number}\ndata: x{number}\n\n'.encode()
+                await self._pause(attempt, Place.BETWEEN_EVENTS, number)
+                event = f'id: {number}\ndata: x{number}\n\n'.encode()
+                yield event[:8]
+                await self._pause(attempt, Place.WITHIN_EVENT, number)
+                yield event[8:]
         finally:
             self._running -= 1
 
