Test that streams keep to one version of their servers

Cause: servers of several software versions serve in one service, and what two versions write does not fit together. No test had more than one version. Change: the stand-in servers have a version, a failure domain and streams that are held or reset; instances have a failure domain, links can be cut. Requesters take streams up with Resumes and Last-Event-Id after kills, breaks, a cut link, an outage of the store and in a release.

--- a/tests/site/http.py
+++ b/tests/site/http.py
@@ -5,13 +5,19 @@
 import asyncio
 import contextlib
 import json
+import socket
+import struct
 import typing
 import urllib.parse
 
 if typing.TYPE_CHECKING:
     from collections import abc
 
-__all__ = ['Answer', 'HttpServer', 'Request']
+__all__ = ['Answer', 'HttpServer', 'Request', 'Reset']
+
+
+class Reset(Exception):
+    """Raised by the parts of an answer to reset its connection."""
 
 
 class Request(typing.NamedTuple):
@@ -113,11 +119,21 @@
                         await reader.read()
                         break
                     await _write(writer, answer)
+        except Reset:
+            _reset(writer)
         finally:
             self._writers.discard(writer)
             writer.close()
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset, not with its regular end."""
+    connection = typing.cast('socket.socket', writer.get_extra_info('socket'))
+    linger = struct.pack('ii', 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 async def _read(reader: asyncio.StreamReader, peer_port: int) -> Request:
     head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
     line, *rest = head[:-4].split('\r\n')
--- a/tests/site/links.py
+++ b/tests/site/links.py
@@ -47,12 +47,14 @@
     """One process's way to the store.
 
     All answers share ``bytes_per_second``; an aborted answer frees its share.
-    Without a rate, answers are sent at once.
+    Without a rate, answers are sent at once. A link that is ``cut`` carries
+    nothing.
     """
 
     def __init__(self, process_id: int) -> None:
         self.process_id = process_id
         self.bytes_per_second: float | None = None
+        self.cut = False
         self._transfers: list[Transfer] = []
         self._polls: collections.Counter[str] = collections.Counter()
         self._turn = asyncio.Lock()
@@ -120,7 +122,7 @@
         link = await self._link(request)
         with link.polling(request) if link else contextlib.nullcontext():
             answer = await self._store.handle(request)
-        if link is None or answer is None:
+        if link is None or link.cut or answer is None:
             return None
         return link.limit(request, answer)
 
--- a/tests/site/processes.py
+++ b/tests/site/processes.py
@@ -29,6 +29,7 @@
     'plain_route',
     'plain_routes',
     'route',
+    'stream_head',
 ]
 
 _HOST: typing.Final = 'site.example'
@@ -38,7 +39,7 @@
 NodeName = "{name}"
 Role = "front"
 Ip = "127.0.0.1"
-Zone = "zone-1"
+Zone = "{zone}"
 Region = "region-1"
 PortRange = [{peers}, {peers}]
 [Listen]
@@ -178,7 +179,13 @@
 class Instance:
     """One ``gateway`` process with its ports, settings and log."""
 
-    def __init__(self, name: str, store: str, directory: pathlib.Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        store: str,
+        directory: pathlib.Path,
+        zone: str = 'zone-1',
+    ) -> None:
         self._name = name
         self._held_ports = [_hold_port() for _ in range(3)]
         self._callers, self._readiness, self._peers = (
@@ -192,6 +199,7 @@
                 callers=self._callers,
                 readiness=self._readiness,
                 peers=self._peers,
+                zone=zone,
             ),
             'utf-8',
         )
@@ -289,11 +297,13 @@
         instances: int,
         configuration: dict[str, object] | None = None,
         add_servers: abc.Callable[[Site], None] = lambda _: None,
+        zones: tuple[str, ...] = ('zone-1',),
     ) -> abc.AsyncIterator[Site]:
         """Run a site and wait until all its instances are ready.
 
         :param configuration: the first one, :func:`manifest` if not given.
         :param add_servers: changes the servers before they start.
+        :param zones: the failure domains that the instances take in turn.
         """
         with tempfile.TemporaryDirectory() as directory:
             site = cls(pathlib.Path(directory))
@@ -308,6 +318,7 @@
                         f'front-{number}',
                         site._linked_store.http.address,
                         pathlib.Path(directory),
+                        zones[number % len(zones)],
                     )
                     site.instances.append(new_instance)
                     new_instance.start()
@@ -325,6 +336,17 @@
                 site._linked_store.http.stop()
 
 
+def stream_head(
+    target: str, attempt: str, model: str, deadline_ms: int, more: str = ''
+) -> bytes:
+    """Return the head of a request for a stream.
+
+    :param more: further header lines, each with its end.
+    """
+    extra = _headers(attempt, model, deadline_ms) + more
+    return _head('POST', target, extra)
+
+
 def _hold_port() -> socket.socket:
     """Return a socket whose port only a process that is told of it binds."""
     held = socket.socket()
@@ -356,11 +378,15 @@
     target: str,
     extra: str,
 ) -> Answer:
-    head = f'{method} {target} HTTP/1.1\r\nHost: {_HOST}\r\n{extra}\r\n'
-    writer.write(head.encode('latin-1'))
+    writer.write(_head(method, target, extra))
     return await _read_answer(reader)
 
 
+def _head(method: str, target: str, extra: str) -> bytes:
+    head = f'{method} {target} HTTP/1.1\r\nHost: {_HOST}\r\n{extra}\r\n'
+    return head.encode('latin-1')
+
+
 async def _read_answer(reader: asyncio.StreamReader) -> Answer:
     head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
     line, *rest = head[:-4].split('\r\n')
--- a/tests/site/server.py
+++ b/tests/site/server.py
@@ -70,7 +70,10 @@
     """A server that replies to requests and executes orders.
 
     A stream has ``events`` events at intervals of ``event_seconds``.
-    ``silences`` are the pauses to come, by attempt id; each happens once.
+    ``silences`` are the pauses to come, by attempt id; each happens once, and
+    so do ``resets``, the places and events at which a stream is broken off.
+
+    :param version: the version of the software, which events then carry.
     """
 
     def __init__(
@@ -81,9 +84,12 @@
         *models: str,
         load_seconds: float = 0.1,
         slots: int = 4,
+        version: str = '',
+        zone: str = 'zone-1',
     ) -> None:
         self.executed_attempts: list[str] = []
         self.silences: dict[str, Silence] = {}
+        self.resets: dict[str, tuple[Place, int]] = {}
         self.order_sources: list[tuple[str, int]] = []
         self.events = 4
         self.event_seconds = 0.01
@@ -94,6 +100,10 @@
         self._reports = 0
         self._load_seconds = load_seconds
         self._slots = slots
+        self._version = version
+        self._zone = zone
+        self._flowing = asyncio.Event()
+        self._flowing.set()
         self._silent_until = 0.0
         self._contents = _Contents({name: set() for name in models})
         self._running = 0
@@ -104,6 +114,11 @@
         """The id in the list of servers."""
         return self._id
 
+    @property
+    def version(self) -> str:
+        """The version of the software."""
+        return self._version
+
     @property
     def models(self) -> set[str]:
         """The models in memory."""
@@ -121,8 +136,8 @@
         entry = {
             'Service': self._service,
             'Address': self.http.address,
-            'Zone': 'zone-1',
-            'Version': 'v1',
+            'Zone': self._zone,
+            'Version': self._version or 'v1',
             'Slots': self._slots,
             'State': state,
             'Sequence': self._reports,
@@ -135,6 +150,14 @@
         """Send nothing on any connection for some time."""
         self._silent_until = time.monotonic() + seconds
 
+    def hold(self) -> None:
+        """Hold each stream after its first event from this server."""
+        self._flowing.clear()
+
+    def let_go(self) -> None:
+        """Let held streams go on."""
+        self._flowing.set()
+
     async def _wait_while_silent(self) -> None:
         while (left := self._silent_until - time.monotonic()) > 0:
             await asyncio.sleep(left)
@@ -147,6 +170,12 @@
             await asyncio.sleep(silence.seconds)
         await self._wait_while_silent()
 
+    def _reset(self, attempt: str, place: Place, event: int) -> None:
+        """Break a stream off if that is due at this place."""
+        if self.resets.get(attempt) == (place, event):
+            del self.resets[attempt]
+            raise http.Reset
+
     def _models(self) -> list[dict[str, typing.Any]]:
         return [
             {'Name': name, 'Version': 1, 'Adapters': sorted(adapters)}
@@ -199,10 +228,15 @@
             first = int(request.headers.get('last-event-id', '-1')) + 1
             for number in range(first, self.events):
                 await asyncio.sleep(self.event_seconds)
+                if number > first:
+                    await self._flowing.wait()
                 await self._pause(attempt, Place.BETWEEN_EVENTS, number)
-                event = f'id: {number}\ndata: x{number}\n\n'.encode()
+                self._reset(attempt, Place.BETWEEN_EVENTS, number)
+                data = f'x{number} {self._version}'.rstrip()
+                event = f'id: {number}\ndata: {data}\n\n'.encode()
                 yield event[:8]
                 await self._pause(attempt, Place.WITHIN_EVENT, number)
+                self._reset(attempt, Place.WITHIN_EVENT, number)
                 yield event[8:]
         finally:
             self._running -= 1
