Run the tests of software versions outside of debug mode

Cause: unittest's event loop runs in debug mode, in which the stand-ins of 150 streams are slow. Change: these tests switch it off and send the new streams that they compare with at once.

--- a/tests/site/test_software_versions.py
+++ b/tests/site/test_software_versions.py
@@ -230,6 +230,10 @@
 class _VersionsTest(unittest.IsolatedAsyncioTestCase):
     """Checks streams as their requesters read them."""
 
+    async def asyncSetUp(self) -> None:
+        """Leave debug mode, which slows down the stand-ins."""
+        asyncio.get_running_loop().set_debug(False)
+
     def assert_one_version(self, found: list[streams.Stream]) -> None:
         """Fail if a stream holds events of two versions, or a wrong one."""
         mixed = [stream for stream in found if len(stream.versions) > 1]
@@ -256,7 +260,9 @@
 
         New streams are sent for the comparison.
         """
-        new = await requesters.begin(len(taken_up), requesters.live[0])
+        new = await requesters.begin(
+            len(taken_up), requesters.live[0], len(taken_up)
+        )
         await asyncio.gather(*(stream.ended() for stream in new))
         self.assert_began(new)
         on = [stream for stream in taken_up if stream.answered]
