Test that a stream without events is bound to no version

Cause: a rule that binds streams to a version could bind them too early. Change: a server cuts the first event; nothing was passed on, so any version may answer.

--- a/tests/site/test_software_versions.py
+++ b/tests/site/test_software_versions.py
@@ -351,6 +351,22 @@
             stopped = [stream for stream in others if not stream.answered]
             self.assertEqual(0, len(stopped), _stories(stopped))
 
+    async def test_refused_though_it_had_no_event(self) -> None:
+        """A first event is cut, which binds the stream to no version."""
+        fleet = (_TWO_OF_EACH[0], *_TWO_OF_EACH[2:])
+        async with _Requesters.running(3, fleet) as requesters:
+            engine = requesters.engine('a1')
+            place = (servers.Place.WITHIN_EVENT, 0)
+            names = [f's{number}-0' for number in range(1, 13)]
+            engine.resets = dict.fromkeys(names, place)
+            found = await requesters.begin(12, requesters.live[0])
+            await asyncio.gather(*(stream.ended() for stream in found))
+            self.assertEqual(set(names), {item.attempts[0] for item in found})
+            self.assertLess(len(engine.resets), len(names))
+            self.assert_one_version(found)
+            stopped = [stream for stream in found if not stream.answered]
+            self.assertEqual(0, len(stopped), _stories(stopped))
+
 
 class KilledInstanceTest(_VersionsTest):
     """Instances that are killed right after the first events."""
