Send the roster of live instances with the owner's view

Cause: an instance knows its peers only through the owner, so that it cannot choose instances that are to keep something for it. Change: a load tells the failure domain and the version of the last roster; the view carries the roster if that is another one. The messages of stream origins, which follow, are declared too.

--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -16,12 +16,18 @@
     'EngineView',
     'FetchConfiguration',
     'FindAdapter',
+    'FindOrigins',
     'FleetView',
     'HandOver',
     'HandOverAnswer',
     'InstanceLoad',
+    'InstanceRow',
+    'KeepOrigins',
     'LoadingModel',
     'ModelDemand',
+    'OriginRow',
+    'OriginsFound',
+    'OriginsKept',
     'RunningRequests',
 ]
 
@@ -57,6 +63,7 @@
     """The load of one instance, sent to the owner.
 
     ``instance_id`` is its member name, which contains its peer address.
+    ``roster_version`` is that of the last roster that it received.
     """
 
     instance_id: str
@@ -64,6 +71,15 @@
     models: tuple[ModelDemand, ...]
     in_use: tuple[AdapterInUse, ...]
     running: tuple[RunningRequests, ...]
+    failure_domain: str = ''
+    roster_version: int = 0
+
+
+class InstanceRow(msgspec.Struct, frozen=True, array_like=True):
+    """A live instance and its failure domain."""
+
+    member: str
+    failure_domain: str
 
 
 class EngineView(msgspec.Struct, frozen=True, array_like=True):
@@ -93,7 +109,8 @@
     An instance that is not the owner any more sends ``owner`` alone.
     ``reads_store`` is whether the receiver reads the configuration from the
     store; ``configuration_holder`` is the instance that it may ask for the
-    newest version, empty for none.
+    newest version, empty for none. ``roster`` holds the live instances; it
+    is empty if the receiver has that version already, or for version 0.
     """
 
     owner: str
@@ -103,6 +120,8 @@
     configuration_version: int
     reads_store: bool = True
     configuration_holder: str = ''
+    roster_version: int = 0
+    roster: tuple[InstanceRow, ...] = ()
 
 
 class FindAdapter(wire_api.Message, frozen=True, tag='find'):
@@ -152,3 +171,37 @@
     version: int
     next_offset: int
     compressed: bytes
+
+
+class OriginRow(msgspec.Struct, frozen=True, array_like=True):
+    """The version of a service that began a stream.
+
+    ``seconds`` is the time for which the record is to be kept.
+    """
+
+    stream_id: str
+    service: str
+    version: str
+    seconds: float
+
+
+class KeepOrigins(wire_api.Message, frozen=True, tag='keep_origins'):
+    """Asks an instance to keep which versions began streams."""
+
+    rows: tuple[OriginRow, ...]
+
+
+class OriginsKept(wire_api.Message, frozen=True, tag='origins_kept'):
+    """All rows are kept."""
+
+
+class FindOrigins(wire_api.Message, frozen=True, tag='find_origins'):
+    """Asks an instance which versions began streams."""
+
+    stream_ids: tuple[str, ...]
+
+
+class OriginsFound(wire_api.Message, frozen=True, tag='origins_found'):
+    """The rows that the instance holds of the streams asked for."""
+
+    rows: tuple[OriginRow, ...]
--- a/tests/unit/gateway/test_messages.py
+++ b/tests/unit/gateway/test_messages.py
@@ -37,3 +37,20 @@
         view = messages.FleetView('front-1', (), (), 3, 4, False, 'front-2')
         earlier = msgspec.convert(msgspec.to_builtins(view), _EarlierView)
         self.assertEqual(_EarlierView('front-1', (), (), 3, 4), earlier)
+
+    def test_without_roster(self) -> None:
+        """The view of an old owner brings no roster."""
+        earlier = _EarlierView('front-1@127.0.0.1:1', (), (), 3, 4)
+        form = msgspec.to_builtins(earlier)
+        view = msgspec.convert(form, messages.FleetView)
+        self.assertEqual((0, ()), (view.roster_version, view.roster))
+
+
+class InstanceLoadTest(unittest.TestCase):
+    """Loads are read by owners of either build."""
+
+    def test_earlier_form(self) -> None:
+        """The load of an old instance names no failure domain."""
+        form = ['load', 'front-1', 3, [], [], []]
+        load = msgspec.convert(form, messages.InstanceLoad)
+        self.assertEqual(('', 0), (load.failure_domain, load.roster_version))
