Keep among the instances which version began a stream

Cause: a caller takes a stream up at another instance as a rule, and only the one that began it knew at which software version. A stream that goes on at another version is not the same stream. Change: StreamOrigins keeps a record at the recording instance and at two others, the first in another failure domain, by rendezvous hashing over the roster. Records for a peer gather while a batch to it is in flight; a peer that fails is passed over for 1 s and the next in the order takes its place. At a planned stop the records go to their next holders.

--- a/src/dogwoodquay/gateway/metrics.py
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -70,6 +70,16 @@
             'gateway_configuration_read_bytes_total',
             'Bytes of the values received by reads of the configuration',
         )
+        self._origins_recorded = registry.counter(
+            'gateway_origins_recorded_total',
+            'Records of the version that began a stream',
+            'reason',
+        )
+        self._origins_found = registry.counter(
+            'gateway_origin_lookups_total',
+            'Lookups of the version that began a stream',
+            'reason',
+        )
         self._first = registry.histogram(
             'gateway_first_byte_seconds', 'Time to the first byte'
         )
@@ -130,6 +140,18 @@
         self._configuration_reads.add(kind, outcome)
         self._configuration_bytes.add(amount=size)
 
+    def origin_recorded(self, reason: str) -> None:
+        """Count a record of the version that began a stream."""
+        self._origins_recorded.add(reason)
+
+    def origins_recorded(self, reason: str) -> int:
+        """Return the number of records with an outcome."""
+        return self._origins_recorded.value(reason)
+
+    def origin_looked_up(self, reason: str) -> None:
+        """Count a lookup of the version that began a stream."""
+        self._origins_found.add(reason)
+
     def first_byte(self, seconds: float) -> None:
         """Record the time to the first byte of an answer."""
         self._first.observe(seconds)
--- /dev/null
+++ b/src/dogwoodquay/gateway/origins.py
@@ -0,0 +1,327 @@
+"""Keeps among the instances which software version began each stream."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+import anyio
+
+from . import batches
+from . import holders
+from . import members
+from . import messages
+from ..observe import logs
+from . import origin_table
+from ..wire import api as wire_api
+
+if typing.TYPE_CHECKING:
+    from .. import clock as clocks
+    from . import metrics as gateway_metrics
+
+__all__ = ['Origin', 'StreamOrigins']
+
+_LOG: typing.Final = logs.ComponentLog('origins')
+
+# The number of other instances that keep a record.
+COPIES: typing.Final = 2
+# The longest time for which a stream waits until another instance has its
+# record.
+RECORD_WAIT_SECONDS: typing.Final = 0.05
+KEEP_TIMEOUT_SECONDS: typing.Final = 0.1
+# A peer that kept no record in that time is given none for so long.
+PASS_OVER_SECONDS: typing.Final = 1.0
+FIND_TIMEOUT_SECONDS: typing.Final = 0.3
+# Lookups are not held up by earlier ones that a peer has not answered.
+FIND_BATCHES: typing.Final = 8
+HAND_OVER_SECONDS: typing.Final = 1.5
+# Streams with longer identifiers are not recorded.
+MAX_ID_CHARACTERS: typing.Final = 256
+# Told by an instance whose settings name no failure domain; builds that keep
+# no records tell an empty one.
+NO_DOMAIN: typing.Final = '-'
+
+Origin = origin_table.Origin
+
+
+class _Record:
+    """A record on its way to its holders."""
+
+    def __init__(self, row: messages.OriginRow, candidates: list[str]) -> None:
+        self.row = row
+        self.candidates = candidates
+        self.copies_pending = COPIES
+        self.kept = False
+        self.settled = anyio.Event()
+
+
+class _Lookup:
+    """A question to several peers."""
+
+    def __init__(self, stream_id: str, answers_pending: int) -> None:
+        self.stream_id = stream_id
+        self.answers_pending = answers_pending
+        self.origins: tuple[Origin, ...] = ()
+        self.settled = anyio.Event()
+
+    def on_answer(self, origins: tuple[Origin, ...]) -> None:
+        """Record what a peer knows, nothing if it did not answer."""
+        self.answers_pending -= 1
+        if not self.origins:
+            self.origins = origins
+        if self.origins or not self.answers_pending:
+            self.settled.set()
+
+
+class StreamOrigins:
+    """Keeps which software version began each stream, here and at peers."""
+
+    def __init__(
+        self,
+        transport: wire_api.Transport,
+        member: str,
+        failure_domain: str,
+        clock: clocks.Clock,
+        metrics: gateway_metrics.GatewayMetrics,
+    ) -> None:
+        self._transport = transport
+        self._member = member
+        self._failure_domain = failure_domain or NO_DOMAIN
+        self._clock = clock
+        self._metrics = metrics
+        self._table = origin_table.OriginTable()
+        self._order = holders.HolderOrder()
+        self._passed_over: dict[str, float] = {}
+        self._keeps = batches.PeerBatches(self._send_records, in_flight=1)
+        self._finds = batches.PeerBatches(self._send_lookups, FIND_BATCHES)
+        self._leaving = False
+        transport.register(messages.KeepOrigins, self._handle_keep)
+        transport.register(messages.FindOrigins, self._handle_find)
+        transport.register(messages.OriginsKept)
+        transport.register(messages.OriginsFound)
+
+    @property
+    def failure_domain(self) -> str:
+        """The failure domain of this instance."""
+        return self._failure_domain
+
+    def held(self, stream_id: str, now: float) -> bool:
+        """Whether this instance holds a record that is still needed."""
+        return self._table.seconds_left(stream_id, now) > 0
+
+    def update_roster(self, roster: tuple[messages.InstanceRow, ...]) -> None:
+        """Replace the instances that hold records."""
+        self._order.update(roster)
+        known = {row.member for row in roster}
+        self._passed_over = {
+            member: until
+            for member, until in self._passed_over.items()
+            if member in known
+        }
+
+    async def record(
+        self, stream_id: str, origin: Origin, lifetime_seconds: float
+    ) -> None:
+        """Keep which version began a stream, here and at two peers.
+
+        Returns as soon as one peer has it, at the latest after
+        ``RECORD_WAIT_SECONDS``.
+        """
+        if not _valid(stream_id):
+            self._metrics.origin_recorded('invalid')
+            return
+        now = self._clock.now()
+        self._table.put(stream_id, origin, lifetime_seconds, now)
+        row = messages.OriginRow(stream_id, *origin, lifetime_seconds)
+        candidates = self._order.candidates(
+            stream_id, self._member, self._failure_domain
+        )
+        record = _Record(row, candidates)
+        for _ in range(COPIES):
+            self._send_copy(record)
+        with anyio.move_on_after(RECORD_WAIT_SECONDS):
+            await record.settled.wait()
+        if record.kept:
+            self._metrics.origin_recorded('kept')
+        elif record.settled.is_set():
+            self._metrics.origin_recorded('alone')
+        else:
+            self._metrics.origin_recorded('late')
+
+    async def find(
+        self, stream_id: str, deadline: float
+    ) -> tuple[Origin, ...]:
+        """Return the origins of a stream, one for each service.
+
+        Empty if they are unknown here and at the peers that answer.
+        """
+        if not _valid(stream_id):
+            self._metrics.origin_looked_up('invalid')
+            return ()
+        now = self._clock.now()
+        origins = self._table.find(stream_id, now)
+        if origins:
+            self._metrics.origin_looked_up('own')
+            return origins
+        peers = self._order.asked(stream_id, self._member)
+        lookup = _Lookup(stream_id, len(peers))
+        for peer in peers:
+            self._finds.put(peer, lookup)
+        if peers:
+            left = min(deadline - now, FIND_TIMEOUT_SECONDS)
+            with anyio.move_on_after(left):
+                await lookup.settled.wait()
+        self._metrics.origin_looked_up('peer' if lookup.origins else 'unknown')
+        return lookup.origins
+
+    async def run(self) -> None:
+        """Send records and lookups to the peers until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._keeps.run)
+            tasks.start_soon(self._finds.run)
+
+    async def hand_over(self) -> None:
+        """Pass the records on to their next holders, in a limited time.
+
+        From then on, this instance keeps no more records of others.
+        """
+        self._leaving = True
+        rows_by_peer: dict[str, list[messages.OriginRow]] = (
+            collections.defaultdict(list)
+        )
+        for stream_id, left, origins in self._table.alive(self._clock.now()):
+            candidates = self._order.candidates(
+                stream_id, self._member, self._failure_domain
+            )
+            usable = [name for name in candidates if self._usable(name)]
+            for peer in usable[:COPIES]:
+                rows_by_peer[peer].extend(
+                    messages.OriginRow(stream_id, *origin, left)
+                    for origin in origins
+                )
+        until = self._clock.now() + HAND_OVER_SECONDS
+        with anyio.move_on_after(HAND_OVER_SECONDS):
+            async with anyio.create_task_group() as tasks:
+                for peer, rows in rows_by_peer.items():
+                    tasks.start_soon(self._hand_over_to, peer, rows, until)
+
+    async def _hand_over_to(
+        self, peer: str, rows: list[messages.OriginRow], until: float
+    ) -> None:
+        size = batches.MAX_BATCH_ITEMS
+        for start in range(0, len(rows), size):
+            batch = tuple(rows[start : start + size])
+            if not await self._keep_at(peer, batch, until):
+                _LOG.write('not_handed_over', member=peer, rows=len(rows))
+                return
+
+    def _usable(self, peer: str) -> bool:
+        return self._clock.now() >= self._passed_over.get(peer, 0.0)
+
+    def _send_copy(self, record: _Record) -> None:
+        """Queue a record for the next peer that may keep it."""
+        while record.candidates:
+            peer = record.candidates.pop(0)
+            if self._usable(peer):
+                self._keeps.put(peer, record)
+                return
+        record.copies_pending -= 1
+        if not record.copies_pending:
+            record.settled.set()
+
+    async def _send_records(
+        self, peer: str, records: tuple[_Record, ...]
+    ) -> None:
+        """Send a batch; if that fails, the next peers are to keep it."""
+        deadline = self._clock.now() + KEEP_TIMEOUT_SECONDS
+        rows = tuple(record.row for record in records)
+        if await self._keep_at(peer, rows, deadline):
+            for record in records:
+                record.kept = True
+                record.settled.set()
+            return
+        self._passed_over[peer] = self._clock.now() + PASS_OVER_SECONDS
+        for record in (*records, *self._keeps.take_queued(peer)):
+            self._send_copy(record)
+
+    async def _keep_at(
+        self,
+        peer: str,
+        rows: tuple[messages.OriginRow, ...],
+        deadline: float,
+    ) -> bool:
+        """Return whether a peer has confirmed that it keeps rows."""
+        address = members.member_address(peer)
+        if address is None:
+            return False
+        answer = await self._transport.request(
+            wire_api.PeerAddress(*address),
+            messages.KeepOrigins(rows),
+            messages.OriginsKept,
+            deadline,
+        )
+        if answer.is_error():
+            _LOG.write('not_kept', member=peer, reason=answer.error.reason)
+        return answer.is_ok()
+
+    async def _send_lookups(
+        self, peer: str, lookups: tuple[_Lookup, ...]
+    ) -> None:
+        """Ask a peer for several streams."""
+        found: dict[str, list[Origin]] = collections.defaultdict(list)
+        address = members.member_address(peer)
+        if address is not None:
+            answer = await self._transport.request(
+                wire_api.PeerAddress(*address),
+                messages.FindOrigins(
+                    tuple(lookup.stream_id for lookup in lookups)
+                ),
+                messages.OriginsFound,
+                self._clock.now() + FIND_TIMEOUT_SECONDS,
+            )
+            for row in answer.ok.rows if answer.is_ok() else ():
+                found[row.stream_id].append(Origin(row.service, row.version))
+        for lookup in lookups:
+            lookup.on_answer(tuple(found.get(lookup.stream_id, ())))
+
+    async def _handle_keep(
+        self,
+        sender: wire_api.Sender,
+        message: messages.KeepOrigins,
+        deadline: float,
+    ) -> messages.OriginsKept | None:
+        if self._leaving:
+            return None
+        now = self._clock.now()
+        for row in message.rows:
+            origin = Origin(row.service, row.version)
+            self._table.put(row.stream_id, origin, row.seconds, now)
+        return messages.OriginsKept()
+
+    async def _handle_find(
+        self,
+        sender: wire_api.Sender,
+        message: messages.FindOrigins,
+        deadline: float,
+    ) -> messages.OriginsFound:
+        now = self._clock.now()
+        return messages.OriginsFound(
+            tuple(
+                messages.OriginRow(
+                    stream_id,
+                    *origin,
+                    self._table.seconds_left(stream_id, now),
+                )
+                for stream_id in message.stream_ids
+                for origin in self._table.find(stream_id, now)
+            )
+        )
+
+
+def _valid(stream_id: str) -> bool:
+    """Return whether messages can carry an identifier."""
+    try:
+        stream_id.encode()
+    except UnicodeEncodeError:
+        return False
+    return 0 < len(stream_id) <= MAX_ID_CHARACTERS
