Run the records of stream origins in each instance

Cause: StreamOrigins needs the roster and a place in the instance. Change: the instance runs it under supervision, passes it the rosters of the owner's views and hands its records over at a planned stop, beside the duty. Loads carry the failure domain. An instance without an owner keeps its last roster. Result: tests of peering pass: unchanged rosters are not sent, a dead instance leaves the roster, and the roster of the next owner replaces the first one's.

--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -17,6 +17,7 @@
     from . import controller as controllers
     from . import copies as configuration_copies
     from ..fleet import registry as registries
+    from . import origins as stream_origins
     from . import ownership as order_ownership
     from . import scheduler as schedulers
 
@@ -44,6 +45,7 @@
         registry: registries.Registry,
         clock: clocks.Clock,
         copies: configuration_copies.ConfigurationCopies,
+        origins: stream_origins.StreamOrigins,
     ) -> None:
         self._transport = transport
         self._ownership = ownership
@@ -51,6 +53,8 @@
         self._registry = registry
         self._clock = clock
         self._copies = copies
+        self._origins = origins
+        self._roster_version = 0
         self._wake = anyio.Event()
         self._scheduler: schedulers.Scheduler | None = None
         self._configuration: configuration_watch.ConfigurationWatch | None = (
@@ -145,7 +149,7 @@
         version = -1
         if self._configuration is not None:
             version = self._configuration.version
-        load = _instance_load(self._ownership.member, version, scheduler)
+        load = self._load(version, scheduler)
         if self._ownership.is_owner(self._clock.now()):
             view = self._controller.on_load(load)
             if view is not None:
@@ -174,6 +178,17 @@
             reason=answer.error.reason,
         )
 
+    def _load(
+        self, version: int, scheduler: schedulers.Scheduler
+    ) -> messages.InstanceLoad:
+        return messages.InstanceLoad(
+            self._ownership.member,
+            version,
+            *_demand_rows(scheduler),
+            self._origins.failure_domain,
+            self._roster_version,
+        )
+
     def _apply_view(self, view: messages.FleetView) -> None:
         now = self._clock.now()
         if view.owner != self._ownership.owner:
@@ -181,6 +196,9 @@
             return
         self._ownership.update_instance_count(view.instances)
         self._copies.on_view(view.reads_store, view.configuration_holder)
+        if view.roster:
+            self._roster_version = view.roster_version
+            self._origins.update_roster(view.roster)
         if self._configuration is not None:
             self._configuration.on_peer_version(view.configuration_version)
         for row in view.engines:
@@ -231,9 +249,14 @@
         return messages.AdapterFound(server_id)
 
 
-def _instance_load(
-    instance_id: str, version: int, scheduler: schedulers.Scheduler
-) -> messages.InstanceLoad:
+def _demand_rows(
+    scheduler: schedulers.Scheduler,
+) -> tuple[
+    tuple[messages.ModelDemand, ...],
+    tuple[messages.AdapterInUse, ...],
+    tuple[messages.RunningRequests, ...],
+]:
+    """Return the demand, the adapters in use and the running requests."""
     rows = tuple(
         messages.ModelDemand(service, model, *load)
         for (service, model), load in scheduler.demand().items()
@@ -245,4 +268,4 @@
         messages.RunningRequests(*key, count)
         for key, count in scheduler.running().items()
     )
-    return messages.InstanceLoad(instance_id, version, rows, used, running)
+    return rows, used, running
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -19,10 +19,12 @@
 from ..fleet import registry as registries
 from . import forwarder as forwarders
 from . import health
+from . import members
 from . import metrics as gateway_metrics
 from ..observe import logs
 from ..observe import metrics as metrics_module
 from ..observe import supervise
+from . import origins as stream_origins
 from . import ownership as order_ownership
 from . import peering as peerings
 from ..retry import window
@@ -153,6 +155,7 @@
                 ('silence', self._silence.run),
                 ('controller', self._controller.run),
                 ('peering', self._peering.run),
+                ('origins', self._origins.run),
             ):
                 group.start_soon(supervise.keep_running, name, part)
             group.start_soon(readiness.serve, self._health, self._drained.wait)
@@ -196,6 +199,13 @@
         self._copies = configuration_copies.ConfigurationCopies(
             self._peers, clock
         )
+        self._origins = stream_origins.StreamOrigins(
+            self._peers,
+            members.member_name(settings),
+            settings.failure_domain,
+            clock,
+            metrics,
+        )
         self._peering = peerings.Peering(
             self._peers,
             self._ownership,
@@ -203,6 +213,7 @@
             self._registry,
             clock,
             self._copies,
+            self._origins,
         )
         self._scheduler = schedulers.Scheduler(
             self._registry,
@@ -297,6 +308,7 @@
         self._app.close_connections()
         async with anyio.create_task_group() as group:
             group.start_soon(self._peering.hand_over)
+            group.start_soon(self._origins.hand_over)
             await self._finish_requests(deadline)
             group.cancel_scope.cancel()
         self._drained.set()
--- a/tests/unit/gateway/test_peering.py
+++ b/tests/unit/gateway/test_peering.py
@@ -15,6 +15,8 @@
 from dogwoodquay.gateway import configuration_watch
 from dogwoodquay.gateway import controller
 from dogwoodquay.gateway import copies
+from dogwoodquay.gateway import messages
+from dogwoodquay.gateway import origins
 from dogwoodquay.gateway import ownership as order_ownership
 from dogwoodquay.gateway import peering
 from dogwoodquay.gateway import readers
@@ -127,6 +129,13 @@
         )
         transport = _Transport(network, port)
         self.copies = copies.ConfigurationCopies(transport, clock)
+        self.origins = origins.StreamOrigins(
+            transport,
+            self.ownership.member,
+            settings.failure_domain,
+            clock,
+            metrics,
+        )
         self.peering = peering.Peering(
             transport,
             self.ownership,
@@ -134,6 +143,7 @@
             registry,
             clock,
             self.copies,
+            self.origins,
         )
         self.scheduler = schedulers.Scheduler(
             registry, 'd1', clock, fakes.rng(), self.peering
@@ -312,3 +322,92 @@
                 await anyio.sleep(0.01)
                 group.cancel_scope.cancel()
         self.assertEqual(1, loads.await_count)
+
+
+class RosterTest(unittest.IsolatedAsyncioTestCase):
+    """The owner's view carries the roster when it has changed."""
+
+    async def asyncSetUp(self) -> None:
+        """Create three instances that have sent their load twice."""
+        self.network = _Network()
+        self.clock = clocks.ManualClock()
+        self.store = fakes.FakeStore(self.clock)
+        self.instances = [
+            _Instance(self.network, self.store, port)
+            for port in (7001, 7002, 7003)
+        ]
+        self.rosters: dict[int, list[list[str]]] = {}
+        for number, item in enumerate(self.instances):
+            self._record_rosters(number, item)
+        await self._publish(2)
+
+    def _record_rosters(self, number: int, instance: _Instance) -> None:
+        seen = self.rosters.setdefault(number, [])
+        update = instance.origins.update_roster
+
+        def record(roster: tuple[messages.InstanceRow, ...]) -> None:
+            seen.append([row.member.split('@')[0] for row in roster])
+            update(roster)
+
+        patch = mock.patch.object(instance.origins, 'update_roster', record)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def _publish(self, times: int, *stopped: int) -> None:
+        for _ in range(times):
+            for number, instance in enumerate(self.instances):
+                if number not in stopped:
+                    await instance.ownership.step()
+                    await instance.publish_load()
+
+    async def test_owner_and_others_apply_it(self) -> None:
+        """All instances know all of them, with their domains."""
+        expected = ['front-7001', 'front-7002', 'front-7003']
+        for seen in self.rosters.values():
+            self.assertEqual(expected, seen[-1])
+
+    async def test_unchanged(self) -> None:
+        """Without a change, no roster is sent."""
+        for seen in self.rosters.values():
+            seen.clear()
+        await self._publish(3)
+        self.assertEqual([[], [], []], list(self.rosters.values()))
+
+    async def test_dead_instance(self) -> None:
+        """The others learn that an instance has died."""
+        for _ in range(5):
+            self.clock.advance(0.5)
+            await self._publish(1, 2)
+        expected = ['front-7001', 'front-7002']
+        self.assertEqual(expected, self.rosters[0][-1])
+        self.assertEqual(expected, self.rosters[1][-1])
+
+    async def test_next_owner(self) -> None:
+        """The roster of the next owner replaces that of the first."""
+        self.network.handlers.pop(7001)
+        for _ in range(8):
+            self.clock.advance(0.5)
+            await self._publish(1, 0)
+        self.assertIn(self._owner(), (1, 2))
+        expected = ['front-7002', 'front-7003']
+        self.assertEqual(expected, self.rosters[1][-1])
+        self.assertEqual(expected, self.rosters[2][-1])
+
+    async def test_owner_lost(self) -> None:
+        """Without an owner, an instance keeps its last roster."""
+        for seen in self.rosters.values():
+            seen.clear()
+        self.store.unavailable = True
+        self.network.handlers.clear()
+        self.clock.advance(5.0)
+        await self._publish(2, 0)
+        self.assertEqual([], self.rosters[1])
+
+    def _owner(self) -> int:
+        now = self.clock.now()
+        (owner,) = (
+            number
+            for number, item in enumerate(self.instances)
+            if number and item.ownership.is_owner(now)
+        )
+        return owner
