Test growing rosters and mixed lifetimes of stream origins

Cause: two faults put in by hand, in the kept orders and in the time of a generation, passed the tests. Change: a test of each. Result: both faults fail; the tests pass without.

--- a/tests/unit/gateway/test_holders.py
+++ b/tests/unit/gateway/test_holders.py
@@ -70,6 +70,19 @@
             order.candidates(stream_id, '', 'd1'),
         )
 
+    def test_growing_roster(self) -> None:
+        """Each new instance takes its place in the kept orders."""
+        order = holders.HolderOrder()
+        for count in range(1, 20):
+            roster = _roster(count)
+            order.update(roster)
+            expected = _order(roster)
+            for number in range(40):
+                self.assertEqual(
+                    expected.asked(f'id-{number}', ''),
+                    order.asked(f'id-{number}', ''),
+                )
+
     @hypothesis.given(_ROSTERS, _IDS)
     def test_first_candidate_in_another_domain(
         self, roster: _Roster, stream_id: str
--- a/tests/unit/gateway/test_origin_table.py
+++ b/tests/unit/gateway/test_origin_table.py
@@ -69,6 +69,14 @@
             table.put(name, _FIRST, seconds, now)
             needed[name] = max(needed.get(name, 0.0), until)
 
+    def test_short_records_after_long_ones(self) -> None:
+        """Records of short lifetimes do not push out longer ones."""
+        self.table.put('a', _FIRST, 20.0, 0.0)
+        self.table.put('b', _FIRST, 20.0, 19.0)
+        for now in range(20, 39):
+            self.table.put(f'id-{now}', _FIRST, 1.0, float(now))
+        self.assertLess(0.0, self.table.seconds_left('b', 38.0))
+
     def test_dropped_after_the_lifetime(self) -> None:
         """Old records leave the table while others come."""
         for number in range(3000):
