Keep the roster whole when the owner changes

Cause: a new owner has heard of few instances at first, and its first views would have shrunk the roster of all to these, just when streams of the dead owner are looked up. The controller and the sums of demand no longer know of it.

--- a/src/dogwoodquay/gateway/controller.py
+++ b/src/dogwoodquay/gateway/controller.py
@@ -101,16 +101,14 @@
                 return None
             return messages.FleetView(owner, (), (), 0, -1)
         self._readers.update(load.instance_id, load.configuration_version, now)
-        return self.view(load.instance_id, load.roster_version)
+        return self.view(load.instance_id)
 
     def recent_peers(self) -> list[str]:
         """Return the peers that sent their load lately, newest first."""
         members = self._demand.reporting_instances(self._clock.now())
         return [name for name in members if name != self._ownership.member]
 
-    def view(
-        self, instance_id: str, roster_version: int = 0
-    ) -> messages.FleetView:
+    def view(self, instance_id: str) -> messages.FleetView:
         """Return the view of all engines for one instance."""
         now = self._clock.now()
         owner = self._ownership.member
@@ -139,7 +137,6 @@
             self._demand.configuration_version(now),
             self._readers.reads_store(instance_id, owner, now),
             self._readers.holder(instance_id, owner, now),
-            *self._demand.roster.newer_than(roster_version),
         )
 
     async def run(self) -> None:
@@ -289,10 +286,13 @@
         self._update_reachability(
             group, server_id, result.error if result.is_error() else ''
         )
-        pause = REPORT_INTERVAL_SECONDS
-        answers = server_id not in group.unreachable
-        if engine.busy or not engine.known or not answers:
-            pause = BUSY_REPORT_INTERVAL_SECONDS
+        settled = engine.known and not engine.busy
+        settled = settled and server_id not in group.unreachable
+        pause = (
+            REPORT_INTERVAL_SECONDS
+            if settled
+            else BUSY_REPORT_INTERVAL_SECONDS
+        )
         group.report_due[server_id] = now + pause
 
     def _update_reachability(
--- a/src/dogwoodquay/gateway/demand.py
+++ b/src/dogwoodquay/gateway/demand.py
@@ -8,7 +8,6 @@
 from ..fleet import rate as rates
 from ..residency import adapters
 from ..residency import planner
-from . import roster as rosters
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -28,7 +27,6 @@
 
     def __init__(self) -> None:
         self._loads: dict[str, tuple[float, messages.InstanceLoad]] = {}
-        self._roster = rosters.Roster()
         self._used_at: dict[adapters.AdapterKey, float] = {}
         self._requests_by_model: collections.Counter[_Key] = (
             collections.Counter()
@@ -37,11 +35,6 @@
             collections.Counter()
         )
 
-    @property
-    def roster(self) -> rosters.Roster:
-        """The instances with an unexpired load."""
-        return self._roster
-
     @property
     def used_at(self) -> abc.Mapping[adapters.AdapterKey, float]:
         """When each adapter was last known to be in use."""
@@ -56,7 +49,6 @@
         self._remove(load.instance_id)
         self._remove_expired(now)
         self._loads[load.instance_id] = (now, load)
-        self._roster.add(load.instance_id, load.failure_domain)
         for row in load.running:
             self._requests_by_model[row.server_id, row.model] += row.count
             self._requests_by_server[row.server_id] += row.count
@@ -125,7 +117,6 @@
         for instance_id, (received_at, _) in tuple(self._loads.items()):
             if now - received_at > LOAD_EXPIRY_SECONDS:
                 self._remove(instance_id)
-                self._roster.remove(instance_id)
 
     def _remove(self, instance_id: str) -> None:
         """Remove an instance's load from the sums."""
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -5,10 +5,12 @@
 import typing
 
 import anyio
+import msgspec
 
 from . import members
 from . import messages
 from ..observe import logs
+from . import roster as rosters
 from ..wire import api as wire_api
 
 if typing.TYPE_CHECKING:
@@ -54,7 +56,9 @@
         self._clock = clock
         self._copies = copies
         self._origins = origins
-        self._roster_version = 0
+        self._roster = rosters.Roster()
+        self._applied_version = 0
+        self._applied_roster: tuple[messages.InstanceRow, ...] = ()
         self._wake = anyio.Event()
         self._scheduler: schedulers.Scheduler | None = None
         self._configuration: configuration_watch.ConfigurationWatch | None = (
@@ -151,7 +155,7 @@
             version = self._configuration.version
         load = self._load(version, scheduler)
         if self._ownership.is_owner(self._clock.now()):
-            view = self._controller.on_load(load)
+            view = self._on_load(load)
             if view is not None:
                 self._apply_view(view)
                 scheduler.assign_waiting()
@@ -168,6 +172,7 @@
         )
         if answer.is_ok():
             self._apply_view(answer.ok)
+            self._roster.follow(self._applied_roster)
             scheduler.assign_waiting()
             return
         self._copies.on_view_lost()
@@ -186,7 +191,21 @@
             version,
             *_demand_rows(scheduler),
             self._origins.failure_domain,
-            self._roster_version,
+            self._applied_version,
+        )
+
+    def _on_load(
+        self, load: messages.InstanceLoad
+    ) -> messages.FleetView | None:
+        """Record an instance's load; an owner's view has its roster too."""
+        now = self._clock.now()
+        self._roster.add(load.instance_id, load.failure_domain, now)
+        view = self._controller.on_load(load)
+        if view is None or not self._ownership.is_owner(now):
+            return view
+        version, rows = self._roster.newer_than(load.roster_version, now)
+        return msgspec.structs.replace(
+            view, roster_version=version, roster=rows
         )
 
     def _apply_view(self, view: messages.FleetView) -> None:
@@ -197,7 +216,8 @@
         self._ownership.update_instance_count(view.instances)
         self._copies.on_view(view.reads_store, view.configuration_holder)
         if view.roster:
-            self._roster_version = view.roster_version
+            self._applied_version = view.roster_version
+            self._applied_roster = view.roster
             self._origins.update_roster(view.roster)
         if self._configuration is not None:
             self._configuration.on_peer_version(view.configuration_version)
@@ -224,7 +244,7 @@
         message: messages.InstanceLoad,
         deadline: float,
     ) -> messages.FleetView | None:
-        return self._controller.on_load(message)
+        return self._on_load(message)
 
     async def _handle_hand_over(
         self,
