--- a/src/dogwoodquay/gateway/origins.py
+++ b/src/dogwoodquay/gateway/origins.py
@@ -95,6 +95,12 @@
         self._keeps = batches.PeerBatches(self._send_records, in_flight=1)
         self._finds = batches.PeerBatches(self._send_lookups, FIND_BATCHES)
         self._leaving = False
+        self._instances = 0
+        metrics.gauge(
+            'gateway_roster_instances',
+            'Live instances by the last roster',
+            lambda: self._instances,
+        )
         transport.register(messages.KeepOrigins, self._handle_keep)
         transport.register(messages.FindOrigins, self._handle_find)
         transport.register(messages.OriginsKept)
@@ -112,6 +118,8 @@
     def update_roster(self, roster: tuple[messages.InstanceRow, ...]) -> None:
         """Replace the instances that hold records."""
         self._order.update(roster)
+        self._instances = len(roster)
+        _LOG.write('roster', instances=len(roster))
         known = {row.member for row in roster}
         self._passed_over = {
             member: until
