--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -5,10 +5,12 @@
 import typing
 
 import anyio
+import msgspec
 
 from . import members
 from . import messages
 from ..observe import logs
+from . import roster as rosters
 from ..wire import api as wire_api
 
 if typing.TYPE_CHECKING:
@@ -17,6 +19,7 @@
     from . import controller as controllers
     from . import copies as configuration_copies
     from ..fleet import registry as registries
+    from . import origins as stream_origins
     from . import ownership as order_ownership
     from . import scheduler as schedulers
 
@@ -44,6 +47,7 @@
         registry: registries.Registry,
         clock: clocks.Clock,
         copies: configuration_copies.ConfigurationCopies,
+        origins: stream_origins.StreamOrigins,
     ) -> None:
         self._transport = transport
         self._ownership = ownership
@@ -51,6 +55,10 @@
         self._registry = registry
         self._clock = clock
         self._copies = copies
+        self._origins = origins
+        self._roster = rosters.Roster()
+        self._applied_version = 0
+        self._applied_roster: tuple[messages.InstanceRow, ...] = ()
         self._wake = anyio.Event()
         self._scheduler: schedulers.Scheduler | None = None
         self._configuration: configuration_watch.ConfigurationWatch | None = (
@@ -145,9 +153,9 @@
         version = -1
         if self._configuration is not None:
             version = self._configuration.version
-        load = _instance_load(self._ownership.member, version, scheduler)
+        load = self._load(version, scheduler)
         if self._ownership.is_owner(self._clock.now()):
-            view = self._controller.on_load(load)
+            view = self._on_load(load)
             if view is not None:
                 self._apply_view(view)
                 scheduler.assign_waiting()
@@ -164,6 +172,7 @@
         )
         if answer.is_ok():
             self._apply_view(answer.ok)
+            self._roster.follow(self._applied_roster)
             scheduler.assign_waiting()
             return
         self._copies.on_view_lost()
@@ -174,6 +183,31 @@
             reason=answer.error.reason,
         )
 
+    def _load(
+        self, version: int, scheduler: schedulers.Scheduler
+    ) -> messages.InstanceLoad:
+        return messages.InstanceLoad(
+            self._ownership.member,
+            version,
+            *_demand_rows(scheduler),
+            self._origins.failure_domain,
+            self._applied_version,
+        )
+
+    def _on_load(
+        self, load: messages.InstanceLoad
+    ) -> messages.FleetView | None:
+        """Record an instance's load; an owner's view has its roster too."""
+        now = self._clock.now()
+        self._roster.add(load.instance_id, load.failure_domain, now)
+        view = self._controller.on_load(load)
+        if view is None or not self._ownership.is_owner(now):
+            return view
+        version, rows = self._roster.newer_than(load.roster_version, now)
+        return msgspec.structs.replace(
+            view, roster_version=version, roster=rows
+        )
+
     def _apply_view(self, view: messages.FleetView) -> None:
         now = self._clock.now()
         if view.owner != self._ownership.owner:
@@ -181,6 +215,10 @@
             return
         self._ownership.update_instance_count(view.instances)
         self._copies.on_view(view.reads_store, view.configuration_holder)
+        if view.roster:
+            self._applied_version = view.roster_version
+            self._applied_roster = view.roster
+            self._origins.update_roster(view.roster)
         if self._configuration is not None:
             self._configuration.on_peer_version(view.configuration_version)
         for row in view.engines:
@@ -206,7 +244,7 @@
         message: messages.InstanceLoad,
         deadline: float,
     ) -> messages.FleetView | None:
-        return self._controller.on_load(message)
+        return self._on_load(message)
 
     async def _handle_hand_over(
         self,
@@ -231,9 +269,14 @@
         return messages.AdapterFound(server_id)
 
 
-def _instance_load(
-    instance_id: str, version: int, scheduler: schedulers.Scheduler
-) -> messages.InstanceLoad:
+def _demand_rows(
+    scheduler: schedulers.Scheduler,
+) -> tuple[
+    tuple[messages.ModelDemand, ...],
+    tuple[messages.AdapterInUse, ...],
+    tuple[messages.RunningRequests, ...],
+]:
+    """Return the demand, the adapters in use and the running requests."""
     rows = tuple(
         messages.ModelDemand(service, model, *load)
         for (service, model), load in scheduler.demand().items()
@@ -245,4 +288,4 @@
         messages.RunningRequests(*key, count)
         for key, count in scheduler.running().items()
     )
-    return messages.InstanceLoad(instance_id, version, rows, used, running)
+    return rows, used, running
