Know the software versions of servers and of their services

What servers of two software versions write does not fit together, but the version in a server's entry was not read. It is now part of the entry, empty if there is none; an entry in which it is no string is malformed. An entry with another version belongs to another process, so a server's state never changes its version.

The registry tells which software version was the only one of a service since a time. It knows nothing from before it read the whole list, as servers may have come and gone unseen, and forgets the oldest of 4,096 versions.

--- a/src/dogwoodquay/fleet/api.py
+++ b/src/dogwoodquay/fleet/api.py
@@ -28,7 +28,8 @@
 
     ``started_ms`` is the start of the server's process in Unix milliseconds;
     it distinguishes processes with the same ``server_id``. ``report_number``
-    counts the reports of one process.
+    counts the reports of one process. ``version`` is the one of the server's
+    software, not of the weights of a model; empty if the entry has none.
     """
 
     server_id: str
@@ -41,3 +42,4 @@
     started_ms: int
     report_number: int
     models: tuple[LoadedModel, ...]
+    version: str = ''
--- a/src/dogwoodquay/fleet/registry.py
+++ b/src/dogwoodquay/fleet/registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 import typing
 
 from . import api
@@ -15,6 +16,8 @@
 
 # Live servers renew entries that expired in an outage within this time.
 RENEWAL_SECONDS: typing.Final = 2.2
+# Software versions of services that are remembered after their last server.
+MAX_FORMER_VERSIONS: typing.Final = 4096
 
 
 class Change(enum.Enum):
@@ -40,6 +43,10 @@
         self._servers: dict[str, server_module.Server] = {}
         self._expiring: dict[str, float] = {}
         self._store_available_at = float('-inf')
+        # Service and software version of servers that were replaced or
+        # dropped, with the time, oldest first.
+        self._former: dict[tuple[str, str], float] = {}
+        self._followed_since = float('inf')
 
     @property
     def servers(self) -> abc.Mapping[str, server_module.Server]:
@@ -58,12 +65,36 @@
             if server.entry.service == service and not server.leaving
         ]
 
+    def sole_version(self, service: str, since: float) -> str | None:
+        """Return the only software version of a service's servers.
+
+        All servers count that were listed at any time after ``since``.
+        ``None`` if they have several versions, if there were none, or if the
+        list was not followed without a gap since then.
+        """
+        if since < self._followed_since:
+            return None
+        versions = {
+            server.entry.version
+            for server in self._servers.values()
+            if server.entry.service == service
+        }
+        versions.update(
+            version
+            for (name, version), until in self._former.items()
+            if name == service and until >= since
+        )
+        return versions.pop() if len(versions) == 1 else None
+
     def on_store_available(self, now: float) -> None:
         """Record that the list can be read again after an outage."""
         self._store_available_at = now
 
     def update(self, entry: api.ServerEntry, now: float) -> Change:
-        """Apply an entry unless a newer one of the server is known."""
+        """Apply an entry unless a newer one of the server is known.
+
+        An entry of another software version belongs to another process.
+        """
         known = self._servers.get(entry.server_id)
         if known is None:
             self._expiring.pop(entry.server_id, None)
@@ -73,11 +104,13 @@
         if entry.started_ms < old.started_ms:
             return Change.STALE
         self._expiring.pop(entry.server_id, None)
-        if entry.started_ms > old.started_ms:
+        same_process = entry.started_ms == old.started_ms
+        if same_process and entry.report_number < old.report_number:
+            return Change.STALE
+        if not same_process or entry.version != old.version:
+            self._remember(old, now)
             self._servers[entry.server_id] = server_module.Server(entry)
             return Change.RESTARTED
-        if entry.report_number < old.report_number:
-            return Change.STALE
         was_leaving = known.leaving
         known.update_entry(entry, now)
         return Change.SAME if was_leaving == known.leaving else Change.LEAVING
@@ -93,13 +126,16 @@
             due = self._store_available_at + RENEWAL_SECONDS
             self._expiring.setdefault(server_id, due)
             return Change.SAME
-        self._drop(server_id)
+        self._drop(server_id, now)
         return Change.REMOVED
 
     def replace(
         self, entries: abc.Iterable[api.ServerEntry], now: float
     ) -> dict[str, Change]:
-        """Apply the whole list; return the change of each server by id."""
+        """Apply the whole list; return the change of each server by id.
+
+        Servers may have been listed unseen before.
+        """
         changes = {}
         listed = set()
         for entry in entries:
@@ -107,6 +143,7 @@
             changes[entry.server_id] = self.update(entry, now)
         for server_id in set(self._servers) - listed:
             changes[server_id] = self.remove(server_id, now)
+        self._followed_since = now
         return changes
 
     def expire(self, now: float) -> list[str]:
@@ -116,11 +153,22 @@
         """
         due = [name for name, at in self._expiring.items() if now >= at]
         for server_id in due:
-            self._drop(server_id)
+            self._drop(server_id, now)
         return due
 
-    def _drop(self, server_id: str) -> None:
+    def _drop(self, server_id: str, now: float) -> None:
         self._expiring.pop(server_id, None)
         server = self._servers.pop(server_id, None)
         if server is not None:
             server.leave()
+            self._remember(server.entry, now)
+
+    def _remember(self, entry: api.ServerEntry, now: float) -> None:
+        """Record until when a software version of a service was listed."""
+        key = (entry.service, entry.version)
+        self._former.pop(key, None)
+        self._former[key] = now
+        if len(self._former) > MAX_FORMER_VERSIONS:
+            forgotten = self._former.pop(next(iter(self._former)))
+            after = math.nextafter(forgotten, math.inf)
+            self._followed_since = max(self._followed_since, after)
--- a/src/dogwoodquay/platform/servers.py
+++ b/src/dogwoodquay/platform/servers.py
@@ -37,6 +37,8 @@
     models: list[_Model] = []
     # The start of the server's process in Unix milliseconds.
     born: int = msgspec.field(name='born', default=0)
+    # The version of the server's software.
+    version: str = ''
 
 
 def decode(
@@ -70,5 +72,6 @@
                 )
                 for model in entry.models
             ),
+            entry.version,
         )
     )
--- a/tests/unit/fleet/test_registry.py
+++ b/tests/unit/fleet/test_registry.py
@@ -83,3 +83,127 @@
         subject.update(entries.entry(), 1.0)
         subject.on_store_available(10.0)
         self.assertIs(Change.REMOVED, subject.remove('s1', 13.0))
+
+
+class SoftwareVersionTest(unittest.TestCase):
+    """Which software versions the servers of a service had lately."""
+
+    def setUp(self) -> None:
+        """Create a registry that follows the list since ``10.0``."""
+        self.registry = registry.Registry()
+        self.registry.replace([entries.entry('s1', version='v1')], 10.0)
+
+    def _sole(self, since: float, service: str = 'models') -> str | None:
+        return self.registry.sole_version(service, since)
+
+    def test_restart_with_another_version(self) -> None:
+        """A server that starts again with another version is a new one."""
+        before = self.registry.get('s1')
+        assert before is not None
+        before.begin()
+        restarted = entries.entry('s1', started_ms=2000, version='v2')
+        change = self.registry.update(restarted, 11.0)
+        self.assertIs(Change.RESTARTED, change)
+        server = self.registry.get('s1')
+        assert server is not None
+        self.assertIsNot(before, server)
+        self.assertEqual('v1', before.entry.version)
+        self.assertEqual('v2', server.entry.version)
+        self.assertEqual(0, server.in_flight)
+        old = entries.entry('s1', report_number=9, version='v1')
+        self.assertIs(Change.STALE, self.registry.update(old, 12.0))
+        self.assertEqual('v2', server.entry.version)
+        self.assertIsNone(self._sole(11.0))
+        self.assertEqual('v2', self._sole(11.5))
+
+    def test_other_version_without_another_start(self) -> None:
+        """A newer entry of another version is another process's."""
+        before = self.registry.get('s1')
+        newer = entries.entry('s1', report_number=2, version='v2')
+        change = self.registry.update(newer, 11.0)
+        self.assertIs(Change.RESTARTED, change)
+        self.assertIsNot(before, self.registry.get('s1'))
+        older = entries.entry('s1', version='v1')
+        self.assertIs(Change.STALE, self.registry.update(older, 12.0))
+
+    def test_one_version(self) -> None:
+        """All servers of the service have the version."""
+        self.registry.update(entries.entry('s2', version='v1'), 11.0)
+        other = entries.entry('s3', service='other', version='v7')
+        self.registry.update(other, 11.0)
+        self.assertEqual('v1', self._sole(10.0))
+        self.assertEqual('v7', self._sole(10.0, 'other'))
+        self.assertIsNone(self._sole(10.0, 'none'))
+
+    def test_empty_version(self) -> None:
+        """Servers without a version have the empty one in common."""
+        self.registry.update(entries.entry('s2', service='other'), 11.0)
+        self.assertEqual('', self._sole(10.0, 'other'))
+
+    def test_several_versions(self) -> None:
+        """A second version is counted for as long as it was listed."""
+        self.registry.update(entries.entry('s2', version='v2'), 11.0)
+        self.assertIsNone(self._sole(10.0))
+        self.registry.remove('s2', 13.0)
+        self.assertIsNone(self._sole(12.0))
+        self.assertIsNone(self._sole(13.0))
+        self.assertEqual('v1', self._sole(13.1))
+
+    def test_all_servers_gone(self) -> None:
+        """The version of the last servers counts too."""
+        self.registry.remove('s1', 12.0)
+        self.assertEqual('v1', self._sole(11.0))
+        self.assertIsNone(self._sole(12.1))
+
+    def test_server_that_leaves(self) -> None:
+        """A server that leaves still has its version."""
+        leaving = entries.entry(
+            's2', state=api.ServerState.LEAVING, version='v2'
+        )
+        self.registry.update(leaving, 11.0)
+        self.assertIsNone(self._sole(10.0))
+
+    def test_expired_server(self) -> None:
+        """A server whose entry expired in an outage counts until dropped."""
+        self.registry.update(entries.entry('s2', version='v2'), 11.0)
+        self.registry.on_store_available(20.0)
+        self.registry.remove('s2', 20.1)
+        self.assertIsNone(self._sole(20.2))
+        due = 20.0 + registry.RENEWAL_SECONDS
+        self.assertEqual(['s2'], self.registry.expire(due))
+        self.assertIsNone(self._sole(due))
+        self.assertEqual('v1', self._sole(due + 0.1))
+
+    def test_before_the_first_read(self) -> None:
+        """What was listed before the list was first read is not known."""
+        self.assertIsNone(self._sole(9.9))
+        self.registry = registry.Registry()
+        self.registry.update(entries.entry(version='v1'), 5.0)
+        self.assertIsNone(self._sole(5.0))
+
+    def test_read_anew(self) -> None:
+        """Servers may have come and gone unseen before a whole read."""
+        self.assertEqual('v1', self._sole(15.0))
+        self.registry.replace([entries.entry('s1', version='v1')], 20.0)
+        self.assertIsNone(self._sole(15.0))
+        self.assertEqual('v1', self._sole(20.0))
+
+    def test_bounded_memory(self) -> None:
+        """Too many former versions are forgotten, and known to be."""
+        limit = registry.MAX_FORMER_VERSIONS
+        for number in range(limit):
+            new = entries.entry(
+                's2', service='other', started_ms=number, version=f'v{number}'
+            )
+            self.registry.update(new, 11.0 + number)
+        self.registry.remove('s2', 11.0 + limit)
+        self.assertIsNone(self._sole(11.0, 'other'))
+        self.assertEqual('v1', self._sole(11.0))
+        self.registry.update(entries.entry('s2', version='v2'), 9000.0)
+        self.registry.remove('s2', 9000.0)
+        # The version that was replaced first, at 12.0, is forgotten.
+        self.assertIsNone(self._sole(12.0))
+        self.assertIsNone(self._sole(12.0, 'other'))
+        last = f'v{limit - 1}'
+        self.assertEqual(last, self._sole(10.5 + limit, 'other'))
+        self.assertEqual('v1', self._sole(9000.1))
--- a/tests/unit/platform/test_decoding.py
+++ b/tests/unit/platform/test_decoding.py
@@ -135,6 +135,27 @@
         self.assertEqual(1786216446851, entry.started_ms)
         self.assertIs(fleet_api.ServerState.LIVE, entry.state)
         self.assertEqual(frozenset({'a1'}), entry.models[0].adapters)
+        self.assertEqual('v1', entry.version)
+        self.assertEqual(1, entry.models[0].version)
+
+    def test_no_software_version(self) -> None:
+        """An entry without a software version has an empty one."""
+        body = {key: ENTRY[key] for key in ENTRY if key != 'Version'}
+        self.assertEqual('', servers.decode('i', _encoded(body)).ok.version)
+
+    def test_unusual_software_versions(self) -> None:
+        """A software version is any string, kept as it is."""
+        for version in ('', ' ', '1', 'v1 ', 'V1', 'x' * 999, '\n\u00e9'):
+            body = _encoded(dict(ENTRY, Version=version))
+            with self.subTest(version=version):
+                self.assertEqual(version, servers.decode('i', body).ok.version)
+
+    def test_malformed_software_versions(self) -> None:
+        """An entry whose software version is no string is not usable."""
+        for version in (1, 1.5, None, True, [], ['v1'], {'Name': 'v1'}):
+            body = _encoded(dict(ENTRY, Version=version))
+            with self.subTest(version=version):
+                self.assertTrue(servers.decode('i', body).is_error())
 
     def test_leaving(self) -> None:
         """A draining server is decoded as leaving."""
