Let callers wait for a read of the list of servers

What the registry tells of a time holds only once the list has been read after it. A caller can now wait until a read that began after a time has ended, with all changes and without a failure.

--- a/src/dogwoodquay/gateway/watch.py
+++ b/src/dogwoodquay/gateway/watch.py
@@ -62,12 +62,28 @@
         self._offset: int | None = None
         self._read_at = float('-inf')
         self._unreadable_logged_at = float('-inf')
+        self._complete_read_at = float('-inf')
+        self._complete_read = anyio.Event()
 
     @property
     def read_at(self) -> float:
         """When the last successful read of the list began."""
         return self._read_at
 
+    async def wait_read(self, after: float, deadline: float) -> bool:
+        """Wait for a complete read of the list that began after a time.
+
+        :return: whether one has ended by the deadline.
+        """
+        while self._complete_read_at <= after:
+            seconds = deadline - self._clock.now()
+            if seconds <= 0.0:
+                return False
+            complete_read = self._complete_read
+            with anyio.move_on_after(seconds):
+                await complete_read.wait()
+        return True
+
     async def run(self) -> typing.NoReturn:
         """Read the list at a fixed interval until cancelled."""
         while True:
@@ -102,10 +118,13 @@
             self._replace(page.ok.records, now)
         else:
             self._update(page.ok.records, now)
-        if not page.ok.incomplete:
-            self._expire(now)
         self._offset = page.ok.next_offset
         self._read_at = began
+        if not page.ok.incomplete:
+            self._expire(now)
+            self._complete_read_at = began
+            self._complete_read.set()
+            self._complete_read = anyio.Event()
         if page.ok.records:
             self._on_change()
         return page.ok.incomplete and bool(page.ok.records)
--- a/tests/unit/gateway/test_watch.py
+++ b/tests/unit/gateway/test_watch.py
@@ -4,7 +4,9 @@
 
 import json
 import unittest
+from unittest import mock
 
+import anyio
 import expression
 
 from . import fakes
@@ -28,8 +30,8 @@
     return expression.Ok(entries.entry(server_id, **changes))
 
 
-class ServersTest(unittest.IsolatedAsyncioTestCase):
-    """The registry of servers follows the list in the store."""
+class _WatchCase(unittest.IsolatedAsyncioTestCase):
+    """A watch of a list in a store, and a manual clock."""
 
     def setUp(self) -> None:
         """Create a store and a watch."""
@@ -51,6 +53,10 @@
     def _changed(self) -> None:
         self.changes += 1
 
+
+class ServersTest(_WatchCase):
+    """The registry of servers follows the list in the store."""
+
     async def test_changes_applied(self) -> None:
         """New, removed and unreadable entries change no other entries."""
         self.store.put('s1', b'{}')
@@ -92,3 +98,91 @@
         await self.watch.step()
         await self.watch.step()
         self.assertEqual({'s2'}, set(self.registry.servers))
+
+
+class WaitReadTest(_WatchCase):
+    """Callers wait for what the list held at some time."""
+
+    async def _waits(self, after: float, seconds: float = 60.0) -> bool:
+        deadline = self.clock.now() + seconds
+        return await self.watch.wait_read(after, deadline)
+
+    async def test_no_read_in_time(self) -> None:
+        """At the deadline there was no read that began late enough."""
+        now = self.clock.now()
+        self.assertFalse(await self._waits(now, 0.0))
+        await self.watch.step()
+        self.assertTrue(await self._waits(now - 0.1, 0.0))
+        # The read may have begun just before a change at the same time.
+        self.assertFalse(await self._waits(now, 0.0))
+
+    async def test_read_that_began_before(self) -> None:
+        """A read in progress does not count, as the next one does."""
+        self.store.transfer = anyio.Event()
+        now = self.clock.now()
+        ended: list[bool] = []
+
+        async def wait() -> None:
+            ended.append(await self._waits(now + 0.1))
+
+        with anyio.fail_after(10.0):
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.watch.step)
+                await anyio.wait_all_tasks_blocked()
+                self.clock.advance(0.2)
+                group.start_soon(wait)
+                await anyio.wait_all_tasks_blocked()
+                self.store.transfer.set()
+                await anyio.wait_all_tasks_blocked()
+                self.assertEqual([], ended)
+                await self.watch.step()
+        self.assertEqual([True], ended)
+
+    async def test_failed_read(self) -> None:
+        """A read without an answer does not count."""
+        now = self.clock.now()
+        self.clock.advance(0.1)
+        self.store.unavailable = True
+        await self.watch.step()
+        self.assertFalse(await self._waits(now, 0.0))
+        self.store.unavailable = False
+        await self.watch.step()
+        self.assertTrue(await self._waits(now, 0.0))
+
+    async def test_trimmed_records(self) -> None:
+        """Where records were lost, only the read of the whole list counts."""
+        self.store.put('s1', b'{"version": "v1"}')
+        await self.watch.step()
+        now = self.clock.now()
+        self.clock.advance(1.0)
+        self.store.put('s1', b'{"started_ms": 2000, "version": "v2"}')
+        self.store.first_offset = 2
+        await self.watch.step()
+        self.assertFalse(await self._waits(now, 0.0))
+        await self.watch.step()
+        self.assertTrue(await self._waits(now, 0.0))
+        self.assertIsNone(self.registry.sole_version('models', now))
+        self.clock.advance(0.1)
+        since = self.clock.now()
+        self.assertEqual('v2', self.registry.sole_version('models', since))
+
+    async def test_incomplete_read(self) -> None:
+        """A read counts once all changes are known."""
+        await self.watch.step()
+        now = self.clock.now()
+        self.clock.advance(0.1)
+        self.store.put('s1', b'{"version": "v1"}')
+        self.store.put('s2', b'{"version": "v2"}')
+        short = store_api.Records((self.store.records[0],), 1, 2)
+        with mock.patch.object(
+            self.store,
+            'read',
+            autospec=True,
+            return_value=expression.Ok(short),
+        ):
+            self.assertTrue(await self.watch.step())
+        self.assertFalse(await self._waits(now, 0.0))
+        self.assertEqual('v1', self.registry.sole_version('models', now))
+        await self.watch.step()
+        self.assertTrue(await self._waits(now, 0.0))
+        self.assertIsNone(self.registry.sole_version('models', now))
