--- a/src/dogwoodquay/gateway/controller.py
+++ b/src/dogwoodquay/gateway/controller.py
@@ -15,7 +15,6 @@
 from ..residency import adapters
 from ..residency import api as residency_api
 from ..residency import ceiling
-from ..residency import contents as engine_contents
 from ..residency import planner as planners
 
 if typing.TYPE_CHECKING:
@@ -27,6 +26,7 @@
     from .. import clock as clocks
     from . import metrics as gateway_metrics
     from . import ownership as order_ownership
+    from ..residency import contents as engine_contents
     from ..routes import api as routes_api
     from . import settings as gateway_settings
 
@@ -156,7 +156,10 @@
         for name, service in self._services.items():
             if service.engine is not None:
                 group = self._group(name, service.engine, now)
-                self._update_engines(name, group, service.engine)
+                listed = self._registry.of_service(name)
+                group.update_engines(
+                    [server.entry for server in listed], service.engine
+                )
                 self._start_reports(group, now, tasks)
                 if self._ownership.may_order(now):
                     self._start_planned_orders(name, group, now, tasks)
@@ -235,30 +238,6 @@
             group = self._groups[name] = groups.EngineGroup(limit)
         return group
 
-    def _update_engines(
-        self, name: str, group: groups.EngineGroup, spec: routes_api.EngineSpec
-    ) -> None:
-        """Keep one ``EngineContents`` for each process of an engine."""
-        listed = {
-            server.entry.server_id: server.entry
-            for server in self._registry.of_service(name)
-        }
-        for server_id, entry in listed.items():
-            known = group.engines.get(server_id)
-            if known is None:
-                group.engines[server_id] = engine_contents.EngineContents(
-                    entry, spec
-                )
-            elif known.server.started_ms != entry.started_ms:
-                group.engines[server_id] = engine_contents.EngineContents(
-                    entry, spec, known.unresolved_orders
-                )
-                group.report_due.pop(server_id, None)
-            else:
-                known.update_server(entry, spec)
-        for server_id in set(group.engines) - set(listed):
-            del group.engines[server_id]
-
     def _start_reports(
         self, group: groups.EngineGroup, now: float, tasks: anyio.abc.TaskGroup
     ) -> None:
--- a/src/dogwoodquay/gateway/groups.py
+++ b/src/dogwoodquay/gateway/groups.py
@@ -5,14 +5,17 @@
 import typing
 
 from ..residency import api as residency_api
+from ..residency import contents as engine_contents
 from ..residency import planner as planners
 
 if typing.TYPE_CHECKING:
+    from collections import abc
+
     import expression
 
     from ..fleet import api as fleet_api
     from ..residency import ceiling
-    from ..residency import contents as engine_contents
+    from ..routes import api as routes_api
 
 __all__ = ['EngineCalls', 'EngineGroup']
 
@@ -54,6 +57,32 @@
         self.unreachable: set[str] = set()
         self.ready_at: dict[tuple[str, str], float] = {}
 
+    def update_engines(
+        self,
+        entries: abc.Iterable[fleet_api.ServerEntry],
+        spec: routes_api.EngineSpec,
+    ) -> None:
+        """Keep one ``EngineContents`` for each process of an engine.
+
+        :param entries: the entries of all engines of the service.
+        """
+        listed = {entry.server_id: entry for entry in entries}
+        for server_id, entry in listed.items():
+            known = self.engines.get(server_id)
+            if known is None:
+                self.engines[server_id] = engine_contents.EngineContents(
+                    entry, spec
+                )
+            elif known.server.started_ms != entry.started_ms:
+                self.engines[server_id] = engine_contents.EngineContents(
+                    entry, spec, known.unresolved_orders
+                )
+                self.report_due.pop(server_id, None)
+            else:
+                known.update_server(entry, spec)
+        for server_id in set(self.engines) - set(listed):
+            del self.engines[server_id]
+
     def servable(
         self, engine: engine_contents.EngineContents
     ) -> dict[str, frozenset[str]]:
