Choose among servers of one software version

A request may need a server of one software version. Others are not chosen, not even as a last resort. Requests in the queue that need different versions have different needs, so that one version without room holds up no other.

--- a/src/dogwoodquay/fleet/choice.py
+++ b/src/dogwoodquay/fleet/choice.py
@@ -30,7 +30,9 @@
     ``avoid`` holds the ids of servers that have failed the request, and
     ``cached`` of those that may have parts of its prompt in their cache.
     ``successor`` is set while an attempt still runs: only a healthy server
-    that has not failed the request is better than that one.
+    that has not failed the request is better than that one. ``version`` is
+    the only software version of servers that may run the request, ``None``
+    for any.
     """
 
     service: str
@@ -39,6 +41,11 @@
     avoid: frozenset[str] = frozenset()
     cached: frozenset[str] = frozenset()
     successor: bool = False
+    version: str | None = None
+
+    def permits(self, server: servers.Server) -> bool:
+        """Whether a server has a software version that may be used."""
+        return self.version is None or server.entry.version == self.version
 
 
 def usable(
@@ -53,7 +60,8 @@
     capable = [
         server
         for server in candidates
-        if server.has_loaded(need.model, need.adapter)
+        if need.permits(server)
+        and server.has_loaded(need.model, need.adapter)
         and not server.unreachable(now)
     ]
     healthy = [server for server in capable if not server.ejected(now)]
--- a/tests/unit/fleet/test_choice.py
+++ b/tests/unit/fleet/test_choice.py
@@ -116,3 +116,58 @@
         need = choice.Need('models', avoid=frozenset({'first'}))
         self.assertEqual('second', _choose([first, second], need))
         self.assertEqual('first', _choose([first], need))
+
+
+class SoftwareVersionTest(unittest.TestCase):
+    """Some requests may run at servers of one software version only."""
+
+    def test_among_ten_times_the_servers(self) -> None:
+        """A loaded server of the version wins over many idle ones."""
+        idle = [entries.make_server(f's{n}', version='v1') for n in range(80)]
+        busy = entries.make_server('busy', version='v2')
+        for _ in range(3):
+            busy.begin()
+        need = choice.Need('models', version='v2')
+        for seed in range(20):
+            candidates = [*idle, busy]
+            random.Random(seed).shuffle(candidates)
+            self.assertEqual('busy', _choose(candidates, need, seed=seed))
+        busy.begin()
+        self.assertEqual('', _choose([*idle, busy], need))
+
+    def test_all_of_the_version(self) -> None:
+        """The servers of the version share the requests."""
+        candidates = [
+            entries.make_server(f's{number}', version=f'v{number % 4}')
+            for number in range(80)
+        ]
+        need = choice.Need('models', version='v3')
+        chosen = {_choose(candidates, need, seed=seed) for seed in range(200)}
+        expected = {f's{number}' for number in range(3, 80, 4)}
+        self.assertEqual(expected, chosen)
+
+    def test_no_version(self) -> None:
+        """A server without a version is not of any version."""
+        unnamed = entries.make_server('unnamed')
+        named = entries.make_server('named', version='v1')
+        candidates = [unnamed, named]
+        self.assertEqual(
+            'unnamed', _choose(candidates, choice.Need('models', version=''))
+        )
+        self.assertEqual(
+            'named', _choose(candidates, choice.Need('models', version='v1'))
+        )
+        self.assertEqual(
+            2, len(choice.usable(candidates, choice.Need('models'), 1.0))
+        )
+
+    def test_no_other_version_as_last_resort(self) -> None:
+        """An ejected server of the version is better than another version."""
+        bad = entries.make_server('bad', version='v1')
+        for _ in range(servers.EJECT_AFTER):
+            bad.failed(1.0)
+        other = entries.make_server('other', version='v2')
+        need = choice.Need('models', version='v1', avoid=frozenset({'bad'}))
+        self.assertEqual('bad', _choose([bad, other], need, now=1.1))
+        need = need._replace(successor=True)
+        self.assertEqual('', _choose([bad, other], need, now=1.1))
--- a/tests/unit/fleet/test_queue.py
+++ b/tests/unit/fleet/test_queue.py
@@ -73,6 +73,24 @@
         )
         self.assertEqual([2], [ticket.number for ticket, _ in assigned])
 
+    def test_full_version_does_not_block_others(self) -> None:
+        """Requests for one software version do not block those for others."""
+        subject = queue.RequestQueue()
+        versions = ('v1', 'v1', 'v2', None, '')
+        for number, version in enumerate(versions):
+            ticket = _ticket(number)
+            need = ticket.need._replace(version=version)
+            subject.add(ticket._replace(need=need))
+        asked = []
+
+        def choose(need: choice.Need) -> str | None:
+            asked.append(need.version)
+            return None if need.version in ('v1', '') else 'x'
+
+        assigned = subject.assign(choose, 3.0)
+        self.assertEqual([2, 3], [ticket.number for ticket, _ in assigned])
+        self.assertEqual(['v1', 'v2', None, ''], asked)
+
     def test_expired(self) -> None:
         """Requests past their wait deadline leave the queue."""
         subject = queue.RequestQueue()
