Keep requests to the software version that they need

The scheduler assigns servers of one software version if a request needs it. When no server of it is left, also while the request waits, it ends at once with a reason of its own. An adapter is searched for, and loaded, at engines of the version. The search names the version in a new last field: an owner of an earlier build ignores it, and the server of another version that it may return counts as none. The searches have a module of their own now.

--- a/src/dogwoodquay/gateway/api.py
+++ b/src/dogwoodquay/gateway/api.py
@@ -121,6 +121,8 @@
     NO_SERVER = 'no_server'
     MODEL_ABSENT = 'model_absent'
     MODEL_UNDECLARED = 'model_undeclared'
+    VERSION_GONE = 'version_gone'
+    ORIGIN_UNKNOWN = 'origin_unknown'
     OVERLOADED = 'overloaded'
     DEADLINE = 'deadline'
     SERVERS_REFUSED = 'servers_refused'
--- a/src/dogwoodquay/gateway/controller.py
+++ b/src/dogwoodquay/gateway/controller.py
@@ -165,9 +165,17 @@
                     self._start_planned_orders(name, group, now, tasks)
 
     async def find_adapter(
-        self, service: str, model: str, adapter: str, deadline: float
+        self,
+        service: str,
+        model: str,
+        adapter: str,
+        deadline: float,
+        version: str | None = None,
     ) -> str:
-        """Return a server for an adapter, loaded if needed; empty for none."""
+        """Return a server for an adapter, loaded if needed; empty for none.
+
+        :param version: the only software version of engines that may be used.
+        """
         while self._clock.now() < deadline:
             group = self._groups.get(service)
             if group is None or not self._ownership.may_order(
@@ -178,6 +186,7 @@
                 engine
                 for server_id, engine in group.engines.items()
                 if self._usable(group, server_id)
+                and version in (None, engine.server.version)
             ]
             loaded = adapters.find_engine(engines, model, adapter)
             if loaded is not None:
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -106,11 +106,16 @@
 
 
 class FindAdapter(wire_api.Message, frozen=True, tag='find'):
-    """Asks the owner to load an adapter on some engine."""
+    """Asks the owner to load an adapter on some engine.
+
+    ``version`` is the only software version of engines that may be used,
+    ``None`` for any. Earlier builds do not know it.
+    """
 
     service: str
     model: str
     adapter: str
+    version: str | None = None
 
 
 class AdapterFound(wire_api.Message, frozen=True, tag='found'):
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -79,19 +79,27 @@
         self._wake.set()
 
     async def find_adapter(
-        self, service: str, model: str, adapter: str, deadline: float
+        self,
+        service: str,
+        model: str,
+        adapter: str,
+        deadline: float,
+        version: str | None = None,
     ) -> str:
-        """Return a server that has loaded an adapter, empty for none."""
+        """Return a server that has loaded an adapter, empty for none.
+
+        An owner of an earlier build may return one of another version.
+        """
         if self._ownership.is_owner(self._clock.now()):
             return await self._controller.find_adapter(
-                service, model, adapter, deadline
+                service, model, adapter, deadline, version
             )
         address = self._ownership.owner_address
         if address is None:
             return ''
         answer = await self._transport.request(
             wire_api.PeerAddress(*address),
-            messages.FindAdapter(service, model, adapter),
+            messages.FindAdapter(service, model, adapter, version),
             messages.AdapterFound,
             deadline,
         )
@@ -226,7 +234,11 @@
         deadline: float,
     ) -> messages.AdapterFound:
         server_id = await self._controller.find_adapter(
-            message.service, message.model, message.adapter, deadline
+            message.service,
+            message.model,
+            message.adapter,
+            deadline,
+            message.version,
         )
         return messages.AdapterFound(server_id)
 
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from . import adapter_search
 from . import api
 from ..fleet import choice
 from ..fleet import queue
@@ -26,7 +27,7 @@
     from ..fleet import server as servers
     from ..routes import api as routes_api
 
-__all__ = ['AdapterFinder', 'Scheduler']
+__all__ = ['Scheduler']
 
 _LOG: typing.Final = logs.ComponentLog('scheduler')
 
@@ -40,21 +41,10 @@
 # engine reads prompts in order of arrival, while the queue of this instance
 # is ordered by urgency.
 MAX_PENDING_PREFILLS: typing.Final = 1
-# Delay before a failed search for an adapter's server is repeated.
-SEARCH_RETRY_SECONDS: typing.Final = 0.05
 
 _Key = tuple[str, str]
 
 
-class AdapterFinder(typing.Protocol):
-    """Loads an adapter on a server that has loaded its model."""
-
-    async def find_adapter(
-        self, service: str, model: str, adapter: str, deadline: float
-    ) -> str:
-        """Return a server that has loaded the adapter, empty for none."""
-
-
 @dataclasses.dataclass(slots=True)
 class _Waiter:
     """A waiting request; ``server`` is set if one is assigned to it."""
@@ -72,22 +62,22 @@
         failure_domain: str,
         clock: clocks.Clock,
         rng: random.Random,
-        finder: AdapterFinder,
+        finder: adapter_search.AdapterFinder,
     ) -> None:
         self._registry = registry
         self._failure_domain = failure_domain
         self._clock = clock
         self._rng = rng
-        self._finder = finder
+        self._searches = adapter_search.AdapterSearches(
+            registry, clock, finder, self.assign_waiting
+        )
         self._services: dict[str, routes_api.Service] = {}
         self._queue = queue.RequestQueue()
         self._waiters: dict[int, _Waiter] = {}
         self._ticket_numbers = itertools.count()
         self._counts: dict[_Key, model_demand.ModelCounts] = {}
-        self._search_allowed_at: dict[tuple[str, str, str], float] = {}
         self._adapters_in_use: dict[tuple[str, str, str], int] = {}
         self._running: collections.Counter[_Key] = collections.Counter()
-        self._tasks: anyio.abc.TaskGroup | None = None
         self._closed = False
         self._loading: dict[_Key, float] = {}
 
@@ -139,7 +129,7 @@
     async def run(self) -> None:
         """Assign waiting requests at intervals until cancelled."""
         async with anyio.create_task_group() as group:
-            self._tasks = group
+            self._searches.start(group)
             while True:
                 await anyio.sleep(ASSIGN_INTERVAL_SECONDS)
                 if self._waiters:
@@ -162,6 +152,7 @@
         call: api.Call,
         avoid: frozenset[str],
         wait_deadline: float,
+        version: str | None = None,
     ) -> servers.Server | None:
         """Return a server for a request, ``None`` if none becomes free.
 
@@ -169,25 +160,31 @@
 
         :param avoid: servers at which earlier attempts failed.
         :param wait_deadline: when the request stops waiting.
+        :param version: the only software version of servers that may be used.
+            The wait ends when no server of it is left.
         """
-        return await self._acquire(
-            call, self._need(call, avoid), wait_deadline
-        )
+        need = self._need(call, avoid, version)
+        return await self._acquire(call, need, wait_deadline)
 
     async def acquire_successor(
-        self, call: api.Call, avoid: frozenset[str]
+        self,
+        call: api.Call,
+        avoid: frozenset[str],
+        version: str | None = None,
     ) -> servers.Server | None:
         """Return another server for a request that still runs at one.
 
         As ``acquire``, but only healthy servers outside ``avoid`` count, and
         the wait lasts until the request's deadline.
         """
-        need = self._need(call, avoid)._replace(successor=True)
+        need = self._need(call, avoid, version)._replace(successor=True)
         return await self._acquire(call, need, call.deadline)
 
     async def _acquire(
         self, call: api.Call, need: choice.Need, wait_deadline: float
     ) -> servers.Server | None:
+        if self._version_gone(need):
+            return None
         if self._load_misses_deadline(need, wait_deadline):
             return None
         server = None if len(self._queue) else self._choose(need)
@@ -226,8 +223,15 @@
         now = self._clock.now()
         for ticket in self._queue.expired(now):
             self._resolve(ticket.number, None)
+        gone: dict[tuple[str, str | None], bool] = {}
         for ticket in tuple(self._queue.tickets):
-            if self._load_misses_deadline(ticket.need, ticket.wait_deadline):
+            need = ticket.need
+            key = (need.service, need.version)
+            if key not in gone:
+                gone[key] = self._version_gone(need)
+            if gone[key] or self._load_misses_deadline(
+                need, ticket.wait_deadline
+            ):
                 self._queue.discard(ticket.number)
                 self._resolve(ticket.number, None)
         for ticket, server in self._queue.assign(self._choose, now):
@@ -235,11 +239,16 @@
             server.begin()
             self._resolve(ticket.number, server)
 
-    def refusal_reason(self, call: api.Call) -> api.RefusalReason:
+    def refusal_reason(
+        self, call: api.Call, version: str | None = None
+    ) -> api.RefusalReason:
         """Return why no server was assigned to a request."""
         if self._closed:
             return api.RefusalReason.STOPPING
-        candidates = self._registry.of_service(call.service)
+        need = self._need(call, frozenset(), version)
+        candidates = self._permitted(need)
+        if not candidates and version is not None:
+            return api.RefusalReason.VERSION_GONE
         if not candidates:
             return api.RefusalReason.NO_SERVER
         terms = call.terms
@@ -264,6 +273,18 @@
         """Count a caller that was asked to retry after some seconds."""
         self._counts_for(call).retry_at.append(self._clock.now() + seconds)
 
+    def _permitted(self, need: choice.Need) -> list[servers.Server]:
+        """Return the servers of a request's service and version."""
+        return [
+            server
+            for server in self._registry.of_service(need.service)
+            if need.permits(server)
+        ]
+
+    def _version_gone(self, need: choice.Need) -> bool:
+        """Whether no server has the only version that may be used."""
+        return need.version is not None and not self._permitted(need)
+
     def _load_misses_deadline(
         self, need: choice.Need, wait_deadline: float
     ) -> bool:
@@ -278,7 +299,7 @@
             return False
         return not any(
             server.has_loaded(need.model, '')
-            for server in self._registry.of_service(need.service)
+            for server in self._permitted(need)
         )
 
     async def _wait(
@@ -326,9 +347,13 @@
             key = (server.entry.server_id, terms.model, terms.adapter)
             self._adapters_in_use[key] = self._adapters_in_use.get(key, 0) + 1
 
-    def _need(self, call: api.Call, avoid: frozenset[str]) -> choice.Need:
+    def _need(
+        self, call: api.Call, avoid: frozenset[str], version: str | None
+    ) -> choice.Need:
         terms = call.terms
-        return choice.Need(call.service, terms.model, terms.adapter, avoid)
+        return choice.Need(
+            call.service, terms.model, terms.adapter, avoid, version=version
+        )
 
     def _choose(self, need: choice.Need) -> servers.Server | None:
         now = self._clock.now()
@@ -342,7 +367,7 @@
             self._rng,
         )
         if chosen is None and need.adapter:
-            self._start_adapter_search(need, candidates, now)
+            self._searches.search(need, candidates)
         return chosen
 
     def request_capacity(self, server: servers.Server) -> int:
@@ -360,39 +385,6 @@
             return 0.0
         return self.request_capacity(server)
 
-    def _start_adapter_search(
-        self,
-        need: choice.Need,
-        candidates: list[servers.Server],
-        now: float,
-    ) -> None:
-        """Start loading an adapter on a server that has its model."""
-        key = (need.service, need.model, need.adapter)
-        if self._tasks is None or now < self._search_allowed_at.get(key, now):
-            return
-        if not any(item.has_loaded(need.model, '') for item in candidates):
-            return
-        self._search_allowed_at[key] = float('inf')
-        self._tasks.start_soon(self._search_adapter, key)
-
-    async def _search_adapter(self, key: tuple[str, str, str]) -> None:
-        service, model, adapter = key
-        deadline = self._clock.now() + 1.0
-        server_id = await self._finder.find_adapter(
-            service, model, adapter, deadline
-        )
-        now = self._clock.now()
-        server = self._registry.get(server_id)
-        if server is None:
-            self._search_allowed_at[key] = now + SEARCH_RETRY_SECONDS
-        else:
-            self._search_allowed_at.pop(key, None)
-            loaded = dict(server.loaded)
-            if model in loaded:
-                loaded[model] = loaded[model] | {adapter}
-            server.update_loaded(loaded, now)
-        self.assign_waiting()
-
     def _counts_for(self, call: api.Call) -> model_demand.ModelCounts:
         key = (call.service, call.terms.model)
         counts = self._counts.get(key)
--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -155,7 +155,12 @@
     """Finds no adapters."""
 
     async def find_adapter(
-        self, service: str, model: str, adapter: str, deadline: float
+        self,
+        service: str,
+        model: str,
+        adapter: str,
+        deadline: float,
+        version: str | None = None,
     ) -> str:
         return ''
 
--- a/tests/unit/gateway/test_controller.py
+++ b/tests/unit/gateway/test_controller.py
@@ -121,10 +121,12 @@
             while not condition():
                 await anyio.sleep(0.01)
 
-    async def _find(self, adapter: str) -> str:
-        deadline = self.clock.now() + 5.0
+    async def _find(
+        self, adapter: str, version: str | None = None, seconds: float = 5.0
+    ) -> str:
+        deadline = self.clock.now() + seconds
         return await self.controller.find_adapter(
-            'models', 'hot', adapter, deadline
+            'models', 'hot', adapter, deadline, version
         )
 
     def _both_known(self) -> bool:
@@ -139,6 +141,29 @@
         expected = [('e1', api.LoadAdapter('hot', 'a1'))]
         self.assertEqual(expected, self.engines.orders)
 
+    async def test_adapter_at_a_software_version(self) -> None:
+        """An adapter is found or loaded on engines of the version only."""
+        for name, version in (('e1', 'v1'), ('e2', 'v2'), ('e3', 'v2')):
+            self.engines.models[name] = {'hot': set()}
+            entry = engine_fakes.entry(name, 2000, version)
+            self.registry.update(entry, 1.0)
+        self.engines.models['e1']['hot'].add('a1')
+        self.engines.models['e3']['hot'].add('a2')
+        async with self._running():
+            await self._until(
+                lambda: len(self.controller.view('a').engines) == 3
+            )
+            self.assertEqual('e1', await self._find('a1'))
+            self.assertEqual('e1', await self._find('a1', 'v1'))
+            self.assertEqual('e3', await self._find('a2', 'v2'))
+            self.assertEqual([], self.engines.orders)
+            self.assertIn(await self._find('a1', 'v2'), ('e2', 'e3'))
+            self.assertEqual('e1', await self._find('a2', 'v1'))
+            self.assertEqual('', await self._find('a1', 'v3', 0.1))
+        (first, _), (second, _) = self.engines.orders
+        self.assertIn(first, ('e2', 'e3'))
+        self.assertEqual('e1', second)
+
     async def test_missing_model(self) -> None:
         """Demand in an instance's load leads to the load of a model."""
         row = messages.ModelDemand('models', 'rare1', 1.6, 0, 4, 1.0)
--- a/tests/unit/gateway/test_messages.py
+++ b/tests/unit/gateway/test_messages.py
@@ -37,3 +37,32 @@
         view = messages.FleetView('front-1', (), (), 3, 4, False, 'front-2')
         earlier = msgspec.convert(msgspec.to_builtins(view), _EarlierView)
         self.assertEqual(_EarlierView('front-1', (), (), 3, 4), earlier)
+
+
+class _EarlierFind(wire_api.Message, frozen=True, tag='find'):
+    """The search for an adapter before it named a software version."""
+
+    service: str
+    model: str
+    adapter: str
+
+
+class FindAdapterTest(unittest.TestCase):
+    """An owner and an instance of different builds find adapters."""
+
+    def test_earlier_form(self) -> None:
+        """An old instance's search is for any software version."""
+        form = msgspec.to_builtins(_EarlierFind('models', 'm', 'a1'))
+        found = msgspec.convert(form, messages.FindAdapter)
+        self.assertEqual(
+            messages.FindAdapter('models', 'm', 'a1', None), found
+        )
+
+    def test_later_form(self) -> None:
+        """An old owner reads a search without its software version."""
+        for version in (None, '', 'v1'):
+            search = messages.FindAdapter('models', 'm', 'a1', version)
+            form = msgspec.to_builtins(search)
+            earlier = msgspec.convert(form, _EarlierFind)
+            self.assertEqual(_EarlierFind('models', 'm', 'a1'), earlier)
+            self.assertEqual(search, msgspec.convert(form, type(search)))
--- a/tests/unit/gateway/test_peering.py
+++ b/tests/unit/gateway/test_peering.py
@@ -312,3 +312,30 @@
                 await anyio.sleep(0.01)
                 group.cancel_scope.cancel()
         self.assertEqual(1, loads.await_count)
+
+
+class FindAdapterTest(unittest.IsolatedAsyncioTestCase):
+    """Instances ask the owner for servers with adapters."""
+
+    async def test_software_version_is_passed_on(self) -> None:
+        """The owner searches among servers of the requested version."""
+        network = _Network()
+        store = fakes.FakeStore(clocks.ManualClock())
+        owner, other = (
+            _Instance(network, store, port) for port in (7001, 7002)
+        )
+        for instance in (owner, other):
+            await instance.ownership.step()
+            await instance.publish_load()
+        found = mock.AsyncMock(return_value='s1')
+        with mock.patch.object(owner.controller, 'find_adapter', found):
+            for instance in (owner, other):
+                for version in (None, '', 'v1'):
+                    answer = await instance.peering.find_adapter(
+                        'models', 'm', 'a1', 5.0, version
+                    )
+                    self.assertEqual('s1', answer)
+                    found.assert_awaited_with(
+                        'models', 'm', 'a1', 5.0, version
+                    )
+        self.assertEqual(6, found.await_count)
--- a/tests/unit/gateway/test_scheduler.py
+++ b/tests/unit/gateway/test_scheduler.py
@@ -2,17 +2,24 @@
 
 from __future__ import annotations
 
+import typing
 import unittest
 
+import anyio
+
 from . import fakes
 from ..fleet import entries
 from . import loopback
 from dogwoodquay import clock as clocks
+from dogwoodquay.fleet import api as fleet_api
 from dogwoodquay.fleet import registry as registries
 from dogwoodquay.gateway import api
 from dogwoodquay.gateway import scheduler as schedulers
 from dogwoodquay.routes import api as routes_api
 
+if typing.TYPE_CHECKING:
+    from collections import abc
+
 _SPEC = routes_api.EngineSpec(
     slots=4,
     cache_tokens=1000,
@@ -27,7 +34,12 @@
     """Finds no adapters."""
 
     async def find_adapter(
-        self, service: str, model: str, adapter: str, deadline: float
+        self,
+        service: str,
+        model: str,
+        adapter: str,
+        deadline: float,
+        version: str | None = None,
     ) -> str:
         return ''
 
@@ -139,3 +151,161 @@
         assert server is not None
         expected = _SPEC.slots + schedulers.ENGINE_QUEUE_DEPTH
         self.assertEqual(expected, self.scheduler.request_capacity(server))
+
+
+class SoftwareVersionTest(_SchedulerCase):
+    """Some requests may run at servers of one software version only."""
+
+    def setUp(self) -> None:
+        """Create a server of one version with the model."""
+        super().setUp()
+        self.update('s1', 'v1')
+
+    def update(self, server_id: str, version: str, **changes: object) -> None:
+        """Apply an entry of a server."""
+        models = (entries.loaded_model('m'),)
+        fields = {'version': version, 'models': models, **changes}
+        entry = entries.entry(server_id, **fields)
+        self.registry.update(entry, self.clock.now())
+
+    async def acquire(self, version: str | None) -> str:
+        """Return a request's server; the request waits for long."""
+        deadline = self.clock.now() + 60.0
+        with anyio.fail_after(10.0):
+            server = await self.scheduler.acquire(
+                self.call(), frozenset(), deadline, version
+            )
+        return server.entry.server_id if server else ''
+
+    async def wait_with(
+        self,
+        versions: abc.Iterable[str | None],
+        change: abc.Callable[[], None],
+    ) -> list[tuple[str | None, str]]:
+        """Return the servers of requests that wait until a change."""
+        ended: list[tuple[str | None, str]] = []
+
+        async def wait(version: str | None) -> None:
+            ended.append((version, await self.acquire(version)))
+
+        async with anyio.create_task_group() as group:
+            for version in versions:
+                group.start_soon(wait, version)
+            await anyio.wait_all_tasks_blocked()
+            change()
+            self.scheduler.assign_waiting()
+            await anyio.wait_all_tasks_blocked()
+            group.cancel_scope.cancel()
+        return ended
+
+    async def test_servers_of_the_version(self) -> None:
+        """A busy server of the version is preferred to idle others."""
+        for number in range(2, 80):
+            self.update(f's{number}', 'v2')
+        self.assertEqual('s1', await self.acquire('v1'))
+        self.assertNotEqual('s1', await self.acquire('v2'))
+        self.assertNotEqual('s1', await self.acquire(None))
+
+    async def test_version_gone(self) -> None:
+        """A request for a version without servers does not wait."""
+        self.assertEqual('', await self.acquire('v2'))
+        self.assertEqual('', await self.acquire(''))
+        successor = await self.scheduler.acquire_successor(
+            self.call(), frozenset(), 'v2'
+        )
+        self.assertIsNone(successor)
+        self.update('s2', 'v2', state=fleet_api.ServerState.LEAVING)
+        self.assertEqual('', await self.acquire('v2'))
+        self.assertEqual(0, self.scheduler.waiting)
+
+    async def test_last_server_leaves_meanwhile(self) -> None:
+        """Requests that wait for the version end then, and no others."""
+        # A server has one request of this instance without a first byte.
+        self.assertEqual('s1', await self.acquire('v1'))
+        self.update('s2', 'v2')
+        self.assertEqual('s2', await self.acquire('v2'))
+        ended = await self.wait_with(
+            ('v1', None, 'v1', 'v2'),
+            lambda: self.update('s1', 'v3', started_ms=2000),
+        )
+        self.assertEqual(
+            [('v1', ''), ('v1', ''), (None, 's1')],
+            sorted(ended, key=lambda item: item[1]),
+        )
+
+    async def test_last_server_removed_meanwhile(self) -> None:
+        """A request for a successor ends as well."""
+        self.assertEqual('s1', await self.acquire('v1'))
+        ended = []
+
+        async def wait() -> None:
+            ended.append(
+                await self.scheduler.acquire_successor(
+                    self.call(), frozenset({'s1'}), 'v1'
+                )
+            )
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(wait)
+            await anyio.wait_all_tasks_blocked()
+            self.update('s2', 'v2')
+            self.scheduler.assign_waiting()
+            await anyio.wait_all_tasks_blocked()
+            self.assertEqual([], ended)
+            self.registry.remove('s1', self.clock.now())
+            self.scheduler.assign_waiting()
+        self.assertEqual([None], ended)
+
+    async def test_successor(self) -> None:
+        """A successor has the version of the request."""
+        self.update('s2', 'v2')
+        self.update('s3', 'v1')
+        server = await self.scheduler.acquire_successor(
+            self.call(), frozenset({'s1'}), 'v1'
+        )
+        assert server is not None
+        self.assertEqual('s3', server.entry.server_id)
+
+    async def test_model_at_another_version(self) -> None:
+        """A request waits for its model at the version, and is demand."""
+        self.update('s2', 'v2', models=())
+        self.scheduler.record_arrival(self.call())
+        waiting = []
+
+        def load() -> None:
+            waiting.append(self.scheduler.demand()['models', 'm'].waiting)
+            self.update('s2', 'v2', report_number=2)
+
+        ended = await self.wait_with(['v2'], load)
+        self.assertEqual([('v2', 's2')], ended)
+        self.assertEqual([1], waiting)
+
+    def test_refusal_reasons(self) -> None:
+        """A refusal tells a missing version from a missing model."""
+        self.update('s2', 'v2', models=())
+        reasons = [
+            self.scheduler.refusal_reason(self.call(), version)
+            for version in (None, 'v1', 'v2', 'v3', '')
+        ]
+        expected = [
+            api.RefusalReason.OVERLOADED,
+            api.RefusalReason.OVERLOADED,
+            api.RefusalReason.MODEL_ABSENT,
+            api.RefusalReason.VERSION_GONE,
+            api.RefusalReason.VERSION_GONE,
+        ]
+        self.assertEqual(expected, reasons)
+        self.registry.replace((), self.clock.now())
+        self.assertIs(
+            api.RefusalReason.NO_SERVER,
+            self.scheduler.refusal_reason(self.call()),
+        )
+        self.assertIs(
+            api.RefusalReason.VERSION_GONE,
+            self.scheduler.refusal_reason(self.call(), 'v1'),
+        )
+        self.scheduler.close()
+        self.assertIs(
+            api.RefusalReason.STOPPING,
+            self.scheduler.refusal_reason(self.call(), 'v1'),
+        )
--- a/tests/unit/residency/engines.py
+++ b/tests/unit/residency/engines.py
@@ -31,7 +31,7 @@
 
 
 def entry(
-    server_id: str = 'e1', started_ms: int = 1000
+    server_id: str = 'e1', started_ms: int = 1000, version: str = ''
 ) -> fleet_api.ServerEntry:
     """Return the list entry of a live engine."""
     return fleet_api.ServerEntry(
@@ -45,6 +45,7 @@
         started_ms=started_ms,
         report_number=1,
         models=(),
+        version=version,
     )
 
 
