Load models at the software version that requests wait for

A request for one software version waits in vain if its model is loaded, but at other versions: the planner sees a replica, and requests that wait give it no reason for a second one. An instance's load now has the waiting requests by model and version, in a new last field that earlier builds ignore; they remain in the demand for the model. Where no engine of the version has the model, or is loading it, the planner loads it at one, and prefers such an engine if no engine has the model at all.

The planner still may unload the last replica of a model at a version.

--- a/src/dogwoodquay/gateway/controller.py
+++ b/src/dogwoodquay/gateway/controller.py
@@ -15,7 +15,7 @@
 from ..residency import adapters
 from ..residency import api as residency_api
 from ..residency import ceiling
-from ..residency import planner as planners
+from ..residency import served
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -319,11 +319,13 @@
             if self._usable(group, server_id)
         ]
         demand = self._demand.demand(name, now)
+        at_version = self._demand.version_demand(name, now)
 
         def running(server_id: str, model: str) -> int:
             return self._demand.requests(server_id, model)
 
-        for engine, order in group.planner.plan(engines, demand, running, now):
+        orders = group.planner.plan(engines, demand, running, now, at_version)
+        for engine, order in orders:
             if not group.within_load_rate(engine, order, now):
                 continue
             _LOG.write(
@@ -333,7 +335,7 @@
                 model=order.model,
                 demand=[
                     round(item, 1)
-                    for item in demand.get(order.model, planners.NO_DEMAND)
+                    for item in demand.get(order.model, served.NO_DEMAND)
                 ],
             )
             tasks.start_soon(self._send_order, group, engine, order)
--- a/src/dogwoodquay/gateway/demand.py
+++ b/src/dogwoodquay/gateway/demand.py
@@ -7,7 +7,7 @@
 
 from ..fleet import rate as rates
 from ..residency import adapters
-from ..residency import planner
+from ..residency import served
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -94,17 +94,17 @@
         own = sum(row.count for row in rows if row.server_id == server_id)
         return self._requests_by_server[server_id] - own
 
-    def demand(self, service: str, now: float) -> dict[str, planner.Demand]:
+    def demand(self, service: str, now: float) -> dict[str, served.Demand]:
         """Return the demand for each model of a service."""
-        total: dict[str, planner.Demand] = {}
+        total: dict[str, served.Demand] = {}
         for received_at, load in self._loads.values():
             if now - received_at > LOAD_EXPIRY_SECONDS:
                 continue
             for row in load.models:
                 if row.service != service:
                     continue
-                known = total.get(row.model, planner.NO_DEMAND)
-                total[row.model] = planner.Demand(
+                known = total.get(row.model, served.NO_DEMAND)
+                total[row.model] = served.Demand(
                     known.rate + rates.decayed(row.rate, now - received_at),
                     known.in_flight + row.in_flight,
                     known.waiting + row.waiting,
@@ -112,6 +112,22 @@
                 )
         return total
 
+    def version_demand(
+        self, service: str, now: float
+    ) -> dict[served.ModelAtVersion, int]:
+        """Return the waiting requests by model and software version."""
+        total: collections.Counter[served.ModelAtVersion] = (
+            collections.Counter()
+        )
+        for received_at, load in self._loads.values():
+            if now - received_at > LOAD_EXPIRY_SECONDS:
+                continue
+            for row in load.at_version:
+                if row.service == service:
+                    key = served.ModelAtVersion(row.model, row.version)
+                    total[key] += row.waiting
+        return dict(total)
+
     def _remove_expired(self, now: float) -> None:
         """Remove the loads that have expired."""
         for instance_id, (received_at, _) in tuple(self._loads.items()):
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -23,6 +23,7 @@
     'LoadingModel',
     'ModelDemand',
     'RunningRequests',
+    'VersionDemand',
 ]
 
 
@@ -53,10 +54,20 @@
     count: int
 
 
+class VersionDemand(msgspec.Struct, frozen=True, array_like=True):
+    """The waiting requests that need a model at one software version."""
+
+    service: str
+    model: str
+    version: str
+    waiting: int
+
+
 class InstanceLoad(wire_api.Message, frozen=True, tag='load'):
     """The load of one instance, sent to the owner.
 
-    ``instance_id`` is its member name, which contains its peer address.
+    ``instance_id`` is its member name, which contains its peer address. The
+    requests in ``at_version`` are counted in ``models`` as well.
     """
 
     instance_id: str
@@ -64,6 +75,7 @@
     models: tuple[ModelDemand, ...]
     in_use: tuple[AdapterInUse, ...]
     running: tuple[RunningRequests, ...]
+    at_version: tuple[VersionDemand, ...] = ()
 
 
 class EngineView(msgspec.Struct, frozen=True, array_like=True):
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -257,4 +257,10 @@
         messages.RunningRequests(*key, count)
         for key, count in scheduler.running().items()
     )
-    return messages.InstanceLoad(instance_id, version, rows, used, running)
+    at_version = tuple(
+        messages.VersionDemand(*key, count)
+        for key, count in scheduler.version_demand().items()
+    )
+    return messages.InstanceLoad(
+        instance_id, version, rows, used, running, at_version
+    )
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -101,22 +101,13 @@
 
     def demand(self) -> dict[_Key, model_demand.LocalDemand]:
         """Return the demand by service and model."""
-        now = self._clock.now()
-        waiting: dict[_Key, list[float]] = {}
-        for ticket in self._queue.tickets:
-            if ticket.need.successor:
-                continue
-            key = (ticket.need.service, ticket.need.model)
-            waiting.setdefault(key, []).append(now - ticket.entered_at)
-        return {
-            key: model_demand.LocalDemand(
-                counts.rate.at(now),
-                counts.in_flight,
-                len(waiting.get(key, ())) + counts.deferred(now),
-                max(waiting.get(key, (0.0,))),
-            )
-            for key, counts in self._counts.items()
-        }
+        return model_demand.local_demand(
+            self._counts, self._queue.tickets, self._clock.now()
+        )
+
+    def version_demand(self) -> dict[model_demand.VersionKey, int]:
+        """Return how many requests wait for a model at one version."""
+        return model_demand.version_demand(self._queue.tickets)
 
     def adapters_in_use(self) -> list[tuple[str, str, str]]:
         """Return server, model and adapter of the requests in flight."""
--- a/src/dogwoodquay/residency/planner.py
+++ b/src/dogwoodquay/residency/planner.py
@@ -6,13 +6,14 @@
 import typing
 
 from . import api
+from . import served
 
 if typing.TYPE_CHECKING:
     from collections import abc
 
     from . import contents as engine_contents
 
-__all__ = ['Demand', 'ModelPlanner', 'PlannerSettings', 'load_seconds']
+__all__ = ['ModelPlanner', 'load_seconds']
 
 _Engines: typing.TypeAlias = 'abc.Sequence[engine_contents.EngineContents]'
 _Orders: typing.TypeAlias = (
@@ -20,50 +21,14 @@
 )
 
 
-class Demand(typing.NamedTuple):
-    """The demand for a model, summed over all instances.
-
-    ``rate`` is the recent number of requests per second.
-    """
-
-    rate: float
-    in_flight: int
-    waiting: int
-    oldest_wait_seconds: float
-
-
-class PlannerSettings(typing.NamedTuple):
-    """Weights of the planner; gains and losses are in requests.
-
-    ``horizon_seconds`` is the time over which gains and losses are counted.
-    ``target_utilization`` is the share of an engine's slots above which a
-    further replica pays; ``spread_gain_share`` weights the gain of spreading
-    requests over more replicas. A load has to gain more than ``move_cost``.
-    Unloading a model costs ``victim_cost``, and ``running_cost`` more if
-    requests of it are running. A model with demand stays loaded for at least
-    ``min_loaded_seconds``. A pending load waits up to ``drain_seconds`` for
-    running requests to end, and is dropped after ``timeout_seconds``.
-    """
-
-    horizon_seconds: float = 4.0
-    target_utilization: float = 0.4
-    spread_gain_share: float = 0.15
-    move_cost: float = 1.0
-    running_cost: float = 1.0
-    victim_cost: float = 0.2
-    min_loaded_seconds: float = 1.5
-    timeout_seconds: float = 8.0
-    drain_seconds: float = 1.5
-    default_request_seconds: float = 1.5
-    max_candidates: int = 12
-
-
 class _PendingLoad(typing.NamedTuple):
     """A load that waits until its engine has unloaded the victims."""
 
     model: str
     victims: tuple[str, ...]
     started: float
+    # The software version that waiting requests need, if they need one.
+    version: str | None
 
 
 class _ReplicaCounts(typing.NamedTuple):
@@ -80,13 +45,11 @@
     model: str
     victims: tuple[str, ...]
     score: float
+    version: str | None = None
 
 
-NO_DEMAND: typing.Final = Demand(0.0, 0, 0, 0.0)
 _INFINITE: typing.Final = float('inf')
-# Bounds of the mean request time that is estimated from the demand.
-_MIN_REQUEST_SECONDS: typing.Final = 0.3
-_MAX_REQUEST_SECONDS: typing.Final = 4.0
+_NO_VERSIONS: typing.Final[abc.Mapping[served.ModelAtVersion, int]] = {}
 
 
 class ModelPlanner:
@@ -99,8 +62,8 @@
     than fit into memory.
     """
 
-    def __init__(self, settings: PlannerSettings | None = None) -> None:
-        self._settings = settings or PlannerSettings()
+    def __init__(self, settings: served.PlannerSettings | None = None) -> None:
+        self._settings = settings or served.PlannerSettings()
         self._pending_loads: dict[str, _PendingLoad] = {}
         self._ordered_loads: set[tuple[str, str]] = set()
         self._ready_at: dict[tuple[str, str], float] = {}
@@ -113,17 +76,20 @@
     def plan(
         self,
         engines: _Engines,
-        demand: abc.Mapping[str, Demand],
+        demand: abc.Mapping[str, served.Demand],
         running: abc.Callable[[str, str], int],
         now: float,
+        at_version: abc.Mapping[served.ModelAtVersion, int] = _NO_VERSIONS,
     ) -> _Orders:
         """Return the next order of each engine that should get one.
 
         :param running: returns how many requests of a model run on a server.
+        :param at_version: how many requests wait for a model at engines of
+            one software version.
         """
         self._update_ready_times(engines, now)
         counts = self._count_replicas(engines)
-        self._drop_unprofitable_loads(engines, counts, demand)
+        self._drop_unprofitable_loads(engines, counts, demand, at_version)
         orders = self._continue_pending_loads(engines, running, now)
         ordered = {item.server.server_id for item, _ in orders}
         free = [
@@ -136,11 +102,14 @@
             and engine.server.server_id not in self._pending_loads
         ]
         counts = self._count_replicas(engines)
+        unmet = self._unmet(engines, at_version)
         while free:
-            option = self._best_load(free, counts, demand, running, now)
+            option = self._best_load(free, counts, demand, unmet, running, now)
             if option is None:
                 break
             free.remove(option.engine)
+            version = option.engine.server.version
+            unmet.pop(served.ModelAtVersion(option.model, version), None)
             counts.loading[option.model] += 1
             for victim in option.victims:
                 counts.ready[victim] -= 1
@@ -162,25 +131,34 @@
         self,
         engines: _Engines,
         counts: _ReplicaCounts,
-        demand: abc.Mapping[str, Demand],
+        demand: abc.Mapping[str, served.Demand],
+        at_version: abc.Mapping[served.ModelAtVersion, int],
     ) -> None:
         """Drop pending loads that gain less than their unloads now lose."""
         for engine in engines:
             load = self._pending_loads.get(engine.server.server_id)
             if load is None:
                 continue
-            item = demand.get(load.model, NO_DEMAND)
+            item = demand.get(load.model, served.NO_DEMAND)
             others = counts.ready[load.model] + counts.loading[load.model] - 1
             slots = engine.spec.slots
-            gain = self._count_served(item, others + 1, slots)
-            gain -= self._count_served(item, others, slots)
+            gain = self._settings.count_served(item, others + 1, slots)
+            gain -= self._settings.count_served(item, others, slots)
+            if load.version is not None:
+                key = served.ModelAtVersion(load.model, load.version)
+                waiting = served.waiting_only(at_version.get(key, 0))
+                gain = self._settings.count_served(waiting, 1, slots)
             loss = 0.0
             for victim in load.victims:
                 if victim in engine.models():
                     left = counts.ready[victim]
-                    victim_demand = demand.get(victim, NO_DEMAND)
-                    loss += self._count_served(victim_demand, left + 1, slots)
-                    loss -= self._count_served(victim_demand, left, slots)
+                    victim_demand = demand.get(victim, served.NO_DEMAND)
+                    loss += self._settings.count_served(
+                        victim_demand, left + 1, slots
+                    )
+                    loss -= self._settings.count_served(
+                        victim_demand, left, slots
+                    )
             if loss > gain:
                 del self._pending_loads[engine.server.server_id]
 
@@ -242,7 +220,7 @@
         now: float,
     ) -> api.Order | None:
         """Record a load as pending; return its first order, if any."""
-        load = _PendingLoad(option.model, option.victims, now)
+        load = _PendingLoad(option.model, option.victims, now, option.version)
         self._pending_loads[option.engine.server.server_id] = load
         return self._next_order(option.engine, load, running, now)
 
@@ -260,11 +238,27 @@
             counts.ready.update(loaded)
         return counts
 
+    def _unmet(
+        self,
+        engines: _Engines,
+        at_version: abc.Mapping[served.ModelAtVersion, int],
+    ) -> dict[served.ModelAtVersion, int]:
+        """Return the demand at versions whose engines lack the model."""
+        met: set[served.ModelAtVersion] = set()
+        for engine in engines:
+            counts = self._count_replicas([engine])
+            met.update(
+                served.ModelAtVersion(model, engine.server.version)
+                for model in (*counts.ready, *counts.loading)
+            )
+        return {key: at_version[key] for key in at_version if key not in met}
+
     def _best_load(
         self,
         free: _Engines,
         counts: _ReplicaCounts,
-        demand: abc.Mapping[str, Demand],
+        demand: abc.Mapping[str, served.Demand],
+        unmet: abc.Mapping[served.ModelAtVersion, int],
         running: abc.Callable[[str, str], int],
         now: float,
     ) -> _LoadOption | None:
@@ -273,55 +267,41 @@
         gains: dict[str, float] = {}
         for model, item in demand.items():
             count = counts.ready[model] + counts.loading[model]
-            gains[model] = self._count_served(item, count + 1, slots)
-            gains[model] -= self._count_served(item, count, slots)
-        ranked = sorted(gains, key=lambda model: -gains[model])
+            gains[model] = self._settings.count_served(item, count + 1, slots)
+            gains[model] -= self._settings.count_served(item, count, slots)
+        ranked: list[tuple[float, str, str | None]] = [
+            (gain, model, None) for model, gain in gains.items()
+        ]
+        for (model, needed), count in unmet.items():
+            waiting = served.waiting_only(count)
+            gain = self._settings.count_served(waiting, 1, slots)
+            gain = max(gain, gains.get(model, 0.0))
+            ranked.append((gain, model, needed))
+        # A load for one version goes before others with the same gain.
+        ranked.sort(key=lambda item: (-item[0], item[2] is None))
         best: _LoadOption | None = None
-        for model in ranked[: self._settings.max_candidates]:
-            if gains[model] <= self._settings.move_cost:
+        for gain, model, version in ranked[: self._settings.max_candidates]:
+            if gain <= self._settings.move_cost:
                 break
             for engine in free:
+                if version not in (None, engine.server.version):
+                    continue
                 option = self._evaluate_load(
-                    engine,
-                    model,
-                    gains[model],
-                    counts,
-                    demand,
-                    running,
-                    now,
+                    engine, model, gain, counts, demand, running, now
                 )
                 if option is not None and (
                     best is None or option.score > best.score
                 ):
-                    best = option
+                    best = option._replace(version=version)
         return best
 
-    def _count_served(self, item: Demand, replicas: int, slots: int) -> float:
-        """Estimate the requests that a number of replicas serves soon.
-
-        The mean request time is the requests in flight divided by their rate,
-        or a default while the rate is low or requests are waiting.
-        """
-        if replicas <= 0:
-            return 0.0
-        settings = self._settings
-        seconds = settings.default_request_seconds
-        if item.rate > 1.0 and item.in_flight and not item.waiting:
-            seconds = item.in_flight / item.rate
-            seconds = max(seconds, _MIN_REQUEST_SECONDS)
-            seconds = min(seconds, _MAX_REQUEST_SECONDS)
-        replica_rate = settings.target_utilization * slots / seconds
-        served = min(item.rate, replicas * replica_rate)
-        spread = settings.spread_gain_share * item.rate * (1.0 - 0.5**replicas)
-        return settings.horizon_seconds * (served + spread) + item.waiting
-
     def _evaluate_load(
         self,
         engine: engine_contents.EngineContents,
         model: str,
         gain: float,
         counts: _ReplicaCounts,
-        demand: abc.Mapping[str, Demand],
+        demand: abc.Mapping[str, served.Demand],
         running: abc.Callable[[str, str], int],
         now: float,
     ) -> _LoadOption | None:
@@ -332,7 +312,9 @@
         # While the model loads only the requests that wait now count as gain.
         horizon = self._settings.horizon_seconds
         seconds = load_seconds(engine, model)
-        arrival_gain = max(0.0, gain - demand[model].waiting)
+        arrival_gain = max(
+            0.0, gain - demand.get(model, served.NO_DEMAND).waiting
+        )
         score = gain - arrival_gain * seconds / (horizon + seconds)
         score -= self._settings.move_cost
         missing = spec.megabytes - engine.free_megabytes()
@@ -357,12 +339,12 @@
         model: str,
         engine: engine_contents.EngineContents,
         counts: _ReplicaCounts,
-        demand: abc.Mapping[str, Demand],
+        demand: abc.Mapping[str, served.Demand],
         running: abc.Callable[[str, str], int],
         now: float,
     ) -> float:
         """Return the loss, in requests, from unloading a replica."""
-        item = demand.get(model, NO_DEMAND)
+        item = demand.get(model, served.NO_DEMAND)
         server_id = engine.server.server_id
         ready_at = self._ready_at.get((server_id, model), -_INFINITE)
         in_demand = item.rate > 0.2 or item.waiting
@@ -371,8 +353,8 @@
         # Replicas that are still loading cannot take over requests yet.
         count = max(1, counts.ready[model])
         slots = engine.spec.slots
-        loss = self._count_served(item, count, slots)
-        loss -= self._count_served(item, count - 1, slots)
+        loss = self._settings.count_served(item, count, slots)
+        loss -= self._settings.count_served(item, count - 1, slots)
         if running(server_id, model):
             loss += self._settings.running_cost
         return loss
--- a/tests/unit/gateway/test_controller.py
+++ b/tests/unit/gateway/test_controller.py
@@ -175,6 +175,20 @@
         _, order = self.engines.orders[0]
         self.assertEqual(api.LoadModel('rare1'), order)
 
+    async def test_model_at_a_software_version(self) -> None:
+        """A model is loaded at the version that waiting requests need."""
+        self.registry.update(engine_fakes.entry('e2', 2000, 'v1'), 1.0)
+        row = messages.ModelDemand('models', 'hot', 0.4, 0, 1, 0.1)
+        at_version = messages.VersionDemand('models', 'hot', 'v1', 1)
+        load = messages.InstanceLoad(
+            'front-2', 1, (row,), (), (), (at_version,)
+        )
+        async with self._running():
+            await self._until(self._both_known)
+            self.assertIsNotNone(self.controller.on_load(load))
+            await self._until(lambda: bool(self.engines.orders))
+        self.assertEqual(('e2', api.LoadModel('hot')), self.engines.orders[0])
+
     async def test_unreachable_engine(self) -> None:
         """An engine that does not answer gets no orders."""
         self.engines.unreachable.add('e1')
--- a/tests/unit/gateway/test_demand.py
+++ b/tests/unit/gateway/test_demand.py
@@ -66,6 +66,26 @@
         found = tracker.demand('s', 1.0)['m']
         self.assertEqual((8.0, 2, 4), found[:3])
 
+    def test_sum_at_versions(self) -> None:
+        """Waiting requests that need a version are summed up by it."""
+        tracker = demand.DemandTracker()
+        rows = tuple(
+            messages.VersionDemand(service, 'm', version, count)
+            for service, version, count in (
+                ('s', 'v1', 2),
+                ('s', '', 1),
+                ('other', 'v1', 7),
+            )
+        )
+        for name, at in (('a', 1.0), ('b', 2.0)):
+            load = messages.InstanceLoad(name, 1, (), (), (), rows)
+            tracker.update(load, at)
+        expected = {('m', 'v1'): 4, ('m', ''): 2}
+        self.assertEqual(expected, tracker.version_demand('s', 2.0))
+        later = 1.5 + demand.LOAD_EXPIRY_SECONDS
+        expected = {('m', 'v1'): 2, ('m', ''): 1}
+        self.assertEqual(expected, tracker.version_demand('s', later))
+
     def test_rate_decays(self) -> None:
         """The rate of an old load decays until the load expires."""
         tracker = demand.DemandTracker()
--- a/tests/unit/gateway/test_messages.py
+++ b/tests/unit/gateway/test_messages.py
@@ -39,6 +39,33 @@
         self.assertEqual(_EarlierView('front-1', (), (), 3, 4), earlier)
 
 
+class _EarlierLoad(wire_api.Message, frozen=True, tag='load'):
+    """The load before it told of waiting requests by software version."""
+
+    instance_id: str
+    configuration_version: int
+    models: tuple[messages.ModelDemand, ...]
+    in_use: tuple[messages.AdapterInUse, ...]
+    running: tuple[messages.RunningRequests, ...]
+
+
+class InstanceLoadTest(unittest.TestCase):
+    """An owner and an instance of different builds exchange loads."""
+
+    def test_both_forms(self) -> None:
+        """The old form has no requests by software version."""
+        rows = (messages.ModelDemand('s', 'm', 0.4, 0, 1, 0.1),)
+        at_version = (messages.VersionDemand('s', 'm', 'v1', 1),)
+        earlier = _EarlierLoad('front-1', 3, rows, (), ())
+        load = messages.InstanceLoad('front-1', 3, rows, (), (), at_version)
+        form = msgspec.to_builtins(load)
+        self.assertEqual(earlier, msgspec.convert(form, _EarlierLoad))
+        form = msgspec.to_builtins(earlier)
+        found = msgspec.convert(form, messages.InstanceLoad)
+        self.assertEqual(rows, found.models)
+        self.assertEqual((), found.at_version)
+
+
 class _EarlierFind(wire_api.Message, frozen=True, tag='find'):
     """The search for an adapter before it named a software version."""
 
--- a/tests/unit/gateway/test_scheduler.py
+++ b/tests/unit/gateway/test_scheduler.py
@@ -270,15 +270,17 @@
         """A request waits for its model at the version, and is demand."""
         self.update('s2', 'v2', models=())
         self.scheduler.record_arrival(self.call())
-        waiting = []
+        waiting: list[object] = []
 
         def load() -> None:
             waiting.append(self.scheduler.demand()['models', 'm'].waiting)
+            waiting.append(self.scheduler.version_demand())
             self.update('s2', 'v2', report_number=2)
 
         ended = await self.wait_with(['v2'], load)
         self.assertEqual([('v2', 's2')], ended)
-        self.assertEqual([1], waiting)
+        self.assertEqual([1, {('models', 'm', 'v2'): 1}], waiting)
+        self.assertEqual({}, self.scheduler.version_demand())
 
     def test_refusal_reasons(self) -> None:
         """A refusal tells a missing version from a missing model."""
--- a/tests/unit/residency/engines.py
+++ b/tests/unit/residency/engines.py
@@ -73,9 +73,9 @@
 
 
 def engine(
-    server_id: str, *loaded: str, **changes: typing.Any
+    server_id: str, *loaded: str, version: str = '', **changes: typing.Any
 ) -> contents.EngineContents:
     """Return the contents of an engine that reported some loaded models."""
-    made = contents.EngineContents(entry(server_id), SPEC)
+    made = contents.EngineContents(entry(server_id, version=version), SPEC)
     made.observe(report(*((name, ()) for name in loaded), **changes))
     return made
--- a/tests/unit/residency/test_planner.py
+++ b/tests/unit/residency/test_planner.py
@@ -8,8 +8,9 @@
 from dogwoodquay.residency import api
 from dogwoodquay.residency import contents
 from dogwoodquay.residency import planner
+from dogwoodquay.residency import served
 
-Demand = planner.Demand
+Demand = served.Demand
 
 
 def _no_running_requests(server_id: str, model: str) -> int:
@@ -21,8 +22,11 @@
     engine_list: list[contents.EngineContents],
     demand: dict[str, Demand],
     now: float = 100.0,
+    at_version: dict[served.ModelAtVersion, int] | None = None,
 ) -> list[tuple[str, api.Order]]:
-    orders = subject.plan(engine_list, demand, _no_running_requests, now)
+    orders = subject.plan(
+        engine_list, demand, _no_running_requests, now, at_version or {}
+    )
     return [(item.server.server_id, order) for item, order in orders]
 
 
@@ -219,3 +223,99 @@
         orders = subject.plan(engine_list, demand, _no_running_requests, 100.3)
         self.assertEqual(1, len(orders))
         self.assertIsInstance(orders[0][1], api.UnloadModel)
+
+
+class SoftwareVersionTest(unittest.TestCase):
+    """Requests wait for a model at engines of one software version."""
+
+    def setUp(self) -> None:
+        """Create a planner, and demand by one request for version ``v1``."""
+        self.planner = planner.ModelPlanner()
+        self.demand = {'rare1': Demand(0.4, 0, 1, 0.1)}
+        self.at_version = {served.ModelAtVersion('rare1', 'v1'): 1}
+
+    def _plan(
+        self,
+        engine_list: list[contents.EngineContents],
+        now: float = 100.0,
+        at_version: dict[served.ModelAtVersion, int] | None = None,
+    ) -> list[tuple[str, api.Order]]:
+        if at_version is None:
+            at_version = self.at_version
+        return _plan(self.planner, engine_list, self.demand, now, at_version)
+
+    def test_loaded_at_another_version(self) -> None:
+        """One more replica is loaded, at the version that is needed."""
+        engine_list = [
+            engines.engine('e1', 'rare1', version='v2'),
+            engines.engine('e2', version='v2'),
+            engines.engine('e3', version='v1'),
+            engines.engine('e4', version='v1'),
+        ]
+        self.assertEqual([], self._plan(engine_list, at_version={}))
+        orders = self._plan(engine_list)
+        self.assertEqual([('e3', api.LoadModel('rare1'))], orders)
+
+    def test_loaded_at_the_version(self) -> None:
+        """Requests that wait for room at a replica load no further one."""
+        engine_list = [
+            engines.engine('e1', 'rare1', version='v1'),
+            engines.engine('e2', version='v1'),
+        ]
+        self.assertEqual([], self._plan(engine_list))
+
+    def test_loaded_nowhere(self) -> None:
+        """The load for all requests is at the version that some need."""
+        for reverse in (False, True):
+            engine_list = [
+                engines.engine('e1', version='v2'),
+                engines.engine('e2', version='v1'),
+            ]
+            if reverse:
+                engine_list.reverse()
+            self.planner = planner.ModelPlanner()
+            orders = self._plan(engine_list)
+            self.assertEqual([('e2', api.LoadModel('rare1'))], orders)
+
+    def test_version_gone(self) -> None:
+        """There is nothing to load without an engine of the version."""
+        engine_list = [
+            engines.engine('e1', 'rare1', version='v2'),
+            engines.engine('e2', version='v2'),
+        ]
+        self.assertEqual([], self._plan(engine_list))
+
+    def test_unload_first(self) -> None:
+        """The load stays planned until its engine has the memory."""
+        other = engines.engine('e1', 'rare1', 'warm', version='v2')
+        self.demand['warm'] = Demand(0.6, 0, 0, 0.0)
+        full = engines.engine('e2', 'hot', 'warm', version='v1')
+        self.demand['hot'] = Demand(0.5, 1, 0, 0.0)
+        orders = self._plan([other, full])
+        self.assertEqual([('e2', api.UnloadModel('warm'))], orders)
+        orders = self._plan([other, full], 100.1)
+        self.assertEqual([('e2', api.UnloadModel('warm'))], orders)
+        freed = engines.engine('e2', 'hot', version='v1', order_number=1)
+        orders = self._plan([other, freed], 100.2)
+        self.assertEqual([('e2', api.LoadModel('rare1'))], orders)
+
+    def test_requests_gone(self) -> None:
+        """The planned load is dropped with the requests that needed it."""
+        other = engines.engine('e1', 'rare1', 'warm', version='v2')
+        full = engines.engine('e2', 'hot', 'warm', version='v1')
+        self.demand['warm'] = Demand(0.1, 0, 0, 0.0)
+        self.demand['hot'] = Demand(0.5, 1, 0, 0.0)
+        self._plan([other, full])
+        self.assertEqual(('warm',), self.planner.models_to_unload('e2'))
+        self.assertEqual([], self._plan([other, full], 100.1, {}))
+        self.assertEqual((), self.planner.models_to_unload('e2'))
+
+    def test_only_replica_of_a_busy_model_stays(self) -> None:
+        """A busy model is not unloaded for one request."""
+        self.demand['hot'] = Demand(4.0, 5, 0, 0.0)
+        self.demand['warm'] = Demand(3.0, 4, 0, 0.0)
+        engine_list = [
+            engines.engine('e1', 'rare1', version='v2'),
+            engines.engine('e2', 'hot', 'warm', version='v1'),
+        ]
+        self.assertEqual([], self._plan(engine_list))
