Look for models at versions only where requests wait for some

The planner counted the replicas of each engine in each step for this, also without requests that need a version, with thousands of engines as with few.

Result: the tests of the planner pass.

--- a/src/dogwoodquay/residency/planner.py
+++ b/src/dogwoodquay/residency/planner.py
@@ -244,6 +244,8 @@
         at_version: abc.Mapping[served.ModelAtVersion, int],
     ) -> dict[served.ModelAtVersion, int]:
         """Return the demand at versions whose engines lack the model."""
+        if not at_version:
+            return {}
         met: set[served.ModelAtVersion] = set()
         for engine in engines:
             counts = self._count_replicas([engine])
