--- a/src/dogwoodquay/gateway/controller.py
+++ b/src/dogwoodquay/gateway/controller.py
@@ -15,8 +15,7 @@
 from ..residency import adapters
 from ..residency import api as residency_api
 from ..residency import ceiling
-from ..residency import contents as engine_contents
-from ..residency import planner as planners
+from ..residency import served
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -27,6 +26,7 @@
     from .. import clock as clocks
     from . import metrics as gateway_metrics
     from . import ownership as order_ownership
+    from ..residency import contents as engine_contents
     from ..routes import api as routes_api
     from . import settings as gateway_settings
 
@@ -156,15 +156,26 @@
         for name, service in self._services.items():
             if service.engine is not None:
                 group = self._group(name, service.engine, now)
-                self._update_engines(name, group, service.engine)
+                listed = self._registry.of_service(name)
+                group.update_engines(
+                    [server.entry for server in listed], service.engine
+                )
                 self._start_reports(group, now, tasks)
                 if self._ownership.may_order(now):
                     self._start_planned_orders(name, group, now, tasks)
 
     async def find_adapter(
-        self, service: str, model: str, adapter: str, deadline: float
+        self,
+        service: str,
+        model: str,
+        adapter: str,
+        deadline: float,
+        version: str | None = None,
     ) -> str:
-        """Return a server for an adapter, loaded if needed; empty for none."""
+        """Return a server for an adapter, loaded if needed; empty for none.
+
+        :param version: the only software version of engines that may be used.
+        """
         while self._clock.now() < deadline:
             group = self._groups.get(service)
             if group is None or not self._ownership.may_order(
@@ -175,6 +186,7 @@
                 engine
                 for server_id, engine in group.engines.items()
                 if self._usable(group, server_id)
+                and version in (None, engine.server.version)
             ]
             loaded = adapters.find_engine(engines, model, adapter)
             if loaded is not None:
@@ -235,30 +247,6 @@
             group = self._groups[name] = groups.EngineGroup(limit)
         return group
 
-    def _update_engines(
-        self, name: str, group: groups.EngineGroup, spec: routes_api.EngineSpec
-    ) -> None:
-        """Keep one ``EngineContents`` for each process of an engine."""
-        listed = {
-            server.entry.server_id: server.entry
-            for server in self._registry.of_service(name)
-        }
-        for server_id, entry in listed.items():
-            known = group.engines.get(server_id)
-            if known is None:
-                group.engines[server_id] = engine_contents.EngineContents(
-                    entry, spec
-                )
-            elif known.server.started_ms != entry.started_ms:
-                group.engines[server_id] = engine_contents.EngineContents(
-                    entry, spec, known.unresolved_orders
-                )
-                group.report_due.pop(server_id, None)
-            else:
-                known.update_server(entry, spec)
-        for server_id in set(group.engines) - set(listed):
-            del group.engines[server_id]
-
     def _start_reports(
         self, group: groups.EngineGroup, now: float, tasks: anyio.abc.TaskGroup
     ) -> None:
@@ -331,11 +319,13 @@
             if self._usable(group, server_id)
         ]
         demand = self._demand.demand(name, now)
+        at_version = self._demand.version_demand(name, now)
 
         def running(server_id: str, model: str) -> int:
             return self._demand.requests(server_id, model)
 
-        for engine, order in group.planner.plan(engines, demand, running, now):
+        orders = group.planner.plan(engines, demand, running, now, at_version)
+        for engine, order in orders:
             if not group.within_load_rate(engine, order, now):
                 continue
             _LOG.write(
@@ -345,7 +335,7 @@
                 model=order.model,
                 demand=[
                     round(item, 1)
-                    for item in demand.get(order.model, planners.NO_DEMAND)
+                    for item in demand.get(order.model, served.NO_DEMAND)
                 ],
             )
             tasks.start_soon(self._send_order, group, engine, order)
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -29,6 +29,7 @@
     'OriginsFound',
     'OriginsKept',
     'RunningRequests',
+    'VersionDemand',
 ]
 
 
@@ -59,11 +60,21 @@
     count: int
 
 
+class VersionDemand(msgspec.Struct, frozen=True, array_like=True):
+    """The waiting requests that need a model at one software version."""
+
+    service: str
+    model: str
+    version: str
+    waiting: int
+
+
 class InstanceLoad(wire_api.Message, frozen=True, tag='load'):
     """The load of one instance, sent to the owner.
 
     ``instance_id`` is its member name, which contains its peer address.
-    ``roster_version`` is that of the last roster that it received.
+    ``roster_version`` is that of the last roster that it received. The
+    requests in ``at_version`` are counted in ``models`` as well.
     """
 
     instance_id: str
@@ -73,6 +84,7 @@
     running: tuple[RunningRequests, ...]
     failure_domain: str = ''
     roster_version: int = 0
+    at_version: tuple[VersionDemand, ...] = ()
 
 
 class InstanceRow(msgspec.Struct, frozen=True, array_like=True):
@@ -125,11 +137,16 @@
 
 
 class FindAdapter(wire_api.Message, frozen=True, tag='find'):
-    """Asks the owner to load an adapter on some engine."""
+    """Asks the owner to load an adapter on some engine.
+
+    ``version`` is the only software version of engines that may be used,
+    ``None`` for any. Earlier builds do not know it.
+    """
 
     service: str
     model: str
     adapter: str
+    version: str | None = None
 
 
 class AdapterFound(wire_api.Message, frozen=True, tag='found'):
--- a/tests/unit/gateway/test_controller.py
+++ b/tests/unit/gateway/test_controller.py
@@ -121,10 +121,12 @@
             while not condition():
                 await anyio.sleep(0.01)
 
-    async def _find(self, adapter: str) -> str:
-        deadline = self.clock.now() + 5.0
+    async def _find(
+        self, adapter: str, version: str | None = None, seconds: float = 5.0
+    ) -> str:
+        deadline = self.clock.now() + seconds
         return await self.controller.find_adapter(
-            'models', 'hot', adapter, deadline
+            'models', 'hot', adapter, deadline, version
         )
 
     def _both_known(self) -> bool:
@@ -139,6 +141,29 @@
         expected = [('e1', api.LoadAdapter('hot', 'a1'))]
         self.assertEqual(expected, self.engines.orders)
 
+    async def test_adapter_at_a_software_version(self) -> None:
+        """An adapter is found or loaded on engines of the version only."""
+        for name, version in (('e1', 'v1'), ('e2', 'v2'), ('e3', 'v2')):
+            self.engines.models[name] = {'hot': set()}
+            entry = engine_fakes.entry(name, 2000, version)
+            self.registry.update(entry, 1.0)
+        self.engines.models['e1']['hot'].add('a1')
+        self.engines.models['e3']['hot'].add('a2')
+        async with self._running():
+            await self._until(
+                lambda: len(self.controller.view('a').engines) == 3
+            )
+            self.assertEqual('e1', await self._find('a1'))
+            self.assertEqual('e1', await self._find('a1', 'v1'))
+            self.assertEqual('e3', await self._find('a2', 'v2'))
+            self.assertEqual([], self.engines.orders)
+            self.assertIn(await self._find('a1', 'v2'), ('e2', 'e3'))
+            self.assertEqual('e1', await self._find('a2', 'v1'))
+            self.assertEqual('', await self._find('a1', 'v3', 0.1))
+        (first, _), (second, _) = self.engines.orders
+        self.assertIn(first, ('e2', 'e3'))
+        self.assertEqual('e1', second)
+
     async def test_missing_model(self) -> None:
         """Demand in an instance's load leads to the load of a model."""
         row = messages.ModelDemand('models', 'rare1', 1.6, 0, 4, 1.0)
@@ -150,6 +175,20 @@
         _, order = self.engines.orders[0]
         self.assertEqual(api.LoadModel('rare1'), order)
 
+    async def test_model_at_a_software_version(self) -> None:
+        """A model is loaded at the version that waiting requests need."""
+        self.registry.update(engine_fakes.entry('e2', 2000, 'v1'), 1.0)
+        row = messages.ModelDemand('models', 'hot', 0.4, 0, 1, 0.1)
+        at_version = messages.VersionDemand('models', 'hot', 'v1', 1)
+        load = messages.InstanceLoad(
+            'front-2', 1, (row,), (), (), (at_version,)
+        )
+        async with self._running():
+            await self._until(self._both_known)
+            self.assertIsNotNone(self.controller.on_load(load))
+            await self._until(lambda: bool(self.engines.orders))
+        self.assertEqual(('e2', api.LoadModel('hot')), self.engines.orders[0])
+
     async def test_unreachable_engine(self) -> None:
         """An engine that does not answer gets no orders."""
         self.engines.unreachable.add('e1')
--- a/tests/unit/gateway/test_messages.py
+++ b/tests/unit/gateway/test_messages.py
@@ -46,11 +46,65 @@
         self.assertEqual((0, ()), (view.roster_version, view.roster))
 
 
+class _EarlierLoad(wire_api.Message, frozen=True, tag='load'):
+    """The load before it told of waiting requests by software version."""
+
+    instance_id: str
+    configuration_version: int
+    models: tuple[messages.ModelDemand, ...]
+    in_use: tuple[messages.AdapterInUse, ...]
+    running: tuple[messages.RunningRequests, ...]
+
+
 class InstanceLoadTest(unittest.TestCase):
-    """Loads are read by owners of either build."""
+    """An owner and an instance of different builds exchange loads."""
+
+    def test_both_forms(self) -> None:
+        """The old form has no requests by software version."""
+        rows = (messages.ModelDemand('s', 'm', 0.4, 0, 1, 0.1),)
+        at_version = (messages.VersionDemand('s', 'm', 'v1', 1),)
+        earlier = _EarlierLoad('front-1', 3, rows, (), ())
+        load = messages.InstanceLoad(
+            'front-1', 3, rows, (), (), at_version=at_version
+        )
+        form = msgspec.to_builtins(load)
+        self.assertEqual(earlier, msgspec.convert(form, _EarlierLoad))
+        form = msgspec.to_builtins(earlier)
+        found = msgspec.convert(form, messages.InstanceLoad)
+        self.assertEqual(rows, found.models)
+        self.assertEqual((), found.at_version)
 
     def test_earlier_form(self) -> None:
         """The load of an old instance names no failure domain."""
         form = ['load', 'front-1', 3, [], [], []]
         load = msgspec.convert(form, messages.InstanceLoad)
         self.assertEqual(('', 0), (load.failure_domain, load.roster_version))
+
+
+class _EarlierFind(wire_api.Message, frozen=True, tag='find'):
+    """The search for an adapter before it named a software version."""
+
+    service: str
+    model: str
+    adapter: str
+
+
+class FindAdapterTest(unittest.TestCase):
+    """An owner and an instance of different builds find adapters."""
+
+    def test_earlier_form(self) -> None:
+        """An old instance's search is for any software version."""
+        form = msgspec.to_builtins(_EarlierFind('models', 'm', 'a1'))
+        found = msgspec.convert(form, messages.FindAdapter)
+        self.assertEqual(
+            messages.FindAdapter('models', 'm', 'a1', None), found
+        )
+
+    def test_later_form(self) -> None:
+        """An old owner reads a search without its software version."""
+        for version in (None, '', 'v1'):
+            search = messages.FindAdapter('models', 'm', 'a1', version)
+            form = msgspec.to_builtins(search)
+            earlier = msgspec.convert(form, _EarlierFind)
+            self.assertEqual(_EarlierFind('models', 'm', 'a1'), earlier)
+            self.assertEqual(search, msgspec.convert(form, type(search)))
--- a/tests/unit/residency/engines.py
+++ b/tests/unit/residency/engines.py
@@ -31,7 +31,7 @@
 
 
 def entry(
-    server_id: str = 'e1', started_ms: int = 1000
+    server_id: str = 'e1', started_ms: int = 1000, version: str = ''
 ) -> fleet_api.ServerEntry:
     """Return the list entry of a live engine."""
     return fleet_api.ServerEntry(
@@ -45,6 +45,7 @@
         started_ms=started_ms,
         report_number=1,
         models=(),
+        version=version,
     )
 
 
@@ -72,9 +73,9 @@
 
 
 def engine(
-    server_id: str, *loaded: str, **changes: typing.Any
+    server_id: str, *loaded: str, version: str = '', **changes: typing.Any
 ) -> contents.EngineContents:
     """Return the contents of an engine that reported some loaded models."""
-    made = contents.EngineContents(entry(server_id), SPEC)
+    made = contents.EngineContents(entry(server_id, version=version), SPEC)
     made.observe(report(*((name, ()) for name in loaded), **changes))
     return made
