Go on with a stream only at the version that began it

Cause: the version in a server's entry was not read, and any server of the service was a place to go on at, within one answer and for a caller that takes a stream up. The class: a continuation that forgets what it continues.

Change: an attempt that has passed on events binds its request to the version of its server. That version is recorded at peers before the first event leaves, under the attempt's id, and a caller that names it in Resumes is sent to the same service and version; without a record, only a list that has had a single version for as long as the stream can be old will do, read after the request came. Otherwise the request is refused as not run. An instance that has started is ready once it knows its peers (2 s at most), and records for which there was no peer are placed again.

--- a/src/dogwoodquay/gateway/api.py
+++ b/src/dogwoodquay/gateway/api.py
@@ -40,7 +40,7 @@
 
     ``wait_seconds`` is how long the caller waits, infinite if not given.
     ``last_event`` is the id of the last event of a stream that the caller
-    has received.
+    has received, and ``resumes`` the attempt that brought its first event.
     """
 
     attempt_id: str
@@ -51,6 +51,12 @@
     output_tokens: int
     prompt_parts: tuple[PromptPart, ...]
     last_event: int
+    resumes: str = ''
+
+    @property
+    def takes_up_stream(self) -> bool:
+        """Whether the caller has received a part of a stream before."""
+        return bool(self.resumes) or self.last_event != NO_EVENT
 
 
 class Call(typing.NamedTuple):
--- a/src/dogwoodquay/gateway/attempt.py
+++ b/src/dogwoodquay/gateway/attempt.py
@@ -23,9 +23,11 @@
     :param head_patience_seconds: the silence before the first byte after
         which a successor is looked for; infinite for never.
     :param gap_patience_seconds: the same between parts of a stream.
-    :param on_started: called for the first events of a stream.
+    :param on_started: called before a stream's first events are passed on.
     :param avoid: servers at which the request has failed before.
     :param number: the number of attempts of the request so far, with this one.
+    :param required_version: the software version at which the request has to
+        run, ``None`` for any.
     """
 
     def __init__(
@@ -35,10 +37,11 @@
         retries: windowed.WindowedRetries,
         avoid: frozenset[str],
         number: int,
+        required_version: str | None,
         head_patience_seconds: float,
         gap_patience_seconds: float,
         now: float,
-        on_started: abc.Callable[[], None],
+        on_started: abc.Callable[[], abc.Awaitable[None]],
     ) -> None:
         self._call = call
         self._server = server
@@ -50,6 +53,8 @@
         self._overdue_at = now + head_patience_seconds
         self._on_started = on_started
         self._started = False
+        self._version = server.entry.version
+        self._required_version = required_version
         self._scope = anyio.CancelScope()
         self._search: anyio.CancelScope | None = None
         self._successor: servers.Server | None = None
@@ -64,6 +69,16 @@
         """The server that runs the attempt."""
         return self._server
 
+    @property
+    def version(self) -> str:
+        """The software version of the server when the attempt began."""
+        return self._version
+
+    @property
+    def required_version(self) -> str | None:
+        """The version at which the request has to go on, ``None`` for any."""
+        return self._required_version
+
     @property
     def retries(self) -> windowed.WindowedRetries:
         """The decisions about further attempts of the request."""
@@ -103,11 +118,12 @@
         self._overdue_at = math.inf
         self.end_search()
 
-    def on_part(self) -> None:
-        """Record that complete events have arrived."""
+    async def on_part(self) -> None:
+        """Handle complete events before they are passed on."""
         if not self._started:
             self._started = True
-            self._on_started()
+            self._required_version = self._version
+            await self._on_started()
 
     def on_waiting(self, now: float) -> None:
         """Record that the next bytes of the answer are awaited."""
--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -79,8 +79,8 @@
     def on_received(self) -> None:
         """Handle the arrival of bytes of the answer."""
 
-    def on_part(self) -> None:
-        """Handle the arrival of complete events."""
+    async def on_part(self) -> None:
+        """Handle complete events before they are passed on."""
 
     def on_waiting(self, now: float) -> None:
         """Handle that all received bytes have been passed on."""
@@ -219,7 +219,7 @@
             relay.trace.on_bytes(self._clock.now())
             whole = relay.splitter.feed(chunk)
             if whole:
-                progress.on_part()
+                await progress.on_part()
                 await relay.start(response.status_code, headers)
                 await relay.send(whole)
             progress.on_waiting(self._clock.now())
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import functools
 import math
 import typing
 
@@ -25,6 +24,7 @@
     from . import exchange as exchanges
     from ..fleet import server as servers
     from . import metrics as gateway_metrics
+    from . import resumption
     from ..retry import window
     from . import scheduler as schedulers
     from . import silence as silences
@@ -71,8 +71,10 @@
         rng: random.Random,
         metrics: gateway_metrics.GatewayMetrics,
         silence: silences.SilenceWatch,
+        versions: resumption.StreamVersions,
     ) -> None:
         self._silence = silence
+        self._versions = versions
         self._scheduler = scheduler
         self._exchange = exchange
         self._budget = budget
@@ -82,11 +84,14 @@
 
     async def run(self, call: api.Call, relay: exchanges.Relay) -> Result:
         """Forward a request until it is answered, refused or cut."""
+        place = await self._versions.find(call)
+        if place is None:
+            return self._refuse_later(api.RefusalReason.ORIGIN_UNKNOWN)
+        call = call._replace(service=place.service)
+        version = place.version
         if not self._scheduler.is_declared(call):
             # A newer configuration, not yet active here, may declare it.
-            pause = self._with_jitter(ABSENT_RETRY_AFTER_SECONDS)
-            reason = api.RefusalReason.MODEL_UNDECLARED
-            return api.Refusal(reason, _UNAVAILABLE, pause)
+            return self._refuse_later(api.RefusalReason.MODEL_UNDECLARED)
         retries = windowed.WindowedRetries(
             call.service, call.route.max_attempts, self._budget, self._rng
         )
@@ -101,13 +106,18 @@
                 deadline = patience.wait_deadline(
                     call, relay.started, self._clock.now()
                 )
-                server = await self._scheduler.acquire(call, avoid, deadline)
+                server = await self._scheduler.acquire(
+                    call, avoid, deadline, version
+                )
             if server is None:
-                return self._end_unplaced(call, relay, may_have_run)
+                return self._end_unplaced(call, version, relay, may_have_run)
             number += 1
-            attempt = self._begin_attempt(call, server, retries, avoid, number)
+            attempt = self._begin_attempt(
+                call, server, retries, avoid, number, version, relay
+            )
             avoid = attempt.avoid
             outcome, server = await self._attempt(attempt, relay)
+            version = attempt.required_version
             if server is not None:
                 may_have_run = True
                 self._record_moved(attempt, server, relay)
@@ -134,19 +144,28 @@
         retries: windowed.WindowedRetries,
         avoid: frozenset[str],
         number: int,
+        version: str | None,
+        relay: exchanges.Relay,
     ) -> attempts.Attempt:
+        async def on_started() -> None:
+            self._scheduler.on_answer_started(server)
+            if not relay.started:
+                await self._versions.record(call, attempt.version)
+
         now = self._clock.now()
-        return attempts.Attempt(
+        attempt = attempts.Attempt(
             call,
             server,
             retries,
             avoid,
             number,
+            version,
             self._head_patience(call, server, now),
             patience.gap_patience(call),
             now,
-            functools.partial(self._scheduler.on_answer_started, server),
+            on_started,
         )
+        return attempt
 
     async def _attempt(
         self, attempt: attempts.Attempt, relay: exchanges.Relay
@@ -186,6 +205,7 @@
             'sent',
             request=call.request_id,
             server=server.entry.server_id,
+            version=attempt.version,
             load=server.load(now),
             own=server.in_flight,
             attempt=attempt.number,
@@ -285,10 +305,14 @@
             )
 
     def _end_unplaced(
-        self, call: api.Call, relay: exchanges.Relay, may_have_run: bool
+        self,
+        call: api.Call,
+        version: str | None,
+        relay: exchanges.Relay,
+        may_have_run: bool,
     ) -> Result:
         """Return the result of a request without an assigned server."""
-        reason = self._scheduler.refusal_reason(call)
+        reason = self._scheduler.refusal_reason(call, version)
         relay.trace.cause = (
             traces.Cause.STOPPING
             if reason is api.RefusalReason.STOPPING
@@ -307,8 +331,15 @@
             )
         if reason is api.RefusalReason.MODEL_ABSENT:
             return self._refuse_absent_model(call)
+        if reason is api.RefusalReason.VERSION_GONE:
+            return self._refuse_later(reason)
         return self._refuse_not_run(reason)
 
+    def _refuse_later(self, reason: api.RefusalReason) -> api.Refusal:
+        """Refuse a request that no instance can take now."""
+        pause = self._with_jitter(ABSENT_RETRY_AFTER_SECONDS)
+        return api.Refusal(reason, _UNAVAILABLE, pause)
+
     def _refuse_absent_model(self, call: api.Call) -> api.Refusal:
         """Refuse a request whose model no server has loaded yet."""
         seconds_until_ready = self._scheduler.seconds_until_ready(call)
--- a/src/dogwoodquay/gateway/origins.py
+++ b/src/dogwoodquay/gateway/origins.py
@@ -6,6 +6,7 @@
 import typing
 
 import anyio
+import msgspec
 
 from . import batches
 from . import holders
@@ -35,6 +36,8 @@
 # Lookups are not held up by earlier ones that a peer has not answered.
 FIND_BATCHES: typing.Final = 8
 HAND_OVER_SECONDS: typing.Final = 1.5
+# Records without a holder that wait for another roster.
+MAX_ALONE: typing.Final = 10_000
 # Streams with longer identifiers are not recorded.
 MAX_ID_CHARACTERS: typing.Final = 256
 # Told by an instance whose settings name no failure domain; builds that keep
@@ -95,6 +98,8 @@
         self._keeps = batches.PeerBatches(self._send_records, in_flight=1)
         self._finds = batches.PeerBatches(self._send_lookups, FIND_BATCHES)
         self._leaving = False
+        self._roster_known = False
+        self._alone: dict[str, messages.OriginRow] = {}
         self._instances = 0
         metrics.gauge(
             'gateway_roster_instances',
@@ -111,6 +116,11 @@
         """The failure domain of this instance."""
         return self._failure_domain
 
+    @property
+    def roster_known(self) -> bool:
+        """Whether this instance has learnt of the others."""
+        return self._roster_known
+
     def held(self, stream_id: str, now: float) -> bool:
         """Whether this instance holds a record that is still needed."""
         return self._table.seconds_left(stream_id, now) > 0
@@ -126,6 +136,8 @@
             for member, until in self._passed_over.items()
             if member in known
         }
+        self._roster_known = True
+        self._place_again()
 
     async def record(
         self, stream_id: str, origin: Origin, lifetime_seconds: float
@@ -140,22 +152,39 @@
             return
         now = self._clock.now()
         self._table.put(stream_id, origin, lifetime_seconds, now)
-        row = messages.OriginRow(stream_id, *origin, lifetime_seconds)
-        candidates = self._order.candidates(
-            stream_id, self._member, self._failure_domain
+        record = self._place(
+            messages.OriginRow(stream_id, *origin, lifetime_seconds)
         )
-        record = _Record(row, candidates)
-        for _ in range(COPIES):
-            self._send_copy(record)
         with anyio.move_on_after(RECORD_WAIT_SECONDS):
             await record.settled.wait()
         if record.kept:
             self._metrics.origin_recorded('kept')
         elif record.settled.is_set():
+            if len(self._alone) < MAX_ALONE:
+                self._alone[stream_id] = record.row
             self._metrics.origin_recorded('alone')
         else:
             self._metrics.origin_recorded('late')
 
+    def _place(self, row: messages.OriginRow) -> _Record:
+        """Queue a record for its holders."""
+        candidates = self._order.candidates(
+            row.stream_id, self._member, self._failure_domain
+        )
+        record = _Record(row, candidates)
+        for _ in range(COPIES):
+            self._send_copy(record)
+        return record
+
+    def _place_again(self) -> None:
+        """Send the records that no peer could keep to the new ones."""
+        rows, self._alone = self._alone, {}
+        now = self._clock.now()
+        for row in rows.values():
+            left = self._table.seconds_left(row.stream_id, now)
+            if left > 0:
+                self._place(msgspec.structs.replace(row, seconds=left))
+
     async def find(
         self, stream_id: str, deadline: float
     ) -> tuple[Origin, ...]:
--- /dev/null
+++ b/src/dogwoodquay/gateway/resumption.py
@@ -0,0 +1,151 @@
+"""Decides at which software version a stream may go on."""
+
+from __future__ import annotations
+
+import typing
+
+from . import api
+from ..observe import logs
+from . import origins as stream_origins
+
+if typing.TYPE_CHECKING:
+    from .. import clock as clocks
+    from ..fleet import registry as registries
+
+__all__ = ['OriginRecords', 'Place', 'ServerList', 'StreamVersions']
+
+_LOG: typing.Final = logs.ComponentLog('request')
+
+# How long a caller that takes up a stream waits for the records of peers.
+FIND_SECONDS: typing.Final = 0.3
+# The same for the next read of the list of servers.
+LIST_READ_SECONDS: typing.Final = 1.5
+# The longest time that a caller may come back after, whatever it says.
+MAX_LIFETIME_SECONDS: typing.Final = 60.0
+
+
+class Place(typing.NamedTuple):
+    """The service at which a stream goes on.
+
+    ``version`` is the software version of its servers, ``None`` for any.
+    """
+
+    service: str
+    version: str | None
+
+
+class OriginRecords(typing.Protocol):
+    """Keeps among the instances which version began a stream."""
+
+    async def record(
+        self,
+        stream_id: str,
+        origin: stream_origins.Origin,
+        lifetime_seconds: float,
+    ) -> None:
+        """Record the origin of a stream for some time."""
+
+    async def find(
+        self, stream_id: str, deadline: float
+    ) -> tuple[stream_origins.Origin, ...]:
+        """Return a stream's origins, one for each service."""
+
+
+class ServerList(typing.Protocol):
+    """Reads the platform's list of servers at intervals."""
+
+    async def wait_read(self, after: float, deadline: float) -> bool:
+        """Wait until a read of the list that began after a time has ended.
+
+        :return: whether there was one before the deadline.
+        """
+
+
+class StreamVersions:
+    """Records which version begins a stream, and finds it again.
+
+    What servers of two versions write does not fit together. A stream goes on
+    only at the version that began it, so that one whose version cannot be
+    told is refused.
+    """
+
+    def __init__(
+        self,
+        origins: OriginRecords,
+        registry: registries.Registry,
+        servers: ServerList,
+        clock: clocks.Clock,
+    ) -> None:
+        self._origins = origins
+        self._registry = registry
+        self._servers = servers
+        self._clock = clock
+
+    async def record(self, call: api.Call, version: str) -> None:
+        """Record the version of the server that sends a stream's events."""
+        if not call.route.resumable:
+            return
+        terms = call.terms
+        seconds = max(call.route.timeout_seconds, terms.wait_seconds)
+        await self._origins.record(
+            terms.resumes or terms.attempt_id,
+            stream_origins.Origin(call.service, version),
+            min(seconds, MAX_LIFETIME_SECONDS),
+        )
+
+    async def find(self, call: api.Call) -> Place | None:
+        """Return where a request runs, ``None`` if its version is unknown."""
+        terms, route = call.terms, call.route
+        if not route.resumable or not terms.takes_up_stream:
+            return Place(call.service, None)
+        source, place = 'records', None
+        if terms.resumes:
+            deadline = min(call.deadline, self._clock.now() + FIND_SECONDS)
+            found = await self._origins.find(terms.resumes, deadline)
+            place = _recorded_place(call, found)
+        if place is None:
+            source, place = 'list', await self._sole_version(call)
+        _LOG.write(
+            'taken_up',
+            request=call.request_id,
+            resumes=terms.resumes,
+            last_event=terms.last_event,
+            known_by=source if place is not None else '',
+            service=place.service if place is not None else '',
+            version=place.version if place is not None else None,
+        )
+        return place
+
+    async def _sole_version(self, call: api.Call) -> Place | None:
+        """Return the only version that can have begun a stream, if so.
+
+        The list has to be read after the request arrived, as a server of a
+        new version may have begun the stream since the last read.
+        """
+        names = {item.service for item in call.route.services}
+        if len(names) > 1:
+            return None
+        now = self._clock.now()
+        deadline = min(call.deadline, now + LIST_READ_SECONDS)
+        if not await self._servers.wait_read(now, deadline):
+            return None
+        begun = now - call.route.timeout_seconds
+        version = self._registry.sole_version(call.service, begun)
+        return None if version is None else Place(call.service, version)
+
+
+def _recorded_place(
+    call: api.Call, found: tuple[stream_origins.Origin, ...]
+) -> Place | None:
+    """Return where a stream with known origins goes on.
+
+    Versions are compared within a service. A stream whose route has moved to
+    another service may begin there at any version.
+    """
+    if not found:
+        return None
+    names = {item.service for item in call.route.services}
+    for origin in found:
+        if origin.service in names:
+            return Place(origin.service, origin.version)
+    return Place(call.service, None)
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -27,6 +27,7 @@
 from . import origins as stream_origins
 from . import ownership as order_ownership
 from . import peering as peerings
+from . import resumption
 from ..retry import window
 from . import scheduler as schedulers
 from . import serving
@@ -52,6 +53,9 @@
 
 UPSTREAM_IDLE_SECONDS: typing.Final = 60.0
 CONNECT_SECONDS: typing.Final = 0.4
+# The longest time for which an instance that has started waits to learn of the
+# others, which keep records of its streams.
+PEERS_WAIT_SECONDS: typing.Final = 2.0
 # The load balancer checks readiness once a second and removes an instance
 # after two refusals.
 BALANCER_REMOVAL_SECONDS: typing.Final = 2.4
@@ -106,6 +110,7 @@
         self._stopping = anyio.Event()
         self._drained = anyio.Event()
         self._ended = anyio.Event()
+        self._peers_due = self._clock.now() + PEERS_WAIT_SECONDS
         self._registry = registries.Registry()
         self._metrics_page = metrics_module.Registry(settings.instance_id)
         self._metrics = gateway_metrics.GatewayMetrics(self._metrics_page)
@@ -232,10 +237,6 @@
             self._copies,
             self._configure,
         )
-        self._app = self._build_app(adapters)
-        self._callers = serving.Listener(settings.callers)
-        self._health = health.HealthApp(self._not_ready, self._metrics_page)
-        self._peering.attach(self._scheduler, self._configuration)
         self._servers = watch.ServerWatch(
             store,
             adapters.server_topic,
@@ -246,6 +247,10 @@
             metrics,
             self._scheduler.assign_waiting,
         )
+        self._app = self._build_app(adapters)
+        self._callers = serving.Listener(settings.callers)
+        self._health = health.HealthApp(self._not_ready, self._metrics_page)
+        self._peering.attach(self._scheduler, self._configuration)
 
     def _build_app(self, adapters: PlatformAdapters) -> apps.GatewayApp:
         settings = self._settings
@@ -256,6 +261,9 @@
         budget = window.RetryWindow(
             settings.retry_share, EXTRA_RETRIES, settings.retry_window_seconds
         )
+        versions = resumption.StreamVersions(
+            self._origins, self._registry, self._servers, self._clock
+        )
         forwarder = forwarders.Forwarder(
             self._scheduler,
             exchange,
@@ -264,6 +272,7 @@
             self._rng,
             self._metrics,
             self._silence,
+            versions,
         )
         return apps.GatewayApp(
             forwarder,
@@ -288,6 +297,10 @@
             return 'no_configuration'
         if not self._registry.servers:
             return 'no_servers'
+        if not self._origins.roster_known and (
+            self._clock.now() < self._peers_due
+        ):
+            return 'no_peers'
         return ''
 
     async def _run_peers(self) -> None:
--- a/src/dogwoodquay/gateway/silence.py
+++ b/src/dogwoodquay/gateway/silence.py
@@ -97,7 +97,7 @@
                 await anyio.sleep(BUDGET_RETRY_SECONDS)
                 continue
             server = await self._scheduler.acquire_successor(
-                call, attempt.avoid
+                call, attempt.avoid, attempt.required_version
             )
             if server is None:
                 return None
--- a/src/dogwoodquay/platform/headers.py
+++ b/src/dogwoodquay/platform/headers.py
@@ -16,6 +16,8 @@
 # Despite its name a duration: the total time that the caller waits.
 _DEADLINE: typing.Final = b'deadline-ms'
 _LAST_EVENT: typing.Final = b'last-event-id'
+# The attempt that brought the first event of the stream that goes on.
+_RESUMES: typing.Final = b'resumes'
 _MODEL: typing.Final = b'model'
 # Two numbers: the tokens of the prompt and the maximum for the answer.
 _TOKENS: typing.Final = b'token-usage'
@@ -79,6 +81,7 @@
         output_tokens=int(_number(output) or 0),
         prompt_parts=_parts(_text(found, _PREFIX)),
         last_event=int(last) if last.isdecimal() else api.NO_EVENT,
+        resumes=_text(found, _RESUMES).strip(),
     )
 
 
--- a/tests/site/test_software_versions.py
+++ b/tests/site/test_software_versions.py
@@ -475,6 +475,9 @@
     async def test_refused_though_there_is_one_version(self) -> None:
         """Only one version was ever seen, so it began the stream."""
         async with _Requesters.running(3, _TWO_OF_EACH[:2]) as requesters:
+            # Instances that have not followed the list for the time of a
+            # stream cannot tell.
+            await asyncio.sleep(_LIMIT_SECONDS)
             found = self._unknown(requesters, 12)
             await requesters.take_up(found, 1)
             refused = [stream for stream in found if not stream.answered]
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -13,6 +13,7 @@
 from dogwoodquay.external import api as external_api
 from dogwoodquay.gateway import copies
 from dogwoodquay.gateway import metrics
+from dogwoodquay.gateway import origins
 from dogwoodquay.gateway import settings
 from dogwoodquay.gateway import store_api
 from dogwoodquay.observe import metrics as metrics_module
@@ -23,6 +24,8 @@
 
 __all__ = [
     'FakeCopies',
+    'FakeOrigins',
+    'FakeServerList',
     'FakeStore',
     'instance_settings',
     'log_lines',
@@ -107,6 +110,44 @@
         return self.answer
 
 
+class FakeOrigins:
+    """Records of stream origins in memory."""
+
+    def __init__(self) -> None:
+        self.found: tuple[origins.Origin, ...] = ()
+        self.asked: list[str] = []
+        self.recorded: list[tuple[str, origins.Origin, float]] = []
+
+    async def record(
+        self, stream_id: str, origin: origins.Origin, lifetime_seconds: float
+    ) -> None:
+        """Keep a record."""
+        self.recorded.append((stream_id, origin, lifetime_seconds))
+
+    async def find(
+        self, stream_id: str, deadline: float
+    ) -> tuple[origins.Origin, ...]:
+        """Return what is to be found."""
+        self.asked.append(stream_id)
+        return self.found
+
+
+class FakeServerList:
+    """The reads of the list; ``on_read`` is called by each."""
+
+    def __init__(self) -> None:
+        self.available = True
+        self.on_read: typing.Callable[[], None] = lambda: None
+        self.waits: list[tuple[float, float]] = []
+
+    async def wait_read(self, after: float, deadline: float) -> bool:
+        """Read at once, if available."""
+        self.waits.append((after, deadline))
+        if self.available:
+            self.on_read()
+        return self.available
+
+
 class FakeStore:
     """A store in memory with keyed records and a group of one partition."""
 
--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from . import fakes
 from dogwoodquay import clock as clocks
 from dogwoodquay.external.http import client
 from dogwoodquay.fleet import api as fleet_api
@@ -18,6 +19,7 @@
 from dogwoodquay.gateway import exchange as exchanges
 from dogwoodquay.gateway import forwarder as forwarders
 from dogwoodquay.gateway import metrics as gateway_metrics
+from dogwoodquay.gateway import resumption
 from dogwoodquay.gateway import scheduler as schedulers
 from dogwoodquay.gateway import serving
 from dogwoodquay.gateway import settings
@@ -193,6 +195,8 @@
             self.registry, 'd1', clock, rng, _NoFinder()
         )
         self.freshness = Freshness()
+        self.origins = fakes.FakeOrigins()
+        self.server_list = fakes.FakeServerList()
         self.silence = silence.SilenceWatch(self.scheduler, clock)
         self.app = apps.GatewayApp(
             forwarders.Forwarder(
@@ -203,6 +207,9 @@
                 rng,
                 metrics,
                 self.silence,
+                resumption.StreamVersions(
+                    self.origins, self.registry, self.server_list, clock
+                ),
             ),
             headers,
             clock,
--- a/tests/unit/gateway/test_controller.py
+++ b/tests/unit/gateway/test_controller.py
@@ -181,7 +181,7 @@
         row = messages.ModelDemand('models', 'hot', 0.4, 0, 1, 0.1)
         at_version = messages.VersionDemand('models', 'hot', 'v1', 1)
         load = messages.InstanceLoad(
-            'front-2', 1, (row,), (), (), (at_version,)
+            'front-2', 1, (row,), (), (), at_version=(at_version,)
         )
         async with self._running():
             await self._until(self._both_known)
--- a/tests/unit/gateway/test_demand.py
+++ b/tests/unit/gateway/test_demand.py
@@ -78,7 +78,7 @@
             )
         )
         for name, at in (('a', 1.0), ('b', 2.0)):
-            load = messages.InstanceLoad(name, 1, (), (), (), rows)
+            load = messages.InstanceLoad(name, 1, (), (), (), at_version=rows)
             tracker.update(load, at)
         expected = {('m', 'v1'): 4, ('m', ''): 2}
         self.assertEqual(expected, tracker.version_demand('s', 2.0))
