Secure a successor against refusals, late places and silent servers

- a successor that refuses used the only retry: a move now reserves a second;
- a place that is found just before the deadline came too late: the search lasts half of the time left;
- a server that is silent itself counted as a successor: one whose streams have paused for 0.35 s does not;
- bytes that arrive as a place is assigned used up the attempt and the retry: they are given back; an attempt that breaks at the hand-over uses it;
- 600 searches took 7 s of processor time, as each distinct need was tried, and made all requests wait in the queue: a model without any free server is tried once, and searches hold up no request that runs nowhere;
- servers that are slow to begin, where no other attempt is left, were counted as failing;
- an adapter whose server could not be used was searched without a pause;
- after a failed search none began again for the same silence;
- an error answer to a stream that goes on ended in an exception.

A cut stream whose version has no server left now says version_gone as its placement.

--- a/src/dogwoodquay/fleet/choice.py
+++ b/src/dogwoodquay/fleet/choice.py
@@ -54,8 +54,8 @@
     """Return the servers that can run a request.
 
     Ejected servers and those that failed the request are only returned if
-    there are no others, and never as successors. Unreachable servers are
-    never returned.
+    there are no others, and never as successors, nor are silent servers.
+    Unreachable servers are never returned.
     """
     capable = [
         server
@@ -65,14 +65,20 @@
         and not server.unreachable(now)
     ]
     healthy = [server for server in capable if not server.ejected(now)]
-    if not need.successor:
-        healthy = healthy or capable
+    if need.successor:
+        return [
+            server
+            for server in healthy
+            if server.entry.server_id not in need.avoid
+            and not server.silent(now)
+        ]
+    healthy = healthy or capable
     untried = [
         server
         for server in healthy
         if server.entry.server_id not in need.avoid
     ]
-    return untried if need.successor else untried or healthy
+    return untried or healthy
 
 
 def choose(
--- a/src/dogwoodquay/fleet/queue.py
+++ b/src/dogwoodquay/fleet/queue.py
@@ -27,6 +27,7 @@
     need: choice.Need
 
 
+_NOBODY: typing.Final[frozenset[str]] = frozenset()
 # Added to the priority of a request that is past its objective.
 PAST_OBJECTIVE_PENALTY: typing.Final = 2
 
@@ -43,6 +44,7 @@
 
     def __init__(self) -> None:
         self._tickets: dict[int, Ticket] = {}
+        self._successors = 0
 
     def __len__(self) -> int:
         return len(self._tickets)
@@ -52,13 +54,21 @@
         """All waiting requests, in no particular order."""
         return self._tickets.values()
 
+    @property
+    def has_unserved(self) -> bool:
+        """Whether a request waits that runs nowhere."""
+        return len(self._tickets) > self._successors
+
     def add(self, ticket: Ticket) -> None:
         """Add a request."""
         self._tickets[ticket.number] = ticket
+        self._successors += ticket.need.successor
 
     def discard(self, number: int) -> None:
         """Remove a request, for example because its caller disconnected."""
-        self._tickets.pop(number, None)
+        ticket = self._tickets.pop(number, None)
+        if ticket is not None:
+            self._successors -= ticket.need.successor
 
     def expired(self, now: float) -> list[Ticket]:
         """Remove and return the requests past their wait deadline."""
@@ -68,7 +78,7 @@
             if now >= item.wait_deadline
         ]
         for ticket in due:
-            del self._tickets[ticket.number]
+            self.discard(ticket.number)
         return due
 
     def assign(
@@ -76,8 +86,9 @@
     ) -> list[tuple[Ticket, _Server]]:
         """Remove and return the requests for which a server is available.
 
-        If no server is available for a request, others with the same need are
-        skipped.
+        If no server is available for any request for a model and adapter, the
+        others for these are skipped, and if none is for a request that some
+        servers cannot take, those with the same need.
         """
 
         def rank(ticket: Ticket) -> tuple[int, float]:
@@ -91,12 +102,15 @@
         full: set[choice.Need] = set()
         for ticket in sorted(self._tickets.values(), key=rank):
             need = ticket.need
-            if need in full:
+            common = need._replace(avoid=_NOBODY, successor=False)
+            if need in full or common in full:
                 continue
             server = choose(need)
             if server is None:
                 full.add(need)
+                if need != common and choose(common) is None:
+                    full.add(common)
                 continue
-            del self._tickets[ticket.number]
+            self.discard(ticket.number)
             assigned.append((ticket, server))
         return assigned
--- a/src/dogwoodquay/fleet/server.py
+++ b/src/dogwoodquay/fleet/server.py
@@ -8,6 +8,8 @@
 
 __all__ = ['Server']
 
+# A server whose streams pause for so long may be silent.
+SILENT_SECONDS: typing.Final = 0.35
 # After this time the last known load of the other instances is ignored.
 OTHERS_LOAD_SECONDS: typing.Final = 1.5
 # Weight of the newest outcome in the moving average of failures.
@@ -32,6 +34,7 @@
         self._leaving = entry.state is api.ServerState.LEAVING
         self._in_flight = 0
         self._awaiting_first_byte = 0
+        self._heard_at = float('-inf')
         self._others_load = 0
         self._others_load_at = float('-inf')
         self._failure_rate = 0.0
@@ -93,6 +96,15 @@
         """Whether the server is ejected because it accepts no connections."""
         return self._unreachable and self.ejected(now)
 
+    def silent(self, now: float) -> bool:
+        """Whether streams run there and none has had an event lately."""
+        streams = self._in_flight - self._awaiting_first_byte
+        return streams > 0 and now - self._heard_at > SILENT_SECONDS
+
+    def heard(self, now: float) -> None:
+        """Record that a part of a stream has arrived."""
+        self._heard_at = now
+
     def load(self, now: float) -> int:
         """Return the number of requests from all instances.
 
--- a/src/dogwoodquay/gateway/adapter_search.py
+++ b/src/dogwoodquay/gateway/adapter_search.py
@@ -16,7 +16,7 @@
 
 __all__ = ['AdapterFinder', 'AdapterSearches']
 
-# Delay before a failed search for an adapter's server is repeated.
+# Delay before a search for an adapter's server is repeated.
 SEARCH_RETRY_SECONDS: typing.Final = 0.05
 SEARCH_SECONDS: typing.Final = 1.0
 
@@ -94,11 +94,8 @@
         )
         now = self._clock.now()
         server = self._registry.get(server_id)
-        # An owner of an earlier build returns servers of any version.
-        if server is None or key.version not in (None, server.entry.version):
-            self._allowed_at[key] = now + SEARCH_RETRY_SECONDS
-        else:
-            self._allowed_at.pop(key, None)
+        # The server that is found may be one that the request cannot use.
+        self._allowed_at[key] = now + SEARCH_RETRY_SECONDS
         if server is not None:
             loaded = dict(server.loaded)
             if key.model in loaded:
--- a/src/dogwoodquay/gateway/attempt.py
+++ b/src/dogwoodquay/gateway/attempt.py
@@ -128,6 +128,7 @@
     def on_waiting(self, now: float) -> None:
         """Record that the next bytes of the answer are awaited."""
         self._silent_since = now
+        self._server.heard(now)
         self._overdue_at = now + self._gap_patience_seconds
 
     def is_overdue(self, now: float) -> bool:
@@ -148,6 +149,10 @@
         """Record that a search has ended."""
         self._search = None
 
+    def search_failed(self, now: float) -> None:
+        """Record that a search has failed, so that another one may begin."""
+        self._overdue_at = now
+
     def hand_over(self, successor: servers.Server) -> None:
         """End the attempt as a server has been secured for the next one."""
         self._successor = successor
--- a/src/dogwoodquay/gateway/failures.py
+++ b/src/dogwoodquay/gateway/failures.py
@@ -31,7 +31,7 @@
             state = retry_api.RunState.NOT_RUN
         case outcomes.Broken(reason):
             state = retry_api.RunState.MAY_HAVE_RUN
-        case outcomes.Whole(status) if (
+        case outcomes.Whole(status) if delivered or (
             status >= SERVER_ERROR and call.route.repeatable
         ):
             reason = f'status_{status}'
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -88,7 +88,6 @@
         if place is None:
             return self._refuse_later(api.RefusalReason.ORIGIN_UNKNOWN)
         call = call._replace(service=place.service)
-        version = place.version
         if not self._scheduler.is_declared(call):
             # A newer configuration, not yet active here, may declare it.
             return self._refuse_later(api.RefusalReason.MODEL_UNDECLARED)
@@ -97,6 +96,25 @@
         )
         retries.started(self._clock.now())
         self._scheduler.record_arrival(call)
+        try:
+            return await self._run_attempts(
+                call, place.version, retries, relay
+            )
+        finally:
+            retries.return_reserved()
+
+    async def _run_attempts(
+        self,
+        call: api.Call,
+        version: str | None,
+        retries: windowed.WindowedRetries,
+        relay: exchanges.Relay,
+    ) -> Result:
+        """Send a request to one server after another.
+
+        :param version: the software version at which it has to run, ``None``
+            for any.
+        """
         avoid: frozenset[str] = frozenset()
         number = 0
         may_have_run = False
@@ -181,7 +199,7 @@
         try:
             with attempt.scope:
                 outcome = await self._send(attempt, relay)
-            if attempt.scope.cancelled_caught:
+            if not isinstance(outcome, outcomes.Whole | outcomes.Streamed):
                 successor = attempt.take_successor()
         finally:
             self._silence.discard(attempt)
@@ -190,6 +208,7 @@
             )
             unused = attempt.take_successor()
             if unused is not None:
+                attempt.retries.return_move()
                 self._scheduler.release(attempt.call, unused, False)
         return outcome, successor
 
--- a/src/dogwoodquay/gateway/patience.py
+++ b/src/dogwoodquay/gateway/patience.py
@@ -12,6 +12,7 @@
     'abandon_seconds',
     'gap_patience',
     'head_patience',
+    'successor_deadline',
     'wait_deadline',
 ]
 
@@ -32,6 +33,8 @@
 HEAD_SHARE: typing.Final = 0.5
 # The same as a share of the abandon time, for streams.
 FIRST_EVENT_SHARE: typing.Final = 0.75
+# The share of the time left in which another server may be found.
+SUCCESSOR_SHARE: typing.Final = 0.5
 # With less time left, a request is not sent any more.
 MIN_WORK_SECONDS: typing.Final = 0.02
 
@@ -68,6 +71,14 @@
     return max(route.gap_objective_seconds * GAP_OBJECTIVES, MIN_GAP_SECONDS)
 
 
+def successor_deadline(call: api.Call, now: float) -> float:
+    """Return until when another server is sought for a silent one.
+
+    A later successor would hardly answer sooner than the silent server.
+    """
+    return now + (call.deadline - now) * SUCCESSOR_SHARE
+
+
 def wait_deadline(call: api.Call, started: bool, now: float) -> float:
     """Return when a request that no server runs leaves the wait queue.
 
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -161,15 +161,15 @@
         self,
         call: api.Call,
         avoid: frozenset[str],
+        wait_deadline: float,
         version: str | None = None,
     ) -> servers.Server | None:
         """Return another server for a request that still runs at one.
 
-        As ``acquire``, but only healthy servers outside ``avoid`` count, and
-        the wait lasts until the request's deadline.
+        As ``acquire``, but only healthy servers outside ``avoid`` count.
         """
         need = self._need(call, avoid, version)._replace(successor=True)
-        return await self._acquire(call, need, call.deadline)
+        return await self._acquire(call, need, wait_deadline)
 
     async def _acquire(
         self, call: api.Call, need: choice.Need, wait_deadline: float
@@ -178,7 +178,7 @@
             return None
         if self._load_misses_deadline(need, wait_deadline):
             return None
-        server = None if len(self._queue) else self._choose(need)
+        server = None if self._queue.has_unserved else self._choose(need)
         if server is None and not self._closed:
             server = await self._wait(call, need, wait_deadline)
         if server is None:
--- a/src/dogwoodquay/gateway/silence.py
+++ b/src/dogwoodquay/gateway/silence.py
@@ -7,6 +7,7 @@
 import anyio
 
 from ..observe import logs
+from . import patience
 
 if typing.TYPE_CHECKING:
     from .. import clock as clocks
@@ -64,9 +65,35 @@
         self, attempt: attempts.Attempt, scope: anyio.CancelScope
     ) -> None:
         """Search for a successor until one is found or the search ends."""
+        self._record_silent(attempt)
+        successor = None
+        try:
+            with scope:
+                successor = await self._secure(attempt)
+            attempt.search_ended()
+        except BaseException:
+            attempt.search_ended()
+            attempt.search_failed(self._clock.now())
+            raise
+        if successor is None:
+            return
+        if scope.cancel_called:
+            # The server has gone on, or the attempt has ended.
+            attempt.retries.return_move()
+            self._scheduler.release(attempt.call, successor, False)
+        else:
+            attempt.hand_over(successor)
+
+    def _record_silent(self, attempt: attempts.Attempt) -> None:
+        """Log a silence, and count it as a failure if it is one.
+
+        A server that is slow to begin its answer is not a failing one where
+        the request can run nowhere else.
+        """
         now = self._clock.now()
         server = attempt.server
-        ejected = server.failed(now)
+        failing = attempt.started or attempt.retry_allowed
+        ejected = failing and server.failed(now)
         _LOG.write(
             'server_silent',
             request=attempt.call.request_id,
@@ -75,33 +102,23 @@
             started=attempt.started,
             ejected=ejected,
         )
-        successor = None
-        try:
-            with scope:
-                successor = await self._secure(attempt)
-        finally:
-            attempt.search_ended()
-            if successor is not None:
-                if scope.cancel_called:
-                    self._scheduler.release(attempt.call, successor, False)
-                else:
-                    attempt.hand_over(successor)
 
     async def _secure(
         self, attempt: attempts.Attempt
     ) -> servers.Server | None:
         """Return another server, with an attempt and a retry taken for it."""
         call, retries = attempt.call, attempt.retries
-        while attempt.retry_allowed:
+        deadline = patience.successor_deadline(call, self._clock.now())
+        while attempt.retry_allowed and self._clock.now() < deadline:
             if not retries.budget_left(self._clock.now()):
                 await anyio.sleep(BUDGET_RETRY_SECONDS)
                 continue
             server = await self._scheduler.acquire_successor(
-                call, attempt.avoid, attempt.required_version
+                call, attempt.avoid, deadline, attempt.required_version
             )
             if server is None:
                 return None
-            if retries.take_retry(self._clock.now()):
+            if retries.take_move(self._clock.now()):
                 return server
             self._scheduler.release(call, server, False)
         return None
--- a/src/dogwoodquay/retry/window.py
+++ b/src/dogwoodquay/retry/window.py
@@ -47,11 +47,18 @@
         self._times(self._retries, service, now).append(now)
         return True
 
-    def available(self, service: str, now: float) -> bool:
-        """Whether the window permits one more retry."""
+    def give_back(self, service: str) -> None:
+        """Remove a retry that was taken and not made."""
+        retries = self._retries.get(service)
+        if retries:
+            retries.pop()
+
+    def available(self, service: str, now: float, count: int = 1) -> bool:
+        """Whether the window permits some more retries."""
         requests = self._times(self._requests, service, now)
         retries = self._times(self._retries, service, now)
-        return len(retries) + 1 <= self._share * len(requests) + self._slack
+        allowed = self._share * len(requests) + self._slack
+        return len(retries) + count <= allowed
 
     def _times(
         self,
--- a/src/dogwoodquay/retry/windowed.py
+++ b/src/dogwoodquay/retry/windowed.py
@@ -12,6 +12,9 @@
 
 __all__ = ['WindowedRetries', 'WindowedSettings']
 
+# The retry of a move, and one in case that the next server refuses.
+RETRIES_OF_MOVE: typing.Final = 2
+
 
 class WindowedSettings(typing.NamedTuple):
     """Limits of the retries of one request.
@@ -49,6 +52,7 @@
         self._rng = rng
         self._settings = settings or WindowedSettings()
         self._possible_runs = 0
+        self._reserved = 0
 
     def started(self, now: float) -> None:
         """Count a request of a caller."""
@@ -69,7 +73,7 @@
         at = now + self._backoff(failure.attempts)
         if at >= failure.deadline:
             return api.GiveUp('deadline_passed', failure.run_state)
-        if failure.arrived and not self._budget.take(self._service, now):
+        if failure.arrived and not self._take(now):
             return api.GiveUp('retry_budget_spent', failure.run_state)
         return api.Retry(at, failure.delivered, failure.reason)
 
@@ -84,19 +88,43 @@
         )
 
     def budget_left(self, now: float) -> bool:
-        """Whether the budget permits a retry."""
-        return self._budget.available(self._service, now)
+        """Whether the budget permits to move a running attempt."""
+        return self._budget.available(self._service, now, RETRIES_OF_MOVE)
+
+    def take_move(self, now: float) -> bool:
+        """Count a retry for which an attempt is ended while it runs.
 
-    def take_retry(self, now: float) -> bool:
-        """Count a retry after an attempt that is ended while it runs.
+        Another one is reserved, as the next server may refuse the request,
+        which then has lost the server that it had.
 
-        :return: whether the budget permits it.
+        :return: whether the budget permits both.
         """
-        if not self._budget.take(self._service, now):
+        if not self.budget_left(now):
             return False
+        for _ in range(RETRIES_OF_MOVE):
+            self._budget.take(self._service, now)
+        self._reserved += RETRIES_OF_MOVE - 1
         self._possible_runs += 1
         return True
 
+    def return_move(self) -> None:
+        """Give back what was taken for a move that was not made."""
+        self._budget.give_back(self._service)
+        self._possible_runs -= 1
+        self.return_reserved()
+
+    def return_reserved(self) -> None:
+        """Give back the retries that are reserved and not needed."""
+        while self._reserved:
+            self._reserved -= 1
+            self._budget.give_back(self._service)
+
+    def _take(self, now: float) -> bool:
+        if self._reserved:
+            self._reserved -= 1
+            return True
+        return self._budget.take(self._service, now)
+
     def _refusal_reason(self, failure: api.Failure) -> str:
         may_have_run = failure.run_state is not api.RunState.NOT_RUN
         if may_have_run and not failure.idempotent:
--- a/tests/unit/gateway/test_endings.py
+++ b/tests/unit/gateway/test_endings.py
@@ -172,7 +172,7 @@
             reason='no_server',
             failure='protocol',
             ended_by='no_server',
-            placement='no_server',
+            placement='version_gone',
             server='u1',
         )
         (attempt,) = self.failed_attempts()
--- a/tests/unit/gateway/test_scheduler.py
+++ b/tests/unit/gateway/test_scheduler.py
@@ -211,7 +211,7 @@
         self.assertEqual('', await self.acquire('v2'))
         self.assertEqual('', await self.acquire(''))
         successor = await self.scheduler.acquire_successor(
-            self.call(), frozenset(), 'v2'
+            self.call(), frozenset(), self.clock.now() + 9.0, 'v2'
         )
         self.assertIsNone(successor)
         self.update('s2', 'v2', state=fleet_api.ServerState.LEAVING)
@@ -241,7 +241,10 @@
         async def wait() -> None:
             ended.append(
                 await self.scheduler.acquire_successor(
-                    self.call(), frozenset({'s1'}), 'v1'
+                    self.call(),
+                    frozenset({'s1'}),
+                    self.clock.now() + 9.0,
+                    'v1',
                 )
             )
 
@@ -261,7 +264,7 @@
         self.update('s2', 'v2')
         self.update('s3', 'v1')
         server = await self.scheduler.acquire_successor(
-            self.call(), frozenset({'s1'}), 'v1'
+            self.call(), frozenset({'s1'}), self.clock.now() + 9.0, 'v1'
         )
         assert server is not None
         self.assertEqual('s3', server.entry.server_id)
--- a/tests/unit/retry/test_windowed.py
+++ b/tests/unit/retry/test_windowed.py
@@ -126,7 +126,7 @@
         self.assertFalse(self._subject(1, 9).attempt_left(1))
         subject = self._subject(2, 9)
         self.assertTrue(subject.attempt_left(1))
-        self.assertTrue(subject.take_retry(1.0))
+        self.assertTrue(subject.take_move(1.0))
         self.assertFalse(subject.attempt_left(2))
 
     def test_after_rejections(self) -> None:
@@ -137,9 +137,30 @@
         self.assertFalse(subject.attempt_left(4))
 
     def test_budget(self) -> None:
-        """A retry is taken from the budget once."""
+        """A move needs a retry for itself and one for a refusal."""
         subject = self._subject(3, 1)
-        self.assertTrue(subject.budget_left(1.0))
-        self.assertTrue(subject.take_retry(1.0))
         self.assertFalse(subject.budget_left(1.0))
-        self.assertFalse(subject.take_retry(1.0))
+        self.assertFalse(subject.take_move(1.0))
+        subject = self._subject(3, 2)
+        self.assertTrue(subject.take_move(1.0))
+        self.assertFalse(subject.budget_left(1.0))
+        self.assertFalse(subject.take_move(1.0))
+
+    def test_refused_after_a_move(self) -> None:
+        """The reserved retry is used where the next server refuses."""
+        subject = self._subject(2, 2)
+        self.assertTrue(subject.take_move(1.0))
+        refused = _failure(api.RunState.NOT_RUN, 2)
+        self.assertIsInstance(subject.decide(refused, 1.0), api.Retry)
+        self.assertIsInstance(subject.decide(refused, 1.0), api.GiveUp)
+
+    def test_returned(self) -> None:
+        """What is not needed can be used by other requests."""
+        subject = self._subject(2, 2)
+        self.assertTrue(subject.take_move(1.0))
+        subject.return_reserved()
+        subject.return_reserved()
+        self.assertFalse(subject.budget_left(1.0))
+        subject.return_move()
+        self.assertTrue(subject.budget_left(1.0))
+        self.assertTrue(subject.attempt_left(1))
