Bound answers without end

What callers could see: a server whose bytes did not end filled the memory of an instance, and held up the requests of everybody beside it.

Cause: a plain body was read whole whatever its size, as were reports, the store's pages and refusals. Informational heads were skipped without limit, and each chunk of an unfinished event copied all of it. Bodies in small chunks were parsed for long without a turn for others.

Over a limit the attempt is broken with a reason of its own and the connection is closed; a larger announced body is not read. Data on an idle connection closes it. Small events without end are bounded by the request's time only.

Why it works: what is held of an answer is counted as it grows, so that the sum does not depend on what a server sends, and each limit is past what sound answers have.

--- a/src/dogwoodquay/external/http/answer.py
+++ b/src/dogwoodquay/external/http/answer.py
@@ -9,7 +9,7 @@
 import httpx
 
 from .. import errors
-from . import client
+from . import bodies
 from . import steps
 from . import wire
 
@@ -58,7 +58,7 @@
         async for chunk in _body(response):
             yield chunk
     except httpx.HTTPError as error:
-        raise errors.UpstreamBroken(client.broken_reason(error)) from error
+        raise errors.UpstreamBroken(bodies.broken_reason(error)) from error
 
 
 @contextlib.asynccontextmanager
@@ -139,7 +139,7 @@
 
     def _fail(self, error: httpx.HTTPError) -> None:
         self._ended = True
-        self._error = errors.UpstreamBroken(client.broken_reason(error))
+        self._error = errors.UpstreamBroken(bodies.broken_reason(error))
         self._error.__cause__ = error
 
 
--- a/src/dogwoodquay/external/http/client.py
+++ b/src/dogwoodquay/external/http/client.py
@@ -17,6 +17,8 @@
 
 from ... import clock
 from .. import api
+from . import bodies
+from . import network
 from . import pool
 from . import progress
 from . import wire
@@ -27,7 +29,6 @@
 __all__ = [
     'Connections',
     'Headers',
-    'broken_reason',
     'decode',
     'discard',
     'keep_idle',
@@ -47,15 +48,11 @@
     httpcore.ConnectError,
     httpcore.ConnectTimeout,
 )
-_CONNECTION_ERRORS: typing.Final = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-)
 _METHODS_WITH_LENGTH: typing.Final = frozenset({'PATCH', 'POST', 'PUT'})
 # Keys in the extensions of a response.
 _DISCARD_KEY: typing.Final = 'discard_connection'
 _KEEP_ALIVE_KEY: typing.Final = 'idle_seconds'
+_STREAM_KEY: typing.Final = 'network_stream'
 _DEADLINE_PASSED: typing.Final = api.Unavailable('deadline')
 
 
@@ -164,11 +161,13 @@
         )
         connection = await self._pool.acquire(address, port)
         extensions: dict[str, typing.Any] = {}
+        sent_stream: network.Stream | None = None
         try:
             sent = await _send(connection, request, remaining)
             try:
                 if sent.is_ok():
                     extensions = sent.ok.extensions
+                    sent_stream = extensions.get(_STREAM_KEY)
                     # httpcore reads the timeout again for the body.
                     read_timeout_seconds = (
                         read_timeout_seconds or self._read_timeout_seconds
@@ -183,6 +182,8 @@
                         await sent.ok.aclose()
         finally:
             with anyio.CancelScope(shield=True):
+                if sent_stream is not None:
+                    sent_stream.expect_nothing()
                 if extensions.get(_DISCARD_KEY):
                     await connection.aclose()
                 else:
@@ -202,17 +203,22 @@
         deadline: float,
         body: bytes = b'',
         headers: Headers = (),
+        max_bytes: int = bodies.MAX_ANSWER_BYTES,
     ) -> expression.Result[httpx.Response, SendError]:
-        """Send a request and read the complete response before a deadline."""
+        """Send a request and read the complete response before a deadline.
+
+        :param max_bytes: the limit of the response's body.
+        """
         with anyio.move_on_after(deadline - self._time.now()):
             async with self.open(
                 address, port, method, path, headers, body, deadline
             ) as sent:
                 if sent.is_ok():
                     try:
+                        bodies.limit(sent.ok, max_bytes)
                         await sent.ok.aread()
                     except httpx.HTTPError as error:
-                        reason = broken_reason(error)
+                        reason = bodies.broken_reason(error)
                         return expression.Error(api.Ambiguous(reason))
                 return sent
         return expression.Error(api.Ambiguous('timeout'))
@@ -247,9 +253,12 @@
                 return sent
             response = sent.ok
             try:
+                bodies.limit(response, bodies.MAX_DOWNLOAD_BYTES)
                 body = await progress.read(response, on_received)
             except httpx.HTTPError as error:
-                return expression.Error(api.Ambiguous(broken_reason(error)))
+                return expression.Error(
+                    api.Ambiguous(bodies.broken_reason(error))
+                )
             if body is None:
                 return expression.Error(api.Ambiguous('slow'))
             return expression.Ok(
@@ -297,24 +306,6 @@
         )
 
 
-class _BodyStream(httpx.AsyncByteStream):
-    """A response body that raises the errors of httpx, not of httpcore."""
-
-    def __init__(self, response: httpcore.Response) -> None:
-        self._response = response
-
-    async def __aiter__(self) -> abc.AsyncIterator[bytes]:
-        stream = typing.cast('abc.AsyncIterable[bytes]', self._response.stream)
-        try:
-            async for chunk in stream:
-                yield chunk
-        except _CONNECTION_ERRORS as error:
-            raise _stream_error(error) from error
-
-    async def aclose(self) -> None:
-        await self._response.aclose()
-
-
 async def _send(
     connection: httpcore.AsyncHTTPConnection,
     request: httpcore.Request,
@@ -329,29 +320,29 @@
         return expression.Error(api.Unavailable('bad_request'))
     except TimeoutError:
         return expression.Error(api.Ambiguous('timeout'))
-    except _CONNECTION_ERRORS as error:
+    except bodies.CONNECTION_ERRORS as error:
         return expression.Error(
-            api.Ambiguous(broken_reason(_stream_error(error)))
+            api.Ambiguous(
+                bodies.broken_reason(
+                    bodies.stream_error(error, 'head_too_large')
+                )
+            )
         )
+    stream = response.extensions[_STREAM_KEY]
+    if isinstance(stream, network.Stream):
+        stream.end_head()
+    else:
+        stream = None
     return expression.Ok(
         httpx.Response(
             response.status,
             headers=response.headers,
-            stream=_BodyStream(response),
+            stream=bodies.BodyStream(response),
+            extensions={_STREAM_KEY: stream},
         )
     )
 
 
-def _stream_error(error: Exception) -> httpx.HTTPError:
-    match error:
-        case httpcore.TimeoutException():
-            return httpx.ReadTimeout(str(error))
-        case httpcore.ProtocolError():
-            return httpx.RemoteProtocolError(str(error))
-        case _:
-            return httpx.ReadError(str(error))
-
-
 def discard(response: httpx.Response) -> None:
     """Close the connection after this response instead of reusing it."""
     response.extensions[_DISCARD_KEY] = True
@@ -362,17 +353,6 @@
     response.extensions[_KEEP_ALIVE_KEY] = seconds
 
 
-def broken_reason(error: httpx.HTTPError) -> str:
-    """Return the label value of an error in the failure metric."""
-    match error:
-        case httpx.TimeoutException():
-            return 'idle'
-        case httpx.RemoteProtocolError():
-            return 'protocol'
-        case _:
-            return 'connection'
-
-
 def decode(
     response: httpx.Response, kind: type[_Body]
 ) -> expression.Result[_Body, api.Ambiguous]:
--- a/src/dogwoodquay/external/http/lists.py
+++ b/src/dogwoodquay/external/http/lists.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from .. import api
+from . import bodies
 from . import client
 from . import wire
 
@@ -32,7 +33,12 @@
     ) -> expression.Result[tuple[api.Instance, ...], api.Unavailable]:
         """Return the current list."""
         sent = await self._connections.fetch(
-            self._address, self._port, 'GET', wire.INSTANCES_PATH, deadline
+            self._address,
+            self._port,
+            'GET',
+            wire.INSTANCES_PATH,
+            deadline,
+            max_bytes=bodies.MAX_DOWNLOAD_BYTES,
         )
         if sent.is_error():
             return expression.Error(api.Unavailable(sent.error.reason))
@@ -82,7 +88,12 @@
     ) -> expression.Result[api.WeightStoreState, api.Unavailable]:
         """Return the store's limits and the number of running loads."""
         sent = await self._connections.fetch(
-            self._address, self._port, 'GET', wire.WEIGHTS_PATH, deadline
+            self._address,
+            self._port,
+            'GET',
+            wire.WEIGHTS_PATH,
+            deadline,
+            max_bytes=bodies.MAX_DOWNLOAD_BYTES,
         )
         if sent.is_error():
             return expression.Error(api.Unavailable(sent.error.reason))
--- a/src/dogwoodquay/external/http/log.py
+++ b/src/dogwoodquay/external/http/log.py
@@ -10,6 +10,7 @@
 
 from ... import clock
 from .. import api
+from . import bodies
 from . import client
 from . import wire
 
@@ -86,6 +87,7 @@
             'GET',
             f'{_path(stream)}?{query}',
             deadline,
+            max_bytes=bodies.MAX_DOWNLOAD_BYTES,
         )
         if sent.is_error():
             return expression.Error(api.Unavailable(sent.error.reason))
--- a/src/dogwoodquay/external/http/network.py
+++ b/src/dogwoodquay/external/http/network.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 import typing
 
@@ -18,9 +19,16 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
-__all__ = ['NetworkBackend']
+__all__ = ['HeadTooLarge', 'NetworkBackend', 'Stream']
 
 MAX_BUFFERED_BYTES: typing.Final = 256 * 1024
+# All that is read until the end of an answer's head, with the informational
+# heads before it. A sound head, of which h11 keeps 100 KiB, fits with a read.
+MAX_HEAD_BYTES: typing.Final = 192 * 1024
+# Parsing many of these takes long; servers send one or two.
+MAX_INFORMATIONAL_HEADS: typing.Final = 16
+_INFORMATIONAL: typing.Final = re.compile(rb'^HTTP/1\.[01] 1', re.MULTILINE)
+_FINAL: typing.Final = re.compile(rb'^HTTP/1\.[01] [2-9]', re.MULTILINE)
 # Connections to silent peers are closed within the time in which instances
 # have to follow a change, so that none is missed on a dead connection.
 KEEPALIVE_IDLE_SECONDS: typing.Final = 1
@@ -31,6 +39,10 @@
 _TimeoutErrorType = type[httpcore.ReadTimeout] | type[httpcore.WriteTimeout]
 
 
+class HeadTooLarge(httpcore.RemoteProtocolError):
+    """A head, or the informational ones before it, do not end."""
+
+
 class NetworkBackend(httpcore.AsyncNetworkBackend):
     """Opens TCP connections."""
 
@@ -55,7 +67,7 @@
             raise httpcore.ConnectError(str(error)) from error
         transport = connection.transport
         _enable_keepalive(transport.get_extra_info('socket'))
-        return _Stream(connection)
+        return Stream(connection)
 
 
 class _Connection(asyncio.Protocol):
@@ -73,6 +85,7 @@
         self._writable: asyncio.Future[None] | None = None
         self._write_paused = False
         self._closed = False
+        self._idle = False
 
     @property
     def transport(self) -> asyncio.Transport:
@@ -90,6 +103,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffer received data; pause reading when the buffer is full."""
+        if self._idle:
+            self._eof = True
+            self.close()
+            return
         self._parts.append(data)
         self._buffered_bytes += len(data)
         if self._buffered_bytes > MAX_BUFFERED_BYTES:
@@ -134,6 +151,7 @@
 
     async def write(self, data: bytes, timeout: float | None) -> None:
         """Write data, waiting while the send buffer is full."""
+        self._idle = False
         transport = self._require_transport()
         if self._closed or transport.is_closing():
             raise httpcore.WriteError('the connection is closed')
@@ -144,6 +162,12 @@
         if self._error is not None:
             raise httpcore.WriteError(str(self._error)) from self._error
 
+    def expect_nothing(self) -> None:
+        """Close the connection if data arrives before the next write."""
+        self._idle = True
+        if self._parts and not self._closed:
+            self.close()
+
     def close(self) -> None:
         """Abort the connection and discard unsent data."""
         self._require_transport().abort()
@@ -180,23 +204,58 @@
             timer.cancel()
 
 
-class _Stream(httpcore.AsyncNetworkStream):
-    """Adapts a connection to the stream interface of httpcore."""
+class Stream(httpcore.AsyncNetworkStream):
+    """Adapts a connection to the stream interface of httpcore.
+
+    What is read after a write is limited until the head has ended.
+    """
 
     def __init__(self, connection: _Connection) -> None:
         self._connection = connection
+        self._in_head = True
+        self._head_bytes = 0
+        self._informational_heads = 0
 
     async def read(
         self, max_bytes: int, timeout: float | None = None
     ) -> bytes:
         """Return received data, waiting for some; empty at the end."""
-        return await self._connection.read(max_bytes, timeout)
+        if not self._in_head:
+            return await self._connection.read(max_bytes, timeout)
+        if self._head_bytes:
+            # Parsing many small heads takes long; let others run.
+            await asyncio.sleep(0)
+        data = await self._connection.read(max_bytes, timeout)
+        self._head_bytes += len(data)
+        if self._informational_heads or _INFORMATIONAL.match(data):
+            self._count_informational(data)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise HeadTooLarge('the head does not end')
+        return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Write all of the buffer."""
         if buffer:
+            self._in_head = True
+            self._head_bytes = 0
+            self._informational_heads = 0
             await self._connection.write(buffer, timeout)
 
+    def _count_informational(self, data: bytes) -> None:
+        final = _FINAL.search(data)
+        heads = data if final is None else data[: final.start()]
+        self._informational_heads += len(_INFORMATIONAL.findall(heads))
+        if self._informational_heads > MAX_INFORMATIONAL_HEADS:
+            raise HeadTooLarge('too many informational heads')
+
+    def end_head(self) -> None:
+        """Read the body, whose size its reader limits."""
+        self._in_head = False
+
+    def expect_nothing(self) -> None:
+        """Close the connection if data arrives before the next write."""
+        self._connection.expect_nothing()
+
     async def aclose(self) -> None:
         """Close the connection."""
         self._connection.close()
--- a/src/dogwoodquay/external/http/service.py
+++ b/src/dogwoodquay/external/http/service.py
@@ -10,6 +10,7 @@
 
 from .. import api
 from . import answer
+from . import bodies
 from . import client
 from . import wire
 
@@ -113,6 +114,7 @@
 
 async def _refusal(response: httpx.Response) -> api.Refused:
     try:
+        bodies.limit(response, bodies.MAX_ANSWER_BYTES)
         await response.aread()
     except httpx.HTTPError:
         return api.Refused('not_run')
--- a/src/dogwoodquay/gateway/events.py
+++ b/src/dogwoodquay/gateway/events.py
@@ -26,7 +26,7 @@
     def __init__(self, last_event: int) -> None:
         self._last_event = last_event
         self._strict = last_event != api.NO_EVENT
-        self._tail = b''
+        self._tail = bytearray()
 
     @property
     def last_event(self) -> int:
@@ -38,24 +38,31 @@
         """Whether an incomplete event is left over."""
         return bool(self._tail.strip())
 
+    @property
+    def partial_bytes(self) -> int:
+        """The size of the incomplete event."""
+        return len(self._tail)
+
     def restart(self) -> None:
         """Drop an incomplete event before the next connection's events."""
-        self._tail = b''
+        self._tail = bytearray()
 
     def feed(self, chunk: bytes) -> bytes:
         """Return the complete events up to the end of a chunk.
 
         :raises BrokenStream: if an event is out of order or malformed.
         """
-        data = self._tail + chunk if self._tail else chunk
-        end = data.rfind(_SEPARATOR)
+        # Only what is new is searched, as an event may come in many chunks.
+        searched = max(0, len(self._tail) - 1)
+        self._tail += chunk
+        end = self._tail.rfind(_SEPARATOR, searched)
         if end < 0:
-            if len(data) > MAX_EVENT_BYTES:
+            if len(self._tail) > MAX_EVENT_BYTES:
                 raise BrokenStream('event_too_large')
-            self._tail = data
             return b''
         end += len(_SEPARATOR)
-        events, self._tail = data[:end], data[end:]
+        events = bytes(self._tail[:end])
+        del self._tail[:end]
         for event in events.split(_SEPARATOR)[:-1]:
             self._check(event)
         return events
--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -9,7 +9,9 @@
 from . import api
 from . import events
 from ..external import api as external_api
+from ..external.http import bodies
 from ..external.http import client
+from . import held
 from . import outcomes
 
 if typing.TYPE_CHECKING:
@@ -98,6 +100,7 @@
         self._connections = connections
         self._codec = codec
         self._clock = clock
+        self._held = held.HeldAnswers()
 
     async def run(
         self,
@@ -158,7 +161,8 @@
         self._update_server(server, response, terms)
         try:
             if terms.not_executed:
-                await response.aread()
+                bodies.limit(response, bodies.MAX_ANSWER_BYTES)
+                await self._read_body(relay, response)
                 absent = status == _MISDIRECTED
                 return outcomes.NotRun(f'status_{status}', True, absent)
             unmarked = (
@@ -171,9 +175,10 @@
                 return await self._relay_events(
                     relay, response, headers, progress
                 )
+            bodies.limit(response, bodies.MAX_ANSWER_BYTES)
             body = await self._read_body(relay, response)
         except httpx.HTTPError as error:
-            return outcomes.Broken(client.broken_reason(error))
+            return outcomes.Broken(bodies.broken_reason(error))
         except events.BrokenStream as error:
             client.discard(response)
             return outcomes.Broken(str(error))
@@ -199,11 +204,13 @@
     async def _read_body(
         self, relay: Relay, response: httpx.Response
     ) -> bytes:
-        parts: list[bytes] = []
-        async for chunk in _stream(response):
-            relay.trace.on_bytes(self._clock.now())
-            parts.append(chunk)
-        return b''.join(parts)
+        body = bytearray()
+        with self._held.share() as share:
+            async for chunk in _stream(response):
+                relay.trace.on_bytes(self._clock.now())
+                body += chunk
+                share.resize(len(body))
+            return bytes(body)
 
     async def _relay_events(
         self,
@@ -214,15 +221,17 @@
     ) -> outcomes.Outcome:
         relay.splitter.restart()
         progress.on_waiting(self._clock.now())
-        async for chunk in _stream(response):
-            progress.on_received()
-            relay.trace.on_bytes(self._clock.now())
-            whole = relay.splitter.feed(chunk)
-            if whole:
-                await progress.on_part()
-                await relay.start(response.status_code, headers)
-                await relay.send(whole)
-            progress.on_waiting(self._clock.now())
+        with self._held.share() as share:
+            async for chunk in _stream(response):
+                progress.on_received()
+                relay.trace.on_bytes(self._clock.now())
+                whole = relay.splitter.feed(chunk)
+                share.resize(relay.splitter.partial_bytes)
+                if whole:
+                    await progress.on_part()
+                    await relay.start(response.status_code, headers)
+                    await relay.send(whole)
+                progress.on_waiting(self._clock.now())
         if relay.splitter.partial:
             raise events.BrokenStream('event_cut')
         await relay.start(response.status_code, headers)
--- a/src/dogwoodquay/gateway/trace.py
+++ b/src/dogwoodquay/gateway/trace.py
@@ -38,6 +38,9 @@
     'protocol': Cause.SERVER_CONNECTION,
     'connect': Cause.SERVER_UNREACHABLE,
     'bad_request': Cause.SERVER_UNREACHABLE,
+    'answer_too_large': Cause.SERVER_ANSWER,
+    'answers_too_large': Cause.SERVER_ANSWER,
+    'head_too_large': Cause.SERVER_ANSWER,
     'answer_crossed': Cause.SERVER_ANSWER,
     'not_the_servers_answer': Cause.SERVER_ANSWER,
 }
--- a/tests/site/http.py
+++ b/tests/site/http.py
@@ -42,6 +42,7 @@
     """A reply; with ``parts`` it is a chunked stream.
 
     With ``pieces`` the body is sent in these pieces, with its length.
+    With ``raw`` these bytes are sent instead of a reply.
     """
 
     status: int = 200
@@ -49,6 +50,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     parts: abc.AsyncIterator[bytes] | None = None
     pieces: abc.AsyncIterator[bytes] | None = None
+    raw: abc.AsyncGenerator[bytes, None] | None = None
 
     @classmethod
     def of(cls, fields: typing.Any, status: int = 200) -> Answer:
@@ -147,6 +149,11 @@
 
 
 async def _write(writer: asyncio.StreamWriter, answer: Answer) -> None:
+    if answer.raw is not None:
+        async with contextlib.aclosing(answer.raw) as raw:
+            async for part in raw:
+                writer.write(part)
+                await writer.drain()
     lines = [f'HTTP/1.1 {answer.status} X']
     lines += [f'{name}: {value}' for name, value in answer.headers]
     if answer.parts is None:
--- a/tests/site/server.py
+++ b/tests/site/server.py
@@ -8,6 +8,7 @@
 import time
 import typing
 
+from . import endless
 from . import http
 
 if typing.TYPE_CHECKING:
@@ -72,6 +73,7 @@
     A stream has ``events`` events at intervals of ``event_seconds``.
     ``silences`` are the pauses to come, by attempt id; each happens once, and
     so do ``resets``, the places and events at which a stream is broken off.
+    ``endless`` is what answers send without end, ``endless_now`` how many.
 
     :param version: the version of the software, which events then carry.
     """
@@ -90,6 +92,8 @@
         self.executed_attempts: list[str] = []
         self.silences: dict[str, Silence] = {}
         self.resets: dict[str, tuple[Place, int]] = {}
+        self.endless: endless.Kind | None = None
+        self.endless_now = 0
         self.order_sources: list[tuple[str, int]] = []
         self.events = 4
         self.event_seconds = 0.01
@@ -200,6 +204,9 @@
             return self._refuse(421, request)
         attempt = request.headers['attempt-id']
         self.executed_attempts.append(attempt)
+        if self.endless is not None:
+            raw = self._endless(self.endless, attempt)
+            return http.Answer(raw=raw)
         headers = (
             ('Attempt-Id', attempt),
             ('Response-Stamp', _RESPONSE_STAMP),
@@ -214,6 +221,16 @@
         pieces = self._pieces(attempt, body)
         return http.Answer(200, body, headers, pieces=pieces)
 
+    async def _endless(
+        self, kind: endless.Kind, attempt: str
+    ) -> abc.AsyncGenerator[bytes, None]:
+        self.endless_now += 1
+        try:
+            async for part in endless.parts(kind, attempt):
+                yield part
+        finally:
+            self.endless_now -= 1
+
     async def _pieces(
         self, attempt: str, body: bytes
     ) -> abc.AsyncIterator[bytes]:
