--- a/src/dogwoodquay/gateway/failures.py
+++ b/src/dogwoodquay/gateway/failures.py
@@ -1,16 +1,20 @@
-"""Turns outcomes of attempts into failures, which may be retried."""
+"""What the outcome of an attempt means for its request and its server."""
 
 from __future__ import annotations
 
 import typing
 
+from ..observe import logs
 from . import outcomes
 from ..retry import api as retry_api
 
 if typing.TYPE_CHECKING:
     from . import api
+    from ..fleet import server as servers
 
-__all__ = ['SERVER_ERROR', 'failure_of']
+__all__ = ['SERVER_ERROR', 'failure_of', 'update_health']
+
+_LOG: typing.Final = logs.ComponentLog('request')
 
 SERVER_ERROR: typing.Final = 500
 
@@ -48,3 +52,33 @@
         deadline=call.deadline,
         arrived=arrived,
     )
+
+
+def update_health(
+    call: api.Call,
+    server: servers.Server,
+    outcome: outcomes.Outcome,
+    now: float,
+) -> None:
+    """Update a server's health by the outcome of an attempt."""
+    ejected = False
+    match outcome:
+        case outcomes.NotRun(_, arrived, absent):
+            if absent:
+                server.mark_not_loaded(call.terms.model, call.terms.adapter)
+            if not arrived:
+                ejected = server.failed(now, unreachable=True)
+        case outcomes.Broken():
+            ejected = server.failed(now)
+        case outcomes.Whole(status):
+            if status >= SERVER_ERROR:
+                ejected = server.failed(now)
+        case outcomes.Streamed():
+            server.succeeded(now - call.arrived_at)
+    if ejected:
+        _LOG.write(
+            'server_ejected',
+            request=call.request_id,
+            server=server.entry.server_id,
+            failing=round(server.failure_rate, 2),
+        )
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -234,7 +234,7 @@
             left=round(call.deadline - now, 3),
         )
         outcome = await self._exchange.run(call, server, relay, attempt)
-        self._update_health(call, server, outcome)
+        failures.update_health(call, server, outcome, self._clock.now())
         return outcome
 
     def _record_failed(
@@ -291,38 +291,6 @@
             return math.inf
         return patience.head_patience(call, now)
 
-    def _update_health(
-        self,
-        call: api.Call,
-        server: servers.Server,
-        outcome: outcomes.Outcome,
-    ) -> None:
-        """Update a server's health by the outcome of an attempt."""
-        now = self._clock.now()
-        ejected = False
-        match outcome:
-            case outcomes.NotRun(_, arrived, absent):
-                if absent:
-                    server.mark_not_loaded(
-                        call.terms.model, call.terms.adapter
-                    )
-                if not arrived:
-                    ejected = server.failed(now, unreachable=True)
-            case outcomes.Broken():
-                ejected = server.failed(now)
-            case outcomes.Whole(status):
-                if status >= failures.SERVER_ERROR:
-                    ejected = server.failed(now)
-            case outcomes.Streamed():
-                server.succeeded(now - call.arrived_at)
-        if ejected:
-            _LOG.write(
-                'server_ejected',
-                request=call.request_id,
-                server=server.entry.server_id,
-                failing=round(server.failure_rate, 2),
-            )
-
     def _end_unplaced(
         self,
         call: api.Call,
