--- a/tests/site/test_silent_servers.py
+++ b/tests/site/test_silent_servers.py
@@ -37,11 +37,17 @@
         for name, change in silences.CHANGES.items():
             callers.put(None)
             await callers.wait_in_force()
+            cases = silences.plain_cases() + silences.stream_cases()
+            executed = len(callers.executed()) + 2 * len(cases)
             calls = [
                 asyncio.ensure_future(callers.call(name, case))
-                for case in silences.plain_cases() + silences.stream_cases()
+                for case in cases
             ]
-            await asyncio.sleep(_CHANGE_SECONDS)
+            # A request that came after the change would follow that.
+            while len(callers.executed()) < executed and not all(
+                call.done() for call in calls
+            ):
+                await asyncio.sleep(0.01)
             if name != 'none':
                 callers.put(change)
             found += await asyncio.gather(*calls)
