Keep a moved request to the version of events that just came

A silent server could send its first events in the moment in which a server of any version had been secured for the request. Found on the read-through.

A secured server now takes the request only if it has the version that the request needs by then; otherwise its capacity and retry are given back.

Result: test_first_events_at_hand_over fails before (two versions) and passes.

--- a/src/dogwoodquay/gateway/attempt.py
+++ b/src/dogwoodquay/gateway/attempt.py
@@ -158,6 +158,17 @@
         self._successor = successor
         self._scope.cancel()
 
+    @property
+    def successor_fits(self) -> bool:
+        """Whether the secured server, if any, may go on with the stream.
+
+        The first events may have come after it was secured.
+        """
+        return self._successor is not None and self._required_version in (
+            None,
+            self._successor.entry.version,
+        )
+
     def take_successor(self) -> servers.Server | None:
         """Return the secured server once; the caller releases it."""
         successor, self._successor = self._successor, None
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -199,7 +199,8 @@
         try:
             with attempt.scope:
                 outcome = await self._send(attempt, relay)
-            if not isinstance(outcome, outcomes.Whole | outcomes.Streamed):
+            ended = isinstance(outcome, outcomes.Whole | outcomes.Streamed)
+            if not ended and attempt.successor_fits:
                 successor = attempt.take_successor()
         finally:
             self._silence.discard(attempt)
--- a/tests/unit/gateway/test_successors.py
+++ b/tests/unit/gateway/test_successors.py
@@ -299,6 +299,66 @@
         self.assertEqual(outcomes.Streamed(), result)
         self.assertEqual(2, len(runs))
 
+    async def test_first_events_at_hand_over(self) -> None:
+        """A server of another version is no successor any more."""
+        scheduler, registry = _scheduler(
+            _Finder(''),
+            _entry('u1')._replace(version='v1'),
+            _entry('u2')._replace(version='v2'),
+            _entry('u3')._replace(version='v1'),
+            _entry('u4')._replace(version='v2'),
+        )
+        versions: list[str] = []
+
+        class _Exchange:
+            async def run(
+                self,
+                call: api.Call,
+                server: typing.Any,
+                relay: typing.Any,
+                progress: attempts.Attempt,
+            ) -> outcomes.Outcome:
+                versions.append(server.entry.version)
+                if len(versions) > 1:
+                    return outcomes.Streamed()
+                (other,) = {'v1', 'v2'} - set(versions)
+                successor = scheduler._choose(
+                    scheduler._need(call, progress.avoid, other)
+                )
+                assert successor is not None
+                scheduler._record_start(call, successor)
+                assert progress.retries.take_move(clocks.SteadyClock().now())
+                progress.hand_over(successor)
+                await progress.on_part()
+                return outcomes.Broken('connection')
+
+        clock = clocks.SteadyClock()
+        forwarder = forwarders.Forwarder(
+            scheduler,
+            typing.cast('typing.Any', _Exchange()),
+            window.RetryWindow(0.2, 50, 10.0),
+            clock,
+            fakes.rng(),
+            loopback.Site().app._context.metrics,
+            silence.SilenceWatch(scheduler, clock),
+            resumption.StreamVersions(
+                fakes.FakeOrigins(), registry, fakes.FakeServerList(), clock
+            ),
+        )
+
+        class _Relay:
+            started = False
+            trace = trace.RequestTrace(1)
+
+        result = await forwarder.run(
+            _call(5.0), typing.cast('typing.Any', _Relay())
+        )
+        self.assertEqual(outcomes.Streamed(), result)
+        self.assertEqual(2, len(versions))
+        self.assertEqual(1, len(set(versions)))
+        for server in registry.servers.values():
+            self.assertEqual(0, server.in_flight)
+
     async def test_bytes_as_a_server_is_assigned(self) -> None:
         """A search that ends without a move uses up no retry."""
         scheduler, registry = _scheduler(
