Find the version of a stream also where its route has changed

A configuration that ends the resuming of a route let a stream that a caller takes up go on at any version. Found on the read-through; the new test fails before.

--- a/src/dogwoodquay/gateway/resumption.py
+++ b/src/dogwoodquay/gateway/resumption.py
@@ -96,7 +96,8 @@
     async def find(self, call: api.Call) -> Place | None:
         """Return where a request runs, ``None`` if its version is unknown."""
         terms, route = call.terms, call.route
-        if not route.resumable or not terms.takes_up_stream:
+        # Also if the route can no longer be resumed: the stream has begun.
+        if not route.streaming or not terms.takes_up_stream:
             return Place(call.service, None)
         source, place = 'records', None
         if terms.resumes:
--- a/tests/unit/gateway/test_resumption.py
+++ b/tests/unit/gateway/test_resumption.py
@@ -110,11 +110,17 @@
         self.assertEqual([], self.records.asked)
         self.assertEqual([], self.list.waits)
 
-    def test_not_resumable(self) -> None:
+    def test_plain_route(self) -> None:
         """The header has no meaning on such a route."""
-        place = self._find(resumable=False)
+        place = self._find(kind=Kind.IDEMPOTENT)
         self.assertEqual(resumption.Place('s', None), place)
 
+    def test_no_longer_resumable(self) -> None:
+        """The route has changed since the stream began."""
+        self.records.found = (Origin('s', 'v2'),)
+        place = self._find(resumable=False)
+        self.assertEqual(resumption.Place('s', 'v2'), place)
+
     def test_recorded(self) -> None:
         """The recorded version is needed, whatever else is listed."""
         self.records.found = (Origin('s', 'v2'),)
