Serve callers that name no attempt by the list alone

A caller that takes a stream up without naming its first attempt has no record.

For such callers the list now counts from when the instance follows it. With several versions listed since then they are still refused, and callers that name their attempt are not concerned.

--- a/src/dogwoodquay/fleet/registry.py
+++ b/src/dogwoodquay/fleet/registry.py
@@ -65,6 +65,11 @@
             if server.entry.service == service and not server.leaving
         ]
 
+    @property
+    def followed_since(self) -> float:
+        """Since when the list has been followed without a gap."""
+        return self._followed_since
+
     def sole_version(self, service: str, since: float) -> str | None:
         """Return the only software version of a service's servers.
 
--- a/src/dogwoodquay/gateway/resumption.py
+++ b/src/dogwoodquay/gateway/resumption.py
@@ -131,6 +131,9 @@
         if not await self._servers.wait_read(now, deadline):
             return None
         begun = now - call.route.timeout_seconds
+        if not call.terms.resumes:
+            # There is no record to be found: the list is all there is.
+            begun = max(begun, self._registry.followed_since)
         version = self._registry.sole_version(call.service, begun)
         return None if version is None else Place(call.service, version)
 
--- a/tests/unit/gateway/test_resumption.py
+++ b/tests/unit/gateway/test_resumption.py
@@ -181,6 +181,16 @@
         self.registry.replace([_entry('a1', 'v1')], _BEGAN - 1.0)
         self.assertIsNone(self._find())
 
+    def test_caller_that_names_no_attempt(self) -> None:
+        """It is served by the list alone, if that has one version."""
+        self.registry.replace([_entry('a1', 'v1')], _BEGAN - 1.0)
+        self.assertEqual(resumption.Place('s', 'v1'), self._find(''))
+        self.assertEqual([], self.records.asked)
+        self.registry.update(_entry('b1', 'v2'), _BEGAN)
+        self.assertIsNone(self._find(''))
+        self.registry.remove('b1', _BEGAN + 0.1)
+        self.assertIsNone(self._find(''))
+
     def test_unknown_on_a_split_route(self) -> None:
         """The service that began the stream is unknown as well."""
         self.assertIsNone(self._find(services=('s', 't')))
