Remember which servers have left

Callers' requests reached servers that had said that they leave (DRAIN). Cause: the registry forgot a server with its entry, so that any entry of the same id that came later, renewed after an outage or written late, was a new server in the state of that entry. An entry with a higher number of another writer made the server's own report stale. Change: departures are remembered by id. What a server reports itself is final, whatever the numbers; a removed one is listed again only by an entry that is newer than its last one.

--- a/src/dogwoodquay/fleet/registry.py
+++ b/src/dogwoodquay/fleet/registry.py
@@ -12,12 +12,14 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
-__all__ = ['Change', 'Registry']
+__all__ = ['Change', 'Departure', 'Registry']
 
 # Live servers renew entries that expired in an outage within this time.
 RENEWAL_SECONDS: typing.Final = 2.2
 # Software versions of services that are remembered after their last server.
 MAX_FORMER_VERSIONS: typing.Final = 4096
+# Departures that are remembered; the oldest are forgotten first.
+MAX_DEPARTURES: typing.Final = 4096
 
 
 class Change(enum.Enum):
@@ -26,22 +28,51 @@
     ADDED = 'added'
     RESTARTED = 'restarted'
     LEAVING = 'leaving'
+    MISSING = 'missing'
     REMOVED = 'removed'
     STALE = 'stale'
     SAME = 'same'
 
 
+class Departure(typing.NamedTuple):
+    """When a server left, by the list or by a peer.
+
+    ``announced`` is whether the server itself reported that it leaves, which
+    it cannot take back. An entry that was only removed may have expired.
+    ``started_ms`` and ``report_number`` are those of its last known entry.
+    """
+
+    server_id: str
+    at: float
+    announced: bool
+    started_ms: int = 0
+    report_number: int = -1
+
+    def superseded_by(self, entry: api.ServerEntry) -> bool:
+        """Whether an entry shows that the server is in use again.
+
+        An entry that was written late, after the departure, is not newer than
+        the last known one.
+        """
+        if entry.started_ms != self.started_ms:
+            return entry.started_ms > self.started_ms
+        return not self.announced and entry.report_number > self.report_number
+
+
 class Registry:
     """The listed servers by id.
 
     A server that is no longer listed gets no new requests. As its entry may
     have expired while the store was unavailable, servers are kept until the
-    store has been available again for ``RENEWAL_SECONDS``.
+    store has been available again for ``RENEWAL_SECONDS``, unless a peer that
+    could read the list reports that they have left.
     """
 
     def __init__(self) -> None:
         self._servers: dict[str, server_module.Server] = {}
         self._expiring: dict[str, float] = {}
+        self._departures: dict[str, Departure] = {}
+        self._read_at = float('-inf')
         self._store_available_at = float('-inf')
         # Service and software version of servers that were replaced or
         # dropped, with the time, oldest first.
@@ -70,6 +101,24 @@
         """Since when the list has been followed without a gap."""
         return self._followed_since
 
+    @property
+    def read_at(self) -> float:
+        """When the last complete read of the list began."""
+        return self._read_at
+
+    @property
+    def expires_at(self) -> float:
+        """When ``expire`` is due next, infinite for never."""
+        return min(self._expiring.values(), default=math.inf)
+
+    def departures(self, since: float) -> list[Departure]:
+        """Return the servers that have left since a time."""
+        return [item for item in self._departures.values() if item.at >= since]
+
+    def on_complete_read(self, began: float) -> None:
+        """Record that the list is known as of the begin of a read."""
+        self._read_at = began
+
     def sole_version(self, service: str, since: float) -> str | None:
         """Return the only software version of a service's servers.
 
@@ -98,27 +147,38 @@
     def update(self, entry: api.ServerEntry, now: float) -> Change:
         """Apply an entry unless a newer one of the server is known.
 
-        An entry of another software version belongs to another process.
+        An entry of another software version belongs to another process. One
+        that announces the end of a process is applied whatever its number.
         """
         known = self._servers.get(entry.server_id)
         if known is None:
-            self._expiring.pop(entry.server_id, None)
-            self._servers[entry.server_id] = server_module.Server(entry)
-            return Change.ADDED
+            return self._add(entry, now)
         old = known.entry
         if entry.started_ms < old.started_ms:
             return Change.STALE
-        self._expiring.pop(entry.server_id, None)
         same_process = entry.started_ms == old.started_ms
+        leaves = entry.state is api.ServerState.LEAVING
         if same_process and entry.report_number < old.report_number:
-            return Change.STALE
+            if not leaves or known.leaving:
+                return Change.STALE
+            self._announce(known, now)
+            return Change.LEAVING
+        self._expiring.pop(entry.server_id, None)
+        was_leaving = known.leaving
         if not same_process or entry.version != old.version:
             self._remember(old, now)
-            self._servers[entry.server_id] = server_module.Server(entry)
+            known = server_module.Server(entry)
+            self._servers[entry.server_id] = known
+            if was_leaving and same_process:
+                known.leave()
+            elif known.leaving:
+                self._announce(known, now)
             return Change.RESTARTED
-        was_leaving = known.leaving
         known.update_entry(entry, now)
-        return Change.SAME if was_leaving == known.leaving else Change.LEAVING
+        if known.leaving == was_leaving:
+            return Change.SAME
+        self._announce(known, now)
+        return Change.LEAVING
 
     def remove(self, server_id: str, now: float) -> Change:
         """Remove a server that is no longer listed.
@@ -128,9 +188,11 @@
         if server_id not in self._servers:
             return Change.SAME
         if now - self._store_available_at < RENEWAL_SECONDS:
+            if server_id in self._expiring:
+                return Change.SAME
             due = self._store_available_at + RENEWAL_SECONDS
-            self._expiring.setdefault(server_id, due)
-            return Change.SAME
+            self._expiring[server_id] = due
+            return Change.MISSING
         self._drop(server_id, now)
         return Change.REMOVED
 
@@ -161,12 +223,57 @@
             self._drop(server_id, now)
         return due
 
+    def _add(self, entry: api.ServerEntry, now: float) -> Change:
+        """Add a server unless it is known to have left."""
+        departure = self._departures.get(entry.server_id)
+        if departure is not None and not departure.superseded_by(entry):
+            return Change.STALE
+        self._departures.pop(entry.server_id, None)
+        self._expiring.pop(entry.server_id, None)
+        added = server_module.Server(entry)
+        self._servers[entry.server_id] = added
+        if added.leaving:
+            self._announce(added, now)
+        return Change.ADDED
+
+    def _announce(self, server: server_module.Server, at: float) -> None:
+        """Record that a server has announced its end."""
+        server.leave()
+        entry = server.entry
+        self._depart(
+            Departure(
+                entry.server_id,
+                at,
+                True,
+                entry.started_ms,
+                entry.report_number,
+            )
+        )
+
     def _drop(self, server_id: str, now: float) -> None:
+        """Remove a server and remember that it has left."""
         self._expiring.pop(server_id, None)
         server = self._servers.pop(server_id, None)
-        if server is not None:
-            server.leave()
-            self._remember(server.entry, now)
+        if server is None:
+            return
+        server.leave()
+        entry = server.entry
+        self._remember(entry, now)
+        if server_id not in self._departures:
+            self._depart(
+                Departure(
+                    server_id,
+                    now,
+                    False,
+                    entry.started_ms,
+                    entry.report_number,
+                )
+            )
+
+    def _depart(self, departure: Departure) -> None:
+        self._departures[departure.server_id] = departure
+        if len(self._departures) > MAX_DEPARTURES:
+            del self._departures[next(iter(self._departures))]
 
     def _remember(self, entry: api.ServerEntry, now: float) -> None:
         """Record until when a software version of a service was listed."""
--- /dev/null
+++ b/tests/site/test_departures.py
@@ -0,0 +1,97 @@
+"""End-to-end tests of servers that leave while the store behaves badly."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import typing
+import unittest
+
+from . import processes
+from . import server as servers
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+# Far longer than any test takes; only a hang reaches it.
+_TEST_TIMEOUT_SECONDS: typing.Final = 30.0
+
+_SERVERS: typing.Final = 'keyed.servers'
+# Requests after which each of two idle servers has had some.
+_REQUESTS: typing.Final = 24
+
+
+class _DepartureCase(unittest.IsolatedAsyncioTestCase):
+    """A site whose plain service has two servers, d1 and d2."""
+
+    @contextlib.asynccontextmanager
+    async def running(
+        self, instances: int
+    ) -> abc.AsyncIterator[processes.Site]:
+        """Run a site until its instances have used both servers."""
+
+        def add_server(site: processes.Site) -> None:
+            self.other = servers.Server(site.store, 'd2', 'desk')
+            site.servers.append(self.other)
+
+        self.markers = 0
+        async with asyncio.timeout(_TEST_TIMEOUT_SECONDS):
+            async with processes.Site.running(
+                instances, add_servers=add_server
+            ) as site:
+                for instance in site.instances:
+                    while not site.desk.executed_attempts:
+                        await self.use(instance)
+                    site.desk.executed_attempts.clear()
+                yield site
+
+    async def use(self, instance: processes.Instance) -> None:
+        """Send some requests for the plain service, which all succeed."""
+        for number in range(_REQUESTS):
+            answer = await instance.call(f'/plain/{number}', f'use-{number}')
+            self.assertEqual(200, answer.status)
+
+    async def wait_for(
+        self, instance: processes.Instance, server_id: str, *kinds: str
+    ) -> None:
+        """Wait until an instance logs one of these changes of a server."""
+        wanted = {f'servers:{kind}' for kind in kinds}
+        while not any(
+            line['message_type'] in wanted and line['server'] == server_id
+            for line in instance.log_lines()
+        ):
+            await asyncio.sleep(0.02)
+
+    async def wait_for_list(self, site: processes.Site) -> None:
+        """Wait until all instances have read the records written so far."""
+        self.markers += 1
+        marker = servers.Server(
+            site.store, f'marker-{self.markers}', 'engines', 'other'
+        )
+        marker.register()
+        for instance in site.instances:
+            await self.wait_for(instance, marker.server_id, 'added')
+
+    async def assert_unused(self, site: processes.Site) -> None:
+        """Check that no instance sends a request to d1."""
+        for instance in site.instances:
+            await self.use(instance)
+        self.assertEqual([], site.desk.executed_attempts)
+
+
+class ListedAgainTest(_DepartureCase):
+    """Entries that are written after a server has left."""
+
+    async def test_listed_as_ready_after_its_entry_was_removed(self) -> None:
+        """A renewed or late entry does not bring the server back."""
+        async with self.running(1) as site:
+            site.desk.register('draining')
+            await self.wait_for(site.instances[0], 'd1', 'leaving')
+            site.store.put(_SERVERS, 'd1', None)
+            await self.wait_for(site.instances[0], 'd1', 'removed')
+            site.desk.register('ready')
+            await self.wait_for_list(site)
+            await self.assert_unused(site)
+            site.store.drop_history(_SERVERS)
+            await self.wait_for_list(site)
+            await self.assert_unused(site)
