Withdraw a server whose newest entry names none

Change: all named fields are required, 'born' is ignored like other unknown fields, and both reads withdraw the server until a newer entry names it.

--- a/src/dogwoodquay/fleet/registry.py
+++ b/src/dogwoodquay/fleet/registry.py
@@ -196,6 +196,13 @@
         self._drop(server_id, now)
         return Change.REMOVED
 
+    def withdraw(self, server_id: str, now: float) -> Change:
+        """Remove a server whose newest entry names no server to use."""
+        if server_id not in self._servers:
+            return Change.SAME
+        self._drop(server_id, now)
+        return Change.REMOVED
+
     def replace(
         self, entries: abc.Iterable[api.ServerEntry], now: float
     ) -> dict[str, Change]:
--- a/src/dogwoodquay/gateway/watch.py
+++ b/src/dogwoodquay/gateway/watch.py
@@ -154,7 +154,9 @@
             entry = self._entry(record, now)
             if entry is not None:
                 change = self._registry.update(entry, now)
-                self._log_change(record.key, change)
+            else:
+                change = self._registry.withdraw(record.key, now)
+            self._log_change(record.key, change)
 
     def _entry(
         self, record: store_api.NewestRecord, now: float
--- a/src/dogwoodquay/platform/servers.py
+++ b/src/dogwoodquay/platform/servers.py
@@ -13,6 +13,8 @@
     'ready': api.ServerState.LIVE,
     'draining': api.ServerState.LEAVING,
 }
+# Each process has an id of its own, so that starts need not be told apart.
+_ONE_PROCESS_PER_ID = 0
 
 
 class _Body(msgspec.Struct, rename='pascal'):
@@ -30,21 +32,19 @@
     address: str
     zone: str
     state: str
-    slots: int = 1
+    slots: int
     # The number of reports; in an engine's own report the same field counts
     # the accepted orders.
-    sequence: int = 0
-    models: list[_Model] = []
-    # The start of the server's process in Unix milliseconds.
-    born: int = msgspec.field(name='born', default=0)
+    sequence: int
     # The version of the server's software.
-    version: str = ''
+    version: str
+    models: list[_Model] = []
 
 
 def decode(
     server_id: str, body: bytes
 ) -> expression.Result[api.ServerEntry, str]:
-    """Decode an entry; the error says why it is not usable."""
+    """Decode an entry; the error says why it names no server to use."""
     try:
         entry = msgspec.json.decode(body, type=_Entry)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
@@ -64,7 +64,7 @@
             entry.zone,
             state,
             entry.slots,
-            entry.born,
+            _ONE_PROCESS_PER_ID,
             entry.sequence,
             tuple(
                 api.LoadedModel(
--- a/tests/site/test_departures.py
+++ b/tests/site/test_departures.py
@@ -95,3 +95,19 @@
             site.store.drop_history(_SERVERS)
             await self.wait_for_list(site)
             await self.assert_unused(site)
+
+    async def test_entry_of_another_writer(self) -> None:
+        """An entry that names no server to use withdraws the server."""
+        async with self.running(1) as site:
+            site.store.put(_SERVERS, 'd1', {'State': 'ready'})
+            await self.wait_for_list(site)
+            await self.assert_unused(site)
+
+    async def test_report_after_an_entry_with_a_high_number(self) -> None:
+        """A server's own report counts whatever another writer has put."""
+        async with self.running(1) as site:
+            site.desk.register(reports=1000, born=2**50)
+            await self.wait_for_list(site)
+            site.desk.register('draining')
+            await self.wait_for_list(site)
+            await self.assert_unused(site)
--- a/tests/unit/fleet/test_registry.py
+++ b/tests/unit/fleet/test_registry.py
@@ -143,6 +143,14 @@
         self._update(7, 3.0, version='v2')
         self._assert_unused()
 
+    def test_entry_that_names_no_server(self) -> None:
+        """A server is withdrawn until a newer entry names it."""
+        self.assertIs(Change.REMOVED, self.registry.withdraw('s1', 2.0))
+        self._assert_unused()
+        self.assertIs(Change.SAME, self.registry.withdraw('s1', 2.0))
+        self.assertIs(Change.STALE, self._update(5, 3.0))
+        self.assertIs(Change.ADDED, self._update(6, 3.0))
+
     def test_departures_since(self) -> None:
         """Departures are listed with the time at which they were learned."""
         self._update(6, 2.0, state=api.ServerState.LEAVING)
