Tell other instances which servers have left

Requests reached servers 12 s after these had left (DRAIN), at instances that the store had turned away until 3 s before. Cause: such an instance cannot tell whether an entry that is missing from its next read has expired in an outage of the store or was removed, and keeps the server in use for another 2.2 s and up to a read's interval. Change: departures of the last 10 s are told in the loads to the owner and in its views, with the time since they were learned. An instance that cannot read the list stops using the server within the time of two such messages, and does not keep it after the outage. A list that was read since counts more than a removal that a peer saw before.

--- a/src/dogwoodquay/fleet/registry.py
+++ b/src/dogwoodquay/fleet/registry.py
@@ -180,6 +180,30 @@
         self._announce(known, now)
         return Change.LEAVING
 
+    def on_departure_reported(
+        self, departure: Departure, now: float
+    ) -> Change:
+        """Apply a departure that a peer has learned of.
+
+        A removal does not count if the list, read since then, still has the
+        server.
+        """
+        server_id = departure.server_id
+        known = self._servers.get(server_id)
+        if known is None:
+            if departure.announced and server_id not in self._departures:
+                self._depart(departure)
+            return Change.SAME
+        if departure.announced:
+            if known.leaving:
+                return Change.SAME
+            self._announce(known, departure.at)
+            return Change.LEAVING
+        if departure.at <= self._read_at and server_id not in self._expiring:
+            return Change.SAME
+        self._drop(server_id, now)
+        return Change.REMOVED
+
     def remove(self, server_id: str, now: float) -> Change:
         """Remove a server that is no longer listed.
 
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -13,6 +13,7 @@
     'AdapterFound',
     'AdapterInUse',
     'ConfigurationBody',
+    'DepartureRow',
     'EngineView',
     'FetchConfiguration',
     'FindAdapter',
@@ -69,12 +70,27 @@
     waiting: int
 
 
+class DepartureRow(msgspec.Struct, frozen=True, array_like=True):
+    """A server that has left, and the seconds since that was learned.
+
+    ``announced`` is whether the server reported it itself. The last two are
+    the start of its process and the number of its last known entry.
+    """
+
+    server_id: str
+    seconds: float
+    announced: bool
+    started_ms: int
+    report_number: int
+
+
 class InstanceLoad(wire_api.Message, frozen=True, tag='load'):
     """The load of one instance, sent to the owner.
 
     ``instance_id`` is its member name, which contains its peer address.
     ``roster_version`` is that of the last roster that it received. The
     requests in ``at_version`` are counted in ``models`` as well.
+    ``departures`` are the servers that have left in the last seconds.
     """
 
     instance_id: str
@@ -85,6 +101,7 @@
     failure_domain: str = ''
     roster_version: int = 0
     at_version: tuple[VersionDemand, ...] = ()
+    departures: tuple[DepartureRow, ...] = ()
 
 
 class InstanceRow(msgspec.Struct, frozen=True, array_like=True):
@@ -123,6 +140,7 @@
     store; ``configuration_holder`` is the instance that it may ask for the
     newest version, empty for none. ``roster`` holds the live instances; it
     is empty if the receiver has that version already, or for version 0.
+    ``departures`` are the servers that have left in the last seconds.
     """
 
     owner: str
@@ -134,6 +152,7 @@
     configuration_holder: str = ''
     roster_version: int = 0
     roster: tuple[InstanceRow, ...] = ()
+    departures: tuple[DepartureRow, ...] = ()
 
 
 class FindAdapter(wire_api.Message, frozen=True, tag='find'):
--- a/src/dogwoodquay/gateway/metrics.py
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -60,6 +60,11 @@
         self._store = registry.counter(
             'gateway_store_errors_total', 'Failed store calls', 'reason'
         )
+        self._departures = registry.counter(
+            'gateway_departures_total',
+            'Servers that were found to have left',
+            'source',
+        )
         self._configuration_reads = registry.counter(
             'gateway_configuration_reads_total',
             'Reads of the configuration',
@@ -135,6 +140,10 @@
         """Count a failed call to the store."""
         self._store.add(reason)
 
+    def departed(self, source: str) -> None:
+        """Count a server that has left, by who told of it."""
+        self._departures.add(source)
+
     def configuration_read(self, kind: str, outcome: str, size: int) -> None:
         """Count a read of the configuration and the bytes received."""
         self._configuration_reads.add(kind, outcome)
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -18,6 +18,7 @@
     from . import configuration_watch
     from . import controller as controllers
     from . import copies as configuration_copies
+    from . import departures as departure_news
     from ..fleet import registry as registries
     from . import origins as stream_origins
     from . import ownership as order_ownership
@@ -48,8 +49,10 @@
         clock: clocks.Clock,
         copies: configuration_copies.ConfigurationCopies,
         origins: stream_origins.StreamOrigins,
+        departures: departure_news.DepartureNews,
     ) -> None:
         self._transport = transport
+        self._departures = departures
         self._ownership = ownership
         self._controller = controller
         self._registry = registry
@@ -204,6 +207,7 @@
                 messages.VersionDemand(*key, count)
                 for key, count in scheduler.version_demand().items()
             ),
+            self._departures.rows(),
         )
 
     def _on_load(
@@ -212,12 +216,16 @@
         """Record an instance's load; an owner's view has its roster too."""
         now = self._clock.now()
         self._roster.add(load.instance_id, load.failure_domain, now)
+        self._departures.apply(load.departures)
         view = self._controller.on_load(load)
         if view is None or not self._ownership.is_owner(now):
             return view
         version, rows = self._roster.newer_than(load.roster_version, now)
         return msgspec.structs.replace(
-            view, roster_version=version, roster=rows
+            view,
+            roster_version=version,
+            roster=rows,
+            departures=self._departures.rows(),
         )
 
     def _apply_view(self, view: messages.FleetView) -> None:
@@ -227,6 +235,7 @@
             return
         self._ownership.update_instance_count(view.instances)
         self._copies.on_view(view.reads_store, view.configuration_holder)
+        self._departures.apply(view.departures)
         if view.roster:
             self._applied_version = view.roster_version
             self._applied_roster = view.roster
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -14,6 +14,7 @@
 from . import configuration_watch
 from . import controller as controllers
 from . import copies as configuration_copies
+from . import departures as departure_news
 from . import exchange as exchanges
 from ..external.http import client
 from ..fleet import registry as registries
@@ -219,6 +220,7 @@
             clock,
             self._copies,
             self._origins,
+            departure_news.DepartureNews(self._registry, clock, metrics),
         )
         self._scheduler = schedulers.Scheduler(
             self._registry,
--- a/tests/site/links.py
+++ b/tests/site/links.py
@@ -48,13 +48,15 @@
 
     All answers share ``bytes_per_second``; an aborted answer frees its share.
     Without a rate, answers are sent at once. A link that is ``cut`` carries
-    nothing.
+    nothing. ``lost_answers`` counts, by topic, the next answers with records
+    that get lost.
     """
 
     def __init__(self, process_id: int) -> None:
         self.process_id = process_id
         self.bytes_per_second: float | None = None
         self.cut = False
+        self.lost_answers: collections.Counter[str] = collections.Counter()
         self._transfers: list[Transfer] = []
         self._polls: collections.Counter[str] = collections.Counter()
         self._turn = asyncio.Lock()
@@ -81,6 +83,16 @@
         finally:
             self._polls[topic] -= 1
 
+    def loses(self, request: http.Request, answer: http.Answer) -> bool:
+        """Whether an answer gets lost on its way."""
+        transfer = _transfer(request, answer)
+        if self.cut or transfer is None:
+            return self.cut
+        if not self.lost_answers[transfer.topic]:
+            return False
+        self.lost_answers[transfer.topic] -= 1
+        return True
+
     def limit(self, request: http.Request, answer: http.Answer) -> http.Answer:
         """Return an answer whose body is sent at the rate of this link."""
         transfer = _transfer(request, answer)
@@ -122,7 +134,7 @@
         link = await self._link(request)
         with link.polling(request) if link else contextlib.nullcontext():
             answer = await self._store.handle(request)
-        if link is None or link.cut or answer is None:
+        if link is None or answer is None or link.loses(request, answer):
             return None
         return link.limit(request, answer)
 
--- a/tests/site/test_departures.py
+++ b/tests/site/test_departures.py
@@ -79,6 +79,35 @@
         self.assertEqual([], site.desk.executed_attempts)
 
 
+class TurnedAwayTest(_DepartureCase):
+    """The store turns one instance away and serves the others."""
+
+    async def _assert_learned(self, state: str | None) -> None:
+        async with self.running(2) as site:
+            instance, link = site.instances[0], site.links[0]
+            while not site.store.owner():
+                await asyncio.sleep(0.02)
+            link.cut = True
+            await asyncio.sleep(1.5)
+            if state is None:
+                site.store.put(_SERVERS, 'd1', None)
+            else:
+                site.desk.register(state)
+            await self.wait_for(instance, 'd1', 'leaving', 'removed')
+            await self.assert_unused(site)
+            link.cut = False
+            await self.wait_for_list(site)
+            await self.assert_unused(site)
+
+    async def test_server_reports_that_it_leaves(self) -> None:
+        """The instance learns from its peer that a server leaves."""
+        await self._assert_learned('draining')
+
+    async def test_entry_removed(self) -> None:
+        """The instance learns from its peer that an entry is removed."""
+        await self._assert_learned(None)
+
+
 class ListedAgainTest(_DepartureCase):
     """Entries that are written after a server has left."""
 
--- a/tests/unit/fleet/test_registry.py
+++ b/tests/unit/fleet/test_registry.py
@@ -174,6 +174,55 @@
         self.assertNotIn('t0', kept)
 
 
+class ReportedDepartureTest(unittest.TestCase):
+    """Peers report servers that have left."""
+
+    def setUp(self) -> None:
+        """Create a registry whose list was read at ``10.0``."""
+        self.registry = registry.Registry()
+        self.registry.replace([entries.entry(report_number=5)], 10.0)
+        self.registry.on_complete_read(10.0)
+
+    def _report(self, at: float, announced: bool = False) -> Change:
+        departure = registry.Departure('s1', at, announced)
+        return self.registry.on_departure_reported(departure, 20.0)
+
+    def test_removed_since_the_last_read(self) -> None:
+        """A server that was removed after the last read is dropped."""
+        self.assertIs(Change.REMOVED, self._report(11.0))
+        self.assertIsNone(self.registry.get('s1'))
+        late = entries.entry(report_number=5)
+        self.assertIs(Change.STALE, self.registry.update(late, 21.0))
+
+    def test_removed_before_the_last_read(self) -> None:
+        """A server that has been listed since is kept."""
+        self.assertIs(Change.SAME, self._report(10.0))
+        self.assertEqual(1, len(self.registry.of_service('models')))
+
+    def test_removed_in_an_outage(self) -> None:
+        """A missing server is not kept if a peer saw its removal."""
+        self.registry.on_store_available(15.0)
+        self.registry.replace((), 15.0)
+        self.registry.on_complete_read(15.0)
+        self.assertEqual(17.2, self.registry.expires_at)
+        self.assertIs(Change.REMOVED, self._report(12.0))
+        self.assertEqual([], self.registry.of_service('models'))
+        self.assertEqual(float('inf'), self.registry.expires_at)
+
+    def test_announced(self) -> None:
+        """An announced departure counts whenever it was."""
+        self.assertIs(Change.LEAVING, self._report(1.0, announced=True))
+        self.assertEqual([], self.registry.of_service('models'))
+        self.assertIs(Change.SAME, self._report(1.0, announced=True))
+
+    def test_announced_before_the_server_is_known(self) -> None:
+        """A list that is read later does not bring the server into use."""
+        departure = registry.Departure('s2', 9.0, True, 1000, 7)
+        self.registry.on_departure_reported(departure, 20.0)
+        self.registry.update(entries.entry('s2', report_number=8), 21.0)
+        self.assertIsNone(self.registry.get('s2'))
+
+
 class SoftwareVersionTest(unittest.TestCase):
     """Which software versions the servers of a service had lately."""
 
--- a/tests/unit/gateway/test_peering.py
+++ b/tests/unit/gateway/test_peering.py
@@ -10,11 +10,14 @@
 import expression
 
 from . import fakes
+from ..fleet import entries
 from dogwoodquay import clock as clocks
+from dogwoodquay.fleet import api as fleet_api
 from dogwoodquay.fleet import registry as registries
 from dogwoodquay.gateway import configuration_watch
 from dogwoodquay.gateway import controller
 from dogwoodquay.gateway import copies
+from dogwoodquay.gateway import departures
 from dogwoodquay.gateway import messages
 from dogwoodquay.gateway import origins
 from dogwoodquay.gateway import ownership as order_ownership
@@ -144,7 +147,9 @@
             clock,
             self.copies,
             self.origins,
+            departures.DepartureNews(registry, clock, metrics),
         )
+        self.registry = registry
         self.scheduler = schedulers.Scheduler(
             registry, 'd1', clock, fakes.rng(), self.peering
         )
@@ -438,3 +443,66 @@
                         'models', 'm', 'a1', 5.0, version
                     )
         self.assertEqual(6, found.await_count)
+
+
+class DeparturesTest(unittest.IsolatedAsyncioTestCase):
+    """Instances tell each other which servers have left."""
+
+    async def asyncSetUp(self) -> None:
+        """Create an owner and two instances that know a server."""
+        self.network = _Network()
+        self.store = fakes.FakeStore(clocks.ManualClock())
+        self.instances = [
+            _Instance(self.network, self.store, port)
+            for port in (7001, 7002, 7003)
+        ]
+        for instance in self.instances:
+            instance.registry.update(entries.entry(), self.now)
+            await instance.ownership.step()
+            await instance.publish_load()
+        self.store.clock.advance(1.0)
+
+    @property
+    def now(self) -> float:
+        """The time of all instances."""
+        return self.store.clock.now()
+
+    def _used_at(self) -> list[bool]:
+        return [
+            bool(instance.registry.of_service('models'))
+            for instance in self.instances
+        ]
+
+    async def _publish(self) -> None:
+        for instance in self.instances:
+            await instance.publish_load()
+
+    async def test_known_at_one_instance(self) -> None:
+        """The owner learns it from one instance and tells the others."""
+        self.instances[2].registry.remove('s1', self.now)
+        await self._publish()
+        await self._publish()
+        self.assertEqual([False, False, False], self._used_at())
+
+    async def test_known_at_the_owner(self) -> None:
+        """The owner's view tells of it."""
+        self.instances[0].registry.update(
+            entries.entry(state=fleet_api.ServerState.LEAVING), self.now
+        )
+        await self.instances[1].publish_load()
+        self.assertEqual([False, False, True], self._used_at())
+
+    async def test_old_departures(self) -> None:
+        """Departures are passed on for some time only."""
+        self.instances[0].registry.remove('s1', self.now)
+        self.store.clock.advance(departures.NEWS_SECONDS + 0.1)
+        await self._publish()
+        self.assertEqual([False, True, True], self._used_at())
+
+    async def test_listed_since(self) -> None:
+        """A list that was read after the removal counts."""
+        self.instances[0].registry.remove('s1', self.now)
+        self.store.clock.advance(1.0)
+        self.instances[1].registry.on_complete_read(self.now)
+        await self._publish()
+        self.assertEqual([False, True, False], self._used_at())
