Repeat reads of the list of servers that get no answer

Requests reached servers that had left (DRAIN) where the list was read late. Cause: reads waited one after the other, 1 s and then 2 s for an answer and up to 0.8 s between them, so that two silent connections take longer than DrainMs; trimmed history counted as an outage with a pause of its own; and a server that was missing after an outage was dropped only with the next read. Change: a read without a sign of an answer for 0.3 s is begun again on another connection, three at most; the first answer counts, and none is added once an answer has begun. Trimmed records are read anew at once. Missing servers are dropped when their time has passed.

--- a/src/dogwoodquay/gateway/reachability.py
+++ b/src/dogwoodquay/gateway/reachability.py
@@ -34,8 +34,10 @@
         clock: clocks.Clock,
         metrics: gateway_metrics.GatewayMetrics,
         max_answer_seconds: float,
+        max_backoff_seconds: float = MAX_BACKOFF_SECONDS,
     ) -> None:
         self._max_answer_seconds = max_answer_seconds
+        self._max_backoff_seconds = max_backoff_seconds
         self._answer_seconds = FIRST_ANSWER_SECONDS
         self._name = name
         self._clock = clock
@@ -78,7 +80,7 @@
             2 * self._answer_seconds, self._max_answer_seconds
         )
         await anyio.sleep(self._backoff)
-        self._backoff = min(2 * self._backoff, MAX_BACKOFF_SECONDS)
+        self._backoff = min(2 * self._backoff, self._max_backoff_seconds)
 
 
 def reason_of(error: store_api.StoreError) -> str:
--- a/src/dogwoodquay/gateway/store_api.py
+++ b/src/dogwoodquay/gateway/store_api.py
@@ -89,12 +89,16 @@
     """The calls to the store that an instance makes."""
 
     async def newest(
-        self, topic: Topic, deadline: float
+        self,
+        topic: Topic,
+        deadline: float,
+        on_begin: abc.Callable[[], None] = ignore_begin,
     ) -> expression.Result[Records, StoreError]:
         """Return the newest record of each key of a topic.
 
         :param deadline: when the first answer has to begin. It may take as
             long as its size needs.
+        :param on_begin: called when the records begin to arrive.
         """
 
     async def read(
--- a/src/dogwoodquay/gateway/watch.py
+++ b/src/dogwoodquay/gateway/watch.py
@@ -10,6 +10,8 @@
 from ..fleet import registry as registries
 from ..observe import logs
 from . import reachability
+from . import repeats
+from . import store_api
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -19,7 +21,8 @@
     from .. import clock as clocks
     from ..fleet import api as fleet_api
     from . import metrics as gateway_metrics
-    from . import store_api
+
+    _Page = expression.Result[store_api.Records, store_api.StoreError]
 
 __all__ = ['ServerWatch']
 
@@ -27,6 +30,11 @@
 
 # The longest time for an answer to begin, within the time to drain.
 MAX_ANSWER_SECONDS: typing.Final = 2.0
+# A read that has no answer for so long is repeated on another connection.
+PATIENCE_SECONDS: typing.Final = 0.3
+# While the store is unavailable, it is asked again after at most this time.
+# Servers that are missing from the list are used until it is read again.
+MAX_BACKOFF_SECONDS: typing.Final = 0.4
 # Entries of servers do not expire in shorter outages.
 MIN_OUTAGE_SECONDS: typing.Final = 1.0
 # The least time between log lines about unreadable entries.
@@ -57,25 +65,28 @@
         self._clock = clock
         self._on_change = on_change
         self._reachability = reachability.StoreReachability(
-            'servers', clock, metrics, MAX_ANSWER_SECONDS
+            'servers',
+            clock,
+            metrics,
+            MAX_ANSWER_SECONDS,
+            MAX_BACKOFF_SECONDS,
         )
+        self._metrics = metrics
         self._offset: int | None = None
-        self._read_at = float('-inf')
         self._unreadable_logged_at = float('-inf')
-        self._complete_read_at = float('-inf')
         self._complete_read = anyio.Event()
-
-    @property
-    def read_at(self) -> float:
-        """When the last successful read of the list began."""
-        return self._read_at
+        metrics.gauge(
+            'gateway_server_list_age_seconds',
+            'How long ago the last complete read of the list began',
+            lambda: clock.now() - registry.read_at,
+        )
 
     async def wait_read(self, after: float, deadline: float) -> bool:
         """Wait for a complete read of the list that began after a time.
 
         :return: whether one has ended by the deadline.
         """
-        while self._complete_read_at <= after:
+        while self._registry.read_at <= after:
             seconds = deadline - self._clock.now()
             if seconds <= 0.0:
                 return False
@@ -90,47 +101,62 @@
             due = self._clock.now() + self._interval_seconds
             while await self.step():
                 pass
-            await anyio.sleep(max(0.0, due - self._clock.now()))
+            await self._wait_until(due)
+
+    async def _wait_until(self, due: float) -> None:
+        """Wait, and meanwhile drop the servers whose time has passed."""
+        while (now := self._clock.now()) < due:
+            next_at = min(due, self._registry.expires_at)
+            await anyio.sleep(max(0.0, next_at - now))
+            self._expire(self._clock.now())
 
     async def step(self) -> bool:
         """Read the list, or its changes since the last time, once.
 
-        :return: whether there are further changes already.
+        :return: whether there is more to read already.
         """
         began = self._clock.now()
-        deadline = began + self._reachability.answer_seconds
         is_full_read = self._offset is None
-        if self._offset is None:
-            page = await self._store.newest(self._topic, deadline)
-        else:
-            page = await self._store.read(
-                self._topic, self._offset, 0.0, deadline
-            )
-        if page.is_error():
-            if isinstance(page.error, external_api.Trimmed):
-                self._offset = None
+        page = await repeats.read_repeatedly(
+            self._read, PATIENCE_SECONDS, store_api.ignore_begin
+        )
+        now = self._clock.now()
+        if page.is_error() and not isinstance(
+            page.error, external_api.Trimmed
+        ):
             await self._reachability.on_failure(page.error)
             return False
-        now = self._clock.now()
         if self._reachability.on_answer() > MIN_OUTAGE_SECONDS:
             self._registry.on_store_available(now)
+        if page.is_error():
+            self._offset = None
+            return True
         if is_full_read:
             self._replace(page.ok.records, now)
         else:
             self._update(page.ok.records, now)
         self._offset = page.ok.next_offset
-        self._read_at = began
         if not page.ok.incomplete:
+            self._registry.on_complete_read(began)
             self._expire(now)
-            self._complete_read_at = began
             self._complete_read.set()
             self._complete_read = anyio.Event()
         if page.ok.records:
             self._on_change()
         return page.ok.incomplete and bool(page.ok.records)
 
+    async def _read(self, on_begin: abc.Callable[[], None]) -> _Page:
+        """Read the whole list, or its changes since the last time."""
+        deadline = self._clock.now() + self._reachability.answer_seconds
+        if self._offset is None:
+            return await self._store.newest(self._topic, deadline, on_begin)
+        return await self._store.read(
+            self._topic, self._offset, 0.0, deadline, on_begin=on_begin
+        )
+
     def _expire(self, now: float) -> None:
         for server_id in self._registry.expire(now):
+            self._metrics.departed('list')
             _SERVERS_LOG.write('removed', server=server_id, lapsed=True)
 
     def _replace(
@@ -176,6 +202,8 @@
     def _log_change(self, server_id: str, change: registries.Change) -> None:
         if change in (registries.Change.SAME, registries.Change.STALE):
             return
+        if change in (registries.Change.LEAVING, registries.Change.REMOVED):
+            self._metrics.departed('list')
         server = self._registry.get(server_id)
         _SERVERS_LOG.write(
             change.value,
--- a/src/dogwoodquay/platform/store.py
+++ b/src/dogwoodquay/platform/store.py
@@ -95,7 +95,10 @@
         self._address = address
 
     async def newest(
-        self, topic: store_api.Topic, deadline: float
+        self,
+        topic: store_api.Topic,
+        deadline: float,
+        on_begin: abc.Callable[[], None] = store_api.ignore_begin,
     ) -> expression.Result[store_api.Records, store_api.StoreError]:
         """Return the newest record of each key of a topic.
 
@@ -108,7 +111,7 @@
         after = ''
         while True:
             path = _path('/log-newest', Topic=topic.name, part=0, after=after)
-            answer = await self._download(path, deadline)
+            answer = await self._download(path, deadline, lambda _: on_begin())
             deadline = self._connections.now() + _PAGE_SECONDS
             if answer.is_error():
                 return expression.Error(answer.error)
--- a/tests/site/test_departures.py
+++ b/tests/site/test_departures.py
@@ -140,3 +140,22 @@
             site.desk.register('draining')
             await self.wait_for_list(site)
             await self.assert_unused(site)
+
+
+class SilentReadsTest(_DepartureCase):
+    """Reads of the list get no answer."""
+
+    async def test_reads_without_an_answer(self) -> None:
+        """Reads that wait for a lost answer do not hold up the next one."""
+        async with self.running(1) as site:
+            link = site.links[0]
+            link.lost_answers[_SERVERS] = 2
+            site.desk.register('draining')
+            await self.wait_for(site.instances[0], 'd1', 'leaving')
+            lost = [
+                line
+                for line in site.instances[0].log_lines()
+                if line['message_type'] == 'store:lost'
+            ]
+            self.assertEqual([], lost)
+            await self.assert_unused(site)
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -177,7 +177,10 @@
         self.records.append(store_api.NewestRecord(key, value))
 
     async def newest(
-        self, topic: store_api.Topic, deadline: float
+        self,
+        topic: store_api.Topic,
+        deadline: float,
+        on_begin: abc.Callable[[], None] = store_api.ignore_begin,
     ) -> expression.Result[store_api.Records, store_api.StoreError]:
         """Return the newest record of each key, after a delay if any."""
         self.calls += 1
@@ -189,6 +192,7 @@
             return expression.Error(_LOST)
         newest = {record.key: record for record in self.records}
         kept = tuple(record for record in newest.values() if record.value)
+        on_begin()
         await self.transfer.wait()
         return expression.Ok(store_api.Records(kept, len(self.records)))
 
--- a/tests/unit/gateway/test_watch.py
+++ b/tests/unit/gateway/test_watch.py
@@ -33,6 +33,8 @@
 class _WatchCase(unittest.IsolatedAsyncioTestCase):
     """A watch of a list in a store, and a manual clock."""
 
+    interval_seconds = 0.7
+
     def setUp(self) -> None:
         """Create a store and a watch."""
         self.clock = clocks.ManualClock()
@@ -44,7 +46,7 @@
             TOPIC,
             _server,
             self.registry,
-            0.7,
+            self.interval_seconds,
             self.clock,
             fakes.make_metrics(),
             self._changed,
@@ -186,3 +188,65 @@
         await self.watch.step()
         self.assertTrue(await self._waits(now, 0.0))
         self.assertIsNone(self.registry.sole_version('models', now))
+
+
+class SilentStoreTest(_WatchCase):
+    """Reads that the store does not answer, or not by records."""
+
+    async def test_reads_without_an_answer(self) -> None:
+        """A read is repeated while earlier ones still wait."""
+        self.store.put('s1', b'{}')
+        await self.watch.step()
+        self.store.put('s1', b'')
+        self.store.unanswered_reads = 2
+        with anyio.fail_after(10.0):
+            await self.watch.step()
+        self.assertEqual({}, dict(self.registry.servers))
+
+    async def test_answer_on_its_way(self) -> None:
+        """No read is added once an answer has begun."""
+        self.store.put('s1', b'{}')
+        self.store.transfer = anyio.Event()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.watch.step)
+            await anyio.sleep(3 * watch.PATIENCE_SECONDS)
+            self.assertEqual(1, self.store.calls)
+            self.store.transfer.set()
+        self.assertEqual({'s1'}, set(self.registry.servers))
+
+    async def test_trimmed_records(self) -> None:
+        """Trimmed records are no outage, and the list is read at once."""
+        self.store.put('s1', b'{}')
+        await self.watch.step()
+        self.store.put('s1', b'')
+        self.store.first_offset = 2
+        lines = fakes.log_lines(self)
+        while await self.watch.step():
+            pass
+        self.assertEqual({}, dict(self.registry.servers))
+        kinds = {line['message_type'] for line in lines}
+        self.assertEqual({'servers:removed'}, kinds)
+
+
+class MissingServersTest(_WatchCase):
+    """Servers that are missing from the list after an outage."""
+
+    interval_seconds = 60.0
+
+    async def test_dropped_between_reads(self) -> None:
+        """A server is dropped when its time has passed, without a read."""
+        self.store.put('s1', b'{}')
+        await self.watch.step()
+        self.registry.on_store_available(self.clock.now())
+        self.store.put('s1', b'')
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.watch.run)
+            while self.registry.expires_at == float('inf'):
+                await anyio.sleep(0.001)
+            self.assertEqual(1, len(self.registry.of_service('models')))
+            calls = self.store.calls
+            self.clock.advance(registries.RENEWAL_SECONDS)
+            while self.registry.servers:
+                await anyio.sleep(0.001)
+            group.cancel_scope.cancel()
+        self.assertEqual(calls, self.store.calls)
