Know as of when a configuration is the newest

Cause: no news was taken for nothing new. An instance waited up to 6 s for the answer to a poll, and a follower of views read the store each 5 s; both answered 404 meanwhile, as neither held a time as of which its version was the newest. The answer to one lost poll, or views without news, sufficed. Change: the store's answers, empty ones too, confirm a version as of a time; loads and views pass that time on. Polls are held for 0.6 s in place of 5 and repeated beside one that gets no answer. Whoever has no confirmation of the last second asks the store, before a refusal that callers take for final as well; a version found by that serves the request. A failed read alone does not make refusals temporary while there is a recent confirmation. Tests: test_store_available_again looked at refusals and now at the store itself; test_cancelled_read waits for its log line.

--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -53,9 +53,8 @@
 class ConfigurationFreshness(typing.Protocol):
     """What is known of versions newer than the active one."""
 
-    @property
-    def outdated(self) -> bool:
-        """Whether there is, or may be, a newer version."""
+    async def confirm(self) -> bool:
+        """Return whether the active version is known to be the newest."""
 
     @property
     def store_unavailable(self) -> bool:
@@ -177,7 +176,8 @@
             await answer.refuse(refusal or self._refuse_starting(), close=True)
             return
         if refusal is not None:
-            await answer.refuse(self._by_configuration(refusal), close=True)
+            refusal = await self._by_configuration(refusal, routes)
+            await answer.refuse(refusal, close=True)
             return
         limits = routes.configuration.limits
         body = await reading.read_body(request, limits)
@@ -186,12 +186,12 @@
             return
         answer.on_body_read()
         if isinstance(body, api.Refusal):
-            await answer.refuse(self._by_configuration(body), close=True)
+            body = await self._by_configuration(body, routes)
+            await answer.refuse(body, close=True)
             return
-        host = request.header(b'host').rpartition(':')
-        route = routes.match(host[0] or host[2], request.path)
-        if route is None:
-            await answer.refuse(self._by_configuration(_NO_ROUTE))
+        route = await self._match(request, routes)
+        if isinstance(route, api.Refusal):
+            await answer.refuse(route)
             return
         if self._draining and route.streaming:
             await answer.refuse(_STOPPING, close=True)
@@ -251,12 +251,30 @@
             self._retry_after(STARTING_RETRY_AFTER_SECONDS),
         )
 
-    def _by_configuration(self, refusal: api.Refusal) -> api.Refusal:
+    async def _match(
+        self, request: asgi.Request, routes: table.RouteTable
+    ) -> routes_api.Route | api.Refusal:
+        """Return the route of a request, if need be of a newer version."""
+        parts = request.header(b'host').rpartition(':')
+        host = parts[0] or parts[2]
+        route = routes.match(host, request.path)
+        if route is not None:
+            return route
+        refusal = await self._by_configuration(_NO_ROUTE, routes)
+        if self._routes is not None and self._routes is not routes:
+            return self._routes.match(host, request.path) or refusal
+        return refusal
+
+    async def _by_configuration(
+        self, refusal: api.Refusal, routes: table.RouteTable
+    ) -> api.Refusal:
         """Return a final refusal, or a temporary one if it may be wrong.
 
-        A newer configuration may allow what the active one does not.
+        A newer configuration may allow what the one in use does not.
         """
-        if refusal.reason not in _FINAL or not self._freshness.outdated:
+        if refusal.reason not in _FINAL:
+            return refusal
+        if await self._freshness.confirm() and self._routes is routes:
             return refusal
         versions = self._freshness.versions
         return api.Refusal(
--- a/src/dogwoodquay/gateway/configuration_watch.py
+++ b/src/dogwoodquay/gateway/configuration_watch.py
@@ -10,6 +10,8 @@
 from ..external import api as external_api
 from ..observe import logs
 from . import reachability
+from . import repeats
+from . import store_api
 from . import versions as configuration_versions
 
 if typing.TYPE_CHECKING:
@@ -20,7 +22,6 @@
     from .. import clock as clocks
     from . import metrics as gateway_metrics
     from ..routes import api as routes_api
-    from . import store_api
 
     _Page = expression.Result[store_api.Records, store_api.StoreError]
 
@@ -28,9 +29,17 @@
 
 _LOG: typing.Final = logs.ComponentLog('configuration')
 
-# A poll's answer may be lost without an error. Peers then report the newer
-# version; without peers, this time limits the delay.
-POLL_SECONDS: typing.Final = 5.0
+# How long the store holds a poll. Its answer, also an empty one, shows as of
+# when the active version is the newest; a lost one shows nothing.
+POLL_SECONDS: typing.Final = 0.6
+# A read that has no answer for so long, beyond the time that the store holds
+# it, is repeated on another connection.
+PATIENCE_SECONDS: typing.Final = 0.3
+# Without news for so long, an instance asks the store itself, and refuses
+# nothing for good. Well within the time in which a version has to be active.
+MAX_AGE_SECONDS: typing.Final = 1.0
+# The longest time that a refusal waits for a read of the store.
+CONFIRM_SECONDS: typing.Final = 0.5
 # The longest time for an answer to begin.
 MAX_ANSWER_SECONDS: typing.Final = 8.0
 # Time for the poll's own answer, which comes when the peers get theirs.
@@ -83,6 +92,7 @@
         self._idle_poll: anyio.CancelScope | None = None
         self._poll_arriving = False
         self._newest_reads = 0
+        self._confirmation: anyio.Event | None = None
         self._unreadable = False
         self._missing = anyio.Event()
         self._add_gauges()
@@ -105,17 +115,49 @@
     @property
     def outdated(self) -> bool:
         """Whether there is, or may be, a newer version than the active one."""
-        return (
-            self._versions.behind or self._arriving or self.store_unavailable
-        )
+        oldest = self._clock.now() - MAX_AGE_SECONDS
+        return self._arriving or not self._versions.is_current(oldest)
 
     @property
     def _arriving(self) -> bool:
         """Whether a read has begun whose answer holds a version."""
         return self._poll_arriving or self._newest_reads > 0
 
-    def on_peer_version(self, version: int) -> None:
-        """Get a version that a peer has and this instance does not."""
+    @property
+    def confirmed_seconds(self) -> float:
+        """How long ago the newest known version was the newest."""
+        return self._clock.now() - self._versions.confirmed_at
+
+    async def confirm(self) -> bool:
+        """Ask the store if the last word on the versions is too old.
+
+        :return: whether the active version is known to be the newest.
+        """
+        if not self.outdated:
+            return True
+        if self._arriving or self._versions.behind:
+            return False
+        if self._confirmation is None:
+            self._confirmation = anyio.Event()
+            try:
+                with anyio.move_on_after(CONFIRM_SECONDS):
+                    await self._ask()
+            finally:
+                self._confirmation.set()
+                self._confirmation = None
+        else:
+            with anyio.move_on_after(CONFIRM_SECONDS):
+                await self._confirmation.wait()
+        return not self.outdated
+
+    def on_peer_version(
+        self, version: int, as_of: float = float('-inf')
+    ) -> None:
+        """Get a version that a peer has and this instance does not.
+
+        :param as_of: when it was the newest, as far as the peer knows.
+        """
+        self._versions.on_confirmed(version, as_of)
         if self._versions.on_heard_of(version, self._clock.now()):
             _LOG.write('behind', version=self.version, heard_of=version)
         if self._versions.behind:
@@ -135,68 +177,109 @@
             await self._poll(self._offset)
 
     async def _follow(self) -> typing.NoReturn:
-        """Read the store for as long as no peer tells of new versions.
-
-        It is read now and then in any case, so that no instance depends on
-        what others tell.
-        """
+        """Read the store unless peers tell what is the newest version."""
         while True:
             if self._offset is not None and not self.store_unavailable:
-                with anyio.move_on_after(POLL_SECONDS):
-                    await self._copies.wait_to_read()
-                if self._copies.following and self._versions.behind:
-                    # The version is on its way otherwise.
-                    continue
+                await self._wait_while_informed()
             await self.step()
 
+    async def _wait_while_informed(self) -> None:
+        """Wait as long as views tell of the versions without a gap."""
+        while self._copies.following:
+            left = MAX_AGE_SECONDS
+            if not self._versions.behind:
+                left -= self.confirmed_seconds
+            if left <= 0.0:
+                return
+            with anyio.move_on_after(left):
+                await self._copies.wait_to_read()
+
     async def _poll(self, offset: int) -> None:
         began = self._clock.now()
         wait_seconds = 0.0 if self._copies.following else POLL_SECONDS
         page: _Page | None = None
         try:
             with anyio.CancelScope() as self._idle_poll:
-                page = await self._store.read(
-                    self._topic,
-                    offset,
-                    wait_seconds,
-                    began + wait_seconds + self._reachability.answer_seconds,
-                    single=True,
-                    on_begin=self._on_begin,
-                )
+                page = await self._read_changes(offset, wait_seconds)
             if page is not None:
-                self._end_read('poll', page, began)
+                self._end_read('poll', page, began, wait_seconds)
         finally:
             self._idle_poll = None
             self._poll_arriving = False
         if page is None:
             self._record_read('poll', 'cancelled', 0, began)
         elif page.is_error():
-            await self._reachability.on_failure(page.error)
+            await self._on_failure(page.error)
         elif page.ok.incomplete and self._offset == page.ok.next_offset:
             # Of several versions only the last one is of use.
             self._offset = None
 
+    async def _read_changes(self, offset: int, wait_seconds: float) -> _Page:
+        """Return the records from an offset on, waiting for the first."""
+
+        async def read(on_begin: abc.Callable[[], None]) -> _Page:
+            return await self._store.read(
+                self._topic,
+                offset,
+                wait_seconds,
+                self._clock.now()
+                + wait_seconds
+                + self._reachability.answer_seconds,
+                single=True,
+                on_begin=on_begin,
+            )
+
+        return await repeats.read_repeatedly(
+            read, wait_seconds + PATIENCE_SECONDS, self._on_begin
+        )
+
     def _on_begin(self) -> None:
         self._poll_arriving = True
         self._idle_poll = None
 
+    async def _ask(self) -> None:
+        """Read the records that the store has now."""
+        if self._offset is None:
+            return
+        began = self._clock.now()
+        page = await self._read_changes(self._offset, 0.0)
+        self._poll_arriving = False
+        self._end_read('ask', page, began)
+
     async def _read_newest(self) -> bool:
         """Read the newest version; return whether it was activated."""
+
+        async def read(on_begin: abc.Callable[[], None]) -> _Page:
+            deadline = self._clock.now() + self._reachability.answer_seconds
+            return await self._store.newest(self._topic, deadline, on_begin)
+
         began = self._clock.now()
         self._newest_reads += 1
         try:
-            page = await self._store.newest(
-                self._topic, began + self._reachability.answer_seconds
+            page = await repeats.read_repeatedly(
+                read, PATIENCE_SECONDS, store_api.ignore_begin
             )
             applied = self._end_read('newest', page, began)
         finally:
             self._newest_reads -= 1
         if page.is_error():
-            await self._reachability.on_failure(page.error)
+            await self._on_failure(page.error)
         return applied
 
-    def _end_read(self, kind: str, page: _Page, began: float) -> bool:
-        """Apply an answer; return whether a version was activated."""
+    async def _on_failure(self, error: store_api.StoreError) -> None:
+        """Wait after a failed read; trimmed records are an answer."""
+        if isinstance(error, external_api.Trimmed):
+            self._reachability.on_answer()
+        else:
+            await self._reachability.on_failure(error)
+
+    def _end_read(
+        self, kind: str, page: _Page, began: float, wait_seconds: float = 0.0
+    ) -> bool:
+        """Apply an answer; return whether a version was activated.
+
+        :param wait_seconds: how long the store waited before an empty answer.
+        """
         if page.is_error():
             reason = reachability.reason_of(page.error)
             self._record_read(kind, reason, 0, began)
@@ -212,8 +295,12 @@
         ]
         self._offset = max(self._offset or 0, next_offset)
         outcome = 'applied' if any(applied) else 'unchanged'
-        if kind == 'poll' and not page.ok.records:
+        if kind != 'newest' and not page.ok.records:
             outcome = _IDLE
+        if not page.ok.incomplete and not self._unreadable:
+            waited = 0.0 if page.ok.records else wait_seconds
+            as_of = min(self._clock.now(), began + waited)
+            self._versions.on_confirmed(self.version, as_of)
         size = sum(len(record.value) for record in page.ok.records)
         self._record_read(kind, outcome, size, began)
         return any(applied)
@@ -314,3 +401,8 @@
             'How long a newer configuration is known but not active',
             lambda: versions.behind_seconds(self._clock.now()),
         )
+        self._metrics.gauge(
+            'gateway_configuration_age_seconds',
+            'How long ago the newest known version was the newest',
+            lambda: self.confirmed_seconds,
+        )
--- a/src/dogwoodquay/gateway/controller.py
+++ b/src/dogwoodquay/gateway/controller.py
@@ -137,6 +137,7 @@
             self._demand.configuration_version(now),
             self._readers.reads_store(instance_id, owner, now),
             self._readers.holder(instance_id, owner, now),
+            configuration_seconds=self._demand.configuration_seconds(now),
         )
 
     async def run(self) -> None:
--- a/src/dogwoodquay/gateway/demand.py
+++ b/src/dogwoodquay/gateway/demand.py
@@ -83,6 +83,23 @@
         )
         return max(versions, default=-1)
 
+    def configuration_seconds(self, now: float) -> float | None:
+        """Return how long ago the newest version was the newest.
+
+        The shortest time that an instance with that version knows; the time
+        that its load took to arrive is not counted.
+        """
+        version = self.configuration_version(now)
+        return min(
+            (
+                now - received_at + load.configuration_seconds
+                for received_at, load in self._loads.values()
+                if load.configuration_version == version
+                and load.configuration_seconds is not None
+            ),
+            default=None,
+        )
+
     def requests(self, server_id: str, model: str) -> int:
         """Return the number of requests for a model at a server."""
         return self._requests_by_model[server_id, model]
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -91,6 +91,8 @@
     ``roster_version`` is that of the last roster that it received. The
     requests in ``at_version`` are counted in ``models`` as well.
     ``departures`` are the servers that have left in the last seconds.
+    ``configuration_seconds`` is how long ago the newest version that it knows
+    was the newest in the store, ``None`` if it does not know.
     """
 
     instance_id: str
@@ -102,6 +104,7 @@
     roster_version: int = 0
     at_version: tuple[VersionDemand, ...] = ()
     departures: tuple[DepartureRow, ...] = ()
+    configuration_seconds: float | None = None
 
 
 class InstanceRow(msgspec.Struct, frozen=True, array_like=True):
@@ -141,6 +144,8 @@
     newest version, empty for none. ``roster`` holds the live instances; it
     is empty if the receiver has that version already, or for version 0.
     ``departures`` are the servers that have left in the last seconds.
+    ``configuration_seconds`` is how long ago ``configuration_version`` was
+    the newest in the store, ``None`` if that is not known.
     """
 
     owner: str
@@ -153,6 +158,7 @@
     roster_version: int = 0
     roster: tuple[InstanceRow, ...] = ()
     departures: tuple[DepartureRow, ...] = ()
+    configuration_seconds: float | None = None
 
 
 class FindAdapter(wire_api.Message, frozen=True, tag='find'):
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 import anyio
@@ -161,14 +162,12 @@
 
     async def publish_load(self, scheduler: schedulers.Scheduler) -> None:
         """Send the load to the owner once and apply its view."""
-        version = -1
-        if self._configuration is not None:
-            version = self._configuration.version
-        load = self._load(version, scheduler)
-        if self._ownership.is_owner(self._clock.now()):
+        load = self._load(scheduler)
+        asked_at = self._clock.now()
+        if self._ownership.is_owner(asked_at):
             view = self._on_load(load)
             if view is not None:
-                self._apply_view(view)
+                self._apply_view(view, asked_at)
                 scheduler.assign_waiting()
             return
         address = self._ownership.owner_address
@@ -179,10 +178,10 @@
             wire_api.PeerAddress(*address),
             load,
             messages.FleetView,
-            self._clock.now() + CALL_TIMEOUT_SECONDS,
+            asked_at + CALL_TIMEOUT_SECONDS,
         )
         if answer.is_ok():
-            self._apply_view(answer.ok)
+            self._apply_view(answer.ok, asked_at)
             self._roster.follow(self._applied_roster)
             scheduler.assign_waiting()
             return
@@ -194,9 +193,12 @@
             reason=answer.error.reason,
         )
 
-    def _load(
-        self, version: int, scheduler: schedulers.Scheduler
-    ) -> messages.InstanceLoad:
+    def _load(self, scheduler: schedulers.Scheduler) -> messages.InstanceLoad:
+        version, seconds = -1, None
+        if self._configuration is not None:
+            version = self._configuration.version
+            if not self._configuration.versions.behind:
+                seconds = self._configuration.confirmed_seconds
         return messages.InstanceLoad(
             self._ownership.member,
             version,
@@ -208,6 +210,7 @@
                 for key, count in scheduler.version_demand().items()
             ),
             self._departures.rows(),
+            seconds if seconds != math.inf else None,
         )
 
     def _on_load(
@@ -228,7 +231,8 @@
             departures=self._departures.rows(),
         )
 
-    def _apply_view(self, view: messages.FleetView) -> None:
+    def _apply_view(self, view: messages.FleetView, asked_at: float) -> None:
+        """Apply the owner's view, which it made after this time."""
         now = self._clock.now()
         if view.owner != self._ownership.owner:
             self._ownership.on_owner_reported(view.owner)
@@ -241,7 +245,12 @@
             self._applied_roster = view.roster
             self._origins.update_roster(view.roster)
         if self._configuration is not None:
-            self._configuration.on_peer_version(view.configuration_version)
+            as_of = -math.inf
+            if view.configuration_seconds is not None:
+                as_of = asked_at - view.configuration_seconds
+            self._configuration.on_peer_version(
+                view.configuration_version, as_of
+            )
         for row in view.engines:
             server = self._registry.get(row.server_id)
             if server is None or server.entry.started_ms != row.started_ms:
--- a/src/dogwoodquay/gateway/versions.py
+++ b/src/dogwoodquay/gateway/versions.py
@@ -10,12 +10,17 @@
 
 
 class ConfigurationVersions:
-    """The active version, the newest known and since when it is missing."""
+    """The active version, the newest known and since when it is missing.
+
+    A version is known to be the newest as of some time, when the store was
+    asked. Silence does not show that there is no newer one.
+    """
 
     def __init__(self) -> None:
         self._active = _NONE
         self._newest = _NONE
         self._behind_since: float | None = None
+        self._confirmed_at = float('-inf')
 
     @property
     def active(self) -> int:
@@ -32,6 +37,20 @@
         """Whether a higher version than the active one is known."""
         return self._newest > self._active
 
+    @property
+    def confirmed_at(self) -> float:
+        """As of when the newest known version was the newest."""
+        return self._confirmed_at
+
+    def is_current(self, since: float) -> bool:
+        """Whether the active version was the newest as of a time."""
+        return not self.behind and self._confirmed_at >= since
+
+    def on_confirmed(self, version: int, as_of: float) -> None:
+        """Record that no higher version existed at a time."""
+        if version >= self._newest:
+            self._confirmed_at = max(self._confirmed_at, as_of)
+
     def behind_seconds(self, now: float) -> float:
         """Return for how long higher versions are known, zero for none."""
         if self._behind_since is None:
--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -173,11 +173,12 @@
     def __init__(self) -> None:
         self.versions = versions.ConfigurationVersions()
         self.store_unavailable = False
+        self.on_confirm: typing.Callable[[], None] = lambda: None
 
-    @property
-    def outdated(self) -> bool:
-        """Whether there is, or may be, a newer version."""
-        return self.versions.behind or self.store_unavailable
+    async def confirm(self) -> bool:
+        """Return whether the active version is known to be the newest."""
+        self.on_confirm()
+        return not (self.versions.behind or self.store_unavailable)
 
 
 class Site:
--- a/tests/unit/gateway/test_app.py
+++ b/tests/unit/gateway/test_app.py
@@ -392,6 +392,22 @@
         self.assertEqual(503, answer.status)
         self.assertLess(1.0, float(answer.headers['retry-after']))
 
+    async def test_version_found_by_the_refusal(self) -> None:
+        """A version that is read before a refusal has its routes used."""
+        lines = fakes.log_lines(self)
+        other = loopback.route(path_prefix='/other/')
+        async with loopback.Site().running() as site:
+            site.configure(loopback.route())
+            site.freshness.on_confirm = lambda: site.configure(other)
+            for target in ('/other/x', '/none/x'):
+                await site.call(target=target)
+        reasons = [
+            line['reason']
+            for line in lines
+            if line['message_type'] == 'request:refused'
+        ]
+        self.assertEqual(['no_server', 'configuration_outdated'], reasons)
+
     async def test_limits_while_behind(self) -> None:
         """A newer version may also permit larger requests."""
         body = b'x' * (loopback.LIMITS.max_body_bytes + 1)
--- a/tests/unit/gateway/test_configuration_watch.py
+++ b/tests/unit/gateway/test_configuration_watch.py
@@ -218,7 +218,7 @@
                 self.clock.advance(0.25)
                 self.store.put('config', b'19')
                 self.watch.on_peer_version(19)
-                while self.watch.version < 19:
+                while len(self._reads()) < 3:
                     await anyio.sleep(0.01)
                 group.cancel_scope.cancel()
         self.assertEqual(
@@ -445,10 +445,11 @@
             self.copies.is_following = True
             self.store.unavailable = True
             await self._end_poll()
-            self.assertTrue(self.watch.outdated)
+            while not self.watch.store_unavailable:
+                await anyio.sleep(0.01)
             self.store.unavailable = False
-            with anyio.fail_after(configuration_watch.POLL_SECONDS - 1.0):
-                while self.watch.outdated:
+            with anyio.fail_after(4.0):
+                while self.watch.store_unavailable:
                     await anyio.sleep(0.01)
 
     async def test_stale_answers_of_the_store(self) -> None:
@@ -467,3 +468,117 @@
         """End the poll in flight, after which the store is left alone."""
         self.store.put('other', b'')
         await anyio.sleep(0.05)
+
+
+class FreshnessTest(unittest.IsolatedAsyncioTestCase):
+    """What is known of the versions holds as of some time."""
+
+    def setUp(self) -> None:
+        """Create a store with a version, and a watch."""
+        self.clock = clocks.ManualClock()
+        self.store = fakes.FakeStore(self.clock)
+        self.store.put('config', b'16')
+        self.copies = fakes.FakeCopies()
+        self.watch = configuration_watch.ConfigurationWatch(
+            self.store,
+            TOPIC,
+            'config',
+            _configuration,
+            self.clock,
+            fakes.make_metrics(),
+            self.copies,
+            lambda _: None,
+        )
+
+    def _let_age(self) -> None:
+        self.clock.advance(configuration_watch.MAX_AGE_SECONDS + 0.1)
+
+    async def test_lost_answer_without_peers(self) -> None:
+        """A poll without an answer does not hold up the next one."""
+        await self.watch.step()
+        self.store.unanswered_reads = 2
+        self.store.put('config', b'19')
+        with anyio.fail_after(10.0):
+            await self.watch.step()
+        self.assertEqual(19, self.watch.version)
+
+    async def test_silence(self) -> None:
+        """Without news the active version is not known to be the newest."""
+        await self.watch.step()
+        self.assertFalse(self.watch.outdated)
+        self._let_age()
+        self.assertTrue(self.watch.outdated)
+
+    async def test_confirmed_by_the_store(self) -> None:
+        """The store is asked before anything is refused for good."""
+        await self.watch.step()
+        self._let_age()
+        self.assertTrue(await self.watch.confirm())
+        calls = self.store.calls
+        self.assertTrue(await self.watch.confirm())
+        self.assertEqual(calls, self.store.calls)
+
+    async def test_newer_version_found(self) -> None:
+        """The question finds a version of which nobody has told."""
+        await self.watch.step()
+        self.store.put('config', b'19')
+        self._let_age()
+        self.assertTrue(await self.watch.confirm())
+        self.assertEqual(19, self.watch.version)
+
+    async def test_no_answer(self) -> None:
+        """Nothing is confirmed by a store that does not answer."""
+        await self.watch.step()
+        self._let_age()
+        self.store.unavailable = True
+        self.assertFalse(await self.watch.confirm())
+        self.store.unavailable = False
+        self.store.unanswered_reads = 1000
+        self.assertFalse(await self.watch.confirm())
+
+    async def test_questions_at_the_same_time(self) -> None:
+        """Refusals wait for one read together."""
+        await self.watch.step()
+        self._let_age()
+        calls = self.store.calls
+        confirmed: list[bool] = []
+
+        async def confirm() -> None:
+            confirmed.append(await self.watch.confirm())
+
+        async with anyio.create_task_group() as group:
+            for _ in range(20):
+                group.start_soon(confirm)
+        self.assertEqual([True] * 20, confirmed)
+        self.assertEqual(calls + 1, self.store.calls)
+
+    async def test_views(self) -> None:
+        """A view counts as of the time at which its version was read."""
+        await self.watch.step()
+        self._let_age()
+        now = self.clock.now()
+        for version, as_of, outdated in (
+            (16, float('-inf'), True),
+            (16, now - configuration_watch.MAX_AGE_SECONDS - 0.05, True),
+            (15, now, True),
+            (16, now - 0.5, False),
+            (19, now, True),
+        ):
+            with self.subTest(version=version, as_of=as_of):
+                self.watch.on_peer_version(version, as_of)
+                self.assertEqual(outdated, self.watch.outdated)
+
+    async def test_views_without_news(self) -> None:
+        """A follower reads the store if the views' last word is too old."""
+        await self.watch.step()
+        self.copies.is_following = True
+        self.store.put('config', b'19')
+        with anyio.fail_after(10.0):
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.watch.run)
+                await anyio.sleep(0.05)
+                self.assertEqual(16, self.watch.version)
+                self.clock.advance(configuration_watch.MAX_AGE_SECONDS)
+                while self.watch.version != 19:
+                    await anyio.sleep(0.01)
+                group.cancel_scope.cancel()
