Replace connections between instances that have fallen silent

Cause: a connection that falls silent without an error was noticed by the websocket's own ping only, after 20 to 40 s, so that no view, departure or copy arrived in that time. Change: a request without an answer is followed by a ping; a connection on which nothing arrives within 1 s after that is closed, and the next request opens another one. A slow handler alone closes nothing.

--- a/src/dogwoodquay/wire/connection.py
+++ b/src/dogwoodquay/wire/connection.py
@@ -29,6 +29,10 @@
 
 __all__ = ['Connection']
 
+# Within this time after a request without an answer, the other side has to
+# send something, at least the answer to a ping.
+SILENT_SECONDS: typing.Final = 1.0
+
 
 class Connection:
     """Reads and writes frames until the connection is closed."""
@@ -57,6 +61,9 @@
         )
         self._scope = anyio.CancelScope()
         self._closed = False
+        self._silent = False
+        self._received_at = clock.now()
+        self._unanswered = anyio.Event()
         self.last_used_at = clock.now()
 
     @property
@@ -81,6 +88,7 @@
             try:
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(self._write)
+                    tasks.start_soon(self._check_silence)
                     await self._read(tasks)
                     tasks.cancel_scope.cancel()
             except* TimeoutError:
@@ -92,7 +100,7 @@
             except* Exception:
                 reasons.insert(0, 'internal')
                 eliot.write_traceback()
-        reason = reasons[0]
+        reason = 'silent' if self._silent else reasons[0]
         self._closed = True
         self._counters.closed[reason] += 1
         self._calls.fail_all(reason)
@@ -129,6 +137,8 @@
                 await call.finished.wait()
         finally:
             self._calls.remove(call.call_id)
+        if not call.finished.is_set():
+            self._unanswered.set()
         return call.result(answer_type)
 
     @contextlib.asynccontextmanager
@@ -161,12 +171,28 @@
                 await self._socket.send(data)
             self._counters.sent(len(data))
 
+    async def _check_silence(self) -> None:
+        """Close the connection if the other side has fallen silent.
+
+        It may do so without an error, and no later request would be answered.
+        """
+        while True:
+            await self._unanswered.wait()
+            self._unanswered = anyio.Event()
+            asked_at = self._clock.now()
+            with anyio.move_on_after(SILENT_SECONDS):
+                await (await self._socket.ping())
+                continue
+            if self._received_at < asked_at:
+                self._silent = True
+                self.close()
+
     async def _read(self, tasks: anyio.abc.TaskGroup) -> None:
         async for data in self._socket:
             if isinstance(data, str):
                 raise codec.CodecError('text frame')
             self._counters.received(len(data))
-            self.last_used_at = self._clock.now()
+            self._received_at = self.last_used_at = self._clock.now()
             frame = codec.decode(data, codec.Frame)
             self._dispatch(self._to_local_clock(frame), tasks)
 
--- a/tests/unit/wire/test_peers.py
+++ b/tests/unit/wire/test_peers.py
@@ -4,12 +4,15 @@
 
 import typing
 import unittest
+from unittest import mock
 
 import anyio
 import expression
+from websockets.asyncio import connection as ws_connection
 
 from dogwoodquay.wire import api
 from dogwoodquay.wire import codec
+from dogwoodquay.wire import connection
 
 from . import loopback
 
@@ -190,6 +193,56 @@
         self.assertIsInstance(answer.error, api.NoAnswer)
 
 
+class SilenceTest(unittest.IsolatedAsyncioTestCase):
+    """Connections that carry nothing any more, without an error."""
+
+    async def _ask(self, near: peers.Peers, far: peers.Peers) -> bool:
+        """Send a request and return whether it was answered."""
+        deadline = loopback.new_deadline() - 4.9
+        answer = await near.request(
+            far.address, loopback.Echo('x'), loopback.Echo, deadline
+        )
+        return answer.is_ok()
+
+    async def test_silent_connection(self) -> None:
+        """A connection without an answer to a ping is replaced."""
+        near, far = _pair()
+        async with loopback.running(near, far):
+            self.assertTrue(await self._ask(near, far))
+            with mock.patch.object(
+                ws_connection.Connection, 'data_received', _ignore
+            ):
+                self.assertFalse(await self._ask(near, far))
+                await loopback.wait_until(
+                    lambda: near.traffic.closed['silent'] == 1
+                )
+            with anyio.fail_after(10.0):
+                while not await self._ask(near, far):
+                    pass
+
+    async def test_slow_handler(self) -> None:
+        """A connection is kept while the other side answers a ping."""
+        near, far = _pair()
+
+        async def hang(
+            sender: api.Sender, message: loopback.Echo, deadline: float
+        ) -> loopback.Echo:
+            await anyio.sleep_forever()
+            return message
+
+        far.register(loopback.Echo, hang)
+        async with loopback.running(near, far):
+            for _ in range(3):
+                self.assertFalse(await self._ask(near, far))
+            await anyio.sleep(2 * connection.SILENT_SECONDS)
+            self.assertEqual(0, near.traffic.closed['silent'])
+            self.assertEqual(1, near.connection_count)
+
+
+def _ignore(self: ws_connection.Connection, data: bytes) -> None:
+    """Lose what has been received."""
+
+
 class SendTest(unittest.IsolatedAsyncioTestCase):
     """One-way messages."""
 
