Send no request to a secured server that has left since

A path to a leaving server beside the list (DRAIN): a server that was secured as the successor of a silent one could leave before the attempt at it began. Change: such a successor does not fit any more and is released; the request goes the way of any failed attempt.

--- a/src/dogwoodquay/gateway/attempt.py
+++ b/src/dogwoodquay/gateway/attempt.py
@@ -162,12 +162,13 @@
     def successor_fits(self) -> bool:
         """Whether the secured server, if any, may go on with the stream.
 
-        The first events may have come after it was secured.
+        The first events may have come, or the server may have left, after it
+        was secured.
         """
-        return self._successor is not None and self._required_version in (
-            None,
-            self._successor.entry.version,
-        )
+        successor = self._successor
+        if successor is None or successor.leaving:
+            return False
+        return self._required_version in (None, successor.entry.version)
 
     def take_successor(self) -> servers.Server | None:
         """Return the secured server once; the caller releases it."""
--- a/tests/unit/gateway/test_successors.py
+++ b/tests/unit/gateway/test_successors.py
@@ -134,6 +134,21 @@
     )
 
 
+class SecuredServerTest(unittest.IsolatedAsyncioTestCase):
+    """A server that was secured may have changed when it is needed."""
+
+    async def test_secured_server_leaves(self) -> None:
+        """A server that has left meanwhile gets no request."""
+        _, registry = _scheduler(_Finder(''), _entry('a'), _entry('b'))
+        secured = registry.get('b')
+        assert secured is not None
+        attempt = _attempt(_call(5.0), registry.get('a'))
+        attempt.hand_over(secured)
+        self.assertTrue(attempt.successor_fits)
+        registry.remove('b', 1.0)
+        self.assertFalse(attempt.successor_fits)
+
+
 class AdapterTest(unittest.IsolatedAsyncioTestCase):
     """A stream of an adapter that only its silent server has loaded."""
 
