Add tests of prompts under which engines crash

Stand-in engines that end on one part of a prompt, before the head, before, within or after the first event, and start again empty; callers at three instances, no two requests alike, with sound ones beside.

--- /dev/null
+++ b/tests/site/crashes.py
@@ -0,0 +1,124 @@
+"""Stand-in engines that crash on one part of a prompt."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import enum
+import time
+import typing
+
+from . import http
+from . import server as servers
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from . import store as stores
+
+__all__ = ['CrashPoint', 'CrashRecord', 'CrashingEngine', 'prompt_header']
+
+RESTART_SECONDS: typing.Final = 0.8
+
+
+class CrashPoint(enum.Enum):
+    """Where in its answer an engine crashes."""
+
+    BEFORE_HEAD = 'before the head'
+    BEFORE_FIRST_EVENT = 'before the first event'
+    WITHIN_FIRST_EVENT = 'within the first event'
+    AFTER_FIRST_EVENT = 'after the first event'
+
+
+@dataclasses.dataclass
+class CrashRecord:
+    """What all engines of a site know of the guilty part.
+
+    ``arrivals`` are the times at which requests with it reached an engine,
+    ``crashes`` those at which engines ended.
+    """
+
+    part: str = ''
+    point: CrashPoint = CrashPoint.BEFORE_FIRST_EVENT
+    arrivals: list[float] = dataclasses.field(default_factory=list)
+    crashes: list[float] = dataclasses.field(default_factory=list)
+
+    def is_guilty(self, request: http.Request) -> bool:
+        """Whether a request has the guilty part, not as its last one."""
+        prompt = request.headers.get('prompt-prefix', '')
+        parts = [item.partition(':')[0] for item in prompt.split(',')]
+        return bool(self.part) and self.part in parts[:-1]
+
+
+def prompt_header(*parts: str) -> str:
+    """Return the header line of a prompt with these parts."""
+    prompt = ','.join(f'{part}:10' for part in parts)
+    return f'Prompt-Prefix: {prompt}\r\n'
+
+
+class CrashingEngine(servers.Server):
+    """An engine that ends on the guilty part and starts again, empty."""
+
+    def __init__(
+        self, store: stores.Store, name: str, record: CrashRecord
+    ) -> None:
+        super().__init__(store, name, 'engines', 'loaded', slots=16)
+        self._name = name
+        self._record = record
+        self._lives = 1
+        self._restart: asyncio.Task[None] | None = None
+
+    def crash(self) -> None:
+        """End without a word: all connections break."""
+        if self._restart is not None:
+            return
+        self._record.crashes.append(time.monotonic())
+        self.http.stop()
+        self._restart = asyncio.ensure_future(self._start_again())
+
+    async def stopped(self) -> None:
+        """Cancel a start that is to come."""
+        if self._restart is not None:
+            self._restart.cancel()
+            await asyncio.wait([self._restart])
+
+    async def _start_again(self) -> None:
+        await asyncio.sleep(RESTART_SECONDS)
+        self._store.put('keyed.servers', self._id, None)
+        self._lives += 1
+        self._id = f'{self._name}-{self._lives}'
+        self._reports = 0
+        self.forget_models()
+        await self.start()
+        self._restart = None
+
+    async def _handle(self, request: http.Request) -> http.Answer | None:
+        expected = request.headers.get('expect-instance', self._id)
+        if expected == self._id and self._record.is_guilty(request):
+            self._record.arrivals.append(time.monotonic())
+            if self._record.point is CrashPoint.BEFORE_HEAD:
+                await asyncio.sleep(self.event_seconds)
+                self._end()
+        return await super()._handle(request)
+
+    async def _stream(self, request: http.Request) -> abc.AsyncIterator[bytes]:
+        guilty = self._record.is_guilty(request)
+        pieces = 0
+        async for piece in super()._stream(request):
+            if guilty and pieces == _PIECES_BEFORE[self._record.point]:
+                self._end()
+            pieces += 1
+            yield piece
+
+    def _end(self) -> None:
+        self.crash()
+        raise ConnectionResetError
+
+
+# An event comes in two pieces.
+_PIECES_BEFORE: typing.Final = {
+    CrashPoint.BEFORE_HEAD: 0,
+    CrashPoint.BEFORE_FIRST_EVENT: 0,
+    CrashPoint.WITHIN_FIRST_EVENT: 1,
+    CrashPoint.AFTER_FIRST_EVENT: 2,
+}
--- a/tests/site/processes.py
+++ b/tests/site/processes.py
@@ -261,9 +261,13 @@
         attempt: str,
         method: str = 'GET',
         model: str = '',
+        more: str = '',
     ) -> Answer:
-        """Send a request to the port for callers."""
-        extra = _headers(attempt, model, 5000)
+        """Send a request to the port for callers.
+
+        :param more: further header lines, each with its end.
+        """
+        extra = _headers(attempt, model, 5000) + more
         return await _send(self._callers, method, target, extra)
 
     async def readiness_status(self) -> int:
--- a/tests/site/server.py
+++ b/tests/site/server.py
@@ -156,6 +156,10 @@
         }
         self._store.put('keyed.servers', self._id, entry)
 
+    def forget_models(self) -> None:
+        """Drop all models and orders, as a new process does."""
+        self._contents = _Contents()
+
     def fall_silent(self, seconds: float) -> None:
         """Send nothing on any connection for some time."""
         self._silent_until = time.monotonic() + seconds
