Refuse requests with a part of a prompt under which servers crash

Cause: an attempt that broke off counted against its server only; nobody related the ends of servers to the prompts that ran there, each instance saw a part of them, and the repeat of such a request crashed the next server. Change: the package quarantine. Instances prove that a server has ended by a refused connection and report the parts of the requests that had not begun their answer, or had just begun it. The owner of the duty joins the reports, names suspects, hears objections of instances that have seen a part in a complete answer, and convicts the parts that explain three crashes under two requests. Verdicts spread with its views; requests under one are refused at once as not run. Suspects are not repeated after a crash. The gateway wires it (gateway/crashes.py).

--- a/src/dogwoodquay/external/http/client.py
+++ b/src/dogwoodquay/external/http/client.py
@@ -194,6 +194,15 @@
                         extensions.get(_KEEP_ALIVE_KEY),
                     )
 
+    async def is_refused(
+        self, address: str, port: int, seconds: float
+    ) -> bool:
+        """Whether nothing listens at an address.
+
+        False if a connection is accepted, or if there is no reply in time.
+        """
+        return await network.is_refused(address, port, seconds)
+
     async def fetch(
         self,
         address: str,
--- a/src/dogwoodquay/external/http/network.py
+++ b/src/dogwoodquay/external/http/network.py
@@ -19,7 +19,7 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
-__all__ = ['HeadTooLarge', 'NetworkBackend', 'Stream']
+__all__ = ['HeadTooLarge', 'NetworkBackend', 'Stream', 'is_refused']
 
 MAX_BUFFERED_BYTES: typing.Final = 256 * 1024
 # All that is read until the end of an answer's head, with the informational
@@ -70,6 +70,22 @@
         return Stream(connection)
 
 
+async def is_refused(host: str, port: int, seconds: float) -> bool:
+    """Whether nothing listens at an address, without sending anything."""
+    loop = asyncio.get_running_loop()
+    try:
+        with anyio.fail_after(seconds):
+            transport, _ = await loop.create_connection(
+                asyncio.Protocol, host, port
+            )
+    except (ConnectionRefusedError, ConnectionResetError):
+        return True
+    except OSError:
+        return False
+    transport.abort()
+    return False
+
+
 class _Connection(asyncio.Protocol):
     """Buffers received data and applies flow control in both directions."""
 
--- a/src/dogwoodquay/gateway/api.py
+++ b/src/dogwoodquay/gateway/api.py
@@ -131,6 +131,7 @@
     ORIGIN_UNKNOWN = 'origin_unknown'
     OVERLOADED = 'overloaded'
     DEADLINE = 'deadline'
+    PROMPT_QUARANTINED = 'prompt_quarantined'
     SERVERS_REFUSED = 'servers_refused'
     RETRY_BUDGET = 'retry_budget'
     MAY_HAVE_RUN = 'may_have_run'
--- a/src/dogwoodquay/gateway/attempt.py
+++ b/src/dogwoodquay/gateway/attempt.py
@@ -11,6 +11,7 @@
     from collections import abc
 
     from . import api
+    from . import crashes
     from ..fleet import server as servers
     from ..retry import windowed
 
@@ -25,6 +26,7 @@
     :param gap_patience_seconds: the same between parts of a stream.
     :param on_started: called before a stream's first events are passed on.
     :param avoid: servers at which the request has failed before.
+    :param in_flight: what is watched of a request with shared prompt parts.
     :param number: the number of attempts of the request so far, with this one.
     :param required_version: the software version at which the request has to
         run, ``None`` for any.
@@ -42,7 +44,9 @@
         gap_patience_seconds: float,
         now: float,
         on_started: abc.Callable[[], abc.Awaitable[None]],
+        in_flight: crashes.InFlight | None = None,
     ) -> None:
+        self._in_flight = in_flight
         self._call = call
         self._server = server
         self._retries = retries
@@ -79,6 +83,11 @@
         """The version at which the request has to go on, ``None`` for any."""
         return self._required_version
 
+    @property
+    def in_flight(self) -> crashes.InFlight | None:
+        """What is watched of a request with shared prompt parts."""
+        return self._in_flight
+
     @property
     def retries(self) -> windowed.WindowedRetries:
         """The decisions about further attempts of the request."""
--- /dev/null
+++ b/src/dogwoodquay/gateway/crashes.py
@@ -0,0 +1,345 @@
+"""Reports ends of servers to the quarantine and shares what it knows."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+import anyio
+
+from . import messages
+from ..observe import logs
+from . import outcomes
+from ..quarantine import api as quarantine_api
+from ..quarantine import core
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    import anyio.abc
+
+    from .. import clock as clocks
+    from . import api
+    from ..external.http import client
+    from ..fleet import api as fleet_api
+    from ..fleet import server as servers
+    from . import metrics as gateway_metrics
+
+__all__ = ['CrashWatch', 'InFlight']
+
+_LOG: typing.Final = logs.ComponentLog('quarantine')
+
+STEP_SECONDS: typing.Final = 0.1
+# A server that has written on an answer for longer did not end because of it.
+FRESH_SECONDS: typing.Final = 1.0
+# How long broken answers wait for the proof that their server has ended, and
+# answers that ended with their connection for the lack of one.
+PROOF_SECONDS: typing.Final = 1.0
+CONNECT_SECONDS: typing.Final = 0.4
+# Without the owner's view for so long, an instance decides alone.
+ALONE_SECONDS: typing.Final = 1.5
+MAX_BROKEN: typing.Final = 1024
+# The ends of an attempt that an end of its server would have as well.
+_CONNECTION_ENDS: typing.Final = frozenset(
+    {'connection', 'protocol', 'event_cut'}
+)
+
+
+class InFlight:
+    """A request with shared prompt parts at a server."""
+
+    def __init__(
+        self,
+        prompt: quarantine_api.Prompt,
+        server: fleet_api.ServerEntry,
+    ) -> None:
+        self.prompt = prompt
+        self.server = server
+        self.started_at: float | None = None
+
+    def is_fresh(self, now: float) -> bool:
+        """Whether the server has begun the answer just now, or not yet."""
+        return self.started_at is None or now - self.started_at < FRESH_SECONDS
+
+
+class _Ended(typing.NamedTuple):
+    """A request whose answer broke off, or ended with its connection."""
+
+    at: float
+    prompt: quarantine_api.Prompt
+    fresh: bool
+    complete: bool
+
+
+class CrashWatch:
+    """Watches how requests with shared prompt parts end.
+
+    An answer that breaks off may mean that its server has ended. A refused
+    connection proves it.
+    """
+
+    def __init__(
+        self,
+        connections: client.Connections,
+        clock: clocks.Clock,
+        metrics: gateway_metrics.GatewayMetrics,
+    ) -> None:
+        self._connections = connections
+        self._clock = clock
+        self._metrics = metrics
+        self._quarantine = core.Quarantine()
+        self._ended: dict[str, collections.deque[_Ended]] = {}
+        self._proven: dict[str, float] = {}
+        self._checking: set[str] = set()
+        self._heard_at = float('-inf')
+        self._is_owner = False
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._on_report: abc.Callable[[], None] = lambda: None
+        metrics.gauge(
+            'gateway_quarantine_verdicts',
+            'Verdicts by which requests are refused',
+            lambda: len(self._quarantine.verdicts),
+        )
+        metrics.gauge(
+            'gateway_quarantine_suspects',
+            'Parts of prompts that may cause crashes, at the owner',
+            lambda: len(self._quarantine.suspects),
+        )
+
+    def on_report(self, notify: abc.Callable[[], None]) -> None:
+        """Set what is called with each new report, to send it at once."""
+        self._on_report = notify
+
+    async def run(self) -> None:
+        """Decide on the suspects until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            while True:
+                self.step()
+                await anyio.sleep(STEP_SECONDS)
+
+    def step(self) -> None:
+        """Decide, and forget what is old."""
+        now = self._clock.now()
+        self._settle(now)
+        alone = now - self._heard_at > ALONE_SECONDS
+        self._log(self._quarantine.step(now, self._is_owner or alone))
+
+    def is_refused(self, call: api.Call) -> bool:
+        """Whether a request is refused as servers have crashed under it."""
+        if not self._quarantine.has_verdicts:
+            return False
+        prompt = prompt_of(call)
+        return self._quarantine.find(prompt, self._clock.now()) is not None
+
+    def may_repeat(self, call: api.Call, outcome: outcomes.Outcome) -> bool:
+        """Whether a request may be sent again after a failed attempt."""
+        if not isinstance(outcome, outcomes.Broken):
+            return True
+        return not self._quarantine.is_suspect(prompt_of(call))
+
+    def begin(self, call: api.Call, server: servers.Server) -> InFlight | None:
+        """Record a request that is sent; ``None`` without shared parts."""
+        prompt = prompt_of(call)
+        return None if prompt is None else InFlight(prompt, server.entry)
+
+    def end(
+        self, in_flight: InFlight | None, outcome: outcomes.Outcome
+    ) -> None:
+        """Record how a request ended."""
+        if in_flight is None:
+            return
+        now = self._clock.now()
+        match outcome:
+            case outcomes.Broken(reason) if reason in _CONNECTION_ENDS:
+                self._on_ended(in_flight, False, now)
+            case outcomes.Streamed(framed) | outcomes.Whole(
+                200, framed=framed
+            ):
+                if framed:
+                    self._quarantine.on_answered(in_flight.prompt, now)
+                else:
+                    self._on_ended(in_flight, True, now)
+            case _:
+                pass
+
+    def on_unreachable(self, server: fleet_api.ServerEntry) -> None:
+        """Check a server that accepts no connection after an answer."""
+        if server.server_id in self._ended:
+            self._check(server)
+
+    def load_rows(
+        self,
+    ) -> tuple[
+        tuple[messages.CrashRow, ...],
+        tuple[str, ...],
+        tuple[messages.VerdictRow, ...],
+    ]:
+        """Return the own reports, objections and verdicts for the owner."""
+        now = self._clock.now()
+        reports = tuple(
+            messages.CrashRow(
+                report.server_id,
+                now - report.at,
+                tuple(
+                    messages.BrokenRow(item.own, tuple(sorted(item.shared)))
+                    for item in report.requests
+                ),
+            )
+            for report in self._quarantine.reports(now)
+        )
+        return reports, self._quarantine.objections(), self.verdict_rows()
+
+    def verdict_rows(self) -> tuple[messages.VerdictRow, ...]:
+        """Return the verdicts as messages carry them."""
+        now = self._clock.now()
+        return tuple(
+            messages.VerdictRow(
+                tuple(sorted(item.parts)), now - item.seen_at, item.crashes
+            )
+            for item in self._quarantine.verdicts
+        )
+
+    def suspects(self) -> tuple[str, ...]:
+        """Return the suspects that the owner's views name."""
+        return self._quarantine.suspects
+
+    def on_load(self, load: messages.InstanceLoad) -> None:
+        """Apply what an instance reports to the owner."""
+        now = self._clock.now()
+        reports = (
+            quarantine_api.CrashReport(
+                row.server_id,
+                now - row.seconds,
+                tuple(
+                    quarantine_api.BrokenRequest(
+                        item.own, frozenset(item.shared)
+                    )
+                    for item in row.requests
+                ),
+            )
+            for row in load.crashes
+        )
+        self._log(
+            self._quarantine.on_peer_reports(
+                reports, load.sound_parts, _verdicts(load.verdicts, now), now
+            )
+        )
+
+    def on_view(self, view: messages.FleetView, is_owner: bool) -> None:
+        """Apply the owner's view."""
+        now = self._clock.now()
+        self._heard_at = now
+        self._is_owner = is_owner
+        if is_owner:
+            return
+        verdicts = view.verdicts
+        self._log(
+            self._quarantine.on_owner_view(
+                view.suspects,
+                None if verdicts is None else _verdicts(verdicts, now),
+            )
+        )
+
+    def _on_ended(
+        self, in_flight: InFlight, complete: bool, now: float
+    ) -> None:
+        server = in_flight.server
+        ended = _Ended(
+            now, in_flight.prompt, in_flight.is_fresh(now), complete
+        )
+        if server.server_id in self._proven:
+            self._report(server.server_id, [ended], now)
+            return
+        queue = self._ended.setdefault(
+            server.server_id, collections.deque(maxlen=MAX_BROKEN)
+        )
+        queue.append(ended)
+        if not complete:
+            self._check(server)
+
+    def _check(self, server: fleet_api.ServerEntry) -> None:
+        """Ask for a connection, once at a time for each server."""
+        if self._tasks is None or server.server_id in self._checking:
+            return
+        self._checking.add(server.server_id)
+        self._tasks.start_soon(self._prove, server)
+
+    async def _prove(self, server: fleet_api.ServerEntry) -> None:
+        try:
+            refused = await self._connections.is_refused(
+                server.address, server.port, CONNECT_SECONDS
+            )
+        finally:
+            self._checking.discard(server.server_id)
+        now = self._clock.now()
+        ended = self._ended.pop(server.server_id, None) if refused else None
+        if ended is not None:
+            self._proven[server.server_id] = now
+            self._report(server.server_id, ended, now)
+
+    def _report(
+        self, server_id: str, ended: abc.Iterable[_Ended], now: float
+    ) -> None:
+        """Report the requests under which a server may have ended."""
+        requests = tuple(
+            quarantine_api.BrokenRequest(item.prompt.own, item.prompt.shared)
+            for item in ended
+            if item.fresh and now - item.at <= PROOF_SECONDS
+        )
+        self._metrics.server_ended()
+        _LOG.write(
+            'server_ended',
+            server=server_id,
+            requests=len(requests),
+            parts=sorted({part for item in requests for part in item.shared}),
+        )
+        self._quarantine.on_crash(
+            quarantine_api.CrashReport(server_id, now, requests)
+        )
+        self._on_report()
+
+    def _settle(self, now: float) -> None:
+        """Forget broken answers without a proof; others were complete."""
+        for server_id, queue in list(self._ended.items()):
+            while queue and now - queue[0].at > PROOF_SECONDS:
+                ended = queue.popleft()
+                if ended.complete:
+                    self._quarantine.on_answered(ended.prompt, now)
+            if not queue:
+                del self._ended[server_id]
+        self._proven = {
+            server_id: at
+            for server_id, at in self._proven.items()
+            if now - at <= PROOF_SECONDS
+        }
+
+    def _log(self, changes: core.Changes) -> None:
+        for verdict in changes.added:
+            self._metrics.convicted()
+            _LOG.write(
+                'convicted',
+                parts=sorted(verdict.parts),
+                crashes=verdict.crashes,
+            )
+        for verdict, reason in changes.ended:
+            _LOG.write('released', parts=sorted(verdict.parts), reason=reason)
+
+
+def prompt_of(call: api.Call) -> quarantine_api.Prompt | None:
+    """Return the parts of a request's prompt, if it shares any."""
+    parts = call.terms.prompt_parts
+    if len(parts) < 2:
+        return None
+    return quarantine_api.prompt_of(tuple(part.part_id for part in parts))
+
+
+def _verdicts(
+    rows: abc.Iterable[messages.VerdictRow], now: float
+) -> list[quarantine_api.Verdict]:
+    return [
+        quarantine_api.Verdict(
+            frozenset(row.parts), now - row.seconds, row.crashes
+        )
+        for row in rows
+    ]
--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -183,7 +183,7 @@
             client.discard(response)
             return outcomes.Broken(str(error))
         server.succeeded(seconds)
-        return outcomes.Whole(status, headers, body)
+        return outcomes.Whole(status, headers, body, _framed(response))
 
     def _update_server(
         self,
@@ -235,7 +235,13 @@
         if relay.splitter.partial:
             raise events.BrokenStream('event_cut')
         await relay.start(response.status_code, headers)
-        return outcomes.Streamed()
+        return outcomes.Streamed(_framed(response))
+
+
+def _framed(response: httpx.Response) -> bool:
+    """Whether the end of an answer is marked within its bytes."""
+    headers = response.headers
+    return 'content-length' in headers or 'transfer-encoding' in headers
 
 
 def _stream(response: httpx.Response) -> httpx.AsyncByteStream:
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -21,6 +21,7 @@
     import random
 
     from .. import clock as clocks
+    from . import crashes as crash_watches
     from . import exchange as exchanges
     from ..fleet import server as servers
     from . import metrics as gateway_metrics
@@ -39,6 +40,8 @@
 
 # The reason of attempts that are ended for another server.
 _SILENT: typing.Final = 'silent'
+# The reason for no further attempt where servers may crash under the prompt.
+_SUSPECT: typing.Final = 'suspect_prompt'
 
 # Above this share of its capacity a server counts as slow, not as failed.
 BUSY_SHARE: typing.Final = 0.5
@@ -46,6 +49,8 @@
 RETRY_AFTER_SECONDS: typing.Final = 0.4
 # The approximate time of a load from a server's own disk.
 ABSENT_RETRY_AFTER_SECONDS: typing.Final = 1.0
+# A prompt under which servers crash is refused for minutes.
+QUARANTINE_RETRY_AFTER_SECONDS: typing.Final = 60.0
 # Callers that wait for the same load are spread over this time.
 RETURN_JITTER_SECONDS: typing.Final = 1.0
 
@@ -72,7 +77,9 @@
         metrics: gateway_metrics.GatewayMetrics,
         silence: silences.SilenceWatch,
         versions: resumption.StreamVersions,
+        crashes: crash_watches.CrashWatch,
     ) -> None:
+        self._crashes = crashes
         self._silence = silence
         self._versions = versions
         self._scheduler = scheduler
@@ -84,6 +91,8 @@
 
     async def run(self, call: api.Call, relay: exchanges.Relay) -> Result:
         """Forward a request until it is answered, refused or cut."""
+        if self._crashes.is_refused(call):
+            return self._end_quarantined(relay, False)
         place = await self._versions.find(call)
         if place is None:
             return self._refuse_later(api.RefusalReason.ORIGIN_UNKNOWN)
@@ -129,6 +138,9 @@
                 )
             if server is None:
                 return self._end_unplaced(call, version, relay, may_have_run)
+            if self._crashes.is_refused(call):
+                self._scheduler.release(call, server, False)
+                return self._end_quarantined(relay, may_have_run)
             number += 1
             attempt = self._begin_attempt(
                 call, server, retries, avoid, number, version, relay
@@ -147,7 +159,11 @@
                 may_have_run
                 or failure.run_state is not retry_api.RunState.NOT_RUN
             )
-            verdict = retries.decide(failure, self._clock.now())
+            verdict: retry_api.Retry | retry_api.GiveUp
+            if self._crashes.may_repeat(call, outcome):
+                verdict = retries.decide(failure, self._clock.now())
+            else:
+                verdict = retry_api.GiveUp(_SUSPECT, failure.run_state)
             self._record_failed(attempt, failure, verdict, relay)
             if isinstance(verdict, retry_api.GiveUp):
                 return self._end_after_failure(
@@ -165,7 +181,11 @@
         version: str | None,
         relay: exchanges.Relay,
     ) -> attempts.Attempt:
+        in_flight = self._crashes.begin(call, server)
+
         async def on_started() -> None:
+            if in_flight is not None:
+                in_flight.started_at = self._clock.now()
             self._scheduler.on_answer_started(server)
             if not relay.started:
                 await self._versions.record(call, attempt.version)
@@ -182,6 +202,7 @@
             patience.gap_patience(call),
             now,
             on_started,
+            in_flight,
         )
         return attempt
 
@@ -236,6 +257,9 @@
         )
         outcome = await self._exchange.run(call, server, relay, attempt)
         failures.update_health(call, server, outcome, self._clock.now())
+        self._crashes.end(attempt.in_flight, outcome)
+        if isinstance(outcome, outcomes.NotRun) and not outcome.arrived:
+            self._crashes.on_unreachable(server.entry)
         return outcome
 
     def _record_failed(
@@ -323,6 +347,20 @@
             return self._refuse_later(reason)
         return self._refuse_not_run(reason)
 
+    def _end_quarantined(
+        self, relay: exchanges.Relay, may_have_run: bool
+    ) -> Result:
+        """End a request under whose prompt servers have crashed."""
+        reason = api.RefusalReason.PROMPT_QUARANTINED
+        if relay.started:
+            return Cut(reason.value)
+        if may_have_run:
+            return api.Refusal(
+                api.RefusalReason.MAY_HAVE_RUN, _BAD_GATEWAY, 0.0, reason.value
+            )
+        pause = self._with_jitter(QUARANTINE_RETRY_AFTER_SECONDS)
+        return api.Refusal(reason, _UNAVAILABLE, pause)
+
     def _refuse_later(self, reason: api.RefusalReason) -> api.Refusal:
         """Refuse a request that no instance can take now."""
         pause = self._with_jitter(ABSENT_RETRY_AFTER_SECONDS)
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -12,7 +12,9 @@
 __all__ = [
     'AdapterFound',
     'AdapterInUse',
+    'BrokenRow',
     'ConfigurationBody',
+    'CrashRow',
     'DepartureRow',
     'EngineView',
     'FetchConfiguration',
@@ -30,6 +32,7 @@
     'OriginsFound',
     'OriginsKept',
     'RunningRequests',
+    'VerdictRow',
     'VersionDemand',
 ]
 
@@ -84,6 +87,37 @@
     report_number: int
 
 
+class BrokenRow(msgspec.Struct, frozen=True, array_like=True):
+    """A request whose answer broke off when its server ended.
+
+    ``own`` is the last part of its prompt, ``shared`` the parts that may have
+    caused it.
+    """
+
+    own: str
+    shared: tuple[str, ...]
+
+
+class CrashRow(msgspec.Struct, frozen=True, array_like=True):
+    """The end of a server, the seconds since then and its broken requests."""
+
+    server_id: str
+    seconds: float
+    requests: tuple[BrokenRow, ...]
+
+
+class VerdictRow(msgspec.Struct, frozen=True, array_like=True):
+    """Parts of prompts whose requests are refused.
+
+    ``seconds`` have passed since such a request came; ``crashes`` is the
+    number of servers that had ended.
+    """
+
+    parts: tuple[str, ...]
+    seconds: float
+    crashes: int
+
+
 class InstanceLoad(wire_api.Message, frozen=True, tag='load'):
     """The load of one instance, sent to the owner.
 
@@ -93,6 +127,8 @@
     ``departures`` are the servers that have left in the last seconds.
     ``configuration_seconds`` is how long ago the newest version that it knows
     was the newest in the store, ``None`` if it does not know.
+    ``crashes`` are its reports of ended servers, ``sound_parts`` those
+    suspects of the last view that it has seen in a complete answer.
     """
 
     instance_id: str
@@ -105,6 +141,9 @@
     at_version: tuple[VersionDemand, ...] = ()
     departures: tuple[DepartureRow, ...] = ()
     configuration_seconds: float | None = None
+    crashes: tuple[CrashRow, ...] = ()
+    sound_parts: tuple[str, ...] = ()
+    verdicts: tuple[VerdictRow, ...] = ()
 
 
 class InstanceRow(msgspec.Struct, frozen=True, array_like=True):
@@ -145,7 +184,9 @@
     is empty if the receiver has that version already, or for version 0.
     ``departures`` are the servers that have left in the last seconds.
     ``configuration_seconds`` is how long ago ``configuration_version`` was
-    the newest in the store, ``None`` if that is not known.
+    the newest in the store, ``None`` if that is not known. ``suspects`` are
+    the parts of prompts that may be convicted. ``verdicts`` replace those of
+    the receiver, unless an earlier build sends none.
     """
 
     owner: str
@@ -159,6 +200,8 @@
     roster: tuple[InstanceRow, ...] = ()
     departures: tuple[DepartureRow, ...] = ()
     configuration_seconds: float | None = None
+    suspects: tuple[str, ...] = ()
+    verdicts: tuple[VerdictRow, ...] | None = None
 
 
 class FindAdapter(wire_api.Message, frozen=True, tag='find'):
--- a/src/dogwoodquay/gateway/metrics.py
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -65,6 +65,14 @@
             'Servers that were found to have left',
             'source',
         )
+        self._servers_ended = registry.counter(
+            'gateway_servers_ended_total',
+            'Servers that ended while requests with prompts ran there',
+        )
+        self._convictions = registry.counter(
+            'gateway_convictions_total',
+            'Verdicts on parts of prompts under which servers ended',
+        )
         self._configuration_reads = registry.counter(
             'gateway_configuration_reads_total',
             'Reads of the configuration',
@@ -144,6 +152,14 @@
         """Count a server that has left, by who told of it."""
         self._departures.add(source)
 
+    def server_ended(self) -> None:
+        """Count a report of a server that has ended."""
+        self._servers_ended.add()
+
+    def convicted(self) -> None:
+        """Count a new verdict on parts of prompts."""
+        self._convictions.add()
+
     def configuration_read(self, kind: str, outcome: str, size: int) -> None:
         """Count a read of the configuration and the bytes received."""
         self._configuration_reads.add(kind, outcome)
--- a/src/dogwoodquay/gateway/outcomes.py
+++ b/src/dogwoodquay/gateway/outcomes.py
@@ -35,16 +35,25 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Whole:
-    """The server's complete answer."""
+    """The server's complete answer.
+
+    ``framed`` is whether its end was marked, by a length or a last chunk.
+    """
 
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
+    framed: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Streamed:
-    """The stream was sent to the caller up to its end."""
+    """The stream was sent to the caller up to its end.
+
+    ``framed`` is whether that was marked, not just the connection's end.
+    """
+
+    framed: bool = True
 
 
 Outcome = NotRun | Broken | Whole | Streamed
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -19,6 +19,7 @@
     from . import configuration_watch
     from . import controller as controllers
     from . import copies as configuration_copies
+    from . import crashes as crash_watches
     from . import departures as departure_news
     from ..fleet import registry as registries
     from . import origins as stream_origins
@@ -51,8 +52,11 @@
         copies: configuration_copies.ConfigurationCopies,
         origins: stream_origins.StreamOrigins,
         departures: departure_news.DepartureNews,
+        crashes: crash_watches.CrashWatch,
     ) -> None:
         self._transport = transport
+        self._crashes = crashes
+        crashes.on_report(self.publish_soon)
         self._departures = departures
         self._ownership = ownership
         self._controller = controller
@@ -86,8 +90,8 @@
         self._scheduler = scheduler
         self._configuration = configuration
 
-    def on_configuration_changed(self) -> None:
-        """Publish the load at once, with the version now in force."""
+    def publish_soon(self) -> None:
+        """Publish the load at once, with what has just become known."""
         self._wake.set()
 
     async def find_adapter(
@@ -211,6 +215,7 @@
             ),
             self._departures.rows(),
             seconds if seconds != math.inf else None,
+            *self._crashes.load_rows(),
         )
 
     def _on_load(
@@ -220,6 +225,8 @@
         now = self._clock.now()
         self._roster.add(load.instance_id, load.failure_domain, now)
         self._departures.apply(load.departures)
+        if load.instance_id != self._ownership.member:
+            self._crashes.on_load(load)
         view = self._controller.on_load(load)
         if view is None or not self._ownership.is_owner(now):
             return view
@@ -229,6 +236,8 @@
             roster_version=version,
             roster=rows,
             departures=self._departures.rows(),
+            suspects=self._crashes.suspects(),
+            verdicts=self._crashes.verdict_rows(),
         )
 
     def _apply_view(self, view: messages.FleetView, asked_at: float) -> None:
@@ -240,6 +249,7 @@
         self._ownership.update_instance_count(view.instances)
         self._copies.on_view(view.reads_store, view.configuration_holder)
         self._departures.apply(view.departures)
+        self._crashes.on_view(view, view.owner == self._ownership.member)
         if view.roster:
             self._applied_version = view.roster_version
             self._applied_roster = view.roster
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -14,6 +14,7 @@
 from . import configuration_watch
 from . import controller as controllers
 from . import copies as configuration_copies
+from . import crashes as crash_watches
 from . import departures as departure_news
 from . import exchange as exchanges
 from ..external.http import client
@@ -162,6 +163,7 @@
                 ('controller', self._controller.run),
                 ('peering', self._peering.run),
                 ('origins', self._origins.run),
+                ('crashes', self._crashes.run),
             ):
                 group.start_soon(supervise.keep_running, name, part)
             group.start_soon(readiness.serve, self._health, self._drained.wait)
@@ -212,6 +214,9 @@
             clock,
             metrics,
         )
+        self._crashes = crash_watches.CrashWatch(
+            self._connections, clock, metrics
+        )
         self._peering = peerings.Peering(
             self._peers,
             self._ownership,
@@ -221,6 +226,7 @@
             self._copies,
             self._origins,
             departure_news.DepartureNews(self._registry, clock, metrics),
+            self._crashes,
         )
         self._scheduler = schedulers.Scheduler(
             self._registry,
@@ -275,6 +281,7 @@
             self._metrics,
             self._silence,
             versions,
+            self._crashes,
         )
         return apps.GatewayApp(
             forwarder,
@@ -290,7 +297,7 @@
         self._scheduler.configure(configuration.services)
         self._controller.configure(configuration.services)
         self._callers.keep_idle(configuration.limits.idle_timeout_seconds)
-        self._peering.on_configuration_changed()
+        self._peering.publish_soon()
 
     def _not_ready(self) -> str:
         if self._stopping.is_set():
--- /dev/null
+++ b/src/dogwoodquay/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Finds the parts of prompts under which servers crash."""
--- /dev/null
+++ b/src/dogwoodquay/quarantine/core.py
@@ -0,0 +1,171 @@
+"""Decides which requests are refused because servers crash under them."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+from . import evidence as crash_evidence
+from . import sound
+from . import verdicts as verdicts_module
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from . import api
+
+__all__ = ['Changes', 'Quarantine']
+
+# How long own reports are sent, so that a new owner receives them as well.
+REPORT_SECONDS: typing.Final = 10.0
+MAX_REPORTED_REQUESTS: typing.Final = 64
+# How long a suspect is named before it may be convicted. Instances that have
+# seen it in a complete answer object within this time.
+HEARING_SECONDS: typing.Final = 0.7
+MAX_SUSPECTS: typing.Final = 64
+
+
+class Changes(typing.NamedTuple):
+    """Verdicts that are new, and those that have ended with the reason."""
+
+    added: list[api.Verdict]
+    ended: list[tuple[api.Verdict, str]]
+
+
+class Quarantine:
+    """The evidence and the verdicts that one instance knows."""
+
+    def __init__(self) -> None:
+        self._sound = sound.SoundParts()
+        self._evidence = crash_evidence.CrashEvidence(self._sound)
+        self._verdicts = verdicts_module.Verdicts()
+        self._reports: collections.deque[api.CrashReport] = collections.deque()
+        # Since when each suspect is named.
+        self._named_at: dict[str, float] = {}
+        self._peers_suspects: frozenset[str] = frozenset()
+
+    @property
+    def has_verdicts(self) -> bool:
+        """Whether any request may be refused."""
+        return bool(self._verdicts)
+
+    @property
+    def verdicts(self) -> list[api.Verdict]:
+        """The verdicts in force."""
+        return self._verdicts.all
+
+    @property
+    def suspects(self) -> tuple[str, ...]:
+        """The parts that may be convicted, unless somebody objects."""
+        return tuple(self._named_at)
+
+    def find(
+        self, prompt: api.Prompt | None, now: float
+    ) -> api.Verdict | None:
+        """Return the verdict by which a request is refused, if any."""
+        if not self._verdicts or prompt is None:
+            return None
+        return self._verdicts.find(prompt.shared, now)
+
+    def is_suspect(self, prompt: api.Prompt | None) -> bool:
+        """Whether a repeat of a request may cost one more server."""
+        if prompt is None:
+            return False
+        return any(
+            part not in self._sound
+            and (part in self._named_at or part in self._peers_suspects)
+            for part in prompt.shared
+        )
+
+    def on_answered(self, prompt: api.Prompt, now: float) -> None:
+        """Record a complete answer."""
+        self._sound.add(prompt.shared, now)
+
+    def on_crash(self, report: api.CrashReport) -> None:
+        """Record the end of a server with requests of this instance."""
+        known = tuple(
+            request._replace(
+                shared=frozenset(
+                    part for part in request.shared if part not in self._sound
+                )
+            )
+            for request in report.requests
+        )
+        left = tuple(request for request in known if request.shared)
+        report = report._replace(requests=left[:MAX_REPORTED_REQUESTS])
+        self._evidence.add(report)
+        self._reports.append(report)
+
+    def reports(self, now: float) -> list[api.CrashReport]:
+        """Return the recent reports of this instance."""
+        while self._reports and now - self._reports[0].at > REPORT_SECONDS:
+            self._reports.popleft()
+        chosen, count = [], 0
+        for report in reversed(self._reports):
+            count += len(report.requests)
+            if count > MAX_REPORTED_REQUESTS:
+                break
+            chosen.append(report)
+        return chosen
+
+    def objections(self) -> tuple[str, ...]:
+        """Return the suspects of others that have had a complete answer."""
+        return tuple(
+            part for part in self._peers_suspects if part in self._sound
+        )
+
+    def on_peer_reports(
+        self,
+        reports: abc.Iterable[api.CrashReport],
+        objections: abc.Iterable[str],
+        verdicts: abc.Iterable[api.Verdict],
+        now: float,
+    ) -> Changes:
+        """Join what another instance reports to the owner, this instance."""
+        self._sound.add(objections, now)
+        for report in reports:
+            self._evidence.add(report)
+        return Changes(self._verdicts.merge(verdicts), [])
+
+    def on_owner_view(
+        self,
+        suspects: abc.Iterable[str],
+        verdicts: abc.Iterable[api.Verdict] | None,
+    ) -> Changes:
+        """Take over what the owner knows; ``None`` for an earlier build."""
+        self._peers_suspects = frozenset(suspects)
+        if verdicts is None:
+            return Changes([], [])
+        added, withdrawn = self._verdicts.replace(verdicts)
+        return Changes(added, [(item, 'owner') for item in withdrawn])
+
+    def step(self, now: float, decides: bool) -> Changes:
+        """Expire what is old and decide on the suspects.
+
+        :param decides: whether this instance is the owner, or hears of none.
+        """
+        self._sound.expire(now)
+        self._evidence.expire(now)
+        ended = [(item, 'quiet') for item in self._verdicts.expire(now)]
+        ended.extend(
+            (item, 'answered') for item in self._verdicts.refute(self._sound)
+        )
+        if not decides:
+            self._named_at.clear()
+            return Changes([], ended)
+        suspects = self._evidence.suspects()
+        most = sorted(suspects, key=lambda part: (-suspects[part], part))
+        self._named_at = {
+            part: self._named_at.get(part, now) for part in most[:MAX_SUSPECTS]
+        }
+        heard = {
+            part
+            for part, named_at in self._named_at.items()
+            if now - named_at >= HEARING_SECONDS
+        }
+        if not heard:
+            return Changes([], ended)
+        explanations = self._evidence.explanations(heard)
+        added, withdrawn = self._verdicts.apply(explanations)
+        ended.extend((item, 'explained') for item in withdrawn)
+        return Changes(added, ended)
--- /dev/null
+++ b/src/dogwoodquay/quarantine/evidence.py
@@ -0,0 +1,137 @@
+"""Collects crashes and finds the parts of prompts that explain them."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+from . import api
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from . import sound
+
+__all__ = ['CrashEvidence', 'Explanation']
+
+# Crashes that are considered together.
+EVIDENCE_SECONDS: typing.Final = 120.0
+MAX_CRASHES: typing.Final = 128
+MAX_REQUESTS_PER_CRASH: typing.Final = 64
+# Crashes after which a part is suspect, and after which it may be convicted.
+MIN_SUSPECT_CRASHES: typing.Final = 2
+MIN_CRASHES: typing.Final = 3
+# Different requests with the part; repeats of one do not count.
+MIN_REQUESTS: typing.Final = 2
+
+
+class Explanation(typing.NamedTuple):
+    """Parts that come together in requests under which servers ended."""
+
+    parts: frozenset[str]
+    servers: frozenset[str]
+    last_at: float
+
+
+class _Crash:
+    """The end of one server by the reports of all instances."""
+
+    def __init__(self, at: float) -> None:
+        self.at = at
+        self.requests: set[api.BrokenRequest] = set()
+
+
+class CrashEvidence:
+    """The crashes of the last minutes."""
+
+    def __init__(self, sound_parts: sound.SoundParts) -> None:
+        self._sound = sound_parts
+        self._crashes: dict[str, _Crash] = {}
+
+    def add(self, report: api.CrashReport) -> None:
+        """Join a report with those of the same server."""
+        crash = self._crashes.setdefault(report.server_id, _Crash(report.at))
+        for request in report.requests:
+            if len(crash.requests) >= MAX_REQUESTS_PER_CRASH:
+                break
+            crash.requests.add(request)
+        while len(self._crashes) > MAX_CRASHES:
+            del self._crashes[next(iter(self._crashes))]
+
+    def expire(self, now: float) -> None:
+        """Forget old crashes."""
+        self._crashes = {
+            server_id: crash
+            for server_id, crash in self._crashes.items()
+            if now - crash.at <= EVIDENCE_SECONDS
+        }
+
+    def suspects(self) -> dict[str, int]:
+        """Return the suspect parts with their numbers of crashes."""
+        return {
+            part: len(servers)
+            for part, servers in self._servers_by_part(self._crashes).items()
+            if len(servers) >= MIN_SUSPECT_CRASHES
+        }
+
+    def explanations(
+        self, may_convict: abc.Container[str]
+    ) -> list[Explanation]:
+        """Return the fewest parts that explain the crashes.
+
+        :param may_convict: the parts to which no instance has objected.
+        """
+        found: list[Explanation] = []
+        unexplained = dict(self._crashes)
+        while True:
+            by_part = self._servers_by_part(unexplained)
+            guilty = [
+                (-len(servers), part)
+                for part, servers in by_part.items()
+                if len(servers) >= MIN_CRASHES
+                and part in may_convict
+                and self._request_count(part, servers) >= MIN_REQUESTS
+            ]
+            if not guilty:
+                return found
+            _, part = min(guilty)
+            servers = by_part[part]
+            last_at = max(self._crashes[name].at for name in servers)
+            parts = self._common_parts(part, servers)
+            found.append(Explanation(parts, frozenset(servers), last_at))
+            for server_id in servers:
+                del unexplained[server_id]
+
+    def _servers_by_part(
+        self, crashes: abc.Mapping[str, _Crash]
+    ) -> dict[str, set[str]]:
+        """Return the servers that ended under each part without an answer."""
+        servers: dict[str, set[str]] = collections.defaultdict(set)
+        for server_id, crash in crashes.items():
+            for request in crash.requests:
+                for part in request.shared:
+                    if part not in self._sound:
+                        servers[part].add(server_id)
+        return servers
+
+    def _requests(
+        self, part: str, servers: abc.Iterable[str]
+    ) -> list[api.BrokenRequest]:
+        return [
+            request
+            for server_id in servers
+            for request in self._crashes[server_id].requests
+            if part in request.shared
+        ]
+
+    def _request_count(self, part: str, servers: abc.Iterable[str]) -> int:
+        return len({item.own for item in self._requests(part, servers)})
+
+    def _common_parts(
+        self, part: str, servers: abc.Iterable[str]
+    ) -> frozenset[str]:
+        """Return the parts without an answer that always come with a part."""
+        common = frozenset.intersection(
+            *(item.shared for item in self._requests(part, servers))
+        )
+        return frozenset(item for item in common if item not in self._sound)
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -11,7 +11,9 @@
 
 from dogwoodquay import clock as clocks
 from dogwoodquay.external import api as external_api
+from dogwoodquay.external.http import client
 from dogwoodquay.gateway import copies
+from dogwoodquay.gateway import crashes
 from dogwoodquay.gateway import metrics
 from dogwoodquay.gateway import origins
 from dogwoodquay.gateway import settings
@@ -29,6 +31,7 @@
     'FakeStore',
     'instance_settings',
     'log_lines',
+    'make_crashes',
     'make_metrics',
 ]
 
@@ -63,6 +66,12 @@
     return metrics.GatewayMetrics(metrics_module.Registry('test'))
 
 
+def make_crashes(clock: clocks.Clock) -> crashes.CrashWatch:
+    """Return a watch of crashes that opens no connection by itself."""
+    connections = client.Connections(clock)
+    return crashes.CrashWatch(connections, clock, make_metrics())
+
+
 def log_lines(test: unittest.TestCase) -> list[dict[str, typing.Any]]:
     """Return a list that receives the lines logged until the test ends."""
     lines: list[dict[str, typing.Any]] = []
--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -16,6 +16,7 @@
 from dogwoodquay.fleet import api as fleet_api
 from dogwoodquay.fleet import registry as registries
 from dogwoodquay.gateway import app as apps
+from dogwoodquay.gateway import crashes
 from dogwoodquay.gateway import exchange as exchanges
 from dogwoodquay.gateway import forwarder as forwarders
 from dogwoodquay.gateway import metrics as gateway_metrics
@@ -199,6 +200,7 @@
         self.origins = fakes.FakeOrigins()
         self.server_list = fakes.FakeServerList()
         self.silence = silence.SilenceWatch(self.scheduler, clock)
+        self.crashes = crashes.CrashWatch(self.connections, clock, metrics)
         self.app = apps.GatewayApp(
             forwarders.Forwarder(
                 self.scheduler,
@@ -211,6 +213,7 @@
                 resumption.StreamVersions(
                     self.origins, self.registry, self.server_list, clock
                 ),
+                self.crashes,
             ),
             headers,
             clock,
--- a/tests/unit/gateway/test_peering.py
+++ b/tests/unit/gateway/test_peering.py
@@ -148,6 +148,7 @@
             self.copies,
             self.origins,
             departures.DepartureNews(registry, clock, metrics),
+            fakes.make_crashes(clock),
         )
         self.registry = registry
         self.scheduler = schedulers.Scheduler(
@@ -322,7 +323,7 @@
                 group.start_soon(instance.peering.run)
                 await anyio.sleep(0.01)
                 self.assertFalse(published.is_set())
-                instance.peering.on_configuration_changed()
+                instance.peering.publish_soon()
                 await published.wait()
                 await anyio.sleep(0.01)
                 group.cancel_scope.cancel()
--- a/tests/unit/gateway/test_successors.py
+++ b/tests/unit/gateway/test_successors.py
@@ -302,6 +302,7 @@
             resumption.StreamVersions(
                 fakes.FakeOrigins(), registry, fakes.FakeServerList(), clock
             ),
+            fakes.make_crashes(clock),
         )
 
         class _Relay:
@@ -359,6 +360,7 @@
             resumption.StreamVersions(
                 fakes.FakeOrigins(), registry, fakes.FakeServerList(), clock
             ),
+            fakes.make_crashes(clock),
         )
 
         class _Relay:
--- /dev/null
+++ b/tests/unit/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of verdicts on parts of prompts."""
--- /dev/null
+++ b/tests/unit/quarantine/test_core.py
@@ -0,0 +1,300 @@
+"""Tests of the verdicts of one instance or of several."""
+
+from __future__ import annotations
+
+import unittest
+
+from dogwoodquay.quarantine import api
+from dogwoodquay.quarantine import core
+from dogwoodquay.quarantine import evidence
+from dogwoodquay.quarantine import verdicts
+
+_HEARING = core.HEARING_SECONDS
+
+
+def _prompt(*parts: str) -> api.Prompt:
+    prompt = api.prompt_of(parts)
+    assert prompt is not None
+    return prompt
+
+
+def _report(
+    server_id: str, at: float, *requests: tuple[str, ...]
+) -> api.CrashReport:
+    """Return a report; of each request the last part is its own."""
+    broken = tuple(
+        api.BrokenRequest(parts[-1], frozenset(parts[:-1]))
+        for parts in requests
+    )
+    return api.CrashReport(server_id, at, broken)
+
+
+class _QuarantineCase(unittest.TestCase):
+    """An instance that decides."""
+
+    def setUp(self) -> None:
+        """Begin without evidence."""
+        self.quarantine = core.Quarantine()
+        self.now = 100.0
+
+    def crash(self, server_id: str, *requests: tuple[str, ...]) -> None:
+        """Report a crash with these requests."""
+        self.quarantine.on_crash(_report(server_id, self.now, *requests))
+
+    def decide(self) -> list[list[str]]:
+        """Let suspects be heard, and return the parts of all verdicts."""
+        self.quarantine.step(self.now, decides=True)
+        self.now += _HEARING
+        self.quarantine.step(self.now, decides=True)
+        return sorted(sorted(v.parts) for v in self.quarantine.verdicts)
+
+    def refuses(self, *parts: str) -> bool:
+        """Whether a request is refused."""
+        prompt = api.prompt_of(parts)
+        return self.quarantine.find(prompt, self.now) is not None
+
+
+class ConvictionTest(_QuarantineCase):
+    """Which parts are convicted."""
+
+    def test_part_in_all_crashes(self) -> None:
+        """Parts with complete answers are not convicted."""
+        self.quarantine.on_answered(_prompt('first', 'c1', 'o'), self.now)
+        for number in range(3):
+            own = f'own-{number}'
+            self.crash(f's{number}', ('first', 'c1', 'bad', own))
+        self.assertEqual([['bad']], self.decide())
+        self.assertTrue(self.refuses('other', 'bad', 'x'))
+        self.assertFalse(self.refuses('first', 'c1', 'x'))
+
+    def test_last_part(self) -> None:
+        """A request's own part is neither convicted nor refused."""
+        for number in range(3):
+            self.crash(f's{number}', ('bad', f'own-{number}'))
+        self.assertEqual([['bad']], self.decide())
+        self.assertFalse(self.refuses('first', 'bad'))
+        self.assertFalse(self.refuses('bad'))
+
+    def test_too_few_crashes(self) -> None:
+        """Two crashes may have had other causes."""
+        for number in range(2):
+            self.crash(f's{number}', ('bad', f'own-{number}'))
+        self.assertEqual([], self.decide())
+        self.assertTrue(self.quarantine.is_suspect(_prompt('bad', 'x')))
+
+    def test_repeats_of_one_request(self) -> None:
+        """One request that runs into several crashes convicts nothing."""
+        for number in range(5):
+            self.crash(f's{number}', ('doc', 'own'))
+        self.assertEqual([], self.decide())
+
+    def test_several_reports_on_one_server(self) -> None:
+        """The reports of all instances on a server are one crash."""
+        for number in range(5):
+            self.crash('s0', ('bad', f'own-{number}'))
+        self.assertEqual([], self.decide())
+
+    def test_requests_beside(self) -> None:
+        """The part with most crashes explains those of the others."""
+        for number in range(4):
+            requests = [('bad', f'own-{number}')]
+            if number:
+                requests.append(('doc', f'beside-{number}'))
+            self.crash(f's{number}', *requests)
+        self.assertEqual([['bad']], self.decide())
+
+    def test_better_explanation(self) -> None:
+        """A verdict is replaced once the evidence tells more."""
+        for number in range(3):
+            self.crash(f's{number}', ('a', f'x-{number}'), ('b', f'{number}'))
+        self.assertEqual([['a']], self.decide())
+        self.crash('s3', ('b', 'own'))
+        self.assertEqual([['b']], self.decide())
+
+    def test_parts_that_come_together(self) -> None:
+        """What cannot be told apart is refused together only."""
+        for number in range(3):
+            self.crash(f's{number}', ('bad', 'with', f'own-{number}'))
+        self.assertEqual([['bad', 'with']], self.decide())
+        self.assertFalse(self.refuses('with', 'x'))
+        self.quarantine.on_answered(_prompt('with', 'o'), self.now)
+        self.assertEqual([['bad']], self.decide())
+
+    def test_two_guilty_parts(self) -> None:
+        """Each needs crashes of its own."""
+        for number in range(3):
+            self.crash(f's{number}', ('a', f'x-{number}'))
+            self.crash(f't{number}', ('b', f'y-{number}'))
+        self.assertEqual([['a'], ['b']], self.decide())
+
+    def test_not_before_the_hearing(self) -> None:
+        """Others have time to object."""
+        for number in range(3):
+            self.crash(f's{number}', ('bad', f'own-{number}'))
+        self.quarantine.step(self.now, decides=True)
+        self.assertEqual(('bad',), self.quarantine.suspects)
+        self.now += _HEARING / 2
+        self.quarantine.step(self.now, decides=True)
+        self.assertEqual([], self.quarantine.verdicts)
+
+    def test_who_does_not_decide(self) -> None:
+        """Others than the owner wait for its verdict."""
+        for number in range(3):
+            self.crash(f's{number}', ('bad', f'own-{number}'))
+        for _ in range(2):
+            self.quarantine.step(self.now, decides=False)
+            self.now += _HEARING
+        self.assertEqual([], self.quarantine.verdicts)
+
+    def test_old_evidence(self) -> None:
+        """Crashes that are far apart have no common cause."""
+        for number in range(3):
+            self.crash(f's{number}', ('bad', f'own-{number}'))
+            self.now += evidence.EVIDENCE_SECONDS / 2 + 1.0
+        self.assertEqual([], self.decide())
+
+
+class EndTest(_QuarantineCase):
+    """When a verdict ends."""
+
+    def setUp(self) -> None:
+        """Convict a part."""
+        super().setUp()
+        for number in range(3):
+            self.crash(f's{number}', ('bad', f'own-{number}'))
+        self.decide()
+
+    def _is_in_force(self) -> bool:
+        self.quarantine.step(self.now, decides=True)
+        return bool(self.quarantine.verdicts)
+
+    def test_requests_keep_it(self) -> None:
+        """It stays as long as such requests come."""
+        for _ in range(3):
+            self.now += verdicts.QUIET_SECONDS - 1.0
+            self.assertTrue(self.refuses('bad', 'x'))
+            self.assertTrue(self._is_in_force())
+
+    def test_without_requests(self) -> None:
+        """It ends after a long time without such requests."""
+        self.now += verdicts.QUIET_SECONDS - 1.0
+        self.assertTrue(self._is_in_force())
+        self.now += 2.0
+        self.assertFalse(self._is_in_force())
+
+    def test_complete_answer(self) -> None:
+        """It ends if a request with the part has a complete answer."""
+        self.quarantine.on_answered(_prompt('bad', 'o'), self.now)
+        self.assertFalse(self._is_in_force())
+
+
+class ExchangeTest(_QuarantineCase):
+    """What the owner and the others tell each other."""
+
+    def setUp(self) -> None:
+        """Create the owner's quarantine."""
+        super().setUp()
+        self.owner = core.Quarantine()
+
+    def _tell(self, sender: core.Quarantine) -> None:
+        self.owner.on_peer_reports(
+            sender.reports(self.now),
+            sender.objections(),
+            sender.verdicts,
+            self.now,
+        )
+        self.owner.step(self.now, decides=True)
+        sender.on_owner_view(self.owner.suspects, self.owner.verdicts)
+
+    def test_crashes_at_several_instances(self) -> None:
+        """The owner joins what each instance has seen once."""
+        others = [core.Quarantine() for _ in range(3)]
+        for number, other in enumerate(others):
+            other.on_crash(
+                _report(f's{number}', self.now, ('bad', f'own-{number}'))
+            )
+        for _ in range(2):
+            for other in others:
+                self._tell(other)
+            self.now += _HEARING
+        for other in others:
+            prompt = _prompt('bad', 'x')
+            self.assertIsNotNone(other.find(prompt, self.now))
+
+    def test_objection(self) -> None:
+        """An instance objects to a part that it has seen answered."""
+        sound = core.Quarantine()
+        sound.on_answered(_prompt('first', 'o'), self.now)
+        for number in range(3):
+            self.crash(f's{number}', ('first', 'bad', f'own-{number}'))
+        for _ in range(2):
+            self._tell(self.quarantine)
+            self._tell(sound)
+            self.now += _HEARING
+        self._tell(sound)
+        self.assertEqual(
+            [frozenset({'bad'})], [v.parts for v in self.owner.verdicts]
+        )
+
+    def test_new_owner(self) -> None:
+        """Verdicts and recent reports reach an owner that lacks them."""
+        verdict = api.Verdict(frozenset({'bad'}), self.now, 3)
+        self.quarantine.on_owner_view((), [verdict])
+        self._tell(self.quarantine)
+        self.assertEqual([verdict], self.owner.verdicts)
+
+    def test_withdrawn_by_the_owner(self) -> None:
+        """The owner's verdicts replace those of the others."""
+        verdict = api.Verdict(frozenset({'bad'}), self.now, 3)
+        self.quarantine.on_owner_view((), [verdict])
+        self.quarantine.on_owner_view((), None)
+        self.assertEqual([verdict], self.quarantine.verdicts)
+        self.quarantine.on_owner_view((), [])
+        self.assertEqual([], self.quarantine.verdicts)
+
+    def test_time_of_reports(self) -> None:
+        """Reports are told for some time only."""
+        self.crash('s0', ('bad', 'own'))
+        self.now += core.REPORT_SECONDS + 0.1
+        self.assertEqual([], self.quarantine.reports(self.now))
+
+
+class BoundsTest(_QuarantineCase):
+    """Callers invent parts; what is kept of them is bounded."""
+
+    def test_reported_requests(self) -> None:
+        """A load carries a limited number of requests."""
+        for number in range(50):
+            requests = [(f'p{number}', f'o{n}') for n in range(10)]
+            self.crash(f's{number}', *requests)
+        reports = self.quarantine.reports(self.now)
+        count = sum(len(report.requests) for report in reports)
+        self.assertLessEqual(count, core.MAX_REPORTED_REQUESTS)
+        self.assertEqual('s49', reports[0].server_id)
+
+    def test_suspects(self) -> None:
+        """The suspects with the most crashes are named."""
+        for number in range(2):
+            for start in range(0, 640, 16):
+                parts = [f'p{n}' for n in range(start, start + 16)]
+                self.crash(f's{number}', (*parts, f'o{start}'))
+        self.quarantine.step(self.now, decides=True)
+        self.assertEqual(core.MAX_SUSPECTS, len(self.quarantine.suspects))
+
+    def test_verdicts(self) -> None:
+        """The verdicts that were longest without a request go first."""
+        for number in range(verdicts.MAX_VERDICTS + 1):
+            verdict = api.Verdict(frozenset({f'p{number}'}), number, 3)
+            self.quarantine.on_peer_reports((), (), [verdict], self.now)
+        kept = {part for v in self.quarantine.verdicts for part in v.parts}
+        self.assertEqual(verdicts.MAX_VERDICTS, len(kept))
+        self.assertNotIn('p0', kept)
+
+    def test_long_prompts(self) -> None:
+        """Of long prompts the first parts are considered."""
+        self.assertIsNone(api.prompt_of(('x' * 65, 'own')))
+        self.assertIsNone(api.prompt_of(('own',)))
+        self.assertIsNone(api.prompt_of(()))
+        parts = tuple(f'p{number}' for number in range(40))
+        expected = frozenset(parts[: api.MAX_PARTS])
+        self.assertEqual(api.Prompt(expected, 'p39'), api.prompt_of(parts))
