Test answers without framing and streams that end within an event

Engines that crash in such answers are convicted like others: one more test of GuiltyPartTest, which needs the quarantine.

--- a/tests/site/http.py
+++ b/tests/site/http.py
@@ -42,7 +42,8 @@
     """A reply; with ``parts`` it is a chunked stream.
 
     With ``pieces`` the body is sent in these pieces, with its length.
-    With ``raw`` these bytes are sent instead of a reply.
+    With ``raw`` these bytes are sent instead of a reply. An ``unframed``
+    reply has neither a length nor chunks and ends with its connection.
     """
 
     status: int = 200
@@ -51,6 +52,7 @@
     parts: abc.AsyncIterator[bytes] | None = None
     pieces: abc.AsyncIterator[bytes] | None = None
     raw: abc.AsyncGenerator[bytes, None] | None = None
+    unframed: bool = False
 
     @classmethod
     def of(cls, fields: typing.Any, status: int = 200) -> Answer:
@@ -121,6 +123,8 @@
                         await reader.read()
                         break
                     await _write(writer, answer)
+                    if answer.unframed:
+                        break
         except Reset:
             _reset(writer)
         finally:
@@ -156,7 +160,9 @@
                 await writer.drain()
     lines = [f'HTTP/1.1 {answer.status} X']
     lines += [f'{name}: {value}' for name, value in answer.headers]
-    if answer.parts is None:
+    if answer.unframed:
+        pass
+    elif answer.parts is None:
         lines.append(f'Content-Length: {len(answer.body)}')
     else:
         lines.append('Transfer-Encoding: chunked')
@@ -169,7 +175,11 @@
             await writer.drain()
     if answer.parts is not None:
         async for part in answer.parts:
-            writer.write(b'%x\r\n%s\r\n' % (len(part), part))
+            if answer.unframed:
+                writer.write(part)
+            else:
+                writer.write(b'%x\r\n%s\r\n' % (len(part), part))
             await writer.drain()
-        writer.write(b'0\r\n\r\n')
+        if not answer.unframed:
+            writer.write(b'0\r\n\r\n')
     await writer.drain()
--- a/tests/site/server.py
+++ b/tests/site/server.py
@@ -72,7 +72,9 @@
 
     A stream has ``events`` events at intervals of ``event_seconds``.
     ``silences`` are the pauses to come, by attempt id; each happens once, and
-    so do ``resets``, the places and events at which a stream is broken off.
+    so do ``resets``, the places and events at which a stream is broken off,
+    and ``ends``, those at which it ends as if it were complete. Answers of
+    an ``unframed`` server end with their connection.
     ``endless`` is what answers send without end, ``endless_now`` how many.
 
     :param version: the version of the software, which events then carry.
@@ -92,6 +94,8 @@
         self.executed_attempts: list[str] = []
         self.silences: dict[str, Silence] = {}
         self.resets: dict[str, tuple[Place, int]] = {}
+        self.ends: dict[str, tuple[Place, int]] = {}
+        self.unframed = False
         self.endless: endless.Kind | None = None
         self.endless_now = 0
         self.order_sources: list[tuple[str, int]] = []
@@ -190,6 +194,13 @@
             del self.resets[attempt]
             raise http.Reset
 
+    def _ends(self, attempt: str, place: Place, event: int) -> bool:
+        """Whether a stream ends early at this place."""
+        if self.ends.get(attempt) != (place, event):
+            return False
+        del self.ends[attempt]
+        return True
+
     def _models(self) -> list[dict[str, typing.Any]]:
         return [
             {'Name': name, 'Version': 1, 'Adapters': sorted(adapters)}
@@ -224,12 +235,20 @@
         )
         await self._pause(attempt, Place.HEAD)
         if model:
-            return http.Answer(200, b'', headers, self._stream(request))
+            return http.Answer(
+                200,
+                b'',
+                headers,
+                self._stream(request),
+                unframed=self.unframed,
+            )
         await asyncio.sleep(0.005)
         body = f'{self._id} {request.method} {request.path} '.encode()
         body += request.body
         pieces = self._pieces(attempt, body)
-        return http.Answer(200, body, headers, pieces=pieces)
+        return http.Answer(
+            200, body, headers, pieces=pieces, unframed=self.unframed
+        )
 
     async def _endless(
         self, kind: endless.Kind, attempt: str
@@ -246,6 +265,7 @@
     ) -> abc.AsyncIterator[bytes]:
         yield body[:4]
         await self._pause(attempt, Place.BODY)
+        self._reset(attempt, Place.BODY, 1)
         yield body[4:]
 
     async def _stream(self, request: http.Request) -> abc.AsyncIterator[bytes]:
@@ -259,11 +279,15 @@
                     await self._flowing.wait()
                 await self._pause(attempt, Place.BETWEEN_EVENTS, number)
                 self._reset(attempt, Place.BETWEEN_EVENTS, number)
+                if self._ends(attempt, Place.BETWEEN_EVENTS, number):
+                    return
                 data = f'x{number} {self._version}'.rstrip()
                 event = f'id: {number}\ndata: {data}\n\n'.encode()
                 yield event[:8]
                 await self._pause(attempt, Place.WITHIN_EVENT, number)
                 self._reset(attempt, Place.WITHIN_EVENT, number)
+                if self._ends(attempt, Place.WITHIN_EVENT, number):
+                    return
                 yield event[8:]
         finally:
             self._running -= 1
--- a/tests/site/test_crashing_prompts.py
+++ b/tests/site/test_crashing_prompts.py
@@ -128,10 +128,14 @@
 class GuiltyPartTest(_CrashCase):
     """Requests with the part come at all instances, no two alike."""
 
-    async def _assert_contained(self, point: crashes.CrashPoint) -> None:
+    async def _assert_contained(
+        self, point: crashes.CrashPoint, unframed: bool = False
+    ) -> None:
         self.record.part, self.record.point = '', point
         async with self.running() as site:
             self.record.part = _GUILTY
+            for engine in self.engines:
+                engine.unframed = unframed
             async with asyncio.TaskGroup() as group:
                 tasks = [
                     group.create_task(sender)
@@ -176,6 +180,12 @@
         """Engines end in the middle of their answer."""
         await self._assert_contained(crashes.CrashPoint.AFTER_FIRST_EVENT)
 
+    async def test_crash_in_an_answer_without_framing(self) -> None:
+        """Answers end with their connection, sound ones as well."""
+        await self._assert_contained(
+            crashes.CrashPoint.AFTER_FIRST_EVENT, unframed=True
+        )
+
 
 class NoGuiltyPartTest(_CrashCase):
     """Engines end by themselves while sound requests run."""
