Hold polls of the configuration for 1.2 s

A reader asked the store 1.6 times a second with polls of 0.6 s, as often as it reads the list of servers, for nothing: views confirm versions from several readers, and a refusal asks by itself. With 1.2 s a lost answer is still noticed after 1.5 s.

--- a/src/dogwoodquay/gateway/configuration_watch.py
+++ b/src/dogwoodquay/gateway/configuration_watch.py
@@ -31,7 +31,7 @@
 
 # How long the store holds a poll. Its answer, also an empty one, shows as of
 # when the active version is the newest; a lost one shows nothing.
-POLL_SECONDS: typing.Final = 0.6
+POLL_SECONDS: typing.Final = 1.2
 # A read that has no answer for so long, beyond the time that the store holds
 # it, is repeated on another connection.
 PATIENCE_SECONDS: typing.Final = 0.3
