Keep servers that a late list or a peer's late news has dropped

A removal that a peer reports could drop a server whose next entry is known already, as the time that the message took makes the removal appear later. Change: only entries before the last known one are too old; the number of the last entry that the peer knew counts. Recent departures are kept by themselves, so that a message does not look at all of them.

--- a/src/dogwoodquay/fleet/registry.py
+++ b/src/dogwoodquay/fleet/registry.py
@@ -51,12 +51,13 @@
     def superseded_by(self, entry: api.ServerEntry) -> bool:
         """Whether an entry shows that the server is in use again.
 
-        An entry that was written late, after the departure, is not newer than
-        the last known one.
+        An entry that was written late, after the departure, is older than the
+        last known one. That one itself may be read again, where a read of the
+        whole list lagged behind.
         """
         if entry.started_ms != self.started_ms:
             return entry.started_ms > self.started_ms
-        return not self.announced and entry.report_number > self.report_number
+        return not self.announced and self.report_number <= entry.report_number
 
 
 class Registry:
@@ -72,6 +73,7 @@
         self._servers: dict[str, server_module.Server] = {}
         self._expiring: dict[str, float] = {}
         self._departures: dict[str, Departure] = {}
+        self._recent: dict[str, Departure] = {}
         self._read_at = float('-inf')
         self._store_available_at = float('-inf')
         # Service and software version of servers that were replaced or
@@ -112,8 +114,14 @@
         return min(self._expiring.values(), default=math.inf)
 
     def departures(self, since: float) -> list[Departure]:
-        """Return the servers that have left since a time."""
-        return [item for item in self._departures.values() if item.at >= since]
+        """Return the servers that have left since a time.
+
+        Earlier departures are not returned again.
+        """
+        for item in list(self._recent.values()):
+            if item.at < since:
+                del self._recent[item.server_id]
+        return list(self._recent.values())
 
     def on_complete_read(self, began: float) -> None:
         """Record that the list is known as of the begin of a read."""
@@ -186,7 +194,7 @@
         """Apply a departure that a peer has learned of.
 
         A removal does not count if the list, read since then, still has the
-        server.
+        server, or if a later entry of it is known than to the peer.
         """
         server_id = departure.server_id
         known = self._servers.get(server_id)
@@ -199,7 +207,11 @@
                 return Change.SAME
             self._announce(known, departure.at)
             return Change.LEAVING
-        if departure.at <= self._read_at and server_id not in self._expiring:
+        missing = server_id in self._expiring
+        if departure.at <= self._read_at and not missing:
+            return Change.SAME
+        newest = known.entry.started_ms, known.entry.report_number
+        if newest > (departure.started_ms, departure.report_number):
             return Change.SAME
         self._drop(server_id, now)
         return Change.REMOVED
@@ -260,6 +272,7 @@
         if departure is not None and not departure.superseded_by(entry):
             return Change.STALE
         self._departures.pop(entry.server_id, None)
+        self._recent.pop(entry.server_id, None)
         self._expiring.pop(entry.server_id, None)
         added = server_module.Server(entry)
         self._servers[entry.server_id] = added
@@ -303,8 +316,11 @@
 
     def _depart(self, departure: Departure) -> None:
         self._departures[departure.server_id] = departure
+        self._recent[departure.server_id] = departure
         if len(self._departures) > MAX_DEPARTURES:
-            del self._departures[next(iter(self._departures))]
+            oldest = next(iter(self._departures))
+            del self._departures[oldest]
+            self._recent.pop(oldest, None)
 
     def _remember(self, entry: api.ServerEntry, now: float) -> None:
         """Record until when a software version of a service was listed."""
