--- a/src/dogwoodquay/gateway/configuration_watch.py
+++ b/src/dogwoodquay/gateway/configuration_watch.py
@@ -200,7 +200,9 @@
         page: _Page | None = None
         try:
             with anyio.CancelScope() as self._idle_poll:
-                page = await self._read_changes(offset, wait_seconds)
+                page = await self._read_changes(
+                    offset, wait_seconds, self._on_begin
+                )
             if page is not None:
                 self._end_read('poll', page, began, wait_seconds)
         finally:
@@ -214,7 +216,12 @@
             # Of several versions only the last one is of use.
             self._offset = None
 
-    async def _read_changes(self, offset: int, wait_seconds: float) -> _Page:
+    async def _read_changes(
+        self,
+        offset: int,
+        wait_seconds: float,
+        on_any_begin: abc.Callable[[], None],
+    ) -> _Page:
         """Return the records from an offset on, waiting for the first."""
 
         async def read(on_begin: abc.Callable[[], None]) -> _Page:
@@ -230,7 +237,7 @@
             )
 
         return await repeats.read_repeatedly(
-            read, wait_seconds + PATIENCE_SECONDS, self._on_begin
+            read, wait_seconds + PATIENCE_SECONDS, on_any_begin
         )
 
     def _on_begin(self) -> None:
@@ -242,8 +249,9 @@
         if self._offset is None:
             return
         began = self._clock.now()
-        page = await self._read_changes(self._offset, 0.0)
-        self._poll_arriving = False
+        page = await self._read_changes(
+            self._offset, 0.0, store_api.ignore_begin
+        )
         self._end_read('ask', page, began)
 
     async def _read_newest(self) -> bool:
@@ -297,7 +305,8 @@
         outcome = 'applied' if any(applied) else 'unchanged'
         if kind != 'newest' and not page.ok.records:
             outcome = _IDLE
-        if not page.ok.incomplete and not self._unreadable:
+        whole = page.ok.next_offset == page.ok.end_offset
+        if whole and not self._unreadable:
             waited = 0.0 if page.ok.records else wait_seconds
             as_of = min(self._clock.now(), began + waited)
             self._versions.on_confirmed(self.version, as_of)
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -203,7 +203,8 @@
         kept = tuple(record for record in newest.values() if record.value)
         on_begin()
         await self.transfer.wait()
-        return expression.Ok(store_api.Records(kept, len(self.records)))
+        end = len(self.records)
+        return expression.Ok(store_api.Records(kept, end, end))
 
     async def read(
         self,
