--- a/src/dogwoodquay/gateway/crashes.py
+++ b/src/dogwoodquay/gateway/crashes.py
@@ -249,7 +249,10 @@
             now, in_flight.prompt, in_flight.is_fresh(now), complete
         )
         if server.server_id in self._proven:
-            self._report(server.server_id, [ended], now)
+            self._quarantine.on_crash(
+                _crash_report(server.server_id, [ended], now)
+            )
+            self._on_report()
             return
         queue = self._ended.setdefault(
             server.server_id, collections.deque(maxlen=MAX_BROKEN)
@@ -282,21 +285,16 @@
         self, server_id: str, ended: abc.Iterable[_Ended], now: float
     ) -> None:
         """Report the requests under which a server may have ended."""
-        requests = tuple(
-            quarantine_api.BrokenRequest(item.prompt.own, item.prompt.shared)
-            for item in ended
-            if item.fresh and now - item.at <= PROOF_SECONDS
-        )
+        report = _crash_report(server_id, ended, now)
+        parts = {part for item in report.requests for part in item.shared}
         self._metrics.server_ended()
         _LOG.write(
             'server_ended',
             server=server_id,
-            requests=len(requests),
-            parts=sorted({part for item in requests for part in item.shared}),
-        )
-        self._quarantine.on_crash(
-            quarantine_api.CrashReport(server_id, now, requests)
+            requests=len(report.requests),
+            parts=sorted(parts),
         )
+        self._quarantine.on_crash(report)
         self._on_report()
 
     def _settle(self, now: float) -> None:
@@ -326,6 +324,18 @@
             _LOG.write('released', parts=sorted(verdict.parts), reason=reason)
 
 
+def _crash_report(
+    server_id: str, ended: abc.Iterable[_Ended], now: float
+) -> quarantine_api.CrashReport:
+    """Return the requests that may have ended a server."""
+    requests = tuple(
+        quarantine_api.BrokenRequest(item.prompt.own, item.prompt.shared)
+        for item in ended
+        if item.fresh and now - item.at <= PROOF_SECONDS
+    )
+    return quarantine_api.CrashReport(server_id, now, requests)
+
+
 def prompt_of(call: api.Call) -> quarantine_api.Prompt | None:
     """Return the parts of a request's prompt, if it shares any."""
     parts = call.terms.prompt_parts
