End the wait of a request when its prompt is convicted

Requests with a convicted part that waited for a server were refused only as one became free for them: what cannot be served is refused at once. Result: test_verdict_on_waiting_requests fails before (no way to end a wait) and passes; test_crash_before_the_first_event passes.

--- a/src/dogwoodquay/gateway/crashes.py
+++ b/src/dogwoodquay/gateway/crashes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 import typing
 
 import anyio
@@ -91,6 +92,7 @@
         self._ended: dict[str, collections.deque[_Ended]] = {}
         self._proven: dict[str, float] = {}
         self._checking: set[str] = set()
+        self._waiting: dict[anyio.CancelScope, quarantine_api.Prompt] = {}
         self._heard_at = float('-inf')
         self._is_owner = False
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -138,6 +140,18 @@
             return True
         return not self._quarantine.is_suspect(prompt_of(call))
 
+    @contextlib.contextmanager
+    def waiting(self, call: api.Call) -> abc.Iterator[anyio.CancelScope]:
+        """Cancel the wait for a server once the request is refused."""
+        prompt = prompt_of(call)
+        with anyio.CancelScope() as scope:
+            if prompt is not None:
+                self._waiting[scope] = prompt
+            try:
+                yield scope
+            finally:
+                self._waiting.pop(scope, None)
+
     def begin(self, call: api.Call, server: servers.Server) -> InFlight | None:
         """Record a request that is sent; ``None`` without shared parts."""
         prompt = prompt_of(call)
@@ -320,9 +334,18 @@
                 parts=sorted(verdict.parts),
                 crashes=verdict.crashes,
             )
+        if changes.added:
+            self._end_waits()
         for verdict, reason in changes.ended:
             _LOG.write('released', parts=sorted(verdict.parts), reason=reason)
 
+    def _end_waits(self) -> None:
+        """End the waits of requests that are refused now."""
+        now = self._clock.now()
+        for scope, prompt in self._waiting.items():
+            if self._quarantine.find(prompt, now) is not None:
+                scope.cancel()
+
 
 def _crash_report(
     server_id: str, ended: abc.Iterable[_Ended], now: float
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -133,9 +133,12 @@
                 deadline = patience.wait_deadline(
                     call, relay.started, self._clock.now()
                 )
-                server = await self._scheduler.acquire(
-                    call, avoid, deadline, version
-                )
+                with self._crashes.waiting(call) as scope:
+                    server = await self._scheduler.acquire(
+                        call, avoid, deadline, version
+                    )
+                if scope.cancelled_caught:
+                    return self._end_quarantined(relay, may_have_run)
             if server is None:
                 return self._end_unplaced(call, version, relay, may_have_run)
             if self._crashes.is_refused(call):
--- a/tests/unit/gateway/test_crashes.py
+++ b/tests/unit/gateway/test_crashes.py
@@ -226,3 +226,24 @@
         self.assertFalse(self.watch.is_refused(_call('a', 'bad')))
         self.watch.on_view(self._view(()), is_owner=False)
         self.assertFalse(self.watch.is_refused(_call('a', 'bad', 'own')))
+
+    async def test_verdict_on_waiting_requests(self) -> None:
+        """Requests that wait for a server are refused at once."""
+        ended: dict[str, bool] = {}
+
+        async def wait(part: str) -> None:
+            with self.watch.waiting(_call(part, 'own')) as scope:
+                await anyio.sleep_forever()
+            ended[part] = scope.cancelled_caught
+
+        with anyio.fail_after(10.0):
+            async with anyio.create_task_group() as group:
+                for part in ('bad', 'good'):
+                    group.start_soon(wait, part)
+                await anyio.wait_all_tasks_blocked()
+                view = self._view((), 'bad')
+                self.watch.on_view(view, is_owner=False)
+                while not ended:
+                    await anyio.sleep(0)
+                group.cancel_scope.cancel()
+        self.assertEqual({'bad': True}, ended)
