--- a/src/dogwoodquay/gateway/configuration_watch.py
+++ b/src/dogwoodquay/gateway/configuration_watch.py
@@ -35,9 +35,6 @@
 # A read that has no answer for so long, beyond the time that the store holds
 # it, is repeated on another connection.
 PATIENCE_SECONDS: typing.Final = 0.3
-# Without news for so long, an instance asks the store itself, and refuses
-# nothing for good. Well within the time in which a version has to be active.
-MAX_AGE_SECONDS: typing.Final = 1.0
 # The longest time that a refusal waits for a read of the store.
 CONFIRM_SECONDS: typing.Final = 0.5
 # The longest time for an answer to begin.
@@ -61,6 +58,10 @@
     poll. No read whose answer has begun is given up for a newer version:
     where reads take longer than changes or views follow each other, none
     would ever end.
+
+    :param max_age_seconds: how long a word on the newest version is relied
+        on. After that an instance asks the store itself, and refuses nothing
+        for good.
     """
 
     def __init__(
@@ -75,6 +76,7 @@
         metrics: gateway_metrics.GatewayMetrics,
         copies: configuration_copies.ConfigurationCopies,
         on_change: abc.Callable[[routes_api.Configuration], None],
+        max_age_seconds: float,
     ) -> None:
         self._store = store
         self._topic = topic
@@ -84,6 +86,7 @@
         self._metrics = metrics
         self._copies = copies
         self._on_change = on_change
+        self._max_age_seconds = max_age_seconds
         self._reachability = reachability.StoreReachability(
             'configuration', clock, metrics, MAX_ANSWER_SECONDS
         )
@@ -115,7 +118,7 @@
     @property
     def outdated(self) -> bool:
         """Whether there is, or may be, a newer version than the active one."""
-        oldest = self._clock.now() - MAX_AGE_SECONDS
+        oldest = self._clock.now() - self._max_age_seconds
         return self._arriving or not self._versions.is_current(oldest)
 
     @property
@@ -186,7 +189,7 @@
     async def _wait_while_informed(self) -> None:
         """Wait as long as views tell of the versions without a gap."""
         while self._copies.following:
-            left = MAX_AGE_SECONDS
+            left = self._max_age_seconds
             if not self._versions.behind:
                 left -= self.confirmed_seconds
             if left <= 0.0:
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -244,6 +244,7 @@
             metrics,
             self._copies,
             self._configure,
+            settings.configuration_age_seconds,
         )
         self._servers = watch.ServerWatch(
             store,
--- a/src/dogwoodquay/gateway/settings.py
+++ b/src/dogwoodquay/gateway/settings.py
@@ -30,6 +30,7 @@
     peers: Address
     store: Address
     list_interval_seconds: float
+    configuration_age_seconds: float
     stop_seconds: float
     lease_seconds: float
     fences_checked: bool
--- a/src/dogwoodquay/platform/settings.py
+++ b/src/dogwoodquay/platform/settings.py
@@ -20,6 +20,9 @@
 # Reads of the list within the drain time, in which a leaving server may still
 # get requests: two have to fit, so that one of them may fail.
 _LIST_READS_PER_DRAIN: typing.Final = 2.8
+# The share of the time in which a version has to be active, for which a word
+# on the newest version is relied on. The rest is for getting a version.
+_CONFIGURATION_AGE_SHARE: typing.Final = 0.5
 # The lifetime of a membership, relative to the minimum that the store allows.
 _MEMBER_TTL_FACTOR: typing.Final = 1.2
 
@@ -35,6 +38,8 @@
 
 class _Bounds(_Body):
     drain_ms: float = 2000.0
+    # The time after its acknowledgement in which a version has to be active.
+    config_apply_ms: float = 2000.0
     # The time between the signal to stop and the kill.
     grace_s: float = 8.0
     retry_budget_ratio: float = 0.2
@@ -78,6 +83,7 @@
 def _instance_settings(raw: _Settings) -> gateway_settings.InstanceSettings:
     bounds = raw.bounds
     drain_seconds = bounds.drain_ms / _MILLISECONDS
+    apply_seconds = bounds.config_apply_ms / _MILLISECONDS
     min_ttl = raw.platform.ttl_min_ms / _MILLISECONDS
     return gateway_settings.InstanceSettings(
         instance_id=raw.node_name,
@@ -87,6 +93,7 @@
         peers=gateway_settings.Address(raw.ip, raw.port_range[0]),
         store=_address(raw.platform.address),
         list_interval_seconds=drain_seconds / _LIST_READS_PER_DRAIN,
+        configuration_age_seconds=apply_seconds * _CONFIGURATION_AGE_SHARE,
         stop_seconds=bounds.grace_s,
         lease_seconds=bounds.lease_ms / _MILLISECONDS,
         fences_checked=bounds.fence_checked,
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -50,6 +50,7 @@
         peers=settings.Address('127.0.0.1', 7000),
         store=settings.Address('127.0.0.1', 1),
         list_interval_seconds=0.7,
+        configuration_age_seconds=1.0,
         stop_seconds=8.0,
         lease_seconds=3.0,
         fences_checked=True,
--- a/tests/unit/gateway/test_configuration_watch.py
+++ b/tests/unit/gateway/test_configuration_watch.py
@@ -24,6 +24,7 @@
     from collections import abc
 
 TOPIC = store_api.Topic('any')
+_MAX_AGE_SECONDS: typing.Final = 1.0
 LIMITS = routes_api.CallerLimits(1, 1, 1.0, 1.0)
 
 
@@ -51,6 +52,7 @@
             fakes.make_metrics(),
             fakes.FakeCopies(),
             lambda active: self.versions.append(active.version),
+            _MAX_AGE_SECONDS,
         )
 
     async def test_higher_versions(self) -> None:
@@ -140,6 +142,7 @@
             gateway_metrics.GatewayMetrics(self.page),
             fakes.FakeCopies(),
             lambda active: None,
+            _MAX_AGE_SECONDS,
         )
 
     def _logged(
@@ -279,6 +282,7 @@
             fakes.make_metrics(),
             self.copies,
             self._on_change,
+            _MAX_AGE_SECONDS,
         )
         self.failing = False
 
@@ -488,10 +492,11 @@
             fakes.make_metrics(),
             self.copies,
             lambda _: None,
+            _MAX_AGE_SECONDS,
         )
 
     def _let_age(self) -> None:
-        self.clock.advance(configuration_watch.MAX_AGE_SECONDS + 0.1)
+        self.clock.advance(_MAX_AGE_SECONDS + 0.1)
 
     async def test_lost_answer_without_peers(self) -> None:
         """A poll without an answer does not hold up the next one."""
@@ -559,7 +564,7 @@
         now = self.clock.now()
         for version, as_of, outdated in (
             (16, float('-inf'), True),
-            (16, now - configuration_watch.MAX_AGE_SECONDS - 0.05, True),
+            (16, now - _MAX_AGE_SECONDS - 0.05, True),
             (15, now, True),
             (16, now - 0.5, False),
             (19, now, True),
@@ -578,7 +583,7 @@
                 group.start_soon(self.watch.run)
                 await anyio.sleep(0.05)
                 self.assertEqual(16, self.watch.version)
-                self.clock.advance(configuration_watch.MAX_AGE_SECONDS)
+                self.clock.advance(_MAX_AGE_SECONDS)
                 while self.watch.version != 19:
                     await anyio.sleep(0.01)
                 group.cancel_scope.cancel()
--- a/tests/unit/platform/test_decoding.py
+++ b/tests/unit/platform/test_decoding.py
@@ -124,6 +124,9 @@
             self.assertTrue(manifest.decode(body).is_error())
 
 
+_SLOWER = '[Bounds]\nConfigApplyMs = 5000'
+
+
 class ServerTest(unittest.TestCase):
     """Entries of servers are decoded, and malformed ones refused."""
 
@@ -322,6 +325,9 @@
         self.assertEqual(('10.200.1.7', 8142), loaded.store)
         self.assertTrue(loaded.fences_checked)
         self.assertLess(2 * loaded.list_interval_seconds, 2.0)
+        self.assertEqual(1.0, loaded.configuration_age_seconds)
+        slower = self._load(SETTINGS.replace('[Bounds]', _SLOWER)).ok
+        self.assertEqual(2.5, slower.configuration_age_seconds)
 
     def test_wrong_value_is_named(self) -> None:
         """The error names the invalid value."""
