Add failing tests of servers that limit their requests

Stand-ins name, change and end Server-Limit: one of three plain servers and all of them, engines, callers at all instances and at one, an owner killed, instances frozen, cut off from the store and started, odd values, urgent requests.

--- a/tests/site/processes.py
+++ b/tests/site/processes.py
@@ -298,6 +298,16 @@
         """The links of the instances to the store, in the same order."""
         return self._linked_store.links
 
+    def start_instance(self, name: str) -> Instance:
+        """Start one more instance."""
+        instance = Instance(
+            name, self._linked_store.http.address, self._directory
+        )
+        self.instances.append(instance)
+        instance.start()
+        self._linked_store.add(instance.process.pid)
+        return instance
+
     @classmethod
     @contextlib.asynccontextmanager
     async def running(
--- a/tests/site/server.py
+++ b/tests/site/server.py
@@ -76,6 +76,8 @@
     and ``ends``, those at which it ends as if it were complete. Answers of
     an ``unframed`` server end with their connection.
     ``endless`` is what answers send without end, ``endless_now`` how many.
+    ``limit`` is the text by which answers limit the requests per second, and
+    ``arrivals`` holds the times at which requests came.
 
     :param version: the version of the software, which events then carry.
     """
@@ -98,6 +100,8 @@
         self.unframed = False
         self.endless: endless.Kind | None = None
         self.endless_now = 0
+        self.limit: str | None = None
+        self.arrivals: list[float] = []
         self.order_sources: list[tuple[str, int]] = []
         self.events = 4
         self.event_seconds = 0.01
@@ -216,6 +220,7 @@
             return self._refuse(421, request)
         if request.path == '/order':
             return self._order(request.json())
+        self.arrivals.append(time.monotonic())
         model, _, adapter = request.headers.get('model', '').partition('/')
         self._contents.finish_due_load()
         adapters = self._contents.models.get(model)
@@ -232,6 +237,7 @@
             ('Attempt-Id', attempt),
             ('Response-Stamp', _RESPONSE_STAMP),
             ('Server-Load', f'{self._running},0,{self._slots}'),
+            *self._limits(),
         )
         await self._pause(attempt, Place.HEAD)
         if model:
@@ -295,7 +301,11 @@
     def _refuse(self, status: int, request: http.Request) -> http.Answer:
         attempt = request.headers.get('attempt-id', '')
         headers = (('Attempt-Id', attempt), ('Not-Executed', '1'))
-        return http.Answer(status, b'', headers)
+        return http.Answer(status, b'', (*headers, *self._limits()))
+
+    def _limits(self) -> tuple[tuple[str, str], ...]:
+        """Return the header by which this server limits its requests."""
+        return () if self.limit is None else (('Server-Limit', self.limit),)
 
     def _report(self) -> http.Answer:
         contents = self._contents
