Split the forwarder by concern: attempts and refusals

How a request without an answer is refused is gateway.refusals now, its results are gateway.results. No change of behaviour: the 328 tests of tests/unit/gateway pass.

--- a/src/dogwoodquay/gateway/answer.py
+++ b/src/dogwoodquay/gateway/answer.py
@@ -8,9 +8,9 @@
 from . import api
 from . import closings
 from . import events
-from . import forwarder
 from ..observe import logs
 from . import outcomes
+from . import results
 from . import trace as traces
 
 if typing.TYPE_CHECKING:
@@ -144,7 +144,7 @@
             {'type': 'http.response.body', 'body': data, 'more_body': True}
         )
 
-    async def finish(self, call: api.Call, result: forwarder.Result) -> None:
+    async def finish(self, call: api.Call, result: results.Result) -> None:
         """End the answer.
 
         A cut stream gets no last chunk, so that its caller can see the cut.
@@ -159,7 +159,7 @@
             case outcomes.Streamed():
                 await self._send_last()
                 self._record_answered(call, self._status, elapsed)
-            case forwarder.Cut(reason):
+            case results.Cut(reason):
                 self._context.metrics.cut(
                     reason, self._trace.failure, self._trace.cause.value
                 )
--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -10,8 +10,8 @@
 from . import api
 from . import closings
 from ..entry import asgi
-from . import forwarder as forwarders
 from . import reading
+from . import results
 from ..routes import table
 from . import trace as traces
 
@@ -19,6 +19,7 @@
     import random
 
     from .. import clock as clocks
+    from . import forwarder as forwarders
     from . import metrics as gateway_metrics
     from ..routes import api as routes_api
     from . import versions as configuration_versions
@@ -217,7 +218,7 @@
     ) -> None:
         """Forward a request until its deadline or until its caller leaves."""
         caller_left = False
-        result: forwarders.Result | None = None
+        result: results.Result | None = None
 
         async def watch() -> None:
             nonlocal caller_left
@@ -293,12 +294,12 @@
 
     def _end_timed_out(
         self, call: api.Call, answer: answers.Answer
-    ) -> forwarders.Result:
+    ) -> results.Result:
         reason = api.RefusalReason.TIMEOUT
         answer.trace.cause = traces.deadline_cause(call)
         if answer.trace.stopped:
             reason = api.RefusalReason.STOPPING
             answer.trace.cause = traces.Cause.STOPPING
         if answer.started:
-            return forwarders.Cut(reason.value)
+            return results.Cut(reason.value)
         return api.Refusal(reason, _GATEWAY_TIMEOUT)
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -13,9 +13,9 @@
 from ..observe import logs
 from . import outcomes
 from . import patience
+from . import refusals
 from ..retry import api as retry_api
 from ..retry import windowed
-from . import trace as traces
 
 if typing.TYPE_CHECKING:
     import random
@@ -25,19 +25,16 @@
     from . import exchange as exchanges
     from ..fleet import server as servers
     from . import metrics as gateway_metrics
+    from . import results
     from . import resumption
     from ..retry import window
     from . import scheduler as schedulers
     from . import silence as silences
 
-__all__ = ['Cut', 'Forwarder']
+__all__ = ['Forwarder']
 
 _LOG: typing.Final = logs.ComponentLog('request')
 
-_BAD_GATEWAY: typing.Final = 502
-_UNAVAILABLE: typing.Final = 503
-_GATEWAY_TIMEOUT: typing.Final = 504
-
 # The reason of attempts that are ended for another server.
 _SILENT: typing.Final = 'silent'
 # The reason for no further attempt where servers may crash under the prompt.
@@ -45,23 +42,6 @@
 
 # Above this share of its capacity a server counts as slow, not as failed.
 BUSY_SHARE: typing.Final = 0.5
-# Some running requests of a full server end within this time.
-RETRY_AFTER_SECONDS: typing.Final = 0.4
-# The approximate time of a load from a server's own disk.
-ABSENT_RETRY_AFTER_SECONDS: typing.Final = 1.0
-# A prompt under which servers crash is refused for minutes.
-QUARANTINE_RETRY_AFTER_SECONDS: typing.Final = 60.0
-# Callers that wait for the same load are spread over this time.
-RETURN_JITTER_SECONDS: typing.Final = 1.0
-
-
-class Cut(typing.NamedTuple):
-    """A stream that has started and cannot be completed."""
-
-    reason: str
-
-
-Result = outcomes.Whole | outcomes.Streamed | api.Refusal | Cut
 
 
 class Forwarder:
@@ -88,18 +68,25 @@
         self._clock = clock
         self._rng = rng
         self._metrics = metrics
+        self._refusals = refusals.Refusals(scheduler, clock, rng)
 
-    async def run(self, call: api.Call, relay: exchanges.Relay) -> Result:
+    async def run(
+        self, call: api.Call, relay: exchanges.Relay
+    ) -> results.Result:
         """Forward a request until it is answered, refused or cut."""
         if self._crashes.is_refused(call):
-            return self._end_quarantined(relay, False)
+            return self._refusals.end_quarantined(relay, False)
         place = await self._versions.find(call)
         if place is None:
-            return self._refuse_later(api.RefusalReason.ORIGIN_UNKNOWN)
+            return self._refusals.refuse_later(
+                api.RefusalReason.ORIGIN_UNKNOWN
+            )
         call = call._replace(service=place.service)
         if not self._scheduler.is_declared(call):
             # A newer configuration, not yet active here, may declare it.
-            return self._refuse_later(api.RefusalReason.MODEL_UNDECLARED)
+            return self._refusals.refuse_later(
+                api.RefusalReason.MODEL_UNDECLARED
+            )
         retries = windowed.WindowedRetries(
             call.service, call.route.max_attempts, self._budget, self._rng
         )
@@ -118,7 +105,7 @@
         version: str | None,
         retries: windowed.WindowedRetries,
         relay: exchanges.Relay,
-    ) -> Result:
+    ) -> results.Result:
         """Send a request to one server after another.
 
         :param version: the software version at which it has to run, ``None``
@@ -138,12 +125,14 @@
                         call, avoid, deadline, version
                     )
                 if scope.cancelled_caught:
-                    return self._end_quarantined(relay, may_have_run)
+                    return self._refusals.end_quarantined(relay, may_have_run)
             if server is None:
-                return self._end_unplaced(call, version, relay, may_have_run)
+                return self._refusals.end_unplaced(
+                    call, version, relay, may_have_run
+                )
             if self._crashes.is_refused(call):
                 self._scheduler.release(call, server, False)
-                return self._end_quarantined(relay, may_have_run)
+                return self._refusals.end_quarantined(relay, may_have_run)
             number += 1
             attempt = self._begin_attempt(
                 call, server, retries, avoid, number, version, relay
@@ -157,7 +146,7 @@
                 continue
             failure = failures.failure_of(call, relay.started, outcome, number)
             if failure is None:
-                return typing.cast('Result', outcome)
+                return typing.cast('results.Result', outcome)
             may_have_run = (
                 may_have_run
                 or failure.run_state is not retry_api.RunState.NOT_RUN
@@ -169,7 +158,7 @@
                 verdict = retry_api.GiveUp(_SUSPECT, failure.run_state)
             self._record_failed(attempt, failure, verdict, relay)
             if isinstance(verdict, retry_api.GiveUp):
-                return self._end_after_failure(
+                return self._refusals.end_after_failure(
                     call, relay, outcome, verdict, may_have_run
                 )
             await anyio.sleep(max(0.0, verdict.at - self._clock.now()))
@@ -318,105 +307,3 @@
         if server.load(now) > capacity * BUSY_SHARE:
             return math.inf
         return patience.head_patience(call, now)
-
-    def _end_unplaced(
-        self,
-        call: api.Call,
-        version: str | None,
-        relay: exchanges.Relay,
-        may_have_run: bool,
-    ) -> Result:
-        """Return the result of a request without an assigned server."""
-        reason = self._scheduler.refusal_reason(call, version)
-        relay.trace.cause = (
-            traces.Cause.STOPPING
-            if reason is api.RefusalReason.STOPPING
-            else traces.Cause.NO_SERVER
-        )
-        relay.trace.placement = (
-            reason.value
-            if self._scheduler.is_declared(call)
-            else api.RefusalReason.MODEL_UNDECLARED.value
-        )
-        if relay.started:
-            return Cut('no_server')
-        if may_have_run:
-            return api.Refusal(
-                api.RefusalReason.MAY_HAVE_RUN, _BAD_GATEWAY, 0.0, reason.value
-            )
-        if reason is api.RefusalReason.MODEL_ABSENT:
-            return self._refuse_absent_model(call)
-        if reason is api.RefusalReason.VERSION_GONE:
-            return self._refuse_later(reason)
-        return self._refuse_not_run(reason)
-
-    def _end_quarantined(
-        self, relay: exchanges.Relay, may_have_run: bool
-    ) -> Result:
-        """End a request under whose prompt servers have crashed."""
-        reason = api.RefusalReason.PROMPT_QUARANTINED
-        if relay.started:
-            return Cut(reason.value)
-        if may_have_run:
-            return api.Refusal(
-                api.RefusalReason.MAY_HAVE_RUN, _BAD_GATEWAY, 0.0, reason.value
-            )
-        pause = self._with_jitter(QUARANTINE_RETRY_AFTER_SECONDS)
-        return api.Refusal(reason, _UNAVAILABLE, pause)
-
-    def _refuse_later(self, reason: api.RefusalReason) -> api.Refusal:
-        """Refuse a request that no instance can take now."""
-        pause = self._with_jitter(ABSENT_RETRY_AFTER_SECONDS)
-        return api.Refusal(reason, _UNAVAILABLE, pause)
-
-    def _refuse_absent_model(self, call: api.Call) -> api.Refusal:
-        """Refuse a request whose model no server has loaded yet."""
-        seconds_until_ready = self._scheduler.seconds_until_ready(call)
-        if seconds_until_ready is None:
-            pause = self._with_jitter(ABSENT_RETRY_AFTER_SECONDS)
-        else:
-            pause = seconds_until_ready + self._rng.uniform(
-                0.0, RETURN_JITTER_SECONDS
-            )
-        self._scheduler.defer(call, pause)
-        reason = api.RefusalReason.MODEL_ABSENT
-        return api.Refusal(reason, _UNAVAILABLE, pause)
-
-    def _end_after_failure(
-        self,
-        call: api.Call,
-        relay: exchanges.Relay,
-        outcome: outcomes.Outcome,
-        verdict: retry_api.GiveUp,
-        may_have_run: bool,
-    ) -> Result:
-        if relay.started:
-            return Cut(verdict.reason)
-        if isinstance(outcome, outcomes.Whole):
-            return outcome
-        if not may_have_run:
-            return self._refuse_not_run(
-                api.RefusalReason.SERVERS_REFUSED, verdict.reason
-            )
-        past_deadline = self._clock.now() >= call.deadline
-        return api.Refusal(
-            api.RefusalReason.MAY_HAVE_RUN,
-            _GATEWAY_TIMEOUT if past_deadline else _BAD_GATEWAY,
-            0.0,
-            verdict.reason,
-        )
-
-    def _refuse_not_run(
-        self, reason: api.RefusalReason, detail: str = ''
-    ) -> api.Refusal:
-        """Refuse a request that did not run, with the time to retry."""
-        pause = RETRY_AFTER_SECONDS
-        if reason is api.RefusalReason.STOPPING:
-            pause = api.OTHER_INSTANCE_RETRY_SECONDS
-        return api.Refusal(
-            reason, _UNAVAILABLE, self._with_jitter(pause), detail
-        )
-
-    def _with_jitter(self, seconds: float) -> float:
-        """Vary a delay, so that callers do not retry together."""
-        return seconds * self._rng.uniform(0.75, 1.25)
