Move the counts of requests out of the scheduler

Counts by model, server and adapter are model_demand.RequestCounts. No change of behaviour: the tests of the scheduler, demand, peering, successors, app and endings pass.

--- a/src/dogwoodquay/gateway/model_demand.py
+++ b/src/dogwoodquay/gateway/model_demand.py
@@ -11,11 +11,14 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
+    from . import api
     from ..fleet import queue
+    from ..fleet import server as servers
 
 __all__ = [
     'LocalDemand',
     'ModelCounts',
+    'RequestCounts',
     'VersionKey',
     'local_demand',
     'version_demand',
@@ -64,6 +67,59 @@
         return len(self.retry_at)
 
 
+class RequestCounts:
+    """Counts the requests of this instance by model, server and adapter."""
+
+    def __init__(self) -> None:
+        self._models: dict[_Key, ModelCounts] = {}
+        self._adapters: collections.Counter[tuple[str, str, str]] = (
+            collections.Counter()
+        )
+        self._running: collections.Counter[_Key] = collections.Counter()
+
+    @property
+    def models(self) -> abc.Mapping[_Key, ModelCounts]:
+        """The counts by service and model."""
+        return self._models
+
+    def adapters_in_use(self) -> list[tuple[str, str, str]]:
+        """Return server, model and adapter of the requests in flight."""
+        return list(self._adapters)
+
+    def running(self) -> dict[_Key, int]:
+        """Return the number of requests in flight by server and model."""
+        return {key: count for key, count in self._running.items() if count}
+
+    def of(self, call: api.Call) -> ModelCounts:
+        """Return the counts of a request's model."""
+        key = (call.service, call.terms.model)
+        counts = self._models.get(key)
+        if counts is None:
+            counts = self._models[key] = ModelCounts()
+        return counts
+
+    def begin(self, call: api.Call, server: servers.Server) -> None:
+        """Count a request that is sent to a server."""
+        terms, server_id = call.terms, server.entry.server_id
+        if terms.model:
+            self.of(call).in_flight += 1
+            self._running[server_id, terms.model] += 1
+        if terms.adapter:
+            self._adapters[server_id, terms.model, terms.adapter] += 1
+
+    def end(self, call: api.Call, server: servers.Server) -> None:
+        """Count the end of a request at a server."""
+        terms, server_id = call.terms, server.entry.server_id
+        if terms.model:
+            self.of(call).in_flight -= 1
+            self._running[server_id, terms.model] -= 1
+        if terms.adapter:
+            key = (server_id, terms.model, terms.adapter)
+            self._adapters[key] -= 1
+            if not self._adapters[key]:
+                del self._adapters[key]
+
+
 def local_demand(
     counts_by_key: abc.Mapping[_Key, ModelCounts],
     tickets: abc.Iterable[queue.Ticket],
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import itertools
 import typing
@@ -75,9 +74,7 @@
         self._queue = queue.RequestQueue()
         self._waiters: dict[int, _Waiter] = {}
         self._ticket_numbers = itertools.count()
-        self._counts: dict[_Key, model_demand.ModelCounts] = {}
-        self._adapters_in_use: dict[tuple[str, str, str], int] = {}
-        self._running: collections.Counter[_Key] = collections.Counter()
+        self._counts = model_demand.RequestCounts()
         self._closed = False
         self._loading: dict[_Key, float] = {}
 
@@ -102,7 +99,7 @@
     def demand(self) -> dict[_Key, model_demand.LocalDemand]:
         """Return the demand by service and model."""
         return model_demand.local_demand(
-            self._counts, self._queue.tickets, self._clock.now()
+            self._counts.models, self._queue.tickets, self._clock.now()
         )
 
     def version_demand(self) -> dict[model_demand.VersionKey, int]:
@@ -111,11 +108,11 @@
 
     def adapters_in_use(self) -> list[tuple[str, str, str]]:
         """Return server, model and adapter of the requests in flight."""
-        return list(self._adapters_in_use)
+        return self._counts.adapters_in_use()
 
     def running(self) -> dict[_Key, int]:
         """Return the number of requests in flight by server and model."""
-        return {key: count for key, count in self._running.items() if count}
+        return self._counts.running()
 
     async def run(self) -> None:
         """Assign waiting requests at intervals until cancelled."""
@@ -136,7 +133,7 @@
     def record_arrival(self, call: api.Call) -> None:
         """Count a caller's request in the arrival rate of its model."""
         if call.terms.model:
-            self._counts_for(call).rate.add(self._clock.now())
+            self._counts.of(call).rate.add(self._clock.now())
 
     async def acquire(
         self,
@@ -183,7 +180,8 @@
             server = await self._wait(call, need, wait_deadline)
         if server is None:
             return None
-        self._record_start(call, server)
+        server.begin()
+        self._counts.begin(call, server)
         return server
 
     def on_answer_started(self, server: servers.Server) -> None:
@@ -197,15 +195,7 @@
     ) -> None:
         """Record that a request has ended at a server."""
         server.end(started)
-        terms = call.terms
-        if terms.model:
-            self._counts_for(call).in_flight -= 1
-            self._running[server.entry.server_id, terms.model] -= 1
-        if terms.adapter:
-            key = (server.entry.server_id, terms.model, terms.adapter)
-            self._adapters_in_use[key] -= 1
-            if not self._adapters_in_use[key]:
-                del self._adapters_in_use[key]
+        self._counts.end(call, server)
         if self._waiters:
             self.assign_waiting()
 
@@ -262,7 +252,7 @@
 
     def defer(self, call: api.Call, seconds: float) -> None:
         """Count a caller that was asked to retry after some seconds."""
-        self._counts_for(call).retry_at.append(self._clock.now() + seconds)
+        self._counts.of(call).retry_at.append(self._clock.now() + seconds)
 
     def _permitted(self, need: choice.Need) -> list[servers.Server]:
         """Return the servers of a request's service and version."""
@@ -319,7 +309,7 @@
         finally:
             self._waiters.pop(number, None)
         if waiter.server is not None:
-            # ``acquire`` counts the request by ``_record_start``.
+            # ``acquire`` counts the request again.
             waiter.server.end(started=False)
         return waiter.server
 
@@ -328,16 +318,6 @@
         waiter.server = server
         waiter.event.set()
 
-    def _record_start(self, call: api.Call, server: servers.Server) -> None:
-        server.begin()
-        terms = call.terms
-        if terms.model:
-            self._counts_for(call).in_flight += 1
-            self._running[server.entry.server_id, terms.model] += 1
-        if terms.adapter:
-            key = (server.entry.server_id, terms.model, terms.adapter)
-            self._adapters_in_use[key] = self._adapters_in_use.get(key, 0) + 1
-
     def _need(
         self, call: api.Call, avoid: frozenset[str], version: str | None
     ) -> choice.Need:
@@ -375,10 +355,3 @@
         if engine and server.awaiting_first_byte >= MAX_PENDING_PREFILLS:
             return 0.0
         return self.request_capacity(server)
-
-    def _counts_for(self, call: api.Call) -> model_demand.ModelCounts:
-        key = (call.service, call.terms.model)
-        counts = self._counts.get(key)
-        if counts is None:
-            counts = self._counts[key] = model_demand.ModelCounts()
-        return counts
