--- a/tests/unit/gateway/test_successors.py
+++ b/tests/unit/gateway/test_successors.py
@@ -280,7 +280,8 @@
                         scheduler._need(call, progress.avoid, None)
                     )
                     assert successor is not None
-                    scheduler._record_start(call, successor)
+                    successor.begin()
+                scheduler._counts.begin(call, successor)
                     assert progress.retries.take_move(
                         clocks.SteadyClock().now()
                     )
@@ -342,7 +343,8 @@
                     scheduler._need(call, progress.avoid, other)
                 )
                 assert successor is not None
-                scheduler._record_start(call, successor)
+                successor.begin()
+                scheduler._counts.begin(call, successor)
                 assert progress.retries.take_move(clocks.SteadyClock().now())
                 progress.hand_over(successor)
                 await progress.on_part()
