--- a/tests/unit/gateway/test_successors.py
+++ b/tests/unit/gateway/test_successors.py
@@ -281,7 +281,7 @@
                     )
                     assert successor is not None
                     successor.begin()
-                scheduler._counts.begin(call, successor)
+                    scheduler._counts.begin(call, successor)
                     assert progress.retries.take_move(
                         clocks.SteadyClock().now()
                     )
