Keep the limits that servers name over all instances together

Cause: nobody read Server-Limit; each instance chose by requests in flight. The class: knowledge about the fleet of which each instance has a part, while the sum counts.

The header, the scheduler, loads and views wire it. Limited servers are used when others are full or a limit is to be asked again; the most urgent first, also between instances; what no permit reaches in time is refused at once (rate_limited), with a Retry-After that follows from the rate.

--- a/src/dogwoodquay/fleet/choice.py
+++ b/src/dogwoodquay/fleet/choice.py
@@ -88,6 +88,7 @@
     capacity: abc.Callable[[servers.Server], float],
     now: float,
     rng: random.Random,
+    extra_cost: abc.Callable[[servers.Server], float] = lambda _: 0.0,
 ) -> servers.Server | None:
     """Return the least loaded usable server with free capacity.
 
@@ -98,6 +99,8 @@
 
     :param capacity: returns the number of requests that a server may have from
         all instances together.
+    :param extra_cost: returns a cost of a server beyond that of its load, in
+        shares of its capacity.
     """
     best = None
     best_cost = float('inf')
@@ -107,6 +110,7 @@
         if load >= limit or limit <= 0:
             continue
         cost = load / limit + server.failure_rate * FAILURE_COST
+        cost += extra_cost(server)
         if server.entry.failure_domain != failure_domain:
             cost += DOMAIN_COST
         if server.entry.server_id in need.cached:
--- a/src/dogwoodquay/fleet/queue.py
+++ b/src/dogwoodquay/fleet/queue.py
@@ -82,13 +82,18 @@
         return due
 
     def assign(
-        self, choose: abc.Callable[[choice.Need], _Server | None], now: float
+        self,
+        choose: abc.Callable[[choice.Need], _Server | None],
+        now: float,
+        on_assigned: abc.Callable[[_Server], None] = lambda _: None,
     ) -> list[tuple[Ticket, _Server]]:
         """Remove and return the requests for which a server is available.
 
         If no server is available for any request for a model and adapter, the
         others for these are skipped, and if none is for a request that some
         servers cannot take, those with the same need.
+
+        :param on_assigned: called before the next server is chosen.
         """
 
         def rank(ticket: Ticket) -> tuple[int, float]:
@@ -112,5 +117,6 @@
                     full.add(common)
                 continue
             self.discard(ticket.number)
+            on_assigned(server)
             assigned.append((ticket, server))
         return assigned
--- a/src/dogwoodquay/gateway/api.py
+++ b/src/dogwoodquay/gateway/api.py
@@ -101,7 +101,10 @@
     ``stamped`` marks an answer made by the server itself. ``not_executed``
     guarantees that the request did not run there. ``running`` and ``waiting``
     are ``None`` where the server does not report its load. ``idle_seconds``
-    is how long it keeps an idle connection, zero if not given.
+    is how long it keeps an idle connection, zero if not given. ``rate_limit``
+    is how many requests per second the server takes from all instances
+    together, ``None`` for no limit; ``rate_limit_unreadable`` is set if it
+    gave one that is no such number.
     """
 
     attempt_id: str
@@ -112,6 +115,8 @@
     waiting: int | None
     idle_seconds: float
     encoded: bool
+    rate_limit: float | None = None
+    rate_limit_unreadable: bool = False
 
 
 class RefusalReason(enum.Enum):
@@ -132,6 +137,7 @@
     OVERLOADED = 'overloaded'
     DEADLINE = 'deadline'
     PROMPT_QUARANTINED = 'prompt_quarantined'
+    RATE_LIMITED = 'rate_limited'
     SERVERS_REFUSED = 'servers_refused'
     RETRY_BUDGET = 'retry_budget'
     MAY_HAVE_RUN = 'may_have_run'
--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -19,6 +19,7 @@
 
     from .. import clock as clocks
     from ..fleet import server as servers
+    from . import server_limits
     from . import trace as traces
 
 __all__ = ['Exchange', 'HeaderCodec', 'Relay']
@@ -96,7 +97,9 @@
         connections: client.Connections,
         codec: HeaderCodec,
         clock: clocks.Clock,
+        limits: server_limits.ServerLimits,
     ) -> None:
+        self._limits = limits
         self._connections = connections
         self._codec = codec
         self._clock = clock
@@ -134,7 +137,7 @@
                     server,
                     relay,
                     sent.ok,
-                    self._clock.now() - now,
+                    now,
                     progress,
                 )
             if isinstance(sent.error, external_api.Unavailable):
@@ -147,9 +150,10 @@
         server: servers.Server,
         relay: Relay,
         response: httpx.Response,
-        seconds: float,
+        sent_at: float,
         progress: Progress,
     ) -> outcomes.Outcome:
+        seconds = self._clock.now() - sent_at
         relay.trace.on_head(self._clock.now())
         status = response.status_code
         headers = tuple(response.headers.raw)
@@ -159,6 +163,9 @@
             client.discard(response)
             return outcomes.Broken('answer_crossed')
         self._update_server(server, response, terms)
+        if status != _MISDIRECTED:
+            # That may be the answer of another server at this address.
+            self._limits.on_answer(server.entry, terms, sent_at)
         try:
             if terms.not_executed:
                 bodies.limit(response, bodies.MAX_ANSWER_BYTES)
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -21,11 +21,13 @@
     'FindAdapter',
     'FindOrigins',
     'FleetView',
+    'GrantRow',
     'HandOver',
     'HandOverAnswer',
     'InstanceLoad',
     'InstanceRow',
     'KeepOrigins',
+    'LimitRow',
     'LoadingModel',
     'ModelDemand',
     'OriginRow',
@@ -34,6 +36,7 @@
     'RunningRequests',
     'VerdictRow',
     'VersionDemand',
+    'WantRow',
 ]
 
 
@@ -118,6 +121,39 @@
     crashes: int
 
 
+class LimitRow(msgspec.Struct, frozen=True, array_like=True):
+    """A server's limit of requests per second, ``None`` if it has ended.
+
+    It was so ``seconds`` ago.
+    """
+
+    server_id: str
+    started_ms: int
+    rate: float | None
+    seconds: float
+
+
+class WantRow(msgspec.Struct, frozen=True, array_like=True):
+    """Requests that wait for permits of a limited server, by priority."""
+
+    server_id: str
+    started_ms: int
+    priority: int
+    count: int
+
+
+class GrantRow(msgspec.Struct, frozen=True, array_like=True):
+    """Permits for requests to a limited server.
+
+    ``waiting`` holds pairs of a priority and how many others want.
+    """
+
+    server_id: str
+    started_ms: int
+    count: int
+    waiting: tuple[tuple[int, int], ...]
+
+
 class InstanceLoad(wire_api.Message, frozen=True, tag='load'):
     """The load of one instance, sent to the owner.
 
@@ -129,6 +165,8 @@
     was the newest in the store, ``None`` if it does not know.
     ``crashes`` are its reports of ended servers, ``sound_parts`` those
     suspects of the last view that it has seen in a complete answer.
+    ``limits`` is what it has heard itself of servers' limits lately, and
+    ``wants`` the permits that its waiting requests could use.
     """
 
     instance_id: str
@@ -144,6 +182,8 @@
     crashes: tuple[CrashRow, ...] = ()
     sound_parts: tuple[str, ...] = ()
     verdicts: tuple[VerdictRow, ...] = ()
+    limits: tuple[LimitRow, ...] = ()
+    wants: tuple[WantRow, ...] = ()
 
 
 class InstanceRow(msgspec.Struct, frozen=True, array_like=True):
@@ -186,7 +226,9 @@
     ``configuration_seconds`` is how long ago ``configuration_version`` was
     the newest in the store, ``None`` if that is not known. ``suspects`` are
     the parts of prompts that may be convicted. ``verdicts`` replace those of
-    the receiver, unless an earlier build sends none.
+    the receiver, unless an earlier build sends none. ``limits`` are those of
+    servers that the owner knows, ``grants`` the receiver's permits; ``None``
+    if the owner may give out none, or if its build does not know of them.
     """
 
     owner: str
@@ -202,6 +244,8 @@
     configuration_seconds: float | None = None
     suspects: tuple[str, ...] = ()
     verdicts: tuple[VerdictRow, ...] | None = None
+    limits: tuple[LimitRow, ...] = ()
+    grants: tuple[GrantRow, ...] | None = None
 
 
 class FindAdapter(wire_api.Message, frozen=True, tag='find'):
--- a/src/dogwoodquay/gateway/metrics.py
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -73,6 +73,20 @@
             'gateway_convictions_total',
             'Verdicts on parts of prompts under which servers ended',
         )
+        self._limits_changed = registry.counter(
+            'gateway_server_limits_total',
+            'Limits that servers have named or ended, or that are no numbers',
+            'change',
+        )
+        self._limited_requests = registry.counter(
+            'gateway_limited_requests_total',
+            'Requests to servers that limit them',
+            'sent_by',
+        )
+        self._permits_granted = registry.counter(
+            'gateway_permits_granted_total',
+            'Permits for limited servers, given out by the owner',
+        )
         self._configuration_reads = registry.counter(
             'gateway_configuration_reads_total',
             'Reads of the configuration',
@@ -160,6 +174,18 @@
         """Count a new verdict on parts of prompts."""
         self._convictions.add()
 
+    def limit_changed(self, change: str) -> None:
+        """Count a server's limit that is new, has ended or is no number."""
+        self._limits_changed.add(change)
+
+    def limited_request(self, sent_by: str) -> None:
+        """Count a request to a limited server, by what allows it."""
+        self._limited_requests.add(sent_by)
+
+    def permits_granted(self, count: int) -> None:
+        """Count permits for limited servers that the owner gives out."""
+        self._permits_granted.add(amount=count)
+
     def configuration_read(self, kind: str, outcome: str, size: int) -> None:
         """Count a read of the configuration and the bytes received."""
         self._configuration_reads.add(kind, outcome)
--- a/src/dogwoodquay/gateway/ownership.py
+++ b/src/dogwoodquay/gateway/ownership.py
@@ -110,9 +110,13 @@
     @property
     def fence(self) -> int:
         """The fencing token of orders that are given now."""
-        return (
-            self._generation * TOKENS_PER_GENERATION + self._hand_over_number
-        )
+        first = self._generation * TOKENS_PER_GENERATION
+        return first + self._hand_over_number
+
+    @property
+    def confirmed_at(self) -> float:
+        """When this owner began, or the store last confirmed it."""
+        return max(self._confirmed_at, self._owner_since)
 
     @property
     def owner_address(self) -> gateway_settings.Address | None:
@@ -223,11 +227,8 @@
         self, predecessor: str, generation: int, number: int
     ) -> bool:
         """Take the duty over from a stopping owner, if that is possible."""
-        if (
-            self._leaving
-            or self._is_owner
-            or not self._settings.fences_checked
-        ):
+        unable = self._leaving or self._is_owner
+        if unable or not self._settings.fences_checked:
             return False
         self._generation = generation
         self._hand_over_number = number
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -25,6 +25,7 @@
     from . import origins as stream_origins
     from . import ownership as order_ownership
     from . import scheduler as schedulers
+    from . import server_limits
 
 __all__ = ['Peering']
 
@@ -53,7 +54,9 @@
         origins: stream_origins.StreamOrigins,
         departures: departure_news.DepartureNews,
         crashes: crash_watches.CrashWatch,
+        limits: server_limits.ServerLimits,
     ) -> None:
+        self._limits = limits
         self._transport = transport
         self._crashes = crashes
         crashes.on_report(self.publish_soon)
@@ -89,6 +92,7 @@
         """Set the source of the load and the receivers of the view."""
         self._scheduler = scheduler
         self._configuration = configuration
+        scheduler.on_wanting(self.publish_soon)
 
     def publish_soon(self) -> None:
         """Publish the load at once, with what has just become known."""
@@ -166,9 +170,11 @@
 
     async def publish_load(self, scheduler: schedulers.Scheduler) -> None:
         """Send the load to the owner once and apply its view."""
-        load = self._load(scheduler)
         asked_at = self._clock.now()
-        if self._ownership.is_owner(asked_at):
+        is_owner = self._ownership.is_owner(asked_at)
+        self._limits.on_owner(is_owner)
+        load = self._load(scheduler)
+        if is_owner:
             view = self._on_load(load)
             if view is not None:
                 self._apply_view(view, asked_at)
@@ -216,6 +222,7 @@
             self._departures.rows(),
             seconds if seconds != math.inf else None,
             *self._crashes.load_rows(),
+            *self._limits.load_rows(scheduler.permits_wanted()),
         )
 
     def _on_load(
@@ -231,6 +238,7 @@
         if view is None or not self._ownership.is_owner(now):
             return view
         version, rows = self._roster.newer_than(load.roster_version, now)
+        grants = self._limits.on_load(load, self._ownership.confirmed_at)
         return msgspec.structs.replace(
             view,
             roster_version=version,
@@ -238,6 +246,8 @@
             departures=self._departures.rows(),
             suspects=self._crashes.suspects(),
             verdicts=self._crashes.verdict_rows(),
+            limits=self._limits.view_rows(),
+            grants=grants,
         )
 
     def _apply_view(self, view: messages.FleetView, asked_at: float) -> None:
@@ -249,10 +259,13 @@
         self._ownership.update_instance_count(view.instances)
         self._copies.on_view(view.reads_store, view.configuration_holder)
         self._departures.apply(view.departures)
-        self._crashes.on_view(view, view.owner == self._ownership.member)
+        is_owner = view.owner == self._ownership.member
+        self._crashes.on_view(view, is_owner)
+        self._limits.on_view(view, asked_at, is_owner)
         if view.roster:
             self._applied_version = view.roster_version
             self._applied_roster = view.roster
+            self._limits.update_members(view.roster)
             self._origins.update_roster(view.roster)
         if self._configuration is not None:
             as_of = -math.inf
--- a/src/dogwoodquay/gateway/refusals.py
+++ b/src/dogwoodquay/gateway/refusals.py
@@ -75,6 +75,8 @@
             return self._refuse_absent_model(call)
         if reason is api.RefusalReason.VERSION_GONE:
             return self.refuse_later(reason)
+        if reason is api.RefusalReason.RATE_LIMITED:
+            return self._refuse_limited(call, version)
         return self._refuse_not_run(reason)
 
     def end_quarantined(
@@ -96,6 +98,16 @@
         pause = self._with_jitter(ABSENT_RETRY_AFTER_SECONDS)
         return api.Refusal(reason, _UNAVAILABLE, pause)
 
+    def _refuse_limited(
+        self, call: api.Call, version: str | None
+    ) -> api.Refusal:
+        """Refuse a request that no server's limit leaves room for."""
+        reason = api.RefusalReason.RATE_LIMITED
+        pause = self._scheduler.seconds_until_permit(call, version)
+        if pause is None:
+            return self._refuse_not_run(reason)
+        return api.Refusal(reason, _UNAVAILABLE, pause)
+
     def _refuse_absent_model(self, call: api.Call) -> api.Refusal:
         """Refuse a request whose model no server has loaded yet."""
         seconds_until_ready = self._scheduler.seconds_until_ready(call)
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -32,6 +32,7 @@
 from . import resumption
 from ..retry import window
 from . import scheduler as schedulers
+from . import server_limits
 from . import serving
 from . import silence as silences
 from . import watch
@@ -192,6 +193,9 @@
             store, settings, clock, self._rng, metrics
         )
         engines = adapters.engines(self._connections, settings.instance_id)
+        self._limits = server_limits.ServerLimits(
+            members.member_name(settings), self._registry, clock, metrics
+        )
         self._controller = controllers.Controller(
             self._ownership,
             self._registry,
@@ -227,6 +231,7 @@
             self._origins,
             departure_news.DepartureNews(self._registry, clock, metrics),
             self._crashes,
+            self._limits,
         )
         self._scheduler = schedulers.Scheduler(
             self._registry,
@@ -234,6 +239,7 @@
             clock,
             self._rng,
             self._peering,
+            self._limits,
         )
         self._configuration = configuration_watch.ConfigurationWatch(
             store,
@@ -264,7 +270,7 @@
     def _build_app(self, adapters: PlatformAdapters) -> apps.GatewayApp:
         settings = self._settings
         exchange = exchanges.Exchange(
-            self._connections, adapters.codec, self._clock
+            self._connections, adapters.codec, self._clock, self._limits
         )
         self._silence = silences.SilenceWatch(self._scheduler, self._clock)
         budget = window.RetryWindow(
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -12,6 +12,7 @@
 from . import api
 from ..fleet import choice
 from ..fleet import queue
+from . import limit_waits
 from . import model_demand
 from ..observe import logs
 
@@ -24,7 +25,9 @@
     from .. import clock as clocks
     from ..fleet import registry as registries
     from ..fleet import server as servers
+    from ..ratelimit import api as limit_api
     from ..routes import api as routes_api
+    from . import server_limits
 
 __all__ = ['Scheduler']
 
@@ -62,7 +65,11 @@
         clock: clocks.Clock,
         rng: random.Random,
         finder: adapter_search.AdapterFinder,
+        limits: server_limits.ServerLimits,
     ) -> None:
+        self._limits = limits
+        self._limit_waits = limit_waits.LimitWaits(limits, registry, clock)
+        self._on_wanting: abc.Callable[[], None] = lambda: None
         self._registry = registry
         self._failure_domain = failure_domain
         self._clock = clock
@@ -114,6 +121,14 @@
         """Return the number of requests in flight by server and model."""
         return self._counts.running()
 
+    def permits_wanted(self) -> list[limit_api.Want]:
+        """Return the permits that waiting requests could use."""
+        return self._limit_waits.wants(self._queue.tickets)
+
+    def on_wanting(self, notify: abc.Callable[[], None]) -> None:
+        """Set what is called when a request begins to wait for a permit."""
+        self._on_wanting = notify
+
     async def run(self) -> None:
         """Assign waiting requests at intervals until cancelled."""
         async with anyio.create_task_group() as group:
@@ -132,6 +147,7 @@
 
     def record_arrival(self, call: api.Call) -> None:
         """Count a caller's request in the arrival rate of its model."""
+        self._limit_waits.record_use(call.service)
         if call.terms.model:
             self._counts.of(call).rate.add(self._clock.now())
 
@@ -176,7 +192,11 @@
         if self._load_misses_deadline(need, wait_deadline):
             return None
         server = None if self._queue.has_unserved else self._choose(need)
-        if server is None and not self._closed:
+        if server is not None:
+            self._take_permit(server)
+        elif not self._closed and self._limit_waits.admits(
+            need, call, wait_deadline, self._queue.tickets
+        ):
             server = await self._wait(call, need, wait_deadline)
         if server is None:
             return None
@@ -215,7 +235,11 @@
             ):
                 self._queue.discard(ticket.number)
                 self._resolve(ticket.number, None)
-        for ticket, server in self._queue.assign(self._choose, now):
+        for ticket in self._limit_waits.overdue(self._queue.tickets):
+            self._queue.discard(ticket.number)
+            self._resolve(ticket.number, None)
+        assigned = self._queue.assign(self._choose, now, self._take_permit)
+        for ticket, server in assigned:
             # Counted at once, so that the next choice considers it.
             server.begin()
             self._resolve(ticket.number, server)
@@ -237,8 +261,17 @@
             item.has_loaded(terms.model, terms.adapter) for item in candidates
         ):
             return api.RefusalReason.MODEL_ABSENT
+        if self._limit_waits.all_limited(need):
+            return api.RefusalReason.RATE_LIMITED
         return api.RefusalReason.OVERLOADED
 
+    def seconds_until_permit(
+        self, call: api.Call, version: str | None
+    ) -> float | None:
+        """Return when a caller may come back, if servers' limits are why."""
+        need = self._need(call, frozenset(), version)
+        return self._limit_waits.seconds_to_wait(need, self._queue.tickets)
+
     def update_loading(self, ready_at: dict[_Key, float]) -> None:
         """Set when the models that no server has loaded will be ready."""
         self._loading = ready_at
@@ -300,6 +333,8 @@
         )
         try:
             self.assign_waiting()
+            if waiter.server is None and self._limit_waits.wants_permit(need):
+                self._on_wanting()
             await waiter.event.wait()
         except BaseException:
             self._queue.discard(number)
@@ -336,6 +371,7 @@
             self._available_capacity,
             now,
             self._rng,
+            self._limit_waits.extra_cost,
         )
         if chosen is None and need.adapter:
             self._searches.search(need, candidates)
@@ -348,8 +384,13 @@
             return service.engine.slots + ENGINE_QUEUE_DEPTH
         return server.entry.slots + SERVICE_QUEUE_DEPTH
 
+    def _take_permit(self, server: servers.Server) -> None:
+        self._limits.take(server.entry)
+
     def _available_capacity(self, server: servers.Server) -> float:
-        """Return a server's capacity, zero at the limit of prefills."""
+        """Return a server's capacity, zero at a limit of new requests."""
+        if not self._limits.available(server.entry):
+            return 0.0
         service = self._services.get(server.entry.service)
         engine = service is not None and service.engine is not None
         if engine and server.awaiting_first_byte >= MAX_PENDING_PREFILLS:
--- a/src/dogwoodquay/platform/headers.py
+++ b/src/dogwoodquay/platform/headers.py
@@ -28,6 +28,7 @@
 # Marks an answer as made by the server itself.
 _STAMP: typing.Final = b'response-stamp'
 _LOAD: typing.Final = b'server-load'
+_LIMIT: typing.Final = b'server-limit'
 
 _MISDIRECTED: typing.Final = 421
 _MAX_PRIORITY: typing.Final = 9
@@ -128,6 +129,7 @@
     load = _text(found, _LOAD).split(',')
     counts = [_number(item) for item in load]
     known = len(counts) >= 2 and None not in counts
+    limit = _decimal(_text(found, _LIMIT)) if _LIMIT in found else None
     return api.AnswerTerms(
         attempt_id=_text(found, _ATTEMPT),
         stamped=_STAMP in found,
@@ -137,6 +139,8 @@
         waiting=int(counts[1] or 0) if known else None,
         idle_seconds=_idle_seconds(_text(found, b'keep-alive')),
         encoded=found.get(b'content-encoding', b'identity') != b'identity',
+        rate_limit=limit,
+        rate_limit_unreadable=_LIMIT in found and limit is None,
     )
 
 
@@ -164,6 +168,14 @@
     return number if math.isfinite(number) and number >= 0 else None
 
 
+def _decimal(text: str) -> float | None:
+    """Return a finite decimal number that is not negative."""
+    plain = text.strip().replace('.', '', 1)
+    if not (plain.isascii() and plain.isdecimal()):
+        return None
+    return _number(text)
+
+
 def _parts(text: str) -> tuple[api.PromptPart, ...]:
     parts = []
     for item in text.split(','):
--- /dev/null
+++ b/src/dogwoodquay/ratelimit/__init__.py
@@ -0,0 +1,1 @@
+"""Shares the limits that servers name between all instances."""
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -16,6 +16,7 @@
 from dogwoodquay.gateway import crashes
 from dogwoodquay.gateway import metrics
 from dogwoodquay.gateway import origins
+from dogwoodquay.gateway import server_limits
 from dogwoodquay.gateway import settings
 from dogwoodquay.gateway import store_api
 from dogwoodquay.observe import metrics as metrics_module
@@ -24,6 +25,8 @@
     from collections import abc
     import unittest
 
+    from dogwoodquay.fleet import registry as registries
+
 __all__ = [
     'FakeCopies',
     'FakeOrigins',
@@ -32,6 +35,7 @@
     'instance_settings',
     'log_lines',
     'make_crashes',
+    'make_limits',
     'make_metrics',
 ]
 
@@ -73,6 +77,15 @@
     return crashes.CrashWatch(connections, clock, make_metrics())
 
 
+def make_limits(
+    registry: registries.Registry, clock: clocks.Clock
+) -> server_limits.ServerLimits:
+    """Return limits of servers, none of which is limited at first."""
+    return server_limits.ServerLimits(
+        'front-1@127.0.0.1:7000', registry, clock, make_metrics()
+    )
+
+
 def log_lines(test: unittest.TestCase) -> list[dict[str, typing.Any]]:
     """Return a list that receives the lines logged until the test ends."""
     lines: list[dict[str, typing.Any]] = []
--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -193,8 +193,9 @@
         self.connections = client.Connections(clock)
         self.metrics_page = metrics_module.Registry('test')
         metrics = gateway_metrics.GatewayMetrics(self.metrics_page)
+        limits = fakes.make_limits(self.registry, clock)
         self.scheduler = schedulers.Scheduler(
-            self.registry, 'd1', clock, rng, _NoFinder()
+            self.registry, 'd1', clock, rng, _NoFinder(), limits
         )
         self.freshness = Freshness()
         self.origins = fakes.FakeOrigins()
@@ -204,7 +205,7 @@
         self.app = apps.GatewayApp(
             forwarders.Forwarder(
                 self.scheduler,
-                exchanges.Exchange(self.connections, headers, clock),
+                exchanges.Exchange(self.connections, headers, clock, limits),
                 window.RetryWindow(0.2, extra_retries, 10.0),
                 clock,
                 rng,
--- a/tests/unit/gateway/test_peering.py
+++ b/tests/unit/gateway/test_peering.py
@@ -24,6 +24,7 @@
 from dogwoodquay.gateway import peering
 from dogwoodquay.gateway import readers
 from dogwoodquay.gateway import scheduler as schedulers
+from dogwoodquay.gateway import server_limits
 from dogwoodquay.wire import api as wire_api
 
 _Handlers = dict[type, wire_api.Handler]
@@ -121,6 +122,9 @@
         self.ownership = order_ownership.OrderOwnership(
             store, settings, clock, fakes.rng(), metrics
         )
+        self.limits = server_limits.ServerLimits(
+            self.ownership.member, registry, clock, metrics
+        )
         self.controller = controller.Controller(
             self.ownership,
             registry,
@@ -149,10 +153,11 @@
             self.origins,
             departures.DepartureNews(registry, clock, metrics),
             fakes.make_crashes(clock),
+            self.limits,
         )
         self.registry = registry
         self.scheduler = schedulers.Scheduler(
-            registry, 'd1', clock, fakes.rng(), self.peering
+            registry, 'd1', clock, fakes.rng(), self.peering, self.limits
         )
 
     async def publish_load(self) -> None:
--- a/tests/unit/gateway/test_scheduler.py
+++ b/tests/unit/gateway/test_scheduler.py
@@ -14,7 +14,9 @@
 from dogwoodquay.fleet import api as fleet_api
 from dogwoodquay.fleet import registry as registries
 from dogwoodquay.gateway import api
+from dogwoodquay.gateway import messages
 from dogwoodquay.gateway import scheduler as schedulers
+from dogwoodquay.platform import headers
 from dogwoodquay.routes import api as routes_api
 
 if typing.TYPE_CHECKING:
@@ -51,8 +53,14 @@
         """Create a scheduler without servers."""
         self.clock = clocks.ManualClock()
         self.registry = registries.Registry()
+        self.limits = fakes.make_limits(self.registry, self.clock)
         self.scheduler = schedulers.Scheduler(
-            self.registry, 'd1', self.clock, fakes.rng(), _NoFinder()
+            self.registry,
+            'd1',
+            self.clock,
+            fakes.rng(),
+            _NoFinder(),
+            self.limits,
         )
         service = routes_api.Service('models', '/healthz', 100, _SPEC)
         self.scheduler.configure({'models': service})
@@ -314,3 +322,115 @@
             api.RefusalReason.STOPPING,
             self.scheduler.refusal_reason(self.call(), 'v1'),
         )
+
+
+class LimitedServersTest(_SchedulerCase):
+    """Servers limit the requests per second that they take."""
+
+    def setUp(self) -> None:
+        """Create two servers of a plain service, the first one limited."""
+        super().setUp()
+        self.name_limit('s1', 4.0)
+        self.registry.update(entries.entry('s2'), self.clock.now())
+        self.scheduler.configure({})
+
+    def name_limit(self, server_id: str, rate: float) -> None:
+        """List a server and apply an answer with its limit."""
+        entry = entries.entry(server_id)
+        self.registry.update(entry, self.clock.now())
+        terms = headers.answer_terms(
+            200, ((b'server-limit', f'{rate}'.encode()),)
+        )
+        self.limits.on_answer(entry, terms, self.clock.now())
+
+    def permit(self, count: int, waiting: int = 0) -> None:
+        """Apply an owner's view with permits for the first server."""
+        view = messages.FleetView(
+            'other', (), (), 2, 1,
+            grants=(messages.GrantRow('s1', 1000, count, ((1, waiting),)),),
+        )  # fmt: skip
+        self.limits.on_view(view, self.clock.now(), False)
+
+    async def acquire(self, seconds: float = 0.0) -> str:
+        """Return the server of a request that waits for some time."""
+        call = self.call('')
+        server = await self.scheduler.acquire(
+            call, frozenset(), self.clock.now() + seconds
+        )
+        return server.entry.server_id if server else ''
+
+    async def test_others_take_the_requests(self) -> None:
+        """The limited server is used when the others are full."""
+        self.permit(2)
+        got = [await self.acquire() for _ in range(10)]
+        self.assertEqual(['s2'] * 6 + ['s1'] * 2 + [''] * 2, got)
+
+    async def test_ejected_server_needs_a_permit(self) -> None:
+        """A limited server is not the last resort."""
+        self.registry.withdraw('s2', self.clock.now())
+        server = self.registry.get('s1')
+        assert server is not None
+        for _ in range(3):
+            server.failed(self.clock.now())
+        self.assertEqual('', await self.acquire())
+        self.permit(1)
+        self.assertEqual('s1', await self.acquire())
+
+    async def test_waiting_requests_share_permits(self) -> None:
+        """One permit serves one of several waiting requests."""
+        self.registry.withdraw('s2', self.clock.now())
+        wanting: list[int] = []
+        self.scheduler.on_wanting(lambda: wanting.append(1))
+        got: list[str] = []
+
+        async def wait() -> None:
+            got.append(await self.acquire(0.9))
+
+        async with anyio.create_task_group() as group:
+            for _ in range(2):
+                group.start_soon(wait)
+            await anyio.wait_all_tasks_blocked()
+            wants = self.scheduler.permits_wanted()
+            self.assertEqual([2], [want.permits for want in wants])
+            self.permit(1)
+            self.scheduler.assign_waiting()
+            await anyio.wait_all_tasks_blocked()
+            self.assertEqual(['s1'], got)
+            self.clock.advance(1.0)
+            self.scheduler.assign_waiting()
+        self.assertEqual(['s1', ''], got)
+        self.assertEqual([1, 1], wanting)
+
+    async def test_refused_at_once(self) -> None:
+        """A request that no permit can reach in time does not wait."""
+        self.registry.withdraw('s2', self.clock.now())
+        self.permit(0, waiting=400)
+        with anyio.fail_after(10.0):
+            self.assertEqual('', await self.acquire(60.0))
+        call = self.call('')
+        self.assertIs(
+            api.RefusalReason.RATE_LIMITED, self.scheduler.refusal_reason(call)
+        )
+        seconds = self.scheduler.seconds_until_permit(call, None)
+        self.assertEqual(10.0, seconds)
+
+    async def test_trial(self) -> None:
+        """A limit that was heard long ago is asked once by a permit."""
+        self.assertEqual([], self.scheduler.permits_wanted())
+        self.clock.advance(2.1)
+        self.assertEqual([], self.scheduler.permits_wanted())
+        self.scheduler.record_arrival(self.call(''))
+        wants = self.scheduler.permits_wanted()
+        self.assertEqual([1], [want.permits for want in wants])
+        self.permit(1)
+        got = {await self.acquire() for _ in range(3)}
+        self.assertEqual({'s1', 's2'}, got)
+
+    async def test_unlimited_again(self) -> None:
+        """After the end of the limit, load decides."""
+        self.clock.advance(1.0)
+        entry = entries.entry('s1')
+        terms = headers.answer_terms(200, ((b'response-stamp', b'x'),))
+        self.limits.on_answer(entry, terms, self.clock.now())
+        got = [await self.acquire() for _ in range(4)]
+        self.assertEqual(['s1', 's1', 's2', 's2'], sorted(got))
--- a/tests/unit/gateway/test_successors.py
+++ b/tests/unit/gateway/test_successors.py
@@ -101,7 +101,12 @@
     for entry in entries:
         registry.update(entry, 0.0)
     scheduler = schedulers.Scheduler(
-        registry, 'd1', clocks.SteadyClock(), fakes.rng(), finder
+        registry,
+        'd1',
+        clocks.SteadyClock(),
+        fakes.rng(),
+        finder,
+        fakes.make_limits(registry, clocks.SteadyClock()),
     )
     service = routes_api.Service('s', '/healthz', 100, _SPEC)
     scheduler.configure({'s': service, 't': service})
--- a/tests/unit/platform/test_decoding.py
+++ b/tests/unit/platform/test_decoding.py
@@ -256,6 +256,23 @@
 class AnswerHeadersTest(unittest.TestCase):
     """Headers of servers' answers are parsed."""
 
+    def test_limits(self) -> None:
+        """A limit is a decimal number; others are no limits."""
+        for text, limit in ((b'2.9', 2.9), (b' 0 ', 0.0), (b'12', 12.0)):
+            terms = headers.answer_terms(503, ((b'Server-Limit', text),))
+            self.assertEqual(limit, terms.rate_limit)
+            self.assertFalse(terms.rate_limit_unreadable)
+        for text in (
+            b'', b'nan', b'inf', b'-1', b'1e3', b'1_0', b'2, 3', b'x', b'.',
+            b'9' * 5000, b'\xb2',
+        ):  # fmt: skip
+            terms = headers.answer_terms(200, ((b'server-limit', text),))
+            self.assertIsNone(terms.rate_limit, text)
+            self.assertTrue(terms.rate_limit_unreadable, text)
+        terms = headers.answer_terms(200, ())
+        self.assertIsNone(terms.rate_limit)
+        self.assertFalse(terms.rate_limit_unreadable)
+
     def test_terms(self) -> None:
         """Load, idle time and the marks of a server's own answer are read."""
         terms = headers.answer_terms(
--- /dev/null
+++ b/tests/unit/ratelimit/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the limits that servers name."""
