Count replicas on limited engines for what their limits let through

A model whose only replica stands on an engine that takes 3 requests a second counted as served; loads and adapters went to limited engines as to others. A replica there counts for the share of a replica's requests that the limit leaves to each of the engine's models, loads go to limited engines only if all are limited, and adapters only if no other engine has their model.

--- a/src/dogwoodquay/gateway/controller.py
+++ b/src/dogwoodquay/gateway/controller.py
@@ -28,6 +28,7 @@
     from . import ownership as order_ownership
     from ..residency import contents as engine_contents
     from ..routes import api as routes_api
+    from . import server_limits
     from . import settings as gateway_settings
 
 __all__ = ['Controller']
@@ -65,7 +66,9 @@
         clock: clocks.Clock,
         metrics: gateway_metrics.GatewayMetrics,
         rng: random.Random,
+        limits: server_limits.ServerLimits,
     ) -> None:
+        self._rate_limits = limits.rate_limits
         self._ownership = ownership
         self._registry = registry
         self._calls = engines
@@ -189,6 +192,7 @@
                 if self._usable(group, server_id)
                 and version in (None, engine.server.version)
             ]
+            engines = adapters.prefer(engines, self._rate_limits(), model)
             loaded = adapters.find_engine(engines, model, adapter)
             if loaded is not None:
                 await self._wait_for_adapter(loaded, model, adapter)
@@ -325,7 +329,9 @@
         def running(server_id: str, model: str) -> int:
             return self._demand.requests(server_id, model)
 
-        orders = group.planner.plan(engines, demand, running, now, at_version)
+        orders = group.planner.plan(
+            engines, demand, running, now, at_version, self._rate_limits()
+        )
         for engine, order in orders:
             if not group.within_load_rate(engine, order, now):
                 continue
--- a/src/dogwoodquay/gateway/groups.py
+++ b/src/dogwoodquay/gateway/groups.py
@@ -6,6 +6,7 @@
 
 from ..residency import api as residency_api
 from ..residency import contents as engine_contents
+from ..residency import loads
 from ..residency import planner as planners
 
 if typing.TYPE_CHECKING:
@@ -111,7 +112,7 @@
             model = engine.loading_model
             if not model or server_id in self.unreachable:
                 continue
-            latest = now + planners.load_seconds(engine, model)
+            latest = now + loads.load_seconds(engine, model)
             ready_at = self.ready_at.get((server_id, model), latest)
             ready_at_by_load[server_id, model] = ready_at
             loading[model] = min(loading.get(model, ready_at), ready_at)
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -204,6 +204,7 @@
             clock,
             metrics,
             self._rng,
+            self._limits,
         )
         self._peers = wire_peers.Peers(
             _wire_settings(settings), clock, self._rng
--- a/src/dogwoodquay/gateway/server_limits.py
+++ b/src/dogwoodquay/gateway/server_limits.py
@@ -65,6 +65,14 @@
             return None
         return self._limits.rate(key_of(entry))
 
+    def rate_limits(self) -> dict[str, float]:
+        """Return the limits per second by server."""
+        return {
+            item.server.server_id: item.rate
+            for item in self._limits.limited
+            if item.rate is not None
+        }
+
     def available(self, entry: fleet_api.ServerEntry) -> bool:
         """Whether a request may be sent to a server now."""
         if not self._limits.any:
--- a/src/dogwoodquay/residency/adapters.py
+++ b/src/dogwoodquay/residency/adapters.py
@@ -11,7 +11,7 @@
 
     from . import contents as engine_contents
 
-__all__ = ['AdapterKey', 'Placement', 'find_engine', 'place']
+__all__ = ['AdapterKey', 'Placement', 'find_engine', 'place', 'prefer']
 
 
 class AdapterKey(typing.NamedTuple):
@@ -41,6 +41,23 @@
     return None
 
 
+def prefer(
+    engines: list[engine_contents.EngineContents],
+    limited: abc.Container[str],
+    model: str,
+) -> list[engine_contents.EngineContents]:
+    """Return the engines for an adapter: unlimited ones, if any can take it.
+
+    :param limited: the servers that limit their requests.
+    """
+    others = [
+        engine
+        for engine in engines
+        if engine.server.server_id not in limited and model in engine.models()
+    ]
+    return others or engines
+
+
 def place(
     engines: abc.Iterable[engine_contents.EngineContents],
     model: str,
--- a/src/dogwoodquay/residency/planner.py
+++ b/src/dogwoodquay/residency/planner.py
@@ -6,6 +6,7 @@
 import typing
 
 from . import api
+from . import loads
 from . import served
 
 if typing.TYPE_CHECKING:
@@ -13,7 +14,7 @@
 
     from . import contents as engine_contents
 
-__all__ = ['ModelPlanner', 'load_seconds']
+__all__ = ['ModelPlanner']
 
 _Engines: typing.TypeAlias = 'abc.Sequence[engine_contents.EngineContents]'
 _Orders: typing.TypeAlias = (
@@ -32,10 +33,13 @@
 
 
 class _ReplicaCounts(typing.NamedTuple):
-    """Replicas of each model: ready, and loading or about to be loaded."""
+    """Replicas of each model: ready, and loading or about to be loaded.
 
-    ready: collections.Counter[str]
-    loading: collections.Counter[str]
+    One on an engine that limits its requests counts for less.
+    """
+
+    ready: collections.defaultdict[str, float]
+    loading: collections.defaultdict[str, float]
 
 
 class _LoadOption(typing.NamedTuple):
@@ -50,6 +54,7 @@
 
 _INFINITE: typing.Final = float('inf')
 _NO_VERSIONS: typing.Final[abc.Mapping[served.ModelAtVersion, int]] = {}
+_NO_LIMITS: typing.Final[abc.Mapping[str, float]] = {}
 
 
 class ModelPlanner:
@@ -67,6 +72,8 @@
         self._pending_loads: dict[str, _PendingLoad] = {}
         self._ordered_loads: set[tuple[str, str]] = set()
         self._ready_at: dict[tuple[str, str], float] = {}
+        self._rate_limits: abc.Mapping[str, float] = {}
+        self._demand: abc.Mapping[str, served.Demand] = {}
 
     def models_to_unload(self, server_id: str) -> tuple[str, ...]:
         """Return the models to unload from an engine for a pending load."""
@@ -80,13 +87,18 @@
         running: abc.Callable[[str, str], int],
         now: float,
         at_version: abc.Mapping[served.ModelAtVersion, int] = _NO_VERSIONS,
+        rate_limits: abc.Mapping[str, float] = _NO_LIMITS,
     ) -> _Orders:
         """Return the next order of each engine that should get one.
 
         :param running: returns how many requests of a model run on a server.
         :param at_version: how many requests wait for a model at engines of
             one software version.
+        :param rate_limits: the requests per second of engines that limit
+            them, by server.
         """
+        self._rate_limits = rate_limits
+        self._demand = demand
         self._update_ready_times(engines, now)
         counts = self._count_replicas(engines)
         self._drop_unprofitable_loads(engines, counts, demand, at_version)
@@ -101,6 +113,11 @@
             and engine.server.server_id not in ordered
             and engine.server.server_id not in self._pending_loads
         ]
+        free = [
+            engine
+            for engine in free
+            if engine.server.server_id not in rate_limits
+        ] or free
         counts = self._count_replicas(engines)
         unmet = self._unmet(engines, at_version)
         while free:
@@ -110,9 +127,10 @@
             free.remove(option.engine)
             version = option.engine.server.version
             unmet.pop(served.ModelAtVersion(option.model, version), None)
-            counts.loading[option.model] += 1
+            engine = option.engine
+            counts.loading[option.model] += self._share(engine, option.model)
             for victim in option.victims:
-                counts.ready[victim] -= 1
+                counts.ready[victim] -= self._share(engine, victim)
             order = self._start_load(option, running, now)
             if order is not None:
                 orders.append((option.engine, order))
@@ -140,9 +158,11 @@
             if load is None:
                 continue
             item = demand.get(load.model, served.NO_DEMAND)
-            others = counts.ready[load.model] + counts.loading[load.model] - 1
+            share = self._share(engine, load.model)
+            others = counts.ready[load.model] + counts.loading[load.model]
+            others -= share
             slots = engine.spec.slots
-            gain = self._settings.count_served(item, others + 1, slots)
+            gain = self._settings.count_served(item, others + share, slots)
             gain -= self._settings.count_served(item, others, slots)
             if load.version is not None:
                 key = served.ModelAtVersion(load.model, load.version)
@@ -152,9 +172,10 @@
             for victim in load.victims:
                 if victim in engine.models():
                     left = counts.ready[victim]
+                    share = self._share(engine, victim)
                     victim_demand = demand.get(victim, served.NO_DEMAND)
                     loss += self._settings.count_served(
-                        victim_demand, left + 1, slots
+                        victim_demand, left + share, slots
                     )
                     loss -= self._settings.count_served(
                         victim_demand, left, slots
@@ -226,18 +247,33 @@
 
     def _count_replicas(self, engines: _Engines) -> _ReplicaCounts:
         """Count the replicas that are ready and those being loaded."""
-        counts = _ReplicaCounts(collections.Counter(), collections.Counter())
+        counts = _ReplicaCounts(
+            collections.defaultdict(float), collections.defaultdict(float)
+        )
         for engine in engines:
             load = self._pending_loads.get(engine.server.server_id)
             loaded = set(engine.models())
             if engine.loading_model:
-                counts.loading[engine.loading_model] += 1
+                model = engine.loading_model
+                counts.loading[model] += self._share(engine, model)
             if load is not None:
                 loaded -= set(load.victims)
-                counts.loading[load.model] += 1
-            counts.ready.update(loaded)
+                counts.loading[load.model] += self._share(engine, load.model)
+            for model in loaded:
+                counts.ready[model] += self._share(engine, model)
         return counts
 
+    def _share(
+        self, engine: engine_contents.EngineContents, model: str
+    ) -> float:
+        """Return for how many replicas one on an engine counts."""
+        return self._settings.replica_share(
+            self._demand.get(model, served.NO_DEMAND),
+            self._rate_limits.get(engine.server.server_id),
+            len(engine.models()),
+            engine.spec.slots,
+        )
+
     def _unmet(
         self,
         engines: _Engines,
@@ -313,7 +349,7 @@
             return None
         # While the model loads only the requests that wait now count as gain.
         horizon = self._settings.horizon_seconds
-        seconds = load_seconds(engine, model)
+        seconds = loads.load_seconds(engine, model)
         arrival_gain = max(
             0.0, gain - demand.get(model, served.NO_DEMAND).waiting
         )
@@ -329,7 +365,7 @@
             for loss, name in losses:
                 victims.append(name)
                 score -= loss + self._settings.victim_cost
-                missing -= _megabytes(engine, name)
+                missing -= loads.megabytes(engine, name)
                 if missing <= 0:
                     break
         if missing > 0 or score <= 0:
@@ -353,28 +389,11 @@
         if in_demand and now < ready_at + self._settings.min_loaded_seconds:
             return _INFINITE
         # Replicas that are still loading cannot take over requests yet.
-        count = max(1, counts.ready[model])
+        share = self._share(engine, model)
+        count = max(share, counts.ready[model])
         slots = engine.spec.slots
         loss = self._settings.count_served(item, count, slots)
-        loss -= self._settings.count_served(item, count - 1, slots)
+        loss -= self._settings.count_served(item, count - share, slots)
         if running(server_id, model):
             loss += self._settings.running_cost
         return loss
-
-
-def _megabytes(engine: engine_contents.EngineContents, model: str) -> float:
-    spec = engine.spec.models.get(model)
-    return 0.0 if spec is None else spec.megabytes
-
-
-def load_seconds(engine: engine_contents.EngineContents, model: str) -> float:
-    """Return the time to load a model from where its weights are now."""
-    spec = engine.spec.models.get(model)
-    if spec is None:
-        return 0.0
-    if engine.report is not None:
-        if model in engine.report.in_memory:
-            return spec.memory_load_seconds
-        if model in engine.report.on_disk:
-            return spec.disk_load_seconds
-    return spec.load_seconds
--- a/src/dogwoodquay/residency/served.py
+++ b/src/dogwoodquay/residency/served.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 from ..fleet import rate
@@ -17,6 +18,8 @@
 # Bounds of the mean request time that is estimated from the demand.
 _MIN_REQUEST_SECONDS: typing.Final = 0.3
 _MAX_REQUEST_SECONDS: typing.Final = 4.0
+# A replica on an engine that takes nothing is still one that is loaded.
+MIN_REPLICA_SHARE: typing.Final = 0.01
 
 
 class ModelAtVersion(typing.NamedTuple):
@@ -63,7 +66,22 @@
     default_request_seconds: float = 1.5
     max_candidates: int = 12
 
-    def count_served(self, item: Demand, replicas: int, slots: int) -> float:
+    def replica_share(
+        self, item: Demand, rate_limit: float | None, models: int, slots: int
+    ) -> float:
+        """Return for how many replicas one on a limited engine counts.
+
+        :param item: the demand for the model.
+        :param rate_limit: the requests per second that the engine takes for
+            all its models, ``None`` for no limit.
+        """
+        if rate_limit is None:
+            return 1.0
+        replica_rate = self._replica_rate(item, slots)
+        share: float = rate_limit / (replica_rate * max(1, models))
+        return min(max(share, MIN_REPLICA_SHARE), 1.0)
+
+    def count_served(self, item: Demand, replicas: float, slots: int) -> float:
         """Estimate the requests that a number of replicas serves soon.
 
         The mean request time is the requests in flight divided by their rate,
@@ -71,15 +89,20 @@
         """
         if replicas <= 0:
             return 0.0
+        replica_rate = self._replica_rate(item, slots)
+        served = min(item.rate, replicas * replica_rate)
+        spread = self.spread_gain_share * item.rate
+        spread *= 1.0 - math.pow(0.5, replicas)
+        return self.horizon_seconds * (served + spread) + item.waiting
+
+    def _replica_rate(self, item: Demand, slots: int) -> float:
+        """Return the requests per second at the target utilization."""
         seconds = self.default_request_seconds
         if item.rate > 1.0 and item.in_flight and not item.waiting:
             seconds = item.in_flight / item.rate
             seconds = max(seconds, _MIN_REQUEST_SECONDS)
             seconds = min(seconds, _MAX_REQUEST_SECONDS)
-        replica_rate = self.target_utilization * slots / seconds
-        served = min(item.rate, replicas * replica_rate)
-        spread = self.spread_gain_share * item.rate * (1.0 - 0.5**replicas)
-        return self.horizon_seconds * (served + spread) + item.waiting
+        return self.target_utilization * slots / seconds
 
 
 NO_DEMAND: typing.Final = Demand(0.0, 0, 0, 0.0)
--- a/tests/unit/gateway/test_controller.py
+++ b/tests/unit/gateway/test_controller.py
@@ -93,6 +93,7 @@
         self.ownership = order_ownership.OrderOwnership(
             self.store, settings, self.clock, fakes.rng(), metrics
         )
+        self.limits = fakes.make_limits(self.registry, self.clock)
         self.controller = controller.Controller(
             self.ownership,
             self.registry,
@@ -101,6 +102,7 @@
             self.clock,
             metrics,
             fakes.rng(),
+            self.limits,
         )
         service = routes_api.Service('models', '/', 9, engine_fakes.SPEC)
         self.controller.configure({'models': service})
--- a/tests/unit/gateway/test_peering.py
+++ b/tests/unit/gateway/test_peering.py
@@ -133,6 +133,7 @@
             clock,
             metrics,
             fakes.rng(),
+            self.limits,
         )
         transport = _Transport(network, port)
         self.copies = copies.ConfigurationCopies(transport, clock)
--- a/tests/unit/residency/test_adapters.py
+++ b/tests/unit/residency/test_adapters.py
@@ -83,3 +83,15 @@
         self.assertTrue(subject.take(10.1))
         self.assertFalse(subject.take(14.9))
         self.assertTrue(subject.take(15.0))
+
+
+class PreferTest(unittest.TestCase):
+    """Adapters go to engines that do not limit their requests."""
+
+    def test_unlimited_first(self) -> None:
+        """A limited engine is used if no other has the model."""
+        first, second = engines.engine('e1', 'hot'), engines.engine('e2')
+        third = engines.engine('e3', 'hot')
+        every = [first, second, third]
+        self.assertEqual([third], adapters.prefer(every, {'e1'}, 'hot'))
+        self.assertEqual(every, adapters.prefer(every, {'e1', 'e3'}, 'hot'))
--- a/tests/unit/residency/test_planner.py
+++ b/tests/unit/residency/test_planner.py
@@ -319,3 +319,51 @@
             engines.engine('e2', 'hot', 'warm', version='v1'),
         ]
         self.assertEqual([], self._plan(engine_list))
+
+
+class LimitedEngineTest(unittest.TestCase):
+    """An engine limits the requests per second that it takes."""
+
+    def _orders(
+        self, limits: dict[str, float], rate: float = 4.0
+    ) -> list[tuple[str, api.Order]]:
+        engine_list = [engines.engine('e1', 'hot'), engines.engine('e2')]
+        orders = planner.ModelPlanner().plan(
+            engine_list,
+            {'hot': Demand(rate, 1, 0, 0.0)},
+            _no_running_requests,
+            100.0,
+            rate_limits=limits,
+        )
+        return [(item.server.server_id, order) for item, order in orders]
+
+    def test_model_on_a_limited_engine_alone(self) -> None:
+        """The model is loaded on another engine."""
+        self.assertEqual([], self._orders({}))
+        self.assertEqual(
+            [('e2', api.LoadModel('hot'))], self._orders({'e1': 1.0})
+        )
+
+    def test_enough_within_the_limit(self) -> None:
+        """Demand within the limit does not move the model."""
+        self.assertEqual([], self._orders({'e1': 2.0}, 0.4))
+
+    def test_no_loads_on_limited_engines(self) -> None:
+        """A limited engine gets a model only if all are limited."""
+        self.assertEqual([], self._orders({'e2': 1.0}, 30.0))
+        both = self._orders({'e1': 1.0, 'e2': 9.0})
+        self.assertEqual([('e2', api.LoadModel('hot'))], both)
+
+    def test_share_of_a_replica(self) -> None:
+        """A limit counts for less, shared by the models of its engine."""
+        settings = served.PlannerSettings()
+        full = settings.target_utilization * 64
+        full /= settings.default_request_seconds
+        for limit, models, share in (
+            (None, 3, 1.0),
+            (2 * full, 1, 1.0),
+            (full / 2, 2, 0.25),
+            (0.0, 2, served.MIN_REPLICA_SHARE),
+        ):
+            found = settings.replica_share(served.NO_DEMAND, limit, models, 64)
+            self.assertAlmostEqual(share, found)
