Add failing tests of one request that crashes servers and comes again

Plain (before the head, before and in the body), non-idempotent, and streams with the same parts, with one and with none; sound requests of the same path beside it; and servers that end by themselves while one sound request is repeated.

--- a/tests/site/crashes.py
+++ b/tests/site/crashes.py
@@ -1,4 +1,4 @@
-"""Stand-in engines that crash on one part of a prompt."""
+"""Stand-in servers that crash on a request or on one part of a prompt."""
 
 from __future__ import annotations
 
@@ -16,7 +16,12 @@
 
     from . import store as stores
 
-__all__ = ['CrashPoint', 'CrashRecord', 'CrashingEngine', 'prompt_header']
+__all__ = [
+    'CrashPoint',
+    'CrashRecord',
+    'CrashingServer',
+    'prompt_header',
+]
 
 RESTART_SECONDS: typing.Final = 0.8
 
@@ -32,19 +37,23 @@
 
 @dataclasses.dataclass
 class CrashRecord:
-    """What all engines of a site know of the guilty part.
+    """What all servers of a site know of the guilty requests.
 
-    ``arrivals`` are the times at which requests with it reached an engine,
-    ``crashes`` those at which engines ended.
+    These have ``part`` in their prompt, or ``body``. ``arrivals`` are the
+    times at which they reached a server, ``crashes`` those at which servers
+    ended.
     """
 
     part: str = ''
+    body: bytes = b''
     point: CrashPoint = CrashPoint.BEFORE_FIRST_EVENT
     arrivals: list[float] = dataclasses.field(default_factory=list)
     crashes: list[float] = dataclasses.field(default_factory=list)
 
     def is_guilty(self, request: http.Request) -> bool:
-        """Whether a request has the guilty part, not as its last one."""
+        """Whether a request has the body, or the part, not as its last."""
+        if self.body and request.body == self.body:
+            return True
         prompt = request.headers.get('prompt-prefix', '')
         parts = [item.partition(':')[0] for item in prompt.split(',')]
         return bool(self.part) and self.part in parts[:-1]
@@ -56,14 +65,23 @@
     return f'Prompt-Prefix: {prompt}\r\n'
 
 
-class CrashingEngine(servers.Server):
-    """An engine that ends on the guilty part and starts again, empty."""
+class CrashingServer(servers.Server):
+    """A server that ends on guilty requests and starts again, empty.
+
+    An engine by default; a plain server has no models.
+    """
 
     def __init__(
-        self, store: stores.Store, name: str, record: CrashRecord
+        self,
+        store: stores.Store,
+        name: str,
+        record: CrashRecord,
+        service: str = 'engines',
+        models: tuple[str, ...] = ('loaded',),
     ) -> None:
-        super().__init__(store, name, 'engines', 'loaded', slots=16)
+        super().__init__(store, name, service, *models, slots=16)
         self._name = name
+        self._guilty_attempts: set[str] = set()
         self._record = record
         self._lives = 1
         self._restart: asyncio.Task[None] | None = None
@@ -96,6 +114,7 @@
         expected = request.headers.get('expect-instance', self._id)
         if expected == self._id and self._record.is_guilty(request):
             self._record.arrivals.append(time.monotonic())
+            self._guilty_attempts.add(request.headers['attempt-id'])
             if self._record.point is CrashPoint.BEFORE_HEAD:
                 await asyncio.sleep(self.event_seconds)
                 self._end()
@@ -110,12 +129,23 @@
             pieces += 1
             yield piece
 
+    async def _pieces(
+        self, attempt: str, body: bytes
+    ) -> abc.AsyncIterator[bytes]:
+        guilty = attempt in self._guilty_attempts
+        pieces = 0
+        async for piece in super()._pieces(attempt, body):
+            if guilty and pieces == _PIECES_BEFORE[self._record.point]:
+                self._end()
+            pieces += 1
+            yield piece
+
     def _end(self) -> None:
         self.crash()
         raise ConnectionResetError
 
 
-# An event comes in two pieces.
+# An event comes in two pieces, and so does a plain body.
 _PIECES_BEFORE: typing.Final = {
     CrashPoint.BEFORE_HEAD: 0,
     CrashPoint.BEFORE_FIRST_EVENT: 0,
--- a/tests/site/processes.py
+++ b/tests/site/processes.py
@@ -262,13 +262,14 @@
         method: str = 'GET',
         model: str = '',
         more: str = '',
+        body: bytes = b'',
     ) -> Answer:
         """Send a request to the port for callers.
 
         :param more: further header lines, each with its end.
         """
         extra = _headers(attempt, model, 5000) + more
-        return await _send(self._callers, method, target, extra)
+        return await _send(self._callers, method, target, extra, body)
 
     async def readiness_status(self) -> int:
         """Return the status of the readiness endpoint."""
@@ -380,11 +381,13 @@
     return lines
 
 
-async def _send(port: int, method: str, target: str, extra: str) -> Answer:
+async def _send(
+    port: int, method: str, target: str, extra: str, body: bytes = b''
+) -> Answer:
     """Send a request on a new connection and read the reply."""
     reader, writer = await asyncio.open_connection('127.0.0.1', port)
     try:
-        return await _exchange(reader, writer, method, target, extra)
+        return await _exchange(reader, writer, method, target, extra, body)
     finally:
         writer.close()
 
@@ -395,8 +398,11 @@
     method: str,
     target: str,
     extra: str,
+    body: bytes = b'',
 ) -> Answer:
-    writer.write(_head(method, target, extra))
+    if body:
+        extra += f'Content-Length: {len(body)}\r\n'
+    writer.write(_head(method, target, extra) + body)
     return await _read_answer(reader)
 
 
--- a/tests/site/test_crashing_prompts.py
+++ b/tests/site/test_crashing_prompts.py
@@ -45,13 +45,13 @@
     @contextlib.asynccontextmanager
     async def running(self) -> abc.AsyncIterator[processes.Site]:
         """Run a site in which sound requests have been served."""
-        engines: list[crashes.CrashingEngine] = []
+        engines: list[crashes.CrashingServer] = []
 
         def add_engines(site: processes.Site) -> None:
             site.servers.remove(site.engine)
             for number in range(_ENGINES):
                 engines.append(
-                    crashes.CrashingEngine(
+                    crashes.CrashingServer(
                         site.store, f'e{number}', self.record
                     )
                 )
--- /dev/null
+++ b/tests/site/test_crashing_requests.py
@@ -0,0 +1,265 @@
+"""End-to-end tests of one request that crashes servers and comes again."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import time
+import typing
+import unittest
+
+from . import crashes
+from . import processes
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+# Far longer than any test takes; only a hang reaches it.
+_TEST_TIMEOUT_SECONDS: typing.Final = 120.0
+
+_INSTANCES: typing.Final = 3
+_SERVERS: typing.Final = 4
+# The users' bounds: the servers that may end, the time in which instances
+# learn of that, and the requests that may reach servers afterwards.
+_CRASHES: typing.Final = 3
+_CONTACT_SECONDS: typing.Final = 3.0
+_MAX_ARRIVALS: typing.Final = 3
+# How long the request comes again after that, and how often.
+_WATCHED_SECONDS: typing.Final = 5.0
+_REPEAT_SECONDS: typing.Final = 0.25
+_MIN_SOUND: typing.Final = 20
+_GUILTY_BODY: typing.Final = b'{"claim": "guilty"}'
+
+
+class _Kind(typing.NamedTuple):
+    """How the guilty request and the sound ones are sent.
+
+    Sound ones have the same path and headers, and another body; their prompts
+    end with a part of their own if they have parts.
+    """
+
+    target: str
+    model: str = ''
+    parts: tuple[str, ...] = ()
+
+
+_PLAIN: typing.Final = _Kind('/plain/x')
+_ONCE: typing.Final = _Kind('/once/x')
+
+
+class _CrashCase(unittest.IsolatedAsyncioTestCase):
+    """A site whose servers crash on one request."""
+
+    def setUp(self) -> None:
+        """Begin without a crash."""
+        self.record = crashes.CrashRecord()
+        self.numbers = itertools.count()
+        self.sound: list[tuple[float, bool]] = []
+        self.statuses: list[int] = []
+        self.kind = _PLAIN
+
+    @contextlib.asynccontextmanager
+    async def running(self, kind: _Kind) -> abc.AsyncIterator[processes.Site]:
+        """Run a site in which sound requests have been served."""
+        self.kind = kind
+        servers: list[crashes.CrashingServer] = []
+
+        def add_servers(site: processes.Site) -> None:
+            site.servers.clear()
+            for number in range(_SERVERS):
+                servers.extend(
+                    (
+                        crashes.CrashingServer(
+                            site.store, f'e{number}', self.record
+                        ),
+                        crashes.CrashingServer(
+                            site.store, f'd{number}', self.record, 'desk', ()
+                        ),
+                    )
+                )
+            site.servers.extend(servers)
+
+        once = processes.route('/once/', 'desk', Type='non_idempotent')
+        async with asyncio.timeout(_TEST_TIMEOUT_SECONDS):
+            async with processes.Site.running(
+                _INSTANCES, processes.manifest(1, once), add_servers
+            ) as site:
+                self.servers = [
+                    server
+                    for server in servers
+                    if bool(server.models) == bool(kind.model)
+                ]
+                try:
+                    for instance in site.instances:
+                        for _ in range(5):
+                            await self.send_sound(instance)
+                    yield site
+                finally:
+                    for server in servers:
+                        await server.stopped()
+
+    async def send(
+        self,
+        instance: processes.Instance,
+        body: bytes,
+        parts: tuple[str, ...] = (),
+    ) -> processes.Answer | None:
+        """Send a request with a body and these parts of a prompt."""
+        more = crashes.prompt_header(*parts) if parts else ''
+        attempt = f'request-{next(self.numbers)}'
+        with contextlib.suppress(OSError, EOFError):
+            return await instance.call(
+                self.kind.target, attempt, 'POST', self.kind.model, more, body
+            )
+        return None
+
+    async def send_sound(self, instance: processes.Instance) -> None:
+        """Send a request with a body of its own."""
+        sent_at = time.monotonic()
+        number = next(self.numbers)
+        parts = self.kind.parts
+        if parts:
+            parts = (*parts[:-1], f'own-{number}')
+        body = b'{"claim": %d}' % number
+        answer = await self.send(instance, body, parts)
+        served = answer is not None and (answer.status, answer.complete)
+        self.sound.append((sent_at, served == (200, True)))
+
+    async def keep_sending_sound(self, instance: processes.Instance) -> None:
+        """Send sound requests one after the other until cancelled."""
+        while True:
+            await self.send_sound(instance)
+            await asyncio.sleep(0.02)
+
+    async def keep_sending_guilty(
+        self, instances: list[processes.Instance], first: int
+    ) -> None:
+        """Send the request to one instance after the other."""
+        for number in itertools.count(first):
+            instance = instances[number % len(instances)]
+            answer = await self.send(instance, _GUILTY_BODY, self.kind.parts)
+            self.statuses.append(0 if answer is None else answer.status)
+            await asyncio.sleep(_REPEAT_SECONDS)
+
+    def served_since(self, time_: float) -> list[bool]:
+        """Return whether the sound requests since a time were served."""
+        return [served for sent_at, served in self.sound if sent_at >= time_]
+
+    def convictions(self, site: processes.Site) -> list[dict[str, typing.Any]]:
+        """Return the log lines of all instances about verdicts."""
+        return [
+            line
+            for instance in site.instances
+            for line in instance.log_lines()
+            if line['message_type'] == 'quarantine:convicted'
+        ]
+
+
+class RepeatedRequestTest(_CrashCase):
+    """One request comes again and again, at all instances."""
+
+    async def _assert_contained(
+        self, kind: _Kind, point: crashes.CrashPoint
+    ) -> None:
+        self.record.point = point
+        async with self.running(kind) as site:
+            self.record.body = _GUILTY_BODY
+            async with asyncio.TaskGroup() as group:
+                tasks = [
+                    group.create_task(sender)
+                    for sender in (
+                        *map(self.keep_sending_sound, site.instances),
+                        self.keep_sending_guilty(site.instances, 0),
+                        self.keep_sending_guilty(site.instances, 1),
+                    )
+                ]
+                while len(self.record.crashes) < _CRASHES:
+                    await asyncio.sleep(0.02)
+                third = self.record.crashes[_CRASHES - 1]
+                known_at = third + _CONTACT_SECONDS
+                await asyncio.sleep(known_at - time.monotonic())
+                await asyncio.sleep(_CONTACT_SECONDS)
+                recovered_at = time.monotonic()
+                await asyncio.sleep(_WATCHED_SECONDS)
+                while len(self.served_since(recovered_at)) < _MIN_SOUND:
+                    await asyncio.sleep(0.05)
+                for task in tasks:
+                    task.cancel()
+        late = [item for item in self.record.arrivals if item > known_at]
+        self.assertLessEqual(len(late), _MAX_ARRIVALS, self.record)
+        served = self.served_since(recovered_at)
+        self.assertGreaterEqual(sum(served), 0.9 * len(served))
+        self.assertEqual(503, self.statuses[-1])
+
+    async def test_plain_before_the_head(self) -> None:
+        """Servers end without any answer."""
+        await self._assert_contained(_PLAIN, crashes.CrashPoint.BEFORE_HEAD)
+
+    async def test_plain_before_the_body(self) -> None:
+        """Servers end after the head of their answer."""
+        await self._assert_contained(
+            _PLAIN, crashes.CrashPoint.BEFORE_FIRST_EVENT
+        )
+
+    async def test_plain_within_the_body(self) -> None:
+        """Servers end in the middle of their answer."""
+        await self._assert_contained(
+            _PLAIN, crashes.CrashPoint.WITHIN_FIRST_EVENT
+        )
+
+    async def test_not_idempotent(self) -> None:
+        """The request may run once in each attempt of its caller."""
+        await self._assert_contained(_ONCE, crashes.CrashPoint.BEFORE_HEAD)
+
+    async def test_stream_with_the_same_parts(self) -> None:
+        """The first parts come with sound requests, the last one does not."""
+        kind = _Kind('/stream/x', 'loaded', ('f1', 'caller-1', 'own-x'))
+        await self._assert_contained(
+            kind, crashes.CrashPoint.BEFORE_FIRST_EVENT
+        )
+
+    async def test_stream_with_one_part(self) -> None:
+        """The prompt has no part that others share."""
+        kind = _Kind('/stream/x', 'loaded', ('own-x',))
+        await self._assert_contained(
+            kind, crashes.CrashPoint.AFTER_FIRST_EVENT
+        )
+
+    async def test_stream_without_parts(self) -> None:
+        """Nothing is known of the prompt."""
+        kind = _Kind('/stream/x', 'loaded')
+        await self._assert_contained(kind, crashes.CrashPoint.BEFORE_HEAD)
+
+
+class NoGuiltyRequestTest(_CrashCase):
+    """Servers end by themselves while one sound request is repeated."""
+
+    async def test_crashes_convict_nobody(self) -> None:
+        """The request, and others of its path, are served afterwards."""
+        async with self.running(_PLAIN) as site:
+            async with asyncio.TaskGroup() as group:
+                tasks = [
+                    group.create_task(sender)
+                    for sender in (
+                        *map(self.keep_sending_sound, site.instances),
+                        self.keep_sending_guilty(site.instances, 0),
+                        self.keep_sending_guilty(site.instances, 1),
+                        self.keep_sending_guilty(site.instances, 2),
+                    )
+                ]
+                for _ in range(3):
+                    for server in self.servers:
+                        server.crash()
+                        await asyncio.sleep(0.3)
+                await asyncio.sleep(_CONTACT_SECONDS)
+                recovered_at = time.monotonic()
+                before = len(self.statuses)
+                while len(self.served_since(recovered_at)) < _MIN_SOUND * 3:
+                    await asyncio.sleep(0.05)
+                for task in tasks:
+                    task.cancel()
+            self.assertEqual([], self.convictions(site))
+        served = self.served_since(recovered_at)
+        self.assertGreaterEqual(sum(served), 0.9 * len(served))
+        self.assertEqual({200}, set(self.statuses[before + 3 :]))
