Refuse one request that crashes servers, whatever its prompt

Cause: the quarantine knew shared parts of prompts only. A plain request, or a stream with one part or none, was not watched, and one request that came again convicted nobody by design.

Change: the quarantine works on traits: the parts as before, and one that stands for the whole request, a digest of what servers see of it and what stays the same in each attempt. It needs three crashes and no second request. Evidence, objections, verdicts, messages and the refusal are those of parts (docs/design/190-crashing-prompts.md). Complete answers below 500 acquit.

--- a/src/dogwoodquay/gateway/api.py
+++ b/src/dogwoodquay/gateway/api.py
@@ -63,7 +63,8 @@
     """A complete request and its route.
 
     ``deadline`` is when its answer has to be complete, on the monotonic
-    clock.
+    clock. ``identity`` is a digest that stays the same when the request comes
+    again, empty if that is not known.
     """
 
     request_id: str
@@ -76,6 +77,7 @@
     service: str
     arrived_at: float
     deadline: float
+    identity: str = ''
 
     @property
     def objective_at(self) -> float:
--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -10,6 +10,7 @@
 from . import api
 from . import closings
 from ..entry import asgi
+from . import identity
 from . import reading
 from . import results
 from ..routes import table
@@ -198,17 +199,22 @@
             await answer.refuse(_STOPPING, close=True)
             return
         span = min(terms.wait_seconds, route.timeout_seconds)
+        target = reading.target(request)
+        headers = tuple(request.raw_headers)
         call = api.Call(
             request_id=terms.attempt_id,
             method=request.method,
-            target=reading.target(request),
-            headers=tuple(request.raw_headers),
+            target=target,
+            headers=headers,
             body=body,
             terms=terms,
             route=route,
             service=table.pick_service(route, self._rng),
             arrived_at=arrived_at,
             deadline=arrived_at + span,
+            identity=identity.digest(
+                request.method, target, headers, body, terms
+            ),
         )
         answer.resume_after(terms.last_event)
         await self._forward(call, request, answer)
--- a/src/dogwoodquay/gateway/crashes.py
+++ b/src/dogwoodquay/gateway/crashes.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from . import failures
 from . import messages
 from ..observe import logs
 from . import outcomes
@@ -47,14 +48,14 @@
 
 
 class InFlight:
-    """A request with shared prompt parts at a server."""
+    """A request at a server."""
 
     def __init__(
         self,
-        prompt: quarantine_api.Prompt,
+        traits: quarantine_api.Traits,
         server: fleet_api.ServerEntry,
     ) -> None:
-        self.prompt = prompt
+        self.traits = traits
         self.server = server
         self.started_at: float | None = None
 
@@ -67,13 +68,13 @@
     """A request whose answer broke off, or ended with its connection."""
 
     at: float
-    prompt: quarantine_api.Prompt
+    traits: quarantine_api.Traits
     fresh: bool
     complete: bool
 
 
 class CrashWatch:
-    """Watches how requests with shared prompt parts end.
+    """Watches how requests end.
 
     An answer that breaks off may mean that its server has ended. A refused
     connection proves it.
@@ -92,7 +93,7 @@
         self._ended: dict[str, collections.deque[_Ended]] = {}
         self._proven: dict[str, float] = {}
         self._checking: set[str] = set()
-        self._waiting: dict[anyio.CancelScope, quarantine_api.Prompt] = {}
+        self._waiting: dict[anyio.CancelScope, quarantine_api.Traits] = {}
         self._heard_at = float('-inf')
         self._is_owner = False
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -104,7 +105,7 @@
         )
         metrics.gauge(
             'gateway_quarantine_suspects',
-            'Parts of prompts that may cause crashes, at the owner',
+            'Traits of requests that may cause crashes, at the owner',
             lambda: len(self._quarantine.suspects),
         )
 
@@ -131,31 +132,31 @@
         """Whether a request is refused as servers have crashed under it."""
         if not self._quarantine.has_verdicts:
             return False
-        prompt = prompt_of(call)
-        return self._quarantine.find(prompt, self._clock.now()) is not None
+        traits = traits_of(call)
+        return self._quarantine.find(traits, self._clock.now()) is not None
 
     def may_repeat(self, call: api.Call, outcome: outcomes.Outcome) -> bool:
         """Whether a request may be sent again after a failed attempt."""
         if not isinstance(outcome, outcomes.Broken):
             return True
-        return not self._quarantine.is_suspect(prompt_of(call))
+        return not self._quarantine.is_suspect(traits_of(call))
 
     @contextlib.contextmanager
     def waiting(self, call: api.Call) -> abc.Iterator[anyio.CancelScope]:
         """Cancel the wait for a server once the request is refused."""
-        prompt = prompt_of(call)
+        traits = traits_of(call)
         with anyio.CancelScope() as scope:
-            if prompt is not None:
-                self._waiting[scope] = prompt
+            if traits is not None:
+                self._waiting[scope] = traits
             try:
                 yield scope
             finally:
                 self._waiting.pop(scope, None)
 
     def begin(self, call: api.Call, server: servers.Server) -> InFlight | None:
-        """Record a request that is sent; ``None`` without shared parts."""
-        prompt = prompt_of(call)
-        return None if prompt is None else InFlight(prompt, server.entry)
+        """Record a request that is sent; ``None`` if it has no traits."""
+        traits = traits_of(call)
+        return None if traits is None else InFlight(traits, server.entry)
 
     def end(
         self, in_flight: InFlight | None, outcome: outcomes.Outcome
@@ -167,13 +168,11 @@
         match outcome:
             case outcomes.Broken(reason) if reason in _CONNECTION_ENDS:
                 self._on_ended(in_flight, False, now)
-            case outcomes.Streamed(framed) | outcomes.Whole(
-                200, framed=framed
-            ):
-                if framed:
-                    self._quarantine.on_answered(in_flight.prompt, now)
-                else:
-                    self._on_ended(in_flight, True, now)
+            case outcomes.Streamed(framed):
+                self._on_answered(in_flight, framed, now)
+            case outcomes.Whole(status, framed=framed):
+                if status < failures.SERVER_ERROR:
+                    self._on_answered(in_flight, framed, now)
             case _:
                 pass
 
@@ -255,12 +254,24 @@
             )
         )
 
+    def _on_answered(
+        self, in_flight: InFlight, framed: bool, now: float
+    ) -> None:
+        """Record a complete answer, if its end was not just that of a server.
+
+        :param framed: whether its end was marked.
+        """
+        if framed:
+            self._quarantine.on_answered(in_flight.traits, now)
+        else:
+            self._on_ended(in_flight, True, now)
+
     def _on_ended(
         self, in_flight: InFlight, complete: bool, now: float
     ) -> None:
         server = in_flight.server
         ended = _Ended(
-            now, in_flight.prompt, in_flight.is_fresh(now), complete
+            now, in_flight.traits, in_flight.is_fresh(now), complete
         )
         if server.server_id in self._proven:
             self._quarantine.on_crash(
@@ -317,7 +328,7 @@
             while queue and now - queue[0].at > PROOF_SECONDS:
                 ended = queue.popleft()
                 if ended.complete:
-                    self._quarantine.on_answered(ended.prompt, now)
+                    self._quarantine.on_answered(ended.traits, now)
             if not queue:
                 del self._ended[server_id]
         self._proven = {
@@ -342,8 +353,8 @@
     def _end_waits(self) -> None:
         """End the waits of requests that are refused now."""
         now = self._clock.now()
-        for scope, prompt in self._waiting.items():
-            if self._quarantine.find(prompt, now) is not None:
+        for scope, traits in self._waiting.items():
+            if self._quarantine.find(traits, now) is not None:
                 scope.cancel()
 
 
@@ -352,19 +363,17 @@
 ) -> quarantine_api.CrashReport:
     """Return the requests that may have ended a server."""
     requests = tuple(
-        quarantine_api.BrokenRequest(item.prompt.own, item.prompt.shared)
+        quarantine_api.BrokenRequest(item.traits.own, item.traits.shared)
         for item in ended
         if item.fresh and now - item.at <= PROOF_SECONDS
     )
     return quarantine_api.CrashReport(server_id, now, requests)
 
 
-def prompt_of(call: api.Call) -> quarantine_api.Prompt | None:
-    """Return the parts of a request's prompt, if it shares any."""
-    parts = call.terms.prompt_parts
-    if len(parts) < 2:
-        return None
-    return quarantine_api.prompt_of(tuple(part.part_id for part in parts))
+def traits_of(call: api.Call) -> quarantine_api.Traits | None:
+    """Return what a request has in common with others and its repeats."""
+    parts = tuple(part.part_id for part in call.terms.prompt_parts)
+    return quarantine_api.traits_of(parts, call.identity)
 
 
 def _verdicts(
--- a/src/dogwoodquay/quarantine/__init__.py
+++ b/src/dogwoodquay/quarantine/__init__.py
@@ -1,1 +1,1 @@
-"""Finds the parts of prompts under which servers crash."""
+"""Finds the requests, and parts of prompts, under which servers crash."""
--- a/src/dogwoodquay/quarantine/api.py
+++ b/src/dogwoodquay/quarantine/api.py
@@ -1,4 +1,4 @@
-"""Crashes of servers and verdicts on parts of prompts."""
+"""Crashes of servers and verdicts on what their requests have in common."""
 
 from __future__ import annotations
 
@@ -9,20 +9,27 @@
     'CrashReport',
     'MAX_PARTS',
     'MAX_PART_CHARACTERS',
-    'Prompt',
+    'Traits',
     'Verdict',
-    'prompt_of',
+    'is_whole_request',
+    'traits_of',
 ]
 
 # Shared parts of a prompt that are considered, and their longest name.
 MAX_PARTS: typing.Final = 16
 MAX_PART_CHARACTERS: typing.Final = 64
+# Begins the trait that stands for all of a request; no identifier of a part
+# of a prompt begins with it.
+_REQUEST_PREFIX: typing.Final = 'request='
 
 
-class Prompt(typing.NamedTuple):
-    """The identifiers of a prompt's parts.
+class Traits(typing.NamedTuple):
+    """What a request has in common with others, or with its own repeats.
 
-    ``own`` is the last part, which belongs to the request or its session.
+    ``shared`` holds the identifiers of its prompt's parts without the last
+    one, which belongs to the request or its session, and one trait that
+    stands for the whole request: it is the same when the request comes again.
+    ``own`` tells requests apart.
     """
 
     shared: frozenset[str]
@@ -48,7 +55,7 @@
 
 
 class Verdict(typing.NamedTuple):
-    """Parts that crash servers together.
+    """Traits of requests that crash servers; ``parts`` come together.
 
     ``seen_at`` is when a request with all of them last came or crashed a
     server; ``crashes`` is the number of servers that had ended.
@@ -59,16 +66,26 @@
     crashes: int
 
 
-def prompt_of(parts: tuple[str, ...]) -> Prompt | None:
-    """Return a prompt; ``None`` if it has no shared part.
+def traits_of(parts: tuple[str, ...], identity: str = '') -> Traits | None:
+    """Return a request's traits; ``None`` if nothing is known of it.
 
-    :param parts: the identifiers in the order of the prompt.
+    :param parts: the identifiers of its prompt's parts, in their order.
+    :param identity: the same text each time the request comes.
     """
-    shared = frozenset(
+    shared = {
         part
         for part in parts[:-1][:MAX_PARTS]
-        if len(part) <= MAX_PART_CHARACTERS
-    )
+        if len(part) <= MAX_PART_CHARACTERS and not is_whole_request(part)
+    }
+    whole = _REQUEST_PREFIX + identity
+    if identity:
+        shared.add(whole)
     if not shared:
         return None
-    return Prompt(shared, parts[-1][:MAX_PART_CHARACTERS])
+    own = parts[-1][:MAX_PART_CHARACTERS] if parts else whole
+    return Traits(frozenset(shared), own)
+
+
+def is_whole_request(trait: str) -> bool:
+    """Whether a trait stands for all of a request."""
+    return trait.startswith(_REQUEST_PREFIX)
--- a/src/dogwoodquay/quarantine/core.py
+++ b/src/dogwoodquay/quarantine/core.py
@@ -36,7 +36,7 @@
     """The evidence and the verdicts that one instance knows."""
 
     def __init__(self) -> None:
-        self._sound = sound.SoundParts()
+        self._sound = sound.SoundTraits()
         self._evidence = crash_evidence.CrashEvidence(self._sound)
         self._verdicts = verdicts_module.Verdicts()
         self._reports: collections.deque[api.CrashReport] = collections.deque()
@@ -56,30 +56,30 @@
 
     @property
     def suspects(self) -> tuple[str, ...]:
-        """The parts that may be convicted, unless somebody objects."""
+        """The traits that may be convicted, unless somebody objects."""
         return tuple(self._named_at)
 
     def find(
-        self, prompt: api.Prompt | None, now: float
+        self, traits: api.Traits | None, now: float
     ) -> api.Verdict | None:
         """Return the verdict by which a request is refused, if any."""
-        if not self._verdicts or prompt is None:
+        if not self._verdicts or traits is None:
             return None
-        return self._verdicts.find(prompt.shared, now)
+        return self._verdicts.find(traits.shared, now)
 
-    def is_suspect(self, prompt: api.Prompt | None) -> bool:
+    def is_suspect(self, traits: api.Traits | None) -> bool:
         """Whether a repeat of a request may cost one more server."""
-        if prompt is None:
+        if traits is None:
             return False
         return any(
             part not in self._sound
             and (part in self._named_at or part in self._peers_suspects)
-            for part in prompt.shared
+            for part in traits.shared
         )
 
-    def on_answered(self, prompt: api.Prompt, now: float) -> None:
+    def on_answered(self, traits: api.Traits, now: float) -> None:
         """Record a complete answer."""
-        self._sound.add(prompt.shared, now)
+        self._sound.add(traits.shared, now)
 
     def on_crash(self, report: api.CrashReport) -> None:
         """Record the end of a server with requests of this instance."""
--- a/src/dogwoodquay/quarantine/evidence.py
+++ b/src/dogwoodquay/quarantine/evidence.py
@@ -1,4 +1,4 @@
-"""Collects crashes and finds the parts of prompts that explain them."""
+"""Collects crashes and finds the traits of requests that explain them."""
 
 from __future__ import annotations
 
@@ -21,7 +21,8 @@
 # Crashes after which a part is suspect, and after which it may be convicted.
 MIN_SUSPECT_CRASHES: typing.Final = 2
 MIN_CRASHES: typing.Final = 3
-# Different requests with the part; repeats of one do not count.
+# Different requests with a part of a prompt; repeats of one do not count.
+# One request is enough for the trait that stands for all of it.
 MIN_REQUESTS: typing.Final = 2
 
 
@@ -44,7 +45,7 @@
 class CrashEvidence:
     """The crashes of the last minutes."""
 
-    def __init__(self, sound_parts: sound.SoundParts) -> None:
+    def __init__(self, sound_parts: sound.SoundTraits) -> None:
         self._sound = sound_parts
         self._crashes: dict[str, _Crash] = {}
 
@@ -90,7 +91,7 @@
                 for part, servers in by_part.items()
                 if len(servers) >= MIN_CRASHES
                 and part in may_convict
-                and self._request_count(part, servers) >= MIN_REQUESTS
+                and self._is_repeated(part, servers)
             ]
             if not guilty:
                 return found
@@ -124,8 +125,12 @@
             if part in request.shared
         ]
 
-    def _request_count(self, part: str, servers: abc.Iterable[str]) -> int:
-        return len({item.own for item in self._requests(part, servers)})
+    def _is_repeated(self, part: str, servers: abc.Iterable[str]) -> bool:
+        """Whether enough requests with a part have crashed servers."""
+        if api.is_whole_request(part):
+            return True
+        own = {item.own for item in self._requests(part, servers)}
+        return len(own) >= MIN_REQUESTS
 
     def _common_parts(
         self, part: str, servers: abc.Iterable[str]
--- a/src/dogwoodquay/quarantine/verdicts.py
+++ b/src/dogwoodquay/quarantine/verdicts.py
@@ -1,4 +1,4 @@
-"""Keeps the verdicts on parts of prompts."""
+"""Keeps the verdicts on requests and on parts of prompts."""
 
 from __future__ import annotations
 
--- a/tests/unit/gateway/test_crashes.py
+++ b/tests/unit/gateway/test_crashes.py
@@ -35,7 +35,7 @@
         return self.refused
 
 
-def _call(*parts: str) -> api.Call:
+def _call(*parts: str, identity: str = '') -> api.Call:
     terms = api.CallerTerms(
         'c',
         5.0,
@@ -46,13 +46,14 @@
         tuple(api.PromptPart(part, 10) for part in parts),
         api.NO_EVENT,
     )
-    return typing.cast('api.Call', _Terms(terms))
+    return typing.cast('api.Call', _Terms(terms, identity))
 
 
 class _Terms(typing.NamedTuple):
     """The part of a request that is looked at."""
 
     terms: api.CallerTerms
+    identity: str = ''
 
 
 class CrashWatchTest(unittest.IsolatedAsyncioTestCase):
@@ -191,6 +192,29 @@
             self.assertFalse(self.watch.is_refused(_call(*parts)))
             self.assertTrue(self.watch.may_repeat(_call(*parts), _RESET))
 
+    async def test_whole_requests(self) -> None:
+        """A plain request is reported, unless it had a complete answer."""
+
+        def begin(name: str) -> crashes.InFlight | None:
+            server = entries.make_server('s1')
+            return self.watch.begin(_call(identity=name), server)
+
+        answered, failed = begin('a'), begin('f')
+        await self._run(
+            lambda: self.watch.end(answered, outcomes.Whole(404, (), b'')),
+            lambda: self.watch.end(failed, outcomes.Whole(500, (), b'')),
+        )
+        again = [begin(name) for name in ('a', 'f', 'g')]
+
+        def break_off() -> None:
+            for item in again:
+                self.watch.end(item, _RESET)
+
+        await self._run(break_off)
+        self.assertEqual(
+            [('s1', [('request=f',), ('request=g',)])], self._rows()
+        )
+
 
 class VerdictTest(unittest.IsolatedAsyncioTestCase):
     """What the owner's view means for requests."""
--- a/tests/unit/quarantine/test_core.py
+++ b/tests/unit/quarantine/test_core.py
@@ -7,13 +7,14 @@
 from dogwoodquay.quarantine import api
 from dogwoodquay.quarantine import core
 from dogwoodquay.quarantine import evidence
+from dogwoodquay.quarantine import sound
 from dogwoodquay.quarantine import verdicts
 
 _HEARING = core.HEARING_SECONDS
 
 
-def _prompt(*parts: str) -> api.Prompt:
-    prompt = api.prompt_of(parts)
+def _prompt(*parts: str) -> api.Traits:
+    prompt = api.traits_of(parts)
     assert prompt is not None
     return prompt
 
@@ -50,7 +51,7 @@
 
     def refuses(self, *parts: str) -> bool:
         """Whether a request is refused."""
-        prompt = api.prompt_of(parts)
+        prompt = api.traits_of(parts)
         return self.quarantine.find(prompt, self.now) is not None
 
 
@@ -292,9 +293,91 @@
 
     def test_long_prompts(self) -> None:
         """Of long prompts the first parts are considered."""
-        self.assertIsNone(api.prompt_of(('x' * 65, 'own')))
-        self.assertIsNone(api.prompt_of(('own',)))
-        self.assertIsNone(api.prompt_of(()))
+        self.assertIsNone(api.traits_of(('x' * 65, 'own')))
+        self.assertIsNone(api.traits_of(('own',)))
+        self.assertIsNone(api.traits_of(()))
         parts = tuple(f'p{number}' for number in range(40))
         expected = frozenset(parts[: api.MAX_PARTS])
-        self.assertEqual(api.Prompt(expected, 'p39'), api.prompt_of(parts))
+        self.assertEqual(api.Traits(expected, 'p39'), api.traits_of(parts))
+
+
+class RepeatedRequestTest(_QuarantineCase):
+    """One request comes again and crashes servers."""
+
+    def request(self, identity: str, *parts: str) -> api.Traits:
+        """Return the traits of a request."""
+        traits = api.traits_of(parts, identity)
+        assert traits is not None
+        return traits
+
+    def crash_under(self, server_id: str, *traits: api.Traits) -> None:
+        """Report a crash under requests."""
+        broken = tuple(api.BrokenRequest(t.own, t.shared) for t in traits)
+        self.quarantine.on_crash(api.CrashReport(server_id, self.now, broken))
+
+    def assert_refused(self, refused: bool, traits: api.Traits) -> None:
+        """Assert whether a request is refused."""
+        found = self.quarantine.find(traits, self.now)
+        self.assertEqual(refused, found is not None)
+
+    def test_plain_request(self) -> None:
+        """Three crashes convict one request, which has no prompt."""
+        guilty = self.request('g')
+        for number in range(2):
+            self.crash_under(f's{number}', guilty, self.request(f'b{number}'))
+        self.assertEqual([], self.decide())
+        self.assertTrue(self.quarantine.is_suspect(guilty))
+        self.crash_under('s2', guilty, self.request('b2'))
+        self.assertEqual(1, len(self.decide()))
+        self.assert_refused(True, guilty)
+        self.assert_refused(False, self.request('b0'))
+
+    def test_stream_with_the_same_parts(self) -> None:
+        """The request is refused, not others with its parts."""
+        guilty = self.request('g', 'first', 'caller', 'own')
+        for number in range(3):
+            self.crash_under(f's{number}', guilty)
+        self.decide()
+        self.assert_refused(True, guilty)
+        self.assert_refused(
+            False, self.request('other', 'first', 'caller', 'own')
+        )
+
+    def test_part_of_different_requests(self) -> None:
+        """A part that crashes more servers takes the place of a request."""
+        for number in range(3):
+            self.crash_under(f's{number}', self.request('g', 'bad', 'own'))
+        self.decide()
+        self.assert_refused(False, self.request('h', 'bad', 'own-2'))
+        for number in range(3, 5):
+            self.crash_under(
+                f's{number}', self.request(f'g{number}', 'bad', f'o{number}')
+            )
+        self.assertEqual([['bad']], self.decide())
+        self.assert_refused(True, self.request('h', 'bad', 'own-2'))
+
+    def test_answered_request(self) -> None:
+        """A request that had a complete answer is not convicted."""
+        popular = self.request('g')
+        self.quarantine.on_answered(popular, self.now)
+        for number in range(3):
+            self.crash_under(f's{number}', popular)
+        self.assertEqual([], self.decide())
+
+    def test_forged_part(self) -> None:
+        """A part that looks like a whole request is left out."""
+        guilty = self.request('g')
+        (trait,) = guilty.shared
+        forged = self.request('f', trait, 'own')
+        self.assertNotIn(trait, forged.shared)
+
+    def test_many_requests(self) -> None:
+        """Callers that invent requests do not make parts forgotten."""
+        self.quarantine.on_answered(self.request('a', 'p', 'own'), self.now)
+        for number in range(3 * sound.MAX_TRAITS_PER_GENERATION):
+            self.quarantine.on_answered(self.request(f'{number}'), self.now)
+        for number in range(3):
+            self.crash_under(
+                f's{number}', self.request(f'x{number}', 'p', f'o{number}')
+            )
+        self.assertEqual([], self.decide())
--- a/tests/unit/quarantine/test_sound.py
+++ b/tests/unit/quarantine/test_sound.py
@@ -7,12 +7,12 @@
 from dogwoodquay.quarantine import sound
 
 
-class SoundPartsTest(unittest.TestCase):
+class SoundTraitsTest(unittest.TestCase):
     """Parts are remembered for one or two generations."""
 
     def setUp(self) -> None:
         """Add a part."""
-        self.parts = sound.SoundParts()
+        self.parts = sound.SoundTraits()
         self.parts.add(['a'], 100.0)
 
     def test_time(self) -> None:
@@ -28,7 +28,7 @@
 
     def test_size(self) -> None:
         """Many parts drop the older generation early."""
-        limit = sound.MAX_PARTS_PER_GENERATION
+        limit = sound.MAX_TRAITS_PER_GENERATION
         for number in range(3 * limit):
             self.parts.add([f'p{number}'], 101.0)
         self.assertNotIn('a', self.parts)
