Wait for an adapter that a server without a limit can load

A request whose adapter stood on a limited server alone was refused at once (rate_limited), although another server of its model could load the adapter within milliseconds. All servers count as limited only if those with the model are. The new test failed before: the request was refused.

--- a/src/dogwoodquay/gateway/limit_waits.py
+++ b/src/dogwoodquay/gateway/limit_waits.py
@@ -182,17 +182,22 @@
     ) -> tuple[list[limit_api.ServerKey], bool]:
         """Return the limited servers that can run a request.
 
-        :return: and whether there are no others.
+        :return: and whether there are no others, nor any that can load its
+            adapter, which takes milliseconds.
         """
-        usable = choice.usable(
-            self._registry.of_service(need.service), need, self._clock.now()
-        )
+        now = self._clock.now()
+        listed = self._registry.of_service(need.service)
         limited = [
             server_limits.key_of(server.entry)
-            for server in usable
+            for server in choice.usable(listed, need, now)
             if self._limits.rate(server.entry) is not None
         ]
-        return limited, len(limited) == len(usable)
+        with_model = need._replace(adapter='')
+        all_limited = all(
+            self._limits.rate(server.entry) is not None
+            for server in choice.usable(listed, with_model, now)
+        )
+        return limited, all_limited
 
     def _limited_services(self) -> set[str]:
         """Return the services with a limited server."""
--- a/tests/unit/gateway/test_scheduler.py
+++ b/tests/unit/gateway/test_scheduler.py
@@ -414,6 +414,36 @@
         seconds = self.scheduler.seconds_until_permit(call, None)
         self.assertEqual(10.0, seconds)
 
+    async def test_adapter_on_the_limited_server_alone(self) -> None:
+        """A request waits for its adapter on a server without a limit."""
+        loaded = (
+            entries.loaded_model('m', 'a1'),
+            entries.loaded_model('m'),
+        )
+        for name, model in zip(('s1', 's2'), loaded, strict=True):
+            entry = entries.entry(name, models=(model,), report_number=2)
+            self.registry.update(entry, self.clock.now())
+        self.permit(0, waiting=400)
+        call = self.call('m')
+        call = call._replace(terms=call.terms._replace(adapter='a1'))
+        got: list[str] = []
+
+        async def wait() -> None:
+            server = await self.scheduler.acquire(
+                call, frozenset(), self.clock.now() + 9.0
+            )
+            got.append(server.entry.server_id if server else '')
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(wait)
+            await anyio.wait_all_tasks_blocked()
+            self.assertEqual([], got)
+            second = self.registry.get('s2')
+            assert second is not None
+            second.update_loaded({'m': frozenset({'a1'})}, self.clock.now())
+            self.scheduler.assign_waiting()
+        self.assertEqual(['s2'], got)
+
     async def test_trial(self) -> None:
         """A limit that was heard long ago is asked once by a permit."""
         self.assertEqual([], self.scheduler.permits_wanted())
