Begin anew as the owner with the first load of any instance

An owner that gets a load of another instance before it publishes its own gave out permits by what it knew from an earlier time as the owner. Found by reading. The test (test_load_that_comes_first) fails without the change. A bucket is also dropped when its server is not limited any more.

--- a/src/dogwoodquay/gateway/server_limits.py
+++ b/src/dogwoodquay/gateway/server_limits.py
@@ -137,6 +137,7 @@
         :return: ``None`` if this instance may give out none.
         """
         now = self._clock.now()
+        self._limits.on_owner(True, now)
         self._merge(load.limits, now)
         wants = (
             limit_api.Want(
--- a/src/dogwoodquay/ratelimit/core.py
+++ b/src/dogwoodquay/ratelimit/core.py
@@ -110,7 +110,7 @@
     def keep_only(self, listed: abc.Container[api.ServerKey]) -> None:
         """Forget the servers that are not listed any more."""
         self._statements.keep_only(listed)
-        self._granter.keep_only(listed)
+        self._granter.keep_only({item.server for item in self.limited})
 
     def own_news(self, now: float) -> list[api.Statement]:
         """Return what this instance has heard itself of late."""
--- a/tests/unit/gateway/test_peering.py
+++ b/tests/unit/gateway/test_peering.py
@@ -25,6 +25,8 @@
 from dogwoodquay.gateway import readers
 from dogwoodquay.gateway import scheduler as schedulers
 from dogwoodquay.gateway import server_limits
+from dogwoodquay.platform import headers
+from dogwoodquay.ratelimit import api as limit_api
 from dogwoodquay.wire import api as wire_api
 
 _Handlers = dict[type, wire_api.Handler]
@@ -513,3 +515,94 @@
         self.instances[1].registry.on_complete_read(self.now)
         await self._publish()
         self.assertEqual([False, True, False], self._used_at())
+
+
+class ServerLimitsTest(unittest.IsolatedAsyncioTestCase):
+    """Limits and permits go by way of the owner."""
+
+    async def asyncSetUp(self) -> None:
+        """Create three instances that list a server; the first one owns."""
+        self.network = _Network()
+        self.clock = clocks.ManualClock()
+        self.store = fakes.FakeStore(self.clock)
+        self.entry = entries.entry('s1')
+        self.instances = [
+            _Instance(self.network, self.store, port)
+            for port in (7001, 7002, 7003)
+        ]
+        for item in self.instances:
+            item.registry.update(self.entry, self.clock.now())
+        await self._publish(2)
+
+    async def _publish(self, times: int, *stopped: int) -> None:
+        for _ in range(times):
+            self.clock.advance(0.25)
+            for number, instance in enumerate(self.instances):
+                if number not in stopped:
+                    await instance.ownership.step()
+                    await instance.publish_load()
+
+    def _answer(self, instance: _Instance, rate: float | None) -> None:
+        """Apply a server's answer with a limit, or with none."""
+        named = () if rate is None else ((b'server-limit', b'%g' % rate),)
+        stamp = (b'response-stamp', b'x')
+        terms = headers.answer_terms(200, (stamp, *named))
+        instance.limits.on_answer(self.entry, terms, self.clock.now())
+
+    def _want(self, instance: _Instance, count: int) -> typing.Any:
+        """Let requests of an instance wait for the server."""
+        key = server_limits.key_of(self.entry)
+        wants = [limit_api.Want(key, 1, count)]
+        return mock.patch.object(
+            instance.scheduler, 'permits_wanted', lambda: wants
+        )
+
+    def _permits(self, instance: _Instance) -> int:
+        key = server_limits.key_of(self.entry)
+        return instance.limits.limits.permits(key, self.clock.now())
+
+    async def test_known_to_all(self) -> None:
+        """What one instance hears, all know, also that a limit has ended."""
+        self._answer(self.instances[1], 2.5)
+        await self._publish(2)
+        rates = [item.limits.rate(self.entry) for item in self.instances]
+        self.assertEqual([2.5] * 3, rates)
+        self._answer(self.instances[2], None)
+        await self._publish(2)
+        rates = [item.limits.rate(self.entry) for item in self.instances]
+        self.assertEqual([None] * 3, rates)
+
+    async def test_permits(self) -> None:
+        """The instance that wants permits gets them at the limit's rate."""
+        self._answer(self.instances[1], 4.0)
+        with self._want(self.instances[1], 9):
+            await self._publish(1)
+            self.assertEqual(0, self._permits(self.instances[1]))
+            await self._publish(2)
+        got = [self._permits(item) for item in self.instances]
+        self.assertEqual([0, 2, 0], got)
+
+    async def test_load_that_comes_first(self) -> None:
+        """A new owner begins anew, also before its own load."""
+        self._answer(self.instances[1], 8.0)
+        first, second, third = self.instances
+        with self._want(third, 9):
+            await self._publish(4)
+        self.store.unavailable = True
+        await first.ownership.leave()
+        self.assertTrue(second.ownership.take_over('x', 9, 1))
+        first.ownership.handed_over(second.ownership.member)
+        third.ownership.on_owner_unreachable()
+        third.ownership.on_owner_reported(second.ownership.member)
+        self.clock.advance(0.7)
+        with self._want(third, 9):
+            await third.publish_load()
+            self.assertEqual(0, self._permits(third))
+            self.clock.advance(0.25)
+            await third.publish_load()
+        self.assertEqual(0, self._permits(third))
+        # One of three members follows it: a third of eight a second.
+        with self._want(third, 9):
+            self.clock.advance(0.25)
+            await third.publish_load()
+        self.assertEqual(1, self._permits(third))
