Refuse at once where nobody gives permits

Without an owner only one instance has a small part of each limit. The others let requests for limited servers wait until their wait deadline, as they counted with the whole limits. They are refused at once, with a second as Retry-After. Found by reading; the new test (test_without_an_owner) hung until its time-out in thought only: it was not run on the code before.

--- a/src/dogwoodquay/gateway/limit_waits.py
+++ b/src/dogwoodquay/gateway/limit_waits.py
@@ -108,6 +108,8 @@
         backlog = self._backlog(need, math.inf)
         if backlog is None:
             return None
+        if not backlog.rate:
+            return waits.ALONE_RETRY_SECONDS
         ahead = _waiting_before(None, need, tickets)
         return self._returns.next(
             need.service,
--- a/src/dogwoodquay/gateway/refusals.py
+++ b/src/dogwoodquay/gateway/refusals.py
@@ -106,7 +106,7 @@
         pause = self._scheduler.seconds_until_permit(call, version)
         if pause is None:
             return self._refuse_not_run(reason)
-        return api.Refusal(reason, _UNAVAILABLE, pause)
+        return api.Refusal(reason, _UNAVAILABLE, self._with_jitter(pause))
 
     def _refuse_absent_model(self, call: api.Call) -> api.Refusal:
         """Refuse a request whose model no server has loaded yet."""
--- a/src/dogwoodquay/ratelimit/core.py
+++ b/src/dogwoodquay/ratelimit/core.py
@@ -69,6 +69,19 @@
         """Return the permits for a server that this instance has."""
         return self._permits.count(server, now)
 
+    def usable_rate(self, server: api.ServerKey, now: float) -> float:
+        """Return the rate at which this instance can expect permits at most.
+
+        In requests per second; without an owner, only the designated instance
+        has any.
+        """
+        rate = self._statements.rate(server)
+        if rate is None:
+            return 0.0
+        if now - self._heard_at <= ALONE_SECONDS:
+            return api.effective_rate(rate)
+        return self._fallback.rate(server, rate)
+
     def trial_due(self, server: api.ServerKey, now: float) -> bool:
         """Whether a limit was last heard of long ago."""
         return now - self._statements.heard_at(server) > TRIAL_SECONDS
--- a/src/dogwoodquay/ratelimit/fallback.py
+++ b/src/dogwoodquay/ratelimit/fallback.py
@@ -59,19 +59,26 @@
         """Whether a request may be sent to a server now."""
         if now < self._since:
             return False
-        chosen = self._designated.get(server)
-        if chosen is None:
-            chosen = designated(server, self._members)
-            self._designated[server] = chosen
-        if chosen != self._member:
+        if not self._is_designated(server):
             return False
         first = self._since + 1.0 / _rate(rate)
         return now >= self._next_at.get(server, first)
 
+    def rate(self, server: api.ServerKey, limit: float) -> float:
+        """Return this instance's requests per second to a server."""
+        return _rate(limit) if self._is_designated(server) else 0.0
+
     def take(self, server: api.ServerKey, rate: float, now: float) -> None:
         """Count a request that is sent."""
         self._next_at[server] = now + 1.0 / _rate(rate)
 
+    def _is_designated(self, server: api.ServerKey) -> bool:
+        chosen = self._designated.get(server)
+        if chosen is None:
+            chosen = designated(server, self._members)
+            self._designated[server] = chosen
+        return chosen == self._member
+
 
 def _rate(limit: float) -> float:
     return api.effective_rate(limit) * USED_SHARE
--- a/src/dogwoodquay/ratelimit/waits.py
+++ b/src/dogwoodquay/ratelimit/waits.py
@@ -12,8 +12,11 @@
 
     from . import core
 
-__all__ = ['Backlog', 'spread_wants']
+__all__ = ['ALONE_RETRY_SECONDS', 'Backlog', 'spread_wants']
 
+# When callers may come back while nobody gives permits to an instance: others
+# may have some, and a lost owner is replaced within a few seconds.
+ALONE_RETRY_SECONDS: typing.Final = 1.0
 # A request may wait for so many permits whatever its objective.
 MIN_PERMITS: typing.Final = 3.0
 MIN_SECONDS: typing.Final = 0.5
@@ -22,7 +25,8 @@
 class Backlog(typing.NamedTuple):
     """What requests that may run at the same limited servers can expect.
 
-    ``rate`` is the sum of the servers' limits per second, ``waiting`` the
+    ``rate`` is the sum of the servers' limits per second, zero while nobody
+    gives permits to this instance, ``waiting`` the
     permits for them that other instances want as urgently, and ``permits``
     those that this instance has.
     """
@@ -46,7 +50,7 @@
         """
         rate, waiting, permits = 0.0, 0, 0
         for server in servers:
-            rate += api.effective_rate(limits.rate(server) or 0.0)
+            rate += limits.usable_rate(server, now)
             waiting += limits.waiting(server, priority)
             permits += limits.permits(server, now)
         return cls(rate, waiting, permits)
@@ -58,6 +62,8 @@
         """
         if ahead < self.permits:
             return 0.0
+        if not self.rate:
+            return math.inf
         return (ahead - self.permits + self.waiting + 1) / self.rate
 
     def own_rate(self, ahead: int) -> float:
@@ -70,8 +76,8 @@
 
         A longer queue serves no more requests, all of them later.
         """
-        least = max(MIN_SECONDS, MIN_PERMITS / self.rate)
-        return max(objective_seconds, least)
+        least = MIN_PERMITS / self.rate if self.rate else 0.0
+        return max(objective_seconds, MIN_SECONDS, least)
 
 
 def spread_wants(
--- a/tests/unit/gateway/test_scheduler.py
+++ b/tests/unit/gateway/test_scheduler.py
@@ -17,6 +17,7 @@
 from dogwoodquay.gateway import messages
 from dogwoodquay.gateway import scheduler as schedulers
 from dogwoodquay.platform import headers
+from dogwoodquay.ratelimit import waits
 from dogwoodquay.routes import api as routes_api
 
 if typing.TYPE_CHECKING:
@@ -414,6 +415,16 @@
         seconds = self.scheduler.seconds_until_permit(call, None)
         self.assertEqual(10.0, seconds)
 
+    async def test_without_an_owner(self) -> None:
+        """Nobody gives permits: a request is refused, to come back soon."""
+        self.registry.withdraw('s2', self.clock.now())
+        self.permit(0)
+        self.clock.advance(1.1)
+        with anyio.fail_after(10.0):
+            self.assertEqual('', await self.acquire(60.0))
+        seconds = self.scheduler.seconds_until_permit(self.call(''), None)
+        self.assertEqual(waits.ALONE_RETRY_SECONDS, seconds)
+
     async def test_adapter_on_the_limited_server_alone(self) -> None:
         """A request waits for its adapter on a server without a limit."""
         loaded = (
