--- a/tests/site/test_crashing_requests.py
+++ b/tests/site/test_crashing_requests.py
@@ -127,8 +127,8 @@
         self.sound.append((sent_at, served == (200, True)))
 
     async def keep_sending_sound(self, instance: processes.Instance) -> None:
-        """Send sound requests one after the other until cancelled."""
-        while True:
+        """Send sound requests one after the other while the process runs."""
+        while instance.process.poll() is None:
             await self.send_sound(instance)
             await asyncio.sleep(0.02)
 
@@ -156,12 +156,20 @@
         ]
 
 
-class RepeatedRequestTest(_CrashCase):
+class _ContainedCase(_CrashCase):
     """One request comes again and again, at all instances."""
 
-    async def _assert_contained(
+    async def on_crash(self, site: processes.Site, number: int) -> None:
+        """Do nothing at the end of a server, the first one is number 1."""
+
+    def last_status(self) -> int:
+        """Return the status of the last answer to the request."""
+        return self.statuses[-1]
+
+    async def assert_contained(
         self, kind: _Kind, point: crashes.CrashPoint
     ) -> None:
+        """Assert that the request reaches hardly a server after the bound."""
         self.record.point = point
         async with self.running(kind) as site:
             self.record.body = _GUILTY_BODY
@@ -174,8 +182,10 @@
                         self.keep_sending_guilty(site.instances, 1),
                     )
                 ]
-                while len(self.record.crashes) < _CRASHES:
-                    await asyncio.sleep(0.02)
+                for number in range(1, _CRASHES + 1):
+                    while len(self.record.crashes) < number:
+                        await asyncio.sleep(0.02)
+                    await self.on_crash(site, number)
                 third = self.record.crashes[_CRASHES - 1]
                 known_at = third + _CONTACT_SECONDS
                 await asyncio.sleep(known_at - time.monotonic())
@@ -190,46 +200,79 @@
         self.assertLessEqual(len(late), _MAX_ARRIVALS, self.record)
         served = self.served_since(recovered_at)
         self.assertGreaterEqual(sum(served), 0.9 * len(served))
-        self.assertEqual(503, self.statuses[-1])
+        self.assertEqual(503, self.last_status())
+
+
+class RepeatedRequestTest(_ContainedCase):
+    """The request is plain or streamed, and crashes servers anywhere."""
 
     async def test_plain_before_the_head(self) -> None:
         """Servers end without any answer."""
-        await self._assert_contained(_PLAIN, crashes.CrashPoint.BEFORE_HEAD)
+        await self.assert_contained(_PLAIN, crashes.CrashPoint.BEFORE_HEAD)
 
     async def test_plain_before_the_body(self) -> None:
         """Servers end after the head of their answer."""
-        await self._assert_contained(
+        await self.assert_contained(
             _PLAIN, crashes.CrashPoint.BEFORE_FIRST_EVENT
         )
 
     async def test_plain_within_the_body(self) -> None:
         """Servers end in the middle of their answer."""
-        await self._assert_contained(
+        await self.assert_contained(
             _PLAIN, crashes.CrashPoint.WITHIN_FIRST_EVENT
         )
 
     async def test_not_idempotent(self) -> None:
         """The request may run once in each attempt of its caller."""
-        await self._assert_contained(_ONCE, crashes.CrashPoint.BEFORE_HEAD)
+        await self.assert_contained(_ONCE, crashes.CrashPoint.BEFORE_HEAD)
 
     async def test_stream_with_the_same_parts(self) -> None:
         """The first parts come with sound requests, the last one does not."""
         kind = _Kind('/stream/x', 'loaded', ('f1', 'caller-1', 'own-x'))
-        await self._assert_contained(
+        await self.assert_contained(
             kind, crashes.CrashPoint.BEFORE_FIRST_EVENT
         )
 
     async def test_stream_with_one_part(self) -> None:
         """The prompt has no part that others share."""
         kind = _Kind('/stream/x', 'loaded', ('own-x',))
-        await self._assert_contained(
-            kind, crashes.CrashPoint.AFTER_FIRST_EVENT
-        )
+        await self.assert_contained(kind, crashes.CrashPoint.AFTER_FIRST_EVENT)
 
     async def test_stream_without_parts(self) -> None:
         """Nothing is known of the prompt."""
         kind = _Kind('/stream/x', 'loaded')
-        await self._assert_contained(kind, crashes.CrashPoint.BEFORE_HEAD)
+        await self.assert_contained(kind, crashes.CrashPoint.BEFORE_HEAD)
+
+
+class LostOwnerTest(_ContainedCase):
+    """The owner, which joins the evidence, is lost meanwhile."""
+
+    crash_number = 0
+    started = False
+
+    def last_status(self) -> int:
+        """Return the last status of an instance that lives."""
+        return [status for status in self.statuses if status][-1]
+
+    async def on_crash(self, site: processes.Site, number: int) -> None:
+        """Kill the owner at one of the crashes, and start an instance."""
+        if number != self.crash_number:
+            return
+        members = [instance.member for instance in site.instances]
+        owner = members.index(site.store.owner())
+        site.instances[owner].process.kill()
+        if self.started:
+            await site.start_instance('front-new').wait_ready()
+
+    async def test_killed_at_the_first_crash(self) -> None:
+        """What it has heard is told to the next one."""
+        self.crash_number = 1
+        await self.assert_contained(_PLAIN, crashes.CrashPoint.BEFORE_HEAD)
+
+    async def test_killed_at_the_third_crash(self) -> None:
+        """An instance that starts then learns of it as well."""
+        self.crash_number, self.started = _CRASHES, True
+        await self.assert_contained(_PLAIN, crashes.CrashPoint.BEFORE_HEAD)
 
 
 class NoGuiltyRequestTest(_CrashCase):
