--- a/tests/site/crashes.py
+++ b/tests/site/crashes.py
@@ -5,8 +5,10 @@
 import asyncio
 import dataclasses
 import enum
+import itertools
 import time
 import typing
+import unittest
 
 from . import http
 from . import server as servers
@@ -14,9 +16,11 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
+    from . import processes
     from . import store as stores
 
 __all__ = [
+    'CrashCase',
     'CrashPoint',
     'CrashRecord',
     'CrashingServer',
@@ -152,3 +156,29 @@
     CrashPoint.WITHIN_FIRST_EVENT: 1,
     CrashPoint.AFTER_FIRST_EVENT: 2,
 }
+
+
+class CrashCase(unittest.IsolatedAsyncioTestCase):
+    """What tests of crashing servers record of requests."""
+
+    def setUp(self) -> None:
+        """Begin without a crash."""
+        self.record = CrashRecord()
+        self.numbers = itertools.count()
+        # Sending times and results of sound requests.
+        self.sound: list[tuple[float, bool]] = []
+        # Of the answers to guilty requests.
+        self.statuses: list[int] = []
+
+    def served_since(self, time_: float) -> list[bool]:
+        """Return whether the sound requests since a time were served."""
+        return [served for sent_at, served in self.sound if sent_at >= time_]
+
+    def convictions(self, site: processes.Site) -> list[dict[str, typing.Any]]:
+        """Return the log lines of all instances about verdicts."""
+        return [
+            line
+            for instance in site.instances
+            for line in instance.log_lines()
+            if line['message_type'] == 'quarantine:convicted'
+        ]
--- a/tests/site/test_crashing_prompts.py
+++ b/tests/site/test_crashing_prompts.py
@@ -4,10 +4,8 @@
 
 import asyncio
 import contextlib
-import itertools
 import time
 import typing
-import unittest
 
 from . import crashes
 from . import processes
@@ -31,17 +29,9 @@
 _GUILTY: typing.Final = 'bad'
 
 
-class _CrashCase(unittest.IsolatedAsyncioTestCase):
+class _CrashCase(crashes.CrashCase):
     """A site whose engines crash on one part of a prompt."""
 
-    def setUp(self) -> None:
-        """Begin without a crash."""
-        self.record = crashes.CrashRecord()
-        self.numbers = itertools.count()
-        # Sending times and results of sound requests.
-        self.sound: list[tuple[float, bool]] = []
-        self.statuses: list[int] = []
-
     @contextlib.asynccontextmanager
     async def running(self) -> abc.AsyncIterator[processes.Site]:
         """Run a site in which sound requests have been served."""
@@ -111,19 +101,6 @@
             self.statuses.append(0 if answer is None else answer.status)
             await asyncio.sleep(0.1)
 
-    def served_since(self, time_: float) -> list[bool]:
-        """Return whether the sound requests since a time were served."""
-        return [served for sent_at, served in self.sound if sent_at >= time_]
-
-    def convictions(self, site: processes.Site) -> list[dict[str, typing.Any]]:
-        """Return the log lines of all instances about verdicts."""
-        return [
-            line
-            for instance in site.instances
-            for line in instance.log_lines()
-            if line['message_type'] == 'quarantine:convicted'
-        ]
-
 
 class GuiltyPartTest(_CrashCase):
     """Requests with the part come at all instances, no two alike."""
--- a/tests/site/test_crashing_requests.py
+++ b/tests/site/test_crashing_requests.py
@@ -7,7 +7,6 @@
 import itertools
 import time
 import typing
-import unittest
 
 from . import crashes
 from . import processes
@@ -48,15 +47,12 @@
 _ONCE: typing.Final = _Kind('/once/x')
 
 
-class _CrashCase(unittest.IsolatedAsyncioTestCase):
+class _CrashCase(crashes.CrashCase):
     """A site whose servers crash on one request."""
 
     def setUp(self) -> None:
         """Begin without a crash."""
-        self.record = crashes.CrashRecord()
-        self.numbers = itertools.count()
-        self.sound: list[tuple[float, bool]] = []
-        self.statuses: list[int] = []
+        super().setUp()
         self.kind = _PLAIN
 
     @contextlib.asynccontextmanager
@@ -142,19 +138,6 @@
             self.statuses.append(0 if answer is None else answer.status)
             await asyncio.sleep(_REPEAT_SECONDS)
 
-    def served_since(self, time_: float) -> list[bool]:
-        """Return whether the sound requests since a time were served."""
-        return [served for sent_at, served in self.sound if sent_at >= time_]
-
-    def convictions(self, site: processes.Site) -> list[dict[str, typing.Any]]:
-        """Return the log lines of all instances about verdicts."""
-        return [
-            line
-            for instance in site.instances
-            for line in instance.log_lines()
-            if line['message_type'] == 'quarantine:convicted'
-        ]
-
 
 class _ContainedCase(_CrashCase):
     """One request comes again and again, at all instances."""
