Restart instances of the check of limits as new ones

The check called __init__ anew, which kept pending calls of the killed process alive. Killed instances are dead now.

--- a/tests/unit/ratelimit/world.py
+++ b/tests/unit/ratelimit/world.py
@@ -36,7 +36,9 @@
     """One instance: its limits, whom it takes for the owner, its faults."""
 
     def __init__(self, number: int, now: float) -> None:
+        self.number = number
         self.name = f'front-{number}'
+        self.dead = False
         self.limits = core.RateLimits(self.name, now)
         self.owner: _Instance | None = None
         self.leads = False
@@ -53,12 +55,6 @@
         self.blocked_until = now
         self.members: dict[str, float] = {}
 
-    def restart(self, now: float) -> None:
-        """Begin as a new process of the same name."""
-        frozen = self.frozen_until
-        self.__init__(int(self.name.split('-')[1]), now)  # type: ignore
-        self.frozen_until = frozen
-
     def is_frozen(self, now: float) -> bool:
         """Whether the process stands still."""
         return now < self.frozen_until
@@ -116,8 +112,7 @@
             seconds = rng.choice((0.3, 1.0, 3.0, 12.0))
             match rng.randrange(6):
                 case 0:
-                    victim.restart(self.now)
-                    victim.frozen_until = self.now + seconds
+                    self._restart(victim, seconds)
                 case 1:
                     victim.frozen_until = self.now + seconds
                 case 2:
@@ -135,6 +130,14 @@
                 instance.demand = demand
                 instance.blocked_until = blocked_until
 
+    def _restart(self, victim: _Instance, seconds: float) -> None:
+        """Kill an instance; a new process of its name begins later."""
+        victim.dead = True
+        successor = _Instance(victim.number, self.now)
+        successor.frozen_until = self.now + seconds
+        successor.demand = victim.demand
+        self.instances[victim.number] = successor
+
     def _step(self, instance: _Instance) -> None:
         self._hear_limit(instance)
         self._send(instance)
@@ -234,6 +237,8 @@
         wants: int,
     ) -> None:
         """Handle a call at the owner, later if it stands still."""
+        if owner.dead:
+            return
         if owner.is_frozen(self.now):
             self._at(
                 owner.frozen_until,
@@ -283,6 +288,8 @@
         grants: list[api.Grant] | None,
         members: list[str],
     ) -> None:
+        if instance.dead:
+            return
         if instance.is_frozen(self.now):
             self._at(
                 instance.frozen_until,
