--- a/tests/unit/gateway/test_messages.py
+++ b/tests/unit/gateway/test_messages.py
@@ -45,6 +45,14 @@
         view = msgspec.convert(form, messages.FleetView)
         self.assertEqual((0, ()), (view.roster_version, view.roster))
 
+    def test_without_permits(self) -> None:
+        """The view of an old owner gives no permits for limited servers."""
+        earlier = _EarlierView('front-1@127.0.0.1:1', (), (), 3, 4)
+        form = msgspec.to_builtins(earlier)
+        view = msgspec.convert(form, messages.FleetView)
+        self.assertIsNone(view.grants)
+        self.assertEqual((), view.limits)
+
 
 class _EarlierLoad(wire_api.Message, frozen=True, tag='load'):
     """The load before it told of waiting requests by software version."""
