--- a/tests/site/test_server_limits.py
+++ b/tests/site/test_server_limits.py
@@ -69,8 +69,7 @@
     ) -> float:
         """Have servers name a limit; return since when requests count.
 
-        That is ``_EXCUSED_SECONDS`` after the instances have got answers with
-        it: each one sends to each of these servers until then.
+        That is ``_EXCUSED_SECONDS`` after each server has named it.
         """
         named = list(desks)
         for desk in named:
@@ -109,8 +108,8 @@
         self.assertLess(seconds, _AT_ONCE_SECONDS)
         self.assertGreater(min(call.retry_after for call in refused), 0.0)
 
-    async def measure(self, seconds: float) -> float:
-        """Return the present time after some seconds."""
+    async def wait(self, seconds: float) -> float:
+        """Wait for some seconds; return when that began."""
         began = time.monotonic()
         await asyncio.sleep(seconds)
         return began
@@ -125,7 +124,7 @@
             async with self.callers.at(site.instances, 20.0):
                 since = await self.name_limits(self.desks[:1])
                 await asyncio.sleep(_CONTACT_SECONDS)
-                settled = await self.measure(6.0)
+                settled = await self.wait(6.0)
             self.assert_kept(self.desks[0], since)
             calls = self.callers.since(settled)
             served = sum(call.served for call in calls)
@@ -139,7 +138,7 @@
                 await asyncio.sleep(_CONTACT_SECONDS)
                 self.desks[0].limit = None
                 await asyncio.sleep(2 * _CONTACT_SECONDS)
-                ended = await self.measure(3.0)
+                ended = await self.wait(3.0)
             got = limited.arrivals_since(self.desks[0], ended)
             total = sum(limited.arrivals_since(d, ended) for d in self.desks)
             self.assertGreater(got, total / 6)
@@ -153,7 +152,7 @@
                 taking_nothing = list(self.desks[0].arrivals)
                 self.desks[0].limit = None
                 await asyncio.sleep(8.0)
-                ended = await self.measure(3.0)
+                ended = await self.wait(3.0)
             most = limited.most_in_window(taking_nothing, since)
             self.assertLessEqual(most, limited.allowed(0.0))
             got = limited.arrivals_since(self.desks[0], ended)
@@ -169,7 +168,7 @@
                 ):  # fmt: skip
                     self.desks[0].limit = text
                     await asyncio.sleep(0.3)
-                settled = await self.measure(3.0)
+                settled = await self.wait(3.0)
             got = limited.arrivals_since(self.desks[0], settled)
             total = sum(limited.arrivals_since(d, settled) for d in self.desks)
             self.assertGreater(got, total / 6)
@@ -187,7 +186,7 @@
             async with self.callers.at(site.instances, 10.0):
                 since = await self.name_limits(self.desks)
                 await asyncio.sleep(_CONTACT_SECONDS)
-                settled = await self.measure(12.0)
+                settled = await self.wait(12.0)
             for desk in self.desks:
                 self.assert_kept(desk, since)
             self.assert_used(settled, _EVEN_USE, self._RATE)
@@ -200,7 +199,7 @@
                 since = await self.name_limits(self.desks)
             async with self.callers.at(site.instances[1:2], 30.0):
                 await asyncio.sleep(_CONTACT_SECONDS)
-                settled = await self.measure(12.0)
+                settled = await self.wait(12.0)
             for desk in self.desks:
                 self.assert_kept(desk, since)
             self.assert_used(settled, _ONE_INSTANCE_USE, self._RATE)
@@ -214,13 +213,13 @@
                 await asyncio.sleep(_CONTACT_SECONDS)
                 for desk in self.desks:
                     desk.limit = '2'
-                lowered = await self.measure(_CONTACT_SECONDS)
+                lowered = await self.wait(_CONTACT_SECONDS)
                 await asyncio.sleep(5.0)
                 while_low = [list(desk.arrivals) for desk in self.desks]
                 for desk in self.desks:
                     desk.limit = '8'
                 await asyncio.sleep(_CONTACT_SECONDS)
-                raised = await self.measure(6.0)
+                raised = await self.wait(6.0)
             for arrivals in while_low:
                 most = limited.most_in_window(arrivals, lowered + 1.0)
                 self.assertLessEqual(most, limited.allowed(2.0))
@@ -236,7 +235,7 @@
                 await asyncio.sleep(_CONTACT_SECONDS)
                 site.instances[owner].process.kill()
                 await asyncio.sleep(2 * _CONTACT_SECONDS)
-                settled = await self.measure(8.0)
+                settled = await self.wait(8.0)
             for desk in self.desks:
                 self.assert_kept(desk, since)
             # The dead instance's share is kept for it for some time.
@@ -268,7 +267,7 @@
                 site.links[owner].cut = True
                 await asyncio.sleep(6.0)
                 site.store.unavailable = True
-                settled = await self.measure(4.0)
+                settled = await self.wait(4.0)
                 site.store.unavailable = False
                 site.links[owner].cut = False
                 await asyncio.sleep(4.0)
@@ -306,7 +305,7 @@
             ):
                 await self.name_limits(self.desks)
                 await asyncio.sleep(_CONTACT_SECONDS)
-                settled = await self.measure(8.0)
+                settled = await self.wait(8.0)
         calls = urgent_callers.since(settled)
         served = sum(call.served for call in calls)
         self.assertGreaterEqual(served, 0.8 * len(calls))
