Say request, not prompt, where the quarantine knows both

Cause: comments and docstrings still spoke of prompts only, one paragraph was wrapped badly, two constants had no word on what they are.

--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -37,7 +37,7 @@
 
 # The reason of attempts that are ended for another server.
 _SILENT: typing.Final = 'silent'
-# The reason for no further attempt where servers may crash under the prompt.
+# The reason for no further attempt where servers may crash under the request.
 _SUSPECT: typing.Final = 'suspect_prompt'
 
 # Above this share of its capacity a server counts as slow, not as failed.
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -93,8 +93,8 @@
 class BrokenRow(msgspec.Struct, frozen=True, array_like=True):
     """A request whose answer broke off when its server ended.
 
-    ``own`` is the last part of its prompt, ``shared`` the parts that may have
-    caused it.
+    ``own`` tells it from others, ``shared`` are the traits that may have
+    caused it: parts of its prompt, and one for the whole request.
     """
 
     own: str
@@ -110,7 +110,7 @@
 
 
 class VerdictRow(msgspec.Struct, frozen=True, array_like=True):
-    """Parts of prompts whose requests are refused.
+    """Traits that come together in requests which are refused.
 
     ``seconds`` have passed since such a request came; ``crashes`` is the
     number of servers that had ended.
--- a/src/dogwoodquay/gateway/refusals.py
+++ b/src/dogwoodquay/gateway/refusals.py
@@ -27,7 +27,7 @@
 RETRY_AFTER_SECONDS: typing.Final = 0.4
 # The approximate time of a load from a server's own disk.
 ABSENT_RETRY_AFTER_SECONDS: typing.Final = 1.0
-# A prompt under which servers crash is refused for minutes.
+# A request under which servers crash is refused for minutes.
 QUARANTINE_RETRY_AFTER_SECONDS: typing.Final = 60.0
 # Callers that wait for the same load are spread over this time.
 RETURN_JITTER_SECONDS: typing.Final = 1.0
@@ -82,7 +82,7 @@
     def end_quarantined(
         self, relay: exchanges.Relay, may_have_run: bool
     ) -> results.Result:
-        """End a request under whose prompt servers have crashed."""
+        """End a request under which, or under whose prompt, servers crash."""
         reason = api.RefusalReason.PROMPT_QUARANTINED
         if relay.started:
             return results.Cut(reason.value)
--- a/src/dogwoodquay/quarantine/api.py
+++ b/src/dogwoodquay/quarantine/api.py
@@ -39,7 +39,7 @@
 class BrokenRequest(typing.NamedTuple):
     """A request whose answer broke off when its server ended.
 
-    ``shared`` holds the parts that may have caused it.
+    ``shared`` holds the traits that may have caused it.
     """
 
     own: str
--- a/src/dogwoodquay/ratelimit/returns.py
+++ b/src/dogwoodquay/ratelimit/returns.py
@@ -6,6 +6,7 @@
 
 __all__ = ['ReturnTimes']
 
+# Bounds of the time until a caller may come back.
 MIN_SECONDS: typing.Final = 0.4
 MAX_SECONDS: typing.Final = 10.0
 
--- a/src/dogwoodquay/ratelimit/waits.py
+++ b/src/dogwoodquay/ratelimit/waits.py
@@ -26,9 +26,8 @@
     """What requests that may run at the same limited servers can expect.
 
     ``rate`` is the sum of the servers' limits per second, zero while nobody
-    gives permits to this instance, ``waiting`` the
-    permits for them that other instances want as urgently, and ``permits``
-    those that this instance has.
+    gives permits to this instance. ``waiting`` counts the permits for them
+    that other instances want as urgently, ``permits`` those at hand.
     """
 
     rate: float
