Keep the versions that began streams in the store's log

Texts joined from two versions (ORDER) were not seen, before or after. Cause: which version began a stream was known to three instances only; all of them had ended. Change: records also go to a writer, one for 32 instances, which appends them in batches to a topic of the store's log; a lookup that neither the instance nor its peers can answer reads it. Evidence: four of the five tests of tests/site/test_all_killed.py fail on the code before (0 of 24 went on), all five pass; the fifth holds ORDER where the log is lost.

--- a/src/dogwoodquay/fleet/registry.py
+++ b/src/dogwoodquay/fleet/registry.py
@@ -148,6 +148,19 @@
         )
         return versions.pop() if len(versions) == 1 else None
 
+    def has_several_versions(self, since: float) -> bool:
+        """Whether a service had several software versions since a time."""
+        versions: dict[str, str] = {}
+        listed = [
+            (server.entry.service, server.entry.version)
+            for server in self._servers.values()
+        ]
+        former = [key for key, until in self._former.items() if until >= since]
+        return any(
+            versions.setdefault(service, version) != version
+            for service, version in listed + former
+        )
+
     def on_store_available(self, now: float) -> None:
         """Record that the list can be read again after an outage."""
         self._store_available_at = now
--- a/src/dogwoodquay/gateway/batches.py
+++ b/src/dogwoodquay/gateway/batches.py
@@ -24,13 +24,16 @@
 
     :param send: sends a batch to a peer and raises nothing.
     :param in_flight: the most batches in flight to a peer.
+    :param gather_seconds: how long a batch waits for further items.
     """
 
     def __init__(
         self,
         send: abc.Callable[[str, tuple[_Item, ...]], abc.Awaitable[None]],
         in_flight: int,
+        gather_seconds: float = 0.0,
     ) -> None:
+        self._gather_seconds = gather_seconds
         self._send = send
         self._in_flight = in_flight
         self._queues: dict[str, collections.deque[_Item]] = {}
@@ -71,6 +74,8 @@
         """Send what is queued for a peer, and what comes meanwhile."""
         queue = self._queues.get(peer, collections.deque())
         while queue:
+            if self._gather_seconds:
+                await anyio.sleep(self._gather_seconds)
             size = min(len(queue), MAX_BATCH_ITEMS)
             batch = tuple(queue.popleft() for _ in range(size))
             await self._send(peer, batch)
--- a/src/dogwoodquay/gateway/holders.py
+++ b/src/dogwoodquay/gateway/holders.py
@@ -21,6 +21,12 @@
 # Of these instances, those that answer are given a record.
 CANDIDATES: typing.Final = 5
 
+# Each of so many instances and slots shares an instance that writes their
+# records to the log.
+INSTANCES_PER_WRITER: typing.Final = 32
+# The instances that are considered as a writer, one after the other.
+WRITERS: typing.Final = 3
+
 _Scored = tuple[int, 'messages.InstanceRow']
 
 
@@ -30,10 +36,12 @@
     def __init__(self) -> None:
         self._roster: frozenset[messages.InstanceRow] = frozenset()
         self._orders: dict[int, list[_Scored]] = {}
+        self._writers: dict[int, tuple[str, ...]] = {}
 
     def update(self, roster: tuple[messages.InstanceRow, ...]) -> None:
         """Replace the roster; orders that it does not change are kept."""
         old, self._roster = self._roster, frozenset(roster)
+        self._writers = {}
         removed, added = old - self._roster, self._roster - old
         for slot, order in tuple(self._orders.items()):
             last = order[-1][0]
@@ -60,6 +68,25 @@
                 break
         return [row.member for row in found]
 
+    def writers(self, stream_id: str) -> tuple[str, ...]:
+        """Return the instances that may write a record to the log.
+
+        The first one that can be reached writes it. Few instances write, so
+        that they append many records at a time.
+        """
+        groups = 1 + len(self._roster) // INSTANCES_PER_WRITER
+        group = _slot(stream_id) % groups
+        found = self._writers.get(group)
+        if found is None:
+            # Keys above those of the slots give other orders.
+            scored = [
+                (_score(SLOTS + group, row), row) for row in self._roster
+            ]
+            first = heapq.nsmallest(WRITERS, scored, key=_first)
+            found = tuple(row.member for _, row in first)
+            self._writers[group] = found
+        return found
+
     def asked(self, stream_id: str, member: str) -> list[str]:
         """Return the instances to ask for a record.
 
@@ -79,7 +106,7 @@
         self, stream_id: str, member: str
     ) -> list[messages.InstanceRow]:
         """Return the first instances in the order of a stream but one."""
-        slot = zlib.crc32(stream_id.encode('utf-8', 'replace')) % SLOTS
+        slot = _slot(stream_id)
         order = self._orders.get(slot)
         if order is None and self._roster:
             order = self._orders[slot] = self._compute(slot)
@@ -98,6 +125,10 @@
         return first
 
 
+def _slot(stream_id: str) -> int:
+    return zlib.crc32(stream_id.encode('utf-8', 'replace')) % SLOTS
+
+
 def _first(scored: _Scored) -> tuple[int, str]:
     score, row = scored
     return score, row.member
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -29,6 +29,7 @@
     'KeepOrigins',
     'LimitRow',
     'LoadingModel',
+    'LogOrigins',
     'ModelDemand',
     'OriginRow',
     'OriginsFound',
@@ -320,6 +321,12 @@
     rows: tuple[OriginRow, ...]
 
 
+class LogOrigins(wire_api.Message, frozen=True, tag='log_origins'):
+    """Asks an instance to write to the log which versions began streams."""
+
+    rows: tuple[OriginRow, ...]
+
+
 class OriginsKept(wire_api.Message, frozen=True, tag='origins_kept'):
     """All rows are kept."""
 
--- a/src/dogwoodquay/gateway/metrics.py
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -107,6 +107,11 @@
             'Lookups of the version that began a stream',
             'reason',
         )
+        self._origin_log_calls = registry.counter(
+            'gateway_origin_log_calls_total',
+            'Calls to the log of the versions that began streams',
+            'outcome',
+        )
         self._first = registry.histogram(
             'gateway_first_byte_seconds', 'Time to the first byte'
         )
@@ -203,6 +208,10 @@
         """Count a lookup of the version that began a stream."""
         self._origins_found.add(reason)
 
+    def origin_log_called(self, outcome: str) -> None:
+        """Count a call to the log of the versions that began streams."""
+        self._origin_log_calls.add(outcome)
+
     def first_byte(self, seconds: float) -> None:
         """Record the time to the first byte of an answer."""
         self._first.observe(seconds)
--- /dev/null
+++ b/src/dogwoodquay/gateway/origin_log.py
@@ -0,0 +1,199 @@
+"""Keeps the versions that began streams in the log of the store.
+
+The log outlives the instances, which may all end at once.
+"""
+
+from __future__ import annotations
+
+import itertools
+import typing
+
+import anyio
+
+from ..external import api as external_api
+from ..observe import logs
+from . import origin_batch
+from . import origin_table
+from . import store_api
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+    from .. import clock as clocks
+    from . import messages
+    from . import metrics as gateway_metrics
+
+__all__ = ['TOPIC', 'OriginLog']
+
+_LOG: typing.Final = logs.ComponentLog('origin_log')
+
+TOPIC: typing.Final = store_api.Topic('stream-origins')
+# The time between two appends, and while a service has several versions.
+INTERVAL_SECONDS: typing.Final = 0.5
+SHORT_INTERVAL_SECONDS: typing.Final = 0.2
+APPEND_TIMEOUT_SECONDS: typing.Final = 1.0
+# After a call that failed, the next one waits for so long.
+BACKOFF_SECONDS: typing.Final = 0.5
+READ_BACKOFF_SECONDS: typing.Final = 0.2
+READ_TIMEOUT_SECONDS: typing.Final = 0.5
+# The most streams of an append, which have to fit in a record.
+MAX_APPENDED: typing.Final = 10_000
+# The most streams that wait to be appended; the oldest are dropped.
+MAX_PENDING: typing.Final = 100_000
+# Nothing tells the age of a record that was read.
+KEEP_SECONDS: typing.Final = 60.0
+
+
+class OriginLog:
+    """Appends origins of streams in batches and reads those of others.
+
+    The first origin of a stream and service wins, as in memory, so that late
+    and repeated records do no harm.
+    """
+
+    def __init__(
+        self,
+        store: store_api.Log,
+        clock: clocks.Clock,
+        metrics: gateway_metrics.GatewayMetrics,
+        several_versions: abc.Callable[[], bool],
+    ) -> None:
+        """Create a client of the log.
+
+        :param several_versions: whether streams of several versions of a
+            service may exist, which makes records urgent.
+        """
+        self._store = store
+        self._clock = clock
+        self._metrics = metrics
+        self._several_versions = several_versions
+        self._pending: dict[str, messages.OriginRow] = {}
+        self._put = anyio.Event()
+        self._appended_at = float('-inf')
+        self._table = origin_table.OriginTable()
+        self._offset = 0
+        self._reading = anyio.Lock()
+        self._reads = 0
+        self._complete_read = 0
+        self._read_failed_at = float('-inf')
+
+    def put(self, row: messages.OriginRow) -> None:
+        """Append the origin of a stream soon."""
+        if len(self._pending) >= MAX_PENDING:
+            del self._pending[next(iter(self._pending))]
+        self._pending.setdefault(row.stream_id, row)
+        self._put.set()
+
+    async def run(self) -> typing.NoReturn:
+        """Append what was put until cancelled."""
+        while True:
+            if not self._pending:
+                self._put = anyio.Event()
+                await self._put.wait()
+            seconds = INTERVAL_SECONDS
+            if self._several_versions():
+                seconds = SHORT_INTERVAL_SECONDS
+            due = self._appended_at + seconds
+            await anyio.sleep(max(0.0, due - self._clock.now()))
+            if not await self._append(
+                self._clock.now() + APPEND_TIMEOUT_SECONDS
+            ):
+                await anyio.sleep(BACKOFF_SECONDS)
+
+    async def flush(self, deadline: float) -> None:
+        """Append all that was put, before a planned stop."""
+        while self._pending and await self._append(deadline):
+            pass
+
+    async def find(
+        self, stream_id: str, deadline: float
+    ) -> tuple[origin_table.Origin, ...]:
+        """Return the origins of a stream, one for each service.
+
+        The log is read as of now if they are not known yet. Callers that ask
+        during a read share the next one.
+        """
+        key = origin_batch.key_of(stream_id)
+        now = self._clock.now()
+        origins = self._table.find(key, now)
+        if origins:
+            return origins
+        earlier_reads = self._reads
+        with anyio.move_on_after(max(0.0, deadline - now)):
+            async with self._reading:
+                if self._complete_read <= earlier_reads:
+                    await self._read(deadline)
+        return self._table.find(key, self._clock.now())
+
+    async def _append(self, deadline: float) -> bool:
+        """Append a batch; what may not have been appended is kept.
+
+        :return: whether the batch was appended.
+        """
+        batch = dict(itertools.islice(self._pending.items(), MAX_APPENDED))
+        if not batch:
+            return True
+        self._appended_at = self._clock.now()
+        answer = await self._store.append(
+            TOPIC, origin_batch.encode(batch.values()), deadline
+        )
+        if answer.is_error():
+            self._metrics.origin_log_called('append_failed')
+            _LOG.write(
+                'append_failed', rows=len(batch), reason=f'{answer.error}'
+            )
+            return False
+        self._metrics.origin_log_called('appended')
+        for stream_id in batch:
+            self._pending.pop(stream_id, None)
+        return True
+
+    async def _read(self, deadline: float) -> None:
+        """Read the records since the last time, to the end of the log."""
+        now = self._clock.now()
+        if now < self._read_failed_at + READ_BACKOFF_SECONDS:
+            return
+        self._reads += 1
+        deadline = min(deadline, now + READ_TIMEOUT_SECONDS)
+        while await self._read_page(deadline):
+            pass
+
+    async def _read_page(self, deadline: float) -> bool:
+        """Read a part of the log; return whether there is more of it."""
+        page = await self._store.read_log(TOPIC, self._offset, deadline)
+        if page.is_error():
+            return self._on_read_failed(page.error)
+        self._metrics.origin_log_called('read')
+        now = self._clock.now()
+        for record in page.ok.records:
+            self._add(record, now)
+        self._offset = page.ok.next_offset
+        if page.ok.next_offset < page.ok.end_offset:
+            return bool(page.ok.records)
+        self._complete_read = self._reads
+        return False
+
+    def _on_read_failed(self, error: store_api.StoreError) -> bool:
+        """Go on at the oldest record if earlier ones have expired."""
+        match error:
+            case external_api.Trimmed(first_offset):
+                self._metrics.origin_log_called('trimmed')
+                if first_offset > self._offset:
+                    self._offset = first_offset
+                    return True
+                reason = 'trimmed'
+            case _:
+                reason = error.reason
+        self._metrics.origin_log_called('read_failed')
+        _LOG.write('read_failed', offset=self._offset, reason=reason)
+        self._read_failed_at = self._clock.now()
+        return False
+
+    def _add(self, record: bytes, now: float) -> None:
+        try:
+            found = origin_batch.decode(record)
+        except ValueError as error:
+            _LOG.write('unreadable', reason=str(error))
+            return
+        for key, origin in found:
+            self._table.put(key, origin, KEEP_SECONDS, now)
--- a/src/dogwoodquay/gateway/origins.py
+++ b/src/dogwoodquay/gateway/origins.py
@@ -13,6 +13,7 @@
 from . import members
 from . import messages
 from ..observe import logs
+from . import origin_log
 from . import origin_table
 from ..wire import api as wire_api
 
@@ -32,6 +33,9 @@
 KEEP_TIMEOUT_SECONDS: typing.Final = 0.1
 # A peer that kept no record in that time is given none for so long.
 PASS_OVER_SECONDS: typing.Final = 1.0
+# Records gather for so long before they are sent to a writer.
+GATHER_SECONDS: typing.Final = 0.1
+WRITER_TIMEOUT_SECONDS: typing.Final = 0.3
 FIND_TIMEOUT_SECONDS: typing.Final = 0.3
 # Lookups are not held up by earlier ones that a peer has not answered.
 FIND_BATCHES: typing.Final = 8
@@ -86,7 +90,9 @@
         failure_domain: str,
         clock: clocks.Clock,
         metrics: gateway_metrics.GatewayMetrics,
+        log: origin_log.OriginLog,
     ) -> None:
+        self._log = log
         self._transport = transport
         self._member = member
         self._failure_domain = failure_domain or NO_DOMAIN
@@ -97,6 +103,9 @@
         self._passed_over: dict[str, float] = {}
         self._keeps = batches.PeerBatches(self._send_records, in_flight=1)
         self._finds = batches.PeerBatches(self._send_lookups, FIND_BATCHES)
+        self._writes = batches.PeerBatches(
+            self._send_to_writer, 1, GATHER_SECONDS
+        )
         self._leaving = False
         self._roster_known = False
         self._alone: dict[str, messages.OriginRow] = {}
@@ -108,6 +117,7 @@
         )
         transport.register(messages.KeepOrigins, self._handle_keep)
         transport.register(messages.FindOrigins, self._handle_find)
+        transport.register(messages.LogOrigins, self._handle_log)
         transport.register(messages.OriginsKept)
         transport.register(messages.OriginsFound)
 
@@ -142,7 +152,7 @@
     async def record(
         self, stream_id: str, origin: Origin, lifetime_seconds: float
     ) -> None:
-        """Keep which version began a stream, here and at two peers.
+        """Keep which version began a stream: here, at two peers, in the log.
 
         Returns as soon as one peer has it, at the latest after
         ``RECORD_WAIT_SECONDS``.
@@ -152,9 +162,9 @@
             return
         now = self._clock.now()
         self._table.put(stream_id, origin, lifetime_seconds, now)
-        record = self._place(
-            messages.OriginRow(stream_id, *origin, lifetime_seconds)
-        )
+        row = messages.OriginRow(stream_id, *origin, lifetime_seconds)
+        self._write(row)
+        record = self._place(row)
         with anyio.move_on_after(RECORD_WAIT_SECONDS):
             await record.settled.wait()
         if record.kept:
@@ -190,7 +200,8 @@
     ) -> tuple[Origin, ...]:
         """Return the origins of a stream, one for each service.
 
-        Empty if they are unknown here and at the peers that answer.
+        The log is read if they are unknown here and at the peers that
+        answer. Empty if it does not have them either.
         """
         if not _valid(stream_id):
             self._metrics.origin_looked_up('invalid')
@@ -208,14 +219,19 @@
             left = min(deadline - now, FIND_TIMEOUT_SECONDS)
             with anyio.move_on_after(left):
                 await lookup.settled.wait()
-        self._metrics.origin_looked_up('peer' if lookup.origins else 'unknown')
-        return lookup.origins
+        if lookup.origins:
+            self._metrics.origin_looked_up('peer')
+            return lookup.origins
+        origins = await self._log.find(stream_id, deadline)
+        self._metrics.origin_looked_up('log' if origins else 'unknown')
+        return origins
 
     async def run(self) -> None:
         """Send records and lookups to the peers until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._keeps.run)
             tasks.start_soon(self._finds.run)
+            tasks.start_soon(self._writes.run)
 
     async def hand_over(self) -> None:
         """Pass the records on to their next holders, in a limited time.
@@ -239,6 +255,7 @@
         until = self._clock.now() + HAND_OVER_SECONDS
         with anyio.move_on_after(HAND_OVER_SECONDS):
             async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._log.flush, until)
                 for peer, rows in rows_by_peer.items():
                     tasks.start_soon(self._hand_over_to, peer, rows, until)
 
@@ -281,6 +298,27 @@
         for record in (*records, *self._keeps.take_queued(peer)):
             self._send_copy(record)
 
+    def _write(self, row: messages.OriginRow) -> None:
+        """Have a record written to the log, here if no writer is reached."""
+        for member in self._order.writers(row.stream_id):
+            if member == self._member:
+                break
+            if self._usable(member):
+                self._writes.put(member, row)
+                return
+        self._log.put(row)
+
+    async def _send_to_writer(
+        self, peer: str, rows: tuple[messages.OriginRow, ...]
+    ) -> None:
+        """Send a batch; if that fails, the next writer is to have it."""
+        deadline = self._clock.now() + WRITER_TIMEOUT_SECONDS
+        if await self._sent(peer, messages.LogOrigins(rows), deadline):
+            return
+        self._passed_over[peer] = self._clock.now() + PASS_OVER_SECONDS
+        for row in (*rows, *self._writes.take_queued(peer)):
+            self._write(row)
+
     async def _keep_at(
         self,
         peer: str,
@@ -288,12 +326,21 @@
         deadline: float,
     ) -> bool:
         """Return whether a peer has confirmed that it keeps rows."""
+        return await self._sent(peer, messages.KeepOrigins(rows), deadline)
+
+    async def _sent(
+        self,
+        peer: str,
+        message: messages.KeepOrigins | messages.LogOrigins,
+        deadline: float,
+    ) -> bool:
+        """Return whether a peer has confirmed a message."""
         address = members.member_address(peer)
         if address is None:
             return False
         answer = await self._transport.request(
             wire_api.PeerAddress(*address),
-            messages.KeepOrigins(rows),
+            message,
             messages.OriginsKept,
             deadline,
         )
@@ -335,6 +382,18 @@
             self._table.put(row.stream_id, origin, row.seconds, now)
         return messages.OriginsKept()
 
+    async def _handle_log(
+        self,
+        sender: wire_api.Sender,
+        message: messages.LogOrigins,
+        deadline: float,
+    ) -> messages.OriginsKept | None:
+        if self._leaving:
+            return None
+        for row in message.rows:
+            self._log.put(row)
+        return messages.OriginsKept()
+
     async def _handle_find(
         self,
         sender: wire_api.Sender,
--- a/src/dogwoodquay/gateway/resumption.py
+++ b/src/dogwoodquay/gateway/resumption.py
@@ -16,8 +16,9 @@
 
 _LOG: typing.Final = logs.ComponentLog('request')
 
-# How long a caller that takes up a stream waits for the records of peers.
-FIND_SECONDS: typing.Final = 0.3
+# How long a caller that takes up a stream waits for the records of peers and
+# of the log.
+FIND_SECONDS: typing.Final = 0.8
 # The same for the next read of the list of servers.
 LIST_READ_SECONDS: typing.Final = 1.5
 # The longest time that a caller may come back after, whatever it says.
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -26,6 +26,7 @@
 from ..observe import logs
 from ..observe import metrics as metrics_module
 from ..observe import supervise
+from . import origin_log
 from . import origins as stream_origins
 from . import ownership as order_ownership
 from . import peering as peerings
@@ -164,6 +165,7 @@
                 ('controller', self._controller.run),
                 ('peering', self._peering.run),
                 ('origins', self._origins.run),
+                ('origin_log', self._origin_log.run),
                 ('crashes', self._crashes.run),
             ):
                 group.start_soon(supervise.keep_running, name, part)
@@ -212,12 +214,21 @@
         self._copies = configuration_copies.ConfigurationCopies(
             self._peers, clock
         )
+        self._origin_log = origin_log.OriginLog(
+            store,
+            clock,
+            metrics,
+            lambda: self._registry.has_several_versions(
+                clock.now() - origin_log.KEEP_SECONDS
+            ),
+        )
         self._origins = stream_origins.StreamOrigins(
             self._peers,
             members.member_name(settings),
             settings.failure_domain,
             clock,
             metrics,
+            self._origin_log,
         )
         self._crashes = crash_watches.CrashWatch(
             self._connections, clock, metrics
--- a/src/dogwoodquay/gateway/store_api.py
+++ b/src/dogwoodquay/gateway/store_api.py
@@ -13,6 +13,8 @@
 
 __all__ = [
     'GroupView',
+    'Log',
+    'LogRecords',
     'Membership',
     'NewestRecord',
     'Records',
@@ -59,6 +61,18 @@
         return self.next_offset < self.end_offset
 
 
+class LogRecords(typing.NamedTuple):
+    """Records of a topic without keys, oldest first.
+
+    The next read starts at ``next_offset``; ``end_offset`` is the end of the
+    topic when they were read.
+    """
+
+    records: tuple[bytes, ...]
+    next_offset: int
+    end_offset: int
+
+
 def ignore_begin() -> None:
     """Do nothing when records begin to arrive."""
 
@@ -85,7 +99,27 @@
     has_members: bool
 
 
-class Store(typing.Protocol):
+class Log(typing.Protocol):
+    """The calls for topics without keys, whose oldest records expire."""
+
+    async def append(
+        self, topic: Topic, record: bytes, deadline: float
+    ) -> expression.Result[None, StoreError]:
+        """Append a record.
+
+        It may be appended although the result is an error, also later.
+        """
+
+    async def read_log(
+        self, topic: Topic, offset: int, deadline: float
+    ) -> expression.Result[LogRecords, StoreError]:
+        """Return the records from an offset on, as many as fit in a call.
+
+        :param deadline: when the answer has to begin.
+        """
+
+
+class Store(Log, typing.Protocol):
     """The calls to the store that an instance makes."""
 
     async def newest(
--- a/src/dogwoodquay/platform/store.py
+++ b/src/dogwoodquay/platform/store.py
@@ -34,6 +34,7 @@
 _PAGE_HEADER: typing.Final = struct.Struct('>QQ')
 _RECORD_LENGTH: typing.Final = struct.Struct('>I')
 _JSON: typing.Final = (('content-type', 'application/json'),)
+_BINARY: typing.Final = (('content-type', 'application/octet-stream'),)
 # Time for each further page of the newest records to begin.
 _PAGE_SECONDS: typing.Final = 1.0
 # The store returns at least one record, whatever its size.
@@ -150,21 +151,46 @@
             if size > _PAGE_HEADER.size:
                 on_begin()
 
-        answer = await self._download(path, deadline, on_received)
-        if answer.is_error():
-            return expression.Error(answer.error)
-        if len(answer.ok.content) < _PAGE_HEADER.size:
-            return expression.Error(external_api.Ambiguous('short_answer'))
-        end, _ = _PAGE_HEADER.unpack_from(answer.ok.content)
-        records = tuple(_records(answer.ok.content))
+        page = _log_page(
+            await self._download(path, deadline, on_received), offset
+        )
+        if page.is_error():
+            return expression.Error(page.error)
+        records, next_offset, end = page.ok
         return expression.Ok(
             store_api.Records(
                 tuple(_split_record(record) for record in records),
-                offset + len(records),
+                next_offset,
                 end,
             )
         )
 
+    async def append(
+        self, topic: store_api.Topic, record: bytes, deadline: float
+    ) -> expression.Result[None, store_api.StoreError]:
+        """Append a record to a topic without keys."""
+        result = await self._connections.fetch(
+            *self._address,
+            'POST',
+            _path('/log-append', Topic=topic.name, part=0),
+            deadline,
+            _RECORD_LENGTH.pack(len(record)) + record,
+            _BINARY,
+        )
+        answer = _checked(result)
+        if answer.is_error():
+            return expression.Error(answer.error)
+        return expression.Ok(None)
+
+    async def read_log(
+        self, topic: store_api.Topic, offset: int, deadline: float
+    ) -> expression.Result[store_api.LogRecords, store_api.StoreError]:
+        """Return the records of a topic without keys from an offset on."""
+        path = _path(
+            '/log-read', Topic=topic.name, part=0, From=offset, WaitMs=0
+        )
+        return _log_page(await self._download(path, deadline), offset)
+
     async def join(
         self,
         group: str,
@@ -268,6 +294,23 @@
     return expression.Error(external_api.Refused(reason))
 
 
+def _log_page(
+    answer: expression.Result[httpx.Response, store_api.StoreError],
+    offset: int,
+) -> expression.Result[store_api.LogRecords, store_api.StoreError]:
+    """Decode the records of an answer that begin at an offset."""
+    if answer.is_error():
+        return expression.Error(answer.error)
+    body = answer.ok.content
+    if len(body) < _PAGE_HEADER.size:
+        return expression.Error(external_api.Ambiguous('short_answer'))
+    end, _ = _PAGE_HEADER.unpack_from(body)
+    records = tuple(_records(body))
+    return expression.Ok(
+        store_api.LogRecords(records, offset + len(records), end)
+    )
+
+
 _Kind = typing.TypeVar('_Kind')
 
 
--- a/tests/site/processes.py
+++ b/tests/site/processes.py
@@ -309,6 +309,11 @@
         self._linked_store.add(instance.process.pid)
         return instance
 
+    def start_again(self, instance: Instance) -> None:
+        """Start an instance again whose process has ended."""
+        instance.start()
+        self._linked_store.add(instance.process.pid)
+
     @classmethod
     @contextlib.asynccontextmanager
     async def running(
--- a/tests/site/store.py
+++ b/tests/site/store.py
@@ -31,6 +31,19 @@
         return self.first + len(self.records)
 
 
+@dataclasses.dataclass
+class _RawTopic:
+    """A topic without keys, whose history may be dropped."""
+
+    records: list[bytes] = dataclasses.field(default_factory=list)
+    first: int = 0
+
+    @property
+    def end(self) -> int:
+        """The offset after the last record."""
+        return self.first + len(self.records)
+
+
 @dataclasses.dataclass
 class _Group:
     """A consumer group for one partition."""
@@ -49,7 +62,9 @@
     def __init__(self) -> None:
         self.unavailable = False
         self.calls: list[str] = []
+        self.appends: list[float] = []
         self._topics: dict[str, _Topic] = {}
+        self._raw: dict[str, _RawTopic] = {}
         self._newest: dict[str, dict[str, tuple[int, bytes]]] = {}
         self._groups: dict[str, _Group] = {}
 
@@ -74,10 +89,25 @@
 
     def drop_history(self, topic: str) -> None:
         """Drop the history of a topic; the newest record of each key stays."""
+        if topic in self._raw:
+            raw = self._raw[topic]
+            raw.first, raw.records = raw.end, []
+            return
         topic_state = self._topics.setdefault(topic, _Topic())
         topic_state.first = topic_state.end
         topic_state.records = []
 
+    def raw_topics(self) -> list[str]:
+        """Return the names of the topics without keys."""
+        return list(self._raw)
+
+    def append(self, topic: str, *records: bytes) -> int:
+        """Append records to a topic without keys; return the first offset."""
+        raw = self._raw.setdefault(topic, _RawTopic())
+        offset = raw.end
+        raw.records.extend(records)
+        return offset
+
     async def handle(self, request: http.Request) -> http.Answer | None:
         """Answer a call."""
         self.calls.append(request.path)
@@ -88,6 +118,8 @@
                 return self._page(request)
             case '/log-read':
                 return await self._read(request)
+            case '/log-append':
+                return self._append(request)
             case '/log-join':
                 return self._join(request.json())
             case '/log-leave':
@@ -111,7 +143,34 @@
         end = self._topics.setdefault(topic, _Topic()).end
         return http.Answer.of({'items': items, 'HasMore': False, 'End': end})
 
+    def _append(self, request: http.Request) -> http.Answer:
+        """Append the records of a call, each with its length before it."""
+        records, position = [], 0
+        while position < len(request.body):
+            (length,) = struct.unpack_from('>I', request.body, position)
+            position += 4
+            records.append(request.body[position : position + length])
+            position += length
+        topic = request.query['Topic']
+        if topic.startswith('keyed.'):
+            return http.Answer(403)
+        self.appends.append(time.monotonic())
+        offset = self.append(topic, *records)
+        return http.Answer.of({'Offset': offset, 'End': offset + len(records)})
+
+    def _read_raw(self, request: http.Request) -> http.Answer:
+        topic = self._raw.setdefault(request.query['Topic'], _RawTopic())
+        start = int(request.query['From'])
+        if start < topic.first:
+            return http.Answer.of({'First': topic.first}, 410)
+        body = struct.pack('>QQ', topic.end, topic.first)
+        for record in topic.records[start - topic.first :]:
+            body += struct.pack('>I', len(record)) + record
+        return http.Answer(200, body)
+
     async def _read(self, request: http.Request) -> http.Answer:
+        if not request.query['Topic'].startswith('keyed.'):
+            return self._read_raw(request)
         topic = self._topics.setdefault(request.query['Topic'], _Topic())
         start = int(request.query['From'])
         until = time.monotonic() + int(request.query['WaitMs']) / 1000
--- /dev/null
+++ b/tests/site/test_all_killed.py
@@ -0,0 +1,121 @@
+"""End-to-end tests of streams whose instances are all killed at once.
+
+Nothing in the memory of an instance is left then.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from . import streams
+from . import versions
+
+_INSTANCES: typing.Final = 4
+_STREAMS: typing.Final = 24
+# Streams have run for so long when their instances are killed.
+_RUN_SECONDS: typing.Final = 1.0
+
+
+class AllKilledTest(versions.VersionsTest):
+    """All instances are killed while they pass streams on."""
+
+    async def _begin(
+        self, requesters: versions.Requesters
+    ) -> list[streams.Stream]:
+        """Begin streams at all instances."""
+        requesters.hold()
+        found: list[streams.Stream] = []
+        for instance in requesters.live:
+            count = _STREAMS // _INSTANCES
+            found += await requesters.begin(count, instance)
+        self.assert_began(found)
+        await asyncio.sleep(_RUN_SECONDS)
+        return found
+
+    async def _take_up(
+        self, requesters: versions.Requesters, found: list[streams.Stream]
+    ) -> None:
+        requesters.let_go()
+        await requesters.take_up(found, 1)
+        self.assert_one_version(found)
+        self.assert_goes_on_or_not_run(requesters, found)
+
+    async def test_refused_though_its_version_serves(self) -> None:
+        """Two versions serve before and after."""
+        async with versions.Requesters.running(
+            _INSTANCES, versions.TWO_OF_EACH
+        ) as requesters:
+            found = await self._begin(requesters)
+            self.assert_both_versions(found)
+            await requesters.kill_all(found)
+            await requesters.start_all()
+            await self._take_up(requesters, found)
+            await self.assert_floor(requesters, found)
+
+    async def test_refused_though_it_began_before_the_release(self) -> None:
+        """Servers of a new version come after the streams have begun."""
+        fleet = versions.TWO_OF_EACH
+        async with versions.Requesters.running(
+            _INSTANCES, fleet[:2]
+        ) as requesters:
+            found = await self._begin(requesters)
+            await requesters.kill_all(found)
+            for item in fleet[2:]:
+                await requesters.add_server(*item)
+            await requesters.start_all()
+            await self._take_up(requesters, found)
+            await self.assert_floor(requesters, found)
+
+    async def test_joined_after_its_version_left(self) -> None:
+        """The old servers leave just before the instances are killed."""
+        async with versions.Requesters.running(
+            _INSTANCES, versions.TWO_OF_EACH
+        ) as requesters:
+            found = await self._begin(requesters)
+            self.assert_both_versions(found)
+            for server_id in ('a1', 'a2'):
+                requesters.engine(server_id).register('draining')
+            await requesters.kill_all(found)
+            for server_id in ('a1', 'a2'):
+                requesters.leave(server_id)
+            await requesters.start_all()
+            await self._take_up(requesters, found)
+            old = [item for item in found if item.events[0][1] == versions.OLD]
+            for stream in old:
+                self.assertEqual(
+                    versions.UNAVAILABLE, stream.status, stream.story
+                )
+                self.assertLess(
+                    stream.seconds, versions.AT_ONCE_SECONDS, stream.story
+                )
+            new = [item for item in found if item not in old]
+            await self.assert_floor(requesters, new)
+
+    async def test_joined_without_history(self) -> None:
+        """The store has forgotten what it knew of the streams."""
+        async with versions.Requesters.running(
+            _INSTANCES, versions.TWO_OF_EACH
+        ) as requesters:
+            found = await self._begin(requesters)
+            await requesters.kill_all(found)
+            for topic in requesters.site.store.raw_topics():
+                requesters.site.store.drop_history(topic)
+            await requesters.start_all()
+            await self._take_up(requesters, found)
+
+    async def test_killed_twice(self) -> None:
+        """All instances are killed again while the streams go on."""
+        async with versions.Requesters.running(
+            _INSTANCES, versions.TWO_OF_EACH
+        ) as requesters:
+            found = await self._begin(requesters)
+            await requesters.kill_all(found)
+            await requesters.start_all()
+            for stream in found:
+                stream.start(requesters.rng.choice(requesters.live))
+            await asyncio.sleep(_RUN_SECONDS)
+            await requesters.kill_all(found)
+            await requesters.start_all()
+            await self._take_up(requesters, found)
+            await self.assert_floor(requesters, found)
--- a/tests/unit/fleet/test_registry.py
+++ b/tests/unit/fleet/test_registry.py
@@ -266,6 +266,19 @@
         self.assertIsNone(self._sole(11.0))
         self.assertEqual('v2', self._sole(11.5))
 
+    def test_has_several_versions(self) -> None:
+        """Versions that have left count for some time."""
+        self.assertFalse(self.registry.has_several_versions(0.0))
+        other = entries.entry('s2', service='other', version='v2')
+        self.registry.update(other, 11.0)
+        self.assertFalse(self.registry.has_several_versions(0.0))
+        newer = entries.entry('s3', version='v2')
+        self.registry.update(newer, 12.0)
+        self.assertTrue(self.registry.has_several_versions(0.0))
+        self.registry.remove('s1', 13.0)
+        self.assertTrue(self.registry.has_several_versions(13.0))
+        self.assertFalse(self.registry.has_several_versions(13.5))
+
     def test_other_version_without_another_start(self) -> None:
         """A newer entry of another version is another process's."""
         before = self.registry.get('s1')
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -15,6 +15,7 @@
 from dogwoodquay.gateway import copies
 from dogwoodquay.gateway import crashes
 from dogwoodquay.gateway import metrics
+from dogwoodquay.gateway import origin_log
 from dogwoodquay.gateway import origins
 from dogwoodquay.gateway import server_limits
 from dogwoodquay.gateway import settings
@@ -71,6 +72,15 @@
     return metrics.GatewayMetrics(metrics_module.Registry('test'))
 
 
+def make_origin_log(
+    clock: clocks.Clock, store: FakeLog | None = None
+) -> origin_log.OriginLog:
+    """Return a log of origins, in a topic of its own if none is given."""
+    return origin_log.OriginLog(
+        store or FakeLog(), clock, make_metrics(), lambda: False
+    )
+
+
 def make_crashes(clock: clocks.Clock) -> crashes.CrashWatch:
     """Return a watch of crashes that opens no connection by itself."""
     connections = client.Connections(clock)
@@ -155,6 +165,69 @@
         return self.found
 
 
+class FakeLog:
+    """A topic in memory; appends and reads may fail.
+
+    With ``late``, appends are lost to their callers and take effect later,
+    by :meth:`apply_late`.
+    """
+
+    def __init__(self) -> None:
+        self.records: list[bytes] = []
+        self.first_offset = 0
+        self.page_records = 1000
+        self.unavailable = False
+        self.late = False
+        self.appends = 0
+        self.reads = 0
+        self.late_records: list[bytes] = []
+        # Unset while answers to reads are on their way.
+        self.answers = anyio.Event()
+        self.answers.set()
+
+    def trim(self) -> None:
+        """Drop all records."""
+        self.first_offset += len(self.records)
+        self.records = []
+
+    def apply_late(self) -> None:
+        """Append what was lost to its callers, the last one first."""
+        self.records.extend(reversed(self.late_records))
+        self.late_records = []
+
+    async def append(
+        self, topic: store_api.Topic, record: bytes, deadline: float
+    ) -> expression.Result[None, store_api.StoreError]:
+        """Append a record."""
+        self.appends += 1
+        await anyio.lowlevel.checkpoint()
+        if self.unavailable:
+            return expression.Error(external_api.Unavailable('status_503'))
+        if self.late:
+            self.late_records.append(record)
+            return expression.Error(external_api.Ambiguous('timeout'))
+        self.records.append(record)
+        return expression.Ok(None)
+
+    async def read_log(
+        self, topic: store_api.Topic, offset: int, deadline: float
+    ) -> expression.Result[store_api.LogRecords, store_api.StoreError]:
+        """Return records as they are when the read begins."""
+        self.reads += 1
+        if self.unavailable:
+            return expression.Error(external_api.Unavailable('status_503'))
+        if offset < self.first_offset:
+            return expression.Error(external_api.Trimmed(self.first_offset))
+        start = offset - self.first_offset
+        found = tuple(self.records[start : start + self.page_records])
+        end = self.first_offset + len(self.records)
+        await self.answers.wait()
+        await anyio.lowlevel.checkpoint()
+        return expression.Ok(
+            store_api.LogRecords(found, offset + len(found), end)
+        )
+
+
 class FakeServerList:
     """The reads of the list; ``on_read`` is called by each."""
 
--- a/tests/unit/gateway/peer_network.py
+++ b/tests/unit/gateway/peer_network.py
@@ -33,6 +33,7 @@
         self.frozen: set[int] = set()
         self.old: set[int] = set()
         self.requests: list[tuple[int, wire_api.Message]] = []
+        self.log = fakes.FakeLog()
 
     async def call(
         self, port: int, message: wire_api.Message, deadline: float
@@ -112,19 +113,26 @@
             f'front-{number}@127.0.0.1:{self.port}', f'd{number % domains}'
         )
         self.metrics = fakes.make_metrics()
+        self.log = fakes.make_origin_log(network.clock, network.log)
         self.origins = origins.StreamOrigins(
             _Transport(network, self.port),
             self.row.member,
             self.row.failure_domain,
             network.clock,
             self.metrics,
+            self.log,
         )
 
 
 @contextlib.asynccontextmanager
-async def running(*instances: Instance) -> abc.AsyncIterator[None]:
-    """Run instances that know each other until the context is left."""
-    roster = tuple(instance.row for instance in instances)
+async def running(
+    *instances: Instance, roster_of: tuple[Instance, ...] = ()
+) -> abc.AsyncIterator[None]:
+    """Run instances that know each other until the context is left.
+
+    :param roster_of: further instances that they know, which do not run.
+    """
+    roster = tuple(instance.row for instance in (*instances, *roster_of))
     async with anyio.create_task_group() as tasks:
         for instance in instances:
             instance.origins.update_roster(roster)
--- a/tests/unit/gateway/test_batches.py
+++ b/tests/unit/gateway/test_batches.py
@@ -28,9 +28,9 @@
 
     @contextlib.asynccontextmanager
     async def _running(
-        self, in_flight: int = 1
+        self, in_flight: int = 1, gather_seconds: float = 0.0
     ) -> abc.AsyncIterator[batches.PeerBatches[int]]:
-        subject = batches.PeerBatches(self._send, in_flight)
+        subject = batches.PeerBatches(self._send, in_flight, gather_seconds)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(subject.run)
             await anyio.wait_all_tasks_blocked()
@@ -51,6 +51,18 @@
             await anyio.wait_all_tasks_blocked()
             self.assertEqual(('a', (1, 2, 3, 4)), self.sent[-1])
 
+    async def test_gathers_before_the_first(self) -> None:
+        """Items that follow each other go into one batch."""
+        self.gate.set()
+        async with self._running(gather_seconds=0.01) as subject:
+            for item in range(5):
+                subject.put('a', item)
+                await anyio.wait_all_tasks_blocked()
+            self.assertEqual([], self.sent)
+            while not self.sent:
+                await anyio.sleep(0.005)
+            self.assertEqual([('a', (0, 1, 2, 3, 4))], self.sent)
+
     async def test_large_batches_are_split(self) -> None:
         """A batch has a limited number of items; all are sent in order."""
         self.gate.set()
--- a/tests/unit/gateway/test_holders.py
+++ b/tests/unit/gateway/test_holders.py
@@ -153,6 +153,26 @@
         self.assertEqual([], order.asked('id', 'front-1'))
         self.assertEqual([], order.candidates('id', 'front-1', 'd1'))
 
+    def test_writers(self) -> None:
+        """Few instances write, the same ones for all rosters of a size."""
+        for count, most in ((1, 1), (6, 1), (31, 1), (195, 7), (690, 22)):
+            order, other = _order(_roster(count)), _order(_roster(count))
+            first = collections.Counter(
+                order.writers(f'id-{number}')[0] for number in range(4000)
+            )
+            self.assertLessEqual(len(first), most)
+            self.assertLess(most / 2, len(first))
+            self.assertEqual(order.writers('id-7'), other.writers('id-7'))
+        self.assertEqual((), _order(()).writers('id-7'))
+
+    def test_writers_of_another_roster(self) -> None:
+        """A new roster replaces the writers."""
+        order = _order(_roster(6))
+        writer, *_ = order.writers('id-7')
+        rest = tuple(r for r in _roster(6) if r.member != writer)
+        order.update(rest)
+        self.assertNotIn(writer, order.writers('id-7'))
+
     def test_unpaired_surrogate(self) -> None:
         """An identifier that is no valid text has holders as well."""
         self.assertNotEqual([], _order(_roster(3)).asked('\udc80', ''))
--- a/tests/unit/gateway/test_origins.py
+++ b/tests/unit/gateway/test_origins.py
@@ -416,7 +416,11 @@
             )
             subjects = [
                 origins.StreamOrigins(
-                    peer, *_fields(row), clock, fakes.make_metrics()
+                    peer,
+                    *_fields(row),
+                    clock,
+                    fakes.make_metrics(),
+                    fakes.make_origin_log(clock),
                 )
                 for peer, row in zip(peers[:3], rows[:3], strict=True)
             ]
@@ -449,7 +453,11 @@
             )
             holder, finder = (
                 origins.StreamOrigins(
-                    peer, *_fields(row), clock, fakes.make_metrics()
+                    peer,
+                    *_fields(row),
+                    clock,
+                    fakes.make_metrics(),
+                    fakes.make_origin_log(clock),
                 )
                 for peer, row in zip(peers, rows, strict=True)
             )
--- a/tests/unit/gateway/test_peering.py
+++ b/tests/unit/gateway/test_peering.py
@@ -145,6 +145,7 @@
             settings.failure_domain,
             clock,
             metrics,
+            fakes.make_origin_log(clock),
         )
         self.peering = peering.Peering(
             transport,
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -22,6 +22,7 @@
     from collections import abc
 
 TOPIC = store_api.Topic('keyed.any')
+LOG_TOPIC = store_api.Topic('any')
 ADDRESS = settings.Address('192.0.2.1', 1)
 
 
@@ -32,12 +33,29 @@
         self._responses = list(responses)
         self.queries: list[dict[str, str]] = []
         self.deadlines: list[float] = []
+        self.bodies: list[bytes] = []
         self.time = 100.0
 
     def now(self) -> float:
         """Return the time, a second later after each download."""
         return self.time
 
+    async def fetch(
+        self,
+        address: str,
+        port: int,
+        method: str,
+        path: str,
+        deadline: float,
+        body: bytes = b'',
+        headers: client.Headers = (),
+    ) -> expression.Result[httpx.Response, client.SendError]:
+        """Return the next response."""
+        self.bodies.append(body)
+        query = urllib.parse.urlsplit(path).query
+        self.queries.append(dict(urllib.parse.parse_qsl(query)))
+        return expression.Ok(self._responses.pop(0))
+
     async def download(
         self,
         address: str,
@@ -78,6 +96,43 @@
     return httpx.Response(200, content=json.dumps(fields).encode())
 
 
+class LogTest(unittest.IsolatedAsyncioTestCase):
+    """Topics without keys hold records as they are."""
+
+    async def test_append(self) -> None:
+        """A record is sent with its length before it."""
+        connections = _Connections(httpx.Response(200, content=b'{}'))
+        answer = await _store(connections).append(LOG_TOPIC, b'abc', 9.0)
+        self.assertTrue(answer.is_ok())
+        self.assertEqual([b'\x00\x00\x00\x03abc'], connections.bodies)
+        self.assertEqual([{'Topic': 'any', 'part': '0'}], connections.queries)
+
+    async def test_append_refused(self) -> None:
+        """The store turns the caller away and has done nothing."""
+        connections = _Connections(httpx.Response(503))
+        answer = await _store(connections).append(LOG_TOPIC, b'abc', 9.0)
+        self.assertEqual(external_api.Unavailable('status_503'), answer.error)
+
+    async def test_read(self) -> None:
+        """Records are returned whole; the end tells of more."""
+        body = struct.pack('>QQ', 7, 2) + b'\x00\x00\x00\x03\x01ab'
+        body += b'\x00\x00\x00\x00'
+        connections = _Connections(httpx.Response(200, content=body))
+        page = (await _store(connections).read_log(LOG_TOPIC, 4, 9.0)).ok
+        self.assertEqual(store_api.LogRecords((b'\x01ab', b''), 6, 7), page)
+        self.assertEqual(
+            [{'Topic': 'any', 'part': '0', 'From': '4', 'WaitMs': '0'}],
+            connections.queries,
+        )
+
+    async def test_read_expired(self) -> None:
+        """The error names the oldest record that is left."""
+        response = httpx.Response(410, content=b'{"First": 12}')
+        store_ = _store(_Connections(response))
+        answer = await store_.read_log(LOG_TOPIC, 4, 9.0)
+        self.assertEqual(external_api.Trimmed(12), answer.error)
+
+
 class ReadTest(unittest.IsolatedAsyncioTestCase):
     """Reads tell of records that they do not contain."""
 
