Write records to the log sooner while a service has several versions

Change: an append each 0.05 s and no gathering while a service has several versions, each 0.2 s and 0.05 s otherwise; a writer for 64 instances.

--- a/src/dogwoodquay/gateway/batches.py
+++ b/src/dogwoodquay/gateway/batches.py
@@ -24,14 +24,14 @@
 
     :param send: sends a batch to a peer and raises nothing.
     :param in_flight: the most batches in flight to a peer.
-    :param gather_seconds: how long a batch waits for further items.
+    :param gather_seconds: returns how long a batch waits for further items.
     """
 
     def __init__(
         self,
         send: abc.Callable[[str, tuple[_Item, ...]], abc.Awaitable[None]],
         in_flight: int,
-        gather_seconds: float = 0.0,
+        gather_seconds: abc.Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._gather_seconds = gather_seconds
         self._send = send
@@ -74,8 +74,9 @@
         """Send what is queued for a peer, and what comes meanwhile."""
         queue = self._queues.get(peer, collections.deque())
         while queue:
-            if self._gather_seconds:
-                await anyio.sleep(self._gather_seconds)
+            seconds = self._gather_seconds()
+            if seconds:
+                await anyio.sleep(seconds)
             size = min(len(queue), MAX_BATCH_ITEMS)
             batch = tuple(queue.popleft() for _ in range(size))
             await self._send(peer, batch)
--- a/src/dogwoodquay/gateway/holders.py
+++ b/src/dogwoodquay/gateway/holders.py
@@ -23,7 +23,7 @@
 
 # Each of so many instances and slots shares an instance that writes their
 # records to the log.
-INSTANCES_PER_WRITER: typing.Final = 32
+INSTANCES_PER_WRITER: typing.Final = 64
 # The instances that are considered as a writer, one after the other.
 WRITERS: typing.Final = 3
 
--- a/src/dogwoodquay/gateway/origin_log.py
+++ b/src/dogwoodquay/gateway/origin_log.py
@@ -29,8 +29,10 @@
 
 TOPIC: typing.Final = store_api.Topic('stream-origins')
 # The time between two appends, and while a service has several versions.
-INTERVAL_SECONDS: typing.Final = 0.5
-SHORT_INTERVAL_SECONDS: typing.Final = 0.2
+INTERVAL_SECONDS: typing.Final = 0.2
+SHORT_INTERVAL_SECONDS: typing.Final = 0.05
+# Whether records are urgent is determined anew after this time.
+URGENT_SECONDS: typing.Final = 0.25
 APPEND_TIMEOUT_SECONDS: typing.Final = 1.0
 # After a call that failed, the next one waits for so long.
 BACKOFF_SECONDS: typing.Final = 0.5
@@ -67,6 +69,8 @@
         self._clock = clock
         self._metrics = metrics
         self._several_versions = several_versions
+        self._urgent = False
+        self._urgent_until = float('-inf')
         self._pending: dict[str, messages.OriginRow] = {}
         self._put = anyio.Event()
         self._appended_at = float('-inf')
@@ -77,6 +81,18 @@
         self._complete_read = 0
         self._read_failed_at = float('-inf')
 
+    @property
+    def urgent(self) -> bool:
+        """Whether a service has had several versions lately.
+
+        Otherwise the list of servers tells in time what the log does not.
+        """
+        now = self._clock.now()
+        if now >= self._urgent_until:
+            self._urgent = self._several_versions()
+            self._urgent_until = now + URGENT_SECONDS
+        return self._urgent
+
     def put(self, row: messages.OriginRow) -> None:
         """Append the origin of a stream soon."""
         if len(self._pending) >= MAX_PENDING:
@@ -91,7 +107,7 @@
                 self._put = anyio.Event()
                 await self._put.wait()
             seconds = INTERVAL_SECONDS
-            if self._several_versions():
+            if self.urgent:
                 seconds = SHORT_INTERVAL_SECONDS
             due = self._appended_at + seconds
             await anyio.sleep(max(0.0, due - self._clock.now()))
--- a/src/dogwoodquay/gateway/origins.py
+++ b/src/dogwoodquay/gateway/origins.py
@@ -33,8 +33,9 @@
 KEEP_TIMEOUT_SECONDS: typing.Final = 0.1
 # A peer that kept no record in that time is given none for so long.
 PASS_OVER_SECONDS: typing.Final = 1.0
-# Records gather for so long before they are sent to a writer.
-GATHER_SECONDS: typing.Final = 0.1
+# Records gather for so long before they are sent to a writer, unless a
+# service has several versions.
+GATHER_SECONDS: typing.Final = 0.05
 WRITER_TIMEOUT_SECONDS: typing.Final = 0.3
 FIND_TIMEOUT_SECONDS: typing.Final = 0.3
 # Lookups are not held up by earlier ones that a peer has not answered.
@@ -104,7 +105,7 @@
         self._keeps = batches.PeerBatches(self._send_records, in_flight=1)
         self._finds = batches.PeerBatches(self._send_lookups, FIND_BATCHES)
         self._writes = batches.PeerBatches(
-            self._send_to_writer, 1, GATHER_SECONDS
+            self._send_to_writer, 1, self._gather_seconds
         )
         self._leaving = False
         self._roster_known = False
@@ -298,6 +299,9 @@
         for record in (*records, *self._keeps.take_queued(peer)):
             self._send_copy(record)
 
+    def _gather_seconds(self) -> float:
+        return 0.0 if self._log.urgent else GATHER_SECONDS
+
     def _write(self, row: messages.OriginRow) -> None:
         """Have a record written to the log, here if no writer is reached."""
         for member in self._order.writers(row.stream_id):
--- a/tests/unit/gateway/test_origin_log.py
+++ b/tests/unit/gateway/test_origin_log.py
@@ -219,6 +219,22 @@
         self.assertEqual(2, self.store.appends)
         self.assertEqual((ORIGIN,), await self.found('299'))
 
+    async def test_several_versions(self) -> None:
+        """What comes while there are several versions waits for less."""
+        self.several = True
+        async with self._running():
+            self.writer.put(_row('a'))
+            await anyio.wait_all_tasks_blocked()
+            self.clock.advance(origin_log.SHORT_INTERVAL_SECONDS)
+            self.writer.put(_row('b'))
+            await anyio.wait_all_tasks_blocked()
+            self.assertEqual(2, self.store.appends)
+            self.assertTrue(self.writer.urgent)
+            self.several = False
+            self.assertTrue(self.writer.urgent)
+            self.clock.advance(origin_log.URGENT_SECONDS)
+            self.assertFalse(self.writer.urgent)
+
     async def test_lost_answer(self) -> None:
         """What may not have been appended is appended again."""
         self.store.late = True
