--- /dev/null
+++ b/bench/residency/__init__.py
@@ -0,0 +1,1 @@
+"""Compares ways to give out the places of engines to models."""
--- /dev/null
+++ b/tests/unit/residency_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ``bench.policy``."""
