--- a/src/dogwoodquay/external/http/client.py
+++ b/src/dogwoodquay/external/http/client.py
@@ -369,7 +369,10 @@
 
 
 def bar(response: httpx.Response, request_id: str) -> None:
-    """Not use the connection of a response for a request again."""
+    """Keep the connection of a response from being used for a request again.
+
+    It stays in use for other requests.
+    """
     response.extensions[_BARRED_KEY] = request_id
 
 
--- a/src/dogwoodquay/gateway/holders.py
+++ b/src/dogwoodquay/gateway/holders.py
@@ -21,8 +21,7 @@
 # Of these instances, those that answer are given a record.
 CANDIDATES: typing.Final = 5
 
-# Each of so many instances and slots shares an instance that writes their
-# records to the log.
+# There is one writer of records to the log for so many instances.
 INSTANCES_PER_WRITER: typing.Final = 64
 # The instances that are considered as a writer, one after the other.
 WRITERS: typing.Final = 3
--- a/src/dogwoodquay/gateway/origin_log.py
+++ b/src/dogwoodquay/gateway/origin_log.py
@@ -62,8 +62,8 @@
     ) -> None:
         """Create a client of the log.
 
-        :param several_versions: whether streams of several versions of a
-            service may exist, which makes records urgent.
+        :param several_versions: returns whether streams of several versions
+            of a service may exist.
         """
         self._store = store
         self._clock = clock
@@ -85,7 +85,8 @@
     def urgent(self) -> bool:
         """Whether a service has had several versions lately.
 
-        Otherwise the list of servers tells in time what the log does not.
+        The list of servers does not tell then where a stream began, so that
+        records are appended at short intervals.
         """
         now = self._clock.now()
         if now >= self._urgent_until:
