Test streams whose callers' connections are reset

Cause: the large site's story: a call broken by a reset comes again at an instance of another zone; work once, nothing shown twice.

--- a/tests/site/http.py
+++ b/tests/site/http.py
@@ -13,7 +13,7 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
-__all__ = ['Answer', 'HttpServer', 'Request', 'Reset']
+__all__ = ['Answer', 'HttpServer', 'Request', 'Reset', 'reset']
 
 
 class Reset(Exception):
@@ -83,6 +83,7 @@
         self._handle = handle
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._readers: dict[int, asyncio.StreamReader] = {}
         self._port = 0
 
     @property
@@ -95,6 +96,14 @@
         """The port of the listener, zero before the start."""
         return self._port
 
+    def is_closed(self, peer_port: int) -> bool:
+        """Whether a client has closed its end of a connection.
+
+        :param peer_port: the port of the client's end.
+        """
+        reader = self._readers.get(peer_port)
+        return reader is None or reader.at_eof() or bool(reader.exception())
+
     async def start(self) -> None:
         """Start listening; after a stop, on the same port as before."""
         self._server = await asyncio.start_server(
@@ -114,6 +123,7 @@
     ) -> None:
         self._writers.add(writer)
         peer_port = int(writer.get_extra_info('peername')[1])
+        self._readers[peer_port] = reader
         try:
             with contextlib.suppress(*_ENDED):
                 while True:
@@ -126,13 +136,14 @@
                     if answer.unframed:
                         break
         except Reset:
-            _reset(writer)
+            reset(writer)
         finally:
             self._writers.discard(writer)
+            self._readers.pop(peer_port, None)
             writer.close()
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
+def reset(writer: asyncio.StreamWriter) -> None:
     """Close a connection with a reset, not with its regular end."""
     connection = typing.cast('socket.socket', writer.get_extra_info('socket'))
     linger = struct.pack('ii', 1, 0)
--- a/tests/site/server.py
+++ b/tests/site/server.py
@@ -110,6 +110,7 @@
         self.repeats_refusals = False
         self.repeated_refusals = 0
         self.failures: dict[str, int] = {}
+        self._peer_ports: dict[str, int] = {}
         self.order_sources: list[tuple[str, int]] = []
         self.events = 4
         self.event_seconds = 0.01
@@ -182,6 +183,10 @@
         """Send nothing on any connection for some time."""
         self._silent_until = time.monotonic() + seconds
 
+    def is_abandoned(self, attempt: str) -> bool:
+        """Whether the connection of an attempt has been closed."""
+        return self.http.is_closed(self._peer_ports[attempt])
+
     def hold(self) -> None:
         """Hold each stream after its first event from this server."""
         self._flowing.clear()
@@ -242,6 +247,7 @@
         if attempt in self.refusals:
             return self._refuse_once(request, attempt)
         self.executed_attempts.append(attempt)
+        self._peer_ports[attempt] = request.peer_port
         answer = await self._execute(request, attempt, model)
         earlier = self._refused.get(request.peer_port)
         if not self.repeats_refusals or earlier is None:
--- a/tests/site/streams.py
+++ b/tests/site/streams.py
@@ -7,6 +7,7 @@
 import time
 import typing
 
+from . import http
 from . import processes
 
 if typing.TYPE_CHECKING:
@@ -38,6 +39,7 @@
         self._limit_seconds = limit_seconds
         self._retry_after = 0.0
         self._task: asyncio.Task[None] | None = None
+        self._writer: asyncio.StreamWriter | None = None
 
     @property
     def versions(self) -> set[str]:
@@ -87,6 +89,13 @@
         assert self._task is not None
         await self._task
 
+    async def reset(self) -> None:
+        """Reset the connection of the newest attempt unless it has ended."""
+        assert self._task is not None
+        if self._writer is not None and not self._task.done():
+            http.reset(self._writer)
+        await self.ended()
+
     async def take_up(
         self, instances: abc.Iterable[processes.Instance]
     ) -> None:
@@ -123,6 +132,7 @@
 
     async def _exchange(self, port: int, head: bytes, attempt: str) -> None:
         reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        self._writer = writer
         try:
             writer.write(head)
             lines = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
