Test that a replica without waiting requests unloads no only replica; it fails

Result: fails: e2 unloads rare1 (0.05 a second, its only replica) for a second replica of hot (24 of 64 slots in use).

--- a/tests/unit/residency/test_planner.py
+++ b/tests/unit/residency/test_planner.py
@@ -367,3 +367,22 @@
         ):
             found = settings.replica_share(served.NO_DEMAND, limit, models, 64)
             self.assertAlmostEqual(share, found)
+
+
+class LastReplicaTest(unittest.TestCase):
+    """A further replica is no reason to unload a model's only one."""
+
+    def test_unloaded_for_a_replica_that_nobody_waits_for(self) -> None:
+        """Engines have slots free, and the other model is asked for."""
+        engine_list = [
+            engines.engine('e1', 'hot', 'warm'),
+            engines.engine('e2', 'rare1', 'rare2'),
+        ]
+        demand = {
+            'hot': Demand(30.0, 24, 0, 0.0),
+            'warm': Demand(1.0, 1, 0, 0.0),
+            'rare1': Demand(0.05, 0, 0, 0.0),
+            'rare2': Demand(0.05, 0, 0, 0.0),
+        }
+        orders = _plan(planner.ModelPlanner(), engine_list, demand)
+        self.assertEqual([], orders)
