--- a/bench/residency/policies.py
+++ b/bench/residency/policies.py
@@ -171,6 +171,14 @@
     )
 
 
+class _Swap(typing.NamedTuple):
+    """A model that would lose its place at an engine to another one."""
+
+    engine: worlds.Engine
+    victim: str
+    model: str
+
+
 class _OnDemand:
     """Loads what requests wait for, the longest waiting first."""
 
@@ -215,19 +223,13 @@
         if engine.free > 0:
             return float('-inf'), number, ''
         losses = [
-            (self.loss(world, engine, name, model), number, name)
+            (self.loss(world, _Swap(engine, name, model)), number, name)
             for name in sorted(engine.models)
         ]
         least = min(losses)
         return least if least[0] < float('inf') else None
 
-    def loss(
-        self,
-        world: worlds.World,
-        engine: worlds.Engine,
-        victim: str,
-        model: str,
-    ) -> float:
+    def loss(self, world: worlds.World, swap: _Swap) -> float:
         """Return the loss of a swap, infinite if it must not be."""
         raise NotImplementedError
 
@@ -248,17 +250,11 @@
         """Record the time of a model's last request."""
         self._used_at[request.model] = request.at
 
-    def loss(
-        self,
-        world: worlds.World,
-        engine: worlds.Engine,
-        victim: str,
-        model: str,
-    ) -> float:
+    def loss(self, world: worlds.World, swap: _Swap) -> float:
         """Return when the victim was used last; one of several goes first."""
-        if len(world.holders(victim)) > 1:
+        if len(world.holders(swap.victim)) > 1:
             return -1.0
-        return self._used_at.get(victim, 0.0)
+        return self._used_at.get(swap.victim, 0.0)
 
 
 class GreedyDual(LeastRecentlyUsed):
@@ -279,17 +275,11 @@
         value = self._age + self._counts[request.model] * cost
         self._values[request.model] = value
 
-    def loss(
-        self,
-        world: worlds.World,
-        engine: worlds.Engine,
-        victim: str,
-        model: str,
-    ) -> float:
+    def loss(self, world: worlds.World, swap: _Swap) -> float:
         """Return the value of the victim; one of several goes first."""
-        if len(world.holders(victim)) > 1:
+        if len(world.holders(swap.victim)) > 1:
             return -1.0
-        return self._values.get(victim, 0.0)
+        return self._values.get(swap.victim, 0.0)
 
     def on_unload(self, engine: worlds.Engine, victim: str) -> None:
         """Age all models by the value of the one that goes."""
@@ -312,25 +302,19 @@
         for request in requests:
             self._times[request.model].append(request.at)
 
-    def loss(
-        self,
-        world: worlds.World,
-        engine: worlds.Engine,
-        victim: str,
-        model: str,
-    ) -> float:
+    def loss(self, world: worlds.World, swap: _Swap) -> float:
         """Return the requests lost less those gained."""
         shape = world.shape
         seconds = shape.load_seconds
-        if model in engine.on_disk:
+        if swap.model in swap.engine.on_disk:
             seconds = shape.disk_seconds
         ready_at = world.now + seconds
         until = ready_at + self.HORIZON_LOADS * shape.load_seconds
         lost = 0
-        if len(world.holders(victim)) == 1:
-            lost = self._count(victim, world.now, until)
+        if len(world.holders(swap.victim)) == 1:
+            lost = self._count(swap.victim, world.now, until)
         oldest = ready_at - shape.patience_seconds
-        gained = self._count(model, oldest, until)
+        gained = self._count(swap.model, oldest, until)
         return lost - gained if lost < gained else float('inf')
 
     def _count(self, model: str, since: float, until: float) -> int:
