Let no test of batches depend on how fast the machine is

Cause: read-through: two unit tests would fail if the machine stood still for 10 ms or 0.2 s between two steps. Change: the sleep of a batch is replaced by an event of the test, and the interval of appends is an hour in the test that counts them.

--- a/tests/unit/gateway/test_batches.py
+++ b/tests/unit/gateway/test_batches.py
@@ -5,6 +5,7 @@
 import contextlib
 import typing
 import unittest
+from unittest import mock
 
 import anyio
 
@@ -56,14 +57,22 @@
     async def test_gathers_before_the_first(self) -> None:
         """Items that follow each other go into one batch."""
         self.gate.set()
-        async with self._running(gather_seconds=0.01) as subject:
-            for item in range(5):
-                subject.put('a', item)
+        gathered = anyio.Event()
+        waits: list[float] = []
+
+        async def sleep(seconds: float) -> None:
+            waits.append(seconds)
+            await gathered.wait()
+
+        with mock.patch.object(batches.anyio, 'sleep', sleep):
+            async with self._running(gather_seconds=0.25) as subject:
+                for item in range(5):
+                    subject.put('a', item)
+                    await anyio.wait_all_tasks_blocked()
+                self.assertEqual(([0.25], []), (waits, self.sent))
+                gathered.set()
                 await anyio.wait_all_tasks_blocked()
-            self.assertEqual([], self.sent)
-            while not self.sent:
-                await anyio.sleep(0.005)
-            self.assertEqual([('a', (0, 1, 2, 3, 4))], self.sent)
+        self.assertEqual([('a', (0, 1, 2, 3, 4))], self.sent)
 
     async def test_large_batches_are_split(self) -> None:
         """A batch has a limited number of items; all are sent in order."""
--- a/tests/unit/gateway/test_origin_log.py
+++ b/tests/unit/gateway/test_origin_log.py
@@ -210,11 +210,12 @@
 
     async def test_batches(self) -> None:
         """What comes within the interval waits for its end."""
-        async with self._running():
-            for number in range(300):
-                self.writer.put(_row(f'{number}'))
-                await anyio.wait_all_tasks_blocked()
-            self.assertEqual(1, self.store.appends)
+        with mock.patch.object(origin_log, 'INTERVAL_SECONDS', 3600.0):
+            async with self._running():
+                for number in range(300):
+                    self.writer.put(_row(f'{number}'))
+                    await anyio.wait_all_tasks_blocked()
+                self.assertEqual(1, self.store.appends)
         await self.writer.flush(DEADLINE)
         self.assertEqual(2, self.store.appends)
         self.assertEqual((ORIGIN,), await self.found('299'))
