--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,6 +17,8 @@
 SPOILED_ANSWERS = 50
 CLIENTS = 6
 SECONDS = 20.0
+# So long some servers spoil answers; `garble` lasts 5 s by default.
+SPOIL_SECONDS = 5.0
 MODEL = 'm0'
 EVENTS = 12
 # A server sends the events that have gathered since its last piece.
@@ -79,9 +81,11 @@
             server.spoils = True
             site.note(f'{server.name} spoils 1 in {SPOILED_ANSWERS} answers')
     until = time.monotonic() + SECONDS
+    ending = asyncio.create_task(_end_spoiling(site))
     counts = await asyncio.gather(
         *(_client(site, number, until) for number in range(CLIENTS))
     )
+    await ending
     sent = sum(item[0] for item in counts)
     wrong = sum(item[1] for item in counts)
     spoiled = sum(server.spoiled for server in site.servers)
@@ -94,6 +98,13 @@
     return bool(wrong)
 
 
+async def _end_spoiling(site: sites.Site) -> None:
+    await asyncio.sleep(SPOIL_SECONDS)
+    for server in site.servers:
+        server.spoils = False
+    site.note('no more answers are spoiled')
+
+
 async def _client(
     site: sites.Site, number: int, until: float
 ) -> tuple[int, int]:
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import time
 
 from standin import site as sites
@@ -11,8 +12,11 @@
 # The copy is older than this when the store comes back from it.
 COPY_SECONDS = 4.0
 AWAY_SECONDS = 2.0
-# The operator tries again at this interval while the store is away.
-OPERATOR_SECONDS = 0.01
+# The operator sends the next version so long after it has written the newest
+# one again. Both have to come before any machine asks the store again.
+OPERATOR_SECONDS = float(os.environ.get('OPERATOR_SECONDS', '0.01'))
+# Whether the operator writes each lost version again, not just the newest one.
+EACH_VERSION = os.environ.get('EACH_VERSION', '0') == '1'
 JUDGED_SECONDS = 6.0
 
 
@@ -51,6 +55,8 @@
         # What the operator and the servers wrote is written again.
         for server in site.servers:
             server.write_entry()
+        if EACH_VERSION:
+            site.write_manifest(_manifest(2, 'old-desk'))
         site.write_manifest(_manifest(3, 'old-desk'))
         await asyncio.sleep(OPERATOR_SECONDS)
     else:
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,6 +9,7 @@
 from standin import site as sites
 
 GATEWAYS = 3
+SERVERS = 7
 # Not JSON: it ends within its brackets. About 3 KB of the 256 KB of a record.
 UNREADABLE = b'{"Service":"desk","Labels":' + b'[' * 3000
 # A server that leaves serves on for DrainMs and a little longer.
@@ -26,7 +27,8 @@
         )
     )
     leaving = await site.add_server('desk-1', 'desk')
-    await site.add_server('desk-2', 'desk')
+    for number in range(2, SERVERS + 1):
+        await site.add_server(f'desk-{number}', 'desk')
     await site.start_gateways(GATEWAYS)
     sending = asyncio.create_task(_send(site))
     await asyncio.sleep(4.0)
