Pass on the sound events before a broken one in the same bytes

Callers got streams, 200 and complete, that lacked an event (ORDER).

Cause: EventSplitter.feed moved last_event on with each event that it checked and raised at the first broken one before it returned any. The next server was told to go on after events that the caller never got. The same loss came from a hand-over to another server while the origin of a stream is recorded.

Change: feed returns the sound events with the fault behind them; last_event moves when events are passed on, and not when they are checked.

--- a/src/dogwoodquay/gateway/events.py
+++ b/src/dogwoodquay/gateway/events.py
@@ -6,7 +6,7 @@
 
 from . import api
 
-__all__ = ['BrokenStream', 'EventSplitter']
+__all__ = ['BrokenStream', 'EventSplitter', 'Events']
 
 MAX_EVENT_BYTES: typing.Final = 1 << 20
 _SEPARATOR: typing.Final = b'\n\n'
@@ -17,15 +17,27 @@
     """Events are missing, repeated or malformed."""
 
 
+class Events(typing.NamedTuple):
+    """Complete events that may be passed on.
+
+    ``last_event`` is the id of the last one. ``fault`` is why the event after
+    them breaks the stream, empty if it does not.
+    """
+
+    data: bytes
+    last_event: int
+    fault: str = ''
+
+
 class EventSplitter:
-    """Passes on complete events, whose ids have to be consecutive.
+    """Separates complete events, whose ids have to be consecutive.
 
     :param last_event: the id of the last event that the caller received.
     """
 
     def __init__(self, last_event: int) -> None:
         self._last_event = last_event
-        self._strict = last_event != api.NO_EVENT
+        self._checked_event = last_event
         self._tail = bytearray()
 
     @property
@@ -44,37 +56,52 @@
         return len(self._tail)
 
     def restart(self) -> None:
-        """Drop an incomplete event before the next connection's events."""
+        """Expect the event after the last one passed on.
+
+        Events of the connection before that were not passed on are dropped.
+        """
         self._tail = bytearray()
+        self._checked_event = self._last_event
 
-    def feed(self, chunk: bytes) -> bytes:
+    def feed(self, chunk: bytes) -> Events:
         """Return the complete events up to the end of a chunk.
 
-        :raises BrokenStream: if an event is out of order or malformed.
+        Those before a broken event are returned with the fault, as a stream
+        goes on after the last event passed on.
         """
         # Only what is new is searched, as an event may come in many chunks.
         searched = max(0, len(self._tail) - 1)
         self._tail += chunk
         end = self._tail.rfind(_SEPARATOR, searched)
         if end < 0:
+            fault = ''
             if len(self._tail) > MAX_EVENT_BYTES:
-                raise BrokenStream('event_too_large')
-            return b''
+                fault = 'event_too_large'
+            return Events(b'', self._checked_event, fault)
         end += len(_SEPARATOR)
-        events = bytes(self._tail[:end])
+        data = bytes(self._tail[:end])
         del self._tail[:end]
-        for event in events.split(_SEPARATOR)[:-1]:
-            self._check(event)
-        return events
+        sound_bytes = 0
+        try:
+            for event in data.split(_SEPARATOR)[:-1]:
+                self._check(event)
+                sound_bytes += len(event) + len(_SEPARATOR)
+        except BrokenStream as error:
+            return Events(data[:sound_bytes], self._checked_event, str(error))
+        return Events(data, self._checked_event)
+
+    def mark_passed_on(self, events: Events) -> None:
+        """Record that events are passed on to the caller."""
+        self._last_event = events.last_event
 
     def _check(self, event: bytes) -> None:
         number = _event_id(event)
         if number is None:
             return
-        if self._strict and number != self._last_event + 1:
+        last = self._checked_event
+        if last != api.NO_EVENT and number != last + 1:
             raise BrokenStream('event_out_of_order')
-        self._strict = True
-        self._last_event = number
+        self._checked_event = number
 
 
 def _event_id(event: bytes) -> int | None:
--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -238,10 +238,14 @@
                 relay.trace.on_bytes(self._clock.now())
                 whole = relay.splitter.feed(chunk)
                 share.resize(relay.splitter.partial_bytes)
-                if whole:
+                if whole.data:
                     await progress.on_part()
                     await relay.start(response.status_code, headers)
-                    await relay.send(whole)
+                    # A hand-over may have ended the attempt before this.
+                    relay.splitter.mark_passed_on(whole)
+                    await relay.send(whole.data)
+                if whole.fault:
+                    raise events.BrokenStream(whole.fault)
                 progress.on_waiting(self._clock.now())
         if relay.splitter.partial:
             raise events.BrokenStream('event_cut')
--- a/tests/unit/gateway/test_events.py
+++ b/tests/unit/gateway/test_events.py
@@ -15,6 +15,14 @@
     return b'weight-versions: 2\nid: %d\ndata: x\n\n' % number
 
 
+def _pass_on(splitter: events.EventSplitter, chunk: bytes) -> bytes:
+    """Pass on the events of a chunk, which break no stream."""
+    found = splitter.feed(chunk)
+    splitter.mark_passed_on(found)
+    assert not found.fault, found.fault
+    return found.data
+
+
 class EventSplitterTest(unittest.TestCase):
     """Only complete events with consecutive ids are passed on."""
 
@@ -25,7 +33,7 @@
         splitter = events.EventSplitter(api.NO_EVENT)
         passed_on, offset = b'', 0
         for size in [*sizes, len(text)]:
-            passed_on += splitter.feed(text[offset : offset + size])
+            passed_on += _pass_on(splitter, text[offset : offset + size])
             offset += size
             self.assertTrue(passed_on.endswith(b'\n\n') or not passed_on)
         self.assertEqual(text, passed_on)
@@ -35,27 +43,72 @@
     def test_first_event_of_a_resumed_caller(self) -> None:
         """The event has to follow the last one that the caller received."""
         splitter = events.EventSplitter(7)
-        self.assertEqual(_event(8), splitter.feed(_event(8)))
-        with self.assertRaises(events.BrokenStream):
-            events.EventSplitter(7).feed(_event(9))
+        self.assertEqual(_event(8), _pass_on(splitter, _event(8)))
+        found = events.EventSplitter(7).feed(_event(9))
+        self.assertEqual((b'', 7, 'event_out_of_order'), found)
 
     def test_repeated_event(self) -> None:
         """A repeated event breaks the stream."""
         splitter = events.EventSplitter(api.NO_EVENT)
-        splitter.feed(_event(1))
-        with self.assertRaises(events.BrokenStream):
-            splitter.feed(_event(1))
+        _pass_on(splitter, _event(1))
+        found = splitter.feed(_event(1))
+        self.assertEqual((b'', 1, 'event_out_of_order'), found)
 
     def test_restart(self) -> None:
         """An incomplete event of the connection before is dropped."""
         splitter = events.EventSplitter(api.NO_EVENT)
-        splitter.feed(_event(1) + b'id: 2\nda')
+        _pass_on(splitter, _event(1) + b'id: 2\nda')
         self.assertTrue(splitter.partial)
         splitter.restart()
-        self.assertEqual(_event(2), splitter.feed(_event(2)))
+        self.assertEqual(_event(2), _pass_on(splitter, _event(2)))
 
     def test_unreadable_id(self) -> None:
         """An id that is not a number breaks the stream."""
         splitter = events.EventSplitter(api.NO_EVENT)
-        with self.assertRaises(events.BrokenStream):
-            splitter.feed(b'id: x\n\n')
+        found = splitter.feed(b'id: x\n\n')
+        self.assertEqual((b'', api.NO_EVENT, 'event_id'), found)
+
+    def test_large_event(self) -> None:
+        """An event without an end breaks the stream."""
+        splitter = events.EventSplitter(3)
+        found = splitter.feed(b'x' * (events.MAX_EVENT_BYTES + 1))
+        self.assertEqual((b'', 3, 'event_too_large'), found)
+
+
+class BrokenPieceTest(unittest.TestCase):
+    """Sound events before a broken one in the same bytes are not lost."""
+
+    @given(
+        strategies.integers(0, 5),
+        strategies.sampled_from(
+            [b'id: \xa76\ndata: x\n\n', _event(1), _event(99)]
+        ),
+        strategies.integers(0, 3),
+    )
+    def test_sound_events_are_returned(
+        self, sound: int, broken: bytes, behind: int
+    ) -> None:
+        """They are returned with the fault, and the stream goes on there."""
+        splitter = events.EventSplitter(1)
+        before = b''.join(_event(number) for number in range(2, 2 + sound))
+        after = b''.join(_event(8 + number) for number in range(behind))
+        found = splitter.feed(before + broken + after)
+        self.assertEqual(before, found.data)
+        self.assertEqual(1 + sound, found.last_event)
+        self.assertTrue(found.fault)
+        splitter.mark_passed_on(found)
+        self.assertEqual(1 + sound, splitter.last_event)
+        splitter.restart()
+        following = _event(2 + sound)
+        self.assertEqual(following, _pass_on(splitter, following))
+
+    def test_events_that_are_not_passed_on(self) -> None:
+        """Events that an ended attempt has read are expected again."""
+        for first in (api.NO_EVENT, 0):
+            splitter = events.EventSplitter(first)
+            splitter.feed(_event(1) + _event(2))
+            self.assertEqual(first, splitter.last_event)
+            splitter.restart()
+            text = _event(1) + _event(2)
+            self.assertEqual(text, _pass_on(splitter, text))
+            self.assertEqual(2, splitter.last_event)
