Make fencing tokens greater after each restore of the store

An engine carried out orders of two instances with one fencing token (ONE).

Cause: the token was made of the group's generation, which a store that comes back from an older copy gives out again, and an owner took over a generation below its own. Nothing read Store-Era, which tells the restores apart.

Change: a token is era, generation and hand-over number, in this order, and never becomes smaller. The message of a hand-over carries the era. An answer from before a restore confirms no ownership, and an offer with an older token is refused.

--- a/spec/duty.pml
+++ b/spec/duty.pml
@@ -10,7 +10,11 @@
  * arrive late, even at an instance that has restarted since.
  *
  * INSTANCES    number of instances
+ * The store may come back from an older copy, with an older generation and
+ * the members of that time; its era rises with each such restore.
+ *
  * GENERATIONS  number of changes of the group
+ * RESTORES     number of restores of the store
  * HAND_OVERS   number of tokens within a generation, one for each hand-over
  *              and one for the first owner
  * Each MUT_ flag removes one safety rule.
@@ -21,10 +25,19 @@
 #ifndef GENERATIONS
 #define GENERATIONS 2
 #endif
+#ifndef RESTORES
+#define RESTORES 0
+#endif
 #define HAND_OVERS 3
 #define NO_INSTANCE 255
-#define FENCE(g, n) ((g) * HAND_OVERS + (n))
+#define TOKENS ((RESTORES + 1) * (GENERATIONS + 1) * HAND_OVERS)
+#ifdef MUT_NO_ERA
+#define FENCE(e, g, n) ((g) * HAND_OVERS + (n))
+#else
+#define FENCE(e, g, n) (((e) * (GENERATIONS + 1) + (g)) * HAND_OVERS + (n))
+#endif
 
+byte era;
 byte generation;
 byte owner = NO_INSTANCE;
 bool member[INSTANCES];
@@ -35,6 +48,7 @@
 
 /* Whether the instance considers itself the owner. */
 bool is_owner[INSTANCES];
+byte known_era[INSTANCES];
 byte known_generation[INSTANCES];
 byte known_hand_overs[INSTANCES];
 /* Whether it became the owner by a message and not from the store. */
@@ -44,11 +58,12 @@
 
 /* A hand-over message in flight to an instance. */
 bool message[INSTANCES];
+byte message_era[INSTANCES];
 byte message_generation[INSTANCES];
 byte message_hand_overs[INSTANCES];
 
 /* The instance that has given orders with each token. */
-byte used_by[(GENERATIONS + 1) * HAND_OVERS];
+byte used_by[TOKENS];
 
 inline start_generation() {
     generation++
@@ -93,6 +108,7 @@
             has_joined[i] = 1;
             is_owner[i] = 1;
             is_successor[i] = 0;
+            known_era[i] = era;
             known_generation[i] = generation;
             known_hand_overs[i] = 0
         :: owner != i -> has_joined[i] = 1
@@ -104,10 +120,12 @@
         if
         :: owner == i && (is_owner[i] || is_successor[i]) ->
             if
-            :: known_generation[i] != generation || is_successor[i] ->
+            :: known_generation[i] != generation || is_successor[i] ||
+                known_era[i] != era ->
                 known_hand_overs[i] = 0
             :: else
             fi;
+            known_era[i] = era;
             known_generation[i] = generation;
             is_owner[i] = 1;
             is_successor[i] = 0
@@ -123,7 +141,7 @@
 #else
     :: atomic { is_owner[i] && !is_stopping[i] ->
 #endif
-        b = FENCE(known_generation[i], known_hand_overs[i]);
+        b = FENCE(known_era[i], known_generation[i], known_hand_overs[i]);
         assert(used_by[b] == NO_INSTANCE || used_by[b] == i);
         used_by[b] = i;
         b = 0 }
@@ -148,6 +166,7 @@
         :: b != i && !message[b] ->
             is_stopping[i] = 1;
             message[b] = 1;
+            message_era[b] = known_era[i];
             message_generation[b] = known_generation[i];
 #ifdef MUT_SAME_TOKEN
             message_hand_overs[b] = known_hand_overs[i];
@@ -173,11 +192,16 @@
         :: !is_owner[i] && !is_stopping[i] ->
             is_owner[i] = 1;
             is_successor[i] = 1;
+            known_era[i] = message_era[i];
             known_generation[i] = message_generation[i];
             known_hand_overs[i] = message_hand_overs[i];
+            message_era[i] = 0;
+            message_generation[i] = 0;
+            message_hand_overs[i] = 0
+        :: true ->
+            message_era[i] = 0;
             message_generation[i] = 0;
             message_hand_overs[i] = 0
-        :: true -> message_generation[i] = 0; message_hand_overs[i] = 0
         fi }
     /* The process restarts under the same name. */
     :: atomic { is_owner[i] || is_successor[i] || is_stopping[i] ||
@@ -186,6 +210,7 @@
         is_owner[i] = 0;
         is_successor[i] = 0;
         is_stopping[i] = 0;
+        known_era[i] = 0;
         known_generation[i] = 0;
         known_hand_overs[i] = 0 }
     /* Leave the membership of an earlier process of the same name. */
@@ -207,8 +232,29 @@
 }
 
 proctype store() {
+    byte b;
     do
     :: atomic { store_unavailable = 1 - store_unavailable }
+    /* Come back from a copy: of any earlier generation, with any members. */
+    :: atomic { store_unavailable && era < RESTORES ->
+        era++;
+        do
+        :: generation > 0 -> generation--
+        :: break
+        od;
+        b = 0;
+        do
+        :: b < INSTANCES ->
+            if
+            :: member[b] = 0
+            :: generation > 0 -> member[b] = 1
+            fi;
+            b++
+        :: else -> break
+        od;
+        owner = NO_INSTANCE;
+        assign_owner();
+        b = 0 }
     od
 }
 
@@ -216,7 +262,7 @@
     atomic {
         byte n = 0;
         do
-        :: n < (GENERATIONS + 1) * HAND_OVERS -> used_by[n] = NO_INSTANCE; n++
+        :: n < TOKENS -> used_by[n] = NO_INSTANCE; n++
         :: else -> break
         od;
         n = 0;
--- a/spec/run.py
+++ b/spec/run.py
@@ -89,6 +89,7 @@
 _PAIR = ('-DSERVERS=2', '-DARTIFACTS=1', '-DORDERS=2')
 _FENCING_PAIR = ('-DFENCING=1', *_PAIR)
 _NO_FENCING_PAIR = ('-DFENCING=0', '-DRESTARTS=0', *_PAIR)
+_RESTORED = ('-DINSTANCES=2', '-DRESTORES=1')
 _REPEATED = ('-DFENCING=1', '-DORDERS=3', '-DCLAIMS=0', '-DRESTARTS=0')
 
 _MODELS = (
@@ -101,6 +102,7 @@
     Check('repeated orders', 'orders.pml', _REPEATED),
     Check('at most once', 'once.pml', ('-DATTEMPTS=3',)),
     Check('duty handed over', 'duty.pml', ('-DINSTANCES=3',)),
+    Check('duty, store restored', 'duty.pml', _RESTORED),
 )
 
 _DEEP_MODELS = (
@@ -161,6 +163,7 @@
     _duty_mutant('MUT_ORDERS_WHILE_STOPPING'),
     _duty_mutant('MUT_OLD_MEMBERSHIP'),
     _duty_mutant('MUT_SUCCESSOR_HANDS_OVER'),
+    _mutant('MUT_NO_ERA', 'token_of_one_instance', _RESTORED, 'duty.pml'),
 )
 
 
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -271,13 +271,14 @@
 class HandOver(wire_api.Message, frozen=True, tag='hand_over'):
     """Offers the duty to a peer when its owner stops.
 
-    ``hand_over_number`` and the group's ``generation`` make up the fencing
-    token of the successor.
+    ``hand_over_number``, the group's ``generation`` and ``store_era`` make up
+    the fencing token of the successor. Earlier builds do not send the era.
     """
 
     predecessor: str
     generation: int
     hand_over_number: int
+    store_era: int = 0
 
 
 class HandOverAnswer(wire_api.Message, frozen=True, tag='handed'):
--- a/src/dogwoodquay/gateway/ownership.py
+++ b/src/dogwoodquay/gateway/ownership.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from . import fencing
 from . import members
 from ..observe import logs
 
@@ -36,9 +37,6 @@
 MIN_INSTANCE_COUNT: typing.Final = 4
 # The share at the end of a membership's lifetime that is not relied on.
 EXPIRY_MARGIN_SHARE: typing.Final = 0.25
-# Fencing tokens within one generation of the group: the owner's and one for
-# each peer to which it may offer the duty at a planned stop.
-TOKENS_PER_GENERATION: typing.Final = 16
 # Checks after which an owner considers its partition lost, and the time
 # between them: several times as long as a candidate's join and leave.
 RECHECKS: typing.Final = 3
@@ -53,7 +51,8 @@
     partition. An instance that cannot reach the owner looks it up in the
     store, and joins the group if there is none: then the owner's membership
     has expired. The generation of the group rises with each change, and the
-    fencing tokens are derived from it.
+    fencing tokens are derived from it and from the era of the store, as a
+    restored store gives out generations again.
 
     Where engines refuse old fencing tokens, an owner continues while the
     store is unavailable, until an engine or the store reports another owner.
@@ -81,8 +80,7 @@
         self._rng = rng
         self._metrics = metrics
         self._member = members.member_name(settings)
-        self._generation = 0
-        self._hand_over_number = 0
+        self._token = fencing.NO_TOKEN
         self._predecessor = ''
         self._successor_deadline = float('inf')
         self._joined = False
@@ -110,8 +108,7 @@
     @property
     def fence(self) -> int:
         """The fencing token of orders that are given now."""
-        first = self._generation * TOKENS_PER_GENERATION
-        return first + self._hand_over_number
+        return self._token.number
 
     @property
     def confirmed_at(self) -> float:
@@ -148,7 +145,7 @@
 
     def on_superseded(self) -> None:
         """End the ownership, as an engine has seen a higher token."""
-        _LOG.write('superseded', generation=self._generation)
+        _LOG.write('superseded', **self._token_fields())
         self._end_ownership()
 
     def on_owner_reported(self, owner: str) -> None:
@@ -199,45 +196,42 @@
         was_owner, self._leaving = self._is_owner, True
         return not was_owner or await self._leave_group()
 
-    def next_hand_over(self) -> tuple[int, int] | None:
-        """Return the generation and the number of the next hand-over.
+    def next_hand_over(self) -> fencing.FencingToken | None:
+        """Return the successor's fencing token for the next hand-over.
 
-        Together they make up the successor's fencing token. Each peer gets
-        its own number, as one whose answer is lost may have accepted.
+        Each peer gets its own, as one whose answer is lost may have accepted.
 
         :return: ``None`` where the duty cannot be handed over.
         """
         if not self._is_owner or self._predecessor or not self._leaving:
             return None
-        if (
-            not self._settings.fences_checked
-            or self._hand_over_number >= TOKENS_PER_GENERATION - 1
-        ):
+        token = self._token.next_hand_over()
+        if token is None or not self._settings.fences_checked:
             return None
-        self._hand_over_number += 1
-        return self._generation, self._hand_over_number
+        self._token = token
+        return token
 
     def handed_over(self, member: str) -> None:
         """Record that a peer has taken over the duty."""
         self._is_owner = False
         self._owner = member
-        _LOG.write('handed_on', member=member, generation=self._generation)
+        _LOG.write('handed_on', member=member, **self._token_fields())
 
-    def take_over(
-        self, predecessor: str, generation: int, number: int
-    ) -> bool:
-        """Take the duty over from a stopping owner, if that is possible."""
-        unable = self._leaving or self._is_owner
+    def take_over(self, predecessor: str, token: fencing.FencingToken) -> bool:
+        """Take the duty over from a stopping owner, if that is possible.
+
+        An offer with an older token than this instance has had is refused.
+        """
+        unable = self._leaving or self._is_owner or token <= self._token
         if unable or not self._settings.fences_checked:
             return False
-        self._generation = generation
-        self._hand_over_number = number
+        self._token = token
         self._predecessor = predecessor
         self._successor_deadline = float('inf')
         self._is_owner = True
         self._owner_since = self._clock.now()
         self._owner = self._member
-        _LOG.write('taken_over', member=predecessor, generation=generation)
+        _LOG.write('taken_over', member=predecessor, **self._token_fields())
         self._wake.set()
         return True
 
@@ -257,7 +251,7 @@
         if PARTITION not in membership.partitions and not self._predecessor:
             membership = await self._recheck_partition()
         if membership is not None and PARTITION in membership.partitions:
-            self._confirm_ownership(membership.generation, began)
+            self._confirm_ownership(membership, began)
         elif not self._predecessor or await self._successor_superseded(began):
             self._end_ownership()
             await self._leave_group()
@@ -302,13 +296,27 @@
             return now >= self._successor_deadline
         return True
 
-    def _confirm_ownership(self, generation: int, began: float) -> None:
-        """Record that the store confirms this instance as the owner."""
-        if generation != self._generation or self._predecessor:
-            self._hand_over_number = 0
-        self._generation = generation
+    def _confirm_ownership(
+        self, membership: store_api.Membership, began: float
+    ) -> bool:
+        """Record that the store confirms this instance as the owner.
+
+        A token never becomes smaller: another instance may have used it.
+
+        :return: whether the ownership is confirmed. It is not by an answer
+            from before a restore of the store.
+        """
+        token = fencing.FencingToken(
+            membership.store_era, membership.generation
+        )
+        if token > self._token:
+            self._token = token
+        elif self._predecessor or token.is_older_term(self._token):
+            _LOG.write('outdated', found=token.number, **self._token_fields())
+            return False
         self._predecessor = ''
         self._confirmed_at = began
+        return True
 
     async def _acquire(self) -> None:
         began = self._clock.now()
@@ -318,11 +326,13 @@
         if self._leaving or PARTITION not in membership.partitions:
             await self._leave_group()
             return
-        self._confirm_ownership(membership.generation, began)
+        if not self._confirm_ownership(membership, began):
+            await self._leave_group()
+            return
         self._is_owner = True
         self._owner_since = began
         self._owner = self._member
-        _LOG.write('held', generation=self._generation)
+        _LOG.write('held', **self._token_fields())
 
     async def _join_group(self, began: float) -> store_api.Membership | None:
         """Join the group or renew the membership.
@@ -391,9 +401,14 @@
             self._metrics.store_failed('leave')
         return left
 
+    def _token_fields(self) -> dict[str, int]:
+        """Return the fields of log lines about the own fencing token."""
+        token = self._token
+        return {'era': token.store_era, 'generation': token.generation}
+
     def _end_ownership(self) -> None:
         self._is_owner = False
         self._predecessor = ''
         if self._owner == self._member:
             self._owner = ''
-        _LOG.write('lost', generation=self._generation)
+        _LOG.write('lost', **self._token_fields())
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -8,6 +8,7 @@
 import anyio
 import msgspec
 
+from . import fencing
 from . import members
 from . import messages
 from ..observe import logs
@@ -135,13 +136,18 @@
     async def _hand_over_to_peer(self) -> bool:
         """Offer the duty to some peers; return whether one accepted."""
         for member in self._controller.recent_peers()[:HAND_OVER_PEERS]:
-            hand_over = self._ownership.next_hand_over()
+            token = self._ownership.next_hand_over()
             address = members.member_address(member)
-            if hand_over is None or address is None:
+            if token is None or address is None:
                 return False
             answer = await self._transport.request(
                 wire_api.PeerAddress(*address),
-                messages.HandOver(self._ownership.member, *hand_over),
+                messages.HandOver(
+                    self._ownership.member,
+                    token.generation,
+                    token.hand_over_number,
+                    token.store_era,
+                ),
                 messages.HandOverAnswer,
                 self._clock.now() + CALL_TIMEOUT_SECONDS,
             )
@@ -305,9 +311,10 @@
         message: messages.HandOver,
         deadline: float,
     ) -> messages.HandOverAnswer:
-        accepted = self._ownership.take_over(
-            message.predecessor, message.generation, message.hand_over_number
+        token = fencing.FencingToken(
+            message.store_era, message.generation, message.hand_over_number
         )
+        accepted = self._ownership.take_over(message.predecessor, token)
         return messages.HandOverAnswer(accepted)
 
     async def _handle_find(
--- a/src/dogwoodquay/gateway/store_api.py
+++ b/src/dogwoodquay/gateway/store_api.py
@@ -81,11 +81,14 @@
     """A member's state in a group.
 
     ``generation`` rises with each change of the group; ``partitions`` are
-    those assigned to the member in that generation.
+    those assigned to the member in that generation. ``store_era`` rises each
+    time that the store is restored from an older copy, in which generations
+    go back; zero if it is not reported.
     """
 
     generation: int
     partitions: frozenset[int]
+    store_era: int = 0
 
 
 class GroupView(typing.NamedTuple):
--- a/src/dogwoodquay/platform/store.py
+++ b/src/dogwoodquay/platform/store.py
@@ -31,6 +31,9 @@
 _OK: typing.Final = 200
 _GONE: typing.Final = 410
 _NOT_EXECUTED: typing.Final = frozenset({429, 503})
+# Rises by one each time that the store comes back from an older copy.
+_ERA: typing.Final = 'store-era'
+_MAX_ERA: typing.Final = 1_000_000
 _PAGE_HEADER: typing.Final = struct.Struct('>QQ')
 _RECORD_LENGTH: typing.Final = struct.Struct('>I')
 _JSON: typing.Final = (('content-type', 'application/json'),)
@@ -218,7 +221,9 @@
             row[1] for row in decoded.ok.parts if row[0] == topic
         )
         return expression.Ok(
-            store_api.Membership(decoded.ok.generation, owned)
+            store_api.Membership(
+                decoded.ok.generation, owned, _store_era(answer.ok)
+            )
         )
 
     async def leave(self, group: str, member: str, deadline: float) -> bool:
@@ -294,6 +299,15 @@
     return expression.Error(external_api.Refused(reason))
 
 
+def _store_era(response: httpx.Response) -> int:
+    """Return the era in which a call was answered, zero if not reported."""
+    text = response.headers.get(_ERA, '')
+    if not (text.isascii() and text.isdecimal() and len(text) < 10):
+        return 0
+    era = int(text)
+    return era if era <= _MAX_ERA else 0
+
+
 def _log_page(
     answer: expression.Result[httpx.Response, store_api.StoreError],
     offset: int,
--- a/tests/site/store.py
+++ b/tests/site/store.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import contextlib
+import copy
 import dataclasses
 import json
 import struct
@@ -13,7 +14,7 @@
 
 from . import http
 
-__all__ = ['Store']
+__all__ = ['Store', 'StoreCopy']
 
 _POLL_SECONDS: typing.Final = 0.01
 
@@ -53,14 +54,25 @@
     owner: str = ''
 
 
+class StoreCopy(typing.NamedTuple):
+    """All that a store keeps at one time."""
+
+    topics: dict[str, _Topic]
+    raw: dict[str, _RawTopic]
+    newest: dict[str, dict[str, tuple[int, bytes]]]
+    groups: dict[str, _Group]
+
+
 class Store:
     """Keeps records in memory.
 
-    Tests make it unavailable or drop the history of a topic.
+    Tests make it unavailable, drop the history of a topic, or restore it from
+    a copy, with which its era rises.
     """
 
     def __init__(self) -> None:
         self.unavailable = False
+        self.era = 1
         self.calls: list[str] = []
         self.appends: list[float] = []
         self._topics: dict[str, _Topic] = {}
@@ -68,6 +80,18 @@
         self._newest: dict[str, dict[str, tuple[int, bytes]]] = {}
         self._groups: dict[str, _Group] = {}
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all that is kept."""
+        kept = (self._topics, self._raw, self._newest, self._groups)
+        return StoreCopy(*copy.deepcopy(kept))
+
+    def restore(self, kept: StoreCopy) -> None:
+        """Come back from a copy; what was written since is lost."""
+        self.era += 1
+        self._topics, self._raw, self._newest, self._groups = copy.deepcopy(
+            tuple(kept)
+        )
+
     def owner(self, group: str = 'engine-orders') -> str:
         """Return the owner of a group's partition, or an empty string."""
         group_state = self._groups.get(group)
@@ -109,8 +133,15 @@
         return offset
 
     async def handle(self, request: http.Request) -> http.Answer | None:
-        """Answer a call."""
+        """Answer a call, with the era in the header."""
         self.calls.append(request.path)
+        answer = await self._answer(request)
+        if answer is None:
+            return None
+        era = ('Store-Era', str(self.era))
+        return answer._replace(headers=(*answer.headers, era))
+
+    async def _answer(self, request: http.Request) -> http.Answer | None:
         if self.unavailable:
             return http.Answer(503)
         match request.path:
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -256,6 +256,7 @@
         self.records: list[store_api.NewestRecord] = []
         self.first_offset = 0
         self.generation = 0
+        self.era = 0
         self.members: dict[str, float] = {}
         self.partition_owner = ''
         self.partition_moving = False
@@ -272,6 +273,14 @@
         """Add a record."""
         self.records.append(store_api.NewestRecord(key, value))
 
+    def restore(self, generation: int, *members: str) -> None:
+        """Come back from a copy with an older state of the group."""
+        self.era += 1
+        self.generation = generation
+        self.members = dict.fromkeys(members, self.clock.now() + 1.0)
+        self.partition_owner = ''
+        self._assign_partition()
+
     async def newest(
         self,
         topic: store_api.Topic,
@@ -357,7 +366,9 @@
         if self.unassigned_joins:
             self.unassigned_joins -= 1
             partitions = frozenset()
-        return expression.Ok(store_api.Membership(self.generation, partitions))
+        return expression.Ok(
+            store_api.Membership(self.generation, partitions, self.era)
+        )
 
     async def leave(self, group: str, member: str, deadline: float) -> bool:
         """Leave the group."""
--- a/tests/unit/gateway/test_ownership.py
+++ b/tests/unit/gateway/test_ownership.py
@@ -8,6 +8,7 @@
 
 from . import fakes
 from dogwoodquay import clock as clocks
+from dogwoodquay.gateway import fencing
 from dogwoodquay.gateway import ownership
 
 
@@ -171,6 +172,110 @@
         self.assertGreater(restarted.fence, self.first.fence)
 
 
+class RestoredStoreTest(unittest.IsolatedAsyncioTestCase):
+    """The store comes back from a copy, with older generations.
+
+    Two instances never give orders with one fencing token, and no instance
+    goes back to a smaller one.
+    """
+
+    def setUp(self) -> None:
+        """Create a store and two instances."""
+        self.clock = clocks.ManualClock()
+        self.store = fakes.FakeStore(self.clock)
+        self.store.era = 1
+        self.first, self.second, self.third = (
+            _make_ownership(
+                self.store, self.clock, f'front-{number}', 7000 + number
+            )
+            for number in (1, 2, 3)
+        )
+
+    async def test_next_owner(self) -> None:
+        """The next owner joins in the generation that the first one had."""
+        await self.first.step()
+        self.store.restore(0)
+        await self.second.step()
+        self.assertEqual(1, self.store.generation)
+        self.assertTrue(self.second.may_order(self.clock.now()))
+        self.assertGreater(self.second.fence, self.first.fence)
+
+    async def test_successor(self) -> None:
+        """A successor joins in the generation of its predecessor."""
+        for _ in range(3):
+            await self.first.step()
+            fence = self.first.fence
+            await self.first._leave_group()
+        await self.first.step()
+        generation = self.store.generation
+        fence = self.first.fence
+        self.store.unavailable = True
+        self.assertFalse(await self.first.leave())
+        token = self.first.next_hand_over()
+        assert token is not None
+        self.assertTrue(self.second.take_over(self.first.member, token))
+        handed = self.second.fence
+        self.assertGreater(handed, fence)
+        self.store.unavailable = False
+        self.store.restore(generation - 1)
+        await self.second.step()
+        self.assertEqual(generation, self.store.generation)
+        self.assertTrue(self.second.may_order(self.clock.now()))
+        self.assertGreater(self.second.fence, handed)
+
+    async def test_owner_of_both_eras(self) -> None:
+        """An owner gets a greater token as soon as it renews."""
+        await self.first.step()
+        fence = self.first.fence
+        self.store.restore(0)
+        await self.first.step()
+        self.assertTrue(self.first.may_order(self.clock.now()))
+        self.assertGreater(self.first.fence, fence)
+
+    async def test_restored_twice(self) -> None:
+        """A second restore gives out the generations once more."""
+        fences = []
+        for subject in (self.first, self.second, self.third):
+            await subject.step()
+            self.assertTrue(subject.is_owner(self.clock.now()))
+            fences.append(subject.fence)
+            self.store.restore(0)
+        self.assertEqual(sorted(set(fences)), fences)
+
+    async def test_late_answer(self) -> None:
+        """An answer from before the restore confirms nothing."""
+        await self.first.step()
+        self.store.restore(0)
+        await self.first.step()
+        fence, confirmed = self.first.fence, self.first.confirmed_at
+        self.clock.advance(0.4)
+        self.store.era, self.store.generation = 1, 7
+        await self.first.step()
+        self.assertEqual(fence, self.first.fence)
+        self.assertEqual(confirmed, self.first.confirmed_at)
+
+    async def test_late_offer(self) -> None:
+        """An offer from before the restore is not accepted."""
+        self.store.restore(0)
+        await self.second.step()
+        await self.second._leave_group()
+        self.second.on_superseded()
+        old = fencing.FencingToken(1, 9, 1)
+        self.assertFalse(self.second.take_over(self.first.member, old))
+
+    def test_numbers(self) -> None:
+        """Tokens are sent as numbers in the same order, exact in JSON."""
+        tokens = [
+            fencing.FencingToken(era, generation, number)
+            for era in (0, 1, 2, 1_000_000)
+            for generation in (1, 2, 1_000_000)
+            for number in (0, 1, fencing.TOKENS_PER_GENERATION - 1)
+        ]
+        numbers = [token.number for token in tokens]
+        self.assertEqual(sorted(set(numbers)), numbers)
+        self.assertLess(numbers[-1], 2**53)
+
+
 class HandOverTest(unittest.IsolatedAsyncioTestCase):
     """An owner stops while the store is unavailable; a peer takes over."""
 
@@ -192,7 +297,7 @@
     def _hand_over(self, successor: ownership.OrderOwnership) -> None:
         hand_over = self.owner.next_hand_over()
         assert hand_over is not None
-        self.assertTrue(successor.take_over(self.owner.member, *hand_over))
+        self.assertTrue(successor.take_over(self.owner.member, hand_over))
 
     async def test_successor_gives_orders(self) -> None:
         """A successor gives orders with a higher token than the owner had."""
--- a/tests/unit/gateway/test_peering.py
+++ b/tests/unit/gateway/test_peering.py
@@ -18,6 +18,7 @@
 from dogwoodquay.gateway import controller
 from dogwoodquay.gateway import copies
 from dogwoodquay.gateway import departures
+from dogwoodquay.gateway import fencing
 from dogwoodquay.gateway import messages
 from dogwoodquay.gateway import origins
 from dogwoodquay.gateway import ownership as order_ownership
@@ -591,7 +592,9 @@
             await self._publish(4)
         self.store.unavailable = True
         await first.ownership.leave()
-        self.assertTrue(second.ownership.take_over('x', 9, 1))
+        self.assertTrue(
+            second.ownership.take_over('x', fencing.FencingToken(0, 9, 1))
+        )
         first.ownership.handed_over(second.ownership.member)
         third.ownership.on_owner_unreachable()
         third.ownership.on_owner_reported(second.ownership.member)
