Follow the server list behind entries that cannot be decoded

Requests reached a server later than DrainMs after it had reported that it leaves (DRAIN), and an instance that started beside the entry was not ready.

Cause: msgspec raises RecursionError for bytes that nest too deep, also in a field that nobody reads. It is none of the errors that the decoder of entries caught, ended the watch before its offset moved on, and the supervisor started the watch again at the same entry.

On the code before, both tests of OddEntryTest run into their time limit, and test_malformed and test_decoder_that_fails end with RecursionError.

Change: one total function decodes JSON of other programs for entries, manifests, reports and the store's answers. The watch contains what a decoder raises for one entry. An odd entry is logged when its reason changes, and counted.

--- a/src/dogwoodquay/external/http/client.py
+++ b/src/dogwoodquay/external/http/client.py
@@ -13,10 +13,10 @@
 import expression
 import httpcore
 import httpx
-import msgspec
 
 from ... import clock
 from .. import api
+from .. import decoding
 from . import bodies
 from . import network
 from . import pool
@@ -380,10 +380,10 @@
     response: httpx.Response, kind: type[_Body]
 ) -> expression.Result[_Body, api.Ambiguous]:
     """Decode a JSON body; an invalid one is ``Ambiguous``."""
-    try:
-        return expression.Ok(msgspec.json.decode(response.content, type=kind))
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    decoded = decoding.decode_json(response.content, kind)
+    if decoded.is_error():
         return expression.Error(api.Ambiguous('bad_answer'))
+    return expression.Ok(decoded.ok)
 
 
 def failure(response: httpx.Response) -> wire.Failure:
--- a/src/dogwoodquay/gateway/metrics.py
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -57,6 +57,10 @@
         self._orders = registry.counter(
             'gateway_orders_total', 'Orders to engines', 'kind', 'answer'
         )
+        self._unreadable = registry.counter(
+            'gateway_unreadable_entries_total',
+            'Entries of the server list that name no server to use',
+        )
         self._store = registry.counter(
             'gateway_store_errors_total', 'Failed store calls', 'reason'
         )
@@ -171,6 +175,10 @@
         """Count a server that has left, by who told of it."""
         self._departures.add(source)
 
+    def entry_unreadable(self) -> None:
+        """Count an entry of the list that names no server to use."""
+        self._unreadable.add()
+
     def server_ended(self) -> None:
         """Count a report of a server that has ended."""
         self._servers_ended.add()
--- a/src/dogwoodquay/gateway/watch.py
+++ b/src/dogwoodquay/gateway/watch.py
@@ -7,6 +7,7 @@
 import anyio
 
 from ..external import api as external_api
+from ..external import decoding
 from ..fleet import registry as registries
 from ..observe import logs
 from . import reachability
@@ -37,8 +38,8 @@
 MAX_BACKOFF_SECONDS: typing.Final = 0.4
 # Entries of servers do not expire in shorter outages.
 MIN_OUTAGE_SECONDS: typing.Final = 1.0
-# The least time between log lines about unreadable entries.
-UNREADABLE_INTERVAL_SECONDS: typing.Final = 10.0
+# Unreadable entries whose reasons are remembered; the oldest are forgotten.
+MAX_UNREADABLE: typing.Final = 1024
 
 
 class ServerWatch:
@@ -73,7 +74,8 @@
         )
         self._metrics = metrics
         self._offset: int | None = None
-        self._unreadable_logged_at = float('-inf')
+        # Why the newest entries of servers are unreadable, by id.
+        self._unreadable: dict[str, str] = {}
         self._complete_read = anyio.Event()
         metrics.gauge(
             'gateway_server_list_age_seconds',
@@ -163,7 +165,7 @@
         self, records: tuple[store_api.NewestRecord, ...], now: float
     ) -> None:
         entries = [
-            entry for record in records if (entry := self._entry(record, now))
+            entry for record in records if (entry := self._entry(record))
         ]
         changes = self._registry.replace(entries, now)
         for server_id, change in changes.items():
@@ -174,10 +176,11 @@
     ) -> None:
         for record in records:
             if record.key and not record.value:
+                self._unreadable.pop(record.key, None)
                 change = self._registry.remove(record.key, now)
                 self._log_change(record.key, change)
                 continue
-            entry = self._entry(record, now)
+            entry = self._entry(record)
             if entry is not None:
                 change = self._registry.update(entry, now)
             else:
@@ -185,19 +188,34 @@
             self._log_change(record.key, change)
 
     def _entry(
-        self, record: store_api.NewestRecord, now: float
+        self, record: store_api.NewestRecord
     ) -> fleet_api.ServerEntry | None:
+        """Return a server's entry, ``None`` if it names none to use.
+
+        Whatever an entry holds, the others are still followed.
+        """
         if not record.key or not record.value:
             return None
-        decoded = self._decode(record.key, record.value)
-        if decoded.is_ok():
-            return decoded.ok
-        if now - self._unreadable_logged_at > UNREADABLE_INTERVAL_SECONDS:
-            self._unreadable_logged_at = now
-            _SERVERS_LOG.write(
-                'unreadable', server=record.key, reason=decoded.error
-            )
-        return None
+        try:
+            decoded = self._decode(record.key, record.value)
+        except Exception as error:
+            self._on_unreadable(record.key, f'{type(error).__name__}: {error}')
+            return None
+        if decoded.is_error():
+            self._on_unreadable(record.key, decoded.error)
+            return None
+        self._unreadable.pop(record.key, None)
+        return decoded.ok
+
+    def _on_unreadable(self, server_id: str, reason: str) -> None:
+        """Count an unreadable entry, and log it if its reason is new."""
+        self._metrics.entry_unreadable()
+        reason = reason[: decoding.MAX_REASON_CHARACTERS]
+        if self._unreadable.pop(server_id, None) != reason:
+            _SERVERS_LOG.write('unreadable', server=server_id, reason=reason)
+        self._unreadable[server_id] = reason
+        if len(self._unreadable) > MAX_UNREADABLE:
+            del self._unreadable[next(iter(self._unreadable))]
 
     def _log_change(self, server_id: str, change: registries.Change) -> None:
         if change in (registries.Change.SAME, registries.Change.STALE):
--- a/src/dogwoodquay/platform/engines.py
+++ b/src/dogwoodquay/platform/engines.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ..external import api as external_api
+from ..external import decoding
 from ..fleet import api as fleet_api
 from ..residency import api
 
@@ -95,11 +96,10 @@
             return expression.Error(result.error.reason)
         if result.ok.status_code != _OK:
             return expression.Error(f'status_{result.ok.status_code}')
-        try:
-            raw = msgspec.json.decode(result.ok.content, type=_Report)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            return expression.Error(str(error))
-        return expression.Ok(_report(raw))
+        decoded = decoding.decode_json(result.ok.content, _Report)
+        if decoded.is_error():
+            return expression.Error(decoded.error)
+        return expression.Ok(_report(decoded.ok))
 
     async def order(
         self,
--- a/src/dogwoodquay/platform/manifest.py
+++ b/src/dogwoodquay/platform/manifest.py
@@ -5,6 +5,7 @@
 import expression
 import msgspec
 
+from ..external import decoding
 from ..routes import api
 
 __all__ = ['decode']
@@ -91,10 +92,10 @@
 
 def decode(body: bytes) -> expression.Result[api.Configuration, str]:
     """Decode a configuration; the error describes the first wrong value."""
-    try:
-        manifest = msgspec.json.decode(body, type=_Manifest)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return expression.Error(str(error))
+    decoded = decoding.decode_json(body, _Manifest)
+    if decoded.is_error():
+        return expression.Error(decoded.error)
+    manifest = decoded.ok
     return expression.Ok(
         api.Configuration(
             manifest.version,
--- a/src/dogwoodquay/platform/servers.py
+++ b/src/dogwoodquay/platform/servers.py
@@ -5,6 +5,7 @@
 import expression
 import msgspec
 
+from ..external import decoding
 from ..fleet import api
 
 __all__ = ['decode']
@@ -45,10 +46,10 @@
     server_id: str, body: bytes
 ) -> expression.Result[api.ServerEntry, str]:
     """Decode an entry; the error says why it names no server to use."""
-    try:
-        entry = msgspec.json.decode(body, type=_Entry)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return expression.Error(str(error))
+    decoded = decoding.decode_json(body, _Entry)
+    if decoded.is_error():
+        return expression.Error(decoded.error)
+    entry = decoded.ok
     state = _STATES.get(entry.state)
     if state is None:
         return expression.Error(f'unknown state {entry.state!r}')
--- a/src/dogwoodquay/platform/store.py
+++ b/src/dogwoodquay/platform/store.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ..external import api as external_api
+from ..external import decoding
 from ..gateway import store_api
 
 if typing.TYPE_CHECKING:
@@ -331,20 +332,20 @@
 def _decoded(
     response: httpx.Response, kind: type[_Kind]
 ) -> expression.Result[_Kind, external_api.Ambiguous]:
-    try:
-        return expression.Ok(msgspec.json.decode(response.content, type=kind))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return expression.Error(external_api.Ambiguous(str(error)))
+    decoded = decoding.decode_json(response.content, kind)
+    if decoded.is_error():
+        return expression.Error(external_api.Ambiguous(decoded.error))
+    return expression.Ok(decoded.ok)
 
 
 def _owner_rows(
     response: httpx.Response,
 ) -> expression.Result[list[_OwnerRow], external_api.Ambiguous]:
     """Decode the rows, which come as a list or as an object with a list."""
-    try:
-        rows = msgspec.json.decode(response.content)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return expression.Error(external_api.Ambiguous(str(error)))
+    decoded = _decoded(response, object)
+    if decoded.is_error():
+        return expression.Error(decoded.error)
+    rows = decoded.ok
     if isinstance(rows, dict):
         lists = [value for value in rows.values() if isinstance(value, list)]
         rows = lists[0] if lists else []
--- a/tests/site/store.py
+++ b/tests/site/store.py
@@ -103,6 +103,10 @@
     def put(self, topic: str, key: str, value: typing.Any) -> None:
         """Append a record; the value ``None`` deletes its key."""
         body = b'' if value is None else json.dumps(value).encode()
+        self.put_bytes(topic, key, body)
+
+    def put_bytes(self, topic: str, key: str, body: bytes) -> None:
+        """Append a record with a value of any bytes."""
         topic_state = self._topics.setdefault(topic, _Topic())
         newest = self._newest.setdefault(topic, {})
         if body:
--- a/tests/site/test_departures.py
+++ b/tests/site/test_departures.py
@@ -142,6 +142,46 @@
             await self.assert_unused(site)
 
 
+class OddEntryTest(_DepartureCase):
+    """An entry of another writer that the decoder cannot hold (DRAIN).
+
+    It ended the watch of the list at this entry again and again.
+    """
+
+    async def _assert_followed(self, body: bytes) -> None:
+        """The list is followed behind the entry, also from a start on."""
+        async with self.running(1) as site:
+            site.store.put_bytes(_SERVERS, 'other', body)
+            await self.wait_for(site.instances[0], 'other', 'unreadable')
+            site.desk.register('draining')
+            await self.wait_for(site.instances[0], 'd1', 'leaving')
+            await self.assert_unused(site)
+            started = site.start_instance('front-9')
+            await started.wait_ready()
+            for instance in site.instances:
+                parts = [
+                    line['message_type']
+                    for line in instance.log_lines()
+                    if line['message_type'] == 'supervisor:part_failed'
+                ]
+                self.assertEqual([], parts)
+            await self.assert_unused(site)
+
+    async def test_nested_in_a_field_that_is_not_read(self) -> None:
+        """Arrays within arrays, without an end."""
+        await self._assert_followed(b'{"Labels":' + b'[' * 3000)
+
+    async def test_nested_in_a_whole_entry(self) -> None:
+        """The same in an entry that is complete."""
+        nested = b'[' * 3000 + b']' * 3000
+        entry = (
+            b'{"Service":"desk","Address":"127.0.0.1:1","Zone":"zone-1",'
+            b'"Version":"v1","Slots":4,"State":"ready","Sequence":1,'
+            b'"Labels":' + nested + b'}'
+        )
+        await self._assert_followed(entry)
+
+
 class SilentReadsTest(_DepartureCase):
     """Reads of the list get no answer."""
 
--- a/tests/unit/gateway/test_watch.py
+++ b/tests/unit/gateway/test_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import typing
 import unittest
 from unittest import mock
 
@@ -72,6 +73,36 @@
         self.assertEqual({'s2'}, set(self.registry.servers))
         self.assertEqual(3, self.changes)
 
+    async def test_unreadable_entries_are_logged_as_they_change(self) -> None:
+        """An entry that is written again gets no second line."""
+        lines = fakes.log_lines(self)
+        for body in (b'\xff', b'\xff', b'{}', b'\xff', b'', b'\xff'):
+            self.store.put('s1', body)
+            self.store.put('s2', b'{}')
+            await self.watch.step()
+        unreadable = [
+            line
+            for line in lines
+            if line['message_type'] == 'servers:unreadable'
+        ]
+        self.assertEqual(['s1'] * 3, [line['server'] for line in unreadable])
+
+    async def test_decoder_that_fails(self) -> None:
+        """An exception for one entry does not end the watch."""
+
+        def fail(server_id: str, body: bytes) -> typing.Any:
+            if server_id == 'odd':
+                raise RecursionError
+            return _server(server_id, body)
+
+        self.watch._decode = fail
+        for _ in range(2):
+            self.store.put('s1', b'{}')
+            self.store.put('odd', b'{}')
+            self.store.put('s2', b'{}')
+            await self.watch.step()
+            self.assertEqual({'s1', 's2'}, set(self.registry.servers))
+
     async def test_entry_expired_in_outage(self) -> None:
         """A removed server is kept until it had time to be listed again."""
         self.store.put('s1', b'{}')
--- a/tests/unit/platform/test_decoding.py
+++ b/tests/unit/platform/test_decoding.py
@@ -183,8 +183,12 @@
         malformed.append(_encoded(dict(ENTRY, Address='10.0.0.1:http')))
         malformed.append(_encoded(dict(ENTRY, Sequence=1.5)))
         malformed.append(_encoded(dict(ENTRY, Models='m')))
+        nested = b'[' * 3000
+        malformed.append(b'{"Labels":' + nested)
+        malformed.append(b'{"Labels":' + nested + b']' * 3000 + b'}')
+        malformed.append(b'{"Models":' + nested)
         for body in malformed:
-            with self.subTest(body=body):
+            with self.subTest(body=body[:80]):
                 self.assertTrue(servers.decode('i', body).is_error())
 
 
