Tell by the log of the server list which version began a stream

After all instances had been killed in an outage of the store, streams were refused though their only version serves: 0 of 24 went on (LOST).

Cause: the records of streams that begin in an outage are in memory alone. Without a record the sole version of a service counts, but an instance knew only what it had itself seen of the list since its start.

Change: an instance that has not followed the list for long enough reads the end of the list's log, at most once for a start, when a stream is taken up without a record. The heartbeats in the log tell how far it reaches back.

--- a/src/dogwoodquay/fleet/registry.py
+++ b/src/dogwoodquay/fleet/registry.py
@@ -161,6 +161,20 @@
             for service, version in listed + former
         )
 
+    def extend_history(
+        self, versions: abc.Iterable[tuple[str, str]], since: float
+    ) -> None:
+        """Record what was listed before the list was followed.
+
+        :param versions: services and the software versions of their servers
+            at any time between ``since`` and ``followed_since``.
+        """
+        if since >= self._followed_since:
+            return
+        for key in versions:
+            self._former.setdefault(key, self._followed_since)
+        self._followed_since = since
+
     def on_store_available(self, now: float) -> None:
         """Record that the list can be read again after an outage."""
         self._store_available_at = now
--- a/src/dogwoodquay/gateway/resumption.py
+++ b/src/dogwoodquay/gateway/resumption.py
@@ -12,7 +12,13 @@
     from .. import clock as clocks
     from ..fleet import registry as registries
 
-__all__ = ['OriginRecords', 'Place', 'ServerList', 'StreamVersions']
+__all__ = [
+    'EarlierList',
+    'OriginRecords',
+    'Place',
+    'ServerList',
+    'StreamVersions',
+]
 
 _LOG: typing.Final = logs.ComponentLog('request')
 
@@ -21,6 +27,8 @@
 FIND_SECONDS: typing.Final = 0.8
 # The same for the next read of the list of servers.
 LIST_READ_SECONDS: typing.Final = 1.5
+# The same for what was listed before this instance was started.
+HISTORY_READ_SECONDS: typing.Final = 1.5
 # The longest time that a caller may come back after, whatever it says.
 MAX_LIFETIME_SECONDS: typing.Final = 60.0
 
@@ -62,6 +70,13 @@
         """
 
 
+class EarlierList(typing.Protocol):
+    """Reads what was listed before the list was followed."""
+
+    async def extend(self, since: float, deadline: float) -> None:
+        """Extend the registry's knowledge back to a time, if possible."""
+
+
 class StreamVersions:
     """Records which version begins a stream, and finds it again.
 
@@ -75,8 +90,10 @@
         origins: OriginRecords,
         registry: registries.Registry,
         servers: ServerList,
+        earlier: EarlierList,
         clock: clocks.Clock,
     ) -> None:
+        self._earlier = earlier
         self._origins = origins
         self._registry = registry
         self._servers = servers
@@ -135,9 +152,26 @@
         if not call.terms.resumes:
             # There is no record to be found: the list is all there is.
             begun = max(begun, self._registry.followed_since)
+        if not await self._knows_list(call, begun):
+            return None
         version = self._registry.sole_version(call.service, begun)
         return None if version is None else Place(call.service, version)
 
+    async def _knows_list(self, call: api.Call, since: float) -> bool:
+        """Whether it is known what was listed since a time.
+
+        The log of the list is read for what this instance has not followed,
+        unless the service has several versions anyway.
+        """
+        registry = self._registry
+        if since >= registry.followed_since:
+            return True
+        if not registry.sole_version(call.service, registry.followed_since):
+            return False
+        deadline = self._clock.now() + HISTORY_READ_SECONDS
+        await self._earlier.extend(since, min(call.deadline, deadline))
+        return since >= registry.followed_since
+
 
 def _recorded_place(
     call: api.Call, found: tuple[stream_origins.Origin, ...]
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -21,6 +21,7 @@
 from ..fleet import registry as registries
 from . import forwarder as forwarders
 from . import health
+from . import list_history
 from . import members
 from . import metrics as gateway_metrics
 from ..observe import logs
@@ -274,6 +275,15 @@
             metrics,
             self._scheduler.assign_waiting,
         )
+        self._list_history = list_history.ListHistoryReader(
+            store,
+            adapters.server_topic,
+            adapters.decode_server,
+            self._registry,
+            settings.heartbeat_seconds,
+            clock,
+            lambda: self._servers.offset,
+        )
         self._app = self._build_app(adapters)
         self._callers = serving.Listener(settings.callers)
         self._health = health.HealthApp(self._not_ready, self._metrics_page)
@@ -289,7 +299,11 @@
             settings.retry_share, EXTRA_RETRIES, settings.retry_window_seconds
         )
         versions = resumption.StreamVersions(
-            self._origins, self._registry, self._servers, self._clock
+            self._origins,
+            self._registry,
+            self._servers,
+            self._list_history,
+            self._clock,
         )
         forwarder = forwarders.Forwarder(
             self._scheduler,
--- a/src/dogwoodquay/gateway/settings.py
+++ b/src/dogwoodquay/gateway/settings.py
@@ -21,6 +21,8 @@
     ``retry_window_seconds``, as a share of the requests. ``fences_checked``
     is whether engines refuse orders with an outdated fencing token, and
     ``member_seconds`` the lifetime of a membership in a group of the store.
+    ``heartbeat_seconds`` is the interval at which servers write their entries
+    into the list.
     """
 
     instance_id: str
@@ -38,3 +40,4 @@
     retry_share: float
     retry_window_seconds: float
     ceiling_window_seconds: float
+    heartbeat_seconds: float
--- a/src/dogwoodquay/gateway/watch.py
+++ b/src/dogwoodquay/gateway/watch.py
@@ -83,6 +83,11 @@
             lambda: clock.now() - registry.read_at,
         )
 
+    @property
+    def offset(self) -> int | None:
+        """The offset up to which the list has been read, if it has."""
+        return self._offset
+
     async def wait_read(self, after: float, deadline: float) -> bool:
         """Wait for a complete read of the list that began after a time.
 
--- a/src/dogwoodquay/platform/settings.py
+++ b/src/dogwoodquay/platform/settings.py
@@ -63,6 +63,7 @@
     port_range: tuple[int, int]
     listen: _Listen
     platform: _Platform
+    heartbeat_ms: float = 1200.0
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -101,9 +102,16 @@
         retry_share=bounds.retry_budget_ratio,
         retry_window_seconds=bounds.retry_window_s,
         ceiling_window_seconds=bounds.ceiling_window_s,
+        heartbeat_seconds=_heartbeat_seconds(raw.heartbeat_ms),
     )
 
 
+def _heartbeat_seconds(milliseconds: float) -> float:
+    if not milliseconds > 0:
+        raise ValueError(f'an interval of {milliseconds} ms')
+    return milliseconds / _MILLISECONDS
+
+
 def _address(text: str) -> gateway_settings.Address:
     host, _, port = text.rpartition(':')
     if not host or not port.isdecimal():
--- a/tests/site/test_all_killed.py
+++ b/tests/site/test_all_killed.py
@@ -15,6 +15,8 @@
 _STREAMS: typing.Final = 24
 # Streams have run for so long when their instances are killed.
 _RUN_SECONDS: typing.Final = 1.0
+# The store has been down for so long when streams begin.
+_OUTAGE_SECONDS: typing.Final = 0.5
 
 
 class AllKilledTest(versions.VersionsTest):
@@ -119,3 +121,66 @@
             await requesters.start_all()
             await self._take_up(requesters, found)
             await self.assert_floor(requesters, found)
+
+
+class OutageTest(versions.VersionsTest):
+    """All instances are killed while the store is down (LOST).
+
+    Which version began a stream is then written nowhere.
+    """
+
+    async def _begin_in_outage(
+        self, requesters: versions.Requesters
+    ) -> list[streams.Stream]:
+        """Begin streams while the store is down, and kill all instances."""
+        requesters.site.store.unavailable = True
+        await asyncio.sleep(_OUTAGE_SECONDS)
+        requesters.hold()
+        found: list[streams.Stream] = []
+        for instance in requesters.live:
+            count = _STREAMS // _INSTANCES
+            found += await requesters.begin(count, instance)
+        self.assert_began(found)
+        await requesters.kill_all(found)
+        requesters.site.store.unavailable = False
+        return found
+
+    async def _take_up(
+        self, requesters: versions.Requesters, found: list[streams.Stream]
+    ) -> None:
+        await requesters.start_all()
+        requesters.let_go()
+        await requesters.take_up(found, 1)
+        self.assert_one_version(found)
+        self.assert_goes_on_or_not_run(requesters, found)
+
+    async def test_refused_though_one_version_ever_served(self) -> None:
+        """The log of the list tells that there was no other."""
+        async with versions.Requesters.running(
+            _INSTANCES, versions.TWO_OF_EACH[:2]
+        ) as requesters:
+            found = await self._begin_in_outage(requesters)
+            await self._take_up(requesters, found)
+            await self.assert_floor(requesters, found)
+
+    async def test_joined_after_the_other_version_left(self) -> None:
+        """The log of the list tells of the version that is gone."""
+        async with versions.Requesters.running(
+            _INSTANCES, versions.TWO_OF_EACH
+        ) as requesters:
+            found = await self._begin_in_outage(requesters)
+            self.assert_both_versions(found)
+            for server_id in ('a1', 'a2'):
+                requesters.leave(server_id)
+            await self._take_up(requesters, found)
+
+    async def test_joined_without_the_history_of_the_list(self) -> None:
+        """The store has forgotten who was listed before."""
+        async with versions.Requesters.running(
+            _INSTANCES, versions.TWO_OF_EACH
+        ) as requesters:
+            found = await self._begin_in_outage(requesters)
+            for server_id in ('a1', 'a2'):
+                requesters.leave(server_id)
+            requesters.site.store.drop_history('keyed.servers')
+            await self._take_up(requesters, found)
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -31,6 +31,7 @@
 __all__ = [
     'FakeCopies',
     'FakeOrigins',
+    'FakeEarlierList',
     'FakeServerList',
     'FakeStore',
     'instance_settings',
@@ -63,6 +64,7 @@
         retry_share=0.2,
         retry_window_seconds=10.0,
         ceiling_window_seconds=5.0,
+        heartbeat_seconds=1.2,
     )
     return default_settings._replace(**changes)
 
@@ -165,6 +167,19 @@
         return self.found
 
 
+class FakeEarlierList:
+    """Knows what was listed before; ``extend`` calls ``on_extend``."""
+
+    def __init__(self) -> None:
+        self.asked: list[float] = []
+        self.on_extend: abc.Callable[[], None] = lambda: None
+
+    async def extend(self, since: float, deadline: float) -> None:
+        """Extend what is known."""
+        self.asked.append(since)
+        self.on_extend()
+
+
 class FakeLog:
     """A topic in memory; appends and reads may fail.
 
--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -212,7 +212,11 @@
                 metrics,
                 self.silence,
                 resumption.StreamVersions(
-                    self.origins, self.registry, self.server_list, clock
+                    self.origins,
+                    self.registry,
+                    self.server_list,
+                    fakes.FakeEarlierList(),
+                    clock,
                 ),
                 self.crashes,
             ),
--- a/tests/unit/gateway/test_resumption.py
+++ b/tests/unit/gateway/test_resumption.py
@@ -50,10 +50,11 @@
         self.clock = clocks.ManualClock(_BEGAN)
         self.records = fakes.FakeOrigins()
         self.list = fakes.FakeServerList()
+        self.earlier = fakes.FakeEarlierList()
         self.registry = registries.Registry()
         self.registry.replace([_entry('a1', 'v1')], 0.0)
         self.subject = resumption.StreamVersions(
-            self.records, self.registry, self.list, self.clock
+            self.records, self.registry, self.list, self.earlier, self.clock
         )
 
     def call(
@@ -181,6 +182,46 @@
         self.registry.replace([_entry('a1', 'v1')], _BEGAN - 1.0)
         self.assertIsNone(self._find())
 
+    def test_earlier_list(self) -> None:
+        """The log of the list tells of the time before the start."""
+        self.registry.replace([_entry('a1', 'v1')], _BEGAN - 1.0)
+        since = _BEGAN - _ROUTE_SECONDS
+        versions = [('s', 'v1'), ('t', 'v2')]
+        self.earlier.on_extend = lambda: self.registry.extend_history(
+            versions, since
+        )
+        self.assertEqual(resumption.Place('s', 'v1'), self._find())
+        self.assertEqual([since], self.earlier.asked)
+        self.clock.advance(0.5)
+        self.assertEqual(resumption.Place('s', 'v1'), self._find())
+        self.assertEqual(1, len(self.earlier.asked))
+
+    def test_another_version_in_the_earlier_list(self) -> None:
+        """A version that left before the start may have begun the stream."""
+        self.registry.replace([_entry('a1', 'v1')], _BEGAN - 1.0)
+        since = _BEGAN - _ROUTE_SECONDS
+        versions = [('s', 'v1'), ('s', 'v2')]
+        self.earlier.on_extend = lambda: self.registry.extend_history(
+            versions, since
+        )
+        self.assertIsNone(self._find())
+
+    def test_earlier_list_that_does_not_reach_back(self) -> None:
+        """What was listed as the stream may have begun is not known."""
+        self.registry.replace([_entry('a1', 'v1')], _BEGAN - 1.0)
+        since = _BEGAN - _ROUTE_SECONDS + 0.1
+        self.earlier.on_extend = lambda: self.registry.extend_history(
+            [('s', 'v1')], since
+        )
+        self.assertIsNone(self._find())
+
+    def test_several_versions_listed(self) -> None:
+        """The log of the list is not read in vain."""
+        entries = [_entry('a1', 'v1'), _entry('b1', 'v2')]
+        self.registry.replace(entries, _BEGAN - 1.0)
+        self.assertIsNone(self._find())
+        self.assertEqual([], self.earlier.asked)
+
     def test_caller_that_names_no_attempt(self) -> None:
         """It is served by the list alone, if that has one version."""
         self.registry.replace([_entry('a1', 'v1')], _BEGAN - 1.0)
--- a/tests/unit/gateway/test_successors.py
+++ b/tests/unit/gateway/test_successors.py
@@ -306,7 +306,11 @@
             site.app._context.metrics,
             silence.SilenceWatch(scheduler, clock),
             resumption.StreamVersions(
-                fakes.FakeOrigins(), registry, fakes.FakeServerList(), clock
+                fakes.FakeOrigins(),
+                registry,
+                fakes.FakeServerList(),
+                fakes.FakeEarlierList(),
+                clock,
             ),
             fakes.make_crashes(clock),
         )
@@ -365,7 +369,11 @@
             loopback.Site().app._context.metrics,
             silence.SilenceWatch(scheduler, clock),
             resumption.StreamVersions(
-                fakes.FakeOrigins(), registry, fakes.FakeServerList(), clock
+                fakes.FakeOrigins(),
+                registry,
+                fakes.FakeServerList(),
+                fakes.FakeEarlierList(),
+                clock,
             ),
             fakes.make_crashes(clock),
         )
