Keep further attempts off connections that brought an answer to the request

Cause: a further attempt goes with the same id to the same server, and could go over the same connection. An answer that the server writes a second time is then taken for that to the further attempt. A connection was barred for a request only after a refusal.

Change: a connection remembers the last 32 requests that were answered on it and is not used for them again. Refused ones are never forgotten, as before. An answer with an attempt's id is none to an order or report, and orders go over connections that were not used for orders or reports lately.

--- a/src/dogwoodquay/external/http/client.py
+++ b/src/dogwoodquay/external/http/client.py
@@ -29,10 +29,10 @@
 __all__ = [
     'Connections',
     'Headers',
-    'bar',
     'decode',
     'discard',
     'keep_idle',
+    'mark_refused',
 ]
 
 CONNECT_TIMEOUT_SECONDS: typing.Final = 1.0
@@ -53,7 +53,7 @@
 # Keys in the extensions of a response.
 _DISCARD_KEY: typing.Final = 'discard_connection'
 _KEEP_ALIVE_KEY: typing.Final = 'idle_seconds'
-_BARRED_KEY: typing.Final = 'barred_request'
+_REFUSED_KEY: typing.Final = 'request_refused'
 _STREAM_KEY: typing.Final = 'network_stream'
 _DEADLINE_PASSED: typing.Final = api.Unavailable('deadline')
 
@@ -106,11 +106,14 @@
         body: bytes,
         deadline: float,
         read_timeout_seconds: float = 0.0,
+        request_id: str = '',
+        apart_from: tuple[str, ...] = (),
     ) -> abc.AsyncIterator[expression.Result[httpx.Response, SendError]]:
         """Send a request and yield the response with its body unread.
 
         :param deadline: time by which the response headers are due.
-        :param read_timeout_seconds: as in ``open_raw``.
+
+        The other parameters are those of ``open_raw``.
         """
         host = f'[{address}]' if ':' in address else address
         raw_headers = [(b'host', f'{host}:{port}'.encode('latin-1'))]
@@ -127,6 +130,8 @@
             body,
             deadline,
             read_timeout_seconds,
+            request_id,
+            apart_from,
         ) as sent:
             yield sent
 
@@ -142,13 +147,16 @@
         deadline: float,
         read_timeout_seconds: float = 0.0,
         request_id: str = '',
+        apart_from: tuple[str, ...] = (),
     ) -> abc.AsyncIterator[expression.Result[httpx.Response, SendError]]:
         """Send a request with the given headers and a content length.
 
         :param deadline: time by which the response headers are due.
         :param read_timeout_seconds: timeout of each read of the body; zero
             for the default of this client.
-        :param request_id: connections that are barred for it are not used.
+        :param request_id: identifies the request, or its kind.
+        :param apart_from: the request does not go over a connection that was
+            used lately for one of these ids.
         """
         remaining = deadline - self._time.now()
         if remaining <= 0:
@@ -163,7 +171,7 @@
             body,
             remaining,
         )
-        acquired = await self._pool.acquire(address, port, request_id)
+        acquired = await self._pool.acquire(address, port, apart_from)
         connection = acquired.connection
         extensions: dict[str, typing.Any] = {}
         sent_stream: network.Stream | None = None
@@ -197,7 +205,8 @@
                         port,
                         acquired,
                         extensions.get(_KEEP_ALIVE_KEY),
-                        extensions.get(_BARRED_KEY, ''),
+                        request_id,
+                        extensions.get(_REFUSED_KEY, False),
                     )
 
     async def is_refused(
@@ -219,16 +228,35 @@
         body: bytes = b'',
         headers: Headers = (),
         max_bytes: int = bodies.MAX_ANSWER_BYTES,
+        request_id: str = '',
+        apart_from: tuple[str, ...] = (),
+        foreign_header: str = '',
     ) -> expression.Result[httpx.Response, SendError]:
         """Send a request and read the complete response before a deadline.
 
         :param max_bytes: the limit of the response's body.
+        :param request_id: as in ``open_raw``, and so is ``apart_from``.
+        :param foreign_header: a header that only the answers to other
+            requests have, which are no answer to this one.
         """
         with anyio.move_on_after(deadline - self._time.now()):
             async with self.open(
-                address, port, method, path, headers, body, deadline
+                address,
+                port,
+                method,
+                path,
+                headers,
+                body,
+                deadline,
+                request_id=request_id,
+                apart_from=apart_from,
             ) as sent:
                 if sent.is_ok():
+                    if foreign_header and foreign_header in sent.ok.headers:
+                        discard(sent.ok)
+                        return expression.Error(
+                            api.Ambiguous('answer_crossed')
+                        )
                     try:
                         bodies.limit(sent.ok, max_bytes)
                         await sent.ok.aread()
@@ -368,12 +396,12 @@
     response.extensions[_KEEP_ALIVE_KEY] = seconds
 
 
-def bar(response: httpx.Response, request_id: str) -> None:
-    """Keep the connection of a response from being used for a request again.
+def mark_refused(response: httpx.Response) -> None:
+    """Never use the connection of a response for the same request again.
 
     It stays in use for other requests.
     """
-    response.extensions[_BARRED_KEY] = request_id
+    response.extensions[_REFUSED_KEY] = True
 
 
 def decode(
--- a/src/dogwoodquay/external/http/pool.py
+++ b/src/dogwoodquay/external/http/pool.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import typing
 
 import httpcore
@@ -14,31 +15,68 @@
 from ... import clock
 from . import network
 
-__all__ = ['Acquired', 'ConnectionPool']
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+__all__ = ['Acquired', 'ConnectionPool', 'Uses']
 
 MAX_CLOSED_PER_RELEASE: typing.Final = 2
-# A connection that is not to be used for more requests than these is closed.
+# A connection on which more requests than these were refused is closed.
 MAX_BARRED_REQUESTS: typing.Final = 256
+# Requests whose answers came on a connection and that it remembers. An extra
+# answer precedes those to the requests that follow.
+MAX_RECENT_REQUESTS: typing.Final = 32
 
 _Endpoint = tuple[str, int]
 
 
-class _IdleConnection(typing.NamedTuple):
-    """An unused connection and the time until which it may be reused.
+@dataclasses.dataclass(slots=True)
+class Uses:
+    """The requests that a connection was used for, by id.
 
-    It is not used for the requests in ``barred``.
+    A server may write an answer again. On a connection that is used for the
+    same request once more, it could not be told from the next answer.
     """
 
+    _recent: dict[str, None] = dataclasses.field(default_factory=dict)
+    _refused: set[str] = dataclasses.field(default_factory=set)
+
+    @property
+    def exhausted(self) -> bool:
+        """Whether too many requests were refused on the connection."""
+        return len(self._refused) > MAX_BARRED_REQUESTS
+
+    def includes(self, request_ids: abc.Iterable[str]) -> bool:
+        """Whether the connection was used for one of these requests."""
+        return any(
+            item in self._recent or item in self._refused
+            for item in request_ids
+        )
+
+    def add(self, request_id: str, refused: bool) -> None:
+        """Record a request; one that was refused is never forgotten."""
+        if refused:
+            self._refused.add(request_id)
+            return
+        self._recent.pop(request_id, None)
+        self._recent[request_id] = None
+        if len(self._recent) > MAX_RECENT_REQUESTS:
+            del self._recent[next(iter(self._recent))]
+
+
+class _IdleConnection(typing.NamedTuple):
+    """An unused connection and the time until which it may be reused."""
+
     connection: httpcore.AsyncHTTPConnection
     expires_at: float
-    barred: frozenset[str]
+    uses: Uses
 
 
 class Acquired(typing.NamedTuple):
     """A connection in use by one request."""
 
     connection: httpcore.AsyncHTTPConnection
-    barred: frozenset[str] = frozenset()
+    uses: Uses
 
 
 class ConnectionPool:
@@ -51,11 +89,12 @@
         self._idle: dict[_Endpoint, collections.deque[_IdleConnection]] = {}
 
     async def acquire(
-        self, address: str, port: int, request_id: str = ''
+        self, address: str, port: int, apart_from: abc.Collection[str] = ()
     ) -> Acquired:
         """Return an idle connection, or a new one, for exclusive use.
 
-        :param request_id: connections that are barred for it are left out.
+        :param apart_from: connections that were used for one of these
+            requests are left out.
         """
         idle = self._idle.get((address, port))
         left_out = []
@@ -65,10 +104,10 @@
             connection = item.connection
             if self._time.now() >= item.expires_at or connection.has_expired():
                 await connection.aclose()
-            elif request_id in item.barred:
+            elif item.uses.includes(apart_from):
                 left_out.append(item)
             else:
-                found = Acquired(connection, item.barred)
+                found = Acquired(connection, item.uses)
         if left_out and idle is not None:
             idle.extend(reversed(left_out))
         return found or Acquired(
@@ -76,7 +115,8 @@
                 httpcore.Origin(b'http', address.encode('ascii'), port),
                 keepalive_expiry=self._keep_alive_seconds,
                 network_backend=self._backend,
-            )
+            ),
+            Uses(),
         )
 
     async def release(
@@ -85,25 +125,27 @@
         port: int,
         acquired: Acquired,
         server_keep_alive_seconds: float | None = None,
-        barred_request: str = '',
+        request_id: str = '',
+        refused: bool = False,
     ) -> None:
         """Return a connection for reuse and close a few expired ones.
 
         :param server_keep_alive_seconds: how long the server keeps the
             connection open, if known.
-        :param barred_request: a request for which it is not used again.
+        :param request_id: the request that it was used for, if it has an id.
+        :param refused: whether the request was refused as not run.
         """
-        connection, barred = acquired
-        if barred_request:
-            barred |= {barred_request}
+        connection, uses = acquired
+        if request_id:
+            uses.add(request_id, refused)
         now = self._time.now()
         endpoint = (address, port)
         idle = self._idle.setdefault(endpoint, collections.deque())
-        if connection.is_idle() and len(barred) <= MAX_BARRED_REQUESTS:
+        if connection.is_idle() and not uses.exhausted:
             seconds = self._keep_alive_seconds
             if server_keep_alive_seconds is not None:
                 seconds = min(seconds, server_keep_alive_seconds)
-            idle.append(_IdleConnection(connection, now + seconds, barred))
+            idle.append(_IdleConnection(connection, now + seconds, uses))
         else:
             await connection.aclose()
         for _ in range(MAX_CLOSED_PER_RELEASE):
--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -131,6 +131,7 @@
             call.deadline,
             max(call.deadline - now, MIN_READ_SECONDS),
             call.terms.attempt_id,
+            (call.terms.attempt_id,),
         ) as sent:
             if sent.is_ok():
                 return await self._read_answer(
@@ -171,7 +172,7 @@
             if terms.not_executed:
                 # Servers may write a refusal again, where it would look like
                 # the answer to a further attempt.
-                client.bar(response, terms.attempt_id)
+                client.mark_refused(response)
                 bodies.limit(response, bodies.MAX_ANSWER_BYTES)
                 await self._read_body(relay, response)
                 absent = status == _MISDIRECTED
--- a/src/dogwoodquay/platform/engines.py
+++ b/src/dogwoodquay/platform/engines.py
@@ -20,6 +20,12 @@
 _OK: typing.Final = 200
 _JSON: typing.Final = ('content-type', 'application/json')
 _EXPECTED_SERVER: typing.Final = 'expect-instance'
+# Answers to callers' requests have it, those to reports and orders do not.
+_ATTEMPT: typing.Final = 'attempt-id'
+# Reports and orders have no ids. An answer that is written again could be
+# taken for that to an order, so orders use connections apart.
+_REPORT: typing.Final = 'report'
+_ORDER: typing.Final = 'order'
 
 _ORDER_ANSWERS: typing.Final = {
     200: api.OrderAnswer.HOLDS_ALREADY,
@@ -91,6 +97,8 @@
             '/report',
             deadline,
             headers=((_EXPECTED_SERVER, server.server_id),),
+            request_id=_REPORT,
+            foreign_header=_ATTEMPT,
         )
         if result.is_error():
             return expression.Error(result.error.reason)
@@ -127,6 +135,9 @@
             deadline,
             msgspec.json.encode(body),
             (_JSON, (_EXPECTED_SERVER, server.server_id)),
+            request_id=_ORDER,
+            apart_from=(_ORDER, _REPORT),
+            foreign_header=_ATTEMPT,
         )
         if result.is_error():
             if isinstance(result.error, external_api.Unavailable):
--- a/tests/unit/external/test_http_pool.py
+++ b/tests/unit/external/test_http_pool.py
@@ -30,8 +30,10 @@
         self.closed = True
 
 
-class BarredTest(unittest.IsolatedAsyncioTestCase):
-    """Connections that are not used for some requests."""
+class _PoolTest(unittest.IsolatedAsyncioTestCase):
+    """A pool with two idle connections; the second was used for ``a``."""
+
+    refused = False
 
     async def asyncSetUp(self) -> None:
         """Put two idle connections into the pool."""
@@ -41,14 +43,33 @@
         self.second = await self._release(_Connection(), 'a')
 
     async def _release(
-        self, connection: _Connection, barred: str = ''
+        self, connection: _Connection, request_id: str = ''
     ) -> _Connection:
-        acquired = pool.Acquired(typing.cast('typing.Any', connection))
-        await self.pool.release(*_ENDPOINT, acquired, barred_request=barred)
+        acquired = self._acquired(connection)
+        await self._return(acquired, request_id)
         return connection
 
-    async def _acquire(self, request_id: str) -> pool.Acquired:
-        return await self.pool.acquire(*_ENDPOINT, request_id)
+    def _acquired(self, connection: _Connection) -> pool.Acquired:
+        return pool.Acquired(
+            typing.cast('typing.Any', connection), pool.Uses()
+        )
+
+    async def _return(
+        self, acquired: pool.Acquired, request_id: str = ''
+    ) -> None:
+        await self.pool.release(
+            *_ENDPOINT,
+            acquired,
+            request_id=request_id,
+            refused=self.refused,
+        )
+
+    async def _acquire(self, *request_ids: str) -> pool.Acquired:
+        return await self.pool.acquire(*_ENDPOINT, request_ids)
+
+
+class UsedTest(_PoolTest):
+    """Connections that were used for a request before (MIXED)."""
 
     async def test_left_out(self) -> None:
         """An older connection is used, then a new one."""
@@ -57,6 +78,11 @@
         new = await self._acquire('a')
         self.assertNotIn(new.connection, (self.first, self.second))
 
+    async def test_left_out_for_one_of_several(self) -> None:
+        """Requests may have to go apart from those of other kinds."""
+        found = await self._acquire('b', 'a')
+        self.assertIs(self.first, found.connection)
+
     async def test_still_used_for_others(self) -> None:
         """What was left out is kept, in the same order."""
         await self._acquire('a')
@@ -65,21 +91,52 @@
         self.assertFalse(self.second.closed)
 
     async def test_remembered(self) -> None:
-        """A connection stays barred after other requests."""
+        """A connection stays left out after other requests."""
         found = await self._acquire('b')
-        await self.pool.release(*_ENDPOINT, found, barred_request='b')
+        await self._return(found, 'b')
         for request_id in ('a', 'b'):
             found = await self._acquire(request_id)
             self.assertIsNot(self.second, found.connection)
-            await self.pool.release(*_ENDPOINT, found)
+            await self._return(found)
+
+
+class RefusedTest(UsedTest):
+    """The same for requests that were refused."""
 
-    async def test_barred_for_many(self) -> None:
+    refused = True
+
+    async def test_refused_for_many(self) -> None:
         """A connection is closed rather than remembered without limit."""
         connection = _Connection()
-        acquired = pool.Acquired(typing.cast('typing.Any', connection))
+        acquired = self._acquired(connection)
         for number in range(pool.MAX_BARRED_REQUESTS + 1):
-            await self.pool.release(
-                *_ENDPOINT, acquired, barred_request=f'c{number}'
-            )
+            await self._return(acquired, f'c{number}')
             acquired = await self._acquire('d')
         self.assertTrue(connection.closed)
+
+    async def test_never_forgotten(self) -> None:
+        """Answers to other requests do not supersede a refusal."""
+        found = await self._acquire('b')
+        self.refused = False
+        for number in range(2 * pool.MAX_RECENT_REQUESTS):
+            await self._return(found, f'c{number}')
+            found = await self._acquire(f'd{number}')
+            self.assertIs(self.second, found.connection)
+        await self._return(found)
+        found = await self._acquire('a')
+        self.assertIsNot(self.second, found.connection)
+
+
+class AnsweredTest(_PoolTest):
+    """Connections that are used for many requests."""
+
+    async def test_kept_open(self) -> None:
+        """The oldest requests are forgotten, and the connection is kept."""
+        found = await self._acquire('b')
+        for number in range(2 * pool.MAX_BARRED_REQUESTS):
+            await self._return(found, f'c{number}')
+            found = await self._acquire(f'd{number}')
+            self.assertIs(self.second, found.connection)
+        self.assertFalse(self.second.closed)
+        self.assertTrue(found.uses.includes([f'c{number}']))
+        self.assertFalse(found.uses.includes(['a']))
