Bound what odd entries and headers can do to a watch or a request

Cause: entries were checked for types and not for ranges, so that they raised where a server was chosen or connected to, and an exception in one attempt ended its request.

Evidence: on the code before, test_number_of_many_digits and test_port_out_of_range run into their time limit, and 5 of 14 tests of test_odd_input fail: OverflowError and ValueError by entries, headers and event ids, and a lost connection after an exception.

Change: ranges and forms of all fields in the decoders of entries and reports, bounded numbers in headers and event ids; an exception in an attempt is a failed attempt, whose trace is logged once a minute; every error of a peer's frame is a CodecError.

Result: test_odd_input, test_decoding and OddEntryTest pass.

--- a/src/dogwoodquay/external/decoding.py
+++ b/src/dogwoodquay/external/decoding.py
@@ -7,7 +7,12 @@
 import expression
 import msgspec
 
-__all__ = ['decode_json']
+__all__ = ['Count', 'MAX_COUNT', 'decode_json']
+
+# JSON keeps whole numbers exactly up to here.
+MAX_COUNT: typing.Final = 2**53
+# A whole number that counts something.
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 
 _Kind = typing.TypeVar('_Kind')
 
--- a/src/dogwoodquay/external/http/network.py
+++ b/src/dogwoodquay/external/http/network.py
@@ -63,7 +63,8 @@
                 )
         except TimeoutError as error:
             raise httpcore.ConnectTimeout(str(error)) from error
-        except OSError as error:
+        except (OSError, ArithmeticError, ValueError) as error:
+            # The latter are raised for addresses and ports out of range.
             raise httpcore.ConnectError(str(error)) from error
         transport = connection.transport
         _enable_keepalive(transport.get_extra_info('socket'))
--- a/src/dogwoodquay/gateway/events.py
+++ b/src/dogwoodquay/gateway/events.py
@@ -9,6 +9,7 @@
 __all__ = ['BrokenStream', 'EventSplitter', 'Events']
 
 MAX_EVENT_BYTES: typing.Final = 1 << 20
+MAX_ID_DIGITS: typing.Final = 18
 _SEPARATOR: typing.Final = b'\n\n'
 _ID: typing.Final = b'id:'
 
@@ -108,7 +109,7 @@
     for line in event.split(b'\n'):
         if line.startswith(_ID):
             text = line[len(_ID) :].strip()
-            if not text.isdigit():
+            if not text.isdigit() or len(text) > MAX_ID_DIGITS:
                 raise BrokenStream('event_id')
             return int(text)
     return None
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -10,6 +10,7 @@
 from . import api
 from . import attempt as attempts
 from . import failures
+from ..observe import exceptions
 from ..observe import logs
 from . import outcomes
 from . import patience
@@ -68,6 +69,7 @@
         self._clock = clock
         self._rng = rng
         self._metrics = metrics
+        self._exceptions = exceptions.ExceptionLog(_LOG, clock)
         self._refusals = refusals.Refusals(scheduler, clock, rng)
 
     async def run(
@@ -247,13 +249,30 @@
             waited=round(now - call.arrived_at, 3),
             left=round(call.deadline - now, 3),
         )
-        outcome = await self._exchange.run(call, server, relay, attempt)
+        outcome = await self._exchange_contained(attempt, relay)
         failures.update_health(call, server, outcome, self._clock.now())
         self._crashes.end(attempt.in_flight, outcome)
         if isinstance(outcome, outcomes.NotRun) and not outcome.arrived:
             self._crashes.on_unreachable(server.entry)
         return outcome
 
+    async def _exchange_contained(
+        self, attempt: attempts.Attempt, relay: exchanges.Relay
+    ) -> outcomes.Outcome:
+        """Send a request; an unexpected exception is a failed attempt.
+
+        Whatever a server sends, another one may take the request.
+        """
+        try:
+            return await self._exchange.run(
+                attempt.call, attempt.server, relay, attempt
+            )
+        except Exception as error:
+            self._exceptions.record(
+                error, server=attempt.server.entry.server_id
+            )
+            return outcomes.Broken('exception')
+
     def _record_failed(
         self,
         attempt: attempts.Attempt,
--- a/src/dogwoodquay/gateway/trace.py
+++ b/src/dogwoodquay/gateway/trace.py
@@ -43,6 +43,7 @@
     'head_too_large': Cause.SERVER_ANSWER,
     'answer_crossed': Cause.SERVER_ANSWER,
     'not_the_servers_answer': Cause.SERVER_ANSWER,
+    'exception': Cause.EXCEPTION,
 }
 
 
--- a/src/dogwoodquay/platform/engines.py
+++ b/src/dogwoodquay/platform/engines.py
@@ -42,7 +42,7 @@
 
 class _Model(_Body):
     name: str
-    version: int = 1
+    version: decoding.Count = 1
     adapters: list[str] = []
 
 
@@ -56,12 +56,12 @@
     busy: bool = False
     # The number of accepted orders; in the list's entries the same field
     # counts the reports.
-    sequence: int = 0
-    running: int = 0
-    waiting: int = 0
+    sequence: decoding.Count = 0
+    running: decoding.Count = 0
+    waiting: decoding.Count = 0
     # The part of the cache that cannot be freed for other requests.
-    kv_used: int = 0
-    kv_total: int = 0
+    kv_used: decoding.Count = 0
+    kv_total: decoding.Count = 0
     # The adapters being loaded, each as MODEL/NAME@VERSION.
     coming: list[str] = []
     at_hand: _LocalWeights = msgspec.field(default_factory=_LocalWeights)
--- a/src/dogwoodquay/platform/headers.py
+++ b/src/dogwoodquay/platform/headers.py
@@ -32,6 +32,9 @@
 
 _MISDIRECTED: typing.Final = 421
 _MAX_PRIORITY: typing.Final = 9
+# Requests, tokens and rates are below this number by far.
+_MAX_COUNT: typing.Final = 1_000_000_000
+_MAX_DIGITS: typing.Final = 15
 
 _HOP_BY_HOP: typing.Final = frozenset(
     {
@@ -72,16 +75,16 @@
     model, _, adapter = _text(found, _MODEL).partition('/')
     prompt, _, output = _text(found, _TOKENS).partition(',')
     wait = _number(_text(found, _DEADLINE))
-    last = _text(found, _LAST_EVENT).strip()
+    last_event = _digits(_text(found, _LAST_EVENT).strip())
     return api.CallerTerms(
         attempt_id=_text(found, _ATTEMPT),
         wait_seconds=math.inf if wait is None else wait / 1000,
         model=model,
         adapter=adapter,
-        prompt_tokens=int(_number(prompt) or 0),
-        output_tokens=int(_number(output) or 0),
+        prompt_tokens=_count(prompt) or 0,
+        output_tokens=_count(output) or 0,
         prompt_parts=_parts(_text(found, _PREFIX)),
-        last_event=int(last) if last.isdecimal() else api.NO_EVENT,
+        last_event=api.NO_EVENT if last_event is None else last_event,
         resumes=_text(found, _RESUMES).strip(),
     )
 
@@ -127,7 +130,7 @@
     """Parse the headers of a server's answer."""
     found = {name.lower(): value for name, value in headers}
     load = _text(found, _LOAD).split(',')
-    counts = [_number(item) for item in load]
+    counts = [_count(item) for item in load]
     known = len(counts) >= 2 and None not in counts
     limit = _decimal(_text(found, _LIMIT)) if _LIMIT in found else None
     return api.AnswerTerms(
@@ -135,8 +138,8 @@
         stamped=_STAMP in found,
         not_executed=_NOT_EXECUTED in found or status == _MISDIRECTED,
         closing=b'close' in found.get(b'connection', b'').lower(),
-        running=int(counts[0] or 0) if known else None,
-        waiting=int(counts[1] or 0) if known else None,
+        running=counts[0] if known else None,
+        waiting=counts[1] if known else None,
         idle_seconds=_idle_seconds(_text(found, b'keep-alive')),
         encoded=found.get(b'content-encoding', b'identity') != b'identity',
         rate_limit=limit,
@@ -168,20 +171,35 @@
     return number if math.isfinite(number) and number >= 0 else None
 
 
+def _count(text: str) -> int | None:
+    """Return the whole part of a number, ``None`` if it is out of range."""
+    number = _number(text)
+    return None if number is None or number > _MAX_COUNT else int(number)
+
+
+def _digits(text: str) -> int | None:
+    """Return a number of a few decimal digits."""
+    if not (text.isascii() and text.isdecimal()) or len(text) > _MAX_DIGITS:
+        return None
+    return int(text)
+
+
 def _decimal(text: str) -> float | None:
-    """Return a finite decimal number that is not negative."""
+    """Return a decimal number in range that is not negative."""
     plain = text.strip().replace('.', '', 1)
     if not (plain.isascii() and plain.isdecimal()):
         return None
-    return _number(text)
+    number = _number(text)
+    return None if number is None else min(number, _MAX_COUNT)
 
 
 def _parts(text: str) -> tuple[api.PromptPart, ...]:
     parts = []
     for item in text.split(','):
         name, _, tokens = item.strip().partition(':')
-        if name and tokens.isdecimal():
-            parts.append(api.PromptPart(name, int(tokens)))
+        count = _digits(tokens)
+        if name and count is not None:
+            parts.append(api.PromptPart(name, count))
     return tuple(parts)
 
 
--- a/src/dogwoodquay/platform/manifest.py
+++ b/src/dogwoodquay/platform/manifest.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing
+
 import expression
 import msgspec
 
@@ -59,7 +61,9 @@
     # A server's memory for weights and adapters together.
     weights_mb: float = 0.0
     max_adapters: int = 0
-    loads_per_s: float = msgspec.field(name='LoadsPerS', default=1.0)
+    loads_per_s: typing.Annotated[
+        float, msgspec.Meta(ge=0.0, le=1_000_000.0)
+    ] = msgspec.field(name='LoadsPerS', default=1.0)
 
 
 class _Service(_Body):
--- a/src/dogwoodquay/platform/servers.py
+++ b/src/dogwoodquay/platform/servers.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import ipaddress
+import typing
+
 import expression
 import msgspec
 
@@ -14,6 +17,9 @@
     'ready': api.ServerState.LIVE,
     'draining': api.ServerState.LEAVING,
 }
+_MAX_PORT: typing.Final = 65535
+# Ids are sent in headers.
+_MAX_ID_CHARACTERS: typing.Final = 256
 # Each process has an id of its own, so that starts need not be told apart.
 _ONE_PROCESS_PER_ID = 0
 
@@ -24,7 +30,7 @@
 
 class _Model(_Body):
     name: str
-    version: int = 1
+    version: decoding.Count = 1
     adapters: list[str] = []
 
 
@@ -33,10 +39,10 @@
     address: str
     zone: str
     state: str
-    slots: int
+    slots: typing.Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
     # The number of reports; in an engine's own report the same field counts
     # the accepted orders.
-    sequence: int
+    sequence: decoding.Count
     # The version of the server's software.
     version: str
     models: list[_Model] = []
@@ -46,22 +52,23 @@
     server_id: str, body: bytes
 ) -> expression.Result[api.ServerEntry, str]:
     """Decode an entry; the error says why it names no server to use."""
+    if not _valid_id(server_id):
+        return expression.Error('the id is no header value')
     decoded = decoding.decode_json(body, _Entry)
     if decoded.is_error():
         return expression.Error(decoded.error)
     entry = decoded.ok
     state = _STATES.get(entry.state)
     if state is None:
-        return expression.Error(f'unknown state {entry.state!r}')
-    host, _, port = entry.address.rpartition(':')
-    if not host or not port.isdecimal():
-        return expression.Error(f'address {entry.address!r} has no port')
+        return expression.Error('unknown state')
+    address = _address(entry.address)
+    if address is None:
+        return expression.Error('the address is no IP address with a port')
     return expression.Ok(
         api.ServerEntry(
             server_id,
             entry.service,
-            host,
-            int(port),
+            *address,
             entry.zone,
             state,
             entry.slots,
@@ -76,3 +83,22 @@
             entry.version,
         )
     )
+
+
+def _valid_id(server_id: str) -> bool:
+    sound = server_id.isascii() and server_id.isprintable()
+    stripped = server_id == server_id.strip()
+    return sound and stripped and 0 < len(server_id) <= _MAX_ID_CHARACTERS
+
+
+def _address(text: str) -> tuple[str, int] | None:
+    """Return an address and a port that can be connected to."""
+    host, _, port = text.rpartition(':')
+    host = host.removeprefix('[').removesuffix(']')
+    if not (port.isascii() and port.isdecimal() and len(port) <= 5):
+        return None
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return None
+    return (host, int(port)) if 0 < int(port) <= _MAX_PORT else None
--- a/src/dogwoodquay/wire/codec.py
+++ b/src/dogwoodquay/wire/codec.py
@@ -62,7 +62,15 @@
     try:
         plain = cbor2.loads(data)
         return msgspec.convert(plain, struct_type, builtin_types=(bytes,))
-    except (cbor2.CBORDecodeError, msgspec.ValidationError) as error:
+    except RecursionError as error:
+        raise CodecError('nested too deeply') from error
+    except (
+        cbor2.CBORDecodeError,
+        msgspec.MsgspecError,
+        ArithmeticError,
+        ValueError,
+        TypeError,
+    ) as error:
         raise CodecError(str(error)) from error
 
 
@@ -98,5 +106,5 @@
             raise CodecError('unknown message type')
         try:
             return msgspec.convert(body, message_type, builtin_types=(bytes,))
-        except msgspec.ValidationError as error:
+        except (msgspec.MsgspecError, ArithmeticError, ValueError) as error:
             raise CodecError(str(error)) from error
--- a/tests/site/test_departures.py
+++ b/tests/site/test_departures.py
@@ -142,6 +142,13 @@
             await self.assert_unused(site)
 
 
+def _entry(address: bytes, slots: bytes) -> bytes:
+    return (
+        b'{"Service":"desk","Address":%s,"Zone":"zone-1","Version":"v1",'
+        b'"Slots":%s,"State":"ready","Sequence":1}' % (address, slots)
+    )
+
+
 class OddEntryTest(_DepartureCase):
     """An entry of another writer that the decoder cannot hold (DRAIN).
 
@@ -181,6 +188,14 @@
         )
         await self._assert_followed(entry)
 
+    async def test_port_out_of_range(self) -> None:
+        """The entry was taken for a server that no request reaches."""
+        await self._assert_followed(_entry(b'"127.0.0.1:70000"', b'4'))
+
+    async def test_number_of_many_digits(self) -> None:
+        """A number that is too large to compute with."""
+        await self._assert_followed(_entry(b'"127.0.0.1:1"', b'9' * 400))
+
 
 class SilentReadsTest(_DepartureCase):
     """Reads of the list get no answer."""
--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -202,10 +202,13 @@
         self.server_list = fakes.FakeServerList()
         self.silence = silence.SilenceWatch(self.scheduler, clock)
         self.crashes = crashes.CrashWatch(self.connections, clock, metrics)
+        self.exchange = exchanges.Exchange(
+            self.connections, headers, clock, limits
+        )
         self.app = apps.GatewayApp(
             forwarders.Forwarder(
                 self.scheduler,
-                exchanges.Exchange(self.connections, headers, clock, limits),
+                self.exchange,
                 window.RetryWindow(0.2, extra_retries, 10.0),
                 clock,
                 rng,
