--- a/tests/site/test_software_versions.py
+++ b/tests/site/test_software_versions.py
@@ -185,6 +185,93 @@
             self.assert_goes_on_or_not_run(requesters, found)
 
 
+class OutOfStepTest(versions.VersionsTest):
+    """An instance stands still while servers of a new version come."""
+
+    async def _taken_up(
+        self,
+        requesters: versions.Requesters,
+        leaving: tuple[str, ...],
+        forget: bool = False,
+        apart_from_store: bool = False,
+    ) -> list[streams.Stream]:
+        """Return streams that were taken up there as soon as it went on.
+
+        The instance that passed them on is killed, with the other holder of
+        their records.
+
+        :param leaving: servers that leave meanwhile.
+        :param forget: whether the store forgets its history meanwhile.
+        :param apart_from_store: whether the instance is cut off then.
+        """
+        first, second, apart = requesters.live
+        apart.process.send_signal(signal.SIGSTOP)
+        for item in versions.TWO_OF_EACH[2:]:
+            await requesters.add_server(*item)
+            await requesters.wait_logged('added', item[0], first, second)
+        requesters.hold()
+        found = await requesters.begin(24, first)
+        self.assert_began(found)
+        self.assert_both_versions(found)
+        for instance in (first, second):
+            await requesters.kill(instance, found)
+        for server_id in leaving:
+            requesters.leave(server_id)
+        if forget:
+            for topic in ('keyed.servers', 'stream-origins'):
+                requesters.site.store.drop_history(topic)
+        requesters.site.links[2].cut = apart_from_store
+        requesters.let_go()
+        apart.process.send_signal(signal.SIGCONT)
+        await asyncio.gather(*(item.take_up([apart]) for item in found))
+        self.assert_one_version(found)
+        self.assert_goes_on_or_not_run(requesters, found)
+        return found
+
+    async def test_new_version_stays(self) -> None:
+        """Servers of both versions serve."""
+        async with versions.Requesters.running(
+            3, versions.TWO_OF_EACH[:2]
+        ) as requesters:
+            await self._taken_up(requesters, ())
+
+    async def test_old_version_leaves(self) -> None:
+        """Streams of the version that left are refused."""
+        async with versions.Requesters.running(
+            3, versions.TWO_OF_EACH[:2]
+        ) as requesters:
+            found = await self._taken_up(requesters, ('a1', 'a2'))
+            old = [item for item in found if item.events[0][1] == versions.OLD]
+            self.assertEqual(
+                {versions.UNAVAILABLE}, {item.status for item in old}
+            )
+
+    async def test_new_version_comes_and_leaves(self) -> None:
+        """The instance has never known the version."""
+        for forget in (False, True):
+            async with versions.Requesters.running(
+                3, versions.TWO_OF_EACH[:2]
+            ) as requesters:
+                found = await self._taken_up(
+                    requesters, ('b1', 'b2'), forget=forget
+                )
+                new = [
+                    item for item in found if item.events[0][1] == versions.NEW
+                ]
+                self.assertEqual(
+                    {versions.UNAVAILABLE}, {item.status for item in new}
+                )
+
+    async def test_cut_off_from_the_store(self) -> None:
+        """It cannot read the list or the log when it goes on."""
+        async with versions.Requesters.running(
+            3, versions.TWO_OF_EACH[:2]
+        ) as requesters:
+            await self._taken_up(
+                requesters, ('b1', 'b2'), apart_from_store=True
+            )
+
+
 class UnknownStreamTest(versions.VersionsTest):
     """Streams that no instance knows."""
 
