Heed servers that say in their answers that they leave or pause

Without it, all instances went on sending to a server that says Server-Leaving: 1 (42 requests in 8 s later than DrainMs after), and up to 126 requests reached a server between half a second after its 503 with Retry-After: 3 and the end, where 2 are allowed.

Cause: neither header was read.

Change: the adapter decodes both headers of answers to requests, reports and orders. A server that leaves is recorded as if it had reported so in the list, which peers are told at once. A pause is a deadline of the server at this instance; other servers take the work, and where none is left, callers are refused at once with the earliest end. Work returns within a second. The outlook of waiting requests and the adapters' types move to modules of their own.

--- a/src/dogwoodquay/commands/gateway.py
+++ b/src/dogwoodquay/commands/gateway.py
@@ -12,6 +12,7 @@
 import anyio.abc
 
 from . import exits
+from ..gateway import adapters
 from ..gateway import runtime
 from ..observe import logs
 from ..observe import loop
@@ -79,8 +80,8 @@
     return exits.Exit.OK
 
 
-def _platform_adapters() -> runtime.PlatformAdapters:
-    return runtime.PlatformAdapters(
+def _platform_adapters() -> adapters.PlatformAdapters:
+    return adapters.PlatformAdapters(
         codec=headers,
         store=store.PlatformStore,
         engines=engines.EngineClient,
--- a/src/dogwoodquay/fleet/choice.py
+++ b/src/dogwoodquay/fleet/choice.py
@@ -10,7 +10,7 @@
     from collections import abc
     import random
 
-__all__ = ['Need', 'choose', 'usable']
+__all__ = ['Need', 'choose', 'pause_end', 'usable']
 
 # Costs are in shares of a server's request capacity. This one is for a server
 # in another failure domain than the instance.
@@ -55,7 +55,7 @@
 
     Ejected servers and those that failed the request are only returned if
     there are no others, and never as successors, nor are silent servers.
-    Unreachable servers are never returned.
+    Unreachable servers and those that have paused are never returned.
     """
     capable = [
         server
@@ -63,6 +63,7 @@
         if need.permits(server)
         and server.has_loaded(need.model, need.adapter)
         and not server.unreachable(now)
+        and not server.paused(now)
     ]
     healthy = [server for server in capable if not server.ejected(now)]
     if need.successor:
@@ -81,6 +82,26 @@
     return untried or healthy
 
 
+def pause_end(
+    candidates: abc.Iterable[servers.Server], need: Need, now: float
+) -> float | None:
+    """Return when the first server that can run a request ends its pause.
+
+    ``None`` unless all of them have paused. An adapter can be loaded at any
+    server that has its model.
+    """
+    ends = [
+        server.paused_until
+        for server in candidates
+        if need.permits(server)
+        and server.has_loaded(need.model, '')
+        and not server.unreachable(now)
+    ]
+    if not ends or min(ends) <= now:
+        return None
+    return min(ends)
+
+
 def choose(
     candidates: abc.Iterable[servers.Server],
     need: Need,
--- a/src/dogwoodquay/fleet/registry.py
+++ b/src/dogwoodquay/fleet/registry.py
@@ -80,6 +80,7 @@
         # dropped, with the time, oldest first.
         self._former: dict[tuple[str, str], float] = {}
         self._followed_since = float('inf')
+        self._pauses_end_at = float('-inf')
 
     @property
     def servers(self) -> abc.Mapping[str, server_module.Server]:
@@ -113,6 +114,11 @@
         """When ``expire`` is due next, infinite for never."""
         return min(self._expiring.values(), default=math.inf)
 
+    @property
+    def pauses_end_at(self) -> float:
+        """When the last pause of any server ends."""
+        return self._pauses_end_at
+
     def departures(self, since: float) -> list[Departure]:
         """Return the servers that have left since a time.
 
@@ -243,6 +249,22 @@
         self._drop(server_id, now)
         return Change.REMOVED
 
+    def on_announced(self, server: server_module.Server, now: float) -> Change:
+        """Record that a server has said in an answer that it leaves.
+
+        :param server: the process that has sent the answer.
+        """
+        known = self._servers.get(server.entry.server_id)
+        if known is not server or known.leaving:
+            return Change.SAME
+        self._announce(known, now)
+        return Change.LEAVING
+
+    def on_pause(self, server: server_module.Server, until: float) -> None:
+        """Record that a server wants no requests before a time."""
+        server.pause(until)
+        self._pauses_end_at = max(self._pauses_end_at, until)
+
     def remove(self, server_id: str, now: float) -> Change:
         """Remove a server that is no longer listed.
 
--- a/src/dogwoodquay/fleet/server.py
+++ b/src/dogwoodquay/fleet/server.py
@@ -19,6 +19,8 @@
 EJECT_AFTER: typing.Final = 3
 EJECT_SECONDS: typing.Final = 0.5
 EJECT_MAX_SECONDS: typing.Final = 8.0
+# After a pause, requests return to a server within this time.
+RETURN_SECONDS: typing.Final = 1.0
 # Weight of the newest value in the mean time to first byte.
 FIRST_BYTE_WEIGHT: typing.Final = 0.1
 # For this time after an update by the owner, which is the instance that gives
@@ -42,6 +44,7 @@
         self._ejections = 0
         self._ejected_until = float('-inf')
         self._unreachable = False
+        self._paused_until = float('-inf')
         self._mean_first_byte_seconds = 0.0
         self._owner_view_at = float('-inf')
         self._loaded = _listed_models(entry)
@@ -76,6 +79,11 @@
         """The mean time to first byte in seconds, or zero if unknown."""
         return self._mean_first_byte_seconds
 
+    @property
+    def paused_until(self) -> float:
+        """When the server wants requests again, if it has paused."""
+        return self._paused_until
+
     @property
     def loaded(self) -> dict[str, frozenset[str]]:
         """The loaded models with their loaded adapters."""
@@ -96,6 +104,18 @@
         """Whether the server is ejected because it accepts no connections."""
         return self._unreachable and self.ejected(now)
 
+    def paused(self, now: float) -> bool:
+        """Whether the server wants no requests from this instance."""
+        return now < self._paused_until
+
+    def pause(self, until: float) -> None:
+        """Send the server nothing before a time, or a later known one."""
+        self._paused_until = max(self._paused_until, until)
+
+    def share_after_pause(self, now: float) -> float:
+        """Return the share of its requests that it gets after a pause."""
+        return min(1.0, (now - self._paused_until) / RETURN_SECONDS)
+
     def silent(self, now: float) -> bool:
         """Whether streams run there and none has had an event lately."""
         streams = self._in_flight - self._awaiting_first_byte
--- a/src/dogwoodquay/gateway/api.py
+++ b/src/dogwoodquay/gateway/api.py
@@ -6,10 +6,12 @@
 import typing
 
 if typing.TYPE_CHECKING:
+    from ..fleet import api as fleet_api
     from ..routes import api as routes_api
 
 __all__ = [
     'AddedHeaders',
+    'AnswerHandler',
     'AnswerTerms',
     'Call',
     'CallerTerms',
@@ -19,6 +21,7 @@
     'RawHeaders',
     'Refusal',
     'RefusalReason',
+    'ServerNotice',
 ]
 
 RawHeaders = tuple[tuple[bytes, bytes], ...]
@@ -97,6 +100,19 @@
     last_event: int
 
 
+class ServerNotice(typing.NamedTuple):
+    """What a server says of itself beside an answer.
+
+    ``leaving`` is whether it wants no more new work. ``pause_seconds`` is how
+    long it wants no requests from this instance, zero for no pause.
+    ``unreadable`` names a header that says neither, empty for none.
+    """
+
+    leaving: bool
+    pause_seconds: float
+    unreadable: str = ''
+
+
 class AnswerTerms(typing.NamedTuple):
     """The parsed headers of a server's answer.
 
@@ -106,7 +122,8 @@
     is how long it keeps an idle connection, zero if not given. ``rate_limit``
     is how many requests per second the server takes from all instances
     together, ``None`` for no limit; ``rate_limit_unreadable`` is set if it
-    gave one that is no such number.
+    gave one that is no such number. ``notice`` is ``None`` where the server
+    says nothing of itself.
     """
 
     attempt_id: str
@@ -119,6 +136,16 @@
     encoded: bool
     rate_limit: float | None = None
     rate_limit_unreadable: bool = False
+    notice: ServerNotice | None = None
+
+
+class AnswerHandler(typing.Protocol):
+    """Receives what the headers of an engine's answer say."""
+
+    def __call__(
+        self, server: fleet_api.ServerEntry, terms: AnswerTerms, /
+    ) -> None:
+        """Handle an answer to a report or an order."""
 
 
 class RefusalReason(enum.Enum):
@@ -140,6 +167,7 @@
     DEADLINE = 'deadline'
     PROMPT_QUARANTINED = 'prompt_quarantined'
     RATE_LIMITED = 'rate_limited'
+    SERVERS_PAUSED = 'servers_paused'
     SERVERS_REFUSED = 'servers_refused'
     RETRY_BUDGET = 'retry_budget'
     MAY_HAVE_RUN = 'may_have_run'
--- a/src/dogwoodquay/gateway/controller.py
+++ b/src/dogwoodquay/gateway/controller.py
@@ -220,6 +220,7 @@
             server is not None
             and not server.leaving
             and not server.ejected(now)
+            and not server.paused(now)
             and server_id not in group.unreachable
         )
 
@@ -259,6 +260,9 @@
             due = group.report_due.get(server_id, now)
             if now < due or server_id in group.reports_in_flight:
                 continue
+            server = self._registry.get(server_id)
+            if server is not None and server.paused(now):
+                continue
             group.reports_in_flight.add(server_id)
             tasks.start_soon(self._read_report, group, engine)
 
--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -19,6 +19,7 @@
 
     from .. import clock as clocks
     from ..fleet import server as servers
+    from . import notices as server_notices
     from . import server_limits
     from . import trace as traces
 
@@ -98,7 +99,9 @@
         codec: HeaderCodec,
         clock: clocks.Clock,
         limits: server_limits.ServerLimits,
+        notices: server_notices.ServerNotices,
     ) -> None:
+        self._notices = notices
         self._limits = limits
         self._connections = connections
         self._codec = codec
@@ -168,6 +171,7 @@
         if status != _MISDIRECTED:
             # That may be the answer of another server at this address.
             self._limits.on_answer(server.entry, terms, sent_at)
+            self._notices.on_answer(server, terms)
         try:
             if terms.not_executed:
                 # Servers may write a refusal again, where it would look like
--- a/src/dogwoodquay/gateway/failures.py
+++ b/src/dogwoodquay/gateway/failures.py
@@ -71,7 +71,8 @@
         case outcomes.Broken():
             ejected = server.failed(now)
         case outcomes.Whole(status):
-            if status >= SERVER_ERROR:
+            # A server that asks for a pause does not fail.
+            if status >= SERVER_ERROR and not server.paused(now):
                 ejected = server.failed(now)
         case outcomes.Streamed():
             server.succeeded(now - call.arrived_at)
--- a/src/dogwoodquay/gateway/metrics.py
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -57,6 +57,10 @@
         self._orders = registry.counter(
             'gateway_orders_total', 'Orders to engines', 'kind', 'answer'
         )
+        self._pauses = registry.counter(
+            'gateway_server_pauses_total',
+            'Pauses that servers have asked for',
+        )
         self._unreadable = registry.counter(
             'gateway_unreadable_entries_total',
             'Entries of the server list that name no server to use',
@@ -179,6 +183,10 @@
         """Count an entry of the list that names no server to use."""
         self._unreadable.add()
 
+    def server_paused(self) -> None:
+        """Count a pause that a server has asked for."""
+        self._pauses.add()
+
     def server_ended(self) -> None:
         """Count a report of a server that has ended."""
         self._servers_ended.add()
--- a/src/dogwoodquay/gateway/refusals.py
+++ b/src/dogwoodquay/gateway/refusals.py
@@ -77,6 +77,8 @@
             return self.refuse_later(reason)
         if reason is api.RefusalReason.RATE_LIMITED:
             return self._refuse_limited(call, version)
+        if reason is api.RefusalReason.SERVERS_PAUSED:
+            return self._refuse_paused(call, version)
         return self._refuse_not_run(reason)
 
     def end_quarantined(
@@ -108,6 +110,16 @@
             return self._refuse_not_run(reason)
         return api.Refusal(reason, _UNAVAILABLE, self._with_jitter(pause))
 
+    def _refuse_paused(
+        self, call: api.Call, version: str | None
+    ) -> api.Refusal:
+        """Refuse a request whose servers all want none for a while."""
+        pause = self._scheduler.seconds_until_pause_end(call, version)
+        pause += self._rng.uniform(0.0, RETURN_JITTER_SECONDS)
+        return api.Refusal(
+            api.RefusalReason.SERVERS_PAUSED, _UNAVAILABLE, pause
+        )
+
     def _refuse_absent_model(self, call: api.Call) -> api.Refusal:
         """Refuse a request whose model no server has loaded yet."""
         seconds_until_ready = self._scheduler.seconds_until_ready(call)
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 import typing
 
 import anyio
 
 from .. import clock as clocks
-from . import answer as answers
+from . import adapters as platform_adapters
 from . import app as apps
 from . import configuration_watch
 from . import controller as controllers
@@ -24,6 +23,7 @@
 from . import list_history
 from . import members
 from . import metrics as gateway_metrics
+from . import notices as server_notices
 from ..observe import logs
 from ..observe import metrics as metrics_module
 from ..observe import supervise
@@ -42,17 +42,12 @@
 from ..wire import settings as wire_settings
 
 if typing.TYPE_CHECKING:
-    from collections import abc
-
     import expression
 
-    from ..fleet import api as fleet_api
-    from . import groups
     from ..routes import api as routes_api
     from . import settings as gateway_settings
-    from . import store_api
 
-__all__ = ['Codec', 'Gateway', 'PlatformAdapters']
+__all__ = ['Gateway']
 
 _LOG: typing.Final = logs.ComponentLog('instance')
 
@@ -77,37 +72,13 @@
 SECRET_PREFIX: typing.Final = b'dogwoodquay peers of '
 
 
-class Codec(exchanges.HeaderCodec, answers.CallerCodec, typing.Protocol):
-    """Parses and writes the headers of requests and answers."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlatformAdapters:
-    """The adapters by which an instance communicates with its platform."""
-
-    codec: Codec
-    store: abc.Callable[
-        [client.Connections, gateway_settings.Address], store_api.Store
-    ]
-    engines: abc.Callable[[client.Connections, str], groups.EngineCalls]
-    configuration_topic: store_api.Topic
-    configuration_key: str
-    decode_configuration: abc.Callable[
-        [bytes], expression.Result[routes_api.Configuration, str]
-    ]
-    server_topic: store_api.Topic
-    decode_server: abc.Callable[
-        [str, bytes], expression.Result[fleet_api.ServerEntry, str]
-    ]
-
-
 class Gateway:
     """One instance; ``run`` is called once."""
 
     def __init__(
         self,
         settings: gateway_settings.InstanceSettings,
-        adapters: PlatformAdapters,
+        adapters: platform_adapters.PlatformAdapters,
     ) -> None:
         self._settings = settings
         self._clock = clocks.SteadyClock()
@@ -187,7 +158,7 @@
         await self._callers.serve(self._app, self._drained.wait)
         self._ended.set()
 
-    def _build(self, adapters: PlatformAdapters) -> None:
+    def _build(self, adapters: platform_adapters.PlatformAdapters) -> None:
         settings = self._settings
         clock = self._clock
         metrics = self._metrics
@@ -195,7 +166,14 @@
         self._ownership = order_ownership.OrderOwnership(
             store, settings, clock, self._rng, metrics
         )
-        engines = adapters.engines(self._connections, settings.instance_id)
+        self._notices = server_notices.ServerNotices(
+            self._registry, clock, metrics
+        )
+        engines = adapters.engines(
+            self._connections,
+            settings.instance_id,
+            self._notices.on_engine_answer,
+        )
         self._limits = server_limits.ServerLimits(
             members.member_name(settings), self._registry, clock, metrics
         )
@@ -288,11 +266,18 @@
         self._callers = serving.Listener(settings.callers)
         self._health = health.HealthApp(self._not_ready, self._metrics_page)
         self._peering.attach(self._scheduler, self._configuration)
+        self._notices.on_change(self._on_notice)
 
-    def _build_app(self, adapters: PlatformAdapters) -> apps.GatewayApp:
+    def _build_app(
+        self, adapters: platform_adapters.PlatformAdapters
+    ) -> apps.GatewayApp:
         settings = self._settings
         exchange = exchanges.Exchange(
-            self._connections, adapters.codec, self._clock, self._limits
+            self._connections,
+            adapters.codec,
+            self._clock,
+            self._limits,
+            self._notices,
         )
         self._silence = silences.SilenceWatch(self._scheduler, self._clock)
         budget = window.RetryWindow(
@@ -325,6 +310,11 @@
             self._configuration,
         )
 
+    def _on_notice(self) -> None:
+        """Pass on that a server leaves, and move what waits for it."""
+        self._scheduler.assign_waiting()
+        self._peering.publish_soon()
+
     def _configure(self, configuration: routes_api.Configuration) -> None:
         self._app.configure(configuration)
         self._scheduler.configure(configuration.services)
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -15,6 +15,7 @@
 from . import limit_waits
 from . import model_demand
 from ..observe import logs
+from . import outlook as server_outlook
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -83,7 +84,7 @@
         self._ticket_numbers = itertools.count()
         self._counts = model_demand.RequestCounts()
         self._closed = False
-        self._loading: dict[_Key, float] = {}
+        self._outlook = server_outlook.ServerOutlook(registry, clock)
 
     @property
     def waiting(self) -> int:
@@ -187,9 +188,7 @@
     async def _acquire(
         self, call: api.Call, need: choice.Need, wait_deadline: float
     ) -> servers.Server | None:
-        if self._version_gone(need):
-            return None
-        if self._load_misses_deadline(need, wait_deadline):
+        if self._outlook.now().is_hopeless(need, wait_deadline):
             return None
         server = None if self._queue.has_unserved else self._choose(need)
         if server is not None:
@@ -224,15 +223,9 @@
         now = self._clock.now()
         for ticket in self._queue.expired(now):
             self._resolve(ticket.number, None)
-        gone: dict[tuple[str, str | None], bool] = {}
+        outlook = self._outlook.now()
         for ticket in tuple(self._queue.tickets):
-            need = ticket.need
-            key = (need.service, need.version)
-            if key not in gone:
-                gone[key] = self._version_gone(need)
-            if gone[key] or self._load_misses_deadline(
-                need, ticket.wait_deadline
-            ):
+            if outlook.is_hopeless(ticket.need, ticket.wait_deadline):
                 self._queue.discard(ticket.number)
                 self._resolve(ticket.number, None)
         for ticket in self._limit_waits.overdue(self._queue.tickets):
@@ -251,7 +244,7 @@
         if self._closed:
             return api.RefusalReason.STOPPING
         need = self._need(call, frozenset(), version)
-        candidates = self._permitted(need)
+        candidates = self._outlook.permitted(need)
         if not candidates and version is not None:
             return api.RefusalReason.VERSION_GONE
         if not candidates:
@@ -261,6 +254,8 @@
             item.has_loaded(terms.model, terms.adapter) for item in candidates
         ):
             return api.RefusalReason.MODEL_ABSENT
+        if self._outlook.pause_end(need) is not None:
+            return api.RefusalReason.SERVERS_PAUSED
         if self._limit_waits.all_limited(need):
             return api.RefusalReason.RATE_LIMITED
         return api.RefusalReason.OVERLOADED
@@ -272,13 +267,21 @@
         need = self._need(call, frozenset(), version)
         return self._limit_waits.seconds_to_wait(need, self._queue.tickets)
 
+    def seconds_until_pause_end(
+        self, call: api.Call, version: str | None
+    ) -> float:
+        """Return the time until a server that has paused may be used."""
+        need = self._need(call, frozenset(), version)
+        end = self._outlook.pause_end(need)
+        return 0.0 if end is None else max(0.0, end - self._clock.now())
+
     def update_loading(self, ready_at: dict[_Key, float]) -> None:
         """Set when the models that no server has loaded will be ready."""
-        self._loading = ready_at
+        self._outlook.update_loading(ready_at)
 
     def seconds_until_ready(self, call: api.Call) -> float | None:
         """Return the time until a request's model is loaded, if known."""
-        ready_at = self._loading.get((call.service, call.terms.model))
+        ready_at = self._outlook.ready_at(call.service, call.terms.model)
         if ready_at is None:
             return None
         return max(0.0, ready_at - self._clock.now())
@@ -287,35 +290,6 @@
         """Count a caller that was asked to retry after some seconds."""
         self._counts.of(call).retry_at.append(self._clock.now() + seconds)
 
-    def _permitted(self, need: choice.Need) -> list[servers.Server]:
-        """Return the servers of a request's service and version."""
-        return [
-            server
-            for server in self._registry.of_service(need.service)
-            if need.permits(server)
-        ]
-
-    def _version_gone(self, need: choice.Need) -> bool:
-        """Whether no server has the only version that may be used."""
-        return need.version is not None and not self._permitted(need)
-
-    def _load_misses_deadline(
-        self, need: choice.Need, wait_deadline: float
-    ) -> bool:
-        """Whether a model will be ready only after a request's wait deadline.
-
-        False if a server has loaded it already. When demand moves to a model
-        whose load takes longer than its callers wait, their requests are
-        refused at once with the time to retry.
-        """
-        ready_at = self._loading.get((need.service, need.model))
-        if ready_at is None or ready_at <= wait_deadline:
-            return False
-        return not any(
-            server.has_loaded(need.model, '')
-            for server in self._permitted(need)
-        )
-
     async def _wait(
         self, call: api.Call, need: choice.Need, wait_deadline: float
     ) -> servers.Server | None:
@@ -395,4 +369,8 @@
         engine = service is not None and service.engine is not None
         if engine and server.awaiting_first_byte >= MAX_PENDING_PREFILLS:
             return 0.0
-        return self.request_capacity(server)
+        capacity = self.request_capacity(server)
+        share = server.share_after_pause(self._clock.now())
+        if share < 1.0 and server.in_flight >= max(1.0, share * capacity):
+            return 0.0
+        return capacity
--- a/src/dogwoodquay/platform/engines.py
+++ b/src/dogwoodquay/platform/engines.py
@@ -10,14 +10,20 @@
 from ..external import api as external_api
 from ..external import decoding
 from ..fleet import api as fleet_api
+from . import headers
 from ..residency import api
 
 if typing.TYPE_CHECKING:
+    import httpx
+
     from ..external.http import client
+    from ..gateway import api as gateway_api
 
 __all__ = ['EngineClient']
 
 _OK: typing.Final = 200
+# The answer of another server at the address.
+_MISDIRECTED: typing.Final = 421
 _JSON: typing.Final = ('content-type', 'application/json')
 _EXPECTED_SERVER: typing.Final = 'expect-instance'
 # Answers to callers' requests have it, those to reports and orders do not.
@@ -79,12 +85,19 @@
 class EngineClient:
     """Reads reports of engines and sends them orders.
 
-    ``holder`` is this instance's id as the sender of orders.
+    ``holder`` is this instance's id as the sender of orders. ``on_answer`` is
+    called with what each answer's headers say.
     """
 
-    def __init__(self, connections: client.Connections, holder: str) -> None:
+    def __init__(
+        self,
+        connections: client.Connections,
+        holder: str,
+        on_answer: gateway_api.AnswerHandler,
+    ) -> None:
         self._connections = connections
         self._holder = holder
+        self._on_answer = on_answer
 
     async def report(
         self, server: fleet_api.ServerEntry, deadline: float
@@ -102,6 +115,7 @@
         )
         if result.is_error():
             return expression.Error(result.error.reason)
+        self._handle_headers(server, result.ok)
         if result.ok.status_code != _OK:
             return expression.Error(f'status_{result.ok.status_code}')
         decoded = decoding.decode_json(result.ok.content, _Report)
@@ -143,9 +157,18 @@
             if isinstance(result.error, external_api.Unavailable):
                 return api.OrderAnswer.UNSENT
             return api.OrderAnswer.UNKNOWN
+        self._handle_headers(server, result.ok)
         status = result.ok.status_code
         return _ORDER_ANSWERS.get(status, api.OrderAnswer.REFUSED)
 
+    def _handle_headers(
+        self, server: fleet_api.ServerEntry, response: httpx.Response
+    ) -> None:
+        status = response.status_code
+        if status != _MISDIRECTED:
+            terms = headers.answer_terms(status, response.headers.raw)
+            self._on_answer(server, terms)
+
 
 def _order_body(order: api.Order) -> _Order:
     match order:
--- a/src/dogwoodquay/platform/headers.py
+++ b/src/dogwoodquay/platform/headers.py
@@ -29,8 +29,14 @@
 _STAMP: typing.Final = b'response-stamp'
 _LOAD: typing.Final = b'server-load'
 _LIMIT: typing.Final = b'server-limit'
+_LEAVING: typing.Final = b'server-leaving'
+# With status 503: the server wants no requests from this instance meanwhile.
+_RETRY_AFTER: typing.Final = b'retry-after'
 
 _MISDIRECTED: typing.Final = 421
+_UNAVAILABLE: typing.Final = 503
+# Longer pauses are taken for this one.
+_MAX_PAUSE_SECONDS: typing.Final = 600.0
 _MAX_PRIORITY: typing.Final = 9
 # Requests, tokens and rates are below this number by far.
 _MAX_COUNT: typing.Final = 1_000_000_000
@@ -144,9 +150,25 @@
         encoded=found.get(b'content-encoding', b'identity') != b'identity',
         rate_limit=limit,
         rate_limit_unreadable=_LIMIT in found and limit is None,
+        notice=_notice(status, found),
     )
 
 
+def _notice(status: int, found: dict[bytes, bytes]) -> api.ServerNotice | None:
+    pauses = status == _UNAVAILABLE and _RETRY_AFTER in found
+    if not pauses and _LEAVING not in found:
+        return None
+    unreadable = b''
+    leaving = found.get(_LEAVING, b'').strip() == b'1'
+    if _LEAVING in found and not leaving:
+        unreadable = _LEAVING
+    seconds = _decimal(_text(found, _RETRY_AFTER)) if pauses else 0.0
+    if seconds is None:
+        unreadable = _RETRY_AFTER
+    seconds = min(seconds or 0.0, _MAX_PAUSE_SECONDS)
+    return api.ServerNotice(leaving, seconds, unreadable.decode('ascii'))
+
+
 def _connection_names(
     headers: abc.Iterable[tuple[bytes, bytes]],
 ) -> frozenset[bytes]:
--- a/tests/site/server.py
+++ b/tests/site/server.py
@@ -82,6 +82,8 @@
     happens once. A server that ``repeats_refusals`` writes the last refusal
     on a connection again before each later answer there. ``failures`` are
     attempts that fail with a status, an answer of the server itself.
+    ``notices`` are headers of all its answers, and ``pause`` the text by which
+    it refuses all requests, reports and orders and asks for a pause.
 
     :param version: the version of the software, which events then carry.
     """
@@ -105,6 +107,8 @@
         self.endless: endless.Kind | None = None
         self.endless_now = 0
         self.limit: str | None = None
+        self.notices: tuple[tuple[str, str], ...] = ()
+        self.pause: str | None = None
         self.arrivals: list[float] = []
         self.refusals: dict[str, int] = {}
         self.repeats_refusals = False
@@ -228,8 +232,15 @@
 
     async def _handle(self, request: http.Request) -> http.Answer | None:
         await self._wait_while_silent()
+        if self.pause is not None:
+            self.arrivals.append(time.monotonic())
+            answer = self._refuse(503, request)
+            after = ('Retry-After', self.pause)
+            return answer._replace(headers=(*answer.headers, after))
         if request.path == '/report':
-            return self._report()
+            answer = self._report()
+            headers = (*answer.headers, *self.notices)
+            return answer._replace(headers=headers)
         expected = request.headers.get('expect-instance', self._id)
         if expected != self._id:
             return self._refuse(421, request)
@@ -340,13 +351,16 @@
             self._running -= 1
 
     def _refuse(self, status: int, request: http.Request) -> http.Answer:
-        attempt = request.headers.get('attempt-id', '')
-        headers = (('Attempt-Id', attempt), ('Not-Executed', '1'))
-        return http.Answer(status, b'', (*headers, *self._limits()))
+        headers = [('Not-Executed', '1'), *self._limits()]
+        if 'attempt-id' in request.headers:
+            headers.append(('Attempt-Id', request.headers['attempt-id']))
+        return http.Answer(status, b'', tuple(headers))
 
     def _limits(self) -> tuple[tuple[str, str], ...]:
-        """Return the header by which this server limits its requests."""
-        return () if self.limit is None else (('Server-Limit', self.limit),)
+        """Return the headers by which this server tells of itself."""
+        if self.limit is None:
+            return self.notices
+        return (('Server-Limit', self.limit), *self.notices)
 
     def _report(self) -> http.Answer:
         contents = self._contents
--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -20,6 +20,7 @@
 from dogwoodquay.gateway import exchange as exchanges
 from dogwoodquay.gateway import forwarder as forwarders
 from dogwoodquay.gateway import metrics as gateway_metrics
+from dogwoodquay.gateway import notices
 from dogwoodquay.gateway import resumption
 from dogwoodquay.gateway import scheduler as schedulers
 from dogwoodquay.gateway import serving
@@ -202,8 +203,10 @@
         self.server_list = fakes.FakeServerList()
         self.silence = silence.SilenceWatch(self.scheduler, clock)
         self.crashes = crashes.CrashWatch(self.connections, clock, metrics)
+        self.notices = notices.ServerNotices(self.registry, clock, metrics)
+        self.notices.on_change(self.scheduler.assign_waiting)
         self.exchange = exchanges.Exchange(
-            self.connections, headers, clock, limits
+            self.connections, headers, clock, limits, self.notices
         )
         self.app = apps.GatewayApp(
             forwarders.Forwarder(
--- a/tests/unit/platform/test_engines.py
+++ b/tests/unit/platform/test_engines.py
@@ -11,6 +11,7 @@
 from dogwoodquay import clock as clocks
 from dogwoodquay.external.http import client
 from dogwoodquay.fleet import api as fleet_api
+from dogwoodquay.gateway import api as gateway_api
 from dogwoodquay.platform import engines
 from dogwoodquay.residency import api
 
@@ -39,6 +40,7 @@
         It writes extra answers when a request comes on a used connection.
         """
         self.orders = 0
+        self.notices: list[gateway_api.ServerNotice | None] = []
 
         async def serve(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -66,7 +68,9 @@
 
         server = await asyncio.start_server(serve, '127.0.0.1', 0)
         self.connections = client.Connections(clocks.SteadyClock())
-        self.subject = engines.EngineClient(self.connections, 'here')
+        self.subject = engines.EngineClient(
+            self.connections, 'here', self._on_answer
+        )
         try:
             yield fleet_api.ServerEntry(
                 'e1',
@@ -86,6 +90,11 @@
             # Connections end in the next turn of the loop.
             await asyncio.sleep(0.01)
 
+    def _on_answer(
+        self, server: fleet_api.ServerEntry, terms: gateway_api.AnswerTerms
+    ) -> None:
+        self.notices.append(terms.notice)
+
     async def _order(self, server: fleet_api.ServerEntry) -> api.OrderAnswer:
         return await self.subject.order(
             server,
