Close connections that their peers have closed or nobody will use

Cause: an idle connection kept its transport after its peer had closed, until its address was used again, and nothing closed those to servers that had left. Connections of callers were kept as long, as hypercorn waits for the timer of the idle time after its caller has closed.

Change: idle connections are closed as their peer closes, every two seconds those to servers that are not listed or leave, and above 1,024. What readers tell of a response's connection moves to a module of its own.

--- a/src/dogwoodquay/entry/connections.py
+++ b/src/dogwoodquay/entry/connections.py
@@ -26,10 +26,12 @@
     Hypercorn closes an idle connection in steps, and serves a request that it
     reads between them, which then gets no answer. Here a request that has
     arrived is read before the connection is closed, and one that arrives
-    later is not read.
+    later is not read. Hypercorn also keeps a connection that its caller has
+    closed until it has been idle for long enough; here it is closed at once.
     """
 
     _closed_idle = False
+    _closed_by_caller = False
 
     async def _read_data(self) -> None:
         while not self.reader.at_eof():
@@ -40,9 +42,13 @@
             if self._closed_idle:
                 break
             await self.protocol.handle(events.RawData(data))
+        self._closed_by_caller = True
         await self.protocol.handle(events.Closed())
+        await self.idle_task.stop()
 
     async def _idle_timeout(self) -> None:
+        if self._closed_by_caller:
+            return
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(
                 self.context.terminated.wait(), self.config.keep_alive_timeout
--- a/src/dogwoodquay/external/http/client.py
+++ b/src/dogwoodquay/external/http/client.py
@@ -18,6 +18,7 @@
 from .. import api
 from .. import decoding
 from . import bodies
+from . import marks
 from . import network
 from . import pool
 from . import progress
@@ -30,9 +31,6 @@
     'Connections',
     'Headers',
     'decode',
-    'discard',
-    'keep_idle',
-    'mark_refused',
 ]
 
 CONNECT_TIMEOUT_SECONDS: typing.Final = 1.0
@@ -51,9 +49,6 @@
 )
 _METHODS_WITH_LENGTH: typing.Final = frozenset({'PATCH', 'POST', 'PUT'})
 # Keys in the extensions of a response.
-_DISCARD_KEY: typing.Final = 'discard_connection'
-_KEEP_ALIVE_KEY: typing.Final = 'idle_seconds'
-_REFUSED_KEY: typing.Final = 'request_refused'
 _STREAM_KEY: typing.Final = 'network_stream'
 _DEADLINE_PASSED: typing.Final = api.Unavailable('deadline')
 
@@ -87,9 +82,21 @@
         """Close all idle connections."""
         await self._pool.close()
 
-    async def close_idle(self, address: str, port: int) -> None:
-        """Close the idle connections to a removed address."""
-        await self._pool.close_idle(address, port)
+    @property
+    def in_use(self) -> int:
+        """The number of connections that requests use, or are opening."""
+        return self._pool.in_use
+
+    @property
+    def idle(self) -> int:
+        """The number of idle connections."""
+        return self._pool.idle
+
+    async def keep_only(
+        self, endpoints: abc.Container[tuple[str, int]]
+    ) -> None:
+        """Close the idle connections to all other addresses."""
+        await self._pool.keep_only(endpoints)
 
     def now(self) -> float:
         """Return the time on the clock of the deadlines."""
@@ -197,16 +204,16 @@
             with anyio.CancelScope(shield=True):
                 if sent_stream is not None:
                     sent_stream.expect_nothing()
-                if extensions.get(_DISCARD_KEY):
-                    await connection.aclose()
+                if extensions.get(marks.DISCARD_KEY):
+                    await self._pool.discard(acquired)
                 else:
                     await self._pool.release(
                         address,
                         port,
                         acquired,
-                        extensions.get(_KEEP_ALIVE_KEY),
+                        extensions.get(marks.KEEP_ALIVE_KEY),
                         request_id,
-                        extensions.get(_REFUSED_KEY, False),
+                        extensions.get(marks.REFUSED_KEY, False),
                     )
 
     async def is_refused(
@@ -253,7 +260,7 @@
             ) as sent:
                 if sent.is_ok():
                     if foreign_header and foreign_header in sent.ok.headers:
-                        discard(sent.ok)
+                        marks.discard(sent.ok)
                         return expression.Error(
                             api.Ambiguous('answer_crossed')
                         )
@@ -386,24 +393,6 @@
     )
 
 
-def discard(response: httpx.Response) -> None:
-    """Close the connection after this response instead of reusing it."""
-    response.extensions[_DISCARD_KEY] = True
-
-
-def keep_idle(response: httpx.Response, seconds: float) -> None:
-    """Limit how long the connection of a response is kept idle for reuse."""
-    response.extensions[_KEEP_ALIVE_KEY] = seconds
-
-
-def mark_refused(response: httpx.Response) -> None:
-    """Never use the connection of a response for the same request again.
-
-    It stays in use for other requests.
-    """
-    response.extensions[_REFUSED_KEY] = True
-
-
 def decode(
     response: httpx.Response, kind: type[_Body]
 ) -> expression.Result[_Body, api.Ambiguous]:
--- a/src/dogwoodquay/external/http/network.py
+++ b/src/dogwoodquay/external/http/network.py
@@ -132,10 +132,13 @@
         _complete(self._readable)
 
     def eof_received(self) -> bool:
-        """Record the end of the stream and keep the transport open."""
+        """Record the end of the stream.
+
+        An idle connection is closed; else the transport stays open.
+        """
         self._eof = True
         _complete(self._readable)
-        return True
+        return not self._idle
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the loss of the connection and wake pending calls."""
@@ -180,9 +183,9 @@
             raise httpcore.WriteError(str(self._error)) from self._error
 
     def expect_nothing(self) -> None:
-        """Close the connection if data arrives before the next write."""
+        """Close the connection if anything arrives before the next write."""
         self._idle = True
-        if self._parts and not self._closed:
+        if self.is_readable and not self._closed:
             self.close()
 
     def close(self) -> None:
@@ -270,7 +273,7 @@
         self._in_head = False
 
     def expect_nothing(self) -> None:
-        """Close the connection if data arrives before the next write."""
+        """Close the connection if anything arrives before the next write."""
         self._connection.expect_nothing()
 
     async def aclose(self) -> None:
--- a/src/dogwoodquay/external/http/pool.py
+++ b/src/dogwoodquay/external/http/pool.py
@@ -21,6 +21,8 @@
 __all__ = ['Acquired', 'ConnectionPool', 'Uses']
 
 MAX_CLOSED_PER_RELEASE: typing.Final = 2
+# Idle connections to all addresses together.
+MAX_IDLE_CONNECTIONS: typing.Final = 1024
 # A connection on which more requests than these were refused is closed.
 MAX_BARRED_REQUESTS: typing.Final = 256
 # Requests whose answers came on a connection and that it remembers. An extra
@@ -87,6 +89,18 @@
         self._keep_alive_seconds = keep_alive_seconds
         self._backend = network.NetworkBackend()
         self._idle: dict[_Endpoint, collections.deque[_IdleConnection]] = {}
+        self._idle_count = 0
+        self._in_use = 0
+
+    @property
+    def in_use(self) -> int:
+        """The number of connections that requests use, or are opening."""
+        return self._in_use
+
+    @property
+    def idle(self) -> int:
+        """The number of idle connections, with those closed by their peer."""
+        return self._idle_count
 
     async def acquire(
         self, address: str, port: int, apart_from: abc.Collection[str] = ()
@@ -101,6 +115,7 @@
         found = None
         while idle and found is None:
             item = idle.pop()
+            self._idle_count -= 1
             connection = item.connection
             if self._time.now() >= item.expires_at or connection.has_expired():
                 await connection.aclose()
@@ -110,6 +125,8 @@
                 found = Acquired(connection, item.uses)
         if left_out and idle is not None:
             idle.extend(reversed(left_out))
+            self._idle_count += len(left_out)
+        self._in_use += 1
         return found or Acquired(
             httpcore.AsyncHTTPConnection(
                 httpcore.Origin(b'http', address.encode('ascii'), port),
@@ -135,30 +152,45 @@
         :param request_id: the request that it was used for, if it has an id.
         :param refused: whether the request was refused as not run.
         """
+        self._in_use -= 1
         connection, uses = acquired
         if request_id:
             uses.add(request_id, refused)
         now = self._time.now()
         endpoint = (address, port)
         idle = self._idle.setdefault(endpoint, collections.deque())
-        if connection.is_idle() and not uses.exhausted:
+        reusable = connection.is_idle() and not connection.has_expired()
+        has_room = self._idle_count < MAX_IDLE_CONNECTIONS
+        if reusable and not uses.exhausted and has_room:
             seconds = self._keep_alive_seconds
             if server_keep_alive_seconds is not None:
                 seconds = min(seconds, server_keep_alive_seconds)
             idle.append(_IdleConnection(connection, now + seconds, uses))
+            self._idle_count += 1
         else:
             await connection.aclose()
         for _ in range(MAX_CLOSED_PER_RELEASE):
             if not idle or idle[0].expires_at >= now:
                 return
+            self._idle_count -= 1
             await idle.popleft().connection.aclose()
 
-    async def close_idle(self, address: str, port: int) -> None:
-        """Close the idle connections to an address."""
-        for idle in self._idle.pop((address, port), ()):
-            await idle.connection.aclose()
+    async def discard(self, acquired: Acquired) -> None:
+        """Close a connection instead of returning it."""
+        self._in_use -= 1
+        await acquired.connection.aclose()
+
+    async def keep_only(
+        self, endpoints: abc.Container[tuple[str, int]]
+    ) -> None:
+        """Close the idle connections to all other addresses."""
+        for endpoint in list(self._idle):
+            if endpoint not in endpoints:
+                unused = self._idle.pop(endpoint)
+                self._idle_count -= len(unused)
+                for item in unused:
+                    await item.connection.aclose()
 
     async def close(self) -> None:
         """Close all idle connections."""
-        for address, port in list(self._idle):
-            await self.close_idle(address, port)
+        await self.keep_only(())
--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -10,7 +10,7 @@
 from . import events
 from ..external import api as external_api
 from ..external.http import bodies
-from ..external.http import client
+from ..external.http import marks
 from . import held
 from . import outcomes
 
@@ -18,6 +18,7 @@
     from collections import abc
 
     from .. import clock as clocks
+    from ..external.http import client
     from ..fleet import server as servers
     from . import notices as server_notices
     from . import server_limits
@@ -165,7 +166,7 @@
         terms = self._codec.answer_terms(status, headers)
         progress.on_received()
         if terms.attempt_id != call.terms.attempt_id:
-            client.discard(response)
+            marks.discard(response)
             return outcomes.Broken('answer_crossed')
         self._update_server(server, response, terms)
         if status != _MISDIRECTED:
@@ -176,7 +177,7 @@
             if terms.not_executed:
                 # Servers may write a refusal again, where it would look like
                 # the answer to a further attempt.
-                client.mark_refused(response)
+                marks.mark_refused(response)
                 bodies.limit(response, bodies.MAX_ANSWER_BYTES)
                 await self._read_body(relay, response)
                 absent = status == _MISDIRECTED
@@ -185,7 +186,7 @@
                 status in _NOT_RUN_STATUSES and not call.route.repeatable
             )
             if terms.encoded or not terms.stamped or unmarked:
-                client.discard(response)
+                marks.discard(response)
                 return outcomes.Broken('not_the_servers_answer')
             if status == _OK and call.route.streaming:
                 return await self._relay_events(
@@ -196,7 +197,7 @@
         except httpx.HTTPError as error:
             return outcomes.Broken(bodies.broken_reason(error))
         except events.BrokenStream as error:
-            client.discard(response)
+            marks.discard(response)
             return outcomes.Broken(str(error))
         server.succeeded(seconds)
         return outcomes.Whole(status, headers, body, _framed(response))
@@ -211,11 +212,11 @@
             total = terms.running + terms.waiting
             server.update_load(total, self._clock.now())
         if terms.closing:
-            client.discard(response)
+            marks.discard(response)
         elif terms.idle_seconds:
-            client.keep_idle(response, terms.idle_seconds * IDLE_SHARE)
+            marks.keep_idle(response, terms.idle_seconds * IDLE_SHARE)
         else:
-            client.keep_idle(response, IDLE_UNKNOWN_SECONDS)
+            marks.keep_idle(response, IDLE_UNKNOWN_SECONDS)
 
     async def _read_body(
         self, relay: Relay, response: httpx.Response
--- /dev/null
+++ b/src/dogwoodquay/gateway/idle_connections.py
@@ -0,0 +1,61 @@
+"""Closes idle connections to servers that are not used any more."""
+
+from __future__ import annotations
+
+import typing
+
+import anyio
+
+if typing.TYPE_CHECKING:
+    from ..external.http import client
+    from ..fleet import registry as registries
+    from . import metrics as gateway_metrics
+    from . import settings as gateway_settings
+
+__all__ = ['IdleConnections']
+
+INTERVAL_SECONDS: typing.Final = 2.0
+
+
+class IdleConnections:
+    """Keeps idle connections to listed servers and the store only.
+
+    Each one holds a descriptor, of which an instance has a limited number.
+    """
+
+    def __init__(
+        self,
+        connections: client.Connections,
+        registry: registries.Registry,
+        store: gateway_settings.Address,
+        metrics: gateway_metrics.GatewayMetrics,
+    ) -> None:
+        self._connections = connections
+        self._registry = registry
+        self._store = store
+        metrics.gauge(
+            'gateway_server_connections_in_use',
+            'Connections to servers and the store that requests use',
+            lambda: connections.in_use,
+        )
+        metrics.gauge(
+            'gateway_server_connections_idle',
+            'Idle connections to servers and the store',
+            lambda: connections.idle,
+        )
+
+    async def run(self) -> typing.NoReturn:
+        """Close the others at intervals until cancelled."""
+        while True:
+            await anyio.sleep(INTERVAL_SECONDS)
+            await self.step()
+
+    async def step(self) -> None:
+        """Close the others once."""
+        listed = {
+            (server.entry.address, server.entry.port)
+            for server in self._registry.servers.values()
+            if not server.leaving
+        }
+        listed.add((self._store.host, self._store.port))
+        await self._connections.keep_only(listed)
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -20,6 +20,7 @@
 from ..fleet import registry as registries
 from . import forwarder as forwarders
 from . import health
+from . import idle_connections
 from . import list_history
 from . import members
 from . import metrics as gateway_metrics
@@ -95,6 +96,9 @@
             connect_seconds=CONNECT_SECONDS,
             keep_alive_seconds=UPSTREAM_IDLE_SECONDS,
         )
+        self._idle = idle_connections.IdleConnections(
+            self._connections, self._registry, settings.store, self._metrics
+        )
         self._build(adapters)
 
     def stop(self) -> None:
@@ -139,6 +143,7 @@
                 ('origins', self._origins.run),
                 ('origin_log', self._origin_log.run),
                 ('crashes', self._crashes.run),
+                ('connections', self._idle.run),
             ):
                 group.start_soon(supervise.keep_running, name, part)
             group.start_soon(readiness.serve, self._health, self._drained.wait)
--- a/tests/unit/external/test_http_limits.py
+++ b/tests/unit/external/test_http_limits.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import time
 import typing
 import unittest
@@ -36,6 +37,7 @@
         self._head = head
         self._endless = endless
         self.connections = 0
+        self.writers: list[asyncio.StreamWriter] = []
         self.closed = asyncio.Event()
         self.begin_endless = asyncio.Event()
         self.begin_endless.set()
@@ -44,6 +46,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        self.writers.append(writer)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             await reader.readuntil(b'\r\n\r\n')
             writer.write(self._head)
@@ -141,6 +144,23 @@
             upstream.begin_endless.set()
             await upstream.closed.wait()
 
+    async def test_end_of_an_idle_connection(self) -> None:
+        """A connection that its peer has closed keeps no descriptor."""
+        upstream = _Upstream(EMPTY, b'')
+        async with connected(upstream) as (connections, port):
+            before = set(os.listdir('/proc/self/fd'))
+            deadline = time.time() + DEADLINE_SECONDS
+            result = await connections.fetch(
+                '127.0.0.1', port, 'GET', '/', deadline
+            )
+            self.assertTrue(result.is_ok())
+            self.assertEqual((0, 1), (connections.in_use, connections.idle))
+            for writer in upstream.writers:
+                writer.close()
+            await asyncio.sleep(0.05)
+            left = set(os.listdir('/proc/self/fd')) - before
+            self.assertEqual(set(), left)
+
 
 class SoundAnswerTest(unittest.IsolatedAsyncioTestCase):
     """Answers up to a limit are read."""
--- a/tests/unit/external/test_http_pool.py
+++ b/tests/unit/external/test_http_pool.py
@@ -140,3 +140,40 @@
         self.assertFalse(self.second.closed)
         self.assertTrue(found.uses.includes([f'c{number}']))
         self.assertFalse(found.uses.includes(['a']))
+
+
+class BoundTest(_PoolTest):
+    """Idle connections are closed that nobody will use."""
+
+    async def test_unlisted_addresses(self) -> None:
+        """Those to other addresses are kept."""
+        other = _Connection()
+        await self.pool.release('127.0.0.1', 2, self._acquired(other))
+        self.assertEqual(3, self.pool.idle)
+        await self.pool.keep_only({('127.0.0.1', 2)})
+        self.assertTrue(self.first.closed and self.second.closed)
+        self.assertFalse(other.closed)
+        self.assertEqual(1, self.pool.idle)
+        await self.pool.close()
+        self.assertEqual((True, 0), (other.closed, self.pool.idle))
+
+    async def test_bound(self) -> None:
+        """No more are kept than a number over all addresses."""
+        for port in range(pool.MAX_IDLE_CONNECTIONS + 50):
+            acquired = await self.pool.acquire('127.0.0.1', 10_000 + port)
+            await self.pool.release(
+                '127.0.0.1', 10_000 + port, self._acquired(_Connection())
+            )
+            del acquired
+        self.assertEqual(pool.MAX_IDLE_CONNECTIONS, self.pool.idle)
+
+    async def test_counts(self) -> None:
+        """Each connection is in use, idle or closed."""
+        found = [await self._acquire() for _ in range(3)]
+        self.assertEqual(0, self.pool.idle)
+        used = self.pool.in_use
+        await self.pool.discard(found[2])
+        for item in found[:2]:
+            await self._return(item)
+        self.assertEqual(used - 3, self.pool.in_use)
+        self.assertEqual(2, self.pool.idle)
