Let a departure last no longer than the process that announced it

Cause: the start of a server's process, `born`, was not decoded, so that the announced departure held for the next process as well. A peer's news of an earlier process was applied to the next one.

Change: `born` is decoded, and an odd one counts as none. News of an earlier process is not applied.

--- a/src/dogwoodquay/fleet/registry.py
+++ b/src/dogwoodquay/fleet/registry.py
@@ -38,7 +38,8 @@
     """When a server left, by the list or by a peer.
 
     ``announced`` is whether the server itself reported that it leaves, which
-    it cannot take back. An entry that was only removed may have expired.
+    it cannot take back; its next process may have the same id. An entry that
+    was only removed may have expired.
     ``started_ms`` and ``report_number`` are those of its last known entry.
     """
 
@@ -195,10 +196,14 @@
         if known is None:
             return self._add(entry, now)
         old = known.entry
+        leaves = entry.state is api.ServerState.LEAVING
         if entry.started_ms < old.started_ms:
-            return Change.STALE
+            if entry.started_ms or not leaves or known.leaving:
+                return Change.STALE
+            # It may be the end of this process.
+            self._announce(known, now)
+            return Change.LEAVING
         same_process = entry.started_ms == old.started_ms
-        leaves = entry.state is api.ServerState.LEAVING
         if same_process and entry.report_number < old.report_number:
             if not leaves or known.leaving:
                 return Change.STALE
@@ -236,7 +241,8 @@
                 self._depart(departure)
             return Change.SAME
         if departure.announced:
-            if known.leaving:
+            earlier = departure.started_ms < known.entry.started_ms
+            if known.leaving or earlier:
                 return Change.SAME
             self._announce(known, departure.at)
             return Change.LEAVING
--- a/src/dogwoodquay/platform/servers.py
+++ b/src/dogwoodquay/platform/servers.py
@@ -20,8 +20,10 @@
 _MAX_PORT: typing.Final = 65535
 # Ids are sent in headers.
 _MAX_ID_CHARACTERS: typing.Final = 256
-# Each process has an id of its own, so that starts need not be told apart.
-_ONE_PROCESS_PER_ID = 0
+# Used where an entry tells of no start: each process has an id of its own then.
+_NO_START = 0
+# Far in the future.
+_MAX_START = 2**43
 
 
 class _Body(msgspec.Struct, rename='pascal'):
@@ -46,6 +48,8 @@
     # The version of the server's software.
     version: str
     models: list[_Model] = []
+    # When the process was started, in Unix milliseconds.
+    born: object = msgspec.field(name='born', default=_NO_START)
 
 
 def decode(
@@ -72,7 +76,7 @@
             entry.zone,
             state,
             entry.slots,
-            _ONE_PROCESS_PER_ID,
+            _start(entry.born),
             entry.sequence,
             tuple(
                 api.LoadedModel(
@@ -91,6 +95,13 @@
     return sound and stripped and 0 < len(server_id) <= _MAX_ID_CHARACTERS
 
 
+def _start(born: object) -> int:
+    """Return the start of a process, zero if it is not told."""
+    if isinstance(born, int) and not isinstance(born, bool):
+        return born if 0 <= born <= _MAX_START else _NO_START
+    return _NO_START
+
+
 def _address(text: str) -> tuple[str, int] | None:
     """Return an address and a port that can be connected to."""
     host, _, port = text.rpartition(':')
--- a/tests/site/test_departures.py
+++ b/tests/site/test_departures.py
@@ -142,6 +142,33 @@
             await self.assert_unused(site)
 
 
+class StartedAgainTest(_DepartureCase):
+    """Servers leave as planned and start again under their ids."""
+
+    async def test_all_servers_of_a_service(self) -> None:
+        """Requests were refused for ever."""
+        async with self.running(2) as site:
+            desks = [site.desk, self.other]
+            for desk in desks:
+                desk.register(born=1_000)
+            for desk in desks:
+                desk.register('draining', born=1_000)
+                for instance in site.instances:
+                    await self.wait_for(instance, desk.server_id, 'leaving')
+            for desk in desks:
+                desk.http.stop()
+                site.store.put(_SERVERS, desk.server_id, None)
+            for desk in desks:
+                await desk.http.start()
+                desk.register(born=2_000, reports=1)
+                # The last report of the process before comes late.
+                desk.register('draining', born=1_000, reports=9)
+                desk.register(born=2_000, reports=2)
+            await self.wait_for_list(site)
+            for instance in site.instances:
+                await self.use(instance)
+
+
 def _entry(address: bytes, slots: bytes) -> bytes:
     return (
         b'{"Service":"desk","Address":%s,"Zone":"zone-1","Version":"v1",'
--- a/tests/unit/fleet/test_registry.py
+++ b/tests/unit/fleet/test_registry.py
@@ -235,6 +235,78 @@
         self.assertIsNone(self.registry.get('s2'))
 
 
+class StartedAgainTest(unittest.TestCase):
+    """A departure lasts no longer than the process that announced it."""
+
+    def setUp(self) -> None:
+        """Let a server leave."""
+        self.registry = registry.Registry()
+        self.registry.update(entries.entry(report_number=5), 1.0)
+        self.leaving = entries.entry(
+            report_number=6, state=api.ServerState.LEAVING
+        )
+        self.started = entries.entry(started_ms=2000, report_number=1)
+        self.registry.update(self.leaving, 2.0)
+
+    def _assert_used(self) -> None:
+        (server,) = self.registry.of_service('models')
+        self.assertEqual(2000, server.entry.started_ms)
+
+    def test_started_again(self) -> None:
+        """The next process is used, listed meanwhile or not."""
+        self.registry.update(self.started, 3.0)
+        self._assert_used()
+
+    def test_removed_before(self) -> None:
+        """The entry of the process before has been removed."""
+        self.registry.remove('s1', 2.5)
+        self.assertIs(Change.ADDED, self.registry.update(self.started, 3.0))
+        self._assert_used()
+
+    def test_reports_in_the_wrong_order(self) -> None:
+        """Reports of the process before come after the start of the next."""
+        self.registry.update(self.started, 3.0)
+        for number in (1, 6, 7):
+            late = self.leaving._replace(report_number=number)
+            self.assertIs(Change.STALE, self.registry.update(late, 4.0))
+        self._assert_used()
+
+    def test_told_by_a_peer(self) -> None:
+        """A peer tells of the departure after the start of the next."""
+        (departure,) = self.registry.departures(0.0)
+        self.registry.update(self.started, 3.0)
+        for item in (departure, departure._replace(at=9.0)):
+            change = self.registry.on_departure_reported(item, 9.0)
+            self.assertIs(Change.SAME, change)
+        self._assert_used()
+
+    def test_told_by_a_peer_before(self) -> None:
+        """A peer tells of it before this instance knows the server."""
+        subject = registry.Registry()
+        (departure,) = self.registry.departures(0.0)
+        subject.on_departure_reported(departure, 3.0)
+        subject.update(entries.entry(report_number=5), 4.0)
+        self.assertEqual([], subject.of_service('models'))
+        subject.update(self.started, 5.0)
+        self.assertEqual(1, len(subject.of_service('models')))
+
+    def test_leaves_again(self) -> None:
+        """The next process may leave as well."""
+        self.registry.update(self.started, 3.0)
+        again = self.started._replace(
+            report_number=2, state=api.ServerState.LEAVING
+        )
+        self.assertIs(Change.LEAVING, self.registry.update(again, 4.0))
+        self.assertEqual([], self.registry.of_service('models'))
+
+    def test_end_without_a_start(self) -> None:
+        """An entry that tells of no start may be the end of this process."""
+        self.registry.update(self.started, 3.0)
+        unknown = self.leaving._replace(started_ms=0)
+        self.assertIs(Change.LEAVING, self.registry.update(unknown, 4.0))
+        self.assertEqual([], self.registry.of_service('models'))
+
+
 class SoftwareVersionTest(unittest.TestCase):
     """Which software versions the servers of a service had lately."""
 
