--- a/src/dogwoodquay/platform/servers.py
+++ b/src/dogwoodquay/platform/servers.py
@@ -20,7 +20,7 @@
 _MAX_PORT: typing.Final = 65535
 # Ids are sent in headers.
 _MAX_ID_CHARACTERS: typing.Final = 256
-# Used where an entry tells of no start: each process has an id of its own then.
+# Used where an entry tells of no start: each process then has its own id.
 _NO_START = 0
 # Far in the future.
 _MAX_START = 2**43
