--- a/src/dogwoodquay/external/http/client.py
+++ b/src/dogwoodquay/external/http/client.py
@@ -16,13 +16,11 @@
 
 from ... import clock
 from .. import api
-from .. import decoding
 from . import bodies
 from . import marks
 from . import network
 from . import pool
 from . import progress
-from . import wire
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -30,7 +28,6 @@
 __all__ = [
     'Connections',
     'Headers',
-    'decode',
 ]
 
 CONNECT_TIMEOUT_SECONDS: typing.Final = 1.0
@@ -41,14 +38,13 @@
 Headers = tuple[tuple[str, str], ...]
 SendError = api.Unavailable | api.Ambiguous
 
-_Body = typing.TypeVar('_Body')
 
 _CONNECT_ERRORS: typing.Final = (
     httpcore.ConnectError,
     httpcore.ConnectTimeout,
 )
 _METHODS_WITH_LENGTH: typing.Final = frozenset({'PATCH', 'POST', 'PUT'})
-# Keys in the extensions of a response.
+# A key in the extensions of a response.
 _STREAM_KEY: typing.Final = 'network_stream'
 _DEADLINE_PASSED: typing.Final = api.Unavailable('deadline')
 
@@ -72,16 +68,6 @@
         self._read_timeout_seconds = read_timeout_seconds
         self._pool = pool.ConnectionPool(time, keep_alive_seconds)
 
-    async def __aenter__(self) -> Connections:
-        return self
-
-    async def __aexit__(self, *_: object) -> None:
-        await self.close()
-
-    async def close(self) -> None:
-        """Close all idle connections."""
-        await self._pool.close()
-
     @property
     def in_use(self) -> int:
         """The number of connections that requests use, or are opening."""
@@ -92,6 +78,16 @@
         """The number of idle connections."""
         return self._pool.idle
 
+    async def __aenter__(self) -> Connections:
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        """Close all idle connections."""
+        await self._pool.close()
+
     async def keep_only(
         self, endpoints: abc.Container[tuple[str, int]]
     ) -> None:
@@ -391,24 +387,3 @@
             extensions={_STREAM_KEY: stream},
         )
     )
-
-
-def decode(
-    response: httpx.Response, kind: type[_Body]
-) -> expression.Result[_Body, api.Ambiguous]:
-    """Decode a JSON body; an invalid one is ``Ambiguous``."""
-    decoded = decoding.decode_json(response.content, kind)
-    if decoded.is_error():
-        return expression.Error(api.Ambiguous('bad_answer'))
-    return expression.Ok(decoded.ok)
-
-
-def failure(response: httpx.Response) -> wire.Failure:
-    """Return the failure described by an error response.
-
-    A body in another format gives a reason made from the status code.
-    """
-    decoded = decode(response, wire.Failure)
-    if decoded.is_ok():
-        return decoded.ok
-    return wire.Failure(f'status_{response.status_code}')
--- a/src/dogwoodquay/external/http/engine.py
+++ b/src/dogwoodquay/external/http/engine.py
@@ -11,6 +11,7 @@
 
 from .. import api
 from . import client
+from . import responses
 from . import service
 from . import wire
 
@@ -109,7 +110,7 @@
     response = sent.ok
     if response.is_success:
         return expression.Ok(response)
-    failure = client.failure(response)
+    failure = responses.failure(response)
     if response.status_code == httpx.codes.CONFLICT:
         return expression.Error(api.StaleFence(failure.highest_fence))
     not_run = wire.NOT_RUN_HEADER in response.headers
@@ -126,7 +127,7 @@
 ) -> expression.Result[_Body, api.EngineError]:
     if checked.is_error():
         return expression.Error(checked.error)
-    decoded = client.decode(checked.ok, kind)
+    decoded = responses.decode(checked.ok, kind)
     if decoded.is_error():
         return expression.Error(decoded.error)
     return expression.Ok(decoded.ok)
--- a/src/dogwoodquay/external/http/lists.py
+++ b/src/dogwoodquay/external/http/lists.py
@@ -11,6 +11,7 @@
 from .. import api
 from . import bodies
 from . import client
+from . import responses
 from . import wire
 
 __all__ = ['HttpInstanceList', 'HttpWeightStore']
@@ -43,9 +44,9 @@
         if sent.is_error():
             return expression.Error(api.Unavailable(sent.error.reason))
         if not sent.ok.is_success:
-            reason = client.failure(sent.ok).reason
+            reason = responses.failure(sent.ok).reason
             return expression.Error(api.Unavailable(reason))
-        decoded = client.decode(sent.ok, tuple[api.Instance, ...])
+        decoded = responses.decode(sent.ok, tuple[api.Instance, ...])
         if decoded.is_error():
             return expression.Error(api.Unavailable(decoded.error.reason))
         return expression.Ok(decoded.ok)
@@ -67,7 +68,7 @@
             return expression.Error(sent.error)
         if sent.ok.is_success:
             return expression.Ok(None)
-        reason = client.failure(sent.ok).reason
+        reason = responses.failure(sent.ok).reason
         if wire.NOT_RUN_HEADER in sent.ok.headers:
             return expression.Error(api.Unavailable(reason))
         return expression.Error(api.Ambiguous(reason))
@@ -98,9 +99,9 @@
         if sent.is_error():
             return expression.Error(api.Unavailable(sent.error.reason))
         if not sent.ok.is_success:
-            reason = client.failure(sent.ok).reason
+            reason = responses.failure(sent.ok).reason
             return expression.Error(api.Unavailable(reason))
-        decoded = client.decode(sent.ok, api.WeightStoreState)
+        decoded = responses.decode(sent.ok, api.WeightStoreState)
         if decoded.is_error():
             return expression.Error(api.Unavailable(decoded.error.reason))
         return expression.Ok(decoded.ok)
--- a/src/dogwoodquay/external/http/log.py
+++ b/src/dogwoodquay/external/http/log.py
@@ -12,6 +12,7 @@
 from .. import api
 from . import bodies
 from . import client
+from . import responses
 from . import wire
 
 __all__ = ['HttpLog']
@@ -53,7 +54,7 @@
             return expression.Error(sent.error)
         if sent.ok.status_code != httpx.codes.CREATED:
             return expression.Error(_log_error(sent.ok))
-        decoded = client.decode(sent.ok, wire.OffsetBody)
+        decoded = responses.decode(sent.ok, wire.OffsetBody)
         if decoded.is_error():
             return expression.Error(decoded.error)
         return expression.Ok(decoded.ok.offset)
@@ -93,7 +94,7 @@
             return expression.Error(api.Unavailable(sent.error.reason))
         if sent.ok.status_code != httpx.codes.OK:
             return expression.Error(_log_error(sent.ok))
-        decoded = client.decode(sent.ok, wire.LogPageBody)
+        decoded = responses.decode(sent.ok, wire.LogPageBody)
         if decoded.is_error():
             return expression.Error(api.Unavailable(decoded.error.reason))
         return expression.Ok(wire.log_page(decoded.ok))
@@ -105,7 +106,7 @@
 
 
 def _log_error(response: httpx.Response) -> api.LogError:
-    failure = client.failure(response)
+    failure = responses.failure(response)
     if response.status_code == httpx.codes.GONE:
         return api.Trimmed(failure.first_offset)
     if wire.NOT_RUN_HEADER in response.headers:
--- a/src/dogwoodquay/external/http/service.py
+++ b/src/dogwoodquay/external/http/service.py
@@ -12,6 +12,7 @@
 from . import answer
 from . import bodies
 from . import client
+from . import responses
 from . import wire
 
 if typing.TYPE_CHECKING:
@@ -82,9 +83,9 @@
         if sent.is_error():
             return expression.Error(api.Unavailable(sent.error.reason))
         if not sent.ok.is_success:
-            reason = client.failure(sent.ok).reason
+            reason = responses.failure(sent.ok).reason
             return expression.Error(api.Unavailable(reason))
-        decoded = client.decode(sent.ok, api.LoadReport)
+        decoded = responses.decode(sent.ok, api.LoadReport)
         if decoded.is_error():
             return expression.Error(api.Unavailable(decoded.error.reason))
         return expression.Ok(decoded.ok)
@@ -118,4 +119,4 @@
         await response.aread()
     except httpx.HTTPError:
         return api.Refused('not_run')
-    return api.Refused(client.failure(response).reason)
+    return api.Refused(responses.failure(response).reason)
