Read the log of stream origins again after a restore of the store

Cause: an instance that had read further than a restored log reaches got 410 with an offset below its own, which it took for a failure, until the log had grown beyond. Streams taken up meanwhile were unknown to it.

Evidence: test_restored_store on the code before finds nothing of a record that was appended after the restore.

Change: the read goes on at the oldest record, whichever way it differs.

--- a/src/dogwoodquay/gateway/origin_log.py
+++ b/src/dogwoodquay/gateway/origin_log.py
@@ -191,11 +191,15 @@
         return False
 
     def _on_read_failed(self, error: store_api.StoreError) -> bool:
-        """Go on at the oldest record if earlier ones have expired."""
+        """Go on at the oldest record if the next one is not there.
+
+        Earlier ones have expired, or the store was restored and lacks it.
+        Records that are read again do no harm.
+        """
         match error:
             case external_api.Trimmed(first_offset):
                 self._metrics.origin_log_called('trimmed')
-                if first_offset > self._offset:
+                if first_offset != self._offset:
                     self._offset = first_offset
                     return True
                 reason = 'trimmed'
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -231,11 +231,11 @@
         self.reads += 1
         if self.unavailable:
             return expression.Error(external_api.Unavailable('status_503'))
-        if offset < self.first_offset:
+        end = self.first_offset + len(self.records)
+        if not self.first_offset <= offset <= end:
             return expression.Error(external_api.Trimmed(self.first_offset))
         start = offset - self.first_offset
         found = tuple(self.records[start : start + self.page_records])
-        end = self.first_offset + len(self.records)
         await self.answers.wait()
         await anyio.lowlevel.checkpoint()
         return expression.Ok(
--- a/tests/unit/gateway/test_origin_log.py
+++ b/tests/unit/gateway/test_origin_log.py
@@ -142,6 +142,16 @@
         self.assertEqual((), await self.found('a'))
         self.assertEqual((ORIGIN,), await self.found('b'))
 
+    async def test_restored_store(self) -> None:
+        """A log that is shorter than before is read from its begin (LOST)."""
+        for name in ('a', 'b', 'c'):
+            await self.append(_row(name))
+        self.assertEqual((ORIGIN,), await self.found('c'))
+        del self.store.records[1:]
+        await self.append(_row('d'))
+        self.assertEqual((ORIGIN,), await self.found('d'))
+        self.assertEqual((ORIGIN,), await self.found('c'))
+
     async def test_unreadable_record(self) -> None:
         """The others are read."""
         self.store.records.append(b'\xff')
