Name the token of orders without a name of the platform

Cause: read-through; FencingToken is a field of the platform's, and ownership.py had grown. Change: OrderToken, and its log fields with it. No behaviour.

--- a/src/dogwoodquay/gateway/fencing.py
+++ b/src/dogwoodquay/gateway/fencing.py
@@ -4,7 +4,7 @@
 
 import typing
 
-__all__ = ['NO_TOKEN', 'TOKENS_PER_GENERATION', 'FencingToken']
+__all__ = ['NO_TOKEN', 'TOKENS_PER_GENERATION', 'OrderToken']
 
 # Fencing tokens within one generation of the group: the owner's and one for
 # each peer to which it may offer the duty at a planned stop.
@@ -13,7 +13,7 @@
 _NUMBERS_PER_ERA: typing.Final = 1 << 32
 
 
-class FencingToken(typing.NamedTuple):
+class OrderToken(typing.NamedTuple):
     """The right to give orders; of two tokens the greater one is newer.
 
     ``store_era`` rises each time that the store is restored from an older
@@ -33,15 +33,19 @@
         within_era = first + self.hand_over_number
         return self.store_era * _NUMBERS_PER_ERA + within_era
 
-    def is_older_term(self, other: FencingToken) -> bool:
+    def fields(self) -> dict[str, int]:
+        """Return the fields of log lines about this token."""
+        return {'era': self.store_era, 'generation': self.generation}
+
+    def is_older_term(self, other: OrderToken) -> bool:
         """Whether the generation is from before that of another token."""
         return self[:2] < other[:2]
 
-    def next_hand_over(self) -> FencingToken | None:
+    def next_hand_over(self) -> OrderToken | None:
         """Return the next token of this generation, ``None`` if used up."""
         if self.hand_over_number >= TOKENS_PER_GENERATION - 1:
             return None
         return self._replace(hand_over_number=self.hand_over_number + 1)
 
 
-NO_TOKEN: typing.Final = FencingToken(0, 0)
+NO_TOKEN: typing.Final = OrderToken(0, 0)
--- a/src/dogwoodquay/gateway/ownership.py
+++ b/src/dogwoodquay/gateway/ownership.py
@@ -145,7 +145,7 @@
 
     def on_superseded(self) -> None:
         """End the ownership, as an engine has seen a higher token."""
-        _LOG.write('superseded', **self._token_fields())
+        _LOG.write('superseded', **self._token.fields())
         self._end_ownership()
 
     def on_owner_reported(self, owner: str) -> None:
@@ -196,7 +196,7 @@
         was_owner, self._leaving = self._is_owner, True
         return not was_owner or await self._leave_group()
 
-    def next_hand_over(self) -> fencing.FencingToken | None:
+    def next_hand_over(self) -> fencing.OrderToken | None:
         """Return the successor's fencing token for the next hand-over.
 
         Each peer gets its own, as one whose answer is lost may have accepted.
@@ -215,13 +215,10 @@
         """Record that a peer has taken over the duty."""
         self._is_owner = False
         self._owner = member
-        _LOG.write('handed_on', member=member, **self._token_fields())
+        _LOG.write('handed_on', member=member, **self._token.fields())
 
-    def take_over(self, predecessor: str, token: fencing.FencingToken) -> bool:
-        """Take the duty over from a stopping owner, if that is possible.
-
-        An offer with an older token than this instance has had is refused.
-        """
+    def take_over(self, predecessor: str, token: fencing.OrderToken) -> bool:
+        """Take the duty over from a stopping owner, if the offer is newer."""
         unable = self._leaving or self._is_owner or token <= self._token
         if unable or not self._settings.fences_checked:
             return False
@@ -231,7 +228,7 @@
         self._is_owner = True
         self._owner_since = self._clock.now()
         self._owner = self._member
-        _LOG.write('taken_over', member=predecessor, **self._token_fields())
+        _LOG.write('taken_over', member=predecessor, **self._token.fields())
         self._wake.set()
         return True
 
@@ -303,16 +300,13 @@
 
         A token never becomes smaller: another instance may have used it.
 
-        :return: whether the ownership is confirmed. It is not by an answer
-            from before a restore of the store.
+        :return: whether it does; not by an answer from before a restore.
         """
-        token = fencing.FencingToken(
-            membership.store_era, membership.generation
-        )
+        token = fencing.OrderToken(membership.store_era, membership.generation)
         if token > self._token:
             self._token = token
         elif self._predecessor or token.is_older_term(self._token):
-            _LOG.write('outdated', found=token.number, **self._token_fields())
+            _LOG.write('outdated', found=token.number, **self._token.fields())
             return False
         self._predecessor = ''
         self._confirmed_at = began
@@ -323,16 +317,14 @@
         membership = await self._join_group(began)
         if membership is None:
             return
-        if self._leaving or PARTITION not in membership.partitions:
-            await self._leave_group()
-            return
-        if not self._confirm_ownership(membership, began):
+        assigned = PARTITION in membership.partitions and not self._leaving
+        if not assigned or not self._confirm_ownership(membership, began):
             await self._leave_group()
             return
         self._is_owner = True
         self._owner_since = began
         self._owner = self._member
-        _LOG.write('held', **self._token_fields())
+        _LOG.write('held', **self._token.fields())
 
     async def _join_group(self, began: float) -> store_api.Membership | None:
         """Join the group or renew the membership.
@@ -401,14 +393,9 @@
             self._metrics.store_failed('leave')
         return left
 
-    def _token_fields(self) -> dict[str, int]:
-        """Return the fields of log lines about the own fencing token."""
-        token = self._token
-        return {'era': token.store_era, 'generation': token.generation}
-
     def _end_ownership(self) -> None:
         self._is_owner = False
         self._predecessor = ''
         if self._owner == self._member:
             self._owner = ''
-        _LOG.write('lost', **self._token_fields())
+        _LOG.write('lost', **self._token.fields())
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -311,7 +311,7 @@
         message: messages.HandOver,
         deadline: float,
     ) -> messages.HandOverAnswer:
-        token = fencing.FencingToken(
+        token = fencing.OrderToken(
             message.store_era, message.generation, message.hand_over_number
         )
         accepted = self._ownership.take_over(message.predecessor, token)
--- a/tests/unit/gateway/test_ownership.py
+++ b/tests/unit/gateway/test_ownership.py
@@ -260,13 +260,13 @@
         await self.second.step()
         await self.second._leave_group()
         self.second.on_superseded()
-        old = fencing.FencingToken(1, 9, 1)
+        old = fencing.OrderToken(1, 9, 1)
         self.assertFalse(self.second.take_over(self.first.member, old))
 
     def test_numbers(self) -> None:
         """Tokens are sent as numbers in the same order, exact in JSON."""
         tokens = [
-            fencing.FencingToken(era, generation, number)
+            fencing.OrderToken(era, generation, number)
             for era in (0, 1, 2, 1_000_000)
             for generation in (1, 2, 1_000_000)
             for number in (0, 1, fencing.TOKENS_PER_GENERATION - 1)
--- a/tests/unit/gateway/test_peering.py
+++ b/tests/unit/gateway/test_peering.py
@@ -593,7 +593,7 @@
         self.store.unavailable = True
         await first.ownership.leave()
         self.assertTrue(
-            second.ownership.take_over('x', fencing.FencingToken(0, 9, 1))
+            second.ownership.take_over('x', fencing.OrderToken(0, 9, 1))
         )
         first.ownership.handed_over(second.ownership.member)
         third.ownership.on_owner_unreachable()
