--- a/src/dogwoodquay/gateway/outlook.py
+++ b/src/dogwoodquay/gateway/outlook.py
@@ -51,7 +51,7 @@
         candidates = self._registry.of_service(need.service)
         return choice.pause_end(candidates, need, now)
 
-    def now(self) -> Outlook:
+    def snapshot(self) -> Outlook:
         """Return the outlook of several requests at this time."""
         return Outlook(self)
 
--- a/src/dogwoodquay/gateway/ownership.py
+++ b/src/dogwoodquay/gateway/ownership.py
@@ -206,10 +206,10 @@
         if not self._is_owner or self._predecessor or not self._leaving:
             return None
         token = self._token.next_hand_over()
-        if token is None or not self._settings.fences_checked:
-            return None
-        self._token = token
-        return token
+        if token is not None and self._settings.fences_checked:
+            self._token = token
+            return token
+        return None
 
     def handed_over(self, member: str) -> None:
         """Record that a peer has taken over the duty."""
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -188,7 +188,7 @@
     async def _acquire(
         self, call: api.Call, need: choice.Need, wait_deadline: float
     ) -> servers.Server | None:
-        if self._outlook.now().is_hopeless(need, wait_deadline):
+        if self._outlook.snapshot().is_hopeless(need, wait_deadline):
             return None
         server = None if self._queue.has_unserved else self._choose(need)
         if server is not None:
@@ -223,7 +223,7 @@
         now = self._clock.now()
         for ticket in self._queue.expired(now):
             self._resolve(ticket.number, None)
-        outlook = self._outlook.now()
+        outlook = self._outlook.snapshot()
         for ticket in tuple(self._queue.tickets):
             if outlook.is_hopeless(ticket.need, ticket.wait_deadline):
                 self._queue.discard(ticket.number)
--- a/tests/unit/gateway/test_messages.py
+++ b/tests/unit/gateway/test_messages.py
@@ -116,3 +116,25 @@
             earlier = msgspec.convert(form, _EarlierFind)
             self.assertEqual(_EarlierFind('models', 'm', 'a1'), earlier)
             self.assertEqual(search, msgspec.convert(form, type(search)))
+
+
+class _EarlierHandOver(wire_api.Message, frozen=True, tag='hand_over'):
+    """The offer of the duty before it told the era of the store."""
+
+    predecessor: str
+    generation: int
+    hand_over_number: int
+
+
+class HandOverTest(unittest.TestCase):
+    """Instances of an earlier build know no era."""
+
+    def test_both_forms(self) -> None:
+        """The era is zero, or is not read."""
+        earlier = _EarlierHandOver('front-1', 3, 1)
+        offer = messages.HandOver('front-1', 3, 1, 2)
+        form = msgspec.to_builtins(earlier)
+        read = msgspec.convert(form, messages.HandOver)
+        self.assertEqual(messages.HandOver('front-1', 3, 1, 0), read)
+        form = msgspec.to_builtins(offer)
+        self.assertEqual(earlier, msgspec.convert(form, _EarlierHandOver))
