Describe the parts for contended load and add their types

Cause: two deployments have more demand than room; the code knows no tenants, allotments, learned capacity or shared backlog. No behaviour changes.

--- /dev/null
+++ b/src/dogwoodquay/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Learns how much each server takes well, and shares it between instances."""
--- a/src/dogwoodquay/gateway/api.py
+++ b/src/dogwoodquay/gateway/api.py
@@ -8,6 +8,7 @@
 if typing.TYPE_CHECKING:
     from ..fleet import api as fleet_api
     from ..routes import api as routes_api
+    from ..tenants import api as tenants_api
 
 __all__ = [
     'AddedHeaders',
@@ -67,7 +68,8 @@
 
     ``deadline`` is when its answer has to be complete, on the monotonic
     clock. ``identity`` is a digest that stays the same when the request comes
-    again, empty if that is not known.
+    again, empty if that is not known. ``tenant`` is ``None`` where none is
+    declared, or on a public route without a valid key.
     """
 
     request_id: str
@@ -81,6 +83,7 @@
     arrived_at: float
     deadline: float
     identity: str = ''
+    tenant: tenants_api.Tenant | None = None
 
     @property
     def objective_at(self) -> float:
@@ -91,13 +94,18 @@
 class AddedHeaders(typing.NamedTuple):
     """The values that an instance adds to a request to a server.
 
-    ``priority`` is the one of the route; zero is the most urgent.
+    ``priority`` is the one of the request; zero is the most urgent.
+    ``tenant`` is the name of its tenant, empty for none. Where tenants are
+    declared (``tenants_declared``), the caller's own headers that name a
+    tenant or hold a key are not forwarded.
     """
 
     server_id: str
     wait_seconds: float
     priority: int
     last_event: int
+    tenant: str = ''
+    tenants_declared: bool = False
 
 
 class ServerNotice(typing.NamedTuple):
@@ -123,7 +131,9 @@
     is how many requests per second the server takes from all instances
     together, ``None`` for no limit; ``rate_limit_unreadable`` is set if it
     gave one that is no such number. ``notice`` is ``None`` where the server
-    says nothing of itself.
+    says nothing of itself. ``pace`` is how long work takes there at present
+    relative to its usual time, ``None`` if the server does not state it, and
+    ``slots`` how many requests it runs at a time.
     """
 
     attempt_id: str
@@ -137,6 +147,8 @@
     rate_limit: float | None = None
     rate_limit_unreadable: bool = False
     notice: ServerNotice | None = None
+    pace: float | None = None
+    slots: int | None = None
 
 
 class AnswerHandler(typing.Protocol):
@@ -164,6 +176,8 @@
     VERSION_GONE = 'version_gone'
     ORIGIN_UNKNOWN = 'origin_unknown'
     OVERLOADED = 'overloaded'
+    OVER_ALLOTMENT = 'over_allotment'
+    UNAUTHORIZED = 'unauthorized'
     DEADLINE = 'deadline'
     PROMPT_QUARANTINED = 'prompt_quarantined'
     RATE_LIMITED = 'rate_limited'
--- a/src/dogwoodquay/gateway/settings.py
+++ b/src/dogwoodquay/gateway/settings.py
@@ -22,7 +22,9 @@
     is whether engines refuse orders with an outdated fencing token, and
     ``member_seconds`` the lifetime of a membership in a group of the store.
     ``heartbeat_seconds`` is the interval at which servers write their entries
-    into the list.
+    into the list. In any ``quota_window_seconds``, a tenant may use its
+    allotment increased by the share ``quota_over`` and by ``quota_slack``
+    units.
     """
 
     instance_id: str
@@ -41,3 +43,6 @@
     retry_window_seconds: float
     ceiling_window_seconds: float
     heartbeat_seconds: float
+    quota_window_seconds: float = 0.0
+    quota_over: float = 0.0
+    quota_slack: float = 0.0
--- a/src/dogwoodquay/platform/settings.py
+++ b/src/dogwoodquay/platform/settings.py
@@ -48,6 +48,9 @@
     # Whether servers refuse orders with an outdated fencing token.
     fence_checked: bool = False
     ceiling_window_s: float = 5.0
+    quota_window_s: float = 0.0
+    quota_over: float = 0.0
+    quota_slack: float = 0.0
 
 
 class _Platform(_Body):
@@ -103,6 +106,9 @@
         retry_window_seconds=bounds.retry_window_s,
         ceiling_window_seconds=bounds.ceiling_window_s,
         heartbeat_seconds=_heartbeat_seconds(raw.heartbeat_ms),
+        quota_window_seconds=bounds.quota_window_s,
+        quota_over=bounds.quota_over,
+        quota_slack=bounds.quota_slack,
     )
 
 
--- a/src/dogwoodquay/routes/api.py
+++ b/src/dogwoodquay/routes/api.py
@@ -8,6 +8,9 @@
 import enum
 import typing
 
+if typing.TYPE_CHECKING:
+    from ..tenants import api as tenants_api
+
 __all__ = [
     'CallerLimits',
     'Configuration',
@@ -41,7 +44,8 @@
     ``priority`` zero is the most urgent. ``max_attempts`` limits the servers
     that may run one request. ``objective_seconds`` is the target latency of
     the first event of a stream or of a complete plain answer, and
-    ``gap_objective_seconds`` that of the next event in a stream.
+    ``gap_objective_seconds`` that of the next event in a stream. Requests on
+    a ``public`` route need no API key.
     """
 
     name: str
@@ -55,6 +59,7 @@
     max_attempts: int
     resumable: bool
     gap_objective_seconds: float
+    public: bool = False
 
     @property
     def streaming(self) -> bool:
@@ -120,9 +125,13 @@
 
 
 class Configuration(typing.NamedTuple):
-    """One complete version of the operators' configuration."""
+    """One complete version of the operators' configuration.
+
+    Without ``tenants`` no request needs an API key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: CallerLimits
+    tenants: tuple[tenants_api.Tenant, ...] = ()
--- /dev/null
+++ b/src/dogwoodquay/tenants/__init__.py
@@ -0,0 +1,1 @@
+"""Tenants, their API keys and which tenant a request belongs to."""
