Identify tenants by API key and refuse requests without one

Cause: any request was served, whoever sent it, and a key in a header reached the servers.

Change: tenants are decoded record by record, kept by digests of their keys and looked up after the route. Without a valid key a request gets 401 once the configuration is known to be the newest. The key stays here, servers get the header Tenant. A key that was withdrawn while its request waited ends the request at the assignment of a server. A tenant's priority goes before the route's, and the origin of a stream is kept per tenant. A store that refuses at once is asked at most every 0.5 s before refusals, however many unknown keys come.

--- a/src/dogwoodquay/gateway/adapters.py
+++ b/src/dogwoodquay/gateway/adapters.py
@@ -7,6 +7,7 @@
 
 from . import answer as answers
 from . import exchange as exchanges
+from . import tenancy as tenancies
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -24,7 +25,12 @@
 __all__ = ['Codec', 'PlatformAdapters']
 
 
-class Codec(exchanges.HeaderCodec, answers.CallerCodec, typing.Protocol):
+class Codec(
+    exchanges.HeaderCodec,
+    answers.CallerCodec,
+    tenancies.HeaderFilter,
+    typing.Protocol,
+):
     """Parses and writes the headers of requests and answers."""
 
 
--- a/src/dogwoodquay/gateway/answer.py
+++ b/src/dogwoodquay/gateway/answer.py
@@ -231,6 +231,8 @@
     async def refuse(self, refusal: api.Refusal, close: bool = False) -> None:
         """Send a refusal of this instance."""
         self._context.metrics.refused(refusal.reason.value)
+        if refusal.reason is api.RefusalReason.UNAUTHORIZED:
+            self._context.metrics.unauthorized(refusal.detail)
         if self._trace.attempts or refusal.status in _LOST_STATUSES:
             fields = self._ending_fields()
         else:
--- a/src/dogwoodquay/gateway/api.py
+++ b/src/dogwoodquay/gateway/api.py
@@ -30,6 +30,10 @@
 OTHER_INSTANCE_RETRY_SECONDS: typing.Final = 0.02
 # The event id before the first event of a stream.
 NO_EVENT: typing.Final = -1
+# Priorities are told to servers as one digit.
+_LEAST_PRIORITY: typing.Final = 9
+# The priorities of routes that are told apart within one of a tenant.
+_ROUTE_PRIORITIES: typing.Final = 3
 
 
 class PromptPart(typing.NamedTuple):
@@ -45,6 +49,7 @@
     ``wait_seconds`` is how long the caller waits, infinite if not given.
     ``last_event`` is the id of the last event of a stream that the caller
     has received, and ``resumes`` the attempt that brought its first event.
+    ``api_key`` is the key as sent, empty if there is none or more than one.
     """
 
     attempt_id: str
@@ -56,6 +61,13 @@
     prompt_parts: tuple[PromptPart, ...]
     last_event: int
     resumes: str = ''
+    api_key: bytes = b''
+
+    def __repr__(self) -> str:
+        """Return the terms without the key, which must not be logged."""
+        shown = self._asdict()
+        del shown['api_key']
+        return f'CallerTerms({shown})'
 
     @property
     def takes_up_stream(self) -> bool:
@@ -69,7 +81,9 @@
     ``deadline`` is when its answer has to be complete, on the monotonic
     clock. ``identity`` is a digest that stays the same when the request comes
     again, empty if that is not known. ``tenant`` is ``None`` where none is
-    declared, or on a public route without a valid key.
+    declared, or on a public route without a valid key; ``key_digest`` is the
+    digest of the key by which it was found. ``tenants_declared`` is whether
+    the configuration declared tenants when the request came.
     """
 
     request_id: str
@@ -84,6 +98,27 @@
     deadline: float
     identity: str = ''
     tenant: tenants_api.Tenant | None = None
+    key_digest: bytes = b''
+    tenants_declared: bool = False
+
+    def __repr__(self) -> str:
+        """Return what may be logged of the request."""
+        return f'Call({self.request_id!r}, {self.method} {self.target!r})'
+
+    @property
+    def priority(self) -> int:
+        """The priority among all requests, zero is the most urgent.
+
+        A tenant's priority goes before the route's. Both are told to servers
+        as one digit, so that three classes of routes and the tenants'
+        priorities 0 to 2 are kept apart; all less urgent tenants share the
+        last one. Without a tenant's priority it is the route's.
+        """
+        if self.tenant is None or self.tenant.priority is None:
+            return self.route.priority
+        by_route = min(max(self.route.priority, 0), _ROUTE_PRIORITIES - 1)
+        combined = _ROUTE_PRIORITIES * self.tenant.priority + by_route
+        return min(combined, _LEAST_PRIORITY)
 
     @property
     def objective_at(self) -> float:
--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -23,6 +23,8 @@
     from . import forwarder as forwarders
     from . import metrics as gateway_metrics
     from ..routes import api as routes_api
+    from . import tenancy as tenancies
+    from ..tenants import api as tenants_api
     from . import versions as configuration_versions
 
 __all__ = ['ConfigurationFreshness', 'GatewayApp']
@@ -42,12 +44,13 @@
     api.RefusalReason.STOPPING, _UNAVAILABLE, api.OTHER_INSTANCE_RETRY_SECONDS
 )
 _NO_ROUTE = api.Refusal(api.RefusalReason.NO_ROUTE, _NOT_FOUND)
-# Refusals by routes and limits, which a newer configuration may change.
+# Refusals by routes, limits and keys, which a newer configuration may change.
 _FINAL: typing.Final = frozenset(
     {
         api.RefusalReason.NO_ROUTE,
         api.RefusalReason.HEADERS_TOO_LARGE,
         api.RefusalReason.BODY_TOO_LARGE,
+        api.RefusalReason.UNAUTHORIZED,
     }
 )
 
@@ -78,8 +81,10 @@
         rng: random.Random,
         metrics: gateway_metrics.GatewayMetrics,
         freshness: ConfigurationFreshness,
+        tenancy: tenancies.Tenancy,
     ) -> None:
         """Create the application."""
+        self._tenancy = tenancy
         self._freshness = freshness
         self._forwarder = forwarder
         self._context = answers.AnswerContext(
@@ -106,6 +111,7 @@
     def configure(self, configuration: routes_api.Configuration) -> None:
         """Activate a configuration for the requests that follow."""
         self._routes = table.RouteTable(configuration)
+        self._tenancy.configure(configuration)
 
     @property
     def streams(self) -> int:
@@ -195,6 +201,10 @@
         if isinstance(route, api.Refusal):
             await answer.refuse(route)
             return
+        tenant = await self._find_tenant(route, terms)
+        if isinstance(tenant, api.Refusal):
+            await answer.refuse(tenant)
+            return
         if self._draining and route.streaming:
             await answer.refuse(_STOPPING, close=True)
             return
@@ -216,6 +226,7 @@
                 request.method, target, headers, body, terms
             ),
         )
+        call = self._tenancy.assign(call, tenant)
         answer.resume_after(terms.last_event)
         await self._forward(call, request, answer)
 
@@ -245,6 +256,8 @@
                     self._streams.pop(scope, None)
             if not caller_left:
                 result = result or self._end_timed_out(call, answer)
+                if isinstance(result, api.Refusal):
+                    result = await self._by_configuration(result, self._routes)
                 await answer.finish(call, result)
             group.cancel_scope.cancel()
         if caller_left:
@@ -272,8 +285,21 @@
             return self._routes.match(host, request.path) or refusal
         return refusal
 
+    async def _find_tenant(
+        self, route: routes_api.Route, terms: api.CallerTerms
+    ) -> tenants_api.Tenant | api.Refusal | None:
+        """Return a request's tenant, if need be of a newer version."""
+        routes = self._routes
+        found = self._tenancy.identify(route, terms.api_key)
+        if not isinstance(found, api.Refusal):
+            return found
+        refusal = await self._by_configuration(found, routes)
+        if self._routes is not routes:
+            found = self._tenancy.identify(route, terms.api_key)
+        return refusal if isinstance(found, api.Refusal) else found
+
     async def _by_configuration(
-        self, refusal: api.Refusal, routes: table.RouteTable
+        self, refusal: api.Refusal, routes: table.RouteTable | None
     ) -> api.Refusal:
         """Return a final refusal, or a temporary one if it may be wrong.
 
--- a/src/dogwoodquay/gateway/configuration_watch.py
+++ b/src/dogwoodquay/gateway/configuration_watch.py
@@ -37,6 +37,9 @@
 PATIENCE_SECONDS: typing.Final = 0.3
 # The longest time that a refusal waits for a read of the store.
 CONFIRM_SECONDS: typing.Final = 0.5
+# A store that refuses at once is not asked again for so long, or it would get
+# a call for each request without a route or a known key.
+CONFIRM_PAUSE_SECONDS: typing.Final = 0.5
 # The longest time for an answer to begin.
 MAX_ANSWER_SECONDS: typing.Final = 8.0
 # Time for the poll's own answer, which comes when the peers get theirs.
@@ -96,6 +99,7 @@
         self._poll_arriving = False
         self._newest_reads = 0
         self._confirmation: anyio.Event | None = None
+        self._next_confirmation = float('-inf')
         self._unreadable = False
         self._missing = anyio.Event()
         self._add_gauges()
@@ -140,6 +144,8 @@
             return True
         if self._arriving or self._versions.behind:
             return False
+        if self._clock.now() < self._next_confirmation:
+            return False
         if self._confirmation is None:
             self._confirmation = anyio.Event()
             try:
@@ -148,6 +154,10 @@
             finally:
                 self._confirmation.set()
                 self._confirmation = None
+                if self.outdated:
+                    self._next_confirmation = (
+                        self._clock.now() + CONFIRM_PAUSE_SECONDS
+                    )
         else:
             with anyio.move_on_after(CONFIRM_SECONDS):
                 await self._confirmation.wait()
--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -122,8 +122,10 @@
         outgoing = api.AddedHeaders(
             entry.server_id,
             call.deadline - now,
-            call.route.priority,
+            call.priority,
             relay.splitter.last_event,
+            '' if call.tenant is None else call.tenant.name,
+            call.tenants_declared,
         )
         async with self._connections.open_raw(
             entry.address,
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -31,6 +31,7 @@
     from ..retry import window
     from . import scheduler as schedulers
     from . import silence as silences
+    from . import tenancy as tenancies
 
 __all__ = ['Forwarder']
 
@@ -59,7 +60,9 @@
         silence: silences.SilenceWatch,
         versions: resumption.StreamVersions,
         crashes: crash_watches.CrashWatch,
+        tenancy: tenancies.Tenancy,
     ) -> None:
+        self._tenancy = tenancy
         self._crashes = crashes
         self._silence = silence
         self._versions = versions
@@ -135,6 +138,11 @@
             if self._crashes.is_refused(call):
                 self._scheduler.release(call, server, False)
                 return self._refusals.end_quarantined(relay, may_have_run)
+            renewed = self._tenancy.renew(call)
+            if renewed is None:
+                self._scheduler.release(call, server, False)
+                return self._refusals.end_unauthorized(relay, may_have_run)
+            call = renewed
             number += 1
             attempt = self._begin_attempt(
                 call, server, retries, avoid, number, version, relay
--- a/src/dogwoodquay/gateway/identity.py
+++ b/src/dogwoodquay/gateway/identity.py
@@ -15,7 +15,9 @@
 # length.
 MAX_BODY_BYTES: typing.Final = 65_536
 # The headers that tell for whom, and where, a request is.
-_HEADERS: typing.Final = frozenset({b'host', b'authorization', b'cookie'})
+_HEADERS: typing.Final = frozenset(
+    {b'host', b'authorization', b'cookie', b'api-key'}
+)
 
 
 def digest(
--- a/src/dogwoodquay/gateway/limit_waits.py
+++ b/src/dogwoodquay/gateway/limit_waits.py
@@ -126,11 +126,11 @@
         tickets: abc.Iterable[queue.Ticket],
     ) -> bool:
         """Whether a request that comes now can expect a permit in time."""
-        backlog = self._backlog(need, call.route.priority)
+        backlog = self._backlog(need, call.priority)
         if backlog is None:
             return True
         now = self._clock.now()
-        ahead = _waiting_before(call.route.priority, need, tickets)
+        ahead = _waiting_before(call.priority, need, tickets)
         seconds = backlog.seconds(ahead)
         longest = backlog.longest_wait(call.objective_at - now)
         return seconds <= min(longest, wait_deadline - now)
--- a/src/dogwoodquay/gateway/metrics.py
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -120,6 +120,16 @@
             'Calls to the log of the versions that began streams',
             'outcome',
         )
+        self._tenants_dropped = registry.counter(
+            'gateway_tenants_dropped_total',
+            'Declared tenants, or parts of their records, that are not used',
+            'reason',
+        )
+        self._unauthorized = registry.counter(
+            'gateway_unauthorized_total',
+            'Requests without a valid API key',
+            'reason',
+        )
         self._first = registry.histogram(
             'gateway_first_byte_seconds', 'Time to the first byte'
         )
@@ -228,6 +238,14 @@
         """Count a call to the log of the versions that began streams."""
         self._origin_log_calls.add(outcome)
 
+    def tenants_dropped(self, reason: str, count: int) -> None:
+        """Count records of tenants that are not used for a reason."""
+        self._tenants_dropped.add(reason, amount=count)
+
+    def unauthorized(self, reason: str) -> None:
+        """Count a request without a valid API key."""
+        self._unauthorized.add(reason)
+
     def first_byte(self, seconds: float) -> None:
         """Record the time to the first byte of an answer."""
         self._first.observe(seconds)
--- a/src/dogwoodquay/gateway/refusals.py
+++ b/src/dogwoodquay/gateway/refusals.py
@@ -19,6 +19,7 @@
 
 __all__ = ['Refusals']
 
+_UNAUTHORIZED: typing.Final = 401
 _BAD_GATEWAY: typing.Final = 502
 _UNAVAILABLE: typing.Final = 503
 _GATEWAY_TIMEOUT: typing.Final = 504
@@ -95,6 +96,19 @@
         pause = self._with_jitter(QUARANTINE_RETRY_AFTER_SECONDS)
         return api.Refusal(reason, _UNAVAILABLE, pause)
 
+    def end_unauthorized(
+        self, relay: exchanges.Relay, may_have_run: bool
+    ) -> results.Result:
+        """End a request whose key is no longer valid for its tenant."""
+        reason = api.RefusalReason.UNAUTHORIZED
+        if relay.started:
+            return results.Cut(reason.value)
+        if may_have_run:
+            return api.Refusal(
+                api.RefusalReason.MAY_HAVE_RUN, _BAD_GATEWAY, 0.0, reason.value
+            )
+        return api.Refusal(reason, _UNAUTHORIZED, 0.0, 'key_revoked')
+
     def refuse_later(self, reason: api.RefusalReason) -> api.Refusal:
         """Refuse a request that no instance can take now."""
         pause = self._with_jitter(ABSENT_RETRY_AFTER_SECONDS)
--- a/src/dogwoodquay/gateway/resumption.py
+++ b/src/dogwoodquay/gateway/resumption.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import typing
 
 from . import api
@@ -31,6 +32,7 @@
 HISTORY_READ_SECONDS: typing.Final = 1.5
 # The longest time that a caller may come back after, whatever it says.
 MAX_LIFETIME_SECONDS: typing.Final = 60.0
+TENANT_DIGEST_BYTES: typing.Final = 8
 
 
 class Place(typing.NamedTuple):
@@ -106,7 +108,7 @@
         terms = call.terms
         seconds = max(call.route.timeout_seconds, terms.wait_seconds)
         await self._origins.record(
-            terms.resumes or terms.attempt_id,
+            _stream_id(call, terms.resumes or terms.attempt_id),
             stream_origins.Origin(call.service, version),
             min(seconds, MAX_LIFETIME_SECONDS),
         )
@@ -120,7 +122,8 @@
         source, place = 'records', None
         if terms.resumes:
             deadline = min(call.deadline, self._clock.now() + FIND_SECONDS)
-            found = await self._origins.find(terms.resumes, deadline)
+            stream_id = _stream_id(call, terms.resumes)
+            found = await self._origins.find(stream_id, deadline)
             place = _recorded_place(call, found)
         if place is None:
             source, place = 'list', await self._sole_version(call)
@@ -173,6 +176,21 @@
         return since >= registry.followed_since
 
 
+def _stream_id(call: api.Call, attempt_id: str) -> str:
+    """Return the identifier under which a stream's origin is kept.
+
+    It holds a digest of the tenant, so that another one does not find the
+    record. Callers cannot send such an identifier themselves, as no header
+    holds a line break.
+    """
+    if call.tenant is None:
+        return attempt_id
+    digest = hashlib.blake2b(
+        call.tenant.name.encode(), digest_size=TENANT_DIGEST_BYTES
+    )
+    return f'{attempt_id}\n{digest.hexdigest()}'
+
+
 def _recorded_place(
     call: api.Call, found: tuple[stream_origins.Origin, ...]
 ) -> Place | None:
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -38,6 +38,7 @@
 from . import server_limits
 from . import serving
 from . import silence as silences
+from . import tenancy as tenancies
 from . import watch
 from ..wire import peers as wire_peers
 from ..wire import settings as wire_settings
@@ -295,6 +296,7 @@
             self._list_history,
             self._clock,
         )
+        tenancy = tenancies.Tenancy(adapters.codec, self._metrics)
         forwarder = forwarders.Forwarder(
             self._scheduler,
             exchange,
@@ -305,6 +307,7 @@
             self._silence,
             versions,
             self._crashes,
+            tenancy,
         )
         return apps.GatewayApp(
             forwarder,
@@ -313,6 +316,7 @@
             self._rng,
             self._metrics,
             self._configuration,
+            tenancy,
         )
 
     def _on_notice(self) -> None:
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -298,7 +298,7 @@
         self._queue.add(
             queue.Ticket(
                 number,
-                call.route.priority,
+                call.priority,
                 call.objective_at,
                 wait_deadline,
                 self._clock.now(),
--- a/src/dogwoodquay/platform/headers.py
+++ b/src/dogwoodquay/platform/headers.py
@@ -10,7 +10,13 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
-__all__ = ['answer_terms', 'caller_terms', 'for_caller', 'for_server']
+__all__ = [
+    'answer_terms',
+    'caller_terms',
+    'for_caller',
+    'for_server',
+    'without_tenant',
+]
 
 _ATTEMPT: typing.Final = b'attempt-id'
 # Despite its name a duration: the total time that the caller waits.
@@ -24,6 +30,9 @@
 _PREFIX: typing.Final = b'prompt-prefix'
 _EXPECTED_SERVER: typing.Final = b'expect-instance'
 _PRIORITY: typing.Final = b'request-priority'
+_API_KEY: typing.Final = b'api-key'
+# The name of the tenant that a request belongs to, as told to servers.
+_TENANT: typing.Final = b'tenant'
 _NOT_EXECUTED: typing.Final = b'not-executed'
 # Marks an answer as made by the server itself.
 _STAMP: typing.Final = b'response-stamp'
@@ -56,6 +65,8 @@
         b'upgrade',
     }
 )
+# Where tenants are declared, callers cannot send these to servers.
+_OF_TENANT: typing.Final = frozenset({_API_KEY, _TENANT})
 _NOT_FORWARDED: typing.Final = frozenset(
     {
         _DEADLINE,
@@ -77,7 +88,9 @@
     headers: abc.Iterable[tuple[bytes, bytes]],
 ) -> api.CallerTerms:
     """Parse the headers of a caller's request; names are in lower case."""
-    found = dict(headers)
+    listed = tuple(headers)
+    found = dict(listed)
+    keys = [value for name, value in listed if name == _API_KEY]
     model, _, adapter = _text(found, _MODEL).partition('/')
     prompt, _, output = _text(found, _TOKENS).partition(',')
     wait = _number(_text(found, _DEADLINE))
@@ -92,6 +105,7 @@
         prompt_parts=_parts(_text(found, _PREFIX)),
         last_event=api.NO_EVENT if last_event is None else last_event,
         resumes=_text(found, _RESUMES).strip(),
+        api_key=keys[0] if len(keys) == 1 else b'',
     )
 
 
@@ -100,6 +114,8 @@
 ) -> list[tuple[bytes, bytes]]:
     """Build the headers of a request to a server."""
     hop_by_hop = _connection_names(headers)
+    if outgoing.tenants_declared:
+        headers = without_tenant(headers)
     forwarded = [
         (name, value)
         for name, value in headers
@@ -114,9 +130,23 @@
     forwarded.append((_PRIORITY, b'%d' % priority))
     if outgoing.last_event != api.NO_EVENT:
         forwarded.append((_LAST_EVENT, b'%d' % outgoing.last_event))
+    if outgoing.tenant:
+        forwarded.append((_TENANT, outgoing.tenant.encode('ascii')))
     return forwarded
 
 
+def without_tenant(headers: api.RawHeaders) -> api.RawHeaders:
+    """Return a caller's headers without a key or the name of a tenant.
+
+    Some servers take an underscore in a name for a hyphen.
+    """
+    return tuple(
+        item
+        for item in headers
+        if item[0].lower().replace(b'_', b'-') not in _OF_TENANT
+    )
+
+
 def for_caller(
     headers: abc.Iterable[tuple[bytes, bytes]],
 ) -> list[tuple[bytes, bytes]]:
--- a/src/dogwoodquay/platform/manifest.py
+++ b/src/dogwoodquay/platform/manifest.py
@@ -9,6 +9,7 @@
 
 from ..external import decoding
 from ..routes import api
+from . import tenants
 
 __all__ = ['decode']
 
@@ -40,6 +41,8 @@
     resumable: bool = False
     # The longest pause between events that meets the objective.
     gap_aim_ms: float = 0.0
+    # Whether requests need no API key; only the value true says so.
+    public: msgspec.Raw | msgspec.UnsetType = msgspec.UNSET
 
 
 class _Model(_Body):
@@ -85,6 +88,7 @@
     routes: list[_Route]
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[msgspec.Raw] | msgspec.UnsetType | None = msgspec.UNSET
 
 
 _KINDS = {
@@ -100,12 +104,14 @@
     if decoded.is_error():
         return expression.Error(decoded.error)
     manifest = decoded.ok
+    declared = tenants.decode(manifest.tenants or ())
     return expression.Ok(
         api.Configuration(
             manifest.version,
             tuple(_route(route) for route in manifest.routes),
             {item.name: _service(item) for item in manifest.services},
             _limits(manifest.limits),
+            *declared,
         )
     )
 
@@ -127,6 +133,8 @@
         max_attempts=max(1, route.max_attempts),
         resumable=route.resumable,
         gap_objective_seconds=route.gap_aim_ms / _MILLISECONDS,
+        public=isinstance(route.public, msgspec.Raw)
+        and bytes(route.public) == b'true',
     )
 
 
--- a/src/dogwoodquay/routes/api.py
+++ b/src/dogwoodquay/routes/api.py
@@ -127,7 +127,8 @@
 class Configuration(typing.NamedTuple):
     """One complete version of the operators' configuration.
 
-    Without ``tenants`` no request needs an API key.
+    Where no tenants are declared no request needs an API key.
+    ``dropped_tenants`` tells what is not used of the tenants' records.
     """
 
     version: int
@@ -135,3 +136,9 @@
     services: dict[str, Service]
     limits: CallerLimits
     tenants: tuple[tenants_api.Tenant, ...] = ()
+    dropped_tenants: tuple[tenants_api.Dropped, ...] = ()
+
+    @property
+    def tenants_declared(self) -> bool:
+        """Whether tenants are declared, also if no record is of use."""
+        return bool(self.tenants or self.dropped_tenants)
--- a/src/dogwoodquay/tenants/api.py
+++ b/src/dogwoodquay/tenants/api.py
@@ -5,7 +5,7 @@
 import enum
 import typing
 
-__all__ = ['Tenant', 'Unit']
+__all__ = ['DropReason', 'Dropped', 'Tenant', 'Unit']
 
 
 class Unit(enum.Enum):
@@ -36,3 +36,33 @@
     def __repr__(self) -> str:
         """Return the tenant without its keys, which must not be logged."""
         return f'Tenant({self.name!r}, {len(self.api_keys)} keys)'
+
+
+class DropReason(enum.Enum):
+    """Why a declared tenant, or a part of its record, is not used.
+
+    Up to ``NO_KEYS`` the whole record is dropped, else its part.
+    """
+
+    UNREADABLE = 'unreadable'
+    NAME = 'name'
+    NAME_TWICE = 'name_twice'
+    RATE_UNREADABLE = 'rate_unreadable'
+    NO_KEYS = 'no_keys'
+    KEY = 'key'
+    KEY_SHARED = 'key_shared'
+    RATE = 'rate'
+    BURST = 'burst'
+    PRIORITY = 'priority'
+    UNIT = 'unit'
+    PLAIN_TOKENS = 'plain_tokens'
+
+
+class Dropped(typing.NamedTuple):
+    """What is not used of a tenant's record.
+
+    ``tenant`` is its name, or its position such as ``#3`` if it has none.
+    """
+
+    tenant: str
+    reason: DropReason
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -20,7 +20,9 @@
 from dogwoodquay.gateway import server_limits
 from dogwoodquay.gateway import settings
 from dogwoodquay.gateway import store_api
+from dogwoodquay.gateway import tenancy
 from dogwoodquay.observe import metrics as metrics_module
+from dogwoodquay.platform import headers
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -39,6 +41,7 @@
     'make_crashes',
     'make_limits',
     'make_metrics',
+    'make_tenancy',
 ]
 
 _LOST: typing.Final = external_api.Ambiguous('timeout')
@@ -89,6 +92,11 @@
     return crashes.CrashWatch(connections, clock, make_metrics())
 
 
+def make_tenancy() -> tenancy.Tenancy:
+    """Return a tenancy without declared tenants."""
+    return tenancy.Tenancy(headers, make_metrics())
+
+
 def make_limits(
     registry: registries.Registry, clock: clocks.Clock
 ) -> server_limits.ServerLimits:
--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -26,6 +26,7 @@
 from dogwoodquay.gateway import serving
 from dogwoodquay.gateway import settings
 from dogwoodquay.gateway import silence
+from dogwoodquay.gateway import tenancy
 from dogwoodquay.gateway import versions
 from dogwoodquay.observe import metrics as metrics_module
 from dogwoodquay.platform import headers
@@ -35,6 +36,8 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
+    from dogwoodquay.tenants import api as tenants_api
+
 __all__ = ['Answer', 'Site', 'Upstream', 'chunked', 'route']
 
 LIMITS = routes_api.CallerLimits(16384, 65536, 3.0, 15.0)
@@ -208,6 +211,7 @@
         self.exchange = exchanges.Exchange(
             self.connections, headers, clock, limits, self.notices
         )
+        self.tenancy = tenancy.Tenancy(headers, metrics)
         self.app = apps.GatewayApp(
             forwarders.Forwarder(
                 self.scheduler,
@@ -225,12 +229,14 @@
                     clock,
                 ),
                 self.crashes,
+                self.tenancy,
             ),
             headers,
             clock,
             rng,
             metrics,
             self.freshness,
+            self.tenancy,
         )
         self._stop = anyio.Event()
         self._listener: serving.Listener | None = None
@@ -238,11 +244,18 @@
             free.bind(('127.0.0.1', 0))
             self.port = int(free.getsockname()[1])
 
-    def configure(self, *routes: routes_api.Route) -> None:
-        """Activate a configuration with these routes."""
+    def configure(
+        self,
+        *routes: routes_api.Route,
+        tenants: tuple[tenants_api.Tenant, ...] = (),
+        dropped: tuple[tenants_api.Dropped, ...] = (),
+    ) -> None:
+        """Activate a configuration with these routes and tenants."""
         services = {'s': routes_api.Service('s', '/healthz', 100, None)}
         self.app.configure(
-            routes_api.Configuration(1, routes, services, LIMITS)
+            routes_api.Configuration(
+                1, routes, services, LIMITS, tenants, dropped
+            )
         )
 
     @contextlib.asynccontextmanager
--- a/tests/unit/gateway/test_configuration_watch.py
+++ b/tests/unit/gateway/test_configuration_watch.py
@@ -539,7 +539,23 @@
         self.assertFalse(await self.watch.confirm())
         self.store.unavailable = False
         self.store.unanswered_reads = 1000
+        self._let_age()
+        calls = self.store.calls
         self.assertFalse(await self.watch.confirm())
+        self.assertLess(calls, self.store.calls)
+
+    async def test_store_that_refuses_at_once(self) -> None:
+        """Many unknown keys cost one call, and the next comes soon after."""
+        await self.watch.step()
+        self._let_age()
+        self.store.unavailable = True
+        calls = self.store.calls
+        for _ in range(50):
+            self.assertFalse(await self.watch.confirm())
+        self.assertEqual(calls + 1, self.store.calls)
+        self.store.unavailable = False
+        self.clock.advance(configuration_watch.CONFIRM_PAUSE_SECONDS + 0.01)
+        self.assertTrue(await self.watch.confirm())
 
     async def test_questions_at_the_same_time(self) -> None:
         """Refusals wait for one read together."""
--- a/tests/unit/gateway/test_successors.py
+++ b/tests/unit/gateway/test_successors.py
@@ -313,6 +313,7 @@
                 clock,
             ),
             fakes.make_crashes(clock),
+            fakes.make_tenancy(),
         )
 
         class _Relay:
@@ -376,6 +377,7 @@
                 clock,
             ),
             fakes.make_crashes(clock),
+            fakes.make_tenancy(),
         )
 
         class _Relay:
