--- a/tests/site/server.py
+++ b/tests/site/server.py
@@ -78,6 +78,7 @@
     ``endless`` is what answers send without end, ``endless_now`` how many.
     ``limit`` is the text by which answers limit the requests per second, and
     ``arrivals`` holds the times at which requests came.
+    ``last_headers`` are those of the last request that it ran.
     ``refusals`` are the attempts to be refused as not run, with a status; each
     happens once. A server that ``repeats_refusals`` writes the last refusal
     on a connection again before each later answer there. ``failures`` are
@@ -100,6 +101,7 @@
         zone: str = 'zone-1',
     ) -> None:
         self.executed_attempts: list[str] = []
+        self.last_headers: dict[str, str] = {}
         self.silences: dict[str, Silence] = {}
         self.resets: dict[str, tuple[Place, int]] = {}
         self.ends: dict[str, tuple[Place, int]] = {}
@@ -258,6 +260,7 @@
         if attempt in self.refusals:
             return self._refuse_once(request, attempt)
         self.executed_attempts.append(attempt)
+        self.last_headers = request.headers
         self._peer_ports[attempt] = request.peer_port
         answer = await self._execute(request, attempt, model)
         earlier = self._refused.get(request.peer_port)
--- /dev/null
+++ b/tests/unit/tenants/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of tenants and their keys."""
