Test that the API key makes another request

Cause: a verdict on a request must not reach another tenant's.

Change: one more case in the test of digests.

Result: tests.unit.gateway.test_identity passes.

--- a/tests/unit/gateway/test_identity.py
+++ b/tests/unit/gateway/test_identity.py
@@ -54,10 +54,11 @@
             _digest(((b'host', b'b.example'),)),
             _digest(((b'authorization', b'Bearer x'),)),
             _digest(((b'cookie', b'x'),)),
+            _digest(((b'api-key', b'x'),)),
             _digest(((b'model', b'm'),)),
             _digest(((b'prompt-prefix', b'p1:800,p3:410'),)),
         }
-        self.assertEqual(9, len(others))
+        self.assertEqual(10, len(others))
         self.assertNotIn(_digest(), others)
 
     def test_long_bodies(self) -> None:
