Eject servers that accept requests and answer no instance

Cause: a server that hangs with a good health answer fills up with requests and then counts as busy, so that no successor is sought; on one deployment 564 requests ended at their callers' deadline in this way. Only for services under contended load.

--- a/src/dogwoodquay/fleet/server.py
+++ b/src/dogwoodquay/fleet/server.py
@@ -44,6 +44,7 @@
         self._ejections = 0
         self._ejected_until = float('-inf')
         self._unreachable = False
+        self._stalled_until = float('-inf')
         self._paused_until = float('-inf')
         self._mean_first_byte_seconds = 0.0
         self._owner_view_at = float('-inf')
@@ -98,7 +99,7 @@
 
     def ejected(self, now: float) -> bool:
         """Whether the server gets no requests because of failures."""
-        return now < self._ejected_until
+        return now < max(self._ejected_until, self._stalled_until)
 
     def unreachable(self, now: float) -> bool:
         """Whether the server is ejected because it accepts no connections."""
@@ -108,6 +109,10 @@
         """Whether the server wants no requests from this instance."""
         return now < self._paused_until
 
+    def stall(self, until: float) -> None:
+        """Eject the server until a time, as it answers no instance."""
+        self._stalled_until = until
+
     def pause(self, until: float) -> None:
         """Send the server nothing before a time, or a later known one."""
         self._paused_until = max(self._paused_until, until)
--- a/src/dogwoodquay/gateway/attempt.py
+++ b/src/dogwoodquay/gateway/attempt.py
@@ -14,6 +14,7 @@
     from . import crashes
     from ..fleet import server as servers
     from ..retry import windowed
+    from . import stall_watch
 
 __all__ = ['Attempt']
 
@@ -57,6 +58,8 @@
         self._overdue_at = now + head_patience_seconds
         self._on_started = on_started
         self._started = False
+        self._received = False
+        self._watched: stall_watch.WatchedRequest | None = None
         self._version = server.entry.version
         self._required_version = required_version
         self._scope = anyio.CancelScope()
@@ -118,12 +121,19 @@
         """Whether the request may be sent to one more server."""
         return self._retries.attempt_left(self._number)
 
+    def watch(self, watched: stall_watch.WatchedRequest) -> None:
+        """Set where the arrival of bytes counts as the server's progress."""
+        self._watched = watched
+
     def silence(self, now: float) -> float:
         """Return the seconds for which the server has sent nothing."""
         return max(0.0, now - self._silent_since)
 
     def on_received(self) -> None:
         """Record that bytes have arrived, which end a search."""
+        self._received = True
+        if self._watched is not None:
+            self._watched.heard()
         self._overdue_at = math.inf
         self.end_search()
 
@@ -140,6 +150,16 @@
         self._server.heard(now)
         self._overdue_at = now + self._gap_patience_seconds
 
+    def expedite(self, now: float) -> None:
+        """Look for a successor now, unless bytes have arrived.
+
+        Nothing changes for a request that may run at one server only.
+        """
+        if self._received or self._search is not None:
+            return
+        if self._call.route.repeatable:
+            self._overdue_at = now
+
     def is_overdue(self, now: float) -> bool:
         """Whether the silence lasts too long and no search was begun."""
         return now >= self._overdue_at
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -31,6 +31,7 @@
     from ..retry import window
     from . import scheduler as schedulers
     from . import silence as silences
+    from . import stall_watch
 
 __all__ = ['Forwarder']
 
@@ -59,7 +60,9 @@
         silence: silences.SilenceWatch,
         versions: resumption.StreamVersions,
         crashes: crash_watches.CrashWatch,
+        stalls: stall_watch.StallWatch,
     ) -> None:
+        self._stalls = stalls
         self._crashes = crashes
         self._silence = silence
         self._versions = versions
@@ -263,6 +266,9 @@
 
         Whatever a server sends, another one may take the request.
         """
+        watched = self._stalls.sent(attempt.server.entry)
+        if watched is not None:
+            attempt.watch(watched)
         try:
             return await self._exchange.run(
                 attempt.call, attempt.server, relay, attempt
@@ -272,6 +278,9 @@
                 error, server=attempt.server.entry.server_id
             )
             return outcomes.Broken('exception')
+        finally:
+            if watched is not None:
+                watched.ended()
 
     def _record_failed(
         self,
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -34,7 +34,9 @@
     'OriginRow',
     'OriginsFound',
     'OriginsKept',
+    'ProgressRow',
     'RunningRequests',
+    'StallRow',
     'VerdictRow',
     'VersionDemand',
     'WantRow',
@@ -155,6 +157,27 @@
     waiting: tuple[tuple[int, int], ...]
 
 
+class ProgressRow(msgspec.Struct, frozen=True, array_like=True):
+    """The progress of an instance's requests at a server.
+
+    ``pending`` have waited long for their first byte. The server last sent
+    something ``seconds`` ago, ``None`` for never.
+    """
+
+    server_id: str
+    started_ms: int
+    pending: int
+    seconds: float | None
+
+
+class StallRow(msgspec.Struct, frozen=True, array_like=True):
+    """A server that is not used for some seconds, as it answers nobody."""
+
+    server_id: str
+    started_ms: int
+    seconds: float
+
+
 class InstanceLoad(wire_api.Message, frozen=True, tag='load'):
     """The load of one instance, sent to the owner.
 
@@ -167,7 +190,8 @@
     ``crashes`` are its reports of ended servers, ``sound_parts`` those
     suspects of the last view that it has seen in a complete answer.
     ``limits`` is what it has heard itself of servers' limits lately, and
-    ``wants`` the permits that its waiting requests could use.
+    ``wants`` the permits that its waiting requests could use. ``progress`` is
+    that of its requests at servers which may stall.
     """
 
     instance_id: str
@@ -185,6 +209,7 @@
     verdicts: tuple[VerdictRow, ...] = ()
     limits: tuple[LimitRow, ...] = ()
     wants: tuple[WantRow, ...] = ()
+    progress: tuple[ProgressRow, ...] = ()
 
 
 class InstanceRow(msgspec.Struct, frozen=True, array_like=True):
@@ -230,6 +255,7 @@
     the receiver, unless an earlier build sends none. ``limits`` are those of
     servers that the owner knows, ``grants`` the receiver's permits; ``None``
     if the owner may give out none, or if its build does not know of them.
+    ``stalls`` are the servers that accept requests and answer none.
     """
 
     owner: str
@@ -247,6 +273,7 @@
     verdicts: tuple[VerdictRow, ...] | None = None
     limits: tuple[LimitRow, ...] = ()
     grants: tuple[GrantRow, ...] | None = None
+    stalls: tuple[StallRow, ...] = ()
 
 
 class FindAdapter(wire_api.Message, frozen=True, tag='find'):
--- a/src/dogwoodquay/gateway/metrics.py
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -95,6 +95,10 @@
             'gateway_permits_granted_total',
             'Permits for limited servers, given out by the owner',
         )
+        self._stalls = registry.counter(
+            'gateway_server_stalls_total',
+            'Servers that were found to answer no instance',
+        )
         self._configuration_reads = registry.counter(
             'gateway_configuration_reads_total',
             'Reads of the configuration',
@@ -207,6 +211,10 @@
         """Count permits for limited servers that the owner gives out."""
         self._permits_granted.add(amount=count)
 
+    def server_stalled(self) -> None:
+        """Count a server that answers no instance."""
+        self._stalls.add()
+
     def configuration_read(self, kind: str, outcome: str, size: int) -> None:
         """Count a read of the configuration and the bytes received."""
         self._configuration_reads.add(kind, outcome)
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -27,6 +27,7 @@
     from . import ownership as order_ownership
     from . import scheduler as schedulers
     from . import server_limits
+    from . import stall_watch
 
 __all__ = ['Peering']
 
@@ -56,7 +57,9 @@
         departures: departure_news.DepartureNews,
         crashes: crash_watches.CrashWatch,
         limits: server_limits.ServerLimits,
+        stalls: stall_watch.StallWatch,
     ) -> None:
+        self._stalls = stalls
         self._limits = limits
         self._transport = transport
         self._crashes = crashes
@@ -229,6 +232,7 @@
             seconds if seconds != math.inf else None,
             *self._crashes.load_rows(),
             *self._limits.load_rows(scheduler.permits_wanted()),
+            progress=self._stalls.load_rows(),
         )
 
     def _on_load(
@@ -245,6 +249,7 @@
             return view
         version, rows = self._roster.newer_than(load.roster_version, now)
         grants = self._limits.on_load(load, self._ownership.confirmed_at)
+        self._stalls.on_load(load)
         return msgspec.structs.replace(
             view,
             roster_version=version,
@@ -254,6 +259,7 @@
             verdicts=self._crashes.verdict_rows(),
             limits=self._limits.view_rows(),
             grants=grants,
+            stalls=self._stalls.view_rows(),
         )
 
     def _apply_view(self, view: messages.FleetView, asked_at: float) -> None:
@@ -268,6 +274,7 @@
         is_owner = view.owner == self._ownership.member
         self._crashes.on_view(view, is_owner)
         self._limits.on_view(view, asked_at, is_owner)
+        self._stalls.on_view(view, asked_at)
         if view.roster:
             self._applied_version = view.roster_version
             self._applied_roster = view.roster
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -11,6 +11,7 @@
 from . import adapters as platform_adapters
 from . import app as apps
 from . import configuration_watch
+from . import contended
 from . import controller as controllers
 from . import copies as configuration_copies
 from . import crashes as crash_watches
@@ -38,6 +39,7 @@
 from . import server_limits
 from . import serving
 from . import silence as silences
+from . import stall_watch
 from . import watch
 from ..wire import peers as wire_peers
 from ..wire import settings as wire_settings
@@ -99,6 +101,7 @@
         self._idle = idle_connections.IdleConnections(
             self._connections, self._registry, settings.store, self._metrics
         )
+        self._contended = contended.ContendedServices()
         self._build(adapters)
 
     def stop(self) -> None:
@@ -182,6 +185,9 @@
         self._limits = server_limits.ServerLimits(
             members.member_name(settings), self._registry, clock, metrics
         )
+        self._stalls = stall_watch.StallWatch(
+            self._registry, clock, metrics, self._contended.includes
+        )
         self._controller = controllers.Controller(
             self._ownership,
             self._registry,
@@ -228,6 +234,7 @@
             departure_news.DepartureNews(self._registry, clock, metrics),
             self._crashes,
             self._limits,
+            self._stalls,
         )
         self._scheduler = schedulers.Scheduler(
             self._registry,
@@ -285,6 +292,7 @@
             self._notices,
         )
         self._silence = silences.SilenceWatch(self._scheduler, self._clock)
+        self._stalls.on_stalled(self._silence.expedite)
         budget = window.RetryWindow(
             settings.retry_share, EXTRA_RETRIES, settings.retry_window_seconds
         )
@@ -305,6 +313,7 @@
             self._silence,
             versions,
             self._crashes,
+            self._stalls,
         )
         return apps.GatewayApp(
             forwarder,
@@ -322,6 +331,7 @@
 
     def _configure(self, configuration: routes_api.Configuration) -> None:
         self._app.configure(configuration)
+        self._contended.configure(configuration)
         self._scheduler.configure(configuration.services)
         self._controller.configure(configuration.services)
         self._callers.keep_idle(configuration.limits.idle_timeout_seconds)
--- a/src/dogwoodquay/gateway/silence.py
+++ b/src/dogwoodquay/gateway/silence.py
@@ -10,6 +10,8 @@
 from . import patience
 
 if typing.TYPE_CHECKING:
+    from collections import abc
+
     from .. import clock as clocks
     from . import attempt as attempts
     from ..fleet import server as servers
@@ -49,6 +51,13 @@
         self._attempts.discard(attempt)
         attempt.end_search()
 
+    def expedite(self, servers: abc.Container[str]) -> None:
+        """Look for successors of the attempts at some servers now."""
+        now = self._clock.now()
+        for attempt in self._attempts:
+            if attempt.server.entry.server_id in servers:
+                attempt.expedite(now)
+
     async def run(self) -> None:
         """Check the attempts at intervals until cancelled."""
         async with anyio.create_task_group() as group:
--- a/src/dogwoodquay/overload/__init__.py
+++ b/src/dogwoodquay/overload/__init__.py
@@ -1,1 +1,1 @@
-"""Decides under load which requests wait, are refused, and when they return."""
+"""Decides under load which requests wait, are refused and return when."""
--- /dev/null
+++ b/src/dogwoodquay/stalls/__init__.py
@@ -0,0 +1,1 @@
+"""Finds servers that accept requests and answer none of them."""
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -19,6 +19,7 @@
 from dogwoodquay.gateway import origins
 from dogwoodquay.gateway import server_limits
 from dogwoodquay.gateway import settings
+from dogwoodquay.gateway import stall_watch
 from dogwoodquay.gateway import store_api
 from dogwoodquay.observe import metrics as metrics_module
 
@@ -89,6 +90,17 @@
     return crashes.CrashWatch(connections, clock, make_metrics())
 
 
+def make_stalls(
+    registry: registries.Registry,
+    clock: clocks.Clock,
+    enabled: bool = False,
+) -> stall_watch.StallWatch:
+    """Return a watch of stalled servers, of no service unless enabled."""
+    return stall_watch.StallWatch(
+        registry, clock, make_metrics(), lambda _: enabled
+    )
+
+
 def make_limits(
     registry: registries.Registry, clock: clocks.Clock
 ) -> server_limits.ServerLimits:
--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -225,6 +225,7 @@
                     clock,
                 ),
                 self.crashes,
+                fakes.make_stalls(self.registry, clock),
             ),
             headers,
             clock,
--- a/tests/unit/gateway/test_peering.py
+++ b/tests/unit/gateway/test_peering.py
@@ -159,6 +159,7 @@
             departures.DepartureNews(registry, clock, metrics),
             fakes.make_crashes(clock),
             self.limits,
+            fakes.make_stalls(registry, clock, enabled=True),
         )
         self.registry = registry
         self.scheduler = schedulers.Scheduler(
--- a/tests/unit/gateway/test_successors.py
+++ b/tests/unit/gateway/test_successors.py
@@ -313,6 +313,7 @@
                 clock,
             ),
             fakes.make_crashes(clock),
+            fakes.make_stalls(registry, clock),
         )
 
         class _Relay:
@@ -376,6 +377,7 @@
                 clock,
             ),
             fakes.make_crashes(clock),
+            fakes.make_stalls(registry, clock),
         )
 
         class _Relay:
@@ -646,3 +648,23 @@
         with anyio.move_on_after(0.3):
             await watch.run()
         self.assertEqual({'good', 'bad'}, set(searched))
+
+
+class ExpediteTest(unittest.IsolatedAsyncioTestCase):
+    """A server that answers nobody is given up before its time."""
+
+    async def test_without_bytes(self) -> None:
+        """A request without an answer looks for a successor at once."""
+        attempt = _attempt(_call(5.0), servers.Server(_entry('a')))
+        attempt.begin_search(anyio.CancelScope())
+        attempt.search_ended()
+        self.assertFalse(attempt.is_overdue(1e9))
+        attempt.expedite(1e9)
+        self.assertTrue(attempt.is_overdue(1e9))
+
+    async def test_with_bytes(self) -> None:
+        """An answer that has begun is judged by its own pauses."""
+        attempt = _attempt(_call(5.0), servers.Server(_entry('a')))
+        attempt.on_received()
+        attempt.expedite(1e9)
+        self.assertFalse(attempt.is_overdue(1e9))
--- /dev/null
+++ b/tests/unit/stalls/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the detection of stalled servers."""
