--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -31,6 +31,7 @@
     from ..retry import window
     from . import scheduler as schedulers
     from . import silence as silences
+    from . import stall_watch
     from . import tenancy as tenancies
 
 __all__ = ['Forwarder']
@@ -61,8 +62,10 @@
         versions: resumption.StreamVersions,
         crashes: crash_watches.CrashWatch,
         tenancy: tenancies.Tenancy,
+        stalls: stall_watch.StallWatch,
     ) -> None:
         self._tenancy = tenancy
+        self._stalls = stalls
         self._crashes = crashes
         self._silence = silence
         self._versions = versions
@@ -271,6 +274,9 @@
 
         Whatever a server sends, another one may take the request.
         """
+        watched = self._stalls.sent(attempt.server.entry)
+        if watched is not None:
+            attempt.watch(watched)
         try:
             return await self._exchange.run(
                 attempt.call, attempt.server, relay, attempt
@@ -280,6 +286,9 @@
                 error, server=attempt.server.entry.server_id
             )
             return outcomes.Broken('exception')
+        finally:
+            if watched is not None:
+                watched.ended()
 
     def _record_failed(
         self,
--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -230,6 +230,7 @@
                 ),
                 self.crashes,
                 self.tenancy,
+                fakes.make_stalls(self.registry, clock),
             ),
             headers,
             clock,
