--- a/src/dogwoodquay/ratelimit/grants.py
+++ b/src/dogwoodquay/ratelimit/grants.py
@@ -5,6 +5,7 @@
 import typing
 
 from . import api
+from . import followers
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -15,8 +16,6 @@
 # time.
 BURST_PERMITS: typing.Final = 1.0
 BURST_SECONDS: typing.Final = 0.25
-# How long the share of an owner is kept before it is computed again.
-SHARE_SECONDS: typing.Final = 0.05
 # How long what an instance wants is kept for it.
 WANT_SECONDS: typing.Final = 0.3
 
@@ -42,20 +41,10 @@
 
 
 class Granter:
-    """Gives out the permits for the instances that follow this owner.
-
-    Two owners may be believed in at a time. Each gives out the share of a
-    limit that its followers are of all members; as an instance follows one
-    owner at a time, the shares add up to the limit. Members are remembered
-    for longer than an owner goes on that is not confirmed and misses some.
-    """
+    """Gives out the permits for the instances that follow this owner."""
 
     def __init__(self) -> None:
-        # When each member was last known, and when it last called.
-        self._members: dict[str, float] = {}
-        self._called_at: dict[str, float] = {}
-        self._share = 0.0
-        self._share_until = float('-inf')
+        self._followers = followers.Followers()
         self._buckets: dict[api.ServerKey, _Bucket] = {}
         self._wants: dict[
             api.ServerKey, dict[str, tuple[float, dict[int, int]]]
@@ -68,9 +57,7 @@
         """
         self._buckets.clear()
         self._wants.clear()
-        self._members = dict.fromkeys(members, now)
-        self._called_at.clear()
-        self._share_until = float('-inf')
+        self._followers.begin(members, now)
 
     def record_call(
         self, member: str, confirmed_at: float, now: float
@@ -79,21 +66,11 @@
 
         :param confirmed_at: when the store last confirmed this owner.
         """
-        self._members[member] = self._called_at[member] = now
-        if now >= self._share_until:
-            self._share = self.share(confirmed_at, now)
-            self._share_until = now + SHARE_SECONDS
+        self._followers.record_call(member, confirmed_at, now)
 
     def share(self, confirmed_at: float, now: float) -> float:
         """Return the share of the limits that this owner gives out."""
-        confirmed = now - confirmed_at < api.CONFIRMED_SECONDS
-        if confirmed:
-            self._members = _younger(self._members, now, api.MEMBER_SECONDS)
-        self._called_at = _younger(self._called_at, now, api.FOLLOWER_SECONDS)
-        followers = len(self._called_at)
-        if not followers or (followers < len(self._members) and not confirmed):
-            return 0.0
-        return followers / len(self._members)
+        return self._followers.share(confirmed_at, now)
 
     def grant(
         self,
@@ -109,7 +86,7 @@
         :param rate: returns the limit of a server.
         :return: ``None`` if this owner may give out none.
         """
-        share = self._share
+        share = self._followers.recorded_share
         if not share:
             return None
         by_server: dict[api.ServerKey, dict[int, int]] = {}
@@ -173,10 +150,3 @@
                     if count:
                         total[priority] = total.get(priority, 0) + count
         return total
-
-
-def _younger(
-    times: dict[str, float], now: float, seconds: float
-) -> dict[str, float]:
-    """Return the entries whose time is less than some seconds ago."""
-    return {name: at for name, at in times.items() if now - at < seconds}
--- /dev/null
+++ b/tests/unit/allotments/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the quotas of tenants."""
--- a/tests/unit/ratelimit/test_sum.py
+++ b/tests/unit/ratelimit/test_sum.py
@@ -10,6 +10,7 @@
 from dogwoodquay.ratelimit import api
 from dogwoodquay.ratelimit import core
 from dogwoodquay.ratelimit import fallback
+from dogwoodquay.ratelimit import followers
 from dogwoodquay.ratelimit import grants
 
 if typing.TYPE_CHECKING:
@@ -86,7 +87,7 @@
     def test_whole_limit_from_each_owner(self) -> None:
         """Two owners give out the limit twice."""
         self._assert_found(
-            mock.patch.object(grants.Granter, 'share', lambda *_: 1.0)
+            mock.patch.object(followers.Followers, 'share', lambda *_: 1.0)
         )
 
     def test_members_forgotten(self) -> None:
