Charge what was admitted without an owner before a new one admits

The usage that instances report first to a new owner counted double and against a level that was already capped. A new owner now collects it until it has heard from 0.9 of the members, and charges it to the refilled level. A tenant within its rate at one instance is no longer refused after that.

--- a/src/dogwoodquay/allotments/accounts.py
+++ b/src/dogwoodquay/allotments/accounts.py
@@ -27,6 +27,10 @@
 IDLE_SECONDS: typing.Final = 2.0
 # The deepest level, in seconds of the rate; windows end after a few seconds.
 DEEPEST_SECONDS: typing.Final = 4.0
+# A new owner admits nothing before it has heard from this share of the members
+# or until ``FOLLOWER_SECONDS`` have passed. Without that, the usage of the
+# first followers would count as that of all.
+HEARD_SHARE: typing.Final = 0.9
 # Counters and charges above this are false.
 MAX_UNITS: typing.Final = 1e15
 # Reports that are kept for a tenant. One without an earlier report is charged
@@ -50,8 +54,11 @@
         self, quota: api.Quota, level: float, asked: float, now: float
     ) -> None:
         self._quota = quota
-        self._level = min(level, quota.burst)
+        self._level = level
         self._refilled_at = now
+        # Whether usage is only collected, as its share is not known yet.
+        self._collecting = False
+        self._collected = 0.0
         self.asked = decaying.DecayingSum(
             DEMAND_SECONDS, now, asked * DEMAND_SECONDS
         )
@@ -69,20 +76,42 @@
         rate, burst = self._quota
         elapsed = now - self._refilled_at
         if elapsed > 0.0:
-            self._level = min(burst, self._level + rate * elapsed)
+            self._level += rate * elapsed
             self._refilled_at = now
+        if not self._collecting:
+            self._level = min(self._level, burst)
         return self._level
 
+    def collect(self) -> None:
+        """Keep the units that are charged until ``settle``.
+
+        The level is not capped meanwhile: the units were used while it
+        refilled.
+        """
+        self._collecting = True
+
+    def settle(self, share: float, now: float) -> None:
+        """Charge the collected units."""
+        self._collecting = False
+        self._level -= self._collected / share
+        self.charge(0.0, share, now)
+
     def configure(self, quota: api.Quota, now: float) -> None:
         """Replace the quota, from now on."""
         self.level(now)
         self._quota = quota
-        self._level = min(self._level, quota.burst)
+        self.level(now)
 
-    def charge(self, units: float, now: float) -> None:
-        """Remove units, or return them if negative."""
+    def charge(self, units: float, share: float, now: float) -> None:
+        """Remove units, or return them if negative.
+
+        :param share: the part of all instances that this owner hears of.
+        """
+        if self._collecting:
+            self._collected += units
+            return
         rate, burst = self._quota
-        level = min(burst, self.level(now) - units)
+        level = min(burst, self.level(now) - units / share)
         self._level = max(level, -DEEPEST_SECONDS * rate)
 
     def record_demand(
@@ -121,7 +150,8 @@
     def __init__(self) -> None:
         self._followers = followers.Followers()
         self._buckets: dict[str, _Bucket] = {}
-        self._began_at = float('-inf')
+        # When a new owner admits with whichever followers it has.
+        self._settles_at = float('-inf')
 
     def configure(
         self, quotas: abc.Mapping[str, api.Quota], now: float
@@ -148,13 +178,14 @@
         :param members: the instances that the earlier owner knew.
         """
         self._followers.begin(members, now)
-        self._began_at = now
+        self._settles_at = now + limit_api.FOLLOWER_SECONDS
         for account in known:
             bucket = self._buckets.get(account.tenant)
             if bucket is not None:
-                self._buckets[account.tenant] = _Bucket(
+                bucket = self._buckets[account.tenant] = _Bucket(
                     bucket.quota, account.level, account.asked, now
                 )
+                bucket.collect()
 
     def on_load(
         self,
@@ -169,10 +200,10 @@
         :return: the number of rows that are out of range.
         """
         self._followers.record_call(member, confirmed_at, now)
-        share = self._followers.recorded_share
-        if not share or now - self._began_at < limit_api.FOLLOWER_SECONDS:
-            # Not all followers have called yet.
-            share = max(share, 0.5)
+        # An owner that may admit nothing still keeps its accounts.
+        share = self._followers.recorded_share or 1.0
+        if math.isfinite(self._settles_at):
+            self._settle(share, now)
         dropped = 0
         for row in rows:
             bucket = self._buckets.get(row.tenant)
@@ -190,8 +221,7 @@
         :return: ``None`` if this owner may admit nothing.
         """
         share = self._followers.recorded_share
-        settled = now - self._began_at >= limit_api.FOLLOWER_SECONDS
-        if not share or (share < 0.5 and not settled):
+        if not share or math.isfinite(self._settles_at):
             return None
         members = max(1, self._followers.member_count)
         return tuple(
@@ -205,6 +235,13 @@
             if bucket.is_active(now)
         )
 
+    def _settle(self, share: float, now: float) -> None:
+        """Begin to admit once enough members follow."""
+        if share >= HEARD_SHARE or now >= self._settles_at:
+            self._settles_at = float('-inf')
+            for bucket in self._buckets.values():
+                bucket.settle(share, now)
+
     def _apply(
         self,
         bucket: _Bucket,
@@ -228,7 +265,7 @@
             charge = row.admitted - report.admitted
             asked = row.asked - report.asked
         report.asked, report.admitted = row.asked, row.admitted
-        bucket.charge(charge / share, now)
+        bucket.charge(charge, share, now)
         bucket.record_demand(report, asked, now)
 
 
--- a/src/dogwoodquay/allotments/admission.py
+++ b/src/dogwoodquay/allotments/admission.py
@@ -24,7 +24,7 @@
 MAX_RETRY_SECONDS: typing.Final = 10.0
 # An account is reported for so long after its last request.
 ACTIVE_SECONDS: typing.Final = 2.0
-# Time constant of the usual size of a request.
+# Weight of a request in the usual size.
 SIZE_WEIGHT: typing.Final = 0.1
 
 
@@ -65,11 +65,12 @@
     def account(self, tenant: str, now: float) -> api.Account:
         """Return what is known of the account, without recent usage.
 
-        The unsettled usage is in the reports of all instances.
+        The unsettled usage is in the reports of all instances, and the level
+        is not capped before these are charged.
         """
-        return api.Account(
-            tenant, self._refilled(now), self._all_asked, self._part or 0.0
-        )
+        elapsed = max(0.0, now - self._level_at)
+        level = self._level + self._quota.rate * elapsed
+        return api.Account(tenant, level, self._all_asked, self._part or 0.0)
 
     def usage(self, tenant: str, now: float) -> api.Usage | None:
         """Return the counters for a load, ``None`` if nothing is new."""
@@ -108,9 +109,7 @@
         """Count a request; return whether it is admitted."""
         self._active_at = now
         self._asked += units
-        self._size += SIZE_WEIGHT * (units - self._size)
-        if not self._size:
-            self._size = units
+        self._record_size(units)
         share = self.share(now)
         if share >= 1.0:
             admitted = True
@@ -140,6 +139,7 @@
         """
         self._active_at = now
         self._asked += units
+        self._record_size(units)
         local = self._local_bucket(instances, now)
         if not local.admits(units, self._quota, self._phase, now):
             return False
@@ -168,6 +168,11 @@
         )
         return min(seconds, MAX_RETRY_SECONDS)
 
+    def _record_size(self, units: float) -> None:
+        if not self._size:
+            self._size = units
+        self._size += SIZE_WEIGHT * (units - self._size)
+
     def _refilled(self, now: float) -> float:
         elapsed = max(0.0, now - self._level_at)
         return min(
