Keep the quotas of tenants in the gateway

A request over its tenant's quota was served like any other. Loads now carry the usage of tenants, views the owner's accounts, and a request over the quota gets 429 with the time to retry. Requests of tenants that wait within one priority are ordered by start-time fair queuing. A request that ran nowhere is refunded.

--- a/src/dogwoodquay/allotments/accounts.py
+++ b/src/dogwoodquay/allotments/accounts.py
@@ -31,8 +31,6 @@
 # or until ``FOLLOWER_SECONDS`` have passed. Without that, the usage of the
 # first followers would count as that of all.
 HEARD_SHARE: typing.Final = 0.9
-# Counters and charges above this are false.
-MAX_UNITS: typing.Final = 1e15
 # Reports that are kept for a tenant. One without an earlier report is charged
 # with its unsettled units, so that forgetting costs accuracy only.
 MAX_REPORTS: typing.Final = 4096
@@ -114,9 +112,7 @@
         level = min(burst, self.level(now) - units / share)
         self._level = max(level, -DEEPEST_SECONDS * rate)
 
-    def record_demand(
-        self, report: _Report, units: float, now: float
-    ) -> None:
+    def record_demand(self, report: _Report, units: float, now: float) -> None:
         """Add units that an instance was asked for."""
         if units > 0.0:
             self._active_at = now
@@ -207,7 +203,7 @@
         dropped = 0
         for row in rows:
             bucket = self._buckets.get(row.tenant)
-            if not _in_range(row):
+            if not api.is_possible(row):
                 dropped += 1
             elif bucket is not None:
                 self._apply(bucket, member, row, share, now)
@@ -267,14 +263,3 @@
         report.asked, report.admitted = row.asked, row.admitted
         bucket.charge(charge, share, now)
         bucket.record_demand(report, asked, now)
-
-
-def _in_range(row: api.Usage) -> bool:
-    """Whether counters can be true; those that are no numbers are not."""
-    _, asked, admitted, unsettled = row
-    return (
-        math.isfinite(unsettled)
-        and 0.0 <= asked <= MAX_UNITS
-        and 0.0 <= admitted <= asked
-        and -asked <= unsettled <= asked
-    )
--- a/src/dogwoodquay/allotments/admission.py
+++ b/src/dogwoodquay/allotments/admission.py
@@ -130,9 +130,7 @@
             self._admitted += units
         return admitted
 
-    def admit_alone(
-        self, units: float, instances: int, now: float
-    ) -> bool:
+    def admit_alone(self, units: float, instances: int, now: float) -> bool:
         """Count a request without a view; return whether it is admitted.
 
         :param instances: the number of instances, as far as it is known.
@@ -175,9 +173,7 @@
 
     def _refilled(self, now: float) -> float:
         elapsed = max(0.0, now - self._level_at)
-        return min(
-            self._quota.burst, self._level + self._quota.rate * elapsed
-        )
+        return min(self._quota.burst, self._level + self._quota.rate * elapsed)
 
     def _share_of(self, level: float, asked: float) -> float:
         """Return the share for a level and units asked per second."""
--- a/src/dogwoodquay/allotments/api.py
+++ b/src/dogwoodquay/allotments/api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 __all__ = [
@@ -12,6 +13,7 @@
     'Quota',
     'Rejected',
     'Usage',
+    'is_possible',
 ]
 
 # The part of the tolerance that a level may hold beyond the burst. Requests
@@ -20,6 +22,8 @@
 # The seconds of the rate that it may be worth. The tolerance of a slow tenant
 # may be as large as many seconds of its rate.
 SPARE_SECONDS: typing.Final = 2.0
+# Numbers of units above this are false.
+MAX_UNITS: typing.Final = 1e15
 
 
 class Quota(typing.NamedTuple):
@@ -88,3 +92,19 @@
 
 
 Decision = Admitted | Rejected
+
+
+def is_possible(row: Usage | Account) -> bool:
+    """Whether the figures of a peer can be true."""
+    match row:
+        case Usage(_, asked, admitted, unsettled):
+            return (
+                0.0 <= admitted <= asked <= MAX_UNITS
+                and -asked <= unsettled <= asked
+            )
+        case Account(_, level, asked, part):
+            return (
+                math.isfinite(level)
+                and 0.0 <= asked <= MAX_UNITS
+                and 0.0 <= part <= 1.0
+            )
--- a/src/dogwoodquay/allotments/core.py
+++ b/src/dogwoodquay/allotments/core.py
@@ -114,21 +114,30 @@
         rows: abc.Iterable[api.Account] | None,
         instances: int,
         now: float,
-    ) -> None:
+    ) -> int:
         """Apply the owner's accounts.
 
         :param rows: ``None`` if the owner may admit nothing, or if its build
             does not know of accounts.
         :param instances: the number of instances that the owner knows.
+        :return: the number of accounts that are out of range.
         """
         if instances > 0:
             self._instances = instances
         if rows is None:
-            return
+            return 0
         self._heard_at = now
-        known = {row.tenant: row for row in rows}
+        known: dict[str, api.Account] = {}
+        dropped: set[str] = set()
+        for row in rows:
+            if api.is_possible(row):
+                known[row.tenant] = row
+            else:
+                dropped.add(row.tenant)
         for name, tenant in self._tenants.items():
-            tenant.on_view(known.get(name))
+            if name not in dropped:
+                tenant.on_view(known.get(name))
+        return len(dropped)
 
     def on_owner(self, leads: bool, now: float) -> None:
         """Record whether this instance is the owner now."""
--- a/src/dogwoodquay/fleet/queue.py
+++ b/src/dogwoodquay/fleet/queue.py
@@ -16,7 +16,9 @@
     """A waiting request; a lower ``priority`` is more urgent.
 
     ``objective_at`` is when the first byte or a complete plain answer is due,
-    and ``wait_deadline`` when the request leaves the queue unserved.
+    and ``wait_deadline`` when the request leaves the queue unserved. Within
+    one priority a lower ``fair_tag`` goes first; it is the same for all
+    requests where none has a tenant.
     """
 
     number: int
@@ -25,6 +27,7 @@
     wait_deadline: float
     entered_at: float
     need: choice.Need
+    fair_tag: float = 0.0
 
 
 _NOBODY: typing.Final[frozenset[str]] = frozenset()
@@ -35,7 +38,7 @@
 
 
 class RequestQueue:
-    """Waiting requests, ordered by priority and then by age.
+    """Waiting requests, ordered by priority, fair tag and age.
 
     During a burst, requests that can still meet their objective are served
     before those that are past it, and requests past their wait deadline leave
@@ -96,12 +99,12 @@
         :param on_assigned: called before the next server is chosen.
         """
 
-        def rank(ticket: Ticket) -> tuple[int, float]:
+        def rank(ticket: Ticket) -> tuple[int, float, float]:
             past_objective = now >= ticket.objective_at
             order = ticket.priority + (
                 PAST_OBJECTIVE_PENALTY if past_objective else 0
             )
-            return order, ticket.entered_at
+            return order, ticket.fair_tag, ticket.entered_at
 
         assigned = []
         full: set[choice.Need] = set()
--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -23,6 +23,7 @@
     from . import forwarder as forwarders
     from . import metrics as gateway_metrics
     from ..routes import api as routes_api
+    from . import tenant_accounts
     from . import versions as configuration_versions
 
 __all__ = ['ConfigurationFreshness', 'GatewayApp']
@@ -30,6 +31,8 @@
 _NOT_FOUND: typing.Final = 404
 _UNAVAILABLE: typing.Final = 503
 _GATEWAY_TIMEOUT: typing.Final = 504
+# A refusal with one of these means that the request did not run.
+_NOT_RUN: typing.Final = frozenset({401, 429, 503})
 # Time to retry before the first configuration is read.
 STARTING_RETRY_AFTER_SECONDS: typing.Final = 0.3
 # The same while a newer configuration is on its way.
@@ -78,9 +81,11 @@
         rng: random.Random,
         metrics: gateway_metrics.GatewayMetrics,
         freshness: ConfigurationFreshness,
+        accounts: tenant_accounts.TenantAccounts,
     ) -> None:
         """Create the application."""
         self._freshness = freshness
+        self._accounts = accounts
         self._forwarder = forwarder
         self._context = answers.AnswerContext(
             codec, clock, metrics, lambda: freshness.versions.active
@@ -216,6 +221,10 @@
                 request.method, target, headers, body, terms
             ),
         )
+        refusal = self._accounts.admit(call)
+        if refusal is not None:
+            await answer.refuse(refusal)
+            return
         answer.resume_after(terms.last_event)
         await self._forward(call, request, answer)
 
@@ -249,6 +258,8 @@
             group.cancel_scope.cancel()
         if caller_left:
             answer.record_left()
+        if not _may_have_run(result, answer):
+            self._accounts.refund(call)
 
     def _refuse_starting(self) -> api.Refusal:
         """Return the refusal before the first configuration."""
@@ -309,3 +320,15 @@
         if answer.started:
             return results.Cut(reason.value)
         return api.Refusal(reason, _GATEWAY_TIMEOUT)
+
+
+def _may_have_run(
+    result: results.Result | None, answer: answers.Answer
+) -> bool:
+    """Whether a server may have run any part of a request.
+
+    A refusal with one of these statuses promises that none has.
+    """
+    if isinstance(result, api.Refusal) and result.status in _NOT_RUN:
+        return False
+    return answer.trace.attempts > 0
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -10,6 +10,7 @@
 from ..wire import api as wire_api
 
 __all__ = [
+    'AccountRow',
     'AdapterFound',
     'AdapterInUse',
     'BrokenRow',
@@ -35,6 +36,7 @@
     'OriginsFound',
     'OriginsKept',
     'RunningRequests',
+    'UsageRow',
     'VerdictRow',
     'VersionDemand',
     'WantRow',
@@ -155,6 +157,31 @@
     waiting: tuple[tuple[int, int], ...]
 
 
+class UsageRow(msgspec.Struct, frozen=True, array_like=True):
+    """The units of a tenant at one instance since its start.
+
+    ``unsettled`` are those admitted since the last load that was answered.
+    """
+
+    tenant: str
+    asked: float
+    admitted: float
+    unsettled: float
+
+
+class AccountRow(msgspec.Struct, frozen=True, array_like=True):
+    """The owner's account of a tenant.
+
+    ``asked`` is in units per second at all instances together, ``part`` the
+    receiver's part of that.
+    """
+
+    tenant: str
+    level: float
+    asked: float
+    part: float
+
+
 class InstanceLoad(wire_api.Message, frozen=True, tag='load'):
     """The load of one instance, sent to the owner.
 
@@ -167,7 +194,8 @@
     ``crashes`` are its reports of ended servers, ``sound_parts`` those
     suspects of the last view that it has seen in a complete answer.
     ``limits`` is what it has heard itself of servers' limits lately, and
-    ``wants`` the permits that its waiting requests could use.
+    ``wants`` the permits that its waiting requests could use. ``usage`` is
+    that of the tenants with recent requests.
     """
 
     instance_id: str
@@ -185,6 +213,7 @@
     verdicts: tuple[VerdictRow, ...] = ()
     limits: tuple[LimitRow, ...] = ()
     wants: tuple[WantRow, ...] = ()
+    usage: tuple[UsageRow, ...] = ()
 
 
 class InstanceRow(msgspec.Struct, frozen=True, array_like=True):
@@ -230,6 +259,8 @@
     the receiver, unless an earlier build sends none. ``limits`` are those of
     servers that the owner knows, ``grants`` the receiver's permits; ``None``
     if the owner may give out none, or if its build does not know of them.
+    ``allotments`` are the accounts of tenants with recent requests, ``None``
+    in the same cases.
     """
 
     owner: str
@@ -247,6 +278,7 @@
     verdicts: tuple[VerdictRow, ...] | None = None
     limits: tuple[LimitRow, ...] = ()
     grants: tuple[GrantRow, ...] | None = None
+    allotments: tuple[AccountRow, ...] | None = None
 
 
 class FindAdapter(wire_api.Message, frozen=True, tag='find'):
--- a/src/dogwoodquay/gateway/metrics.py
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -95,6 +95,14 @@
             'gateway_permits_granted_total',
             'Permits for limited servers, given out by the owner',
         )
+        self._allotments_refunded = registry.counter(
+            'gateway_allotment_refunds_total',
+            'Admitted requests of tenants that did not run',
+        )
+        self._allotment_rows_dropped = registry.counter(
+            'gateway_allotment_rows_dropped_total',
+            'Rows of peers on the usage of tenants that cannot be true',
+        )
         self._configuration_reads = registry.counter(
             'gateway_configuration_reads_total',
             'Reads of the configuration',
@@ -207,6 +215,14 @@
         """Count permits for limited servers that the owner gives out."""
         self._permits_granted.add(amount=count)
 
+    def allotment_refunded(self) -> None:
+        """Count an admitted request of a tenant that did not run."""
+        self._allotments_refunded.add()
+
+    def allotment_rows_dropped(self, count: int) -> None:
+        """Count rows of a peer that cannot be true."""
+        self._allotment_rows_dropped.add(amount=count)
+
     def configuration_read(self, kind: str, outcome: str, size: int) -> None:
         """Count a read of the configuration and the bytes received."""
         self._configuration_reads.add(kind, outcome)
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -27,6 +27,7 @@
     from . import ownership as order_ownership
     from . import scheduler as schedulers
     from . import server_limits
+    from . import tenant_accounts
 
 __all__ = ['Peering']
 
@@ -34,7 +35,8 @@
 
 # Interval at which an instance sends its load to the owner.
 LOAD_INTERVAL_SECONDS: typing.Final = 0.25
-# The same while requests wait, which may be for a model or adapter.
+# The same while requests wait, which may be for a model or adapter, and while
+# a tenant is over its quota.
 WAITING_LOAD_INTERVAL_SECONDS: typing.Final = 0.1
 CALL_TIMEOUT_SECONDS: typing.Final = 0.5
 # Peers that are offered the duty, each within ``CALL_TIMEOUT_SECONDS``.
@@ -56,8 +58,10 @@
         departures: departure_news.DepartureNews,
         crashes: crash_watches.CrashWatch,
         limits: server_limits.ServerLimits,
+        accounts: tenant_accounts.TenantAccounts,
     ) -> None:
         self._limits = limits
+        self._accounts = accounts
         self._transport = transport
         self._crashes = crashes
         crashes.on_report(self.publish_soon)
@@ -164,10 +168,10 @@
             if scheduler is None:
                 await anyio.sleep(LOAD_INTERVAL_SECONDS)
                 continue
-            waiting = scheduler.waiting > 0
+            urgent = scheduler.waiting > 0 or self._accounts.limited
             with anyio.move_on_after(
                 WAITING_LOAD_INTERVAL_SECONDS
-                if waiting
+                if urgent
                 else LOAD_INTERVAL_SECONDS
             ):
                 await self._wake.wait()
@@ -179,6 +183,7 @@
         asked_at = self._clock.now()
         is_owner = self._ownership.is_owner(asked_at)
         self._limits.on_owner(is_owner)
+        self._accounts.on_owner(is_owner)
         load = self._load(scheduler)
         if is_owner:
             view = self._on_load(load)
@@ -229,6 +234,7 @@
             seconds if seconds != math.inf else None,
             *self._crashes.load_rows(),
             *self._limits.load_rows(scheduler.permits_wanted()),
+            usage=self._accounts.load_rows(),
         )
 
     def _on_load(
@@ -244,7 +250,9 @@
         if view is None or not self._ownership.is_owner(now):
             return view
         version, rows = self._roster.newer_than(load.roster_version, now)
-        grants = self._limits.on_load(load, self._ownership.confirmed_at)
+        confirmed_at = self._ownership.confirmed_at
+        grants = self._limits.on_load(load, confirmed_at)
+        allotments = self._accounts.on_load(load, confirmed_at)
         return msgspec.structs.replace(
             view,
             roster_version=version,
@@ -254,6 +262,7 @@
             verdicts=self._crashes.verdict_rows(),
             limits=self._limits.view_rows(),
             grants=grants,
+            allotments=allotments,
         )
 
     def _apply_view(self, view: messages.FleetView, asked_at: float) -> None:
@@ -268,10 +277,12 @@
         is_owner = view.owner == self._ownership.member
         self._crashes.on_view(view, is_owner)
         self._limits.on_view(view, asked_at, is_owner)
+        self._accounts.on_view(view)
         if view.roster:
             self._applied_version = view.roster_version
             self._applied_roster = view.roster
             self._limits.update_members(view.roster)
+            self._accounts.update_members(view.roster)
             self._origins.update_roster(view.roster)
         if self._configuration is not None:
             as_of = -math.inf
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -38,6 +38,7 @@
 from . import server_limits
 from . import serving
 from . import silence as silences
+from . import tenant_accounts
 from . import watch
 from ..wire import peers as wire_peers
 from ..wire import settings as wire_settings
@@ -182,6 +183,9 @@
         self._limits = server_limits.ServerLimits(
             members.member_name(settings), self._registry, clock, metrics
         )
+        self._accounts = tenant_accounts.TenantAccounts(
+            settings, clock, self._rng, metrics
+        )
         self._controller = controllers.Controller(
             self._ownership,
             self._registry,
@@ -228,6 +232,7 @@
             departure_news.DepartureNews(self._registry, clock, metrics),
             self._crashes,
             self._limits,
+            self._accounts,
         )
         self._scheduler = schedulers.Scheduler(
             self._registry,
@@ -313,6 +318,7 @@
             self._rng,
             self._metrics,
             self._configuration,
+            self._accounts,
         )
 
     def _on_notice(self) -> None:
@@ -322,6 +328,7 @@
 
     def _configure(self, configuration: routes_api.Configuration) -> None:
         self._app.configure(configuration)
+        self._accounts.configure(configuration.tenants)
         self._scheduler.configure(configuration.services)
         self._controller.configure(configuration.services)
         self._callers.keep_idle(configuration.limits.idle_timeout_seconds)
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -10,6 +10,7 @@
 
 from . import adapter_search
 from . import api
+from . import fair_waits
 from ..fleet import choice
 from ..fleet import queue
 from . import limit_waits
@@ -80,6 +81,7 @@
         )
         self._services: dict[str, routes_api.Service] = {}
         self._queue = queue.RequestQueue()
+        self._fair_waits = fair_waits.FairWaits()
         self._waiters: dict[int, _Waiter] = {}
         self._ticket_numbers = itertools.count()
         self._counts = model_demand.RequestCounts()
@@ -233,6 +235,7 @@
             self._resolve(ticket.number, None)
         assigned = self._queue.assign(self._choose, now, self._take_permit)
         for ticket, server in assigned:
+            self._fair_waits.served(ticket)
             # Counted at once, so that the next choice considers it.
             server.begin()
             self._resolve(ticket.number, server)
@@ -294,15 +297,17 @@
         self, call: api.Call, need: choice.Need, wait_deadline: float
     ) -> servers.Server | None:
         number = next(self._ticket_numbers)
+        priority = call.route.priority
         waiter = self._waiters[number] = _Waiter()
         self._queue.add(
             queue.Ticket(
                 number,
-                call.route.priority,
+                priority,
                 call.objective_at,
                 wait_deadline,
                 self._clock.now(),
                 need,
+                self._fair_waits.tag(call, priority),
             )
         )
         try:
@@ -317,6 +322,8 @@
             raise
         finally:
             self._waiters.pop(number, None)
+            if waiter.server is None:
+                self._fair_waits.withdrawn(call, priority)
         if waiter.server is not None:
             # ``acquire`` counts the request again.
             waiter.server.end(started=False)
--- a/tests/unit/allotments/world.py
+++ b/tests/unit/allotments/world.py
@@ -58,7 +58,9 @@
         ]
         self.configure(rate)
         for index in range(instances):
-            self.at(self.random.uniform(0, 0.25), lambda i=index: self._load(i))
+            self.at(
+                self.random.uniform(0, 0.25), lambda i=index: self._load(i)
+            )
         self.at(0.0, self._arrive)
 
     def configure(self, rate: float) -> None:
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -20,6 +20,7 @@
 from dogwoodquay.gateway import server_limits
 from dogwoodquay.gateway import settings
 from dogwoodquay.gateway import store_api
+from dogwoodquay.gateway import tenant_accounts
 from dogwoodquay.observe import metrics as metrics_module
 
 if typing.TYPE_CHECKING:
@@ -36,6 +37,7 @@
     'FakeStore',
     'instance_settings',
     'log_lines',
+    'make_accounts',
     'make_crashes',
     'make_limits',
     'make_metrics',
@@ -89,6 +91,13 @@
     return crashes.CrashWatch(connections, clock, make_metrics())
 
 
+def make_accounts(clock: clocks.Clock) -> tenant_accounts.TenantAccounts:
+    """Return accounts without tenants."""
+    return tenant_accounts.TenantAccounts(
+        instance_settings(), clock, rng(), make_metrics()
+    )
+
+
 def make_limits(
     registry: registries.Registry, clock: clocks.Clock
 ) -> server_limits.ServerLimits:
--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -208,6 +208,7 @@
         self.exchange = exchanges.Exchange(
             self.connections, headers, clock, limits, self.notices
         )
+        self.accounts = fakes.make_accounts(clock)
         self.app = apps.GatewayApp(
             forwarders.Forwarder(
                 self.scheduler,
@@ -231,6 +232,7 @@
             rng,
             metrics,
             self.freshness,
+            self.accounts,
         )
         self._stop = anyio.Event()
         self._listener: serving.Listener | None = None
--- a/tests/unit/gateway/test_peering.py
+++ b/tests/unit/gateway/test_peering.py
@@ -128,6 +128,7 @@
         self.limits = server_limits.ServerLimits(
             self.ownership.member, registry, clock, metrics
         )
+        self.accounts = fakes.make_accounts(clock)
         self.controller = controller.Controller(
             self.ownership,
             registry,
@@ -159,6 +160,7 @@
             departures.DepartureNews(registry, clock, metrics),
             fakes.make_crashes(clock),
             self.limits,
+            self.accounts,
         )
         self.registry = registry
         self.scheduler = schedulers.Scheduler(
