--- a/tests/unit/gateway/test_tenant_accounts.py
+++ b/tests/unit/gateway/test_tenant_accounts.py
@@ -9,6 +9,8 @@
 import msgspec
 
 from . import fakes
+from dogwoodquay.fleet import choice
+from dogwoodquay.fleet import queue
 from dogwoodquay.gateway import api
 from dogwoodquay.gateway import fair_waits
 from dogwoodquay.gateway import messages
@@ -149,3 +151,23 @@
         self.assertLess(tenant[1], other[-1])
         self.assertLess(other[1], tenant[-1])
         self.assertEqual(0.0, subject.tag(_call(_TENANT, 500), 2))
+
+    def test_served_in_the_order_of_tags(self) -> None:
+        """Guards against a flood that is served before later requests."""
+        subject, waiting = fair_waits.FairWaits(), queue.RequestQueue()
+        small = _TENANT._replace(name='small')
+        for number in range(20):
+            tenant = _TENANT if number < 18 else small
+            tag = subject.tag(_call(tenant, 500), 1)
+            need = choice.Need('s', 'm', '', frozenset())
+            waiting.add(
+                queue.Ticket(number, 1, 99.0, 99.0, 0.1 * number, need, tag)
+            )
+        free = ['a'] * 4
+        served = waiting.assign(lambda _: free.pop() if free else None, 5.0)
+        numbers = [ticket.number for ticket, _ in served]
+        self.assertEqual([0, 18, 1, 19], numbers)
+        for ticket, _ in served:
+            subject.served(ticket)
+        later = subject.tag(_call(small._replace(name='idle'), 500), 1)
+        self.assertEqual(0.5, later)
