--- a/tests/unit/gateway/test_charges.py
+++ b/tests/unit/gateway/test_charges.py
@@ -53,9 +53,11 @@
             site.configure(loopback.route())
             with (
                 mock.patch.object(
-                    site.accounts, 'admit', return_value=refusal
+                    site.accounts, 'admit', autospec=True, return_value=refusal
                 ) as admit,
-                mock.patch.object(site.accounts, 'refund') as refund,
+                mock.patch.object(
+                    site.accounts, 'refund', autospec=True
+                ) as refund,
             ):
                 answer = await site.call()
         if refusal is not None:
