Charge a tenant's requests here while the owner does not know it

An owner with an earlier configuration returns no account, and instances took the tenant for idle, so that no limit held until the owner caught up. They now charge their own admissions. A level below zero without demand raised a division by zero in the request path; it admits nothing now.

--- a/src/dogwoodquay/allotments/admission.py
+++ b/src/dogwoodquay/allotments/admission.py
@@ -90,7 +90,9 @@
         """
         at = self._sent[2]
         if account is None:
-            level = self._refilled(at)
+            # An owner that does not know the tenant yet charges nothing.
+            own = self._sent[1] - self._settled[1]
+            level = self._refilled(at) - own
             self._all_asked = 0.0
             self._part = None
         else:
@@ -185,12 +187,10 @@
     def _share_of(self, level: float, asked: float) -> float:
         """Return the share for a level and units asked per second."""
         rate = self._quota.rate
-        if rate <= 0.0:
-            return 0.0
         room = rate + level / HORIZON_SECONDS
-        if asked <= room:
-            return 1.0
-        return max(0.0, room / asked)
+        if rate <= 0.0 or room <= 0.0:
+            return 0.0
+        return min(1.0, room / asked) if asked > 0.0 else 1.0
 
     def _estimate(self, now: float) -> tuple[float, float]:
         """Return the level and the units asked per second of all instances.
--- a/tests/unit/allotments/test_core.py
+++ b/tests/unit/allotments/test_core.py
@@ -79,6 +79,9 @@
         )
         self.assertEqual(1, dropped)
         self.assertEqual(1, self.admitted(1, 20.0))
+        for level in (-1e9, 0.0, 1e9):
+            self.subject.on_view([api.Account('acme', level, 0, 0)], 1, 20.0)
+            self.assertEqual(level >= 0.0, self.admitted(1, 20.0) == 1)
 
     def test_alone_from_the_start(self) -> None:
         """Guards against a burst from each instance that knows no other."""
@@ -88,6 +91,16 @@
         admitted = sum(isinstance(item, api.Admitted) for item in decisions)
         self.assertLessEqual(admitted, 1)
 
+    def test_owner_without_the_tenant(self) -> None:
+        """Guards against no limit at all while the owner's version is old."""
+        admitted = 0
+        for number in range(20):
+            now = 20.0 + 0.1 * number
+            admitted += self.admitted(10, now)
+            self.subject.load_rows(now)
+            self.subject.on_view((), 1, now)
+        self.assertLessEqual(admitted, 31)
+
     def test_unlimited(self) -> None:
         """Guards against limits for tenants that have none any more."""
         self.admitted(50, 20.0)
