--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -10,6 +10,7 @@
 from ..wire import api as wire_api
 
 __all__ = [
+    'AccountRow',
     'AdapterFound',
     'AdapterInUse',
     'BrokenRow',
@@ -37,6 +38,7 @@
     'ProgressRow',
     'RunningRequests',
     'StallRow',
+    'UsageRow',
     'VerdictRow',
     'VersionDemand',
     'WantRow',
@@ -178,6 +180,31 @@
     seconds: float
 
 
+class UsageRow(msgspec.Struct, frozen=True, array_like=True):
+    """The units of a tenant at one instance since its start.
+
+    ``unsettled`` are those admitted since the last load that was answered.
+    """
+
+    tenant: str
+    asked: float
+    admitted: float
+    unsettled: float
+
+
+class AccountRow(msgspec.Struct, frozen=True, array_like=True):
+    """The owner's account of a tenant.
+
+    ``asked`` is in units per second at all instances together, ``part`` the
+    receiver's part of that.
+    """
+
+    tenant: str
+    level: float
+    asked: float
+    part: float
+
+
 class InstanceLoad(wire_api.Message, frozen=True, tag='load'):
     """The load of one instance, sent to the owner.
 
@@ -191,7 +218,8 @@
     suspects of the last view that it has seen in a complete answer.
     ``limits`` is what it has heard itself of servers' limits lately, and
     ``wants`` the permits that its waiting requests could use. ``progress`` is
-    that of its requests at servers which may stall.
+    that of its requests at servers which may stall, ``usage`` that of the
+    tenants with recent requests.
     """
 
     instance_id: str
@@ -210,6 +238,7 @@
     limits: tuple[LimitRow, ...] = ()
     wants: tuple[WantRow, ...] = ()
     progress: tuple[ProgressRow, ...] = ()
+    usage: tuple[UsageRow, ...] = ()
 
 
 class InstanceRow(msgspec.Struct, frozen=True, array_like=True):
@@ -256,6 +285,8 @@
     servers that the owner knows, ``grants`` the receiver's permits; ``None``
     if the owner may give out none, or if its build does not know of them.
     ``stalls`` are the servers that accept requests and answer none.
+    ``allotments`` are the accounts of tenants with recent requests, ``None``
+    where ``grants`` is.
     """
 
     owner: str
@@ -274,6 +305,7 @@
     limits: tuple[LimitRow, ...] = ()
     grants: tuple[GrantRow, ...] | None = None
     stalls: tuple[StallRow, ...] = ()
+    allotments: tuple[AccountRow, ...] | None = None
 
 
 class FindAdapter(wire_api.Message, frozen=True, tag='find'):
--- a/src/dogwoodquay/gateway/metrics.py
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -99,6 +99,14 @@
             'gateway_server_stalls_total',
             'Servers that were found to answer no instance',
         )
+        self._allotments_refunded = registry.counter(
+            'gateway_allotment_refunds_total',
+            'Admitted requests of tenants that did not run',
+        )
+        self._allotment_rows_dropped = registry.counter(
+            'gateway_allotment_rows_dropped_total',
+            'Rows of peers on the usage of tenants that cannot be true',
+        )
         self._configuration_reads = registry.counter(
             'gateway_configuration_reads_total',
             'Reads of the configuration',
@@ -225,6 +233,14 @@
         """Count a server that answers no instance."""
         self._stalls.add()
 
+    def allotment_refunded(self) -> None:
+        """Count an admitted request of a tenant that did not run."""
+        self._allotments_refunded.add()
+
+    def allotment_rows_dropped(self, count: int) -> None:
+        """Count rows of a peer that cannot be true."""
+        self._allotment_rows_dropped.add(amount=count)
+
     def configuration_read(self, kind: str, outcome: str, size: int) -> None:
         """Count a read of the configuration and the bytes received."""
         self._configuration_reads.add(kind, outcome)
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -41,6 +41,7 @@
 from . import silence as silences
 from . import stall_watch
 from . import tenancy as tenancies
+from . import tenant_accounts
 from . import watch
 from ..wire import peers as wire_peers
 from ..wire import settings as wire_settings
@@ -189,6 +190,9 @@
         self._stalls = stall_watch.StallWatch(
             self._registry, clock, metrics, self._contended.includes
         )
+        self._accounts = tenant_accounts.TenantAccounts(
+            settings, clock, self._rng, metrics
+        )
         self._controller = controllers.Controller(
             self._ownership,
             self._registry,
@@ -236,6 +240,7 @@
             self._crashes,
             self._limits,
             self._stalls,
+            self._accounts,
         )
         self._scheduler = schedulers.Scheduler(
             self._registry,
@@ -326,6 +331,7 @@
             self._metrics,
             self._configuration,
             tenancy,
+            self._accounts,
         )
 
     def _on_notice(self) -> None:
@@ -336,6 +342,7 @@
     def _configure(self, configuration: routes_api.Configuration) -> None:
         self._app.configure(configuration)
         self._contended.configure(configuration)
+        self._accounts.configure(configuration.tenants)
         self._scheduler.configure(configuration.services)
         self._controller.configure(configuration.services)
         self._callers.keep_idle(configuration.limits.idle_timeout_seconds)
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -22,6 +22,7 @@
 from dogwoodquay.gateway import stall_watch
 from dogwoodquay.gateway import store_api
 from dogwoodquay.gateway import tenancy
+from dogwoodquay.gateway import tenant_accounts
 from dogwoodquay.observe import metrics as metrics_module
 from dogwoodquay.platform import headers
 
@@ -39,6 +40,7 @@
     'FakeStore',
     'instance_settings',
     'log_lines',
+    'make_accounts',
     'make_crashes',
     'make_limits',
     'make_metrics',
@@ -109,6 +111,13 @@
     )
 
 
+def make_accounts(clock: clocks.Clock) -> tenant_accounts.TenantAccounts:
+    """Return accounts without tenants."""
+    return tenant_accounts.TenantAccounts(
+        instance_settings(), clock, rng(), make_metrics()
+    )
+
+
 def make_limits(
     registry: registries.Registry, clock: clocks.Clock
 ) -> server_limits.ServerLimits:
--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -212,6 +212,7 @@
             self.connections, headers, clock, limits, self.notices
         )
         self.tenancy = tenancy.Tenancy(headers, metrics)
+        self.accounts = fakes.make_accounts(clock)
         self.app = apps.GatewayApp(
             forwarders.Forwarder(
                 self.scheduler,
@@ -238,6 +239,7 @@
             metrics,
             self.freshness,
             self.tenancy,
+            self.accounts,
         )
         self._stop = anyio.Event()
         self._listener: serving.Listener | None = None
--- a/tests/unit/gateway/test_peering.py
+++ b/tests/unit/gateway/test_peering.py
@@ -128,6 +128,7 @@
         self.limits = server_limits.ServerLimits(
             self.ownership.member, registry, clock, metrics
         )
+        self.accounts = fakes.make_accounts(clock)
         self.controller = controller.Controller(
             self.ownership,
             registry,
@@ -160,6 +161,7 @@
             fakes.make_crashes(clock),
             self.limits,
             fakes.make_stalls(registry, clock, enabled=True),
+            self.accounts,
         )
         self.registry = registry
         self.scheduler = schedulers.Scheduler(
