--- a/src/dogwoodquay/commands/publish.py
+++ b/src/dogwoodquay/commands/publish.py
@@ -10,7 +10,8 @@
 import anyio
 
 from .. import clock as clocks
-from ..external import http as external_http
+from ..external.http import client as http_client
+from ..external.http import log as http_log
 from ..operators import client
 from ..operators import publisher
 from ..records import catalog
@@ -92,8 +93,8 @@
 
 async def _publish(options: _Options) -> exits.Exit:
     clock = clocks.SystemClock()
-    async with external_http.Connections(clock) as connections:
-        log = external_http.HttpLog(
+    async with http_client.Connections(clock) as connections:
+        log = http_log.HttpLog(
             connections, clock, options.log.address, options.log.port
         )
         record_publisher = publisher.Publisher(log, clock, random.Random())
--- a/src/dogwoodquay/demo/waiting.py
+++ b/src/dogwoodquay/demo/waiting.py
@@ -8,7 +8,8 @@
 
 import anyio
 
-from ..external import http as external_http
+from ..external.http import client as http_client
+from ..external.http import log as http_log
 from . import fleet as fleets
 from ..operators import client
 from ..operators import publisher
@@ -45,8 +46,8 @@
     """
     records = examples.records(site, *deployments)
     offset = -1
-    async with external_http.Connections(clock) as connections:
-        log = external_http.HttpLog(connections, clock, *site.log_address)
+    async with http_client.Connections(clock) as connections:
+        log = http_log.HttpLog(connections, clock, *site.log_address)
         record_publisher = publisher.Publisher(log, clock, random.Random())
         async with anyio.create_task_group() as group:
             group.start_soon(record_publisher.run)
--- a/src/dogwoodquay/external/api.py
+++ b/src/dogwoodquay/external/api.py
@@ -50,29 +50,25 @@
 ]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Unavailable:
+class Unavailable(msgspec.Struct, frozen=True):
     """The call failed and certainly had no effect."""
 
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ambiguous:
+class Ambiguous(msgspec.Struct, frozen=True):
     """The answer to the call was lost; the call may have taken effect."""
 
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refused:
+class Refused(msgspec.Struct, frozen=True):
     """The remote system refused the call, which had no effect."""
 
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Trimmed:
+class Trimmed(msgspec.Struct, frozen=True):
     """The requested entries are no longer retained.
 
     ``first_offset`` is the offset of the oldest retained entry.
@@ -81,8 +77,7 @@
     first_offset: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StaleFence:
+class StaleFence(msgspec.Struct, frozen=True):
     """The engine has seen a higher fencing token and refused the call."""
 
     highest_fence: int
--- a/src/dogwoodquay/external/http/pool.py
+++ b/src/dogwoodquay/external/http/pool.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import typing
 
 import httpcore
+import msgspec
 
 from ... import clock
 from . import network
@@ -32,16 +32,15 @@
 _Endpoint = tuple[str, int]
 
 
-@dataclasses.dataclass(slots=True)
-class Uses:
+class Uses(msgspec.Struct):
     """The requests that a connection was used for, by id.
 
     A server may write an answer again. On a connection that is used for the
     same request once more, it could not be told from the next answer.
     """
 
-    _recent: dict[str, None] = dataclasses.field(default_factory=dict)
-    _refused: set[str] = dataclasses.field(default_factory=set)
+    _recent: dict[str, None] = msgspec.field(default_factory=dict)
+    _refused: set[str] = msgspec.field(default_factory=set)
 
     @property
     def exhausted(self) -> bool:
--- a/src/dogwoodquay/fleet/history.py
+++ b/src/dogwoodquay/fleet/history.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import statistics
 import typing
 
 if typing.TYPE_CHECKING:
@@ -64,5 +63,8 @@
             return math.inf
         if not self._heartbeats:
             return 0.0
+        # Seldom called, and imports the module of fractions as well.
+        import statistics
+
         count = statistics.median_low(self._heartbeats.values())
         return max(0, count - MARGIN_HEARTBEATS) * heartbeat_seconds
--- a/src/dogwoodquay/gateway/adapters.py
+++ b/src/dogwoodquay/gateway/adapters.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import typing
 
+import msgspec
+
 from . import answer as answers
 from . import exchange as exchanges
 
@@ -28,8 +29,7 @@
     """Parses and writes the headers of requests and answers."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlatformAdapters:
+class PlatformAdapters(msgspec.Struct, frozen=True):
     """The adapters by which an instance communicates with its platform."""
 
     codec: Codec
--- a/src/dogwoodquay/gateway/model_demand.py
+++ b/src/dogwoodquay/gateway/model_demand.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import typing
 
+import msgspec
+
 from ..fleet import rate as rates
 
 if typing.TYPE_CHECKING:
@@ -48,18 +49,17 @@
     oldest_wait_seconds: float
 
 
-@dataclasses.dataclass(slots=True)
-class ModelCounts:
+class ModelCounts(msgspec.Struct):
     """Counts the requests for one model.
 
     ``retry_at`` holds the times at which deferred callers may retry.
     """
 
-    rate: rates.DecayingRate = dataclasses.field(
+    rate: rates.DecayingRate = msgspec.field(
         default_factory=rates.DecayingRate
     )
     in_flight: int = 0
-    retry_at: list[float] = dataclasses.field(default_factory=list)
+    retry_at: list[float] = msgspec.field(default_factory=list)
 
     def deferred(self, now: float) -> int:
         """Return the number of callers whose time to retry is to come."""
--- a/src/dogwoodquay/gateway/outcomes.py
+++ b/src/dogwoodquay/gateway/outcomes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 __all__ = [
     'Broken',
@@ -13,8 +13,7 @@
 ]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NotRun:
+class NotRun(msgspec.Struct, frozen=True):
     """The request is known not to have run at the server.
 
     ``arrived`` is whether it reached the server. ``absent`` is set if the
@@ -26,15 +25,13 @@
     absent: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Broken:
+class Broken(msgspec.Struct, frozen=True):
     """There is no complete answer, and the request may have run."""
 
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Whole:
+class Whole(msgspec.Struct, frozen=True):
     """The server's complete answer.
 
     ``framed`` is whether its end was marked, by a length or a last chunk.
@@ -46,8 +43,7 @@
     framed: bool = True
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Streamed:
+class Streamed(msgspec.Struct, frozen=True):
     """The stream was sent to the caller up to its end.
 
     ``framed`` is whether that was marked, not just the connection's end.
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -132,9 +132,9 @@
         readiness = serving.Listener(self._settings.readiness)
         async with anyio.create_task_group() as group:
             for name, part in (
-                ('peers', self._run_peers),
                 ('configuration', self._configuration.run),
                 ('servers', self._servers.run),
+                ('peers', self._run_peers),
                 ('duty', self._ownership.run),
                 ('scheduler', self._scheduler.run),
                 ('silence', self._silence.run),
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import itertools
 import typing
 
 import anyio
+import msgspec
 
 from . import adapter_search
 from . import api
@@ -48,11 +48,10 @@
 _Key = tuple[str, str]
 
 
-@dataclasses.dataclass(slots=True)
-class _Waiter:
+class _Waiter(msgspec.Struct):
     """A waiting request; ``server`` is set if one is assigned to it."""
 
-    event: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    event: anyio.Event = msgspec.field(default_factory=anyio.Event)
     server: servers.Server | None = None
 
 
--- a/src/dogwoodquay/gateway/trace.py
+++ b/src/dogwoodquay/gateway/trace.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 import typing
 
+import msgspec
+
 if typing.TYPE_CHECKING:
     from . import api
 
@@ -55,8 +56,7 @@
     BODY = 'body'
 
 
-@dataclasses.dataclass(slots=True)
-class RequestTrace:
+class RequestTrace(msgspec.Struct):
     """The last attempt of a request and what ended it.
 
     ``version`` is the configuration's when the request was read. ``failure``
--- a/src/dogwoodquay/node/instance.py
+++ b/src/dogwoodquay/node/instance.py
@@ -15,7 +15,11 @@
 from . import callers as caller_server
 from . import configuration as configurations
 from . import duties
-from ..external import http as external_http
+from ..external.http import client as http_client
+from ..external.http import engine as http_engine
+from ..external.http import lists
+from ..external.http import log as http_log
+from ..external.http import service as http_service
 from ..gossip import core as gossip_core
 from ..gossip import shell as gossip_shell
 from ..idempotency import shell as idempotency_shell
@@ -95,7 +99,7 @@
         """Run until a planned stop is complete."""
         async with contextlib.AsyncExitStack() as stack:
             connections = await stack.enter_async_context(
-                external_http.Connections(self._clock)
+                http_client.Connections(self._clock)
             )
             peers = wire_peers.Peers(
                 self._wire_settings(), self._clock, self._rng
@@ -154,7 +158,7 @@
         settings: schema.Settings,
         clock: clocks.Clock,
         rng: random.Random,
-        connections: external_http.Connections,
+        connections: http_client.Connections,
         peers: wire_peers.Peers,
     ) -> None:
         self._settings = settings
@@ -166,11 +170,11 @@
         own = self._own_member()
         boot = membership_api.boot_of(own.incarnation)
         platform = settings.platform
-        log = external_http.HttpLog(
+        log = http_log.HttpLog(
             connections, clock, platform.log.address, platform.log.port
         )
-        engine = external_http.HttpEngine(connections)
-        services = external_http.HttpPlainService(connections)
+        engine = http_engine.HttpEngine(connections)
+        services = http_service.HttpPlainService(connections)
         self._router = routers.ScoringRouter(settings.instance.failure_domain)
         self._replicated_map = gossip_shell.GossipMap(
             peers,
@@ -182,7 +186,7 @@
             ),
         )
         self._watch = instances_module.InstanceWatch(
-            external_http.HttpInstanceList(
+            lists.HttpInstanceList(
                 connections,
                 platform.instance_list.address,
                 platform.instance_list.port,
--- a/src/dogwoodquay/residency/api.py
+++ b/src/dogwoodquay/residency/api.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 import typing
 
+import msgspec
+
 if typing.TYPE_CHECKING:
     from ..fleet import api as fleet_api
 
@@ -42,30 +43,26 @@
     on_disk: frozenset[str]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LoadModel:
+class LoadModel(msgspec.Struct, frozen=True):
     """Load a model's weights."""
 
     model: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class UnloadModel:
+class UnloadModel(msgspec.Struct, frozen=True):
     """Unload a model with its adapters and cached prompts."""
 
     model: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LoadAdapter:
+class LoadAdapter(msgspec.Struct, frozen=True):
     """Load an adapter of a model that is already loaded."""
 
     model: str
     adapter: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class UnloadAdapter:
+class UnloadAdapter(msgspec.Struct, frozen=True):
     """Unload an adapter."""
 
     model: str
--- a/src/dogwoodquay/retry/api.py
+++ b/src/dogwoodquay/retry/api.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 import typing
 
+import msgspec
+
 __all__ = ['Failure', 'GiveUp', 'Retry', 'RetryPolicy', 'RunState']
 
 
@@ -17,8 +18,7 @@
     FAILED = 'failed'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Failure:
+class Failure(msgspec.Struct, frozen=True):
     """A failed attempt of a request.
 
     ``attempts`` counts the attempts so far. ``idempotent`` is true if the
@@ -37,8 +37,7 @@
     arrived: bool = True
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Retry:
+class Retry(msgspec.Struct, frozen=True):
     """Retry at a time; ``resume`` continues an interrupted answer."""
 
     at: float
@@ -46,8 +45,7 @@
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class GiveUp:
+class GiveUp(msgspec.Struct, frozen=True):
     """End the request; ``reason`` is the label in the metrics."""
 
     reason: str
--- a/src/dogwoodquay/wire/api.py
+++ b/src/dogwoodquay/wire/api.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import contextlib
-import dataclasses
 import typing
 
 import msgspec
@@ -51,22 +50,19 @@
     address: PeerAddress
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Unreachable:
+class Unreachable(msgspec.Struct, frozen=True):
     """The message was not sent; the peer has certainly not handled it."""
 
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NoAnswer:
+class NoAnswer(msgspec.Struct, frozen=True):
     """No answer was received; the peer may have handled the message."""
 
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Declined:
+class Declined(msgspec.Struct, frozen=True):
     """The peer answered without a message.
 
     Its handler declined, failed or is missing, or the request was rejected.
--- a/src/dogwoodquay/wire/dial.py
+++ b/src/dogwoodquay/wire/dial.py
@@ -5,13 +5,13 @@
 import logging
 import typing
 
-from websockets.asyncio import client
-
 from . import handshake
 
 if typing.TYPE_CHECKING:
     from collections import abc
 
+    from websockets.asyncio import client
+
     from . import api
     from . import settings
 
@@ -35,6 +35,9 @@
 
     :raises OSError: if the peer does not listen or is unreachable.
     """
+    # Imported once the instance has started.
+    from websockets.asyncio import client
+
     scheme = 'wss' if limits.client_tls is not None else 'ws'
     host = f'[{peer.address}]' if ':' in peer.address else peer.address
     return await client.connect(
--- a/src/dogwoodquay/wire/peers.py
+++ b/src/dogwoodquay/wire/peers.py
@@ -8,7 +8,6 @@
 import anyio
 import expression
 import websockets
-from websockets.asyncio import server as ws_server
 
 from . import api
 from . import auth
@@ -26,6 +25,7 @@
     import random
 
     from websockets.asyncio import connection as ws_connection
+    from websockets.asyncio import server as ws_server
 
     from .. import clock as clocks
     from . import settings
@@ -213,6 +213,9 @@
         link.dial_failed(reason, self._clock.now(), self._limits, self._rng)
 
     async def _listen(self) -> ws_server.Server:
+        # Imported while the first reads of the store wait for their answers.
+        from websockets.asyncio import server as ws_server
+
         return await ws_server.serve(
             self._accept,
             self._limits.address,
--- a/src/dogwoodquay/wire/router.py
+++ b/src/dogwoodquay/wire/router.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import typing
 
+import msgspec
+
 from . import codec
 
 if typing.TYPE_CHECKING:
@@ -13,8 +14,7 @@
 __all__ = ['Handlers', 'Router']
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Handlers:
+class Handlers(msgspec.Struct, frozen=True):
     """The handlers of one message type."""
 
     handler: api.Handler | None
--- a/src/dogwoodquay/wire/settings.py
+++ b/src/dogwoodquay/wire/settings.py
@@ -2,17 +2,17 @@
 
 from __future__ import annotations
 
-import dataclasses
 import ssl
 import typing
 
+import msgspec
+
 __all__ = ['WireSettings']
 
 _MIB: typing.Final = 1024 * 1024
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WireSettings:
+class WireSettings(msgspec.Struct, frozen=True):
     """Addresses, secrets, limits and times of the peer protocol.
 
     A ``port`` of zero lets the system choose one. Client certificates are
--- a/src/dogwoodquay/wire/traffic.py
+++ b/src/dogwoodquay/wire/traffic.py
@@ -3,29 +3,29 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
+
+import msgspec
 
 __all__ = ['Traffic']
 
 
-@dataclasses.dataclass(slots=True)
-class Traffic:
+class Traffic(msgspec.Struct):
     """Totals since the start; keys of a ``Counter`` are label values."""
 
     frames_sent: int = 0
     frames_received: int = 0
     bytes_sent: int = 0
     bytes_received: int = 0
-    refused: collections.Counter[str] = dataclasses.field(
+    refused: collections.Counter[str] = msgspec.field(
         default_factory=collections.Counter
     )
-    dropped: collections.Counter[str] = dataclasses.field(
+    dropped: collections.Counter[str] = msgspec.field(
         default_factory=collections.Counter
     )
-    dial_failures: collections.Counter[str] = dataclasses.field(
+    dial_failures: collections.Counter[str] = msgspec.field(
         default_factory=collections.Counter
     )
-    closed: collections.Counter[str] = dataclasses.field(
+    closed: collections.Counter[str] = msgspec.field(
         default_factory=collections.Counter
     )
 
--- a/tests/unit/node/sites.py
+++ b/tests/unit/node/sites.py
@@ -14,7 +14,8 @@
 
 from dogwoodquay import clock as clocks
 from dogwoodquay.demo import fleet as fleets
-from dogwoodquay.external import http as external_http
+from dogwoodquay.external.http import client as http_client
+from dogwoodquay.external.http import log as http_log
 from dogwoodquay.observe import loop
 from dogwoodquay.operators import client
 from dogwoodquay.operators import publisher
@@ -189,14 +190,14 @@
     clock = clocks.SystemClock()
     async with (
         site.running(),
-        external_http.Connections(clock) as connections,
+        http_client.Connections(clock) as connections,
         httpx.AsyncClient(
             headers={'authorization': f'Bearer {API_KEY}'}, timeout=30.0
         ) as http,
         anyio.create_task_group() as group,
     ):
         fleet = fleets.Fleet(site, group)
-        log = external_http.HttpLog(connections, clock, *site.log_address)
+        log = http_log.HttpLog(connections, clock, *site.log_address)
         records_publisher = publisher.Publisher(log, clock, random.Random(1))
         group.start_soon(records_publisher.run)
         await fleet.start(instances)
