Be ready without the roster where services have one version

Cause: after a power loss of all instances each one waits up to 2 s for a roster, which an owner sends only once it is elected. Requests that arrive before the first configuration are refused, and callers retry only once.

Change: readiness waits for the roster only where the list, once read completely, has or had several software versions of a service within the lifetime of streams; only then may peers hold records that decide where a stream goes on.

No measurement under load yet.

--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -23,6 +23,7 @@
     from . import forwarder as forwarders
     from . import metrics as gateway_metrics
     from ..routes import api as routes_api
+    from . import start_hold
     from . import versions as configuration_versions
 
 __all__ = ['ConfigurationFreshness', 'GatewayApp']
@@ -78,8 +79,13 @@
         rng: random.Random,
         metrics: gateway_metrics.GatewayMetrics,
         freshness: ConfigurationFreshness,
+        hold: start_hold.StartHold | None = None,
     ) -> None:
-        """Create the application."""
+        """Create the application.
+
+        :param hold: holds requests while the instance starts.
+        """
+        self._hold = hold
         self._freshness = freshness
         self._forwarder = forwarder
         self._context = answers.AnswerContext(
@@ -172,6 +178,8 @@
         arrived_at: float,
         answer: answers.Answer,
     ) -> None:
+        if self._hold is not None and not self._hold.released:
+            await self._hold.wait(terms.wait_seconds)
         routes = self._routes
         refusal = reading.check(request, routes)
         if routes is None:
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -32,12 +32,14 @@
 from . import origins as stream_origins
 from . import ownership as order_ownership
 from . import peering as peerings
+from . import readiness
 from . import resumption
 from ..retry import window
 from . import scheduler as schedulers
 from . import server_limits
 from . import serving
 from . import silence as silences
+from . import start_hold
 from . import watch
 from ..wire import peers as wire_peers
 from ..wire import settings as wire_settings
@@ -54,9 +56,6 @@
 
 UPSTREAM_IDLE_SECONDS: typing.Final = 60.0
 CONNECT_SECONDS: typing.Final = 0.4
-# The longest time for which an instance that has started waits to learn of the
-# others, which keep records of its streams.
-PEERS_WAIT_SECONDS: typing.Final = 2.0
 # The load balancer checks readiness once a second and removes an instance
 # after two refusals.
 BALANCER_REMOVAL_SECONDS: typing.Final = 2.4
@@ -87,7 +86,7 @@
         self._stopping = anyio.Event()
         self._drained = anyio.Event()
         self._ended = anyio.Event()
-        self._peers_due = self._clock.now() + PEERS_WAIT_SECONDS
+        self._start_hold = start_hold.StartHold(self._clock)
         self._registry = registries.Registry()
         self._metrics_page = metrics_module.Registry(settings.instance_id)
         self._metrics = gateway_metrics.GatewayMetrics(self._metrics_page)
@@ -129,7 +128,7 @@
     async def run(self) -> None:
         """Serve until a planned stop has ended."""
         _LOG.write('start', domain=self._settings.failure_domain)
-        readiness = serving.Listener(self._settings.readiness)
+        health_listener = serving.Listener(self._settings.readiness)
         async with anyio.create_task_group() as group:
             for name, part in (
                 ('configuration', self._configuration.run),
@@ -146,7 +145,9 @@
                 ('connections', self._idle.run),
             ):
                 group.start_soon(supervise.keep_running, name, part)
-            group.start_soon(readiness.serve, self._health, self._drained.wait)
+            group.start_soon(
+                health_listener.serve, self._health, self._drained.wait
+            )
             group.start_soon(self._drain)
             group.start_soon(self._serve_callers)
             await self._ended.wait()
@@ -256,7 +257,7 @@
             settings.list_interval_seconds,
             clock,
             metrics,
-            self._scheduler.assign_waiting,
+            self._on_list,
         )
         self._list_history = list_history.ListHistoryReader(
             store,
@@ -269,7 +270,14 @@
         )
         self._app = self._build_app(adapters)
         self._callers = serving.Listener(settings.callers)
-        self._health = health.HealthApp(self._not_ready, self._metrics_page)
+        ready = readiness.Readiness(
+            self._registry,
+            clock,
+            lambda: self._app.configured,
+            lambda: self._origins.roster_known,
+            self._stopping.is_set,
+        )
+        self._health = health.HealthApp(ready.reason, self._metrics_page)
         self._peering.attach(self._scheduler, self._configuration)
         self._notices.on_change(self._on_notice)
 
@@ -313,6 +321,7 @@
             self._rng,
             self._metrics,
             self._configuration,
+            self._start_hold,
         )
 
     def _on_notice(self) -> None:
@@ -326,19 +335,16 @@
         self._controller.configure(configuration.services)
         self._callers.keep_idle(configuration.limits.idle_timeout_seconds)
         self._peering.publish_soon()
+        self._release_held()
+
+    def _on_list(self) -> None:
+        self._scheduler.assign_waiting()
+        self._release_held()
 
-    def _not_ready(self) -> str:
-        if self._stopping.is_set():
-            return 'stopping'
-        if not self._app.configured:
-            return 'no_configuration'
-        if not self._registry.servers:
-            return 'no_servers'
-        if not self._origins.roster_known and (
-            self._clock.now() < self._peers_due
-        ):
-            return 'no_peers'
-        return ''
+    def _release_held(self) -> None:
+        """End the hold of requests once it is known what is served."""
+        if self._app.configured and self._registry.servers:
+            self._start_hold.release()
 
     async def _run_peers(self) -> None:
         async with self._peers.running():
