Test that requests are held during a start over real sockets

Guards against a request that is refused, or runs twice, when it arrives before the first configuration.

--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -26,6 +26,7 @@
 from dogwoodquay.gateway import serving
 from dogwoodquay.gateway import settings
 from dogwoodquay.gateway import silence
+from dogwoodquay.gateway import start_hold
 from dogwoodquay.gateway import versions
 from dogwoodquay.observe import metrics as metrics_module
 from dogwoodquay.platform import headers
@@ -199,6 +200,7 @@
             self.registry, 'd1', clock, rng, _NoFinder(), limits
         )
         self.freshness = Freshness()
+        self.hold = start_hold.StartHold(clock)
         self.origins = fakes.FakeOrigins()
         self.server_list = fakes.FakeServerList()
         self.silence = silence.SilenceWatch(self.scheduler, clock)
@@ -231,6 +233,7 @@
             rng,
             metrics,
             self.freshness,
+            self.hold,
         )
         self._stop = anyio.Event()
         self._listener: serving.Listener | None = None
@@ -244,6 +247,7 @@
         self.app.configure(
             routes_api.Configuration(1, routes, services, LIMITS)
         )
+        self.hold.release()
 
     @contextlib.asynccontextmanager
     async def running(self) -> abc.AsyncIterator[Site]:
--- a/tests/unit/gateway/test_app.py
+++ b/tests/unit/gateway/test_app.py
@@ -121,6 +121,22 @@
         self.assertEqual(503, nowhere.status)
         self.assertGreater(float(nowhere.headers['retry-after']), 0.0)
 
+    async def test_held_during_the_start(self) -> None:
+        """A request before the first configuration is served once it comes.
+
+        Its body is read after the hold, and it reaches a server once.
+        """
+        upstream = loopback.Upstream('u1', _answers(body=b'late'))
+        async with loopback.Site(upstream).running() as site:
+            early = asyncio.create_task(site.call('POST', body=b'{"a": 1}'))
+            await asyncio.sleep(0.1)
+            self.assertFalse(early.done())
+            site.configure(loopback.route(kind=Kind.NON_IDEMPOTENT))
+            answer = await early
+        self.assertEqual((200, b'late'), (answer.status, answer.body))
+        (request,) = upstream.received
+        self.assertEqual(b'{"a": 1}', request.body)
+
     async def test_two_body_lengths(self) -> None:
         """A request with two body lengths reaches no server."""
         upstream = loopback.Upstream('u1', _answers())
