Import the HTTP adapters from their modules in tests and benchmarks

Cause: the package external.http no longer imports all its adapters, of which the gateway uses none, so that seven tests of it failed.

Change: they import the modules that they use. No check is changed.

--- a/bench/adapters.py
+++ b/bench/adapters.py
@@ -17,7 +17,9 @@
 
 from dogwoodquay import clock
 from dogwoodquay.external import api
-from dogwoodquay.external import http
+from dogwoodquay.external.http import client as http_client
+from dogwoodquay.external.http import engine as http_engine
+from dogwoodquay.external.http import service as http_service
 from dogwoodquay.external.memory import batch
 from dogwoodquay import standin
 from dogwoodquay.standin import asgi
@@ -111,9 +113,9 @@
     limits = httpx.Limits(max_connections=None)
     async with (
         httpx.AsyncClient(limits=limits, trust_env=False) as client,
-        http.Connections(clock.SystemClock()) as connections,
+        http_client.Connections(clock.SystemClock()) as connections,
     ):
-        service = http.HttpPlainService(connections)
+        service = http_service.HttpPlainService(connections)
 
         async def baseline(_: int) -> None:
             await client.post(url, content=b'{}')
@@ -161,8 +163,8 @@
     """Measure complete calls to the stand-in engine."""
     address = site.engines[0].address
     figures = []
-    async with http.Connections(site.time) as connections:
-        engine = http.HttpEngine(connections)
+    async with http_client.Connections(site.time) as connections:
+        engine = http_engine.HttpEngine(connections)
         order = api.Order('o1', 1, api.OrderKind.LOAD, 'm@1', 1)
         await engine.order(*address, order, time.time() + _DEADLINE_SECONDS)
 
--- a/bench/instances.py
+++ b/bench/instances.py
@@ -23,7 +23,8 @@
 from dogwoodquay.demo import fleet as fleets
 from dogwoodquay.demo import site as demo_site
 from dogwoodquay.demo import waiting
-from dogwoodquay.external import http as external_http
+from dogwoodquay.external.http import client as http_client
+from dogwoodquay.external.http import log as http_log
 from dogwoodquay.observe import loop
 from dogwoodquay.operators import api as operators_api
 from dogwoodquay.operators import client
@@ -161,7 +162,7 @@
     async with contextlib.AsyncExitStack() as stack:
         await stack.enter_async_context(site.running())
         connections = await stack.enter_async_context(
-            external_http.Connections(clock)
+            http_client.Connections(clock)
         )
         group = await stack.enter_async_context(anyio.create_task_group())
         fleet = fleets.Fleet(site, group)
@@ -177,7 +178,7 @@
         seconds = round(time.monotonic() - start, 1)
         _report('placed', instances=count, seconds=seconds)
         await measure_idle(fleet, site)
-        log = external_http.HttpLog(connections, clock, *site.log_address)
+        log = http_log.HttpLog(connections, clock, *site.log_address)
         record_publisher = publisher.Publisher(log, clock, random.Random(1))
         group.start_soon(record_publisher.run)
         await record_publisher.wait_caught_up(clock.now() + 10.0)
--- a/bench/path_servers.py
+++ b/bench/path_servers.py
@@ -28,7 +28,8 @@
 from dogwoodquay.entry import server
 from dogwoodquay.entry import streams
 from dogwoodquay.external import api as external_api
-from dogwoodquay.external import http
+from dogwoodquay.external.http import client as http_client
+from dogwoodquay.external.http import engine as http_engine
 from dogwoodquay.external import memory
 from dogwoodquay.external.memory import batch
 from dogwoodquay.idempotency import api as idempotency_api
@@ -199,8 +200,8 @@
     request_metric_set = request_metrics.RequestMetrics(
         metrics.Registry('bench')
     )
-    async with http.Connections(clock) as connections:
-        adapter = http.HttpEngine(connections)
+    async with http_client.Connections(clock) as connections:
+        adapter = http_engine.HttpEngine(connections)
         dispatch = dispatcher.Dispatcher(
             catalog=lambda: catalog,
             router=routes,
--- a/tests/unit/external/test_http_bodies.py
+++ b/tests/unit/external/test_http_bodies.py
@@ -13,8 +13,8 @@
 from dogwoodquay import clock as clock_module
 from dogwoodquay.external import api
 from dogwoodquay.external import errors
-from dogwoodquay.external import http
 from dogwoodquay.external.http import client
+from dogwoodquay.external.http import engine as http_engine
 from dogwoodquay.external.http import network
 
 if typing.TYPE_CHECKING:
@@ -83,7 +83,7 @@
         )
         port = server.sockets[0].getsockname()[1]
         answer = await stack.enter_async_context(
-            http.HttpEngine(connections).call('127.0.0.1', port, call)
+            http_engine.HttpEngine(connections).call('127.0.0.1', port, call)
         )
         yield answer.ok
 
--- a/tests/unit/standin/test_site.py
+++ b/tests/unit/standin/test_site.py
@@ -11,7 +11,11 @@
 
 from dogwoodquay.external import api
 from dogwoodquay.external import errors
-from dogwoodquay.external import http
+from dogwoodquay.external.http import client as http_client
+from dogwoodquay.external.http import engine as http_engine
+from dogwoodquay.external.http import lists as http_lists
+from dogwoodquay.external.http import log as http_log
+from dogwoodquay.external.http import service as http_service
 from dogwoodquay.external import memory
 from dogwoodquay.external.memory import batch
 from dogwoodquay.external.memory import completion
@@ -33,9 +37,9 @@
     """A running site and the adapters connected to it."""
 
     site: standin.StandInSite
-    connections: http.Connections
-    engine: http.HttpEngine
-    log: http.HttpLog
+    connections: http_client.Connections
+    engine: http_engine.HttpEngine
+    log: http_log.HttpLog
 
     @property
     def deadline(self) -> float:
@@ -69,9 +73,11 @@
     async def start() -> None:
         site = standin.StandInSite(options)
         async with site.running():
-            async with http.Connections(site.time) as connections:
-                log = http.HttpLog(connections, site.time, *site.log_address)
-                engine = http.HttpEngine(connections)
+            async with http_client.Connections(site.time) as connections:
+                log = http_log.HttpLog(
+                    connections, site.time, *site.log_address
+                )
+                engine = http_engine.HttpEngine(connections)
                 running = _Site(site, connections, engine, log)
                 order = api.Order('o1', 1, api.OrderKind.LOAD, 'm@1', 2**30)
                 done = await engine.order(
@@ -275,7 +281,7 @@
 
         async def main(running: _Site) -> None:
             site = running.site
-            listed = http.HttpInstanceList(
+            listed = http_lists.HttpInstanceList(
                 running.connections, *site.list_address
             )
             site.drain('engine-1')
@@ -295,7 +301,7 @@
         """A request that is sent twice runs twice."""
 
         async def main(running: _Site) -> None:
-            service = http.HttpPlainService(running.connections)
+            service = http_service.HttpPlainService(running.connections)
             address = running.site.services[0].address
             call = api.UpstreamCall(
                 'a1', 'POST', '/charges', (), b'{}', running.deadline
@@ -314,7 +320,7 @@
         """Paths are not normalized, and invalid ones fail as unavailable."""
 
         async def main(running: _Site) -> None:
-            service = http.HttpPlainService(running.connections)
+            service = http_service.HttpPlainService(running.connections)
             address = running.site.services[0].address
             headers = (('x-note', 'caf\xe9'),)
             paths = []
@@ -337,7 +343,7 @@
         """The limits are those of the site's options."""
 
         async def main(running: _Site) -> None:
-            store = http.HttpWeightStore(
+            store = http_lists.HttpWeightStore(
                 running.connections, *running.site.weights_address
             )
             state = await store.state(running.deadline)
