--- a/src/dogwoodquay/gateway/adapters.py
+++ b/src/dogwoodquay/gateway/adapters.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import typing
 
+import msgspec
+
 from . import answer as answers
 from . import exchange as exchanges
 from . import tenancy as tenancies
@@ -34,8 +35,7 @@
     """Parses and writes the headers of requests and answers."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlatformAdapters:
+class PlatformAdapters(msgspec.Struct, frozen=True):
     """The adapters by which an instance communicates with its platform."""
 
     codec: Codec
--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -23,6 +23,7 @@
     from . import forwarder as forwarders
     from . import metrics as gateway_metrics
     from ..routes import api as routes_api
+    from . import start_hold
     from . import tenancy as tenancies
     from . import tenant_accounts
     from ..tenants import api as tenants_api
@@ -86,9 +87,14 @@
         freshness: ConfigurationFreshness,
         tenancy: tenancies.Tenancy,
         accounts: tenant_accounts.TenantAccounts,
+        hold: start_hold.StartHold | None = None,
     ) -> None:
-        """Create the application."""
+        """Create the application.
+
+        :param hold: holds requests while the instance starts.
+        """
         self._tenancy = tenancy
+        self._hold = hold
         self._freshness = freshness
         self._accounts = accounts
         self._forwarder = forwarder
@@ -183,6 +189,8 @@
         arrived_at: float,
         answer: answers.Answer,
     ) -> None:
+        if self._hold is not None and not self._hold.released:
+            await self._hold.wait(terms.wait_seconds)
         routes = self._routes
         refusal = reading.check(request, routes)
         if routes is None:
--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -26,6 +26,7 @@
 from dogwoodquay.gateway import serving
 from dogwoodquay.gateway import settings
 from dogwoodquay.gateway import silence
+from dogwoodquay.gateway import start_hold
 from dogwoodquay.gateway import tenancy
 from dogwoodquay.gateway import versions
 from dogwoodquay.observe import metrics as metrics_module
@@ -202,6 +203,7 @@
             self.registry, 'd1', clock, rng, _NoFinder(), limits
         )
         self.freshness = Freshness()
+        self.hold = start_hold.StartHold(clock)
         self.origins = fakes.FakeOrigins()
         self.server_list = fakes.FakeServerList()
         self.silence = silence.SilenceWatch(self.scheduler, clock)
@@ -240,6 +242,7 @@
             self.freshness,
             self.tenancy,
             self.accounts,
+            self.hold,
         )
         self._stop = anyio.Event()
         self._listener: serving.Listener | None = None
@@ -260,6 +263,7 @@
                 1, routes, services, LIMITS, tenants, dropped
             )
         )
+        self.hold.release()
 
     @contextlib.asynccontextmanager
     async def running(self) -> abc.AsyncIterator[Site]:
