Prefer engines' own copies of weights under contended load

Cause: with more models than places the planner loaded from the weight store although an engine had a copy, and gave places of rare models to replicas of busy ones from 0.4 of their slots on. Change: weights for services under contended load: replicas are filled to 0.7, and loads from the store or that delay waiting requests cost more in the choice of the engine. Other services keep their weights.

--- a/bench/residency/policies.py
+++ b/bench/residency/policies.py
@@ -149,6 +149,14 @@
         }
 
 
+class ContendedPlanner(Planner):
+    """The planner with its weights for contended load."""
+
+    def __init__(self, requests: list[workloads.Request]) -> None:
+        super().__init__(requests)
+        self._planner.configure(served.CONTENDED)
+
+
 def _report(engine: worlds.Engine) -> residency_api.EngineReport:
     """Return an engine's report."""
     names = (
@@ -326,6 +334,7 @@
     dict[str, typing.Callable[[list[workloads.Request]], Policy]]
 ] = {
     'planner': Planner,
+    'contended': ContendedPlanner,
     'lru': LeastRecentlyUsed,
     'greedy_dual': GreedyDual,
     'offline': Offline,
--- a/bench/residency/workloads.py
+++ b/bench/residency/workloads.py
@@ -52,6 +52,15 @@
         _LONG._replace(name='long_rare', rare_rate=12.0),
         _LONG._replace(name='short_loads', load_seconds=4.0, disk_seconds=0.8),
         _LONG._replace(name='roomy', models=27, common=9),
+        Shape(
+            'many_rare', 45, 2, 107, 45, 18, 300.0, 18.0, 8.0, 1.2, 0.24, 13.0
+        ),
+        Shape(
+            'many_rare_patient',
+            *(45, 2, 126, 45, 18, 250.0, 26.0, 8.0, 3.5, 0.7, 13.0),
+            aim_seconds=6.0,
+            patience_seconds=16.0,
+        ),
     )
 }
 
--- a/src/dogwoodquay/gateway/controller.py
+++ b/src/dogwoodquay/gateway/controller.py
@@ -67,7 +67,13 @@
         metrics: gateway_metrics.GatewayMetrics,
         rng: random.Random,
         limits: server_limits.ServerLimits,
+        contended: abc.Callable[[str], bool] = lambda _: False,
     ) -> None:
+        """Create the controller.
+
+        :param contended: whether a service is under contended load.
+        """
+        self._contended = contended
         self._rate_limits = limits.rate_limits
         self._ownership = ownership
         self._registry = registry
@@ -160,6 +166,11 @@
         for name, service in self._services.items():
             if service.engine is not None:
                 group = self._group(name, service.engine, now)
+                group.planner.configure(
+                    served.CONTENDED
+                    if self._contended(name)
+                    else served.DEFAULT
+                )
                 listed = self._registry.of_service(name)
                 group.update_engines(
                     [server.entry for server in listed], service.engine
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -203,6 +203,7 @@
             metrics,
             self._rng,
             self._limits,
+            self._contended.includes,
         )
         self._peers = wire_peers.Peers(
             _wire_settings(settings), clock, self._rng
--- a/src/dogwoodquay/residency/loads.py
+++ b/src/dogwoodquay/residency/loads.py
@@ -7,7 +7,7 @@
 if typing.TYPE_CHECKING:
     from . import contents as engine_contents
 
-__all__ = ['load_seconds', 'megabytes']
+__all__ = ['has_copy', 'load_seconds', 'megabytes']
 
 
 def megabytes(engine: engine_contents.EngineContents, model: str) -> float:
@@ -27,3 +27,11 @@
         if model in engine.report.on_disk:
             return spec.disk_load_seconds
     return spec.load_seconds
+
+
+def has_copy(engine: engine_contents.EngineContents, model: str) -> bool:
+    """Whether a model's weights are in an engine's own memory or disk."""
+    report = engine.report
+    return report is not None and (
+        model in report.in_memory or model in report.on_disk
+    )
--- a/src/dogwoodquay/residency/planner.py
+++ b/src/dogwoodquay/residency/planner.py
@@ -75,6 +75,10 @@
         self._rate_limits: abc.Mapping[str, float] = {}
         self._demand: abc.Mapping[str, served.Demand] = {}
 
+    def configure(self, settings: served.PlannerSettings) -> None:
+        """Use other weights from now on."""
+        self._settings = settings
+
     def models_to_unload(self, server_id: str) -> tuple[str, ...]:
         """Return the models to unload from an engine for a pending load."""
         load = self._pending_loads.get(server_id)
@@ -355,6 +359,7 @@
         )
         score = gain - arrival_gain * seconds / (horizon + seconds)
         score -= self._settings.move_cost
+        cost = self._source_cost(engine, model, seconds)
         missing = spec.megabytes - engine.free_megabytes()
         victims: list[str] = []
         if missing > 0:
@@ -368,9 +373,28 @@
                 missing -= loads.megabytes(engine, name)
                 if missing <= 0:
                     break
-        if missing > 0 or score <= 0:
+        # A model that nobody serves is loaded from wherever it is.
+        absent = not counts.ready[model] and not counts.loading[model]
+        if missing > 0 or score <= (0.0 if absent else cost):
             return None
-        return _LoadOption(engine, model, tuple(victims), score)
+        return _LoadOption(engine, model, tuple(victims), score - cost)
+
+    def _source_cost(
+        self,
+        engine: engine_contents.EngineContents,
+        model: str,
+        seconds: float,
+    ) -> float:
+        """Return the cost, in requests, of where an engine loads from.
+
+        :param seconds: the time of the load.
+        """
+        settings = self._settings
+        waiting = self._demand.get(model, served.NO_DEMAND).waiting
+        cost = settings.delay_cost * waiting * seconds
+        if not loads.has_copy(engine, model):
+            cost += settings.store_load_cost
+        return cost
 
     def _loss(
         self,
--- a/src/dogwoodquay/residency/served.py
+++ b/src/dogwoodquay/residency/served.py
@@ -8,6 +8,8 @@
 from ..fleet import rate
 
 __all__ = [
+    'CONTENDED',
+    'DEFAULT',
     'Demand',
     'ModelAtVersion',
     'NO_DEMAND',
@@ -51,7 +53,9 @@
     Unloading a model costs ``victim_cost``, and ``running_cost`` more if
     requests of it are running. A model with demand stays loaded for at least
     ``min_loaded_seconds``. A pending load waits up to ``drain_seconds`` for
-    running requests to end, and is dropped after ``timeout_seconds``.
+    running requests to end, and is dropped after ``timeout_seconds``. A load
+    costs ``delay_cost`` for each waiting request and second that it takes, and
+    ``store_load_cost`` more if its engine has no copy of the weights.
     """
 
     horizon_seconds: float = 4.0
@@ -65,6 +69,8 @@
     drain_seconds: float = 1.5
     default_request_seconds: float = 1.5
     max_candidates: int = 12
+    delay_cost: float = 0.0
+    store_load_cost: float = 0.0
 
     def replica_share(
         self, item: Demand, rate_limit: float | None, models: int, slots: int
@@ -105,6 +111,15 @@
         return self.target_utilization * slots / seconds
 
 
+DEFAULT: typing.Final = PlannerSettings()
+# For services under contended load, which have more models than places. All
+# requests of an engine run in one batch, whose steps hardly take longer for
+# more of them, so that replicas may be filled further. A load from an engine's
+# own copy takes a fraction of the time of one from the weight store.
+CONTENDED: typing.Final = PlannerSettings(
+    target_utilization=0.7, delay_cost=0.1, store_load_cost=0.6
+)
+
 NO_DEMAND: typing.Final = Demand(0.0, 0, 0, 0.0)
 
 
--- a/tests/unit/residency/test_planner.py
+++ b/tests/unit/residency/test_planner.py
@@ -386,3 +386,51 @@
         }
         orders = _plan(planner.ModelPlanner(), engine_list, demand)
         self.assertEqual([], orders)
+
+
+class ContendedTest(unittest.TestCase):
+    """More models are asked for than there are places."""
+
+    def setUp(self) -> None:
+        """Use the weights for contended load."""
+        self.subject = planner.ModelPlanner()
+        self.subject.configure(served.CONTENDED)
+
+    def test_engine_with_a_copy(self) -> None:
+        """Callers wait for the weight store though a copy is near."""
+        engine_list = [engines.engine('e1', 'hot'), engines.engine('e2')]
+        engine_list[0].observe(
+            engines.report(('hot', ()), on_disk=frozenset({'rare1'}))
+        )
+        demand = {
+            'hot': Demand(5.0, 5, 0, 0.0),
+            'rare1': Demand(0.4, 0, 1, 0.2),
+        }
+        orders = _plan(self.subject, engine_list, demand)
+        self.assertEqual([('e1', api.LoadModel('rare1'))], orders)
+
+    def test_absent_model_without_a_copy(self) -> None:
+        """A model that is seldom asked for is not reachable any more."""
+        engine_list = [engines.engine('e1', 'hot', 'warm')]
+        demand = {
+            'hot': Demand(5.0, 5, 0, 0.0),
+            'rare1': Demand(0.3, 0, 1, 0.2),
+        }
+        orders = _plan(self.subject, engine_list, demand)
+        self.assertEqual([('e1', api.UnloadModel('warm'))], orders)
+
+    def test_further_replica(self) -> None:
+        """Replicas that are not needed take the places of rare models."""
+        engine_list = [
+            engines.engine('e1', 'hot'),
+            engines.engine('e2', 'rare1', 'rare2'),
+        ]
+        demand = {
+            'hot': Demand(30.0, 30, 0, 0.0),
+            'rare1': Demand(0.8, 0, 0, 0.0),
+            'rare2': Demand(0.8, 0, 0, 0.0),
+        }
+        self.assertNotEqual(
+            [], _plan(planner.ModelPlanner(), engine_list, demand)
+        )
+        self.assertEqual([], _plan(self.subject, engine_list, demand))
