Choose plain servers by their learned speed and stated pace

Cause: servers of a service differ in speed and pace, and 58 to 65 instances divide every server's load by the same declared slots, with figures that are several service times old.

Change: Server-Load's fourth figure is read as the pace. For services whose servers state it, the package capacity learns the service time of each server relative to the others and its concurrency limit, projects its load to the present and chooses by the expected time until completion. Instances share the figures with the load and the owner's view.

Unit tests of fleet, platform headers, scheduler and peering pass; two examples of settings in test_formats fail as before this commit (QuotaWindowS).

--- /dev/null
+++ b/src/dogwoodquay/capacity/api.py
@@ -0,0 +1,57 @@
+"""What instances know of the speed and load of servers."""
+
+from __future__ import annotations
+
+import typing
+
+from ..ratelimit import api as limit_api
+
+__all__ = [
+    'FRESH_SECONDS',
+    'MAX_COUNT',
+    'Candidate',
+    'MAX_PACE',
+    'MIN_PACE',
+    'Report',
+    'ServerKey',
+]
+
+ServerKey = limit_api.ServerKey
+
+# Figures older than this are no news to anybody.
+FRESH_SECONDS: typing.Final = 1.0
+# Figures out of these ranges are dropped.
+MIN_PACE: typing.Final = 0.1
+MAX_PACE: typing.Final = 100.0
+MAX_COUNT: typing.Final = 1_000_000
+
+
+class Report(typing.NamedTuple):
+    """What a server said of itself as of a time, and what was measured.
+
+    ``measured`` requests were completed there since the last report, in
+    ``work`` times the usual time of their kinds, had the server not been
+    slowed down.
+    """
+
+    server: ServerKey
+    running: int
+    waiting: int
+    pace: float
+    as_of: float
+    measured: float = 0.0
+    work: float = 0.0
+
+
+class Candidate(typing.NamedTuple):
+    """A server that may run a request.
+
+    ``in_flight`` are the requests of this instance there, ``capacity`` is how
+    many requests of all instances it may have. ``cost`` is what speaks
+    against it beside its load, in times of one request.
+    """
+
+    server: ServerKey
+    in_flight: int
+    capacity: float
+    cost: float = 0.0
--- a/src/dogwoodquay/fleet/choice.py
+++ b/src/dogwoodquay/fleet/choice.py
@@ -10,7 +10,7 @@
     from collections import abc
     import random
 
-__all__ = ['Need', 'choose', 'pause_end', 'usable']
+__all__ = ['Candidate', 'Need', 'choose', 'pause_end', 'usable']
 
 # Costs are in shares of a server's request capacity. This one is for a server
 # in another failure domain than the instance.
@@ -48,6 +48,18 @@
         return self.version is None or server.entry.version == self.version
 
 
+class Candidate(typing.NamedTuple):
+    """A usable server and its capacity.
+
+    ``cost`` is what speaks against it beside its load, in shares of its
+    capacity, which equal about the time of one request.
+    """
+
+    server: servers.Server
+    capacity: float
+    cost: float
+
+
 def usable(
     candidates: abc.Iterable[servers.Server], need: Need, now: float
 ) -> list[servers.Server]:
@@ -110,6 +122,10 @@
     now: float,
     rng: random.Random,
     extra_cost: abc.Callable[[servers.Server], float] = lambda _: 0.0,
+    by_completion: abc.Callable[
+        [abc.Sequence[Candidate]], servers.Server | None
+    ]
+    | None = None,
 ) -> servers.Server | None:
     """Return the least loaded usable server with free capacity.
 
@@ -122,21 +138,40 @@
         all instances together.
     :param extra_cost: returns a cost of a server beyond that of its load, in
         shares of its capacity.
+    :param by_completion: chooses between servers that state their pace by the
+        expected time until the request is complete; ``None`` for others.
     """
+    candidates = usable(candidates, need, now)
+    if by_completion is not None:
+        rated = [
+            Candidate(
+                server,
+                capacity(server),
+                _cost(server, need, failure_domain) + extra_cost(server),
+            )
+            for server in candidates
+        ]
+        return by_completion([item for item in rated if item.capacity > 0])
     best = None
     best_cost = float('inf')
-    for server in usable(candidates, need, now):
+    for server in candidates:
         limit = capacity(server)
         load = server.load(now)
         if load >= limit or limit <= 0:
             continue
-        cost = load / limit + server.failure_rate * FAILURE_COST
+        cost = load / limit + _cost(server, need, failure_domain)
         cost += extra_cost(server)
-        if server.entry.failure_domain != failure_domain:
-            cost += DOMAIN_COST
-        if server.entry.server_id in need.cached:
-            cost -= CACHE_GAIN
         cost += rng.random() * JITTER
         if cost < best_cost:
             best, best_cost = server, cost
     return best
+
+
+def _cost(server: servers.Server, need: Need, failure_domain: str) -> float:
+    """Return what speaks against a server beside its load."""
+    cost = server.failure_rate * FAILURE_COST
+    if server.entry.failure_domain != failure_domain:
+        cost += DOMAIN_COST
+    if server.entry.server_id in need.cached:
+        cost -= CACHE_GAIN
+    return cost
--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -21,6 +21,7 @@
     from ..external.http import client
     from ..fleet import server as servers
     from . import notices as server_notices
+    from . import server_capacity
     from . import server_limits
     from . import trace as traces
 
@@ -101,8 +102,10 @@
         clock: clocks.Clock,
         limits: server_limits.ServerLimits,
         notices: server_notices.ServerNotices,
+        capacity: server_capacity.ServerCapacity,
     ) -> None:
         self._notices = notices
+        self._capacity = capacity
         self._limits = limits
         self._connections = connections
         self._codec = codec
@@ -119,6 +122,7 @@
         """Run an attempt, until the deadline of the request at most."""
         entry = server.entry
         now = self._clock.now()
+        pace = self._capacity.pace_at_start(server)
         outgoing = api.AddedHeaders(
             entry.server_id,
             call.deadline - now,
@@ -138,7 +142,7 @@
             (call.terms.attempt_id,),
         ) as sent:
             if sent.is_ok():
-                return await self._read_answer(
+                outcome = await self._read_answer(
                     call,
                     server,
                     relay,
@@ -146,6 +150,15 @@
                     now,
                     progress,
                 )
+                if isinstance(outcome, outcomes.Whole):
+                    self._capacity.on_completed(
+                        server,
+                        call.route.name,
+                        outcome.status,
+                        self._clock.now() - now,
+                        pace,
+                    )
+                return outcome
             if isinstance(sent.error, external_api.Unavailable):
                 return outcomes.NotRun(sent.error.reason, arrived=False)
             return outcomes.Broken(sent.error.reason)
@@ -211,6 +224,7 @@
         if terms.running is not None and terms.waiting is not None:
             total = terms.running + terms.waiting
             server.update_load(total, self._clock.now())
+            self._capacity.on_answer(server, terms)
         if terms.closing:
             marks.discard(response)
         elif terms.idle_seconds:
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -13,6 +13,7 @@
     'AdapterFound',
     'AdapterInUse',
     'BrokenRow',
+    'CapacityRow',
     'ConfigurationBody',
     'CrashRow',
     'DepartureRow',
@@ -134,6 +135,23 @@
     seconds: float
 
 
+class CapacityRow(msgspec.Struct, frozen=True, array_like=True):
+    """What a server of a paced service has said, ``age`` seconds ago.
+
+    ``count`` requests were measured there, which took ``work`` usual times of
+    their kinds: since the last load, or in about the last second in a view.
+    """
+
+    server_id: str
+    started_ms: int
+    running: int
+    waiting: int
+    pace: float
+    age: float
+    count: float
+    work: float
+
+
 class WantRow(msgspec.Struct, frozen=True, array_like=True):
     """Requests that wait for permits of a limited server, by priority."""
 
@@ -167,7 +185,8 @@
     ``crashes`` are its reports of ended servers, ``sound_parts`` those
     suspects of the last view that it has seen in a complete answer.
     ``limits`` is what it has heard itself of servers' limits lately, and
-    ``wants`` the permits that its waiting requests could use.
+    ``wants`` the permits that its waiting requests could use. ``capacities``
+    is what it has heard of servers of paced services since its last load.
     """
 
     instance_id: str
@@ -185,6 +204,7 @@
     verdicts: tuple[VerdictRow, ...] = ()
     limits: tuple[LimitRow, ...] = ()
     wants: tuple[WantRow, ...] = ()
+    capacities: tuple[CapacityRow, ...] = ()
 
 
 class InstanceRow(msgspec.Struct, frozen=True, array_like=True):
@@ -230,6 +250,7 @@
     the receiver, unless an earlier build sends none. ``limits`` are those of
     servers that the owner knows, ``grants`` the receiver's permits; ``None``
     if the owner may give out none, or if its build does not know of them.
+    ``capacities`` are the newest figures of servers of paced services.
     """
 
     owner: str
@@ -247,6 +268,7 @@
     verdicts: tuple[VerdictRow, ...] | None = None
     limits: tuple[LimitRow, ...] = ()
     grants: tuple[GrantRow, ...] | None = None
+    capacities: tuple[CapacityRow, ...] = ()
 
 
 class FindAdapter(wire_api.Message, frozen=True, tag='find'):
--- a/src/dogwoodquay/gateway/metrics.py
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -95,6 +95,10 @@
             'gateway_permits_granted_total',
             'Permits for limited servers, given out by the owner',
         )
+        self._learned_limits = registry.counter(
+            'gateway_learned_limits_total',
+            'Changes by one or more of what a server runs well at a time',
+        )
         self._configuration_reads = registry.counter(
             'gateway_configuration_reads_total',
             'Reads of the configuration',
@@ -207,6 +211,10 @@
         """Count permits for limited servers that the owner gives out."""
         self._permits_granted.add(amount=count)
 
+    def learned_limit_changed(self) -> None:
+        """Count a logged change of a server's learned limit."""
+        self._learned_limits.add()
+
     def configuration_read(self, kind: str, outcome: str, size: int) -> None:
         """Count a read of the configuration and the bytes received."""
         self._configuration_reads.add(kind, outcome)
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -26,6 +26,7 @@
     from . import origins as stream_origins
     from . import ownership as order_ownership
     from . import scheduler as schedulers
+    from . import server_capacity
     from . import server_limits
 
 __all__ = ['Peering']
@@ -56,8 +57,10 @@
         departures: departure_news.DepartureNews,
         crashes: crash_watches.CrashWatch,
         limits: server_limits.ServerLimits,
+        capacity: server_capacity.ServerCapacity,
     ) -> None:
         self._limits = limits
+        self._capacity = capacity
         self._transport = transport
         self._crashes = crashes
         crashes.on_report(self.publish_soon)
@@ -229,6 +232,7 @@
             seconds if seconds != math.inf else None,
             *self._crashes.load_rows(),
             *self._limits.load_rows(scheduler.permits_wanted()),
+            capacities=self._capacity.load_rows(),
         )
 
     def _on_load(
@@ -243,6 +247,7 @@
         view = self._controller.on_load(load)
         if view is None or not self._ownership.is_owner(now):
             return view
+        self._capacity.on_load(load)
         version, rows = self._roster.newer_than(load.roster_version, now)
         grants = self._limits.on_load(load, self._ownership.confirmed_at)
         return msgspec.structs.replace(
@@ -254,6 +259,7 @@
             verdicts=self._crashes.verdict_rows(),
             limits=self._limits.view_rows(),
             grants=grants,
+            capacities=self._capacity.view_rows(),
         )
 
     def _apply_view(self, view: messages.FleetView, asked_at: float) -> None:
@@ -268,6 +274,7 @@
         is_owner = view.owner == self._ownership.member
         self._crashes.on_view(view, is_owner)
         self._limits.on_view(view, asked_at, is_owner)
+        self._capacity.on_view(view, asked_at)
         if view.roster:
             self._applied_version = view.roster_version
             self._applied_roster = view.roster
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -35,6 +35,7 @@
 from . import resumption
 from ..retry import window
 from . import scheduler as schedulers
+from . import server_capacity
 from . import server_limits
 from . import serving
 from . import silence as silences
@@ -182,6 +183,9 @@
         self._limits = server_limits.ServerLimits(
             members.member_name(settings), self._registry, clock, metrics
         )
+        self._capacity = server_capacity.ServerCapacity(
+            self._registry, clock, self._rng, metrics
+        )
         self._controller = controllers.Controller(
             self._ownership,
             self._registry,
@@ -228,6 +232,7 @@
             departure_news.DepartureNews(self._registry, clock, metrics),
             self._crashes,
             self._limits,
+            self._capacity,
         )
         self._scheduler = schedulers.Scheduler(
             self._registry,
@@ -236,6 +241,7 @@
             self._rng,
             self._peering,
             self._limits,
+            self._capacity,
         )
         self._configuration = configuration_watch.ConfigurationWatch(
             store,
@@ -283,6 +289,7 @@
             self._clock,
             self._limits,
             self._notices,
+            self._capacity,
         )
         self._silence = silences.SilenceWatch(self._scheduler, self._clock)
         budget = window.RetryWindow(
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import itertools
 import typing
 
@@ -28,6 +29,7 @@
     from ..fleet import server as servers
     from ..ratelimit import api as limit_api
     from ..routes import api as routes_api
+    from . import server_capacity
     from . import server_limits
 
 __all__ = ['Scheduler']
@@ -67,8 +69,10 @@
         rng: random.Random,
         finder: adapter_search.AdapterFinder,
         limits: server_limits.ServerLimits,
+        capacity: server_capacity.ServerCapacity,
     ) -> None:
         self._limits = limits
+        self._capacity = capacity
         self._limit_waits = limit_waits.LimitWaits(limits, registry, clock)
         self._on_wanting: abc.Callable[[], None] = lambda: None
         self._registry = registry
@@ -200,6 +204,7 @@
         if server is None:
             return None
         server.begin()
+        self._capacity.on_begin(server)
         self._counts.begin(call, server)
         return server
 
@@ -214,6 +219,7 @@
     ) -> None:
         """Record that a request has ended at a server."""
         server.end(started)
+        self._capacity.on_end(server)
         self._counts.end(call, server)
         if self._waiters:
             self.assign_waiting()
@@ -346,17 +352,33 @@
             now,
             self._rng,
             self._limit_waits.extra_cost,
+            self._by_completion(need),
         )
         if chosen is None and need.adapter:
             self._searches.search(need, candidates)
         return chosen
 
-    def request_capacity(self, server: servers.Server) -> int:
+    def _by_completion(
+        self, need: choice.Need
+    ) -> (
+        abc.Callable[[abc.Sequence[choice.Candidate]], servers.Server | None]
+        | None
+    ):
+        """Return what chooses between the servers of a paced service."""
+        if not self._capacity.paced(need.service) or need.model:
+            return None
+        return functools.partial(
+            self._capacity.choose, service=need.service, model=need.model
+        )
+
+    def request_capacity(self, server: servers.Server) -> float:
         """Return the limit of a server's requests from all instances."""
         service = self._services.get(server.entry.service)
         if service is not None and service.engine is not None:
             return service.engine.slots + ENGINE_QUEUE_DEPTH
-        return server.entry.slots + SERVICE_QUEUE_DEPTH
+        learned = self._capacity.limit(server)
+        slots = server.entry.slots if learned is None else learned
+        return slots + SERVICE_QUEUE_DEPTH
 
     def _take_permit(self, server: servers.Server) -> None:
         self._limits.take(server.entry)
--- /dev/null
+++ b/src/dogwoodquay/gateway/server_capacity.py
@@ -0,0 +1,294 @@
+"""Applies what servers say of their load and pace, and shares it."""
+
+from __future__ import annotations
+
+import typing
+
+from ..capacity import api as capacity_api
+from ..capacity import core
+from ..capacity import estimates
+from . import messages
+from ..observe import logs
+from . import server_limits
+
+if typing.TYPE_CHECKING:
+    from collections import abc
+    import random
+
+    from .. import clock as clocks
+    from . import api
+    from ..fleet import choice
+    from ..fleet import registry as registries
+    from ..fleet import server as servers
+    from . import metrics as gateway_metrics
+
+__all__ = ['ServerCapacity']
+
+_LOG: typing.Final = logs.ComponentLog('capacity')
+
+# Servers that fit one message.
+MAX_ROWS: typing.Final = 512
+# The least time between two lines about the limit of one server.
+LOG_SECONDS: typing.Final = 1.0
+# The least change of a limit that is logged.
+LOGGED_CHANGE: typing.Final = 1.0
+_OK: typing.Final = range(200, 300)
+
+
+class ServerCapacity:
+    """Translates between servers, messages and the learned capacities."""
+
+    def __init__(
+        self,
+        registry: registries.Registry,
+        clock: clocks.Clock,
+        rng: random.Random,
+        metrics: gateway_metrics.GatewayMetrics,
+    ) -> None:
+        self._registry = registry
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._capacities = core.Capacities()
+        # The limit that was logged last, and when.
+        self._logged: dict[capacity_api.ServerKey, tuple[float, float]] = {}
+        metrics.gauge(
+            'gateway_paced_servers',
+            'Servers of services whose servers state their pace',
+            lambda: len(self._capacities.servers),
+        )
+        metrics.gauge(
+            'gateway_learned_slots',
+            'Requests that servers of paced services run well at a time',
+            self._sum_limits,
+        )
+
+    @property
+    def capacities(self) -> core.Capacities:
+        """What this instance knows of the servers."""
+        return self._capacities
+
+    def paced(self, service: str) -> bool:
+        """Whether a server of a service has stated its pace."""
+        return self._capacities.paced(service)
+
+    def limit(self, server: servers.Server) -> float | None:
+        """Return how many requests a server runs well, ``None`` if unknown."""
+        if not self.paced(server.entry.service):
+            return None
+        return self._of(server).limit(self._clock.now())
+
+    def pace_at_start(self, server: servers.Server) -> float | None:
+        """Return the pace for a request that is sent now, if it is known."""
+        if not self.paced(server.entry.service):
+            return None
+        return self._of(server).pace_at_start(self._clock.now())
+
+    def choose(
+        self,
+        candidates: abc.Sequence[choice.Candidate],
+        service: str,
+        model: str,
+    ) -> servers.Server | None:
+        """Return the server of a paced service that is best for a request.
+
+        :return: ``None`` if none has room.
+        """
+        index = self._capacities.choose(
+            [
+                capacity_api.Candidate(
+                    self._known(item.server),
+                    item.server.in_flight,
+                    item.capacity,
+                    item.cost,
+                )
+                for item in candidates
+            ],
+            model,
+            self._clock.now(),
+            self._rng,
+        )
+        return None if index is None else candidates[index].server
+
+    def on_begin(self, server: servers.Server) -> None:
+        """Record that a request is sent to a server."""
+        if self.paced(server.entry.service):
+            self._of(server).on_own(1, self._clock.now())
+
+    def on_end(self, server: servers.Server) -> None:
+        """Record that a request has ended at a server."""
+        if self.paced(server.entry.service):
+            self._of(server).on_own(-1, self._clock.now())
+
+    def on_answer(
+        self, server: servers.Server, terms: api.AnswerTerms
+    ) -> None:
+        """Apply the figures in the head of an answer."""
+        service = server.entry.service
+        if terms.running is None or terms.waiting is None:
+            return
+        if terms.pace is None and not self.paced(service):
+            return
+        if not self.paced(service):
+            self._add_paced(service)
+        now = self._clock.now()
+        known = self._of(server)
+        pace = known.pace(now) if terms.pace is None else terms.pace
+        known.on_figures(terms.running, terms.waiting, pace, now)
+        known.add_news(now, 0.0, 0.0)
+
+    def on_completed(
+        self,
+        server: servers.Server,
+        kind: str,
+        status: int,
+        seconds: float,
+        pace_at_start: float | None,
+    ) -> None:
+        """Apply a complete plain answer.
+
+        An error may be made without the work, so it tells nothing of the
+        speed of a server.
+        """
+        if status not in _OK or not self.paced(server.entry.service):
+            return
+        key = self._known(server)
+        self._capacities.on_completed(
+            key, kind, seconds, pace_at_start, self._clock.now()
+        )
+        self._log_limit(key)
+
+    def load_rows(self) -> tuple[messages.CapacityRow, ...]:
+        """Return what this instance has heard since its last load."""
+        if not self._capacities.any:
+            return ()
+        self._forget_unlisted()
+        return self._rows(self._capacities.load_rows(self._clock.now()))
+
+    def on_load(self, load: messages.InstanceLoad) -> None:
+        """Merge an instance's figures at the owner."""
+        now = self._clock.now()
+        self._capacities.on_load(self._reports(load.capacities, now), now)
+
+    def view_rows(self) -> tuple[messages.CapacityRow, ...]:
+        """Return the newest figures of the servers with news."""
+        if not self._capacities.any:
+            return ()
+        return self._rows(self._capacities.view_rows(self._clock.now()))
+
+    def on_view(self, view: messages.FleetView, asked_at: float) -> None:
+        """Apply the owner's view.
+
+        :param asked_at: when the owner was asked for it.
+        """
+        if view.capacities:
+            now = self._clock.now()
+            reports = self._reports(view.capacities, asked_at)
+            self._capacities.on_view(reports, now)
+            for row in reports:
+                self._log_limit(row.server)
+
+    def _reports(
+        self, rows: tuple[messages.CapacityRow, ...], as_of: float
+    ) -> list[capacity_api.Report]:
+        """Return the rows of listed servers.
+
+        :param as_of: the time from which their ages count.
+        """
+        reports = []
+        for row in rows[:MAX_ROWS]:
+            server = self._registry.get(row.server_id)
+            if server is None or server.entry.started_ms != row.started_ms:
+                continue
+            if not row.age >= 0.0:
+                continue
+            self._add_paced(server.entry.service)
+            reports.append(
+                capacity_api.Report(
+                    self._known(server),
+                    row.running,
+                    row.waiting,
+                    row.pace,
+                    as_of - row.age,
+                    row.count,
+                    row.work,
+                )
+            )
+        return reports
+
+    def _rows(
+        self, reports: list[capacity_api.Report]
+    ) -> tuple[messages.CapacityRow, ...]:
+        now = self._clock.now()
+        return tuple(
+            messages.CapacityRow(
+                *item.server,
+                item.running,
+                item.waiting,
+                item.pace,
+                round(max(0.0, now - item.as_of), 4),
+                round(item.measured, 2),
+                round(item.work, 3),
+            )
+            for item in reports[:MAX_ROWS]
+        )
+
+    def _add_paced(self, service: str) -> None:
+        """Begin to learn the capacity of a service's servers."""
+        if self.paced(service):
+            return
+        self._capacities.add_paced(service)
+        _LOG.write('paced', service=service)
+        now = self._clock.now()
+        for server in self._registry.of_service(service):
+            known = self._of(server)
+            for _ in range(server.in_flight):
+                known.on_own(1, now)
+
+    def _of(self, server: servers.Server) -> estimates.ServerEstimate:
+        entry = server.entry
+        return self._capacities.server(
+            server_limits.key_of(entry),
+            entry.service,
+            entry.slots,
+            self._clock.now(),
+        )
+
+    def _known(self, server: servers.Server) -> capacity_api.ServerKey:
+        """Return the key of a server that the capacities know."""
+        self._of(server)
+        return server_limits.key_of(server.entry)
+
+    def _forget_unlisted(self) -> None:
+        listed = {
+            server_limits.key_of(server.entry)
+            for server in self._registry.servers.values()
+        }
+        self._capacities.keep_only(listed)
+        for key in [item for item in self._logged if item not in listed]:
+            del self._logged[key]
+
+    def _log_limit(self, key: capacity_api.ServerKey) -> None:
+        """Log a limit that has changed, at most once a second."""
+        now = self._clock.now()
+        server = self._capacities.servers[key]
+        limit = server.limit(now)
+        logged, at = self._logged.get(key, (float(server.slots), -LOG_SECONDS))
+        if abs(limit - logged) < LOGGED_CHANGE or now - at < LOG_SECONDS:
+            return
+        self._logged[key] = (limit, now)
+        self._metrics.learned_limit_changed()
+        _LOG.write(
+            'limit',
+            server=key.server_id,
+            slots=server.slots,
+            limit=round(limit, 1),
+            before=round(logged, 1),
+            factor=round(server.factor(now), 2),
+            pace=round(server.pace(now), 2),
+        )
+
+    def _sum_limits(self) -> float:
+        now = self._clock.now()
+        known = self._capacities.servers.values()
+        return sum(item.limit(now) for item in known)
--- a/src/dogwoodquay/platform/headers.py
+++ b/src/dogwoodquay/platform/headers.py
@@ -38,6 +38,11 @@
 # Longer pauses are taken for this one.
 _MAX_PAUSE_SECONDS: typing.Final = 600.0
 _MAX_PRIORITY: typing.Final = 9
+# The fourth figure of the load header in percent of the usual time of work.
+# Values out of range are taken for none.
+_USUAL_PACE: typing.Final = 100.0
+_MIN_PACE: typing.Final = 10.0
+_MAX_PACE: typing.Final = 10_000.0
 # Requests, tokens and rates are below this number by far.
 _MAX_COUNT: typing.Final = 1_000_000_000
 _MAX_DIGITS: typing.Final = 15
@@ -137,7 +142,7 @@
     found = {name.lower(): value for name, value in headers}
     load = _text(found, _LOAD).split(',')
     counts = [_count(item) for item in load]
-    known = len(counts) >= 2 and None not in counts
+    known = len(counts) >= 2 and None not in counts[:3]
     limit = _decimal(_text(found, _LIMIT)) if _LIMIT in found else None
     return api.AnswerTerms(
         attempt_id=_text(found, _ATTEMPT),
@@ -151,9 +156,19 @@
         rate_limit=limit,
         rate_limit_unreadable=_LIMIT in found and limit is None,
         notice=_notice(status, found),
+        pace=_pace(load[3]) if len(load) > 3 else None,
+        slots=counts[2] if len(counts) > 2 else None,
     )
 
 
+def _pace(text: str) -> float | None:
+    """Return how long work takes relative to its usual time, in percent."""
+    percent = _decimal(text)
+    if percent is None or not _MIN_PACE <= percent <= _MAX_PACE:
+        return None
+    return percent / _USUAL_PACE
+
+
 def _notice(status: int, found: dict[bytes, bytes]) -> api.ServerNotice | None:
     pauses = status == _UNAVAILABLE and _RETRY_AFTER in found
     if not pauses and _LEAVING not in found:
--- /dev/null
+++ b/tests/unit/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the learned capacity of servers."""
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -17,6 +17,7 @@
 from dogwoodquay.gateway import metrics
 from dogwoodquay.gateway import origin_log
 from dogwoodquay.gateway import origins
+from dogwoodquay.gateway import server_capacity
 from dogwoodquay.gateway import server_limits
 from dogwoodquay.gateway import settings
 from dogwoodquay.gateway import store_api
@@ -98,6 +99,15 @@
     )
 
 
+def make_capacity(
+    registry: registries.Registry, clock: clocks.Clock
+) -> server_capacity.ServerCapacity:
+    """Return the learned capacity of servers, none of which is paced."""
+    return server_capacity.ServerCapacity(
+        registry, clock, rng(), make_metrics()
+    )
+
+
 def log_lines(test: unittest.TestCase) -> list[dict[str, typing.Any]]:
     """Return a list that receives the lines logged until the test ends."""
     lines: list[dict[str, typing.Any]] = []
--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -195,8 +195,9 @@
         self.metrics_page = metrics_module.Registry('test')
         metrics = gateway_metrics.GatewayMetrics(self.metrics_page)
         limits = fakes.make_limits(self.registry, clock)
+        capacity = fakes.make_capacity(self.registry, clock)
         self.scheduler = schedulers.Scheduler(
-            self.registry, 'd1', clock, rng, _NoFinder(), limits
+            self.registry, 'd1', clock, rng, _NoFinder(), limits, capacity
         )
         self.freshness = Freshness()
         self.origins = fakes.FakeOrigins()
@@ -206,7 +207,7 @@
         self.notices = notices.ServerNotices(self.registry, clock, metrics)
         self.notices.on_change(self.scheduler.assign_waiting)
         self.exchange = exchanges.Exchange(
-            self.connections, headers, clock, limits, self.notices
+            self.connections, headers, clock, limits, self.notices, capacity
         )
         self.app = apps.GatewayApp(
             forwarders.Forwarder(
--- a/tests/unit/gateway/test_peering.py
+++ b/tests/unit/gateway/test_peering.py
@@ -25,6 +25,7 @@
 from dogwoodquay.gateway import peering
 from dogwoodquay.gateway import readers
 from dogwoodquay.gateway import scheduler as schedulers
+from dogwoodquay.gateway import server_capacity
 from dogwoodquay.gateway import server_limits
 from dogwoodquay.platform import headers
 from dogwoodquay.ratelimit import api as limit_api
@@ -128,6 +129,9 @@
         self.limits = server_limits.ServerLimits(
             self.ownership.member, registry, clock, metrics
         )
+        self.capacity = server_capacity.ServerCapacity(
+            registry, clock, fakes.rng(), metrics
+        )
         self.controller = controller.Controller(
             self.ownership,
             registry,
@@ -159,10 +163,17 @@
             departures.DepartureNews(registry, clock, metrics),
             fakes.make_crashes(clock),
             self.limits,
+            self.capacity,
         )
         self.registry = registry
         self.scheduler = schedulers.Scheduler(
-            registry, 'd1', clock, fakes.rng(), self.peering, self.limits
+            registry,
+            'd1',
+            clock,
+            fakes.rng(),
+            self.peering,
+            self.limits,
+            self.capacity,
         )
 
     async def publish_load(self) -> None:
--- a/tests/unit/gateway/test_scheduler.py
+++ b/tests/unit/gateway/test_scheduler.py
@@ -62,6 +62,7 @@
             fakes.rng(),
             _NoFinder(),
             self.limits,
+            fakes.make_capacity(self.registry, self.clock),
         )
         service = routes_api.Service('models', '/healthz', 100, _SPEC)
         self.scheduler.configure({'models': service})
--- a/tests/unit/gateway/test_successors.py
+++ b/tests/unit/gateway/test_successors.py
@@ -107,6 +107,7 @@
         fakes.rng(),
         finder,
         fakes.make_limits(registry, clocks.SteadyClock()),
+        fakes.make_capacity(registry, clocks.SteadyClock()),
     )
     service = routes_api.Service('s', '/healthz', 100, _SPEC)
     scheduler.configure({'s': service, 't': service})
--- a/tests/unit/platform/test_decoding.py
+++ b/tests/unit/platform/test_decoding.py
@@ -307,6 +307,30 @@
         self.assertEqual((3, 1), (terms.running, terms.waiting))
         self.assertEqual(5.0, terms.idle_seconds)
 
+    def test_pace(self) -> None:
+        """An odd fourth figure costs the pace alone, not the load."""
+        for value, pace in (
+            (b'3,1,8', None),
+            (b'3,1,8,100', 1.0),
+            (b'3,1,8, 250', 2.5),
+            (b'3,1,8,250,7', 2.5),
+            (b'3,1,8,', None),
+            (b'3,1,8,x', None),
+            (b'3,1,8,nan', None),
+            (b'3,1,8,inf', None),
+            (b'3,1,8,-100', None),
+            (b'3,1,8,0', None),
+            (b'3,1,8,1e9', None),
+            (b'3,1,8,999999999', None),
+        ):
+            with self.subTest(value):
+                terms = headers.answer_terms(200, ((b'Server-Load', value),))
+                self.assertEqual(pace, terms.pace)
+                self.assertEqual(8, terms.slots)
+                self.assertEqual((3, 1), (terms.running, terms.waiting))
+        short = headers.answer_terms(503, ((b'Server-Load', b'3,1'),))
+        self.assertEqual((3, None), (short.running, short.slots))
+
     def test_not_executed(self) -> None:
         """A status of 421 or a header means that a request did not run."""
         self.assertFalse(headers.answer_terms(503, ()).not_executed)
