--- a/src/dogwoodquay/capacity/api.py
+++ b/src/dogwoodquay/capacity/api.py
@@ -31,7 +31,8 @@
 
     ``measured`` requests were completed there since the last report, in
     ``work`` times the usual time of their kinds, had the server not been
-    slowed down.
+    slowed down. ``others`` are the requests there of all instances but the
+    receiver of a view.
     """
 
     server: ServerKey
@@ -41,6 +42,7 @@
     as_of: float
     measured: float = 0.0
     work: float = 0.0
+    others: int = 0
 
 
 class Candidate(typing.NamedTuple):
--- a/src/dogwoodquay/capacity/core.py
+++ b/src/dogwoodquay/capacity/core.py
@@ -27,6 +27,9 @@
 # Weight of a request's time if others waited at its server, which may have
 # been more or fewer when it came, or if the pace changed meanwhile.
 UNSURE_WEIGHT: typing.Final = 0.1
+# The same if nobody knew the pace when it was sent, as of a server that is
+# only probed.
+UNSTATED_WEIGHT: typing.Final = 0.6
 # Logarithm of the mean factor from which on it is corrected.
 MAX_DRIFT: typing.Final = 0.02
 # Kinds that are remembered; the oldest are forgotten first.
@@ -36,10 +39,12 @@
 # Requests may wait at a server for so long. An instance learns later than
 # that of a request that has ended there.
 QUEUE_SECONDS: typing.Final = 0.1
+# Older figures are no older, for finite arithmetic.
+MAX_AGE_SECONDS: typing.Final = 60.0
 # The sums of all instances are of about the last second.
 SHARED_SECONDS: typing.Final = 1.0
 # Requests in such a sum that make a sample, and the least time between two.
-MIN_SHARED_COUNT: typing.Final = 4.0
+MIN_SHARED_COUNT: typing.Final = 0.5
 SHARED_INTERVAL_SECONDS: typing.Final = 0.5
 
 
@@ -173,9 +178,11 @@
         waited = server.waiting / server.limit(now)
         weight = UNSURE_WEIGHT if server.waiting else 1.0
         pace = server.stated_pace
-        if pace_at_start != pace:
+        if pace_at_start is None:
+            weight *= UNSTATED_WEIGHT
+        elif pace_at_start != pace:
             weight = UNSURE_WEIGHT
-            pace = math.sqrt(pace * (pace_at_start or pace))
+            pace = math.sqrt(pace * pace_at_start)
         work = seconds / pace / (1.0 + waited)
         usual = self._kinds.get((server.service, kind))
         if usual is None:
@@ -236,19 +243,39 @@
                 sums = self._sums[row.server] = _Sums()
             sums.add(row.measured, row.work, now)
 
-    def view_rows(self, now: float) -> list[api.Report]:
-        """Return the newest figures of the servers with news."""
+    def view_rows(
+        self,
+        now: float,
+        others: abc.Callable[[str], int] = lambda _: 0,
+    ) -> list[api.Report]:
+        """Return the newest figures of servers with news or requests.
+
+        :param others: returns how many requests all instances but the
+            receiver have at a server.
+        """
         rows = []
         for key, sums in self._sums.items():
             server = self._servers.get(key)
-            if server and now - sums.heard_at <= api.FRESH_SECONDS:
-                rows.append(server.report(key, *sums.at(now)))
+            if server is None:
+                continue
+            count = others(key.server_id)
+            if count or now - sums.heard_at <= api.FRESH_SECONDS:
+                report = server.report(key, *sums.at(now))
+                rows.append(report._replace(others=count))
         return rows
 
-    def on_view(self, rows: abc.Iterable[api.Report], now: float) -> None:
-        """Merge what the owner knows."""
+    def on_view(
+        self, rows: abc.Iterable[api.Report], asked_at: float, now: float
+    ) -> None:
+        """Merge what the owner knows.
+
+        :param asked_at: when the owner was asked for it.
+        """
         for row in rows:
-            if not self._merge(row, now) or row.measured < MIN_SHARED_COUNT:
+            if not self._merge(row, now):
+                continue
+            self._servers[row.server].on_sent_by_others(row.others, asked_at)
+            if row.measured < MIN_SHARED_COUNT:
                 continue
             since = now - self._shared_at.get(row.server, -math.inf)
             if since >= SHARED_INTERVAL_SECONDS:
@@ -266,6 +293,7 @@
             and api.MIN_PACE <= row.pace <= api.MAX_PACE
             and 0.0 <= row.measured <= api.MAX_COUNT
             and 0.0 <= row.work <= api.MAX_COUNT
+            and 0 <= row.others <= api.MAX_COUNT
             and math.isfinite(row.as_of)
         )
         if server is None or not sound:
@@ -312,8 +340,9 @@
         queue = limit * QUEUE_SECONDS / seconds
         return forecast.Outlook(
             float(item.in_flight),
-            server.others if server.as_of > -math.inf else 0.0,
-            min(now - server.as_of, 60.0),
+            server.others,
+            server.unanswered(now),
+            min(now - server.as_of, MAX_AGE_SECONDS),
             limit,
             seconds,
             item.cost * seconds,
--- a/src/dogwoodquay/capacity/estimates.py
+++ b/src/dogwoodquay/capacity/estimates.py
@@ -16,6 +16,10 @@
 PACE_SECONDS: typing.Final = 0.6
 # A stated pace is taken for the one at the start of a request for so long.
 KNOWN_PACE_SECONDS: typing.Final = 0.3
+# A server without an answer for so long may hang with what was sent there.
+UNHEARD_SECONDS: typing.Final = 0.4
+# The age at which the instances' counts of those requests are ignored.
+SENT_SECONDS: typing.Final = 1.5
 # Own requests are remembered for so long; older figures are not used.
 HISTORY_SECONDS: typing.Final = 3.0
 # Learned values lose their weight within this time without a sample.
@@ -23,6 +27,8 @@
 # Weight of one sample in the speed, and the most that some samples have.
 SAMPLE_WEIGHT: typing.Final = 0.1
 MAX_WEIGHT: typing.Final = 0.4
+# The time in which a change is learned where there are few samples.
+LEARN_SECONDS: typing.Final = 3.0
 # One sample counts as at most this many times the mean, or its inverse.
 OUTLIER: typing.Final = 1.6
 # The load, in slots, up to which a latency is taken for the no-load latency.
@@ -40,6 +46,8 @@
         self._running = 0
         self._waiting = 0
         self._as_of = -math.inf
+        self._sent_by_others = 0
+        self._sent_as_of = -math.inf
         self._pace = 1.0
         self._factor = 1.0
         self._sampled_at = -math.inf
@@ -85,6 +93,15 @@
         """The requests of other instances, running or waiting there."""
         return self._others
 
+    def unanswered(self, now: float) -> float:
+        """Return how many requests others have at a server that is silent.
+
+        None of them has ended, by what the instances say.
+        """
+        silent = now - self._as_of > UNHEARD_SECONDS
+        known = now - self._sent_as_of < SENT_SECONDS
+        return float(self._sent_by_others) if silent and known else 0.0
+
     def limit(self, now: float) -> float:
         """Return how many requests the server runs well at a time."""
         trust = self._trust(now)
@@ -132,6 +149,11 @@
         self._as_of = as_of
         return True
 
+    def on_sent_by_others(self, count: int, as_of: float) -> None:
+        """Apply how many requests other instances have in flight there."""
+        self._sent_by_others = count
+        self._sent_as_of = as_of
+
     def on_latency(
         self, relative: float, running: float, count: float, now: float
     ) -> tuple[float, float]:
@@ -147,16 +169,21 @@
         taken = min(max(relative, factor / OUTLIER), factor * OUTLIER)
         if self._trust(now) <= 0.0:
             self._limit = limits.ConcurrencyLimit(self._slots)
-        weight = min(MAX_WEIGHT, SAMPLE_WEIGHT * count)
+        certainty = min(1.0, count)
+        # A server that gets few requests is learned about as fast in time.
+        elapsed = 1.0 - math.exp((self._sampled_at - now) / LEARN_SECONDS)
+        weight = max(SAMPLE_WEIGHT * count, elapsed * certainty)
+        weight = min(MAX_WEIGHT, weight)
         if running > NO_LOAD_SHARE * self.limit(now) and taken > factor:
             # It may be slow because of its load.
             self._limit.on_sample(taken / factor, running)
             weight /= 10
+            certainty /= 10
         else:
             self._limit.on_sample(1.0, running)
         self._factor = factor * (taken / factor) ** weight
         self._sampled_at = now
-        return taken, weight / SAMPLE_WEIGHT
+        return taken, certainty
 
     def scale(self, share: float) -> None:
         """Change the measure of the factor."""
--- a/src/dogwoodquay/capacity/forecast.py
+++ b/src/dogwoodquay/capacity/forecast.py
@@ -24,13 +24,15 @@
     """What is expected of a server for the next request.
 
     ``own`` are this instance's requests there, exactly, and ``others`` those
-    of other instances as of ``age`` seconds ago. The server runs
+    of other instances as of ``age`` seconds ago, of which ``unanswered`` are
+    known to be there still. The server runs
     ``concurrency`` at a time, each in ``seconds``. ``cost`` is what speaks
     against it beside its load, in seconds.
     """
 
     own: float
     others: float
+    unanswered: float
     age: float
     concurrency: float
     seconds: float
@@ -40,9 +42,8 @@
     @property
     def load(self) -> float:
         """The requests that are left there of those that are known."""
-        return self.own + remaining(
-            self.others, self.concurrency, self.seconds, self.age
-        )
+        left = remaining(self.others, self.concurrency, self.seconds, self.age)
+        return self.own + max(left, self.unanswered)
 
     @property
     def others_rate(self) -> float:
--- a/src/dogwoodquay/gateway/controller.py
+++ b/src/dogwoodquay/gateway/controller.py
@@ -111,6 +111,10 @@
         members = self._demand.reporting_instances(self._clock.now())
         return [name for name in members if name != self._ownership.member]
 
+    def other_requests(self, server_id: str, instance_id: str) -> int:
+        """Return the requests at a server of all instances but one."""
+        return self._demand.other_requests(server_id, instance_id)
+
     def view(self, instance_id: str) -> messages.FleetView:
         """Return the view of all engines for one instance."""
         now = self._clock.now()
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -140,6 +140,7 @@
 
     ``count`` requests were measured there, which took ``work`` usual times of
     their kinds: since the last load, or in about the last second in a view.
+    ``others`` are the requests there of all but the receiver of a view.
     """
 
     server_id: str
@@ -150,6 +151,7 @@
     age: float
     count: float
     work: float
+    others: int = 0
 
 
 class WantRow(msgspec.Struct, frozen=True, array_like=True):
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import math
 import typing
 
@@ -259,7 +260,12 @@
             verdicts=self._crashes.verdict_rows(),
             limits=self._limits.view_rows(),
             grants=grants,
-            capacities=self._capacity.view_rows(),
+            capacities=self._capacity.view_rows(
+                functools.partial(
+                    self._controller.other_requests,
+                    instance_id=load.instance_id,
+                )
+            ),
         )
 
     def _apply_view(self, view: messages.FleetView, asked_at: float) -> None:
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -123,8 +123,16 @@
         return self._counts.adapters_in_use()
 
     def running(self) -> dict[_Key, int]:
-        """Return the number of requests in flight by server and model."""
-        return self._counts.running()
+        """Return the number of requests in flight by server and model.
+
+        Those without a model count at servers of paced services only.
+        """
+        paced = self._capacity.paced_server
+        return {
+            key: count
+            for key, count in self._counts.running().items()
+            if key[1] or paced(key[0])
+        }
 
     def permits_wanted(self) -> list[limit_api.Want]:
         """Return the permits that waiting requests could use."""
--- a/src/dogwoodquay/gateway/server_capacity.py
+++ b/src/dogwoodquay/gateway/server_capacity.py
@@ -72,6 +72,13 @@
         """Whether a server of a service has stated its pace."""
         return self._capacities.paced(service)
 
+    def paced_server(self, server_id: str) -> bool:
+        """Whether a listed server is one of a paced service."""
+        if not self._capacities.any:
+            return False
+        server = self._registry.get(server_id)
+        return server is not None and self.paced(server.entry.service)
+
     def limit(self, server: servers.Server) -> float | None:
         """Return how many requests a server runs well, ``None`` if unknown."""
         if not self.paced(server.entry.service):
@@ -170,11 +177,18 @@
         now = self._clock.now()
         self._capacities.on_load(self._reports(load.capacities, now), now)
 
-    def view_rows(self) -> tuple[messages.CapacityRow, ...]:
-        """Return the newest figures of the servers with news."""
+    def view_rows(
+        self, others: abc.Callable[[str], int]
+    ) -> tuple[messages.CapacityRow, ...]:
+        """Return the newest figures of servers with news or requests.
+
+        :param others: returns how many requests all instances but the
+            receiver have at a server.
+        """
         if not self._capacities.any:
             return ()
-        return self._rows(self._capacities.view_rows(self._clock.now()))
+        now = self._clock.now()
+        return self._rows(self._capacities.view_rows(now, others))
 
     def on_view(self, view: messages.FleetView, asked_at: float) -> None:
         """Apply the owner's view.
@@ -184,7 +198,7 @@
         if view.capacities:
             now = self._clock.now()
             reports = self._reports(view.capacities, asked_at)
-            self._capacities.on_view(reports, now)
+            self._capacities.on_view(reports, asked_at, now)
             for row in reports:
                 self._log_limit(row.server)
 
@@ -212,6 +226,7 @@
                     as_of - row.age,
                     row.count,
                     row.work,
+                    row.others,
                 )
             )
         return reports
@@ -229,6 +244,7 @@
                 round(max(0.0, now - item.as_of), 4),
                 round(item.measured, 2),
                 round(item.work, 3),
+                item.others,
             )
             for item in reports[:MAX_ROWS]
         )
