Learn the speed of paced engines and choose by it

Cause: engines of one service differ in speed as plain servers do, and the busiest has 1.6 to 1.7 times the mean load.

Change: streams are measured by the time between their events, by model, and engines that state their pace are chosen by expected completion. Their limit stays at the declared slots, as batches slow down from the first request on. The usual time of a whole request is kept apart from that of a unit of work. This instance's requests at a server are recorded as levels, which cannot drift.

Engines were replayed, not measured in a deployment.

--- a/src/dogwoodquay/capacity/api.py
+++ b/src/dogwoodquay/capacity/api.py
@@ -14,6 +14,7 @@
     'MIN_PACE',
     'Report',
     'ServerKey',
+    'Work',
 ]
 
 ServerKey = limit_api.ServerKey
@@ -57,3 +58,19 @@
     in_flight: int
     capacity: float
     cost: float = 0.0
+
+
+class Work(typing.NamedTuple):
+    """The time that a server took for a request.
+
+    ``units`` of work of a ``kind`` took ``seconds``, with the time that the
+    request waited at the server if ``queued``. The whole request, with a
+    ``model`` at engines, took ``whole_seconds``.
+    """
+
+    kind: str
+    seconds: float
+    whole_seconds: float
+    units: float = 1.0
+    queued: bool = True
+    model: str = ''
--- a/src/dogwoodquay/capacity/core.py
+++ b/src/dogwoodquay/capacity/core.py
@@ -66,6 +66,9 @@
         self.seconds *= (seconds / self.seconds) ** weight
 
 
+_Kinds = collections.OrderedDict[tuple[str, str], _Kind]
+
+
 class _Sums:
     """What all instances have measured at a server, decaying with time."""
 
@@ -100,9 +103,10 @@
     def __init__(self) -> None:
         self._servers: dict[api.ServerKey, estimates.ServerEstimate] = {}
         self._paced: set[str] = set()
-        self._kinds: collections.OrderedDict[tuple[str, str], _Kind] = (
-            collections.OrderedDict()
-        )
+        # By service and kind of work, for one unit of it.
+        self._kinds: _Kinds = collections.OrderedDict()
+        # By service and model, for a whole request.
+        self._whole: _Kinds = collections.OrderedDict()
         self._sums: dict[api.ServerKey, _Sums] = {}
         self._shared_at: dict[api.ServerKey, float] = {}
 
@@ -127,12 +131,21 @@
         self._paced.add(service)
 
     def server(
-        self, key: api.ServerKey, service: str, slots: int, now: float
+        self,
+        key: api.ServerKey,
+        service: str,
+        slots: int,
+        now: float,
+        learns_limit: bool = True,
     ) -> estimates.ServerEstimate:
-        """Return the state of a server's process, a new one at first."""
+        """Return the state of a server's process, a new one at first.
+
+        :param learns_limit: not for engines, which run requests in batches:
+            each one slows the others down from the first one on.
+        """
         known = self._servers.get(key)
         if known is None:
-            known = estimates.ServerEstimate(service, slots, now)
+            known = estimates.ServerEstimate(service, slots, now, learns_limit)
             self._servers[key] = known
         return known
 
@@ -142,25 +155,24 @@
             for key in [item for item in known if item not in listed]:
                 del known[key]
 
-    def usual_seconds(self, service: str, kind: str) -> float:
-        """Return the usual time of a kind of request."""
-        known = self._kinds.get((service, kind))
+    def usual_seconds(self, service: str, model: str) -> float:
+        """Return the usual time of a request at a usual server."""
+        known = self._whole.get((service, model))
         return known.seconds if known else USUAL_SECONDS
 
     def expected_seconds(
-        self, key: api.ServerKey, load: float, kind: str, now: float
+        self, key: api.ServerKey, load: float, model: str, now: float
     ) -> float:
         """Return when a request is complete at a server with a load."""
         known = self._servers[key]
-        seconds = self._seconds(known, kind, now)
+        seconds = self._seconds(known, model, now)
         limit = known.limit(now)
         return seconds * (1.0 + max(0.0, load + 1.0 - limit) / limit)
 
     def on_completed(
         self,
         key: api.ServerKey,
-        kind: str,
-        seconds: float,
+        work: api.Work,
         pace_at_start: float | None,
         now: float,
     ) -> None:
@@ -175,7 +187,6 @@
         server = self._servers.get(key)
         if server is None:
             return
-        waited = server.waiting / server.limit(now)
         weight = UNSURE_WEIGHT if server.waiting else 1.0
         pace = server.stated_pace
         if pace_at_start is None:
@@ -183,17 +194,20 @@
         elif pace_at_start != pace:
             weight = UNSURE_WEIGHT
             pace = math.sqrt(pace * pace_at_start)
-        work = seconds / pace / (1.0 + waited)
-        usual = self._kinds.get((server.service, kind))
-        if usual is None:
-            usual = self._kinds[server.service, kind] = _Kind()
-            if len(self._kinds) > MAX_KINDS:
-                self._kinds.popitem(last=False)
         factor = server.factor(now)
+        waited = server.waiting / server.limit(now)
+        slowed = pace * (1.0 + waited) * factor
+        whole = self._usual(self._whole, server.service, work.model)
+        whole.add(work.whole_seconds / slowed, weight)
+        usual = self._usual(self._kinds, server.service, work.kind)
+        if work.queued:
+            seconds = work.seconds / work.units / slowed
+        else:
+            seconds = work.seconds / work.units / pace / factor
         if usual.count < MIN_KIND_SAMPLES:
-            usual.add(work / factor, 1.0)
+            usual.add(seconds, 1.0)
             return
-        relative = work / usual.seconds
+        relative = seconds / usual.seconds * factor
         taken, unloaded = server.on_latency(
             relative, server.running, weight, now
         )
@@ -204,7 +218,7 @@
     def choose(
         self,
         candidates: abc.Sequence[api.Candidate],
-        kind: str,
+        model: str,
         now: float,
         rng: random.Random,
     ) -> int | None:
@@ -219,7 +233,7 @@
             unheard = now - server.known_since > PROBE_SECONDS
             if unheard and not item.in_flight:
                 probes.append(len(outlooks))
-            outlooks.append(self._outlook(item, server, kind, now))
+            outlooks.append(self._outlook(item, server, model, now))
         if probes:
             rate = sum(item.others_rate for item in outlooks)
             if rng.random() * max(1.0, rate * PROBE_SPREAD_SECONDS) < 1.0:
@@ -318,24 +332,35 @@
         mean = math.exp(total / len(servers))
         for item in servers:
             item.scale(1.0 / mean)
-        for (owner, _), usual in self._kinds.items():
-            if owner == service:
-                usual.seconds *= mean
+        for kinds in (self._kinds, self._whole):
+            for (owner, _), usual in kinds.items():
+                if owner == service:
+                    usual.seconds *= mean
+
+    @staticmethod
+    def _usual(kinds: _Kinds, service: str, name: str) -> _Kind:
+        """Return the usual time of a kind of work, a new one at first."""
+        known = kinds.get((service, name))
+        if known is None:
+            known = kinds[service, name] = _Kind()
+            if len(kinds) > MAX_KINDS:
+                kinds.popitem(last=False)
+        return known
 
     def _seconds(
-        self, server: estimates.ServerEstimate, kind: str, now: float
+        self, server: estimates.ServerEstimate, model: str, now: float
     ) -> float:
-        usual = self.usual_seconds(server.service, kind)
+        usual = self.usual_seconds(server.service, model)
         return usual * server.factor(now) * server.pace(now)
 
     def _outlook(
         self,
         item: api.Candidate,
         server: estimates.ServerEstimate,
-        kind: str,
+        model: str,
         now: float,
     ) -> forecast.Outlook:
-        seconds = self._seconds(server, kind, now)
+        seconds = self._seconds(server, model, now)
         limit = server.limit(now)
         queue = limit * QUEUE_SECONDS / seconds
         return forecast.Outlook(
--- a/src/dogwoodquay/capacity/estimates.py
+++ b/src/dogwoodquay/capacity/estimates.py
@@ -38,7 +38,10 @@
 class ServerEstimate:
     """Load, pace, speed and concurrency limit of a server's process."""
 
-    def __init__(self, service: str, slots: int, now: float) -> None:
+    def __init__(
+        self, service: str, slots: int, now: float, learns_limit: bool = True
+    ) -> None:
+        self._learns_limit = learns_limit
         self._service = service
         self._slots = slots
         self._limit = limits.ConcurrencyLimit(slots)
@@ -52,7 +55,6 @@
         self._factor = 1.0
         self._sampled_at = -math.inf
         self._own: collections.deque[tuple[float, int]] = collections.deque()
-        self._own_now = 0
         self._created_at = now
         self._heard_at = -math.inf
         self._count = 0.0
@@ -127,11 +129,10 @@
             return None
         return self._pace
 
-    def on_own(self, change: int, now: float) -> None:
-        """Record that a request of this instance has begun or ended."""
-        self._own_now += change
-        self._own.append((now, change))
-        while self._own[0][0] < now - HISTORY_SECONDS:
+    def on_own(self, in_flight: int, now: float) -> None:
+        """Record how many requests of this instance are there now."""
+        self._own.append((now, in_flight))
+        while len(self._own) > 1 and self._own[1][0] < now - HISTORY_SECONDS:
             self._own.popleft()
 
     def on_figures(
@@ -140,9 +141,10 @@
         """Apply what the server said of itself unless newer is known."""
         if as_of <= self._as_of:
             return False
-        own = self._own_now - sum(
-            change for at, change in self._own if at > as_of
-        )
+        own = 0
+        for at, own in reversed(self._own):
+            if at <= as_of:
+                break
         self._running, self._waiting = running, waiting
         self._others = float(max(0, running + waiting - own))
         self._pace = pace
@@ -174,7 +176,9 @@
         elapsed = 1.0 - math.exp((self._sampled_at - now) / LEARN_SECONDS)
         weight = max(SAMPLE_WEIGHT * count, elapsed * certainty)
         weight = min(MAX_WEIGHT, weight)
-        if running > NO_LOAD_SHARE * self.limit(now) and taken > factor:
+        if not self._learns_limit:
+            pass
+        elif running > NO_LOAD_SHARE * self.limit(now) and taken > factor:
             # It may be slow because of its load.
             self._limit.on_sample(taken / factor, running)
             weight /= 10
--- a/src/dogwoodquay/capacity/forecast.py
+++ b/src/dogwoodquay/capacity/forecast.py
@@ -15,7 +15,11 @@
 STEPS: typing.Final = 16
 # Figures are at least this old when a request arrives at a server.
 MIN_AGE_SECONDS: typing.Final = 0.01
+# Weight of the time that a request waits at a server. It is above one, as
+# requests that come after it wait longer for it, and as the pace may change.
 WAIT_WEIGHT: typing.Final = 3.0
+# Half of the range of a load, in square roots of its expected value.
+SPREAD: typing.Final = 0.875
 # Upper bound of the random factor that breaks near ties.
 JITTER: typing.Final = 0.02
 
@@ -60,25 +64,18 @@
     def completion(self, load: float) -> float:
         """Return the seconds until the next request is complete there.
 
-        The load varies around its expected value, the more so as the figures
-        age; where it is uncertain, requests may have to wait although the
-        expected load leaves room.
+        The load of others varies around its expected value, so a request may
+        have to wait although the expected load leaves room.
         """
-        excess = load + 1.0 - self.concurrency
-        spread = 0.5 * math.sqrt(max(0.0, load - self.own))
-        if excess < 3.0 * spread and spread > 0.0:
-            if excess <= -3.0 * spread:
-                excess = 0.0
-            else:
-                # The mean excess of an evenly distributed load.
-                half = 1.75 * spread
-                excess = (
-                    max(0.0, excess + half) ** 2 / (4.0 * half)
-                    if (excess < half)
-                    else excess
-                )
-        wait = max(0.0, excess) / self.concurrency
-        return self.seconds * (1.0 + WAIT_WEIGHT * wait) + self.cost
+        concurrency = self.concurrency
+        excess = load + 1.0 - concurrency
+        half = SPREAD * math.sqrt(max(0.0, load - self.own))
+        if excess < half:
+            # The mean excess of a load that is evenly distributed.
+            above = excess + half
+            excess = above * above / (4.0 * half) if above > 0.0 else 0.0
+        wait = WAIT_WEIGHT * excess / concurrency
+        return self.seconds * (1.0 + wait) + self.cost
 
 
 def remaining(
@@ -111,11 +108,11 @@
         item.completion(load) * (1.0 + rng.random() * JITTER)
         for item, load in zip(outlooks, loads, strict=True)
     ]
-    best = min(range(len(costs)), key=costs.__getitem__)
-    for _ in range(before):
-        item = outlooks[best]
-        loads[best] += step * item.kept
-        costs[best] = item.completion(loads[best])
-        best = min(range(len(costs)), key=costs.__getitem__)
+    if rate > 0.0:
+        for _ in range(before):
+            best = costs.index(min(costs))
+            item = outlooks[best]
+            loads[best] += step * item.kept
+            costs[best] = item.completion(loads[best])
     room = [i for i, x in enumerate(outlooks) if loads[i] < x.capacity]
     return min(room, key=costs.__getitem__, default=None)
--- a/src/dogwoodquay/fleet/choice.py
+++ b/src/dogwoodquay/fleet/choice.py
@@ -10,7 +10,14 @@
     from collections import abc
     import random
 
-__all__ = ['Candidate', 'Need', 'choose', 'pause_end', 'usable']
+__all__ = [
+    'ByCompletion',
+    'Candidate',
+    'Need',
+    'choose',
+    'pause_end',
+    'usable',
+]
 
 # Costs are in shares of a server's request capacity. This one is for a server
 # in another failure domain than the instance.
@@ -60,6 +67,15 @@
     cost: float
 
 
+class ByCompletion(typing.Protocol):
+    """Chooses by the expected time until a request is complete."""
+
+    def __call__(
+        self, candidates: abc.Sequence[Candidate], /
+    ) -> servers.Server | None:
+        """Return the best server, ``None`` if none has room."""
+
+
 def usable(
     candidates: abc.Iterable[servers.Server], need: Need, now: float
 ) -> list[servers.Server]:
@@ -122,10 +138,7 @@
     now: float,
     rng: random.Random,
     extra_cost: abc.Callable[[servers.Server], float] = lambda _: 0.0,
-    by_completion: abc.Callable[
-        [abc.Sequence[Candidate]], servers.Server | None
-    ]
-    | None = None,
+    by_completion: ByCompletion | None = None,
 ) -> servers.Server | None:
     """Return the least loaded usable server with free capacity.
 
--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -150,14 +150,21 @@
                     now,
                     progress,
                 )
-                if isinstance(outcome, outcomes.Whole):
-                    self._capacity.on_completed(
-                        server,
-                        call.route.name,
-                        outcome.status,
-                        self._clock.now() - now,
-                        pace,
-                    )
+                seconds = self._clock.now() - now
+                match outcome:
+                    case outcomes.Whole(status):
+                        self._capacity.on_completed(
+                            server, call.route.name, status, seconds, pace
+                        )
+                    case outcomes.Streamed():
+                        self._capacity.on_streamed(
+                            server,
+                            call.terms.model,
+                            outcome.events,
+                            outcome.seconds,
+                            seconds,
+                            pace,
+                        )
                 return outcome
             if isinstance(sent.error, external_api.Unavailable):
                 return outcomes.NotRun(sent.error.reason, arrived=False)
@@ -186,6 +193,7 @@
             # That may be the answer of another server at this address.
             self._limits.on_answer(server.entry, terms, sent_at)
             self._notices.on_answer(server, terms)
+            self._capacity.on_answer(server, terms)
         try:
             if terms.not_executed:
                 # Servers may write a refusal again, where it would look like
@@ -224,7 +232,6 @@
         if terms.running is not None and terms.waiting is not None:
             total = terms.running + terms.waiting
             server.update_load(total, self._clock.now())
-            self._capacity.on_answer(server, terms)
         if terms.closing:
             marks.discard(response)
         elif terms.idle_seconds:
@@ -252,6 +259,7 @@
     ) -> outcomes.Outcome:
         relay.splitter.restart()
         progress.on_waiting(self._clock.now())
+        first_event, first_at, last_at = api.NO_EVENT, 0.0, 0.0
         with self._held.share() as share:
             async for chunk in _stream(response):
                 progress.on_received()
@@ -259,6 +267,9 @@
                 whole = relay.splitter.feed(chunk)
                 share.resize(relay.splitter.partial_bytes)
                 if whole.data:
+                    last_at = self._clock.now()
+                    if not first_at:
+                        first_event, first_at = whole.last_event, last_at
                     await progress.on_part()
                     await relay.start(response.status_code, headers)
                     # A hand-over may have ended the attempt before this.
@@ -270,7 +281,11 @@
         if relay.splitter.partial:
             raise events.BrokenStream('event_cut')
         await relay.start(response.status_code, headers)
-        return outcomes.Streamed(_framed(response))
+        return outcomes.Streamed(
+            _framed(response),
+            relay.splitter.last_event - first_event,
+            last_at - first_at,
+        )
 
 
 def _framed(response: httpx.Response) -> bool:
--- a/src/dogwoodquay/gateway/outcomes.py
+++ b/src/dogwoodquay/gateway/outcomes.py
@@ -51,9 +51,12 @@
     """The stream was sent to the caller up to its end.
 
     ``framed`` is whether that was marked, not just the connection's end.
+    ``events`` came in ``seconds``, from the end of the first one on.
     """
 
     framed: bool = True
+    events: int = 0
+    seconds: float = 0.0
 
 
 Outcome = NotRun | Broken | Whole | Streamed
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import functools
 import itertools
 import typing
 
@@ -100,6 +99,7 @@
     ) -> None:
         """Replace the declared services."""
         self._services = dict(services)
+        self._capacity.configure(services)
 
     def close(self) -> None:
         """End all waits without a server; later requests do not wait."""
@@ -212,7 +212,7 @@
         if server is None:
             return None
         server.begin()
-        self._capacity.on_begin(server)
+        self._capacity.on_own(server)
         self._counts.begin(call, server)
         return server
 
@@ -227,7 +227,7 @@
     ) -> None:
         """Record that a request has ended at a server."""
         server.end(started)
-        self._capacity.on_end(server)
+        self._capacity.on_own(server)
         self._counts.end(call, server)
         if self._waiters:
             self.assign_waiting()
@@ -360,25 +360,12 @@
             now,
             self._rng,
             self._limit_waits.extra_cost,
-            self._by_completion(need),
+            self._capacity.chooser(need),
         )
         if chosen is None and need.adapter:
             self._searches.search(need, candidates)
         return chosen
 
-    def _by_completion(
-        self, need: choice.Need
-    ) -> (
-        abc.Callable[[abc.Sequence[choice.Candidate]], servers.Server | None]
-        | None
-    ):
-        """Return what chooses between the servers of a paced service."""
-        if not self._capacity.paced(need.service) or need.model:
-            return None
-        return functools.partial(
-            self._capacity.choose, service=need.service, model=need.model
-        )
-
     def request_capacity(self, server: servers.Server) -> float:
         """Return the limit of a server's requests from all instances."""
         service = self._services.get(server.entry.service)
--- a/src/dogwoodquay/gateway/server_capacity.py
+++ b/src/dogwoodquay/gateway/server_capacity.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import typing
 
 from ..capacity import api as capacity_api
@@ -21,6 +22,7 @@
     from ..fleet import registry as registries
     from ..fleet import server as servers
     from . import metrics as gateway_metrics
+    from ..routes import api as routes_api
 
 __all__ = ['ServerCapacity']
 
@@ -32,6 +34,8 @@
 LOG_SECONDS: typing.Final = 1.0
 # The least change of a limit that is logged.
 LOGGED_CHANGE: typing.Final = 1.0
+# Streams with fewer events tell too little of the time between them.
+MIN_EVENTS: typing.Final = 8
 _OK: typing.Final = range(200, 300)
 
 
@@ -50,6 +54,7 @@
         self._rng = rng
         self._metrics = metrics
         self._capacities = core.Capacities()
+        self._engines: frozenset[str] = frozenset()
         # The limit that was logged last, and when.
         self._logged: dict[capacity_api.ServerKey, tuple[float, float]] = {}
         metrics.gauge(
@@ -68,6 +73,25 @@
         """What this instance knows of the servers."""
         return self._capacities
 
+    def configure(
+        self, services: abc.Mapping[str, routes_api.Service]
+    ) -> None:
+        """Set which services are engines, and forget those that changed."""
+        engines = frozenset(
+            name
+            for name, service in services.items()
+            if service.engine is not None
+        )
+        changed = engines ^ self._engines
+        self._engines = engines
+        self._capacities.keep_only(
+            {
+                key
+                for key, server in self._capacities.servers.items()
+                if server.service not in changed
+            }
+        )
+
     def paced(self, service: str) -> bool:
         """Whether a server of a service has stated its pace."""
         return self._capacities.paced(service)
@@ -91,41 +115,16 @@
             return None
         return self._of(server).pace_at_start(self._clock.now())
 
-    def choose(
-        self,
-        candidates: abc.Sequence[choice.Candidate],
-        service: str,
-        model: str,
-    ) -> servers.Server | None:
-        """Return the server of a paced service that is best for a request.
-
-        :return: ``None`` if none has room.
-        """
-        index = self._capacities.choose(
-            [
-                capacity_api.Candidate(
-                    self._known(item.server),
-                    item.server.in_flight,
-                    item.capacity,
-                    item.cost,
-                )
-                for item in candidates
-            ],
-            model,
-            self._clock.now(),
-            self._rng,
-        )
-        return None if index is None else candidates[index].server
-
-    def on_begin(self, server: servers.Server) -> None:
-        """Record that a request is sent to a server."""
-        if self.paced(server.entry.service):
-            self._of(server).on_own(1, self._clock.now())
+    def chooser(self, need: choice.Need) -> choice.ByCompletion | None:
+        """Return what chooses between the servers of a paced service."""
+        if not self.paced(need.service):
+            return None
+        return functools.partial(self._choose, need.model)
 
-    def on_end(self, server: servers.Server) -> None:
-        """Record that a request has ended at a server."""
+    def on_own(self, server: servers.Server) -> None:
+        """Record that a request of this instance has begun or ended."""
         if self.paced(server.entry.service):
-            self._of(server).on_own(-1, self._clock.now())
+            self._of(server).on_own(server.in_flight, self._clock.now())
 
     def on_answer(
         self, server: servers.Server, terms: api.AnswerTerms
@@ -157,13 +156,41 @@
         An error may be made without the work, so it tells nothing of the
         speed of a server.
         """
-        if status not in _OK or not self.paced(server.entry.service):
+        if status in _OK and self.paced(server.entry.service):
+            work = capacity_api.Work(kind, seconds, seconds)
+            self._apply(server, work, pace_at_start)
+
+    def on_streamed(
+        self,
+        server: servers.Server,
+        model: str,
+        events: int,
+        seconds: float,
+        whole_seconds: float,
+        pace_at_start: float | None,
+    ) -> None:
+        """Apply a complete stream by the time between its events.
+
+        :param events: those that came in ``seconds``, after the first.
+        """
+        if events < MIN_EVENTS or not self.paced(server.entry.service):
             return
-        key = self._known(server)
-        self._capacities.on_completed(
-            key, kind, seconds, pace_at_start, self._clock.now()
+        work = capacity_api.Work(
+            model, seconds, whole_seconds, events, False, model
         )
-        self._log_limit(key)
+        self._apply(server, work, pace_at_start)
+
+    def _apply(
+        self,
+        server: servers.Server,
+        work: capacity_api.Work,
+        pace_at_start: float | None,
+    ) -> None:
+        if work.seconds > 0.0:
+            key = self._known(server)
+            now = self._clock.now()
+            self._capacities.on_completed(key, work, pace_at_start, now)
+            self._log_limit(key)
 
     def load_rows(self) -> tuple[messages.CapacityRow, ...]:
         """Return what this instance has heard since its last load."""
@@ -202,6 +229,26 @@
             for row in reports:
                 self._log_limit(row.server)
 
+    def _choose(
+        self, model: str, candidates: abc.Sequence[choice.Candidate]
+    ) -> servers.Server | None:
+        """Return the best server for a request, ``None`` if none has room."""
+        index = self._capacities.choose(
+            [
+                capacity_api.Candidate(
+                    self._known(item.server),
+                    item.server.in_flight,
+                    item.capacity,
+                    item.cost,
+                )
+                for item in candidates
+            ],
+            model,
+            self._clock.now(),
+            self._rng,
+        )
+        return None if index is None else candidates[index].server
+
     def _reports(
         self, rows: tuple[messages.CapacityRow, ...], as_of: float
     ) -> list[capacity_api.Report]:
@@ -257,9 +304,7 @@
         _LOG.write('paced', service=service)
         now = self._clock.now()
         for server in self._registry.of_service(service):
-            known = self._of(server)
-            for _ in range(server.in_flight):
-                known.on_own(1, now)
+            self._of(server).on_own(server.in_flight, now)
 
     def _of(self, server: servers.Server) -> estimates.ServerEstimate:
         entry = server.entry
@@ -268,6 +313,7 @@
             entry.service,
             entry.slots,
             self._clock.now(),
+            learns_limit=entry.service not in self._engines,
         )
 
     def _known(self, server: servers.Server) -> capacity_api.ServerKey:
--- a/tests/unit/capacity/replay.py
+++ b/tests/unit/capacity/replay.py
@@ -16,7 +16,6 @@
 
 VIEW_SECONDS: typing.Final = 0.25
 LINK_SECONDS: typing.Final = 0.003
-OBJECTIVE_SECONDS: typing.Final = 0.4
 SERVER_QUEUE: typing.Final = 24
 PERIOD_SECONDS: typing.Final = 0.6
 OTHERS_SECONDS: typing.Final = 1.5
@@ -55,6 +54,7 @@
     slow_share: float = 0.15
     warm_seconds: float = 5.0
     view_seconds: float = VIEW_SECONDS
+    objective: float = 0.4
     owner_lost_at: float = 1e9
 
 
@@ -130,7 +130,7 @@
                         zip(keys, servers, strict=True)
                     )
                 ],
-                'r',
+                '',
                 now,
                 instance.rng,
             )
@@ -171,7 +171,7 @@
         item.sent_late += arrived >= load.warm_seconds
         instance.in_flight[index] += 1
         known = instance.capacities.servers[keys[index]]
-        known.on_own(1, now)
+        known.on_own(instance.in_flight[index], now)
         push(
             now + LINK_SECONDS,
             'reach',
@@ -228,13 +228,16 @@
                 known.add_news(now, 0.0, 0.0)
                 total = max(0, sum(figures[:2]) - instance.in_flight[index])
                 instance.others[index] = (total, now)
-                known.on_own(-1, now)
                 instance.in_flight[index] -= 1
+                known.on_own(instance.in_flight[index], now)
                 if status == 200:
                     instance.capacities.on_completed(
-                        keys[index], 'r', now - job[2], job[3], now
+                        keys[index],
+                        api.Work('r', now - job[2], now - job[2]),
+                        job[3],
+                        now,
                     )
-                late = now - job[0] > OBJECTIVE_SECONDS or status != 200
+                late = now - job[0] > load.objective or status != 200
                 results.append((job[0], not late, status == 503))
             case 'view':
                 number = data[0]
--- a/tests/unit/capacity/test_core.py
+++ b/tests/unit/capacity/test_core.py
@@ -29,7 +29,9 @@
         self.now += 0.1
         server = self.capacities.servers[key]
         server.on_figures(running, 0, 1.0, self.now)
-        self.capacities.on_completed(key, 'r', seconds, 1.0, self.now)
+        self.capacities.on_completed(
+            key, api.Work('r', seconds, seconds), 1.0, self.now
+        )
 
     def warm(self, count: int = 40, b_seconds: float = 0.1) -> None:
         """Let both servers answer some requests."""
@@ -44,7 +46,7 @@
             for key, count in zip((_A, _B), in_flight, strict=True)
         ]
         rng = random.Random(seed)
-        return self.capacities.choose(candidates, 'r', self.now, rng)
+        return self.capacities.choose(candidates, '', self.now, rng)
 
 
 class LearningTest(_CapacityCase):
@@ -54,7 +56,7 @@
         """The time of a request is expected to differ as it was measured."""
         self.warm(b_seconds=0.2)
         first, second = (
-            self.capacities.expected_seconds(key, 0.0, 'r', self.now)
+            self.capacities.expected_seconds(key, 0.0, '', self.now)
             for key in (_A, _B)
         )
         self.assertAlmostEqual(2.0, second / first, delta=0.2)
@@ -78,7 +80,10 @@
                     server = self.capacities.servers[key]
                     server.on_figures(1, 0, 1.0, self.now)
                     self.capacities.on_completed(
-                        key, kind, seconds, 1.0, self.now
+                        key,
+                        api.Work(kind, seconds, seconds),
+                        1.0,
+                        self.now,
                     )
         self.assertAlmostEqual(1.0, self.a.factor(self.now), delta=0.1)
 
@@ -193,7 +198,7 @@
     def test_own_requests_since(self) -> None:
         """Own requests sent after the figures are not among them."""
         self.a.on_own(1, self.now)
-        self.a.on_own(1, self.now + 0.2)
+        self.a.on_own(2, self.now + 0.2)
         self.a.on_figures(3, 0, 1.0, self.now + 0.1)
         self.assertEqual(2.0, self.a.others)
 
--- a/tests/unit/capacity/test_replay.py
+++ b/tests/unit/capacity/test_replay.py
@@ -90,6 +90,17 @@
         """Own samples alone are better than fixed weights."""
         self.compare(_mixed, owner_lost_at=8.0)
 
+    def test_long_requests(self) -> None:
+        """Engines with twelve slots run requests for seconds."""
+        self.compare(
+            lambda: _mixed(slots=12),
+            rate=16.0,
+            service_seconds=2.0,
+            objective=4.0,
+            seconds=120.0,
+            slow_share=0.0,
+        )
+
     def test_overload(self) -> None:
         """Where all are too slow, nobody is starved of requests."""
         learned = self.compare(_mixed, unequal=False, rate=280.0)
