--- a/src/dogwoodquay/fleet/choice.py
+++ b/src/dogwoodquay/fleet/choice.py
@@ -29,6 +29,9 @@
 # Upper bound of the random cost that keeps instances from all choosing the
 # same one of several equally loaded servers.
 JITTER: typing.Final = 0.02
+# Times of one request by which completion at a full server takes longer; an
+# extra cost of a whole capacity keeps requests away until others are full.
+FULL_TIMES: typing.Final = 4.0
 
 
 class Need(typing.NamedTuple):
@@ -58,8 +61,8 @@
 class Candidate(typing.NamedTuple):
     """A usable server and its capacity.
 
-    ``cost`` is what speaks against it beside its load, in shares of its
-    capacity, which equal about the time of one request.
+    ``cost`` is what speaks against it beside its load, in times of one
+    request.
     """
 
     server: servers.Server
@@ -160,7 +163,8 @@
             Candidate(
                 server,
                 capacity(server),
-                _cost(server, need, failure_domain) + extra_cost(server),
+                _cost(server, need, failure_domain)
+                + extra_cost(server) * FULL_TIMES,
             )
             for server in candidates
         ]
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -175,17 +175,17 @@
         self._notices = server_notices.ServerNotices(
             self._registry, clock, metrics
         )
+        self._capacity = server_capacity.ServerCapacity(
+            self._registry, clock, self._rng, metrics
+        )
         engines = adapters.engines(
             self._connections,
             settings.instance_id,
-            self._notices.on_engine_answer,
+            self._capacity.before(self._notices.on_engine_answer),
         )
         self._limits = server_limits.ServerLimits(
             members.member_name(settings), self._registry, clock, metrics
         )
-        self._capacity = server_capacity.ServerCapacity(
-            self._registry, clock, self._rng, metrics
-        )
         self._controller = controllers.Controller(
             self._ownership,
             self._registry,
--- a/src/dogwoodquay/gateway/server_capacity.py
+++ b/src/dogwoodquay/gateway/server_capacity.py
@@ -18,6 +18,7 @@
 
     from .. import clock as clocks
     from . import api
+    from ..fleet import api as fleet_api
     from ..fleet import choice
     from ..fleet import registry as registries
     from ..fleet import server as servers
@@ -143,6 +144,19 @@
         known.on_figures(terms.running, terms.waiting, pace, now)
         known.add_news(now, 0.0, 0.0)
 
+    def before(self, handler: api.AnswerHandler) -> api.AnswerHandler:
+        """Return a handler of engines' answers that applies them here too."""
+
+        def handle(
+            entry: fleet_api.ServerEntry, terms: api.AnswerTerms
+        ) -> None:
+            server = self._registry.get(entry.server_id)
+            if server and server.entry.started_ms == entry.started_ms:
+                self.on_answer(server, terms)
+            handler(entry, terms)
+
+        return handle
+
     def on_completed(
         self,
         server: servers.Server,
--- a/tests/unit/gateway/test_scheduler.py
+++ b/tests/unit/gateway/test_scheduler.py
@@ -55,6 +55,7 @@
         self.clock = clocks.ManualClock()
         self.registry = registries.Registry()
         self.limits = fakes.make_limits(self.registry, self.clock)
+        self.capacity = fakes.make_capacity(self.registry, self.clock)
         self.scheduler = schedulers.Scheduler(
             self.registry,
             'd1',
@@ -62,7 +63,7 @@
             fakes.rng(),
             _NoFinder(),
             self.limits,
-            fakes.make_capacity(self.registry, self.clock),
+            self.capacity,
         )
         service = routes_api.Service('models', '/healthz', 100, _SPEC)
         self.scheduler.configure({'models': service})
@@ -125,6 +126,40 @@
         self.assertEqual(0, self.scheduler.demand()['models', 'm'].waiting)
 
 
+class PacedServiceTest(_SchedulerCase):
+    """Servers of one plain service state their pace."""
+
+    async def _acquire(self) -> str:
+        call = self.call(model='')._replace(service='p')
+        deadline = self.clock.now() + 1.0
+        server = await self.scheduler.acquire(call, frozenset(), deadline)
+        return server.entry.server_id if server else ''
+
+    def _answer(self, server_id: str, load: bytes) -> None:
+        terms = headers.answer_terms(200, ((b'Server-Load', load),))
+        server = self.registry.servers[server_id]
+        self.capacity.on_answer(server, terms)
+
+    async def test_requests_are_reported(self) -> None:
+        """Requests in flight at plain servers count if these are paced."""
+        self.registry.update(entries.entry('a', service='p'), 0.0)
+        await self._acquire()
+        self._answer('a', b'1,0,4')
+        self.assertEqual({}, self.scheduler.running())
+        self._answer('a', b'1,0,4,100')
+        self.assertEqual({('a', ''): 1}, self.scheduler.running())
+
+    async def test_slow_server_is_avoided(self) -> None:
+        """A server that works at 2.5 times the usual time gets nothing."""
+        for server_id in ('a', 'b'):
+            self.registry.update(entries.entry(server_id, service='p'), 0.0)
+            self._answer(server_id, b'0,0,4,100')
+        self.clock.advance(0.01)
+        self._answer('a', b'0,0,4,250')
+        chosen = [await self._acquire() for _ in range(3)]
+        self.assertEqual(['b', 'b', 'b'], chosen)
+
+
 class UndeclaredModelTest(_SchedulerCase):
     """Requests for models that the configuration does not declare."""
 
