Test the ways of learned capacity through exchange and peering

Cause: the hooks of the learned capacity were tested by their parts alone.

Change: a loopback server that states its pace, one that answers 421, and three instances of which one hears a server's figures.

--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -196,6 +196,7 @@
         metrics = gateway_metrics.GatewayMetrics(self.metrics_page)
         limits = fakes.make_limits(self.registry, clock)
         capacity = fakes.make_capacity(self.registry, clock)
+        self.capacity = capacity
         self.scheduler = schedulers.Scheduler(
             self.registry, 'd1', clock, rng, _NoFinder(), limits, capacity
         )
--- a/tests/unit/gateway/test_peering.py
+++ b/tests/unit/gateway/test_peering.py
@@ -585,6 +585,18 @@
         rates = [item.limits.rate(self.entry) for item in self.instances]
         self.assertEqual([None] * 3, rates)
 
+    async def test_load_and_pace(self) -> None:
+        """What a server states of its load and pace, all know soon."""
+        load = (b'server-load', b'3,1,4,250')
+        terms = headers.answer_terms(200, (load,))
+        teller = self.instances[1]
+        teller.capacity.on_answer(teller.registry.servers['s1'], terms)
+        await self._publish(1)
+        key = server_limits.key_of(self.entry)
+        later = self.instances[2].capacity.capacities.servers[key]
+        self.assertEqual((3, 1), (later.running, later.waiting))
+        self.assertEqual(2.5, later.stated_pace)
+
     async def test_permits(self) -> None:
         """The instance that wants permits gets them at the limit's rate."""
         self._answer(self.instances[1], 4.0)
--- a/tests/unit/gateway/test_server_capacity.py
+++ b/tests/unit/gateway/test_server_capacity.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import typing
 import unittest
 
 from . import fakes
 from ..fleet import entries
+from . import loopback
 from dogwoodquay import clock as clocks
 from dogwoodquay.fleet import registry as registries
 from dogwoodquay.gateway import messages
@@ -39,6 +41,49 @@
         self.capacity.on_answer(self.server, terms)
 
 
+def _answers(status: int) -> loopback.Script:
+    """Return a script of answers that state the load and the pace."""
+
+    async def script(
+        request: loopback.Received, writer: asyncio.StreamWriter
+    ) -> bool:
+        attempt = request.headers['attempt-id']
+        head = (
+            f'HTTP/1.1 {status} x\r\nAttempt-Id: {attempt}\r\n'
+            'Response-Stamp: x\r\nServer-Load: 1,0,4,100\r\n'
+            'Content-Length: 0\r\n\r\n'
+        )
+        writer.write(head.encode())
+        await writer.drain()
+        return True
+
+    return script
+
+
+class ExchangeTest(unittest.IsolatedAsyncioTestCase):
+    """Answers to requests are what is learned from."""
+
+    async def test_complete_answers(self) -> None:
+        """Figures and times of complete answers are applied."""
+        site = loopback.Site(loopback.Upstream('u1', _answers(200)))
+        async with site.running():
+            site.configure(loopback.route())
+            for _ in range(6):
+                self.assertEqual(200, (await site.call()).status)
+            capacities = site.capacity.capacities
+            self.assertTrue(capacities.paced('s'))
+            self.assertGreater(capacities.usual_seconds('s', ''), 0.0)
+            self.assertLess(capacities.usual_seconds('s', ''), 0.1)
+
+    async def test_answer_of_another_server(self) -> None:
+        """A 421 may be the answer of another server at the address."""
+        site = loopback.Site(loopback.Upstream('u1', _answers(421)))
+        async with site.running():
+            site.configure(loopback.route(max_attempts=1))
+            await site.call(deadline_ms=400)
+            self.assertFalse(site.capacity.paced('s'))
+
+
 class ServerCapacityTest(unittest.TestCase):
     """Services are learned about only if their servers state their pace."""
 
