--- a/src/dogwoodquay/capacity/core.py
+++ b/src/dogwoodquay/capacity/core.py
@@ -238,10 +238,12 @@
         probes: list[int] = []
         for item in candidates:
             server = self._servers[item.server]
+            outlook = self._outlook(item, server, model, now)
             unheard = now - server.known_since > PROBE_SECONDS
-            if unheard and not item.in_flight:
+            has_room = outlook.load < outlook.capacity
+            if unheard and has_room and not item.in_flight:
                 probes.append(len(outlooks))
-            outlooks.append(self._outlook(item, server, model, now))
+            outlooks.append(outlook)
         if probes:
             rate = sum(item.others_rate for item in outlooks)
             if rng.random() * max(1.0, rate * PROBE_SPREAD_SECONDS) < 1.0:
