Remove an unused method of the concurrency limit

Cause: ServerEstimate weighs the limit by its age, so nothing relaxes it.

Change: ConcurrencyLimit.relax and the slots kept for it are gone.

--- a/src/dogwoodquay/capacity/limits.py
+++ b/src/dogwoodquay/capacity/limits.py
@@ -27,7 +27,6 @@
 
     def __init__(self, slots: int) -> None:
         self._highest = slots + EXTRA_SLOTS
-        self._slots = slots
         self._value = float(slots)
 
     @property
@@ -35,10 +34,6 @@
         """The number of requests, a fraction in general."""
         return self._value
 
-    def relax(self, share: float) -> None:
-        """Move towards the declared slots, as nothing is known any more."""
-        self._value += (self._slots - self._value) * share
-
     def on_sample(self, slowdown: float, running: float) -> None:
         """Apply a latency.
 
