--- a/src/dogwoodquay/gateway/contended.py
+++ b/src/dogwoodquay/gateway/contended.py
@@ -5,6 +5,8 @@
 import typing
 
 if typing.TYPE_CHECKING:
+    from collections import abc
+
     from ..routes import api as routes_api
 
 __all__ = ['ContendedServices']
@@ -16,21 +18,18 @@
     They are all services of a configuration that declares tenants, and those
     whose servers state the pace of their work. All others are served without
     these rules.
+
+    :param paced: whether the servers of a service state their pace.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, paced: abc.Callable[[str], bool]) -> None:
+        self._paced = paced
         self._tenants_declared = False
-        self._paced: set[str] = set()
 
     def configure(self, configuration: routes_api.Configuration) -> None:
         """Apply a configuration."""
-        self._tenants_declared = bool(configuration.tenants)
-        self._paced.intersection_update(configuration.services)
-
-    def on_pace(self, service: str) -> None:
-        """Record that a server of a service has stated its pace."""
-        self._paced.add(service)
+        self._tenants_declared = configuration.tenants_declared
 
     def includes(self, service: str) -> bool:
         """Whether a service is served under these rules."""
-        return self._tenants_declared or service in self._paced
+        return self._tenants_declared or self._paced(service)
--- a/src/dogwoodquay/gateway/controller.py
+++ b/src/dogwoodquay/gateway/controller.py
@@ -87,6 +87,11 @@
         self._groups: dict[str, groups.EngineGroup] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
 
+    @property
+    def demand(self) -> demands.DemandTracker:
+        """The loads of all instances."""
+        return self._demand
+
     def configure(
         self, services: abc.Mapping[str, routes_api.Service]
     ) -> None:
--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -21,6 +21,7 @@
     from ..external.http import client
     from ..fleet import server as servers
     from . import notices as server_notices
+    from . import server_capacity
     from . import server_limits
     from . import trace as traces
 
@@ -101,8 +102,10 @@
         clock: clocks.Clock,
         limits: server_limits.ServerLimits,
         notices: server_notices.ServerNotices,
+        capacity: server_capacity.ServerCapacity,
     ) -> None:
         self._notices = notices
+        self._capacity = capacity
         self._limits = limits
         self._connections = connections
         self._codec = codec
@@ -119,6 +122,7 @@
         """Run an attempt, until the deadline of the request at most."""
         entry = server.entry
         now = self._clock.now()
+        pace = self._capacity.pace_at_start(server)
         outgoing = api.AddedHeaders(
             entry.server_id,
             call.deadline - now,
@@ -140,7 +144,7 @@
             (call.terms.attempt_id,),
         ) as sent:
             if sent.is_ok():
-                return await self._read_answer(
+                outcome = await self._read_answer(
                     call,
                     server,
                     relay,
@@ -148,6 +152,22 @@
                     now,
                     progress,
                 )
+                seconds = self._clock.now() - now
+                match outcome:
+                    case outcomes.Whole(status):
+                        self._capacity.on_completed(
+                            server, call.route.name, status, seconds, pace
+                        )
+                    case outcomes.Streamed():
+                        self._capacity.on_streamed(
+                            server,
+                            call.terms.model,
+                            outcome.events,
+                            outcome.seconds,
+                            seconds,
+                            pace,
+                        )
+                return outcome
             if isinstance(sent.error, external_api.Unavailable):
                 return outcomes.NotRun(sent.error.reason, arrived=False)
             return outcomes.Broken(sent.error.reason)
@@ -175,6 +195,7 @@
             # That may be the answer of another server at this address.
             self._limits.on_answer(server.entry, terms, sent_at)
             self._notices.on_answer(server, terms)
+            self._capacity.on_answer(server, terms)
         try:
             if terms.not_executed:
                 # Servers may write a refusal again, where it would look like
@@ -240,6 +261,7 @@
     ) -> outcomes.Outcome:
         relay.splitter.restart()
         progress.on_waiting(self._clock.now())
+        first_event, first_at, last_at = api.NO_EVENT, 0.0, 0.0
         with self._held.share() as share:
             async for chunk in _stream(response):
                 progress.on_received()
@@ -247,6 +269,9 @@
                 whole = relay.splitter.feed(chunk)
                 share.resize(relay.splitter.partial_bytes)
                 if whole.data:
+                    last_at = self._clock.now()
+                    if not first_at:
+                        first_event, first_at = whole.last_event, last_at
                     await progress.on_part()
                     await relay.start(response.status_code, headers)
                     # A hand-over may have ended the attempt before this.
@@ -258,7 +283,11 @@
         if relay.splitter.partial:
             raise events.BrokenStream('event_cut')
         await relay.start(response.status_code, headers)
-        return outcomes.Streamed(_framed(response))
+        return outcomes.Streamed(
+            _framed(response),
+            relay.splitter.last_event - first_event,
+            last_at - first_at,
+        )
 
 
 def _framed(response: httpx.Response) -> bool:
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -14,6 +14,7 @@
     'AdapterFound',
     'AdapterInUse',
     'BrokenRow',
+    'CapacityRow',
     'ConfigurationBody',
     'CrashRow',
     'DepartureRow',
@@ -138,6 +139,25 @@
     seconds: float
 
 
+class CapacityRow(msgspec.Struct, frozen=True, array_like=True):
+    """What a server of a paced service has said, ``age`` seconds ago.
+
+    ``count`` requests were measured there, which took ``work`` usual times of
+    their kinds: since the last load, or in about the last second in a view.
+    ``others`` are the requests there of all but the receiver of a view.
+    """
+
+    server_id: str
+    started_ms: int
+    running: int
+    waiting: int
+    pace: float
+    age: float
+    count: float
+    work: float
+    others: int = 0
+
+
 class WantRow(msgspec.Struct, frozen=True, array_like=True):
     """Requests that wait for permits of a limited server, by priority."""
 
@@ -219,7 +239,8 @@
     ``limits`` is what it has heard itself of servers' limits lately, and
     ``wants`` the permits that its waiting requests could use. ``progress`` is
     that of its requests at servers which may stall, ``usage`` that of the
-    tenants with recent requests.
+    tenants with recent requests. ``capacities`` is what it has heard of
+    servers of paced services since its last load.
     """
 
     instance_id: str
@@ -239,6 +260,7 @@
     wants: tuple[WantRow, ...] = ()
     progress: tuple[ProgressRow, ...] = ()
     usage: tuple[UsageRow, ...] = ()
+    capacities: tuple[CapacityRow, ...] = ()
 
 
 class InstanceRow(msgspec.Struct, frozen=True, array_like=True):
@@ -287,6 +309,7 @@
     ``stalls`` are the servers that accept requests and answer none.
     ``allotments`` are the accounts of tenants with recent requests, ``None``
     where ``grants`` is.
+    ``capacities`` are the newest figures of servers of paced services.
     """
 
     owner: str
@@ -306,6 +329,7 @@
     grants: tuple[GrantRow, ...] | None = None
     stalls: tuple[StallRow, ...] = ()
     allotments: tuple[AccountRow, ...] | None = None
+    capacities: tuple[CapacityRow, ...] = ()
 
 
 class FindAdapter(wire_api.Message, frozen=True, tag='find'):
--- a/src/dogwoodquay/gateway/metrics.py
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -107,6 +107,10 @@
             'gateway_allotment_rows_dropped_total',
             'Rows of peers on the usage of tenants that cannot be true',
         )
+        self._learned_limits = registry.counter(
+            'gateway_learned_limits_total',
+            'Changes by one or more of what a server runs well at a time',
+        )
         self._configuration_reads = registry.counter(
             'gateway_configuration_reads_total',
             'Reads of the configuration',
@@ -241,6 +245,10 @@
         """Count rows of a peer that cannot be true."""
         self._allotment_rows_dropped.add(amount=count)
 
+    def learned_limit_changed(self) -> None:
+        """Count a logged change of a server's learned limit."""
+        self._learned_limits.add()
+
     def configuration_read(self, kind: str, outcome: str, size: int) -> None:
         """Count a read of the configuration and the bytes received."""
         self._configuration_reads.add(kind, outcome)
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -26,6 +26,7 @@
     from . import origins as stream_origins
     from . import ownership as order_ownership
     from . import scheduler as schedulers
+    from . import server_capacity
     from . import server_limits
     from . import stall_watch
     from . import tenant_accounts
@@ -61,10 +62,12 @@
         limits: server_limits.ServerLimits,
         stalls: stall_watch.StallWatch,
         accounts: tenant_accounts.TenantAccounts,
+        capacity: server_capacity.ServerCapacity,
     ) -> None:
         self._stalls = stalls
         self._limits = limits
         self._accounts = accounts
+        self._capacity = capacity
         self._transport = transport
         self._crashes = crashes
         crashes.on_report(self.publish_soon)
@@ -239,6 +242,7 @@
             *self._limits.load_rows(scheduler.permits_wanted()),
             progress=self._stalls.load_rows(),
             usage=self._accounts.load_rows(),
+            capacities=self._capacity.load_rows(),
         )
 
     def _on_load(
@@ -253,6 +257,7 @@
         view = self._controller.on_load(load)
         if view is None or not self._ownership.is_owner(now):
             return view
+        self._capacity.on_load(load)
         version, rows = self._roster.newer_than(load.roster_version, now)
         self._stalls.on_load(load)
         confirmed_at = self._ownership.confirmed_at
@@ -269,6 +274,9 @@
             grants=grants,
             stalls=self._stalls.view_rows(),
             allotments=allotments,
+            capacities=self._capacity.view_rows(
+                self._controller.demand.others_requests(load)
+            ),
         )
 
     def _apply_view(self, view: messages.FleetView, asked_at: float) -> None:
@@ -285,6 +293,7 @@
         self._limits.on_view(view, asked_at, is_owner)
         self._stalls.on_view(view, asked_at)
         self._accounts.on_view(view)
+        self._capacity.on_view(view, asked_at)
         if view.roster:
             self._applied_version = view.roster_version
             self._applied_roster = view.roster
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -37,6 +37,7 @@
 from . import resumption
 from ..retry import window
 from . import scheduler as schedulers
+from . import server_capacity
 from . import server_limits
 from . import serving
 from . import silence as silences
@@ -102,7 +103,6 @@
         self._idle = idle_connections.IdleConnections(
             self._connections, self._registry, settings.store, self._metrics
         )
-        self._contended = contended.ContendedServices()
         self._build(adapters)
 
     def stop(self) -> None:
@@ -180,10 +180,14 @@
         self._notices = server_notices.ServerNotices(
             self._registry, clock, metrics
         )
+        self._capacity = server_capacity.ServerCapacity(
+            self._registry, clock, self._rng, metrics
+        )
+        self._contended = contended.ContendedServices(self._capacity.paced)
         engines = adapters.engines(
             self._connections,
             settings.instance_id,
-            self._notices.on_engine_answer,
+            self._capacity.before(self._notices.on_engine_answer),
         )
         self._limits = server_limits.ServerLimits(
             members.member_name(settings), self._registry, clock, metrics
@@ -243,6 +247,7 @@
             self._limits,
             self._stalls,
             self._accounts,
+            self._capacity,
         )
         self._scheduler = schedulers.Scheduler(
             self._registry,
@@ -251,6 +256,7 @@
             self._rng,
             self._peering,
             self._limits,
+            self._capacity,
         )
         self._configuration = configuration_watch.ConfigurationWatch(
             store,
@@ -305,6 +311,7 @@
             self._clock,
             self._limits,
             self._notices,
+            self._capacity,
         )
         self._silence = silences.SilenceWatch(self._scheduler, self._clock)
         self._stalls.on_stalled(self._silence.expedite)
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -29,6 +29,7 @@
     from ..fleet import server as servers
     from ..ratelimit import api as limit_api
     from ..routes import api as routes_api
+    from . import server_capacity
     from . import server_limits
 
 __all__ = ['Scheduler']
@@ -67,8 +68,10 @@
         rng: random.Random,
         finder: adapter_search.AdapterFinder,
         limits: server_limits.ServerLimits,
+        capacity: server_capacity.ServerCapacity,
     ) -> None:
         self._limits = limits
+        self._capacity = capacity
         self._limit_waits = limit_waits.LimitWaits(limits, registry, clock)
         self._on_wanting: abc.Callable[[], None] = lambda: None
         self._registry = registry
@@ -97,6 +100,7 @@
     ) -> None:
         """Replace the declared services."""
         self._services = dict(services)
+        self._capacity.configure(services)
 
     def close(self) -> None:
         """End all waits without a server; later requests do not wait."""
@@ -120,8 +124,16 @@
         return self._counts.adapters_in_use()
 
     def running(self) -> dict[_Key, int]:
-        """Return the number of requests in flight by server and model."""
-        return self._counts.running()
+        """Return the number of requests in flight by server and model.
+
+        Those without a model count at servers of paced services only.
+        """
+        paced = self._capacity.paced_server
+        return {
+            key: count
+            for key, count in self._counts.running().items()
+            if key[1] or paced(key[0])
+        }
 
     def permits_wanted(self) -> list[limit_api.Want]:
         """Return the permits that waiting requests could use."""
@@ -201,6 +213,7 @@
         if server is None:
             return None
         server.begin()
+        self._capacity.on_own(server)
         self._counts.begin(call, server)
         return server
 
@@ -215,6 +228,7 @@
     ) -> None:
         """Record that a request has ended at a server."""
         server.end(started)
+        self._capacity.on_own(server)
         self._counts.end(call, server)
         if self._waiters:
             self.assign_waiting()
@@ -352,17 +366,20 @@
             now,
             self._rng,
             self._limit_waits.extra_cost,
+            self._capacity.chooser(need),
         )
         if chosen is None and need.adapter:
             self._searches.search(need, candidates)
         return chosen
 
-    def request_capacity(self, server: servers.Server) -> int:
+    def request_capacity(self, server: servers.Server) -> float:
         """Return the limit of a server's requests from all instances."""
         service = self._services.get(server.entry.service)
         if service is not None and service.engine is not None:
             return service.engine.slots + ENGINE_QUEUE_DEPTH
-        return server.entry.slots + SERVICE_QUEUE_DEPTH
+        learned = self._capacity.limit(server)
+        slots = server.entry.slots if learned is None else learned
+        return slots + SERVICE_QUEUE_DEPTH
 
     def _take_permit(self, server: servers.Server) -> None:
         self._limits.take(server.entry)
--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -199,8 +199,10 @@
         self.metrics_page = metrics_module.Registry('test')
         metrics = gateway_metrics.GatewayMetrics(self.metrics_page)
         limits = fakes.make_limits(self.registry, clock)
+        capacity = fakes.make_capacity(self.registry, clock)
+        self.capacity = capacity
         self.scheduler = schedulers.Scheduler(
-            self.registry, 'd1', clock, rng, _NoFinder(), limits
+            self.registry, 'd1', clock, rng, _NoFinder(), limits, capacity
         )
         self.freshness = Freshness()
         self.hold = start_hold.StartHold(clock)
@@ -211,7 +213,7 @@
         self.notices = notices.ServerNotices(self.registry, clock, metrics)
         self.notices.on_change(self.scheduler.assign_waiting)
         self.exchange = exchanges.Exchange(
-            self.connections, headers, clock, limits, self.notices
+            self.connections, headers, clock, limits, self.notices, capacity
         )
         self.tenancy = tenancy.Tenancy(headers, metrics)
         self.accounts = fakes.make_accounts(clock)
--- a/tests/unit/gateway/test_peering.py
+++ b/tests/unit/gateway/test_peering.py
@@ -25,6 +25,7 @@
 from dogwoodquay.gateway import peering
 from dogwoodquay.gateway import readers
 from dogwoodquay.gateway import scheduler as schedulers
+from dogwoodquay.gateway import server_capacity
 from dogwoodquay.gateway import server_limits
 from dogwoodquay.platform import headers
 from dogwoodquay.ratelimit import api as limit_api
@@ -129,6 +130,9 @@
             self.ownership.member, registry, clock, metrics
         )
         self.accounts = fakes.make_accounts(clock)
+        self.capacity = server_capacity.ServerCapacity(
+            registry, clock, fakes.rng(), metrics
+        )
         self.controller = controller.Controller(
             self.ownership,
             registry,
@@ -162,10 +166,17 @@
             self.limits,
             fakes.make_stalls(registry, clock, enabled=True),
             self.accounts,
+            self.capacity,
         )
         self.registry = registry
         self.scheduler = schedulers.Scheduler(
-            registry, 'd1', clock, fakes.rng(), self.peering, self.limits
+            registry,
+            'd1',
+            clock,
+            fakes.rng(),
+            self.peering,
+            self.limits,
+            self.capacity,
         )
 
     async def publish_load(self) -> None:
@@ -577,6 +588,18 @@
         rates = [item.limits.rate(self.entry) for item in self.instances]
         self.assertEqual([None] * 3, rates)
 
+    async def test_load_and_pace(self) -> None:
+        """What a server states of its load and pace, all know soon."""
+        load = (b'server-load', b'3,1,4,250')
+        terms = headers.answer_terms(200, (load,))
+        teller = self.instances[1]
+        teller.capacity.on_answer(teller.registry.servers['s1'], terms)
+        await self._publish(1)
+        key = server_limits.key_of(self.entry)
+        later = self.instances[2].capacity.capacities.servers[key]
+        self.assertEqual((3, 1), (later.running, later.waiting))
+        self.assertEqual(2.5, later.stated_pace)
+
     async def test_permits(self) -> None:
         """The instance that wants permits gets them at the limit's rate."""
         self._answer(self.instances[1], 4.0)
