--- a/src/dogwoodquay/fleet/queue.py
+++ b/src/dogwoodquay/fleet/queue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import operator
 import typing
 
 if typing.TYPE_CHECKING:
@@ -9,7 +10,7 @@
 
     from . import choice
 
-__all__ = ['RequestQueue', 'Ticket']
+__all__ = ['RequestQueue', 'Ticket', 'priority_rank']
 
 
 class Ticket(typing.NamedTuple):
@@ -17,6 +18,7 @@
 
     ``objective_at`` is when the first byte or a complete plain answer is due,
     and ``wait_deadline`` when the request leaves the queue unserved.
+    ``in_turn`` is whether a refused caller comes back when it was told to.
     """
 
     number: int
@@ -25,6 +27,7 @@
     wait_deadline: float
     entered_at: float
     need: choice.Need
+    in_turn: bool = False
 
 
 _NOBODY: typing.Final[frozenset[str]] = frozenset()
@@ -34,6 +37,13 @@
 _Server = typing.TypeVar('_Server')
 
 
+def priority_rank(ticket: Ticket, now: float) -> tuple[int, float]:
+    """Return the order of a request by priority and age."""
+    past_objective = now >= ticket.objective_at
+    penalty = PAST_OBJECTIVE_PENALTY if past_objective else 0
+    return ticket.priority + penalty, ticket.entered_at
+
+
 class RequestQueue:
     """Waiting requests, ordered by priority and then by age.
 
@@ -86,6 +96,7 @@
         choose: abc.Callable[[choice.Need], _Server | None],
         now: float,
         on_assigned: abc.Callable[[_Server], None] = lambda _: None,
+        rank: abc.Callable[[Ticket], tuple[float, ...] | None] | None = None,
     ) -> list[tuple[Ticket, _Server]]:
         """Remove and return the requests for which a server is available.
 
@@ -94,18 +105,19 @@
         servers cannot take, those with the same need.
 
         :param on_assigned: called before the next server is chosen.
+        :param rank: returns the order of requests, the first one lowest, and
+            ``None`` for those that wait for others' requests.
         """
-
-        def rank(ticket: Ticket) -> tuple[int, float]:
-            past_objective = now >= ticket.objective_at
-            order = ticket.priority + (
-                PAST_OBJECTIVE_PENALTY if past_objective else 0
-            )
-            return order, ticket.entered_at
-
+        rank = rank or (lambda ticket: priority_rank(ticket, now))
+        ranked = [
+            (order, ticket)
+            for ticket in self.tickets
+            if (order := rank(ticket)) is not None
+        ]
+        ranked.sort(key=operator.itemgetter(0))
         assigned = []
         full: set[choice.Need] = set()
-        for ticket in sorted(self._tickets.values(), key=rank):
+        for _, ticket in ranked:
             need = ticket.need
             common = need._replace(avoid=_NOBODY, successor=False)
             if need in full or common in full:
--- a/src/dogwoodquay/fleet/rate.py
+++ b/src/dogwoodquay/fleet/rate.py
@@ -19,9 +19,9 @@
         self._value = 0.0
         self._at = 0.0
 
-    def add(self, now: float) -> None:
-        """Count an event."""
-        self._value = self.at(now) + 1.0 / DECAY_SECONDS
+    def add(self, now: float, amount: float = 1.0) -> None:
+        """Count an event, or an amount."""
+        self._value = self.at(now) + amount / DECAY_SECONDS
         self._at = now
 
     def at(self, now: float) -> float:
--- a/src/dogwoodquay/gateway/limit_waits.py
+++ b/src/dogwoodquay/gateway/limit_waits.py
@@ -46,7 +46,7 @@
         self._limits = limits
         self._registry = registry
         self._clock = clock
-        self._returns = returns.ReturnTimes()
+        self._returns = returns.ReturnTimes[str]()
         self._used_at: dict[str, float] = {}
         self._turns = itertools.count()
 
--- a/src/dogwoodquay/overload/__init__.py
+++ b/src/dogwoodquay/overload/__init__.py
@@ -1,1 +1,1 @@
-"""Decides under load which requests wait, are refused, and when they return."""
+"""Decides which requests wait under load, and when refused ones return."""
--- /dev/null
+++ b/tests/unit/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of overload control."""
