Apply overload control in the scheduler and between instances

Cause: the decisions of the package overload were not used. Requests at full servers waited for half of their time and got 503 then.

Change: Scheduler._acquire refuses a request that cannot be answered in time, others wait until their latest start; assign_waiting drops those that have become hopeless and ranks the queue; a request that a full server rejected waits for a server whose load is known; Refusals sends the time at which the backlog has drained. Loads and views carry the pools and the turns. It takes effect where tenants are declared, and for services whose answers state a pace; elsewhere nothing changes.

--- a/src/dogwoodquay/fleet/server.py
+++ b/src/dogwoodquay/fleet/server.py
@@ -135,6 +135,10 @@
             return self._in_flight
         return self._others_load + self._in_flight
 
+    def load_known(self, now: float) -> bool:
+        """Whether the load of the other instances was reported lately."""
+        return now - self._others_load_at <= OTHERS_LOAD_SECONDS
+
     def update_entry(self, entry: api.ServerEntry, now: float) -> None:
         """Apply a newer entry of the same process."""
         self._entry = entry
--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -101,7 +101,9 @@
         clock: clocks.Clock,
         limits: server_limits.ServerLimits,
         notices: server_notices.ServerNotices,
+        on_paced: abc.Callable[[str], None] = lambda _: None,
     ) -> None:
+        self._on_paced = on_paced
         self._notices = notices
         self._limits = limits
         self._connections = connections
@@ -208,6 +210,8 @@
         response: httpx.Response,
         terms: api.AnswerTerms,
     ) -> None:
+        if terms.pace is not None:
+            self._on_paced(server.entry.service)
         if terms.running is not None and terms.waiting is not None:
             total = terms.running + terms.waiting
             server.update_load(total, self._clock.now())
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -124,7 +124,7 @@
                 )
                 with self._crashes.waiting(call) as scope:
                     server = await self._scheduler.acquire(
-                        call, avoid, deadline, version
+                        call, avoid, deadline, version, relay.started
                     )
                 if scope.cancelled_caught:
                     return self._refusals.end_quarantined(relay, may_have_run)
@@ -178,8 +178,13 @@
         in_flight = self._crashes.begin(call, server)
 
         async def on_started() -> None:
+            started_at = self._clock.now()
             if in_flight is not None:
-                in_flight.started_at = self._clock.now()
+                in_flight.started_at = started_at
+            if _is_whole(call, number):
+                self._scheduler.overload.times.on_first_event(
+                    call, started_at - now
+                )
             self._scheduler.on_answer_started(server)
             if not relay.started:
                 await self._versions.record(call, attempt.version)
@@ -250,7 +255,11 @@
             left=round(call.deadline - now, 3),
         )
         outcome = await self._exchange_contained(attempt, relay)
-        failures.update_health(call, server, outcome, self._clock.now())
+        ended_at = self._clock.now()
+        failures.update_health(call, server, outcome, ended_at)
+        self._scheduler.overload.on_outcome(
+            call, outcome, ended_at - now, _is_whole(call, attempt.number)
+        )
         self._crashes.end(attempt.in_flight, outcome)
         if isinstance(outcome, outcomes.NotRun) and not outcome.arrived:
             self._crashes.on_unreachable(server.entry)
@@ -326,3 +335,8 @@
         if server.load(now) > capacity * BUSY_SHARE:
             return math.inf
         return patience.head_patience(call, now)
+
+
+def _is_whole(call: api.Call, number: int) -> bool:
+    """Whether an attempt is for the answer from its begin."""
+    return number == 1 and not call.terms.takes_up_stream
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -34,9 +34,11 @@
     'OriginRow',
     'OriginsFound',
     'OriginsKept',
+    'PoolRow',
     'RunningRequests',
     'VerdictRow',
     'VersionDemand',
+    'WaitingRow',
     'WantRow',
 ]
 
@@ -155,6 +157,34 @@
     waiting: tuple[tuple[int, int], ...]
 
 
+class WaitingRow(msgspec.Struct, frozen=True, array_like=True):
+    """The requests of one priority that wait for a pool.
+
+    ``on_time`` can still meet their objective, ``late`` cannot; ``arriving``
+    is how many come per second.
+    """
+
+    priority: int
+    on_time: int
+    late: int
+    arriving: float
+
+
+class PoolRow(msgspec.Struct, frozen=True, array_like=True):
+    """The load of the servers of a plain service, or of a model.
+
+    ``completed`` is in answers per second, ``work`` in seconds at servers per
+    second, ``running`` the number of requests at servers.
+    """
+
+    service: str
+    model: str
+    completed: float
+    work: float
+    running: int
+    waiting: tuple[WaitingRow, ...]
+
+
 class InstanceLoad(wire_api.Message, frozen=True, tag='load'):
     """The load of one instance, sent to the owner.
 
@@ -168,6 +198,8 @@
     suspects of the last view that it has seen in a complete answer.
     ``limits`` is what it has heard itself of servers' limits lately, and
     ``wants`` the permits that its waiting requests could use.
+    ``pools`` are those under overload control with requests lately, and
+    ``turns`` the callers that it has refused (``overload.returns``).
     """
 
     instance_id: str
@@ -185,6 +217,8 @@
     verdicts: tuple[VerdictRow, ...] = ()
     limits: tuple[LimitRow, ...] = ()
     wants: tuple[WantRow, ...] = ()
+    pools: tuple[PoolRow, ...] = ()
+    turns: bytes = b''
 
 
 class InstanceRow(msgspec.Struct, frozen=True, array_like=True):
@@ -230,6 +264,8 @@
     the receiver, unless an earlier build sends none. ``limits`` are those of
     servers that the owner knows, ``grants`` the receiver's permits; ``None``
     if the owner may give out none, or if its build does not know of them.
+    ``pools`` are the sums of the others for the pools of the receiver, and
+    ``turns`` the callers that others have refused since its last view.
     """
 
     owner: str
@@ -247,6 +283,8 @@
     verdicts: tuple[VerdictRow, ...] | None = None
     limits: tuple[LimitRow, ...] = ()
     grants: tuple[GrantRow, ...] | None = None
+    pools: tuple[PoolRow, ...] = ()
+    turns: bytes = b''
 
 
 class FindAdapter(wire_api.Message, frozen=True, tag='find'):
--- a/src/dogwoodquay/gateway/metrics.py
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -95,6 +95,11 @@
             'gateway_permits_granted_total',
             'Permits for limited servers, given out by the owner',
         )
+        self._overload = registry.counter(
+            'gateway_overload_total',
+            'Decisions about requests for overloaded servers',
+            'reason',
+        )
         self._configuration_reads = registry.counter(
             'gateway_configuration_reads_total',
             'Reads of the configuration',
@@ -207,6 +212,10 @@
         """Count permits for limited servers that the owner gives out."""
         self._permits_granted.add(amount=count)
 
+    def overloaded(self, reason: str) -> None:
+        """Count a decision of overload control."""
+        self._overload.add(reason)
+
     def configuration_read(self, kind: str, outcome: str, size: int) -> None:
         """Count a read of the configuration and the bytes received."""
         self._configuration_reads.add(kind, outcome)
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -211,6 +211,7 @@
 
     def _load(self, scheduler: schedulers.Scheduler) -> messages.InstanceLoad:
         version, seconds = -1, None
+        pools, turns = scheduler.overload.load_rows()
         if self._configuration is not None:
             version = self._configuration.version
             if not self._configuration.versions.behind:
@@ -229,6 +230,8 @@
             seconds if seconds != math.inf else None,
             *self._crashes.load_rows(),
             *self._limits.load_rows(scheduler.permits_wanted()),
+            pools=pools,
+            turns=turns,
         )
 
     def _on_load(
@@ -245,6 +248,11 @@
             return view
         version, rows = self._roster.newer_than(load.roster_version, now)
         grants = self._limits.on_load(load, self._ownership.confirmed_at)
+        pools: tuple[messages.PoolRow, ...] = ()
+        turns = b''
+        if self._scheduler is not None:
+            exchange = self._scheduler.overload.exchange
+            pools, turns = exchange.on_load(load, now)
         return msgspec.structs.replace(
             view,
             roster_version=version,
@@ -254,6 +262,8 @@
             verdicts=self._crashes.verdict_rows(),
             limits=self._limits.view_rows(),
             grants=grants,
+            pools=pools,
+            turns=turns,
         )
 
     def _apply_view(self, view: messages.FleetView, asked_at: float) -> None:
@@ -290,6 +300,8 @@
             server.update_loaded(loaded, now)
             server.update_others_load(row.other_requests, now)
         if self._scheduler is not None:
+            exchange = self._scheduler.overload.exchange
+            exchange.on_view(view, asked_at, now)
             self._scheduler.update_loading(
                 {
                     (row.service, row.model): now + row.seconds
--- a/src/dogwoodquay/gateway/refusals.py
+++ b/src/dogwoodquay/gateway/refusals.py
@@ -79,7 +79,7 @@
             return self._refuse_limited(call, version)
         if reason is api.RefusalReason.SERVERS_PAUSED:
             return self._refuse_paused(call, version)
-        return self._refuse_not_run(reason)
+        return self._refuse_not_run(call, reason)
 
     def end_quarantined(
         self, relay: exchanges.Relay, may_have_run: bool
@@ -107,7 +107,7 @@
         reason = api.RefusalReason.RATE_LIMITED
         pause = self._scheduler.seconds_until_permit(call, version)
         if pause is None:
-            return self._refuse_not_run(reason)
+            return self._refuse_not_run(call, reason)
         return api.Refusal(reason, _UNAVAILABLE, self._with_jitter(pause))
 
     def _refuse_paused(
@@ -148,7 +148,7 @@
             return outcome
         if not may_have_run:
             return self._refuse_not_run(
-                api.RefusalReason.SERVERS_REFUSED, verdict.reason
+                call, api.RefusalReason.SERVERS_REFUSED, verdict.reason
             )
         past_deadline = self._clock.now() >= call.deadline
         return api.Refusal(
@@ -159,12 +159,16 @@
         )
 
     def _refuse_not_run(
-        self, reason: api.RefusalReason, detail: str = ''
+        self, call: api.Call, reason: api.RefusalReason, detail: str = ''
     ) -> api.Refusal:
         """Refuse a request that did not run, with the time to retry."""
         pause = RETRY_AFTER_SECONDS
         if reason is api.RefusalReason.STOPPING:
             pause = api.OTHER_INSTANCE_RETRY_SECONDS
+        else:
+            planned = self._scheduler.overload.retry_after(call)
+            if planned is not None:
+                return api.Refusal(reason, _UNAVAILABLE, planned, detail)
         return api.Refusal(
             reason, _UNAVAILABLE, self._with_jitter(pause), detail
         )
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -30,6 +30,7 @@
 from ..observe import supervise
 from . import origin_log
 from . import origins as stream_origins
+from . import overload_control
 from . import ownership as order_ownership
 from . import peering as peerings
 from . import resumption
@@ -229,6 +230,9 @@
             self._crashes,
             self._limits,
         )
+        self._overload = overload_control.OverloadControl(
+            self._registry, clock, metrics
+        )
         self._scheduler = schedulers.Scheduler(
             self._registry,
             settings.failure_domain,
@@ -236,6 +240,7 @@
             self._rng,
             self._peering,
             self._limits,
+            self._overload,
         )
         self._configuration = configuration_watch.ConfigurationWatch(
             store,
@@ -283,6 +288,7 @@
             self._clock,
             self._limits,
             self._notices,
+            self._overload.on_paced,
         )
         self._silence = silences.SilenceWatch(self._scheduler, self._clock)
         budget = window.RetryWindow(
@@ -322,6 +328,7 @@
 
     def _configure(self, configuration: routes_api.Configuration) -> None:
         self._app.configure(configuration)
+        self._overload.configure(bool(configuration.tenants))
         self._scheduler.configure(configuration.services)
         self._controller.configure(configuration.services)
         self._callers.keep_idle(configuration.limits.idle_timeout_seconds)
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -16,13 +16,13 @@
 from . import model_demand
 from ..observe import logs
 from . import outlook as server_outlook
+from . import overload_control
+from . import refusal_reasons
 
 if typing.TYPE_CHECKING:
     from collections import abc
     import random
 
-    import anyio.abc
-
     from .. import clock as clocks
     from ..fleet import registry as registries
     from ..fleet import server as servers
@@ -67,6 +67,7 @@
         rng: random.Random,
         finder: adapter_search.AdapterFinder,
         limits: server_limits.ServerLimits,
+        overload: overload_control.OverloadControl | None = None,
     ) -> None:
         self._limits = limits
         self._limit_waits = limit_waits.LimitWaits(limits, registry, clock)
@@ -85,6 +86,15 @@
         self._counts = model_demand.RequestCounts()
         self._closed = False
         self._outlook = server_outlook.ServerOutlook(registry, clock)
+        self._overload = overload or overload_control.OverloadControl(
+            registry, clock
+        )
+        self._overload.attach(self._queue.tickets, self.request_capacity)
+
+    @property
+    def overload(self) -> overload_control.OverloadControl:
+        """Which requests wait, and when refused callers return."""
+        return self._overload
 
     @property
     def waiting(self) -> int:
@@ -149,6 +159,7 @@
     def record_arrival(self, call: api.Call) -> None:
         """Count a caller's request in the arrival rate of its model."""
         self._limit_waits.record_use(call.service)
+        self._overload.on_arrival(call)
         if call.terms.model:
             self._counts.of(call).rate.add(self._clock.now())
 
@@ -158,6 +169,7 @@
         avoid: frozenset[str],
         wait_deadline: float,
         version: str | None = None,
+        started: bool = False,
     ) -> servers.Server | None:
         """Return a server for a request, ``None`` if none becomes free.
 
@@ -167,9 +179,10 @@
         :param wait_deadline: when the request stops waiting.
         :param version: the only software version of servers that may be used.
             The wait ends when no server of it is left.
+        :param started: whether the caller has got a part of the answer.
         """
         need = self._need(call, avoid, version)
-        return await self._acquire(call, need, wait_deadline)
+        return await self._acquire(call, need, wait_deadline, started)
 
     async def acquire_successor(
         self,
@@ -186,21 +199,31 @@
         return await self._acquire(call, need, wait_deadline)
 
     async def _acquire(
-        self, call: api.Call, need: choice.Need, wait_deadline: float
+        self,
+        call: api.Call,
+        need: choice.Need,
+        wait_deadline: float,
+        started: bool = False,
     ) -> servers.Server | None:
         if self._outlook.snapshot().is_hopeless(need, wait_deadline):
             return None
-        server = None if self._queue.has_unserved else self._choose(need)
+        waits = self._queue.has_unserved
+        if not started:
+            waits = waits or self._overload.yields(call, need)
+        server = None if waits else self._choose(need)
         if server is not None:
             self._take_permit(server)
         elif not self._closed and self._limit_waits.admits(
             need, call, wait_deadline, self._queue.tickets
         ):
-            server = await self._wait(call, need, wait_deadline)
+            place = self._overload.place(call, need, wait_deadline, started)
+            if place is not None:
+                server = await self._wait(call, need, place)
         if server is None:
             return None
         server.begin()
         self._counts.begin(call, server)
+        self._overload.on_started(call)
         return server
 
     def on_answer_started(self, server: servers.Server) -> None:
@@ -215,6 +238,7 @@
         """Record that a request has ended at a server."""
         server.end(started)
         self._counts.end(call, server)
+        self._overload.on_ended(call)
         if self._waiters:
             self.assign_waiting()
 
@@ -228,10 +252,18 @@
             if outlook.is_hopeless(ticket.need, ticket.wait_deadline):
                 self._queue.discard(ticket.number)
                 self._resolve(ticket.number, None)
-        for ticket in self._limit_waits.overdue(self._queue.tickets):
-            self._queue.discard(ticket.number)
-            self._resolve(ticket.number, None)
-        assigned = self._queue.assign(self._choose, now, self._take_permit)
+        for overdue in (
+            self._limit_waits.overdue(self._queue.tickets),
+            self._overload.overdue(),
+        ):
+            for ticket in overdue:
+                self._queue.discard(ticket.number)
+                self._resolve(ticket.number, None)
+        rank = self._overload.rank(now)
+        assigned = self._queue.assign(
+            self._choose, now, self._take_permit, rank
+        )
+        self._overload.on_assigned([ticket for ticket, _ in assigned], now)
         for ticket, server in assigned:
             # Counted at once, so that the next choice considers it.
             server.begin()
@@ -244,21 +276,7 @@
         if self._closed:
             return api.RefusalReason.STOPPING
         need = self._need(call, frozenset(), version)
-        candidates = self._outlook.permitted(need)
-        if not candidates and version is not None:
-            return api.RefusalReason.VERSION_GONE
-        if not candidates:
-            return api.RefusalReason.NO_SERVER
-        terms = call.terms
-        if not any(
-            item.has_loaded(terms.model, terms.adapter) for item in candidates
-        ):
-            return api.RefusalReason.MODEL_ABSENT
-        if self._outlook.pause_end(need) is not None:
-            return api.RefusalReason.SERVERS_PAUSED
-        if self._limit_waits.all_limited(need):
-            return api.RefusalReason.RATE_LIMITED
-        return api.RefusalReason.OVERLOADED
+        return refusal_reasons.reason(need, self._outlook, self._limit_waits)
 
     def seconds_until_permit(
         self, call: api.Call, version: str | None
@@ -291,7 +309,10 @@
         self._counts.of(call).retry_at.append(self._clock.now() + seconds)
 
     async def _wait(
-        self, call: api.Call, need: choice.Need, wait_deadline: float
+        self,
+        call: api.Call,
+        need: choice.Need,
+        place: overload_control.Place,
     ) -> servers.Server | None:
         number = next(self._ticket_numbers)
         waiter = self._waiters[number] = _Waiter()
@@ -299,10 +320,11 @@
             queue.Ticket(
                 number,
                 call.route.priority,
-                call.objective_at,
-                wait_deadline,
+                place.objective_at,
+                place.wait_deadline,
                 self._clock.now(),
                 need,
+                place.in_turn,
             )
         )
         try:
@@ -363,7 +385,9 @@
 
     def _available_capacity(self, server: servers.Server) -> float:
         """Return a server's capacity, zero at a limit of new requests."""
-        if not self._limits.available(server.entry):
+        if not self._limits.available(server.entry) or self._overload.holds(
+            server
+        ):
             return 0.0
         service = self._services.get(server.entry.service)
         engine = service is not None and service.engine is not None
--- a/src/dogwoodquay/overload/backlog.py
+++ b/src/dogwoodquay/overload/backlog.py
@@ -22,6 +22,9 @@
 OTHERS_SECONDS: typing.Final = 2.0
 # The share of a pool that is left to requests that others overtake.
 LEAST_SHARE: typing.Final = 0.1
+# The least share of the callers of a pool that an instance can expect: more
+# than a hundred instances do not share one.
+LEAST_OWN_SHARE: typing.Final = 0.01
 # Larger figures of a peer are false: they exceed what one instance holds.
 MAX_COUNT: typing.Final = 10_000
 MAX_RATE: typing.Final = 10_000.0
@@ -55,6 +58,14 @@
             item.on_time + item.late for item in (*self.own, *self.others)
         )
 
+    @property
+    def own_rate(self) -> float:
+        """The part of the drain rate that this instance can expect."""
+        own = sum(row.arriving for row in self.own)
+        others = sum(row.arriving for row in self.others)
+        share = own / (own + others) if own else 0.0
+        return (self.drain or 0.0) * max(share, LEAST_OWN_SHARE)
+
     def seconds(self, ahead: float, overtaking: float) -> float:
         """Return the time until a request on time starts.
 
@@ -102,10 +113,11 @@
         """Whether requests have come or ended lately."""
         return now - self._active_at < 2 * rates.DECAY_SECONDS
 
-    @property
-    def running(self) -> int:
-        """The number of this instance's requests at servers."""
-        return self._running
+    def others_waiting(self, now: float) -> int:
+        """Return how many requests waited at other instances lately."""
+        if now - self._others_at > OTHERS_SECONDS:
+            return 0
+        return sum(row.on_time + row.late for row in self._others.waiting)
 
     def on_arrival(self, priority: int, now: float) -> None:
         """Count a request of this instance."""
--- a/src/dogwoodquay/overload/returns.py
+++ b/src/dogwoodquay/overload/returns.py
@@ -11,7 +11,7 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
-__all__ = ['Return', 'ReturnPlan', 'Turn', 'Turns']
+__all__ = ['ReturnPlan', 'Turn', 'Turns']
 
 # Callers retry after this time at the earliest, and ignore times of more than
 # this share of the time that they have left.
@@ -75,16 +75,6 @@
     objective_at: float
 
 
-class Return(typing.NamedTuple):
-    """A refused caller that has come back.
-
-    ``in_turn`` is whether it waited until it was told to return.
-    """
-
-    in_turn: bool
-    objective_at: float
-
-
 class Turns:
     """Remembers which callers were refused with a time to come back.
 
@@ -113,8 +103,8 @@
         if len(self._unsent) < MAX_ROWS:
             self._unsent[key] = turn
 
-    def take(self, identity: str, now: float) -> Return | None:
-        """Return what is known of a caller that was refused before.
+    def take(self, identity: str, now: float) -> Turn | None:
+        """Return the turn of a caller that was refused before.
 
         A turn counts once. A caller that is early keeps it.
         """
@@ -126,7 +116,7 @@
             return None
         if now >= turn.begins_at:
             del self._turns[key]
-        return Return(turn.begins_at <= now <= turn.ends_at, turn.objective_at)
+        return turn if now <= turn.ends_at else None
 
     def load_rows(self, now: float) -> bytes:
         """Return the turns that the owner has not got yet."""
