--- a/src/dogwoodquay/gateway/overload_peers.py
+++ b/src/dogwoodquay/gateway/overload_peers.py
@@ -18,6 +18,8 @@
 
 # Pools in one message, those with the most waiting requests.
 MAX_ROWS: typing.Final = 64
+# Pools that are remembered: callers may name any model at a plain service.
+MAX_POOLS: typing.Final = 1_024
 
 _Rows = tuple[messages.PoolRow, ...]
 
@@ -44,6 +46,8 @@
         """Return the backlog of a pool."""
         known = self._pools.get(pool)
         if known is None:
+            while len(self._pools) >= MAX_POOLS:
+                del self._pools[next(iter(self._pools))]
             known = self._pools[pool] = backlogs.PoolBacklog()
         return known
 
--- a/src/dogwoodquay/overload/backlog.py
+++ b/src/dogwoodquay/overload/backlog.py
@@ -131,7 +131,7 @@
 
     def on_ended(self) -> None:
         """Count the end of a request at a server."""
-        self._running -= 1
+        self._running = max(0, self._running - 1)
 
     def on_completed(self, seconds: float, now: float) -> None:
         """Count a complete answer and the time that it took."""
