--- a/tests/unit/gateway/test_messages.py
+++ b/tests/unit/gateway/test_messages.py
@@ -53,6 +53,13 @@
         self.assertIsNone(view.grants)
         self.assertEqual((), view.limits)
 
+    def test_without_pools(self) -> None:
+        """Guards against an old owner's view that is taken for a backlog."""
+        earlier = _EarlierView('front-1@127.0.0.1:1', (), (), 3, 4)
+        form = msgspec.to_builtins(earlier)
+        view = msgspec.convert(form, messages.FleetView)
+        self.assertEqual(((), b''), (view.pools, view.turns))
+
 
 class _EarlierLoad(wire_api.Message, frozen=True, tag='load'):
     """The load before it told of waiting requests by software version."""
