Keep late requests that wait while a flood may end

Cause: late requests that already waited were dropped as soon as the arrival rate, which decays over 2.5 s, reached the drain rate, also after a burst that had ended.

Change: while they wait, late requests count on a tenth of the drain rate. At arrival they are refused as before while as many come as drain.

--- a/src/dogwoodquay/overload/admission.py
+++ b/src/dogwoodquay/overload/admission.py
@@ -5,12 +5,11 @@
 import typing
 
 from . import api
+from . import backlog
 
 if typing.TYPE_CHECKING:
     from collections import abc
 
-    from . import backlog
-
 __all__ = ['decide', 'late_backlog', 'overdue', 'yields']
 
 _Item = typing.TypeVar('_Item')
@@ -86,7 +85,7 @@
             if (is_late, priority) < (late, request.priority):
                 ahead += count
         seconds = (
-            pool.late_seconds(ahead)
+            pool.late_seconds(ahead, backlog.LEAST_SHARE)
             if late
             else pool.seconds(ahead, _more_urgent(request, rows))
         )
--- a/src/dogwoodquay/overload/backlog.py
+++ b/src/dogwoodquay/overload/backlog.py
@@ -12,7 +12,7 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
-__all__ = ['PoolBacklog', 'State', 'Totals', 'plausible']
+__all__ = ['LEAST_SHARE', 'PoolBacklog', 'State', 'Totals', 'plausible']
 
 # With fewer completions in the time over which they are averaged, the drain
 # rate of a pool is unknown: a single long answer would decide it.
@@ -20,7 +20,8 @@
 # What other instances reported is used for so long. An owner is replaced, or
 # a load arrives late, within this time.
 OTHERS_SECONDS: typing.Final = 2.0
-# The share of a pool that is left to requests that others overtake.
+# The share of a pool that is left to requests that others overtake. Late ones
+# that wait count on it too: the overtaking may end soon.
 LEAST_SHARE: typing.Final = 0.1
 # The least share of the callers of a pool that an instance can expect: more
 # than a hundred instances do not share one.
@@ -78,12 +79,13 @@
         share = self.drain - overtaking
         return ahead / max(share, self.drain * LEAST_SHARE)
 
-    def late_seconds(self, ahead: float) -> float:
+    def late_seconds(self, ahead: float, least_share: float = 0.0) -> float:
         """Return the time until a request starts that all others overtake.
 
         Infinite while as many requests come as the pool takes.
 
         :param ahead: the requests that go before it now.
+        :param least_share: the part of the drain rate that is left at least.
         """
         if not self.drain:
             return 0.0
@@ -91,7 +93,7 @@
         if not ahead:
             return 0.0
         arriving = sum(row.arriving for row in (*self.own, *self.others))
-        share = self.drain - arriving
+        share = max(self.drain - arriving, self.drain * least_share)
         return ahead / share if share > 0 else math.inf
 
 
--- a/src/dogwoodquay/overload/order.py
+++ b/src/dogwoodquay/overload/order.py
@@ -5,6 +5,7 @@
 import typing
 
 from . import api
+from . import backlog
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -14,9 +15,9 @@
 __all__ = ['FeasibleOrder', 'Rank']
 
 # Of the servers that become free while more urgent requests wait, one in ten
-# goes to a less urgent request whose objective comes near. A smaller share
-# than ``backlog.LEAST_SHARE`` would refuse such requests by a false estimate.
-LEAST_SHARE: typing.Final = 0.1
+# goes to a less urgent request whose objective comes near. Admission counts
+# on this share.
+LEAST_SHARE: typing.Final = backlog.LEAST_SHARE
 # An objective is near when this share of the time until it is left.
 NEAR_SHARE: typing.Final = 0.5
 # Pools whose share is remembered.
--- a/tests/unit/gateway/test_overload_control.py
+++ b/tests/unit/gateway/test_overload_control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import typing
 import unittest
 from unittest import mock
@@ -15,6 +16,7 @@
 from dogwoodquay import clock as clocks
 from dogwoodquay.fleet import choice
 from dogwoodquay.fleet import queue
+from dogwoodquay.fleet import rate
 from dogwoodquay.fleet import registry as registries
 from dogwoodquay.gateway import api
 from dogwoodquay.gateway import messages
@@ -246,3 +248,32 @@
         assert rank is not None
         self.assertIsNone(rank(tickets[0]))
         self.assertIsNotNone(rank(tickets[1]))
+
+
+class ForwarderTest(unittest.IsolatedAsyncioTestCase):
+    """Requests pass a gateway under control."""
+
+    async def test_answers_are_counted(self) -> None:
+        """Guards against a drain rate that stays unknown."""
+
+        async def script(
+            request: loopback.Received, writer: asyncio.StreamWriter
+        ) -> bool:
+            await asyncio.sleep(0.05)
+            writer.write(
+                b'HTTP/1.1 200 OK\r\nAttempt-Id: c0ffee\r\n'
+                b'Response-Stamp: 1\r\nContent-Length: 2\r\n\r\nab'
+            )
+            return True
+
+        upstream = loopback.Upstream('u1', script)
+        async with loopback.Site(upstream).running() as site:
+            site.configure(loopback.route())
+            control = site.scheduler.overload
+            control.configure(True)
+            answers = await asyncio.gather(*(site.call() for _ in range(12)))
+        self.assertEqual({200}, {answer.status for answer in answers})
+        (row,), _ = control.load_rows()
+        self.assertEqual(('s', '', 0), (row.service, row.model, row.running))
+        self.assertGreater(row.completed * rate.DECAY_SECONDS, 3.0)
+        self.assertGreater(row.work / row.completed, 0.05)
