--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -37,11 +37,13 @@
     'OriginsFound',
     'OriginsKept',
     'ProgressRow',
+    'PoolRow',
     'RunningRequests',
     'StallRow',
     'UsageRow',
     'VerdictRow',
     'VersionDemand',
+    'WaitingRow',
     'WantRow',
 ]
 
@@ -225,6 +227,34 @@
     part: float
 
 
+class WaitingRow(msgspec.Struct, frozen=True, array_like=True):
+    """The requests of one priority that wait for a pool.
+
+    ``on_time`` can still meet their objective, ``late`` cannot; ``arriving``
+    is how many come per second.
+    """
+
+    priority: int
+    on_time: int
+    late: int
+    arriving: float
+
+
+class PoolRow(msgspec.Struct, frozen=True, array_like=True):
+    """The load of the servers of a plain service, or of a model.
+
+    ``completed`` is in answers per second, ``work`` in seconds at servers per
+    second, ``running`` the number of requests at servers.
+    """
+
+    service: str
+    model: str
+    completed: float
+    work: float
+    running: int
+    waiting: tuple[WaitingRow, ...]
+
+
 class InstanceLoad(wire_api.Message, frozen=True, tag='load'):
     """The load of one instance, sent to the owner.
 
@@ -240,7 +270,9 @@
     ``wants`` the permits that its waiting requests could use. ``progress`` is
     that of its requests at servers which may stall, ``usage`` that of the
     tenants with recent requests. ``capacities`` is what it has heard of
-    servers of paced services since its last load.
+    servers of paced services since its last load. ``pools`` are those under
+    overload control with requests lately, and ``turns`` the callers that it
+    has refused (``overload.returns``).
     """
 
     instance_id: str
@@ -261,6 +293,8 @@
     progress: tuple[ProgressRow, ...] = ()
     usage: tuple[UsageRow, ...] = ()
     capacities: tuple[CapacityRow, ...] = ()
+    pools: tuple[PoolRow, ...] = ()
+    turns: bytes = b''
 
 
 class InstanceRow(msgspec.Struct, frozen=True, array_like=True):
@@ -310,6 +344,8 @@
     ``allotments`` are the accounts of tenants with recent requests, ``None``
     where ``grants`` is.
     ``capacities`` are the newest figures of servers of paced services.
+    ``pools`` are the sums of the others for the pools of the receiver, and
+    ``turns`` the callers that others have refused since its last view.
     """
 
     owner: str
@@ -330,6 +366,8 @@
     stalls: tuple[StallRow, ...] = ()
     allotments: tuple[AccountRow, ...] | None = None
     capacities: tuple[CapacityRow, ...] = ()
+    pools: tuple[PoolRow, ...] = ()
+    turns: bytes = b''
 
 
 class FindAdapter(wire_api.Message, frozen=True, tag='find'):
--- a/src/dogwoodquay/gateway/metrics.py
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -111,6 +111,11 @@
             'gateway_learned_limits_total',
             'Changes by one or more of what a server runs well at a time',
         )
+        self._overload = registry.counter(
+            'gateway_overload_total',
+            'Decisions about requests for overloaded servers',
+            'reason',
+        )
         self._configuration_reads = registry.counter(
             'gateway_configuration_reads_total',
             'Reads of the configuration',
@@ -249,6 +254,10 @@
         """Count a logged change of a server's learned limit."""
         self._learned_limits.add()
 
+    def overloaded(self, reason: str) -> None:
+        """Count a decision of overload control."""
+        self._overload.add(reason)
+
     def configuration_read(self, kind: str, outcome: str, size: int) -> None:
         """Count a read of the configuration and the bytes received."""
         self._configuration_reads.add(kind, outcome)
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -222,6 +222,7 @@
 
     def _load(self, scheduler: schedulers.Scheduler) -> messages.InstanceLoad:
         version, seconds = -1, None
+        pools, turns = scheduler.overload.load_rows()
         if self._configuration is not None:
             version = self._configuration.version
             if not self._configuration.versions.behind:
@@ -243,6 +244,8 @@
             progress=self._stalls.load_rows(),
             usage=self._accounts.load_rows(),
             capacities=self._capacity.load_rows(),
+            pools=pools,
+            turns=turns,
         )
 
     def _on_load(
@@ -263,6 +266,11 @@
         confirmed_at = self._ownership.confirmed_at
         grants = self._limits.on_load(load, confirmed_at)
         allotments = self._accounts.on_load(load, confirmed_at)
+        pools: tuple[messages.PoolRow, ...] = ()
+        turns = b''
+        if self._scheduler is not None:
+            exchange = self._scheduler.overload.exchange
+            pools, turns = exchange.on_load(load, now)
         return msgspec.structs.replace(
             view,
             roster_version=version,
@@ -277,6 +285,8 @@
             capacities=self._capacity.view_rows(
                 self._controller.demand.others_requests(load)
             ),
+            pools=pools,
+            turns=turns,
         )
 
     def _apply_view(self, view: messages.FleetView, asked_at: float) -> None:
@@ -317,6 +327,8 @@
             server.update_loaded(loaded, now)
             server.update_others_load(row.other_requests, now)
         if self._scheduler is not None:
+            exchange = self._scheduler.overload.exchange
+            exchange.on_view(view, asked_at, now)
             self._scheduler.update_loading(
                 {
                     (row.service, row.model): now + row.seconds
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -31,6 +31,7 @@
 from ..observe import supervise
 from . import origin_log
 from . import origins as stream_origins
+from . import overload_control
 from . import ownership as order_ownership
 from . import peering as peerings
 from . import readiness
@@ -249,6 +250,9 @@
             self._accounts,
             self._capacity,
         )
+        self._overload = overload_control.OverloadControl(
+            self._registry, clock, metrics
+        )
         self._scheduler = schedulers.Scheduler(
             self._registry,
             settings.failure_domain,
@@ -257,6 +261,7 @@
             self._peering,
             self._limits,
             self._capacity,
+            self._overload,
         )
         self._configuration = configuration_watch.ConfigurationWatch(
             store,
@@ -312,6 +317,7 @@
             self._limits,
             self._notices,
             self._capacity,
+            self._overload.on_paced,
         )
         self._silence = silences.SilenceWatch(self._scheduler, self._clock)
         self._stalls.on_stalled(self._silence.expedite)
@@ -360,6 +366,7 @@
         self._app.configure(configuration)
         self._contended.configure(configuration)
         self._accounts.configure(configuration.tenants)
+        self._overload.configure(configuration.tenants_declared)
         self._scheduler.configure(configuration.services)
         self._controller.configure(configuration.services)
         self._callers.keep_idle(configuration.limits.idle_timeout_seconds)
