Move what applies the new rules to requests into a package of its own

Change: they are the package traffic, which the gateway calls; their tests moved with them. No behaviour changes.

--- a/src/dogwoodquay/gateway/adapters.py
+++ b/src/dogwoodquay/gateway/adapters.py
@@ -8,7 +8,7 @@
 
 from . import answer as answers
 from . import exchange as exchanges
-from . import tenancy as tenancies
+from ..traffic import tenancy as tenancies
 
 if typing.TYPE_CHECKING:
     from collections import abc
--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -24,9 +24,9 @@
     from . import metrics as gateway_metrics
     from ..routes import api as routes_api
     from . import start_hold
-    from . import tenancy as tenancies
-    from . import tenant_accounts
     from ..tenants import api as tenants_api
+    from ..traffic import tenancy as tenancies
+    from ..traffic import tenant_accounts
     from . import versions as configuration_versions
 
 __all__ = ['ConfigurationFreshness', 'GatewayApp']
--- a/src/dogwoodquay/gateway/attempt.py
+++ b/src/dogwoodquay/gateway/attempt.py
@@ -14,7 +14,7 @@
     from . import crashes
     from ..fleet import server as servers
     from ..retry import windowed
-    from . import stall_watch
+    from ..traffic import stall_watch
 
 __all__ = ['Attempt']
 
--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -21,9 +21,9 @@
     from ..external.http import client
     from ..fleet import server as servers
     from . import notices as server_notices
-    from . import server_capacity
     from . import server_limits
     from . import trace as traces
+    from ..traffic import server_capacity
 
 __all__ = ['Exchange', 'HeaderCodec', 'Relay']
 
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -31,8 +31,8 @@
     from ..retry import window
     from . import scheduler as schedulers
     from . import silence as silences
-    from . import stall_watch
-    from . import tenancy as tenancies
+    from ..traffic import stall_watch
+    from ..traffic import tenancy as tenancies
 
 __all__ = ['Forwarder']
 
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -26,10 +26,10 @@
     from . import origins as stream_origins
     from . import ownership as order_ownership
     from . import scheduler as schedulers
-    from . import server_capacity
     from . import server_limits
-    from . import stall_watch
-    from . import tenant_accounts
+    from ..traffic import server_capacity
+    from ..traffic import stall_watch
+    from ..traffic import tenant_accounts
 
 __all__ = ['Peering']
 
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -11,7 +11,6 @@
 from . import adapters as platform_adapters
 from . import app as apps
 from . import configuration_watch
-from . import contended
 from . import controller as controllers
 from . import copies as configuration_copies
 from . import crashes as crash_watches
@@ -31,21 +30,22 @@
 from ..observe import supervise
 from . import origin_log
 from . import origins as stream_origins
-from . import overload_control
 from . import ownership as order_ownership
 from . import peering as peerings
 from . import readiness
 from . import resumption
 from ..retry import window
 from . import scheduler as schedulers
-from . import server_capacity
 from . import server_limits
 from . import serving
 from . import silence as silences
-from . import stall_watch
 from . import start_hold
-from . import tenancy as tenancies
-from . import tenant_accounts
+from ..traffic import contended
+from ..traffic import overload_control
+from ..traffic import server_capacity
+from ..traffic import stall_watch
+from ..traffic import tenancy as tenancies
+from ..traffic import tenant_accounts
 from . import watch
 from ..wire import peers as wire_peers
 from ..wire import settings as wire_settings
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -10,15 +10,15 @@
 
 from . import adapter_search
 from . import api
-from . import fair_waits
 from ..fleet import choice
 from ..fleet import queue
 from . import limit_waits
 from . import model_demand
 from ..observe import logs
 from . import outlook as server_outlook
-from . import overload_control
 from . import refusal_reasons
+from ..traffic import fair_waits
+from ..traffic import overload_control
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -29,8 +29,8 @@
     from ..fleet import server as servers
     from ..ratelimit import api as limit_api
     from ..routes import api as routes_api
-    from . import server_capacity
     from . import server_limits
+    from ..traffic import server_capacity
 
 __all__ = ['Scheduler']
 
--- /dev/null
+++ b/src/dogwoodquay/traffic/__init__.py
@@ -0,0 +1,1 @@
+"""Applies quotas, learned capacity and overload control to requests."""
--- a/src/dogwoodquay/gateway/fair_waits.py
+++ b/src/dogwoodquay/traffic/fair_waits.py
@@ -8,8 +8,8 @@
 from . import tenant_accounts
 
 if typing.TYPE_CHECKING:
-    from . import api
     from ..fleet import queue
+    from ..gateway import api
 
 __all__ = ['FairWaits']
 
--- a/src/dogwoodquay/gateway/overload_control.py
+++ b/src/dogwoodquay/traffic/overload_control.py
@@ -5,10 +5,10 @@
 import math
 import typing
 
-from . import api
 from ..fleet import queue
+from ..gateway import api
+from ..gateway import outcomes
 from ..observe import logs
-from . import outcomes
 from ..overload import admission
 from ..overload import api as overload_api
 from ..overload import backlog as backlogs
@@ -25,8 +25,8 @@
     from ..fleet import choice
     from ..fleet import registry as registries
     from ..fleet import server as servers
-    from . import messages
-    from . import metrics as gateway_metrics
+    from ..gateway import messages
+    from ..gateway import metrics as gateway_metrics
 
 __all__ = ['OverloadControl', 'Place']
 
--- a/src/dogwoodquay/gateway/overload_peers.py
+++ b/src/dogwoodquay/traffic/overload_peers.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from . import messages
+from ..gateway import messages
 from ..overload import api as overload_api
 from ..overload import backlog as backlogs
 from ..overload import returns
--- a/src/dogwoodquay/gateway/server_capacity.py
+++ b/src/dogwoodquay/traffic/server_capacity.py
@@ -8,21 +8,21 @@
 from ..capacity import api as capacity_api
 from ..capacity import core
 from ..capacity import estimates
-from . import messages
+from ..gateway import messages
+from ..gateway import server_limits
 from ..observe import logs
-from . import server_limits
 
 if typing.TYPE_CHECKING:
     from collections import abc
     import random
 
     from .. import clock as clocks
-    from . import api
     from ..fleet import api as fleet_api
     from ..fleet import choice
     from ..fleet import registry as registries
     from ..fleet import server as servers
-    from . import metrics as gateway_metrics
+    from ..gateway import api
+    from ..gateway import metrics as gateway_metrics
     from ..routes import api as routes_api
 
 __all__ = ['ServerCapacity']
--- a/src/dogwoodquay/gateway/stall_watch.py
+++ b/src/dogwoodquay/traffic/stall_watch.py
@@ -5,7 +5,7 @@
 import math
 import typing
 
-from . import messages
+from ..gateway import messages
 from ..observe import logs
 from ..stalls import api as stall_api
 from ..stalls import detector
@@ -17,7 +17,7 @@
     from .. import clock as clocks
     from ..fleet import api as fleet_api
     from ..fleet import registry as registries
-    from . import metrics as gateway_metrics
+    from ..gateway import metrics as gateway_metrics
 
     _StalledHandler = abc.Callable[[abc.Container[str]], None]
 
--- a/src/dogwoodquay/gateway/start_times.py
+++ b/src/dogwoodquay/traffic/start_times.py
@@ -5,11 +5,11 @@
 import math
 import typing
 
+from ..gateway import patience
 from ..overload import work as work_times
-from . import patience
 
 if typing.TYPE_CHECKING:
-    from . import api
+    from ..gateway import api
 
 __all__ = ['StartTimes']
 
--- a/src/dogwoodquay/gateway/tenancy.py
+++ b/src/dogwoodquay/traffic/tenancy.py
@@ -6,12 +6,12 @@
 import secrets
 import typing
 
-from . import api
+from ..gateway import api
 from ..observe import logs
 from ..tenants import directory as directories
 
 if typing.TYPE_CHECKING:
-    from . import metrics as gateway_metrics
+    from ..gateway import metrics as gateway_metrics
     from ..routes import api as routes_api
     from ..tenants import api as tenants_api
 
--- a/src/dogwoodquay/gateway/tenant_accounts.py
+++ b/src/dogwoodquay/traffic/tenant_accounts.py
@@ -6,8 +6,8 @@
 
 from ..allotments import api as allotment_api
 from ..allotments import core
-from . import api
-from . import messages
+from ..gateway import api
+from ..gateway import messages
 from ..observe import logs
 from ..tenants import api as tenants_api
 
@@ -16,8 +16,8 @@
     import random
 
     from .. import clock as clocks
-    from . import metrics as gateway_metrics
-    from . import settings as gateway_settings
+    from ..gateway import metrics as gateway_metrics
+    from ..gateway import settings as gateway_settings
 
 __all__ = ['TenantAccounts', 'units_of']
 
--- a/tests/unit/commands/test_imports.py
+++ b/tests/unit/commands/test_imports.py
@@ -72,6 +72,7 @@
     'routes',
     'stalls',
     'tenants',
+    'traffic',
     'wire',
 )
 _OWN_MODULES = frozenset(
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -17,15 +17,15 @@
 from dogwoodquay.gateway import metrics
 from dogwoodquay.gateway import origin_log
 from dogwoodquay.gateway import origins
-from dogwoodquay.gateway import server_capacity
 from dogwoodquay.gateway import server_limits
 from dogwoodquay.gateway import settings
-from dogwoodquay.gateway import stall_watch
 from dogwoodquay.gateway import store_api
-from dogwoodquay.gateway import tenancy
-from dogwoodquay.gateway import tenant_accounts
 from dogwoodquay.observe import metrics as metrics_module
 from dogwoodquay.platform import headers
+from dogwoodquay.traffic import server_capacity
+from dogwoodquay.traffic import stall_watch
+from dogwoodquay.traffic import tenancy
+from dogwoodquay.traffic import tenant_accounts
 
 if typing.TYPE_CHECKING:
     from collections import abc
--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -27,12 +27,12 @@
 from dogwoodquay.gateway import settings
 from dogwoodquay.gateway import silence
 from dogwoodquay.gateway import start_hold
-from dogwoodquay.gateway import tenancy
 from dogwoodquay.gateway import versions
 from dogwoodquay.observe import metrics as metrics_module
 from dogwoodquay.platform import headers
 from dogwoodquay.retry import window
 from dogwoodquay.routes import api as routes_api
+from dogwoodquay.traffic import tenancy
 
 if typing.TYPE_CHECKING:
     from collections import abc
--- a/tests/unit/gateway/test_peering.py
+++ b/tests/unit/gateway/test_peering.py
@@ -25,10 +25,10 @@
 from dogwoodquay.gateway import peering
 from dogwoodquay.gateway import readers
 from dogwoodquay.gateway import scheduler as schedulers
-from dogwoodquay.gateway import server_capacity
 from dogwoodquay.gateway import server_limits
 from dogwoodquay.platform import headers
 from dogwoodquay.ratelimit import api as limit_api
+from dogwoodquay.traffic import server_capacity
 from dogwoodquay.wire import api as wire_api
 
 _Handlers = dict[type, wire_api.Handler]
--- /dev/null
+++ b/tests/unit/traffic/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of quotas, learned capacity and overload control in use."""
--- a/tests/unit/gateway/test_charges.py
+++ b/tests/unit/traffic/test_charges.py
@@ -6,8 +6,8 @@
 import unittest
 from unittest import mock
 
-from . import loopback
 from dogwoodquay.gateway import api
+from tests.unit.gateway import loopback
 
 _OVER = api.Refusal(api.RefusalReason.OVER_ALLOTMENT, 429, 0.7)
 
--- a/tests/unit/gateway/test_overload_control.py
+++ b/tests/unit/traffic/test_overload_control.py
@@ -10,9 +10,7 @@
 import anyio
 import msgspec
 
-from . import fakes
 from ..fleet import entries
-from . import loopback
 from dogwoodquay import clock as clocks
 from dogwoodquay.fleet import choice
 from dogwoodquay.fleet import queue
@@ -21,10 +19,12 @@
 from dogwoodquay.gateway import api
 from dogwoodquay.gateway import messages
 from dogwoodquay.gateway import outcomes
-from dogwoodquay.gateway import overload_control
 from dogwoodquay.gateway import refusals
 from dogwoodquay.gateway import scheduler as schedulers
 from dogwoodquay.routes import api as routes_api
+from dogwoodquay.traffic import overload_control
+from tests.unit.gateway import fakes
+from tests.unit.gateway import loopback
 
 _OUTCOME = outcomes.Whole(200, (), b'')
 _CAPACITY = 64 + schedulers.SERVICE_QUEUE_DEPTH
--- a/tests/unit/gateway/test_server_capacity.py
+++ b/tests/unit/traffic/test_server_capacity.py
@@ -6,14 +6,14 @@
 import typing
 import unittest
 
-from . import fakes
 from ..fleet import entries
-from . import loopback
 from dogwoodquay import clock as clocks
 from dogwoodquay.fleet import registry as registries
 from dogwoodquay.gateway import messages
-from dogwoodquay.gateway import server_capacity
 from dogwoodquay.platform import headers
+from dogwoodquay.traffic import server_capacity
+from tests.unit.gateway import fakes
+from tests.unit.gateway import loopback
 
 if typing.TYPE_CHECKING:
     from dogwoodquay.fleet import server as servers
--- a/tests/unit/gateway/test_stall_watch.py
+++ b/tests/unit/traffic/test_stall_watch.py
@@ -5,12 +5,12 @@
 import typing
 import unittest
 
-from . import fakes
 from dogwoodquay import clock as clocks
 from dogwoodquay.fleet import registry as registries
 from dogwoodquay.gateway import messages
-from dogwoodquay.gateway import stall_watch
+from dogwoodquay.traffic import stall_watch
 from tests.unit.fleet import entries
+from tests.unit.gateway import fakes
 
 
 class StallWatchTest(unittest.TestCase):
--- a/tests/unit/gateway/test_tenancy.py
+++ b/tests/unit/traffic/test_tenancy.py
@@ -9,13 +9,13 @@
 
 import anyio
 
-from . import fakes
-from . import loopback
 from dogwoodquay.gateway import api
 from dogwoodquay.gateway import resumption
 from dogwoodquay.platform import headers
 from dogwoodquay.routes import api as routes_api
 from dogwoodquay.tenants import api as tenants_api
+from tests.unit.gateway import fakes
+from tests.unit.gateway import loopback
 
 _A = tenants_api.Tenant('a', ('secret',), 1)
 _B = tenants_api.Tenant('b', ('other',))
--- a/tests/unit/gateway/test_tenant_accounts.py
+++ b/tests/unit/traffic/test_tenant_accounts.py
@@ -8,14 +8,14 @@
 
 import msgspec
 
-from . import fakes
 from dogwoodquay.fleet import choice
 from dogwoodquay.fleet import queue
 from dogwoodquay.gateway import api
-from dogwoodquay.gateway import fair_waits
 from dogwoodquay.gateway import messages
-from dogwoodquay.gateway import tenant_accounts
 from dogwoodquay.tenants import api as tenants_api
+from dogwoodquay.traffic import fair_waits
+from dogwoodquay.traffic import tenant_accounts
+from tests.unit.gateway import fakes
 
 _TENANT = tenants_api.Tenant(
     'acme', (), None, 1000.0, 1000.0, tenants_api.Unit.TOKENS, 300
