Build the parts of traffic control in one place

Change: traffic.control builds and configures them; the settings of the protocol between instances are made beside the members' names.

--- a/src/dogwoodquay/gateway/members.py
+++ b/src/dogwoodquay/gateway/members.py
@@ -1,10 +1,17 @@
-"""The names of instances in the group, which contain their addresses."""
+"""The names of instances in the group, and how they reach each other."""
 
 from __future__ import annotations
 
+import typing
+
 from . import settings as gateway_settings
+from ..wire import settings as wire_settings
+
+__all__ = ['member_address', 'member_name', 'peer_settings']
 
-__all__ = ['member_address', 'member_name']
+# The peers' shared secret is this prefix and the store's address as text,
+# which all instances have in their settings.
+SECRET_PREFIX: typing.Final = b'dogwoodquay peers of '
 
 
 def member_name(settings: gateway_settings.InstanceSettings) -> str:
@@ -20,3 +27,18 @@
     if not host or not port.isdecimal():
         return None
     return gateway_settings.Address(host, int(port))
+
+
+def peer_settings(
+    settings: gateway_settings.InstanceSettings,
+) -> wire_settings.WireSettings:
+    """Return the settings of the protocol between instances."""
+    secret = SECRET_PREFIX + f'{settings.store}'.encode()
+    return wire_settings.WireSettings(
+        instance_id=settings.instance_id,
+        address=settings.peers.host,
+        port=settings.peers.port,
+        secrets=(secret,),
+        handshake_seconds=1.0,
+        backoff_max_seconds=1.0,
+    )
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -40,15 +40,10 @@
 from . import serving
 from . import silence as silences
 from . import start_hold
-from ..traffic import contended
-from ..traffic import overload_control
-from ..traffic import server_capacity
-from ..traffic import stall_watch
+from ..traffic import control as traffic_control
 from ..traffic import tenancy as tenancies
-from ..traffic import tenant_accounts
 from . import watch
 from ..wire import peers as wire_peers
-from ..wire import settings as wire_settings
 
 if typing.TYPE_CHECKING:
     import expression
@@ -73,9 +68,6 @@
 # Retries of each instance beyond its share; those of all instances together
 # stay below the slack of the smallest deployments.
 EXTRA_RETRIES: typing.Final = 2
-# The peers' shared secret is this prefix and the store's address as text,
-# which all instances have in their settings.
-SECRET_PREFIX: typing.Final = b'dogwoodquay peers of '
 
 
 class Gateway:
@@ -181,24 +173,17 @@
         self._notices = server_notices.ServerNotices(
             self._registry, clock, metrics
         )
-        self._capacity = server_capacity.ServerCapacity(
-            self._registry, clock, self._rng, metrics
+        self._traffic = traffic_control.TrafficControl(
+            settings, self._registry, clock, self._rng, metrics
         )
-        self._contended = contended.ContendedServices(self._capacity.paced)
         engines = adapters.engines(
             self._connections,
             settings.instance_id,
-            self._capacity.before(self._notices.on_engine_answer),
+            self._traffic.capacity.before(self._notices.on_engine_answer),
         )
         self._limits = server_limits.ServerLimits(
             members.member_name(settings), self._registry, clock, metrics
         )
-        self._stalls = stall_watch.StallWatch(
-            self._registry, clock, metrics, self._contended.includes
-        )
-        self._accounts = tenant_accounts.TenantAccounts(
-            settings, clock, self._rng, metrics
-        )
         self._controller = controllers.Controller(
             self._ownership,
             self._registry,
@@ -208,10 +193,10 @@
             metrics,
             self._rng,
             self._limits,
-            self._contended.includes,
+            self._traffic.contended.includes,
         )
         self._peers = wire_peers.Peers(
-            _wire_settings(settings), clock, self._rng
+            members.peer_settings(settings), clock, self._rng
         )
         self._copies = configuration_copies.ConfigurationCopies(
             self._peers, clock
@@ -246,12 +231,9 @@
             departure_news.DepartureNews(self._registry, clock, metrics),
             self._crashes,
             self._limits,
-            self._stalls,
-            self._accounts,
-            self._capacity,
-        )
-        self._overload = overload_control.OverloadControl(
-            self._registry, clock, metrics
+            self._traffic.stalls,
+            self._traffic.accounts,
+            self._traffic.capacity,
         )
         self._scheduler = schedulers.Scheduler(
             self._registry,
@@ -260,8 +242,8 @@
             self._rng,
             self._peering,
             self._limits,
-            self._capacity,
-            self._overload,
+            self._traffic.capacity,
+            self._traffic.overload,
         )
         self._configuration = configuration_watch.ConfigurationWatch(
             store,
@@ -316,11 +298,11 @@
             self._clock,
             self._limits,
             self._notices,
-            self._capacity,
-            self._overload.on_paced,
+            self._traffic.capacity,
+            self._traffic.overload.on_paced,
         )
         self._silence = silences.SilenceWatch(self._scheduler, self._clock)
-        self._stalls.on_stalled(self._silence.expedite)
+        self._traffic.stalls.on_stalled(self._silence.expedite)
         budget = window.RetryWindow(
             settings.retry_share, EXTRA_RETRIES, settings.retry_window_seconds
         )
@@ -343,7 +325,7 @@
             versions,
             self._crashes,
             tenancy,
-            self._stalls,
+            self._traffic.stalls,
         )
         return apps.GatewayApp(
             forwarder,
@@ -353,7 +335,7 @@
             self._metrics,
             self._configuration,
             tenancy,
-            self._accounts,
+            self._traffic.accounts,
             self._start_hold,
         )
 
@@ -364,9 +346,7 @@
 
     def _configure(self, configuration: routes_api.Configuration) -> None:
         self._app.configure(configuration)
-        self._contended.configure(configuration)
-        self._accounts.configure(configuration.tenants)
-        self._overload.configure(configuration.tenants_declared)
+        self._traffic.configure(configuration)
         self._scheduler.configure(configuration.services)
         self._controller.configure(configuration.services)
         self._callers.keep_idle(configuration.limits.idle_timeout_seconds)
@@ -417,17 +397,3 @@
         self._app.end_streams()
         left = deadline - self._clock.now()
         self._callers.stop_within(max(left, PLAIN_STOP_SECONDS))
-
-
-def _wire_settings(
-    settings: gateway_settings.InstanceSettings,
-) -> wire_settings.WireSettings:
-    secret = SECRET_PREFIX + f'{settings.store}'.encode()
-    return wire_settings.WireSettings(
-        instance_id=settings.instance_id,
-        address=settings.peers.host,
-        port=settings.peers.port,
-        secrets=(secret,),
-        handshake_seconds=1.0,
-        backoff_max_seconds=1.0,
-    )
