--- a/tests/site/processes.py
+++ b/tests/site/processes.py
@@ -299,6 +299,13 @@
         """The links of the instances to the store, in the same order."""
         return self._linked_store.links
 
+    async def owner_number(self) -> int:
+        """Return the owner's position, as soon as there is one."""
+        while not self.store.owner():
+            await asyncio.sleep(_POLL_SECONDS)
+        members = [instance.member for instance in self.instances]
+        return members.index(self.store.owner())
+
     def start_instance(self, name: str) -> Instance:
         """Start one more instance."""
         instance = Instance(
--- a/tests/site/test_server_limits.py
+++ b/tests/site/test_server_limits.py
@@ -228,8 +228,7 @@
     async def test_owner_killed(self) -> None:
         """The sum holds while another instance takes over, and after it."""
         async with self.running() as site:
-            members = [instance.member for instance in site.instances]
-            owner = members.index(site.store.owner())
+            owner = await site.owner_number()
             async with self.callers.at(site.instances, 10.0):
                 since = await self.name_limits(self.desks)
                 await asyncio.sleep(_CONTACT_SECONDS)
@@ -244,8 +243,7 @@
     async def test_frozen_and_woken(self) -> None:
         """Instances that stand still for seconds send nothing too much."""
         async with self.running() as site:
-            members = [instance.member for instance in site.instances]
-            owner = members.index(site.store.owner())
+            owner = await site.owner_number()
             async with self.callers.at(site.instances, 10.0):
                 since = await self.name_limits(self.desks)
                 for number in (owner, (owner + 1) % _INSTANCES):
@@ -260,8 +258,7 @@
     async def test_cut_off_from_the_store(self) -> None:
         """The owner, then all instances, do not reach the store."""
         async with self.running() as site:
-            members = [instance.member for instance in site.instances]
-            owner = members.index(site.store.owner())
+            owner = await site.owner_number()
             async with self.callers.at(site.instances, 10.0):
                 since = await self.name_limits(self.desks)
                 site.links[owner].cut = True
