--- a/src/dogwoodquay/commands/gateway.py
+++ b/src/dogwoodquay/commands/gateway.py
@@ -54,6 +54,11 @@
         action='store_true',
         help='validate the settings and exit',
     )
+    parser.add_argument(
+        '--overload-control',
+        action='store_true',
+        help='refuse what cannot be answered in time, under contended load',
+    )
     parser.set_defaults(run=_run)
 
 
@@ -70,7 +75,7 @@
         return exits.Exit.OK
     output.log_to_standard_output(result.ok.instance_id)
     try:
-        anyio.run(_serve, result.ok, path)
+        anyio.run(_serve, _with_flags(result.ok, args), path)
     except OSError as error:
         return exits.fail(exits.Exit.UNAVAILABLE, f'cannot serve: {error}')
     except Exception as error:
@@ -80,6 +85,12 @@
     return exits.Exit.OK
 
 
+def _with_flags(
+    loaded: gateway_settings.InstanceSettings, args: argparse.Namespace
+) -> gateway_settings.InstanceSettings:
+    return loaded._replace(overload_control=args.overload_control)
+
+
 def _platform_adapters() -> adapters.PlatformAdapters:
     return adapters.PlatformAdapters(
         codec=headers,
@@ -117,6 +128,11 @@
         task_status.started()
         async for number in signals:
             if number == signal.SIGHUP:
-                instance.reload(settings.load(path))
+                reloaded = settings.load(path).map(
+                    lambda new: new._replace(
+                        overload_control=loaded.overload_control
+                    )
+                )
+                instance.reload(reloaded)
             else:
                 instance.stop()
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -141,11 +141,12 @@
             if self._crashes.is_refused(call):
                 self._scheduler.release(call, server, False)
                 return self._refusals.end_quarantined(relay, may_have_run)
-            renewed = self._tenancy.renew(call)
-            if renewed is None:
-                self._scheduler.release(call, server, False)
-                return self._refusals.end_unauthorized(relay, may_have_run)
-            call = renewed
+            if not relay.started:
+                renewed = self._tenancy.renew(call)
+                if renewed is None:
+                    self._scheduler.release(call, server, False)
+                    return self._refusals.end_unauthorized(may_have_run)
+                call = renewed
             number += 1
             attempt = self._begin_attempt(
                 call, server, retries, avoid, number, version, relay
--- a/src/dogwoodquay/gateway/refusals.py
+++ b/src/dogwoodquay/gateway/refusals.py
@@ -96,13 +96,13 @@
         pause = self._with_jitter(QUARANTINE_RETRY_AFTER_SECONDS)
         return api.Refusal(reason, _UNAVAILABLE, pause)
 
-    def end_unauthorized(
-        self, relay: exchanges.Relay, may_have_run: bool
-    ) -> results.Result:
-        """End a request whose key is no longer valid for its tenant."""
+    def end_unauthorized(self, may_have_run: bool) -> results.Result:
+        """End a request whose key is no longer valid for its tenant.
+
+        A stream that has begun goes on instead: it was asked for with a valid
+        key, and a configuration cuts off no request in flight.
+        """
         reason = api.RefusalReason.UNAUTHORIZED
-        if relay.started:
-            return results.Cut(reason.value)
         if may_have_run:
             return api.Refusal(
                 api.RefusalReason.MAY_HAVE_RUN, _BAD_GATEWAY, 0.0, reason.value
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -299,7 +299,7 @@
             self._limits,
             self._notices,
             self._traffic.capacity,
-            self._traffic.overload.on_paced,
+            self._traffic.on_paced,
         )
         self._silence = silences.SilenceWatch(self._scheduler, self._clock)
         self._traffic.stalls.on_stalled(self._silence.expedite)
--- a/src/dogwoodquay/gateway/settings.py
+++ b/src/dogwoodquay/gateway/settings.py
@@ -24,7 +24,8 @@
     ``heartbeat_seconds`` is the interval at which servers write their entries
     into the list. In any ``quota_window_seconds``, a tenant may use its
     allotment increased by the share ``quota_over`` and by ``quota_slack``
-    units.
+    units. ``overload_control`` is whether requests that cannot be answered in
+    time are refused at once for services under contended load.
     """
 
     instance_id: str
@@ -46,3 +47,4 @@
     quota_window_seconds: float = 0.0
     quota_over: float = 0.0
     quota_slack: float = 0.0
+    overload_control: bool = False
--- a/src/dogwoodquay/traffic/control.py
+++ b/src/dogwoodquay/traffic/control.py
@@ -46,6 +46,7 @@
         self._overload = overload_control.OverloadControl(
             registry, clock, metrics
         )
+        self._controls_overload = settings.overload_control
 
     @property
     def capacity(self) -> server_capacity.ServerCapacity:
@@ -76,4 +77,11 @@
         """Apply a configuration."""
         self._contended.configure(configuration)
         self._accounts.configure(configuration.tenants)
-        self._overload.configure(configuration.tenants_declared)
+        self._overload.configure(
+            self._controls_overload and configuration.tenants_declared
+        )
+
+    def on_paced(self, service: str) -> None:
+        """Record that a server of a service states its pace."""
+        if self._controls_overload:
+            self._overload.on_paced(service)
