Log over which connection an attempt went, and bytes nobody asked for

Logs did not say over which connection an attempt went, how many requests that had carried, whose answer a caller got, nor that bytes came that no request had asked for. Change: fields connection and earlier in request:attempt_failed, request:answered and the lines about an end, server and attempts in request:answered; a line connections:unsolicited and the metric gateway_unsolicited_answers_total. No decision depends on the fields.

--- a/src/dogwoodquay/external/http/client.py
+++ b/src/dogwoodquay/external/http/client.py
@@ -28,6 +28,7 @@
 __all__ = [
     'Connections',
     'Headers',
+    'Unsolicited',
 ]
 
 CONNECT_TIMEOUT_SECONDS: typing.Final = 1.0
@@ -49,6 +50,25 @@
 _DEADLINE_PASSED: typing.Final = api.Unavailable('deadline')
 
 
+class Unsolicited(typing.NamedTuple):
+    """Bytes on a connection that no request has asked for.
+
+    They came after the answers to ``requests`` requests, of which the last
+    one was ``request_id``.
+    """
+
+    address: str
+    port: int
+    connection: int
+    requests: int
+    request_id: str
+    size: int
+
+
+def _ignore(_: typing.Any) -> None:
+    """Do nothing."""
+
+
 class Connections:
     """An HTTP client that reuses connections.
 
@@ -63,6 +83,7 @@
         read_timeout_seconds: float = READ_TIMEOUT_SECONDS,
         keep_alive_seconds: float = KEEP_ALIVE_SECONDS,
     ) -> None:
+        self._on_unsolicited: abc.Callable[[Unsolicited], None] = _ignore
         self._time = time
         self._connect_seconds = connect_seconds
         self._read_timeout_seconds = read_timeout_seconds
@@ -88,6 +109,12 @@
         """Close all idle connections."""
         await self._pool.close()
 
+    def on_unsolicited(
+        self, notify: abc.Callable[[Unsolicited], None]
+    ) -> None:
+        """Set what is called with bytes that no request has asked for."""
+        self._on_unsolicited = notify
+
     async def keep_only(
         self, endpoints: abc.Container[tuple[str, int]]
     ) -> None:
@@ -151,6 +178,7 @@
         read_timeout_seconds: float = 0.0,
         request_id: str = '',
         apart_from: tuple[str, ...] = (),
+        on_use: abc.Callable[[pool.Use], None] = _ignore,
     ) -> abc.AsyncIterator[expression.Result[httpx.Response, SendError]]:
         """Send a request with the given headers and a content length.
 
@@ -160,6 +188,7 @@
         :param request_id: identifies the request, or its kind.
         :param apart_from: the request does not go over a connection that was
             used lately for one of these ids.
+        :param on_use: called with the connection over which it goes.
         """
         remaining = deadline - self._time.now()
         if remaining <= 0:
@@ -176,6 +205,21 @@
         )
         acquired = await self._pool.acquire(address, port, apart_from)
         connection = acquired.connection
+        use = acquired.uses.begin()
+        on_use(use)
+
+        def record_unsolicited(size: int) -> None:
+            self._on_unsolicited(
+                Unsolicited(
+                    address,
+                    port,
+                    use.connection,
+                    use.earlier + 1,
+                    request_id,
+                    size,
+                )
+            )
+
         extensions: dict[str, typing.Any] = {}
         sent_stream: network.Stream | None = None
         try:
@@ -199,7 +243,7 @@
         finally:
             with anyio.CancelScope(shield=True):
                 if sent_stream is not None:
-                    sent_stream.expect_nothing()
+                    sent_stream.expect_nothing(record_unsolicited)
                 if extensions.get(marks.DISCARD_KEY):
                     await self._pool.discard(acquired)
                 else:
--- a/src/dogwoodquay/external/http/network.py
+++ b/src/dogwoodquay/external/http/network.py
@@ -21,6 +21,9 @@
 
 __all__ = ['HeadTooLarge', 'NetworkBackend', 'Stream', 'is_refused']
 
+# Receives the number of bytes that no request has asked for.
+_OnUnsolicited = typing.Callable[[int], None]
+
 MAX_BUFFERED_BYTES: typing.Final = 256 * 1024
 # All that is read until the end of an answer's head, with the informational
 # heads before it. A sound head, of which h11 keeps 100 KiB, fits with a read.
@@ -103,6 +106,7 @@
         self._write_paused = False
         self._closed = False
         self._idle = False
+        self._on_unsolicited: _OnUnsolicited | None = None
 
     @property
     def transport(self) -> asyncio.Transport:
@@ -121,6 +125,7 @@
     def data_received(self, data: bytes) -> None:
         """Buffer received data; pause reading when the buffer is full."""
         if self._idle:
+            self._record_unsolicited(len(data))
             self._eof = True
             self.close()
             return
@@ -182,12 +187,23 @@
         if self._error is not None:
             raise httpcore.WriteError(str(self._error)) from self._error
 
-    def expect_nothing(self) -> None:
-        """Close the connection if anything arrives before the next write."""
+    def expect_nothing(self, on_unsolicited: _OnUnsolicited) -> None:
+        """Close the connection if anything arrives before the next write.
+
+        :param on_unsolicited: called with the number of bytes that arrived.
+        """
         self._idle = True
+        self._on_unsolicited = on_unsolicited
+        if self._parts:
+            self._record_unsolicited(self._buffered_bytes)
         if self.is_readable and not self._closed:
             self.close()
 
+    def _record_unsolicited(self, size: int) -> None:
+        notify, self._on_unsolicited = self._on_unsolicited, None
+        if notify is not None:
+            notify(size)
+
     def close(self) -> None:
         """Abort the connection and discard unsent data."""
         self._require_transport().abort()
@@ -272,9 +288,12 @@
         """Read the body, whose size its reader limits."""
         self._in_head = False
 
-    def expect_nothing(self) -> None:
-        """Close the connection if anything arrives before the next write."""
-        self._connection.expect_nothing()
+    def expect_nothing(self, on_unsolicited: _OnUnsolicited) -> None:
+        """Close the connection if anything arrives before the next write.
+
+        :param on_unsolicited: called with the number of bytes that arrived.
+        """
+        self._connection.expect_nothing(on_unsolicited)
 
     async def aclose(self) -> None:
         """Close the connection."""
--- a/src/dogwoodquay/external/http/pool.py
+++ b/src/dogwoodquay/external/http/pool.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 import typing
 
 import httpcore
@@ -18,7 +19,7 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
-__all__ = ['Acquired', 'ConnectionPool', 'Uses']
+__all__ = ['Acquired', 'ConnectionPool', 'Use', 'Uses']
 
 MAX_CLOSED_PER_RELEASE: typing.Final = 2
 # Idle connections to all addresses together.
@@ -32,13 +33,28 @@
 _Endpoint = tuple[str, int]
 
 
+class Use(typing.NamedTuple):
+    """The use of a connection by one request, for logs.
+
+    ``connection`` numbers the connections of a pool, and ``earlier`` is how
+    many requests were sent on it before.
+    """
+
+    connection: int = 0
+    earlier: int = 0
+
+
 class Uses(msgspec.Struct):
     """The requests that a connection was used for, by id.
 
     A server may write an answer again. On a connection that is used for the
     same request once more, it could not be told from the next answer.
+
+    :param number: the number of the connection in its pool.
     """
 
+    number: int = 0
+    _count: int = 0
     _recent: dict[str, None] = msgspec.field(default_factory=dict)
     _refused: set[str] = msgspec.field(default_factory=set)
 
@@ -47,6 +63,12 @@
         """Whether too many requests were refused on the connection."""
         return len(self._refused) > MAX_BARRED_REQUESTS
 
+    def begin(self) -> Use:
+        """Count one more request on the connection."""
+        use = Use(self.number, self._count)
+        self._count += 1
+        return use
+
     def includes(self, request_ids: abc.Iterable[str]) -> bool:
         """Whether the connection was used for one of these requests."""
         return any(
@@ -90,6 +112,7 @@
         self._idle: dict[_Endpoint, collections.deque[_IdleConnection]] = {}
         self._idle_count = 0
         self._in_use = 0
+        self._numbers = itertools.count(1)
 
     @property
     def in_use(self) -> int:
@@ -132,7 +155,7 @@
                 keepalive_expiry=self._keep_alive_seconds,
                 network_backend=self._backend,
             ),
-            Uses(),
+            Uses(next(self._numbers)),
         )
 
     async def release(
--- a/src/dogwoodquay/gateway/answer.py
+++ b/src/dogwoodquay/gateway/answer.py
@@ -303,4 +303,5 @@
             first=round(self._first_byte_seconds, 3),
             pause=round(self._longest_pause, 3),
             seconds=round(elapsed, 3),
+            **self._trace.answer_fields(),
         )
--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -144,6 +144,7 @@
             max(call.deadline - now, MIN_READ_SECONDS),
             call.terms.attempt_id,
             (call.terms.attempt_id,),
+            relay.trace.on_use,
         ) as sent:
             if sent.is_ok():
                 outcome = await self._read_answer(
--- a/src/dogwoodquay/gateway/idle_connections.py
+++ b/src/dogwoodquay/gateway/idle_connections.py
@@ -1,4 +1,4 @@
-"""Closes idle connections to servers that are not used any more."""
+"""Watches the connections to servers that no request uses."""
 
 from __future__ import annotations
 
@@ -6,6 +6,8 @@
 
 import anyio
 
+from ..observe import logs
+
 if typing.TYPE_CHECKING:
     from ..external.http import client
     from ..fleet import registry as registries
@@ -14,6 +16,8 @@
 
 __all__ = ['IdleConnections']
 
+_LOG: typing.Final = logs.ComponentLog('connections')
+
 INTERVAL_SECONDS: typing.Final = 2.0
 
 
@@ -21,6 +25,7 @@
     """Keeps idle connections to listed servers and the store only.
 
     Each one holds a descriptor, of which an instance has a limited number.
+    What servers send on them unasked is logged and counted.
     """
 
     def __init__(
@@ -33,6 +38,8 @@
         self._connections = connections
         self._registry = registry
         self._store = store
+        self._metrics = metrics
+        connections.on_unsolicited(self._record_unsolicited)
         metrics.gauge(
             'gateway_server_connections_in_use',
             'Connections to servers and the store that requests use',
@@ -59,3 +66,14 @@
         }
         listed.add((self._store.host, self._store.port))
         await self._connections.keep_only(listed)
+
+    def _record_unsolicited(self, found: client.Unsolicited) -> None:
+        self._metrics.unsolicited()
+        _LOG.write(
+            'unsolicited',
+            server_address=f'{found.address}:{found.port}',
+            connection=found.connection,
+            requests=found.requests,
+            request=found.request_id,
+            bytes=found.size,
+        )
--- a/src/dogwoodquay/gateway/metrics.py
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -54,6 +54,10 @@
         self._retried = registry.counter(
             'gateway_retries_total', 'Attempts after the first', 'reason'
         )
+        self._unsolicited = registry.counter(
+            'gateway_unsolicited_answers_total',
+            'Connections to servers closed for bytes that nothing asked for',
+        )
         self._orders = registry.counter(
             'gateway_orders_total', 'Orders to engines', 'kind', 'answer'
         )
@@ -194,6 +198,10 @@
         """Count a failed attempt."""
         self._failed.add(reason)
 
+    def unsolicited(self) -> None:
+        """Count a connection closed for bytes that nothing asked for."""
+        self._unsolicited.add()
+
     def retried(self, reason: str) -> None:
         """Count an attempt after the first."""
         self._retried.add(reason)
--- a/src/dogwoodquay/gateway/trace.py
+++ b/src/dogwoodquay/gateway/trace.py
@@ -9,6 +9,7 @@
 
 if typing.TYPE_CHECKING:
     from . import api
+    from ..external.http import pool
 
 __all__ = ['Cause', 'RequestTrace', 'deadline_cause']
 
@@ -62,6 +63,8 @@
     ``version`` is the configuration's when the request was read. ``failure``
     is the reason of the last attempt's failure, empty while it is in flight.
     ``placement`` is why there was no server for another attempt.
+    ``connection`` is the number of the attempt's connection, 0 before there is
+    one, and ``earlier`` how many requests were sent on it before.
     """
 
     version: int
@@ -71,6 +74,8 @@
     placement: str = ''
     cause: Cause = Cause.NONE
     stopped: bool = False
+    connection: int = 0
+    earlier: int = 0
     _arrived: Arrived = Arrived.NOTHING
     _last_byte_at: float = 0.0
 
@@ -80,9 +85,16 @@
         self.attempts = attempts
         self.failure = ''
         self.cause = Cause.NONE
+        self.connection = 0
+        self.earlier = 0
         self._arrived = Arrived.NOTHING
         self._last_byte_at = now
 
+    def on_use(self, use: pool.Use) -> None:
+        """Record the connection over which the attempt goes."""
+        self.connection = use.connection
+        self.earlier = use.earlier
+
     def on_head(self, now: float) -> None:
         """Record the arrival of the head of an answer."""
         self._arrived = Arrived.HEAD
@@ -111,11 +123,20 @@
     def attempt_fields(self, now: float) -> dict[str, typing.Any]:
         """Return the fields of the line about a failed attempt."""
         return {
+            **self._connection_fields(),
             'ended_by': self.cause.value,
             'arrived': self._arrived.value,
             'silence': self.silence(now),
         }
 
+    def answer_fields(self) -> dict[str, typing.Any]:
+        """Return what tells which answer of which server a caller got."""
+        return {
+            'server': self.server,
+            'attempts': self.attempts,
+            **self._connection_fields(),
+        }
+
     def ending_fields(self, now: float) -> dict[str, typing.Any]:
         """Return the fields of a line about the end of the request."""
         return {
@@ -126,6 +147,9 @@
             **self.attempt_fields(now),
         }
 
+    def _connection_fields(self) -> dict[str, int]:
+        return {'connection': self.connection, 'earlier': self.earlier}
+
     def _cause_of(self, call: api.Call, reason: str) -> Cause:
         """Return what ended an attempt that failed for a reason."""
         match reason:
--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -334,12 +334,13 @@
         body: bytes = b'',
         extra: str = '',
         deadline_ms: int = 2000,
+        request_id: str = 'c0ffee',
     ) -> Answer:
         """Send a request and return its answer."""
         lines = [
             f'{method} {target} HTTP/1.1',
             'Host: a.example',
-            'Attempt-Id: c0ffee',
+            f'Attempt-Id: {request_id}',
             f'Deadline-Ms: {deadline_ms}',
         ]
         if body:
