Show how extra answers of servers reach or cost other requests

Tests, without a change of logic: an extra answer that comes after more than 32 further requests on a connection is taken for that to the same request sent again (a wrong success); one that comes behind an answer in the same read, or while another request waits on the connection, ends that request with 502, though its server answers it.

--- a/tests/unit/gateway/test_extra_answers.py
+++ b/tests/unit/gateway/test_extra_answers.py
@@ -6,6 +6,8 @@
 import typing
 import unittest
 
+import anyio
+
 from . import loopback
 from dogwoodquay.routes import api as routes_api
 
@@ -26,6 +28,8 @@
 
 _STAMP: typing.Final = 'Response-Stamp: 3e1b'
 _NOT_RUN: typing.Final = 'Not-Executed: 1'
+# More requests than a connection remembers at least.
+_MANY: typing.Final = 64
 
 
 class ExtraAnswerTest(unittest.IsolatedAsyncioTestCase):
@@ -149,3 +153,120 @@
             for number in range(3):
                 found = await site.call('POST', body=b'x')
                 self.assertEqual(b'%d' % number, found.body)
+
+    async def test_late_extra_answer(self) -> None:
+        """It comes after the answers to many other requests."""
+        first: list[asyncio.StreamWriter] = []
+
+        async def script(
+            request: loopback.Received, writer: asyncio.StreamWriter
+        ) -> bool:
+            again = request.headers['attempt-id'] == 'c0ffee'
+            if again and writer in first:
+                writer.write(_answer(request, 200, b'extra', _STAMP))
+            if again:
+                first.append(writer)
+            writer.write(_answer(request, 200, b'own', _STAMP))
+            await writer.drain()
+            return True
+
+        site = loopback.Site(loopback.Upstream('u1', script))
+        async with site.running():
+            site.configure(loopback.route())
+            await site.call(deadline_ms=10_000)
+            for number in range(_MANY):
+                await site.call(request_id=f'a{number}')
+            found = await site.call()
+        self.assertEqual(b'own', found.body)
+
+
+class EarlierAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """The extra answer to an earlier request costs no later one its answer.
+
+    The route allows no repeated run.
+    """
+
+    async def _call(self, *writes: bytes, first: bytes = b'') -> bytes:
+        """Return the body of the answer to the second of two requests.
+
+        :param writes: what the server sends after the second request, in
+            parts that are read one by one; ``own`` stands for its answer.
+        :param first: what it sends with the answer to the first.
+        """
+
+        async def script(
+            request: loopback.Received, writer: asyncio.StreamWriter
+        ) -> bool:
+            own = _answer(request, 200, b'own', _STAMP)
+            if request.headers['attempt-id'] == 'c0ffee':
+                writer.write(own + first)
+                await writer.drain()
+                return True
+            for number, data in enumerate(writes):
+                if number:
+                    await anyio.sleep(0.03)
+                writer.write(data.replace(b'<own>', own))
+                await writer.drain()
+            return True
+
+        upstream = loopback.Upstream('u1', script)
+        site = loopback.Site(upstream)
+        async with site.running():
+            site.configure(loopback.route(kind=Kind.NON_IDEMPOTENT))
+            await site.call('POST', body=b'x')
+            found = await site.call('POST', body=b'x', request_id='b0b')
+        self.assertEqual(2, len(upstream.received))
+        return found.body
+
+    async def test_in_one_read_with_the_first_answer(self) -> None:
+        """The connection is not used again."""
+        found = await self._call(b'<own>', first=_extra())
+        self.assertEqual(b'own', found)
+
+    async def test_before_the_answer(self) -> None:
+        """It comes while the second request waits for its answer."""
+        self.assertEqual(b'own', await self._call(_extra(), b'<own>'))
+
+    async def test_in_one_read_with_the_answer(self) -> None:
+        """Both are read at once."""
+        self.assertEqual(b'own', await self._call(_extra() + b'<own>'))
+
+    async def test_in_parts(self) -> None:
+        """Reads end within its head, its body and the answer."""
+        data = _extra() + b'<own>'
+        for cut in (9, 30, len(_extra()) - 2):
+            found = await self._call(data[:cut], data[cut:])
+            self.assertEqual(b'own', found)
+
+    async def test_several(self) -> None:
+        """The server writes it more than once, with and without chunks."""
+        data = _extra() + _extra(chunked=True) + _extra()
+        self.assertEqual(b'own', await self._call(data, b'<own>'))
+
+    async def test_without_a_marked_end(self) -> None:
+        """The answer cannot be told from its body, so there is none."""
+        data = _extra().replace(b'Content-Length: 5', b'Other: 5')
+        self.assertEqual(b'', await self._call(data + b'<own>'))
+
+    async def test_cut_short(self) -> None:
+        """Its announced body takes a part of the answer, which is lost."""
+        data = _extra().replace(b'Length: 5', b'Length: 9')
+        self.assertEqual(b'', await self._call(data + b'<own>'))
+
+    async def test_of_another_connection(self) -> None:
+        """An id that this connection has not carried is not trusted."""
+        data = _extra().replace(b'c0ffee', b'0ther')
+        self.assertEqual(b'', await self._call(data + b'<own>'))
+
+
+def _extra(chunked: bool = False) -> bytes:
+    """Return an extra answer to the first request."""
+    head = 'HTTP/1.1 200 X\r\nAttempt-Id: c0ffee\r\n' + f'{_STAMP}\r\n'
+    if chunked:
+        framing, body = (
+            'Transfer-Encoding: chunked',
+            loopback.chunked(b'extra'),
+        )
+    else:
+        framing, body = 'Content-Length: 5', b'extra'
+    return f'{head}{framing}\r\n\r\n'.encode() + body
