Remember requests on a connection until they cannot be sent again

Callers could get a success that the server had not given to them (MIXED). Cause: a connection remembered its last 32 requests, however short the time; a server's extra answer that is later than that, on a connection in steady use, was taken for the answer to the same request sent again. Change: each request is remembered until its deadline, the last 32 in any case; a connection that would remember over 1,024 is closed. The memory has a module of its own. The tests of the pool set the id through the memory, with the same checks as before, and two more.

--- a/src/dogwoodquay/external/http/client.py
+++ b/src/dogwoodquay/external/http/client.py
@@ -21,6 +21,7 @@
 from . import network
 from . import pool
 from . import progress
+from . import uses
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -178,7 +179,7 @@
         read_timeout_seconds: float = 0.0,
         request_id: str = '',
         apart_from: tuple[str, ...] = (),
-        on_use: abc.Callable[[pool.Use], None] = _ignore,
+        on_use: abc.Callable[[uses.Use], None] = _ignore,
     ) -> abc.AsyncIterator[expression.Result[httpx.Response, SendError]]:
         """Send a request with the given headers and a content length.
 
@@ -247,13 +248,18 @@
                 if extensions.get(marks.DISCARD_KEY):
                     await self._pool.discard(acquired)
                 else:
+                    acquired.uses.add(
+                        request_id,
+                        method,
+                        extensions.get(marks.REFUSED_KEY, False),
+                        deadline,
+                        self._time.now(),
+                    )
                     await self._pool.release(
                         address,
                         port,
                         acquired,
                         extensions.get(marks.KEEP_ALIVE_KEY),
-                        request_id,
-                        extensions.get(marks.REFUSED_KEY, False),
                     )
 
     async def is_refused(
--- a/src/dogwoodquay/external/http/pool.py
+++ b/src/dogwoodquay/external/http/pool.py
@@ -11,95 +11,36 @@
 import typing
 
 import httpcore
-import msgspec
 
 from ... import clock
 from . import network
+from . import uses as connection_uses
 
 if typing.TYPE_CHECKING:
     from collections import abc
 
-__all__ = ['Acquired', 'ConnectionPool', 'Use', 'Uses']
+__all__ = ['Acquired', 'ConnectionPool']
 
 MAX_CLOSED_PER_RELEASE: typing.Final = 2
 # Idle connections to all addresses together.
 MAX_IDLE_CONNECTIONS: typing.Final = 1024
-# A connection on which more requests than these were refused is closed.
-MAX_BARRED_REQUESTS: typing.Final = 256
-# Requests whose answers came on a connection and that it remembers. An extra
-# answer precedes those to the requests that follow.
-MAX_RECENT_REQUESTS: typing.Final = 32
 
 _Endpoint = tuple[str, int]
 
 
-class Use(typing.NamedTuple):
-    """The use of a connection by one request, for logs.
-
-    ``connection`` numbers the connections of a pool, and ``earlier`` is how
-    many requests were sent on it before.
-    """
-
-    connection: int = 0
-    earlier: int = 0
-
-
-class Uses(msgspec.Struct):
-    """The requests that a connection was used for, by id.
-
-    A server may write an answer again. On a connection that is used for the
-    same request once more, it could not be told from the next answer.
-
-    :param number: the number of the connection in its pool.
-    """
-
-    number: int = 0
-    _count: int = 0
-    _recent: dict[str, None] = msgspec.field(default_factory=dict)
-    _refused: set[str] = msgspec.field(default_factory=set)
-
-    @property
-    def exhausted(self) -> bool:
-        """Whether too many requests were refused on the connection."""
-        return len(self._refused) > MAX_BARRED_REQUESTS
-
-    def begin(self) -> Use:
-        """Count one more request on the connection."""
-        use = Use(self.number, self._count)
-        self._count += 1
-        return use
-
-    def includes(self, request_ids: abc.Iterable[str]) -> bool:
-        """Whether the connection was used for one of these requests."""
-        return any(
-            item in self._recent or item in self._refused
-            for item in request_ids
-        )
-
-    def add(self, request_id: str, refused: bool) -> None:
-        """Record a request; one that was refused is never forgotten."""
-        if refused:
-            self._refused.add(request_id)
-            return
-        self._recent.pop(request_id, None)
-        self._recent[request_id] = None
-        if len(self._recent) > MAX_RECENT_REQUESTS:
-            del self._recent[next(iter(self._recent))]
-
-
 class _IdleConnection(typing.NamedTuple):
     """An unused connection and the time until which it may be reused."""
 
     connection: httpcore.AsyncHTTPConnection
     expires_at: float
-    uses: Uses
+    uses: connection_uses.Uses
 
 
 class Acquired(typing.NamedTuple):
     """A connection in use by one request."""
 
     connection: httpcore.AsyncHTTPConnection
-    uses: Uses
+    uses: connection_uses.Uses
 
 
 class ConnectionPool:
@@ -155,7 +96,7 @@
                 keepalive_expiry=self._keep_alive_seconds,
                 network_backend=self._backend,
             ),
-            Uses(next(self._numbers)),
+            connection_uses.Uses(next(self._numbers)),
         )
 
     async def release(
@@ -164,20 +105,14 @@
         port: int,
         acquired: Acquired,
         server_keep_alive_seconds: float | None = None,
-        request_id: str = '',
-        refused: bool = False,
     ) -> None:
         """Return a connection for reuse and close a few expired ones.
 
         :param server_keep_alive_seconds: how long the server keeps the
             connection open, if known.
-        :param request_id: the request that it was used for, if it has an id.
-        :param refused: whether the request was refused as not run.
         """
         self._in_use -= 1
         connection, uses = acquired
-        if request_id:
-            uses.add(request_id, refused)
         now = self._time.now()
         endpoint = (address, port)
         idle = self._idle.setdefault(endpoint, collections.deque())
--- a/src/dogwoodquay/gateway/trace.py
+++ b/src/dogwoodquay/gateway/trace.py
@@ -9,7 +9,7 @@
 
 if typing.TYPE_CHECKING:
     from . import api
-    from ..external.http import pool
+    from ..external.http import uses
 
 __all__ = ['Cause', 'RequestTrace', 'deadline_cause']
 
@@ -90,7 +90,7 @@
         self._arrived = Arrived.NOTHING
         self._last_byte_at = now
 
-    def on_use(self, use: pool.Use) -> None:
+    def on_use(self, use: uses.Use) -> None:
         """Record the connection over which the attempt goes."""
         self.connection = use.connection
         self.earlier = use.earlier
--- a/tests/unit/external/test_http_pool.py
+++ b/tests/unit/external/test_http_pool.py
@@ -7,6 +7,7 @@
 
 from dogwoodquay import clock as clocks
 from dogwoodquay.external.http import pool
+from dogwoodquay.external.http import uses
 
 _ENDPOINT: typing.Final = ('127.0.0.1', 1)
 
@@ -51,18 +52,18 @@
 
     def _acquired(self, connection: _Connection) -> pool.Acquired:
         return pool.Acquired(
-            typing.cast('typing.Any', connection), pool.Uses()
+            typing.cast('typing.Any', connection), uses.Uses()
         )
 
     async def _return(
-        self, acquired: pool.Acquired, request_id: str = ''
+        self,
+        acquired: pool.Acquired,
+        request_id: str = '',
+        deadline: float = 0.0,
     ) -> None:
-        await self.pool.release(
-            *_ENDPOINT,
-            acquired,
-            request_id=request_id,
-            refused=self.refused,
-        )
+        now = self.clock.now()
+        acquired.uses.add(request_id, 'GET', self.refused, deadline, now)
+        await self.pool.release(*_ENDPOINT, acquired)
 
     async def _acquire(self, *request_ids: str) -> pool.Acquired:
         return await self.pool.acquire(*_ENDPOINT, request_ids)
@@ -109,7 +110,7 @@
         """A connection is closed rather than remembered without limit."""
         connection = _Connection()
         acquired = self._acquired(connection)
-        for number in range(pool.MAX_BARRED_REQUESTS + 1):
+        for number in range(uses.MAX_BARRED_REQUESTS + 1):
             await self._return(acquired, f'c{number}')
             acquired = await self._acquire('d')
         self.assertTrue(connection.closed)
@@ -118,7 +119,7 @@
         """Answers to other requests do not supersede a refusal."""
         found = await self._acquire('b')
         self.refused = False
-        for number in range(2 * pool.MAX_RECENT_REQUESTS):
+        for number in range(2 * uses.MIN_RECENT_REQUESTS):
             await self._return(found, f'c{number}')
             found = await self._acquire(f'd{number}')
             self.assertIs(self.second, found.connection)
@@ -133,7 +134,7 @@
     async def test_kept_open(self) -> None:
         """The oldest requests are forgotten, and the connection is kept."""
         found = await self._acquire('b')
-        for number in range(2 * pool.MAX_BARRED_REQUESTS):
+        for number in range(2 * uses.MAX_BARRED_REQUESTS):
             await self._return(found, f'c{number}')
             found = await self._acquire(f'd{number}')
             self.assertIs(self.second, found.connection)
@@ -141,6 +142,29 @@
         self.assertTrue(found.uses.includes([f'c{number}']))
         self.assertFalse(found.uses.includes(['a']))
 
+    async def test_remembered_until_deadline(self) -> None:
+        """Not forgotten while the request may be sent again (MIXED)."""
+        deadline = self.clock.now() + 1.0
+        found = await self._acquire('b')
+        await self._return(found, 'b', deadline)
+        for number in range(2 * uses.MIN_RECENT_REQUESTS):
+            found = await self._acquire(f'd{number}')
+            self.assertIs(self.second, found.connection)
+            await self._return(found, f'c{number}')
+        self.assertIsNot(self.second, (await self._acquire('b')).connection)
+        self.clock.advance(2.0)
+        found = await self._acquire('d')
+        await self._return(found, 'c')
+        self.assertIs(self.second, (await self._acquire('b')).connection)
+
+    async def test_too_many_to_remember(self) -> None:
+        """The connection is closed rather than remembered without limit."""
+        deadline = self.clock.now() + 1.0
+        for number in range(uses.MAX_REMEMBERED_REQUESTS + 2):
+            found = await self._acquire('x')
+            await self._return(found, f'c{number}', deadline)
+        self.assertTrue(self.second.closed)
+
 
 class BoundTest(_PoolTest):
     """Idle connections are closed that nobody will use."""
