Close connections with bytes behind an answer

Callers got 502 for sound requests that run once. Cause: bytes that follow an answer in the same read, as an extra answer does, stay in the parser's buffer, where the watch of idle connections does not see them; the next request on the connection took them for its answer, which ended as answer_crossed. Change: a connection whose parser holds bytes behind a complete answer is closed, logged and counted like one that gets bytes while it is idle.

--- a/src/dogwoodquay/external/http/client.py
+++ b/src/dogwoodquay/external/http/client.py
@@ -245,7 +245,10 @@
             with anyio.CancelScope(shield=True):
                 if sent_stream is not None:
                     sent_stream.expect_nothing(record_unsolicited)
-                if extensions.get(marks.DISCARD_KEY):
+                unread = _unread_bytes(connection)
+                if unread:
+                    record_unsolicited(unread)
+                if unread or extensions.get(marks.DISCARD_KEY):
                     await self._pool.discard(acquired)
                 else:
                     acquired.uses.add(
@@ -437,3 +440,15 @@
             extensions={_STREAM_KEY: stream},
         )
     )
+
+
+def _unread_bytes(connection: httpcore.AsyncHTTPConnection) -> int:
+    """Return the number of received bytes behind the end of an answer.
+
+    httpcore keeps them, with no public way to see them, and would take them
+    for the begin of the next answer.
+    """
+    inner = getattr(connection, '_connection', None)
+    if not isinstance(inner, httpcore.AsyncHTTP11Connection):
+        return 0
+    return len(inner._h11_state.trailing_data[0])
