Read past extra answers to earlier requests on a connection

Cause: an extra answer that came while another request waited on the connection was taken for a crossed answer, and the attempt was given up. Change: an answer that names an earlier request of the same connection, which had its whole answer before, is read to its end and dropped, and the awaited one is read. What does not say where it ends, or names an id that this connection has not carried, ends the attempt as before, so that no wrong answer is possible that was not before.

--- a/src/dogwoodquay/external/http/client.py
+++ b/src/dogwoodquay/external/http/client.py
@@ -17,6 +17,7 @@
 from ... import clock
 from .. import api
 from . import bodies
+from . import earlier_answers
 from . import marks
 from . import network
 from . import pool
@@ -28,6 +29,7 @@
 
 __all__ = [
     'Connections',
+    'ExtraAnswers',
     'Headers',
     'Unsolicited',
 ]
@@ -66,6 +68,19 @@
     size: int
 
 
+class ExtraAnswers(typing.NamedTuple):
+    """Extra answers to earlier requests that came before a request's own."""
+
+    address: str
+    port: int
+    connection: int
+    request_id: str
+    answers: int
+
+
+_Finding = Unsolicited | ExtraAnswers
+
+
 def _ignore(_: typing.Any) -> None:
     """Do nothing."""
 
@@ -84,7 +99,7 @@
         read_timeout_seconds: float = READ_TIMEOUT_SECONDS,
         keep_alive_seconds: float = KEEP_ALIVE_SECONDS,
     ) -> None:
-        self._on_unsolicited: abc.Callable[[Unsolicited], None] = _ignore
+        self._on_finding: abc.Callable[[_Finding], None] = _ignore
         self._time = time
         self._connect_seconds = connect_seconds
         self._read_timeout_seconds = read_timeout_seconds
@@ -110,11 +125,9 @@
         """Close all idle connections."""
         await self._pool.close()
 
-    def on_unsolicited(
-        self, notify: abc.Callable[[Unsolicited], None]
-    ) -> None:
-        """Set what is called with bytes that no request has asked for."""
-        self._on_unsolicited = notify
+    def on_finding(self, notify: abc.Callable[[_Finding], None]) -> None:
+        """Set what is called with answers and bytes that came unasked."""
+        self._on_finding = notify
 
     async def keep_only(
         self, endpoints: abc.Container[tuple[str, int]]
@@ -210,7 +223,7 @@
         on_use(use)
 
         def record_unsolicited(size: int) -> None:
-            self._on_unsolicited(
+            self._on_finding(
                 Unsolicited(
                     address,
                     port,
@@ -221,6 +234,11 @@
                 )
             )
 
+        earlier = earlier_answers.EarlierAnswers(
+            request_id, acquired.uses.method_of
+        )
+        if acquired.stream is not None:
+            acquired.stream.drop_answers(earlier)
         extensions: dict[str, typing.Any] = {}
         sent_stream: network.Stream | None = None
         try:
@@ -245,6 +263,16 @@
             with anyio.CancelScope(shield=True):
                 if sent_stream is not None:
                     sent_stream.expect_nothing(record_unsolicited)
+                if earlier.dropped:
+                    self._on_finding(
+                        ExtraAnswers(
+                            address,
+                            port,
+                            use.connection,
+                            request_id,
+                            earlier.dropped,
+                        )
+                    )
                 unread = _unread_bytes(connection)
                 if unread:
                     record_unsolicited(unread)
@@ -261,7 +289,7 @@
                     await self._pool.release(
                         address,
                         port,
-                        acquired,
+                        acquired._replace(stream=sent_stream),
                         extensions.get(marks.KEEP_ALIVE_KEY),
                     )
 
--- a/src/dogwoodquay/external/http/network.py
+++ b/src/dogwoodquay/external/http/network.py
@@ -16,6 +16,8 @@
 import anyio
 import httpcore
 
+from . import earlier_answers
+
 if typing.TYPE_CHECKING:
     from collections import abc
 
@@ -251,6 +253,11 @@
         self._in_head = True
         self._head_bytes = 0
         self._informational_heads = 0
+        self._earlier: earlier_answers.EarlierAnswers | None = None
+
+    def drop_answers(self, earlier: earlier_answers.EarlierAnswers) -> None:
+        """Drop extra answers to earlier requests from the next answer."""
+        self._earlier = earlier
 
     async def read(
         self, max_bytes: int, timeout: float | None = None
@@ -258,6 +265,19 @@
         """Return received data, waiting for some; empty at the end."""
         if not self._in_head:
             return await self._connection.read(max_bytes, timeout)
+        while True:
+            data = await self._read_head(max_bytes, timeout)
+            if not data or self._earlier is None:
+                return data
+            try:
+                data = self._earlier.feed(data)
+            except earlier_answers.Unreadable as error:
+                raise httpcore.RemoteProtocolError(str(error)) from error
+            if data:
+                return data
+
+    async def _read_head(self, max_bytes: int, timeout: float | None) -> bytes:
+        """Return received data that may be a part of a head."""
         if self._head_bytes:
             # Parsing many small heads takes long; let others run.
             await asyncio.sleep(0)
@@ -293,6 +313,7 @@
 
         :param on_unsolicited: called with the number of bytes that arrived.
         """
+        self._earlier = None
         self._connection.expect_nothing(on_unsolicited)
 
     async def aclose(self) -> None:
--- a/src/dogwoodquay/external/http/pool.py
+++ b/src/dogwoodquay/external/http/pool.py
@@ -34,13 +34,18 @@
     connection: httpcore.AsyncHTTPConnection
     expires_at: float
     uses: connection_uses.Uses
+    stream: network.Stream | None
 
 
 class Acquired(typing.NamedTuple):
-    """A connection in use by one request."""
+    """A connection in use by one request.
+
+    ``stream`` is what it reads from, ``None`` before its first answer.
+    """
 
     connection: httpcore.AsyncHTTPConnection
     uses: connection_uses.Uses
+    stream: network.Stream | None = None
 
 
 class ConnectionPool:
@@ -85,7 +90,7 @@
             elif item.uses.includes(apart_from):
                 left_out.append(item)
             else:
-                found = Acquired(connection, item.uses)
+                found = Acquired(connection, item.uses, item.stream)
         if left_out and idle is not None:
             idle.extend(reversed(left_out))
             self._idle_count += len(left_out)
@@ -112,7 +117,7 @@
             connection open, if known.
         """
         self._in_use -= 1
-        connection, uses = acquired
+        connection, uses, stream = acquired
         now = self._time.now()
         endpoint = (address, port)
         idle = self._idle.setdefault(endpoint, collections.deque())
@@ -122,7 +127,9 @@
             seconds = self._keep_alive_seconds
             if server_keep_alive_seconds is not None:
                 seconds = min(seconds, server_keep_alive_seconds)
-            idle.append(_IdleConnection(connection, now + seconds, uses))
+            idle.append(
+                _IdleConnection(connection, now + seconds, uses, stream)
+            )
             self._idle_count += 1
         else:
             await connection.aclose()
--- a/src/dogwoodquay/gateway/idle_connections.py
+++ b/src/dogwoodquay/gateway/idle_connections.py
@@ -6,10 +6,10 @@
 
 import anyio
 
+from ..external.http import client
 from ..observe import logs
 
 if typing.TYPE_CHECKING:
-    from ..external.http import client
     from ..fleet import registry as registries
     from . import metrics as gateway_metrics
     from . import settings as gateway_settings
@@ -39,7 +39,7 @@
         self._registry = registry
         self._store = store
         self._metrics = metrics
-        connections.on_unsolicited(self._record_unsolicited)
+        connections.on_finding(self._record)
         metrics.gauge(
             'gateway_server_connections_in_use',
             'Connections to servers and the store that requests use',
@@ -67,13 +67,27 @@
         listed.add((self._store.host, self._store.port))
         await self._connections.keep_only(listed)
 
-    def _record_unsolicited(self, found: client.Unsolicited) -> None:
-        self._metrics.unsolicited()
-        _LOG.write(
-            'unsolicited',
-            server_address=f'{found.address}:{found.port}',
-            connection=found.connection,
-            requests=found.requests,
-            request=found.request_id,
-            bytes=found.size,
-        )
+    def _record(
+        self, finding: client.Unsolicited | client.ExtraAnswers
+    ) -> None:
+        address = f'{finding.address}:{finding.port}'
+        match finding:
+            case client.Unsolicited():
+                self._metrics.unsolicited()
+                _LOG.write(
+                    'unsolicited',
+                    server_address=address,
+                    connection=finding.connection,
+                    requests=finding.requests,
+                    request=finding.request_id,
+                    bytes=finding.size,
+                )
+            case client.ExtraAnswers():
+                self._metrics.extra_answers(finding.answers)
+                _LOG.write(
+                    'extra_answers',
+                    server_address=address,
+                    connection=finding.connection,
+                    request=finding.request_id,
+                    answers=finding.answers,
+                )
--- a/src/dogwoodquay/gateway/metrics.py
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -58,6 +58,10 @@
             'gateway_unsolicited_answers_total',
             'Connections to servers closed for bytes that nothing asked for',
         )
+        self._extra_answers = registry.counter(
+            'gateway_extra_answers_total',
+            'Answers to earlier requests that were dropped before the awaited',
+        )
         self._orders = registry.counter(
             'gateway_orders_total', 'Orders to engines', 'kind', 'answer'
         )
@@ -202,6 +206,10 @@
         """Count a connection closed for bytes that nothing asked for."""
         self._unsolicited.add()
 
+    def extra_answers(self, count: int) -> None:
+        """Count answers to earlier requests that were dropped."""
+        self._extra_answers.add(amount=count)
+
     def retried(self, reason: str) -> None:
         """Count an attempt after the first."""
         self._retried.add(reason)
--- /dev/null
+++ b/tests/unit/external/test_earlier_answers.py
@@ -0,0 +1,86 @@
+"""Tests of dropping extra answers to earlier requests."""
+
+from __future__ import annotations
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from dogwoodquay.external.http import earlier_answers
+
+_OWN = b'HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 2\r\n\r\nok'
+_EXTRA = b'HTTP/1.1 500 X\r\nId: a\r\nContent-Length: 3\r\n\r\nbad'
+_CHUNKED = (
+    b'HTTP/1.1 200 X\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n'
+    b'2\r\nab\r\n0\r\n\r\n'
+)
+_NO_BODY = b'HTTP/1.1 200 X\r\nId: h\r\nContent-Length: 3\r\n\r\n'
+_EMPTY = b'HTTP/1.1 204 X\r\nId: a\r\n\r\n'
+
+
+def _earlier() -> earlier_answers.EarlierAnswers:
+    methods = {'a': 'POST', 'h': 'HEAD'}
+    return earlier_answers.EarlierAnswers('own', methods.get)
+
+
+class DroppedTest(unittest.TestCase):
+    """The awaited answer is passed on unchanged, and nothing else."""
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.sampled_from((_EXTRA, _CHUNKED, _NO_BODY, _EMPTY)),
+            max_size=4,
+        ),
+        strategies.lists(strategies.integers(1, 60), max_size=20),
+    )
+    def test_any_parts(self, extra: list[bytes], sizes: list[int]) -> None:
+        """However the bytes are split into reads."""
+        earlier = _earlier()
+        data = b''.join(extra) + _OWN
+        passed = b''
+        for size in (*sizes, len(data)):
+            passed += earlier.feed(data[:size])
+            data = data[size:]
+        self.assertEqual((_OWN, len(extra)), (passed, earlier.dropped))
+
+    def test_unknown_id(self) -> None:
+        """An answer that names no earlier request is passed on."""
+        data = _EXTRA.replace(b'Id: a', b'Id: b') + _OWN
+        self.assertEqual(data, _earlier().feed(data))
+
+    def test_own_id_first(self) -> None:
+        """Nothing is dropped once the awaited answer has begun."""
+        data = _OWN + _EXTRA
+        self.assertEqual(data, _earlier().feed(data))
+
+    def test_no_answer(self) -> None:
+        """Bytes that are no answer are passed on with their end."""
+        data = b'\x00 nonsense\r\n\r\n'
+        self.assertEqual(data, _earlier().feed(data))
+
+
+class UnreadableTest(unittest.TestCase):
+    """What follows is not trusted if the end of an answer is not known."""
+
+    def _assert_unreadable(self, data: bytes) -> None:
+        with self.assertRaises(earlier_answers.Unreadable):
+            _earlier().feed(data)
+
+    def test_end_not_marked(self) -> None:
+        """It would end with the connection."""
+        extra = _EXTRA.replace(b'Content-Length', b'Other')
+        self._assert_unreadable(extra + _OWN)
+
+    def test_connection_ends(self) -> None:
+        """The server says that no answer follows."""
+        extra = _EXTRA.replace(b'Id', b'Connection: close\r\nId')
+        self._assert_unreadable(extra + _OWN)
+
+    def test_broken_chunks(self) -> None:
+        """The size of a chunk is no number."""
+        self._assert_unreadable(_CHUNKED.replace(b'2\r\n', b'?\r\n') + _OWN)
+
+
+if __name__ == '__main__':
+    unittest.main()
