Let a planned stop govern plain requests from begin to end

Callers saw requests that run once taken in a planned stop, passed on, and ended with a bare 500 (LOST). Cause: the stop had an end for streams alone. Plain requests were taken wherever a server was free, also beside a stream that kept the instance open to the end, and were left to the HTTP server, which cancels its tasks and answers 500, as it did for a body that had not come. Change: the decisions have a package, stopping. From SIGTERM on, what may not be repeated is taken only if its deadline lies before the end; after the removal by the balancer all plain requests; else 503 with Retry-After and a closed connection, with nothing sent on. At the end the gateway ends all requests itself: 504 or a cut stream if a server may have it, 503 if none has.

--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -14,6 +14,7 @@
 from . import reading
 from . import results
 from ..routes import table
+from ..stopping import intake
 from . import trace as traces
 
 if typing.TYPE_CHECKING:
@@ -59,6 +60,13 @@
 )
 
 
+class _Rejected(typing.NamedTuple):
+    """A refusal before a request was forwarded, and whether to close."""
+
+    refusal: api.Refusal
+    close: bool = False
+
+
 class ConfigurationFreshness(typing.Protocol):
     """What is known of versions newer than the active one."""
 
@@ -105,9 +113,9 @@
         self._rng = rng
         self._routes: table.RouteTable | None = None
         self._in_flight = 0
-        self._streams: dict[anyio.CancelScope, answers.Answer] = {}
-        self._closing = False
-        self._draining = False
+        self._requests: dict[anyio.CancelScope, answers.Answer] = {}
+        self._streams: set[anyio.CancelScope] = set()
+        self._phase: intake.Phase = intake.Serving()
 
     @property
     def in_flight(self) -> int:
@@ -129,20 +137,23 @@
         """The number of streams in flight."""
         return len(self._streams)
 
-    def drain(self) -> None:
-        """Refuse new streams, which might not end before the stop."""
-        self._draining = True
+    def leave(self, ends_at: float) -> None:
+        """Begin a planned stop: each answer closes its connection.
+
+        :param ends_at: when all requests are to end.
+        """
+        self._phase = intake.Leaving(ends_at)
+
+    def drain(self, ends_at: float) -> None:
+        """Refuse also what comes after the load balancer's removal."""
+        self._phase = intake.Draining(ends_at)
 
-    def end_streams(self) -> None:
-        """Cancel the streams in flight."""
-        for scope, answer in tuple(self._streams.items()):
+    def end_requests(self) -> None:
+        """End all requests in flight, each with a true answer."""
+        for scope, answer in tuple(self._requests.items()):
             answer.trace.stopped = True
             scope.cancel()
 
-    def close_connections(self) -> None:
-        """Close each connection after its next answer, from now on."""
-        self._closing = True
-
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
@@ -170,7 +181,7 @@
             terms,
             send,
             arrived_at,
-            lambda: self._closing,
+            lambda: not isinstance(self._phase, intake.Serving),
             lambda: closings.closed_by(scope),
         )
         try:
@@ -189,39 +200,59 @@
         arrived_at: float,
         answer: answers.Answer,
     ) -> None:
+        with anyio.CancelScope() as scope:
+            self._requests[scope] = answer
+            try:
+                found = await self._admit(request, terms, arrived_at, answer)
+            finally:
+                del self._requests[scope]
+        if scope.cancelled_caught:
+            found = _Rejected(_STOPPING, close=True)
+        match found:
+            case None:
+                answer.record_left()
+            case _Rejected(refusal, close):
+                await answer.refuse(refusal, close)
+            case api.Call():
+                answer.resume_after(terms.last_event)
+                await self._forward(found, request, answer)
+
+    async def _admit(
+        self,
+        request: asgi.Request,
+        terms: api.CallerTerms,
+        arrived_at: float,
+        answer: answers.Answer,
+    ) -> api.Call | _Rejected | None:
+        """Read and check a request; ``None`` if its caller has left."""
         if self._hold is not None and not self._hold.released:
             await self._hold.wait(terms.wait_seconds)
         routes = self._routes
         refusal = reading.check(request, routes)
         if routes is None:
-            await answer.refuse(refusal or self._refuse_starting(), close=True)
-            return
+            return _Rejected(refusal or self._refuse_starting(), close=True)
         if refusal is not None:
             refusal = await self._by_configuration(refusal, routes)
-            await answer.refuse(refusal, close=True)
-            return
+            return _Rejected(refusal, close=True)
         limits = routes.configuration.limits
         body = await reading.read_body(request, limits)
         if body is None:
-            answer.record_left()
-            return
+            return None
         answer.on_body_read()
         if isinstance(body, api.Refusal):
             body = await self._by_configuration(body, routes)
-            await answer.refuse(body, close=True)
-            return
+            return _Rejected(body, close=True)
         route = await self._match(request, routes)
         if isinstance(route, api.Refusal):
-            await answer.refuse(route)
-            return
+            return _Rejected(route)
         tenant = await self._find_tenant(route, terms)
         if isinstance(tenant, api.Refusal):
-            await answer.refuse(tenant)
-            return
-        if self._draining and route.streaming:
-            await answer.refuse(_STOPPING, close=True)
-            return
+            return _Rejected(tenant)
         span = min(terms.wait_seconds, route.timeout_seconds)
+        deadline = arrived_at + span
+        offer = intake.Offer(deadline, route.streaming, route.repeatable)
+        if not intake.admits(self._phase, offer):
+            return _Rejected(_STOPPING, close=True)
         target = reading.target(request)
         headers = tuple(request.raw_headers)
         call = api.Call(
@@ -234,18 +265,14 @@
             route=route,
             service=table.pick_service(route, self._rng),
             arrived_at=arrived_at,
-            deadline=arrived_at + span,
+            deadline=deadline,
             identity=identity.digest(
                 request.method, target, headers, body, terms
             ),
         )
         call = self._tenancy.assign(call, tenant)
         refusal = self._accounts.admit(call)
-        if refusal is not None:
-            await answer.refuse(refusal)
-            return
-        answer.resume_after(terms.last_event)
-        await self._forward(call, request, answer)
+        return call if refusal is None else _Rejected(refusal)
 
     async def _forward(
         self, call: api.Call, request: asgi.Request, answer: answers.Answer
@@ -265,12 +292,14 @@
         async with anyio.create_task_group() as group:
             group.start_soon(watch)
             with anyio.move_on_after(left) as scope:
+                self._requests[scope] = answer
                 if call.route.streaming:
-                    self._streams[scope] = answer
+                    self._streams.add(scope)
                 try:
                     result = await self._forwarder.run(call, answer)
                 finally:
-                    self._streams.pop(scope, None)
+                    del self._requests[scope]
+                    self._streams.discard(scope)
             if not caller_left:
                 result = result or self._end_timed_out(call, answer)
                 if isinstance(result, api.Refusal):
@@ -353,6 +382,8 @@
             answer.trace.cause = traces.Cause.STOPPING
         if answer.started:
             return results.Cut(reason.value)
+        if answer.trace.stopped and not answer.trace.attempts:
+            return _STOPPING
         return api.Refusal(reason, _GATEWAY_TIMEOUT)
 
 
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -40,6 +40,7 @@
 from . import serving
 from . import silence as silences
 from . import start_hold
+from ..stopping import plan as stop_plans
 from ..traffic import control as traffic_control
 from ..traffic import tenancy as tenancies
 from . import watch
@@ -57,13 +58,6 @@
 
 UPSTREAM_IDLE_SECONDS: typing.Final = 60.0
 CONNECT_SECONDS: typing.Final = 0.4
-# The load balancer checks readiness once a second and removes an instance
-# after two refusals.
-BALANCER_REMOVAL_SECONDS: typing.Final = 2.4
-# The part of the stop time that is kept for plain requests and closing.
-STOP_MARGIN_SECONDS: typing.Final = 1.0
-# The least time that plain requests get to end.
-PLAIN_STOP_SECONDS: typing.Final = 0.5
 STOP_POLL_SECONDS: typing.Final = 0.05
 # Retries of each instance beyond its share; those of all instances together
 # stay below the slack of the smallest deployments.
@@ -369,31 +363,34 @@
     async def _drain(self) -> None:
         """Wait for the balancer to remove this instance, then finish requests.
 
-        Plain requests are served to the end. New streams are refused once
-        the balancer has removed the instance, and waiting requests are
-        refused, so that their callers retry at another instance.
+        Requests that may not end in time are refused, and so are waiting
+        requests and new streams once the balancer has removed the instance,
+        so that their callers retry at another one.
         """
         await self._stopping.wait()
-        deadline = self._clock.now() + self._settings.stop_seconds
-        deadline -= STOP_MARGIN_SECONDS
+        plan = stop_plans.plan_stop(
+            self._clock.now(), self._settings.stop_seconds
+        )
         _LOG.write('stopping', in_flight=self._app.in_flight)
-        self._app.close_connections()
+        self._app.leave(plan.ends_at)
         async with anyio.create_task_group() as group:
             group.start_soon(self._peering.hand_over)
             group.start_soon(self._origins.hand_over)
-            await self._finish_requests(deadline)
+            await self._finish_streams(plan)
             group.cancel_scope.cancel()
+        left = max(0.0, plan.ends_at - self._clock.now())
+        self._callers.stop_within(left + stop_plans.ANSWER_SECONDS)
         self._drained.set()
+        await anyio.sleep(left)
+        _LOG.write('ending', in_flight=self._app.in_flight)
+        self._app.end_requests()
 
-    async def _finish_requests(self, deadline: float) -> None:
-        """Serve the requests in flight until a deadline."""
-        with anyio.move_on_after(BALANCER_REMOVAL_SECONDS):
+    async def _finish_streams(self, plan: stop_plans.StopPlan) -> None:
+        """Serve the streams in flight until all requests are to end."""
+        with anyio.move_on_after(plan.removed_at - self._clock.now()):
             await self._health.removed_from_balancer()
         _LOG.write('draining', in_flight=self._app.in_flight)
-        self._app.drain()
+        self._app.drain(plan.ends_at)
         self._scheduler.close()
-        while self._app.streams and self._clock.now() < deadline:
+        while self._app.streams and self._clock.now() < plan.ends_at:
             await anyio.sleep(STOP_POLL_SECONDS)
-        self._app.end_streams()
-        left = deadline - self._clock.now()
-        self._callers.stop_within(max(left, PLAIN_STOP_SECONDS))
--- a/tests/site/test_planned_stop.py
+++ b/tests/site/test_planned_stop.py
@@ -147,13 +147,14 @@
             instance.process.send_signal(signal.SIGTERM)
             answer = await call
             self.assertEqual(504, answer.status)
-        lines = [
-            line
-            for line in instance.log_lines()
-            if line.get('request') == 'long'
-            and line['message_type'] == 'request:refused'
-        ]
-        self.assertEqual(['stopping'], [line['reason'] for line in lines])
+            await instance.wait_stopped()
+            reasons = [
+                line['reason']
+                for line in instance.log_lines()
+                if line.get('request') == 'long'
+                and line['message_type'] == 'request:refused'
+            ]
+            self.assertEqual(['stopping'], reasons)
 
     async def test_body_not_whole(self) -> None:
         """It has not run: 503, or no answer, but no other status."""
--- a/tests/unit/gateway/test_endings.py
+++ b/tests/unit/gateway/test_endings.py
@@ -244,7 +244,7 @@
                     await anyio.sleep(0.01)
                 await anyio.sleep(0.1)
                 site.freshness.versions.on_active(2, 0.0)
-                site.app.end_streams()
+                site.app.end_requests()
         self.assert_ending(
             'cut',
             reason='stopping',
@@ -308,7 +308,7 @@
                 group.start_soon(site.call)
                 while not upstream.received:
                     await anyio.sleep(0.01)
-                site.app.end_streams()
+                site.app.end_requests()
         self.assert_ending(
             'refused', reason='stopping', status=504, ended_by='stopping'
         )
