Set the timers of a server connection later than the request's deadline

Cause: two timers for one deadline; which ends first is open where the process is preempted. Change: the timers of the connection come 0.25 s after the deadline, which the app ends. Evidence: test_later_timers_of_the_connection failed before (deadline given to the connection 1212.9858 in place of one later than 1212.9869) and passes; the other 19 tests of the file pass.

--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -37,8 +37,9 @@
 # Used where a server names no idle time, or zero. The header gives whole
 # seconds with the fraction cut off, so small values are imprecise.
 IDLE_UNKNOWN_SECONDS: typing.Final = 3.0
-# The least timeout of a read. The caller of ``run`` ends it at the deadline.
-MIN_READ_SECONDS: typing.Final = 0.02
+# The caller of ``run`` ends it at the deadline. The timers of the connection
+# come later, so that it is never open which of them ends a request.
+TIMER_MARGIN_SECONDS: typing.Final = 0.25
 
 
 class HeaderCodec(typing.Protocol):
@@ -140,8 +141,8 @@
             call.target,
             self._codec.for_server(call.headers, outgoing),
             call.body,
-            call.deadline,
-            max(call.deadline - now, MIN_READ_SECONDS),
+            max(call.deadline, now) + TIMER_MARGIN_SECONDS,
+            max(call.deadline - now, 0.0) + TIMER_MARGIN_SECONDS,
             call.terms.attempt_id,
             (call.terms.attempt_id,),
             relay.trace.on_use,
--- a/tests/unit/gateway/test_endings.py
+++ b/tests/unit/gateway/test_endings.py
@@ -277,6 +277,26 @@
         self.assertLessEqual(1.5, line['silence'])
         self.assertEqual([], self.failed_attempts())
 
+    async def test_later_timers_of_the_connection(self) -> None:
+        """They cannot end a request before its own deadline does."""
+        sent: list[tuple[float, float, float]] = []
+        upstream = loopback.Upstream('u1', _never_answers)
+        site = loopback.Site(upstream)
+        open_raw = site.connections.open_raw
+
+        def opened(*args: typing.Any) -> typing.Any:
+            sent.append((site.connections.now(), args[6], args[7]))
+            return open_raw(*args)
+
+        site.connections.open_raw = opened  # type: ignore[method-assign]
+        async with site.running():
+            site.configure(loopback.route(timeout_seconds=0.3))
+            begun = site.connections.now()
+            await site.call()
+        ((now, deadline, read_seconds),) = sent
+        self.assertGreater(deadline, now + 0.3)
+        self.assertGreater(now + read_seconds, begun + 0.3)
+
     async def test_route_time(self) -> None:
         """The body of a plain answer did not end in the route's time."""
         upstream = loopback.Upstream('u1', _streams(b'part', silent=True))
