Keep reports off connections that carried orders

What callers would see: requests refused because their model is taken to be loaded nowhere, and an engine that is ordered to load more than it holds (LIMIT), as the expected number of orders is right where it has accepted none. Cause: reports and orders have no id. A report went over a connection on which an order had been answered, and an extra answer to that order, 200 with an empty object, was decoded as the report of an engine without models. Change: a report goes over a connection that was not used for an order lately, as an order already does for both. An extra answer to a report is as old as the one before; observe() ignores one from before the last accepted order. Evidence: test_extra_answer_to_an_order_before_a_report failed before (7 != 0, the number of the extra answer) and passes; the 4 tests of the file pass.

--- a/src/dogwoodquay/platform/engines.py
+++ b/src/dogwoodquay/platform/engines.py
@@ -29,7 +29,8 @@
 # Answers to callers' requests have it, those to reports and orders do not.
 _ATTEMPT: typing.Final = 'attempt-id'
 # Reports and orders have no ids. An answer that is written again could be
-# taken for that to an order, so orders use connections apart.
+# taken for that to an order, and one to an order for an empty report, so
+# orders use connections apart.
 _REPORT: typing.Final = 'report'
 _ORDER: typing.Final = 'order'
 
@@ -111,6 +112,7 @@
             deadline,
             headers=((_EXPECTED_SERVER, server.server_id),),
             request_id=_REPORT,
+            apart_from=(_ORDER,),
             foreign_header=_ATTEMPT,
         )
         if result.is_error():
--- a/tests/unit/platform/test_engines.py
+++ b/tests/unit/platform/test_engines.py
@@ -123,6 +123,12 @@
             self.assertEqual(7, await self._report(server))
             self.assertIs(api.OrderAnswer.CONFLICT, await self._order(server))
 
+    async def test_extra_answer_to_an_order_before_a_report(self) -> None:
+        """It looks like the report of an engine that holds nothing."""
+        async with self._engine(_answer(200, b'{}')) as server:
+            await self._order(server)
+            self.assertEqual(7, await self._report(server))
+
     async def test_extra_answer_to_a_request(self) -> None:
         """It has an id, and is no report."""
         async with self._engine(_REQUEST_ANSWER) as server:
