Never forget that a connection carried an order

What callers would see: models placed by wrong answers to orders. An order that the engine refuses is taken for accepted, so that requests go to a server without the model (421) until the next report. Cause: a connection forgets a request once its deadline is past and 32 others were answered, as its id does not come again. Orders and reports share the id of their kind, which comes again at any time. Change: fetch() bars the kind of each call for good, as refused requests are barred, and the marks are named after that. Evidence: test_late_order failed before (2 != 1 connections for two orders with 64 requests between them) and passes; 51 tests of the HTTP client, of the engines and of extra answers pass.

--- a/src/dogwoodquay/external/http/client.py
+++ b/src/dogwoodquay/external/http/client.py
@@ -282,7 +282,7 @@
                     acquired.uses.add(
                         request_id,
                         method,
-                        extensions.get(marks.REFUSED_KEY, False),
+                        extensions.get(marks.BARRED_KEY, False),
                         deadline,
                         self._time.now(),
                     )
@@ -319,7 +319,9 @@
         """Send a request and read the complete response before a deadline.
 
         :param max_bytes: the limit of the response's body.
-        :param request_id: as in ``open_raw``, and so is ``apart_from``.
+        :param request_id: the kind of the call; its use of the connection is
+            never forgotten.
+        :param apart_from: as in ``open_raw``.
         :param foreign_header: a header that only the answers to other
             requests have, which are no answer to this one.
         """
@@ -336,6 +338,8 @@
                 apart_from=apart_from,
             ) as sent:
                 if sent.is_ok():
+                    # The next call of the kind may come at any later time.
+                    marks.bar_repeat(sent.ok)
                     if foreign_header and foreign_header in sent.ok.headers:
                         marks.discard(sent.ok)
                         return expression.Error(
--- a/src/dogwoodquay/external/http/marks.py
+++ b/src/dogwoodquay/external/http/marks.py
@@ -8,18 +8,18 @@
     import httpx
 
 __all__ = [
+    'BARRED_KEY',
     'DISCARD_KEY',
     'KEEP_ALIVE_KEY',
-    'REFUSED_KEY',
+    'bar_repeat',
     'discard',
     'keep_idle',
-    'mark_refused',
 ]
 
 # Keys of the extensions of a response.
 DISCARD_KEY: typing.Final = 'discard_connection'
 KEEP_ALIVE_KEY: typing.Final = 'idle_seconds'
-REFUSED_KEY: typing.Final = 'request_refused'
+BARRED_KEY: typing.Final = 'repeat_barred'
 
 
 def discard(response: httpx.Response) -> None:
@@ -32,9 +32,9 @@
     response.extensions[KEEP_ALIVE_KEY] = seconds
 
 
-def mark_refused(response: httpx.Response) -> None:
+def bar_repeat(response: httpx.Response) -> None:
     """Never use the connection of a response for the same request again.
 
     It stays in use for other requests.
     """
-    response.extensions[REFUSED_KEY] = True
+    response.extensions[BARRED_KEY] = True
--- a/src/dogwoodquay/external/http/uses.py
+++ b/src/dogwoodquay/external/http/uses.py
@@ -17,7 +17,7 @@
     'Uses',
 ]
 
-# A connection on which more requests than these were refused is closed.
+# A connection on which more requests than these are barred is closed.
 MAX_BARRED_REQUESTS: typing.Final = 256
 # The answered requests that a connection remembers at least.
 MIN_RECENT_REQUESTS: typing.Final = 32
@@ -56,13 +56,13 @@
     number: int = 0
     _count: int = 0
     _answered: dict[str, _Answered] = msgspec.field(default_factory=dict)
-    _refused: dict[str, str] = msgspec.field(default_factory=dict)
+    _barred: dict[str, str] = msgspec.field(default_factory=dict)
 
     @property
     def exhausted(self) -> bool:
         """Whether there is too much to remember of the connection."""
         return (
-            len(self._refused) > MAX_BARRED_REQUESTS
+            len(self._barred) > MAX_BARRED_REQUESTS
             or len(self._answered) > MAX_REMEMBERED_REQUESTS
         )
 
@@ -75,7 +75,7 @@
     def includes(self, request_ids: abc.Iterable[str]) -> bool:
         """Whether the connection was used for one of these requests."""
         return any(
-            item in self._answered or item in self._refused
+            item in self._answered or item in self._barred
             for item in request_ids
         )
 
@@ -84,17 +84,17 @@
         answered = self._answered.get(request_id)
         if answered is not None:
             return answered.method
-        return self._refused.get(request_id)
+        return self._barred.get(request_id)
 
     def add(
         self,
         request_id: str,
         method: str,
-        refused: bool,
+        barred: bool,
         deadline: float,
         now: float,
     ) -> None:
-        """Record a request; one that was refused is never forgotten.
+        """Record a request; one that is barred is never forgotten.
 
         :param request_id: empty for a request without an id, which is not
             remembered.
@@ -102,8 +102,8 @@
         """
         if not request_id:
             return
-        if refused:
-            self._refused[request_id] = method
+        if barred:
+            self._barred[request_id] = method
             return
         self._answered.pop(request_id, None)
         self._answered[request_id] = _Answered(method, deadline)
--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -204,7 +204,7 @@
             if terms.not_executed:
                 # Servers may write a refusal again, where it would look like
                 # the answer to a further attempt.
-                marks.mark_refused(response)
+                marks.bar_repeat(response)
                 bodies.limit(response, bodies.MAX_ANSWER_BYTES)
                 await self._read_body(relay, response)
                 absent = status == _MISDIRECTED
--- a/tests/unit/platform/test_engines.py
+++ b/tests/unit/platform/test_engines.py
@@ -22,6 +22,9 @@
     b'HTTP/1.1 200 OK\r\nAttempt-Id: c0ffee\r\nContent-Length: 2\r\n\r\n{}'
 )
 
+# More requests than a connection remembers at least.
+_MANY: typing.Final = 64
+
 
 def _answer(status: int, body: bytes = b'') -> bytes:
     head = f'HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n'
@@ -40,11 +43,13 @@
         It writes extra answers when a request comes on a used connection.
         """
         self.orders = 0
+        self.opened = 0
         self.notices: list[gateway_api.ServerNotice | None] = []
 
         async def serve(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
+            self.opened += 1
             pending: list[bytes] = []
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                 while True:
@@ -95,13 +100,15 @@
     ) -> None:
         self.notices.append(terms.notice)
 
-    async def _order(self, server: fleet_api.ServerEntry) -> api.OrderAnswer:
+    async def _order(
+        self, server: fleet_api.ServerEntry, seconds: float = 2.0
+    ) -> api.OrderAnswer:
         return await self.subject.order(
             server,
             api.LoadModel('m'),
             0,
             16,
-            self.connections.now() + 2.0,
+            self.connections.now() + seconds,
         )
 
     async def _report(self, server: fleet_api.ServerEntry) -> int:
@@ -129,6 +136,24 @@
             await self._order(server)
             self.assertEqual(7, await self._report(server))
 
+    async def test_late_order(self) -> None:
+        """Many requests later a connection is not used for an order again."""
+        async with self._engine() as server:
+            await self._order(server, 0.2)
+            await asyncio.sleep(0.2)
+            for number in range(_MANY):
+                await self.connections.fetch(
+                    server.address,
+                    server.port,
+                    'GET',
+                    '/',
+                    self.connections.now() + 2.0,
+                    request_id=f'a{number}',
+                )
+            self.assertEqual(1, self.opened)
+            await self._order(server)
+            self.assertEqual(2, self.opened)
+
     async def test_extra_answer_to_a_request(self) -> None:
         """It has an id, and is no report."""
         async with self._engine(_REQUEST_ANSWER) as server:
