Tell whose answer it is by the header with the id alone

What callers would see: requests for models whose engine's report is missing. A report was held to its deadline and lost, with each one on that connection. Cause: an answer was taken for one to an earlier request if any of its headers had the value of that request's id. Callers choose ids, so that '15' or 'application/json' is one, and a report has no id by which it would be known first. Change: calls without an id name the header that has the ids of others. Evidence: test_request_named_like_a_header failed before (7 != -1, after its time-out) and passes; 44 tests of the HTTP client, the engines and extra answers pass. Requests with an id are not concerned, as their own id is looked for first.

--- a/src/dogwoodquay/external/http/client.py
+++ b/src/dogwoodquay/external/http/client.py
@@ -152,6 +152,7 @@
         read_timeout_seconds: float = 0.0,
         request_id: str = '',
         apart_from: tuple[str, ...] = (),
+        id_header: str = '',
     ) -> abc.AsyncIterator[expression.Result[httpx.Response, SendError]]:
         """Send a request and yield the response with its body unread.
 
@@ -176,6 +177,7 @@
             read_timeout_seconds,
             request_id,
             apart_from,
+            id_header=id_header,
         ) as sent:
             yield sent
 
@@ -193,6 +195,7 @@
         request_id: str = '',
         apart_from: tuple[str, ...] = (),
         on_use: abc.Callable[[uses.Use], None] = _ignore,
+        id_header: str = '',
     ) -> abc.AsyncIterator[expression.Result[httpx.Response, SendError]]:
         """Send a request with the given headers and a content length.
 
@@ -203,6 +206,8 @@
         :param apart_from: the request does not go over a connection that was
             used lately for one of these ids.
         :param on_use: called with the connection over which it goes.
+        :param id_header: the header of answers that has the id of their
+            request, in lower case; empty for any one.
         """
         remaining = deadline - self._time.now()
         if remaining <= 0:
@@ -235,7 +240,7 @@
             )
 
         earlier = earlier_answers.EarlierAnswers(
-            request_id, acquired.uses.method_of
+            request_id, acquired.uses.method_of, id_header
         )
         if acquired.stream is not None:
             acquired.stream.drop_answers(earlier)
@@ -322,8 +327,8 @@
         :param request_id: the kind of the call; its use of the connection is
             never forgotten.
         :param apart_from: as in ``open_raw``.
-        :param foreign_header: a header that only the answers to other
-            requests have, which are no answer to this one.
+        :param foreign_header: the header with the id of a request, in lower
+            case. An answer that has it is not the answer to this call.
         """
         with anyio.move_on_after(deadline - self._time.now()):
             async with self.open(
@@ -336,6 +341,7 @@
                 deadline,
                 request_id=request_id,
                 apart_from=apart_from,
+                id_header=foreign_header,
             ) as sent:
                 if sent.is_ok():
                     # The next call of the kind may come at any later time.
--- a/src/dogwoodquay/external/http/earlier_answers.py
+++ b/src/dogwoodquay/external/http/earlier_answers.py
@@ -32,13 +32,19 @@
     :param request_id: the id of the request whose answer is awaited.
     :param method_of: returns the method of an earlier request on the
         connection by its id, ``None`` if there was none.
+    :param id_header: the header that has the id, in lower case; empty for any
+        one, which is enough where the awaited answer has an id itself.
     """
 
     def __init__(
-        self, request_id: str, method_of: abc.Callable[[str], str | None]
+        self,
+        request_id: str,
+        method_of: abc.Callable[[str], str | None],
+        id_header: str = '',
     ) -> None:
         self._request_id = request_id.encode('latin-1')
         self._method_of = method_of
+        self._id_header = id_header.encode('latin-1')
         self._head = bytearray()
         self._dropping: h11.Connection | None = None
         self._passed = False
@@ -88,8 +94,10 @@
         if self._request_id in head:
             return None
         for line in head.split(_LINE_END)[1:]:
-            value = line.partition(b':')[2].strip().decode('latin-1')
-            method = self._method_of(value)
+            name, _, value = line.partition(b':')
+            if self._id_header not in (b'', name.strip().lower()):
+                continue
+            method = self._method_of(value.strip().decode('latin-1'))
             if method is not None:
                 return method
         return None
--- a/tests/unit/platform/test_engines.py
+++ b/tests/unit/platform/test_engines.py
@@ -136,6 +136,19 @@
             await self._order(server)
             self.assertEqual(7, await self._report(server))
 
+    async def test_request_named_like_a_header(self) -> None:
+        """Callers choose ids, and a report has many headers."""
+        async with self._engine() as server:
+            await self.connections.fetch(
+                server.address,
+                server.port,
+                'GET',
+                '/',
+                self.connections.now() + 2.0,
+                request_id='15',
+            )
+            self.assertEqual(7, await self._report(server))
+
     async def test_late_order(self) -> None:
         """Many requests later a connection is not used for an order again."""
         async with self._engine() as server:
