Read on behind informational heads on used connections

What callers would see: the request's answer is dropped and the request held to its deadline (504), or one lost attempt (502 for requests that run once). Cause: an informational head decided whose answer the next one is. With the id of an earlier request the parser for dropped answers took the final head that followed, which was the awaited one; without an id the extra answer behind it was passed on. Change: informational heads before an answer decide nothing and are not passed on; the client does not use them. Evidence: test_any_parts with informational heads before and behind the extra answers failed before, and passes; 45 tests of limits, endless and extra answers pass.

--- a/src/dogwoodquay/external/http/earlier_answers.py
+++ b/src/dogwoodquay/external/http/earlier_answers.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import re
 import typing
 
 import h11
@@ -18,6 +19,8 @@
 
 _HEAD_END: typing.Final = b'\r\n\r\n'
 _LINE_END: typing.Final = b'\r\n'
+# All but a change of protocol, which no request asks for.
+_INFORMATIONAL: typing.Final = re.compile(rb'HTTP/1\.[01] 1(?!01)')
 # Only these have no body without a header that says how it ends.
 _BODILESS_STATUSES: typing.Final = frozenset({204, 304})
 
@@ -29,6 +32,8 @@
 class EarlierAnswers:
     """Passes on what follows the extra answers to earlier requests.
 
+    Informational heads before the awaited answer are dropped as well.
+
     :param request_id: the id of the request whose answer is awaited.
     :param method_of: returns the method of an earlier request on the
         connection by its id, ``None`` if there was none.
@@ -77,6 +82,9 @@
         data = bytes(self._head)
         head = data[:end]
         self._head.clear()
+        if _INFORMATIONAL.match(head):
+            # It tells nothing, and not whose answer comes next.
+            return data[end + len(_HEAD_END) :]
         method = self._earlier_method(head)
         if method is None:
             self._passed = True
--- a/tests/unit/external/test_earlier_answers.py
+++ b/tests/unit/external/test_earlier_answers.py
@@ -17,6 +17,8 @@
 )
 _NO_BODY = b'HTTP/1.1 200 X\r\nId: h\r\nContent-Length: 3\r\n\r\n'
 _EMPTY = b'HTTP/1.1 204 X\r\nId: a\r\n\r\n'
+_HINT = b'HTTP/1.1 103 X\r\nLink: x\r\n\r\n'
+_NAMED_HINT = b'HTTP/1.1 103 X\r\nId: a\r\n\r\n'
 
 
 def _earlier() -> earlier_answers.EarlierAnswers:
@@ -32,12 +34,20 @@
             strategies.sampled_from((_EXTRA, _CHUNKED, _NO_BODY, _EMPTY)),
             max_size=4,
         ),
+        strategies.lists(
+            strategies.sampled_from((_HINT, _NAMED_HINT)), max_size=2
+        ),
         strategies.lists(strategies.integers(1, 60), max_size=20),
     )
-    def test_any_parts(self, extra: list[bytes], sizes: list[int]) -> None:
-        """However the bytes are split into reads."""
+    def test_any_parts(
+        self, extra: list[bytes], hints: list[bytes], sizes: list[int]
+    ) -> None:
+        """However the bytes are split into reads.
+
+        An informational head does not tell whose answer follows.
+        """
         earlier = _earlier()
-        data = b''.join(extra) + _OWN
+        data = b''.join([*hints, *extra, *hints, _OWN])
         passed = b''
         for size in (*sizes, len(data)):
             passed += earlier.feed(data[:size])
