Read bytes that are no whole head at once on used connections

What callers would see: 504 at the deadline, or the wait for another server, where a server's sound answer had lines without carriage returns, or where it sent bytes that are no answer; on new connections the first is read and the second fails at once. Cause: the search for extra answers held all bytes until an empty line with carriage returns. The parser ends a head without them too, and rejects bytes that begin no line. Change: the end of a head is found as the parser finds it, and bytes that cannot begin a head are passed on. Evidence: test_bare_line_feeds and test_no_head failed before (b'' passed on) and pass; 42 tests of limits, cut heads, broken pieces and extra answers pass.

--- a/src/dogwoodquay/external/http/earlier_answers.py
+++ b/src/dogwoodquay/external/http/earlier_answers.py
@@ -17,8 +17,10 @@
 
 __all__ = ['EarlierAnswers', 'Unreadable']
 
-_HEAD_END: typing.Final = b'\r\n\r\n'
-_LINE_END: typing.Final = b'\r\n'
+_HEAD_BEGIN: typing.Final = b'HTTP/1.'
+# As h11 reads it, also without carriage returns.
+_HEAD_END: typing.Final = re.compile(rb'\n\r?\n')
+_MAX_HEAD_END_BYTES: typing.Final = 3
 # All but a change of protocol, which no request asks for.
 _INFORMATIONAL: typing.Final = re.compile(rb'HTTP/1\.[01] 1(?!01)')
 # Only these have no body without a header that says how it ends.
@@ -74,34 +76,44 @@
 
     def _read_head(self, data: bytes) -> bytes:
         """Begin to drop an answer, or pass it on, once its head is whole."""
-        searched = max(0, len(self._head) - len(_HEAD_END) + 1)
+        searched = max(0, len(self._head) - _MAX_HEAD_END_BYTES + 1)
         self._head += data
-        end = self._head.find(_HEAD_END, searched)
-        if end < 0:
+        if not _HEAD_BEGIN.startswith(self._head[: len(_HEAD_BEGIN)]):
+            return self._pass_on()
+        end = _HEAD_END.search(self._head, searched)
+        if end is None:
             return b''
-        data = bytes(self._head)
-        head = data[:end]
-        self._head.clear()
+        head = bytes(self._head[: end.start()])
         if _INFORMATIONAL.match(head):
             # It tells nothing, and not whose answer comes next.
-            return data[end + len(_HEAD_END) :]
+            return self._take()[end.end() :]
         method = self._earlier_method(head)
         if method is None:
-            self._passed = True
-            return data
+            return self._pass_on()
         self._dropping = h11.Connection(h11.CLIENT)
         # Makes the parser expect the answer; nothing is sent.
         self._dropping.send(
             h11.Request(method=method, target='/', headers=[('Host', 'x')])
         )
         self._dropping.send(h11.EndOfMessage())
+        return self._take()
+
+    def _pass_on(self) -> bytes:
+        """Return what was read, and nothing is dropped from now on."""
+        self._passed = True
+        return self._take()
+
+    def _take(self) -> bytes:
+        """Return what was read of a head and what follows it."""
+        data = bytes(self._head)
+        self._head = bytearray()
         return data
 
     def _earlier_method(self, head: bytes) -> str | None:
         """Return the method of the earlier request that a head answers."""
         if self._request_id in head:
             return None
-        for line in head.split(_LINE_END)[1:]:
+        for line in head.split(b'\n')[1:]:
             name, _, value = line.partition(b':')
             if self._id_header not in (b'', name.strip().lower()):
                 continue
--- a/tests/unit/external/test_earlier_answers.py
+++ b/tests/unit/external/test_earlier_answers.py
@@ -64,6 +64,23 @@
         data = _OWN + _EXTRA
         self.assertEqual(data, _earlier().feed(data))
 
+    def test_bare_line_feeds(self) -> None:
+        """Lines may end without a carriage return, as the parser has it."""
+        data = (_EXTRA + _OWN).replace(b'\r\n', b'\n')
+        own = _OWN.replace(b'\r\n', b'\n')
+        for size in (1, len(data)):
+            earlier = _earlier()
+            passed = b''.join(
+                earlier.feed(data[start : start + size])
+                for start in range(0, len(data), size)
+            )
+            self.assertEqual(own, passed)
+
+    def test_no_head(self) -> None:
+        """Bytes that cannot begin a head are passed on at once."""
+        for data in (b'\x00', b'\r\n', b'HTTZ', b'nonsense'):
+            self.assertEqual(data, _earlier().feed(data))
+
     def test_no_answer(self) -> None:
         """Bytes that are no answer are passed on with their end."""
         data = b'\x00 nonsense\r\n\r\n'
