Compare whole ids in the search for extra answers

What callers would see: 502, for a request that runs once, or one attempt less, where an extra answer came first and the request's id is a part of the id of that answer, or of any other text in its head. Cause: an answer was taken for the awaited one if its head contained the id anywhere. Change: the value of a header has to be the id; heads with a line that ends with the id after a colon and a space are passed on without a further look. Evidence: test_id_within_another failed before and passes; 31 tests of earlier and extra answers and of the engines pass.

--- a/src/dogwoodquay/external/http/earlier_answers.py
+++ b/src/dogwoodquay/external/http/earlier_answers.py
@@ -50,6 +50,8 @@
         id_header: str = '',
     ) -> None:
         self._request_id = request_id.encode('latin-1')
+        # Spares the lines of the usual head.
+        self._own_line = b': %b\r' % self._request_id
         self._method_of = method_of
         self._id_header = id_header.encode('latin-1')
         self._head = bytearray()
@@ -111,13 +113,18 @@
 
     def _earlier_method(self, head: bytes) -> str | None:
         """Return the method of the earlier request that a head answers."""
-        if self._request_id in head:
+        if not self._request_id or self._own_line in head:
             return None
-        for line in head.split(b'\n')[1:]:
-            name, _, value = line.partition(b':')
-            if self._id_header not in (b'', name.strip().lower()):
-                continue
-            method = self._method_of(value.strip().decode('latin-1'))
+        lines = [line.partition(b':') for line in head.split(b'\n')[1:]]
+        values = [
+            value.strip()
+            for name, _, value in lines
+            if self._id_header in (b'', name.strip().lower())
+        ]
+        if self._request_id in values:
+            return None
+        for value in values:
+            method = self._method_of(value.decode('latin-1'))
             if method is not None:
                 return method
         return None
--- a/tests/unit/external/test_earlier_answers.py
+++ b/tests/unit/external/test_earlier_answers.py
@@ -59,6 +59,13 @@
         data = _EXTRA.replace(b'Id: a', b'Id: b') + _OWN
         self.assertEqual(data, _earlier().feed(data))
 
+    def test_id_within_another(self) -> None:
+        """The awaited id is a part of what an extra answer's head says."""
+        methods = {'a-own': 'POST'}
+        earlier = earlier_answers.EarlierAnswers('own', methods.get)
+        extra = _EXTRA.replace(b'Id: a', b'Id: a-own')
+        self.assertEqual(_OWN, earlier.feed(extra + _OWN))
+
     def test_own_id_first(self) -> None:
         """Nothing is dropped once the awaited answer has begun."""
         data = _OWN + _EXTRA
