Give the kinds of calls names that no caller's id can have

What callers would see: as for lost reports, models that are not placed. Cause: reports and orders are known to connections by the ids 'report' and 'order', beside the ids that callers choose. An extra answer to a caller's request 'report' was taken for the awaited report, and requests with these ids needed new connections. Change: the names end with a space, which the value of a header never does. Evidence: test_request_named_like_a_kind failed before (7 != -1) and passes; the 7 tests of the file pass.

--- a/src/dogwoodquay/platform/engines.py
+++ b/src/dogwoodquay/platform/engines.py
@@ -31,8 +31,9 @@
 # Reports and orders have no ids. An answer that is written again could be
 # taken for that to an order, and one to an order for an empty report, so
 # orders use connections apart.
-_REPORT: typing.Final = 'report'
-_ORDER: typing.Final = 'order'
+# No value of a header, and thus no caller's id, ends with a space.
+_REPORT: typing.Final = 'report '
+_ORDER: typing.Final = 'order '
 
 _ORDER_ANSWERS: typing.Final = {
     200: api.OrderAnswer.HOLDS_ALREADY,
--- a/tests/unit/platform/test_engines.py
+++ b/tests/unit/platform/test_engines.py
@@ -149,6 +149,20 @@
             )
             self.assertEqual(7, await self._report(server))
 
+    async def test_request_named_like_a_kind(self) -> None:
+        """Its id is not that of reports."""
+        extra = _REQUEST_ANSWER.replace(b'c0ffee', b'report')
+        async with self._engine(extra) as server:
+            await self.connections.fetch(
+                server.address,
+                server.port,
+                'GET',
+                '/',
+                self.connections.now() + 2.0,
+                request_id='report',
+            )
+            self.assertEqual(7, await self._report(server))
+
     async def test_late_order(self) -> None:
         """Many requests later a connection is not used for an order again."""
         async with self._engine() as server:
