Limit the extra answers before an answer, and read them in steps

What callers would see: all requests at an instance stand still while it reads past what a faulty server sends before an answer. Cause: extra answers were dropped at any number, and a whole read of 64 KiB at once: 2,621 small ones took 194 ms of processor time, 10,900 chunks of one byte 120 ms. Change: a connection with more than 16 extra answers and informational heads before an answer is given up, and 4 KiB are parsed before others run. Evidence: test_many and test_small_chunks failed before (not raised; no turn of the event loop) and pass.

--- a/src/dogwoodquay/external/http/earlier_answers.py
+++ b/src/dogwoodquay/external/http/earlier_answers.py
@@ -23,12 +23,14 @@
 _MAX_HEAD_END_BYTES: typing.Final = 3
 # All but a change of protocol, which no request asks for.
 _INFORMATIONAL: typing.Final = re.compile(rb'HTTP/1\.[01] 1(?!01)')
+# Extra answers and informational heads before an answer.
+_MAX_HEADS: typing.Final = 16
 # Only these have no body without a header that says how it ends.
 _BODILESS_STATUSES: typing.Final = frozenset({204, 304})
 
 
 class Unreadable(Exception):
-    """It is not known where an extra answer ends."""
+    """It is not known where an extra answer ends, or they do not end."""
 
 
 class EarlierAnswers:
@@ -58,6 +60,7 @@
         self._dropping: h11.Connection | None = None
         self._passed = False
         self._dropped = 0
+        self._heads = 0
 
     @property
     def dropped(self) -> int:
@@ -88,10 +91,12 @@
         head = bytes(self._head[: end.start()])
         if _INFORMATIONAL.match(head):
             # It tells nothing, and not whose answer comes next.
+            self._check_number()
             return self._take()[end.end() :]
         method = self._earlier_method(head)
         if method is None:
             return self._pass_on()
+        self._check_number()
         self._dropping = h11.Connection(h11.CLIENT)
         # Makes the parser expect the answer; nothing is sent.
         self._dropping.send(
@@ -100,6 +105,11 @@
         self._dropping.send(h11.EndOfMessage())
         return self._take()
 
+    def _check_number(self) -> None:
+        self._heads += 1
+        if self._heads > _MAX_HEADS:
+            raise Unreadable('too many extra answers')
+
     def _pass_on(self) -> bytes:
         """Return what was read, and nothing is dropped from now on."""
         self._passed = True
--- a/src/dogwoodquay/external/http/network.py
+++ b/src/dogwoodquay/external/http/network.py
@@ -32,6 +32,8 @@
 MAX_HEAD_BYTES: typing.Final = 192 * 1024
 # Parsing many of these takes long; servers send one or two.
 MAX_INFORMATIONAL_HEADS: typing.Final = 16
+# What is parsed of extra answers before others run.
+DROP_STEP_BYTES: typing.Final = 4096
 _INFORMATIONAL: typing.Final = re.compile(rb'^HTTP/1\.[01] 1', re.MULTILINE)
 _FINAL: typing.Final = re.compile(rb'^HTTP/1\.[01] [2-9]', re.MULTILINE)
 # Connections to silent peers are closed within the time in which instances
@@ -269,10 +271,7 @@
             data = await self._read_head(max_bytes, timeout)
             if not data or self._earlier is None:
                 return data
-            try:
-                data = self._earlier.feed(data)
-            except earlier_answers.Unreadable as error:
-                raise httpcore.RemoteProtocolError(str(error)) from error
+            data = await _drop_answers(self._earlier, data)
             if data:
                 return data
 
@@ -327,6 +326,23 @@
         return None
 
 
+async def _drop_answers(
+    earlier: earlier_answers.EarlierAnswers, data: bytes
+) -> bytes:
+    """Return what belongs to the awaited answer; others run in between."""
+    try:
+        while data:
+            passed = earlier.feed(data[:DROP_STEP_BYTES])
+            data = data[DROP_STEP_BYTES:]
+            if passed:
+                return passed + data
+            if data:
+                await asyncio.sleep(0)
+    except earlier_answers.Unreadable as error:
+        raise httpcore.RemoteProtocolError(str(error)) from error
+    return b''
+
+
 def _enable_keepalive(connection: socket.socket) -> None:
     """Make the kernel close the connection when the peer stops answering."""
     options = (
--- a/tests/unit/external/test_earlier_answers.py
+++ b/tests/unit/external/test_earlier_answers.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies
 
 from dogwoodquay.external.http import earlier_answers
+from dogwoodquay.external.http import network
 
 _OWN = b'HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 2\r\n\r\nok'
 _EXTRA = b'HTTP/1.1 500 X\r\nId: a\r\nContent-Length: 3\r\n\r\nbad'
@@ -111,10 +114,38 @@
         extra = _EXTRA.replace(b'Id', b'Connection: close\r\nId')
         self._assert_unreadable(extra + _OWN)
 
+    def test_many(self) -> None:
+        """Reading past them would take long."""
+        for data in (_EMPTY, _EMPTY + _HINT):
+            self._assert_unreadable(data * 64 + _OWN)
+
     def test_broken_chunks(self) -> None:
         """The size of a chunk is no number."""
         self._assert_unreadable(_CHUNKED.replace(b'2\r\n', b'?\r\n') + _OWN)
 
 
+class ReadTest(unittest.IsolatedAsyncioTestCase):
+    """Much that is dropped is read in steps, between which others run."""
+
+    async def test_small_chunks(self) -> None:
+        """The event loop turns between the steps, also within one read."""
+        extra = _CHUNKED.replace(b'2\r\nab\r\n', b'1\r\na\r\n' * 4096)
+        connection = mock.Mock(read=mock.AsyncMock(return_value=extra + _OWN))
+        stream = network.Stream(connection)
+        stream.drop_answers(_earlier())
+        turns = 0
+
+        async def count_turns() -> None:
+            nonlocal turns
+            while True:
+                turns += 1
+                await asyncio.sleep(0)
+
+        counting = asyncio.create_task(count_turns())
+        self.assertEqual(_OWN, await stream.read(1 << 16))
+        counting.cancel()
+        self.assertLess(4, turns)
+
+
 if __name__ == '__main__':
     unittest.main()
