--- a/src/dogwoodquay/external/http/earlier_answers.py
+++ b/src/dogwoodquay/external/http/earlier_answers.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import re
 import typing
 
 import h11
@@ -16,33 +17,50 @@
 
 __all__ = ['EarlierAnswers', 'Unreadable']
 
-_HEAD_END: typing.Final = b'\r\n\r\n'
-_LINE_END: typing.Final = b'\r\n'
+_HEAD_BEGIN: typing.Final = b'HTTP/1.'
+# As h11 reads it, also without carriage returns.
+_HEAD_END: typing.Final = re.compile(rb'\n\r?\n')
+_MAX_HEAD_END_BYTES: typing.Final = 3
+# All but a change of protocol, which no request asks for.
+_INFORMATIONAL: typing.Final = re.compile(rb'HTTP/1\.[01] 1(?!01)')
+# Extra answers and informational heads before an answer.
+_MAX_HEADS: typing.Final = 16
 # Only these have no body without a header that says how it ends.
 _BODILESS_STATUSES: typing.Final = frozenset({204, 304})
 
 
 class Unreadable(Exception):
-    """It is not known where an extra answer ends."""
+    """It is not known where an extra answer ends, or they do not end."""
 
 
 class EarlierAnswers:
     """Passes on what follows the extra answers to earlier requests.
 
+    Informational heads before the awaited answer are dropped as well.
+
     :param request_id: the id of the request whose answer is awaited.
     :param method_of: returns the method of an earlier request on the
         connection by its id, ``None`` if there was none.
+    :param id_header: the header that has the id, in lower case; empty for any
+        one, which is enough where the awaited answer has an id itself.
     """
 
     def __init__(
-        self, request_id: str, method_of: abc.Callable[[str], str | None]
+        self,
+        request_id: str,
+        method_of: abc.Callable[[str], str | None],
+        id_header: str = '',
     ) -> None:
         self._request_id = request_id.encode('latin-1')
+        # Spares the lines of the usual head.
+        self._own_line = b': %b\r' % self._request_id
         self._method_of = method_of
+        self._id_header = id_header.encode('latin-1')
         self._head = bytearray()
         self._dropping: h11.Connection | None = None
         self._passed = False
         self._dropped = 0
+        self._heads = 0
 
     @property
     def dropped(self) -> int:
@@ -63,33 +81,60 @@
 
     def _read_head(self, data: bytes) -> bytes:
         """Begin to drop an answer, or pass it on, once its head is whole."""
-        searched = max(0, len(self._head) - len(_HEAD_END) + 1)
+        searched = max(0, len(self._head) - _MAX_HEAD_END_BYTES + 1)
         self._head += data
-        end = self._head.find(_HEAD_END, searched)
-        if end < 0:
+        if not _HEAD_BEGIN.startswith(self._head[: len(_HEAD_BEGIN)]):
+            return self._pass_on()
+        end = _HEAD_END.search(self._head, searched)
+        if end is None:
             return b''
-        data = bytes(self._head)
-        head = data[:end]
-        self._head.clear()
+        head = bytes(self._head[: end.start()])
+        if _INFORMATIONAL.match(head):
+            # It tells nothing, and not whose answer comes next.
+            self._check_number()
+            return self._take()[end.end() :]
         method = self._earlier_method(head)
         if method is None:
-            self._passed = True
-            return data
+            return self._pass_on()
+        self._check_number()
         self._dropping = h11.Connection(h11.CLIENT)
         # Makes the parser expect the answer; nothing is sent.
         self._dropping.send(
             h11.Request(method=method, target='/', headers=[('Host', 'x')])
         )
         self._dropping.send(h11.EndOfMessage())
+        return self._take()
+
+    def _check_number(self) -> None:
+        self._heads += 1
+        if self._heads > _MAX_HEADS:
+            raise Unreadable('too many extra answers')
+
+    def _pass_on(self) -> bytes:
+        """Return what was read, and nothing is dropped from now on."""
+        self._passed = True
+        return self._take()
+
+    def _take(self) -> bytes:
+        """Return what was read of a head and what follows it."""
+        data = bytes(self._head)
+        self._head = bytearray()
         return data
 
     def _earlier_method(self, head: bytes) -> str | None:
         """Return the method of the earlier request that a head answers."""
-        if self._request_id in head:
+        if not self._request_id or self._own_line in head:
+            return None
+        lines = [line.partition(b':') for line in head.split(b'\n')[1:]]
+        values = [
+            value.strip()
+            for name, _, value in lines
+            if self._id_header in (b'', name.strip().lower())
+        ]
+        if self._request_id in values:
             return None
-        for line in head.split(_LINE_END)[1:]:
-            value = line.partition(b':')[2].strip().decode('latin-1')
-            method = self._method_of(value)
+        for value in values:
+            method = self._method_of(value.decode('latin-1'))
             if method is not None:
                 return method
         return None
