--- a/tests/site/http.py
+++ b/tests/site/http.py
@@ -46,7 +46,8 @@
 
     With ``pieces`` the body is sent in these pieces, with its length.
     With ``raw`` these bytes are sent instead of a reply. An ``unframed``
-    reply has neither a length nor chunks and ends with its connection.
+    reply has neither a length nor chunks and ends with its connection. A
+    reply that is ``sent`` was written by the handler.
     """
 
     status: int = 200
@@ -56,6 +57,7 @@
     pieces: abc.AsyncIterator[bytes] | None = None
     raw: abc.AsyncGenerator[bytes, None] | None = None
     unframed: bool = False
+    sent: bool = False
 
     @classmethod
     def of(cls, fields: typing.Any, status: int = 200) -> Answer:
@@ -85,7 +87,7 @@
     ) -> None:
         self._handle = handle
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
+        self._writers: dict[int, asyncio.StreamWriter] = {}
         self._readers: dict[int, asyncio.StreamReader] = {}
         self._port = 0
 
@@ -110,6 +112,16 @@
         reader = self._readers.get(peer_port)
         return reader is None or reader.at_eof() or bool(reader.exception())
 
+    def write(self, peer_port: int, data: bytes) -> bool:
+        """Write to a connection, unless it is closed.
+
+        :param peer_port: the port of the client's end.
+        """
+        if self.is_closed(peer_port):
+            return False
+        self._writers[peer_port].write(data)
+        return True
+
     async def start(self) -> None:
         """Start listening; after a stop, on the same port as before."""
         self._server = await asyncio.start_server(
@@ -121,14 +133,14 @@
         """Stop listening and break all connections."""
         if self._server is not None:
             self._server.close()
-        for writer in tuple(self._writers):
+        for writer in tuple(self._writers.values()):
             writer.transport.abort()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self._writers.add(writer)
         peer_port = int(writer.get_extra_info('peername')[1])
+        self._writers[peer_port] = writer
         self._readers[peer_port] = reader
         try:
             with contextlib.suppress(*_ENDED):
@@ -138,13 +150,15 @@
                     if answer is None:
                         await reader.read()
                         break
+                    if answer.sent:
+                        continue
                     await _write(writer, answer)
                     if answer.unframed:
                         break
         except Reset:
             reset(writer)
         finally:
-            self._writers.discard(writer)
+            self._writers.pop(peer_port, None)
             self._readers.pop(peer_port, None)
             writer.close()
 
