--- a/tests/unit/gateway/test_extra_answers.py
+++ b/tests/unit/gateway/test_extra_answers.py
@@ -180,14 +180,15 @@
         self.assertEqual(b'own', found.body)
 
 
-class EarlierAnswerTest(unittest.IsolatedAsyncioTestCase):
-    """The extra answer to an earlier request costs no later one its answer.
+class _SecondOfTwoCase(unittest.IsolatedAsyncioTestCase):
+    """Two requests on one connection; the route allows no repeated run."""
 
-    The route allows no repeated run.
-    """
+    own_status = 200
 
-    async def _call(self, *writes: bytes, first: bytes = b'') -> bytes:
-        """Return the body of the answer to the second of two requests.
+    async def _call(
+        self, *writes: bytes, first: bytes = b''
+    ) -> loopback.Answer:
+        """Return the answer to the second of the requests.
 
         :param writes: what the server sends after the second request, in
             parts that are read one by one; ``own`` stands for its answer.
@@ -197,7 +198,7 @@
         async def script(
             request: loopback.Received, writer: asyncio.StreamWriter
         ) -> bool:
-            own = _answer(request, 200, b'own', _STAMP)
+            own = _answer(request, self.own_status, b'own', _STAMP)
             if request.headers['attempt-id'] == 'c0ffee':
                 writer.write(own + first)
                 await writer.drain()
@@ -216,47 +217,74 @@
             await site.call('POST', body=b'x')
             found = await site.call('POST', body=b'x', request_id='b0b')
         self.assertEqual(2, len(upstream.received))
-        return found.body
+        return found
+
+
+class EarlierAnswerTest(_SecondOfTwoCase):
+    """The extra answer to an earlier request costs no later one its answer."""
+
+    async def _body(self, *writes: bytes, first: bytes = b'') -> bytes:
+        """Return the body of the answer to the second request."""
+        return (await self._call(*writes, first=first)).body
 
     async def test_in_one_read_with_the_first_answer(self) -> None:
         """The connection is not used again."""
-        found = await self._call(b'<own>', first=_extra())
+        found = await self._body(b'<own>', first=_extra())
         self.assertEqual(b'own', found)
 
     async def test_before_the_answer(self) -> None:
         """It comes while the second request waits for its answer."""
-        self.assertEqual(b'own', await self._call(_extra(), b'<own>'))
+        self.assertEqual(b'own', await self._body(_extra(), b'<own>'))
 
     async def test_in_one_read_with_the_answer(self) -> None:
         """Both are read at once."""
-        self.assertEqual(b'own', await self._call(_extra() + b'<own>'))
+        self.assertEqual(b'own', await self._body(_extra() + b'<own>'))
 
     async def test_in_parts(self) -> None:
         """Reads end within its head, its body and the answer."""
         data = _extra() + b'<own>'
         for cut in (9, 30, len(_extra()) - 2):
-            found = await self._call(data[:cut], data[cut:])
+            found = await self._body(data[:cut], data[cut:])
             self.assertEqual(b'own', found)
 
     async def test_several(self) -> None:
         """The server writes it more than once, with and without chunks."""
         data = _extra() + _extra(chunked=True) + _extra()
-        self.assertEqual(b'own', await self._call(data, b'<own>'))
+        self.assertEqual(b'own', await self._body(data, b'<own>'))
 
     async def test_without_a_marked_end(self) -> None:
         """The answer cannot be told from its body, so there is none."""
         data = _extra().replace(b'Content-Length: 5', b'Other: 5')
-        self.assertEqual(b'', await self._call(data + b'<own>'))
+        self.assertEqual(b'', await self._body(data + b'<own>'))
 
     async def test_cut_short(self) -> None:
         """Its announced body takes a part of the answer, which is lost."""
         data = _extra().replace(b'Length: 5', b'Length: 9')
-        self.assertEqual(b'', await self._call(data + b'<own>'))
+        self.assertEqual(b'', await self._body(data + b'<own>'))
 
     async def test_of_another_connection(self) -> None:
         """An id that this connection has not carried is not trusted."""
         data = _extra().replace(b'c0ffee', b'0ther')
-        self.assertEqual(b'', await self._call(data + b'<own>'))
+        self.assertEqual(b'', await self._body(data + b'<own>'))
+
+
+class CutAnswerTest(_SecondOfTwoCase):
+    """What there is of an extra answer goes before the next one (MIXED).
+
+    The server's own answer is a failure.
+    """
+
+    own_status = 500
+
+    async def test_cut_in_its_head(self) -> None:
+        """The status of one answer does not get the head of another."""
+        extra = _extra()
+        wrong = []
+        for size in range(1, extra.index(b'\r\n\r\n') + 4):
+            found = await self._call(extra[:size] + b'<own>')
+            if found.status < 500:
+                wrong.append(extra[:size])
+        self.assertEqual([], wrong)
 
 
 def _extra(chunked: bool = False) -> bytes:
