Fail attempts at once where an extra answer breaks off

Cause: a server that breaks an extra answer off and goes on with the next one was read wrongly. Cut in its head, both heads were parsed as one: a 200 with the id, stamp and body of a 500, on the first attempt of a run-once request, on all landings.

Change: an attempt fails if another status line is in a head, or the awaited id in the body of an extra answer. The soak cuts a fifth of the extra answers, and instances that start again hold their ports, as they do at first.

--- a/src/dogwoodquay/external/http/earlier_answers.py
+++ b/src/dogwoodquay/external/http/earlier_answers.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import re
 import typing
 
 import h11
@@ -18,12 +19,16 @@
 
 _HEAD_END: typing.Final = b'\r\n\r\n'
 _LINE_END: typing.Final = b'\r\n'
+_STATUS: typing.Final = re.compile(rb'HTTP/1\.[01] [1-5][0-9][0-9]\b')
 # Only these have no body without a header that says how it ends.
 _BODILESS_STATUSES: typing.Final = frozenset({204, 304})
 
 
 class Unreadable(Exception):
-    """It is not known where an extra answer ends."""
+    """It is not known where an extra answer ends.
+
+    A server may break one off and go on with the next answer.
+    """
 
 
 class EarlierAnswers:
@@ -52,7 +57,8 @@
     def feed(self, data: bytes) -> bytes:
         """Return what belongs to the awaited answer, if anything.
 
-        :raises Unreadable: if an extra answer does not tell where it ends.
+        :raises Unreadable: if an extra answer does not tell where it ends, or
+            if another answer begins within it.
         """
         while data and not self._passed:
             if self._dropping is None:
@@ -71,6 +77,8 @@
         data = bytes(self._head)
         head = data[:end]
         self._head.clear()
+        if len(_STATUS.findall(head)) > 1:
+            raise Unreadable('an answer begins within a head')
         method = self._earlier_method(head)
         if method is None:
             self._passed = True
@@ -104,6 +112,8 @@
                     return b''
                 if isinstance(event, h11.Response):
                     _check_framed(event)
+                if isinstance(event, h11.Data):
+                    self._check_foreign(event.data)
                 if isinstance(event, h11.EndOfMessage):
                     break
         except h11.RemoteProtocolError as error:
@@ -114,6 +124,10 @@
         self._dropped += 1
         return answer.trailing_data[0]
 
+    def _check_foreign(self, body: bytes) -> None:
+        if self._request_id in body:
+            raise Unreadable('the awaited answer begins within a body')
+
 
 def _check_framed(response: h11.Response) -> None:
     names = {name for name, _ in response.headers}
--- a/tests/site/processes.py
+++ b/tests/site/processes.py
@@ -228,7 +228,10 @@
         return [json.loads(line) for line in text.splitlines()]
 
     def start(self) -> None:
-        """Start the process."""
+        """Start the process; until it is ready its ports stay held."""
+        if not self._held_ports:
+            ports = (self._callers, self._readiness, self._peers)
+            self._held_ports = [_hold_port(port) for port in ports]
         environment = dict(os.environ)
         environment['DOGWOODQUAY_SETTINGS'] = str(self._settings)
         with self._log.open('ab') as log:
@@ -378,11 +381,14 @@
     return _head('POST', target, extra)
 
 
-def _hold_port() -> socket.socket:
-    """Return a socket whose port only a process that is told of it binds."""
+def _hold_port(port: int = 0) -> socket.socket:
+    """Return a socket whose port only a process that is told of it binds.
+
+    :param port: zero for any that is free.
+    """
     held = socket.socket()
     held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    held.bind(('127.0.0.1', 0))
+    held.bind(('127.0.0.1', port))
     return held
 
 
--- a/tests/site/test_stuttering_servers.py
+++ b/tests/site/test_stuttering_servers.py
@@ -12,6 +12,7 @@
 import contextlib
 import dataclasses
 import itertools
+import json
 import pathlib
 import random
 import signal
@@ -29,6 +30,7 @@
 _TEST_TIMEOUT_SECONDS: typing.Final = 90.0
 _CI_SEED: typing.Final = 1
 _CI_SECONDS: typing.Final = 6.0
+_CI_STUTTER: typing.Final = stuttering.Stutter(cut=0.2)
 _ROUTE_MS: typing.Final = 1100
 _CALL_TIMEOUT_SECONDS: typing.Final = 8.0
 # What is still in flight at a server after the last answer.
@@ -188,36 +190,38 @@
         async with processes.Site.running(
             self.plan.instances, _manifest(), self._add_servers
         ) as site:
-            self.open_instances = list(site.instances)
-            until = time.monotonic() + self.plan.seconds
-            callers = [
-                Caller(self, f'{kind}{number}', kind)
-                for kind, count in (
-                    ('busy', self.plan.busy_callers),
-                    ('rare', self.plan.rare_callers),
-                )
-                for number in range(count)
-            ]
-            await asyncio.gather(
-                *(caller.run(until) for caller in callers),
-                self._replace_servers(site, until),
-                self._reuse_addresses(until),
-                self._restart_instances(site, until),
-                self._reload_instances(until),
+            try:
+                await self._play(site)
+            finally:
+                if keep_logs is not None:
+                    self._keep(site, keep_logs)
+
+    async def _play(self, site: processes.Site) -> None:
+        self.open_instances = list(site.instances)
+        until = time.monotonic() + self.plan.seconds
+        callers = [
+            Caller(self, f'{kind}{number}', kind)
+            for kind, count in (
+                ('busy', self.plan.busy_callers),
+                ('rare', self.plan.rare_callers),
             )
-            await asyncio.sleep(_SETTLE_SECONDS)
-            lines = [
-                line
-                for instance in site.instances
-                for line in instance.log_lines()
-            ]
-            self._judge(lines)
-            if keep_logs is not None:
-                for instance in site.instances:
-                    name = f'{self.plan.seed}-{instance.port}.log'
-                    (keep_logs / name).write_text(
-                        '\n'.join(map(str, instance.log_lines())), 'utf-8'
-                    )
+            for number in range(count)
+        ]
+        await asyncio.gather(
+            *(caller.run(until) for caller in callers),
+            self._replace_servers(site, until),
+            self._reuse_addresses(until),
+            self._restart_instances(site, until),
+            self._reload_instances(until),
+        )
+        await asyncio.sleep(_SETTLE_SECONDS)
+        self._judge(_log_lines(site))
+
+    def _keep(self, site: processes.Site, directory: pathlib.Path) -> None:
+        """Keep the log lines of all instances."""
+        lines = [json.dumps(line) + '\n' for line in _log_lines(site)]
+        path = directory / f'{self.plan.seed}.log'
+        path.write_text(''.join(lines), 'utf-8')
 
     def _add_servers(self, site: processes.Site) -> None:
         site.servers = [site.engine]
@@ -390,6 +394,13 @@
             self.lost.append(f'{call.attempt} {answer.status} {reason}')
 
 
+def _log_lines(site: processes.Site) -> list[dict[str, typing.Any]]:
+    """Return the log lines of all instances."""
+    return [
+        line for instance in site.instances for line in instance.log_lines()
+    ]
+
+
 class StutteringServersTest(unittest.IsolatedAsyncioTestCase):
     """No caller gets what its server has not answered first (MIXED)."""
 
@@ -403,11 +414,13 @@
 
     async def test_ids_of_their_own(self) -> None:
         """Each time that a caller sends a request it has a new id."""
-        await self._assert_sound(Plan(_CI_SEED, _CI_SECONDS, 0.0))
+        plan = Plan(_CI_SEED, _CI_SECONDS, 0.0, stutter=_CI_STUTTER)
+        await self._assert_sound(plan)
 
     async def test_sent_again_by_callers(self) -> None:
         """Callers send failed requests again with the same id."""
-        await self._assert_sound(Plan(_CI_SEED, _CI_SECONDS, 0.7))
+        plan = Plan(_CI_SEED, _CI_SECONDS, 0.7, stutter=_CI_STUTTER)
+        await self._assert_sound(plan)
 
 
 def _plans(arguments: argparse.Namespace) -> abc.Iterator[Plan]:
--- a/tests/unit/gateway/test_extra_answers.py
+++ b/tests/unit/gateway/test_extra_answers.py
@@ -286,10 +286,26 @@
                 wrong.append(extra[:size])
         self.assertEqual([], wrong)
 
+    async def test_cut_in_its_body(self) -> None:
+        """The next answer is taken for its rest; that ends the wait."""
+        extra = _extra().replace(b'Length: 5', b'Length: 999')
+        found = await self._call(extra + b'<own>')
+        self.assertEqual(502, found.status)
+
+    async def test_extra_answer_to_the_second(self) -> None:
+        """It comes where the awaited answer was taken for a rest."""
+        size = len(_extra(request_id='b0b')) - len(b'extra') + len(b'own')
+        for rest in (size - 1, size, size + 1):
+            extra = _extra().replace(b'Length: 5', b'Length: %d' % (5 + rest))
+            found = await self._call(
+                extra + b'<own>', _extra(request_id='b0b')
+            )
+            self.assertEqual(502, found.status)
+
 
-def _extra(chunked: bool = False) -> bytes:
-    """Return an extra answer to the first request."""
-    head = 'HTTP/1.1 200 X\r\nAttempt-Id: c0ffee\r\n' + f'{_STAMP}\r\n'
+def _extra(chunked: bool = False, request_id: str = 'c0ffee') -> bytes:
+    """Return an extra answer, to the first request if not given."""
+    head = f'HTTP/1.1 200 X\r\nAttempt-Id: {request_id}\r\n{_STAMP}\r\n'
     if chunked:
         framing, body = (
             'Transfer-Encoding: chunked',
