--- a/src/dogwoodquay/external/http/earlier_answers.py
+++ b/src/dogwoodquay/external/http/earlier_answers.py
@@ -25,12 +25,16 @@
 _INFORMATIONAL: typing.Final = re.compile(rb'HTTP/1\.[01] 1(?!01)')
 # Extra answers and informational heads before an answer.
 _MAX_HEADS: typing.Final = 16
+_STATUS: typing.Final = re.compile(rb'HTTP/1\.[01] [1-5][0-9][0-9]\b')
 # Only these have no body without a header that says how it ends.
 _BODILESS_STATUSES: typing.Final = frozenset({204, 304})
 
 
 class Unreadable(Exception):
-    """It is not known where an extra answer ends, or they do not end."""
+    """It is not known where an extra answer ends, or they do not end.
+
+    A server may break one off and go on with the next answer.
+    """
 
 
 class EarlierAnswers:
@@ -70,7 +74,8 @@
     def feed(self, data: bytes) -> bytes:
         """Return what belongs to the awaited answer, if anything.
 
-        :raises Unreadable: if an extra answer does not tell where it ends.
+        :raises Unreadable: if an extra answer does not tell where it ends, or
+            if another answer begins within it.
         """
         while data and not self._passed:
             if self._dropping is None:
@@ -89,6 +94,8 @@
         if end is None:
             return b''
         head = bytes(self._head[: end.start()])
+        if len(_STATUS.findall(head)) > 1:
+            raise Unreadable('an answer begins within a head')
         if _INFORMATIONAL.match(head):
             # It tells nothing, and not whose answer comes next.
             self._check_number()
@@ -149,6 +156,8 @@
                     return b''
                 if isinstance(event, h11.Response):
                     _check_framed(event)
+                if isinstance(event, h11.Data):
+                    self._check_foreign(event.data)
                 if isinstance(event, h11.EndOfMessage):
                     break
         except h11.RemoteProtocolError as error:
@@ -159,6 +168,10 @@
         self._dropped += 1
         return answer.trailing_data[0]
 
+    def _check_foreign(self, body: bytes) -> None:
+        if self._request_id in body:
+            raise Unreadable('the awaited answer begins within a body')
+
 
 def _check_framed(response: h11.Response) -> None:
     names = {name for name, _ in response.headers}
