End the reading of an extra answer that has no end or holds another

(1) An instance hung for good where a caller had sent CONNECT and its server answered again with a success: the parser pauses there, which the loop did not know. (2) An extra answer that breaks off in its body took the awaited answer for its rest if the id of that was split by a read, or if the rest held another head; the request waited to its deadline, and bytes behind could be passed on as its answer. Change: events that allow no further answer end the attempt, and so does a body in which a head or the awaited id begins, also across reads. An attempt that ends so fails as before answers were read past. Evidence: test_tunnel did not end within 10 s and test_another_answer_in_its_body failed (not raised) on the merge before; both pass.

--- a/src/dogwoodquay/external/http/earlier_answers.py
+++ b/src/dogwoodquay/external/http/earlier_answers.py
@@ -62,6 +62,7 @@
         self._id_header = id_header.encode('latin-1')
         self._head = bytearray()
         self._dropping: h11.Connection | None = None
+        self._body_end = b''
         self._passed = False
         self._dropped = 0
         self._heads = 0
@@ -152,25 +153,33 @@
             answer.receive_data(data)
             while True:
                 event = answer.next_event()
-                if event is h11.NEED_DATA:
-                    return b''
-                if isinstance(event, h11.Response):
-                    _check_framed(event)
-                if isinstance(event, h11.Data):
-                    self._check_foreign(event.data)
-                if isinstance(event, h11.EndOfMessage):
-                    break
+                match event:
+                    case h11.NEED_DATA:
+                        return b''
+                    case h11.InformationalResponse():
+                        pass
+                    case h11.Response():
+                        _check_framed(event)
+                    case h11.Data():
+                        self._check_body(event.data)
+                    case h11.EndOfMessage() if answer.their_state is h11.DONE:
+                        break
+                    case _:
+                        raise Unreadable('no answer can follow')
         except h11.RemoteProtocolError as error:
             raise Unreadable(str(error)) from error
-        if answer.their_state is h11.MUST_CLOSE:
-            raise Unreadable('the server closes the connection')
         self._dropping = None
+        self._body_end = b''
         self._dropped += 1
         return answer.trailing_data[0]
 
-    def _check_foreign(self, body: bytes) -> None:
-        if self._request_id in body:
-            raise Unreadable('the awaited answer begins within a body')
+    def _check_body(self, data: bytes) -> None:
+        """Fail if the awaited answer may begin in the body."""
+        body = self._body_end + data
+        if _HEAD_BEGIN in body or self._request_id in body:
+            raise Unreadable('another answer begins within a body')
+        kept = max(len(_HEAD_BEGIN), len(self._request_id)) - 1
+        self._body_end = body[-kept:]
 
 
 def _check_framed(response: h11.Response) -> None:
--- a/tests/unit/external/test_earlier_answers.py
+++ b/tests/unit/external/test_earlier_answers.py
@@ -104,6 +104,22 @@
         with self.assertRaises(earlier_answers.Unreadable):
             _earlier().feed(data)
 
+    def test_tunnel(self) -> None:
+        """A success to CONNECT has no end (a hang of the instance)."""
+        earlier = earlier_answers.EarlierAnswers('own', {'a': 'CONNECT'}.get)
+        with self.assertRaises(earlier_answers.Unreadable):
+            earlier.feed(_EXTRA.replace(b'500', b'200') + _OWN)
+
+    def test_another_answer_in_its_body(self) -> None:
+        """Its end was cut off; reads may end anywhere."""
+        cut = _EXTRA.replace(b'Length: 3', b'Length: 99')
+        for size in range(1, len(cut + _OWN)):
+            earlier = _earlier()
+            data = cut + _OWN
+            with self.assertRaises(earlier_answers.Unreadable):
+                earlier.feed(data[:size])
+                earlier.feed(data[size:])
+
     def test_end_not_marked(self) -> None:
         """It would end with the connection."""
         extra = _EXTRA.replace(b'Content-Length', b'Other')
