Reject an answer in whose head another head begins

Cause: a server that breaks an answer off in its head, as an extra one, and goes on with the next makes both look like one head: the status line of the second is then part of a header's value, or of the reason phrase, of the first. Status and Not-Executed are those of the first, id, stamp, length and body those of the second. The class: a part of an answer is attributed to another one by its place alone. Change: an answer in whose header values or reason phrase a status line begins ends the attempt, which may have run, and its connection, on used and on new ones, before anything it says is believed.

--- a/src/dogwoodquay/external/http/client.py
+++ b/src/dogwoodquay/external/http/client.py
@@ -18,10 +18,12 @@
 from .. import api
 from . import bodies
 from . import earlier_answers
+from . import findings
 from . import marks
 from . import network
 from . import pool
 from . import progress
+from . import sending
 from . import uses
 
 if typing.TYPE_CHECKING:
@@ -29,56 +31,27 @@
 
 __all__ = [
     'Connections',
-    'ExtraAnswers',
     'Headers',
-    'Unsolicited',
 ]
 
 CONNECT_TIMEOUT_SECONDS: typing.Final = 1.0
-MAX_CONNECT_FRACTION: typing.Final = 0.9
 READ_TIMEOUT_SECONDS: typing.Final = 30.0
 KEEP_ALIVE_SECONDS: typing.Final = 2.0
 
 Headers = tuple[tuple[str, str], ...]
-SendError = api.Unavailable | api.Ambiguous
-
-
-_CONNECT_ERRORS: typing.Final = (
-    httpcore.ConnectError,
-    httpcore.ConnectTimeout,
-)
-_METHODS_WITH_LENGTH: typing.Final = frozenset({'PATCH', 'POST', 'PUT'})
-# A key in the extensions of a response.
-_STREAM_KEY: typing.Final = 'network_stream'
 _DEADLINE_PASSED: typing.Final = api.Unavailable('deadline')
 
 
-class Unsolicited(typing.NamedTuple):
-    """Bytes on a connection that no request has asked for.
-
-    They came after the answers to ``requests`` requests, of which the last
-    one was ``request_id``.
-    """
-
-    address: str
-    port: int
-    connection: int
-    requests: int
-    request_id: str
-    size: int
-
-
-class ExtraAnswers(typing.NamedTuple):
-    """Extra answers to earlier requests that came before a request's own."""
+class _SentRequest(typing.NamedTuple):
+    """A request that was sent over a connection."""
 
     address: str
     port: int
-    connection: int
+    method: str
     request_id: str
-    answers: int
-
-
-_Finding = Unsolicited | ExtraAnswers
+    deadline: float
+    use: uses.Use
+    earlier: earlier_answers.EarlierAnswers
 
 
 def _ignore(_: typing.Any) -> None:
@@ -99,7 +72,7 @@
         read_timeout_seconds: float = READ_TIMEOUT_SECONDS,
         keep_alive_seconds: float = KEEP_ALIVE_SECONDS,
     ) -> None:
-        self._on_finding: abc.Callable[[_Finding], None] = _ignore
+        self._on_finding: abc.Callable[[findings.Finding], None] = _ignore
         self._time = time
         self._connect_seconds = connect_seconds
         self._read_timeout_seconds = read_timeout_seconds
@@ -125,7 +98,9 @@
         """Close all idle connections."""
         await self._pool.close()
 
-    def on_finding(self, notify: abc.Callable[[_Finding], None]) -> None:
+    def on_finding(
+        self, notify: abc.Callable[[findings.Finding], None]
+    ) -> None:
         """Set what is called with answers and bytes that came unasked."""
         self._on_finding = notify
 
@@ -153,7 +128,9 @@
         request_id: str = '',
         apart_from: tuple[str, ...] = (),
         id_header: str = '',
-    ) -> abc.AsyncIterator[expression.Result[httpx.Response, SendError]]:
+    ) -> abc.AsyncIterator[
+        expression.Result[httpx.Response, sending.SendError]
+    ]:
         """Send a request and yield the response with its body unread.
 
         :param deadline: time by which the response headers are due.
@@ -196,7 +173,9 @@
         apart_from: tuple[str, ...] = (),
         on_use: abc.Callable[[uses.Use], None] = _ignore,
         id_header: str = '',
-    ) -> abc.AsyncIterator[expression.Result[httpx.Response, SendError]]:
+    ) -> abc.AsyncIterator[
+        expression.Result[httpx.Response, sending.SendError]
+    ]:
         """Send a request with the given headers and a content length.
 
         :param deadline: time by which the response headers are due.
@@ -213,7 +192,7 @@
         if remaining <= 0:
             yield expression.Error(_DEADLINE_PASSED)
             return
-        request = self._request(
+        request = sending.build_request(
             address,
             port,
             method,
@@ -221,37 +200,25 @@
             headers,
             body,
             remaining,
+            self._connect_seconds,
         )
         acquired = await self._pool.acquire(address, port, apart_from)
-        connection = acquired.connection
         use = acquired.uses.begin()
         on_use(use)
-
-        def record_unsolicited(size: int) -> None:
-            self._on_finding(
-                Unsolicited(
-                    address,
-                    port,
-                    use.connection,
-                    use.earlier + 1,
-                    request_id,
-                    size,
-                )
-            )
-
         earlier = earlier_answers.EarlierAnswers(
             request_id, acquired.uses.method_of, id_header
         )
         if acquired.stream is not None:
             acquired.stream.drop_answers(earlier)
+        sent_request = _SentRequest(
+            address, port, method, request_id, deadline, use, earlier
+        )
         extensions: dict[str, typing.Any] = {}
-        sent_stream: network.Stream | None = None
         try:
-            sent = await _send(connection, request, remaining)
+            sent = await sending.send(acquired.connection, request, remaining)
             try:
                 if sent.is_ok():
                     extensions = sent.ok.extensions
-                    sent_stream = extensions.get(_STREAM_KEY)
                     # httpcore reads the timeout again for the body.
                     read_timeout_seconds = (
                         read_timeout_seconds or self._read_timeout_seconds
@@ -266,37 +233,64 @@
                         await sent.ok.aclose()
         finally:
             with anyio.CancelScope(shield=True):
-                if sent_stream is not None:
-                    sent_stream.expect_nothing(record_unsolicited)
-                if earlier.dropped:
-                    self._on_finding(
-                        ExtraAnswers(
-                            address,
-                            port,
-                            use.connection,
-                            request_id,
-                            earlier.dropped,
-                        )
-                    )
-                unread = _unread_bytes(connection)
-                if unread:
-                    record_unsolicited(unread)
-                if unread or extensions.get(marks.DISCARD_KEY):
-                    await self._pool.discard(acquired)
-                else:
-                    acquired.uses.add(
-                        request_id,
-                        method,
-                        extensions.get(marks.BARRED_KEY, False),
-                        deadline,
-                        self._time.now(),
-                    )
-                    await self._pool.release(
-                        address,
-                        port,
-                        acquired._replace(stream=sent_stream),
-                        extensions.get(marks.KEEP_ALIVE_KEY),
-                    )
+                await self._end_use(sent_request, acquired, extensions)
+
+    async def _end_use(
+        self,
+        sent: _SentRequest,
+        acquired: pool.Acquired,
+        extensions: dict[str, typing.Any],
+    ) -> None:
+        """Keep the connection of a request, or close it.
+
+        :param extensions: those of the answer, empty without one.
+        """
+        stream: network.Stream | None = extensions.get(sending.STREAM_KEY)
+        unread = _unread_bytes(acquired.connection)
+        if stream is not None:
+            stream.expect_nothing(
+                lambda size: self._record_unsolicited(sent, size)
+            )
+        if unread or extensions.get(marks.DISCARD_KEY):
+            await self._pool.discard(acquired)
+        else:
+            acquired.uses.add(
+                sent.request_id,
+                sent.method,
+                extensions.get(marks.BARRED_KEY, False),
+                sent.deadline,
+                self._time.now(),
+            )
+            await self._pool.release(
+                sent.address,
+                sent.port,
+                acquired._replace(stream=stream),
+                extensions.get(marks.KEEP_ALIVE_KEY),
+            )
+        if unread:
+            self._record_unsolicited(sent, unread)
+        if sent.earlier.dropped:
+            self._on_finding(
+                findings.ExtraAnswers(
+                    sent.address,
+                    sent.port,
+                    sent.use.connection,
+                    sent.request_id,
+                    sent.earlier.dropped,
+                )
+            )
+
+    def _record_unsolicited(self, sent: _SentRequest, size: int) -> None:
+        self._on_finding(
+            findings.Unsolicited(
+                sent.address,
+                sent.port,
+                sent.use.connection,
+                sent.use.earlier + 1,
+                sent.request_id,
+                size,
+            )
+        )
 
     async def is_refused(
         self, address: str, port: int, seconds: float
@@ -320,7 +314,7 @@
         request_id: str = '',
         apart_from: tuple[str, ...] = (),
         foreign_header: str = '',
-    ) -> expression.Result[httpx.Response, SendError]:
+    ) -> expression.Result[httpx.Response, sending.SendError]:
         """Send a request and read the complete response before a deadline.
 
         :param max_bytes: the limit of the response's body.
@@ -367,7 +361,7 @@
         path: str,
         deadline: float,
         on_received: abc.Callable[[int], None],
-    ) -> expression.Result[httpx.Response, SendError]:
+    ) -> expression.Result[httpx.Response, sending.SendError]:
         """Send a GET request and read a response of any size.
 
         The body may take as long as its size needs at the least rate.
@@ -406,79 +400,6 @@
                 )
             )
 
-    def _request(
-        self,
-        address: str,
-        port: int,
-        method: str,
-        path: str,
-        headers: list[tuple[bytes, bytes]],
-        body: bytes,
-        remaining: float,
-    ) -> httpcore.Request:
-        """Build a request whose path is sent without any normalization."""
-        raw_headers = list(headers)
-        if body or method in _METHODS_WITH_LENGTH:
-            raw_headers.append((b'content-length', b'%d' % len(body)))
-        connect_seconds = remaining * MAX_CONNECT_FRACTION
-        connect_seconds = min(self._connect_seconds, connect_seconds)
-        timeout = {
-            'connect': connect_seconds,
-            'pool': connect_seconds,
-            'read': remaining,
-            'write': remaining,
-        }
-        url = httpcore.URL(
-            scheme=b'http',
-            host=address.encode('ascii'),
-            port=port,
-            target=path.encode('latin-1'),
-        )
-        return httpcore.Request(
-            method,
-            url,
-            headers=raw_headers,
-            content=body,
-            extensions={'timeout': timeout},
-        )
-
-
-async def _send(
-    connection: httpcore.AsyncHTTPConnection,
-    request: httpcore.Request,
-    remaining: float,
-) -> expression.Result[httpx.Response, SendError]:
-    try:
-        with anyio.fail_after(remaining):
-            response = await connection.handle_async_request(request)
-    except _CONNECT_ERRORS:
-        return expression.Error(api.Unavailable('connect'))
-    except httpcore.LocalProtocolError:
-        return expression.Error(api.Unavailable('bad_request'))
-    except TimeoutError:
-        return expression.Error(api.Ambiguous('timeout'))
-    except bodies.CONNECTION_ERRORS as error:
-        return expression.Error(
-            api.Ambiguous(
-                bodies.broken_reason(
-                    bodies.stream_error(error, 'head_too_large')
-                )
-            )
-        )
-    stream = response.extensions[_STREAM_KEY]
-    if isinstance(stream, network.Stream):
-        stream.end_head()
-    else:
-        stream = None
-    return expression.Ok(
-        httpx.Response(
-            response.status,
-            headers=response.headers,
-            stream=bodies.BodyStream(response),
-            extensions={_STREAM_KEY: stream},
-        )
-    )
-
 
 def _unread_bytes(connection: httpcore.AsyncHTTPConnection) -> int:
     """Return the number of received bytes behind the end of an answer.
--- a/src/dogwoodquay/external/http/engine.py
+++ b/src/dogwoodquay/external/http/engine.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from .. import api
-from . import client
 from . import responses
+from . import sending
 from . import service
 from . import wire
 
@@ -102,7 +102,7 @@
 
 
 def _check_status(
-    sent: expression.Result[httpx.Response, client.SendError],
+    sent: expression.Result[httpx.Response, sending.SendError],
 ) -> expression.Result[httpx.Response, api.EngineError]:
     """Convert an error status into the error that it stands for."""
     if sent.is_error():
--- a/src/dogwoodquay/gateway/idle_connections.py
+++ b/src/dogwoodquay/gateway/idle_connections.py
@@ -6,10 +6,11 @@
 
 import anyio
 
-from ..external.http import client
+from ..external.http import findings
 from ..observe import logs
 
 if typing.TYPE_CHECKING:
+    from ..external.http import client
     from ..fleet import registry as registries
     from . import metrics as gateway_metrics
     from . import settings as gateway_settings
@@ -67,12 +68,10 @@
         listed.add((self._store.host, self._store.port))
         await self._connections.keep_only(listed)
 
-    def _record(
-        self, finding: client.Unsolicited | client.ExtraAnswers
-    ) -> None:
+    def _record(self, finding: findings.Finding) -> None:
         address = f'{finding.address}:{finding.port}'
         match finding:
-            case client.Unsolicited():
+            case findings.Unsolicited():
                 self._metrics.unsolicited()
                 _LOG.write(
                     'unsolicited',
@@ -82,7 +81,7 @@
                     request=finding.request_id,
                     bytes=finding.size,
                 )
-            case client.ExtraAnswers():
+            case findings.ExtraAnswers():
                 self._metrics.extra_answers(finding.answers)
                 _LOG.write(
                     'extra_answers',
--- a/src/dogwoodquay/platform/store.py
+++ b/src/dogwoodquay/platform/store.py
@@ -21,6 +21,7 @@
     import httpx
 
     from ..external.http import client
+    from ..external.http import sending
     from ..gateway import settings
 
 __all__ = ['CONFIGURATION', 'CONFIGURATION_KEY', 'PlatformStore', 'SERVERS']
@@ -282,7 +283,7 @@
 
 
 def _checked(
-    result: expression.Result[httpx.Response, client.SendError],
+    result: expression.Result[httpx.Response, sending.SendError],
 ) -> expression.Result[httpx.Response, store_api.StoreError]:
     """Turn every status but success into an error."""
     if result.is_error():
--- a/tests/unit/external/test_http_limits.py
+++ b/tests/unit/external/test_http_limits.py
@@ -17,6 +17,7 @@
 from dogwoodquay.external.http import bodies
 from dogwoodquay.external.http import client
 from dogwoodquay.external.http import network
+from dogwoodquay.external.http import sending
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -81,7 +82,7 @@
         async with connected(upstream) as (connections, port):
             deadline = time.time() + DEADLINE_SECONDS
             result: expression.Result[
-                httpx.Response, client.SendError
+                httpx.Response, sending.SendError
             ] = await connections.fetch(
                 '127.0.0.1', port, 'GET', '/', deadline, max_bytes=LIMIT_BYTES
             )
@@ -170,7 +171,7 @@
         async with connected(upstream) as (connections, port):
             deadline = time.time() + DEADLINE_SECONDS
             result: expression.Result[
-                httpx.Response, client.SendError
+                httpx.Response, sending.SendError
             ] = await connections.fetch(
                 '127.0.0.1', port, 'GET', '/', deadline, max_bytes=LIMIT_BYTES
             )
--- a/tests/unit/gateway/test_extra_answers.py
+++ b/tests/unit/gateway/test_extra_answers.py
@@ -172,8 +172,8 @@
 
         site = loopback.Site(loopback.Upstream('u1', script))
         async with site.running():
-            site.configure(loopback.route())
-            await site.call(deadline_ms=10_000)
+            site.configure(loopback.route(timeout_seconds=60.0))
+            await site.call(deadline_ms=60_000)
             for number in range(_MANY):
                 await site.call(request_id=f'a{number}')
             found = await site.call()
@@ -303,6 +303,46 @@
             self.assertEqual(502, found.status)
 
 
+class BrokenHeadTest(unittest.IsolatedAsyncioTestCase):
+    """A head that breaks off, and the next one, are no answer (MIXED)."""
+
+    async def _call(
+        self, status: int, first: bytes, kind: Kind = Kind.NON_IDEMPOTENT
+    ) -> tuple[loopback.Answer, int]:
+        """Return the answer on a new connection, and how many attempts came.
+
+        :param first: the begin of a head, before the server's answer.
+        """
+
+        async def script(
+            request: loopback.Received, writer: asyncio.StreamWriter
+        ) -> bool:
+            writer.write(first + _answer(request, status, b'own', _STAMP))
+            await writer.drain()
+            return True
+
+        upstream = loopback.Upstream('u1', script)
+        site = loopback.Site(upstream)
+        async with site.running():
+            site.configure(loopback.route(kind=kind, max_attempts=3))
+            found = await site.call('POST', body=b'x')
+        return found, len(upstream.received)
+
+    async def test_success_in_place_of_a_failure(self) -> None:
+        """The status is of the first head, id and stamp of the second."""
+        head = _extra().partition(b'\r\n\r\n')[0]
+        for size in range(1, len(head)):
+            found, _ = await self._call(500, head[:size])
+            self.assertGreaterEqual(found.status, 500)
+
+    async def test_refusal_in_place_of_an_answer(self) -> None:
+        """The server has run the request, which may run once (TWICE)."""
+        found, attempts = await self._call(
+            200, b'HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRetry-After: 0'
+        )
+        self.assertEqual((502, 1), (found.status, attempts))
+
+
 def _extra(chunked: bool = False, request_id: str = 'c0ffee') -> bytes:
     """Return an extra answer, to the first request if not given."""
     head = f'HTTP/1.1 200 X\r\nAttempt-Id: {request_id}\r\n{_STAMP}\r\n'
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -14,6 +14,7 @@
 
 from dogwoodquay.external import api as external_api
 from dogwoodquay.external.http import client
+from dogwoodquay.external.http import sending
 from dogwoodquay.gateway import settings
 from dogwoodquay.gateway import store_api
 from dogwoodquay.platform import store
@@ -49,7 +50,7 @@
         deadline: float,
         body: bytes = b'',
         headers: client.Headers = (),
-    ) -> expression.Result[httpx.Response, client.SendError]:
+    ) -> expression.Result[httpx.Response, sending.SendError]:
         """Return the next response."""
         self.bodies.append(body)
         query = urllib.parse.urlsplit(path).query
@@ -63,7 +64,7 @@
         path: str,
         deadline: float,
         on_received: abc.Callable[[int], None],
-    ) -> expression.Result[httpx.Response, client.SendError]:
+    ) -> expression.Result[httpx.Response, sending.SendError]:
         """Return the next response."""
         self.time += 1.0
         query = urllib.parse.urlsplit(path).query
