Log bytes as unsolicited only behind a complete answer

Cause: bytes that were buffered when an attempt ended early, as when a caller leaves, were logged and counted as sent without a request; such lines mislead whoever looks for extra answers. Change: only what follows an answer that was read to its end counts. Evidence: test_rest_of_an_answer failed before (one line) and passes.

--- a/src/dogwoodquay/external/http/client.py
+++ b/src/dogwoodquay/external/http/client.py
@@ -246,10 +246,14 @@
         :param extensions: those of the answer, empty without one.
         """
         stream: network.Stream | None = extensions.get(sending.STREAM_KEY)
-        unread = _unread_bytes(acquired.connection)
+        # What follows a part of an answer is the rest of it.
+        answered = acquired.connection.is_idle()
+        unread = _unread_bytes(acquired.connection) if answered else 0
         if stream is not None:
             stream.expect_nothing(
-                lambda size: self._record_unsolicited(sent, size)
+                lambda size: (
+                    self._record_unsolicited(sent, size) if answered else None
+                )
             )
         if unread or extensions.get(marks.DISCARD_KEY):
             await self._pool.discard(acquired)
--- a/tests/unit/gateway/test_connection_use.py
+++ b/tests/unit/gateway/test_connection_use.py
@@ -59,6 +59,43 @@
         expected = [(1, number, 'u1') for number in range(3)]
         self.assertEqual([*expected, (2, 0, 'u1')], found)
 
+    def _site(self, script: loopback.Script) -> loopback.Site:
+        site = loopback.Site(loopback.Upstream('u1', script))
+        idle_connections.IdleConnections(
+            site.connections,
+            site.registry,
+            settings.Address('127.0.0.1', 1),
+            gateway_metrics.GatewayMetrics(metrics.Registry('idle')),
+        )
+        return site
+
+    async def test_rest_of_an_answer(self) -> None:
+        """What follows a part of an answer was asked for."""
+
+        async def script(
+            request: loopback.Received, writer: asyncio.StreamWriter
+        ) -> bool:
+            writer.write(_answer(request).replace(b'Length: 2', b'Length: 9'))
+            await writer.drain()
+            await asyncio.sleep(0.1)
+            writer.write(b'rest')
+            await writer.drain()
+            return True
+
+        site = self._site(script)
+        async with site.running():
+            async with site.connections.open_raw(
+                '127.0.0.1',
+                site.upstreams[0].port,
+                'GET',
+                '/',
+                [(b'host', b'x'), (b'attempt-id', b'a')],
+                b'',
+                site.connections.now() + 2.0,
+            ):
+                await anyio.sleep(0.3)
+        self.assertEqual([], self._of('connections:unsolicited'))
+
     async def test_unsolicited_bytes(self) -> None:
         """Bytes on an idle connection are logged with its last request."""
 
@@ -72,13 +109,7 @@
             await writer.drain()
             return True
 
-        site = loopback.Site(loopback.Upstream('u1', script))
-        idle_connections.IdleConnections(
-            site.connections,
-            site.registry,
-            settings.Address('127.0.0.1', 1),
-            gateway_metrics.GatewayMetrics(metrics.Registry('idle')),
-        )
+        site = self._site(script)
         async with site.running():
             site.configure(loopback.route(max_attempts=1))
             await site.call()
