--- a/tests/site/links.py
+++ b/tests/site/links.py
@@ -117,7 +117,8 @@
     """Serves a store to processes with a link each.
 
     Instances derive a shared secret from the store's address, so that links
-    can't have addresses of their own. A caller is told by its socket.
+    can't have addresses of their own. A caller is told by its socket. Without
+    links, all calls are served as they come.
     """
 
     def __init__(self, store: stores.Store) -> None:
@@ -131,6 +132,8 @@
         self.links.append(Link(process_id))
 
     async def _handle(self, request: http.Request) -> http.Answer | None:
+        if not self.links:
+            return await self._store.handle(request)
         link = await self._link(request)
         with link.polling(request) if link else contextlib.nullcontext():
             answer = await self._store.handle(request)
--- a/tests/site/processes.py
+++ b/tests/site/processes.py
@@ -28,6 +28,7 @@
     'manifest',
     'plain_route',
     'plain_routes',
+    'read_answer',
     'route',
     'stream_head',
 ]
@@ -292,6 +293,7 @@
         self.servers = [self.desk, self.engine]
         self.instances: list[Instance] = []
         self._linked_store = links.LinkedStore(self.store)
+        self._linked = True
         self._directory = directory
 
     @property
@@ -319,7 +321,8 @@
     def start_again(self, instance: Instance) -> None:
         """Start an instance again whose process has ended."""
         instance.start()
-        self._linked_store.add(instance.process.pid)
+        if self._linked:
+            self._linked_store.add(instance.process.pid)
 
     @classmethod
     @contextlib.asynccontextmanager
@@ -329,15 +332,19 @@
         configuration: dict[str, object] | None = None,
         add_servers: abc.Callable[[Site], None] = lambda _: None,
         zones: tuple[str, ...] = ('zone-1',),
+        linked: bool = True,
     ) -> abc.AsyncIterator[Site]:
         """Run a site and wait until all its instances are ready.
 
         :param configuration: the first one, :func:`manifest` if not given.
         :param add_servers: changes the servers before they start.
         :param zones: the failure domains that the instances take in turn.
+        :param linked: whether each instance has a link to the store, which
+            is slow where the machine has many connections.
         """
         with tempfile.TemporaryDirectory() as directory:
             site = cls(pathlib.Path(directory))
+            site._linked = linked
             add_servers(site)
             await site._linked_store.http.start()
             site.store.put('keyed.op', 'config', configuration or manifest(1))
@@ -353,7 +360,8 @@
                     )
                     site.instances.append(new_instance)
                     new_instance.start()
-                    site._linked_store.add(new_instance.process.pid)
+                    if linked:
+                        site._linked_store.add(new_instance.process.pid)
                 for instance in site.instances:
                     await instance.wait_ready()
                 yield site
@@ -415,7 +423,7 @@
     if body:
         extra += f'Content-Length: {len(body)}\r\n'
     writer.write(_head(method, target, extra) + body)
-    return await _read_answer(reader)
+    return await read_answer(reader)
 
 
 def _head(method: str, target: str, extra: str) -> bytes:
@@ -423,7 +431,12 @@
     return head.encode('latin-1')
 
 
-async def _read_answer(reader: asyncio.StreamReader) -> Answer:
+async def read_answer(reader: asyncio.StreamReader) -> Answer:
+    """Read a reply.
+
+    :raises EOFError: if the connection ends before the reply's head, or
+        within a body of known length.
+    """
     head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
     line, *rest = head[:-4].split('\r\n')
     status = int(line.split(' ')[1])
--- a/tests/site/store.py
+++ b/tests/site/store.py
@@ -66,12 +66,13 @@
 class Store:
     """Keeps records in memory.
 
-    Tests make it unavailable, drop the history of a topic, or restore it from
-    a copy, with which its era rises.
+    Tests make it unavailable or slow, drop the history of a topic, or restore
+    it from a copy, with which its era rises.
     """
 
     def __init__(self) -> None:
         self.unavailable = False
+        self.answer_seconds = 0.0
         self.era = 1
         self.calls: list[str] = []
         self.appends: list[float] = []
@@ -139,6 +140,8 @@
     async def handle(self, request: http.Request) -> http.Answer | None:
         """Answer a call, with the era in the header."""
         self.calls.append(request.path)
+        if self.answer_seconds:
+            await asyncio.sleep(self.answer_seconds)
         answer = await self._answer(request)
         if answer is None:
             return None
