Refuse requests without a whole body as serve drains

Cause: the drain of the product's own interface ends requests that the dispatcher knows. One whose body has not come is none of these; after the grace of 1 s and the server's 2 s it was cancelled, which hypercorn answers with a bare 500. Change: a drain ends the reading of bodies, also of later ones: 503 draining, not run (unknown with an idempotency key), and the connection closes.

--- a/src/dogwoodquay/entry/app.py
+++ b/src/dogwoodquay/entry/app.py
@@ -134,6 +134,7 @@
         error.
         """
         self._health.drain()
+        self._bodies.stop()
         await self._dispatcher.drain(deadline)
         while self._streams.unfinished_count and self._clock.now() < deadline:
             await anyio.sleep(_DRAIN_POLL_SECONDS)
@@ -261,6 +262,8 @@
     ) -> None:
         body = await self._bodies.read(request, self._clock.now())
         if isinstance(body, api.Refusal):
+            if self._dispatcher.draining:
+                responder.close_connection_after()
             await self._refusal_sender.send(request, responder, body)
             return
         try:
--- a/src/dogwoodquay/entry/bodies.py
+++ b/src/dogwoodquay/entry/bodies.py
@@ -29,6 +29,8 @@
     def __init__(self, limits: limits_module.Limits) -> None:
         self._limits = limits
         self._buffered_bytes = 0
+        self._scopes: set[anyio.CancelScope] = set()
+        self._stopped = False
 
     @property
     def buffered_bytes(self) -> int:
@@ -47,13 +49,25 @@
         results: list[_BodyOrRefusal] = []
         suspended = eager.start(self._store_result(request, now, results))
         if suspended is not None:
-            with anyio.move_on_after(self._limits.body_seconds):
-                await suspended.finish()
-        return (
-            results[0]
-            if results
-            else problems.make_refusal(reasons.Reason.BODY_TIMEOUT)
-        )
+            with anyio.move_on_after(self._limits.body_seconds) as scope:
+                self._scopes.add(scope)
+                if self._stopped:
+                    scope.cancel()
+                try:
+                    await suspended.finish()
+                finally:
+                    self._scopes.discard(scope)
+        if results:
+            return results[0]
+        if self._stopped:
+            return problems.make_refusal(reasons.Reason.DRAINING)
+        return problems.make_refusal(reasons.Reason.BODY_TIMEOUT)
+
+    def stop(self) -> None:
+        """Refuse requests whose bodies are not whole, also later ones."""
+        self._stopped = True
+        for scope in self._scopes:
+            scope.cancel()
 
     async def _store_result(
         self, request: asgi.Request, now: float, results: list[_BodyOrRefusal]
--- a/src/dogwoodquay/entry/refusals.py
+++ b/src/dogwoodquay/entry/refusals.py
@@ -22,6 +22,7 @@
         reasons.Reason.BODY_CUT,
         reasons.Reason.BODY_TIMEOUT,
         reasons.Reason.DEADLINE_PASSED,
+        reasons.Reason.DRAINING,
         reasons.Reason.NOT_READY,
         reasons.Reason.OVERLOADED,
     }
--- a/tests/unit/entry/test_server.py
+++ b/tests/unit/entry/test_server.py
@@ -95,6 +95,25 @@
 
         self.run_with(scenario)
 
+    def test_shutdown_refuses_unfinished_bodies(self) -> None:
+        """A request whose body does not come gets an answer of ours."""
+
+        async def scenario(running: RunningServer) -> None:
+            stream = await running.send(
+                bad_inputs.raw_request(b'{', length=1000)
+            )
+            async with stream:
+                while not running.harness.app.buffered_body_bytes:
+                    await anyio.sleep(0.005)
+                running.stop.set()
+                response = await read_until(stream, b'\x00')
+            self.assertIn(b' 503 ', response)
+            self.assertIn(b'"reason":"draining","outcome":"not_run"', response)
+            self.assertIn(b'connection: close', response.lower())
+            self.assertEqual(0, running.harness.app.buffered_body_bytes)
+
+        self.run_with(scenario)
+
     def test_closed_connection_cancels_request(self) -> None:
         async def scenario(running: RunningServer) -> None:
             upstream = running.harness.rig.upstream
