End a stop though a caller does not read

Cause: at the end of the graceful timeout the tasks of connections are cancelled, and each then waits until what it has written is sent. A caller that does not read kept its task, and with it the process, until the platform killed it. Connections whose tasks began after the wait was set up were not waited for at all. Change: what is left after another 0.1 s is aborted, and the wait covers connections that were accepted meanwhile. Measured: StopTest.test_caller_that_does_not_read hangs before (ended after 100 s) and passes 2 of 2 after, with the module's other five tests.

--- a/src/dogwoodquay/entry/connections.py
+++ b/src/dogwoodquay/entry/connections.py
@@ -21,6 +21,10 @@
 
 # Turns of the event loop in which bytes that have arrived reach the reader.
 READ_TURNS: typing.Final = 4
+# The time in which connections that are ended write what they have.
+CLOSE_SECONDS: typing.Final = 0.1
+
+_Writers = dict[asyncio.Task[None], asyncio.StreamWriter]
 
 
 class Connection(tcp_server.TCPServer):
@@ -80,14 +84,14 @@
     wrapper = utils.wrap_app(
         typing.cast('typing.Any', app), config.wsgi_max_body_size, 'asgi'
     )
-    tasks: set[asyncio.Task[None]] = set()
+    writers: _Writers = {}
 
     async def serve_connection(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         task = typing.cast('asyncio.Task[None]', asyncio.current_task())
-        tasks.add(task)
-        task.add_done_callback(tasks.discard)
+        writers[task] = writer
+        task.add_done_callback(writers.pop)
         # Cancelled at the end of the graceful timeout.
         with contextlib.suppress(asyncio.CancelledError):
             await Connection(
@@ -102,7 +106,7 @@
         for server in servers:
             server.close()
             await server.wait_closed()
-        await _finish(tasks, config.graceful_timeout)
+        await _finish(writers, config.graceful_timeout)
 
 
 async def _listen(
@@ -127,11 +131,24 @@
     ]
 
 
-async def _finish(tasks: set[asyncio.Task[None]], seconds: float) -> None:
-    """Wait for connections to end, and cancel those that last longer."""
-    if not tasks:
-        return
-    _, pending = await asyncio.wait(set(tasks), timeout=seconds)
-    for task in pending:
+async def _finish(writers: _Writers, seconds: float) -> None:
+    """Wait for connections to end, and end those that last longer.
+
+    A caller that does not read keeps its connection from closing, unless the
+    connection is aborted.
+    """
+    await _wait_until_ended(writers, seconds)
+    for task in tuple(writers):
         task.cancel()
-    await asyncio.gather(*pending, return_exceptions=True)
+    await _wait_until_ended(writers, CLOSE_SECONDS)
+    for writer in tuple(writers.values()):
+        writer.transport.abort()
+    await asyncio.gather(*writers, return_exceptions=True)
+
+
+async def _wait_until_ended(writers: _Writers, seconds: float) -> None:
+    """Wait for all connections, also those accepted meanwhile."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            while writers:
+                await asyncio.wait(tuple(writers))
--- a/tests/unit/entry/test_connections.py
+++ b/tests/unit/entry/test_connections.py
@@ -34,22 +34,24 @@
     def __init__(self) -> None:
         self.read: set[bytes] = set()
         self.answer_seconds = 0.005
+        self.padding = b''
 
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
         """Serve a request."""
         path = scope['raw_path']
+        body = path + self.padding
         self.read.add(path)
         await asyncio.sleep(self.answer_seconds)
         await send(
             {
                 'type': 'http.response.start',
                 'status': 200,
-                'headers': [(b'content-length', b'%d' % len(path))],
+                'headers': [(b'content-length', b'%d' % len(body))],
             }
         )
-        await send({'type': 'http.response.body', 'body': path})
+        await send({'type': 'http.response.body', 'body': body})
 
 
 @contextlib.asynccontextmanager
@@ -190,6 +192,20 @@
         self.assertLess(set(), sent & answered)
         self.assertLess(sent & answered, sent)
 
+    async def test_caller_that_does_not_read(self) -> None:
+        """Its connection does not outlast the graceful timeout."""
+        app = _App()
+        app.padding = b'x' * (16 << 20)
+        async with asyncio.timeout(20.0):
+            async with _serving(app, graceful_seconds=0.1) as (port, stop):
+                caller = _Caller(port)
+                reader, writer = await caller.connect()
+                writer.write(b'GET /x HTTP/1.1\r\nHost: a\r\n\r\n')
+                await reader.readuntil(b'\r\n\r\n')
+                writer.transport.pause_reading()
+                stop.set()
+            writer.close()
+
     async def test_graceful_timeout(self) -> None:
         """A request that lasts longer is ended."""
         app = _App()
