--- a/tests/unit/entry/test_connections.py
+++ b/tests/unit/entry/test_connections.py
@@ -24,6 +24,8 @@
 # The time around the idle close at which a request is sent.
 _EARLIEST_SECONDS: typing.Final = -0.002
 _LATEST_SECONDS: typing.Final = 0.002
+# Turns of the event loop between the begin of a stop and a request.
+_STOP_TURNS: typing.Final = 12
 
 
 class _App:
@@ -32,22 +34,24 @@
     def __init__(self) -> None:
         self.read: set[bytes] = set()
         self.answer_seconds = 0.005
+        self.padding = b''
 
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
         """Serve a request."""
         path = scope['raw_path']
+        body = path + self.padding
         self.read.add(path)
         await asyncio.sleep(self.answer_seconds)
         await send(
             {
                 'type': 'http.response.start',
                 'status': 200,
-                'headers': [(b'content-length', b'%d' % len(path))],
+                'headers': [(b'content-length', b'%d' % len(body))],
             }
         )
-        await send({'type': 'http.response.body', 'body': path})
+        await send({'type': 'http.response.body', 'body': body})
 
 
 @contextlib.asynccontextmanager
@@ -164,6 +168,44 @@
             writer.close()
             idle_writer.close()
 
+    async def test_request_at_the_stop(self) -> None:
+        """A request that is read as the stop begins gets its answer."""
+        app = _App()
+        app.answer_seconds = 0.0
+        sent = set()
+        answered = set()
+        for turns in range(_STOP_TURNS):
+            async with asyncio.timeout(20.0), _serving(app) as (port, stop):
+                caller = _Caller(port)
+                reader, writer = await caller.connect()
+                name = b'/%d' % turns
+                await caller.call(reader, writer, name + b'/first')
+                stop.set()
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                sent.add(name + b'/second')
+                await caller.call(reader, writer, name + b'/second')
+                writer.close()
+            answered |= caller.answered
+        self.assertEqual(set(), app.read - answered)
+        # Requests were sent on both sides of the close.
+        self.assertLess(set(), sent & answered)
+        self.assertLess(sent & answered, sent)
+
+    async def test_caller_that_does_not_read(self) -> None:
+        """Its connection does not outlast the graceful timeout."""
+        app = _App()
+        app.padding = b'x' * (16 << 20)
+        async with asyncio.timeout(20.0):
+            async with _serving(app, graceful_seconds=0.1) as (port, stop):
+                caller = _Caller(port)
+                reader, writer = await caller.connect()
+                writer.write(b'GET /x HTTP/1.1\r\nHost: a\r\n\r\n')
+                await reader.readuntil(b'\r\n\r\n')
+                writer.transport.pause_reading()
+                stop.set()
+            writer.close()
+
     async def test_graceful_timeout(self) -> None:
         """A request that lasts longer is ended."""
         app = _App()
