--- a/tests/site/stuttering.py
+++ b/tests/site/stuttering.py
@@ -22,17 +22,19 @@
 _STAMP: typing.Final = ('Response-Stamp', 'stand-in')
 _KEEP_ALIVE: typing.Final = ('Keep-Alive', 'timeout=5')
 _NOT_RUN: typing.Final = (421, 503)
-_STATUSES: typing.Final = {200: 68, 409: 6, 500: 8, 502: 5, 503: 8, 504: 5}
+_STATUSES: typing.Final = {200: 74, 409: 6, 500: 9, 502: 6, 504: 5}
 
 
 class Stutter(typing.NamedTuple):
     """How often servers misbehave, as shares of the requests.
 
-    A ``late`` answer comes after the time of the route. An extra answer that
-    is ``cut`` ends anywhere, on a connection that stays open.
+    A ``refused`` request is not run. A ``late`` answer comes after the time
+    of the route. An extra answer that is ``cut`` ends anywhere, on a
+    connection that stays open.
     """
 
     extra: float = 0.3
+    refused: float = 0.08
     slow: float = 0.1
     late: float = 0.06
     cut: float = 0.0
@@ -43,7 +45,8 @@
     """A request's arrival at a server, and what the server wrote.
 
     ``earlier`` is how often the server had got the same request before;
-    ``written_at`` is zero unless the whole answer was written.
+    ``written_at`` is zero unless the whole answer was written, and so is
+    ``extra_status`` unless an extra answer was.
     """
 
     server: str
@@ -56,6 +59,13 @@
     extra_status: int = 0
 
 
+class _Extra(typing.NamedTuple):
+    """An extra answer, empty if there is none."""
+
+    status: int = 0
+    data: bytes = b''
+
+
 class Book:
     """The arrivals of all requests, by the id of the request."""
 
@@ -125,6 +135,8 @@
         number = len(self._book.runs[attempt])
         choice = random.Random(f'{self._seed} {attempt} {number}')
         (status,) = choice.choices(tuple(_STATUSES), tuple(_STATUSES.values()))
+        if choice.random() < self._stutter.refused:
+            status = 503
         if request.headers.get('expect-instance', self._id) != self._id:
             status = 421
         executed = status not in _NOT_RUN
@@ -132,7 +144,7 @@
         if executed:
             await asyncio.sleep(self._delay(choice))
         run.body += b'x' * choice.choice((0, 10, 3000))
-        extra = b''
+        extra = _Extra()
         if choice.random() < self._stutter.extra:
             extra = self._extra(choice, attempt, run)
         await self._answer(choice, request.peer_port, attempt, run, extra)
@@ -146,17 +158,16 @@
             return choice.uniform(0.2, 0.9)
         return choice.uniform(0.001, 0.01)
 
-    def _extra(self, choice: random.Random, attempt: str, run: Run) -> bytes:
+    def _extra(self, choice: random.Random, attempt: str, run: Run) -> _Extra:
         """Return an extra answer, half of them with another status."""
         status = run.status
         if choice.random() < 0.5:
             status = 500 if run.status == 200 else 200
-        run.extra_status = status
         body = run.body.replace(b' own ', b' extra ')
         data = _bytes(choice, attempt, status, body)
         if choice.random() < self._stutter.cut:
-            return data[: choice.randrange(1, len(data))]
-        return data
+            data = data[: choice.randrange(1, len(data))]
+        return _Extra(status, data)
 
     async def _answer(
         self,
@@ -164,16 +175,16 @@
         peer_port: int,
         attempt: str,
         run: Run,
-        extra: bytes,
+        extra: _Extra,
     ) -> None:
         own = _bytes(choice, attempt, run.status, run.body)
         together = choice.random() < 0.2
-        if together:
-            own, extra = own + extra, b''
-        if await self._write(choice, peer_port, own):
+        data = own + extra.data if together else own
+        if await self._write(choice, peer_port, data):
             run.written_at = time.monotonic()
-            self._book.extra_answers += together and bool(run.extra_status)
-        if not extra:
+            if together:
+                self._record_extra(run, extra)
+        if together or not extra.data:
             return
         seconds = choice.choice(
             (
@@ -184,7 +195,7 @@
             )
         )
         task = asyncio.create_task(
-            self._write_later(choice, peer_port, extra, seconds)
+            self._write_later(choice, peer_port, run, extra, seconds)
         )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -193,12 +204,17 @@
         self,
         choice: random.Random,
         peer_port: int,
-        data: bytes,
+        run: Run,
+        extra: _Extra,
         seconds: float,
     ) -> None:
         await asyncio.sleep(seconds)
-        if await self._write(choice, peer_port, data):
-            self._book.extra_answers += 1
+        if await self._write(choice, peer_port, extra.data):
+            self._record_extra(run, extra)
+
+    def _record_extra(self, run: Run, extra: _Extra) -> None:
+        run.extra_status = extra.status
+        self._book.extra_answers += bool(extra.data)
 
     async def _write(
         self, choice: random.Random, peer_port: int, data: bytes
--- a/tests/site/test_stuttering_servers.py
+++ b/tests/site/test_stuttering_servers.py
@@ -39,7 +39,7 @@
 _IN_TIME_SECONDS: typing.Final = 0.75
 _LEAVE_SECONDS: typing.Final = 1.0
 _UNREADY_SECONDS: typing.Final = 1.0
-_SERVERS: typing.Final = {'desk': 3, 'quiet': 2}
+_QUIET_SERVERS: typing.Final = 2
 _TARGETS: typing.Final = {
     'busy': ('/once/x', '/again/x'),
     'rare': ('/quiet-once/x', '/quiet-again/x'),
@@ -58,6 +58,7 @@
     instances: int = 2
     busy_callers: int = 24
     rare_callers: int = 4
+    desks: int = 3
     stutter: stuttering.Stutter = stuttering.Stutter()
 
 
@@ -226,7 +227,8 @@
     def _add_servers(self, site: processes.Site) -> None:
         site.share_link()
         site.servers = [site.engine]
-        for service, count in _SERVERS.items():
+        counts = {'desk': self.plan.desks, 'quiet': _QUIET_SERVERS}
+        for service, count in counts.items():
             for _ in range(count):
                 site.servers.append(self._new_server(site, service))
 
@@ -433,7 +435,10 @@
             arguments.repeats,
             arguments.instances,
             arguments.busy,
-            stutter=stuttering.Stutter(cut=arguments.cut),
+            desks=arguments.desks,
+            stutter=stuttering.Stutter(
+                refused=arguments.refused, cut=arguments.cut
+            ),
         )
 
 
@@ -444,6 +449,8 @@
     parser.add_argument('--repeats', type=float, default=0.0)
     parser.add_argument('--instances', type=int, default=2)
     parser.add_argument('--busy', type=int, default=24)
+    parser.add_argument('--desks', type=int, default=3)
+    parser.add_argument('--refused', type=float, default=0.08)
     parser.add_argument('--cut', type=float, default=0.0)
     parser.add_argument('--logs', type=pathlib.Path)
     arguments = parser.parse_args()
