End a request at once whose answer is within a cut extra answer

What callers would see: 504 at the deadline, where a further attempt or 502 is due. Cause: an extra answer that a faulty server cuts short took the awaited answer for the rest of its body, and the request waited for bytes that never come. Change: the line with the awaited id within what is dropped ends the search, as in code before any extra answer did. Evidence: test_truncated failed before (not raised; reads of 1, 7, 20 bytes and all) and passes; 35 tests of earlier and extra answers and of the engines pass twice. At load 33 RepeatedByCallerTest.test_late_extra_answer failed once (b'extra'): its route allows 2 s, after which the id is forgotten, and 64 calls lasted longer.

--- a/src/dogwoodquay/external/http/earlier_answers.py
+++ b/src/dogwoodquay/external/http/earlier_answers.py
@@ -52,7 +52,7 @@
         id_header: str = '',
     ) -> None:
         self._request_id = request_id.encode('latin-1')
-        # Spares the lines of the usual head.
+        # As the awaited answer has it, in the usual spelling.
         self._own_line = b': %b\r' % self._request_id
         self._method_of = method_of
         self._id_header = id_header.encode('latin-1')
@@ -61,6 +61,7 @@
         self._passed = False
         self._dropped = 0
         self._heads = 0
+        self._tail = b''
 
     @property
     def dropped(self) -> int:
@@ -141,23 +142,36 @@
 
     def _drop(self, answer: h11.Connection, data: bytes) -> bytes:
         """Read on in an extra answer and return what follows its end."""
-        try:
-            answer.receive_data(data)
-            while True:
-                event = answer.next_event()
-                if event is h11.NEED_DATA:
-                    return b''
-                if isinstance(event, h11.Response):
-                    _check_framed(event)
-                if isinstance(event, h11.EndOfMessage):
-                    break
-        except h11.RemoteProtocolError as error:
-            raise Unreadable(str(error)) from error
-        if answer.their_state is h11.MUST_CLOSE:
-            raise Unreadable('the server closes the connection')
+        rest = _read_answer(answer, data)
+        dropped = self._tail + data[: len(data) - len(rest or b'')]
+        if self._request_id and self._own_line in dropped:
+            raise Unreadable('an extra answer was cut short')
+        if rest is None:
+            self._tail = dropped[-len(self._own_line) :]
+            return b''
+        self._tail = b''
         self._dropping = None
         self._dropped += 1
-        return answer.trailing_data[0]
+        return rest
+
+
+def _read_answer(answer: h11.Connection, data: bytes) -> bytes | None:
+    """Return what follows the end of an answer, ``None`` before its end."""
+    try:
+        answer.receive_data(data)
+        while True:
+            event = answer.next_event()
+            if event is h11.NEED_DATA:
+                return None
+            if isinstance(event, h11.Response):
+                _check_framed(event)
+            if isinstance(event, h11.EndOfMessage):
+                break
+    except h11.RemoteProtocolError as error:
+        raise Unreadable(str(error)) from error
+    if answer.their_state is h11.MUST_CLOSE:
+        raise Unreadable('the server closes the connection')
+    return answer.trailing_data[0]
 
 
 def _check_framed(response: h11.Response) -> None:
--- a/tests/unit/external/test_earlier_answers.py
+++ b/tests/unit/external/test_earlier_answers.py
@@ -119,6 +119,17 @@
         for data in (_EMPTY, _EMPTY + _HINT):
             self._assert_unreadable(data * 64 + _OWN)
 
+    def test_truncated(self) -> None:
+        """The awaited answer is not read as the rest of an extra one."""
+        extra = _EXTRA.replace(b'Length: 3', b'Length: 300')
+        data = extra + _OWN
+        self._assert_unreadable(data)
+        for size in (1, 7, 20):
+            with self.assertRaises(earlier_answers.Unreadable):
+                earlier = _earlier()
+                for start in range(0, len(data), size):
+                    earlier.feed(data[start : start + size])
+
     def test_broken_chunks(self) -> None:
         """The size of a chunk is no number."""
         self._assert_unreadable(_CHUNKED.replace(b'2\r\n', b'?\r\n') + _OWN)
