Tell attempts apart on connections to plain services and engines

What callers of the product's own interface would see: a request that ran twice, as a server's refusal of an earlier attempt was taken for that of a later one, which was then sent elsewhere; a resumed attempt with an extra answer's bytes; else one lost attempt. Cause: the adapter gave connections no id, and a refusal was taken without a look at it. Change: attempts have their ids at connections as those of the gateway, so that extra answers are read past and no id comes twice on a connection; a refusal that names another attempt is no proof. One without an id is taken, as servers need not repeat the id there. Evidence: the 4 tests of test_http_service failed before ('status_503' and 'extra' in place of 'own' and 'answer_crossed') and pass; 37 tests of the stand-ins and of the dispatcher pass.

--- a/src/dogwoodquay/external/http/service.py
+++ b/src/dogwoodquay/external/http/service.py
@@ -12,6 +12,7 @@
 from . import answer
 from . import bodies
 from . import client
+from . import marks
 from . import responses
 from . import wire
 
@@ -59,12 +60,18 @@
             request_headers(call),
             call.body,
             call.deadline,
+            request_id=call.attempt_id,
+            apart_from=(call.attempt_id,),
+            id_header=wire.ATTEMPT_HEADER,
         ) as sent:
             if sent.is_error():
                 yield expression.Error(sent.error)
                 return
             response = sent.ok
-            if _is_marked_not_run(response):
+            if _is_for_another(response, call):
+                marks.discard(response)
+                yield expression.Error(api.Ambiguous('answer_crossed'))
+            elif _is_marked_not_run(response):
                 yield expression.Error(await _refusal(response))
             elif call.stream:
                 async with answer.coalesced(response) as chunks:
@@ -106,6 +113,12 @@
     return tuple(kept)
 
 
+def _is_for_another(response: httpx.Response, call: api.UpstreamCall) -> bool:
+    """Whether a refusal names another attempt; it need not name one."""
+    named = response.headers.get(wire.ATTEMPT_HEADER, call.attempt_id)
+    return _is_marked_not_run(response) and named != call.attempt_id
+
+
 def _is_marked_not_run(response: httpx.Response) -> bool:
     return (
         response.status_code == httpx.codes.SERVICE_UNAVAILABLE
