Keep control calls to engines apart from each other

What callers of the product's own interface would see: an order, a fence or an import that the engine refused is taken for done, and blocks of one prefix for those of another. Cause: these calls have no ids, and any answer on a kept connection was taken for theirs, also one that names an attempt. Change: each kind has a name at connections and goes over none that carried another; the kinds whose answers change or return contents go over none that carried their own either. Extra answers to attempts are read past, and refused if they are of unknown ones. State, cancel and event calls may still get the answer before of their own kind.

--- a/src/dogwoodquay/external/http/engine.py
+++ b/src/dogwoodquay/external/http/engine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import typing
 import urllib.parse
 
@@ -22,6 +23,26 @@
 _Body = typing.TypeVar('_Body')
 
 
+class _Kind(enum.Enum):
+    """The kinds of calls without ids, as their connections know them.
+
+    No value of a header, and thus no attempt's id, ends with a space.
+    """
+
+    LOAD = service.LOAD_KIND
+    STATE = 'state '
+    FENCE = 'fence '
+    ORDER = 'order '
+    CANCEL = 'cancel '
+    EVENTS = 'events '
+    EXPORT = 'export '
+    IMPORT = 'import '
+
+
+# Answers that do little harm in place of the next one of their kind.
+_POLLS: typing.Final = frozenset({_Kind.STATE, _Kind.CANCEL, _Kind.EVENTS})
+
+
 class HttpEngine(service.HttpPlainService):
     """Model engines over HTTP/1.1."""
 
@@ -29,8 +50,8 @@
         self, address: str, port: int, deadline: float
     ) -> expression.Result[api.EngineState, api.EngineError]:
         """Return the contents of the engine's memory and its load."""
-        sent = await self._connections.fetch(
-            address, port, 'GET', wire.STATE_PATH, deadline
+        sent = await self._control(
+            _Kind.STATE, address, port, 'GET', wire.STATE_PATH, deadline
         )
         return _decode_body(_check_status(sent), api.EngineState)
 
@@ -39,8 +60,8 @@
     ) -> expression.Result[api.EngineState, api.EngineError]:
         """Raise the engine's fencing token and return its state."""
         body = _ENCODER.encode(wire.FenceBody(fence))
-        sent = await self._connections.fetch(
-            address, port, 'POST', wire.FENCE_PATH, deadline, body
+        sent = await self._control(
+            _Kind.FENCE, address, port, 'POST', wire.FENCE_PATH, deadline, body
         )
         return _decode_body(_check_status(sent), api.EngineState)
 
@@ -49,7 +70,8 @@
     ) -> expression.Result[api.EngineState, api.EngineError]:
         """Send an order and return the state after it has been carried out."""
         headers = ((wire.DEADLINE_HEADER, f'{deadline:.3f}'),)
-        sent = await self._connections.fetch(
+        sent = await self._control(
+            _Kind.ORDER,
             address,
             port,
             'POST',
@@ -66,8 +88,8 @@
         """Cancel an attempt."""
         name = urllib.parse.quote(attempt_id, safe='')
         path = f'{wire.ENGINE_ATTEMPTS_PATH}/{name}'
-        sent = await self._connections.fetch(
-            address, port, 'DELETE', path, deadline
+        sent = await self._control(
+            _Kind.CANCEL, address, port, 'DELETE', path, deadline
         )
         return _check_status(sent).map(lambda _: None)
 
@@ -76,8 +98,8 @@
     ) -> expression.Result[api.CacheEvents, api.EngineError]:
         """Return the cache events from a sequence number."""
         path = f'{wire.CACHE_EVENTS_PATH}?from={sequence}'
-        sent = await self._connections.fetch(
-            address, port, 'GET', path, deadline
+        sent = await self._control(
+            _Kind.EVENTS, address, port, 'GET', path, deadline
         )
         return _decode_body(_check_status(sent), api.CacheEvents)
 
@@ -86,8 +108,8 @@
     ) -> expression.Result[bytes, api.EngineError]:
         """Return the cached blocks of the prefix with a hash."""
         path = f'{wire.CACHE_PATH}/{block_hash}'
-        sent = await self._connections.fetch(
-            address, port, 'GET', path, deadline
+        sent = await self._control(
+            _Kind.EXPORT, address, port, 'GET', path, deadline
         )
         return _check_status(sent).map(lambda response: response.content)
 
@@ -95,11 +117,46 @@
         self, address: str, port: int, block: bytes, deadline: float
     ) -> expression.Result[None, api.EngineError]:
         """Add exported blocks to the engine's cache."""
-        sent = await self._connections.fetch(
-            address, port, 'PUT', wire.CACHE_PATH, deadline, block
+        sent = await self._control(
+            _Kind.IMPORT,
+            address,
+            port,
+            'PUT',
+            wire.CACHE_PATH,
+            deadline,
+            block,
         )
         return _check_status(sent).map(lambda _: None)
 
+    async def _control(
+        self,
+        kind: _Kind,
+        address: str,
+        port: int,
+        method: str,
+        path: str,
+        deadline: float,
+        body: bytes = b'',
+        headers: client.Headers = (),
+    ) -> expression.Result[httpx.Response, client.SendError]:
+        """Send a call that has no id, apart from those that resemble it."""
+        return await self._connections.fetch(
+            address,
+            port,
+            method,
+            path,
+            deadline,
+            body,
+            headers,
+            request_id=kind.value,
+            apart_from=tuple(
+                other.value
+                for other in _Kind
+                if other is not kind or kind not in _POLLS
+            ),
+            foreign_header=wire.ATTEMPT_HEADER,
+        )
+
 
 def _check_status(
     sent: expression.Result[httpx.Response, client.SendError],
--- a/src/dogwoodquay/external/http/service.py
+++ b/src/dogwoodquay/external/http/service.py
@@ -19,7 +19,10 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
-__all__ = ['HttpPlainService']
+__all__ = ['LOAD_KIND', 'HttpPlainService']
+
+# How connections know the reads of load reports, which have no ids.
+LOAD_KIND: typing.Final = 'load '
 
 _ADAPTER_HEADERS: typing.Final = frozenset(
     {
@@ -85,7 +88,13 @@
     ) -> expression.Result[api.LoadReport, api.Unavailable]:
         """Return the server's load report, which may lag."""
         sent = await self._connections.fetch(
-            address, port, 'GET', wire.LOAD_PATH, deadline
+            address,
+            port,
+            'GET',
+            wire.LOAD_PATH,
+            deadline,
+            request_id=LOAD_KIND,
+            foreign_header=wire.ATTEMPT_HEADER,
         )
         if sent.is_error():
             return expression.Error(api.Unavailable(sent.error.reason))
