Take no load from answers that say another server is at the address

What callers would see: requests sent to a server that has ended, as it looks idle, and answered 421, while another server has its address. Cause: limits, notices and speed were not taken from a 421, the load and its pace were. Change: neither is the load; what the answer says of its connection still counts. The load in a 421 of the server itself, for a model that it has not loaded, is not taken either.

--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -194,9 +194,10 @@
         if terms.attempt_id != call.terms.attempt_id:
             marks.discard(response)
             return outcomes.Broken('answer_crossed')
-        self._update_server(server, response, terms)
+        _mark_connection(response, terms)
         if status != _MISDIRECTED:
             # That may be the answer of another server at this address.
+            self._update_server(server, terms)
             self._limits.on_answer(server.entry, terms, sent_at)
             self._notices.on_answer(server, terms)
             self._capacity.on_answer(server, terms)
@@ -230,22 +231,13 @@
         return outcomes.Whole(status, headers, body, _framed(response))
 
     def _update_server(
-        self,
-        server: servers.Server,
-        response: httpx.Response,
-        terms: api.AnswerTerms,
+        self, server: servers.Server, terms: api.AnswerTerms
     ) -> None:
         if terms.pace is not None:
             self._on_paced(server.entry.service)
         if terms.running is not None and terms.waiting is not None:
             total = terms.running + terms.waiting
             server.update_load(total, self._clock.now())
-        if terms.closing:
-            marks.discard(response)
-        elif terms.idle_seconds:
-            marks.keep_idle(response, terms.idle_seconds * IDLE_SHARE)
-        else:
-            marks.keep_idle(response, IDLE_UNKNOWN_SECONDS)
 
     async def _read_body(
         self, relay: Relay, response: httpx.Response
@@ -296,6 +288,16 @@
         )
 
 
+def _mark_connection(response: httpx.Response, terms: api.AnswerTerms) -> None:
+    """Set how long the connection of an answer may be used again."""
+    if terms.closing:
+        marks.discard(response)
+    elif terms.idle_seconds:
+        marks.keep_idle(response, terms.idle_seconds * IDLE_SHARE)
+    else:
+        marks.keep_idle(response, IDLE_UNKNOWN_SECONDS)
+
+
 def _framed(response: httpx.Response) -> bool:
     """Whether the end of an answer is marked within its bytes."""
     headers = response.headers
--- a/tests/unit/gateway/test_notices.py
+++ b/tests/unit/gateway/test_notices.py
@@ -123,6 +123,17 @@
             await site.call(deadline_ms=400)
             self.assertEqual([], site.registry.departures(0.0))
 
+    async def test_load_of_another_server(self) -> None:
+        """The load in such an answer is not that of the server."""
+        upstream = loopback.Upstream('u1', _answers(421, 'Server-Load: 0,0,8'))
+        site = loopback.Site(upstream)
+        async with site.running():
+            site.configure(loopback.route(max_attempts=1))
+            await site.call(deadline_ms=400)
+            server = site.registry.get('u1')
+            assert server is not None
+            self.assertFalse(server.load_known(site.connections.now()))
+
     async def test_earlier_process(self) -> None:
         """An answer of an earlier process does not end the next one's use."""
         clock = clocks.ManualClock()
