List the extra answer to a report before the answer to a request

Cause: reports and orders share kept connections with requests, and their answers have no id. Evidence: ReportTest fails (b'' in place of b'own', 502); the answer is lost, not wrong. Not mended: connections apart would cost new ones for each report, which is not measured, and dropping heads without an id holds requests whose own answer lacks it.

--- a/tests/unit/gateway/test_extra_answers.py
+++ b/tests/unit/gateway/test_extra_answers.py
@@ -9,6 +9,7 @@
 import anyio
 
 from . import loopback
+from dogwoodquay.platform import engines
 from dogwoodquay.routes import api as routes_api
 
 Kind = routes_api.RouteKind
@@ -259,6 +260,35 @@
         self.assertEqual(b'', await self._call(data + b'<own>'))
 
 
+class ReportTest(unittest.IsolatedAsyncioTestCase):
+    """The extra answer to a report, which has no id."""
+
+    async def test_before_the_answer_to_a_request(self) -> None:
+        """It comes while a request waits that may not be repeated."""
+        report = b'HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n{}'
+
+        async def script(
+            request: loopback.Received, writer: asyncio.StreamWriter
+        ) -> bool:
+            writer.write(report)
+            if '/report' not in request.line:
+                writer.write(_answer(request, 200, b'own', _STAMP))
+            await writer.drain()
+            return True
+
+        upstream = loopback.Upstream('u1', script)
+        site = loopback.Site(upstream)
+        subject = engines.EngineClient(
+            site.connections, 'here', lambda *_: None
+        )
+        async with site.running():
+            site.configure(loopback.route(kind=Kind.NON_IDEMPOTENT))
+            deadline = site.connections.now() + 2.0
+            await subject.report(upstream.entry(), deadline)
+            found = await site.call('POST', body=b'x')
+        self.assertEqual(b'own', found.body)
+
+
 def _extra(chunked: bool = False) -> bytes:
     """Return an extra answer to the first request."""
     head = 'HTTP/1.1 200 X\r\nAttempt-Id: c0ffee\r\n' + f'{_STAMP}\r\n'
