--- a/src/dogwoodquay/external/http/service.py
+++ b/src/dogwoodquay/external/http/service.py
@@ -12,13 +12,17 @@
 from . import answer
 from . import bodies
 from . import client
+from . import marks
 from . import responses
 from . import wire
 
 if typing.TYPE_CHECKING:
     from collections import abc
 
-__all__ = ['HttpPlainService']
+__all__ = ['LOAD_KIND', 'HttpPlainService']
+
+# How connections know the reads of load reports, which have no ids.
+LOAD_KIND: typing.Final = 'load '
 
 _ADAPTER_HEADERS: typing.Final = frozenset(
     {
@@ -59,12 +63,18 @@
             request_headers(call),
             call.body,
             call.deadline,
+            request_id=call.attempt_id,
+            apart_from=(call.attempt_id,),
+            id_header=wire.ATTEMPT_HEADER,
         ) as sent:
             if sent.is_error():
                 yield expression.Error(sent.error)
                 return
             response = sent.ok
-            if _is_marked_not_run(response):
+            if _is_for_another(response, call):
+                marks.discard(response)
+                yield expression.Error(api.Ambiguous('answer_crossed'))
+            elif _is_marked_not_run(response):
                 yield expression.Error(await _refusal(response))
             elif call.stream:
                 async with answer.coalesced(response) as chunks:
@@ -78,7 +88,13 @@
     ) -> expression.Result[api.LoadReport, api.Unavailable]:
         """Return the server's load report, which may lag."""
         sent = await self._connections.fetch(
-            address, port, 'GET', wire.LOAD_PATH, deadline
+            address,
+            port,
+            'GET',
+            wire.LOAD_PATH,
+            deadline,
+            request_id=LOAD_KIND,
+            foreign_header=wire.ATTEMPT_HEADER,
         )
         if sent.is_error():
             return expression.Error(api.Unavailable(sent.error.reason))
@@ -106,6 +122,12 @@
     return tuple(kept)
 
 
+def _is_for_another(response: httpx.Response, call: api.UpstreamCall) -> bool:
+    """Whether a refusal names another attempt; it need not name one."""
+    named = response.headers.get(wire.ATTEMPT_HEADER, call.attempt_id)
+    return _is_marked_not_run(response) and named != call.attempt_id
+
+
 def _is_marked_not_run(response: httpx.Response) -> bool:
     return (
         response.status_code == httpx.codes.SERVICE_UNAVAILABLE
