Ask the stop before each send, and by how long requests last

(1) Whether a request fits into a planned stop was asked when it was read, not when it was sent: one that waited for a server, or was refused by one, was sent into the stop and cut with 504, though it could have gone to another instance. (3) Before the first configuration a stopping instance held requests and named its own start as the time to return; stops of up to 1 s left no time.

--- a/src/dogwoodquay/external/http/engine.py
+++ b/src/dogwoodquay/external/http/engine.py
@@ -139,7 +139,7 @@
         deadline: float,
         body: bytes = b'',
         headers: client.Headers = (),
-    ) -> expression.Result[httpx.Response, client.SendError]:
+    ) -> expression.Result[httpx.Response, sending.SendError]:
         """Send a call that has no id, apart from those that resemble it."""
         return await self._connections.fetch(
             address,
--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -14,7 +14,7 @@
 from . import reading
 from . import results
 from ..routes import table
-from ..stopping import intake
+from ..stopping import intake as intakes
 from . import trace as traces
 
 if typing.TYPE_CHECKING:
@@ -96,10 +96,12 @@
         tenancy: tenancies.Tenancy,
         accounts: tenant_accounts.TenantAccounts,
         hold: start_hold.StartHold | None = None,
+        intake: intakes.Intake | None = None,
     ) -> None:
         """Create the application.
 
         :param hold: holds requests while the instance starts.
+        :param intake: which requests are taken in a planned stop.
         """
         self._tenancy = tenancy
         self._hold = hold
@@ -115,7 +117,7 @@
         self._in_flight = 0
         self._requests: dict[anyio.CancelScope, answers.Answer] = {}
         self._streams: set[anyio.CancelScope] = set()
-        self._phase: intake.Phase = intake.Serving()
+        self._intake = intake or intakes.Intake()
 
     @property
     def in_flight(self) -> int:
@@ -130,6 +132,8 @@
     def configure(self, configuration: routes_api.Configuration) -> None:
         """Activate a configuration for the requests that follow."""
         self._routes = table.RouteTable(configuration)
+        names = {route.name for route in configuration.routes}
+        self._intake.durations.keep_only(names)
         self._tenancy.configure(configuration)
 
     @property
@@ -137,17 +141,6 @@
         """The number of streams in flight."""
         return len(self._streams)
 
-    def leave(self, ends_at: float) -> None:
-        """Begin a planned stop: each answer closes its connection.
-
-        :param ends_at: when all requests are to end.
-        """
-        self._phase = intake.Leaving(ends_at)
-
-    def drain(self, ends_at: float) -> None:
-        """Refuse also what comes after the load balancer's removal."""
-        self._phase = intake.Draining(ends_at)
-
     def end_requests(self) -> None:
         """End all requests in flight, each with a true answer."""
         for scope, answer in tuple(self._requests.items()):
@@ -181,7 +174,7 @@
             terms,
             send,
             arrived_at,
-            lambda: not isinstance(self._phase, intake.Serving),
+            lambda: self._intake.stopping,
             lambda: closings.closed_by(scope),
         )
         try:
@@ -230,6 +223,8 @@
         routes = self._routes
         refusal = reading.check(request, routes)
         if routes is None:
+            if self._intake.stopping:
+                return _Rejected(_STOPPING, close=True)
             return _Rejected(refusal or self._refuse_starting(), close=True)
         if refusal is not None:
             refusal = await self._by_configuration(refusal, routes)
@@ -250,8 +245,7 @@
             return _Rejected(tenant)
         span = min(terms.wait_seconds, route.timeout_seconds)
         deadline = arrived_at + span
-        offer = intake.Offer(deadline, route.streaming, route.repeatable)
-        if not intake.admits(self._phase, offer):
+        if not self._intake.admits(route, deadline, self._clock.now()):
             return _Rejected(_STOPPING, close=True)
         target = reading.target(request)
         headers = tuple(request.raw_headers)
@@ -308,6 +302,10 @@
             group.cancel_scope.cancel()
         if caller_left:
             answer.record_left()
+        elif answer.trace.attempts:
+            self._intake.durations.add(
+                call.route.name, self._clock.now() - call.arrived_at
+            )
         if not _may_have_run(result, answer):
             self._accounts.refund(call)
 
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -17,6 +17,7 @@
 from . import refusals
 from ..retry import api as retry_api
 from ..retry import windowed
+from ..stopping import intake as intakes
 
 if typing.TYPE_CHECKING:
     import random
@@ -63,7 +64,13 @@
         crashes: crash_watches.CrashWatch,
         tenancy: tenancies.Tenancy,
         stalls: stall_watch.StallWatch,
+        intake: intakes.Intake | None = None,
     ) -> None:
+        """Create the forwarder.
+
+        :param intake: which requests are sent to servers in a planned stop.
+        """
+        self._intake = intake or intakes.Intake()
         self._tenancy = tenancy
         self._stalls = stalls
         self._crashes = crashes
@@ -141,6 +148,9 @@
             if self._crashes.is_refused(call):
                 self._scheduler.release(call, server, False)
                 return self._refusals.end_quarantined(relay, may_have_run)
+            if not (relay.started or may_have_run or self._admits(call)):
+                self._scheduler.release(call, server, False)
+                return self._refusals.end_stopping(relay)
             if not relay.started:
                 renewed = self._tenancy.renew(call)
                 if renewed is None:
@@ -177,6 +187,12 @@
                 )
             await anyio.sleep(max(0.0, verdict.at - self._clock.now()))
 
+    def _admits(self, call: api.Call) -> bool:
+        """Whether a planned stop leaves time for a request not yet sent."""
+        return self._intake.admits(
+            call.route, call.deadline, self._clock.now()
+        )
+
     def _begin_attempt(
         self,
         call: api.Call,
--- a/src/dogwoodquay/gateway/refusals.py
+++ b/src/dogwoodquay/gateway/refusals.py
@@ -109,6 +109,15 @@
             )
         return api.Refusal(reason, _UNAUTHORIZED, 0.0, 'key_revoked')
 
+    def end_stopping(self, relay: exchanges.Relay) -> results.Result:
+        """Refuse a request that has not run and may not end before a stop."""
+        relay.trace.cause = traces.Cause.STOPPING
+        return api.Refusal(
+            api.RefusalReason.STOPPING,
+            _UNAVAILABLE,
+            api.OTHER_INSTANCE_RETRY_SECONDS,
+        )
+
     def refuse_later(self, reason: api.RefusalReason) -> api.Refusal:
         """Refuse a request that no instance can take now."""
         pause = self._with_jitter(ABSENT_RETRY_AFTER_SECONDS)
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -40,6 +40,7 @@
 from . import serving
 from . import silence as silences
 from . import start_hold
+from ..stopping import intake as intakes
 from ..stopping import plan as stop_plans
 from ..traffic import control as traffic_control
 from ..traffic import tenancy as tenancies
@@ -79,6 +80,7 @@
         self._drained = anyio.Event()
         self._ended = anyio.Event()
         self._start_hold = start_hold.StartHold(self._clock)
+        self._intake = intakes.Intake()
         self._registry = registries.Registry()
         self._metrics_page = metrics_module.Registry(settings.instance_id)
         self._metrics = gateway_metrics.GatewayMetrics(self._metrics_page)
@@ -320,6 +322,7 @@
             self._crashes,
             tenancy,
             self._traffic.stalls,
+            self._intake,
         )
         return apps.GatewayApp(
             forwarder,
@@ -331,6 +334,7 @@
             tenancy,
             self._traffic.accounts,
             self._start_hold,
+            self._intake,
         )
 
     def _on_notice(self) -> None:
@@ -361,18 +365,18 @@
             await anyio.sleep_forever()
 
     async def _drain(self) -> None:
-        """Wait for the balancer to remove this instance, then finish requests.
+        """Refuse what may not end in time, and end the rest at the end.
 
-        Requests that may not end in time are refused, and so are waiting
-        requests and new streams once the balancer has removed the instance,
-        so that their callers retry at another one.
+        Waiting requests and new streams are refused once the balancer has
+        removed the instance, so that their callers retry at another one.
         """
         await self._stopping.wait()
         plan = stop_plans.plan_stop(
             self._clock.now(), self._settings.stop_seconds
         )
         _LOG.write('stopping', in_flight=self._app.in_flight)
-        self._app.leave(plan.ends_at)
+        self._intake.leave(plan.ends_at)
+        self._start_hold.release()
         async with anyio.create_task_group() as group:
             group.start_soon(self._peering.hand_over)
             group.start_soon(self._origins.hand_over)
@@ -390,7 +394,7 @@
         with anyio.move_on_after(plan.removed_at - self._clock.now()):
             await self._health.removed_from_balancer()
         _LOG.write('draining', in_flight=self._app.in_flight)
-        self._app.drain(plan.ends_at)
+        self._intake.drain(plan.ends_at)
         self._scheduler.close()
         while self._app.streams and self._clock.now() < plan.ends_at:
             await anyio.sleep(STOP_POLL_SECONDS)
--- a/src/dogwoodquay/stopping/intake.py
+++ b/src/dogwoodquay/stopping/intake.py
@@ -5,17 +5,32 @@
 import dataclasses
 import typing
 
-__all__ = ['Draining', 'Leaving', 'Offer', 'Phase', 'Serving', 'admits']
+from . import durations
+
+if typing.TYPE_CHECKING:
+    from ..routes import api as routes_api
+
+__all__ = [
+    'Draining',
+    'Intake',
+    'Leaving',
+    'Offer',
+    'Serving',
+    'Step',
+    'admits',
+]
 
 
 class Offer(typing.NamedTuple):
-    """A request that was read and is at no server yet.
+    """A request that no server runs.
 
-    ``deadline`` is when its answer has to be complete. ``repeatable`` is
-    whether it may be sent again after it has run.
+    ``deadline`` is when its answer has to be complete, and ``likely_end``
+    when it is if it lasts no longer than others lately, the deadline at the
+    latest. ``repeatable`` is whether it may be sent again after it has run.
     """
 
     deadline: float
+    likely_end: float
     streaming: bool
     repeatable: bool
 
@@ -42,19 +57,63 @@
     ends_at: float
 
 
-Phase = Serving | Leaving | Draining
+Step = Serving | Leaving | Draining
 
 
-def admits(phase: Phase, offer: Offer) -> bool:
-    """Return whether to take a request.
+def admits(step: Step, offer: Offer) -> bool:
+    """Return whether a request is taken, or sent on, in a step of a stop.
 
-    Its caller reaches another instance by one more attempt, while a request
-    that is cut at the end may be lost.
+    A refused caller reaches another instance by one more attempt, which may
+    be its last; a request that is cut at the end may be lost.
     """
-    match phase:
+    match step:
         case Serving():
             return True
         case Leaving(ends_at):
-            return offer.repeatable or offer.deadline <= ends_at
+            return offer.repeatable or offer.likely_end <= ends_at
         case Draining(ends_at):
             return not offer.streaming and offer.deadline <= ends_at
+
+
+class Intake:
+    """The step of an instance's stop, and what it admits."""
+
+    def __init__(self) -> None:
+        self._step: Step = Serving()
+        self._durations = durations.RouteDurations()
+
+    @property
+    def stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        return not isinstance(self._step, Serving)
+
+    @property
+    def durations(self) -> durations.RouteDurations:
+        """How long the requests of each route have lasted."""
+        return self._durations
+
+    def leave(self, ends_at: float) -> None:
+        """Begin a planned stop.
+
+        :param ends_at: when all requests are to end.
+        """
+        self._step = Leaving(ends_at)
+
+    def drain(self, ends_at: float) -> None:
+        """Record that the load balancer has removed the instance."""
+        self._step = Draining(ends_at)
+
+    def admits(
+        self, route: routes_api.Route, deadline: float, now: float
+    ) -> bool:
+        """Return whether to take a request, or to send it to a server.
+
+        :param deadline: when its answer has to be complete.
+        """
+        if not self.stopping:
+            return True
+        likely_end = min(deadline, now + self._durations.longest(route.name))
+        return admits(
+            self._step,
+            Offer(deadline, likely_end, route.streaming, route.repeatable),
+        )
--- a/src/dogwoodquay/stopping/plan.py
+++ b/src/dogwoodquay/stopping/plan.py
@@ -31,5 +31,6 @@
 
     :param stop_seconds: the time after which the process is killed.
     """
-    ends_at = max(now, now + stop_seconds - STOP_MARGIN_SECONDS)
+    margin = min(STOP_MARGIN_SECONDS, stop_seconds / 2)
+    ends_at = now + stop_seconds - margin
     return StopPlan(min(now + BALANCER_REMOVAL_SECONDS, ends_at), ends_at)
--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -32,6 +32,7 @@
 from dogwoodquay.platform import headers
 from dogwoodquay.retry import window
 from dogwoodquay.routes import api as routes_api
+from dogwoodquay.stopping import intake
 from dogwoodquay.traffic import tenancy
 
 if typing.TYPE_CHECKING:
@@ -206,6 +207,7 @@
         )
         self.freshness = Freshness()
         self.hold = start_hold.StartHold(clock)
+        self.intake = intake.Intake()
         self.origins = fakes.FakeOrigins()
         self.server_list = fakes.FakeServerList()
         self.silence = silence.SilenceWatch(self.scheduler, clock)
@@ -236,6 +238,7 @@
                 self.crashes,
                 self.tenancy,
                 fakes.make_stalls(self.registry, clock),
+                self.intake,
             ),
             headers,
             clock,
@@ -245,6 +248,7 @@
             self.tenancy,
             self.accounts,
             self.hold,
+            self.intake,
         )
         self._stop = anyio.Event()
         self._listener: serving.Listener | None = None
