Read past extra answers that are longer than a head may be

What callers would see: 502 for a request that runs once, or one attempt less, after an extra answer of more than 192 KiB. Cause: what was dropped counted towards the limit of the awaited head. Change: the bytes of extra answers count by themselves, up to 4 MiB, the limit of the bodies of whole answers. Evidence: EarlierAnswerTest.test_large (384 KiB) failed before (b'' in place of b'own') and passes; test_endless ends after 4 MiB, before after 192 KiB. With the limits of heads and the endless answers all pass.

--- a/src/dogwoodquay/external/http/earlier_answers.py
+++ b/src/dogwoodquay/external/http/earlier_answers.py
@@ -68,6 +68,11 @@
         """The number of extra answers that were read to their end."""
         return self._dropped
 
+    @property
+    def dropping(self) -> bool:
+        """Whether the end of an extra answer is awaited."""
+        return self._dropping is not None
+
     def feed(self, data: bytes) -> bytes:
         """Return what belongs to the awaited answer, if anything.
 
--- a/src/dogwoodquay/external/http/network.py
+++ b/src/dogwoodquay/external/http/network.py
@@ -32,6 +32,8 @@
 MAX_HEAD_BYTES: typing.Final = 192 * 1024
 # Parsing many of these takes long; servers send one or two.
 MAX_INFORMATIONAL_HEADS: typing.Final = 16
+# Extra answers before an answer, which are as large as others.
+MAX_DROPPED_BYTES: typing.Final = 4 << 20
 # What is parsed of extra answers before others run.
 DROP_STEP_BYTES: typing.Final = 4096
 _INFORMATIONAL: typing.Final = re.compile(rb'^HTTP/1\.[01] 1', re.MULTILINE)
@@ -254,6 +256,7 @@
         self._connection = connection
         self._in_head = True
         self._head_bytes = 0
+        self._dropped_bytes = 0
         self._informational_heads = 0
         self._earlier: earlier_answers.EarlierAnswers | None = None
 
@@ -274,6 +277,8 @@
             data = await _drop_answers(self._earlier, data)
             if data:
                 return data
+            if self._earlier.dropping:
+                self._count_dropped()
 
     async def _read_head(self, max_bytes: int, timeout: float | None) -> bytes:
         """Return received data that may be a part of a head."""
@@ -288,11 +293,19 @@
             raise HeadTooLarge('the head does not end')
         return data
 
+    def _count_dropped(self) -> None:
+        """Count what was read as part of an extra answer, not of a head."""
+        self._dropped_bytes += self._head_bytes
+        self._head_bytes = 0
+        if self._dropped_bytes > MAX_DROPPED_BYTES:
+            raise HeadTooLarge('an extra answer does not end')
+
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Write all of the buffer."""
         if buffer:
             self._in_head = True
             self._head_bytes = 0
+            self._dropped_bytes = 0
             self._informational_heads = 0
             await self._connection.write(buffer, timeout)
 
--- a/tests/unit/external/test_earlier_answers.py
+++ b/tests/unit/external/test_earlier_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import unittest
 from unittest import mock
 
@@ -138,6 +139,18 @@
 class ReadTest(unittest.IsolatedAsyncioTestCase):
     """Much that is dropped is read in steps, between which others run."""
 
+    async def test_endless(self) -> None:
+        """The body of an extra answer is limited as other bodies are."""
+        extra = _EXTRA.replace(b'Length: 3', b'Length: %d' % (1 << 30))
+        parts = itertools.chain((extra,), itertools.repeat(b'x' * (1 << 16)))
+        connection = mock.Mock(read=mock.AsyncMock(side_effect=parts))
+        stream = network.Stream(connection)
+        stream.drop_answers(_earlier())
+        with self.assertRaises(network.HeadTooLarge):
+            await stream.read(1 << 16)
+        most = network.MAX_DROPPED_BYTES // (1 << 16) + 2
+        self.assertLessEqual(connection.read.await_count, most)
+
     async def test_small_chunks(self) -> None:
         """The event loop turns between the steps, also within one read."""
         extra = _CHUNKED.replace(b'2\r\nab\r\n', b'1\r\na\r\n' * 4096)
--- a/tests/unit/gateway/test_extra_answers.py
+++ b/tests/unit/gateway/test_extra_answers.py
@@ -9,6 +9,7 @@
 import anyio
 
 from . import loopback
+from dogwoodquay.external.http import network
 from dogwoodquay.platform import engines
 from dogwoodquay.routes import api as routes_api
 
@@ -244,6 +245,13 @@
         data = _extra() + _extra(chunked=True) + _extra()
         self.assertEqual(b'own', await self._call(data, b'<own>'))
 
+    async def test_large(self) -> None:
+        """It is longer than any head may be."""
+        body = b'x' * (2 * network.MAX_HEAD_BYTES)
+        data = _extra().replace(b'Length: 5', b'Length: %d' % len(body))
+        data = data.replace(b'\r\nextra', b'\r\n' + body)
+        self.assertEqual(b'own', await self._call(data + b'<own>'))
+
     async def test_without_a_marked_end(self) -> None:
         """The answer cannot be told from its body, so there is none."""
         data = _extra().replace(b'Content-Length: 5', b'Other: 5')
