End the search for extra answers where a server opens a tunnel

What callers would see: an instance that answers nothing any more. A caller's CONNECT of a path that a route has is passed on; where the server refuses it, the connection is kept, and an extra answer to it with 2xx comes before the answer to a later request. Cause: the parser of dropped answers pauses for good behind such a head, and was asked for its next event in a loop without end. Change: that ends the search, as other answers without an end do. Evidence: test_tunnel did not end within 10 s before (killed by timeout) and passes; a CONNECT of /r/x reached the stand-in, whose 404 left the connection idle (trial). The 15 tests of the file pass.

--- a/src/dogwoodquay/external/http/earlier_answers.py
+++ b/src/dogwoodquay/external/http/earlier_answers.py
@@ -168,6 +168,8 @@
             event = answer.next_event()
             if event is h11.NEED_DATA:
                 return None
+            if event is h11.PAUSED:
+                raise Unreadable('the server changes the protocol')
             if isinstance(event, h11.Response):
                 _check_framed(event)
             if isinstance(event, h11.EndOfMessage):
--- a/tests/unit/external/test_earlier_answers.py
+++ b/tests/unit/external/test_earlier_answers.py
@@ -26,7 +26,7 @@
 
 
 def _earlier() -> earlier_answers.EarlierAnswers:
-    methods = {'a': 'POST', 'h': 'HEAD'}
+    methods = {'a': 'POST', 'c': 'CONNECT', 'h': 'HEAD'}
     return earlier_answers.EarlierAnswers('own', methods.get)
 
 
@@ -110,6 +110,12 @@
         extra = _EXTRA.replace(b'Content-Length', b'Other')
         self._assert_unreadable(extra + _OWN)
 
+    def test_tunnel(self) -> None:
+        """A success of this method has no end."""
+        self._assert_unreadable(
+            _EXTRA.replace(b'500 X\r\nId: a', b'200 X\r\nId: c')
+        )
+
     def test_connection_ends(self) -> None:
         """The server says that no answer follows."""
         extra = _EXTRA.replace(b'Id', b'Connection: close\r\nId')
