--- a/tests/unit/external/test_earlier_answers.py
+++ b/tests/unit/external/test_earlier_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import unittest
 from unittest import mock
 
@@ -25,7 +26,7 @@
 
 
 def _earlier() -> earlier_answers.EarlierAnswers:
-    methods = {'a': 'POST', 'h': 'HEAD'}
+    methods = {'a': 'POST', 'c': 'CONNECT', 'h': 'HEAD'}
     return earlier_answers.EarlierAnswers('own', methods.get)
 
 
@@ -104,12 +105,6 @@
         with self.assertRaises(earlier_answers.Unreadable):
             _earlier().feed(data)
 
-    def test_tunnel(self) -> None:
-        """A success to CONNECT has no end (a hang of the instance)."""
-        earlier = earlier_answers.EarlierAnswers('own', {'a': 'CONNECT'}.get)
-        with self.assertRaises(earlier_answers.Unreadable):
-            earlier.feed(_EXTRA.replace(b'500', b'200') + _OWN)
-
     def test_another_answer_in_its_body(self) -> None:
         """Its end was cut off; reads may end anywhere."""
         cut = _EXTRA.replace(b'Length: 3', b'Length: 99')
@@ -125,6 +120,12 @@
         extra = _EXTRA.replace(b'Content-Length', b'Other')
         self._assert_unreadable(extra + _OWN)
 
+    def test_tunnel(self) -> None:
+        """A success of this method has no end."""
+        self._assert_unreadable(
+            _EXTRA.replace(b'500 X\r\nId: a', b'200 X\r\nId: c')
+        )
+
     def test_connection_ends(self) -> None:
         """The server says that no answer follows."""
         extra = _EXTRA.replace(b'Id', b'Connection: close\r\nId')
@@ -154,6 +155,18 @@
 class ReadTest(unittest.IsolatedAsyncioTestCase):
     """Much that is dropped is read in steps, between which others run."""
 
+    async def test_endless(self) -> None:
+        """The body of an extra answer is limited as other bodies are."""
+        extra = _EXTRA.replace(b'Length: 3', b'Length: %d' % (1 << 30))
+        parts = itertools.chain((extra,), itertools.repeat(b'x' * (1 << 16)))
+        connection = mock.Mock(read=mock.AsyncMock(side_effect=parts))
+        stream = network.Stream(connection)
+        stream.drop_answers(_earlier())
+        with self.assertRaises(network.HeadTooLarge):
+            await stream.read(1 << 16)
+        most = network.MAX_DROPPED_BYTES // (1 << 16) + 2
+        self.assertLessEqual(connection.read.await_count, most)
+
     async def test_small_chunks(self) -> None:
         """The event loop turns between the steps, also within one read."""
         extra = _CHUNKED.replace(b'2\r\nab\r\n', b'1\r\na\r\n' * 4096)
