Refuse requests that do not fit into a stop by their heads

Cause: a request was checked against the planned stop when its body had come. A slow upload was held for up to 3 s and refused then, or at the end, and the close before its last byte reset the connection, so that the caller lost the answer. Change: the head is checked too, and after the end none is read on. The answer is sent at once, the rest of the body is discarded for up to 2 s and not past 0.3 s after the end. What the stop means for callers has a module, gateway/planned_stop.py.

--- a/src/dogwoodquay/gateway/answer.py
+++ b/src/dogwoodquay/gateway/answer.py
@@ -228,8 +228,17 @@
         now = self._context.clock.now()
         return {**self._version_fields(), **self._trace.ending_fields(now)}
 
-    async def refuse(self, refusal: api.Refusal, close: bool = False) -> None:
-        """Send a refusal of this instance."""
+    async def refuse(
+        self,
+        refusal: api.Refusal,
+        close: bool = False,
+        before_end: abc.Callable[[], abc.Awaitable[None]] | None = None,
+    ) -> None:
+        """Send a refusal of this instance.
+
+        :param before_end: called when the caller has all of the refusal and
+            before the connection may be closed.
+        """
         self._context.metrics.refused(refusal.reason.value)
         if refusal.reason is api.RefusalReason.UNAUTHORIZED:
             self._context.metrics.unauthorized(refusal.detail)
@@ -252,6 +261,8 @@
             text = f'{refusal.retry_after:.3f}'
             headers.append((b'retry-after', text.encode('ascii')))
         await self._send_head(refusal.status, headers, close)
+        if before_end is not None:
+            await before_end()
         await self._send_last()
 
     async def _send_whole(
--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -11,10 +11,10 @@
 from . import closings
 from ..entry import asgi
 from . import identity
+from . import planned_stop
 from . import reading
 from . import results
 from ..routes import table
-from ..stopping import intake
 from . import trace as traces
 
 if typing.TYPE_CHECKING:
@@ -115,7 +115,7 @@
         self._in_flight = 0
         self._requests: dict[anyio.CancelScope, answers.Answer] = {}
         self._streams: set[anyio.CancelScope] = set()
-        self._phase: intake.Phase = intake.Serving()
+        self._stop = planned_stop.PlannedStop(clock)
 
     @property
     def in_flight(self) -> int:
@@ -138,18 +138,16 @@
         return len(self._streams)
 
     def leave(self, ends_at: float) -> None:
-        """Begin a planned stop: each answer closes its connection.
-
-        :param ends_at: when all requests are to end.
-        """
-        self._phase = intake.Leaving(ends_at)
+        """Begin a planned stop: each answer closes its connection."""
+        self._stop.leave(ends_at)
 
     def drain(self, ends_at: float) -> None:
         """Refuse also what comes after the load balancer's removal."""
-        self._phase = intake.Draining(ends_at)
+        self._stop.drain(ends_at)
 
     def end_requests(self) -> None:
         """End all requests in flight, each with a true answer."""
+        self._stop.end()
         for scope, answer in tuple(self._requests.items()):
             answer.trace.stopped = True
             scope.cancel()
@@ -181,7 +179,7 @@
             terms,
             send,
             arrived_at,
-            lambda: not isinstance(self._phase, intake.Serving),
+            lambda: self._stop.begun,
             lambda: closings.closed_by(scope),
         )
         try:
@@ -212,7 +210,9 @@
             case None:
                 answer.record_left()
             case _Rejected(refusal, close):
-                await answer.refuse(refusal, close)
+                await answer.refuse(
+                    refusal, close, lambda: self._stop.discard_body(request)
+                )
             case api.Call():
                 answer.resume_after(terms.last_event)
                 await self._forward(found, request, answer)
@@ -234,6 +234,9 @@
         if refusal is not None:
             refusal = await self._by_configuration(refusal, routes)
             return _Rejected(refusal, close=True)
+        expected = routes.match(reading.host(request), request.path)
+        if not self._stop.reads(expected, terms, arrived_at):
+            return _Rejected(_STOPPING, close=True)
         limits = routes.configuration.limits
         body = await reading.read_body(request, limits)
         if body is None:
@@ -248,10 +251,7 @@
         tenant = await self._find_tenant(route, terms)
         if isinstance(tenant, api.Refusal):
             return _Rejected(tenant)
-        span = min(terms.wait_seconds, route.timeout_seconds)
-        deadline = arrived_at + span
-        offer = intake.Offer(deadline, route.streaming, route.repeatable)
-        if not intake.admits(self._phase, offer):
+        if not self._stop.admits(route, terms, arrived_at):
             return _Rejected(_STOPPING, close=True)
         target = reading.target(request)
         headers = tuple(request.raw_headers)
@@ -265,7 +265,7 @@
             route=route,
             service=table.pick_service(route, self._rng),
             arrived_at=arrived_at,
-            deadline=deadline,
+            deadline=planned_stop.deadline_of(route, terms, arrived_at),
             identity=identity.digest(
                 request.method, target, headers, body, terms
             ),
@@ -323,8 +323,7 @@
         self, request: asgi.Request, routes: table.RouteTable
     ) -> routes_api.Route | api.Refusal:
         """Return the route of a request, if need be of a newer version."""
-        parts = request.header(b'host').rpartition(':')
-        host = parts[0] or parts[2]
+        host = reading.host(request)
         route = routes.match(host, request.path)
         if route is not None:
             return route
--- a/src/dogwoodquay/gateway/reading.py
+++ b/src/dogwoodquay/gateway/reading.py
@@ -14,7 +14,7 @@
     from ..routes import api as routes_api
     from ..routes import table
 
-__all__ = ['check', 'read_body', 'target']
+__all__ = ['check', 'host', 'read_body', 'target']
 
 _BAD_REQUEST: typing.Final = 400
 _REQUEST_TIMEOUT: typing.Final = 408
@@ -80,3 +80,9 @@
 def target(request: asgi.Request) -> str:
     """Return a request's target as the caller sent it."""
     return f'{request.path}?{request.query}' if request.query else request.path
+
+
+def host(request: asgi.Request) -> str:
+    """Return the host that a request names, without its port."""
+    parts = request.header(b'host').rpartition(':')
+    return parts[0] or parts[2]
--- a/src/dogwoodquay/stopping/plan.py
+++ b/src/dogwoodquay/stopping/plan.py
@@ -4,7 +4,7 @@
 
 import typing
 
-__all__ = ['ANSWER_SECONDS', 'StopPlan', 'plan_stop']
+__all__ = ['ANSWER_SECONDS', 'StopPlan', 'discard_seconds', 'plan_stop']
 
 # The load balancer checks readiness once a second and removes an instance
 # after two refusals.
@@ -13,6 +13,10 @@
 STOP_MARGIN_SECONDS: typing.Final = 1.0
 # The part of it in which last answers are written.
 ANSWER_SECONDS: typing.Final = 0.5
+# The time after the end of requests in which refused bodies are discarded.
+END_DISCARD_SECONDS: typing.Final = 0.3
+# The same during the stop, for one request.
+DISCARD_SECONDS: typing.Final = 2.0
 
 
 class StopPlan(typing.NamedTuple):
@@ -33,3 +37,15 @@
     """
     ends_at = max(now, now + stop_seconds - STOP_MARGIN_SECONDS)
     return StopPlan(min(now + BALANCER_REMOVAL_SECONDS, ends_at), ends_at)
+
+
+def discard_seconds(now: float, ends_at: float) -> float:
+    """Return how long to discard the body of a refused request.
+
+    A connection that is closed before its caller has sent all is reset, and
+    the caller may lose the answer.
+
+    :param ends_at: when all requests are to end.
+    """
+    left = ends_at + END_DISCARD_SECONDS - now
+    return max(0.0, min(DISCARD_SECONDS, left))
--- a/tests/site/test_planned_stop.py
+++ b/tests/site/test_planned_stop.py
@@ -95,6 +95,43 @@
             self.assertEqual('close', answer.headers['connection'])
             self.assertEqual([], site.desk.executed_attempts)
 
+    async def test_body_under_way(self) -> None:
+        """It is refused before its body has come, and gets the answer."""
+        async with self._site() as (site, instance):
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', instance.port
+            )
+            instance.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.3)
+            length = 'Content-Length: 90\r\n'
+            head = processes.stream_head('/once/x', 'a', '', _LONG_MS, length)
+            writer.write(head + b'x')
+            answer = await processes.read_answer(reader)
+            # Bytes after the close would reset the connection.
+            writer.write(b'x' * 89)
+            self.assertEqual(b'', await reader.read())
+            writer.close()
+            self.assertEqual(503, answer.status)
+            self.assertEqual('close', answer.headers['connection'])
+            self.assertEqual([], site.desk.executed_attempts)
+
+    async def test_body_of_a_request_that_fits(self) -> None:
+        """It is read to its end and served."""
+        async with self._site() as (_, instance):
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', instance.port
+            )
+            instance.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.3)
+            length = 'Content-Length: 2\r\n'
+            head = processes.stream_head('/short/x', 'a', '', 2000, length)
+            writer.write(head + b'x')
+            await asyncio.sleep(0.5)
+            writer.write(b'x')
+            answer = await processes.read_answer(reader)
+            writer.close()
+            self.assertEqual((200, True), answer[::2])
+
     async def test_stream_that_may_not_be_repeated(self) -> None:
         """The same for a stream that cannot be resumed."""
         async with self._site() as (site, instance):
--- a/tests/unit/gateway/test_endings.py
+++ b/tests/unit/gateway/test_endings.py
@@ -11,6 +11,7 @@
 
 from . import fakes
 from . import loopback
+from dogwoodquay import clock as clocks
 from dogwoodquay.routes import api as routes_api
 
 Kind = routes_api.RouteKind
@@ -349,6 +350,37 @@
         )
 
 
+class StoppedTest(_EndingsTest):
+    """Requests whose heads come when a planned stop has ended all others."""
+
+    async def _call(self, path: bytes) -> bytes:
+        """Send a request without its body; return what is answered."""
+        async with loopback.Site().running() as site:
+            site.configure(loopback.route(kind=Kind.NON_IDEMPOTENT))
+            reader, writer = await site.connect()
+            ends_at = clocks.SteadyClock().now()
+            site.app.leave(ends_at)
+            site.app.drain(ends_at)
+            site.app.end_requests()
+            writer.write(
+                b'POST %s HTTP/1.1\r\nHost: a.example\r\n'
+                b'Attempt-Id: c0ffee\r\nContent-Length: 2\r\n\r\n' % path
+            )
+            # The HTTP server's own answer would come with its end.
+            site.stop_within(0.2)
+            answer = await reader.readuntil(b'\r\n\r\n')
+            writer.close()
+        return answer
+
+    async def test_body_not_whole(self) -> None:
+        """One that would be read is refused."""
+        self.assertIn(b' 503 ', await self._call(b'/r/x'))
+
+    async def test_no_route(self) -> None:
+        """The same without a route."""
+        self.assertIn(b' 503 ', await self._call(b'/none/x'))
+
+
 class LostTest(_EndingsTest):
     """An end without a result of the forwarder has a line, too."""
 
