Show silences of processes and stand-ins beside faults of the soak

Cause: beside load 20 to 30 it could not be told whether a process or the stand-ins got their turn late, and ends of processes were seen late (6.92 s with the last line at 5.03). Change: faults name the gaps in the process's log, the delays of the stand-ins and the use of the connection; a thread waits for a process's end.

--- a/tests/site/stops.py
+++ b/tests/site/stops.py
@@ -7,6 +7,7 @@
 import dataclasses
 import random
 import signal
+import subprocess
 import time
 import typing
 
@@ -68,14 +69,15 @@
 class Record:
     """A request and its end, as its caller and the servers saw it.
 
-    ``status`` is zero without an answer; ``refused`` tells of a connection
-    that was not established.
+    ``status`` is zero without an answer, and ``used`` the number of requests
+    before it on its connection.
     """
 
     attempt: str
     kind: Kind
     instance: str
     started_at: float
+    used: int = 0
     last_sent_at: float = 0.0
     ended_at: float = 0.0
     status: int = 0
@@ -181,6 +183,7 @@
         self._slow = slow
         self._kinds = kinds
         self._instance = ''
+        self._used = 0
         self._streams: (
             tuple[asyncio.StreamReader, asyncio.StreamWriter] | None
         ) = None
@@ -203,6 +206,7 @@
                 '127.0.0.1', instance.port
             )
             self._instance = instance.member
+            self._used = 0
 
     def _close(self) -> None:
         if self._streams is not None:
@@ -214,6 +218,8 @@
     ) -> None:
         kind = self._rng.choice(self._kinds)
         record = self._ledger.begin(kind, self._instance)
+        record.used = self._used
+        self._used += 1
         self._slow(record.attempt, self._silence(kind))
         try:
             async with asyncio.timeout(kind.timeout_ms / 1000 + 5.0):
@@ -294,13 +300,7 @@
         if 1 in hang_ups:
             await asyncio.sleep(self._rng.uniform(0.0, 0.5))
             instance.process.send_signal(signal.SIGHUP)
-        try:
-            async with asyncio.timeout(GRACE_SECONDS + 5.0):
-                exit_status = await instance.wait_stopped()
-        except TimeoutError:
-            instance.process.kill()
-            exit_status = await instance.wait_stopped()
-        ended_at = time.monotonic()
+        exit_status, ended_at = await asyncio.to_thread(_wait, instance)
         stop = Stop(instance.member, started_at, ended_at, exit_status)
         self.stops.append(stop)
         if self._last:
@@ -309,3 +309,13 @@
         self._site.start_again(instance)
         await instance.wait_ready()
         self._stopping.discard(number)
+
+
+def _wait(instance: processes.Instance) -> tuple[int, float]:
+    """Return a process's exit status and end, also if the loop is late."""
+    try:
+        status = instance.process.wait(GRACE_SECONDS + 5.0)
+    except subprocess.TimeoutExpired:
+        instance.process.kill()
+        status = instance.process.wait()
+    return status, time.monotonic()
--- a/tests/site/test_stop_soak.py
+++ b/tests/site/test_stop_soak.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+import itertools
 import os
 import random
 import time
@@ -30,6 +31,7 @@
 _TEST_TIMEOUT_SECONDS: typing.Final = 150.0
 # The turns of processes on a busy machine.
 _SLACK_SECONDS: typing.Final = 0.25
+_WATCH_SECONDS: typing.Final = 0.05
 # Between the clocks of processes.
 _CLOCK_SECONDS: typing.Final = 0.05
 # A connection may end without an answer for so long after the request.
@@ -93,6 +95,9 @@
         self.arrivals: dict[str, float] = {}
         # When instances logged their steps and refusals, by time.monotonic().
         self.logged: list[tuple[str, float, str]] = []
+        # The times of all lines, by instance, and the stand-ins' delays.
+        self.line_times: dict[str, list[float]] = {}
+        self.delays: list[tuple[float, float]] = []
         self.stops: list[stops.Stop] = []
         self._rng = random.Random(seed)
         self._instances = instances
@@ -114,6 +119,7 @@
             stopper = stops.Stopper(site, random.Random(self._rng.random()))
             balancer = stops.Balancer(site, _ZONES)
             asking = asyncio.create_task(balancer.run())
+            watching = asyncio.create_task(self._watch_delays())
             until = time.monotonic() + self._seconds
             over = asyncio.Event()
             async with asyncio.TaskGroup() as group:
@@ -125,11 +131,21 @@
                 await stopper.stop_all()
                 over.set()
             asking.cancel()
+            watching.cancel()
             # A request that was refused may run later.
             await asyncio.sleep(1.0)
             self.stops = stopper.stops
             self._read_logs(site)
 
+    async def _watch_delays(self) -> None:
+        """Note when the stand-ins were late themselves."""
+        while True:
+            due = time.monotonic() + _WATCH_SECONDS
+            await asyncio.sleep(_WATCH_SECONDS)
+            late = time.monotonic() - due
+            if late > _WATCH_SECONDS:
+                self.delays.append((due, late))
+
     def _add_servers(self, site: processes.Site) -> None:
         for service, count, slots in (
             ('desk', 3, 16 * self._instances),
@@ -227,7 +243,9 @@
     def _read_logs(self, site: processes.Site) -> None:
         epoch = time.time() - time.monotonic()
         for instance in site.instances:
+            times = self.line_times.setdefault(instance.member, [])
             for line in instance.log_lines():
+                times.append(line['timestamp'] - epoch)
                 name = line.get('message_type', '')
                 if name == 'request:refused':
                     reason = f'{line["reason"]} {line["detail"]}'.strip()
@@ -251,6 +269,7 @@
             lasted = stop.ended_at - stop.started_at
             if stop.exit_status or lasted > stops.GRACE_SECONDS:
                 steps = self._logged(stop.instance, stop)
+                steps += f'; {self._silences(stop)}'
                 self._add(
                     f'exit {stop.exit_status} after {lasted:.2f} s; {steps}'
                 )
@@ -358,6 +377,25 @@
             if item == about and stop.started_at - 1.0 < at < stop.ended_at
         )
 
+    def _silences(self, stop: stops.Stop) -> str:
+        """Return the gaps in a process's log, and the stand-ins' delays."""
+        times = [
+            item - stop.started_at
+            for item in sorted(self._soak.line_times[stop.instance])
+            if stop.started_at < item < stop.ended_at
+        ]
+        gaps = [
+            f'{first:.2f}-{second:.2f}'
+            for first, second in itertools.pairwise(times)
+            if second - first > _SLACK_SECONDS
+        ]
+        delays = [
+            f'{due - stop.started_at:.2f}+{late:.2f}'
+            for due, late in self._soak.delays
+            if stop.started_at < due < stop.ended_at and late > 0.1
+        ]
+        return f'silent {" ".join(gaps)}, late {" ".join(delays)}'
+
     def _reason(self, record: stops.Record) -> str:
         return self._soak.reasons.get(record.attempt, '')
 
@@ -373,6 +411,8 @@
             f'{"SIGTERM" if stop else "its begin"}; logged: '
             + (self._logged(record.attempt, stop) if stop else '')
             + (f'; {self._logged(record.instance, stop)}' if stop else '')
+            + (f'; {self._silences(stop)}' if stop else '')
+            + (f'; {record.used} requests before' if record.used else '')
         )
 
     def summary(self) -> str:
