Serve or close connections accepted as a stop closes the listener

Cause: asyncio accepts a connection in one turn and attaches it to its server in the next. Change: the listener is taken off the loop some turns before the server is closed.

--- a/src/dogwoodquay/entry/connections.py
+++ b/src/dogwoodquay/entry/connections.py
@@ -103,6 +103,7 @@
         await shutdown_trigger()
     finally:
         await context.terminated.set()
+        await _stop_accepting(servers)
         for server in servers:
             server.close()
             await server.wait_closed()
@@ -131,6 +132,20 @@
     ]
 
 
+async def _stop_accepting(servers: list[asyncio.Server]) -> None:
+    """Accept no more connections, and let those accepted be served.
+
+    A server that is closed before asyncio has attached an accepted connection
+    to it leaves that connection open, and nobody reads it.
+    """
+    loop = asyncio.get_running_loop()
+    for server in servers:
+        for listener in server.sockets:
+            loop.remove_reader(listener.fileno())
+    for _ in range(READ_TURNS):
+        await asyncio.sleep(0)
+
+
 async def _finish(writers: _Writers, seconds: float) -> None:
     """Wait for connections to end, and end those that last longer.
 
--- a/tests/unit/entry/test_connections.py
+++ b/tests/unit/entry/test_connections.py
@@ -192,6 +192,34 @@
         self.assertLess(set(), sent & answered)
         self.assertLess(sent & answered, sent)
 
+    async def test_connection_at_the_stop(self) -> None:
+        """A connection that is accepted as a stop begins does not hang."""
+        hanging = []
+        for turns in range(_STOP_TURNS):
+            async with _serving(_App()) as (port, stop):
+                await asyncio.sleep(0.01)
+                caller = socket.socket()
+                caller.setblocking(False)
+                caller.connect_ex(('127.0.0.1', port))
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                stop.set()
+                with contextlib.closing(caller):
+                    if not await self._is_closed(caller):
+                        hanging.append(turns)
+        self.assertEqual([], hanging)
+
+    async def _is_closed(self, caller: socket.socket) -> bool:
+        """Return whether a connection is closed or was never made."""
+        loop = asyncio.get_running_loop()
+        with contextlib.suppress(ConnectionError):
+            try:
+                async with asyncio.timeout(2.0):
+                    return await loop.sock_recv(caller, 1) == b''
+            except TimeoutError:
+                return False
+        return True
+
     async def test_caller_that_does_not_read(self) -> None:
         """Its connection does not outlast the graceful timeout."""
         app = _App()
