--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -11,6 +11,7 @@
 from . import closings
 from ..entry import asgi
 from . import identity
+from . import planned_stop
 from . import reading
 from . import results
 from ..routes import table
@@ -117,7 +118,9 @@
         self._in_flight = 0
         self._requests: dict[anyio.CancelScope, answers.Answer] = {}
         self._streams: set[anyio.CancelScope] = set()
-        self._intake = intake or intakes.Intake()
+        self._stop = planned_stop.PlannedStop(
+            clock, intake or intakes.Intake()
+        )
 
     @property
     def in_flight(self) -> int:
@@ -132,8 +135,7 @@
     def configure(self, configuration: routes_api.Configuration) -> None:
         """Activate a configuration for the requests that follow."""
         self._routes = table.RouteTable(configuration)
-        names = {route.name for route in configuration.routes}
-        self._intake.durations.keep_only(names)
+        self._stop.keep_routes(configuration)
         self._tenancy.configure(configuration)
 
     @property
@@ -143,6 +145,7 @@
 
     def end_requests(self) -> None:
         """End all requests in flight, each with a true answer."""
+        self._stop.end()
         for scope, answer in tuple(self._requests.items()):
             answer.trace.stopped = True
             scope.cancel()
@@ -174,7 +177,7 @@
             terms,
             send,
             arrived_at,
-            lambda: self._intake.stopping,
+            lambda: self._stop.begun,
             lambda: closings.closed_by(scope),
         )
         try:
@@ -205,7 +208,9 @@
             case None:
                 answer.record_left()
             case _Rejected(refusal, close):
-                await answer.refuse(refusal, close)
+                await answer.refuse(
+                    refusal, close, lambda: self._stop.discard_body(request)
+                )
             case api.Call():
                 answer.resume_after(terms.last_event)
                 await self._forward(found, request, answer)
@@ -223,12 +228,15 @@
         routes = self._routes
         refusal = reading.check(request, routes)
         if routes is None:
-            if self._intake.stopping:
+            if self._stop.begun:
                 return _Rejected(_STOPPING, close=True)
             return _Rejected(refusal or self._refuse_starting(), close=True)
         if refusal is not None:
             refusal = await self._by_configuration(refusal, routes)
             return _Rejected(refusal, close=True)
+        expected = routes.match(reading.host(request), request.path)
+        if not self._stop.reads(expected, terms, arrived_at):
+            return _Rejected(_STOPPING, close=True)
         limits = routes.configuration.limits
         body = await reading.read_body(request, limits)
         if body is None:
@@ -243,9 +251,7 @@
         tenant = await self._find_tenant(route, terms)
         if isinstance(tenant, api.Refusal):
             return _Rejected(tenant)
-        span = min(terms.wait_seconds, route.timeout_seconds)
-        deadline = arrived_at + span
-        if not self._intake.admits(route, deadline, self._clock.now()):
+        if not self._stop.admits(route, terms, arrived_at):
             return _Rejected(_STOPPING, close=True)
         target = reading.target(request)
         headers = tuple(request.raw_headers)
@@ -259,7 +265,7 @@
             route=route,
             service=table.pick_service(route, self._rng),
             arrived_at=arrived_at,
-            deadline=deadline,
+            deadline=planned_stop.deadline_of(route, terms, arrived_at),
             identity=identity.digest(
                 request.method, target, headers, body, terms
             ),
@@ -303,9 +309,7 @@
         if caller_left:
             answer.record_left()
         elif answer.trace.attempts:
-            self._intake.durations.add(
-                call.route.name, self._clock.now() - call.arrived_at
-            )
+            self._stop.record(call)
         if not _may_have_run(result, answer):
             self._accounts.refund(call)
 
@@ -321,8 +325,7 @@
         self, request: asgi.Request, routes: table.RouteTable
     ) -> routes_api.Route | api.Refusal:
         """Return the route of a request, if need be of a newer version."""
-        parts = request.header(b'host').rpartition(':')
-        host = parts[0] or parts[2]
+        host = reading.host(request)
         route = routes.match(host, request.path)
         if route is not None:
             return route
--- a/src/dogwoodquay/stopping/intake.py
+++ b/src/dogwoodquay/stopping/intake.py
@@ -87,6 +87,15 @@
         """Whether a planned stop has begun."""
         return not isinstance(self._step, Serving)
 
+    @property
+    def ends_at(self) -> float | None:
+        """When all requests are to end, ``None`` if no stop has begun."""
+        match self._step:
+            case Leaving(ends_at) | Draining(ends_at):
+                return ends_at
+            case _:
+                return None
+
     @property
     def durations(self) -> durations.RouteDurations:
         """How long the requests of each route have lasted."""
