Let serve refuse calls that its planned stop may cut off

Cause: the product's own interface took all calls while it waited for the balancer (unready_seconds) and ended those in flight at the end of stop_seconds. A call whose deadline lies later, and which may not be repeated, was passed on and could be cut. Its answer told so (503, outcome unknown), but another instance could have served it. Answers close their connections from then on. Measured: DrainTest.test_longer_than_the_stop cannot run before (no such state; the call ran); 51 tests of dispatch and entry and the 7 of node.test_instance pass; import contracts and types hold.

--- a/src/dogwoodquay/dispatch/dispatcher.py
+++ b/src/dogwoodquay/dispatch/dispatcher.py
@@ -17,6 +17,7 @@
 from . import gate
 from ..idempotency import api as idempotency_api
 from . import in_flight as in_flight_module
+from . import planned_stop
 from . import reasons
 from ..retry import api as retry_api
 from ..routing import api as routing_api
@@ -96,7 +97,7 @@
         self._rng = rng
         self._metrics = metrics
         self._requests: dict[str, in_flight_module.InFlightRequest] = {}
-        self._draining = False
+        self._stop = planned_stop.PlannedStop()
         self._background = background.Background()
         self._cleanup = cleanup.Cleanup(
             self._background, claims, engine, clock
@@ -113,9 +114,9 @@
         return self._gate.waiting
 
     @property
-    def draining(self) -> bool:
-        """Whether new requests are refused."""
-        return self._draining
+    def stop(self) -> planned_stop.PlannedStop:
+        """The planned stop, which says what requests are taken."""
+        return self._stop
 
     async def run(
         self, call: api.Call, sink: api.Sink | None = None
@@ -126,7 +127,7 @@
         """
         now = self._clock.now()
         request = in_flight_module.InFlightRequest(call, now)
-        if self._draining:
+        if not self._stop.admits(call):
             return self._count_result(request.refuse(reasons.Reason.DRAINING))
         if now >= call.deadline:
             return self._count_result(
@@ -154,7 +155,7 @@
 
     async def drain(self, deadline: float) -> None:
         """Refuse new requests and end in-flight ones at the deadline."""
-        self._draining = True
+        self._stop.drain()
         while self._requests and self._clock.now() < deadline:
             await anyio.sleep(_DRAIN_POLL_SECONDS)
         for request in tuple(self._requests.values()):
--- a/src/dogwoodquay/entry/app.py
+++ b/src/dogwoodquay/entry/app.py
@@ -127,6 +127,14 @@
         """
         return self._resumption.cancel_local(stream_id, caller)
 
+    def leave(self, ends_at: float) -> None:
+        """Begin a planned stop: not ready, and each answer closes.
+
+        :param ends_at: when requests in flight are ended.
+        """
+        self._health.drain()
+        self._dispatcher.stop.leave(ends_at)
+
     async def drain(self, deadline: float) -> None:
         """Refuse new requests and finish the others until a deadline.
 
@@ -182,7 +190,7 @@
         request_id = secrets.token_hex(REQUEST_ID_BYTES)
         echoed_id = controls.caller_request_id(request) or request_id
         responder = asgi.Responder(send, echoed_id)
-        if self._dispatcher.draining:
+        if self._dispatcher.stop.begun:
             responder.close_connection_after()
         self._active_requests += 1
         try:
@@ -262,7 +270,7 @@
     ) -> None:
         body = await self._bodies.read(request, self._clock.now())
         if isinstance(body, api.Refusal):
-            if self._dispatcher.draining:
+            if self._dispatcher.stop.draining:
                 responder.close_connection_after()
             await self._refusal_sender.send(request, responder, body)
             return
--- a/src/dogwoodquay/node/callers.py
+++ b/src/dogwoodquay/node/callers.py
@@ -178,6 +178,10 @@
             self._clock,
         )
 
+    def leave(self, ends_at: float) -> None:
+        """Begin a planned stop, which ends requests at some time."""
+        self._app.leave(ends_at)
+
     def shut_down(self) -> None:
         """Refuse new requests and finish those in flight."""
         self._shutdown.set()
--- a/src/dogwoodquay/node/stopping.py
+++ b/src/dogwoodquay/node/stopping.py
@@ -77,7 +77,12 @@
         """
         await stop.wait()
         _LOG.write('began', in_flight=self._callers.in_flight)
-        self._callers.health.drain()
+        agreement = self._settings.agreement
+        self._callers.leave(
+            self._clock.now()
+            + agreement.unready_seconds
+            + agreement.stop_seconds
+        )
         self._state = external_api.InstanceState.LEAVING
         self._membership.announce_leaving()
         async with anyio.create_task_group() as group:
--- a/tests/unit/dispatch/test_dispatcher.py
+++ b/tests/unit/dispatch/test_dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import typing
 import unittest
 
@@ -352,6 +353,27 @@
 class DrainTest(DispatcherCase):
     """Draining finishes requests or refuses them at the deadline."""
 
+    def test_longer_than_the_stop(self) -> None:
+        """Refused once a stop has begun, unless it may be repeated."""
+
+        async def work(rig: fakes.Rig) -> None:
+            now = rig.clock.now()
+            rig.dispatcher.stop.leave(now + 5.0)
+            late = dataclasses.replace(
+                self.call(rig), idempotent=False, deadline=now + 6.0
+            )
+            result = await rig.dispatcher.run(late)
+            self.assert_refused(result, Reason.DRAINING, Outcome.NOT_RUN)
+            self.assertFalse(rig.upstream.calls)
+            for call in (
+                dataclasses.replace(late, deadline=now + 5.0, request_id='b'),
+                dataclasses.replace(late, idempotent=True, request_id='c'),
+            ):
+                result = await rig.dispatcher.run(call)
+                self.assertIsInstance(result, api.WholeAnswer)
+
+        self.run_with(work)
+
     def test_in_flight_request_finishes(self) -> None:
         async def work(rig: fakes.Rig) -> None:
             rig.upstream.delay = 0.01
