--- a/src/dogwoodquay/dispatch/planned_stop.py
+++ b/src/dogwoodquay/dispatch/planned_stop.py
@@ -16,13 +16,13 @@
     """The state of a planned stop: none, begun, or draining."""
 
     def __init__(self) -> None:
-        self._phase: intake.Phase = intake.Serving()
+        self._step: intake.Step = intake.Serving()
         self._draining = False
 
     @property
     def begun(self) -> bool:
         """Whether a planned stop has begun."""
-        return self._draining or not isinstance(self._phase, intake.Serving)
+        return self._draining or not isinstance(self._step, intake.Serving)
 
     @property
     def draining(self) -> bool:
@@ -34,7 +34,7 @@
 
         :param ends_at: when calls in flight are ended.
         """
-        self._phase = intake.Leaving(ends_at)
+        self._step = intake.Leaving(ends_at)
 
     def drain(self) -> None:
         """Refuse all new calls."""
@@ -43,5 +43,7 @@
     def admits(self, call: api.Call) -> bool:
         """Whether to take a call."""
         repeatable = call.idempotent or bool(call.key)
-        offer = intake.Offer(call.deadline, call.stream, repeatable)
-        return not self._draining and intake.admits(self._phase, offer)
+        offer = intake.Offer(
+            call.deadline, call.deadline, call.stream, repeatable
+        )
+        return not self._draining and intake.admits(self._step, offer)
--- a/src/dogwoodquay/gateway/answer.py
+++ b/src/dogwoodquay/gateway/answer.py
@@ -86,6 +86,7 @@
         self._trace = traces.RequestTrace(context.active_version())
         self._phase = Phase.BODY
         self._ended = False
+        self._left = False
         self._started = False
         self._status = 0
         self._first_byte_seconds = 0.0
@@ -102,6 +103,11 @@
         """Whether a part of the answer was sent to the caller."""
         return self._started
 
+    @property
+    def left(self) -> bool:
+        """Whether the caller left before the end of the answer."""
+        return self._left
+
     @property
     def trace(self) -> traces.RequestTrace:
         """Records the request's attempts and what ends it."""
@@ -175,6 +181,7 @@
 
     def record_left(self) -> None:
         """Record that the connection was closed before the answer's end."""
+        self._left = True
         phase = self._phase.value
         self._trace.cause = traces.Cause.CALLER
         self._context.metrics.caller_gone(phase)
--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -213,7 +213,8 @@
                 )
             case api.Call():
                 answer.resume_after(terms.last_event)
-                await self._forward(found, request, answer)
+                with self._stop.forwarding(found, answer):
+                    await self._forward(found, request, answer)
 
     async def _admit(
         self,
@@ -308,8 +309,6 @@
             group.cancel_scope.cancel()
         if caller_left:
             answer.record_left()
-        elif answer.trace.attempts:
-            self._stop.record(call)
         if not _may_have_run(result, answer):
             self._accounts.refund(call)
 
--- a/src/dogwoodquay/gateway/planned_stop.py
+++ b/src/dogwoodquay/gateway/planned_stop.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import typing
 
 import anyio
@@ -9,7 +10,10 @@
 from ..stopping import plan as stop_plans
 
 if typing.TYPE_CHECKING:
+    from collections import abc
+
     from .. import clock as clocks
+    from . import answer as answers
     from . import api
     from ..entry import asgi
     from ..routes import api as routes_api
@@ -36,10 +40,19 @@
         names = {route.name for route in configuration.routes}
         self._intake.durations.keep_only(names)
 
-    def record(self, call: api.Call) -> None:
-        """Record how long a request has lasted that was sent to a server."""
-        seconds = self._clock.now() - call.arrived_at
-        self._intake.durations.add(call.route.name, seconds)
+    @contextlib.contextmanager
+    def forwarding(
+        self, call: api.Call, answer: answers.Answer
+    ) -> abc.Iterator[None]:
+        """Record how long a request lasts, if a server has it to its end."""
+        durations = self._intake.durations
+        number = durations.begin(call.route.name, call.arrived_at)
+        try:
+            yield
+        finally:
+            sent = answer.trace.attempts > 0 and not answer.left
+            now = self._clock.now()
+            durations.end(call.route.name, number, now, sent)
 
     def end(self) -> None:
         """Read no further requests: all requests have been ended."""
--- a/src/dogwoodquay/stopping/intake.py
+++ b/src/dogwoodquay/stopping/intake.py
@@ -121,7 +121,9 @@
         """
         if not self.stopping:
             return True
-        likely_end = min(deadline, now + self._durations.longest(route.name))
+        likely_end = min(
+            deadline, now + self._durations.longest(route.name, now)
+        )
         return admits(
             self._step,
             Offer(deadline, likely_end, route.streaming, route.repeatable),
--- a/tests/unit/stopping/test_intake.py
+++ b/tests/unit/stopping/test_intake.py
@@ -66,6 +66,10 @@
         self.intake = intake.Intake()
         self.intake.leave(5.0)
 
+    def _end(self, seconds: float) -> None:
+        number = self.intake.durations.begin('r', -seconds)
+        self.intake.durations.end('r', number, 0.0, sent=True)
+
     def _admits(self, now: float = 0.0) -> bool:
         route = loopback.route(kind=Kind.STREAMING, resumable=False)
         return self.intake.admits(route, 20.0, now)
@@ -73,25 +77,34 @@
     def test_few_requests(self) -> None:
         """The deadline counts until there are enough."""
         for _ in range(durations.MIN_REQUESTS - 1):
-            self.intake.durations.add('r', 1.0)
+            self._end(1.0)
         self.assertFalse(self._admits())
-        self.intake.durations.add('r', 1.0)
+        self._end(1.0)
         self.assertTrue(self._admits())
         self.assertFalse(self._admits(now=4.1))
 
     def test_one_long_request(self) -> None:
         """The longest counts, as long as it is one of the last."""
-        self.intake.durations.add('r', 6.0)
+        self._end(6.0)
         for _ in range(durations.KEPT_REQUESTS - 1):
-            self.intake.durations.add('r', 1.0)
+            self._end(1.0)
+        self.assertFalse(self._admits())
+        self._end(1.0)
+        self.assertTrue(self._admits())
+
+    def test_longer_one_in_flight(self) -> None:
+        """It shows that requests may last longer than those that ended."""
+        for _ in range(durations.MIN_REQUESTS):
+            self._end(1.0)
+        number = self.intake.durations.begin('r', -2.0)
         self.assertFalse(self._admits())
-        self.intake.durations.add('r', 1.0)
+        self.intake.durations.end('r', number, 0.0, sent=False)
         self.assertTrue(self._admits())
 
     def test_removed_by_the_balancer(self) -> None:
         """The deadline alone counts for what comes late."""
         for _ in range(durations.KEPT_REQUESTS):
-            self.intake.durations.add('r', 0.1)
+            self._end(0.1)
         self.intake.drain(5.0)
         route = loopback.route()
         self.assertFalse(self.intake.admits(route, 5.1, 0.0))
@@ -100,7 +113,7 @@
     def test_undeclared_route(self) -> None:
         """Another route may have its name later."""
         for _ in range(durations.KEPT_REQUESTS):
-            self.intake.durations.add('r', 0.1)
+            self._end(0.1)
         self.intake.durations.keep_only({'other'})
         self.assertFalse(self._admits())
 
