Tell the calls of a test by their paths

GivenUpTest.test_deadline failed once in a whole run of tests/unit/external at load 25 (b'first'): the first call had ended before its request was sent, and the stand-in took the second for the first.

--- a/tests/unit/external/test_http_cancelled.py
+++ b/tests/unit/external/test_http_cancelled.py
@@ -31,18 +31,15 @@
         :param seconds: when it is cancelled; else it ends at its deadline.
         """
         late = asyncio.Event()
-        answered = False
 
         async def serve(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
-            nonlocal answered
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                 while True:
-                    await reader.readuntil(b'\r\n\r\n')
-                    own = _answer(b'later' if answered else b'first')
-                    if not answered:
-                        answered = True
+                    head = await reader.readuntil(b'\r\n\r\n')
+                    own = _answer(head.split(b' ')[1][1:])
+                    if b'/first' in head:
                         writer.write(own[:cut])
                         await late.wait()
                         own = own[cut:]
@@ -54,22 +51,22 @@
         clock = clock_module.SystemClock()
         async with client.Connections(clock) as connections:
 
-            async def call(span: float) -> bytes:
+            async def call(path: str, span: float) -> bytes:
                 deadline = clock.now() + span
                 if download:
                     found = await connections.download(
-                        '127.0.0.1', port, '/', deadline, lambda _: None
+                        '127.0.0.1', port, path, deadline, lambda _: None
                     )
                 else:
                     found = await connections.fetch(
-                        '127.0.0.1', port, 'GET', '/', deadline
+                        '127.0.0.1', port, 'GET', path, deadline
                     )
                 return found.ok.content if found.is_ok() else b''
 
             with anyio.move_on_after(0.1):
-                await call(seconds)
+                await call('/first', seconds)
             late.set()
-            body = await call(DEADLINE_SECONDS)
+            body = await call('/later', DEADLINE_SECONDS)
         server.close()
         # Connections end in the next turn of the loop.
         await asyncio.sleep(0.01)
