Let new tests wait for events in place of short times

test_first_ended_by_a_stop waits until the server has the request, and the deadlines of test_late_order and test_first_ended_at_its_deadline are 1 s and 0.5 s in place of 0.2 s.

--- a/tests/unit/gateway/test_pipelined.py
+++ b/tests/unit/gateway/test_pipelined.py
@@ -5,8 +5,6 @@
 import asyncio
 import unittest
 
-import anyio
-
 from . import loopback
 
 _IDS = ('a', 'b', 'c')
@@ -17,6 +15,7 @@
 
     def setUp(self) -> None:
         """Let the server answer the first request late."""
+        self.arrived = asyncio.Event()
         self.late = asyncio.Event()
 
     async def _script(
@@ -24,6 +23,7 @@
     ) -> bool:
         name = request.headers['attempt-id']
         if name == _IDS[0]:
+            self.arrived.set()
             await self.late.wait()
         head = f'HTTP/1.1 200 X\r\nAttempt-Id: {name}\r\nResponse-Stamp: x\r\n'
         writer.write(f'{head}Content-Length: 1\r\n\r\n{name}'.encode())
@@ -42,7 +42,7 @@
         async with site.running():
             site.configure(loopback.route(max_attempts=1))
             reader, writer = await site.connect()
-            spans = (200, 2000, 2000)
+            spans = (500, 2000, 2000)
             writer.write(b''.join(map(self._request, _IDS, spans)))
             found = [await loopback.read_answer(reader)]
             self.late.set()
@@ -58,7 +58,7 @@
             site.configure(loopback.route(max_attempts=1))
             reader, writer = await site.connect()
             writer.write(self._request('a', 2000) + self._request('b', 2000))
-            await anyio.sleep(0.1)
+            await self.arrived.wait()
             site.app.leave(site.connections.now())
             site.app.end_requests()
             found = await loopback.read_answer(reader)
--- a/tests/unit/platform/test_engines.py
+++ b/tests/unit/platform/test_engines.py
@@ -166,8 +166,8 @@
     async def test_late_order(self) -> None:
         """Many requests later a connection is not used for an order again."""
         async with self._engine() as server:
-            await self._order(server, 0.2)
-            await asyncio.sleep(0.2)
+            await self._order(server, 1.0)
+            await asyncio.sleep(1.0)
             for number in range(_MANY):
                 await self.connections.fetch(
                     server.address,
