Send a request over another connection if its own closes before it is sent

Cause: a kept connection that is closed, by its server or for bytes unasked, between its choice and the first write fails the write; httpcore takes that for a request that was sent and waits for an early answer, so that the attempt fails as protocol, may have run, and counts against the server. Change: such a write is an error of its own, on which the request goes over the next connection; nothing was sent, also of a request that may run once.

--- a/src/dogwoodquay/external/http/client.py
+++ b/src/dogwoodquay/external/http/client.py
@@ -42,14 +42,21 @@
 _DEADLINE_PASSED: typing.Final = api.Unavailable('deadline')
 
 
+class _Identity(typing.NamedTuple):
+    """What tells the answer to a request, and until when it may be sent."""
+
+    request_id: str
+    method: str
+    deadline: float
+    id_header: str
+
+
 class _SentRequest(typing.NamedTuple):
     """A request that was sent over a connection."""
 
     address: str
     port: int
-    method: str
-    request_id: str
-    deadline: float
+    identity: _Identity
     use: uses.Use
     earlier: earlier_answers.EarlierAnswers
 
@@ -202,20 +209,17 @@
             remaining,
             self._connect_seconds,
         )
-        acquired = await self._pool.acquire(address, port, apart_from)
-        use = acquired.uses.begin()
-        on_use(use)
-        earlier = earlier_answers.EarlierAnswers(
-            request_id, acquired.uses.method_of, id_header
-        )
-        if acquired.stream is not None:
-            acquired.stream.drop_answers(earlier)
-        sent_request = _SentRequest(
-            address, port, method, request_id, deadline, use, earlier
+        acquired, sent_request, sent = await self._send(
+            address,
+            port,
+            request,
+            remaining,
+            _Identity(request_id, method, deadline, id_header),
+            apart_from,
+            on_use,
         )
         extensions: dict[str, typing.Any] = {}
         try:
-            sent = await sending.send(acquired.connection, request, remaining)
             try:
                 if sent.is_ok():
                     extensions = sent.ok.extensions
@@ -235,6 +239,46 @@
             with anyio.CancelScope(shield=True):
                 await self._end_use(sent_request, acquired, extensions)
 
+    async def _send(
+        self,
+        address: str,
+        port: int,
+        request: httpcore.Request,
+        remaining: float,
+        identity: _Identity,
+        apart_from: tuple[str, ...],
+        on_use: abc.Callable[[uses.Use], None],
+    ) -> tuple[
+        pool.Acquired,
+        _SentRequest,
+        expression.Result[httpx.Response, sending.SendError],
+    ]:
+        """Send a request over a connection that is open when it is sent."""
+        while True:
+            acquired = await self._pool.acquire(address, port, apart_from)
+            use = acquired.uses.begin()
+            on_use(use)
+            earlier = earlier_answers.EarlierAnswers(
+                identity.request_id,
+                acquired.uses.method_of,
+                identity.id_header,
+            )
+            if acquired.stream is not None:
+                acquired.stream.drop_answers(earlier)
+            sent_request = _SentRequest(address, port, identity, use, earlier)
+            try:
+                sent = await sending.send(
+                    acquired.connection, request, remaining
+                )
+            except network.LostBeforeSent:
+                await self._pool.discard(acquired)
+            except BaseException:
+                with anyio.CancelScope(shield=True):
+                    await self._end_use(sent_request, acquired, {})
+                raise
+            else:
+                return acquired, sent_request, sent
+
     async def _end_use(
         self,
         sent: _SentRequest,
@@ -259,10 +303,10 @@
             await self._pool.discard(acquired)
         else:
             acquired.uses.add(
-                sent.request_id,
-                sent.method,
+                sent.identity.request_id,
+                sent.identity.method,
                 extensions.get(marks.BARRED_KEY, False),
-                sent.deadline,
+                sent.identity.deadline,
                 self._time.now(),
             )
             await self._pool.release(
@@ -279,7 +323,7 @@
                     sent.address,
                     sent.port,
                     sent.use.connection,
-                    sent.request_id,
+                    sent.identity.request_id,
                     sent.earlier.dropped,
                 )
             )
@@ -291,7 +335,7 @@
                 sent.port,
                 sent.use.connection,
                 sent.use.earlier + 1,
-                sent.request_id,
+                sent.identity.request_id,
                 size,
             )
         )
--- a/src/dogwoodquay/external/http/network.py
+++ b/src/dogwoodquay/external/http/network.py
@@ -21,7 +21,13 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
-__all__ = ['HeadTooLarge', 'NetworkBackend', 'Stream', 'is_refused']
+__all__ = [
+    'HeadTooLarge',
+    'LostBeforeSent',
+    'NetworkBackend',
+    'Stream',
+    'is_refused',
+]
 
 # Receives the number of bytes that no request has asked for.
 _OnUnsolicited = typing.Callable[[int], None]
@@ -52,6 +58,13 @@
     """A head, or the informational ones before it, do not end."""
 
 
+class LostBeforeSent(httpcore.NetworkError):
+    """An idle connection was closed before a byte of a request was sent.
+
+    It is no ``WriteError``, after which httpcore awaits an answer.
+    """
+
+
 class NetworkBackend(httpcore.AsyncNetworkBackend):
     """Opens TCP connections."""
 
@@ -182,9 +195,11 @@
 
     async def write(self, data: bytes, timeout: float | None) -> None:
         """Write data, waiting while the send buffer is full."""
-        self._idle = False
+        was_idle, self._idle = self._idle, False
         transport = self._require_transport()
         if self._closed or transport.is_closing():
+            if was_idle:
+                raise LostBeforeSent('the idle connection is closed')
             raise httpcore.WriteError('the connection is closed')
         transport.write(data)
         if self._write_paused:
--- a/src/dogwoodquay/external/http/sending.py
+++ b/src/dogwoodquay/external/http/sending.py
@@ -75,10 +75,16 @@
     request: httpcore.Request,
     remaining: float,
 ) -> expression.Result[httpx.Response, SendError]:
-    """Send a request and return its answer with the body unread."""
+    """Send a request and return its answer with the body unread.
+
+    :raises network.LostBeforeSent: if nothing was sent, as the connection was
+        closed while it was idle.
+    """
     try:
         with anyio.fail_after(remaining):
             response = await connection.handle_async_request(request)
+    except network.LostBeforeSent:
+        raise
     except _CONNECT_ERRORS:
         return expression.Error(api.Unavailable('connect'))
     except httpcore.LocalProtocolError:
