--- a/src/dogwoodquay/stopping/plan.py
+++ b/src/dogwoodquay/stopping/plan.py
@@ -14,7 +14,7 @@
 # The part of it in which last answers are written.
 ANSWER_SECONDS: typing.Final = 0.5
 # The time after the end of requests in which refused bodies are discarded.
-END_DISCARD_SECONDS: typing.Final = 0.3
+END_DISCARD_SECONDS: typing.Final = 0.2
 # The same during the stop, for one request.
 DISCARD_SECONDS: typing.Final = 2.0
 
--- a/tests/site/test_stop_soak.py
+++ b/tests/site/test_stop_soak.py
@@ -426,6 +426,7 @@
             record.ended_at - max(record.last_sent_at, stop.started_at)
             for record in self._soak.ledger.records.values()
             if self._reason(record) == 'stopping'
+            and record.status in _NOT_RUN
             and (stop := self._stop_of(record)) is not None
         ]
         longest = max(
