--- a/src/dogwoodquay/external/http/sender.py
+++ b/src/dogwoodquay/external/http/sender.py
@@ -187,8 +187,8 @@
         :param read_timeout_seconds: timeout of each read of the body; zero
             for the default of this client.
         :param request_id: identifies the request, or its kind.
-        :param apart_from: the request does not go over a connection that was
-            used lately for one of these ids.
+        :param apart_from: the request does not go over a connection that
+            remembers one of these ids.
         :param on_use: called with the connection over which it goes.
         :param id_header: the header of answers that has the id of their
             request, in lower case; empty for any one.
