Ignore the end of a request whose route was not declared in between

A request that ends after its route was removed and declared again counted as one of no duration in what a planned stop estimates.

--- a/src/dogwoodquay/stopping/durations.py
+++ b/src/dogwoodquay/stopping/durations.py
@@ -45,9 +45,10 @@
         :param sent: whether it was sent to a server and its caller stayed.
         """
         kept = self._routes.get(route)
-        if kept is None:
+        if kept is None or number not in kept.in_flight:
+            # The route was not declared in between.
             return
-        arrived_at = kept.in_flight.pop(number, now)
+        arrived_at = kept.in_flight.pop(number)
         if sent:
             kept.ended.append(now - arrived_at)
 
--- a/tests/unit/stopping/test_intake.py
+++ b/tests/unit/stopping/test_intake.py
@@ -114,8 +114,14 @@
         """Another route may have its name later."""
         for _ in range(durations.KEPT_REQUESTS):
             self._end(0.1)
+        number = self.intake.durations.begin('r', -9.0)
         self.intake.durations.keep_only({'other'})
         self.assertFalse(self._admits())
+        self._end(0.1)
+        self.intake.durations.end('r', number, 0.0, sent=True)
+        for _ in range(durations.MIN_REQUESTS - 2):
+            self._end(0.1)
+        self.assertFalse(self._admits())
 
 
 class PlanTest(unittest.TestCase):
