Judge plain requests in a planned stop by their deadlines alone

A 503 says that the request has not run, a 504 nothing. Change: the estimate counts for streams that cannot be resumed, whose callers are lost in stops in series otherwise; plain requests are taken by their deadlines.

--- a/src/dogwoodquay/stopping/intake.py
+++ b/src/dogwoodquay/stopping/intake.py
@@ -25,8 +25,9 @@
     """A request that no server runs.
 
     ``deadline`` is when its answer has to be complete, and ``likely_end``
-    when it is if it lasts no longer than others lately, the deadline at the
-    latest. ``repeatable`` is whether it may be sent again after it has run.
+    when a stream is if it lasts no longer than others lately; the deadline of
+    a plain request. ``repeatable`` is whether it may be sent again after it
+    has run.
     """
 
     deadline: float
@@ -121,9 +122,11 @@
         """
         if not self.stopping:
             return True
-        likely_end = min(
-            deadline, now + self._durations.longest(route.name, now)
-        )
+        likely_end = deadline
+        if route.streaming:
+            # Plain requests of a route last too differently for this.
+            longest = self._durations.longest(route.name, now)
+            likely_end = min(deadline, now + longest)
         return admits(
             self._step,
             Offer(deadline, likely_end, route.streaming, route.repeatable),
