--- a/tests/unit/commands/test_imports.py
+++ b/tests/unit/commands/test_imports.py
@@ -71,6 +71,8 @@
     'retry',
     'routes',
     'stalls',
+    # 5 ms: the step of a planned stop is asked for each request.
+    'stopping',
     'tenants',
     'traffic',
     'wire',
@@ -95,6 +97,12 @@
         'external.http.marks',
         'external.http.network',
         'external.http.pool',
+        # 10 ms together: all requests to servers go through these.
+        'external.http.earlier_answers',
+        'external.http.findings',
+        'external.http.sender',
+        'external.http.sending',
+        'external.http.uses',
         'external.http.progress',
         'journal',
         'journal.api',
