--- a/tests/site/test_silent_servers.py
+++ b/tests/site/test_silent_servers.py
@@ -382,7 +382,7 @@
                     servers.Place.HEAD, 1.6
                 )
                 call = asyncio.ensure_future(
-                    connection.call('/unsafe/x', attempt)
+                    connection.call('/unsafe/x', attempt, deadline_ms=4000)
                 )
                 while not callers.servers_of(attempt):
                     await asyncio.sleep(0.02)
