--- a/review/standin2/deployment.py
+++ b/review/standin2/deployment.py
@@ -195,6 +195,24 @@
             self.process.wait()
 
 
+class Store(stores.Store):
+    """A store that answers 410 to a read from an offset beyond its end."""
+
+    async def _answer(self, request: http.Request) -> http.Answer | None:
+        if not self.unavailable and request.path == '/log-read':
+            topics = self._topics if request.query['Topic'].startswith(
+                'keyed.'
+            ) else self._raw
+            topic = topics.get(request.query['Topic'])
+            if topic is not None and int(request.query['From']) > topic.end:
+                return http.Answer.of({'First': topic.first}, 410)
+        return await super()._answer(request)
+
+    def end_of(self, topic: str) -> int:
+        """Return the offset after the last record of a keyed topic."""
+        return self._topics[topic].end
+
+
 class PlainServer:
     """A sound server of a plain service.
 
