--- a/review/standin2/deployment.py
+++ b/review/standin2/deployment.py
@@ -10,7 +10,6 @@
 import json
 import os
 import pathlib
-import signal
 import socket
 import subprocess
 import sys
@@ -38,7 +37,8 @@
 Discovery = "platform"
 Entry = "vip"
 HeartbeatMs = 1200
-Contracts = ["base","drain","config","cost","retry","recover","fleet","stream","engine","platform"]
+Contracts = ["base","drain","config","cost","retry","recover","fleet","stream",
+  "engine","platform"]
 [Zones]
 "{zone}" = "region-1"
 [Listen]
@@ -138,11 +138,14 @@
         environment['DOGWOODQUAY_SETTINGS'] = str(self.settings)
         with self.log.open('ab') as log:
             self.process = subprocess.Popen(
-                command(), cwd=ROOT, env=environment, stdout=log,
+                command(),
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
                 stderr=subprocess.STDOUT,
             )
 
-    def signal(self, number: signal.Signals) -> None:
+    def send_signal(self, number: int) -> None:
         """Send a signal to the process unless it has ended."""
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
@@ -200,9 +203,11 @@
 
     async def _answer(self, request: http.Request) -> http.Answer | None:
         if not self.unavailable and request.path == '/log-read':
-            topics = self._topics if request.query['Topic'].startswith(
-                'keyed.'
-            ) else self._raw
+            topics = (
+                self._topics
+                if request.query['Topic'].startswith('keyed.')
+                else self._raw
+            )
             topic = topics.get(request.query['Topic'])
             if topic is not None and int(request.query['From']) > topic.end:
                 return http.Answer.of({'First': topic.first}, 410)
@@ -221,8 +226,13 @@
     """
 
     def __init__(
-        self, store: stores.Store, server_id: str, service: str,
-        work_seconds: float, slots: int = 6, queue: int = 24,
+        self,
+        store: stores.Store,
+        server_id: str,
+        service: str,
+        work_seconds: float,
+        slots: int = 6,
+        queue: int = 24,
     ) -> None:
         self._store = store
         self.id = server_id
@@ -245,12 +255,21 @@
     def beat(self) -> None:
         """Write the entry of the server to the store."""
         self._reports += 1
-        self._store.put('keyed.servers', self.id, {
-            'Service': self._service, 'Address': self.http.address,
-            'Zone': 'zone-1', 'Version': 'v1', 'Slots': self._slots,
-            'State': 'ready', 'ColdRemainingMs': 0,
-            'Sequence': self._reports, 'born': self._born,
-        })
+        self._store.put(
+            'keyed.servers',
+            self.id,
+            {
+                'Service': self._service,
+                'Address': self.http.address,
+                'Zone': 'zone-1',
+                'Version': 'v1',
+                'Slots': self._slots,
+                'State': 'ready',
+                'ColdRemainingMs': 0,
+                'Sequence': self._reports,
+                'born': self._born,
+            },
+        )
 
     async def _handle(self, request: http.Request) -> http.Answer:
         if request.path == '/healthz':
@@ -273,19 +292,30 @@
             self._present -= 1
         load = f'{self._present},0,{self._slots}'
         body = json.dumps({'got': len(request.body)}).encode()
-        return http.Answer(200, body, (
-            echo, ('Response-Stamp', f'{self.id}.{attempt}'),
-            ('Server-Load', load),
-        ))
+        return http.Answer(
+            200,
+            body,
+            (
+                echo,
+                ('Response-Stamp', f'{self.id}.{attempt}'),
+                ('Server-Load', load),
+            ),
+        )
 
 
 def route(prefix: str, service: str, **changes: object) -> dict[str, object]:
     """Return a route of a manifest."""
     fields: dict[str, object] = {
-        'Name': prefix.strip('/'), 'Host': 'site.example',
-        'PathPrefix': prefix, 'Service': service, 'TimeoutMs': 5000,
-        'TargetLatencyMs': 500, 'Priority': 1, 'MaxAttempts': 1,
-        'GapAimMs': 150, 'Type': 'non_idempotent',
+        'Name': prefix.strip('/'),
+        'Host': 'site.example',
+        'PathPrefix': prefix,
+        'Service': service,
+        'TimeoutMs': 5000,
+        'TargetLatencyMs': 500,
+        'Priority': 1,
+        'MaxAttempts': 1,
+        'GapAimMs': 150,
+        'Type': 'non_idempotent',
     }
     return fields | changes
 
--- a/review/standin2/engine.py
+++ b/review/standin2/engine.py
@@ -26,10 +26,17 @@
     """
 
     def __init__(
-        self, store: stores.Store, server_id: str, service: str,
-        weights: dict[str, float], capacity: float, max_adapters: int,
-        placed: tuple[str, ...], on_event: typing.Callable[[str], None],
-        slots: int = 64, version: str = 'v1',
+        self,
+        store: stores.Store,
+        server_id: str,
+        service: str,
+        weights: dict[str, float],
+        capacity: float,
+        max_adapters: int,
+        placed: tuple[str, ...],
+        on_event: typing.Callable[[str], None],
+        slots: int = 64,
+        version: str = 'v1',
     ) -> None:
         self.id = server_id
         self._store = store
@@ -86,13 +93,23 @@
             return
         self._settle()
         self._reports += 1
-        self._store.put('keyed.servers', self.id, {
-            'Service': self._service, 'Address': self.http.address,
-            'Zone': 'zone-1', 'Version': self._version, 'Slots': self._slots,
-            'State': 'ready', 'ColdRemainingMs': 0,
-            'Sequence': self._reports, 'Stage': 'both',
-            'Models': self._listed(), 'born': self.born,
-        })
+        self._store.put(
+            'keyed.servers',
+            self.id,
+            {
+                'Service': self._service,
+                'Address': self.http.address,
+                'Zone': 'zone-1',
+                'Version': self._version,
+                'Slots': self._slots,
+                'State': 'ready',
+                'ColdRemainingMs': 0,
+                'Sequence': self._reports,
+                'Stage': 'both',
+                'Models': self._listed(),
+                'born': self.born,
+            },
+        )
 
     def _listed(self) -> list[dict[str, typing.Any]]:
         return [
@@ -122,14 +139,22 @@
         if request.headers.get('expect-instance', self.id) != self.id:
             return http.Answer(421, b'', refused)
         if request.path == '/report':
-            return http.Answer.of({
-                'Stage': 'both', 'Models': self._listed(),
-                'Busy': bool(self.loading), 'Sequence': self.sequence,
-                'Waiting': 0, 'Running': self.running, 'KvUsed': 0,
-                'KvTotal': 100000, 'Handles': 0, 'born': self.born,
-                'Coming': [f'{m}/{a}@1' for m, a in self.coming],
-                'AtHand': {'InMemory': [], 'OnDisk': sorted(self.disk)},
-            })
+            return http.Answer.of(
+                {
+                    'Stage': 'both',
+                    'Models': self._listed(),
+                    'Busy': bool(self.loading),
+                    'Sequence': self.sequence,
+                    'Waiting': 0,
+                    'Running': self.running,
+                    'KvUsed': 0,
+                    'KvTotal': 100000,
+                    'Handles': 0,
+                    'born': self.born,
+                    'Coming': [f'{m}/{a}@1' for m, a in self.coming],
+                    'AtHand': {'InMemory': [], 'OnDisk': sorted(self.disk)},
+                }
+            )
         if request.path == '/order':
             return await self._order_arrives(request.json())
         model, _, adapter = request.headers.get('model', '').partition('/')
