--- a/review/standin2/deployment.py
+++ b/review/standin2/deployment.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import abc
 import json
 import os
 import pathlib
@@ -15,6 +16,7 @@
 import sys
 import time
 import tomllib
+import typing
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT))
@@ -326,3 +328,19 @@
         await asyncio.sleep(seconds)
         for server in servers:
             server.beat()
+
+
+def record_runs(
+    servers: abc.Iterable[typing.Any], record: abc.Callable[[str], None]
+) -> None:
+    """Record which attempts servers ran, in the order of their begin."""
+    runs = sorted(
+        (run[0], run[1], server.id)
+        for server in servers
+        for run in server.runs
+    )
+    first = runs[0][0] if runs else 0.0
+    for at, attempt, server_id in runs:
+        record(
+            f'run {attempt} at {server_id}, {at - first:.3f} s after the first'
+        )
--- a/review/standin2/engine.py
+++ b/review/standin2/engine.py
@@ -16,6 +16,7 @@
 from tests.site import http
 from tests.site import store as stores
 
+EVENTS = 5
 EVENT_SECONDS = 0.03
 
 
@@ -53,6 +54,8 @@
         self.hold_load_adapters = 0
         self.hold_seconds = 0.0
         self.on_held: typing.Callable[[], None] = lambda: None
+        self.events = EVENTS
+        self.event_seconds = EVENT_SECONDS
         self.running = 0
         self.runs: list[tuple[float, str]] = []
         self.http = http.HttpServer(self._handle)
@@ -174,9 +177,10 @@
         self.running += 1
         try:
             first = int(request.headers.get('last-event-id', '-1')) + 1
-            for number in range(first, 5):
-                await asyncio.sleep(EVENT_SECONDS)
-                yield f'id: {number}\ndata: piece {number}\n\n'.encode()
+            for number in range(first, self.events):
+                await asyncio.sleep(self.event_seconds)
+                data = f'{number} {self._version}'
+                yield f'id: {number}\ndata: {data}\n\n'.encode()
         finally:
             self.running -= 1
 
