--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,10 +1,11 @@
-"""A late order reaches a server that has started again under its id."""
+"""Streams begin while the store is down, and all gateways are killed."""
 
 from __future__ import annotations
 
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import time
@@ -16,11 +17,17 @@
 import engine as engines_module  # noqa: E402
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-# The first model leaves no room for others beside it.
-WEIGHTS = {f'm{number}': 70000.0 for number in range(13)} | {'m0': 200000.0}
-MAX_ADAPTERS = 5
-DOWN_SECONDS = 4.5
-LATE_SECONDS = 11.0
+STREAMS = 24
+EVENTS = 47
+EVENT_SECONDS = 0.12
+# Seconds from the begin of the outage.
+BEGIN = 0.5
+KILL = 3.5
+STORE_BACK = 4.0
+START = 5.0
+# ContactMs after the start of the machines, the later of the two ends.
+TAKE_UP = 8.4
+MAX_SHARE = 0.5
 
 
 class Record:
@@ -35,20 +42,93 @@
         self._file.flush()
 
 
+class Stream:
+    """A stream of a requester, over one or two attempts."""
+
+    def __init__(self, number: int, record: Record) -> None:
+        self._number = number
+        self._record = record
+        self._writer: asyncio.StreamWriter | None = None
+        self.first_attempt = ''
+        self.last_event = -1
+        self.versions: list[str] = []
+        self.statuses: list[int] = []
+        self.complete = False
+
+    @property
+    def begun(self) -> bool:
+        """Whether the first event has come."""
+        return self.last_event >= 0
+
+    async def ask(self, gateway: deployment.Gateway) -> None:
+        """Send an attempt, which goes on after the last event if any came."""
+        attempt = f'{self._number:08x}{len(self.statuses):08x}'
+        more = ''
+        if self.begun:
+            more = (
+                f'Last-Event-Id: {self.last_event}\r\n'
+                f'Resumes: {self.first_attempt}\r\n'
+            )
+        head = (
+            'POST /write/x HTTP/1.1\r\nHost: site.example\r\n'
+            f'Attempt-Id: {attempt}\r\nModel: m0\r\nToken-Usage: 100,300\r\n'
+            f'Prompt-Prefix: aa:172,{self._number + 4096:x}:400\r\n'
+            f'Deadline-Ms: 12000\r\n{more}Content-Length: 2\r\n\r\nhi'
+        )
+        before = self.last_event
+        status = 0
+        try:
+            async with asyncio.timeout(12.0):
+                reader, self._writer = await asyncio.open_connection(
+                    '127.0.0.1', gateway.callers
+                )
+                self._writer.write(head.encode())
+                answer = await reader.readuntil(b'\r\n\r\n')
+                status = int(answer.split()[1])
+                if status == 200:
+                    await self._read(reader, attempt)
+        except (OSError, EOFError, TimeoutError):
+            pass
+        finally:
+            self.leave()
+            self.statuses.append(status)
+        self._record(
+            f'stream {self._number} attempt {attempt} at {gateway.name}: '
+            f'{status}, events {before + 1} to {self.last_event}, '
+            f'versions {sorted(set(self.versions))}, '
+            f'complete: {self.complete}'
+        )
+
+    async def _read(self, reader: asyncio.StreamReader, attempt: str) -> None:
+        data = b''
+        while size := int(await reader.readuntil(b'\r\n'), 16):
+            data += (await reader.readexactly(size + 2))[:-2]
+            *events, data = data.split(b'\n\n')
+            for event in events:
+                fields = dict(
+                    line.split(': ', 1) for line in event.decode().split('\n')
+                )
+                self.first_attempt = self.first_attempt or attempt
+                self.last_event = int(fields['id'])
+                self.versions.append(fields['data'].split()[1])
+        self.complete = True
+
+    def leave(self) -> None:
+        """Close the channel."""
+        if self._writer is not None:
+            self._writer.close()
+        self._writer = None
+
+
 def manifest() -> dict[str, object]:
     """Return a manifest with one route to the model servers."""
-    models = [
-        {
-            'Name': name,
-            'WeightsMb': size,
-            'LoadTimeS': 4.0,
-            'DiskS': 0.8,
-            'WarmupS': 0.4,
-            'Adapters': 12,
-            'AdapterMb': 12.0,
-        }
-        for name, size in WEIGHTS.items()
-    ]
+    model = {
+        'Name': 'm0',
+        'WeightsMb': 70000.0,
+        'LoadTimeS': 4.0,
+        'Adapters': 0,
+        'AdapterMb': 12.0,
+    }
     return {
         'Version': 1,
         'Routes': [
@@ -58,8 +138,8 @@
                 Type='streaming',
                 Resumable=True,
                 MaxAttempts=2,
-                TimeoutMs=4000,
-                TargetLatencyMs=800,
+                TimeoutMs=12000,
+                TargetLatencyMs=250,
             )
         ],
         'Services': [
@@ -71,9 +151,9 @@
                     'Slots': 64,
                     'KvCapacity': 132451,
                     'WeightsMb': 220000.0,
-                    'MaxAdapters': MAX_ADAPTERS,
+                    'MaxAdapters': 5,
                     'LoadsPerS': 1.6,
-                    'Models': models,
+                    'Models': [model],
                 },
             }
         ],
@@ -86,112 +166,37 @@
     }
 
 
-class Requester:
-    """Asks for models and adapters, each attempt on a new channel."""
-
-    def __init__(
-        self, gateways: list[deployment.Gateway], record: Record
-    ) -> None:
-        self._gateways = gateways
-        self._record = record
-        self._count = 0
-
-    async def ask(self, model: str) -> int:
-        """Ask until the answer is whole; return its status, zero if none."""
-        status = 0
-        for _ in range(2):
-            status, wait = await self._try(model)
-            if status == 200:
-                break
-            await asyncio.sleep(wait)
-        return status
-
-    async def _try(self, model: str) -> tuple[int, float]:
-        self._count += 1
-        attempt = f'{self._count:016x}'
-        gateway = self._gateways[self._count % len(self._gateways)]
-        head = (
-            'POST /write/ HTTP/1.1\r\nHost: site.example\r\n'
-            f'Attempt-Id: {attempt}\r\nModel: {model}\r\n'
-            'Token-Usage: 100,30\r\nPrompt-Prefix: '
-            f'{self._count:x}:100\r\nDeadline-Ms: 4000\r\n'
-            'Content-Length: 2\r\n\r\nhi'
-        )
-        self._record(f'request {attempt} for {model} to {gateway.name}')
-        status, wait = 0, 0.2
-        try:
-            async with asyncio.timeout(4.0):
-                reader, writer = await asyncio.open_connection(
-                    '127.0.0.1', gateway.callers
-                )
-                try:
-                    writer.write(head.encode())
-                    answer = await reader.readuntil(b'\r\n\r\n')
-                    status = int(answer.split()[1])
-                    lines = answer.decode('latin-1').lower().split('\r\n')
-                    for line in lines:
-                        if line.startswith('retry-after:'):
-                            wait = min(1.3, float(line.split(':')[1]))
-                    if status == 200:
-                        while await reader.readline() != b'0\r\n':
-                            if reader.at_eof():
-                                status = 0
-                                break
-                finally:
-                    writer.close()
-        except (OSError, TimeoutError, asyncio.IncompleteReadError):
-            status = 0
-        self._record(f'answer {attempt}: {status or "none"}')
-        return status, wait
-
-
-async def keep_asking(
-    requester: Requester, models: list[str], until: float
-) -> None:
-    """Ask for all of some models every 0.4 s."""
-    while time.monotonic() < until:
-        await asyncio.gather(*(requester.ask(model) for model in models))
-        await asyncio.sleep(0.4)
-
-
 async def play(directory: pathlib.Path, record: Record) -> int:
     """Play the case; return the exit status."""
-    store = deployment.stores.Store()
+    store = deployment.Store()
     platform = deployment.http.HttpServer(store.handle)
     await platform.start()
     store.put('keyed.op', 'config', manifest())
-    # The first server has one model, the others are full with others.
-    engines = [
-        engines_module.Engine(
-            store,
-            'i-0',
-            'lot-writer',
-            WEIGHTS,
-            220000.0,
-            MAX_ADAPTERS,
-            ('m0',),
-            record,
-        )
-    ]
-    engines += [
-        engines_module.Engine(
+    engines = []
+    for number in range(6):
+        item = engines_module.Engine(
             store,
             f'i-{number}',
             'lot-writer',
-            WEIGHTS,
+            {'m0': 70000.0},
             220000.0,
-            MAX_ADAPTERS,
-            tuple(f'm{3 * number - 2 + more}' for more in range(3)),
+            5,
+            ('m0',),
             record,
+            version='v1' if number % 2 else 'v1.1',
         )
-        for number in range(1, 5)
-    ]
-    for item in engines:
+        item.events, item.event_seconds = EVENTS, EVENT_SECONDS
+        engines.append(item)
         await item.start()
     beats = asyncio.create_task(engines_module.beat_engines(engines))
     gateways = [
-        deployment.Gateway(f'front-{number}', platform.address, directory)
-        for number in range(2)
+        deployment.Gateway(
+            f'front-{number}',
+            platform.address,
+            directory,
+            zone=f'zone-{number % 3}',
+        )
+        for number in range(3)
     ]
     try:
         for gateway in gateways:
@@ -200,87 +205,86 @@
             if not await gateway.wait_ready():
                 record('a gateway does not become ready')
                 return 2
-        return await requests(engines, gateways, record)
+        await asyncio.sleep(14.0)
+        return await judge(store, engines, gateways, record)
     finally:
         beats.cancel()
         for gateway in gateways:
             gateway.stop()
-            (HERE / f'{gateway.name}.log').unlink(missing_ok=True)
-        if os.environ.get('KEEP_LOGS'):
-            for gateway in gateways:
-                text = gateway.log.read_text('utf-8')
-                (HERE / f'{gateway.name}.log').write_text(text, 'utf-8')
         for item in engines:
             item.http.stop()
         platform.stop()
 
 
-async def requests(
+async def judge(
+    store: deployment.Store,
     engines: list[engines_module.Engine],
     gateways: list[deployment.Gateway],
     record: Record,
 ) -> int:
-    """Send the requests, with the trouble if there is to be any."""
-    requester = Requester(gateways, record)
-    first = engines[0]
-    others = [f'm{number}' for number in range(1, 13)]
-    until = time.monotonic() + 40.0
-    background = asyncio.create_task(keep_asking(requester, others, until))
-    try:
-        return await adapters(requester, first, engines, record)
-    finally:
-        background.cancel()
+    """Begin the streams, bring the trouble and have them taken up."""
+    began = time.monotonic()
 
+    async def wait_until(seconds: float) -> None:
+        await asyncio.sleep(max(0.0, began + seconds - time.monotonic()))
 
-async def adapters(
-    requester: Requester,
-    first: engines_module.Engine,
-    engines: list[engines_module.Engine],
-    record: Record,
-) -> int:
-    """Ask for the adapters of the first server's model."""
-    await asyncio.sleep(2.0)
-    # All places for adapters of the first server are taken.
-    for number in range(1, MAX_ADAPTERS + 1):
-        if await requester.ask(f'm0/a{number}') != 200:
-            record('a request fails before the trouble')
-            return 2
-    await asyncio.sleep(1.5)
-    before = first.sequence
-    held = asyncio.Event()
     if TROUBLE:
-        first.hold_seconds = LATE_SECONDS
-
-        def hold_loads() -> None:
-            held.set()
-
-        first.on_held = hold_loads
-        first.hold_load_adapters = 2
-    last = asyncio.create_task(requester.ask('m0/a6'))
-    if not TROUBLE:
-        await last
+        store.unavailable = True
+        record('the store is down')
+    await wait_until(BEGIN)
+    streams = [Stream(number, record) for number in range(STREAMS)]
+    tasks = [
+        asyncio.create_task(item.ask(gateways[number % len(gateways)]))
+        for number, item in enumerate(streams)
+    ]
+    await wait_until(KILL)
+    if not all(item.begun for item in streams):
+        record('a stream does not begin')
+        return 2
+    if TROUBLE:
+        for gateway in gateways:
+            gateway.send_signal(signal.SIGKILL)
+        record('all gateways are killed')
     else:
-        try:
-            await asyncio.wait_for(held.wait(), 4.0)
-        except TimeoutError:
-            record('no order for the sixth adapter')
+        for item in streams:
+            item.leave()
+        record('the channels of the streams break')
+    await asyncio.gather(*tasks)
+    await wait_until(STORE_BACK)
+    store.unavailable = False
+    record('the store is back')
+    await wait_until(START)
+    if TROUBLE:
+        for gateway in gateways:
+            gateway.start()
+    for gateway in gateways:
+        if not await gateway.wait_ready():
+            record('a gateway does not become ready again')
             return 2
-        await asyncio.sleep(0.45)
-        first.hold_load_adapters = 0
-        first.crash('srv_crash')
-        record(f'{before} orders were accepted before the sixth adapter')
-        await asyncio.sleep(DOWN_SECONDS)
-        await first.start(again=True)
-    until = time.monotonic() + LATE_SECONDS + 2.0
-    models = [f'm0/a{number}' for number in range(1, MAX_ADAPTERS + 1)]
-    await keep_asking(requester, models, until)
-    await last
-    broken = [what for item in engines for what in item.overcommitted]
-    for what in broken:
-        record(f'LIMIT is broken: {what}')
-    if not broken:
-        record('LIMIT held')
-    return 1 if broken else 0
+    record('all gateways are ready')
+    await wait_until(TAKE_UP)
+    broken = [item for item in streams if not item.complete]
+    new = [Stream(1000 + number, record) for number in range(STREAMS)]
+    before = {item: item.last_event for item in broken}
+    await asyncio.gather(
+        *(
+            item.ask(gateways[number % len(gateways)])
+            for number, item in enumerate([*broken, *new])
+        )
+    )
+    deployment.record_runs(engines, record)
+    went_on = sum(item.last_event > before[item] for item in broken)
+    joined = sum(len(set(item.versions)) > 1 for item in broken)
+    begun = sum(item.begun for item in new)
+    record(
+        f'{went_on} of {len(broken)} streams went on, {joined} of them joined '
+        f'from two versions; {begun} of {len(new)} new ones began; three '
+        'servers of each version served all the while'
+    )
+    if len(broken) < 12:
+        return 2
+    share, new_share = went_on / len(broken), begun / len(new)
+    return 1 if share < MAX_SHARE * new_share else 0
 
 
 def main() -> int:
