--- a/review/10/case.py
+++ b/review/10/case.py
@@ -8,7 +8,6 @@
 import pathlib
 import signal
 import sys
-import tempfile
 import time
 import typing
 
@@ -291,11 +290,10 @@
 
 
 def main() -> int:
-    """Run the case in a temporary folder."""
+    """Run the case."""
     record = Record()
     record(f'trouble: {TROUBLE}')
-    with tempfile.TemporaryDirectory() as directory:
-        return asyncio.run(play(pathlib.Path(directory), record))
+    return deployment.run_case(lambda directory: play(directory, record))
 
 
 if __name__ == '__main__':
--- a/review/standin2/deployment.py
+++ b/review/standin2/deployment.py
@@ -11,11 +11,14 @@
 import json
 import os
 import pathlib
+import signal
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 import tomllib
+import traceback
 import typing
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -344,3 +347,24 @@
         record(
             f'run {attempt} at {server_id}, {at - first:.3f} s after the first'
         )
+
+
+def run_case(
+    play: abc.Callable[[pathlib.Path], abc.Coroutine[typing.Any, None, int]],
+) -> int:
+    """Play a case in a temporary folder; return its exit status.
+
+    An exception, and SIGTERM, end all that the case has started; the status
+    then says that it could not run.
+    """
+
+    def interrupt(*_: object) -> None:
+        raise KeyboardInterrupt
+
+    signal.signal(signal.SIGTERM, interrupt)
+    try:
+        with tempfile.TemporaryDirectory() as directory:
+            return asyncio.run(play(pathlib.Path(directory)))
+    except (Exception, KeyboardInterrupt):
+        traceback.print_exc()
+        return 2
