--- a/src/dogwoodquay/fleet/registry.py
+++ b/src/dogwoodquay/fleet/registry.py
@@ -7,12 +7,13 @@
 import typing
 
 from . import api
+from . import departures as departure_module
 from . import server as server_module
 
 if typing.TYPE_CHECKING:
     from collections import abc
 
-__all__ = ['Change', 'Departure', 'Registry']
+__all__ = ['Change', 'Registry']
 
 # Live servers renew entries that expired in an outage within this time.
 RENEWAL_SECONDS: typing.Final = 2.2
@@ -34,33 +35,6 @@
     SAME = 'same'
 
 
-class Departure(typing.NamedTuple):
-    """When a server left, by the list or by a peer.
-
-    ``announced`` is whether the server itself reported that it leaves, which
-    it cannot take back; its next process may have the same id. An entry that
-    was only removed may have expired.
-    ``started_ms`` and ``report_number`` are those of its last known entry.
-    """
-
-    server_id: str
-    at: float
-    announced: bool
-    started_ms: int = 0
-    report_number: int = -1
-
-    def superseded_by(self, entry: api.ServerEntry) -> bool:
-        """Whether an entry shows that the server is in use again.
-
-        An entry that was written late, after the departure, is older than the
-        last known one. That one itself may be read again, where a read of the
-        whole list lagged behind.
-        """
-        if entry.started_ms != self.started_ms:
-            return entry.started_ms > self.started_ms
-        return not self.announced and self.report_number <= entry.report_number
-
-
 class Registry:
     """The listed servers by id.
 
@@ -73,10 +47,11 @@
     def __init__(self) -> None:
         self._servers: dict[str, server_module.Server] = {}
         self._expiring: dict[str, float] = {}
-        self._departures: dict[str, Departure] = {}
-        self._recent: dict[str, Departure] = {}
+        self._departures: dict[str, departure_module.Departure] = {}
+        self._recent: dict[str, departure_module.Departure] = {}
         self._read_at = float('-inf')
         self._store_available_at = float('-inf')
+        self._store_restored_at = float('-inf')
         # Service and software version of servers that were replaced or
         # dropped, with the time, oldest first.
         self._former: dict[tuple[str, str], float] = {}
@@ -120,7 +95,7 @@
         """When the last pause of any server ends."""
         return self._pauses_end_at
 
-    def departures(self, since: float) -> list[Departure]:
+    def departures(self, since: float) -> list[departure_module.Departure]:
         """Return the servers that have left since a time.
 
         Earlier departures are not returned again.
@@ -186,6 +161,15 @@
         """Record that the list can be read again after an outage."""
         self._store_available_at = now
 
+    def on_store_restored(self, now: float) -> None:
+        """Record that the list comes from an older copy of the store.
+
+        It may lack servers, and name some that have left, until they have
+        written again.
+        """
+        self._store_available_at = now
+        self._store_restored_at = now
+
     def update(self, entry: api.ServerEntry, now: float) -> Change:
         """Apply an entry unless a newer one of the server is known.
 
@@ -227,7 +211,7 @@
         return Change.LEAVING
 
     def on_departure_reported(
-        self, departure: Departure, now: float
+        self, departure: departure_module.Departure, now: float
     ) -> Change:
         """Apply a departure that a peer has learned of.
 
@@ -324,7 +308,9 @@
     def _add(self, entry: api.ServerEntry, now: float) -> Change:
         """Add a server unless it is known to have left."""
         departure = self._departures.get(entry.server_id)
-        if departure is not None and not departure.superseded_by(entry):
+        if departure is not None and not departure.superseded_by(
+            entry, self._store_restored_at
+        ):
             return Change.STALE
         self._departures.pop(entry.server_id, None)
         self._recent.pop(entry.server_id, None)
@@ -340,7 +326,7 @@
         server.leave()
         entry = server.entry
         self._depart(
-            Departure(
+            departure_module.Departure(
                 entry.server_id,
                 at,
                 True,
@@ -360,7 +346,7 @@
         self._remember(entry, now)
         if server_id not in self._departures:
             self._depart(
-                Departure(
+                departure_module.Departure(
                     server_id,
                     now,
                     False,
@@ -369,7 +355,7 @@
                 )
             )
 
-    def _depart(self, departure: Departure) -> None:
+    def _depart(self, departure: departure_module.Departure) -> None:
         self._departures[departure.server_id] = departure
         self._recent[departure.server_id] = departure
         if len(self._departures) > MAX_DEPARTURES:
--- a/src/dogwoodquay/gateway/configuration_watch.py
+++ b/src/dogwoodquay/gateway/configuration_watch.py
@@ -10,6 +10,7 @@
 from ..external import api as external_api
 from ..observe import logs
 from . import reachability
+from . import read_position
 from . import repeats
 from . import store_api
 from . import versions as configuration_versions
@@ -94,7 +95,7 @@
             'configuration', clock, metrics, MAX_ANSWER_SECONDS
         )
         self._versions = configuration_versions.ConfigurationVersions()
-        self._offset: int | None = None
+        self._position = read_position.ReadPosition()
         self._idle_poll: anyio.CancelScope | None = None
         self._poll_arriving = False
         self._newest_reads = 0
@@ -184,15 +185,16 @@
 
     async def step(self) -> None:
         """Read once; after the first time, wait for a change."""
-        if self._offset is None:
+        position = self._position.position
+        if position is None:
             await self._read_newest()
         else:
-            await self._poll(self._offset)
+            await self._poll(position)
 
     async def _follow(self) -> typing.NoReturn:
         """Read the store unless peers tell what is the newest version."""
         while True:
-            if self._offset is not None and not self.store_unavailable:
+            if self._position.position and not self.store_unavailable:
                 await self._wait_while_informed()
             await self.step()
 
@@ -207,14 +209,14 @@
             with anyio.move_on_after(left):
                 await self._copies.wait_to_read()
 
-    async def _poll(self, offset: int) -> None:
+    async def _poll(self, position: store_api.Position) -> None:
         began = self._clock.now()
         wait_seconds = 0.0 if self._copies.following else POLL_SECONDS
         page: _Page | None = None
         try:
             with anyio.CancelScope() as self._idle_poll:
                 page = await self._read_changes(
-                    offset, wait_seconds, self._on_begin
+                    position, wait_seconds, self._on_begin
                 )
             if page is not None:
                 self._end_read('poll', page, began, wait_seconds)
@@ -225,22 +227,24 @@
             self._record_read('poll', 'cancelled', 0, began)
         elif page.is_error():
             await self._on_failure(page.error)
-        elif page.ok.incomplete and self._offset == page.ok.next_offset:
+        elif page.ok.incomplete and (
+            self._position.position == page.ok.position
+        ):
             # Of several versions only the last one is of use.
-            self._offset = None
+            self._position.clear()
 
     async def _read_changes(
         self,
-        offset: int,
+        position: store_api.Position,
         wait_seconds: float,
         on_any_begin: abc.Callable[[], None],
     ) -> _Page:
-        """Return the records from an offset on, waiting for the first."""
+        """Return the records from a position on, waiting for the first."""
 
         async def read(on_begin: abc.Callable[[], None]) -> _Page:
             return await self._store.read(
                 self._topic,
-                offset,
+                position,
                 wait_seconds,
                 self._clock.now()
                 + wait_seconds
@@ -259,13 +263,14 @@
 
     async def _ask(self) -> None:
         """Read the records that the store has now."""
-        if self._offset is None:
+        position = self._position.position
+        if position is None:
             return
         began = self._clock.now()
-        page = await self._read_changes(
-            self._offset, 0.0, store_api.ignore_begin
-        )
+        page = await self._read_changes(position, 0.0, store_api.ignore_begin)
         self._end_read('ask', page, began)
+        if page.is_error() and isinstance(page.error, store_api.Restored):
+            await self._read_newest()
 
     async def _read_newest(self) -> bool:
         """Read the newest version; return whether it was activated."""
@@ -288,11 +293,12 @@
         return applied
 
     async def _on_failure(self, error: store_api.StoreError) -> None:
-        """Wait after a failed read; trimmed records are an answer."""
-        if isinstance(error, external_api.Trimmed):
-            self._reachability.on_answer()
-        else:
-            await self._reachability.on_failure(error)
+        """Wait after a failed read, unless the records are not there."""
+        match error:
+            case external_api.Trimmed() | store_api.Restored():
+                self._reachability.on_answer()
+            case _:
+                await self._reachability.on_failure(error)
 
     def _end_read(
         self, kind: str, page: _Page, began: float, wait_seconds: float = 0.0
@@ -304,22 +310,24 @@
         if page.is_error():
             reason = reachability.reason_of(page.error)
             self._record_read(kind, reason, 0, began)
-            if isinstance(page.error, external_api.Trimmed):
-                self._offset = None
+            if self._position.on_failure(page.error):
+                _LOG.write('position_lost', kind=kind, reason=reason)
             return False
         self._reachability.on_answer()
-        next_offset = page.ok.next_offset
+        position = page.ok.position
+        if self._position.is_outdated(position.era):
+            self._record_read(kind, 'outdated', 0, began)
+            return False
         applied = [
-            self._activate(record.value, next_offset)
+            self._activate(record.value, position)
             for record in page.ok.records
             if record.key == self._key and record.value
         ]
-        self._offset = max(self._offset or 0, next_offset)
+        self._position.advance(position)
         outcome = 'applied' if any(applied) else 'unchanged'
         if kind != 'newest' and not page.ok.records:
             outcome = _IDLE
-        whole = page.ok.next_offset == page.ok.end_offset
-        if whole and not self._unreadable:
+        if not page.ok.incomplete and not self._unreadable:
             waited = 0.0 if page.ok.records else wait_seconds
             as_of = min(self._clock.now(), began + waited)
             self._versions.on_confirmed(self.version, as_of)
@@ -352,9 +360,7 @@
         :return: whether a version was activated.
         """
         copy = await self._copies.fetch(self.version)
-        applied = copy is not None and self._activate(
-            copy.body, copy.next_offset
-        )
+        applied = copy is not None and self._activate(copy.body, copy.position)
         if not applied and self._versions.behind and not self._arriving:
             applied = await self._read_newest()
         if applied and self._idle_poll is not None:
@@ -362,7 +368,7 @@
             self._idle_poll.cancel()
         return applied
 
-    def _activate(self, value: bytes, next_offset: int) -> bool:
+    def _activate(self, value: bytes, position: store_api.Position) -> bool:
         """Activate a configuration if it is newer; return whether it was."""
         decoded = self._decode(value)
         if decoded.is_error():
@@ -376,9 +382,9 @@
             return False
         self._on_change(configuration)
         behind_seconds = self._versions.on_active(version, self._clock.now())
-        self._offset = max(self._offset or 0, next_offset)
+        self._position.advance(position)
         self._copies.keep(
-            configuration_copies.ConfigurationCopy(version, value, next_offset)
+            configuration_copies.ConfigurationCopy(version, value, position)
         )
         _LOG.write(
             'in_force',
--- a/src/dogwoodquay/gateway/copies.py
+++ b/src/dogwoodquay/gateway/copies.py
@@ -10,6 +10,7 @@
 from . import members
 from . import messages
 from ..observe import logs
+from . import store_api
 from ..wire import api as wire_api
 
 if typing.TYPE_CHECKING:
@@ -38,11 +39,11 @@
 
 
 class ConfigurationCopy(typing.NamedTuple):
-    """A configuration as stored, and the offset after its record."""
+    """A configuration as stored, and the position after its record."""
 
     version: int
     body: bytes
-    next_offset: int
+    position: store_api.Position
 
 
 class ConfigurationCopies:
@@ -143,7 +144,10 @@
         if answer.is_error():
             self._on_failure(holder, answer.error.reason)
             return None
-        version, next_offset = answer.ok.version, answer.ok.next_offset
+        version = answer.ok.version
+        position = store_api.Position(
+            answer.ok.store_era, answer.ok.next_offset
+        )
         if version <= newer_than:
             self._on_failure(holder, 'nothing_newer')
             return None
@@ -152,7 +156,7 @@
             self._on_failure(holder, 'unreadable')
             return None
         _LOG.write('fetched', version=version, holder=holder)
-        return ConfigurationCopy(version, body, next_offset)
+        return ConfigurationCopy(version, body, position)
 
     async def handle_fetch(
         self,
@@ -192,7 +196,7 @@
         _LOG.write('too_large', version=copy.version, bytes=len(copy.body))
         return _NOTHING_NEWER
     return messages.ConfigurationBody(
-        copy.version, copy.next_offset, compressed
+        copy.version, copy.position.offset, compressed, copy.position.era
     )
 
 
--- a/src/dogwoodquay/gateway/departures.py
+++ b/src/dogwoodquay/gateway/departures.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from ..fleet import departures as fleet_departures
 from ..fleet import registry as registries
 from . import messages
 from ..observe import logs
@@ -68,7 +69,7 @@
         """
         now = self._clock.now()
         for row in rows:
-            departure = registries.Departure(
+            departure = fleet_departures.Departure(
                 row.server_id,
                 now - row.seconds,
                 row.announced,
--- a/src/dogwoodquay/gateway/list_history.py
+++ b/src/dogwoodquay/gateway/list_history.py
@@ -10,6 +10,7 @@
 from ..external import api as external_api
 from ..fleet import history
 from ..observe import logs
+from . import reachability
 from . import store_api
 
 if typing.TYPE_CHECKING:
@@ -38,7 +39,7 @@
 
     The log is read only when somebody asks, and its end only.
 
-    :param end_offset: returns the end of the log as last read, if known.
+    :param end: returns the end of the log as last read, if known.
     """
 
     def __init__(
@@ -51,9 +52,9 @@
         registry: registries.Registry,
         heartbeat_seconds: float,
         clock: clocks.Clock,
-        end_offset: abc.Callable[[], int | None],
+        end: abc.Callable[[], store_api.Position | None],
     ) -> None:
-        self._end_offset = end_offset
+        self._end = end
         self._store = store
         self._topic = topic
         self._decode = decode
@@ -85,18 +86,19 @@
             return False
         return self._clock.now() >= self._failed_at + BACKOFF_SECONDS
 
-    def _first_offset(self, seconds: float) -> int:
-        """Return an offset well before a time that lies back so far."""
-        end = self._end_offset() or 0
+    def _first_position(self, seconds: float) -> store_api.Position:
+        """Return a position well before a time that lies back so far."""
+        era, end = self._end() or store_api.START
         beats = math.ceil(seconds / self._heartbeat_seconds)
         beats += 2 * history.MARGIN_HEARTBEATS
         servers = len(self._registry.servers) + 1
-        return max(0, end - servers * beats * RECORDS_PER_HEARTBEAT)
+        first = max(0, end - servers * beats * RECORDS_PER_HEARTBEAT)
+        return store_api.Position(era, first)
 
     async def _read(self, since: float) -> None:
         began = self._clock.now()
         followed_since = self._registry.followed_since
-        found = await self._replay(self._first_offset(began - since))
+        found = await self._replay(self._first_position(began - since))
         if found is None:
             self._failed_at = self._clock.now()
             return
@@ -114,28 +116,30 @@
             seconds=round(self._clock.now() - began, 3),
         )
 
-    async def _replay(self, offset: int) -> history.ListHistory | None:
-        """Replay the log from an offset on, ``None`` if it is unreadable."""
-        found = history.ListHistory(complete=offset == 0)
+    async def _replay(
+        self, position: store_api.Position
+    ) -> history.ListHistory | None:
+        """Replay the log from a position on, ``None`` if it is unreadable."""
+        found = history.ListHistory(complete=position.offset == 0)
         while True:
             deadline = self._clock.now() + READ_SECONDS
-            page = await self._store.read(self._topic, offset, 0.0, deadline)
+            page = await self._store.read(self._topic, position, 0.0, deadline)
             if page.is_error():
                 match page.error:
-                    case external_api.Trimmed(first) if first > offset:
-                        offset = first
+                    case external_api.Trimmed(first) if (
+                        first > position.offset
+                    ):
+                        position = position._replace(offset=first)
                         found = history.ListHistory(complete=False)
                         continue
-                    case external_api.Trimmed():
-                        reason = 'trimmed'
-                    case _:
-                        reason = page.error.reason
+                    case error:
+                        reason = reachability.reason_of(error)
                 _LOG.write('history_unread', reason=reason)
                 return None
             for record in page.ok.records:
                 if record.key:
                     found.add(record.key, self._entry(record))
-            offset = page.ok.next_offset
+            position = page.ok.position
             if not page.ok.incomplete or not page.ok.records:
                 return found
 
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -417,12 +417,14 @@
 class ConfigurationBody(wire_api.Message, frozen=True, tag='configuration'):
     """A configuration as stored, compressed by zlib.
 
-    ``next_offset`` follows its record. ``version`` is -1 for nothing newer.
+    ``next_offset`` follows its record in the era ``store_era``, which earlier
+    builds do not send. ``version`` is -1 for nothing newer.
     """
 
     version: int
     next_offset: int
     compressed: bytes
+    store_era: int = 0
 
 
 class OriginRow(msgspec.Struct, frozen=True, array_like=True):
--- a/src/dogwoodquay/gateway/origin_log.py
+++ b/src/dogwoodquay/gateway/origin_log.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import collections
 import itertools
 import typing
 
@@ -14,6 +15,7 @@
 from ..observe import logs
 from . import origin_batch
 from . import origin_table
+from . import reachability
 from . import store_api
 
 if typing.TYPE_CHECKING:
@@ -42,10 +44,20 @@
 MAX_APPENDED: typing.Final = 10_000
 # The most streams that wait to be appended; the oldest are dropped.
 MAX_PENDING: typing.Final = 100_000
+# The most streams that are remembered to be appended again to a store that
+# has been restored.
+MAX_REMEMBERED: typing.Final = 20_000
 # Nothing tells the age of a record that was read.
 KEEP_SECONDS: typing.Final = 60.0
 
 
+class _Appended(typing.NamedTuple):
+    """Rows of an append, and until when they are remembered."""
+
+    until: float
+    rows: tuple[messages.OriginRow, ...]
+
+
 class OriginLog:
     """Appends origins of streams in batches and reads those of others.
 
@@ -75,7 +87,10 @@
         self._put = anyio.Event()
         self._appended_at = float('-inf')
         self._table = origin_table.OriginTable()
-        self._offset = 0
+        self._position = store_api.START
+        self._era = 0
+        self._appended: collections.deque[_Appended] = collections.deque()
+        self._appended_rows = 0
         self._reading = anyio.Lock()
         self._reads = 0
         self._complete_read = 0
@@ -163,8 +178,32 @@
         self._metrics.origin_log_called('appended')
         for stream_id in batch:
             self._pending.pop(stream_id, None)
+        self._on_appended(tuple(batch.values()), answer.ok)
         return True
 
+    def _on_appended(
+        self, rows: tuple[messages.OriginRow, ...], era: int
+    ) -> None:
+        """Append earlier rows again if the store has been restored."""
+        if self._era and era > self._era:
+            lost = [row for item in self._appended for row in item.rows]
+            self._appended.clear()
+            self._appended_rows = 0
+            for row in lost:
+                self.put(row)
+            _LOG.write('restored', era=era, rows=len(lost))
+        self._era = max(self._era, era)
+        now = self._clock.now()
+        self._appended.append(_Appended(now + KEEP_SECONDS, rows))
+        self._appended_rows += len(rows)
+        while (
+            self._appended[0].until <= now
+            or self._appended_rows > MAX_REMEMBERED
+        ):
+            self._appended_rows -= len(self._appended.popleft().rows)
+            if not self._appended:
+                break
+
     async def _read(self, deadline: float) -> None:
         """Read the records since the last time, to the end of the log."""
         now = self._clock.now()
@@ -177,15 +216,15 @@
 
     async def _read_page(self, deadline: float) -> bool:
         """Read a part of the log; return whether there is more of it."""
-        page = await self._store.read_log(TOPIC, self._offset, deadline)
+        page = await self._store.read_log(TOPIC, self._position, deadline)
         if page.is_error():
             return self._on_read_failed(page.error)
         self._metrics.origin_log_called('read')
         now = self._clock.now()
         for record in page.ok.records:
             self._add(record, now)
-        self._offset = page.ok.next_offset
-        if page.ok.next_offset < page.ok.end_offset:
+        self._position = page.ok.position
+        if page.ok.position.offset < page.ok.end_offset:
             return bool(page.ok.records)
         self._complete_read = self._reads
         return False
@@ -199,14 +238,18 @@
         match error:
             case external_api.Trimmed(first_offset):
                 self._metrics.origin_log_called('trimmed')
-                if first_offset != self._offset:
-                    self._offset = first_offset
+                if first_offset != self._position.offset:
+                    self._position = store_api.Position(0, first_offset)
                     return True
-                reason = 'trimmed'
+            case store_api.Restored(era):
+                _LOG.write('restored', era=era, offset=self._position.offset)
+                self._position = store_api.START
+                return True
             case _:
-                reason = error.reason
+                pass
+        reason = reachability.reason_of(error)
         self._metrics.origin_log_called('read_failed')
-        _LOG.write('read_failed', offset=self._offset, reason=reason)
+        _LOG.write('read_failed', offset=self._position.offset, reason=reason)
         self._read_failed_at = self._clock.now()
         return False
 
--- a/src/dogwoodquay/gateway/reachability.py
+++ b/src/dogwoodquay/gateway/reachability.py
@@ -8,11 +8,11 @@
 
 from ..external import api as external_api
 from ..observe import logs
+from . import store_api
 
 if typing.TYPE_CHECKING:
     from .. import clock as clocks
     from . import metrics as gateway_metrics
-    from . import store_api
 
 __all__ = ['StoreReachability', 'reason_of']
 
@@ -85,6 +85,8 @@
 
 def reason_of(error: store_api.StoreError) -> str:
     """Return the label of an error in logs and metrics."""
-    if isinstance(error, external_api.Trimmed):
-        return type(error).__name__
-    return error.reason
+    match error:
+        case external_api.Trimmed() | store_api.Restored():
+            return type(error).__name__
+        case _:
+            return error.reason
--- a/src/dogwoodquay/gateway/repeats.py
+++ b/src/dogwoodquay/gateway/repeats.py
@@ -7,14 +7,13 @@
 import anyio
 
 from ..external import api as external_api
+from . import store_api
 
 if typing.TYPE_CHECKING:
     from collections import abc
 
     import expression
 
-    from . import store_api
-
     _Page = expression.Result[store_api.Records, store_api.StoreError]
     # Reads once; calls the function when the answer begins.
     _Read = abc.Callable[[abc.Callable[[], None]], abc.Awaitable[_Page]]
@@ -62,10 +61,10 @@
             answer = await read(on_any_begin)
         finally:
             attempts.running -= 1
-        trimmed = answer.is_error() and isinstance(
-            answer.error, external_api.Trimmed
+        answered = answer.is_ok() or isinstance(
+            answer.error, external_api.Trimmed | store_api.Restored
         )
-        if answer.is_ok() or trimmed or not attempts.running:
+        if answered or not attempts.running:
             attempts.answer = answer
             group.cancel_scope.cancel()
         attempts.progress.set()
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -269,7 +269,7 @@
             self._registry,
             settings.heartbeat_seconds,
             clock,
-            lambda: self._servers.offset,
+            lambda: self._servers.position,
         )
         self._app = self._build_app(adapters)
         self._callers = serving.Listener(settings.callers)
--- a/src/dogwoodquay/gateway/store_api.py
+++ b/src/dogwoodquay/gateway/store_api.py
@@ -4,6 +4,8 @@
 
 import typing
 
+import msgspec
+
 from ..external import api as external_api
 
 if typing.TYPE_CHECKING:
@@ -17,18 +19,33 @@
     'LogRecords',
     'Membership',
     'NewestRecord',
+    'Position',
     'Records',
+    'Restored',
+    'START',
     'Store',
     'StoreError',
     'Topic',
     'ignore_begin',
 ]
 
+
+class Restored(msgspec.Struct, frozen=True):
+    """The store has been restored from an older copy since a position.
+
+    Its offset names another record now, or none. ``era`` is that of the
+    answer, zero if it was not reported.
+    """
+
+    era: int
+
+
 StoreError = (
     external_api.Unavailable
     | external_api.Ambiguous
     | external_api.Refused
     | external_api.Trimmed
+    | Restored
 )
 
 
@@ -45,31 +62,46 @@
     value: bytes
 
 
+class Position(typing.NamedTuple):
+    """An offset in a topic, which counts within one era of the store.
+
+    The era rises each time that the store is restored from an older copy,
+    after which offsets are given out again. An era of zero is unknown and
+    matches any. Of two positions the greater one is newer.
+    """
+
+    era: int
+    offset: int
+
+
+START: typing.Final = Position(0, 0)
+
+
 class Records(typing.NamedTuple):
-    """Records and the offset at which the next read starts.
+    """Records and the position at which the next read starts.
 
     ``end_offset`` is the end of the topic when they were read.
     """
 
     records: tuple[NewestRecord, ...]
-    next_offset: int
+    position: Position
     end_offset: int = 0
 
     @property
     def incomplete(self) -> bool:
         """Whether the topic has further records already."""
-        return self.next_offset < self.end_offset
+        return self.position.offset < self.end_offset
 
 
 class LogRecords(typing.NamedTuple):
     """Records of a topic without keys, oldest first.
 
-    The next read starts at ``next_offset``; ``end_offset`` is the end of the
+    The next read starts at ``position``; ``end_offset`` is the end of the
     topic when they were read.
     """
 
     records: tuple[bytes, ...]
-    next_offset: int
+    position: Position
     end_offset: int
 
 
@@ -107,16 +139,20 @@
 
     async def append(
         self, topic: Topic, record: bytes, deadline: float
-    ) -> expression.Result[None, StoreError]:
+    ) -> expression.Result[int, StoreError]:
         """Append a record.
 
         It may be appended although the result is an error, also later.
+
+        :return: the era of the store, zero if it is not reported.
         """
 
     async def read_log(
-        self, topic: Topic, offset: int, deadline: float
+        self, topic: Topic, position: Position, deadline: float
     ) -> expression.Result[LogRecords, StoreError]:
-        """Return the records from an offset on, as many as fit in a call.
+        """Return the records from a position on, as many as fit in a call.
+
+        The error is ``Restored`` if the position is of another era.
 
         :param deadline: when the answer has to begin.
         """
@@ -141,13 +177,15 @@
     async def read(
         self,
         topic: Topic,
-        offset: int,
+        position: Position,
         wait_seconds: float,
         deadline: float,
         single: bool = False,
         on_begin: abc.Callable[[], None] = ignore_begin,
     ) -> expression.Result[Records, StoreError]:
-        """Return records from an offset on, waiting for the first one.
+        """Return records from a position on, waiting for the first one.
+
+        The error is ``Restored`` if the position is of another era.
 
         :param deadline: when the answer has to begin, as in ``newest``.
         :param single: whether to return the first record only.
--- a/src/dogwoodquay/gateway/watch.py
+++ b/src/dogwoodquay/gateway/watch.py
@@ -73,7 +73,7 @@
             MAX_BACKOFF_SECONDS,
         )
         self._metrics = metrics
-        self._offset: int | None = None
+        self._position: store_api.Position | None = None
         # Why the newest entries of servers are unreadable, by id.
         self._unreadable: dict[str, str] = {}
         self._complete_read = anyio.Event()
@@ -84,9 +84,9 @@
         )
 
     @property
-    def offset(self) -> int | None:
-        """The offset up to which the list has been read, if it has."""
-        return self._offset
+    def position(self) -> store_api.Position | None:
+        """The position up to which the list has been read, if it has."""
+        return self._position
 
     async def wait_read(self, after: float, deadline: float) -> bool:
         """Wait for a complete read of the list that began after a time.
@@ -123,26 +123,19 @@
         :return: whether there is more to read already.
         """
         began = self._clock.now()
-        is_full_read = self._offset is None
+        is_full_read = self._position is None
         page = await repeats.read_repeatedly(
             self._read, PATIENCE_SECONDS, store_api.ignore_begin
         )
         now = self._clock.now()
-        if page.is_error() and not isinstance(
-            page.error, external_api.Trimmed
-        ):
-            await self._reachability.on_failure(page.error)
-            return False
-        if self._reachability.on_answer() > MIN_OUTAGE_SECONDS:
-            self._registry.on_store_available(now)
         if page.is_error():
-            self._offset = None
-            return True
+            return await self._on_read_failed(page.error, now)
+        self._on_answer(now)
         if is_full_read:
             self._replace(page.ok.records, now)
         else:
             self._update(page.ok.records, now)
-        self._offset = page.ok.next_offset
+        self._position = page.ok.position
         if not page.ok.incomplete:
             self._registry.on_complete_read(began)
             self._expire(now)
@@ -155,12 +148,36 @@
     async def _read(self, on_begin: abc.Callable[[], None]) -> _Page:
         """Read the whole list, or its changes since the last time."""
         deadline = self._clock.now() + self._reachability.answer_seconds
-        if self._offset is None:
+        if self._position is None:
             return await self._store.newest(self._topic, deadline, on_begin)
         return await self._store.read(
-            self._topic, self._offset, 0.0, deadline, on_begin=on_begin
+            self._topic, self._position, 0.0, deadline, on_begin=on_begin
         )
 
+    def _on_answer(self, now: float) -> None:
+        if self._reachability.on_answer() > MIN_OUTAGE_SECONDS:
+            self._registry.on_store_available(now)
+
+    async def _on_read_failed(
+        self, error: store_api.StoreError, now: float
+    ) -> bool:
+        """Read the whole list next if the position is of no use.
+
+        :return: whether to do so at once.
+        """
+        match error:
+            case external_api.Trimmed():
+                self._on_answer(now)
+            case store_api.Restored(era):
+                self._on_answer(now)
+                self._registry.on_store_restored(now)
+                _SERVERS_LOG.write('restored', era=era)
+            case _:
+                await self._reachability.on_failure(error)
+                return False
+        self._position = None
+        return True
+
     def _expire(self, now: float) -> None:
         for server_id in self._registry.expire(now):
             self._metrics.departed('list')
--- a/src/dogwoodquay/platform/store.py
+++ b/src/dogwoodquay/platform/store.py
@@ -4,7 +4,6 @@
 
 import base64
 import binascii
-import struct
 import typing
 import urllib.parse
 
@@ -14,6 +13,7 @@
 from ..external import api as external_api
 from ..external import decoding
 from ..gateway import store_api
+from . import log_pages
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -33,11 +33,6 @@
 _OK: typing.Final = 200
 _GONE: typing.Final = 410
 _NOT_EXECUTED: typing.Final = frozenset({429, 503})
-# Rises by one each time that the store comes back from an older copy.
-_ERA: typing.Final = 'store-era'
-_MAX_ERA: typing.Final = 1_000_000
-_PAGE_HEADER: typing.Final = struct.Struct('>QQ')
-_RECORD_LENGTH: typing.Final = struct.Struct('>I')
 _JSON: typing.Final = (('content-type', 'application/json'),)
 _BINARY: typing.Final = (('content-type', 'application/octet-stream'),)
 # Time for each further page of the newest records to begin.
@@ -108,12 +103,13 @@
     ) -> expression.Result[store_api.Records, store_api.StoreError]:
         """Return the newest record of each key of a topic.
 
-        The pages do not form a snapshot. The returned offset is therefore
+        The pages do not form a snapshot. The returned position is therefore
         the end as of the first page, so that a reader that continues there
-        reads the changes made between pages again.
+        reads the changes made between pages again. Pages of different eras
+        are not put together.
         """
         records: dict[str, bytes] = {}
-        end: int | None = None
+        start: store_api.Position | None = None
         after = ''
         while True:
             path = _path('/log-newest', Topic=topic.name, part=0, after=after)
@@ -127,74 +123,89 @@
             for item in page.ok.items:
                 records[item.key] = _value(item.value)
                 after = item.key
-            end = page.ok.end if end is None else end
+            era = log_pages.store_era(answer.ok)
+            if start is None:
+                start = store_api.Position(era, page.ok.end)
+            elif log_pages.is_other_era(start, era):
+                return expression.Error(store_api.Restored(era))
             if not page.ok.has_more or not page.ok.items:
                 break
         pairs = (store_api.NewestRecord(*pair) for pair in records.items())
-        return expression.Ok(store_api.Records(tuple(pairs), end, end))
+        return expression.Ok(
+            store_api.Records(tuple(pairs), start, start.offset)
+        )
 
     async def read(
         self,
         topic: store_api.Topic,
-        offset: int,
+        position: store_api.Position,
         wait_seconds: float,
         deadline: float,
         single: bool = False,
         on_begin: abc.Callable[[], None] = store_api.ignore_begin,
     ) -> expression.Result[store_api.Records, store_api.StoreError]:
-        """Return the records from an offset on; wait for the first one."""
+        """Return the records from a position on; wait for the first one."""
         path = _path(
             '/log-read',
             Topic=topic.name,
             part=0,
-            From=offset,
+            From=position.offset,
             WaitMs=int(wait_seconds * 1000),
             MaxKb=_SINGLE_KILOBYTES if single else '',
         )
 
         def on_received(size: int) -> None:
-            if size > _PAGE_HEADER.size:
+            if size > log_pages.PAGE_HEADER.size:
                 on_begin()
 
-        page = _log_page(
-            await self._download(path, deadline, on_received), offset
+        page = log_pages.log_page(
+            await self._download(path, deadline, on_received), position
         )
         if page.is_error():
             return expression.Error(page.error)
-        records, next_offset, end = page.ok
+        records, after, end = page.ok
         return expression.Ok(
             store_api.Records(
-                tuple(_split_record(record) for record in records),
-                next_offset,
+                tuple(log_pages.split_record(record) for record in records),
+                after,
                 end,
             )
         )
 
     async def append(
         self, topic: store_api.Topic, record: bytes, deadline: float
-    ) -> expression.Result[None, store_api.StoreError]:
+    ) -> expression.Result[int, store_api.StoreError]:
         """Append a record to a topic without keys."""
         result = await self._connections.fetch(
             *self._address,
             'POST',
             _path('/log-append', Topic=topic.name, part=0),
             deadline,
-            _RECORD_LENGTH.pack(len(record)) + record,
+            log_pages.RECORD_LENGTH.pack(len(record)) + record,
             _BINARY,
         )
         answer = _checked(result)
         if answer.is_error():
             return expression.Error(answer.error)
-        return expression.Ok(None)
+        return expression.Ok(log_pages.store_era(answer.ok))
 
     async def read_log(
-        self, topic: store_api.Topic, offset: int, deadline: float
+        self,
+        topic: store_api.Topic,
+        position: store_api.Position,
+        deadline: float,
     ) -> expression.Result[store_api.LogRecords, store_api.StoreError]:
-        """Return the records of a topic without keys from an offset on."""
+        """Return the records of a topic without keys from a position on."""
         path = _path(
-            '/log-read', Topic=topic.name, part=0, From=offset, WaitMs=0
+            '/log-read',
+            Topic=topic.name,
+            part=0,
+            From=position.offset,
+            WaitMs=0,
+        )
+        return log_pages.log_page(
+            await self._download(path, deadline), position
         )
-        return _log_page(await self._download(path, deadline), offset)
 
     async def join(
         self,
@@ -224,7 +235,7 @@
         )
         return expression.Ok(
             store_api.Membership(
-                decoded.ok.generation, owned, _store_era(answer.ok)
+                decoded.ok.generation, owned, log_pages.store_era(answer.ok)
             )
         )
 
@@ -301,32 +312,6 @@
     return expression.Error(external_api.Refused(reason))
 
 
-def _store_era(response: httpx.Response) -> int:
-    """Return the era in which a call was answered, zero if not reported."""
-    text = response.headers.get(_ERA, '')
-    if not (text.isascii() and text.isdecimal() and len(text) < 10):
-        return 0
-    era = int(text)
-    return era if era <= _MAX_ERA else 0
-
-
-def _log_page(
-    answer: expression.Result[httpx.Response, store_api.StoreError],
-    offset: int,
-) -> expression.Result[store_api.LogRecords, store_api.StoreError]:
-    """Decode the records of an answer that begin at an offset."""
-    if answer.is_error():
-        return expression.Error(answer.error)
-    body = answer.ok.content
-    if len(body) < _PAGE_HEADER.size:
-        return expression.Error(external_api.Ambiguous('short_answer'))
-    end, _ = _PAGE_HEADER.unpack_from(body)
-    records = tuple(_records(body))
-    return expression.Ok(
-        store_api.LogRecords(records, offset + len(records), end)
-    )
-
-
 _Kind = typing.TypeVar('_Kind')
 
 
@@ -361,26 +346,6 @@
     return f'{path}?{urllib.parse.urlencode(non_empty)}'
 
 
-def _records(body: bytes) -> abc.Iterator[bytes]:
-    position = _PAGE_HEADER.size
-    while position + _RECORD_LENGTH.size <= len(body):
-        (length,) = _RECORD_LENGTH.unpack_from(body, position)
-        position += _RECORD_LENGTH.size
-        if position + length > len(body):
-            return
-        yield body[position : position + length]
-        position += length
-
-
-def _split_record(record: bytes) -> store_api.NewestRecord:
-    """Split a record into key and value; a malformed one has no key."""
-    if not record or len(record) < 1 + record[0]:
-        return store_api.NewestRecord('', b'')
-    end = 1 + record[0]
-    key = record[1:end].decode('utf-8', 'replace')
-    return store_api.NewestRecord(key, record[end:])
-
-
 def _value(text: str) -> bytes:
     """Decode a base64 value; return any other text as it is.
 
--- a/tests/site/store.py
+++ b/tests/site/store.py
@@ -67,11 +67,13 @@
     """Keeps records in memory.
 
     Tests make it unavailable or slow, drop the history of a topic, or restore
-    it from a copy, with which its era rises.
+    it from a copy, with which its era rises. With ``strict``, a read from an
+    offset beyond the end of a topic is answered with 410.
     """
 
     def __init__(self) -> None:
         self.unavailable = False
+        self.strict = False
         self.answer_seconds = 0.0
         self.era = 1
         self.calls: list[str] = []
@@ -199,7 +201,7 @@
     def _read_raw(self, request: http.Request) -> http.Answer:
         topic = self._raw.setdefault(request.query['Topic'], _RawTopic())
         start = int(request.query['From'])
-        if start < topic.first:
+        if not self._has_offset(topic, start):
             return http.Answer.of({'First': topic.first}, 410)
         body = struct.pack('>QQ', topic.end, topic.first)
         for record in topic.records[start - topic.first :]:
@@ -211,12 +213,14 @@
             return self._read_raw(request)
         topic = self._topics.setdefault(request.query['Topic'], _Topic())
         start = int(request.query['From'])
+        if not self._has_offset(topic, start):
+            return http.Answer.of({'First': topic.first}, 410)
         until = time.monotonic() + int(request.query['WaitMs']) / 1000
         while start >= topic.end and time.monotonic() < until:
             await asyncio.sleep(_POLL_SECONDS)
             if self.unavailable:
                 return http.Answer(503)
-        if start < topic.first:
+        if not self._has_offset(topic, start):
             return http.Answer.of({'First': topic.first}, 410)
         body = struct.pack('>QQ', topic.end, topic.first)
         for key, value in topic.records[start - topic.first :]:
@@ -225,6 +229,12 @@
             body += struct.pack('>I', len(record)) + record
         return http.Answer(200, body)
 
+    def _has_offset(self, topic: _Topic | _RawTopic, offset: int) -> bool:
+        """Whether a read may begin there."""
+        if self.strict and offset > topic.end:
+            return False
+        return offset >= topic.first
+
     def _join(self, fields: dict[str, typing.Any]) -> http.Answer:
         group = self._groups.setdefault(fields['group'], _Group())
         self._expire(group)
--- a/tests/site/test_restored_store.py
+++ b/tests/site/test_restored_store.py
@@ -7,6 +7,7 @@
 import unittest
 
 from . import processes
+from . import server as servers
 from . import store as stores
 
 # Far longer than any test takes; only a hang reaches it.
@@ -63,3 +64,118 @@
                     holders.setdefault(fence, set()).add(holder)
                 self.assertEqual(2, len(set.union(*holders.values())))
                 self.assertEqual({1}, {len(item) for item in holders.values()})
+
+
+class ConfigurationTest(unittest.IsolatedAsyncioTestCase):
+    """No version is missed after a restore (CONFIG)."""
+
+    async def _wait_applied(self, site: processes.Site, version: int) -> None:
+        """Wait until all instances serve the route that a version adds."""
+        for number, instance in enumerate(site.instances):
+            for attempt in range(150):
+                answer = await instance.call(
+                    f'/added-{version}/x', f'{version}-{number}-{attempt}'
+                )
+                if answer.status == 200:
+                    break
+                await asyncio.sleep(0.05)
+            else:
+                self.fail(f'instance {number} lacks version {version}')
+
+    def _write(self, site: processes.Site, version: int) -> None:
+        """Write a version, which adds a route for each one after the first."""
+        routes = [
+            processes.plain_route(f'/added-{number}/')
+            for number in range(2, version + 1)
+        ]
+        site.store.put(
+            'keyed.op', 'config', processes.manifest(version, *routes)
+        )
+
+    async def _restore(
+        self,
+        site: processes.Site,
+        kept: stores.StoreCopy,
+        *versions: int,
+    ) -> None:
+        """Come back from a copy; the writers write again what was lost."""
+        site.store.restore(kept)
+        for version in versions:
+            self._write(site, version)
+        for server in site.servers:
+            server.register()
+        site.store.unavailable = False
+
+    async def _play(self, strict: bool, *, restores: int = 1) -> None:
+        """Lose versions, write the newest of them again and a later one.
+
+        The topic then ends at the offset up to which it was read before.
+        """
+        async with asyncio.timeout(_TEST_TIMEOUT_SECONDS):
+            async with processes.Site.running(2) as site:
+                site.store.strict = strict
+                kept = site.store.copy()
+                for version in (2, 3):
+                    self._write(site, version)
+                    await self._wait_applied(site, version)
+                site.store.unavailable = True
+                await asyncio.sleep(1.2)
+                for _ in range(restores):
+                    site.store.unavailable = True
+                    await self._restore(site, kept, 3)
+                self._write(site, 4)
+                await self._wait_applied(site, 4)
+
+    async def test_end_at_the_offset(self) -> None:
+        """What follows the offset was written before the last read of it."""
+        await self._play(strict=False)
+
+    async def test_end_at_the_offset_after_two_restores(self) -> None:
+        """The era rises twice between two reads."""
+        await self._play(strict=True, restores=2)
+
+    async def test_instance_started_after_the_restore(self) -> None:
+        """A copy of a peer from before the restore names an old offset."""
+        async with asyncio.timeout(_TEST_TIMEOUT_SECONDS):
+            async with processes.Site.running(2) as site:
+                kept = site.store.copy()
+                for version in (2, 3):
+                    self._write(site, version)
+                    await self._wait_applied(site, version)
+                site.store.unavailable = True
+                await self._restore(site, kept, 3)
+                await site.start_instance('front-2').wait_ready()
+                self._write(site, 4)
+                await self._wait_applied(site, 4)
+
+
+class ServerListTest(unittest.IsolatedAsyncioTestCase):
+    """No entry of a server is missed after a restore (DRAIN)."""
+
+    async def test_departure_at_the_offset(self) -> None:
+        """A server says that it leaves where another entry was read before."""
+        async with asyncio.timeout(_TEST_TIMEOUT_SECONDS):
+            async with processes.Site.running(2) as site:
+                store = site.store
+                other = servers.Server(store, 'd2', 'desk')
+                try:
+                    await other.start()
+                    kept = store.copy()
+                    for _ in range(3):
+                        other.register()
+                    await asyncio.sleep(1.5)
+                    store.unavailable = True
+                    await asyncio.sleep(1.2)
+                    store.restore(kept)
+                    site.engine.register()
+                    other.register()
+                    site.desk.register('draining')
+                    store.unavailable = False
+                    await asyncio.sleep(2.5)
+                    before = len(site.desk.executed_attempts)
+                    for number in range(20):
+                        instance = site.instances[number % 2]
+                        await instance.call('/plain/x', f'after-{number}')
+                    self.assertEqual(before, len(site.desk.executed_attempts))
+                finally:
+                    other.http.stop()
--- a/tests/unit/fleet/test_registry.py
+++ b/tests/unit/fleet/test_registry.py
@@ -6,6 +6,7 @@
 
 from . import entries
 from dogwoodquay.fleet import api
+from dogwoodquay.fleet import departures
 from dogwoodquay.fleet import registry
 
 Change = registry.Change
@@ -164,8 +165,8 @@
         self.registry.remove('s2', 5.0)
         self.registry.remove('s1', 6.0)
         expected = [
-            registry.Departure('s1', 2.0, True, 1000, 6),
-            registry.Departure('s2', 5.0, False, 1000, 1),
+            departures.Departure('s1', 2.0, True, 1000, 6),
+            departures.Departure('s2', 5.0, False, 1000, 1),
         ]
         self.assertEqual(expected, self.registry.departures(2.0))
         self.assertEqual(expected[1:], self.registry.departures(2.1))
@@ -190,7 +191,7 @@
         self.registry.on_complete_read(10.0)
 
     def _report(self, at: float, announced: bool = False) -> Change:
-        departure = registry.Departure('s1', at, announced, 1000, 5)
+        departure = departures.Departure('s1', at, announced, 1000, 5)
         return self.registry.on_departure_reported(departure, 20.0)
 
     def test_removed_since_the_last_read(self) -> None:
@@ -229,7 +230,7 @@
 
     def test_announced_before_the_server_is_known(self) -> None:
         """A list that is read later does not bring the server into use."""
-        departure = registry.Departure('s2', 9.0, True, 1000, 7)
+        departure = departures.Departure('s2', 9.0, True, 1000, 7)
         self.registry.on_departure_reported(departure, 20.0)
         self.registry.update(entries.entry('s2', report_number=8), 21.0)
         self.assertIsNone(self.registry.get('s2'))
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -235,6 +235,7 @@
         self.appends = 0
         self.reads = 0
         self.late_records: list[bytes] = []
+        self.era = 0
         # Unset while answers to reads are on their way.
         self.answers = anyio.Event()
         self.answers.set()
@@ -244,6 +245,11 @@
         self.first_offset += len(self.records)
         self.records = []
 
+    def restore(self, count: int) -> None:
+        """Come back from a copy with the first records."""
+        self.era += 1
+        del self.records[count:]
+
     def apply_late(self) -> None:
         """Append what was lost to its callers, the last one first."""
         self.records.extend(reversed(self.late_records))
@@ -251,7 +257,7 @@
 
     async def append(
         self, topic: store_api.Topic, record: bytes, deadline: float
-    ) -> expression.Result[None, store_api.StoreError]:
+    ) -> expression.Result[int, store_api.StoreError]:
         """Append a record."""
         self.appends += 1
         await anyio.lowlevel.checkpoint()
@@ -261,24 +267,32 @@
             self.late_records.append(record)
             return expression.Error(external_api.Ambiguous('timeout'))
         self.records.append(record)
-        return expression.Ok(None)
+        return expression.Ok(self.era)
 
     async def read_log(
-        self, topic: store_api.Topic, offset: int, deadline: float
+        self,
+        topic: store_api.Topic,
+        position: store_api.Position,
+        deadline: float,
     ) -> expression.Result[store_api.LogRecords, store_api.StoreError]:
         """Return records as they are when the read begins."""
         self.reads += 1
         if self.unavailable:
             return expression.Error(external_api.Unavailable('status_503'))
         end = self.first_offset + len(self.records)
+        offset = position.offset
         if not self.first_offset <= offset <= end:
             return expression.Error(external_api.Trimmed(self.first_offset))
+        if position.era not in (0, self.era):
+            return expression.Error(store_api.Restored(self.era))
         start = offset - self.first_offset
         found = tuple(self.records[start : start + self.page_records])
         await self.answers.wait()
         await anyio.lowlevel.checkpoint()
         return expression.Ok(
-            store_api.LogRecords(found, offset + len(found), end)
+            store_api.LogRecords(
+                found, store_api.Position(self.era, offset + len(found)), end
+            )
         )
 
 
@@ -329,12 +343,17 @@
 
     def restore(self, generation: int, *members: str) -> None:
         """Come back from a copy with an older state of the group."""
-        self.era += 1
+        self.restore_records(len(self.records))
         self.generation = generation
         self.members = dict.fromkeys(members, self.clock.now() + 1.0)
         self.partition_owner = ''
         self._assign_partition()
 
+    def restore_records(self, count: int) -> None:
+        """Come back from a copy with the first records."""
+        self.era += 1
+        del self.records[count:]
+
     async def newest(
         self,
         topic: store_api.Topic,
@@ -353,20 +372,21 @@
         kept = tuple(record for record in newest.values() if record.value)
         on_begin()
         await self.transfer.wait()
-        end = len(self.records)
-        return expression.Ok(store_api.Records(kept, end, end))
+        end = store_api.Position(self.era, len(self.records))
+        return expression.Ok(store_api.Records(kept, end, end.offset))
 
     async def read(
         self,
         topic: store_api.Topic,
-        offset: int,
+        position: store_api.Position,
         wait_seconds: float,
         deadline: float,
         single: bool = False,
         on_begin: abc.Callable[[], None] = store_api.ignore_begin,
     ) -> expression.Result[store_api.Records, store_api.StoreError]:
-        """Return records from an offset on; some reads get no answer."""
+        """Return records from a position on; some reads get no answer."""
         self.calls += 1
+        era, offset = position
         await anyio.sleep(0.001)
         if self.unanswered_reads:
             self.unanswered_reads -= 1
@@ -384,6 +404,8 @@
             return expression.Error(_LOST)
         if offset < self.first_offset:
             return expression.Error(external_api.Trimmed(self.first_offset))
+        if era not in (0, self.era) or offset > len(self.records):
+            return expression.Error(store_api.Restored(self.era))
         records = tuple(self.records[offset:])
         if single and self.single_records:
             records = records[:1]
@@ -392,7 +414,9 @@
             await self.transfer.wait()
         return expression.Ok(
             store_api.Records(
-                records, offset + len(records), len(self.records)
+                records,
+                store_api.Position(self.era, offset + len(records)),
+                len(self.records),
             )
         )
 
--- a/tests/unit/gateway/test_configuration_watch.py
+++ b/tests/unit/gateway/test_configuration_watch.py
@@ -124,6 +124,119 @@
         self.assertEqual([1, 2], self.versions)
 
 
+class RestoredStoreTest(unittest.IsolatedAsyncioTestCase):
+    """No version is missed where offsets are given out again (CONFIG)."""
+
+    def setUp(self) -> None:
+        """Create a store and a watch."""
+        self.store = fakes.FakeStore(clocks.ManualClock())
+        self.store.era = 1
+        self.copies = fakes.FakeCopies()
+        self.watch = configuration_watch.ConfigurationWatch(
+            self.store,
+            TOPIC,
+            'config',
+            _configuration,
+            self.store.clock,
+            fakes.make_metrics(),
+            self.copies,
+            lambda active: None,
+            _MAX_AGE_SECONDS,
+        )
+
+    def _put(self, *versions: int) -> None:
+        for version in versions:
+            self.store.put('config', f'{version}'.encode())
+
+    async def _follow(self, *versions: int) -> None:
+        """Apply versions one after the other."""
+        for version in versions:
+            self._put(version)
+            await self.watch.step()
+
+    async def _step_twice(self) -> int:
+        """Find out that the store was restored, and read it anew."""
+        await self.watch.step()
+        await self.watch.step()
+        return self.watch.version
+
+    async def test_end_at_the_offset(self) -> None:
+        """The read up to the offset before tells nothing of its record."""
+        await self._follow(1, 2, 3)
+        self.store.restore_records(1)
+        self._put(3, 4)
+        self.assertEqual(4, await self._step_twice())
+
+    async def test_end_behind_the_offset(self) -> None:
+        """A store that does not tell its era may still be shorter."""
+        self.store.era = 0
+        await self._follow(1, 2, 3)
+        del self.store.records[1:]
+        self._put(4)
+        self.assertEqual(4, await self._step_twice())
+
+    async def test_trimmed_in_the_new_era(self) -> None:
+        """Offsets before the oldest record are read anew as well."""
+        await self._follow(1, 2, 3)
+        self.store.restore_records(1)
+        self._put(3, 4, 5)
+        self.store.first_offset = 4
+        self.assertEqual(5, await self._step_twice())
+
+    async def test_two_restores(self) -> None:
+        """The era rises again before the first rise is known."""
+        await self._follow(1, 2, 3)
+        self.store.restore_records(1)
+        self._put(3, 4)
+        self.store.restore_records(2)
+        self._put(5)
+        self.assertEqual(5, await self._step_twice())
+
+    async def test_older_version_listed(self) -> None:
+        """The active version stays until the operator has written again."""
+        await self._follow(1, 2, 3)
+        self.store.restore_records(1)
+        self.assertEqual(3, await self._step_twice())
+        self._put(3, 4)
+        self.assertEqual(4, await self._step_twice())
+
+    async def test_route_that_was_added(self) -> None:
+        """A refusal waits for the read of what was written again."""
+        await self._follow(1, 2, 3)
+        self.store.restore_records(1)
+        self._put(3, 4)
+        self.store.clock.advance(2 * _MAX_AGE_SECONDS)
+        await self.watch.confirm()
+        self.assertEqual(4, self.watch.version)
+
+    async def test_copy_from_before(self) -> None:
+        """The offset of a peer's copy counts in its own era only."""
+        await self._follow(1)
+        self.store.restore_records(1)
+        self.store.first_offset = 0
+        await self._step_twice()
+        self.copies.answer = copies.ConfigurationCopy(
+            3, b'3', store_api.Position(1, 9)
+        )
+        self.watch.on_peer_version(3)
+        self.assertTrue(await self.watch._get_missing())
+        await self._follow(4)
+        self.assertEqual(4, self.watch.version)
+
+    async def test_late_answer_of_the_era_before(self) -> None:
+        """It does not take the place of what was read since."""
+        await self._follow(1, 2, 3)
+        before = await self.store.read(
+            TOPIC, store_api.Position(1, 3), 0.0, 9.0
+        )
+        self.store.restore_records(1)
+        self._put(3, 4)
+        await self._step_twice()
+        self.watch._end_read('poll', before, 0.0)
+        await self._follow(5)
+        self.assertEqual(5, self.watch.version)
+
+
 class ConfigurationLogTest(unittest.IsolatedAsyncioTestCase):
     """Logs and metrics tell of reads and of missing versions."""
 
@@ -328,7 +441,9 @@
             self.copies.is_following = True
             await self._end_poll()
             calls = self.store.calls
-            self.copies.answer = copies.ConfigurationCopy(19, b'19', 2)
+            self.copies.answer = copies.ConfigurationCopy(
+                19, b'19', store_api.Position(0, 2)
+            )
             self.watch.on_peer_version(19)
             await self._wait_for(19)
             self.assertEqual(calls, self.store.calls)
@@ -349,7 +464,9 @@
         async with self._running():
             self.copies.is_following = True
             await self._end_poll()
-            self.copies.answer = copies.ConfigurationCopy(19, b'x', 9)
+            self.copies.answer = copies.ConfigurationCopy(
+                19, b'x', store_api.Position(0, 9)
+            )
             self.store.put('config', b'19')
             self.watch.on_peer_version(19)
             await self._wait_for(19)
@@ -365,7 +482,9 @@
             self.store.put('config', b'23')
             await anyio.sleep(0.05)
             calls = self.store.calls
-            self.copies.answer = copies.ConfigurationCopy(19, b'19', 1)
+            self.copies.answer = copies.ConfigurationCopy(
+                19, b'19', store_api.Position(0, 1)
+            )
             self.copies.fetchable.set()
             await self._wait_for(19)
             self.store.transfer.set()
@@ -392,7 +511,9 @@
     async def test_poll_cancelled_as_it_arrives(self) -> None:
         """A poll that is cancelled leaves no trace of its records."""
         async with self._running():
-            self.copies.answer = copies.ConfigurationCopy(19, b'19', 1)
+            self.copies.answer = copies.ConfigurationCopy(
+                19, b'19', store_api.Position(0, 1)
+            )
             self.store.begins_cancelled = True
             self.watch.on_peer_version(19)
             await self._wait_for(19)
--- a/tests/unit/gateway/test_copies.py
+++ b/tests/unit/gateway/test_copies.py
@@ -15,13 +15,15 @@
 from dogwoodquay import clock as clocks
 from dogwoodquay.gateway import copies
 from dogwoodquay.gateway import messages
+from dogwoodquay.gateway import store_api
 from dogwoodquay.wire import api as wire_api
 
 if typing.TYPE_CHECKING:
     from collections import abc
 
 BODY = b'{"Version": 8, "Routes": ["%s"]}' % (b'a.example' * 40_000)
-COPY = copies.ConfigurationCopy(8, BODY, 31)
+POSITION = store_api.Position(1, 31)
+COPY = copies.ConfigurationCopy(8, BODY, POSITION)
 
 
 class _Instance:
@@ -74,7 +76,7 @@
         self, compressed: bytes
     ) -> copies.ConfigurationCopy | None:
         """Fetch from a holder that answers with these bytes."""
-        answer = messages.ConfigurationBody(8, 31, compressed)
+        answer = messages.ConfigurationBody(8, 31, compressed, 1)
         return await self._fetch_answer(answer)
 
     async def _fetch_answer(
@@ -121,7 +123,7 @@
 
     async def test_newer_version_replaces(self) -> None:
         """The holder passes on the version that it kept last."""
-        newer = copies.ConfigurationCopy(9, b'{}', 32)
+        newer = copies.ConfigurationCopy(9, b'{}', POSITION)
         self.holder.copies.keep(COPY)
         async with self._running():
             self.assertEqual(COPY, await self._fetch())
@@ -163,7 +165,7 @@
     async def test_frame_limit(self) -> None:
         """The largest body fits a frame; a larger one is not sent."""
         noise = fakes.rng().randbytes(copies.MAX_COMPRESSED_BYTES)
-        fitting = copies.ConfigurationCopy(8, noise[:-1024], 31)
+        fitting = copies.ConfigurationCopy(8, noise[:-1024], POSITION)
         self.holder.copies.keep(fitting)
         async with self._running():
             self.assertEqual(fitting, await self._fetch())
@@ -253,10 +255,12 @@
         self.holder.copies.keep(COPY)
         async with self._running():
             self.asker.on_view(False, self.holder.member)
-            self.asker.keep(copies.ConfigurationCopy(7, bytes(size), 1))
+            self.asker.keep(copies.ConfigurationCopy(7, bytes(size), POSITION))
             self.assertTrue(self.asker.following)
             self.assertEqual(COPY, await self._fetch())
-            self.asker.keep(copies.ConfigurationCopy(7, bytes(size + 1), 1))
+            self.asker.keep(
+                copies.ConfigurationCopy(7, bytes(size + 1), POSITION)
+            )
             self.assertFalse(self.asker.following)
             self.assertIsNone(await self._fetch())
 
@@ -286,7 +290,7 @@
     async def test_pause_with_large_configuration(self) -> None:
         """Holders do not matter where nothing is copied."""
         size = copies.MAX_BODY_BYTES + 1
-        self.asker.keep(copies.ConfigurationCopy(7, bytes(size), 1))
+        self.asker.keep(copies.ConfigurationCopy(7, bytes(size), POSITION))
         with anyio.move_on_after(0.1) as scope:
             async with anyio.create_task_group() as group:
                 group.start_soon(self.asker.wait_for_other_holder, 3600.0)
--- a/tests/unit/gateway/test_list_history.py
+++ b/tests/unit/gateway/test_list_history.py
@@ -44,7 +44,9 @@
             self.registry,
             1.2,
             self.clock,
-            lambda: len(self.store.records),
+            lambda: store_api.Position(
+                self.store.era, len(self.store.records)
+            ),
         )
 
     def _write(self, count: int = 1, version: str = 'v1') -> None:
@@ -91,10 +93,12 @@
         whole = self.store.read
 
         async def record(
-            topic: store_api.Topic, offset: int, *args: typing.Any
+            topic: store_api.Topic,
+            position: store_api.Position,
+            *args: typing.Any,
         ) -> typing.Any:
-            read.append(offset)
-            return await whole(topic, offset, *args)
+            read.append(position.offset)
+            return await whole(topic, position, *args)
 
         self.store.read = record  # type: ignore[method-assign,assignment]
         self.assertEqual('v1', await self._sole_version(_NOW - 12.0))
@@ -120,3 +124,19 @@
         self.assertIsNone(await self._sole_version(_NOW - 12.0))
         self.clock.advance(list_history.BACKOFF_SECONDS)
         self.assertEqual('v1', await self._sole_version(_NOW - 12.0))
+
+    async def test_restored_store(self) -> None:
+        """Positions of another era tell nothing of the log."""
+        self._write(3)
+        era, end = self.store.era, len(self.store.records)
+        self.subject = list_history.ListHistoryReader(
+            self.store,
+            store_api.Topic('any'),
+            _decode,
+            self.registry,
+            1.2,
+            self.clock,
+            lambda: store_api.Position(era + 1, end),
+        )
+        self.store.era = era + 2
+        self.assertIsNone(await self._sole_version(_NOW - 12.0))
--- a/tests/unit/gateway/test_origin_log.py
+++ b/tests/unit/gateway/test_origin_log.py
@@ -152,6 +152,47 @@
         self.assertEqual((ORIGIN,), await self.found('d'))
         self.assertEqual((ORIGIN,), await self.found('c'))
 
+    async def test_restored_store_of_the_same_length(self) -> None:
+        """A log whose offsets name other records is read anew (LOST)."""
+        self.store.era = 1
+        for name in ('a', 'b'):
+            await self.append(_row(name))
+        self.assertEqual((ORIGIN,), await self.found('b'))
+        self.store.restore(1)
+        other = fakes.make_origin_log(self.clock, self.store)
+        other.put(_row('c'))
+        await other.flush(DEADLINE)
+        self.assertEqual((ORIGIN,), await self.found('c'))
+
+    async def test_lost_by_a_restore(self) -> None:
+        """What the store has lost is appended again (LOST)."""
+        self.store.era = 1
+        for name in ('a', 'b', 'c'):
+            await self.append(_row(name))
+        self.store.restore(1)
+        await self.append(_row('d'))
+        await self.writer.flush(DEADLINE)
+        for name in ('a', 'b', 'c', 'd'):
+            self.assertEqual((ORIGIN,), await self.found(name))
+
+    async def test_remembered_rows(self) -> None:
+        """Rows are remembered for a time, and a number of them."""
+        self.store.era = 1
+        with mock.patch.object(origin_log, 'MAX_REMEMBERED', 2):
+            for name in ('a', 'b', 'c'):
+                await self.append(_row(name))
+            self.store.restore(0)
+            await self.append(_row('d'))
+            await self.writer.flush(DEADLINE)
+        self.assertEqual((), await self.found('a'))
+        self.assertEqual((ORIGIN,), await self.found('b'))
+        self.clock.advance(2 * origin_log.KEEP_SECONDS)
+        await self.append(_row('e'))
+        self.store.restore(0)
+        await self.append(_row('f'))
+        await self.writer.flush(DEADLINE)
+        self.assertEqual(2, len(self.store.records))
+
     async def test_unreadable_record(self) -> None:
         """The others are read."""
         self.store.records.append(b'\xff')
--- a/tests/unit/gateway/test_peering.py
+++ b/tests/unit/gateway/test_peering.py
@@ -26,6 +26,7 @@
 from dogwoodquay.gateway import readers
 from dogwoodquay.gateway import scheduler as schedulers
 from dogwoodquay.gateway import server_limits
+from dogwoodquay.gateway import store_api
 from dogwoodquay.platform import headers
 from dogwoodquay.ratelimit import api as limit_api
 from dogwoodquay.traffic import server_capacity
@@ -300,7 +301,9 @@
 
     async def test_copy_of_a_new_version(self) -> None:
         """A follower gets a new version from an instance that has it."""
-        copy = copies.ConfigurationCopy(8, b'{"Version": 8}', 5)
+        copy = copies.ConfigurationCopy(
+            8, b'{"Version": 8}', store_api.Position(0, 5)
+        )
         follower = self._followers()[0]
         holder = next(
             item
--- a/tests/unit/gateway/test_watch.py
+++ b/tests/unit/gateway/test_watch.py
@@ -206,7 +206,9 @@
         self.clock.advance(0.1)
         self.store.put('s1', b'{"version": "v1"}')
         self.store.put('s2', b'{"version": "v2"}')
-        short = store_api.Records((self.store.records[0],), 1, 2)
+        short = store_api.Records(
+            (self.store.records[0],), store_api.Position(0, 1), 2
+        )
         with mock.patch.object(
             self.store,
             'read',
@@ -281,3 +283,62 @@
                 await anyio.sleep(0.001)
             group.cancel_scope.cancel()
         self.assertEqual(calls, self.store.calls)
+
+
+class RestoredStoreTest(_WatchCase):
+    """The list is read anew where offsets are given out again (DRAIN)."""
+
+    def setUp(self) -> None:
+        """Follow two servers, of which one has just written."""
+        super().setUp()
+        self.store.era = 1
+        for server_id in ('s1', 's2'):
+            self._put(server_id, 1)
+
+    def _put(self, server_id: str, number: int, **more: typing.Any) -> None:
+        body = json.dumps({'report_number': number} | more).encode()
+        self.store.put(server_id, body)
+
+    async def _read_all(self) -> None:
+        while await self.watch.step():
+            pass
+
+    def _usable(self) -> set[str]:
+        usable = self.registry.of_service('models')
+        return {item.entry.server_id for item in usable}
+
+    async def test_end_at_the_offset(self) -> None:
+        """A new server stands where another entry was read before."""
+        await self._read_all()
+        self._put('s1', 2)
+        await self._read_all()
+        self.store.restore_records(2)
+        self._put('s3', 1)
+        await self._read_all()
+        self.assertEqual({'s1', 's2', 's3'}, self._usable())
+
+    async def test_removed_server(self) -> None:
+        """One that had left is listed by the copy until it expires there."""
+        await self._read_all()
+        self.store.put('s1', b'')
+        await self._read_all()
+        self.assertEqual({'s2'}, self._usable())
+        self.clock.advance(1.0)
+        self.store.restore_records(2)
+        await self._read_all()
+        self.assertEqual({'s2'}, self._usable())
+        self._put('s1', 2)
+        await self._read_all()
+        self.assertEqual({'s1', 's2'}, self._usable())
+
+    async def test_missing_server(self) -> None:
+        """One that the copy lacks has time to be listed again."""
+        await self._read_all()
+        self._put('s3', 1)
+        await self._read_all()
+        self.store.restore_records(2)
+        await self._read_all()
+        self.assertEqual({'s1', 's2', 's3'}, self._usable())
+        self.clock.advance(registries.RENEWAL_SECONDS + 0.1)
+        await self._read_all()
+        self.assertEqual({'s1', 's2'}, self._usable())
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -25,6 +25,7 @@
 TOPIC = store_api.Topic('keyed.any')
 LOG_TOPIC = store_api.Topic('any')
 ADDRESS = settings.Address('192.0.2.1', 1)
+_AT_4 = store_api.Position(0, 4)
 
 
 class _Connections:
@@ -119,8 +120,13 @@
         body = struct.pack('>QQ', 7, 2) + b'\x00\x00\x00\x03\x01ab'
         body += b'\x00\x00\x00\x00'
         connections = _Connections(httpx.Response(200, content=body))
-        page = (await _store(connections).read_log(LOG_TOPIC, 4, 9.0)).ok
-        self.assertEqual(store_api.LogRecords((b'\x01ab', b''), 6, 7), page)
+        page = (await _store(connections).read_log(LOG_TOPIC, _AT_4, 9.0)).ok
+        self.assertEqual(
+            store_api.LogRecords(
+                (b'\x01ab', b''), store_api.Position(0, 6), 7
+            ),
+            page,
+        )
         self.assertEqual(
             [{'Topic': 'any', 'part': '0', 'From': '4', 'WaitMs': '0'}],
             connections.queries,
@@ -130,7 +136,7 @@
         """The error names the oldest record that is left."""
         response = httpx.Response(410, content=b'{"First": 12}')
         store_ = _store(_Connections(response))
-        answer = await store_.read_log(LOG_TOPIC, 4, 9.0)
+        answer = await store_.read_log(LOG_TOPIC, _AT_4, 9.0)
         self.assertEqual(external_api.Trimmed(12), answer.error)
 
 
@@ -146,7 +152,7 @@
             self.begun += 1
 
         return await _store(connections).read(
-            TOPIC, 4, 5.0, 9.0, single=True, on_begin=on_begin
+            TOPIC, _AT_4, 5.0, 9.0, single=True, on_begin=on_begin
         )
 
     async def test_single_record(self) -> None:
@@ -154,7 +160,7 @@
         connections = _Connections(_log(7, b'v'))
         page = (await self._read(connections)).ok
         self.assertEqual((store_api.NewestRecord('k', b'v'),), page.records)
-        self.assertEqual(5, page.next_offset)
+        self.assertEqual(store_api.Position(0, 5), page.position)
         self.assertTrue(page.incomplete)
         self.assertEqual('1', connections.queries[0]['MaxKb'])
         self.assertEqual(1, self.begun)
@@ -185,5 +191,68 @@
         )
         page = (await _store(connections).newest(TOPIC, 101.0)).ok
         self.assertEqual(['a', 'b', 'c'], [item.key for item in page.records])
-        self.assertEqual(3, page.next_offset)
+        self.assertEqual(store_api.Position(0, 3), page.position)
         self.assertEqual([101.0, 102.0, 103.0], connections.deadlines)
+
+
+class EraTest(unittest.IsolatedAsyncioTestCase):
+    """Positions count in the era of the store that answered."""
+
+    def _of_era(self, response: httpx.Response, era: str) -> httpx.Response:
+        response.headers['Store-Era'] = era
+        return response
+
+    async def _read(
+        self, response: httpx.Response, era: int
+    ) -> expression.Result[store_api.Records, store_api.StoreError]:
+        return await _store(_Connections(response)).read(
+            TOPIC, store_api.Position(era, 4), 0.0, 9.0
+        )
+
+    async def test_same_era(self) -> None:
+        """The next position is of the same era, also if it is not told."""
+        for response in (self._of_era(_log(5, b'v'), '7'), _log(5, b'v')):
+            page = (await self._read(response, 7)).ok
+            self.assertEqual(store_api.Position(7, 5), page.position)
+
+    async def test_unknown_era(self) -> None:
+        """The first answer that tells the era is believed."""
+        page = (await self._read(self._of_era(_log(5, b'v'), '7'), 0)).ok
+        self.assertEqual(store_api.Position(7, 5), page.position)
+
+    async def test_other_era(self) -> None:
+        """Records at an offset of another era are not returned."""
+        for era in ('6', '8'):
+            response = self._of_era(_log(5, b'v'), era)
+            error = (await self._read(response, 7)).error
+            self.assertEqual(store_api.Restored(int(era)), error)
+
+    async def test_end_before_the_position(self) -> None:
+        """A topic that has become shorter has been restored."""
+        error = (await self._read(_log(3), 0)).error
+        self.assertEqual(store_api.Restored(0), error)
+
+    async def test_log(self) -> None:
+        """Topics without keys are read in the same way."""
+        response = self._of_era(httpx.Response(200, content=bytes(16)), '3')
+        answer = await _store(_Connections(response)).read_log(
+            LOG_TOPIC, store_api.Position(2, 0), 9.0
+        )
+        self.assertEqual(store_api.Restored(3), answer.error)
+
+    async def test_pages_of_two_eras(self) -> None:
+        """The newest records of two eras are not put together."""
+        connections = _Connections(
+            self._of_era(_newest(3, 'a', True), '1'),
+            self._of_era(_newest(4, 'b', False), '2'),
+        )
+        answer = await _store(connections).newest(TOPIC, 101.0)
+        self.assertEqual(store_api.Restored(2), answer.error)
+
+    async def test_append(self) -> None:
+        """An append tells the era in which it was done."""
+        response = self._of_era(httpx.Response(200, content=b'{}'), '4')
+        answer = await _store(_Connections(response)).append(
+            LOG_TOPIC, b'abc', 9.0
+        )
+        self.assertEqual(4, answer.ok)
