Keep verdicts on crashing requests in the store

Cause: evidence and verdicts were in the memory of the instances alone and passed on among those that live. The rule counts over all starts.

Change: the owner keeps verdicts, and the crashes of the last two minutes, in the topic keyed.crashes; instances read it at the start, before they are ready, a new owner again, and in a new era of the store it is written anew. Crashes from the store make traits suspect and count, but convict nothing by themselves, as the new processes do not know yet what is sound. PlatformStore.era is the newest era that an answer told; the log of origins uses it as well.

--- a/src/dogwoodquay/commands/gateway.py
+++ b/src/dogwoodquay/commands/gateway.py
@@ -101,6 +101,7 @@
         decode_configuration=manifest.decode,
         server_topic=store.SERVERS,
         decode_server=servers.decode,
+        crash_topic=store.CRASHES,
     )
 
 
--- a/src/dogwoodquay/gateway/adapters.py
+++ b/src/dogwoodquay/gateway/adapters.py
@@ -54,3 +54,4 @@
     decode_server: abc.Callable[
         [str, bytes], expression.Result[fleet_api.ServerEntry, str]
     ]
+    crash_topic: store_api.Topic
--- a/src/dogwoodquay/gateway/crashes.py
+++ b/src/dogwoodquay/gateway/crashes.py
@@ -14,6 +14,7 @@
 from . import outcomes
 from ..quarantine import api as quarantine_api
 from ..quarantine import core
+from ..quarantine import records
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -96,6 +97,7 @@
         self._waiting: dict[anyio.CancelScope, quarantine_api.Traits] = {}
         self._heard_at = float('-inf')
         self._is_owner = False
+        self._informed = False
         self._tasks: anyio.abc.TaskGroup | None = None
         self._on_report: abc.Callable[[], None] = lambda: None
         metrics.gauge(
@@ -109,6 +111,41 @@
             lambda: len(self._quarantine.suspects),
         )
 
+    @property
+    def is_owner(self) -> bool:
+        """Whether this instance decides for all."""
+        return self._is_owner
+
+    @property
+    def decides(self) -> bool:
+        """Whether this instance decides, as the owner or without one."""
+        alone = self._clock.now() - self._heard_at > ALONE_SECONDS
+        return self._is_owner or alone
+
+    @property
+    def informed(self) -> bool:
+        """Whether another instance has told its verdicts as the owner."""
+        return self._informed
+
+    @property
+    def has_verdicts(self) -> bool:
+        """Whether any request may be refused."""
+        return self._quarantine.has_verdicts
+
+    @property
+    def revision(self) -> int:
+        """Rises with each change of what is to be kept."""
+        return self._quarantine.revision
+
+    @property
+    def kept(self) -> records.Kept:
+        """What has to outlive the instances."""
+        return self._quarantine.kept
+
+    def restore(self, kept: records.Kept) -> None:
+        """Add what the store has kept."""
+        self._log(self._quarantine.restore(kept))
+
     def on_report(self, notify: abc.Callable[[], None]) -> None:
         """Set what is called with each new report, to send it at once."""
         self._on_report = notify
@@ -125,8 +162,7 @@
         """Decide, and forget what is old."""
         now = self._clock.now()
         self._settle(now)
-        alone = now - self._heard_at > ALONE_SECONDS
-        self._log(self._quarantine.step(now, self._is_owner or alone))
+        self._log(self._quarantine.step(now, self.decides))
 
     def is_refused(self, call: api.Call) -> bool:
         """Whether a request is refused as servers have crashed under it."""
@@ -247,6 +283,7 @@
         if is_owner:
             return
         verdicts = view.verdicts
+        self._informed = True
         self._log(
             self._quarantine.on_owner_view(
                 view.suspects,
--- a/src/dogwoodquay/gateway/metrics.py
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -149,6 +149,11 @@
             'Calls to the log of the versions that began streams',
             'outcome',
         )
+        self._crash_record_calls = registry.counter(
+            'gateway_crash_record_calls_total',
+            'Calls to the records of verdicts and crashes',
+            'outcome',
+        )
         self._tenants_dropped = registry.counter(
             'gateway_tenants_dropped_total',
             'Declared tenants, or parts of their records, that are not used',
@@ -295,6 +300,10 @@
         """Count a call to the log of the versions that began streams."""
         self._origin_log_calls.add(outcome)
 
+    def crash_records_called(self, outcome: str) -> None:
+        """Count a call to the records of verdicts and crashes."""
+        self._crash_record_calls.add(outcome)
+
     def tenants_dropped(self, reason: str, count: int) -> None:
         """Count records of tenants that are not used for a reason."""
         self._tenants_dropped.add(reason, amount=count)
--- a/src/dogwoodquay/gateway/origin_log.py
+++ b/src/dogwoodquay/gateway/origin_log.py
@@ -178,13 +178,12 @@
         self._metrics.origin_log_called('appended')
         for stream_id in batch:
             self._pending.pop(stream_id, None)
-        self._on_appended(tuple(batch.values()), answer.ok)
+        self._on_appended(tuple(batch.values()))
         return True
 
-    def _on_appended(
-        self, rows: tuple[messages.OriginRow, ...], era: int
-    ) -> None:
+    def _on_appended(self, rows: tuple[messages.OriginRow, ...]) -> None:
         """Append earlier rows again if the store has been restored."""
+        era = self._store.era
         if self._era and era > self._era:
             lost = [row for item in self._appended for row in item.rows]
             self._appended.clear()
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -13,6 +13,7 @@
 from . import configuration_watch
 from . import controller as controllers
 from . import copies as configuration_copies
+from . import crash_records
 from . import crashes as crash_watches
 from . import departures as departure_news
 from . import exchange as exchanges
@@ -136,6 +137,7 @@
                 ('origins', self._origins.run),
                 ('origin_log', self._origin_log.run),
                 ('crashes', self._crashes.run),
+                ('crash_records', self._crash_records.run),
                 ('connections', self._idle.run),
             ):
                 group.start_soon(supervise.keep_running, name, part)
@@ -216,6 +218,14 @@
         self._crashes = crash_watches.CrashWatch(
             self._connections, clock, metrics
         )
+        self._crash_records = crash_records.CrashRecords(
+            store,
+            adapters.crash_topic,
+            self._crashes,
+            clock,
+            metrics,
+            self._release_held,
+        )
         self._peering = peerings.Peering(
             self._peers,
             self._ownership,
@@ -277,6 +287,7 @@
             self._registry,
             clock,
             lambda: self._app.configured,
+            lambda: self._crash_records.known,
             lambda: self._origins.roster_known,
             self._stopping.is_set,
         )
@@ -357,7 +368,8 @@
 
     def _release_held(self) -> None:
         """End the hold of requests once it is known what is served."""
-        if self._app.configured and self._registry.servers:
+        known = self._app.configured and self._crash_records.known
+        if known and self._registry.servers:
             self._start_hold.release()
 
     async def _run_peers(self) -> None:
--- a/src/dogwoodquay/gateway/store_api.py
+++ b/src/dogwoodquay/gateway/store_api.py
@@ -137,14 +137,16 @@
 class Log(typing.Protocol):
     """The calls for topics without keys, whose oldest records expire."""
 
+    @property
+    def era(self) -> int:
+        """The newest era that an answer told, zero if none did."""
+
     async def append(
         self, topic: Topic, record: bytes, deadline: float
-    ) -> expression.Result[int, StoreError]:
+    ) -> expression.Result[None, StoreError]:
         """Append a record.
 
         It may be appended although the result is an error, also later.
-
-        :return: the era of the store, zero if it is not reported.
         """
 
     async def read_log(
@@ -161,6 +163,15 @@
 class Store(Log, typing.Protocol):
     """The calls to the store that an instance makes."""
 
+    async def write(
+        self, topic: Topic, records: abc.Mapping[str, bytes], deadline: float
+    ) -> expression.Result[None, StoreError]:
+        """Write records, all or none, each as the newest of its key.
+
+        An empty value deletes the key. They may be written although the
+        result is an error, also later.
+        """
+
     async def newest(
         self,
         topic: Topic,
--- a/src/dogwoodquay/platform/log_pages.py
+++ b/src/dogwoodquay/platform/log_pages.py
@@ -19,6 +19,7 @@
     'PAGE_HEADER',
     'RECORD_LENGTH',
     'is_other_era',
+    'join_record',
     'log_page',
     'split_record',
     'store_era',
@@ -77,6 +78,12 @@
         position += length
 
 
+def join_record(key: str, value: bytes) -> bytes:
+    """Return a record with its key, which is at most 255 bytes long."""
+    name = key.encode()
+    return bytes([len(name)]) + name + value
+
+
 def split_record(record: bytes) -> store_api.NewestRecord:
     """Split a record into key and value; a malformed one has no key."""
     if not record or len(record) < 1 + record[0]:
--- a/src/dogwoodquay/platform/store.py
+++ b/src/dogwoodquay/platform/store.py
@@ -24,11 +24,18 @@
     from ..external.http import sending
     from ..gateway import settings
 
-__all__ = ['CONFIGURATION', 'CONFIGURATION_KEY', 'PlatformStore', 'SERVERS']
+__all__ = [
+    'CONFIGURATION',
+    'CONFIGURATION_KEY',
+    'CRASHES',
+    'PlatformStore',
+    'SERVERS',
+]
 
 CONFIGURATION: typing.Final = store_api.Topic('keyed.op')
 CONFIGURATION_KEY: typing.Final = 'config'
 SERVERS: typing.Final = store_api.Topic('keyed.servers')
+CRASHES: typing.Final = store_api.Topic('keyed.crashes')
 
 _OK: typing.Final = 200
 _GONE: typing.Final = 410
@@ -94,6 +101,12 @@
     ) -> None:
         self._connections = connections
         self._address = address
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """The newest era that an answer told, zero if none did."""
+        return self._era
 
     async def newest(
         self,
@@ -174,20 +187,22 @@
 
     async def append(
         self, topic: store_api.Topic, record: bytes, deadline: float
-    ) -> expression.Result[int, store_api.StoreError]:
+    ) -> expression.Result[None, store_api.StoreError]:
         """Append a record to a topic without keys."""
-        result = await self._connections.fetch(
-            *self._address,
-            'POST',
-            _path('/log-append', Topic=topic.name, part=0),
+        return await self._append(topic, (record,), deadline)
+
+    async def write(
+        self,
+        topic: store_api.Topic,
+        records: abc.Mapping[str, bytes],
+        deadline: float,
+    ) -> expression.Result[None, store_api.StoreError]:
+        """Write records with their keys; an empty value deletes one."""
+        return await self._append(
+            topic,
+            (log_pages.join_record(*item) for item in records.items()),
             deadline,
-            log_pages.RECORD_LENGTH.pack(len(record)) + record,
-            _BINARY,
         )
-        answer = _checked(result)
-        if answer.is_error():
-            return expression.Error(answer.error)
-        return expression.Ok(log_pages.store_era(answer.ok))
 
     async def read_log(
         self,
@@ -263,6 +278,28 @@
             )
         )
 
+    async def _append(
+        self,
+        topic: store_api.Topic,
+        records: abc.Iterable[bytes],
+        deadline: float,
+    ) -> expression.Result[None, store_api.StoreError]:
+        result = await self._connections.fetch(
+            *self._address,
+            'POST',
+            _path('/log-append', Topic=topic.name, part=0),
+            deadline,
+            b''.join(
+                log_pages.RECORD_LENGTH.pack(len(record)) + record
+                for record in records
+            ),
+            _BINARY,
+        )
+        answer = self._check(result)
+        if answer.is_error():
+            return expression.Error(answer.error)
+        return expression.Ok(None)
+
     async def _call(
         self,
         method: str,
@@ -278,7 +315,7 @@
             b'' if body is None else msgspec.json.encode(body),
             _JSON if body is not None else (),
         )
-        return _checked(result)
+        return self._check(result)
 
     async def _download(
         self,
@@ -290,26 +327,26 @@
         result = await self._connections.download(
             *self._address, path, deadline, on_received
         )
-        return _checked(result)
-
-
-def _checked(
-    result: expression.Result[httpx.Response, sending.SendError],
-) -> expression.Result[httpx.Response, store_api.StoreError]:
-    """Turn every status but success into an error."""
-    if result.is_error():
-        return expression.Error(result.error)
-    response = result.ok
-    if response.status_code == _OK:
-        return expression.Ok(response)
-    if response.status_code == _GONE:
-        trimmed = _decoded(response, _TrimmedBody)
-        first_offset = trimmed.ok.first if trimmed.is_ok() else 0
-        return expression.Error(external_api.Trimmed(first_offset))
-    reason = f'status_{response.status_code}'
-    if response.status_code in _NOT_EXECUTED:
-        return expression.Error(external_api.Unavailable(reason))
-    return expression.Error(external_api.Refused(reason))
+        return self._check(result)
+
+    def _check(
+        self, result: expression.Result[httpx.Response, sending.SendError]
+    ) -> expression.Result[httpx.Response, store_api.StoreError]:
+        """Turn every status but success into an error."""
+        if result.is_error():
+            return expression.Error(result.error)
+        response = result.ok
+        self._era = max(self._era, log_pages.store_era(response))
+        if response.status_code == _OK:
+            return expression.Ok(response)
+        if response.status_code == _GONE:
+            trimmed = _decoded(response, _TrimmedBody)
+            first_offset = trimmed.ok.first if trimmed.is_ok() else 0
+            return expression.Error(external_api.Trimmed(first_offset))
+        reason = f'status_{response.status_code}'
+        if response.status_code in _NOT_EXECUTED:
+            return expression.Error(external_api.Unavailable(reason))
+        return expression.Error(external_api.Refused(reason))
 
 
 _Kind = typing.TypeVar('_Kind')
--- a/src/dogwoodquay/quarantine/core.py
+++ b/src/dogwoodquay/quarantine/core.py
@@ -6,6 +6,7 @@
 import typing
 
 from . import evidence as crash_evidence
+from . import records
 from . import sound
 from . import verdicts as verdicts_module
 
@@ -43,6 +44,19 @@
         # Since when each suspect is named.
         self._named_at: dict[str, float] = {}
         self._peers_suspects: frozenset[str] = frozenset()
+        self._revision = 0
+
+    @property
+    def revision(self) -> int:
+        """Rises with each change of what is to be kept."""
+        return self._revision
+
+    @property
+    def kept(self) -> records.Kept:
+        """What has to outlive the instances."""
+        return records.Kept(
+            tuple(self._verdicts.all), tuple(self._evidence.reports)
+        )
 
     @property
     def has_verdicts(self) -> bool:
@@ -77,6 +91,12 @@
             for part in traits.shared
         )
 
+    def restore(self, kept: records.Kept) -> Changes:
+        """Add what the store has kept."""
+        self._revision += 1
+        self._evidence.restore(kept.crashes)
+        return Changes(self._verdicts.merge(kept.verdicts), [])
+
     def on_answered(self, traits: api.Traits, now: float) -> None:
         """Record a complete answer."""
         self._sound.add(traits.shared, now)
@@ -93,7 +113,8 @@
         )
         left = tuple(request for request in known if request.shared)
         report = report._replace(requests=left[:MAX_REPORTED_REQUESTS])
-        self._evidence.add(report)
+        if self._evidence.add(report):
+            self._revision += 1
         self._reports.append(report)
 
     def reports(self, now: float) -> list[api.CrashReport]:
@@ -123,9 +144,11 @@
     ) -> Changes:
         """Join what another instance reports to the owner, this instance."""
         self._sound.add(objections, now)
-        for report in reports:
-            self._evidence.add(report)
-        return Changes(self._verdicts.merge(verdicts), [])
+        added = [self._evidence.add(report) for report in reports]
+        merged = self._verdicts.merge(verdicts)
+        if any(added) or merged:
+            self._revision += 1
+        return Changes(merged, [])
 
     def on_owner_view(
         self,
@@ -144,8 +167,15 @@
 
         :param decides: whether this instance is the owner, or hears of none.
         """
+        changes = self._step(now, decides)
+        if changes.added or changes.ended:
+            self._revision += 1
+        return changes
+
+    def _step(self, now: float, decides: bool) -> Changes:
         self._sound.expire(now)
-        self._evidence.expire(now)
+        if self._evidence.expire(now):
+            self._revision += 1
         ended = [(item, 'quiet') for item in self._verdicts.expire(now)]
         ended.extend(
             (item, 'answered') for item in self._verdicts.refute(self._sound)
--- a/src/dogwoodquay/quarantine/evidence.py
+++ b/src/dogwoodquay/quarantine/evidence.py
@@ -35,12 +35,25 @@
 
 
 class _Crash:
-    """The end of one server by the reports of all instances."""
+    """The end of one server by the reports of all instances.
+
+    ``reported`` is false if it is known from the store alone.
+    """
 
     def __init__(self, at: float) -> None:
         self.at = at
+        self.reported = False
         self.requests: set[api.BrokenRequest] = set()
 
+    def add(self, requests: abc.Iterable[api.BrokenRequest]) -> bool:
+        """Add requests that broke off; return whether any is new."""
+        before = len(self.requests)
+        for request in requests:
+            if len(self.requests) >= MAX_REQUESTS_PER_CRASH:
+                break
+            self.requests.add(request)
+        return len(self.requests) > before
+
 
 class CrashEvidence:
     """The crashes of the last minutes."""
@@ -49,23 +62,48 @@
         self._sound = sound_parts
         self._crashes: dict[str, _Crash] = {}
 
-    def add(self, report: api.CrashReport) -> None:
-        """Join a report with those of the same server."""
+    @property
+    def reports(self) -> list[api.CrashReport]:
+        """The crashes with what may have caused them."""
+        found = []
+        for server_id, crash in self._crashes.items():
+            requests = (self._suspicious(item) for item in crash.requests)
+            left = tuple(item for item in requests if item.shared)
+            if left:
+                found.append(api.CrashReport(server_id, crash.at, left))
+        return found
+
+    def add(self, report: api.CrashReport) -> bool:
+        """Join a report with those of the same server.
+
+        :return: whether it tells anything new.
+        """
         crash = self._crashes.setdefault(report.server_id, _Crash(report.at))
-        for request in report.requests:
-            if len(crash.requests) >= MAX_REQUESTS_PER_CRASH:
-                break
-            crash.requests.add(request)
+        crash.reported = True
+        added = crash.add(report.requests)
         while len(self._crashes) > MAX_CRASHES:
             del self._crashes[next(iter(self._crashes))]
+        return added
 
-    def expire(self, now: float) -> None:
-        """Forget old crashes."""
+    def restore(self, reports: abc.Iterable[api.CrashReport]) -> None:
+        """Add crashes that were kept in the store."""
+        for report in reports:
+            if len(self._crashes) >= MAX_CRASHES:
+                break
+            crash = self._crashes.setdefault(
+                report.server_id, _Crash(report.at)
+            )
+            crash.add(report.requests)
+
+    def expire(self, now: float) -> bool:
+        """Forget old crashes; return whether there were any."""
+        before = len(self._crashes)
         self._crashes = {
             server_id: crash
             for server_id, crash in self._crashes.items()
             if now - crash.at <= EVIDENCE_SECONDS
         }
+        return len(self._crashes) < before
 
     def suspects(self) -> dict[str, int]:
         """Return the suspect parts with their numbers of crashes."""
@@ -80,6 +118,9 @@
     ) -> list[Explanation]:
         """Return the fewest parts that explain the crashes.
 
+        Crashes that are known from the store alone convict nothing: the
+        instances that have ended knew what was sound, and have decided.
+
         :param may_convict: the parts to which no instance has objected.
         """
         found: list[Explanation] = []
@@ -91,6 +132,7 @@
                 for part, servers in by_part.items()
                 if len(servers) >= MIN_CRASHES
                 and part in may_convict
+                and any(self._crashes[name].reported for name in servers)
                 and self._is_repeated(part, servers)
             ]
             if not guilty:
@@ -103,6 +145,14 @@
             for server_id in servers:
                 del unexplained[server_id]
 
+    def _suspicious(self, request: api.BrokenRequest) -> api.BrokenRequest:
+        """Return a request without the traits that had an answer."""
+        return request._replace(
+            shared=frozenset(
+                part for part in request.shared if part not in self._sound
+            )
+        )
+
     def _servers_by_part(
         self, crashes: abc.Mapping[str, _Crash]
     ) -> dict[str, set[str]]:
--- a/tests/site/store.py
+++ b/tests/site/store.py
@@ -17,6 +17,8 @@
 __all__ = ['Store', 'StoreCopy']
 
 _POLL_SECONDS: typing.Final = 0.01
+# The topics that only the operator and the servers write to.
+_FOREIGN_TOPICS: typing.Final = ('keyed.op', 'keyed.servers')
 
 
 @dataclasses.dataclass
@@ -192,8 +194,14 @@
             records.append(request.body[position : position + length])
             position += length
         topic = request.query['Topic']
-        if topic.startswith('keyed.'):
+        if topic in _FOREIGN_TOPICS:
             return http.Answer(403)
+        if topic.startswith('keyed.'):
+            for record in records:
+                end = 1 + record[0]
+                self.put_bytes(topic, record[1:end].decode(), record[end:])
+            end = self._topics[topic].end
+            return http.Answer.of({'Offset': end - len(records), 'End': end})
         self.appends.append(time.monotonic())
         offset = self.append(topic, *records)
         return http.Answer.of({'Offset': offset, 'End': offset + len(records)})
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -257,7 +257,7 @@
 
     async def append(
         self, topic: store_api.Topic, record: bytes, deadline: float
-    ) -> expression.Result[int, store_api.StoreError]:
+    ) -> expression.Result[None, store_api.StoreError]:
         """Append a record."""
         self.appends += 1
         await anyio.lowlevel.checkpoint()
@@ -267,7 +267,7 @@
             self.late_records.append(record)
             return expression.Error(external_api.Ambiguous('timeout'))
         self.records.append(record)
-        return expression.Ok(self.era)
+        return expression.Ok(None)
 
     async def read_log(
         self,
@@ -341,6 +341,20 @@
         """Add a record."""
         self.records.append(store_api.NewestRecord(key, value))
 
+    async def write(
+        self,
+        topic: store_api.Topic,
+        records: abc.Mapping[str, bytes],
+        deadline: float,
+    ) -> expression.Result[None, store_api.StoreError]:
+        """Write records with keys."""
+        self.calls += 1
+        if self.unavailable:
+            return expression.Error(_LOST)
+        for item in records.items():
+            self.put(*item)
+        return expression.Ok(None)
+
     def restore(self, generation: int, *members: str) -> None:
         """Come back from a copy with an older state of the group."""
         self.restore_records(len(self.records))
--- a/tests/unit/gateway/test_readiness.py
+++ b/tests/unit/gateway/test_readiness.py
@@ -19,12 +19,14 @@
         self.clock = clocks.ManualClock()
         self.registry = registries.Registry()
         self.configured = True
+        self.crashes_known = True
         self.roster_known = False
         self.stopping = False
         self.readiness = readiness.Readiness(
             self.registry,
             self.clock,
             lambda: self.configured,
+            lambda: self.crashes_known,
             lambda: self.roster_known,
             lambda: self.stopping,
         )
@@ -45,6 +47,17 @@
         self.list_servers('v1', 'v1')
         self.assertEqual('', self.readiness.reason())
 
+    def test_records_of_crashes(self) -> None:
+        """They are waited for once it is known what is served."""
+        self.crashes_known = self.configured = False
+        self.list_servers('v1')
+        self.assertEqual('no_configuration', self.readiness.reason())
+        self.clock.advance(60.0)
+        self.configured = True
+        self.assertEqual('no_crash_records', self.readiness.reason())
+        self.clock.advance(readiness.CRASHES_WAIT_SECONDS)
+        self.assertEqual('', self.readiness.reason())
+
     def test_several_versions(self) -> None:
         """A stream of two versions is not looked up without its holders."""
         self.list_servers('v1', 'v2')
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -115,6 +115,16 @@
         answer = await _store(connections).append(LOG_TOPIC, b'abc', 9.0)
         self.assertEqual(external_api.Unavailable('status_503'), answer.error)
 
+    async def test_write(self) -> None:
+        """Records with keys are sent in one call; an empty value deletes."""
+        connections = _Connections(httpx.Response(200, content=b'{}'))
+        answer = await _store(connections).write(
+            TOPIC, {'ab': b'c', 'd': b''}, 9.0
+        )
+        self.assertTrue(answer.is_ok())
+        body = b'\x00\x00\x00\x04\x02abc\x00\x00\x00\x02\x01d'
+        self.assertEqual([body], connections.bodies)
+
     async def test_read(self) -> None:
         """Records are returned whole; the end tells of more."""
         body = struct.pack('>QQ', 7, 2) + b'\x00\x00\x00\x03\x01ab'
@@ -249,10 +259,15 @@
         answer = await _store(connections).newest(TOPIC, 101.0)
         self.assertEqual(store_api.Restored(2), answer.error)
 
-    async def test_append(self) -> None:
-        """An append tells the era in which it was done."""
-        response = self._of_era(httpx.Response(200, content=b'{}'), '4')
-        answer = await _store(_Connections(response)).append(
-            LOG_TOPIC, b'abc', 9.0
+    async def test_newest_era(self) -> None:
+        """Each answer tells it, also one that refuses a call."""
+        connections = _Connections(
+            self._of_era(httpx.Response(200, content=b'{}'), '4'),
+            self._of_era(httpx.Response(503), '6'),
+            self._of_era(httpx.Response(200, content=b'{}'), '5'),
         )
-        self.assertEqual(4, answer.ok)
+        store_ = _store(connections)
+        self.assertEqual(0, store_.era)
+        for era in (4, 6, 6):
+            await store_.append(LOG_TOPIC, b'abc', 9.0)
+            self.assertEqual(era, store_.era)
