Begin new streams at the version that their identifier selects

Cause: which version begins a stream was chosen by load, so that only a record tells it. While the store is down, records are in the memory of instances alone.

Change: while several versions list a model, the identifier of a new stream selects one of them by weighted rendezvous hashing. If none of its servers is healthy, any other will do, and the log of origins tells so. An instance that finds no record replays the log of the list; a stream goes on at the version that is selected in each state of the list in which it may have begun, and is refused otherwise. Servers number their reports also in an outage, which tells the time.

--- a/src/dogwoodquay/fleet/choice.py
+++ b/src/dogwoodquay/fleet/choice.py
@@ -15,6 +15,7 @@
     'Candidate',
     'Need',
     'choose',
+    'has_healthy',
     'pause_end',
     'usable',
 ]
@@ -113,6 +114,20 @@
     return untried or healthy
 
 
+def has_healthy(
+    candidates: abc.Iterable[servers.Server], need: Need, now: float
+) -> bool:
+    """Whether an untried server could run a request, loaded adapter or not."""
+    return any(
+        need.permits(server)
+        and server.has_loaded(need.model, '')
+        and not server.ejected(now)
+        and not server.paused(now)
+        and server.entry.server_id not in need.avoid
+        for server in candidates
+    )
+
+
 def pause_end(
     candidates: abc.Iterable[servers.Server], need: Need, now: float
 ) -> float | None:
--- a/src/dogwoodquay/fleet/history.py
+++ b/src/dogwoodquay/fleet/history.py
@@ -5,6 +5,8 @@
 import math
 import typing
 
+from . import first_version
+
 if typing.TYPE_CHECKING:
     from . import api
 
@@ -13,6 +15,30 @@
 # A server may be used for some heartbeats, and for a while after an outage,
 # although it is not heard of. Its last entry may be that much older.
 MARGIN_HEARTBEATS: typing.Final = 6
+# The share of a server's reports that it makes as time passes; the others tell
+# of changes.
+TIMED_REPORTS: typing.Final = 0.75
+# Reports by which the list of an instance may lag behind.
+LAG_REPORTS: typing.Final = 1
+
+
+class _Change(typing.NamedTuple):
+    """A record that changes more than the number of a server's report.
+
+    ``offset`` counts from the begin of the part. ``entry`` is ``None`` for a
+    server that is no longer listed.
+    """
+
+    offset: int
+    server_id: str
+    entry: api.ServerEntry | None
+
+
+class _Report(typing.NamedTuple):
+    """The number of a server's report, and the offset of its record."""
+
+    offset: int
+    number: int
 
 
 class ListHistory:
@@ -30,6 +56,13 @@
         self._entries: dict[str, api.ServerEntry] = {}
         self._heartbeats: dict[str, int] = {}
         self._versions: set[tuple[str, str]] = set()
+        self._length = 0
+        # Before this record, servers were listed of which nothing is known.
+        self._unknown_before = 0
+        self._changes: list[_Change] = []
+        self._seen: set[str] = set()
+        # The reports of the present process of each server.
+        self._reports: dict[str, list[_Report]] = {}
 
     @property
     def versions(self) -> frozenset[tuple[str, str]]:
@@ -39,6 +72,7 @@
     def add(self, server_id: str, entry: api.ServerEntry | None) -> None:
         """Add a record, ``None`` for one that names no server to use."""
         known = self._entries.pop(server_id, None)
+        self._add_change(server_id, known, entry)
         if entry is None:
             if known is None:
                 # A server of an unknown version may have left here.
@@ -54,6 +88,87 @@
                 self._heartbeats.get(server_id, 0) + 1
             )
 
+    def weights(
+        self,
+        service: str,
+        model: str,
+        seconds: float,
+        heartbeat_seconds: float,
+    ) -> list[dict[str, int]] | None:
+        """Return the servers of each version that listed a model, by version.
+
+        There is an item for each state of the list in the last seconds.
+        ``None`` if the records do not tell all of them. Servers number their
+        reports also while the store is unavailable, so that the numbers tell
+        the time.
+        """
+        reports = seconds / (heartbeat_seconds * TIMED_REPORTS)
+        begin = self._last_before(math.ceil(reports) + LAG_REPORTS)
+        if begin is None or begin < self._unknown_before:
+            return None
+        entries: dict[str, api.ServerEntry] = {}
+        found: list[dict[str, int]] = [{}]
+        for offset, server_id, entry in self._changes:
+            if entry is not None:
+                entries[server_id] = entry
+            elif not self._is_listed_again(entries.get(server_id)):
+                entries.pop(server_id, None)
+            counts = first_version.weights(entries.values(), service, model)
+            if offset <= begin:
+                found = [counts]
+            elif counts != found[-1]:
+                found.append(counts)
+        return found
+
+    def _is_listed_again(self, entry: api.ServerEntry | None) -> bool:
+        """Whether the newest entry of a server is of the same process.
+
+        If so its entry had expired in an outage, in which no instance read
+        that it was removed.
+        """
+        if entry is None:
+            return False
+        newest = self._entries.get(entry.server_id)
+        return newest is not None and (
+            (newest.started_ms, newest.version)
+            == (entry.started_ms, entry.version)
+        )
+
+    def _add_change(
+        self,
+        server_id: str,
+        known: api.ServerEntry | None,
+        entry: api.ServerEntry | None,
+    ) -> None:
+        offset, self._length = self._length, self._length + 1
+        if entry is None:
+            self._reports.pop(server_id, None)
+            if server_id not in self._seen:
+                self._unknown_before = offset
+            self._changes.append(_Change(offset, server_id, None))
+            return
+        number = entry.report_number
+        if server_id not in self._seen and number > 1 and not self._complete:
+            self._unknown_before = offset
+        self._seen.add(server_id)
+        if known is None or known.started_ms != entry.started_ms:
+            self._reports[server_id] = []
+        self._reports[server_id].append(_Report(offset, number))
+        if known is None or known != entry._replace(
+            report_number=known.report_number
+        ):
+            self._changes.append(_Change(offset, server_id, entry))
+
+    def _last_before(self, reports: int) -> int | None:
+        """Return the last record before all servers made some reports."""
+        found = []
+        for items in self._reports.values():
+            until = items[-1].number - reports
+            earlier = [item.offset for item in items if item.number <= until]
+            if earlier:
+                found.append(earlier[-1])
+        return min(found, default=None)
+
     def covered_seconds(self, heartbeat_seconds: float) -> float:
         """Return for how long no server was used without being known here.
 
--- a/src/dogwoodquay/gateway/list_history.py
+++ b/src/dogwoodquay/gateway/list_history.py
@@ -65,6 +65,8 @@
         self._read_for = math.inf
         self._read_since = math.inf
         self._failed_at = -math.inf
+        self._found: history.ListHistory | None = None
+        self._found_began = -math.inf
 
     async def extend(self, since: float, deadline: float) -> None:
         """Read the log as far back as needed, unless that was done.
@@ -78,6 +80,33 @@
                 if self._is_due(since):
                     await self._read(since)
 
+    async def weights(
+        self, service: str, model: str, since: float, deadline: float
+    ) -> list[dict[str, int]] | None:
+        """Return the servers of each version that listed a model, by version.
+
+        There is an item for each state of the list between ``since`` and the
+        begin of this call; ``None`` if that is not known. Callers that ask
+        during a read share the next one.
+        """
+        now = self._clock.now()
+        with anyio.move_on_after(max(0.0, deadline - now)):
+            async with self._reading:
+                if self._found_began < now:
+                    began = self._clock.now()
+                    position = self._first_position(began - since)
+                    self._found = await self._replay(position)
+                    self._found_began = began
+                if self._found is None:
+                    return None
+                return self._found.weights(
+                    service,
+                    model,
+                    self._clock.now() - since,
+                    self._heartbeat_seconds,
+                )
+        return None
+
     def _is_due(self, since: float) -> bool:
         followed_since = self._registry.followed_since
         if since >= followed_since or (
--- a/src/dogwoodquay/gateway/origin_log.py
+++ b/src/dogwoodquay/gateway/origin_log.py
@@ -109,6 +109,11 @@
             self._urgent_until = now + URGENT_SECONDS
         return self._urgent
 
+    @property
+    def complete(self) -> bool:
+        """Whether the last read has reached the end of the log."""
+        return 0 < self._reads == self._complete_read
+
     def put(self, row: messages.OriginRow) -> None:
         """Append the origin of a stream soon."""
         if len(self._pending) >= MAX_PENDING:
@@ -206,9 +211,9 @@
     async def _read(self, deadline: float) -> None:
         """Read the records since the last time, to the end of the log."""
         now = self._clock.now()
+        self._reads += 1
         if now < self._read_failed_at + READ_BACKOFF_SECONDS:
             return
-        self._reads += 1
         deadline = min(deadline, now + READ_TIMEOUT_SECONDS)
         while await self._read_page(deadline):
             pass
--- a/src/dogwoodquay/gateway/origins.py
+++ b/src/dogwoodquay/gateway/origins.py
@@ -132,6 +132,11 @@
         """Whether this instance has learnt of the others."""
         return self._roster_known
 
+    @property
+    def log_complete(self) -> bool:
+        """Whether the last lookup in the log has read all of it."""
+        return self._log.complete
+
     def held(self, stream_id: str, now: float) -> bool:
         """Whether this instance holds a record that is still needed."""
         return self._table.seconds_left(stream_id, now) > 0
--- a/src/dogwoodquay/gateway/resumption.py
+++ b/src/dogwoodquay/gateway/resumption.py
@@ -6,6 +6,7 @@
 import typing
 
 from . import api
+from ..fleet import first_version
 from ..observe import logs
 from . import origins as stream_origins
 
@@ -30,6 +31,8 @@
 LIST_READ_SECONDS: typing.Final = 1.5
 # The same for what was listed before this instance was started.
 HISTORY_READ_SECONDS: typing.Final = 1.5
+# Whether services have several versions is determined anew after this time.
+SEVERAL_SECONDS: typing.Final = 0.25
 # The longest time that a caller may come back after, whatever it says.
 MAX_LIFETIME_SECONDS: typing.Final = 60.0
 TENANT_DIGEST_BYTES: typing.Final = 8
@@ -56,6 +59,10 @@
     ) -> None:
         """Record the origin of a stream for some time."""
 
+    @property
+    def log_complete(self) -> bool:
+        """Whether the last lookup in the log has read all of it."""
+
     async def find(
         self, stream_id: str, deadline: float
     ) -> tuple[stream_origins.Origin, ...]:
@@ -78,13 +85,19 @@
     async def extend(self, since: float, deadline: float) -> None:
         """Extend the registry's knowledge back to a time, if possible."""
 
+    async def weights(
+        self, service: str, model: str, since: float, deadline: float
+    ) -> list[dict[str, int]] | None:
+        """Return the versions' servers in each state of the list."""
+
 
 class StreamVersions:
     """Records which version begins a stream, and finds it again.
 
     What servers of two versions write does not fit together. A stream goes on
     only at the version that began it, so that one whose version cannot be
-    told is refused.
+    told is refused. New streams begin at the version that their identifier
+    selects, which can be told again without a record.
     """
 
     def __init__(
@@ -100,6 +113,31 @@
         self._registry = registry
         self._servers = servers
         self._clock = clock
+        self._several = False
+        self._several_until = float('-inf')
+
+    def first_version(self, call: api.Call) -> str | None:
+        """Return the version at which a new stream begins, ``None`` for any.
+
+        While its servers cannot be used, the stream may begin at another one.
+        """
+        terms = call.terms
+        if not call.route.resumable or terms.takes_up_stream:
+            return None
+        if not self._has_several_versions():
+            return None
+        entries = (item.entry for item in self._registry.servers.values())
+        return first_version.choose(
+            _stream_id(call, terms.attempt_id),
+            first_version.weights(entries, call.service, terms.model),
+        )
+
+    def _has_several_versions(self) -> bool:
+        now = self._clock.now()
+        if now >= self._several_until:
+            self._several = self._registry.has_several_versions(now)
+            self._several_until = now + SEVERAL_SECONDS
+        return self._several
 
     async def record(self, call: api.Call, version: str) -> None:
         """Record the version of the server that sends a stream's events."""
@@ -119,14 +157,17 @@
         # Also if the route can no longer be resumed: the stream has begun.
         if not route.streaming or not terms.takes_up_stream:
             return Place(call.service, None)
-        source, place = 'records', None
+        source, place, log_read = 'records', None, False
         if terms.resumes:
             deadline = min(call.deadline, self._clock.now() + FIND_SECONDS)
             stream_id = _stream_id(call, terms.resumes)
             found = await self._origins.find(stream_id, deadline)
+            log_read = self._origins.log_complete
             place = _recorded_place(call, found)
         if place is None:
             source, place = 'list', await self._sole_version(call)
+        if place is None and log_read:
+            source, place = 'hash', await self._selected_version(call)
         _LOG.write(
             'taken_up',
             request=call.request_id,
@@ -160,6 +201,31 @@
         version = self._registry.sole_version(call.service, begun)
         return None if version is None else Place(call.service, version)
 
+    async def _selected_version(self, call: api.Call) -> Place | None:
+        """Return the version that a stream's identifier selects, if certain.
+
+        It has to be the same in each state of the list in which the stream
+        may have begun. A stream that began at another version is in the log.
+        """
+        names = {item.service for item in call.route.services}
+        if len(names) > 1:
+            return None
+        now = self._clock.now()
+        states = await self._earlier.weights(
+            call.service,
+            call.terms.model,
+            now - call.route.timeout_seconds,
+            min(call.deadline, now + HISTORY_READ_SECONDS),
+        )
+        stream_id = _stream_id(call, call.terms.resumes)
+        versions = {
+            first_version.choose(stream_id, counts) for counts in states or ()
+        }
+        if len(versions) != 1:
+            return None
+        version = versions.pop()
+        return None if version is None else Place(call.service, version)
+
     async def _knows_list(self, call: api.Call, since: float) -> bool:
         """Whether it is known what was listed since a time.
 
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -285,6 +285,21 @@
             server.begin()
             self._resolve(ticket.number, server)
 
+    def is_usable(
+        self, call: api.Call, avoid: frozenset[str], version: str | None
+    ) -> bool:
+        """Whether a healthy server of a version has a request's model.
+
+        :param avoid: servers at which earlier attempts failed.
+        :param version: ``None`` for no version, which no server has.
+        """
+        if version is None:
+            return False
+        need = self._need(call, avoid, version)
+        return choice.has_healthy(
+            self._registry.of_service(call.service), need, self._clock.now()
+        )
+
     def refusal_reason(
         self, call: api.Call, version: str | None = None
     ) -> api.RefusalReason:
--- a/tests/site/server.py
+++ b/tests/site/server.py
@@ -78,6 +78,7 @@
     ``endless`` is what answers send without end, ``endless_now`` how many.
     ``limit`` is the text by which answers limit the requests per second, and
     ``arrivals`` holds the times at which requests came.
+    ``listed`` is whether it has an entry in the list of servers.
     ``last_headers`` are those of the last request that it ran.
     ``refusals`` are the attempts to be refused as not run, with a status; each
     happens once. A server that ``repeats_refusals`` writes the last refusal
@@ -100,6 +101,7 @@
         version: str = '',
         zone: str = 'zone-1',
     ) -> None:
+        self.listed = True
         self.executed_attempts: list[str] = []
         self.last_headers: dict[str, str] = {}
         self.silences: dict[str, Silence] = {}
@@ -181,6 +183,12 @@
         }
         self._store.put('keyed.servers', self._id, entry)
 
+    def end(self) -> None:
+        """Stop listening; the server is no longer listed."""
+        self.listed = False
+        self._store.put('keyed.servers', self._id, None)
+        self.http.stop()
+
     def forget_models(self) -> None:
         """Drop all models and orders, as a new process does."""
         self._contents = _Contents()
--- a/tests/site/test_all_killed.py
+++ b/tests/site/test_all_killed.py
@@ -17,6 +17,8 @@
 _RUN_SECONDS: typing.Final = 1.0
 # The store has been down for so long when streams begin.
 _OUTAGE_SECONDS: typing.Final = 0.5
+# Servers have been listed for longer than a stream may last.
+_LISTED_SECONDS: typing.Final = 1.7 * versions.LIMIT_SECONDS
 
 
 class AllKilledTest(versions.VersionsTest):
@@ -126,7 +128,8 @@
 class OutageTest(versions.VersionsTest):
     """All instances are killed while the store is down (LOST).
 
-    Which version began a stream is then written nowhere.
+    Which version began a stream is then written nowhere; its identifier tells
+    it where the list has not changed for long.
     """
 
     async def _begin_in_outage(
@@ -163,6 +166,30 @@
             await self._take_up(requesters, found)
             await self.assert_floor(requesters, found)
 
+    async def test_refused_though_two_versions_serve(self) -> None:
+        """Two versions serve before, meanwhile and after."""
+        async with versions.Requesters.running(
+            _INSTANCES, versions.TWO_OF_EACH
+        ) as requesters:
+            async with requesters.beating():
+                await asyncio.sleep(_LISTED_SECONDS)
+                found = await self._begin_in_outage(requesters)
+                self.assert_both_versions(found)
+                await self._take_up(requesters, found)
+                await self.assert_floor(requesters, found)
+
+    async def test_joined_after_a_version_came(self) -> None:
+        """Servers of another version come just before the outage."""
+        async with versions.Requesters.running(
+            _INSTANCES, versions.TWO_OF_EACH[:2]
+        ) as requesters:
+            async with requesters.beating():
+                await asyncio.sleep(_LISTED_SECONDS)
+                for item in versions.TWO_OF_EACH[2:]:
+                    await requesters.add_server(*item)
+                found = await self._begin_in_outage(requesters)
+                await self._take_up(requesters, found)
+
     async def test_joined_after_the_other_version_left(self) -> None:
         """The log of the list tells of the version that is gone."""
         async with versions.Requesters.running(
--- a/tests/site/test_software_versions.py
+++ b/tests/site/test_software_versions.py
@@ -428,3 +428,21 @@
             number = stream.events[-1][0] + 2
             place = (servers.Place.WITHIN_EVENT, number)
             engine.resets[stream.attempts[-1]] = place
+
+
+class NewStreamTest(versions.VersionsTest):
+    """New streams begin at the version that their identifier selects."""
+
+    async def test_refused_without_a_server_of_the_version(self) -> None:
+        """Its servers have ended without a word; others take the streams."""
+        async with versions.Requesters.running(
+            2, versions.TWO_OF_EACH
+        ) as requesters:
+            for server_id in ('b1', 'b2'):
+                requesters.engine(server_id).http.stop()
+            found = await requesters.begin(24, requesters.live[0])
+            await asyncio.gather(*(stream.ended() for stream in found))
+            self.assert_began(found)
+            self.assert_one_version(found)
+            began = {stream.events[0][1] for stream in found}
+            self.assertEqual({versions.OLD}, began)
--- a/tests/site/versions.py
+++ b/tests/site/versions.py
@@ -21,6 +21,7 @@
 
 __all__ = [
     'AT_ONCE_SECONDS',
+    'HEARTBEAT_SECONDS',
     'LIMIT_SECONDS',
     'NEW',
     'OLD',
@@ -36,12 +37,13 @@
 _TEST_TIMEOUT_SECONDS: typing.Final = 60.0
 
 _SEED: typing.Final = 22
-_SERVERS: typing.Final = 'keyed.servers'
 _TARGET: typing.Final = '/stream/x'
 # The time limit of a request.
 LIMIT_SECONDS: typing.Final = 10.0
 # What cannot go on ends within this time, well before the limit.
 AT_ONCE_SECONDS: typing.Final = LIMIT_SECONDS / 4
+# The interval at which servers write their entries, the instances' default.
+HEARTBEAT_SECONDS: typing.Final = 1.2
 _SLOTS: typing.Final = 64
 _EVENTS: typing.Final = 8
 _ZONES: typing.Final = ('zone-1', 'zone-2')
@@ -139,6 +141,23 @@
         """Whether any server ran an attempt."""
         return any(attempt in item.executed_attempts for item in self.engines)
 
+    @contextlib.asynccontextmanager
+    async def beating(self) -> abc.AsyncIterator[None]:
+        """Have all servers write their entries at intervals."""
+
+        async def beat() -> None:
+            while True:
+                await asyncio.sleep(HEARTBEAT_SECONDS)
+                for server in self.site.servers:
+                    if server.listed:
+                        server.register()
+
+        task = asyncio.create_task(beat())
+        try:
+            yield
+        finally:
+            task.cancel()
+
     def hold(self) -> None:
         """Hold all streams after the first event of each server."""
         for engine in self.engines:
@@ -213,8 +232,7 @@
 
     def leave(self, server_id: str) -> None:
         """Stop a server, which is no longer listed."""
-        self.site.store.put(_SERVERS, server_id, None)
-        self.engine(server_id).http.stop()
+        self.engine(server_id).end()
 
     async def wait_logged(
         self, kind: str, server_id: str, *instances: processes.Instance
--- a/tests/unit/fleet/test_choice.py
+++ b/tests/unit/fleet/test_choice.py
@@ -171,3 +171,32 @@
         self.assertEqual('bad', _choose([bad, other], need, now=1.1))
         need = need._replace(successor=True)
         self.assertEqual('', _choose([bad, other], need, now=1.1))
+
+
+class HasHealthyTest(unittest.TestCase):
+    """Whether a request could run at a version."""
+
+    def setUp(self) -> None:
+        """Create a server with the model and without the adapter."""
+        model = entries.loaded_model('m')
+        self.server = entries.make_server('s1', version='v1', models=(model,))
+        self.need = choice.Need('models', 'm', 'a1', version='v1')
+
+    def _has_healthy(self, need: choice.Need) -> bool:
+        return choice.has_healthy([self.server], need, 1.0)
+
+    def test_adapter_to_load(self) -> None:
+        """An adapter is loaded at the version, a model is not."""
+        self.assertTrue(self._has_healthy(self.need))
+        self.assertFalse(self._has_healthy(self.need._replace(model='n')))
+
+    def test_unusable(self) -> None:
+        """Another version, a failed attempt, a pause and an ejection."""
+        self.assertFalse(self._has_healthy(self.need._replace(version='v2')))
+        tried = self.need._replace(avoid=frozenset({'s1'}))
+        self.assertFalse(self._has_healthy(tried))
+        self.server.failed(1.0, unreachable=True)
+        self.assertFalse(self._has_healthy(self.need))
+        self.setUp()
+        self.server.pause(9.0)
+        self.assertFalse(self._has_healthy(self.need))
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -189,6 +189,7 @@
 
     def __init__(self) -> None:
         self.found: tuple[origins.Origin, ...] = ()
+        self.log_complete = True
         self.asked: list[str] = []
         self.recorded: list[tuple[str, origins.Origin, float]] = []
 
@@ -207,9 +208,13 @@
 
 
 class FakeEarlierList:
-    """Knows what was listed before; ``extend`` calls ``on_extend``."""
+    """Knows what was listed before; ``extend`` calls ``on_extend``.
+
+    ``states`` are what :meth:`weights` returns.
+    """
 
     def __init__(self) -> None:
+        self.states: list[dict[str, int]] | None = None
         self.asked: list[float] = []
         self.on_extend: abc.Callable[[], None] = lambda: None
 
@@ -218,6 +223,12 @@
         self.asked.append(since)
         self.on_extend()
 
+    async def weights(
+        self, service: str, model: str, since: float, deadline: float
+    ) -> list[dict[str, int]] | None:
+        """Return the states of the list."""
+        return self.states
+
 
 class FakeLog:
     """A topic in memory; appends and reads may fail.
--- a/tests/unit/gateway/test_resumption.py
+++ b/tests/unit/gateway/test_resumption.py
@@ -259,3 +259,69 @@
         call = self.call(resumable=False)
         anyio.run(self.subject.record, call, 'v1')
         self.assertEqual([], self.records.recorded)
+
+
+class SelectedVersionTest(_VersionsTest):
+    """A stream without a record goes on where its identifier leads (LOST)."""
+
+    def setUp(self) -> None:
+        """List two versions."""
+        super().setUp()
+        self.registry.replace([_entry('a1', 'v1'), _entry('b1', 'v2')], 0.0)
+
+    def _find(self, resumes: str, **changes: typing.Any) -> str | None:
+        """Return the version at which a stream goes on, if it does."""
+        call = self.call(resumes, 3, **changes)
+        place = anyio.run(self.subject.find, call)
+        return None if place is None else place.version
+
+    def _begin(self, attempt: str) -> str | None:
+        """Return the version at which a stream begins."""
+        call = self.call()
+        terms = call.terms._replace(attempt_id=attempt)
+        return self.subject.first_version(call._replace(terms=terms))
+
+    def test_same_version(self) -> None:
+        """It is the one at which the stream began."""
+        self.earlier.states = [{'v1': 1, 'v2': 1}]
+        names = [f'stream-{number}' for number in range(20)]
+        began = [self._begin(name) for name in names]
+        self.assertEqual({'v1', 'v2'}, set(began))
+        self.assertEqual(began, [self._find(name) for name in names])
+
+    def test_states_that_differ(self) -> None:
+        """A stream is refused whose version is not the same in all."""
+        self.earlier.states = [{'v1': 1, 'v2': 1}, {'v1': 1}]
+        names = [f'stream-{number}' for number in range(20)]
+        for name in names:
+            expected = 'v1' if self._begin(name) == 'v1' else None
+            self.assertEqual(expected, self._find(name))
+
+    def test_unknown_states(self) -> None:
+        """Nothing tells what was listed when the stream began."""
+        self.assertIsNone(self._find('first'))
+        self.earlier.states = [{}, {'v1': 1}]
+        self.assertIsNone(self._find('first'))
+
+    def test_unread_log(self) -> None:
+        """The stream may have begun at another version, by the log."""
+        self.earlier.states = [{'v1': 1, 'v2': 1}]
+        self.records.log_complete = False
+        self.assertIsNone(self._find('first'))
+
+    def test_several_services(self) -> None:
+        """Nothing tells which service began the stream."""
+        self.earlier.states = [{'v1': 1, 'v2': 1}]
+        self.assertIsNone(self._find('first', services=('s', 't')))
+
+    def test_any_version(self) -> None:
+        """Streams begin anywhere if one version is listed."""
+        self.registry.replace([_entry('a1', 'v1')], 0.0)
+        self.assertIsNone(self._begin('first'))
+
+    def test_not_resumable(self) -> None:
+        """What cannot be taken up begins anywhere."""
+        self.assertIsNone(
+            self.subject.first_version(self.call(resumable=False))
+        )
+        self.assertIsNone(self.subject.first_version(self.call('first', 3)))
