Refuse answers whose status is none

What callers saw: an answer with a status from 600 to 999 was passed on as the server's; where a head was cut and one with 000 followed, the caller got 200 with the id and body of the other (MIXED).

Cause: whether a status is one was left to h11, which takes 200 to 999, and the search for a second head within a head knew 100 to 599 alone.

Change: a final status is 200 to 599 (RFC 9110, section 15), for all answers of servers and of the store. Others are processed like a server's error of which nothing is known: the request may have run, and the connection is closed.

--- a/src/dogwoodquay/external/http/earlier_answers.py
+++ b/src/dogwoodquay/external/http/earlier_answers.py
@@ -25,7 +25,7 @@
 _INFORMATIONAL: typing.Final = re.compile(rb'HTTP/1\.[01] 1(?!01)')
 # Extra answers and informational heads before an answer.
 _MAX_HEADS: typing.Final = 16
-_STATUS: typing.Final = re.compile(rb'HTTP/1\.[01] [1-5][0-9][0-9]\b')
+_STATUS: typing.Final = re.compile(rb'HTTP/1\.[01] [0-9]{3}\b')
 # Only these have no body without a header that says how it ends.
 _BODILESS_STATUSES: typing.Final = frozenset({204, 304})
 
--- a/src/dogwoodquay/external/http/sending.py
+++ b/src/dogwoodquay/external/http/sending.py
@@ -27,7 +27,10 @@
     httpcore.ConnectTimeout,
 )
 _METHODS_WITH_LENGTH: typing.Final = frozenset({'PATCH', 'POST', 'PUT'})
-_STATUS_LINE: typing.Final = re.compile(rb'HTTP/1\.[01] [1-5][0-9][0-9]\b')
+_STATUS_LINE: typing.Final = re.compile(rb'HTTP/1\.[01] [0-9]{3}\b')
+# RFC 9110, section 15: others are invalid, and processed as a server's error.
+# No request asks for a change of protocol (101).
+_FINAL_STATUSES: typing.Final = range(200, 600)
 
 
 def build_request(
@@ -99,6 +102,8 @@
                 )
             )
         )
+    if response.status not in _FINAL_STATUSES:
+        return expression.Error(api.Ambiguous('invalid_status'))
     if _holds_another(response):
         return expression.Error(api.Ambiguous('protocol'))
     stream = response.extensions[STREAM_KEY]
