Count list states step by step, and test the new form of copies

Cause: reading the diff as a newcomer. For each change of the list all servers were counted anew for each stream that is taken up without a record; an answer of the store without its era would have been read again each 0.1 s.

Change: counts follow the changes; a read of the records of crashes is for the era that the store is known to have.

--- a/src/dogwoodquay/fleet/first_version.py
+++ b/src/dogwoodquay/fleet/first_version.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import hashlib
 import math
 import typing
@@ -11,12 +12,22 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
-__all__ = ['choose', 'weights']
+__all__ = ['choose', 'serves', 'weights']
 
 _DIGEST_BYTES: typing.Final = 8
 _DIGESTS: typing.Final = 1 << (8 * _DIGEST_BYTES)
 
 
+def serves(entry: api.ServerEntry, service: str, model: str) -> bool:
+    """Whether a server may begin streams of a model.
+
+    :param model: empty for a service without models.
+    """
+    if entry.service != service or entry.state is not api.ServerState.LIVE:
+        return False
+    return not model or any(item.name == model for item in entry.models)
+
+
 def weights(
     entries: abc.Iterable[api.ServerEntry], service: str, model: str
 ) -> dict[str, int]:
@@ -24,17 +35,12 @@
 
     Only what the list itself holds counts, so that the result is the same for
     all who have read it.
-
-    :param model: empty for a service without models.
     """
-    found: dict[str, int] = {}
-    for entry in entries:
-        if entry.service != service or entry.state is not api.ServerState.LIVE:
-            continue
-        if model and all(item.name != model for item in entry.models):
-            continue
-        found[entry.version] = found.get(entry.version, 0) + 1
-    return found
+    return dict(
+        collections.Counter(
+            entry.version for entry in entries if serves(entry, service, model)
+        )
+    )
 
 
 def choose(stream_id: str, counts: abc.Mapping[str, int]) -> str | None:
--- a/src/dogwoodquay/fleet/history.py
+++ b/src/dogwoodquay/fleet/history.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 import typing
 
@@ -107,17 +108,28 @@
         if begin is None or begin < self._unknown_before:
             return None
         entries: dict[str, api.ServerEntry] = {}
+        counts: collections.Counter[str] = collections.Counter()
         found: list[dict[str, int]] = [{}]
         for offset, server_id, entry in self._changes:
+            before = entries.get(server_id)
+            if entry is None and self._is_listed_again(before):
+                continue
+            if before is not None:
+                counts[before.version] -= first_version.serves(
+                    before, service, model
+                )
             if entry is not None:
                 entries[server_id] = entry
-            elif not self._is_listed_again(entries.get(server_id)):
+                counts[entry.version] += first_version.serves(
+                    entry, service, model
+                )
+            else:
                 entries.pop(server_id, None)
-            counts = first_version.weights(entries.values(), service, model)
+            state = {name: count for name, count in counts.items() if count}
             if offset <= begin:
-                found = [counts]
-            elif counts != found[-1]:
-                found.append(counts)
+                found = [state]
+            elif state != found[-1]:
+                found.append(state)
         return found
 
     def _is_listed_again(self, entry: api.ServerEntry | None) -> bool:
--- a/src/dogwoodquay/gateway/crash_records.py
+++ b/src/dogwoodquay/gateway/crash_records.py
@@ -122,8 +122,7 @@
             return True
         if not self._watch.is_owner:
             return False
-        era = max(self._store.era, self._read_for.era)
-        return self._read_for != _Source(True, era)
+        return self._read_for != _Source(True, self._store.era)
 
     async def _read(self) -> bool:
         """Add what the store holds to what this instance knows."""
@@ -143,7 +142,7 @@
                 'read', verdicts=len(kept.verdicts), crashes=len(kept.crashes)
             )
         self._stored.on_read(stored)
-        self._read_for = _Source(is_owner, page.ok.position.era)
+        self._read_for = _Source(is_owner, self._store.era)
         self._watch.restore(kept)
         return True
 
--- a/tests/unit/gateway/test_messages.py
+++ b/tests/unit/gateway/test_messages.py
@@ -145,3 +145,26 @@
         self.assertEqual(messages.HandOver('front-1', 3, 1, 0), read)
         form = msgspec.to_builtins(offer)
         self.assertEqual(earlier, msgspec.convert(form, _EarlierHandOver))
+
+
+class _EarlierBody(wire_api.Message, frozen=True, tag='configuration'):
+    """A configuration before it told the era of its position."""
+
+    version: int
+    next_offset: int
+    compressed: bytes
+
+
+class ConfigurationBodyTest(unittest.TestCase):
+    """A copy without an era names an offset of an unknown one."""
+
+    def test_both_forms(self) -> None:
+        """Old and new instances read each other's copies."""
+        earlier = _EarlierBody(8, 31, b'x')
+        body = msgspec.convert(
+            msgspec.to_builtins(earlier), messages.ConfigurationBody
+        )
+        self.assertEqual(messages.ConfigurationBody(8, 31, b'x', 0), body)
+        later = messages.ConfigurationBody(8, 31, b'x', 2)
+        form = msgspec.to_builtins(later)
+        self.assertEqual(earlier, msgspec.convert(form, _EarlierBody))
