Choose the version of a new stream as often as it is assigned

A stream that waited for its version kept waiting as that version's last healthy server failed, until the list dropped the server, though others could take it; a silent attempt was moved to any version.

Change: the version that a stream's identifier selects is a part of its need, and is looked at anew with each assignment. The loop in the forwarder goes.

--- a/src/dogwoodquay/fleet/choice.py
+++ b/src/dogwoodquay/fleet/choice.py
@@ -14,8 +14,8 @@
     'ByCompletion',
     'Candidate',
     'Need',
+    'at_first_version',
     'choose',
-    'has_healthy',
     'pause_end',
     'usable',
 ]
@@ -43,7 +43,7 @@
     ``successor`` is set while an attempt still runs: only a healthy server
     that has not failed the request is better than that one. ``version`` is
     the only software version of servers that may run the request, ``None``
-    for any.
+    for any; ``first`` the one at which a new stream begins where it can.
     """
 
     service: str
@@ -53,6 +53,7 @@
     cached: frozenset[str] = frozenset()
     successor: bool = False
     version: str | None = None
+    first: str | None = None
 
     def permits(self, server: servers.Server) -> bool:
         """Whether a server has a software version that may be used."""
@@ -114,18 +115,26 @@
     return untried or healthy
 
 
-def has_healthy(
+def at_first_version(
     candidates: abc.Iterable[servers.Server], need: Need, now: float
-) -> bool:
-    """Whether an untried server could run a request, loaded adapter or not."""
-    return any(
-        need.permits(server)
+) -> Need:
+    """Return a need that is limited to its first version where possible.
+
+    That is as long as a healthy server of it has the model; an adapter can be
+    loaded there.
+    """
+    if need.first is None or need.version is not None:
+        return need
+    possible = any(
+        server.entry.version == need.first
         and server.has_loaded(need.model, '')
         and not server.ejected(now)
         and not server.paused(now)
+        and not (need.successor and server.silent(now))
         and server.entry.server_id not in need.avoid
         for server in candidates
     )
+    return need._replace(version=need.first) if possible else need
 
 
 def pause_end(
--- a/src/dogwoodquay/gateway/api.py
+++ b/src/dogwoodquay/gateway/api.py
@@ -84,6 +84,8 @@
     declared, or on a public route without a valid key; ``key_digest`` is the
     digest of the key by which it was found. ``tenants_declared`` is whether
     the configuration declared tenants when the request came.
+    ``first_version`` is the software version at which a new stream begins
+    where it can, ``None`` for any.
     """
 
     request_id: str
@@ -100,6 +102,7 @@
     tenant: tenants_api.Tenant | None = None
     key_digest: bytes = b''
     tenants_declared: bool = False
+    first_version: str | None = None
 
     def __repr__(self) -> str:
         """Return what may be logged of the request."""
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -97,6 +97,7 @@
                 api.RefusalReason.ORIGIN_UNKNOWN
             )
         call = call._replace(service=place.service)
+        call = call._replace(first_version=self._versions.first_version(call))
         if not self._scheduler.is_declared(call):
             # A newer configuration, not yet active here, may declare it.
             return self._refusals.refuse_later(
@@ -136,7 +137,7 @@
                     call, relay.started, self._clock.now()
                 )
                 with self._crashes.waiting(call) as scope:
-                    server = await self._acquire(
+                    server = await self._scheduler.acquire(
                         call, avoid, deadline, version, relay.started
                     )
                 if scope.cancelled_caught:
@@ -187,33 +188,6 @@
                 )
             await anyio.sleep(max(0.0, verdict.at - self._clock.now()))
 
-    async def _acquire(
-        self,
-        call: api.Call,
-        avoid: frozenset[str],
-        deadline: float,
-        version: str | None,
-        started: bool,
-    ) -> servers.Server | None:
-        """Return a server, of a new stream's own version where it is usable.
-
-        :param version: the only version that may be used, ``None`` for any.
-        """
-        while version is None:
-            first = self._versions.first_version(call)
-            if not self._scheduler.is_usable(call, avoid, first):
-                break
-            server = await self._scheduler.acquire(
-                call, avoid, deadline, first, started
-            )
-            if server is not None or self._scheduler.is_usable(
-                call, avoid, first
-            ):
-                return server
-        return await self._scheduler.acquire(
-            call, avoid, deadline, version, started
-        )
-
     def _admits(self, call: api.Call) -> bool:
         """Whether a planned stop leaves time for a request not yet sent."""
         return self._intake.admits(
--- a/src/dogwoodquay/gateway/scheduler.py
+++ b/src/dogwoodquay/gateway/scheduler.py
@@ -285,21 +285,6 @@
             server.begin()
             self._resolve(ticket.number, server)
 
-    def is_usable(
-        self, call: api.Call, avoid: frozenset[str], version: str | None
-    ) -> bool:
-        """Whether a healthy server of a version has a request's model.
-
-        :param avoid: servers at which earlier attempts failed.
-        :param version: ``None`` for no version, which no server has.
-        """
-        if version is None:
-            return False
-        need = self._need(call, avoid, version)
-        return choice.has_healthy(
-            self._registry.of_service(call.service), need, self._clock.now()
-        )
-
     def refusal_reason(
         self, call: api.Call, version: str | None = None
     ) -> api.RefusalReason:
@@ -389,12 +374,18 @@
     ) -> choice.Need:
         terms = call.terms
         return choice.Need(
-            call.service, terms.model, terms.adapter, avoid, version=version
+            call.service,
+            terms.model,
+            terms.adapter,
+            avoid,
+            version=version,
+            first=call.first_version,
         )
 
     def _choose(self, need: choice.Need) -> servers.Server | None:
         now = self._clock.now()
         candidates = self._registry.of_service(need.service)
+        need = choice.at_first_version(candidates, need, now)
         chosen = choice.choose(
             candidates,
             need,
--- a/tests/unit/fleet/test_choice.py
+++ b/tests/unit/fleet/test_choice.py
@@ -173,30 +173,44 @@
         self.assertEqual('', _choose([bad, other], need, now=1.1))
 
 
-class HasHealthyTest(unittest.TestCase):
-    """Whether a request could run at a version."""
+class FirstVersionTest(unittest.TestCase):
+    """New streams begin at a version where it has a healthy server."""
 
     def setUp(self) -> None:
-        """Create a server with the model and without the adapter."""
+        """Create a server of each version with the model alone."""
         model = entries.loaded_model('m')
-        self.server = entries.make_server('s1', version='v1', models=(model,))
-        self.need = choice.Need('models', 'm', 'a1', version='v1')
+        self.first, self.other = (
+            entries.make_server(name, version=version, models=(model,))
+            for name, version in (('s1', 'v1'), ('s2', 'v2'))
+        )
+        self.need = choice.Need('models', 'm', 'a1', first='v1')
 
-    def _has_healthy(self, need: choice.Need) -> bool:
-        return choice.has_healthy([self.server], need, 1.0)
+    def _version(self, need: choice.Need) -> str | None:
+        candidates = [self.first, self.other]
+        return choice.at_first_version(candidates, need, 1.0).version
 
     def test_adapter_to_load(self) -> None:
         """An adapter is loaded at the version, a model is not."""
-        self.assertTrue(self._has_healthy(self.need))
-        self.assertFalse(self._has_healthy(self.need._replace(model='n')))
+        self.assertEqual('v1', self._version(self.need))
+        self.assertIsNone(self._version(self.need._replace(model='n')))
+
+    def test_no_first_version(self) -> None:
+        """One version that has to be kept goes before."""
+        self.assertIsNone(self._version(self.need._replace(first=None)))
+        self.assertEqual('v2', self._version(self.need._replace(version='v2')))
 
     def test_unusable(self) -> None:
-        """Another version, a failed attempt, a pause and an ejection."""
-        self.assertFalse(self._has_healthy(self.need._replace(version='v2')))
+        """A failed attempt, a pause, an ejection, and a silent server."""
         tried = self.need._replace(avoid=frozenset({'s1'}))
-        self.assertFalse(self._has_healthy(tried))
-        self.server.failed(1.0, unreachable=True)
-        self.assertFalse(self._has_healthy(self.need))
+        self.assertIsNone(self._version(tried))
+        self.first.failed(1.0, unreachable=True)
+        self.assertIsNone(self._version(self.need))
+        self.setUp()
+        self.first.pause(9.0)
+        self.assertIsNone(self._version(self.need))
         self.setUp()
-        self.server.pause(9.0)
-        self.assertFalse(self._has_healthy(self.need))
+        self.first.begin()
+        self.first.on_answer_started()
+        self.assertEqual('v1', self._version(self.need))
+        successor = self.need._replace(successor=True)
+        self.assertIsNone(self._version(successor))
--- a/tests/unit/gateway/test_scheduler.py
+++ b/tests/unit/gateway/test_scheduler.py
@@ -263,6 +263,43 @@
         self.assertEqual('', await self.acquire('v2'))
         self.assertEqual(0, self.scheduler.waiting)
 
+    async def test_first_version(self) -> None:
+        """A new stream waits for its version while that has a server."""
+        self.update('s2', 'v2')
+        call = self.call()._replace(first_version='v1')
+        deadline = self.clock.now() + 60.0
+        taken = []
+        for _ in range(2):
+            server = await self.scheduler.acquire(call, frozenset(), deadline)
+            assert server is not None
+            taken.append(server.entry.server_id)
+            self.scheduler.on_answer_started(server)
+        self.assertEqual(['s1', 's1'], taken)
+
+    async def test_first_version_ends_meanwhile(self) -> None:
+        """What waits for its servers goes to others as they fail."""
+        self.update('s2', 'v2')
+        call = self.call()._replace(first_version='v1')
+        deadline = self.clock.now() + 60.0
+        await self.scheduler.acquire(call, frozenset(), deadline)
+        got: list[str] = []
+
+        async def wait() -> None:
+            server = await self.scheduler.acquire(call, frozenset(), deadline)
+            got.append(server.entry.server_id if server else '')
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(wait)
+            await anyio.wait_all_tasks_blocked()
+            self.assertEqual([], got)
+            self.registry.servers['s1'].failed(
+                self.clock.now(), unreachable=True
+            )
+            self.scheduler.assign_waiting()
+            await anyio.wait_all_tasks_blocked()
+            group.cancel_scope.cancel()
+        self.assertEqual(['s2'], got)
+
     async def test_last_server_leaves_meanwhile(self) -> None:
         """Requests that wait for the version end then, and no others."""
         # A server has one request of this instance without a first byte.
