Notice a restore of the store also where the list's offset is gone

Cause: a restore that leaves the topic shorter than the offset is answered with 410, like records that have expired. The list was read anew, but servers that the copy lacks were dropped at once, and one that had left could be used again.

Change: the era of each answer tells the watch of servers that the store was restored.

Measured: test_missing_server_and_expired_records fails without the change; the 23 tests of test_watch and test_restored_store pass with it.

--- a/src/dogwoodquay/gateway/watch.py
+++ b/src/dogwoodquay/gateway/watch.py
@@ -74,6 +74,7 @@
         )
         self._metrics = metrics
         self._position: store_api.Position | None = None
+        self._era = 0
         # Why the newest entries of servers are unreadable, by id.
         self._unreadable: dict[str, str] = {}
         self._complete_read = anyio.Event()
@@ -131,6 +132,7 @@
         if page.is_error():
             return await self._on_read_failed(page.error, now)
         self._on_answer(now)
+        self._update_era(page.ok.position.era, now)
         if is_full_read:
             self._replace(page.ok.records, now)
         else:
@@ -158,6 +160,12 @@
         if self._reachability.on_answer() > MIN_OUTAGE_SECONDS:
             self._registry.on_store_available(now)
 
+    def _update_era(self, era: int, now: float) -> None:
+        if self._era and era > self._era:
+            self._registry.on_store_restored(now)
+            _SERVERS_LOG.write('restored', era=era)
+        self._era = max(self._era, era)
+
     async def _on_read_failed(
         self, error: store_api.StoreError, now: float
     ) -> bool:
@@ -166,12 +174,8 @@
         :return: whether to do so at once.
         """
         match error:
-            case external_api.Trimmed():
-                self._on_answer(now)
-            case store_api.Restored(era):
+            case external_api.Trimmed() | store_api.Restored():
                 self._on_answer(now)
-                self._registry.on_store_restored(now)
-                _SERVERS_LOG.write('restored', era=era)
             case _:
                 await self._reachability.on_failure(error)
                 return False
--- a/tests/unit/gateway/test_watch.py
+++ b/tests/unit/gateway/test_watch.py
@@ -333,10 +333,18 @@
 
     async def test_missing_server(self) -> None:
         """One that the copy lacks has time to be listed again."""
+        await self._assert_missing()
+
+    async def test_missing_server_and_expired_records(self) -> None:
+        """The offset is not there any more."""
+        await self._assert_missing(first_offset=5)
+
+    async def _assert_missing(self, first_offset: int = 0) -> None:
         await self._read_all()
         self._put('s3', 1)
         await self._read_all()
         self.store.restore_records(2)
+        self.store.first_offset = first_offset
         await self._read_all()
         self.assertEqual({'s1', 's2', 's3'}, self._usable())
         self.clock.advance(registries.RENEWAL_SECONDS + 0.1)
