--- a/src/dogwoodquay/quarantine/records.py
+++ b/src/dogwoodquay/quarantine/records.py
@@ -16,7 +16,8 @@
 __all__ = ['Kept', 'RecordSet', 'decode', 'encode']
 
 SCHEMA: typing.Final = 1
-# A verdict in use is written again after this time, or seldom.
+# Times of verdicts are rounded to this, so that those in use are seldom
+# written again.
 SEEN_STEP_SECONDS: typing.Final = 60.0
 # The requests of a crash are left out beyond this size.
 MAX_RECORD_BYTES: typing.Final = 64 * 1024
