--- a/tests/site/processes.py
+++ b/tests/site/processes.py
@@ -186,6 +186,7 @@
         store: str,
         directory: pathlib.Path,
         zone: str = 'zone-1',
+        more_settings: str = '',
     ) -> None:
         self._name = name
         self._held_ports = [_hold_port() for _ in range(3)]
@@ -201,7 +202,8 @@
                 readiness=self._readiness,
                 peers=self._peers,
                 zone=zone,
-            ),
+            )
+            + more_settings,
             'utf-8',
         )
         self._log = directory / f'{name}.log'
@@ -223,6 +225,16 @@
         """The port for callers."""
         return self._callers
 
+    @property
+    def readiness_port(self) -> int:
+        """The port of readiness and metrics."""
+        return self._readiness
+
+    @property
+    def peers_port(self) -> int:
+        """The port for other instances."""
+        return self._peers
+
     def log_lines(self) -> list[dict[str, typing.Any]]:
         """Return the log lines written so far."""
         text = self._log.read_text('utf-8')
@@ -336,6 +348,7 @@
         add_servers: abc.Callable[[Site], None] = lambda _: None,
         zones: tuple[str, ...] = ('zone-1',),
         linked: bool = True,
+        more_settings: str = '',
     ) -> abc.AsyncIterator[Site]:
         """Run a site and wait until all its instances are ready.
 
@@ -344,6 +357,7 @@
         :param zones: the failure domains that the instances take in turn.
         :param linked: whether each instance has a link to the store, which
             is slow where the machine has many connections.
+        :param more_settings: further tables of the instances' settings.
         """
         with tempfile.TemporaryDirectory() as directory:
             site = cls(pathlib.Path(directory))
@@ -360,6 +374,7 @@
                         site._linked_store.http.address,
                         pathlib.Path(directory),
                         zones[number % len(zones)],
+                        more_settings,
                     )
                     site.instances.append(new_instance)
                     new_instance.start()
