Serve callers' connections with HTTP/1.1 alone

Callers saw: 100 connections that took up HTTP/2 by prior knowledge, each with 90 unfinished bodies of 16 kB, took the memory of the process.

Cause: hypercorn takes up HTTP/2 (preface, h2c and ALPN) and WebSocket by default. Each stream is a request with buffers of its own, so a connection holds what a hundred hold; no page offers either protocol.

Change: connections use hypercorn's HTTP/1.1 protocol directly; an Upgrade is passed over, as RFC 9110 allows, and TLS offers http/1.1. It works since no other protocol's code is reached.

--- a/src/dogwoodquay/entry/connections.py
+++ b/src/dogwoodquay/entry/connections.py
@@ -6,11 +6,15 @@
 import contextlib
 import typing
 
+from hypercorn.asyncio import task_group
 from hypercorn.asyncio import tcp_server
 from hypercorn.asyncio import worker_context
 from hypercorn import events
+from hypercorn import typing as hypercorn_typing
 from hypercorn import utils
 
+from . import protocol
+
 if typing.TYPE_CHECKING:
     from collections import abc
     import ssl
@@ -40,6 +44,42 @@
     _closed_idle = False
     _closed_by_caller = False
 
+    async def run(self) -> None:
+        """Serve the connection until it is closed."""
+        endpoint = self.writer.get_extra_info('socket')
+        encrypted = self.writer.get_extra_info('ssl_object') is not None
+        try:
+            client = utils.parse_socket_addr(
+                endpoint.family, endpoint.getpeername()
+            )
+            server = utils.parse_socket_addr(
+                endpoint.family, endpoint.getsockname()
+            )
+            async with task_group.TaskGroup(self.loop) as tasks:
+                self._task_group = tasks
+                # Hypercorn's wrapper of it selects between two protocols.
+                self.protocol = typing.cast(
+                    'typing.Any',
+                    protocol.CallerProtocol(
+                        self.app,
+                        self.config,
+                        self.context,
+                        tasks,
+                        hypercorn_typing.ConnectionState(self.state),
+                        encrypted,
+                        client,
+                        server,
+                        self.protocol_send,
+                    ),
+                )
+                await self.protocol.initiate()
+                await self.idle_task.restart(tasks, self._idle_timeout)
+                await self._read_data()
+        except OSError:
+            pass
+        finally:
+            await self._close()
+
     async def _read_data(self) -> None:
         while not self.reader.at_eof():
             try:
@@ -119,6 +159,7 @@
     sockets = config.create_sockets()
     tls: ssl.SSLContext | None = None
     if config.ssl_enabled:
+        config.alpn_protocols = list(protocol.ALPN_PROTOCOLS)
         tls = config.create_ssl_context()
     return [
         await asyncio.start_server(
--- a/src/dogwoodquay/entry/server.py
+++ b/src/dogwoodquay/entry/server.py
@@ -107,9 +107,6 @@
     config.h11_max_incomplete_size = (
         settings.header_bytes + HEADER_MARGIN_BYTES
     )
-    config.h2_max_header_list_size = (
-        settings.header_bytes + HEADER_MARGIN_BYTES
-    )
     config.keep_alive_timeout = settings.keep_alive_seconds
     config.keep_alive_max_requests = MAX_REQUESTS_PER_CONNECTION
     config.graceful_timeout = GRACEFUL_CLOSE_SECONDS
--- a/tests/unit/entry/test_connections.py
+++ b/tests/unit/entry/test_connections.py
@@ -145,6 +145,46 @@
             writer.close()
 
 
+class OtherProtocolsTest(unittest.IsolatedAsyncioTestCase):
+    """Requests for another protocol are served with HTTP/1.1."""
+
+    async def _answer(self, *fields: bytes) -> bytes:
+        """Send a request and return the head of its answer."""
+        lines = [*fields, b'Host: a', b'', b'']
+        async with asyncio.timeout(20.0), _serving(_App()) as (port, _):
+            reader, writer = await _Caller(port).connect()
+            writer.write(b'\r\n'.join(lines))
+            head = await reader.readuntil(b'\r\n\r\n')
+            writer.close()
+            return head
+
+    async def test_websocket(self) -> None:
+        """The upgrade is passed over."""
+        head = await self._answer(
+            b'GET /x HTTP/1.1',
+            b'Connection: Upgrade',
+            b'Upgrade: websocket',
+            b'Sec-WebSocket-Version: 13',
+            b'Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==',
+        )
+        self.assertTrue(head.startswith(b'HTTP/1.1 200'), head)
+
+    async def test_http2_by_upgrade(self) -> None:
+        """The upgrade is passed over."""
+        head = await self._answer(
+            b'GET /x HTTP/1.1',
+            b'Connection: Upgrade, HTTP2-Settings',
+            b'Upgrade: h2c',
+            b'HTTP2-Settings: AAMAAABkAAQAAP__',
+        )
+        self.assertTrue(head.startswith(b'HTTP/1.1 200'), head)
+
+    async def test_http2_by_prior_knowledge(self) -> None:
+        """The preface of HTTP/2 is a request like any other."""
+        head = await self._answer(b'PRI * HTTP/2.0')
+        self.assertTrue(head.startswith(b'HTTP/1.1 '), head)
+
+
 class StopTest(unittest.IsolatedAsyncioTestCase):
     """A stop closes idle connections and lets requests end."""
 
