Close a connection whose request leaves messages unread

Callers saw: after the refusal of a body that goes on, some connections stayed open for good; writes of the client blocked, and its buffers were held.

Cause: hypercorn passes the parts of a body on in a queue of 10. The end of an answer puts the message of the disconnect there as well. Once the application has left the queue full, that put waits for a reader that has ended, in the task that is to close the connection.

Change: a queue of our own, where the disconnect is always taken and releases whoever waits. The function that runs the application is public, so that 'closings' names it rather than a string.

Measured: tests.unit.entry.test_connections pass, 11 tests.

--- a/src/dogwoodquay/entry/connections.py
+++ b/src/dogwoodquay/entry/connections.py
@@ -6,7 +6,6 @@
 import contextlib
 import typing
 
-from hypercorn.asyncio import task_group
 from hypercorn.asyncio import tcp_server
 from hypercorn.asyncio import worker_context
 from hypercorn import events
@@ -14,6 +13,7 @@
 from hypercorn import utils
 
 from . import protocol
+from . import tasks
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -55,8 +55,8 @@
             server = utils.parse_socket_addr(
                 endpoint.family, endpoint.getsockname()
             )
-            async with task_group.TaskGroup(self.loop) as tasks:
-                self._task_group = tasks
+            async with tasks.AppTasks(self.loop) as group:
+                self._task_group = group
                 # Hypercorn's wrapper of it selects between two protocols.
                 self.protocol = typing.cast(
                     'typing.Any',
@@ -64,7 +64,7 @@
                         self.app,
                         self.config,
                         self.context,
-                        tasks,
+                        group,
                         hypercorn_typing.ConnectionState(self.state),
                         encrypted,
                         client,
@@ -73,7 +73,7 @@
                     ),
                 )
                 await self.protocol.initiate()
-                await self.idle_task.restart(tasks, self._idle_timeout)
+                await self.idle_task.restart(group, self._idle_timeout)
                 await self._read_data()
         except OSError:
             pass
--- a/src/dogwoodquay/gateway/closings.py
+++ b/src/dogwoodquay/gateway/closings.py
@@ -13,6 +13,8 @@
 
 from hypercorn import logging as hypercorn_logging
 
+from ..entry import tasks
+
 __all__ = ['ClosedBy', 'ClosingLogger', 'closed_by']
 
 _KEY: typing.Final = 'dogwoodquay.closed_by'
@@ -29,8 +31,8 @@
     WRITER = 'writer'
 
 
-# The function of hypercorn's task that runs the application and writes.
-_WRITER_TASK: typing.Final = '_handle'
+# The function of the task that runs the application and writes.
+_WRITER_TASK: typing.Final = tasks.run_app.__qualname__
 
 
 class ClosingLogger(hypercorn_logging.Logger):
--- a/tests/unit/entry/test_connections.py
+++ b/tests/unit/entry/test_connections.py
@@ -185,6 +185,23 @@
         self.assertTrue(head.startswith(b'HTTP/1.1 '), head)
 
 
+class UnreadBodyTest(unittest.IsolatedAsyncioTestCase):
+    """A request that is answered before its body is read."""
+
+    async def test_client_that_goes_on_sending(self) -> None:
+        """Its connection is closed after the answer."""
+        app = _App()
+        app.answer_seconds = 0.2
+        async with asyncio.timeout(20.0), _serving(app) as (port, _):
+            reader, writer = await _Caller(port).connect()
+            writer.write(b'POST /x HTTP/1.1\r\nHost: a\r\n')
+            writer.write(b'Content-Length: 1000000000\r\n\r\n')
+            with self.assertRaises(OSError):
+                while True:
+                    writer.write(bytes(64 << 10))
+                    await writer.drain()
+
+
 class StopTest(unittest.IsolatedAsyncioTestCase):
     """A stop closes idle connections and lets requests end."""
 
