End the reading of a connection whose answer cannot be written

Callers saw nothing; the process kept the buffers of connections that had gone.

Cause: while a request sent ahead waits, hypercorn's reading task waits for the end of the answer before it. A stream whose caller has left ends without one, so that the task, its 64 KiB and the parser stay for good.

Evidence: the new unit test fails on: the tasks of such a connection do not end within 20 s.

Change: a failed write ends the reading of its connection.

Measured: tests.unit.entry.test_connections pass, 12 tests.

--- a/src/dogwoodquay/entry/connections.py
+++ b/src/dogwoodquay/entry/connections.py
@@ -6,6 +6,7 @@
 import contextlib
 import typing
 
+import anyio
 from hypercorn.asyncio import tcp_server
 from hypercorn.asyncio import worker_context
 from hypercorn import events
@@ -44,6 +45,10 @@
     _closed_idle = False
     _closed_by_caller = False
 
+    def __init__(self, *args: typing.Any) -> None:
+        super().__init__(*args)
+        self._reading = anyio.CancelScope()
+
     async def run(self) -> None:
         """Serve the connection until it is closed."""
         endpoint = self.writer.get_extra_info('socket')
@@ -80,7 +85,32 @@
         finally:
             await self._close()
 
+    async def protocol_send(self, event: events.Event) -> None:
+        """Write what the protocol sends; a failed write ends the reading."""
+        match event:
+            case events.RawData():
+                await self._write(event.data)
+            case _:
+                await super().protocol_send(event)
+
+    async def _write(self, data: bytes) -> None:
+        async with self.send_lock:
+            try:
+                self.writer.write(data)
+                await self.writer.drain()
+            except (ConnectionError, RuntimeError):
+                await self.protocol.handle(events.Closed())
+                self._reading.cancel()
+
     async def _read_data(self) -> None:
+        # The protocol reads no further while a request sent ahead waits for
+        # an answer before it; if that cannot be written, it waits for good.
+        with self._reading:
+            await self._read_until_closed()
+        await self.protocol.handle(events.Closed())
+        await self.idle_task.stop()
+
+    async def _read_until_closed(self) -> None:
         while not self.reader.at_eof():
             try:
                 data = await self.reader.read(tcp_server.MAX_RECV)
@@ -90,8 +120,6 @@
                 break
             await self.protocol.handle(events.RawData(data))
         self._closed_by_caller = True
-        await self.protocol.handle(events.Closed())
-        await self.idle_task.stop()
 
     async def _idle_timeout(self) -> None:
         if self._closed_by_caller:
--- a/tests/unit/entry/test_connections.py
+++ b/tests/unit/entry/test_connections.py
@@ -56,7 +56,8 @@
 
 @contextlib.asynccontextmanager
 async def _serving(
-    app: _App, graceful_seconds: float = 0.5
+    app: abc.Callable[..., abc.Awaitable[None]],
+    graceful_seconds: float = 0.5,
 ) -> abc.AsyncIterator[tuple[int, asyncio.Event]]:
     """Serve an application; yields its port and the event that stops it."""
     listener = socket.create_server(('127.0.0.1', 0))
@@ -202,6 +203,38 @@
                     await writer.drain()
 
 
+class SentAheadTest(unittest.IsolatedAsyncioTestCase):
+    """A request that is sent ahead waits for the answer before it."""
+
+    async def _stream(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Send a body without end, until the caller has left."""
+        await send({'type': 'http.response.start', 'status': 200})
+        part = {'type': 'http.response.body', 'body': bytes(1 << 20)}
+
+        async def send_parts() -> None:
+            while True:
+                await send(part | {'more_body': True})
+                await asyncio.sleep(0)
+
+        parts = asyncio.create_task(send_parts())
+        while (await receive())['type'] != asgi.DISCONNECT:
+            pass
+        parts.cancel()
+
+    async def test_client_that_leaves(self) -> None:
+        """Nothing is kept of a connection whose stream is not read."""
+        async with asyncio.timeout(20.0), _serving(self._stream) as (port, _):
+            before = len(asyncio.all_tasks())
+            reader, writer = await _Caller(port).connect()
+            writer.write(b'GET /x HTTP/1.1\r\nHost: a\r\n\r\n' * 3)
+            await reader.readuntil(b'\r\n\r\n')
+            writer.transport.abort()
+            while len(asyncio.all_tasks()) > before:
+                await asyncio.sleep(0.01)
+
+
 class StopTest(unittest.IsolatedAsyncioTestCase):
     """A stop closes idle connections and lets requests end."""
 
