Limit what the bodies of all clients hold together

Callers saw: many unfinished bodies at once, in any framing, took the memory of the process; it was killed, with the requests of all others.

Cause: gateway/reading.py limits one body and nothing their sum. A part of a few bytes costs many times its size in a list, joining the parts holds a body twice, and hypercorn's queue, asyncio's buffers and reads of 256 KiB come on top.

Change: package inbound counts what each connection has received and answers (pure decisions); entry/guard.py carries them out and reads the resident memory each second, so that the limit is what the process does not use itself: half of the rest. At the limit, unfinished requests go first, those that hold much for long before others, then unread answers, then whole requests at no server yet; what a server works on stays. A body of known length without room is refused at once. Small requests go last. Bodies are kept in blocks up to the server. Reading takes 16 KiB at a time, and 2 parts wait for the application.

Weighed: not to read on costs the client nothing, but keeps a descriptor and what it has sent; a refusal that says 'not run' lets a caller go elsewhere.

--- a/src/dogwoodquay/entry/asgi.py
+++ b/src/dogwoodquay/entry/asgi.py
@@ -6,6 +6,8 @@
 
 import anyio
 
+from . import holdings
+
 if typing.TYPE_CHECKING:
     from collections import abc
 
@@ -57,6 +59,12 @@
         self._path: str = scope['raw_path'].decode('latin-1')
         self._query: str = scope['query_string'].decode('latin-1')
         self._body_received = False
+        self._holding = holdings.of_scope(scope)
+
+    @property
+    def holding(self) -> holdings.Holding:
+        """What the connection of the request holds."""
+        return self._holding
 
     @property
     def method(self) -> str:
--- a/src/dogwoodquay/entry/protocol.py
+++ b/src/dogwoodquay/entry/protocol.py
@@ -7,6 +7,9 @@
 import h11
 from hypercorn.protocol import h11 as hypercorn_h11
 
+if typing.TYPE_CHECKING:
+    from . import holdings
+
 __all__ = ['ALPN_PROTOCOLS', 'CallerProtocol']
 
 ALPN_PROTOCOLS: typing.Final = ('http/1.1',)
@@ -20,10 +23,15 @@
     such a request is served as any other (RFC 9110, section 7.8).
     """
 
+    def __init__(self, holding: holdings.Holding, *args: typing.Any) -> None:
+        super().__init__(*args)
+        self._holding = holding
+
     async def _check_protocol(self, event: h11.Request) -> None:
         """Stay with HTTP/1.1."""
 
     async def _create_stream(self, request: h11.Request) -> None:
+        self._holding.begin(len(request.headers))
         if any(name == _UPGRADE for name, _ in request.headers):
             request = h11.Request(
                 method=request.method,
--- a/src/dogwoodquay/entry/server.py
+++ b/src/dogwoodquay/entry/server.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from . import connections
+from . import guard as guards
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -93,9 +94,11 @@
     app: object,
     config: hypercorn_config.Config,
     shutdown_trigger: abc.Callable[[], abc.Awaitable[None]],
+    guard: guards.ConnectionGuard | None = None,
+    listener: str = guards.CALLERS,
 ) -> None:
     """Serve an ASGI application until ``shutdown_trigger`` returns."""
-    await connections.serve(app, config, shutdown_trigger)
+    await connections.serve(app, config, shutdown_trigger, guard, listener)
 
 
 def _make_config(
--- a/src/dogwoodquay/entry/tasks.py
+++ b/src/dogwoodquay/entry/tasks.py
@@ -17,6 +17,9 @@
 
 __all__ = ['AppTasks', 'run_app']
 
+# Parts of a body that wait for the application.
+MAX_MESSAGES: typing.Final = 2
+
 _Message = typing.Any
 
 
@@ -92,6 +95,6 @@
         send: abc.Callable[[_Message], abc.Awaitable[None]],
     ) -> abc.Callable[[_Message], abc.Awaitable[None]]:
         """Start the application; returns what passes messages to it."""
-        queue = _MessageQueue(config.max_app_queue_size)
+        queue = _MessageQueue(MAX_MESSAGES)
         self.spawn(run_app, app, config, scope, queue.get, send)
         return queue.put
--- a/src/dogwoodquay/external/http/network.py
+++ b/src/dogwoodquay/external/http/network.py
@@ -32,6 +32,7 @@
 # Receives the number of bytes that no request has asked for.
 _OnUnsolicited = typing.Callable[[int], None]
 
+WRITE_BYTES: typing.Final = 64 << 10
 MAX_BUFFERED_BYTES: typing.Final = 256 * 1024
 # All that is read until the end of an answer's head, with the informational
 # heads before it. A sound head, of which h11 keeps 100 KiB, fits with a read.
@@ -201,12 +202,19 @@
             if was_idle:
                 raise LostBeforeSent('the idle connection is closed')
             raise httpcore.WriteError('the connection is closed')
-        transport.write(data)
-        if self._write_paused:
-            self._writable = self._loop.create_future()
-            await self._wait(self._writable, timeout, httpcore.WriteTimeout)
-        if self._error is not None:
-            raise httpcore.WriteError(str(self._error)) from self._error
+        # The transport copies what it cannot send at once.
+        view = memoryview(data)
+        for start in range(0, len(data), WRITE_BYTES):
+            if start and self._closed:
+                raise httpcore.WriteError('the connection is closed')
+            transport.write(view[start : start + WRITE_BYTES])
+            if self._write_paused:
+                self._writable = self._loop.create_future()
+                await self._wait(
+                    self._writable, timeout, httpcore.WriteTimeout
+                )
+            if self._error is not None:
+                raise httpcore.WriteError(str(self._error)) from self._error
 
     def expect_nothing(self, on_unsolicited: _OnUnsolicited) -> None:
         """Close the connection if anything arrives before the next write.
--- a/src/dogwoodquay/external/http/sender.py
+++ b/src/dogwoodquay/external/http/sender.py
@@ -171,7 +171,7 @@
         method: str,
         target: str,
         headers: list[tuple[bytes, bytes]],
-        body: bytes,
+        body: sending.Content,
         deadline: float,
         read_timeout_seconds: float = 0.0,
         request_id: str = '',
--- a/src/dogwoodquay/external/http/sending.py
+++ b/src/dogwoodquay/external/http/sending.py
@@ -14,12 +14,27 @@
 from . import bodies
 from . import network
 
-__all__ = ['STREAM_KEY', 'SendError', 'build_request', 'send']
+if typing.TYPE_CHECKING:
+    from collections import abc
+
+__all__ = ['Content', 'STREAM_KEY', 'SendError', 'build_request', 'send']
 
 MAX_CONNECT_FRACTION: typing.Final = 0.9
 # A key in the extensions of a response.
 STREAM_KEY: typing.Final = 'network_stream'
 
+
+class SizedBlocks(typing.Protocol):
+    """A body in blocks."""
+
+    def __len__(self) -> int:
+        """Return the number of bytes in all blocks."""
+
+    def __aiter__(self) -> abc.AsyncIterator[bytes]:
+        """Iterate over the blocks."""
+
+
+Content = bytes | SizedBlocks
 SendError = api.Unavailable | api.Ambiguous
 
 _CONNECT_ERRORS: typing.Final = (
@@ -39,7 +54,7 @@
     method: str,
     path: str,
     headers: list[tuple[bytes, bytes]],
-    body: bytes,
+    body: Content,
     remaining: float,
     max_connect_seconds: float,
 ) -> httpcore.Request:
--- a/src/dogwoodquay/gateway/answer.py
+++ b/src/dogwoodquay/gateway/answer.py
@@ -8,6 +8,7 @@
 from . import api
 from . import closings
 from . import events
+from ..inbound import api as inbound_api
 from ..observe import logs
 from . import outcomes
 from . import results
@@ -18,6 +19,8 @@
 
     from .. import clock as clocks
     from ..entry import asgi
+    from ..entry import holdings
+    from ..inbound import parts
     from . import metrics as gateway_metrics
 
 __all__ = ['Answer', 'AnswerContext', 'CallerCodec']
@@ -70,15 +73,18 @@
         arrived_at: float,
         closing: abc.Callable[[], bool],
         closed_by: abc.Callable[[], closings.ClosedBy],
+        holding: holdings.Holding,
     ) -> None:
         """Create the answer to a request.
 
         :param closing: whether connections are closed after an answer.
         :param closed_by: who closed the connection.
+        :param holding: what the connection holds.
         """
         self._context = context
         self._closing = closing
         self._closed_by = closed_by
+        self._holding = holding
         self._terms = terms
         self._send = send
         self._arrived_at = arrived_at
@@ -117,6 +123,10 @@
     def _elapsed(self) -> float:
         return round(self._context.clock.now() - self._arrived_at, 3)
 
+    def on_sent(self) -> None:
+        """Record that a server gets the request now."""
+        self._holding.advance(inbound_api.Phase.RUNNING)
+
     def on_body_read(self) -> None:
         """Record that the request was read to its end."""
         self._phase = Phase.WAITING
@@ -146,9 +156,7 @@
             pause = now - self._last_sent_at
             self._longest_pause = max(self._longest_pause, pause)
         self._last_sent_at = now
-        await self._send(
-            {'type': 'http.response.body', 'body': data, 'more_body': True}
-        )
+        await self._send_part(data)
 
     async def finish(self, call: api.Call, result: results.Result) -> None:
         """End the answer.
@@ -276,7 +284,7 @@
         self,
         status: int,
         headers: abc.Iterable[tuple[bytes, bytes]],
-        body: bytes,
+        body: parts.Body,
     ) -> None:
         kept = [
             (name, value)
@@ -285,7 +293,12 @@
         ]
         kept.append((b'content-length', b'%d' % len(body)))
         await self._send_head(status, kept)
-        await self._send_last(body)
+        if isinstance(body, bytes):
+            await self._send_last(body)
+            return
+        for block in body:
+            await self._send_part(block)
+        await self._send_last()
 
     async def _send_head(
         self,
@@ -304,6 +317,11 @@
             }
         )
 
+    async def _send_part(self, data: bytes) -> None:
+        await self._send(
+            {'type': 'http.response.body', 'body': data, 'more_body': True}
+        )
+
     async def _send_last(self, body: bytes = b'') -> None:
         await self._send({'type': 'http.response.body', 'body': body})
         if self._closed_by() is not closings.ClosedBy.NOBODY:
--- a/src/dogwoodquay/gateway/api.py
+++ b/src/dogwoodquay/gateway/api.py
@@ -7,6 +7,7 @@
 
 if typing.TYPE_CHECKING:
     from ..fleet import api as fleet_api
+    from ..inbound import parts
     from ..routes import api as routes_api
     from ..tenants import api as tenants_api
 
@@ -92,7 +93,7 @@
     method: str
     target: str
     headers: RawHeaders
-    body: bytes
+    body: parts.Body
     terms: CallerTerms
     route: routes_api.Route
     service: str
@@ -213,6 +214,7 @@
     MODEL_UNDECLARED = 'model_undeclared'
     VERSION_GONE = 'version_gone'
     ORIGIN_UNKNOWN = 'origin_unknown'
+    MEMORY_FULL = 'memory_full'
     OVERLOADED = 'overloaded'
     OVER_ALLOTMENT = 'over_allotment'
     UNAUTHORIZED = 'unauthorized'
--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -11,6 +11,7 @@
 from . import closings
 from ..entry import asgi
 from . import identity
+from ..inbound import api as inbound_api
 from . import planned_stop
 from . import reading
 from . import results
@@ -179,6 +180,7 @@
             arrived_at,
             lambda: self._stop.begun,
             lambda: closings.closed_by(scope),
+            request.holding,
         )
         try:
             await self._answer(request, terms, arrived_at, answer)
@@ -197,17 +199,20 @@
         answer: answers.Answer,
     ) -> None:
         with anyio.CancelScope() as scope:
+            request.holding.on_refused(scope.cancel)
             self._requests[scope] = answer
             try:
                 found = await self._admit(request, terms, arrived_at, answer)
             finally:
                 del self._requests[scope]
         if scope.cancelled_caught:
-            found = _Rejected(_STOPPING, close=True)
+            found = _Rejected(_ended_refusal(request), close=True)
         match found:
             case None:
                 answer.record_left()
             case _Rejected(refusal, close):
+                if close and not self._stop.begun:
+                    request.holding.drop_body()
                 await answer.refuse(
                     refusal, close, lambda: self._stop.discard_body(request)
                 )
@@ -243,6 +248,7 @@
         if body is None:
             return None
         answer.on_body_read()
+        request.holding.advance(inbound_api.Phase.WAITING)
         if isinstance(body, api.Refusal):
             body = await self._by_configuration(body, routes)
             return _Rejected(body, close=True)
@@ -293,6 +299,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(watch)
             with anyio.move_on_after(left) as scope:
+                request.holding.on_refused(scope.cancel)
                 self._requests[scope] = answer
                 if call.route.streaming:
                     self._streams.add(scope)
@@ -302,7 +309,7 @@
                     del self._requests[scope]
                     self._streams.discard(scope)
             if not caller_left:
-                result = result or self._end_timed_out(call, answer)
+                result = result or self._end_timed_out(call, request, answer)
                 if isinstance(result, api.Refusal):
                     result = await self._by_configuration(result, self._routes)
                 await answer.finish(call, result)
@@ -373,7 +380,7 @@
         return seconds * self._rng.uniform(0.75, 1.25)
 
     def _end_timed_out(
-        self, call: api.Call, answer: answers.Answer
+        self, call: api.Call, request: asgi.Request, answer: answers.Answer
     ) -> results.Result:
         reason = api.RefusalReason.TIMEOUT
         answer.trace.cause = traces.deadline_cause(call)
@@ -382,11 +389,18 @@
             answer.trace.cause = traces.Cause.STOPPING
         if answer.started:
             return results.Cut(reason.value)
+        if request.holding.is_refused and not answer.trace.attempts:
+            return reading.MEMORY_FULL
         if answer.trace.stopped and not answer.trace.attempts:
             return _STOPPING
         return api.Refusal(reason, _GATEWAY_TIMEOUT)
 
 
+def _ended_refusal(request: asgi.Request) -> api.Refusal:
+    """Return why a request was ended before it was forwarded."""
+    return reading.MEMORY_FULL if request.holding.is_refused else _STOPPING
+
+
 def _may_have_run(
     result: results.Result | None, answer: answers.Answer
 ) -> bool:
--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -12,6 +12,7 @@
 from ..external.http import bodies
 from ..external.http import marks
 from . import held
+from ..inbound import parts
 from . import outcomes
 
 if typing.TYPE_CHECKING:
@@ -71,6 +72,9 @@
     def trace(self) -> traces.RequestTrace:
         """Records what arrives of the answer."""
 
+    def on_sent(self) -> None:
+        """Record that a server gets the request now."""
+
     async def start(
         self, status: int, headers: abc.Iterable[tuple[bytes, bytes]]
     ) -> None:
@@ -241,14 +245,14 @@
 
     async def _read_body(
         self, relay: Relay, response: httpx.Response
-    ) -> bytes:
-        body = bytearray()
+    ) -> parts.Body:
+        body = parts.Parts()
         with self._held.share() as share:
             async for chunk in _stream(response):
                 relay.trace.on_bytes(self._clock.now())
-                body += chunk
-                share.resize(len(body))
-            return bytes(body)
+                body.add(chunk)
+                share.resize(body.size)
+            return body.body()
 
     async def _relay_events(
         self,
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -270,6 +270,7 @@
         relay.trace.start_attempt(server.entry.server_id, attempt.number, now)
         if now + patience.MIN_WORK_SECONDS >= call.deadline:
             return outcomes.NotRun('deadline_passed', arrived=False)
+        relay.on_sent()
         _LOG.write(
             'sent',
             request=call.request_id,
--- a/src/dogwoodquay/gateway/identity.py
+++ b/src/dogwoodquay/gateway/identity.py
@@ -7,6 +7,7 @@
 
 if typing.TYPE_CHECKING:
     from . import api
+    from ..inbound import parts
 
 __all__ = ['digest']
 
@@ -24,7 +25,7 @@
     method: str,
     target: str,
     headers: api.RawHeaders,
-    body: bytes,
+    body: parts.Body,
     terms: api.CallerTerms,
 ) -> str:
     """Return the same text for each attempt to send a request.
@@ -55,8 +56,8 @@
         state.update(field)
     state.update(b'%d:' % len(body))
     if len(body) <= 2 * MAX_BODY_BYTES:
-        state.update(body)
+        state.update(body[:])
     else:
-        state.update(memoryview(body)[:MAX_BODY_BYTES])
-        state.update(memoryview(body)[-MAX_BODY_BYTES:])
+        state.update(body[:MAX_BODY_BYTES])
+        state.update(body[-MAX_BODY_BYTES:])
     return state.hexdigest()
--- a/src/dogwoodquay/gateway/metrics.py
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -65,6 +65,12 @@
         self._orders = registry.counter(
             'gateway_orders_total', 'Orders to engines', 'kind', 'answer'
         )
+        self._released = registry.counter(
+            'gateway_clients_released_total',
+            'Connections and requests of clients given up for a limit',
+            'reason',
+            'phase',
+        )
         self._pauses = registry.counter(
             'gateway_server_pauses_total',
             'Pauses that servers have asked for',
@@ -177,6 +183,10 @@
         """Add a gauge that is read on each scrape."""
         self._registry.gauge(name, doc, read)
 
+    def released(self, reason: str, phase: str) -> None:
+        """Count a connection or request that was given up for a limit."""
+        self._released.add(reason, phase)
+
     def answered(self, status: int, seconds: float) -> None:
         """Count a server's answer that was sent to its caller."""
         self._answers.add(str(status))
--- a/src/dogwoodquay/gateway/outcomes.py
+++ b/src/dogwoodquay/gateway/outcomes.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import typing
+
 import msgspec
 
+if typing.TYPE_CHECKING:
+    from ..inbound import parts
+
 __all__ = [
     'Broken',
     'NotRun',
@@ -39,7 +44,7 @@
 
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
+    body: parts.Body
     framed: bool = True
 
 
--- a/src/dogwoodquay/gateway/reading.py
+++ b/src/dogwoodquay/gateway/reading.py
@@ -9,17 +9,21 @@
 
 from . import api
 from ..entry import asgi
+from ..inbound import parts
 
 if typing.TYPE_CHECKING:
     from ..routes import api as routes_api
     from ..routes import table
 
-__all__ = ['check', 'host', 'read_body', 'target']
+__all__ = ['MEMORY_FULL', 'check', 'host', 'read_body', 'target']
 
 _BAD_REQUEST: typing.Final = 400
 _REQUEST_TIMEOUT: typing.Final = 408
 _TOO_LARGE: typing.Final = 413
 _HEADERS_TOO_LARGE: typing.Final = 431
+MEMORY_FULL: typing.Final = api.Refusal(
+    api.RefusalReason.MEMORY_FULL, 503, api.OTHER_INSTANCE_RETRY_SECONDS
+)
 # The least time for a body, also where the limit for headers is shorter.
 BODY_TIMEOUT_SECONDS: typing.Final = 3.0
 
@@ -58,22 +62,23 @@
 
 async def read_body(
     request: asgi.Request, limits: routes_api.CallerLimits
-) -> bytes | api.Refusal | None:
+) -> parts.Body | api.Refusal | None:
     """Return a body, its refusal, or ``None`` if the caller left."""
-    parts: list[bytes] = []
-    size = 0
+    body = parts.Parts()
+    length = request.header(b'content-length')
+    if length and not request.holding.expect(int(length)):
+        return MEMORY_FULL
     timeout = max(limits.header_timeout_seconds, BODY_TIMEOUT_SECONDS)
     with anyio.move_on_after(timeout if request.has_unread_body else math.inf):
         while True:
             message = await request.receive()
             if message['type'] == asgi.DISCONNECT:
                 return None
-            size += len(message['body'])
-            if size > limits.max_body_bytes:
+            body.add(message['body'])
+            if body.size > limits.max_body_bytes:
                 return _too_large()
-            parts.append(message['body'])
             if not message.get('more_body', False):
-                return b''.join(parts)
+                return body.body()
     return api.Refusal(api.RefusalReason.REQUEST_TIMEOUT, _REQUEST_TIMEOUT)
 
 
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -16,6 +16,7 @@
 from . import crash_records
 from . import crashes as crash_watches
 from . import departures as departure_news
+from ..entry import guard as guards
 from . import exchange as exchanges
 from ..external.http import client
 from ..fleet import registry as registries
@@ -85,6 +86,11 @@
         self._registry = registries.Registry()
         self._metrics_page = metrics_module.Registry(settings.instance_id)
         self._metrics = gateway_metrics.GatewayMetrics(self._metrics_page)
+        self._guard = guards.ConnectionGuard(
+            guards.GuardSettings(settings.memory_bytes, settings.descriptors),
+            self._clock,
+            self._metrics.released,
+        )
         self._connections = client.Connections(
             self._clock,
             connect_seconds=CONNECT_SECONDS,
@@ -139,10 +145,15 @@
                 ('crashes', self._crashes.run),
                 ('crash_records', self._crash_records.run),
                 ('connections', self._idle.run),
+                ('guard', self._guard.run),
             ):
                 group.start_soon(supervise.keep_running, name, part)
             group.start_soon(
-                health_listener.serve, self._health, self._drained.wait
+                health_listener.serve,
+                self._health,
+                self._drained.wait,
+                self._guard,
+                guards.READINESS,
             )
             group.start_soon(self._drain)
             group.start_soon(self._serve_callers)
@@ -157,7 +168,9 @@
         The server's task groups leave the task that runs them marked as
         cancelled, so that it would not end properly.
         """
-        await self._callers.serve(self._app, self._drained.wait)
+        await self._callers.serve(
+            self._app, self._drained.wait, self._guard, guards.CALLERS
+        )
         self._ended.set()
 
     def _build(self, adapters: platform_adapters.PlatformAdapters) -> None:
--- a/src/dogwoodquay/gateway/serving.py
+++ b/src/dogwoodquay/gateway/serving.py
@@ -9,6 +9,7 @@
 from hypercorn import config as hypercorn_config
 
 from . import closings
+from ..entry import guard as guards
 from ..entry import server as entry_server
 
 if typing.TYPE_CHECKING:
@@ -43,10 +44,18 @@
         self._config.graceful_timeout = seconds
 
     async def serve(
-        self, app: object, stop: abc.Callable[[], abc.Awaitable[None]]
+        self,
+        app: object,
+        stop: abc.Callable[[], abc.Awaitable[None]],
+        guard: guards.ConnectionGuard | None = None,
+        name: str = guards.CALLERS,
     ) -> None:
-        """Serve until ``stop`` returns, then close idle connections."""
-        await entry_server.serve_until(app, self._config, stop)
+        """Serve until ``stop`` returns, then close idle connections.
+
+        :param guard: limits what connections hold; no limits if not given.
+        :param name: the name under which it counts those of this listener.
+        """
+        await entry_server.serve_until(app, self._config, stop, guard, name)
 
 
 def _listen(address: gateway_settings.Address) -> socket.socket:
--- a/src/dogwoodquay/gateway/settings.py
+++ b/src/dogwoodquay/gateway/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 __all__ = ['Address', 'InstanceSettings']
@@ -25,7 +26,9 @@
     into the list. In any ``quota_window_seconds``, a tenant may use its
     allotment increased by the share ``quota_over`` and by ``quota_slack``
     units. ``overload_control`` is whether requests that cannot be answered in
-    time are refused at once for services under contended load.
+    time are refused at once for services under contended load. The process has
+    ``memory_bytes``, and ``descriptors`` for its connections; infinite where
+    there is no limit.
     """
 
     instance_id: str
@@ -48,3 +51,5 @@
     quota_over: float = 0.0
     quota_slack: float = 0.0
     overload_control: bool = False
+    memory_bytes: float = math.inf
+    descriptors: float = math.inf
--- /dev/null
+++ b/src/dogwoodquay/inbound/__init__.py
@@ -0,0 +1,1 @@
+"""Limits what the connections of clients make an instance hold."""
--- a/src/dogwoodquay/platform/settings.py
+++ b/src/dogwoodquay/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import tomllib
 import typing
 
@@ -17,6 +18,9 @@
 
 VARIABLE: typing.Final = 'DOGWOODQUAY_SETTINGS'
 _MILLISECONDS: typing.Final = 1000.0
+_MEGABYTE: typing.Final = 1_000_000
+# The part of the descriptors that connections cannot use.
+_FILE_DESCRIPTORS: typing.Final = 200
 # Reads of the list within the drain time, in which a leaving server may still
 # get requests: two have to fit, so that one of them may fail.
 _LIST_READS_PER_DRAIN: typing.Final = 2.8
@@ -53,6 +57,12 @@
     quota_slack: float = 0.0
 
 
+class _Limits(_Body):
+    # Zero for no limit.
+    memory_mb: float = 0.0
+    max_fds: int = 0
+
+
 class _Platform(_Body):
     address: str
     ttl_min_ms: float = 1000.0
@@ -68,6 +78,7 @@
     platform: _Platform
     heartbeat_ms: float = 1200.0
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def load(
@@ -109,9 +120,16 @@
         quota_window_seconds=bounds.quota_window_s,
         quota_over=bounds.quota_over,
         quota_slack=bounds.quota_slack,
+        memory_bytes=_limit(raw.limits.memory_mb) * _MEGABYTE,
+        descriptors=_limit(raw.limits.max_fds - _FILE_DESCRIPTORS),
     )
 
 
+def _limit(value: float) -> float:
+    """Return a limit, infinite where none is given."""
+    return value if value > 0 else math.inf
+
+
 def _heartbeat_seconds(milliseconds: float) -> float:
     if not milliseconds > 0:
         raise ValueError(f'an interval of {milliseconds} ms')
--- a/tests/unit/gateway/test_successors.py
+++ b/tests/unit/gateway/test_successors.py
@@ -322,6 +322,9 @@
             started = True
             trace = trace.RequestTrace(1)
 
+            def on_sent(self) -> None:
+                """Do nothing."""
+
         result = await forwarder.run(
             _call(5.0), typing.cast('typing.Any', _Relay())
         )
@@ -387,6 +390,9 @@
             started = False
             trace = trace.RequestTrace(1)
 
+            def on_sent(self) -> None:
+                """Do nothing."""
+
         result = await forwarder.run(
             _call(5.0), typing.cast('typing.Any', _Relay())
         )
--- /dev/null
+++ b/tests/unit/inbound/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the limits on what clients make an instance hold."""
