Count answers that callers do not read

Callers saw: 40 connections with requests sent ahead and their answers unread took the memory of the process.

Cause: an answer counted while it was read from its server and no longer while it was written to its caller. It was held up to four times: by the request, as the parser's output, in the pending write and in the transport.

--- a/src/dogwoodquay/gateway/answer.py
+++ b/src/dogwoodquay/gateway/answer.py
@@ -158,6 +158,13 @@
         self._last_sent_at = now
         await self._send_part(data)
 
+    def hold(self, size: int) -> bool:
+        """Count what is held of the answer.
+
+        :return: whether there is room for it.
+        """
+        return self._holding.hold_answer(size)
+
     async def finish(self, call: api.Call, result: results.Result) -> None:
         """End the answer.
 
--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -83,6 +83,9 @@
     async def send(self, data: bytes) -> None:
         """Send complete events."""
 
+    def hold(self, size: int) -> bool:
+        """Count what is held of the answer; return whether there is room."""
+
 
 class Progress(typing.Protocol):
     """Receives the progress of an attempt."""
@@ -252,6 +255,8 @@
                 relay.trace.on_bytes(self._clock.now())
                 body.add(chunk)
                 share.resize(body.size)
+                if body.size > held.FREE_BYTES and not relay.hold(body.size):
+                    raise bodies.AnswerTooLarge('answers_too_large')
             return body.body()
 
     async def _relay_events(
