Limit connections to the peers' port without a shared secret

Callers saw: connections that say nothing took all descriptors, so that servers and the store could not be connected to.

Cause: the limit on connections of peers counts after the handshake; sockets before it were limited by their time alone.

Evidence: tests.site.test_crowds.SilentConnectionsTest.test_peers, 300 silent connections: 313 descriptors where 200 are allowed.

Change: connections that are not authenticated are counted from accept() on and limited to an eighth of the descriptors; one more closes the oldest. Peers show the secret within a round trip, so that they are not the oldest for long.

--- a/src/dogwoodquay/gateway/members.py
+++ b/src/dogwoodquay/gateway/members.py
@@ -11,6 +11,10 @@
 
 # The peers' shared secret is this prefix and the store's address as text,
 # which all instances have in their settings.
+# Connections of other instances that have not shown the secret yet, as a share
+# of the descriptors.
+UNAUTHENTICATED_SHARE: typing.Final = 0.125
+MAX_UNAUTHENTICATED: typing.Final = 1000
 SECRET_PREFIX: typing.Final = b'dogwoodquay peers of '
 
 
@@ -33,6 +37,9 @@
     settings: gateway_settings.InstanceSettings,
 ) -> wire_settings.WireSettings:
     """Return the settings of the protocol between instances."""
+    max_unauthenticated = min(
+        settings.descriptors * UNAUTHENTICATED_SHARE, MAX_UNAUTHENTICATED
+    )
     secret = SECRET_PREFIX + f'{settings.store}'.encode()
     return wire_settings.WireSettings(
         instance_id=settings.instance_id,
@@ -41,4 +48,5 @@
         secrets=(secret,),
         handshake_seconds=1.0,
         backoff_max_seconds=1.0,
+        max_unauthenticated=int(max_unauthenticated),
     )
--- a/src/dogwoodquay/wire/peers.py
+++ b/src/dogwoodquay/wire/peers.py
@@ -16,6 +16,7 @@
 from . import dial
 from . import handshake
 from . import links
+from ..observe import logs
 from . import queue
 from . import router
 from . import traffic
@@ -29,9 +30,14 @@
 
     from .. import clock as clocks
     from . import settings
+    from . import unauthenticated
 
 __all__ = ['Peers']
 
+# The least time between two lines about refused connections.
+LOG_SECONDS: typing.Final = 1.0
+_LOG: typing.Final = logs.ComponentLog('peers')
+
 
 class Peers:
     """Accepts and opens connections; implements ``api.Transport``.
@@ -56,6 +62,9 @@
         self._links: dict[api.PeerAddress, links.Link] = {}
         self._connections: set[connection.Connection] = set()
         self._handshakes = 0
+        self._unlogged = 0
+        self._log_at = 0.0
+        self._unauthenticated: unauthenticated.Unauthenticated
         self._tasks: anyio.abc.TaskGroup | None = None
         self._address = api.PeerAddress(limits.address, limits.port)
 
@@ -216,6 +225,11 @@
         # Imported while the first reads of the store wait for their answers.
         from websockets.asyncio import server as ws_server
 
+        from . import unauthenticated
+
+        self._unauthenticated = unauthenticated.Unauthenticated(
+            self._limits.max_unauthenticated, self._record_closed
+        )
         return await ws_server.serve(
             self._accept,
             self._limits.address,
@@ -227,8 +241,25 @@
             max_size=handshake.HANDSHAKE_FRAME_BYTES,
             open_timeout=self._limits.handshake_seconds,
             close_timeout=self._limits.handshake_seconds,
+            create_connection=typing.cast(
+                'type[ws_server.ServerConnection]',
+                self._unauthenticated.create,
+            ),
         )
 
+    def _record_closed(self, address: str) -> None:
+        """Count and log a connection that was closed for the limit."""
+        reason = auth.Refusal.TOO_MANY.value
+        self._traffic.refused[reason] += 1
+        self._unlogged += 1
+        now = self._clock.now()
+        if now >= self._log_at:
+            _LOG.write(
+                'refused', client=address, reason=reason, count=self._unlogged
+            )
+            self._unlogged = 0
+            self._log_at = now + LOG_SECONDS
+
     async def _stop_listening(self, server: ws_server.Server) -> None:
         with anyio.CancelScope(shield=True):
             server.close()
@@ -251,6 +282,7 @@
             return
         finally:
             self._handshakes -= 1
+        self._unauthenticated.discard(socket)
         outgoing = queue.SendQueue(self._limits.max_queue_bytes)
         conn = self._make_connection(socket, peer, outgoing)
         self._get_link(peer.address).connected(conn)
--- a/src/dogwoodquay/wire/settings.py
+++ b/src/dogwoodquay/wire/settings.py
@@ -29,6 +29,7 @@
     max_queue_bytes: int = 4 * _MIB
     max_calls: int = 1000
     max_connections: int = 1000
+    max_unauthenticated: int = 512
     stream_window: int = 32
     handshake_seconds: float = 3.0
     send_seconds: float = 10.0
