Limit the number of callers' connections and the size of heads

Callers saw: connections that say nothing, or heads that do not end, took all descriptors or the memory; nothing beside them was answered.

Cause: nothing limited the connections of clients. What an instance needs for servers, the store and peers came after them. A head could have 64 KiB at each.

A head may have twice what the configuration allows. Gauges for what is held, its limit, connections and refused peers.

--- a/src/dogwoodquay/entry/guard.py
+++ b/src/dogwoodquay/entry/guard.py
@@ -29,7 +29,7 @@
 # The connections of callers and of readiness, as shares of the descriptors.
 CALLERS: typing.Final = 'callers'
 READINESS: typing.Final = 'readiness'
-_SHARES: typing.Final[dict[str, float]] = {}
+_SHARES: typing.Final = {CALLERS: 0.625, READINESS: 0.0625}
 
 _LOG: typing.Final = logs.ComponentLog('inbound')
 
@@ -73,21 +73,18 @@
         self._unlogged = 0
         self._trim_at = 0.0
 
-    @property
-    def held_bytes(self) -> int:
-        """What is held of requests and answers."""
+    def held(self) -> float:
+        """Return what is held of requests and answers."""
         return self._budget.held_bytes
 
-    @property
-    def connections(self) -> int:
-        """The number of open connections."""
-        return self._budget.connections
-
-    @property
-    def buffer_bytes(self) -> float:
-        """What may be held of requests and answers."""
+    def limit(self) -> float:
+        """Return what may be held of requests and answers."""
         return self._memory.buffer_bytes(self._budget.connections)
 
+    def count(self) -> float:
+        """Return the number of open connections."""
+        return self._budget.connections
+
     def set_times(self, head_seconds: float, write_seconds: float) -> None:
         """Set the times that clients have from now on."""
         self._settings = self._settings._replace(
@@ -169,7 +166,8 @@
         resident = process.resident_bytes()
         if resident is not None:
             held = self._budget.held_bytes
-            self._memory.measure(resident, held, self.connections)
+            connections = self._budget.connections
+            self._memory.measure(resident, held, connections)
 
     def _limits(self, connections: int) -> api.Limits:
         descriptors = self._settings.descriptors
@@ -196,5 +194,5 @@
             phase=phase,
             held_bytes=released.held_bytes,
             all_held_bytes=self._budget.held_bytes,
-            connections=self.connections,
+            connections=self._budget.connections,
         )
--- a/src/dogwoodquay/entry/holdings.py
+++ b/src/dogwoodquay/entry/holdings.py
@@ -80,12 +80,17 @@
         )
         return not (self._closed or self._dropping)
 
-    def begin(self, fields: int) -> None:
-        """Count a request whose head has this number of fields."""
+    def begin(self, fields: int, is_whole: bool) -> None:
+        """Count a request whose head has this number of fields.
+
+        :param is_whole: whether it has no body.
+        """
         self._refused = False
         self._on_refused = None
         now = self._guard.now()
         self._guard.apply(self._budget.begin(self._number, fields, now))
+        if is_whole:
+            self.advance(api.Phase.WAITING)
 
     def drop_body(self) -> None:
         """Take nothing more of a request that is refused."""
--- a/src/dogwoodquay/entry/protocol.py
+++ b/src/dogwoodquay/entry/protocol.py
@@ -13,6 +13,7 @@
 __all__ = ['ALPN_PROTOCOLS', 'CallerProtocol']
 
 ALPN_PROTOCOLS: typing.Final = ('http/1.1',)
+_BODY_HEADERS: typing.Final = {b'content-length', b'transfer-encoding'}
 _UPGRADE: typing.Final = b'upgrade'
 
 
@@ -31,8 +32,9 @@
         """Stay with HTTP/1.1."""
 
     async def _create_stream(self, request: h11.Request) -> None:
-        self._holding.begin(len(request.headers))
-        if any(name == _UPGRADE for name, _ in request.headers):
+        names = {name for name, _ in request.headers}
+        self._holding.begin(len(request.headers), not names & _BODY_HEADERS)
+        if _UPGRADE in names:
             request = h11.Request(
                 method=request.method,
                 target=request.target,
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -305,9 +305,26 @@
             self._stopping.is_set,
         )
         self._health = health.HealthApp(ready.reason, self._metrics_page)
+        self._register_gauges()
         self._peering.attach(self._scheduler, self._configuration)
         self._notices.on_change(self._on_notice)
 
+    def _register_gauges(self) -> None:
+        """Show what clients hold, and which peers were refused."""
+        guard = self._guard
+        for name, doc, read in (
+            ('held_bytes', 'Held of requests and answers', guard.held),
+            ('limit_bytes', 'Limit of what is held', guard.limit),
+            ('connections', 'Open connections', guard.count),
+        ):
+            self._metrics_page.gauge(f'gateway_clients_{name}', doc, read)
+        self._metrics_page.labelled_gauge(
+            'gateway_peers_refused',
+            'Connections of peers refused',
+            'reason',
+            lambda: self._peers.traffic.refused,
+        )
+
     def _build_app(
         self, adapters: platform_adapters.PlatformAdapters
     ) -> apps.GatewayApp:
@@ -372,6 +389,8 @@
         self._scheduler.configure(configuration.services)
         self._controller.configure(configuration.services)
         self._callers.keep_idle(configuration.limits.idle_timeout_seconds)
+        limits = configuration.limits
+        self._callers.limit_heads(limits.max_header_bytes)
         self._peering.publish_soon()
         self._release_held()
 
--- a/src/dogwoodquay/gateway/serving.py
+++ b/src/dogwoodquay/gateway/serving.py
@@ -21,7 +21,9 @@
 
 BACKLOG: typing.Final = 1024
 # Above the application's own limit, so that it can refuse with a reason.
-HEADER_BYTES: typing.Final = 64 << 10
+HEADER_LIMIT_FACTOR: typing.Final = 2
+# Used until a configuration sets the limit of heads.
+DEFAULT_HEADER_BYTES: typing.Final = 16 << 10
 MAX_REQUESTS_PER_CONNECTION: typing.Final = 1_000_000
 # Used until a configuration sets the idle time of connections.
 DEFAULT_KEEP_ALIVE_SECONDS: typing.Final = 15.0
@@ -39,6 +41,11 @@
         """Set how long idle connections are kept from now on."""
         self._config.keep_alive_timeout = seconds
 
+    def limit_heads(self, max_bytes: int) -> None:
+        """Set the size of heads that the application allows from now on."""
+        size = HEADER_LIMIT_FACTOR * max_bytes
+        self._config.h11_max_incomplete_size = size
+
     def stop_within(self, seconds: float) -> None:
         """Set how long requests may take to end once the server stops."""
         self._config.graceful_timeout = seconds
@@ -72,7 +79,7 @@
     config = hypercorn_config.Config()
     config.bind = [f'fd://{listener.detach()}']
     config.backlog = BACKLOG
-    config.h11_max_incomplete_size = HEADER_BYTES
+    config.h11_max_incomplete_size = HEADER_LIMIT_FACTOR * DEFAULT_HEADER_BYTES
     config.keep_alive_timeout = DEFAULT_KEEP_ALIVE_SECONDS
     config.keep_alive_max_requests = MAX_REQUESTS_PER_CONNECTION
     config.graceful_timeout = GRACEFUL_STOP_SECONDS
