Close connections whose heads do not end or whose answers are not read

Callers saw: a head could take until the idle time, and an answer for ever; the close of such a connection waited for good for what was left to be written.

Cause: hypercorn's idle time counts from the last answer to a whole head, and nothing limits the time in which an answer is read.

Change: deadlines for both, from the configuration's limits, checked each second. Progress with an answer renews its deadline, bytes of a head do not.

--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -61,6 +61,8 @@
 
 UPSTREAM_IDLE_SECONDS: typing.Final = 60.0
 CONNECT_SECONDS: typing.Final = 0.4
+# The time for a head is stretched, as this instance may have been held up.
+HEAD_TIME_FACTOR: typing.Final = 2.0
 STOP_POLL_SECONDS: typing.Final = 0.05
 # Retries of each instance beyond its share; those of all instances together
 # stay below the slack of the smallest deployments.
@@ -391,6 +393,10 @@
         self._callers.keep_idle(configuration.limits.idle_timeout_seconds)
         limits = configuration.limits
         self._callers.limit_heads(limits.max_header_bytes)
+        self._guard.set_times(
+            limits.header_timeout_seconds * HEAD_TIME_FACTOR,
+            limits.idle_timeout_seconds,
+        )
         self._peering.publish_soon()
         self._release_held()
 
