Limit what clients make an instance of serve hold

Callers saw nothing yet; found by looking for the cause on related paths.

Cause: entry/bodies.py counts bodies by length alone, not small parts with their overhead, heads, connections or unread answers, and the operators' port nothing.

Evidence: tests.site.test_serve_crowds, 1,500 heads of 90 kB that do not end: peaks of 215 MB (callers) and 134 MB (operators) on, 128 allowed.

Change: the guard of the gateway, with a setting for the memory; parts of bodies are collected in blocks. all_bodies_bytes stays as a second limit.

--- a/src/dogwoodquay/dispatch/metrics.py
+++ b/src/dogwoodquay/dispatch/metrics.py
@@ -22,6 +22,12 @@
             'reason',
             'outcome',
         )
+        self._released = registry.counter(
+            'dogwoodquay_clients_released_total',
+            'Connections and requests of clients given up for a limit.',
+            'reason',
+            'phase',
+        )
         self._answers = registry.counter(
             'dogwoodquay_answers_total',
             'Requests that got a complete answer, by HTTP status.',
@@ -52,6 +58,10 @@
         """The registry that holds the metrics."""
         return self._registry
 
+    def client_released(self, reason: str, phase: str) -> None:
+        """Count a connection or request that was given up for a limit."""
+        self._released.add(reason, phase)
+
     def refused(
         self, reason: reasons.Reason, outcome: reasons.Outcome
     ) -> None:
--- a/src/dogwoodquay/entry/bodies.py
+++ b/src/dogwoodquay/entry/bodies.py
@@ -10,6 +10,8 @@
 from ..dispatch import api
 from ..dispatch import reasons
 from . import eager
+from ..inbound import api as inbound_api
+from ..inbound import parts
 from . import problems
 
 if typing.TYPE_CHECKING:
@@ -44,13 +46,17 @@
     async def read(self, request: asgi.Request, now: float) -> _BodyOrRefusal:
         """Read a whole body; the caller must ``release`` it after use."""
         content_length = request.header(b'content-length')
-        if _parse_length(content_length) > self._limits.body_bytes:
+        length = _parse_length(content_length)
+        if length > self._limits.body_bytes:
             return problems.make_refusal(reasons.Reason.BODY_TOO_LARGE)
+        if not request.holding.expect(length):
+            return _overloaded(now)
         results: list[_BodyOrRefusal] = []
         suspended = eager.start(self._store_result(request, now, results))
         if suspended is not None:
             with anyio.move_on_after(self._limits.body_seconds) as scope:
                 self._scopes.add(scope)
+                request.holding.on_refused(scope.cancel)
                 if self._stopped:
                     scope.cancel()
                 try:
@@ -58,7 +64,10 @@
                 finally:
                     self._scopes.discard(scope)
         if results:
+            request.holding.advance(inbound_api.Phase.RUNNING)
             return results[0]
+        if request.holding.is_refused:
+            return _overloaded(now)
         if self._stopped:
             return problems.make_refusal(reasons.Reason.DRAINING)
         return problems.make_refusal(reasons.Reason.BODY_TIMEOUT)
@@ -77,8 +86,7 @@
     async def _receive(
         self, request: asgi.Request, now: float
     ) -> _BodyOrRefusal:
-        parts: list[bytes] = []
-        size = 0
+        collected = parts.Parts()
         complete = False
         try:
             while True:
@@ -86,21 +94,19 @@
                 if message['type'] == asgi.DISCONNECT:
                     return problems.make_refusal(reasons.Reason.BODY_CUT)
                 part = message.get('body', b'')
-                size += len(part)
+                collected.add(part)
                 self._buffered_bytes += len(part)
-                if size > self._limits.body_bytes:
+                if collected.size > self._limits.body_bytes:
                     return problems.make_refusal(reasons.Reason.BODY_TOO_LARGE)
                 if self._buffered_bytes > self._limits.all_bodies_bytes:
                     return _overloaded(now)
-                if part:
-                    parts.append(part)
                 if not message.get('more_body', False):
                     break
             complete = True
         finally:
             if not complete:
-                self._buffered_bytes -= size
-        return parts[0] if len(parts) == 1 else b''.join(parts)
+                self._buffered_bytes -= collected.size
+        return collected.join()
 
 
 def _parse_length(content_length: str) -> int:
--- a/src/dogwoodquay/entry/server.py
+++ b/src/dogwoodquay/entry/server.py
@@ -26,7 +26,7 @@
 BACKLOG: typing.Final = 1024
 # Hypercorn's limit is higher than the application's, which refuses large
 # headers with a reason.
-HEADER_MARGIN_BYTES: typing.Final = 64 << 10
+HEADER_MARGIN_BYTES: typing.Final = 16 << 10
 MAX_REQUESTS_PER_CONNECTION: typing.Final = 100_000
 GRACEFUL_CLOSE_SECONDS: typing.Final = 2.0
 
@@ -80,6 +80,7 @@
     listener: socket.socket,
     shutdown: anyio.Event,
     clock: clock_module.Clock,
+    guard: guards.ConnectionGuard | None = None,
 ) -> None:
     """Serve until the shutdown event, then drain and close."""
 
@@ -87,7 +88,8 @@
         await shutdown.wait()
         await app.drain(clock.now() + settings.drain_seconds)
 
-    await serve_until(app, _make_config(settings, listener), drain_on_shutdown)
+    config = _make_config(settings, listener)
+    await serve_until(app, config, drain_on_shutdown, guard)
 
 
 async def serve_until(
--- a/src/dogwoodquay/inbound/parts.py
+++ b/src/dogwoodquay/inbound/parts.py
@@ -76,8 +76,12 @@
         self._blocks.append(part)
 
     def body(self) -> Body:
-        """Return the body of all parts."""
-        blocks = itertools.chain(self._blocks, [bytes(self._last)])
+        """Return the body of all parts, a large one in blocks."""
         if self._size <= MAX_JOINED_BYTES:
-            return b''.join(blocks)
+            return self.join()
+        blocks = itertools.chain(self._blocks, [bytes(self._last)])
         return Blocks(tuple(filter(None, blocks)), self._size)
+
+    def join(self) -> bytes:
+        """Return the body of all parts in one block."""
+        return b''.join([*self._blocks, self._last])
--- a/src/dogwoodquay/node/callers.py
+++ b/src/dogwoodquay/node/callers.py
@@ -13,11 +13,13 @@
 from ..dispatch import dispatcher as dispatchers
 from ..dispatch import metrics as request_metrics
 from ..entry import app as entry_app
+from ..entry import guard as guards
 from ..entry import health as health_module
 from ..entry import limits as limits_module
 from ..entry import server as entry_server
 from ..entry import streams as entry_streams
 from ..observe import metrics as metrics_module
+from ..observe import process
 from . import observed
 from . import relay
 from ..retry import budget
@@ -140,6 +142,15 @@
             remote_streams=self._relay,
             rng=rng,
         )
+        self._guard = guards.ConnectionGuard(
+            guards.GuardSettings(
+                memory_bytes=settings.callers.max_memory_bytes,
+                descriptors=process.descriptor_limit(),
+                write_seconds=limits.whole_write_seconds,
+            ),
+            clock,
+            metrics.client_released,
+        )
         self._relay.set_cancel_handler(self._app.cancel_stream)
         dependencies.configuration.watch(self._update_catalog)
         dependencies.membership.watch(self._on_member_change)
@@ -154,6 +165,11 @@
         """The metrics of this instance."""
         return self._registry
 
+    @property
+    def guard(self) -> guards.ConnectionGuard:
+        """The limits on what clients make this instance hold."""
+        return self._guard
+
     @property
     def demand(self) -> demands.DemandExchange:
         """The demand reports of this instance and its peers."""
@@ -176,6 +192,7 @@
             listener,
             self._shutdown,
             self._clock,
+            self._guard,
         )
 
     def leave(self, ends_at: float) -> None:
@@ -198,6 +215,7 @@
             group.start_soon(self._demand.run)
             group.start_soon(self._shares.run)
             group.start_soon(self._update_capacity)
+            group.start_soon(self._guard.run)
 
     async def _update_capacity(self) -> None:
         while True:
--- a/src/dogwoodquay/node/instance.py
+++ b/src/dogwoodquay/node/instance.py
@@ -298,6 +298,7 @@
                 ),
             ),
             self.callers.registry,
+            self.callers.guard,
         )
         node_metrics.register(
             self.callers.registry,
--- a/src/dogwoodquay/node/operators.py
+++ b/src/dogwoodquay/node/operators.py
@@ -6,6 +6,7 @@
 
 from hypercorn import config as hypercorn_config
 
+from ..entry import guard as guards
 from ..entry import server as entry_server
 from ..operators import app as operators_app
 
@@ -33,8 +34,10 @@
         clock: clocks.Clock,
         source: api.StatusSource,
         registry: metrics.Registry,
+        guard: guards.ConnectionGuard,
     ) -> None:
         self._settings = settings
+        self._guard = guard
         self._app = operators_app.OperatorsApp(
             source, settings.token, clock, lambda: registry.render().body
         )
@@ -56,4 +59,6 @@
         config.include_server_header = False
         config.accesslog = None
         config.errorlog = None
-        await entry_server.serve_until(self._app, config, closed.wait)
+        await entry_server.serve_until(
+            self._app, config, closed.wait, self._guard, guards.READINESS
+        )
--- a/src/dogwoodquay/observe/process.py
+++ b/src/dogwoodquay/observe/process.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ctypes
 import pathlib
 import resource
 import typing
@@ -32,6 +31,9 @@
 
 def release_free_memory() -> None:
     """Return memory to the system that the allocator keeps for later."""
+    # Takes long to import, and is needed by few processes.
+    import ctypes
+
     trim = getattr(ctypes.CDLL(None), 'malloc_trim', None)
     if trim is not None:
         trim(0)
--- a/src/dogwoodquay/settings/schema.py
+++ b/src/dogwoodquay/settings/schema.py
@@ -75,7 +75,11 @@
 
 
 class Callers(_Section, frozen=True):
-    """The listener for callers and its limits."""
+    """The listener for callers and its limits.
+
+    ``max_memory_bytes`` limits the memory of the whole process: what it does
+    not use itself limits what callers make it hold.
+    """
 
     listen: Listener
     tls: Tls | None = None
@@ -85,6 +89,9 @@
     max_header_bytes: typing.Annotated[
         int, msgspec.Meta(ge=1024, le=1 << 20)
     ] = 32 << 10
+    max_memory_bytes: typing.Annotated[
+        int, msgspec.Meta(ge=1 << 26, le=1 << 40)
+    ] = 768 << 20
     body_timeout_seconds: Seconds = 20.0
     resume_seconds: Seconds = 60.0
     stream_buffer_bytes: typing.Annotated[
--- a/tests/site/crowd.py
+++ b/tests/site/crowd.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import socket
+import subprocess
 import typing
 
 import h2.config
@@ -70,10 +71,18 @@
     return processes.Site.running(1, configuration, more_settings=limits)
 
 
+class HasProcess(typing.Protocol):
+    """What runs in a process of its own."""
+
+    @property
+    def process(self) -> subprocess.Popen[typing.Any]:
+        """The process."""
+
+
 class Crowd:
     """Connected clients, each of which sends bytes and reads nothing."""
 
-    def __init__(self, instance: processes.Instance, port: int) -> None:
+    def __init__(self, instance: HasProcess, port: int) -> None:
         self._instance = instance
         self._port = port
         self._sockets: list[socket.socket] = []
@@ -82,7 +91,7 @@
     @classmethod
     @contextlib.asynccontextmanager
     async def connected(
-        cls, instance: processes.Instance, port: int, count: int
+        cls, instance: HasProcess, port: int, count: int
     ) -> abc.AsyncIterator[Crowd]:
         """Connect clients, as far as the instance accepts them."""
         crowd = cls(instance, port)
@@ -188,20 +197,20 @@
             await asyncio.sleep(_POLL_SECONDS)
 
 
-def _processor_ticks(instance: processes.Instance) -> int:
+def _processor_ticks(instance: HasProcess) -> int:
     """Return the processor time of a process so far."""
     path = pathlib.Path(f'/proc/{instance.process.pid}/stat')
     fields = path.read_text('ascii').rpartition(')')[2].split()
     return int(fields[11]) + int(fields[12])
 
 
-def open_descriptors(instance: processes.Instance) -> int:
+def open_descriptors(instance: HasProcess) -> int:
     """Return the number of descriptors that a process has open."""
     with os.scandir(f'/proc/{instance.process.pid}/fd') as entries:
         return sum(1 for _ in entries)
 
 
-def peak_memory_mb(instance: processes.Instance) -> float:
+def peak_memory_mb(instance: HasProcess) -> float:
     """Return the highest resident memory of a process so far."""
     path = pathlib.Path(f'/proc/{instance.process.pid}/status')
     fields = dict(
--- a/tests/unit/commands/test_imports.py
+++ b/tests/unit/commands/test_imports.py
@@ -63,6 +63,8 @@
     'capacity',
     'fleet',
     'gateway',
+    # 7 ms with the modules of entry: each byte of a caller is counted.
+    'inbound',
     'overload',
     'platform',
     'quarantine',
@@ -87,7 +89,11 @@
         'entry',
         'entry.asgi',
         'entry.connections',
+        'entry.guard',
+        'entry.holdings',
+        'entry.protocol',
         'entry.server',
+        'entry.tasks',
         'external',
         'external.api',
         'external.decoding',
@@ -113,6 +119,7 @@
         'observe.loop',
         'observe.metrics',
         'observe.output',
+        'observe.process',
         'observe.supervise',
     }
 )
