Let a caller read the refusal of a body that it still sends

Callers saw (by reading; no play): a body that is refused for what others hold ends in a reset, as the connection is closed with unread bytes. Its caller does not learn that the request did not run.

Change: such a refusal is written at once, and what the caller goes on sending is dropped unparsed for up to 1 s, until it pauses. Bodies over the limit are closed as before.

Measured: two new tests of callers within the limits, 30 bodies of 4 MiB at once in 96 MB: each gets 200 or 503 with Retry-After and those with 503 did not run; a lone client afterwards is served.

--- a/src/dogwoodquay/entry/holdings.py
+++ b/src/dogwoodquay/entry/holdings.py
@@ -4,6 +4,8 @@
 
 import typing
 
+import anyio
+
 from ..inbound import api
 from ..inbound import budget as budgets
 
@@ -14,6 +16,10 @@
 
 __all__ = ['Holding', 'Releasable', 'STATE_KEY', 'of_scope']
 
+# How long a client may go on sending a request that was refused, and after
+# which pause it has ended.
+LINGER_SECONDS: typing.Final = 1.0
+QUIET_SECONDS: typing.Final = 0.1
 # The key of the holding in the state of a request's scope.
 STATE_KEY: typing.Final = 'holding'
 
@@ -50,6 +56,7 @@
         self._refused = False
         self._closed = False
         self._dropping = False
+        self._dropped_bytes = 0
         self._on_refused: abc.Callable[[], None] | None = None
         self._unwritten_bytes = 0
 
@@ -78,6 +85,8 @@
                 self._number, size, guard.head_deadline(), guard.now()
             )
         )
+        if self._dropping:
+            self._dropped_bytes += size
         return not (self._closed or self._dropping)
 
     def begin(self, fields: int, is_whole: bool) -> None:
@@ -97,6 +106,18 @@
         self._dropping = True
         self.advance(api.Phase.REFUSED)
 
+    async def linger(self) -> None:
+        """Wait while the client goes on sending, for a limited time.
+
+        Closing with unread bytes resets the connection, and the client would
+        lose the refusal.
+        """
+        ends_at = self._guard.now() + LINGER_SECONDS
+        before = -1
+        while before < self._dropped_bytes and self._guard.now() < ends_at:
+            before = self._dropped_bytes
+            await anyio.sleep(QUIET_SECONDS)
+
     def expect(self, length: int) -> bool:
         """Whether there is room for a body of a known length."""
         return self._budget.expect(self._number, length, self._guard.now())
@@ -173,6 +194,9 @@
     def drop_body(self) -> None:
         """Do nothing."""
 
+    async def linger(self) -> None:
+        """Do nothing."""
+
     def advance(self, phase: api.Phase) -> None:
         """Do nothing."""
 
--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -214,13 +214,21 @@
                 if close and not self._stop.begun:
                     request.holding.drop_body()
                 await answer.refuse(
-                    refusal, close, lambda: self._stop.discard_body(request)
+                    refusal, close, lambda: self._end_refused(request, refusal)
                 )
             case api.Call():
                 answer.resume_after(terms.last_event)
                 with self._stop.forwarding(found, answer):
                     await self._forward(found, request, answer)
 
+    async def _end_refused(
+        self, request: asgi.Request, refusal: api.Refusal
+    ) -> None:
+        """Take what a caller within the limits still sends."""
+        if refusal is reading.MEMORY_FULL and request.has_unread_body:
+            await request.holding.linger()
+        await self._stop.discard_body(request)
+
     async def _admit(
         self,
         request: asgi.Request,
--- a/tests/site/crowd.py
+++ b/tests/site/crowd.py
@@ -100,8 +100,12 @@
                 await crowd._connect()
             yield crowd
         finally:
-            for client in crowd._sockets:
-                client.close()
+            crowd.close()
+
+    def close(self) -> None:
+        """Close all connections."""
+        for client in self._sockets:
+            client.close()
 
     async def send(
         self, parts_of: abc.Callable[[int], abc.Iterable[bytes]]
@@ -142,6 +146,33 @@
             ]
         )
 
+    async def call(
+        self, request_of: abc.Callable[[int], bytes]
+    ) -> list[processes.Answer]:
+        """Send each client's request, then read the answers.
+
+        :param request_of: returns the request that a client with a number
+            sends.
+        """
+
+        async def call(client: socket.socket, data: bytes) -> processes.Answer:
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(client, data)
+            reader, writer = await asyncio.open_connection(
+                sock=client, limit=2 * len(data)
+            )
+            try:
+                return await processes.read_answer(reader)
+            finally:
+                writer.close()
+
+        return await asyncio.gather(
+            *(
+                call(client, request_of(number))
+                for number, client in enumerate(self._sockets)
+            )
+        )
+
     async def _connect(self) -> None:
         client = socket.socket()
         client.setblocking(False)
--- a/tests/site/server.py
+++ b/tests/site/server.py
@@ -86,7 +86,8 @@
     attempts that fail with a status, an answer of the server itself.
     ``notices`` are headers of all its answers, and ``pause`` the text by which
     it refuses all requests, reports and orders and asks for a pause.
-    ``padding`` ends the bodies of all plain answers.
+    Plain answers hold the body of their request if the server ``echoes``, and
+    end with ``padding``.
 
     :param version: the version of the software, which events then carry.
     """
@@ -122,6 +123,7 @@
         self._peer_ports: dict[str, int] = {}
         self.order_sources: list[tuple[str, int]] = []
         self.padding = b''
+        self.echoes = True
         self.events = 4
         self.event_seconds = 0.01
         self._store = store
@@ -315,7 +317,9 @@
             )
         await asyncio.sleep(0.005)
         body = f'{self._id} {request.method} {request.path} '.encode()
-        body += request.body + self.padding
+        if self.echoes:
+            body += request.body
+        body += self.padding
         pieces = self._pieces(attempt, body)
         return http.Answer(
             200, body, headers, pieces=pieces, unframed=self.unframed
--- a/tests/site/test_crowds.py
+++ b/tests/site/test_crowds.py
@@ -224,3 +224,43 @@
         """Each connection has 90 streams with unfinished bodies of 16 kB."""
         async with self._crowd(80) as (_, crowd):
             await crowd.send_http2(90, _PART[: 16 << 10])
+
+
+class WithinTheLimitsTest(_CrowdTest):
+    """Clients within the limits get answers."""
+
+    def _post(self, attempt: str, size: int) -> bytes:
+        fields = (f'Attempt-Id: {attempt}', f'Content-Length: {size}')
+        return crowds.head(*_POST, *fields) + bytes(size)
+
+    async def test_many_large_bodies(self) -> None:
+        """Each is answered; a refusal says that the request did not run."""
+        async with self._crowd(30) as (site, crowd):
+            site.desk.echoes = False
+            answers = await crowd.call(
+                lambda client: self._post(f'{client}', _BODY_BYTES)
+            )
+            served = [item for item in answers if item.status == 200]
+            refused = [item for item in answers if item.status == 503]
+            self.assertEqual(len(answers), len(served) + len(refused))
+            self.assertEqual(len(served), len(site.desk.executed_attempts))
+            self.assertTrue(served)
+            self.assertTrue(all('retry-after' in a.headers for a in refused))
+
+    async def test_one_after_the_other(self) -> None:
+        """A lone client is not refused, also after others were."""
+        async with self._crowd(30) as (site, crowd):
+            (instance,) = site.instances
+            site.desk.echoes = False
+            length = f'Content-Length: {_BODY_BYTES}'
+            parts = [crowds.head(*_POST, length), *[_PART] * 63]
+            await crowd.send(lambda _: parts)
+            crowd.close()
+            for number in range(4):
+                answer = await instance.call(
+                    '/plain/after',
+                    f'{number}',
+                    'POST',
+                    body=bytes(_BODY_BYTES),
+                )
+                self.assertEqual(200, answer.status)
