Serve some connections however much memory the process seems to use

Cause: by reading. The limit of connections follows from the memory that the process leaves; one that seems to use all would close each new connection.

Measured: tests.unit.inbound.test_capacity; on its new line fails by reading, it was not run there.

--- a/src/dogwoodquay/inbound/capacity.py
+++ b/src/dogwoodquay/inbound/capacity.py
@@ -10,6 +10,8 @@
 CONNECTION_BYTES: typing.Final = 24 << 10
 # Enough for one request with a large body and its answer.
 MIN_BUFFER_BYTES: typing.Final = 12 << 20
+# Served however much memory the process seems to use.
+MIN_CONNECTIONS: typing.Final = 256
 # The rest is for copies that are made while data is passed on, and for memory
 # that the allocator does not return.
 BUFFER_SHARE: typing.Final = 0.5
@@ -50,7 +52,8 @@
     @property
     def max_connections(self) -> float:
         """The number of connections that the memory is enough for."""
-        return self.left_bytes * CONNECTIONS_SHARE / CONNECTION_BYTES
+        count = self.left_bytes * CONNECTIONS_SHARE / CONNECTION_BYTES
+        return max(count, MIN_CONNECTIONS)
 
     def buffer_bytes(self, connections: int) -> float:
         """Return what may be held of requests and answers."""
--- a/tests/unit/inbound/test_capacity.py
+++ b/tests/unit/inbound/test_capacity.py
@@ -51,6 +51,7 @@
         """Even if the process seems to use all memory."""
         self.use.measure(400 * _MB, 0, 0)
         self.assertGreaterEqual(self.use.buffer_bytes(1000), 8 << 20)
+        self.assertGreaterEqual(self.use.max_connections, 100)
 
     def test_no_limit(self) -> None:
         """All may be held."""
