Close races at the end of a connection, and test a stop beside such clients

Cause: reading the change again. A connection that was closed at once had no parser yet to be dropped, bytes that arrive after the end of a cancelled one met an account that is gone, and the address of a peer that has left is none.

--- a/src/dogwoodquay/entry/connections.py
+++ b/src/dogwoodquay/entry/connections.py
@@ -165,8 +165,6 @@
                 await self.run()
         finally:
             self._holding.forget()
-            # Breaks the reference cycle with the parser and its buffers.
-            del self.protocol, self._protocol
 
     async def _close(self) -> None:
         # Waits for what is left to be written.
--- a/src/dogwoodquay/entry/holdings.py
+++ b/src/dogwoodquay/entry/holdings.py
@@ -79,6 +79,8 @@
 
         :return: whether they are of use, as the connection is not closed.
         """
+        if self._closed:
+            return False
         guard = self._guard
         guard.apply(
             self._budget.receive(
@@ -161,6 +163,7 @@
 
     def forget(self) -> None:
         """Stop counting the connection, which is closed."""
+        self._closed = True
         self._guard.unwatch(self)
         self._guard.forget(self._number)
 
--- a/src/dogwoodquay/wire/unauthenticated.py
+++ b/src/dogwoodquay/wire/unauthenticated.py
@@ -38,7 +38,9 @@
             oldest = next(iter(self._connections))
             del self._connections[oldest]
             oldest.transport.abort()
-            self._on_closed(str(oldest.remote_address[0]))
+            # A peer that has gone has no address any more.
+            address, *_ = oldest.remote_address or ('',)
+            self._on_closed(str(address))
 
     def discard(self, connection: object) -> None:
         """Stop counting a connection."""
--- a/tests/site/test_crowds.py
+++ b/tests/site/test_crowds.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import itertools
+import signal
 import typing
 import unittest
 
@@ -264,3 +265,31 @@
                     body=bytes(_BODY_BYTES),
                 )
                 self.assertEqual(200, answer.status)
+
+
+class PlannedStopTest(_CrowdTest):
+    """A planned stop does not wait for clients that do not go on."""
+
+    async def test_ends(self) -> None:
+        """Some have sent half a request, some do not read their answer."""
+        async with (
+            asyncio.timeout(_TEST_TIMEOUT_SECONDS),
+            crowds.limited_site(
+                _MEMORY_MB,
+                self.max_descriptors,
+                processes.manifest(1) | {'Limits': self.limits},
+            ) as site,
+        ):
+            (instance,) = site.instances
+            site.desk.padding = b'x' * _LARGE_BYTES
+            async with crowds.Crowd.connected(
+                instance, instance.port, 12
+            ) as crowd:
+                requests = (
+                    crowds.head(*_POST, _ONE_GB[:-3]) + _PART,
+                    crowds.head(*_POST)[:-2],
+                    crowds.head('GET', '/plain/crowd', 'Attempt-Id: 1') * 20,
+                )
+                await crowd.send(lambda client: [requests[client % 3]])
+                instance.process.send_signal(signal.SIGTERM)
+                self.assertEqual(0, await instance.wait_stopped())
