Name the client of a refusal for memory, and give times a minimum

The line of a refusal at the head named no client; an operator with a short idle time would have cut answers after that time; the runtime grew by what shows the gauges.

Change: the refusal's detail has the client's address; a head has 6 s and an unread answer 15 s at least; the gauges are in metrics.

--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -225,7 +225,8 @@
         self, request: asgi.Request, refusal: api.Refusal
     ) -> None:
         """Take what a caller within the limits still sends."""
-        if refusal is reading.MEMORY_FULL and request.has_unread_body:
+        full = refusal.reason is api.RefusalReason.MEMORY_FULL
+        if full and request.has_unread_body:
             await request.holding.linger()
         await self._stop.discard_body(request)
 
@@ -398,7 +399,7 @@
         if answer.started:
             return results.Cut(reason.value)
         if request.holding.is_refused and not answer.trace.attempts:
-            return reading.MEMORY_FULL
+            return reading.memory_full(request)
         if answer.trace.stopped and not answer.trace.attempts:
             return _STOPPING
         return api.Refusal(reason, _GATEWAY_TIMEOUT)
@@ -406,7 +407,9 @@
 
 def _ended_refusal(request: asgi.Request) -> api.Refusal:
     """Return why a request was ended before it was forwarded."""
-    return reading.MEMORY_FULL if request.holding.is_refused else _STOPPING
+    if request.holding.is_refused:
+        return reading.memory_full(request)
+    return _STOPPING
 
 
 def _may_have_run(
--- a/src/dogwoodquay/gateway/metrics.py
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -9,6 +9,9 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
+    from ..entry import guard as guards
+    from ..wire import traffic
+
 __all__ = ['GatewayMetrics']
 
 
@@ -183,6 +186,23 @@
         """Add a gauge that is read on each scrape."""
         self._registry.gauge(name, doc, read)
 
+    def watch_clients(
+        self, guard: guards.ConnectionGuard, peers: traffic.Traffic
+    ) -> None:
+        """Show what clients hold, and which peers were refused."""
+        for name, doc, read in (
+            ('held_bytes', 'Held of requests and answers', guard.held),
+            ('limit_bytes', 'Limit of what is held', guard.limit),
+            ('connections', 'Open connections', guard.count),
+        ):
+            self.gauge(f'gateway_clients_{name}', doc, read)
+        self._registry.labelled_gauge(
+            'gateway_peers_refused',
+            'Connections of peers refused',
+            'reason',
+            lambda: peers.refused,
+        )
+
     def released(self, reason: str, phase: str) -> None:
         """Count a connection or request that was given up for a limit."""
         self._released.add(reason, phase)
--- a/src/dogwoodquay/gateway/reading.py
+++ b/src/dogwoodquay/gateway/reading.py
@@ -15,15 +15,13 @@
     from ..routes import api as routes_api
     from ..routes import table
 
-__all__ = ['MEMORY_FULL', 'check', 'host', 'read_body', 'target']
+__all__ = ['check', 'host', 'memory_full', 'read_body', 'target']
 
 _BAD_REQUEST: typing.Final = 400
 _REQUEST_TIMEOUT: typing.Final = 408
 _TOO_LARGE: typing.Final = 413
 _HEADERS_TOO_LARGE: typing.Final = 431
-MEMORY_FULL: typing.Final = api.Refusal(
-    api.RefusalReason.MEMORY_FULL, 503, api.OTHER_INSTANCE_RETRY_SECONDS
-)
+_UNAVAILABLE: typing.Final = 503
 # The least time for a body, also where the limit for headers is shorter.
 BODY_TIMEOUT_SECONDS: typing.Final = 3.0
 
@@ -60,6 +58,16 @@
     return api.Refusal(api.RefusalReason.BODY_TOO_LARGE, _TOO_LARGE)
 
 
+def memory_full(request: asgi.Request) -> api.Refusal:
+    """Return the refusal of a request as clients hold too much."""
+    return api.Refusal(
+        api.RefusalReason.MEMORY_FULL,
+        _UNAVAILABLE,
+        api.OTHER_INSTANCE_RETRY_SECONDS,
+        f'client {request.holding.client}',
+    )
+
+
 async def read_body(
     request: asgi.Request, limits: routes_api.CallerLimits
 ) -> parts.Body | api.Refusal | None:
@@ -67,7 +75,7 @@
     body = parts.Parts()
     length = request.header(b'content-length')
     if length and not request.holding.expect(int(length)):
-        return MEMORY_FULL
+        return memory_full(request)
     timeout = max(limits.header_timeout_seconds, BODY_TIMEOUT_SECONDS)
     with anyio.move_on_after(timeout if request.has_unread_body else math.inf):
         while True:
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -61,8 +61,10 @@
 
 UPSTREAM_IDLE_SECONDS: typing.Final = 60.0
 CONNECT_SECONDS: typing.Final = 0.4
-# The time for a head is stretched, as this instance may have been held up.
-HEAD_TIME_FACTOR: typing.Final = 2.0
+# The times for heads and unread answers, also where the configuration gives
+# clients less: this instance or a link may be what holds them up.
+MIN_HEAD_SECONDS: typing.Final = 6.0
+MIN_WRITE_SECONDS: typing.Final = 15.0
 STOP_POLL_SECONDS: typing.Final = 0.05
 # Retries of each instance beyond its share; those of all instances together
 # stay below the slack of the smallest deployments.
@@ -307,26 +309,10 @@
             self._stopping.is_set,
         )
         self._health = health.HealthApp(ready.reason, self._metrics_page)
-        self._register_gauges()
+        metrics.watch_clients(self._guard, self._peers.traffic)
         self._peering.attach(self._scheduler, self._configuration)
         self._notices.on_change(self._on_notice)
 
-    def _register_gauges(self) -> None:
-        """Show what clients hold, and which peers were refused."""
-        guard = self._guard
-        for name, doc, read in (
-            ('held_bytes', 'Held of requests and answers', guard.held),
-            ('limit_bytes', 'Limit of what is held', guard.limit),
-            ('connections', 'Open connections', guard.count),
-        ):
-            self._metrics_page.gauge(f'gateway_clients_{name}', doc, read)
-        self._metrics_page.labelled_gauge(
-            'gateway_peers_refused',
-            'Connections of peers refused',
-            'reason',
-            lambda: self._peers.traffic.refused,
-        )
-
     def _build_app(
         self, adapters: platform_adapters.PlatformAdapters
     ) -> apps.GatewayApp:
@@ -394,8 +380,8 @@
         limits = configuration.limits
         self._callers.limit_heads(limits.max_header_bytes)
         self._guard.set_times(
-            limits.header_timeout_seconds * HEAD_TIME_FACTOR,
-            limits.idle_timeout_seconds,
+            max(limits.header_timeout_seconds * 2, MIN_HEAD_SECONDS),
+            max(limits.idle_timeout_seconds, MIN_WRITE_SECONDS),
         )
         self._peering.publish_soon()
         self._release_held()
