Show a sound route that is refused for good after one crash of its servers

A case adds a route with a prompt part of its own and lets all three model servers crash once before an answer with that part is complete.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,96 +1,108 @@
-"""The key of a requester moves to another tenant while its streams run."""
+"""All model servers crash just after a route with its own prompt began."""
 
 from __future__ import annotations
 
 import asyncio
+import time
 import typing
 
+from standin3 import engine as engines
 from standin3 import site as sites
 from tests.site import processes
 from tests.site import server as servers
-from tests.site import streams
-from tests.site import versions
 
 _GATEWAYS: typing.Final = 3
-_STREAMS: typing.Final = 24
-_LISTED_SECONDS: typing.Final = 18.0
-_APPLY_SECONDS: typing.Final = 2.5
-_MOST_MIXED: typing.Final = 2
-_KEY: typing.Final = 'counter-key'
+_DOWN_SECONDS: typing.Final = 4.5
+# Between two requests of a route.
+_PAUSE_SECONDS: typing.Final = 0.06
+_STEADY_FROM: typing.Final = 22.0
+_STEADY_UNTIL: typing.Final = 32.0
+_FIRST: typing.Final = '/stream/'
+_ADDED: typing.Final = '/added/'
+_PROMPTS: typing.Final = {_FIRST: 'c0ffee01', _ADDED: 'beef0002'}
 
 
-def _manifest(version: int, tenant: str) -> dict[str, typing.Any]:
-    content = versions._configuration()
-    content['Version'] = version
-    content['Tenants'] = [{'Name': tenant, 'ApiKeys': [_KEY]}]
+def _manifest(version: int) -> dict[str, typing.Any]:
+    added = processes.route(
+        _ADDED, 'engines', Type='streaming', Resumable=True
+    )
+    more = (added,) if version > 1 else ()
+    content = typing.cast(
+        'dict[str, typing.Any]', processes.manifest(version, *more)
+    )
+    content['Services'][1]['Engine'] |= {'Slots': 64, 'KvCapacity': 100_000}
+    for route in content['Routes'][1:]:
+        route['MaxAttempts'] = 2
     return content
 
 
-def _add(site: sites.Site) -> None:
-    site.servers = [servers.Server(site.store, 'd1', 'desk')]
-    for name, version, zone in versions.TWO_OF_EACH:
-        engine = servers.Server(
-            site.store,
-            name,
-            'engines',
-            'loaded',
-            slots=64,
-            version=version,
-            zone=zone,
-        )
-        engine.events = 40
-        engine.event_seconds = 0.2
-        site.servers.append(engine)
+async def run(record: sites.Record) -> int:
+    """Run the case."""
+    found: list[engines.Engine] = []
+    steady: dict[str, list[int]] = {_FIRST: [], _ADDED: []}
 
+    def add(site: sites.Site) -> None:
+        for name in ('e1', 'e2', 'e3'):
+            engine = engines.Engine(
+                site.store,
+                name,
+                record.write,
+                'loaded',
+                load_seconds=0.3,
+                slots=64,
+            )
+            engine.events, engine.event_seconds = 10, 0.15
+            found.append(engine)
+        site.servers = [servers.Server(site.store, 'd1', 'desk'), *found]
 
-class _Stream(streams.Stream):
-    """A stream of a requester with a key."""
+    async with sites.Site.running(_GATEWAYS, _manifest(1), add) as site:
+        began = time.monotonic()
+        tasks: set[asyncio.Task[None]] = set()
 
-    async def _exchange(self, port: int, head: bytes, attempt: str) -> None:
-        head = head[:-2] + f'Api-Key: {_KEY}\r\n\r\n'.encode()
-        await super()._exchange(port, head, attempt)
+        async def ask(prefix: str, number: int) -> None:
+            sent_at = time.monotonic() - began
+            name = f'{prefix.strip("/")}-{number}'
+            prompt = f'Prompt-Prefix: {_PROMPTS[prefix]}:100,{number:x}:10\r\n'
+            try:
+                answer = await site.gateways[number % _GATEWAYS].call(
+                    f'{prefix}{number}', name, 'POST', 'loaded', prompt
+                )
+                status = answer.status if answer.complete else 0
+            except (OSError, EOFError):
+                status = 0
+            if sent_at >= _STEADY_FROM:
+                steady[prefix].append(status)
+            record.write(f'{name} sent at {sent_at:.2f}: {status}')
 
+        async def send(prefix: str, since: float) -> None:
+            await asyncio.sleep(since - (time.monotonic() - began))
+            number = 0
+            while time.monotonic() - began < _STEADY_UNTIL:
+                number += 1
+                tasks.add(asyncio.create_task(ask(prefix, number)))
+                await asyncio.sleep(_PAUSE_SECONDS)
 
-async def run(record: sites.Record) -> int:
-    """Run the case."""
-    first = _manifest(1, 'lakeshore')
-    async with sites.Site.running(_GATEWAYS, first, _add) as site:
-        await asyncio.sleep(_LISTED_SECONDS)
-        found = [
-            _Stream(f's{number}', '/stream/x', versions.LIMIT_SECONDS)
-            for number in range(_STREAMS)
+        sending = [
+            asyncio.create_task(send(_FIRST, 0.0)),
+            asyncio.create_task(send(_ADDED, 8.0)),
         ]
-        for stream in found:
-            stream.start(site.gateways[0])
-            await asyncio.sleep(0.02)
-        await asyncio.gather(*(stream.wait_event() for stream in found))
-        record.write('all streams have begun at front-0')
+        await asyncio.sleep(5.0)
+        site.store.put('keyed.op', 'config', _manifest(2))
+        record.write('version 2 adds a route')
+        await asyncio.sleep(8.8 - (time.monotonic() - began))
         if sites.TROUBLE:
-            site.store.put(
-                'keyed.op', 'config', _manifest(2, 'lakeshore-cobblers')
-            )
-            record.write('version 2: the key belongs to another tenant')
-        await asyncio.sleep(_APPLY_SECONDS)
-        for stream in found:
-            await stream.reset()
-        record.write('all requesters lose their connections')
-        await asyncio.gather(*(stream.ended() for stream in found))
-        for stream in found:
-            record.write(stream.story)
-        await asyncio.gather(
-            *(
-                stream.take_up([site.gateways[1 + number % 2]])
-                for number, stream in enumerate(found)
+            await asyncio.gather(*(e.crash(_DOWN_SECONDS) for e in found))
+        await asyncio.gather(*sending)
+        await asyncio.gather(*tasks)
+        share = {}
+        for prefix, statuses in steady.items():
+            served = statuses.count(200)
+            share[prefix] = served / len(statuses)
+            record.write(
+                f'steady state, {prefix}: {served} of {len(statuses)} served'
             )
-        )
-        record.write('all streams have been taken up at the others')
-        for stream in found:
-            record.write(stream.story)
-        mixed = [item for item in found if len(item.versions) > 1]
-        on = [item for item in found if item.answered]
-        record.write(f'went on: {len(on)} of {len(found)}')
-        record.write(f'events of two versions: {len(mixed)} (at most 2)')
-    return sites.BROKEN if len(mixed) > _MOST_MIXED else sites.HELD
+    first, added = share[_FIRST], share[_ADDED]
+    return sites.BROKEN if added < first / 4 else sites.HELD
 
 
 sites.main('review/11', run)
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""Streams of which nothing is written, when all gateways are killed."""
+"""The key of a requester moves to another tenant while its streams run."""
 
 from __future__ import annotations
 
@@ -12,19 +12,23 @@
 from tests.site import versions
 
 _GATEWAYS: typing.Final = 3
-_STREAMS: typing.Final = 60
-_LISTED_SECONDS: typing.Final = 17.0
-_PAUSE_SECONDS: typing.Final = 3
+_STREAMS: typing.Final = 24
+_LISTED_SECONDS: typing.Final = 18.0
+_APPLY_SECONDS: typing.Final = 2.5
 _MOST_MIXED: typing.Final = 2
+_KEY: typing.Final = 'counter-key'
+
+
+def _manifest(version: int, tenant: str) -> dict[str, typing.Any]:
+    content = versions._configuration()
+    content['Version'] = version
+    content['Tenants'] = [{'Name': tenant, 'ApiKeys': [_KEY]}]
+    return content
 
 
 def _add(site: sites.Site) -> None:
     site.servers = [servers.Server(site.store, 'd1', 'desk')]
-    for name, version, zone in (
-        ('a1', 'v1', 'zone-1'),
-        ('a2', 'v1', 'zone-2'),
-        ('b1', 'v2', 'zone-1'),
-    ):
+    for name, version, zone in versions.TWO_OF_EACH:
         engine = servers.Server(
             site.store,
             name,
@@ -34,59 +38,52 @@
             version=version,
             zone=zone,
         )
-        engine.events = 20
+        engine.events = 40
         engine.event_seconds = 0.2
         site.servers.append(engine)
 
 
+class _Stream(streams.Stream):
+    """A stream of a requester with a key."""
+
+    async def _exchange(self, port: int, head: bytes, attempt: str) -> None:
+        head = head[:-2] + f'Api-Key: {_KEY}\r\n\r\n'.encode()
+        await super()._exchange(port, head, attempt)
+
+
 async def run(record: sites.Record) -> int:
     """Run the case."""
-    manifest = versions._configuration()
-    async with sites.Site.running(_GATEWAYS, manifest, _add) as site:
+    first = _manifest(1, 'lakeshore')
+    async with sites.Site.running(_GATEWAYS, first, _add) as site:
         await asyncio.sleep(_LISTED_SECONDS)
-        if sites.TROUBLE:
-            site.store.unavailable = True
-            record.write('the store is down')
-        await asyncio.sleep(0.5)
-        new = site.servers[-1]
-        new.pause = str(_PAUSE_SECONDS)
-        paused_until = asyncio.get_running_loop().time() + _PAUSE_SECONDS
-        record.write('b1 (v2) answers 503 with Retry-After: 3')
         found = [
-            streams.Stream(f's{number}', '/stream/x', versions.LIMIT_SECONDS)
+            _Stream(f's{number}', '/stream/x', versions.LIMIT_SECONDS)
             for number in range(_STREAMS)
         ]
-        for number, stream in enumerate(found):
-            stream.start(site.gateways[number % _GATEWAYS])
-            await asyncio.sleep(0.025)
+        for stream in found:
+            stream.start(site.gateways[0])
+            await asyncio.sleep(0.02)
         await asyncio.gather(*(stream.wait_event() for stream in found))
-        record.write('all streams have begun')
+        record.write('all streams have begun at front-0')
         if sites.TROUBLE:
-            await asyncio.sleep(0.3)
-            await site.kill_all()
-            record.write('all gateways are killed')
-        else:
-            for stream in found:
-                await stream.reset()
-            record.write('all requesters lose their connections')
+            site.store.put(
+                'keyed.op', 'config', _manifest(2, 'lakeshore-cobblers')
+            )
+            record.write('version 2: the key belongs to another tenant')
+        await asyncio.sleep(_APPLY_SECONDS)
+        for stream in found:
+            await stream.reset()
+        record.write('all requesters lose their connections')
         await asyncio.gather(*(stream.ended() for stream in found))
         for stream in found:
             record.write(stream.story)
-        site.store.unavailable = False
-        record.write('the store is back')
-        await asyncio.sleep(paused_until - asyncio.get_running_loop().time())
-        new.pause = None
-        record.write('b1 takes requests, as its pause has ended')
-        if sites.TROUBLE:
-            await site.start_all()
-            record.write('all gateways are ready again')
         await asyncio.gather(
             *(
-                stream.take_up([site.gateways[(number + 1) % _GATEWAYS]])
+                stream.take_up([site.gateways[1 + number % 2]])
                 for number, stream in enumerate(found)
             )
         )
-        record.write('all streams have been taken up')
+        record.write('all streams have been taken up at the others')
         for stream in found:
             record.write(stream.story)
         mixed = [item for item in found if len(item.versions) > 1]
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,78 +1,81 @@
-"""The key of requesters moves to another tenant while requests wait."""
+"""A request crashes servers that start again under the ids they had."""
 
 from __future__ import annotations
 
 import asyncio
-import collections
+import time
 import typing
 
-from standin3 import desk as desks
+from standin3 import crasher
 from standin3 import site as sites
 from tests.site import processes
 
-_GATEWAYS: typing.Final = 2
-_REQUESTS: typing.Final = 60
-_KEY: typing.Final = 'counter-key'
-_OWN_4XX: typing.Final = frozenset({401, 403, 404})
-
-
-def _manifest(version: int, tenant: str) -> dict[str, typing.Any]:
-    content = typing.cast('dict[str, typing.Any]', processes.manifest(version))
-    content['Tenants'] = [{'Name': tenant, 'ApiKeys': [_KEY]}]
-    return content
+_DEADLY: typing.Final = b'this body crashes the server'
+_DOWN_SECONDS: typing.Final = 2.0
+_RUN_SECONDS: typing.Final = 45.0
+_CONTACT_SECONDS: typing.Final = 3.0
+_MOST_ARRIVALS: typing.Final = 3
 
 
 async def run(record: sites.Record) -> int:
     """Run the case."""
-    found: list[desks.Desk] = []
+    desks: list[crasher.Crasher] = []
+    sound: list[tuple[int, int]] = []
 
     def add(site: sites.Site) -> None:
-        found.extend(
-            desks.Desk(site.store, name, 4, 0.25) for name in ('d1', 'd2')
+        body = _DEADLY if sites.TROUBLE else b''
+        desks.extend(
+            crasher.Crasher(
+                site.store, name, body, _DOWN_SECONDS, record.write
+            )
+            for name in ('d1', 'd2')
         )
-        site.servers = list(found)
+        site.servers = list(desks)
+
+    async with sites.Site.running(3, processes.manifest(1), add) as site:
+        until = time.monotonic() + _RUN_SECONDS
 
-    first = _manifest(1, 'lakeshore')
-    async with sites.Site.running(_GATEWAYS, first, add) as site:
-        await asyncio.sleep(4.0)
+        async def ask_sound() -> None:
+            number = 0
+            while time.monotonic() < until:
+                number += 1
+                gateway = site.gateways[number % 3]
+                try:
+                    answer = await gateway.call(
+                        f'/plain/sound-{number}', f'sound-{number}'
+                    )
+                    sound.append((number, answer.status))
+                except (OSError, EOFError):
+                    sound.append((number, 0))
+                await asyncio.sleep(0.1)
 
-        async def ask(number: int) -> int:
-            name = f'r{number}'
-            gateway = site.gateways[number % _GATEWAYS]
+        asking = asyncio.create_task(ask_sound())
+        number = 0
+        while time.monotonic() < until:
+            await asyncio.sleep(1.0)
+            number += 1
+            name = f'deadly-{number}'
             try:
-                answer = await gateway.call(
-                    f'/plain/{number}', name, more=f'Api-Key: {_KEY}\r\n'
+                answer = await site.gateways[number % 3].call(
+                    '/plain/deadly', name, 'POST', body=_DEADLY
                 )
+                record.write(f'{name}: {answer.status}')
             except (OSError, EOFError) as error:
                 record.write(f'{name}: {type(error).__name__}')
-                return 0
-            tenant = next(
-                (item.tenants[name] for item in found if name in item.tenants),
-                'not run',
-            )
-            record.write(f'{name}: {answer.status}, tenant {tenant}')
-            return answer.status
-
-        asking = [
-            asyncio.create_task(ask(number)) for number in range(_REQUESTS)
-        ]
-        record.write(f'{_REQUESTS} requests are sent')
-        await asyncio.sleep(0.2)
-        if sites.TROUBLE:
-            site.store.put(
-                'keyed.op', 'config', _manifest(2, 'lakeshore-cobblers')
-            )
-            record.write('version 2: the key belongs to another tenant')
-        statuses = await asyncio.gather(*asking)
-        await asyncio.sleep(2.5)
-        later = [await ask(_REQUESTS + number) for number in range(4)]
-        record.write(f'after the change, the key gets {later}')
-        counts = collections.Counter(statuses)
-        record.write(f'statuses: {dict(counts)}')
-        denied = sum(counts[status] for status in _OWN_4XX)
-        most = 5 + (_REQUESTS + len(later)) / 500
-        record.write(f'denied: {denied} (at most {most:.2f})')
-    return sites.BROKEN if denied > most else sites.HELD
+        await asking
+        runs = sorted(at for desk in desks for at in desk.deadly_runs)
+        crashes = sorted(at for desk in desks for at in desk.crashes)
+        late: list[float] = []
+        if len(crashes) >= 3:
+            late = [at for at in runs if at > crashes[2] + _CONTACT_SECONDS]
+        served = sum(status == 200 for _, status in sound)
+        record.write(f'crashes: {len(crashes)}')
+        record.write(
+            'arrivals of the request later than ContactMs after the third '
+            f'crash: {len(late)} (at most {_MOST_ARRIVALS})'
+        )
+        record.write(f'sound requests answered 200: {served} of {len(sound)}')
+    return sites.BROKEN if len(late) > _MOST_ARRIVALS else sites.HELD
 
 
 sites.main('review/14', run)
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,84 +1,78 @@
-"""A lost order reaches the next process of a server that was delisted."""
+"""The key of requesters moves to another tenant while requests wait."""
 
 from __future__ import annotations
 
 import asyncio
+import collections
 import typing
 
-from standin3 import engine as engines
+from standin3 import desk as desks
 from standin3 import site as sites
 from tests.site import processes
-from tests.site import server as servers
 
-_SIZES: typing.Final = {'small-1': 40.0, 'small-2': 40.0, 'large': 80.0}
-_MEMORY: typing.Final = 100.0
-_LATE_SECONDS: typing.Final = 11.0
-_DOWN_SECONDS: typing.Final = 4.5
+_GATEWAYS: typing.Final = 2
+_REQUESTS: typing.Final = 60
+_KEY: typing.Final = 'counter-key'
+_OWN_4XX: typing.Final = frozenset({401, 403, 404})
 
 
-def _manifest() -> dict[str, typing.Any]:
-    content = typing.cast('dict[str, typing.Any]', processes.manifest(1))
-    engine = content['Services'][1]['Engine']
-    engine['Models'] = [
-        {'Name': name, 'WeightsMb': size, 'LoadTimeS': 0.5}
-        for name, size in _SIZES.items()
-    ]
-    content['Routes'][1]['TimeoutMs'] = 4000
+def _manifest(version: int, tenant: str) -> dict[str, typing.Any]:
+    content = typing.cast('dict[str, typing.Any]', processes.manifest(version))
+    content['Tenants'] = [{'Name': tenant, 'ApiKeys': [_KEY]}]
     return content
 
 
 async def run(record: sites.Record) -> int:
     """Run the case."""
-    found: list[engines.Engine] = []
+    found: list[desks.Desk] = []
 
     def add(site: sites.Site) -> None:
-        found.append(
-            engines.Engine(
-                site.store,
-                'e1',
-                _SIZES,
-                _MEMORY,
-                record.write,
-                load_seconds=0.5,
-            )
+        found.extend(
+            desks.Desk(site.store, name, 4, 0.25) for name in ('d1', 'd2')
         )
-        site.servers = [servers.Server(site.store, 'd1', 'desk'), *found]
+        site.servers = list(found)
 
-    async with sites.Site.running(2, _manifest(), add) as site:
-        engine = found[0]
-        numbers = iter(range(1000))
+    first = _manifest(1, 'lakeshore')
+    async with sites.Site.running(_GATEWAYS, first, add) as site:
+        await asyncio.sleep(4.0)
 
-        async def ask(model: str) -> int:
-            name = f'{model}-{next(numbers)}'
+        async def ask(number: int) -> int:
+            name = f'r{number}'
+            gateway = site.gateways[number % _GATEWAYS]
             try:
-                answer = await site.gateways[0].call(
-                    '/stream/x', name, 'POST', model
+                answer = await gateway.call(
+                    f'/plain/{number}', name, more=f'Api-Key: {_KEY}\r\n'
                 )
             except (OSError, EOFError) as error:
                 record.write(f'{name}: {type(error).__name__}')
                 return 0
-            record.write(f'{name}: {answer.status}')
+            tenant = next(
+                (item.tenants[name] for item in found if name in item.tenants),
+                'not run',
+            )
+            record.write(f'{name}: {answer.status}, tenant {tenant}')
             return answer.status
 
-        async def ask_until_served(model: str) -> None:
-            while await ask(model) != 200:
-                await asyncio.sleep(0.3)
-
-        await ask_until_served('small-1')
+        asking = [
+            asyncio.create_task(ask(number)) for number in range(_REQUESTS)
+        ]
+        record.write(f'{_REQUESTS} requests are sent')
+        await asyncio.sleep(0.2)
         if sites.TROUBLE:
-            engine.late, engine.late_seconds = 'small-2', _LATE_SECONDS
-        lost_at = asyncio.get_running_loop().time()
-        await ask_until_served('small-2')
-        await asyncio.sleep(0.5)
-        if sites.TROUBLE:
-            await engine.crash(_DOWN_SECONDS)
-        else:
-            await asyncio.sleep(_DOWN_SECONDS)
-        while asyncio.get_running_loop().time() < lost_at + 13.5:
-            await ask('large')
-            await asyncio.sleep(0.25)
-        record.write(f'orders beyond the memory: {len(engine.overloads)}')
-    return sites.BROKEN if found[0].overloads else sites.HELD
+            site.store.put(
+                'keyed.op', 'config', _manifest(2, 'lakeshore-cobblers')
+            )
+            record.write('version 2: the key belongs to another tenant')
+        statuses = await asyncio.gather(*asking)
+        await asyncio.sleep(2.5)
+        later = [await ask(_REQUESTS + number) for number in range(4)]
+        record.write(f'after the change, the key gets {later}')
+        counts = collections.Counter(statuses)
+        record.write(f'statuses: {dict(counts)}')
+        denied = sum(counts[status] for status in _OWN_4XX)
+        most = 5 + (_REQUESTS + len(later)) / 500
+        record.write(f'denied: {denied} (at most {most:.2f})')
+    return sites.BROKEN if denied > most else sites.HELD
 
 
 sites.main('review/15', run)
