Show sound requests that are refused for good beside a deadly prompt part

Case 11 sends requests with a part that crashes servers to a route that was quiet, and takes the place of the crash of all servers.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,4 @@
-"""All model servers crash just after a route with its own prompt began."""
+"""Servers crash under one part of a prompt; what else it holds is refused."""
 
 from __future__ import annotations
 
@@ -6,103 +6,108 @@
 import time
 import typing
 
-from standin3 import engine as engines
 from standin3 import site as sites
+from tests.site import crashes
 from tests.site import processes
 from tests.site import server as servers
 
 _GATEWAYS: typing.Final = 3
-_DOWN_SECONDS: typing.Final = 4.5
-# Between two requests of a route.
-_PAUSE_SECONDS: typing.Final = 0.06
-_STEADY_FROM: typing.Final = 22.0
-_STEADY_UNTIL: typing.Final = 32.0
-_FIRST: typing.Final = '/stream/'
-_ADDED: typing.Final = '/added/'
-_PROMPTS: typing.Final = {_FIRST: 'c0ffee01', _ADDED: 'beef0002'}
+_ENGINES: typing.Final = 3
+# The first part of all prompts, and the one that crashes servers.
+_FIRST_PART: typing.Final = '1c0ffee1'
+_DEADLY_PART: typing.Final = 'feedbad2'
+_DOWN_SECONDS: typing.Final = 2.0
+# Sound requests are sent until the first time and from the second one on.
+_QUIET_FROM: typing.Final = 6.0
+_QUIET_UNTIL: typing.Final = 68.0
+_DEADLY_FROM: typing.Final = 68.5
+_DEADLY_PAUSE_SECONDS: typing.Final = 1.0
+_END: typing.Final = 90.0
+_SOUND_PAUSE_SECONDS: typing.Final = 0.12
+_CONTACT_SECONDS: typing.Final = 3.0
+_FIFTH: typing.Final = 5
 
 
-def _manifest(version: int) -> dict[str, typing.Any]:
-    added = processes.route(
-        _ADDED, 'engines', Type='streaming', Resumable=True
-    )
-    more = (added,) if version > 1 else ()
-    content = typing.cast(
-        'dict[str, typing.Any]', processes.manifest(version, *more)
-    )
-    content['Services'][1]['Engine'] |= {'Slots': 64, 'KvCapacity': 100_000}
-    for route in content['Routes'][1:]:
-        route['MaxAttempts'] = 2
+def _manifest() -> dict[str, typing.Any]:
+    content = typing.cast('dict[str, typing.Any]', processes.manifest(1))
+    content['Services'][1]['Engine'] |= {'Slots': 16, 'KvCapacity': 100_000}
+    content['Routes'][1] |= {'MaxAttempts': 2, 'TimeoutMs': 12_000}
     return content
 
 
 async def run(record: sites.Record) -> int:
     """Run the case."""
-    found: list[engines.Engine] = []
-    steady: dict[str, list[int]] = {_FIRST: [], _ADDED: []}
+    crashes.RESTART_SECONDS = _DOWN_SECONDS
+    noted = crashes.CrashRecord(part=_DEADLY_PART if sites.TROUBLE else '')
+    engines: list[crashes.CrashingServer] = []
+    # Times of sending, and whether the stream began at the first attempt.
+    sound: list[tuple[float, bool]] = []
+    deadly: list[float] = []
 
     def add(site: sites.Site) -> None:
-        for name in ('e1', 'e2', 'e3'):
-            engine = engines.Engine(
-                site.store,
-                name,
-                record.write,
-                'loaded',
-                load_seconds=0.3,
-                slots=64,
-            )
-            engine.events, engine.event_seconds = 10, 0.15
-            found.append(engine)
-        site.servers = [servers.Server(site.store, 'd1', 'desk'), *found]
+        for number in range(_ENGINES):
+            engine = crashes.CrashingServer(site.store, f'e{number}', noted)
+            engine.events, engine.event_seconds = 20, 0.15
+            engines.append(engine)
+        site.servers = [servers.Server(site.store, 'd1', 'desk'), *engines]
 
-    async with sites.Site.running(_GATEWAYS, _manifest(1), add) as site:
+    async with sites.Site.running(_GATEWAYS, _manifest(), add) as site:
         began = time.monotonic()
         tasks: set[asyncio.Task[None]] = set()
 
-        async def ask(prefix: str, number: int) -> None:
+        async def ask(name: str, number: int, parts: str) -> None:
             sent_at = time.monotonic() - began
-            name = f'{prefix.strip("/")}-{number}'
-            prompt = f'Prompt-Prefix: {_PROMPTS[prefix]}:100,{number:x}:10\r\n'
+            prompt = f'Prompt-Prefix: {parts},{number:x}:10\r\n'
             try:
                 answer = await site.gateways[number % _GATEWAYS].call(
-                    f'{prefix}{number}', name, 'POST', 'loaded', prompt
+                    f'/stream/{name}', name, 'POST', 'loaded', prompt
                 )
-                status = answer.status if answer.complete else 0
+                status = answer.status
             except (OSError, EOFError):
                 status = 0
-            if sent_at >= _STEADY_FROM:
-                steady[prefix].append(status)
+            if name.startswith('sound'):
+                sound.append((sent_at, status == 200))
+            else:
+                deadly.append(sent_at)
             record.write(f'{name} sent at {sent_at:.2f}: {status}')
 
-        async def send(prefix: str, since: float) -> None:
+        async def send(
+            kind: str, since: float, until: float, pause: float, parts: str
+        ) -> None:
             await asyncio.sleep(since - (time.monotonic() - began))
-            number = 0
-            while time.monotonic() - began < _STEADY_UNTIL:
+            number = int(since * 100)
+            while time.monotonic() - began < until:
                 number += 1
-                tasks.add(asyncio.create_task(ask(prefix, number)))
-                await asyncio.sleep(_PAUSE_SECONDS)
+                name = f'{kind}-{number}'
+                tasks.add(asyncio.create_task(ask(name, number, parts)))
+                await asyncio.sleep(pause)
 
-        sending = [
-            asyncio.create_task(send(_FIRST, 0.0)),
-            asyncio.create_task(send(_ADDED, 8.0)),
-        ]
-        await asyncio.sleep(5.0)
-        site.store.put('keyed.op', 'config', _manifest(2))
-        record.write('version 2 adds a route')
-        await asyncio.sleep(8.8 - (time.monotonic() - began))
-        if sites.TROUBLE:
-            await asyncio.gather(*(e.crash(_DOWN_SECONDS) for e in found))
-        await asyncio.gather(*sending)
+        first = f'{_FIRST_PART}:100'
+        pause = _SOUND_PAUSE_SECONDS
+        await asyncio.gather(
+            send('sound', 0.0, _QUIET_FROM, pause, first),
+            send('sound', _QUIET_UNTIL, _END, pause, first),
+            send(
+                'deadly',
+                _DEADLY_FROM,
+                _END,
+                _DEADLY_PAUSE_SECONDS,
+                f'{first},{_DEADLY_PART}:50',
+            ),
+        )
         await asyncio.gather(*tasks)
-        share = {}
-        for prefix, statuses in steady.items():
-            served = statuses.count(200)
-            share[prefix] = served / len(statuses)
-            record.write(
-                f'steady state, {prefix}: {served} of {len(statuses)} served'
-            )
-    first, added = share[_FIRST], share[_ADDED]
-    return sites.BROKEN if added < first / 4 else sites.HELD
+        for engine in engines:
+            await engine.stopped()
+        ends = [at - began for at in noted.crashes]
+        for at in ends:
+            record.write(f'a server crashed at {at:.2f}')
+        since = (ends[:_FIFTH] or [_DEADLY_FROM])[-1] + 2 * _CONTACT_SECONDS
+        before = [on for at, on in sound if at < _QUIET_FROM]
+        later = [on for at, on in sound if since <= at <= max(deadly)]
+        record.write(f'sound, before: {sum(before)} of {len(before)} begin')
+        record.write(f'sound, from {since:.2f}: {sum(later)} of {len(later)}')
+    held = sum(later) / len(later) >= sum(before) / len(before) / 2
+    return sites.HELD if held else sites.BROKEN
 
 
 sites.main('review/11', run)
