--- a/review/11/case.py
+++ b/review/11/case.py
@@ -21,6 +21,7 @@
 _QUIET_FROM: typing.Final = 6.0
 _QUIET_UNTIL: typing.Final = 68.0
 _DEADLY_FROM: typing.Final = 68.5
+_DEADLY_UNTIL: typing.Final = 88.0
 _DEADLY_PAUSE_SECONDS: typing.Final = 1.0
 _END: typing.Final = 90.0
 _SOUND_PAUSE_SECONDS: typing.Final = 0.12
@@ -90,7 +91,7 @@
             send(
                 'deadly',
                 _DEADLY_FROM,
-                _END,
+                _DEADLY_UNTIL,
                 _DEADLY_PAUSE_SECONDS,
                 f'{first},{_DEADLY_PART}:50',
             ),
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -12,7 +12,7 @@
 
 _DEADLY: typing.Final = b'this body crashes the server'
 _DOWN_SECONDS: typing.Final = 2.0
-_RUN_SECONDS: typing.Final = 45.0
+_RUN_SECONDS: typing.Final = 20.0
 _CONTACT_SECONDS: typing.Final = 3.0
 _MOST_ARRIVALS: typing.Final = 3
 
