Hold streams at another version until their record is safe

Cause: a stream that cannot begin at the version that its identifier selects (here its only server had paused) began elsewhere before its record was in the store. Who takes a stream up without a record goes by the identifier, as if the lack of a record were a proof.

Change: the version of the first event is compared with the selected one. If they differ, writers confirm the record once it is appended, and events are held until then or until the answer is complete. A complete stream is not taken up, so that no wait and no refusal is needed while the store is down. What no instance can append stays in the own log, which repeats its appends.

--- a/src/dogwoodquay/gateway/api.py
+++ b/src/dogwoodquay/gateway/api.py
@@ -86,7 +86,8 @@
     digest of the key by which it was found. ``tenants_declared`` is whether
     the configuration declared tenants when the request came.
     ``first_version`` is the software version at which a new stream begins
-    where it can, ``None`` for any.
+    where it can, and ``origin_version`` the one that began a stream which is
+    taken up; ``None`` for any.
     """
 
     request_id: str
@@ -104,6 +105,7 @@
     key_digest: bytes = b''
     tenants_declared: bool = False
     first_version: str | None = None
+    origin_version: str | None = None
 
     def __repr__(self) -> str:
         """Return what may be logged of the request."""
--- a/src/dogwoodquay/gateway/attempt.py
+++ b/src/dogwoodquay/gateway/attempt.py
@@ -13,6 +13,7 @@
     from . import api
     from . import crashes
     from ..fleet import server as servers
+    from . import resumption
     from ..retry import windowed
     from ..traffic import stall_watch
 
@@ -25,7 +26,8 @@
     :param head_patience_seconds: the silence before the first byte after
         which a successor is looked for; infinite for never.
     :param gap_patience_seconds: the same between parts of a stream.
-    :param on_started: called before a stream's first events are passed on.
+    :param on_started: called before a stream's first events are passed on;
+        returns what they wait for, if anything.
     :param avoid: servers at which the request has failed before.
     :param in_flight: what is watched of a request with shared prompt parts.
     :param number: the number of attempts of the request so far, with this one.
@@ -44,7 +46,9 @@
         head_patience_seconds: float,
         gap_patience_seconds: float,
         now: float,
-        on_started: abc.Callable[[], abc.Awaitable[None]],
+        on_started: abc.Callable[
+            [], abc.Awaitable[resumption.Confirmation | None]
+        ],
         in_flight: crashes.InFlight | None = None,
     ) -> None:
         self._in_flight = in_flight
@@ -58,6 +62,7 @@
         self._overdue_at = now + head_patience_seconds
         self._on_started = on_started
         self._started = False
+        self._awaited: resumption.Confirmation | None = None
         self._received = False
         self._watched: stall_watch.WatchedRequest | None = None
         self._version = server.entry.version
@@ -116,6 +121,11 @@
         """Whether events of a stream have arrived."""
         return self._started
 
+    @property
+    def may_pass_on(self) -> bool:
+        """Whether events may be passed on to the caller."""
+        return self._awaited is None or self._awaited.confirmed
+
     @property
     def retry_allowed(self) -> bool:
         """Whether the request may be sent to one more server."""
@@ -142,7 +152,7 @@
         if not self._started:
             self._started = True
             self._required_version = self._version
-            await self._on_started()
+            self._awaited = await self._on_started()
 
     def on_waiting(self, now: float) -> None:
         """Record that the next bytes of the answer are awaited."""
--- a/src/dogwoodquay/gateway/exchange.py
+++ b/src/dogwoodquay/gateway/exchange.py
@@ -90,6 +90,10 @@
 class Progress(typing.Protocol):
     """Receives the progress of an attempt."""
 
+    @property
+    def may_pass_on(self) -> bool:
+        """Whether events may be passed on to the caller."""
+
     def on_received(self) -> None:
         """Handle the arrival of bytes of the answer."""
 
@@ -269,27 +273,35 @@
         relay.splitter.restart()
         progress.on_waiting(self._clock.now())
         first_event, first_at, last_at = api.NO_EVENT, 0.0, 0.0
+        unsent = b''
         with self._held.share() as share:
             async for chunk in _stream(response):
                 progress.on_received()
                 relay.trace.on_bytes(self._clock.now())
                 whole = relay.splitter.feed(chunk)
-                share.resize(relay.splitter.partial_bytes)
+                share.resize(relay.splitter.partial_bytes + len(unsent))
                 if whole.data:
                     last_at = self._clock.now()
                     if not first_at:
                         first_event, first_at = whole.last_event, last_at
                     await progress.on_part()
+                    unsent = _join_events(unsent, whole.data)
+                if unsent and progress.may_pass_on:
                     await relay.start(response.status_code, headers)
                     # A hand-over may have ended the attempt before this.
                     relay.splitter.mark_passed_on(whole)
-                    await relay.send(whole.data)
+                    await relay.send(unsent)
+                    unsent = b''
                 if whole.fault:
                     raise events.BrokenStream(whole.fault)
                 progress.on_waiting(self._clock.now())
         if relay.splitter.partial:
             raise events.BrokenStream('event_cut')
         await relay.start(response.status_code, headers)
+        if unsent:
+            # A complete stream is not taken up, so that nothing is awaited.
+            relay.splitter.mark_passed_on(whole)
+            await relay.send(unsent)
         return outcomes.Streamed(
             _framed(response),
             relay.splitter.last_event - first_event,
@@ -297,6 +309,16 @@
         )
 
 
+def _join_events(unsent: bytes, data: bytes) -> bytes:
+    """Return events that are held back, with new ones.
+
+    :raises bodies.AnswerTooLarge: if they are too large to be held.
+    """
+    if len(unsent) + len(data) > bodies.MAX_ANSWER_BYTES:
+        raise bodies.AnswerTooLarge('answer_too_large')
+    return unsent + data if unsent else data
+
+
 def _mark_connection(response: httpx.Response, terms: api.AnswerTerms) -> None:
     """Set how long the connection of an answer may be used again."""
     if terms.closing:
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -96,7 +96,9 @@
             return self._refusals.refuse_later(
                 api.RefusalReason.ORIGIN_UNKNOWN
             )
-        call = call._replace(service=place.service)
+        call = call._replace(
+            service=place.service, origin_version=place.version
+        )
         call = call._replace(first_version=self._versions.first_version(call))
         if not self._scheduler.is_declared(call):
             # A newer configuration, not yet active here, may declare it.
@@ -206,7 +208,7 @@
     ) -> attempts.Attempt:
         in_flight = self._crashes.begin(call, server)
 
-        async def on_started() -> None:
+        async def on_started() -> resumption.Confirmation | None:
             started_at = self._clock.now()
             if in_flight is not None:
                 in_flight.started_at = started_at
@@ -215,8 +217,9 @@
                     call, started_at - now
                 )
             self._scheduler.on_answer_started(server)
-            if not relay.started:
-                await self._versions.record(call, attempt.version)
+            if relay.started:
+                return None
+            return await self._versions.record(call, attempt.version)
 
         now = self._clock.now()
         attempt = attempts.Attempt(
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -13,6 +13,7 @@
     'AccountRow',
     'AdapterFound',
     'AdapterInUse',
+    'AppendOrigins',
     'BrokenRow',
     'CapacityRow',
     'ConfigurationBody',
@@ -451,6 +452,15 @@
     rows: tuple[OriginRow, ...]
 
 
+class AppendOrigins(wire_api.Message, frozen=True, tag='append_origins'):
+    """Asks for an answer once rows are in the log; declined if they are not.
+
+    ``LogOrigins`` is answered before that.
+    """
+
+    rows: tuple[OriginRow, ...]
+
+
 class OriginsKept(wire_api.Message, frozen=True, tag='origins_kept'):
     """All rows are kept."""
 
--- a/src/dogwoodquay/gateway/origin_log.py
+++ b/src/dogwoodquay/gateway/origin_log.py
@@ -81,9 +81,11 @@
         self._clock = clock
         self._metrics = metrics
         self._several_versions = several_versions
+        self._failing = False
         self._urgent = False
         self._urgent_until = float('-inf')
         self._pending: dict[str, messages.OriginRow] = {}
+        self._awaited: dict[str, list[abc.Callable[[], None]]] = {}
         self._put = anyio.Event()
         self._appended_at = float('-inf')
         self._table = origin_table.OriginTable()
@@ -114,11 +116,28 @@
         """Whether the last read has reached the end of the log."""
         return 0 < self._reads == self._complete_read
 
-    def put(self, row: messages.OriginRow) -> None:
-        """Append the origin of a stream soon."""
+    @property
+    def failing(self) -> bool:
+        """Whether the last append failed, which is then repeated."""
+        return self._failing
+
+    def put(
+        self,
+        row: messages.OriginRow,
+        on_appended: abc.Callable[[], None] | None = None,
+    ) -> None:
+        """Append the origin of a stream soon.
+
+        :param on_appended: called once the store has acknowledged the row;
+            never if the row is dropped.
+        """
         if len(self._pending) >= MAX_PENDING:
-            del self._pending[next(iter(self._pending))]
+            dropped = next(iter(self._pending))
+            del self._pending[dropped]
+            self._awaited.pop(dropped, None)
         self._pending.setdefault(row.stream_id, row)
+        if on_appended is not None:
+            self._awaited.setdefault(row.stream_id, []).append(on_appended)
         self._put.set()
 
     async def run(self) -> typing.NoReturn:
@@ -174,6 +193,7 @@
         answer = await self._store.append(
             TOPIC, origin_batch.encode(batch.values()), deadline
         )
+        self._failing = answer.is_error()
         if answer.is_error():
             self._metrics.origin_log_called('append_failed')
             _LOG.write(
@@ -183,6 +203,8 @@
         self._metrics.origin_log_called('appended')
         for stream_id in batch:
             self._pending.pop(stream_id, None)
+            for on_appended in self._awaited.pop(stream_id, ()):
+                on_appended()
         self._on_appended(tuple(batch.values()))
         return True
 
--- a/src/dogwoodquay/gateway/origins.py
+++ b/src/dogwoodquay/gateway/origins.py
@@ -13,6 +13,7 @@
 from . import members
 from . import messages
 from ..observe import logs
+from . import origin_appends
 from . import origin_log
 from . import origin_table
 from ..wire import api as wire_api
@@ -107,6 +108,9 @@
         self._writes = batches.PeerBatches(
             self._send_to_writer, 1, self._gather_seconds
         )
+        self._appends = origin_appends.ConfirmedAppends(
+            log, clock, self._writer_of, self._sent
+        )
         self._leaving = False
         self._roster_known = False
         self._alone: dict[str, messages.OriginRow] = {}
@@ -119,6 +123,7 @@
         transport.register(messages.KeepOrigins, self._handle_keep)
         transport.register(messages.FindOrigins, self._handle_find)
         transport.register(messages.LogOrigins, self._handle_log)
+        transport.register(messages.AppendOrigins, self._handle_append)
         transport.register(messages.OriginsKept)
         transport.register(messages.OriginsFound)
 
@@ -156,20 +161,31 @@
         self._place_again()
 
     async def record(
-        self, stream_id: str, origin: Origin, lifetime_seconds: float
-    ) -> None:
+        self,
+        stream_id: str,
+        origin: Origin,
+        lifetime_seconds: float,
+        confirmed: bool = False,
+    ) -> origin_appends.Confirmation:
         """Keep which version began a stream: here, at two peers, in the log.
 
         Returns as soon as one peer has it, at the latest after
         ``RECORD_WAIT_SECONDS``.
+
+        :param confirmed: whether somebody waits for the log.
+        :return: tells whether the log has it; never if nobody waits.
         """
+        confirmation = origin_appends.Confirmation()
         if not _valid(stream_id):
             self._metrics.origin_recorded('invalid')
-            return
+            return confirmation
         now = self._clock.now()
         self._table.put(stream_id, origin, lifetime_seconds, now)
         row = messages.OriginRow(stream_id, *origin, lifetime_seconds)
-        self._write(row)
+        if confirmed:
+            confirmation = self._appends.put(row)
+        else:
+            self._write(row)
         record = self._place(row)
         with anyio.move_on_after(RECORD_WAIT_SECONDS):
             await record.settled.wait()
@@ -181,6 +197,7 @@
             self._metrics.origin_recorded('alone')
         else:
             self._metrics.origin_recorded('late')
+        return confirmation
 
     def _place(self, row: messages.OriginRow) -> _Record:
         """Queue a record for its holders."""
@@ -238,6 +255,7 @@
             tasks.start_soon(self._keeps.run)
             tasks.start_soon(self._finds.run)
             tasks.start_soon(self._writes.run)
+            tasks.start_soon(self._appends.run)
 
     async def hand_over(self) -> None:
         """Pass the records on to their next holders, in a limited time.
@@ -309,13 +327,20 @@
 
     def _write(self, row: messages.OriginRow) -> None:
         """Have a record written to the log, here if no writer is reached."""
-        for member in self._order.writers(row.stream_id):
+        writer = self._writer_of(row.stream_id)
+        if writer is None:
+            self._log.put(row)
+        else:
+            self._writes.put(writer, row)
+
+    def _writer_of(self, stream_id: str) -> str | None:
+        """Return who writes a record to the log, ``None`` for this one."""
+        for member in self._order.writers(stream_id):
             if member == self._member:
-                break
+                return None
             if self._usable(member):
-                self._writes.put(member, row)
-                return
-        self._log.put(row)
+                return member
+        return None
 
     async def _send_to_writer(
         self, peer: str, rows: tuple[messages.OriginRow, ...]
@@ -340,7 +365,9 @@
     async def _sent(
         self,
         peer: str,
-        message: messages.KeepOrigins | messages.LogOrigins,
+        message: (
+            messages.KeepOrigins | messages.LogOrigins | messages.AppendOrigins
+        ),
         deadline: float,
     ) -> bool:
         """Return whether a peer has confirmed a message."""
@@ -403,6 +430,16 @@
             self._log.put(row)
         return messages.OriginsKept()
 
+    async def _handle_append(
+        self,
+        sender: wire_api.Sender,
+        message: messages.AppendOrigins,
+        deadline: float,
+    ) -> messages.OriginsKept | None:
+        if self._leaving:
+            return None
+        return await self._appends.handle(sender, message, deadline)
+
     async def _handle_find(
         self,
         sender: wire_api.Sender,
--- a/src/dogwoodquay/gateway/resumption.py
+++ b/src/dogwoodquay/gateway/resumption.py
@@ -33,6 +33,8 @@
 HISTORY_READ_SECONDS: typing.Final = 1.5
 # Whether services have several versions is determined anew after this time.
 SEVERAL_SECONDS: typing.Final = 0.25
+# How long the first event waits for the log; later ones are held meanwhile.
+CONFIRM_WAIT_SECONDS: typing.Final = 0.3
 # The longest time that a caller may come back after, whatever it says.
 MAX_LIFETIME_SECONDS: typing.Final = 60.0
 TENANT_DIGEST_BYTES: typing.Final = 8
@@ -48,6 +50,17 @@
     version: str | None
 
 
+class Confirmation(typing.Protocol):
+    """Tells whether a record outlives all instances."""
+
+    @property
+    def confirmed(self) -> bool:
+        """Whether the store has acknowledged the record."""
+
+    async def wait(self, seconds: float) -> None:
+        """Wait until it has, for some time at most."""
+
+
 class OriginRecords(typing.Protocol):
     """Keeps among the instances which version began a stream."""
 
@@ -56,8 +69,12 @@
         stream_id: str,
         origin: stream_origins.Origin,
         lifetime_seconds: float,
-    ) -> None:
-        """Record the origin of a stream for some time."""
+        confirmed: bool = False,
+    ) -> Confirmation:
+        """Record the origin of a stream for some time.
+
+        :param confirmed: whether somebody waits for the confirmation.
+        """
 
     @property
     def log_complete(self) -> bool:
@@ -97,7 +114,8 @@
     What servers of two versions write does not fit together. A stream goes on
     only at the version that began it, so that one whose version cannot be
     told is refused. New streams begin at the version that their identifier
-    selects, which can be told again without a record.
+    selects, which can be told again without a record. Where one begins at
+    another version, its events are held until the record is safe.
     """
 
     def __init__(
@@ -126,6 +144,11 @@
             return None
         if not self._has_several_versions():
             return None
+        return self._select(call)
+
+    def _select(self, call: api.Call) -> str | None:
+        """Return the version that the identifier of a new stream selects."""
+        terms = call.terms
         entries = (item.entry for item in self._registry.servers.values())
         return first_version.choose(
             _stream_id(call, terms.attempt_id),
@@ -139,17 +162,45 @@
             self._several_until = now + SEVERAL_SECONDS
         return self._several
 
-    async def record(self, call: api.Call, version: str) -> None:
-        """Record the version of the server that sends a stream's events."""
+    async def record(
+        self, call: api.Call, version: str
+    ) -> Confirmation | None:
+        """Record the version of the server that sends a stream's events.
+
+        :return: what has to be confirmed before an event is passed on,
+            ``None`` if the version can be told without the record.
+        """
         if not call.route.resumable:
-            return
+            return None
         terms = call.terms
         seconds = max(call.route.timeout_seconds, terms.wait_seconds)
-        await self._origins.record(
+        confirmed = not self._told_without_record(call, version)
+        confirmation = await self._origins.record(
             _stream_id(call, terms.resumes or terms.attempt_id),
             stream_origins.Origin(call.service, version),
             min(seconds, MAX_LIFETIME_SECONDS),
+            confirmed,
         )
+        if not confirmed:
+            return None
+        await confirmation.wait(CONFIRM_WAIT_SECONDS)
+        if not confirmation.confirmed:
+            _LOG.write(
+                'held_for_record', request=call.request_id, version=version
+            )
+        return confirmation
+
+    def _told_without_record(self, call: api.Call, version: str) -> bool:
+        """Whether who lacks the record finds the same version, or none.
+
+        A stream that is taken up has a record already, unless it goes on at
+        another service.
+        """
+        if call.terms.takes_up_stream:
+            return version == call.origin_version or not call.terms.resumes
+        if not self._has_several_versions():
+            return True
+        return version == self._select(call)
 
     async def find(self, call: api.Call) -> Place | None:
         """Return where a request runs, ``None`` if its version is unknown."""
--- a/tests/site/test_all_killed.py
+++ b/tests/site/test_all_killed.py
@@ -17,6 +17,11 @@
 _RUN_SECONDS: typing.Final = 1.0
 # The store has been down for so long when streams begin.
 _OUTAGE_SECONDS: typing.Final = 0.5
+# Streams in an outage have run for so long when their instances are killed.
+_OUTAGE_RUN_SECONDS: typing.Final = 0.6
+_EVENT_SECONDS: typing.Final = 0.2
+# What a server that is in need asks for, longer than the outage.
+_PAUSE_SECONDS: typing.Final = 3
 # Servers have been listed for longer than a stream may last.
 _LISTED_SECONDS: typing.Final = 1.7 * versions.LIMIT_SECONDS
 
@@ -178,6 +183,48 @@
                 await self._take_up(requesters, found)
                 await self.assert_floor(requesters, found)
 
+    async def test_joined_beside_a_paused_version(self) -> None:
+        """The only server of a version takes no requests meanwhile (ORDER).
+
+        Streams whose identifiers select it begin at the other version.
+        """
+        async with versions.Requesters.running(
+            _INSTANCES, versions.TWO_OF_EACH[:3]
+        ) as requesters:
+            for engine in requesters.engines:
+                engine.event_seconds = _EVENT_SECONDS
+            async with requesters.beating():
+                await asyncio.sleep(_LISTED_SECONDS)
+                requesters.site.store.unavailable = True
+                await asyncio.sleep(_OUTAGE_SECONDS)
+                requesters.engine('b1').pause = str(_PAUSE_SECONDS)
+                calm = self._start_everywhere(requesters)
+                await asyncio.gather(*(stream.ended() for stream in calm))
+                self.assert_one_version(calm)
+                self._assert_all_answered(calm)
+                found = self._start_everywhere(requesters)
+                await asyncio.sleep(_OUTAGE_RUN_SECONDS)
+                await requesters.kill_all(found)
+                requesters.site.store.unavailable = False
+                requesters.engine('b1').pause = None
+                await requesters.start_all()
+                await requesters.take_up(found)
+                self.assert_one_version(found)
+                self._assert_all_answered(found)
+
+    def _start_everywhere(
+        self, requesters: versions.Requesters
+    ) -> list[streams.Stream]:
+        """Send new streams to all instances in turn."""
+        found = [requesters.new_stream() for _ in range(_STREAMS)]
+        for number, stream in enumerate(found):
+            stream.start(requesters.live[number % _INSTANCES])
+        return found
+
+    def _assert_all_answered(self, found: list[streams.Stream]) -> None:
+        missing = [stream for stream in found if not stream.answered]
+        self.assertEqual(0, len(missing), versions.stories(missing))
+
     async def test_joined_after_a_version_came(self) -> None:
         """Servers of another version come just before the outage."""
         async with versions.Requesters.running(
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -15,6 +15,7 @@
 from dogwoodquay.gateway import copies
 from dogwoodquay.gateway import crashes
 from dogwoodquay.gateway import metrics
+from dogwoodquay.gateway import origin_appends
 from dogwoodquay.gateway import origin_log
 from dogwoodquay.gateway import origins
 from dogwoodquay.gateway import server_limits
@@ -192,12 +193,19 @@
         self.log_complete = True
         self.asked: list[str] = []
         self.recorded: list[tuple[str, origins.Origin, float]] = []
+        self.confirmation = origin_appends.Confirmation()
+        self.confirmation.confirm()
 
     async def record(
-        self, stream_id: str, origin: origins.Origin, lifetime_seconds: float
-    ) -> None:
+        self,
+        stream_id: str,
+        origin: origins.Origin,
+        lifetime_seconds: float,
+        confirmed: bool = False,
+    ) -> origin_appends.Confirmation:
         """Keep a record."""
         self.recorded.append((stream_id, origin, lifetime_seconds))
+        return self.confirmation
 
     async def find(
         self, stream_id: str, deadline: float
--- a/tests/unit/gateway/test_origins.py
+++ b/tests/unit/gateway/test_origins.py
@@ -14,6 +14,8 @@
 from ..wire import loopback
 from dogwoodquay import clock as clocks
 from dogwoodquay.gateway import messages
+from dogwoodquay.gateway import origin_appends
+from dogwoodquay.gateway import origin_log
 from dogwoodquay.gateway import origins
 from dogwoodquay.wire import api as wire_api
 from dogwoodquay.wire import codec
@@ -21,6 +23,7 @@
 ORIGIN: typing.Final = origins.Origin('s', 'v1')
 LATER: typing.Final = origins.Origin('s', 'v2')
 SECONDS: typing.Final = 20.0
+DEADLINE: typing.Final = 1e10
 
 
 class _Site(unittest.IsolatedAsyncioTestCase):
@@ -211,6 +214,73 @@
         self.assertEqual((), await self._find(first, 'b'))
 
 
+class ConfirmedAppendTest(_Site):
+    """A record is confirmed once the store has it (ORDER)."""
+
+    async def asyncSetUp(self) -> None:
+        """Do not wait for copies at peers."""
+        await super().asyncSetUp()
+        self._set('RECORD_WAIT_SECONDS', 0.01)
+
+    async def _record(
+        self, number: int = 0, stream_id: str = 'a'
+    ) -> origin_appends.Confirmation:
+        """Record a stream, and have all instances append what they have."""
+        recorder = self.instances[number]
+        confirmation = await recorder.origins.record(
+            stream_id, ORIGIN, SECONDS, confirmed=True
+        )
+        await self._append()
+        return confirmation
+
+    async def _append(self) -> None:
+        await anyio.wait_all_tasks_blocked()
+        for instance in self.instances:
+            await instance.log.flush(DEADLINE)
+        await anyio.wait_all_tasks_blocked()
+
+    async def _found_in_log(self) -> bool:
+        reader = fakes.make_origin_log(self.network.clock, self.network.log)
+        return bool(await reader.find('a', DEADLINE))
+
+    async def test_by_a_writer(self) -> None:
+        """The writer answers once it has appended."""
+        async with peer_network.running(*self.instances):
+            for number in range(len(self.instances)):
+                confirmation = await self._record(number)
+                self.assertTrue(confirmation.confirmed)
+        self.assertTrue(await self._found_in_log())
+
+    async def test_store_down(self) -> None:
+        """It is confirmed when the store is back."""
+        self.network.log.unavailable = True
+        async with peer_network.running(*self.instances):
+            confirmation = await self._record()
+            self.assertFalse(confirmation.confirmed)
+            self.network.log.unavailable = False
+            await self._append()
+            self.assertTrue(confirmation.confirmed)
+        self.assertTrue(await self._found_in_log())
+
+    async def test_other_builds(self) -> None:
+        """The instance appends what the writer does not know to append."""
+        self.network.old = {item.port for item in self.instances[1:]}
+        async with peer_network.running(*self.instances):
+            confirmation = await self._record()
+            self.assertTrue(confirmation.confirmed)
+        self.assertTrue(await self._found_in_log())
+
+    async def test_dropped(self) -> None:
+        """What is dropped is never confirmed."""
+        log = fakes.make_origin_log(self.network.clock, self.network.log)
+        confirmation = origin_appends.Confirmation()
+        with mock.patch.object(origin_log, 'MAX_PENDING', 1):
+            for name, notify in (('a', confirmation.confirm), ('b', None)):
+                log.put(messages.OriginRow(name, *ORIGIN, SECONDS), notify)
+            await log.flush(DEADLINE)
+        self.assertFalse(confirmation.confirmed)
+
+
 class FrozenPeerTest(_Site):
     """A frozen peer costs few streams the wait."""
 
--- a/tests/unit/gateway/test_resumption.py
+++ b/tests/unit/gateway/test_resumption.py
@@ -4,6 +4,7 @@
 
 import typing
 import unittest
+from unittest import mock
 
 import anyio
 
@@ -13,6 +14,7 @@
 from dogwoodquay.fleet import api as fleet_api
 from dogwoodquay.fleet import registry as registries
 from dogwoodquay.gateway import api
+from dogwoodquay.gateway import origin_appends
 from dogwoodquay.gateway import origins as stream_origins
 from dogwoodquay.gateway import resumption
 from dogwoodquay.routes import api as routes_api
@@ -261,6 +263,64 @@
         self.assertEqual([], self.records.recorded)
 
 
+class ConfirmedRecordTest(_VersionsTest):
+    """Events wait for a record that cannot be done without (ORDER)."""
+
+    def setUp(self) -> None:
+        """List two versions, of which the stream selects one."""
+        super().setUp()
+        self.registry.replace([_entry('a1', 'v1'), _entry('b1', 'v2')], 0.0)
+        self.selected = self.subject.first_version(self.call())
+        self.other = 'v1' if self.selected == 'v2' else 'v2'
+
+    def _waits(self, call: api.Call, version: str | None) -> bool:
+        confirmation = anyio.run(self.subject.record, call, version)
+        return confirmation is not None
+
+    def test_selected_version(self) -> None:
+        """Its identifier tells where the stream began."""
+        self.assertFalse(self._waits(self.call(), self.selected))
+
+    def test_other_version(self) -> None:
+        """Only the record tells where the stream began."""
+        self.assertTrue(self._waits(self.call(), self.other))
+
+    def test_version_listed_since(self) -> None:
+        """A server of a new version takes a request that came before it."""
+        call = self.call()._replace(first_version=None)
+        self.assertTrue(self._waits(call, self.other))
+
+    def test_only_version(self) -> None:
+        """All streams begin at the only version."""
+        self.registry.replace([_entry('a1', 'v1')], 0.0)
+        self.clock.advance(resumption.SEVERAL_SECONDS)
+        self.registry.replace([_entry('a1', 'v1')], self.clock.now())
+        self.clock.advance(resumption.SEVERAL_SECONDS)
+        self.assertFalse(self._waits(self.call(), 'v1'))
+
+    def test_taken_up(self) -> None:
+        """A stream that goes on where it began has a record already."""
+        call = self.call('first', 3)._replace(origin_version=self.other)
+        self.assertFalse(self._waits(call, self.other))
+
+    def test_taken_up_at_another_service(self) -> None:
+        """The record is of the earlier service."""
+        self.assertTrue(self._waits(self.call('first', 3), self.selected))
+
+    def test_unconfirmed(self) -> None:
+        """The first event does not wait without an end."""
+        self.records.confirmation = origin_appends.Confirmation()
+        with mock.patch.object(resumption, 'CONFIRM_WAIT_SECONDS', 0.0):
+            confirmation = anyio.run(
+                self.subject.record, self.call(), self.other
+            )
+        self.assertFalse(confirmation.confirmed)
+        self.assertIn(
+            'request:held_for_record',
+            [line['message_type'] for line in self.lines],
+        )
+
+
 class SelectedVersionTest(_VersionsTest):
     """A stream without a record goes on where its identifier leads (LOST)."""
 
