Record streams whose attempts have long identifiers

Cause: gateway/origins.py records no stream with an identifier of more than 256 characters, the digest of the tenant included.

Change: such attempts are named by a digest, in records and where their identifier selects a version.

--- a/src/dogwoodquay/gateway/resumption.py
+++ b/src/dogwoodquay/gateway/resumption.py
@@ -38,6 +38,9 @@
 # The longest time that a caller may come back after, whatever it says.
 MAX_LIFETIME_SECONDS: typing.Final = 60.0
 TENANT_DIGEST_BYTES: typing.Final = 8
+# Records name attempts with longer identifiers by a digest.
+MAX_ATTEMPT_ID_CHARACTERS: typing.Final = 200
+LONG_ID_DIGEST_BYTES: typing.Final = 16
 
 
 class Place(typing.NamedTuple):
@@ -300,12 +303,16 @@
     record. Callers cannot send such an identifier themselves, as no header
     holds a line break.
     """
+    if len(attempt_id) > MAX_ATTEMPT_ID_CHARACTERS:
+        attempt_id = f'\n{_digest(attempt_id, LONG_ID_DIGEST_BYTES)}'
     if call.tenant is None:
         return attempt_id
-    digest = hashlib.blake2b(
-        call.tenant.name.encode(), digest_size=TENANT_DIGEST_BYTES
-    )
-    return f'{attempt_id}\n{digest.hexdigest()}'
+    return f'{attempt_id}\n{_digest(call.tenant.name, TENANT_DIGEST_BYTES)}'
+
+
+def _digest(text: str, size: int) -> str:
+    data = text.encode('utf-8', 'surrogateescape')
+    return hashlib.blake2b(data, digest_size=size).hexdigest()
 
 
 def _recorded_place(
--- a/tests/site/test_software_versions.py
+++ b/tests/site/test_software_versions.py
@@ -145,6 +145,28 @@
         await self._kill_and_take_up(150, at_once=30)
 
 
+class LongIdentifierTest(versions.VersionsTest):
+    """Attempts whose identifiers are longer than those of records (LOST)."""
+
+    async def test_refused_though_its_version_serves(self) -> None:
+        """Only the connections of the requesters are reset."""
+        async with versions.Requesters.running(
+            3, versions.TWO_OF_EACH
+        ) as requesters:
+            requesters.hold()
+            found = await requesters.begin(
+                24, requesters.live[0], id_characters=300
+            )
+            self.assert_began(found)
+            self.assert_both_versions(found)
+            await asyncio.gather(*(stream.reset() for stream in found))
+            requesters.let_go()
+            await requesters.take_up(found, 1)
+            self.assert_one_version(found)
+            stopped = [stream for stream in found if not stream.answered]
+            self.assertEqual(0, len(stopped), versions.stories(stopped))
+
+
 class OutOfTouchTest(versions.VersionsTest):
     """Instances that the store does not tell of servers."""
 
--- a/tests/site/versions.py
+++ b/tests/site/versions.py
@@ -168,13 +168,21 @@
         for engine in self.engines:
             engine.let_go()
 
-    def new_stream(self) -> streams.Stream:
-        """Return a stream that has not been requested yet."""
+    def new_stream(self, id_characters: int = 0) -> streams.Stream:
+        """Return a stream that has not been requested yet.
+
+        :param id_characters: the least length of its attempts' identifiers.
+        """
         self._streams += 1
-        return streams.Stream(f's{self._streams}', _TARGET, LIMIT_SECONDS)
+        name = f's{self._streams}'.ljust(id_characters, 'x')
+        return streams.Stream(name, _TARGET, LIMIT_SECONDS)
 
     async def begin(
-        self, count: int, instance: processes.Instance, at_once: int = 0
+        self,
+        count: int,
+        instance: processes.Instance,
+        at_once: int = 0,
+        id_characters: int = 0,
     ) -> list[streams.Stream]:
         """Begin streams and return them once each has an event or ended.
 
@@ -183,7 +191,7 @@
         found: list[streams.Stream] = []
         while len(found) < count:
             size = min(at_once or len(self.engines), count - len(found))
-            wave = [self.new_stream() for _ in range(size)]
+            wave = [self.new_stream(id_characters) for _ in range(size)]
             for stream in wave:
                 stream.start(instance)
             await asyncio.gather(*(stream.wait_event() for stream in wave))
--- a/tests/unit/gateway/test_resumption.py
+++ b/tests/unit/gateway/test_resumption.py
@@ -18,6 +18,7 @@
 from dogwoodquay.gateway import origins as stream_origins
 from dogwoodquay.gateway import resumption
 from dogwoodquay.routes import api as routes_api
+from dogwoodquay.tenants import api as tenants_api
 
 Kind = routes_api.RouteKind
 Origin = stream_origins.Origin
@@ -256,6 +257,24 @@
         """Callers name the first attempt also when they come back again."""
         self.assertEqual('first', self._recorded(self.call('first', 3))[0])
 
+    def test_long_identifier(self) -> None:
+        """Guards against streams that are refused as nothing is recorded."""
+        found = set()
+        for name in ('a' * 300, 'a' * 299 + 'b', 'a' * 200):
+            for call in (
+                self.call(name, 3),
+                self.call(name, 3)._replace(tenant=tenants_api.Tenant('t')),
+            ):
+                self.records.recorded.clear()
+                stream_id = self._recorded(call)[0]
+                self.assertLessEqual(
+                    len(stream_id), stream_origins.MAX_ID_CHARACTERS
+                )
+                anyio.run(self.subject.find, call)
+                self.assertEqual(stream_id, self.records.asked[-1])
+                found.add(stream_id)
+        self.assertEqual(6, len(found))
+
     def test_not_resumable(self) -> None:
         """Nobody can take up the stream."""
         call = self.call(resumable=False)
