Test doubtful verdicts with single requests

Cause: the first part of all prompts and the deadly part were in the same crashes, and the name of the part decided. As nothing with a convicted part is sent, nothing could clear it. An owner that withdrew a verdict adopted it again from the loads of the others.

Evidence: quarantine:convicted names the first part; the deadly part is in no verdict, and the servers are back 2 s after their ends.

Change: of equal explanations the one that refuses the fewest requests is taken. A verdict is doubtful if other parts explain several of its crashes or if these may have had one reason; the owner then lets single requests without the other parts through, one at a time, at one instance, two in all. Streams count as sound once they have gone on for a second after the first event. Ended verdicts are not adopted again. Refused callers of a doubtful verdict return after about 3 s.

The other tests of crashing prompts and requests pass (23).

--- a/src/dogwoodquay/gateway/attempt.py
+++ b/src/dogwoodquay/gateway/attempt.py
@@ -158,6 +158,8 @@
         """Record that the next bytes of the answer are awaited."""
         self._silent_since = now
         self._server.heard(now)
+        if self._in_flight is not None and self._started:
+            self._in_flight.heard_at = now
         self._overdue_at = now + self._gap_patience_seconds
 
     def expedite(self, now: float) -> None:
--- a/src/dogwoodquay/gateway/crashes.py
+++ b/src/dogwoodquay/gateway/crashes.py
@@ -7,7 +7,9 @@
 import typing
 
 import anyio
+import msgspec
 
+from . import crash_rows
 from . import failures
 from . import messages
 from ..observe import logs
@@ -48,8 +50,16 @@
 )
 
 
+# Callers may use the identifier of an attempt again.
+_Key = tuple[str, float]
+
+
 class InFlight:
-    """A request at a server."""
+    """A request at a server.
+
+    ``probing`` is set if it probes a verdict. ``sound`` is set once its
+    traits are known not to have ended the server.
+    """
 
     def __init__(
         self,
@@ -58,12 +68,22 @@
     ) -> None:
         self.traits = traits
         self.server = server
+        self.probing: _Probing | None = None
         self.started_at: float | None = None
+        self.heard_at: float | None = None
+        self.sound = False
 
     def is_fresh(self, now: float) -> bool:
         """Whether the server has begun the answer just now, or not yet."""
         return self.started_at is None or now - self.started_at < FRESH_SECONDS
 
+    @property
+    def has_lasted(self) -> bool:
+        """Whether the server has gone on writing after the first event."""
+        if self.started_at is None or self.heard_at is None:
+            return False
+        return self.heard_at - self.started_at >= FRESH_SECONDS
+
 
 class _Ended(typing.NamedTuple):
     """A request whose answer broke off, or ended with its connection."""
@@ -72,6 +92,14 @@
     traits: quarantine_api.Traits
     fresh: bool
     complete: bool
+    probing: _Probing | None = None
+
+
+class _Probing(msgspec.Struct):
+    """A request that probes a verdict; ``sent`` if a server may run it."""
+
+    parts: frozenset[str]
+    sent: bool = False
 
 
 class CrashWatch:
@@ -86,11 +114,18 @@
         connections: client.Connections,
         clock: clocks.Clock,
         metrics: gateway_metrics.GatewayMetrics,
+        member: str,
     ) -> None:
+        """Create the watch of an instance.
+
+        :param member: its name.
+        """
         self._connections = connections
         self._clock = clock
         self._metrics = metrics
-        self._quarantine = core.Quarantine()
+        self._quarantine = core.Quarantine(member)
+        self._in_flight: set[InFlight] = set()
+        self._probing: dict[_Key, _Probing] = {}
         self._ended: dict[str, collections.deque[_Ended]] = {}
         self._proven: dict[str, float] = {}
         self._checking: set[str] = set()
@@ -144,7 +179,7 @@
 
     def restore(self, kept: records.Kept) -> None:
         """Add what the store has kept."""
-        self._log(self._quarantine.restore(kept))
+        self._log(self._quarantine.restore(kept, self._clock.now()))
 
     def on_report(self, notify: abc.Callable[[], None]) -> None:
         """Set what is called with each new report, to send it at once."""
@@ -162,19 +197,52 @@
         """Decide, and forget what is old."""
         now = self._clock.now()
         self._settle(now)
+        for in_flight in self._in_flight:
+            if in_flight.has_lasted and not in_flight.sound:
+                in_flight.sound = True
+                self._quarantine.on_answered(in_flight.traits, now)
         self._log(self._quarantine.step(now, self.decides))
 
     def is_refused(self, call: api.Call) -> bool:
-        """Whether a request is refused as servers have crashed under it."""
+        """Whether a request is refused as servers have crashed under it.
+
+        One that is let through to probe a verdict is the probe until
+        ``finish`` is called.
+        """
         if not self._quarantine.has_verdicts:
             return False
+        now = self._clock.now()
         traits = traits_of(call)
-        return self._quarantine.find(traits, self._clock.now()) is not None
+        verdict = self._quarantine.find(traits, now)
+        if verdict is None:
+            return False
+        probing = self._probing.get(_key(call))
+        if probing is not None:
+            return probing.parts != verdict.parts
+        parts = self._quarantine.take_probe(traits, now)
+        if parts is None:
+            return True
+        self._probing[_key(call)] = _Probing(parts)
+        self._metrics.probed()
+        _LOG.write('probed', request=call.request_id, parts=sorted(parts))
+        return False
+
+    def finish(self, call: api.Call) -> None:
+        """Record that a request has ended, at whatever servers it was."""
+        probing = self._probing.pop(_key(call), None)
+        if probing is not None and not probing.sent:
+            self._quarantine.return_probe(probing.parts)
+
+    def may_be_cleared(self, call: api.Call) -> bool:
+        """Whether a refused request may soon be found to be sound."""
+        return self._quarantine.may_be_cleared(traits_of(call))
 
     def may_repeat(self, call: api.Call, outcome: outcomes.Outcome) -> bool:
         """Whether a request may be sent again after a failed attempt."""
         if not isinstance(outcome, outcomes.Broken):
             return True
+        if _key(call) in self._probing:
+            return False
         return not self._quarantine.is_suspect(traits_of(call))
 
     @contextlib.contextmanager
@@ -182,7 +250,7 @@
         """Cancel the wait for a server once the request is refused."""
         traits = traits_of(call)
         with anyio.CancelScope() as scope:
-            if traits is not None:
+            if traits is not None and _key(call) not in self._probing:
                 self._waiting[scope] = traits
             try:
                 yield scope
@@ -192,7 +260,20 @@
     def begin(self, call: api.Call, server: servers.Server) -> InFlight | None:
         """Record a request that is sent; ``None`` if it has no traits."""
         traits = traits_of(call)
-        return None if traits is None else InFlight(traits, server.entry)
+        if traits is None:
+            return None
+        in_flight = InFlight(traits, server.entry)
+        probing = self._probing.get(_key(call))
+        if probing is not None:
+            probing.sent = True
+            in_flight.probing = probing
+        self._in_flight.add(in_flight)
+        return in_flight
+
+    def leave(self, in_flight: InFlight | None) -> None:
+        """Record that a request is at its server no longer."""
+        if in_flight is not None:
+            self._in_flight.discard(in_flight)
 
     def end(
         self, in_flight: InFlight | None, outcome: outcomes.Outcome
@@ -202,6 +283,8 @@
             return
         now = self._clock.now()
         match outcome:
+            case outcomes.NotRun() if in_flight.probing is not None:
+                in_flight.probing.sent = False
             case outcomes.Broken(reason) if reason in _CONNECTION_ENDS:
                 self._on_ended(in_flight, False, now)
             case outcomes.Streamed(framed):
@@ -226,27 +309,23 @@
     ]:
         """Return the own reports, objections and verdicts for the owner."""
         now = self._clock.now()
-        reports = tuple(
-            messages.CrashRow(
-                report.server_id,
-                now - report.at,
-                tuple(
-                    messages.BrokenRow(item.own, tuple(sorted(item.shared)))
-                    for item in report.requests
-                ),
-            )
-            for report in self._quarantine.reports(now)
-        )
+        reports = crash_rows.to_crash_rows(self._quarantine.reports(now), now)
         return reports, self._quarantine.objections(), self.verdict_rows()
 
     def verdict_rows(self) -> tuple[messages.VerdictRow, ...]:
         """Return the verdicts as messages carry them."""
-        now = self._clock.now()
-        return tuple(
-            messages.VerdictRow(
-                tuple(sorted(item.parts)), now - item.seen_at, item.crashes
-            )
-            for item in self._quarantine.verdicts
+        return crash_rows.to_verdict_rows(
+            self._quarantine.verdicts, self._clock.now()
+        )
+
+    def probe_rows(self) -> tuple[messages.ProbeRow, ...]:
+        """Return the verdicts that are not firm yet."""
+        return crash_rows.to_probe_rows(self._quarantine.probes)
+
+    def probe_progress_rows(self) -> tuple[messages.ProbeProgressRow, ...]:
+        """Return what became of the own probes, for the owner."""
+        return crash_rows.to_progress_rows(
+            self._quarantine.probe_progress(self._clock.now())
         )
 
     def suspects(self) -> tuple[str, ...]:
@@ -256,24 +335,20 @@
     def on_load(self, load: messages.InstanceLoad) -> None:
         """Apply what an instance reports to the owner."""
         now = self._clock.now()
-        reports = (
-            quarantine_api.CrashReport(
-                row.server_id,
-                now - row.seconds,
-                tuple(
-                    quarantine_api.BrokenRequest(
-                        item.own, frozenset(item.shared)
-                    )
-                    for item in row.requests
-                ),
-            )
-            for row in load.crashes
-        )
         self._log(
             self._quarantine.on_peer_reports(
-                reports, load.sound_parts, _verdicts(load.verdicts, now), now
+                crash_rows.from_crash_rows(load.crashes, now),
+                load.sound_parts,
+                crash_rows.from_verdict_rows(load.verdicts, now),
+                now,
+                crash_rows.from_probe_rows(load.probes),
             )
         )
+        self._quarantine.on_peer_progress(
+            load.instance_id,
+            crash_rows.from_progress_rows(load.probe_progress),
+            now,
+        )
 
     def on_view(self, view: messages.FleetView, is_owner: bool) -> None:
         """Apply the owner's view."""
@@ -287,7 +362,11 @@
         self._log(
             self._quarantine.on_owner_view(
                 view.suspects,
-                None if verdicts is None else _verdicts(verdicts, now),
+                None
+                if verdicts is None
+                else crash_rows.from_verdict_rows(verdicts, now),
+                crash_rows.from_probe_rows(view.probes),
+                now,
             )
         )
 
@@ -308,13 +387,16 @@
     ) -> None:
         server = in_flight.server
         ended = _Ended(
-            now, in_flight.traits, in_flight.is_fresh(now), complete
+            now,
+            in_flight.traits,
+            in_flight.is_fresh(now),
+            complete,
+            in_flight.probing,
         )
         if server.server_id in self._proven:
-            self._quarantine.on_crash(
-                _crash_report(server.server_id, [ended], now)
+            self._add_crash(
+                _crash_report(server.server_id, [ended], now), [ended]
             )
-            self._on_report()
             return
         queue = self._ended.setdefault(
             server.server_id, collections.deque(maxlen=MAX_BROKEN)
@@ -356,6 +438,16 @@
             requests=len(report.requests),
             parts=sorted(parts),
         )
+        self._add_crash(report, ended)
+
+    def _add_crash(
+        self,
+        report: quarantine_api.CrashReport,
+        ended: abc.Iterable[_Ended],
+    ) -> None:
+        for item in ended:
+            if item.probing is not None and item.fresh:
+                self._quarantine.on_probe_failed(item.probing.parts)
         self._quarantine.on_crash(report)
         self._on_report()
 
@@ -395,6 +487,10 @@
                 scope.cancel()
 
 
+def _key(call: api.Call) -> _Key:
+    return call.request_id, call.arrived_at
+
+
 def _crash_report(
     server_id: str, ended: abc.Iterable[_Ended], now: float
 ) -> quarantine_api.CrashReport:
@@ -411,14 +507,3 @@
     """Return what a request has in common with others and its repeats."""
     parts = tuple(part.part_id for part in call.terms.prompt_parts)
     return quarantine_api.traits_of(parts, call.identity)
-
-
-def _verdicts(
-    rows: abc.Iterable[messages.VerdictRow], now: float
-) -> list[quarantine_api.Verdict]:
-    return [
-        quarantine_api.Verdict(
-            frozenset(row.parts), now - row.seconds, row.crashes
-        )
-        for row in rows
-    ]
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -89,8 +89,16 @@
         self, call: api.Call, relay: exchanges.Relay
     ) -> results.Result:
         """Forward a request until it is answered, refused or cut."""
+        try:
+            return await self._run(call, relay)
+        finally:
+            self._crashes.finish(call)
+
+    async def _run(
+        self, call: api.Call, relay: exchanges.Relay
+    ) -> results.Result:
         if self._crashes.is_refused(call):
-            return self._refusals.end_quarantined(relay, False)
+            return self._end_quarantined(call, relay, False)
         place = await self._versions.find(call)
         if place is None:
             return self._refusals.refuse_later(
@@ -143,14 +151,14 @@
                         call, avoid, deadline, version, relay.started
                     )
                 if scope.cancelled_caught:
-                    return self._refusals.end_quarantined(relay, may_have_run)
+                    return self._end_quarantined(call, relay, may_have_run)
             if server is None:
                 return self._refusals.end_unplaced(
                     call, version, relay, may_have_run
                 )
             if self._crashes.is_refused(call):
                 self._scheduler.release(call, server, False)
-                return self._refusals.end_quarantined(relay, may_have_run)
+                return self._end_quarantined(call, relay, may_have_run)
             if not (relay.started or may_have_run or self._admits(call)):
                 self._scheduler.release(call, server, False)
                 return self._refusals.end_stopping(relay)
@@ -190,6 +198,13 @@
                 )
             await anyio.sleep(max(0.0, verdict.at - self._clock.now()))
 
+    def _end_quarantined(
+        self, call: api.Call, relay: exchanges.Relay, may_have_run: bool
+    ) -> results.Result:
+        return self._refusals.end_quarantined(
+            relay, may_have_run, self._crashes.may_be_cleared(call)
+        )
+
     def _admits(self, call: api.Call) -> bool:
         """Whether a planned stop leaves time for a request not yet sent."""
         return self._intake.admits(
@@ -256,6 +271,7 @@
                 successor = attempt.take_successor()
         finally:
             self._silence.discard(attempt)
+            self._crashes.leave(attempt.in_flight)
             self._scheduler.release(
                 attempt.call, attempt.server, attempt.started
             )
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -37,6 +37,8 @@
     'OriginRow',
     'OriginsFound',
     'OriginsKept',
+    'ProbeProgressRow',
+    'ProbeRow',
     'ProgressRow',
     'PoolRow',
     'RunningRequests',
@@ -130,6 +132,24 @@
     crashes: int
 
 
+class ProbeRow(msgspec.Struct, frozen=True, array_like=True):
+    """A verdict that is not firm yet (``quarantine.probes``)."""
+
+    parts: tuple[str, ...]
+    rivals: tuple[str, ...]
+    number: int
+    left: int
+    member: str
+
+
+class ProbeProgressRow(msgspec.Struct, frozen=True, array_like=True):
+    """What an instance tells of the probes of a verdict."""
+
+    parts: tuple[str, ...]
+    number: int
+    failed: bool
+
+
 class LimitRow(msgspec.Struct, frozen=True, array_like=True):
     """A server's limit of requests per second, ``None`` if it has ended.
 
@@ -273,7 +293,8 @@
     tenants with recent requests. ``capacities`` is what it has heard of
     servers of paced services since its last load. ``pools`` are those under
     overload control with requests lately, and ``turns`` the callers that it
-    has refused (``overload.returns``).
+    has refused (``overload.returns``). ``probes`` are the verdicts that it
+    knows not to be firm, ``probe_progress`` what became of its own probes.
     """
 
     instance_id: str
@@ -296,6 +317,8 @@
     capacities: tuple[CapacityRow, ...] = ()
     pools: tuple[PoolRow, ...] = ()
     turns: bytes = b''
+    probes: tuple[ProbeRow, ...] = ()
+    probe_progress: tuple[ProbeProgressRow, ...] = ()
 
 
 class InstanceRow(msgspec.Struct, frozen=True, array_like=True):
@@ -347,6 +370,7 @@
     ``capacities`` are the newest figures of servers of paced services.
     ``pools`` are the sums of the others for the pools of the receiver, and
     ``turns`` the callers that others have refused since its last view.
+    ``probes`` are the verdicts that are not firm yet.
     """
 
     owner: str
@@ -369,6 +393,7 @@
     capacities: tuple[CapacityRow, ...] = ()
     pools: tuple[PoolRow, ...] = ()
     turns: bytes = b''
+    probes: tuple[ProbeRow, ...] = ()
 
 
 class FindAdapter(wire_api.Message, frozen=True, tag='find'):
--- a/src/dogwoodquay/gateway/metrics.py
+++ b/src/dogwoodquay/gateway/metrics.py
@@ -94,6 +94,10 @@
             'gateway_servers_ended_total',
             'Servers that ended while requests with prompts ran there',
         )
+        self._probes = registry.counter(
+            'gateway_verdict_probes_total',
+            'Requests let through to test a verdict',
+        )
         self._convictions = registry.counter(
             'gateway_convictions_total',
             'Verdicts on parts of prompts under which servers ended',
@@ -277,6 +281,10 @@
         """Count a new verdict on parts of prompts."""
         self._convictions.add()
 
+    def probed(self) -> None:
+        """Count a request that is let through to test a verdict."""
+        self._probes.add()
+
     def limit_changed(self, change: str) -> None:
         """Count a server's limit that is new, has ended or is no number."""
         self._limits_changed.add(change)
--- a/src/dogwoodquay/gateway/peering.py
+++ b/src/dogwoodquay/gateway/peering.py
@@ -246,6 +246,8 @@
             capacities=self._capacity.load_rows(),
             pools=pools,
             turns=turns,
+            probes=self._crashes.probe_rows(),
+            probe_progress=self._crashes.probe_progress_rows(),
         )
 
     def _on_load(
@@ -287,6 +289,7 @@
             ),
             pools=pools,
             turns=turns,
+            probes=self._crashes.probe_rows(),
         )
 
     def _apply_view(self, view: messages.FleetView, asked_at: float) -> None:
--- a/src/dogwoodquay/gateway/refusals.py
+++ b/src/dogwoodquay/gateway/refusals.py
@@ -30,6 +30,8 @@
 ABSENT_RETRY_AFTER_SECONDS: typing.Final = 1.0
 # A request under which servers crash is refused for minutes.
 QUARANTINE_RETRY_AFTER_SECONDS: typing.Final = 60.0
+# A verdict that is probed has a result within about this time.
+PROBE_RETRY_AFTER_SECONDS: typing.Final = 3.0
 # Callers that wait for the same load are spread over this time.
 RETURN_JITTER_SECONDS: typing.Final = 1.0
 
@@ -83,9 +85,12 @@
         return self._refuse_not_run(call, reason)
 
     def end_quarantined(
-        self, relay: exchanges.Relay, may_have_run: bool
+        self, relay: exchanges.Relay, may_have_run: bool, clears: bool
     ) -> results.Result:
-        """End a request under which, or under whose prompt, servers crash."""
+        """End a request under which, or under whose prompt, servers crash.
+
+        :param clears: whether it may soon be found to be sound.
+        """
         reason = api.RefusalReason.PROMPT_QUARANTINED
         if relay.started:
             return results.Cut(reason.value)
@@ -93,7 +98,11 @@
             return api.Refusal(
                 api.RefusalReason.MAY_HAVE_RUN, _BAD_GATEWAY, 0.0, reason.value
             )
-        pause = self._with_jitter(QUARANTINE_RETRY_AFTER_SECONDS)
+        pause = self._with_jitter(
+            PROBE_RETRY_AFTER_SECONDS
+            if clears
+            else QUARANTINE_RETRY_AFTER_SECONDS
+        )
         return api.Refusal(reason, _UNAVAILABLE, pause)
 
     def end_unauthorized(self, may_have_run: bool) -> results.Result:
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -233,7 +233,7 @@
             self._origin_log,
         )
         self._crashes = crash_watches.CrashWatch(
-            self._connections, clock, metrics
+            self._connections, clock, metrics, members.member_name(settings)
         )
         self._crash_records = crash_records.CrashRecords(
             store,
--- a/src/dogwoodquay/quarantine/core.py
+++ b/src/dogwoodquay/quarantine/core.py
@@ -6,6 +6,7 @@
 import typing
 
 from . import evidence as crash_evidence
+from . import probes as verdict_probes
 from . import records
 from . import sound
 from . import verdicts as verdicts_module
@@ -24,6 +25,8 @@
 # seen it in a complete answer object within this time.
 HEARING_SECONDS: typing.Final = 0.7
 MAX_SUSPECTS: typing.Final = 64
+# For so long others may still tell a verdict that has ended here.
+ENDED_SECONDS: typing.Final = 10.0
 
 
 class Changes(typing.NamedTuple):
@@ -34,12 +37,18 @@
 
 
 class Quarantine:
-    """The evidence and the verdicts that one instance knows."""
+    """The evidence and the verdicts that one instance knows.
 
-    def __init__(self) -> None:
+    :param member: the name of the instance.
+    """
+
+    def __init__(self, member: str) -> None:
+        self._member = member
+        self._probes = verdict_probes.Probes()
         self._sound = sound.SoundTraits()
         self._evidence = crash_evidence.CrashEvidence(self._sound)
         self._verdicts = verdicts_module.Verdicts()
+        self._ended_at: dict[frozenset[str], float] = {}
         self._reports: collections.deque[api.CrashReport] = collections.deque()
         # Since when each suspect is named.
         self._named_at: dict[str, float] = {}
@@ -55,7 +64,9 @@
     def kept(self) -> records.Kept:
         """What has to outlive the instances."""
         return records.Kept(
-            tuple(self._verdicts.all), tuple(self._evidence.reports)
+            tuple(self._verdicts.all),
+            tuple(self._evidence.reports),
+            self._probes.all,
         )
 
     @property
@@ -81,6 +92,48 @@
             return None
         return self._verdicts.find(traits.shared, now)
 
+    @property
+    def probes(self) -> tuple[verdict_probes.Probe, ...]:
+        """The verdicts that are not firm yet."""
+        return self._probes.all
+
+    def take_probe(
+        self, traits: api.Traits | None, now: float
+    ) -> frozenset[str] | None:
+        """Return the verdict that a refused request may probe, if any."""
+        if traits is None or not self._probes.all:
+            return None
+        matching = self._verdicts.matching(traits.shared)
+        if len(matching) != 1:
+            return None
+        parts = matching[0].parts
+        if self._probes.may_send(parts, traits.shared, self._member, now):
+            return parts
+        return None
+
+    def return_probe(self, parts: frozenset[str]) -> None:
+        """Return a probe whose request has reached no server."""
+        self._probes.unsent(parts)
+
+    def on_probe_failed(self, parts: frozenset[str]) -> None:
+        """Record that a server ended under a probe of this instance."""
+        self._probes.failed(parts)
+
+    def may_be_cleared(self, traits: api.Traits | None) -> bool:
+        """Whether a request may be refused for a short time only."""
+        if traits is None:
+            return False
+        return all(
+            verdict.parts in self._probes
+            for verdict in self._verdicts.matching(traits.shared)
+        )
+
+    def probe_progress(
+        self, now: float
+    ) -> tuple[verdict_probes.Progress, ...]:
+        """Return what this instance tells the owner of its probes."""
+        return self._probes.progress(self._member, now)
+
     def is_suspect(self, traits: api.Traits | None) -> bool:
         """Whether a repeat of a request may cost one more server."""
         if traits is None:
@@ -91,11 +144,13 @@
             for part in traits.shared
         )
 
-    def restore(self, kept: records.Kept) -> Changes:
+    def restore(self, kept: records.Kept, now: float) -> Changes:
         """Add what the store has kept."""
         self._revision += 1
         self._evidence.restore(kept.crashes)
-        return Changes(self._verdicts.merge(kept.verdicts), [])
+        added = self._verdicts.merge(kept.verdicts)
+        self._open_probes(added, kept.probes, now)
+        return Changes(added, [])
 
     def on_answered(self, traits: api.Traits, now: float) -> None:
         """Record a complete answer."""
@@ -130,10 +185,14 @@
         return chosen
 
     def objections(self) -> tuple[str, ...]:
-        """Return the suspects of others that have had a complete answer."""
-        return tuple(
-            part for part in self._peers_suspects if part in self._sound
+        """Return the suspects of others that have had a complete answer.
+
+        Parts of verdicts that are probed count as well.
+        """
+        named = self._peers_suspects.union(
+            *(probe.parts for probe in self._probes.all)
         )
+        return tuple(part for part in named if part in self._sound)
 
     def on_peer_reports(
         self,
@@ -141,25 +200,42 @@
         objections: abc.Iterable[str],
         verdicts: abc.Iterable[api.Verdict],
         now: float,
+        probes: abc.Iterable[verdict_probes.Probe] = (),
     ) -> Changes:
         """Join what another instance reports to the owner, this instance."""
         self._sound.add(objections, now)
         added = [self._evidence.add(report) for report in reports]
-        merged = self._verdicts.merge(verdicts)
+        merged = self._verdicts.merge(
+            item for item in verdicts if item.parts not in self._ended_at
+        )
+        self._open_probes(merged, probes, now)
         if any(added) or merged:
             self._revision += 1
         return Changes(merged, [])
 
+    def on_peer_progress(
+        self,
+        member: str,
+        progress: abc.Iterable[verdict_probes.Progress],
+        now: float,
+    ) -> None:
+        """Apply what another instance tells of its probes, as the owner."""
+        if self._probes.on_progress(member, progress, now):
+            self._revision += 1
+
     def on_owner_view(
         self,
         suspects: abc.Iterable[str],
         verdicts: abc.Iterable[api.Verdict] | None,
+        probes: abc.Iterable[verdict_probes.Probe] = (),
+        now: float = 0.0,
     ) -> Changes:
         """Take over what the owner knows; ``None`` for an earlier build."""
         self._peers_suspects = frozenset(suspects)
         if verdicts is None:
             return Changes([], [])
         added, withdrawn = self._verdicts.replace(verdicts)
+        self._probes.adopt(probes, now)
         return Changes(added, [(item, 'owner') for item in withdrawn])
 
     def step(self, now: float, decides: bool) -> Changes:
@@ -168,6 +244,15 @@
         :param decides: whether this instance is the owner, or hears of none.
         """
         changes = self._step(now, decides)
+        self._ended_at = {
+            parts: at
+            for parts, at in self._ended_at.items()
+            if now - at <= ENDED_SECONDS
+        }
+        for verdict, _ in changes.ended:
+            self._ended_at[verdict.parts] = now
+        for verdict in changes.added:
+            self._ended_at.pop(verdict.parts, None)
         if changes.added or changes.ended:
             self._revision += 1
         return changes
@@ -177,12 +262,17 @@
         if self._evidence.expire(now):
             self._revision += 1
         ended = [(item, 'quiet') for item in self._verdicts.expire(now)]
-        ended.extend(
-            (item, 'answered') for item in self._verdicts.refute(self._sound)
-        )
+        for verdict, _ in ended:
+            self._probes.close(verdict.parts)
         if not decides:
             self._named_at.clear()
             return Changes([], ended)
+        # Others wait for the owner, who convicts what explains the crashes
+        # instead at the same time.
+        for verdict in self._verdicts.refute(self._sound):
+            self._probes.close(verdict.parts)
+            ended.append((verdict, 'answered'))
+        self._step_probes(now)
         suspects = self._evidence.suspects()
         most = sorted(suspects, key=lambda part: (-suspects[part], part))
         self._named_at = {
@@ -198,4 +288,46 @@
         explanations = self._evidence.explanations(heard)
         added, withdrawn = self._verdicts.apply(explanations)
         ended.extend((item, 'explained') for item in withdrawn)
+        self._probe_explained(explanations, added, withdrawn, now)
         return Changes(added, ended)
+
+    def _step_probes(self, now: float) -> None:
+        own = self._probes.progress(self._member, now)
+        firm = self._probes.on_progress(self._member, own, now)
+        if self._probes.step(now) or firm:
+            self._revision += 1
+
+    def _open_probes(
+        self,
+        verdicts: abc.Iterable[api.Verdict],
+        probes: abc.Iterable[verdict_probes.Probe],
+        now: float,
+    ) -> None:
+        """Go on with the probes of verdicts that are new here."""
+        new = {verdict.parts for verdict in verdicts}
+        for probe in probes:
+            if probe.parts in new:
+                self._probes.open(probe, now)
+
+    def _probe_explained(
+        self,
+        explanations: abc.Iterable[crash_evidence.Explanation],
+        added: abc.Iterable[api.Verdict],
+        withdrawn: abc.Iterable[api.Verdict],
+        now: float,
+    ) -> None:
+        """Have doubtful verdicts probed.
+
+        They take over what the withdrawn ones have left.
+        """
+        left = verdict_probes.MAX_PROBES
+        for verdict in withdrawn:
+            left = min(left, self._probes.left(verdict.parts))
+            self._probes.close(verdict.parts)
+        new = {verdict.parts for verdict in added}
+        for item in explanations:
+            if item.parts in new and item.doubtful:
+                self._probes.open(
+                    verdict_probes.Probe(item.parts, item.rivals, 0, left), now
+                )
+            self._probes.update_rivals(item.parts, item.rivals)
--- a/src/dogwoodquay/quarantine/evidence.py
+++ b/src/dogwoodquay/quarantine/evidence.py
@@ -21,17 +21,26 @@
 # Crashes after which a part is suspect, and after which it may be convicted.
 MIN_SUSPECT_CRASHES: typing.Final = 2
 MIN_CRASHES: typing.Final = 3
+# Servers that end within this time may have ended for the same reason.
+SAME_REASON_SECONDS: typing.Final = 0.5
 # Different requests with a part of a prompt; repeats of one do not count.
 # One request is enough for the trait that stands for all of it.
 MIN_REQUESTS: typing.Final = 2
 
 
 class Explanation(typing.NamedTuple):
-    """Parts that come together in requests under which servers ended."""
+    """Parts that come together in requests under which servers ended.
+
+    ``rivals`` are other parts that may have ended several of these servers.
+    ``doubtful`` is whether it may be wrong: there are rivals, or some of the
+    servers may have ended by themselves for one reason.
+    """
 
     parts: frozenset[str]
     servers: frozenset[str]
     last_at: float
+    rivals: frozenset[str] = frozenset()
+    doubtful: bool = False
 
 
 class _Crash:
@@ -128,7 +137,7 @@
         while True:
             by_part = self._servers_by_part(unexplained)
             guilty = [
-                (-len(servers), part)
+                (-len(servers), -len(self._common_parts(part, servers)), part)
                 for part, servers in by_part.items()
                 if len(servers) >= MIN_CRASHES
                 and part in may_convict
@@ -137,11 +146,23 @@
             ]
             if not guilty:
                 return found
-            _, part = min(guilty)
+            # Of equal explanations, the one that refuses the fewest requests.
+            *_, part = min(guilty)
             servers = by_part[part]
             last_at = max(self._crashes[name].at for name in servers)
             parts = self._common_parts(part, servers)
-            found.append(Explanation(parts, frozenset(servers), last_at))
+            rivals = frozenset(
+                other
+                for other, names in by_part.items()
+                if other not in parts
+                and len(names & servers) >= MIN_SUSPECT_CRASHES
+            )
+            doubtful = bool(rivals) or self._events(servers) < MIN_CRASHES
+            found.append(
+                Explanation(
+                    parts, frozenset(servers), last_at, rivals, doubtful
+                )
+            )
             for server_id in servers:
                 del unexplained[server_id]
 
@@ -175,6 +196,14 @@
             if part in request.shared
         ]
 
+    def _events(self, servers: abc.Iterable[str]) -> int:
+        """Return how many crashes cannot have had one reason by their time."""
+        count, last_at = 0, float('-inf')
+        for at in sorted(self._crashes[name].at for name in servers):
+            count += at - last_at >= SAME_REASON_SECONDS
+            last_at = at
+        return count
+
     def _is_repeated(self, part: str, servers: abc.Iterable[str]) -> bool:
         """Whether enough requests with a part have crashed servers."""
         if api.is_whole_request(part):
--- a/src/dogwoodquay/quarantine/records.py
+++ b/src/dogwoodquay/quarantine/records.py
@@ -9,6 +9,7 @@
 
 from . import api
 from ..journal import entries
+from . import probes as verdict_probes
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -26,10 +27,11 @@
 
 
 class Kept(typing.NamedTuple):
-    """Verdicts, and crashes that may lead to one."""
+    """Verdicts, crashes that may lead to one, and which are not firm yet."""
 
     verdicts: tuple[api.Verdict, ...]
     crashes: tuple[api.CrashReport, ...]
+    probes: tuple[verdict_probes.Probe, ...] = ()
 
 
 class _Broken(msgspec.Struct, frozen=True, array_like=True):
@@ -43,10 +45,14 @@
     schema: int
 
 
-class _Verdict(_Record, frozen=True, tag='verdict'):
+class _Verdict(_Record, frozen=True, tag='verdict', omit_defaults=True):
+    """A verdict; ``probes_left`` is ``None`` in records of earlier builds."""
+
     parts: tuple[str, ...]
     seen_at: float
     crashes: int
+    rivals: tuple[str, ...] = ()
+    probes_left: int | None = None
 
 
 class _Crash(_Record, frozen=True, tag='crash'):
@@ -62,11 +68,21 @@
 def encode(kept: Kept) -> dict[str, bytes]:
     """Return the records by their keys."""
     found = {}
+    probes = {probe.parts: probe for probe in kept.probes}
+    firm = verdict_probes.Probe(frozenset(), left=0)
     for verdict in kept.verdicts:
+        probe = probes.get(verdict.parts, firm)
         parts = tuple(sorted(verdict.parts))
         step = verdict.seen_at // SEEN_STEP_SECONDS
         found[_key('verdict', *parts)] = _pack(
-            _Verdict(SCHEMA, parts, step * SEEN_STEP_SECONDS, verdict.crashes)
+            _Verdict(
+                SCHEMA,
+                parts,
+                step * SEEN_STEP_SECONDS,
+                verdict.crashes,
+                tuple(sorted(probe.rivals)),
+                probe.left,
+            )
         )
     for crash in kept.crashes:
         found[_key('crash', crash.server_id)] = _encode_crash(crash)
@@ -80,7 +96,7 @@
 
     :param now: no time of a record is later.
     """
-    verdicts, crashes, errors = [], [], []
+    verdicts, crashes, probes, errors = [], [], [], []
     for value in values:
         try:
             record = entries.unpack(value, _Envelope).record
@@ -88,9 +104,10 @@
             errors.append(str(error))
             continue
         match record:
-            case _Verdict(_, parts, seen_at, count):
+            case _Verdict(_, parts, seen_at, count, rivals, left):
                 seen_at = min(seen_at + SEEN_STEP_SECONDS, now)
                 verdicts.append(api.Verdict(frozenset(parts), seen_at, count))
+                probes.append(_probe(parts, rivals, left))
             case _Crash(_, server_id, at, rows):
                 requests = tuple(
                     api.BrokenRequest(row.own, frozenset(row.shared))
@@ -99,7 +116,8 @@
                 crashes.append(
                     api.CrashReport(server_id, min(at, now), requests)
                 )
-    return Kept(tuple(verdicts), tuple(crashes)), tuple(errors)
+    kept = Kept(tuple(verdicts), tuple(crashes), tuple(probes))
+    return kept, tuple(errors)
 
 
 class RecordSet:
@@ -145,6 +163,16 @@
         return chosen
 
 
+def _probe(
+    parts: tuple[str, ...], rivals: tuple[str, ...], left: int | None
+) -> verdict_probes.Probe:
+    return verdict_probes.Probe(
+        frozenset(parts),
+        frozenset(rivals),
+        left=verdict_probes.MAX_PROBES if left is None else left,
+    )
+
+
 def _key(kind: str, *names: str) -> str:
     digest = hashlib.blake2b(digest_size=KEY_BYTES)
     for name in names:
--- a/src/dogwoodquay/quarantine/verdicts.py
+++ b/src/dogwoodquay/quarantine/verdicts.py
@@ -41,6 +41,14 @@
                 return verdict
         return None
 
+    def matching(self, shared: frozenset[str]) -> list[api.Verdict]:
+        """Return all verdicts on a request's shared parts."""
+        return [
+            verdict
+            for parts, verdict in self._verdicts.items()
+            if parts <= shared
+        ]
+
     def apply(
         self, explanations: abc.Iterable[evidence.Explanation]
     ) -> tuple[list[api.Verdict], list[api.Verdict]]:
--- a/tests/site/test_crashing_prompts.py
+++ b/tests/site/test_crashing_prompts.py
@@ -6,6 +6,7 @@
 import contextlib
 import time
 import typing
+from unittest import mock
 
 from . import crashes
 from . import processes
@@ -32,6 +33,14 @@
 class _CrashCase(crashes.CrashCase):
     """A site whose engines crash on one part of a prompt."""
 
+    engine_count = _ENGINES
+    # Whether sound requests are answered before anything else.
+    warm = True
+
+    def configuration(self) -> dict[str, typing.Any] | None:
+        """Return the first manifest, ``None`` for the usual one."""
+        return None
+
     @contextlib.asynccontextmanager
     async def running(self) -> abc.AsyncIterator[processes.Site]:
         """Run a site in which sound requests have been served."""
@@ -39,7 +48,7 @@
 
         def add_engines(site: processes.Site) -> None:
             site.servers.remove(site.engine)
-            for number in range(_ENGINES):
+            for number in range(self.engine_count):
                 engines.append(
                     crashes.CrashingServer(
                         site.store, f'e{number}', self.record
@@ -49,11 +58,11 @@
 
         async with asyncio.timeout(_TEST_TIMEOUT_SECONDS):
             async with processes.Site.running(
-                _INSTANCES, add_servers=add_engines
+                _INSTANCES, self.configuration(), add_engines
             ) as site:
                 self.engines = engines
                 try:
-                    for instance in site.instances:
+                    for instance in site.instances if self.warm else ():
                         for _ in range(5):
                             await self.send_sound(instance, 'caller-0')
                     yield site
@@ -164,6 +173,95 @@
         )
 
 
+class NewPromptTest(_CrashCase):
+    """Nothing has been answered yet on the first part of all prompts (LOST).
+
+    Streams last longer than it takes to crash all servers, so that sound ones
+    break off with the others.
+    """
+
+    engine_count = 3
+    warm = False
+
+    def setUp(self) -> None:
+        """Have servers come back after all others have ended."""
+        super().setUp()
+        patch = mock.patch.object(crashes, 'RESTART_SECONDS', 2.0)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def configuration(self) -> dict[str, typing.Any]:
+        """Return a manifest by which a request is sent to two servers."""
+        content = typing.cast('dict[str, typing.Any]', processes.manifest(1))
+        content['Services'][1]['Engine'] |= {
+            'Slots': 16,
+            'KvCapacity': 100_000,
+        }
+        content['Routes'][1] |= {'MaxAttempts': 2, 'TimeoutMs': 12_000}
+        return content
+
+    async def _assert_sound_served(
+        self, guilty: str, event_seconds: float
+    ) -> None:
+        self.record.part = ''
+        async with self.running() as site:
+            for engine in self.engines:
+                engine.events, engine.event_seconds = 20, event_seconds
+            async with asyncio.TaskGroup() as group:
+
+                async def begin_sound(number: int) -> None:
+                    while True:
+                        instance = site.instances[number % _INSTANCES]
+                        task = group.create_task(
+                            self.send_sound(instance, 'caller')
+                        )
+                        tasks.append(task)
+                        number += 1
+                        await asyncio.sleep(0.12)
+
+                async def begin_guilty(number: int) -> None:
+                    await asyncio.sleep(0.5)
+                    self.record.part = guilty
+                    while True:
+                        instance = site.instances[number % _INSTANCES]
+                        tasks.append(
+                            group.create_task(
+                                self.send(instance, _FIRST, guilty)
+                            )
+                        )
+                        number += 1
+                        await asyncio.sleep(1.0)
+
+                tasks: list[asyncio.Task[typing.Any]] = []
+                tasks.append(group.create_task(begin_sound(0)))
+                tasks.append(group.create_task(begin_guilty(0)))
+                while not self.convictions(site):
+                    await asyncio.sleep(0.05)
+                await asyncio.sleep(2 * _CONTACT_SECONDS)
+                since, crashed = time.monotonic(), len(self.record.crashes)
+                await asyncio.sleep(_CONTACT_SECONDS)
+                until, again = time.monotonic(), len(self.record.crashes)
+                self.record.part = ''
+                for task in tasks[:2]:
+                    task.cancel()
+        begun = [on for at, on in self.sound if since <= at < until]
+        self.assertGreaterEqual(len(begun), _MIN_SOUND)
+        self.assertGreaterEqual(sum(begun), len(begun) / 2)
+        self.assertLessEqual(again - crashed, 1)
+
+    async def test_refused_with_the_guilty_part(self) -> None:
+        """The guilty part's name sorts after that of the first part."""
+        await self._assert_sound_served('zz', 0.15)
+
+    async def test_refused_with_another_guilty_part(self) -> None:
+        """The guilty part's name sorts before that of the first part."""
+        await self._assert_sound_served('aa', 0.15)
+
+    async def test_refused_while_streams_last_long(self) -> None:
+        """No sound stream is complete before all servers have ended."""
+        await self._assert_sound_served('zz', 0.2)
+
+
 class NoGuiltyPartTest(_CrashCase):
     """Engines end by themselves while sound requests run."""
 
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -94,7 +94,7 @@
 def make_crashes(clock: clocks.Clock) -> crashes.CrashWatch:
     """Return a watch of crashes that opens no connection by itself."""
     connections = client.Connections(clock)
-    return crashes.CrashWatch(connections, clock, make_metrics())
+    return crashes.CrashWatch(connections, clock, make_metrics(), 'front-0')
 
 
 def make_tenancy() -> tenancy.Tenancy:
--- a/tests/unit/gateway/loopback.py
+++ b/tests/unit/gateway/loopback.py
@@ -211,7 +211,9 @@
         self.origins = fakes.FakeOrigins()
         self.server_list = fakes.FakeServerList()
         self.silence = silence.SilenceWatch(self.scheduler, clock)
-        self.crashes = crashes.CrashWatch(self.connections, clock, metrics)
+        self.crashes = crashes.CrashWatch(
+            self.connections, clock, metrics, 'front-0'
+        )
         self.notices = notices.ServerNotices(self.registry, clock, metrics)
         self.notices.on_change(self.scheduler.assign_waiting)
         self.exchange = exchanges.Exchange(
--- a/tests/unit/gateway/test_crashes.py
+++ b/tests/unit/gateway/test_crashes.py
@@ -54,6 +54,8 @@
 
     terms: api.CallerTerms
     identity: str = ''
+    request_id: str = 'r'
+    arrived_at: float = 0.0
 
 
 class CrashWatchTest(unittest.IsolatedAsyncioTestCase):
@@ -68,6 +70,7 @@
             typing.cast('typing.Any', self.connections),
             self.clock,
             fakes.make_metrics(),
+            'front-0',
         )
         self.watch.on_report(self._on_report)
         self.lines = fakes.log_lines(self)
--- a/tests/unit/quarantine/test_core.py
+++ b/tests/unit/quarantine/test_core.py
@@ -35,7 +35,7 @@
 
     def setUp(self) -> None:
         """Begin without evidence."""
-        self.quarantine = core.Quarantine()
+        self.quarantine = core.Quarantine('front-0')
         self.now = 100.0
 
     def crash(self, server_id: str, *requests: tuple[str, ...]) -> None:
@@ -195,7 +195,7 @@
     def setUp(self) -> None:
         """Create the owner's quarantine."""
         super().setUp()
-        self.owner = core.Quarantine()
+        self.owner = core.Quarantine('front-0')
 
     def _tell(self, sender: core.Quarantine) -> None:
         self.owner.on_peer_reports(
@@ -209,7 +209,7 @@
 
     def test_crashes_at_several_instances(self) -> None:
         """The owner joins what each instance has seen once."""
-        others = [core.Quarantine() for _ in range(3)]
+        others = [core.Quarantine('front-0') for _ in range(3)]
         for number, other in enumerate(others):
             other.on_crash(
                 _report(f's{number}', self.now, ('bad', f'own-{number}'))
@@ -224,7 +224,7 @@
 
     def test_objection(self) -> None:
         """An instance objects to a part that it has seen answered."""
-        sound = core.Quarantine()
+        sound = core.Quarantine('front-0')
         sound.on_answered(_prompt('first', 'o'), self.now)
         for number in range(3):
             self.crash(f's{number}', ('first', 'bad', f'own-{number}'))
--- a/tests/unit/quarantine/test_records.py
+++ b/tests/unit/quarantine/test_records.py
@@ -121,14 +121,14 @@
     def setUp(self) -> None:
         """Begin without evidence."""
         self.now = _NOW
-        self.quarantine = core.Quarantine()
+        self.quarantine = core.Quarantine('front-0')
 
     def _restart(self) -> None:
         """Replace the instance by one that knows the records alone."""
         encoded = records.encode(self.quarantine.kept)
         kept, _ = records.decode(encoded.values(), self.now)
-        self.quarantine = core.Quarantine()
-        self.quarantine.restore(kept)
+        self.quarantine = core.Quarantine('front-0')
+        self.quarantine.restore(kept, self.now)
 
     def _crash(self, server_id: str, *requests: tuple[str, ...]) -> None:
         self.quarantine.on_crash(_crash(server_id, self.now, *requests))
