Know a stream by its attempt, not by the tenant's name

Cause: the identifier of a stream held a digest of the tenant's name. With another name, no record was found, and the version that the new identifier selects was taken.

Change: streams are known by the attempt alone, for records and for the version that is selected. Records hold their owner beside the version: that of the caller's tenant counts, without one those of others if they agree.

--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -456,13 +456,15 @@
 class OriginRow(msgspec.Struct, frozen=True, array_like=True):
     """The version of a service that began a stream.
 
-    ``seconds`` is the time for which the record is to be kept.
+    ``seconds`` is the time for which the record is to be kept. ``owner``
+    tells apart the streams of callers that chose the same identifier.
     """
 
     stream_id: str
     service: str
     version: str
     seconds: float
+    owner: str = ''
 
 
 class KeepOrigins(wire_api.Message, frozen=True, tag='keep_origins'):
--- a/src/dogwoodquay/gateway/origin_batch.py
+++ b/src/dogwoodquay/gateway/origin_batch.py
@@ -29,6 +29,7 @@
     service: str
     version: str
     keys: bytes
+    owner: str = ''
 
 
 class _Batch(msgspec.Struct, frozen=True):
@@ -44,11 +45,16 @@
 
 def encode(rows: abc.Iterable[messages.OriginRow]) -> bytes:
     """Return a record with the origins of streams."""
-    keys: dict[tuple[str, str], bytearray] = collections.defaultdict(bytearray)
+    keys: dict[origin_table.Origin, bytearray] = collections.defaultdict(
+        bytearray
+    )
     for row in rows:
-        group = keys[row.service, row.version]
+        group = keys[origin_table.Origin(row.service, row.version, row.owner)]
         group += bytes.fromhex(key_of(row.stream_id))
-    groups = tuple(_Group(*name, bytes(all_)) for name, all_ in keys.items())
+    groups = tuple(
+        _Group(origin.service, origin.version, bytes(all_), origin.owner)
+        for origin, all_ in keys.items()
+    )
     return entries.pack(_Batch(SCHEMA, groups))
 
 
@@ -63,7 +69,7 @@
     return [
         (
             group.keys[start : start + KEY_BYTES].hex(),
-            origin_table.Origin(group.service, group.version),
+            origin_table.Origin(group.service, group.version, group.owner),
         )
         for group in batch.groups
         for start in range(0, len(group.keys), KEY_BYTES)
--- a/src/dogwoodquay/gateway/origin_log.py
+++ b/src/dogwoodquay/gateway/origin_log.py
@@ -61,8 +61,8 @@
 class OriginLog:
     """Appends origins of streams in batches and reads those of others.
 
-    The first origin of a stream and service wins, as in memory, so that late
-    and repeated records do no harm.
+    The first origin of a stream, service and owner wins, as in memory, so
+    that late and repeated records do no harm.
     """
 
     def __init__(
@@ -162,17 +162,17 @@
             pass
 
     async def find(
-        self, stream_id: str, deadline: float
+        self, stream_id: str, deadline: float, owner: str = ''
     ) -> tuple[origin_table.Origin, ...]:
-        """Return the origins of a stream, one for each service.
+        """Return the origins of a stream, one for each service and owner.
 
-        The log is read as of now if they are not known yet. Callers that ask
-        during a read share the next one.
+        The log is read as of now if none of the owner is known yet. Callers
+        that ask during a read share the next one.
         """
         key = origin_batch.key_of(stream_id)
         now = self._clock.now()
         origins = self._table.find(key, now)
-        if origins:
+        if any(origin.owner == owner for origin in origins):
             return origins
         earlier_reads = self._reads
         with anyio.move_on_after(max(0.0, deadline - now)):
--- a/src/dogwoodquay/gateway/origin_table.py
+++ b/src/dogwoodquay/gateway/origin_table.py
@@ -11,15 +11,20 @@
 MAX_GENERATION_SECONDS: typing.Final = 60.0
 # The most streams in a generation.
 MAX_ENTRIES: typing.Final = 100_000
-# The most services of which a stream's origin is kept.
-MAX_SERVICES: typing.Final = 8
+# The most services and owners of which a stream's origin is kept.
+MAX_ORIGINS: typing.Final = 8
 
 
 class Origin(typing.NamedTuple):
-    """The service and the software version that began a stream."""
+    """The service and the software version that began a stream.
+
+    ``owner`` tells apart the streams of callers that chose the same
+    identifier; empty where no tenants are declared.
+    """
 
     service: str
     version: str
+    owner: str = ''
 
 
 class _Entry(typing.NamedTuple):
@@ -34,7 +39,7 @@
 
     A generation is replaced after the longest lifetime of the records of the
     two, or when it is full; a record is kept for at least its lifetime,
-    within the bounds. The first origin of a service is kept.
+    within the bounds. The first origin of a service and owner is kept.
     """
 
     def __init__(self) -> None:
@@ -54,7 +59,7 @@
     def put(
         self, stream_id: str, origin: Origin, seconds: float, now: float
     ) -> None:
-        """Add the origin of a stream unless its service has one.
+        """Add the origin of a stream unless its service and owner have one.
 
         :param seconds: the time for which it is needed.
         """
@@ -62,8 +67,9 @@
         seconds = min(seconds, MAX_GENERATION_SECONDS)
         entry = self._take(stream_id) or _Entry(now, ())
         origins = entry.origins
-        if len(origins) < MAX_SERVICES and all(
-            known.service != origin.service for known in origins
+        if len(origins) < MAX_ORIGINS and all(
+            (known.service, known.owner) != (origin.service, origin.owner)
+            for known in origins
         ):
             shared = self._known.setdefault(origin, origin)
             origins = (*origins, shared)
--- a/src/dogwoodquay/gateway/origins.py
+++ b/src/dogwoodquay/gateway/origins.py
@@ -67,8 +67,11 @@
 class _Lookup:
     """A question to several peers."""
 
-    def __init__(self, stream_id: str, answers_pending: int) -> None:
+    def __init__(
+        self, stream_id: str, owner: str, answers_pending: int
+    ) -> None:
         self.stream_id = stream_id
+        self.owner = owner
         self.answers_pending = answers_pending
         self.origins: tuple[Origin, ...] = ()
         self.settled = anyio.Event()
@@ -76,9 +79,10 @@
     def on_answer(self, origins: tuple[Origin, ...]) -> None:
         """Record what a peer knows, nothing if it did not answer."""
         self.answers_pending -= 1
-        if not self.origins:
-            self.origins = origins
-        if self.origins or not self.answers_pending:
+        if self.settled.is_set():
+            return
+        self.origins = tuple(dict.fromkeys((*self.origins, *origins)))
+        if not self.answers_pending or _has_owner(self.origins, self.owner):
             self.settled.set()
 
 
@@ -181,7 +185,7 @@
             return confirmation
         now = self._clock.now()
         self._table.put(stream_id, origin, lifetime_seconds, now)
-        row = messages.OriginRow(stream_id, *origin, lifetime_seconds)
+        row = _row(stream_id, origin, lifetime_seconds)
         if confirmed:
             confirmation = self._appends.put(row)
         else:
@@ -219,34 +223,38 @@
                 self._place(msgspec.structs.replace(row, seconds=left))
 
     async def find(
-        self, stream_id: str, deadline: float
+        self, stream_id: str, deadline: float, owner: str = ''
     ) -> tuple[Origin, ...]:
-        """Return the origins of a stream, one for each service.
+        """Return the origins of a stream, one for each service and owner.
 
-        The log is read if they are unknown here and at the peers that
-        answer. Empty if it does not have them either.
+        The log is read if none of the owner is known here and at the peers
+        that answer. Empty if it does not have any either.
         """
         if not _valid(stream_id):
             self._metrics.origin_looked_up('invalid')
             return ()
         now = self._clock.now()
-        origins = self._table.find(stream_id, now)
-        if origins:
+        own = self._table.find(stream_id, now)
+        if _has_owner(own, owner):
             self._metrics.origin_looked_up('own')
-            return origins
+            return own
         peers = self._order.asked(stream_id, self._member)
-        lookup = _Lookup(stream_id, len(peers))
+        lookup = _Lookup(stream_id, owner, len(peers))
         for peer in peers:
             self._finds.put(peer, lookup)
         if peers:
             left = min(deadline - now, FIND_TIMEOUT_SECONDS)
             with anyio.move_on_after(left):
                 await lookup.settled.wait()
-        if lookup.origins:
+        if _has_owner(lookup.origins, owner):
             self._metrics.origin_looked_up('peer')
             return lookup.origins
-        origins = await self._log.find(stream_id, deadline)
-        self._metrics.origin_looked_up('log' if origins else 'unknown')
+        logged = await self._log.find(stream_id, deadline, owner)
+        origins = tuple(dict.fromkeys((*own, *lookup.origins, *logged)))
+        if _has_owner(logged, owner):
+            self._metrics.origin_looked_up('log')
+        else:
+            self._metrics.origin_looked_up('moved' if origins else 'unknown')
         return origins
 
     async def run(self) -> None:
@@ -273,8 +281,7 @@
             usable = [name for name in candidates if self._usable(name)]
             for peer in usable[:COPIES]:
                 rows_by_peer[peer].extend(
-                    messages.OriginRow(stream_id, *origin, left)
-                    for origin in origins
+                    _row(stream_id, origin, left) for origin in origins
                 )
         until = self._clock.now() + HAND_OVER_SECONDS
         with anyio.move_on_after(HAND_OVER_SECONDS):
@@ -400,7 +407,7 @@
                 self._clock.now() + FIND_TIMEOUT_SECONDS,
             )
             for row in answer.ok.rows if answer.is_ok() else ():
-                found[row.stream_id].append(Origin(row.service, row.version))
+                found[row.stream_id].append(_origin(row))
         for lookup in lookups:
             lookup.on_answer(tuple(found.get(lookup.stream_id, ())))
 
@@ -414,8 +421,7 @@
             return None
         now = self._clock.now()
         for row in message.rows:
-            origin = Origin(row.service, row.version)
-            self._table.put(row.stream_id, origin, row.seconds, now)
+            self._table.put(row.stream_id, _origin(row), row.seconds, now)
         return messages.OriginsKept()
 
     async def _handle_log(
@@ -449,9 +455,9 @@
         now = self._clock.now()
         return messages.OriginsFound(
             tuple(
-                messages.OriginRow(
+                _row(
                     stream_id,
-                    *origin,
+                    origin,
                     self._table.seconds_left(stream_id, now),
                 )
                 for stream_id in message.stream_ids
@@ -460,6 +466,20 @@
         )
 
 
+def _row(stream_id: str, origin: Origin, seconds: float) -> messages.OriginRow:
+    return messages.OriginRow(
+        stream_id, origin.service, origin.version, seconds, origin.owner
+    )
+
+
+def _origin(row: messages.OriginRow) -> Origin:
+    return Origin(row.service, row.version, row.owner)
+
+
+def _has_owner(origins: tuple[Origin, ...], owner: str) -> bool:
+    return any(origin.owner == owner for origin in origins)
+
+
 def _valid(stream_id: str) -> bool:
     """Return whether messages can carry an identifier."""
     try:
--- a/src/dogwoodquay/gateway/resumption.py
+++ b/src/dogwoodquay/gateway/resumption.py
@@ -37,7 +37,7 @@
 CONFIRM_WAIT_SECONDS: typing.Final = 0.3
 # The longest time that a caller may come back after, whatever it says.
 MAX_LIFETIME_SECONDS: typing.Final = 60.0
-TENANT_DIGEST_BYTES: typing.Final = 8
+TENANT_DIGEST_BYTES: typing.Final = 4
 # Records name attempts with longer identifiers by a digest.
 MAX_ATTEMPT_ID_CHARACTERS: typing.Final = 200
 LONG_ID_DIGEST_BYTES: typing.Final = 16
@@ -84,9 +84,12 @@
         """Whether the last lookup in the log has read all of it."""
 
     async def find(
-        self, stream_id: str, deadline: float
+        self, stream_id: str, deadline: float, owner: str = ''
     ) -> tuple[stream_origins.Origin, ...]:
-        """Return a stream's origins, one for each service."""
+        """Return a stream's origins, one for each service and owner.
+
+        Those of others are only complete if there is none of the owner.
+        """
 
 
 class ServerList(typing.Protocol):
@@ -154,7 +157,7 @@
         terms = call.terms
         entries = (item.entry for item in self._registry.servers.values())
         return first_version.choose(
-            _stream_id(call, terms.attempt_id),
+            _stream_id(terms.attempt_id),
             first_version.weights(entries, call.service, terms.model),
         )
 
@@ -179,8 +182,8 @@
         seconds = max(call.route.timeout_seconds, terms.wait_seconds)
         confirmed = not self._told_without_record(call, version)
         confirmation = await self._origins.record(
-            _stream_id(call, terms.resumes or terms.attempt_id),
-            stream_origins.Origin(call.service, version),
+            _stream_id(terms.resumes or terms.attempt_id),
+            stream_origins.Origin(call.service, version, _owner(call)),
             min(seconds, MAX_LIFETIME_SECONDS),
             confirmed,
         )
@@ -214,10 +217,13 @@
         source, place, log_read = 'records', None, False
         if terms.resumes:
             deadline = min(call.deadline, self._clock.now() + FIND_SECONDS)
-            stream_id = _stream_id(call, terms.resumes)
-            found = await self._origins.find(stream_id, deadline)
+            stream_id = _stream_id(terms.resumes)
+            found = await self._origins.find(stream_id, deadline, _owner(call))
             log_read = self._origins.log_complete
             place = _recorded_place(call, found)
+            if found and place is None:
+                _LOG.write('origins_differ', request=call.request_id)
+                return None
         if place is None:
             source, place = 'list', await self._sole_version(call)
         if place is None and log_read:
@@ -271,7 +277,7 @@
             now - call.route.timeout_seconds,
             min(call.deadline, now + HISTORY_READ_SECONDS),
         )
-        stream_id = _stream_id(call, call.terms.resumes)
+        stream_id = _stream_id(call.terms.resumes)
         versions = {
             first_version.choose(stream_id, counts) for counts in states or ()
         }
@@ -296,18 +302,23 @@
         return since >= registry.followed_since
 
 
-def _stream_id(call: api.Call, attempt_id: str) -> str:
+def _stream_id(attempt_id: str) -> str:
     """Return the identifier under which a stream's origin is kept.
 
-    It holds a digest of the tenant, so that another one does not find the
-    record. Callers cannot send such an identifier themselves, as no header
-    holds a line break.
+    It does not depend on the tenant: a key may belong to another one, or to
+    none, when the stream is taken up. No caller can send the identifier of a
+    long one, as no header holds a line break.
     """
     if len(attempt_id) > MAX_ATTEMPT_ID_CHARACTERS:
-        attempt_id = f'\n{_digest(attempt_id, LONG_ID_DIGEST_BYTES)}'
+        return f'\n{_digest(attempt_id, LONG_ID_DIGEST_BYTES)}'
+    return attempt_id
+
+
+def _owner(call: api.Call) -> str:
+    """Return what tells apart the tenants that chose the same identifier."""
     if call.tenant is None:
-        return attempt_id
-    return f'{attempt_id}\n{_digest(call.tenant.name, TENANT_DIGEST_BYTES)}'
+        return ''
+    return _digest(call.tenant.name, TENANT_DIGEST_BYTES)
 
 
 def _digest(text: str, size: int) -> str:
@@ -318,15 +329,26 @@
 def _recorded_place(
     call: api.Call, found: tuple[stream_origins.Origin, ...]
 ) -> Place | None:
-    """Return where a stream with known origins goes on.
+    """Return where a stream with known origins goes on, if that is certain.
 
     Versions are compared within a service. A stream whose route has moved to
-    another service may begin there at any version.
+    another service may begin there at any version. The origins of other
+    tenants count if there is none of the caller's: its key may have moved.
+    They have to agree then, as streams of several tenants may have the same
+    identifier.
     """
     if not found:
         return None
+    owner = _owner(call)
+    own = [origin for origin in found if origin.owner == owner]
     names = {item.service for item in call.route.services}
-    for origin in found:
-        if origin.service in names:
-            return Place(origin.service, origin.version)
-    return Place(call.service, None)
+    places = dict.fromkeys(
+        Place(origin.service, origin.version)
+        for origin in own or found
+        if origin.service in names
+    )
+    if not places:
+        return Place(call.service, None)
+    if own or len(places) == 1:
+        return next(iter(places))
+    return None
--- a/tests/site/test_software_versions.py
+++ b/tests/site/test_software_versions.py
@@ -145,6 +145,77 @@
         await self._kill_and_take_up(150, at_once=30)
 
 
+class MovedKeyTest(versions.VersionsTest):
+    """A manifest gives the callers' key to another tenant (ORDER)."""
+
+    async def _take_up(
+        self,
+        before: dict[str, list[str]] | None,
+        after: dict[str, list[str]] | None,
+        key: str = 'key-1',
+        listed_seconds: float = 0.0,
+    ) -> None:
+        """Begin streams, change the tenants, and take the streams up.
+
+        :param key: the one with which the streams are taken up.
+        :param listed_seconds: how long both versions have been listed.
+        """
+        async with versions.Requesters.running(
+            3, versions.TWO_OF_EACH, before
+        ) as requesters:
+            async with requesters.beating():
+                await asyncio.sleep(listed_seconds)
+            requesters.headers = 'Api-Key: key-1\r\n'
+            requesters.hold()
+            found = await requesters.begin(24, requesters.live[0])
+            self.assert_began(found)
+            self.assert_both_versions(found)
+            await requesters.declare(2, after)
+            await asyncio.gather(*(stream.reset() for stream in found))
+            requesters.let_go()
+            for stream in found:
+                stream.headers = f'Api-Key: {key}\r\n'
+            await requesters.take_up(found, 1)
+            self.assert_one_version(found)
+            stopped = [stream for stream in found if not stream.answered]
+            self.assertEqual(0, len(stopped), versions.stories(stopped))
+
+    async def test_joined_after_a_move(self) -> None:
+        """Both versions have been listed for longer than a stream lasts.
+
+        What has no record goes on at the version that is selected.
+        """
+        await self._take_up(
+            {'one': ['key-1']},
+            {'two': ['key-1']},
+            listed_seconds=1.7 * versions.LIMIT_SECONDS,
+        )
+
+    async def test_refused_after_a_move(self) -> None:
+        """Another tenant has the key."""
+        await self._take_up({'one': ['key-1']}, {'two': ['key-1']})
+
+    async def test_refused_with_a_second_key(self) -> None:
+        """Another tenant has the key, and the requester has a second one."""
+        await self._take_up(
+            {'one': ['key-1']}, {'two': ['key-1', 'key-2']}, 'key-2'
+        )
+
+    async def test_refused_after_tenants_are_declared(self) -> None:
+        """The first tenants come with the change."""
+        await self._take_up(None, {'one': ['key-1']})
+
+    async def test_refused_after_tenants_are_taken_out(self) -> None:
+        """No tenants are declared any more."""
+        await self._take_up({'one': ['key-1']}, None)
+
+    async def test_same_tenant(self) -> None:
+        """The tenant has another key too, and its requester changes."""
+        await self._take_up(
+            {'one': ['key-1', 'key-2']}, {'one': ['key-1', 'key-2']}, 'key-2'
+        )
+
+
 class LongIdentifierTest(versions.VersionsTest):
     """Attempts whose identifiers are longer than those of records (LOST)."""
 
