Count crashes by server process, not by id

Cause: evidence kept one crash for each id and asked for three ids.

Evidence: quarantine:server_ended is logged for each of 18 crashes, and no verdict follows.

Change: crashes are known by id and start of the process, in evidence, messages and records. Reports of one process that are more than 2 s apart are two crashes, as the second reporter has not read the new entry yet.

--- a/src/dogwoodquay/gateway/crash_rows.py
+++ b/src/dogwoodquay/gateway/crash_rows.py
@@ -35,6 +35,7 @@
                 messages.BrokenRow(item.own, tuple(sorted(item.shared)))
                 for item in report.requests
             ),
+            report.started_ms,
         )
         for report in reports
     )
@@ -52,6 +53,7 @@
                 quarantine_api.BrokenRequest(item.own, frozenset(item.shared))
                 for item in row.requests
             ),
+            row.started_ms,
         )
         for row in rows
     ]
--- a/src/dogwoodquay/gateway/crashes.py
+++ b/src/dogwoodquay/gateway/crashes.py
@@ -85,6 +85,13 @@
         return self.heard_at - self.started_at >= FRESH_SECONDS
 
 
+class _Process(typing.NamedTuple):
+    """A process of a server, which may start again under its id."""
+
+    server_id: str
+    started_ms: int
+
+
 class _Ended(typing.NamedTuple):
     """A request whose answer broke off, or ended with its connection."""
 
@@ -126,9 +133,9 @@
         self._quarantine = core.Quarantine(member)
         self._in_flight: set[InFlight] = set()
         self._probing: dict[_Key, _Probing] = {}
-        self._ended: dict[str, collections.deque[_Ended]] = {}
-        self._proven: dict[str, float] = {}
-        self._checking: set[str] = set()
+        self._ended: dict[_Process, collections.deque[_Ended]] = {}
+        self._proven: dict[_Process, float] = {}
+        self._checking: set[_Process] = set()
         self._waiting: dict[anyio.CancelScope, quarantine_api.Traits] = {}
         self._heard_at = float('-inf')
         self._is_owner = False
@@ -297,7 +304,7 @@
 
     def on_unreachable(self, server: fleet_api.ServerEntry) -> None:
         """Check a server that accepts no connection after an answer."""
-        if server.server_id in self._ended:
+        if _process(server) in self._ended:
             self._check(server)
 
     def load_rows(
@@ -393,13 +400,12 @@
             complete,
             in_flight.probing,
         )
-        if server.server_id in self._proven:
-            self._add_crash(
-                _crash_report(server.server_id, [ended], now), [ended]
-            )
+        process = _process(server)
+        if process in self._proven:
+            self._add_crash(_crash_report(process, [ended], now), [ended])
             return
         queue = self._ended.setdefault(
-            server.server_id, collections.deque(maxlen=MAX_BROKEN)
+            process, collections.deque(maxlen=MAX_BROKEN)
         )
         queue.append(ended)
         if not complete:
@@ -407,9 +413,9 @@
 
     def _check(self, server: fleet_api.ServerEntry) -> None:
         """Ask for a connection, once at a time for each server."""
-        if self._tasks is None or server.server_id in self._checking:
+        if self._tasks is None or _process(server) in self._checking:
             return
-        self._checking.add(server.server_id)
+        self._checking.add(_process(server))
         self._tasks.start_soon(self._prove, server)
 
     async def _prove(self, server: fleet_api.ServerEntry) -> None:
@@ -418,23 +424,24 @@
                 server.address, server.port, CONNECT_SECONDS
             )
         finally:
-            self._checking.discard(server.server_id)
+            self._checking.discard(_process(server))
         now = self._clock.now()
-        ended = self._ended.pop(server.server_id, None) if refused else None
+        ended = self._ended.pop(_process(server), None) if refused else None
         if ended is not None:
-            self._proven[server.server_id] = now
-            self._report(server.server_id, ended, now)
+            self._proven[_process(server)] = now
+            self._report(_process(server), ended, now)
 
     def _report(
-        self, server_id: str, ended: abc.Iterable[_Ended], now: float
+        self, process: _Process, ended: abc.Iterable[_Ended], now: float
     ) -> None:
         """Report the requests under which a server may have ended."""
-        report = _crash_report(server_id, ended, now)
+        report = _crash_report(process, ended, now)
         parts = {part for item in report.requests for part in item.shared}
         self._metrics.server_ended()
         _LOG.write(
             'server_ended',
-            server=server_id,
+            server=process.server_id,
+            started_ms=process.started_ms,
             requests=len(report.requests),
             parts=sorted(parts),
         )
@@ -453,16 +460,16 @@
 
     def _settle(self, now: float) -> None:
         """Forget broken answers without a proof; others were complete."""
-        for server_id, queue in list(self._ended.items()):
+        for process, queue in list(self._ended.items()):
             while queue and now - queue[0].at > PROOF_SECONDS:
                 ended = queue.popleft()
                 if ended.complete:
                     self._quarantine.on_answered(ended.traits, now)
             if not queue:
-                del self._ended[server_id]
+                del self._ended[process]
         self._proven = {
-            server_id: at
-            for server_id, at in self._proven.items()
+            process: at
+            for process, at in self._proven.items()
             if now - at <= PROOF_SECONDS
         }
 
@@ -487,12 +494,16 @@
                 scope.cancel()
 
 
+def _process(server: fleet_api.ServerEntry) -> _Process:
+    return _Process(server.server_id, server.started_ms)
+
+
 def _key(call: api.Call) -> _Key:
     return call.request_id, call.arrived_at
 
 
 def _crash_report(
-    server_id: str, ended: abc.Iterable[_Ended], now: float
+    process: _Process, ended: abc.Iterable[_Ended], now: float
 ) -> quarantine_api.CrashReport:
     """Return the requests that may have ended a server."""
     requests = tuple(
@@ -500,7 +511,9 @@
         for item in ended
         if item.fresh and now - item.at <= PROOF_SECONDS
     )
-    return quarantine_api.CrashReport(server_id, now, requests)
+    return quarantine_api.CrashReport(
+        process.server_id, now, requests, process.started_ms
+    )
 
 
 def traits_of(call: api.Call) -> quarantine_api.Traits | None:
--- a/src/dogwoodquay/gateway/messages.py
+++ b/src/dogwoodquay/gateway/messages.py
@@ -113,11 +113,15 @@
 
 
 class CrashRow(msgspec.Struct, frozen=True, array_like=True):
-    """The end of a server, the seconds since then and its broken requests."""
+    """The end of a server, the seconds since then and its broken requests.
+
+    ``started_ms`` is the start of its process, zero if that is unknown.
+    """
 
     server_id: str
     seconds: float
     requests: tuple[BrokenRow, ...]
+    started_ms: int = 0
 
 
 class VerdictRow(msgspec.Struct, frozen=True, array_like=True):
--- a/src/dogwoodquay/quarantine/api.py
+++ b/src/dogwoodquay/quarantine/api.py
@@ -47,11 +47,17 @@
 
 
 class CrashReport(typing.NamedTuple):
-    """The end of a server, and the requests that one instance had there."""
+    """The end of a server, and the requests that one instance had there.
+
+    ``started_ms`` is the start of the process that has ended, in Unix
+    milliseconds, by the entry that the instance knew; zero if it is unknown.
+    A server may start again under its id.
+    """
 
     server_id: str
     at: float
     requests: tuple[BrokenRequest, ...]
+    started_ms: int = 0
 
 
 class Verdict(typing.NamedTuple):
--- a/src/dogwoodquay/quarantine/records.py
+++ b/src/dogwoodquay/quarantine/records.py
@@ -55,10 +55,11 @@
     probes_left: int | None = None
 
 
-class _Crash(_Record, frozen=True, tag='crash'):
+class _Crash(_Record, frozen=True, tag='crash', omit_defaults=True):
     server_id: str
     at: float
     requests: tuple[_Broken, ...]
+    started_ms: int = 0
 
 
 class _Envelope(msgspec.Struct, frozen=True):
@@ -85,7 +86,7 @@
             )
         )
     for crash in kept.crashes:
-        found[_key('crash', crash.server_id)] = _encode_crash(crash)
+        found[_crash_key(crash, found)] = _encode_crash(crash)
     return found
 
 
@@ -108,13 +109,15 @@
                 seen_at = min(seen_at + SEEN_STEP_SECONDS, now)
                 verdicts.append(api.Verdict(frozenset(parts), seen_at, count))
                 probes.append(_probe(parts, rivals, left))
-            case _Crash(_, server_id, at, rows):
+            case _Crash(_, server_id, at, rows, started_ms):
                 requests = tuple(
                     api.BrokenRequest(row.own, frozenset(row.shared))
                     for row in rows
                 )
                 crashes.append(
-                    api.CrashReport(server_id, min(at, now), requests)
+                    api.CrashReport(
+                        server_id, min(at, now), requests, started_ms
+                    )
                 )
     kept = Kept(tuple(verdicts), tuple(crashes), tuple(probes))
     return kept, tuple(errors)
@@ -173,6 +176,16 @@
     )
 
 
+def _crash_key(crash: api.CrashReport, found: abc.Container[str]) -> str:
+    """Return a key that no other crash in ``found`` has."""
+    names = [crash.server_id]
+    if crash.started_ms:
+        names.append(f'{crash.started_ms}')
+    while (key := _key('crash', *names)) in found:
+        names.append('again')
+    return key
+
+
 def _key(kind: str, *names: str) -> str:
     digest = hashlib.blake2b(digest_size=KEY_BYTES)
     for name in names:
@@ -190,7 +203,11 @@
     )
     while True:
         requests = tuple(_Broken(*row) for row in rows)
-        value = _pack(_Crash(SCHEMA, crash.server_id, crash.at, requests))
+        value = _pack(
+            _Crash(
+                SCHEMA, crash.server_id, crash.at, requests, crash.started_ms
+            )
+        )
         if len(value) <= MAX_RECORD_BYTES or not rows:
             return value
         rows = rows[: len(rows) // 2]
--- a/src/dogwoodquay/quarantine/verdicts.py
+++ b/src/dogwoodquay/quarantine/verdicts.py
@@ -23,7 +23,7 @@
 
     def __init__(self) -> None:
         self._verdicts: dict[frozenset[str], api.Verdict] = {}
-        self._servers: dict[frozenset[str], frozenset[str]] = {}
+        self._servers: dict[frozenset[str], frozenset[evidence.CrashKey]] = {}
 
     def __bool__(self) -> bool:
         return bool(self._verdicts)
--- a/tests/site/crashes.py
+++ b/tests/site/crashes.py
@@ -82,14 +82,32 @@
         record: CrashRecord,
         service: str = 'engines',
         models: tuple[str, ...] = ('loaded',),
+        keeps_id: bool = False,
     ) -> None:
+        """Create a server.
+
+        :param keeps_id: whether it starts again under its id.
+        """
         super().__init__(store, name, service, *models, slots=16)
         self._name = name
         self._guilty_attempts: set[str] = set()
         self._record = record
+        # Requests with this body are sound and take so long.
+        self.slow_body = b''
+        self.slow_seconds = 0.0
         self._lives = 1
+        self._keeps_id = keeps_id
+        self._born = int(time.time() * 1000)
         self._restart: asyncio.Task[None] | None = None
 
+    def register(
+        self, state: str = 'ready', reports: int | None = None, **more: int
+    ) -> None:
+        """Write the entry, with the start of the process if it needs one."""
+        if self._keeps_id:
+            more = {'born': self._born, **more}
+        super().register(state, reports, **more)
+
     def crash(self) -> None:
         """End without a word: all connections break."""
         if self._restart is not None:
@@ -106,15 +124,20 @@
 
     async def _start_again(self) -> None:
         await asyncio.sleep(RESTART_SECONDS)
-        self._store.put('keyed.servers', self._id, None)
-        self._lives += 1
-        self._id = f'{self._name}-{self._lives}'
+        if self._keeps_id:
+            self._born = int(time.time() * 1000)
+        else:
+            self._store.put('keyed.servers', self._id, None)
+            self._lives += 1
+            self._id = f'{self._name}-{self._lives}'
         self._reports = 0
         self.forget_models()
         await self.start()
         self._restart = None
 
     async def _handle(self, request: http.Request) -> http.Answer | None:
+        if request.body and request.body == self.slow_body:
+            await asyncio.sleep(self.slow_seconds)
         expected = request.headers.get('expect-instance', self._id)
         if expected == self._id and self._record.is_guilty(request):
             self._record.arrivals.append(time.monotonic())
--- a/tests/site/test_crashing_requests.py
+++ b/tests/site/test_crashing_requests.py
@@ -27,6 +27,9 @@
 # How long the request comes again after that, and how often.
 _WATCHED_SECONDS: typing.Final = 5.0
 _REPEAT_SECONDS: typing.Final = 0.25
+# The users' bound: a sound request is served again so soon after servers have
+# ended under it by themselves.
+_SERVED_AGAIN_SECONDS: typing.Final = 5.0
 _MIN_SOUND: typing.Final = 20
 _GUILTY_BODY: typing.Final = b'{"claim": "guilty"}'
 
@@ -50,6 +53,9 @@
 class _CrashCase(crashes.CrashCase):
     """A site whose servers crash on one request."""
 
+    server_count = _SERVERS
+    keep_ids = False
+
     def setUp(self) -> None:
         """Begin without a crash."""
         super().setUp()
@@ -63,14 +69,22 @@
 
         def add_servers(site: processes.Site) -> None:
             site.servers.clear()
-            for number in range(_SERVERS):
+            for number in range(self.server_count):
                 servers.extend(
                     (
                         crashes.CrashingServer(
-                            site.store, f'e{number}', self.record
+                            site.store,
+                            f'e{number}',
+                            self.record,
+                            keeps_id=self.keep_ids,
                         ),
                         crashes.CrashingServer(
-                            site.store, f'd{number}', self.record, 'desk', ()
+                            site.store,
+                            f'd{number}',
+                            self.record,
+                            'desk',
+                            (),
+                            self.keep_ids,
                         ),
                     )
                 )
@@ -227,6 +241,81 @@
         await self.assert_contained(kind, crashes.CrashPoint.BEFORE_HEAD)
 
 
+class KeptIdTest(_ContainedCase):
+    """Servers start again under their ids (BUDGET)."""
+
+    server_count = 2
+    keep_ids = True
+
+    async def test_two_servers(self) -> None:
+        """Fewer servers than the crashes that convict."""
+        await self.assert_contained(_PLAIN, crashes.CrashPoint.BEFORE_HEAD)
+
+    async def test_stream(self) -> None:
+        """The same with a stream."""
+        kind = _Kind('/stream/x', 'loaded', ('f1', 'caller-1', 'own-x'))
+        await self.assert_contained(
+            kind, crashes.CrashPoint.BEFORE_FIRST_EVENT
+        )
+
+
+class OneServerTest(KeptIdTest):
+    """All crashes are of one server."""
+
+    server_count = 1
+
+
+class BadServersTest(_CrashCase):
+    """Servers end by themselves while one request runs and comes again."""
+
+    async def _assert_served_again(self, count: int) -> None:
+        """Crash servers three times; the slow request is sound.
+
+        :param count: how many servers crash.
+        """
+        self.keep_ids = True
+        async with self.running(_PLAIN) as site:
+            for server in self.servers:
+                server.slow_body = _GUILTY_BODY
+                server.slow_seconds = 1.2
+            statuses: list[tuple[float, int]] = []
+
+            async def keep_sending() -> None:
+                for number in itertools.count():
+                    instance = site.instances[number % _INSTANCES]
+                    answer = await self.send(instance, _GUILTY_BODY)
+                    status = 0 if answer is None else answer.status
+                    statuses.append((time.monotonic(), status))
+                    await asyncio.sleep(_REPEAT_SECONDS)
+
+            task = asyncio.ensure_future(keep_sending())
+            try:
+                for _ in range(3):
+                    await asyncio.sleep(0.6)
+                    for server in self.servers[:count]:
+                        server.crash()
+                    await asyncio.sleep(crashes.RESTART_SECONDS + 0.4)
+                ended_at = time.monotonic()
+                while not any(
+                    status == 200 for at, status in statuses if at > ended_at
+                ):
+                    await asyncio.sleep(0.05)
+                seconds = time.monotonic() - ended_at
+            finally:
+                task.cancel()
+        self.assertLess(seconds, _SERVED_AGAIN_SECONDS)
+
+    async def test_one_bad_server(self) -> None:
+        """All its requests have run there."""
+        self.server_count = 1
+        await self._assert_served_again(1)
+
+    async def test_three_bad_servers(self) -> None:
+        """No other server is left."""
+        self.server_count = 3
+        await self._assert_served_again(3)
+
+
 class LostOwnerTest(_ContainedCase):
     """The owner, which joins the evidence, is lost meanwhile."""
 
--- a/tests/unit/quarantine/test_core.py
+++ b/tests/unit/quarantine/test_core.py
@@ -155,6 +155,34 @@
         self.assertEqual([], self.decide())
 
 
+class ProcessTest(_QuarantineCase):
+    """Servers start again under their ids (BUDGET)."""
+
+    def _end(self, server_id: str, started_ms: int, own: str) -> None:
+        report = _report(server_id, self.now, ('bad', own))
+        self.quarantine.on_crash(report._replace(started_ms=started_ms))
+
+    def test_three_processes_of_one_server(self) -> None:
+        """Each of them is a crash."""
+        for number in range(3):
+            self._end('s1', 1000 + number, f'own-{number}')
+        self.assertEqual([['bad']], self.decide())
+
+    def test_reports_on_one_process(self) -> None:
+        """They are one crash."""
+        for number in range(3):
+            self._end('s1', 1000, f'own-{number}')
+            self.now += 0.5
+        self.assertEqual([], self.decide())
+
+    def test_process_not_known_yet(self) -> None:
+        """The instance has not read the entry of the new process."""
+        for number in range(3):
+            self._end('s1', 1000, f'own-{number}')
+            self.now += 3.0
+        self.assertEqual([['bad']], self.decide())
+
+
 class EndTest(_QuarantineCase):
     """When a verdict ends."""
 
--- a/tests/unit/quarantine/test_records.py
+++ b/tests/unit/quarantine/test_records.py
@@ -8,6 +8,7 @@
 from dogwoodquay.quarantine import api
 from dogwoodquay.quarantine import core
 from dogwoodquay.quarantine import evidence
+from dogwoodquay.quarantine import probes as verdict_probes
 from dogwoodquay.quarantine import records
 
 _NOW = 1_000_000.0
@@ -56,6 +57,43 @@
         )
         self.assertEqual(records.encode(first), records.encode(second))
 
+    def test_processes_of_one_server(self) -> None:
+        """Each crash has a record of its own."""
+        crash = _crash('s1', _NOW, ('a', 'own'))
+        crashes = [
+            crash,
+            crash._replace(at=_NOW - 9.0),
+            crash._replace(started_ms=5),
+        ]
+        encoded = records.encode(_kept(*crashes))
+        kept, _ = records.decode(encoded.values(), _NOW)
+        self.assertEqual(set(crashes), set(kept.crashes))
+
+    def test_probes(self) -> None:
+        """What is left of a verdict's probes is kept."""
+        verdicts = tuple(
+            api.Verdict(frozenset({name}), _NOW, 3) for name in 'abc'
+        )
+        probes = (
+            verdict_probes.Probe(
+                frozenset({'a'}), frozenset({'d'}), 1, 1, 'front-1'
+            ),
+            verdict_probes.Probe(frozenset({'b'})),
+        )
+        encoded = records.encode(records.Kept(verdicts, (), probes))
+        kept, _ = records.decode(encoded.values(), _NOW)
+        found = {
+            probe.parts: (probe.rivals, probe.left) for probe in kept.probes
+        }
+        self.assertEqual(
+            {
+                frozenset({'a'}): (frozenset({'d'}), 1),
+                frozenset({'b'}): (frozenset(), 2),
+                frozenset({'c'}): (frozenset(), 0),
+            },
+            found,
+        )
+
     def test_unreadable(self) -> None:
         """The others are read."""
         encoded = records.encode(_kept(_crash('s1', _NOW, ('a', 'own'))))
