Check a waiting request by its key, not by its tenant's name

Cause: before a waiting request is sent, its key is looked up again, and it was refused if the tenant found has another name.

Change: the request runs for who has the key now: servers are told that tenant, and it counts in that tenant's quota. The first tenant gets its units back; what does not run is returned once, to who was charged last.

--- a/src/dogwoodquay/gateway/api.py
+++ b/src/dogwoodquay/gateway/api.py
@@ -5,6 +5,8 @@
 import enum
 import typing
 
+import msgspec
+
 if typing.TYPE_CHECKING:
     from ..fleet import api as fleet_api
     from ..inbound import parts
@@ -76,6 +78,15 @@
         return bool(self.resumes) or self.last_event != NO_EVENT
 
 
+class Charge(msgspec.Struct):
+    """The tenant in whose quota a request counts, ``None`` for none.
+
+    It changes if the request's key moves while it waits.
+    """
+
+    tenant: tenants_api.Tenant | None = None
+
+
 class Call(typing.NamedTuple):
     """A complete request and its route.
 
@@ -87,7 +98,7 @@
     the configuration declared tenants when the request came.
     ``first_version`` is the software version at which a new stream begins
     where it can, and ``origin_version`` the one that began a stream which is
-    taken up; ``None`` for any.
+    taken up; ``None`` for any. ``charge`` is shared by all copies.
     """
 
     request_id: str
@@ -106,6 +117,7 @@
     tenants_declared: bool = False
     first_version: str | None = None
     origin_version: str | None = None
+    charge: Charge | None = None
 
     def __repr__(self) -> str:
         """Return what may be logged of the request."""
--- a/src/dogwoodquay/gateway/app.py
+++ b/src/dogwoodquay/gateway/app.py
@@ -285,6 +285,7 @@
             identity=identity.digest(
                 request.method, target, headers, body, terms
             ),
+            charge=api.Charge(),
         )
         call = self._tenancy.assign(call, tenant)
         refusal = self._accounts.admit(call)
--- a/src/dogwoodquay/gateway/forwarder.py
+++ b/src/dogwoodquay/gateway/forwarder.py
@@ -164,9 +164,9 @@
                 return self._refusals.end_stopping(relay)
             if not relay.started:
                 renewed = self._tenancy.renew(call)
-                if renewed is None:
+                if isinstance(renewed, api.Refusal):
                     self._scheduler.release(call, server, False)
-                    return self._refusals.end_unauthorized(may_have_run)
+                    return self._refusals.end_denied(renewed, may_have_run)
                 call = renewed
             number += 1
             attempt = self._begin_attempt(
--- a/src/dogwoodquay/gateway/refusals.py
+++ b/src/dogwoodquay/gateway/refusals.py
@@ -19,7 +19,6 @@
 
 __all__ = ['Refusals']
 
-_UNAUTHORIZED: typing.Final = 401
 _BAD_GATEWAY: typing.Final = 502
 _UNAVAILABLE: typing.Final = 503
 _GATEWAY_TIMEOUT: typing.Final = 504
@@ -105,18 +104,22 @@
         )
         return api.Refusal(reason, _UNAVAILABLE, pause)
 
-    def end_unauthorized(self, may_have_run: bool) -> results.Result:
-        """End a request whose key is no longer valid for its tenant.
+    def end_denied(
+        self, refusal: api.Refusal, may_have_run: bool
+    ) -> results.Result:
+        """End a request whose key has been revoked, or moved, meanwhile.
 
         A stream that has begun goes on instead: it was asked for with a valid
         key, and a configuration cuts off no request in flight.
         """
-        reason = api.RefusalReason.UNAUTHORIZED
         if may_have_run:
             return api.Refusal(
-                api.RefusalReason.MAY_HAVE_RUN, _BAD_GATEWAY, 0.0, reason.value
+                api.RefusalReason.MAY_HAVE_RUN,
+                _BAD_GATEWAY,
+                0.0,
+                refusal.reason.value,
             )
-        return api.Refusal(reason, _UNAUTHORIZED, 0.0, 'key_revoked')
+        return refusal
 
     def end_stopping(self, relay: exchanges.Relay) -> results.Result:
         """Refuse a request that has not run and may not end before a stop."""
--- a/src/dogwoodquay/gateway/runtime.py
+++ b/src/dogwoodquay/gateway/runtime.py
@@ -338,7 +338,9 @@
             self._list_history,
             self._clock,
         )
-        tenancy = tenancies.Tenancy(adapters.codec, self._metrics)
+        tenancy = tenancies.Tenancy(
+            adapters.codec, self._metrics, self._traffic.accounts
+        )
         forwarder = forwarders.Forwarder(
             self._scheduler,
             exchange,
--- a/src/dogwoodquay/traffic/tenancy.py
+++ b/src/dogwoodquay/traffic/tenancy.py
@@ -13,6 +13,7 @@
 if typing.TYPE_CHECKING:
     from ..gateway import metrics as gateway_metrics
     from ..routes import api as routes_api
+    from . import tenant_accounts
     from ..tenants import api as tenants_api
 
 __all__ = ['HeaderFilter', 'Tenancy']
@@ -38,7 +39,9 @@
         self,
         header_filter: HeaderFilter,
         metrics: gateway_metrics.GatewayMetrics,
+        accounts: tenant_accounts.TenantAccounts,
     ) -> None:
+        self._accounts = accounts
         self._filter = header_filter
         self._metrics = metrics
         self._secret = secrets.token_bytes(directories.SECRET_BYTES)
@@ -107,18 +110,28 @@
             tenants_declared=True,
         )
 
-    def renew(self, call: api.Call) -> api.Call | None:
+    def renew(self, call: api.Call) -> api.Call | api.Refusal:
         """Return a request as it may be sent by now.
 
-        It is sent without a tenant on a public route if its key is no longer
-        valid; on other routes ``None`` is returned. Requests that came when
-        no tenants were declared are not affected.
+        Its key may have moved to another tenant, in whose quota the request
+        counts then. It is sent without a tenant on a public route if its key
+        is no longer valid; on other routes it is refused. Requests that came
+        when no tenants were declared are not affected.
         """
         if call.tenant is None or not self._declared:
             return call
         tenant = self._directory.find_digest(call.key_digest)
         if tenant is not None and tenant.name == call.tenant.name:
             return call
-        if call.route.public:
-            return call._replace(tenant=None, key_digest=b'')
-        return None
+        if tenant is None and not call.route.public:
+            return api.Refusal(
+                api.RefusalReason.UNAUTHORIZED,
+                _UNAUTHORIZED,
+                0.0,
+                'key_revoked',
+            )
+        refusal = self._accounts.move(call, tenant)
+        if refusal is not None:
+            return refusal
+        key_digest = b'' if tenant is None else call.key_digest
+        return call._replace(tenant=tenant, key_digest=key_digest)
--- a/src/dogwoodquay/traffic/tenant_accounts.py
+++ b/src/dogwoodquay/traffic/tenant_accounts.py
@@ -83,13 +83,29 @@
 
     def admit(self, call: api.Call) -> api.Refusal | None:
         """Count a request of a tenant; return the refusal if it is over."""
-        tenant = call.tenant
+        return self._charge(call, call.tenant)
+
+    def move(
+        self, call: api.Call, tenant: tenants_api.Tenant | None
+    ) -> api.Refusal | None:
+        """Count a request in another tenant's quota, as its key has moved.
+
+        :return: the refusal if that tenant is over its quota.
+        """
+        self.refund(call)
+        return self._charge(call, tenant)
+
+    def _charge(
+        self, call: api.Call, tenant: tenants_api.Tenant | None
+    ) -> api.Refusal | None:
         if tenant is None:
             return None
         now = self._clock.now()
         units = units_of(tenant, call.terms)
         match self._allotments.admit(tenant.name, units, now):
             case allotment_api.Admitted():
+                if call.charge is not None:
+                    call.charge.tenant = tenant
                 return None
             case allotment_api.Rejected(seconds):
                 if tenant.name not in self._limited:
@@ -103,10 +119,12 @@
 
     def refund(self, call: api.Call) -> None:
         """Return the units of an admitted request that did not run."""
-        if call.tenant is not None:
-            units = units_of(call.tenant, call.terms)
-            self._allotments.refund(call.tenant.name, units)
-            self._metrics.allotment_refunded()
+        charge = call.charge
+        if charge is None or charge.tenant is None:
+            return
+        tenant, charge.tenant = charge.tenant, None
+        self._allotments.refund(tenant.name, units_of(tenant, call.terms))
+        self._metrics.allotment_refunded()
 
     def load_rows(self) -> tuple[messages.UsageRow, ...]:
         """Return the recent usage, for the owner."""
--- a/tests/unit/traffic/test_tenant_accounts.py
+++ b/tests/unit/traffic/test_tenant_accounts.py
@@ -29,6 +29,7 @@
     terms = api.CallerTerms('1', 1.0, 'm', '', prompt, output, (), -1)
     call = mock.Mock(spec=api.Call)
     call.tenant, call.terms, call.service = tenant, terms, 's'
+    call.charge = api.Charge()
     return typing.cast('api.Call', call)
 
 
@@ -112,6 +113,40 @@
             self.assertIsNone(self.subject.admit(call))
             self.subject.refund(call)
 
+    def test_moved_key(self) -> None:
+        """Guards against units that the tenant of a moved key never gets."""
+        other = _TENANT._replace(name='other')
+        for accounts in (self.owner, self.subject):
+            accounts.configure([_TENANT, other])
+        self.exchange()
+        self.clock.now.return_value = 101.0
+        refusals = []
+        for _ in range(20):
+            call = _call(_TENANT, 500, 500)
+            self.assertIsNone(self.subject.admit(call))
+            refusals.append(self.subject.move(call, other))
+        refused = [item for item in refusals if item is not None]
+        self.assertGreater(len(refused), 10)
+        self.assertEqual({429}, {item.status for item in refused})
+
+    def test_refunded_after_a_move(self) -> None:
+        """Guards against units that another tenant gets back."""
+        other = _TENANT._replace(name='other')
+        for accounts in (self.owner, self.subject):
+            accounts.configure([_TENANT, other])
+        self.exchange()
+        self.clock.now.return_value = 101.0
+        for _ in range(20):
+            call = _call(_TENANT, 500, 500)
+            self.assertIsNone(self.subject.admit(call))
+            self.assertIsNone(self.subject.move(call, other))
+            self.subject.refund(call)
+            self.subject.refund(call)
+        refusals = [
+            self.subject.admit(_call(_TENANT, 500, 500)) for _ in range(20)
+        ]
+        self.assertGreater(sum(item is not None for item in refusals), 10)
+
     def test_no_tenant(self) -> None:
         """Guards against limits where no tenant is known."""
         for _ in range(50):
