Keep times of verdicts and crashes in the time of day

If all others have ended, what crashes servers is sent again.

Cause: records held the time since the boot of the writer's machine, and the reader compared it with its own.

Evidence: the reader in the test has been booted an hour earlier and releases the verdict in its first step.

Change: times are translated to the time of day when records are written, and back when they are read. Each write uses the same translation while the two clocks agree within a second, so that records stay equal.

test_crash_records.test_read_on_another_machine failed before and passes now.

--- a/src/dogwoodquay/clock.py
+++ b/src/dogwoodquay/clock.py
@@ -5,7 +5,7 @@
 import time
 import typing
 
-__all__ = ['Clock', 'ManualClock', 'SteadyClock', 'SystemClock']
+__all__ = ['Clock', 'ManualClock', 'SteadyClock', 'SystemClock', 'UnixClock']
 
 
 class Clock(typing.Protocol):
@@ -38,6 +38,17 @@
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+class UnixClock:
+    """The time of day, for times that other machines read.
+
+    It may differ between machines, and jump.
+    """
+
+    def now(self) -> float:
+        """Return the current time in seconds."""
+        return time.time()
+
+
 class ManualClock:
     """A clock for tests that only ``advance`` moves."""
 
--- a/src/dogwoodquay/gateway/crash_records.py
+++ b/src/dogwoodquay/gateway/crash_records.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from .. import clock as clocks
 from ..observe import logs
 from ..quarantine import records
 from . import reachability
@@ -16,7 +17,6 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
-    from .. import clock as clocks
     from . import crashes
     from . import metrics as gateway_metrics
     from . import store_api
@@ -33,6 +33,8 @@
 # after each further one.
 FIRST_BACKOFF_SECONDS: typing.Final = 0.5
 MAX_BACKOFF_SECONDS: typing.Final = 2.0
+# The time of day counts as unchanged within this, so that records stay equal.
+SAME_OFFSET_SECONDS: typing.Final = 1.0
 
 
 class _Source(typing.NamedTuple):
@@ -67,9 +69,13 @@
         clock: clocks.Clock,
         metrics: gateway_metrics.GatewayMetrics,
         on_known: abc.Callable[[], None],
+        unix_clock: clocks.Clock | None = None,
     ) -> None:
         """Create a client of the records.
 
+        Times in records are those of the time of day, as another machine may
+        read them; the watch goes by ``clock``, which starts with the machine.
+
         :param on_known: called as soon as ``known`` is true.
         """
         self._store = store
@@ -81,6 +87,8 @@
         self._read_for: _Source | None = None
         self._written = _State(0, 0.0)
         self._on_known = on_known
+        self._unix_clock = unix_clock or clocks.UnixClock()
+        self._offset = self._unix_clock.now() - clock.now()
 
     @property
     def known(self) -> bool:
@@ -134,7 +142,10 @@
             return False
         self._metrics.crash_records_called('read')
         stored = {item.key: item.value for item in page.ok.records}
-        kept, errors = records.decode(stored.values(), self._clock.now())
+        now = self._clock.now()
+        kept, errors = records.decode(
+            stored.values(), now + self._unix_offset()
+        )
         for error in errors:
             _LOG.write('unreadable', reason=error)
         if stored:
@@ -143,13 +154,15 @@
             )
         self._stored.on_read(stored)
         self._read_for = _Source(is_owner, self._store.era)
-        self._watch.restore(kept)
+        self._watch.restore(records.shifted(kept, -self._unix_offset()))
         return True
 
     async def _write(self) -> bool:
         """Write changes; only the owner knows what is to be deleted."""
         state = self._state
-        wanted = records.encode(self._watch.kept)
+        wanted = records.encode(
+            records.shifted(self._watch.kept, self._unix_offset())
+        )
         changes = self._stored.changes(wanted, deletes=self._watch.is_owner)
         if not changes:
             self._written = state
@@ -164,6 +177,13 @@
         self._stored.on_written(changes)
         return True
 
+    def _unix_offset(self) -> float:
+        """Return the time of day less the time of the instance's clock."""
+        offset = self._unix_clock.now() - self._clock.now()
+        if abs(offset - self._offset) > SAME_OFFSET_SECONDS:
+            self._offset = offset
+        return self._offset
+
     def _on_failure(self, outcome: str, error: store_api.StoreError) -> None:
         self._metrics.crash_records_called(outcome)
         _LOG.write(outcome, reason=reachability.reason_of(error))
--- a/src/dogwoodquay/quarantine/records.py
+++ b/src/dogwoodquay/quarantine/records.py
@@ -14,7 +14,7 @@
 if typing.TYPE_CHECKING:
     from collections import abc
 
-__all__ = ['Kept', 'RecordSet', 'decode', 'encode']
+__all__ = ['Kept', 'RecordSet', 'decode', 'encode', 'shifted']
 
 SCHEMA: typing.Final = 1
 # Times of verdicts are rounded to this, so that those in use are seldom
@@ -123,6 +123,19 @@
     return kept, tuple(errors)
 
 
+def shifted(kept: Kept, seconds: float) -> Kept:
+    """Return what is kept with all times moved, for another clock."""
+    return kept._replace(
+        verdicts=tuple(
+            item._replace(seen_at=item.seen_at + seconds)
+            for item in kept.verdicts
+        ),
+        crashes=tuple(
+            item._replace(at=item.at + seconds) for item in kept.crashes
+        ),
+    )
+
+
 class RecordSet:
     """What the store is known to hold."""
 
--- a/tests/unit/gateway/test_crash_records.py
+++ b/tests/unit/gateway/test_crash_records.py
@@ -14,6 +14,7 @@
 from dogwoodquay.gateway import store_api
 from dogwoodquay.quarantine import api
 from dogwoodquay.quarantine import records
+from dogwoodquay.quarantine import verdicts
 
 _TOPIC: typing.Final = store_api.Topic('any')
 _START: typing.Final = 1_000_000.0
@@ -29,21 +30,26 @@
     def setUp(self) -> None:
         """Create an owner and its store."""
         self.clock = clocks.ManualClock(_START)
+        self.time_of_day = clocks.ManualClock()
         self.store = fakes.FakeStore(self.clock)
         self.store.era = 1
         self.known = 0
         self._create(is_owner=True)
 
-    def _create(self, is_owner: bool) -> None:
-        self.watch = fakes.make_crashes(self.clock)
+    def _create(
+        self, is_owner: bool, clock: clocks.ManualClock | None = None
+    ) -> None:
+        clock = clock or self.clock
+        self.watch = fakes.make_crashes(clock)
         self._become_owner(is_owner)
         self.subject = crash_records.CrashRecords(
             self.store,
             _TOPIC,
             self.watch,
-            self.clock,
+            clock,
             fakes.make_metrics(),
             self._on_known,
+            self.time_of_day,
         )
 
     def _on_known(self) -> None:
@@ -64,7 +70,7 @@
         """Return the verdicts in the store."""
         newest = {item.key: item.value for item in self.store.records}
         values = [value for value in newest.values() if value]
-        kept, _ = records.decode(values, self.clock.now())
+        kept, _ = records.decode(values, self.time_of_day.now())
         return {item.parts for item in kept.verdicts}
 
     async def _steps(self) -> None:
@@ -81,6 +87,22 @@
         await self._steps()
         self.assertEqual({frozenset({'bad'})}, self._convicted())
 
+    async def test_read_on_another_machine(self) -> None:
+        """Guards against a verdict that is released as soon as it is read.
+
+        Its machine was booted an hour earlier.
+        """
+        self._convict('bad')
+        await self._steps()
+        later = clocks.ManualClock(_START + 3600.0)
+        self._create(False, later)
+        await self._steps()
+        self.watch.step()
+        self.assertEqual({frozenset({'bad'})}, self._convicted())
+        later.advance(verdicts.QUIET_SECONDS + 70.0)
+        self.watch.step()
+        self.assertEqual(set(), self._convicted())
+
     async def test_calls(self) -> None:
         """Nothing is read or written while nothing changes."""
         self._convict('bad')
