Consider parts of prompts with long names

Callers saw: nothing yet. A part whose name has more than 64 characters was never convicted, however many servers it crashed, and requests whose last parts share their first 64 characters counted as one.

Change: longer names are replaced by a digest.

--- a/src/dogwoodquay/quarantine/api.py
+++ b/src/dogwoodquay/quarantine/api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import typing
 
 __all__ = [
@@ -15,9 +16,11 @@
     'traits_of',
 ]
 
-# Shared parts of a prompt that are considered, and their longest name.
+# Shared parts of a prompt that are considered, and the longest name that is
+# kept as it is.
 MAX_PARTS: typing.Final = 16
 MAX_PART_CHARACTERS: typing.Final = 64
+LONG_DIGEST_BYTES: typing.Final = 16
 # Begins the trait that stands for all of a request; no identifier of a part
 # of a prompt begins with it.
 _REQUEST_PREFIX: typing.Final = 'request='
@@ -79,19 +82,27 @@
     :param identity: the same text each time the request comes.
     """
     shared = {
-        part
+        _short(part)
         for part in parts[:-1][:MAX_PARTS]
-        if len(part) <= MAX_PART_CHARACTERS and not is_whole_request(part)
+        if not is_whole_request(part)
     }
     whole = _REQUEST_PREFIX + identity
     if identity:
         shared.add(whole)
     if not shared:
         return None
-    own = parts[-1][:MAX_PART_CHARACTERS] if parts else whole
+    own = _short(parts[-1]) if parts else whole
     return Traits(frozenset(shared), own)
 
 
+def _short(part: str) -> str:
+    """Return an identifier of a part, a digest of a long one."""
+    if len(part) <= MAX_PART_CHARACTERS:
+        return part
+    data = part.encode('utf-8', 'surrogateescape')
+    return hashlib.blake2b(data, digest_size=LONG_DIGEST_BYTES).hexdigest()
+
+
 def is_whole_request(trait: str) -> bool:
     """Whether a trait stands for all of a request."""
     return trait.startswith(_REQUEST_PREFIX)
