Move requests at servers into the quarantine package, and document probes

No change of behaviour but one: a new stream of a split route is not held for its record, as who lacks the record refuses it in any case (test_resumption.ConfirmedRecordTest.test_several_services).

gateway/crashes.py loses what is pure data of requests that run or have ended (quarantine/requests.py), and Probes.take is named for what it does.

--- a/src/dogwoodquay/gateway/attempt.py
+++ b/src/dogwoodquay/gateway/attempt.py
@@ -11,8 +11,8 @@
     from collections import abc
 
     from . import api
-    from . import crashes
     from ..fleet import server as servers
+    from ..quarantine import requests
     from . import resumption
     from ..retry import windowed
     from ..traffic import stall_watch
@@ -49,7 +49,7 @@
         on_started: abc.Callable[
             [], abc.Awaitable[resumption.Confirmation | None]
         ],
-        in_flight: crashes.InFlight | None = None,
+        in_flight: requests.InFlight | None = None,
     ) -> None:
         self._in_flight = in_flight
         self._call = call
@@ -92,7 +92,7 @@
         return self._required_version
 
     @property
-    def in_flight(self) -> crashes.InFlight | None:
+    def in_flight(self) -> requests.InFlight | None:
         """What is watched of a request with shared prompt parts."""
         return self._in_flight
 
--- a/src/dogwoodquay/gateway/crashes.py
+++ b/src/dogwoodquay/gateway/crashes.py
@@ -7,7 +7,6 @@
 import typing
 
 import anyio
-import msgspec
 
 from . import crash_rows
 from . import failures
@@ -17,6 +16,7 @@
 from ..quarantine import api as quarantine_api
 from ..quarantine import core
 from ..quarantine import records
+from ..quarantine import requests
 
 if typing.TYPE_CHECKING:
     from collections import abc
@@ -30,16 +30,11 @@
     from ..fleet import server as servers
     from . import metrics as gateway_metrics
 
-__all__ = ['CrashWatch', 'InFlight']
+__all__ = ['CrashWatch']
 
 _LOG: typing.Final = logs.ComponentLog('quarantine')
 
 STEP_SECONDS: typing.Final = 0.1
-# A server that has written on an answer for longer did not end because of it.
-FRESH_SECONDS: typing.Final = 1.0
-# How long broken answers wait for the proof that their server has ended, and
-# answers that ended with their connection for the lack of one.
-PROOF_SECONDS: typing.Final = 1.0
 CONNECT_SECONDS: typing.Final = 0.4
 # Without the owner's view for so long, an instance decides alone.
 ALONE_SECONDS: typing.Final = 1.5
@@ -54,61 +49,6 @@
 _Key = tuple[str, float]
 
 
-class InFlight:
-    """A request at a server.
-
-    ``probing`` is set if it probes a verdict. ``sound`` is set once its
-    traits are known not to have ended the server.
-    """
-
-    def __init__(
-        self,
-        traits: quarantine_api.Traits,
-        server: fleet_api.ServerEntry,
-    ) -> None:
-        self.traits = traits
-        self.server = server
-        self.probing: _Probing | None = None
-        self.started_at: float | None = None
-        self.heard_at: float | None = None
-        self.sound = False
-
-    def is_fresh(self, now: float) -> bool:
-        """Whether the server has begun the answer just now, or not yet."""
-        return self.started_at is None or now - self.started_at < FRESH_SECONDS
-
-    @property
-    def has_lasted(self) -> bool:
-        """Whether the server has gone on writing after the first event."""
-        if self.started_at is None or self.heard_at is None:
-            return False
-        return self.heard_at - self.started_at >= FRESH_SECONDS
-
-
-class _Process(typing.NamedTuple):
-    """A process of a server, which may start again under its id."""
-
-    server_id: str
-    started_ms: int
-
-
-class _Ended(typing.NamedTuple):
-    """A request whose answer broke off, or ended with its connection."""
-
-    at: float
-    traits: quarantine_api.Traits
-    fresh: bool
-    complete: bool
-    probing: _Probing | None = None
-
-
-class _Probing(msgspec.Struct):
-    """A request that probes a verdict; ``sent`` if a server may run it."""
-
-    parts: frozenset[str]
-    sent: bool = False
-
-
 class CrashWatch:
     """Watches how requests end.
 
@@ -131,11 +71,13 @@
         self._clock = clock
         self._metrics = metrics
         self._quarantine = core.Quarantine(member)
-        self._in_flight: set[InFlight] = set()
-        self._probing: dict[_Key, _Probing] = {}
-        self._ended: dict[_Process, collections.deque[_Ended]] = {}
-        self._proven: dict[_Process, float] = {}
-        self._checking: set[_Process] = set()
+        self._in_flight: set[requests.InFlight] = set()
+        self._probing: dict[_Key, requests.Probing] = {}
+        self._ended: dict[
+            requests.Process, collections.deque[requests.Ended]
+        ] = {}
+        self._proven: dict[requests.Process, float] = {}
+        self._checking: set[requests.Process] = set()
         self._waiting: dict[anyio.CancelScope, quarantine_api.Traits] = {}
         self._heard_at = float('-inf')
         self._is_owner = False
@@ -229,7 +171,7 @@
         parts = self._quarantine.take_probe(traits, now)
         if parts is None:
             return True
-        self._probing[_key(call)] = _Probing(parts)
+        self._probing[_key(call)] = requests.Probing(parts)
         self._metrics.probed()
         _LOG.write('probed', request=call.request_id, parts=sorted(parts))
         return False
@@ -264,12 +206,14 @@
             finally:
                 self._waiting.pop(scope, None)
 
-    def begin(self, call: api.Call, server: servers.Server) -> InFlight | None:
+    def begin(
+        self, call: api.Call, server: servers.Server
+    ) -> requests.InFlight | None:
         """Record a request that is sent; ``None`` if it has no traits."""
         traits = traits_of(call)
         if traits is None:
             return None
-        in_flight = InFlight(traits, server.entry)
+        in_flight = requests.InFlight(traits, server.entry)
         probing = self._probing.get(_key(call))
         if probing is not None:
             probing.sent = True
@@ -277,13 +221,13 @@
         self._in_flight.add(in_flight)
         return in_flight
 
-    def leave(self, in_flight: InFlight | None) -> None:
+    def leave(self, in_flight: requests.InFlight | None) -> None:
         """Record that a request is at its server no longer."""
         if in_flight is not None:
             self._in_flight.discard(in_flight)
 
     def end(
-        self, in_flight: InFlight | None, outcome: outcomes.Outcome
+        self, in_flight: requests.InFlight | None, outcome: outcomes.Outcome
     ) -> None:
         """Record how a request ended."""
         if in_flight is None:
@@ -304,7 +248,7 @@
 
     def on_unreachable(self, server: fleet_api.ServerEntry) -> None:
         """Check a server that accepts no connection after an answer."""
-        if _process(server) in self._ended:
+        if requests.process_of(server) in self._ended:
             self._check(server)
 
     def load_rows(
@@ -378,7 +322,7 @@
         )
 
     def _on_answered(
-        self, in_flight: InFlight, framed: bool, now: float
+        self, in_flight: requests.InFlight, framed: bool, now: float
     ) -> None:
         """Record a complete answer, if its end was not just that of a server.
 
@@ -390,19 +334,15 @@
             self._on_ended(in_flight, True, now)
 
     def _on_ended(
-        self, in_flight: InFlight, complete: bool, now: float
+        self, in_flight: requests.InFlight, complete: bool, now: float
     ) -> None:
         server = in_flight.server
-        ended = _Ended(
-            now,
-            in_flight.traits,
-            in_flight.is_fresh(now),
-            complete,
-            in_flight.probing,
-        )
-        process = _process(server)
+        ended = in_flight.ended(complete, now)
+        process = requests.process_of(server)
         if process in self._proven:
-            self._add_crash(_crash_report(process, [ended], now), [ended])
+            self._add_crash(
+                requests.crash_report(process, [ended], now), [ended]
+            )
             return
         queue = self._ended.setdefault(
             process, collections.deque(maxlen=MAX_BROKEN)
@@ -413,9 +353,12 @@
 
     def _check(self, server: fleet_api.ServerEntry) -> None:
         """Ask for a connection, once at a time for each server."""
-        if self._tasks is None or _process(server) in self._checking:
+        if (
+            self._tasks is None
+            or requests.process_of(server) in self._checking
+        ):
             return
-        self._checking.add(_process(server))
+        self._checking.add(requests.process_of(server))
         self._tasks.start_soon(self._prove, server)
 
     async def _prove(self, server: fleet_api.ServerEntry) -> None:
@@ -424,18 +367,25 @@
                 server.address, server.port, CONNECT_SECONDS
             )
         finally:
-            self._checking.discard(_process(server))
+            self._checking.discard(requests.process_of(server))
         now = self._clock.now()
-        ended = self._ended.pop(_process(server), None) if refused else None
+        ended = (
+            self._ended.pop(requests.process_of(server), None)
+            if refused
+            else None
+        )
         if ended is not None:
-            self._proven[_process(server)] = now
-            self._report(_process(server), ended, now)
+            self._proven[requests.process_of(server)] = now
+            self._report(requests.process_of(server), ended, now)
 
     def _report(
-        self, process: _Process, ended: abc.Iterable[_Ended], now: float
+        self,
+        process: requests.Process,
+        ended: abc.Iterable[requests.Ended],
+        now: float,
     ) -> None:
         """Report the requests under which a server may have ended."""
-        report = _crash_report(process, ended, now)
+        report = requests.crash_report(process, ended, now)
         parts = {part for item in report.requests for part in item.shared}
         self._metrics.server_ended()
         _LOG.write(
@@ -450,7 +400,7 @@
     def _add_crash(
         self,
         report: quarantine_api.CrashReport,
-        ended: abc.Iterable[_Ended],
+        ended: abc.Iterable[requests.Ended],
     ) -> None:
         for item in ended:
             if item.probing is not None and item.fresh:
@@ -461,7 +411,7 @@
     def _settle(self, now: float) -> None:
         """Forget broken answers without a proof; others were complete."""
         for process, queue in list(self._ended.items()):
-            while queue and now - queue[0].at > PROOF_SECONDS:
+            while queue and now - queue[0].at > requests.PROOF_SECONDS:
                 ended = queue.popleft()
                 if ended.complete:
                     self._quarantine.on_answered(ended.traits, now)
@@ -470,7 +420,7 @@
         self._proven = {
             process: at
             for process, at in self._proven.items()
-            if now - at <= PROOF_SECONDS
+            if now - at <= requests.PROOF_SECONDS
         }
 
     def _log(self, changes: core.Changes) -> None:
@@ -494,28 +444,10 @@
                 scope.cancel()
 
 
-def _process(server: fleet_api.ServerEntry) -> _Process:
-    return _Process(server.server_id, server.started_ms)
-
-
 def _key(call: api.Call) -> _Key:
     return call.request_id, call.arrived_at
 
 
-def _crash_report(
-    process: _Process, ended: abc.Iterable[_Ended], now: float
-) -> quarantine_api.CrashReport:
-    """Return the requests that may have ended a server."""
-    requests = tuple(
-        quarantine_api.BrokenRequest(item.traits.own, item.traits.shared)
-        for item in ended
-        if item.fresh and now - item.at <= PROOF_SECONDS
-    )
-    return quarantine_api.CrashReport(
-        process.server_id, now, requests, process.started_ms
-    )
-
-
 def traits_of(call: api.Call) -> quarantine_api.Traits | None:
     """Return what a request has in common with others and its repeats."""
     parts = tuple(part.part_id for part in call.terms.prompt_parts)
--- a/src/dogwoodquay/gateway/resumption.py
+++ b/src/dogwoodquay/gateway/resumption.py
@@ -204,7 +204,7 @@
         """
         if call.terms.takes_up_stream:
             return version == call.origin_version or not call.terms.resumes
-        if not self._has_several_versions():
+        if not self._has_several_versions() or len(call.route.services) > 1:
             return True
         return version == self._select(call)
 
--- a/src/dogwoodquay/quarantine/core.py
+++ b/src/dogwoodquay/quarantine/core.py
@@ -107,7 +107,7 @@
         if len(matching) != 1:
             return None
         parts = matching[0].parts
-        if self._probes.may_send(parts, traits.shared, self._member, now):
+        if self._probes.take(parts, traits.shared, self._member, now):
             return parts
         return None
 
--- a/src/dogwoodquay/quarantine/probes.py
+++ b/src/dogwoodquay/quarantine/probes.py
@@ -135,13 +135,15 @@
         if probe is not None:
             self._probes[parts] = probe._replace(rivals=rivals)
 
-    def may_send(
+    def take(
         self, parts: _Parts, shared: _Parts, member: str, now: float
     ) -> bool:
-        """Whether a request under a verdict may go through now.
+        """Give a request under a verdict a probe, if this instance has one.
 
-        If not, the instance wants a probe. A probe that may be sent is the
-        request's until ``unsent`` returns it.
+        Else the instance wants one. The request keeps the probe until
+        ``unsent`` returns it.
+
+        :return: whether the request may go through.
         """
         probe = self._probes.get(parts)
         if probe is None or probe.rivals & shared:
--- a/tests/unit/gateway/test_crashes.py
+++ b/tests/unit/gateway/test_crashes.py
@@ -15,6 +15,7 @@
 from dogwoodquay.gateway import messages
 from dogwoodquay.gateway import outcomes
 from dogwoodquay.quarantine import core
+from dogwoodquay.quarantine import requests
 
 _RESET: typing.Final = outcomes.Broken('connection')
 
@@ -92,7 +93,7 @@
         self.clock.advance(after)
         self.watch.step()
 
-    def _begin(self, server_id: str, *parts: str) -> crashes.InFlight | None:
+    def _begin(self, server_id: str, *parts: str) -> requests.InFlight | None:
         return self.watch.begin(_call(*parts), entries.make_server(server_id))
 
     def _rows(self) -> list[tuple[str, list[tuple[str, ...]]]]:
@@ -137,7 +138,7 @@
         one = self._begin('s1', 'old', 'own-1')
         assert one is not None
         one.started_at = self.clock.now()
-        self.clock.advance(crashes.FRESH_SECONDS + 0.1)
+        self.clock.advance(requests.FRESH_SECONDS + 0.1)
         other = self._begin('s1', 'new', 'own-2')
 
         def break_off() -> None:
@@ -182,7 +183,7 @@
         await self._run(
             lambda: self.watch.end(one, outcomes.Streamed()),
             lambda: self.watch.end(other, outcomes.Streamed(framed=False)),
-            after=crashes.PROOF_SECONDS + 0.1,
+            after=requests.PROOF_SECONDS + 0.1,
         )
         again = self._begin('s2', 'a', 'b', 'c', 'own-3')
         await self._run(lambda: self.watch.end(again, _RESET))
@@ -198,7 +199,7 @@
     async def test_whole_requests(self) -> None:
         """A plain request is reported, unless it had a complete answer."""
 
-        def begin(name: str) -> crashes.InFlight | None:
+        def begin(name: str) -> requests.InFlight | None:
             server = entries.make_server('s1')
             return self.watch.begin(_call(identity=name), server)
 
--- a/tests/unit/gateway/test_resumption.py
+++ b/tests/unit/gateway/test_resumption.py
@@ -370,6 +370,11 @@
         self.clock.advance(resumption.SEVERAL_SECONDS)
         self.assertFalse(self._waits(self.call(), 'v1'))
 
+    def test_several_services(self) -> None:
+        """Who lacks the record refuses a stream of a split route."""
+        call = self.call(services=('s', 't'))
+        self.assertFalse(self._waits(call, self.other))
+
     def test_taken_up(self) -> None:
         """A stream that goes on where it began has a record already."""
         call = self.call('first', 3)._replace(origin_version=self.other)
