Let the stub of records take the argument of the real ones

test_broken_pieces.HandOverTest.test_first_events_are_recorded failed since (502 in place of 200): its stub of record did not know the argument confirmed. The stub takes it now; what the test asserts is unchanged.

--- a/tests/unit/gateway/test_broken_pieces.py
+++ b/tests/unit/gateway/test_broken_pieces.py
@@ -11,6 +11,7 @@
 from . import loopback
 from dogwoodquay import clock as clocks
 from dogwoodquay.gateway import attempt as attempts
+from dogwoodquay.gateway import origin_appends
 from dogwoodquay.gateway import origins
 from dogwoodquay.routes import api as routes_api
 
@@ -93,8 +94,11 @@
             add(attempt)
 
         async def record(
-            stream_id: str, origin: origins.Origin, lifetime_seconds: float
-        ) -> None:
+            stream_id: str,
+            origin: origins.Origin,
+            lifetime_seconds: float,
+            confirmed: bool = False,
+        ) -> origin_appends.Confirmation:
             if len(watched) == 1:
                 (attempt,) = watched
                 scheduler = site.scheduler
@@ -107,6 +111,7 @@
                 assert attempt.retries.take_move(clocks.SteadyClock().now())
                 attempt.hand_over(other)
                 await anyio.sleep(0.01)
+            return site.origins.confirmation
 
         site.silence.add = watch  # type: ignore[method-assign]
         site.origins.record = record  # type: ignore[method-assign]
